--- /dev/null
+++ b/check.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Run every check: format, lint, types, layers, tests.
+set -euo pipefail
+cd "$(dirname "$0")"
+ruff format --check .
+ruff check .
+mypy
+lint-imports
+python3 -m pytest "$@"
--- /dev/null
+++ b/src/bulrushstream/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as plain functions over state; no input or output."""
--- /dev/null
+++ b/src/bulrushstream/messages.py
@@ -0,0 +1,87 @@
+"""Every message for callers and operators, with its stable code.
+
+Codes never change their meaning.  A code that starts with ``B1`` is a
+refusal or failure that a caller sees, ``B2`` a finding in settings, rules
+or arguments, and ``B3`` a failure that an operator sees.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """One kind of message."""
+
+    code: str  # The stable code.
+    text: str  # A format string for `str.format`.
+    status: int = 0  # The HTTP status, if a caller sees it.
+
+    def format(self, **values: object) -> str:
+        """Return the text with the values filled in."""
+        return self.text.format(**values)
+
+
+NO_TOKEN: Final = Notice("B101", "The request has no valid bearer token.", 401)
+NO_RULE: Final = Notice("B102", "No rule matches the request.", 404)
+REFUSED_BY_RULE: Final = Notice("B103", "Rule {rule}: {reason}", 403)
+QUEUE_FULL: Final = Notice(
+    "B104", "Too many requests of the workspace wait.", 429
+)
+MEMORY_FULL: Final = Notice(
+    "B105", "The router holds as many waiting bytes as it may.", 503
+)
+EXPIRED: Final = Notice(
+    "B106", "The deadline passed before the request was started.", 504
+)
+TIMED_OUT: Final = Notice(
+    "B107", "The deadline passed while the request was running.", 504
+)
+ENDPOINT_LOST: Final = Notice(
+    "B108", "The endpoint was lost while it ran the request.", 502
+)
+NOT_READY: Final = Notice("B109", "The router has no configuration yet.", 503)
+DRAINING: Final = Notice("B110", "The router is stopping.", 503)
+BODY_TOO_LARGE: Final = Notice(
+    "B111", "The body is larger than {limit_bytes} bytes.", 413
+)
+BAD_REQUEST: Final = Notice("B112", "The request is malformed: {why}", 400)
+QUARANTINED: Final = Notice(
+    "B113", "Requests like this one crashed endpoints and are refused.", 422
+)
+KEY_REUSED: Final = Notice(
+    "B114", "The Idempotency-Key was used with another request.", 422
+)
+KEY_PENDING: Final = Notice(
+    "B115", "The first request with this key has not ended yet.", 409
+)
+LOG_DOWN: Final = Notice(
+    "B116", "The key could not be recorded before the deadline.", 503
+)
+RETRIES_SPENT: Final = Notice(
+    "B117", "Every permitted attempt failed: {why}", 502
+)
+NO_MODEL: Final = Notice("B118", "No service has the model {model}.", 404)
+TOO_MANY_CONNECTIONS: Final = Notice(
+    "B119", "The router has as many connections as it may.", 503
+)
+READ_TIMEOUT: Final = Notice(
+    "B120", "The body did not arrive within {timeout_s} s.", 408
+)
+KEY_RAN: Final = Notice(
+    "B121", "The first request with this key ran; its answer is gone.", 409
+)
+SHED: Final = Notice(
+    "B122", "The router shed the request to bound its memory.", 503
+)
+
+UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
+MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
+WRONG_TYPE: Final = Notice("B203", "{why}")
+OUT_OF_RANGE: Final = Notice("B204", "{why}")
+NOT_JSON: Final = Notice("B205", "Not JSON with comments: {why}")
+UNREADABLE: Final = Notice("B206", "The file can not be read: {why}")
+DUPLICATE_NAME: Final = Notice("B207", "The name {name!r} stands twice.")
+UNKNOWN_NAME: Final = Notice("B208", "No {kind} is named {name!r}.")
--- /dev/null
+++ b/src/bulrushstream/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The messages between our processes, as Thrift structures."""
--- /dev/null
+++ b/src/bulrushstream/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for the endpoints."""
--- /dev/null
+++ b/src/bulrushstream/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP servers and HTTP clients."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet."""
