Check recorded histories for every broken promise

The outcome, fairness, draining and configuration promises had no check that is independent of the cores.

A right history gives no violation.

--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,89 @@
+"""The checker finds nothing in a right history and each fault in others."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import pytest
+
+from bulrushstream.history.checker import check_history
+from bulrushstream.history.record import (
+    Backlogged,
+    Record,
+    ServiceGiven,
+    Supply,
+)
+from bulrushstream.history.shares import largest_gap
+from bulrushstream.history.violation import CheckLimits, ViolationKind
+from bulrushstream.state.request import Outcome
+from tests import histories
+
+LIMITS: Final = CheckLimits(idle_bound_s=0.1, fairness_gap=5.0)
+
+
+class CheckerSuite:
+    def test_right_history(self) -> None:
+        assert check_history(histories.RIGHT, LIMITS) == []
+
+    def test_empty_history(self) -> None:
+        assert check_history((), LIMITS) == []
+
+    @pytest.mark.parametrize(
+        "case", histories.FAULTY, ids=lambda case: str(case.name)
+    )
+    def test_faulty_history(self, case: histories.FaultyHistory) -> None:
+        found = check_history(case.records, LIMITS)
+        assert [violation.kind for violation in found] == [case.kind]
+
+    def test_every_kind_has_a_faulty_history(self) -> None:
+        covered = {case.kind for case in histories.FAULTY}
+        assert covered == set(ViolationKind)
+
+    def test_all_violations_are_reported_together(self) -> None:
+        records = (
+            histories.called(),
+            *histories.ran(),
+            *histories.answered(b"r1two-", outcome=Outcome.NOT_RUN),
+            histories.started(3.0, agent=histories.OTHER_AGENT),
+        )
+        found = check_history(records, LIMITS)
+        assert {violation.kind for violation in found} == {
+            ViolationKind.GARBLED_ANSWER,
+            ViolationKind.FALSE_NOT_RUN,
+            ViolationKind.RUN_TWICE,
+        }
+        assert found == sorted(found)
+
+    def test_same_key_may_share_an_answer(self) -> None:
+        records = (
+            histories.called(key="k"),
+            histories.called("r2", key="k"),
+            *histories.ran(),
+            *histories.answered(*histories.WHOLE),
+            *histories.answered(*histories.WHOLE, request_id="r2"),
+        )
+        assert check_history(records, LIMITS) == []
+
+
+class SharesSuite:
+    def test_short_idleness_is_allowed(self) -> None:
+        records = (Supply(0.0, "s1", 1, 1), Supply(0.1, "s1", 0, 1))
+        assert check_history(records, LIMITS) == []
+
+    def test_service_outside_a_common_backlog_is_no_gap(self) -> None:
+        records: tuple[Record, ...] = (
+            Backlogged(0.0, "s1", "w1", 1),
+            *(ServiceGiven(float(n), "s1", "w1", 1.0) for n in range(9)),
+            Backlogged(9.0, "s1", "w2", 1),
+            ServiceGiven(9.5, "s1", "w2", 2.0),
+        )
+        assert largest_gap(records) == 2.0
+
+    def test_gap_counts_any_part_of_an_interval(self) -> None:
+        records: tuple[Record, ...] = (
+            Backlogged(0.0, "s1", "w1", 1),
+            Backlogged(0.0, "s1", "w2", 1),
+            ServiceGiven(1.0, "s1", "w1", 3.0),
+            ServiceGiven(2.0, "s1", "w2", 7.0),
+        )
+        assert largest_gap(records) == 7.0
