Service ledger that merges lost, doubled and late copies

Cause: routers and agents need one count of service per workspace that survives restarts and any order of messages. A served entry now names the agent's report and may stand for all incarnations up to its own, so that estimates stay ordered across relays and folded sums are never added twice.

--- a/src/bulrushstream/state/message.py
+++ b/src/bulrushstream/state/message.py
@@ -224,6 +224,8 @@
     workspace: str  # Who received the service.
     total: float  # Service units since the incarnation began; grows only.
     in_flight: float  # Estimated units still owed by running requests.
+    sequence: int = 0  # The agent's report that this is from.
+    folded: bool = False  # Whether it sums all incarnations up to this.
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,7 +244,7 @@
     workspace: str  # Who received the service.
     total: float  # Sum of the totals that the sender knows.
     in_flight: float  # Sum of the estimates that the sender knows.
-    floor: float  # The lift: the least weighted total it counts from.
+    floor: float  # Its lift: weighted units added to its total.
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,7 +262,7 @@
 
     service: str  # The service whose ledger this is.
     workspace: str  # The workspace that was lifted.
-    floor: float  # Its least weighted total from now on.
+    floor: float  # Weighted units added to its total from now on.
 
 
 @dataclass(frozen=True, slots=True)
