--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -85,3 +85,26 @@
 UNREADABLE: Final = Notice("B206", "The file can not be read: {why}")
 DUPLICATE_NAME: Final = Notice("B207", "The name {name!r} stands twice.")
 UNKNOWN_NAME: Final = Notice("B208", "No {kind} is named {name!r}.")
+ONE_SECRET: Final = Notice(
+    "B209", "Give either shared_secret or shared_secret_file."
+)
+SHORT_SECRET: Final = Notice(
+    "B210", "The secret must have at least {chars} characters."
+)
+PARTIAL_TLS: Final = Notice(
+    "B211", "TLS needs a certificate, a key and an authority."
+)
+NO_ADVERTISED_HOST: Final = Notice(
+    "B212", "Peers can not dial 0.0.0.0; give advertised_host."
+)
+BAD_PATTERN: Final = Notice("B213", "The pattern {pattern!r}: {why}")
+BAD_TOKEN_DIGEST: Final = Notice(
+    "B214", "A token is given by its SHA-256 in 64 hex digits."
+)
+BAD_VALUE: Final = Notice("B215", "{why}")
+UNREACHABLE_RULE: Final = Notice(
+    "B216", "Rule {earlier!r} matches all that this one does."
+)
+NO_SERVICE: Final = Notice(
+    "B217", "The rule names no service and none follows from its condition."
+)
