Queues, reassembly and the first router core

A router takes requests, queues them per workspace and service, hands them to agents that pull or are idle, and gives callers the parts in order.

--- /dev/null
+++ b/src/bulrushstream/coordination/attempts.py
@@ -0,0 +1,301 @@
+"""Follows each attempt from its dispatch to its end.
+
+An attempt ends by the end of its answer, by a proof that it was never
+started, or by the loss of its agent.  Only proved not-run attempts and
+idempotent requests of which the caller has seen nothing go back to the
+queue.
+"""
+
+from __future__ import annotations
+
+from bulrushstream.coordination import backlogs, dispatching, settling
+from bulrushstream.coordination.routing import (
+    AgentView,
+    Phase,
+    RouterState,
+    Timer,
+    Tracked,
+    endpoint_of,
+)
+from bulrushstream.messages import ENDPOINT_LOST, EXPIRED, RETRIES_SPENT
+from bulrushstream.state.identity import InstanceInfo, InstanceKey
+from bulrushstream.state.message import (
+    Ack,
+    Cancel,
+    Gone,
+    Part,
+    PartKind,
+    Refuse,
+    RefuseReason,
+    Resume,
+)
+from bulrushstream.state.request import Outcome
+
+
+def part(
+    state: RouterState, peer: InstanceKey, message: Part, now_s: float
+) -> None:
+    """Take a part of an answer and give on what is in order.
+
+    :param state: the router
+    :param peer: the agent that sent it
+    :param message: the part
+    :param now_s: the time on the core's clock
+    """
+    tracked = _out(state, peer, message.request_id, message.attempt)
+    if tracked is None:
+        _dismiss(state, peer, message)
+        return
+    tracked.exposed = True
+    tracked.heard_s = now_s
+    for ready in tracked.answer.accept(message):
+        if ready.kind is PartKind.END:
+            _acknowledge(state, tracked)
+            _end(state, tracked, ready, now_s)
+            return
+        settling.give(state, tracked, ready)
+    if tracked.answer.unacked >= state.options.ack_parts:
+        _acknowledge(state, tracked)
+    elif tracked.answer.unacked:
+        ack_s = now_s + state.options.ack_delay_s
+        state.timers.set_sooner((Timer.ACK, message.request_id), ack_s)
+
+
+def refuse(
+    state: RouterState, peer: InstanceKey, message: Refuse, now_s: float
+) -> None:
+    """Put a request back whose attempt was proved not to be started.
+
+    :param state: the router
+    :param peer: the agent that refused it
+    :param message: its refusal
+    :param now_s: the time on the core's clock
+    """
+    view = state.agents.get(peer)
+    if view is not None:
+        view.free_slots = 0
+        if message.reason is RefuseReason.DRAINING:
+            view.leaving = True
+    tracked = _out(state, peer, message.request_id, message.attempt)
+    if tracked is None:
+        return
+    where = "" if view is None else endpoint_of(view)
+    settling.release(state, tracked)
+    if message.reason is RefuseReason.EXPIRED:
+        settling.fail(state, tracked, EXPIRED, now_s)
+        return
+    state.decide("requeue", message.reason.name, tracked, now_s, where)
+    if message.reason is not RefuseReason.BUSY:
+        tracked.tried.add(where)
+        tracked.avoid_until_s = now_s + state.options.avoid_s
+    if message.reason is RefuseReason.SUSPECT:
+        pause_s = now_s + state.options.refuse_pause_s
+        state.timers.set((Timer.RETRY, message.request_id), pause_s)
+        return
+    dispatching.offer(state, tracked, now_s)
+
+
+def gone(
+    state: RouterState, peer: InstanceKey, message: Gone, now_s: float
+) -> None:
+    """Settle an attempt that an agent can not resume or revoke.
+
+    :param state: the router
+    :param peer: the agent
+    :param message: what it knows of the attempt
+    :param now_s: the time on the core's clock
+    """
+    tracked = _out(state, peer, message.request_id, message.attempt)
+    if tracked is None:
+        return
+    _broken(state, tracked, message.outcome, "the answer is gone", now_s)
+
+
+def probe(state: RouterState, request_id: str, now_s: float) -> None:
+    """Ask for an attempt that was silent for a while.
+
+    :param state: the router
+    :param request_id: which request
+    :param now_s: the time on the core's clock
+    """
+    tracked = state.tracked.get(request_id)
+    if tracked is None or tracked.phase is not Phase.RUNNING:
+        return
+    due_s = tracked.heard_s + state.options.probe_s
+    if due_s <= now_s:
+        tracked.heard_s = now_s
+        due_s = now_s + state.options.probe_s
+        _resume(state, tracked)
+    state.timers.set((Timer.PROBE, request_id), due_s)
+
+
+def acknowledge(state: RouterState, request_id: str) -> None:
+    """Tell an agent which parts it need not keep.
+
+    :param state: the router
+    :param request_id: which request
+    """
+    tracked = state.tracked.get(request_id)
+    if tracked is not None and tracked.phase is Phase.RUNNING:
+        _acknowledge(state, tracked)
+
+
+def agent_up(state: RouterState, info: InstanceInfo, now_s: float) -> None:
+    """Take up a connection to an agent, and its running attempts.
+
+    :param state: the router
+    :param info: the agent
+    :param now_s: the time on the core's clock
+    """
+    _lose_older(state, info.key, now_s)
+    view = state.agents.get(info.key)
+    if view is None:
+        view = AgentView(info)
+        state.add_agent(view)
+    view.connected = True
+    view.leaving = view.leaving or info.leaving
+    view.free_slots = 0
+    backlogs.tell_all(state, view, now_s)
+    for request_id in sorted(view.running):
+        state.timers.cancel((Timer.GRACE, request_id))
+        _resume(state, state.tracked[request_id])
+
+
+def agent_down(state: RouterState, key: InstanceKey, now_s: float) -> None:
+    """Note that the connection to an agent broke.
+
+    Its attempts are kept for a while, because the agent may be back.
+
+    :param state: the router
+    :param key: the agent
+    :param now_s: the time on the core's clock
+    """
+    view = state.agents.get(key)
+    if view is None or not view.connected:
+        return
+    view.connected = False
+    view.free_slots = 0
+    for request_id in sorted(view.running):
+        grace_s = now_s + state.options.resume_grace_s
+        state.timers.set((Timer.GRACE, request_id), grace_s)
+
+
+def agent_lost(state: RouterState, key: InstanceKey, now_s: float) -> None:
+    """Settle all attempts at an agent that will not come back.
+
+    :param state: the router
+    :param key: the agent
+    :param now_s: the time on the core's clock
+    """
+    view = state.remove_agent(key)
+    if view is None:
+        return
+    for request_id in sorted(view.running):
+        tracked = state.tracked[request_id]
+        _broken(state, tracked, Outcome.UNKNOWN, "the agent is lost", now_s)
+
+
+def out_of_grace(state: RouterState, request_id: str, now_s: float) -> None:
+    """Settle an attempt whose agent did not come back in time.
+
+    :param state: the router
+    :param request_id: which request
+    :param now_s: the time on the core's clock
+    """
+    tracked = state.tracked.get(request_id)
+    if tracked is None or tracked.phase is not Phase.RUNNING:
+        return
+    _broken(state, tracked, Outcome.UNKNOWN, "the agent is silent", now_s)
+
+
+def _lose_older(state: RouterState, key: InstanceKey, now_s: float) -> None:
+    """Give up earlier incarnations of an agent."""
+    for other in sorted(state.agents):
+        same = other.instance == key.instance
+        if same and other.incarnation < key.incarnation:
+            agent_lost(state, other, now_s)
+
+
+def _out(
+    state: RouterState, peer: InstanceKey, request_id: str, attempt: int
+) -> Tracked | None:
+    """Return the request if this very attempt of it is out."""
+    tracked = state.tracked.get(request_id)
+    if tracked is None or tracked.phase is not Phase.RUNNING:
+        return None
+    if tracked.agent != peer or tracked.attempt != attempt:
+        return None
+    return tracked
+
+
+def _dismiss(state: RouterState, peer: InstanceKey, message: Part) -> None:
+    """Let an agent drop an answer that nobody waits for."""
+    if message.kind is PartKind.END:
+        done = message.sequence + 1
+        state.send(peer, Ack(message.request_id, message.attempt, done))
+    elif message.kind is PartKind.HEAD:
+        state.send(peer, Cancel(message.request_id, message.attempt))
+
+
+def _acknowledge(state: RouterState, tracked: Tracked) -> None:
+    if tracked.agent is None or not tracked.answer.unacked:
+        return
+    request_id = tracked.request.request_id
+    done = tracked.answer.next_sequence
+    tracked.answer.acked_sequence = done
+    state.timers.cancel((Timer.ACK, request_id))
+    state.send(tracked.agent, Ack(request_id, tracked.attempt, done))
+
+
+def _resume(state: RouterState, tracked: Tracked) -> None:
+    if tracked.agent is None:
+        return
+    request_id = tracked.request.request_id
+    missing = tracked.answer.next_sequence
+    state.send(tracked.agent, Resume(request_id, tracked.attempt, missing))
+
+
+def _end(
+    state: RouterState, tracked: Tracked, end: Part, now_s: float
+) -> None:
+    if end.whole:
+        settling.finish(state, tracked, end, now_s)
+        return
+    _broken(state, tracked, end.outcome, end.detail, now_s)
+
+
+def _broken(
+    state: RouterState,
+    tracked: Tracked,
+    outcome: Outcome,
+    why: str,
+    now_s: float,
+) -> None:
+    """Retry an attempt that failed, if that is allowed, or fail it."""
+    view = None if tracked.agent is None else state.agents.get(tracked.agent)
+    settling.release(state, tracked)
+    if outcome is not Outcome.NOT_RUN:
+        tracked.exposed = True
+    if view is not None:
+        tracked.tried.add(endpoint_of(view))
+        tracked.avoid_until_s = now_s + state.options.avoid_s
+    if outcome is Outcome.NOT_RUN and not tracked.given:
+        state.decide("requeue", "not run", tracked, now_s)
+        dispatching.offer(state, tracked, now_s)
+        return
+    if _may_retry(tracked, now_s):
+        tracked.retries += 1
+        state.decide("retry", why, tracked, now_s)
+        dispatching.offer(state, tracked, now_s)
+        return
+    notice = RETRIES_SPENT if tracked.retries else ENDPOINT_LOST
+    settling.fail(state, tracked, notice, now_s, detail=why)
+
+
+def _may_retry(tracked: Tracked, now_s: float) -> bool:
+    request = tracked.request
+    if not request.idempotent or tracked.given or tracked.answered:
+        return False
+    if tracked.retries >= request.retry_limit:
+        return False
+    return now_s < request.deadline_s
