--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,10 @@
 
 import msgspec
 
+from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
+from bulrushstream.state.message import Part, PartKind
+from bulrushstream.state.request import Outcome, Request, RequestClass
+
 
 @dataclass(slots=True)
 class FakeClock:
@@ -30,3 +34,100 @@
     return msgspec.json.encode(
         {"model": model, "messages": messages, "stream": stream}
     )
+
+
+def a_router(name: str = "router-1", zone: str = "akl-a") -> InstanceInfo:
+    """Return a router's identity."""
+    return InstanceInfo(
+        InstanceKey(name, 1), Role.ROUTER, "nz", zone, "127.0.0.1", 7000
+    )
+
+
+def an_agent(
+    name: str = "agent-1",
+    zone: str = "akl-a",
+    incarnation: int = 1,
+    service: str = "proofwriter",
+) -> InstanceInfo:
+    """Return an agent's identity, with an endpoint of its own."""
+    return InstanceInfo(
+        key=InstanceKey(name, incarnation),
+        role=Role.AGENT,
+        region="nz",
+        availability_zone=zone,
+        host="127.0.0.1",
+        port=7001,
+        service=service,
+        endpoint=f"{name}-endpoint",
+    )
+
+
+def a_request(
+    request_id: str = "q1",
+    workspace: str = "school",
+    *,
+    service: str = "proofwriter",
+    interactive: bool = True,
+    idempotent: bool = False,
+    arrived_s: float = 0.0,
+    deadline_s: float = 60.0,
+    body: bytes = b"{}",
+    key: str = "",
+    retry_limit: int = 0,
+    prefix_digest: int = 0,
+    fingerprint: int = 0,
+) -> Request:
+    """Return a request as its rule admitted it."""
+    urgent = RequestClass.INTERACTIVE if interactive else RequestClass.BATCH
+    return Request(
+        request_id=request_id,
+        workspace=workspace,
+        service=service,
+        rule="all",
+        request_class=urgent,
+        idempotent=idempotent,
+        method="POST",
+        path="/v1/chat/completions",
+        headers=(),
+        body=body,
+        stream=True,
+        arrived_s=arrived_s,
+        deadline_s=deadline_s,
+        idempotency_key=key,
+        retry_limit=retry_limit,
+        prefix_digest=prefix_digest,
+        fingerprint=fingerprint,
+    )
+
+
+def a_head(request_id: str = "q1", attempt: int = 1) -> Part:
+    """Return the first part of an answer."""
+    return Part(request_id, attempt, 0, PartKind.HEAD, status=200)
+
+
+def a_body(
+    sequence: int, data: bytes, request_id: str = "q1", attempt: int = 1
+) -> Part:
+    """Return a piece of an answer."""
+    return Part(request_id, attempt, sequence, PartKind.BODY, data=data)
+
+
+def an_end(
+    sequence: int,
+    request_id: str = "q1",
+    attempt: int = 1,
+    *,
+    outcome: Outcome = Outcome.RAN,
+    whole: bool = True,
+    crashed: bool = False,
+) -> Part:
+    """Return the last part of an answer."""
+    return Part(
+        request_id,
+        attempt,
+        sequence,
+        PartKind.END,
+        outcome=outcome,
+        whole=whole,
+        crashed=crashed,
+    )
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,221 @@
+"""A router's path from the arrival of a request to the caller's answer."""
+
+from __future__ import annotations
+
+from bulrushstream.coordination.routing import RouterOptions
+from bulrushstream.messages import (
+    DRAINING,
+    ENDPOINT_LOST,
+    EXPIRED,
+    QUEUE_FULL,
+    SHED,
+    TIMED_OUT,
+)
+from bulrushstream.state.config import (
+    Condition,
+    FleetConfig,
+    Rule,
+    Treatment,
+    VersionedConfig,
+)
+from bulrushstream.state.event import (
+    CallerLeft,
+    Configured,
+    DrainStarted,
+    PeerDown,
+    PeerLost,
+    PeerUp,
+)
+from bulrushstream.state.message import (
+    Ack,
+    Backlog,
+    Cancel,
+    Dispatch,
+    Gone,
+    Goodbye,
+    NoWork,
+    PartKind,
+    Refuse,
+    RefuseReason,
+    Resume,
+)
+from bulrushstream.state.request import Outcome
+from tests.builders import a_body, a_head, a_request, an_agent, an_end
+from tests.routers import RouterDriver, dispatch_peers, sent
+
+AGENT = an_agent()
+OTHER = an_agent("agent-2", "akl-b")
+
+
+def a_running_request(idempotent: bool = False) -> RouterDriver:
+    """Return a router with one request out at an agent."""
+    router = RouterDriver()
+    router.up(AGENT)
+    router.arrive(a_request(idempotent=idempotent, retry_limit=2))
+    assert len(sent(router.pull(AGENT), Dispatch)) == 1
+    return router
+
+
+class PathSuite:
+    def test_a_pull_gets_the_request_and_the_caller_its_answer(self) -> None:
+        router = a_running_request()
+        router.get(AGENT, a_head())
+        router.get(AGENT, a_body(1, b"hello"))
+        effects = router.get(AGENT, an_end(2))
+        kinds = [part.kind for part in router.replies()]
+        assert kinds == [PartKind.HEAD, PartKind.BODY, PartKind.END]
+        assert sent(effects, Ack) == [Ack("q1", 1, 3)]
+        assert router.state.idle
+
+    def test_parts_out_of_order_and_twice_reach_the_caller_once(self) -> None:
+        router = a_running_request()
+        parts = [a_head(), a_body(1, b"a"), a_body(2, b"b"), an_end(3)]
+        for index in (2, 1, 1, 3, 0, 2, 3):
+            router.get(AGENT, parts[index])
+        assert [part.sequence for part in router.replies()] == [0, 1, 2, 3]
+
+    def test_backlog_is_told_at_once_when_a_queue_fills(self) -> None:
+        router = RouterDriver()
+        router.up(AGENT)
+        first = sent(router.arrive(a_request("q1")), Backlog)
+        assert first[0].entries[0].interactive == 1
+        assert not sent(router.arrive(a_request("q2")), Backlog)
+        later = sent(router.wait(0.6), Backlog)
+        assert later[0].entries[0].interactive == 2
+
+    def test_an_idle_agent_near_by_gets_a_fresh_request(self) -> None:
+        router = RouterDriver()
+        for agent in (OTHER, AGENT):
+            router.up(agent)
+            router.idle(agent)
+        peers = dispatch_peers(router.arrive(a_request("q1")))
+        assert peers == [AGENT.key]
+        assert dispatch_peers(router.arrive(a_request("q2"))) == [OTHER.key]
+        assert not dispatch_peers(router.arrive(a_request("q3")))
+
+    def test_no_work_is_said_for_an_empty_workspace(self) -> None:
+        router = RouterDriver()
+        router.up(AGENT)
+        assert sent(router.pull(AGENT, pull_id=9), NoWork) == [NoWork(9)]
+
+
+class RefusalSuite:
+    def test_a_refused_dispatch_goes_to_another_agent(self) -> None:
+        router = a_running_request()
+        router.up(OTHER)
+        router.get(AGENT, Refuse("q1", 1, RefuseReason.BUSY))
+        dispatch = sent(router.pull(OTHER), Dispatch)[0]
+        assert dispatch.attempt == 2
+        assert router.state.tracked["q1"].retries == 0
+
+    def test_a_late_refusal_of_an_old_attempt_changes_nothing(self) -> None:
+        router = a_running_request()
+        router.get(AGENT, Refuse("q1", 1, RefuseReason.BUSY))
+        router.pull(AGENT)
+        router.get(AGENT, Refuse("q1", 1, RefuseReason.REVOKED))
+        assert not sent(router.pull(AGENT), Dispatch)
+
+    def test_a_full_queue_refuses_as_not_run(self) -> None:
+        router = RouterDriver()
+        rule = Rule("all", Condition(), Treatment(queue_limit=1))
+        config = VersionedConfig(1, FleetConfig(rules=(rule,)))
+        router.on(Configured(config))
+        router.arrive(a_request("q1"))
+        router.arrive(a_request("q2"))
+        failure = router.failures("q2")[0]
+        assert failure.code == QUEUE_FULL.code
+        assert failure.outcome is Outcome.NOT_RUN
+
+    def test_memory_is_taken_from_the_longest_queue(self) -> None:
+        router = RouterDriver(RouterOptions(max_waiting_bytes=12_000))
+        for index in range(9):
+            router.arrive(a_request(f"flood-{index}", "council"))
+        router.arrive(a_request("q1", "school", body=bytes(5_000)))
+        assert not router.failures("q1")
+        shed = router.failures("flood-8")[0]
+        assert (shed.code, shed.outcome) == (SHED.code, Outcome.NOT_RUN)
+        assert not router.failures("flood-0")
+
+    def test_a_draining_router_finishes_what_it_has(self) -> None:
+        router = a_running_request()
+        router.arrive(a_request("q2"))
+        assert not sent(router.on(DrainStarted()), Goodbye)
+        router.arrive(a_request("q3"))
+        assert router.failures("q3")[0].code == DRAINING.code
+        assert sent(router.pull(AGENT), Goodbye)
+        for name in ("q1", "q2"):
+            router.get(AGENT, a_head(name))
+            router.get(AGENT, an_end(1, name))
+        assert router.state.idle
+
+
+class DeadlineSuite:
+    def test_a_request_that_waited_too_long_is_not_run(self) -> None:
+        router = RouterDriver()
+        router.arrive(a_request(deadline_s=5.0))
+        router.wait(6.0)
+        failure = router.failures()[0]
+        assert failure.code == EXPIRED.code
+        assert failure.outcome is Outcome.NOT_RUN
+        assert router.state.idle
+
+    def test_a_running_request_is_stopped_and_its_outcome_open(self) -> None:
+        router = a_running_request()
+        effects = router.wait(61.0)
+        assert sent(effects, Cancel) == [Cancel("q1", 1)]
+        failure = router.failures()[0]
+        assert failure.code == TIMED_OUT.code
+        assert failure.outcome is Outcome.UNKNOWN
+
+    def test_a_caller_that_leaves_stops_its_work(self) -> None:
+        router = a_running_request()
+        assert sent(router.on(CallerLeft("q1")), Cancel)
+        assert not router.failures()
+
+
+class BrokenSuite:
+    def test_an_answer_is_resumed_after_a_reconnect(self) -> None:
+        router = a_running_request()
+        router.get(AGENT, a_head())
+        router.on(PeerDown(AGENT.key))
+        router.wait(1.0)
+        effects = router.on(PeerUp(AGENT))
+        assert sent(effects, Resume) == [Resume("q1", 1, 1)]
+        router.get(AGENT, a_body(1, b"x"))
+        router.get(AGENT, an_end(2))
+        assert router.replies()[-1].whole
+
+    def test_a_lost_agent_leaves_the_outcome_open(self) -> None:
+        router = a_running_request()
+        router.on(PeerLost(AGENT.key))
+        failure = router.failures()[0]
+        assert failure.code == ENDPOINT_LOST.code
+        assert failure.outcome is Outcome.UNKNOWN
+
+    def test_an_idempotent_request_is_tried_elsewhere(self) -> None:
+        router = a_running_request(idempotent=True)
+        router.on(PeerLost(AGENT.key))
+        router.up(OTHER)
+        router.wait(2.0)
+        assert sent(router.pull(OTHER), Dispatch)[0].attempt == 2
+
+    def test_a_broken_answer_ends_as_not_whole(self) -> None:
+        router = a_running_request(idempotent=True)
+        router.get(AGENT, a_head())
+        router.get(AGENT, a_body(1, b"half"))
+        router.on(PeerLost(AGENT.key))
+        end = router.replies()[-1]
+        assert end.kind is PartKind.END
+        assert not end.whole
+        assert not router.failures()
+
+    def test_a_lost_dispatch_is_found_and_sent_again(self) -> None:
+        router = a_running_request()
+        assert sent(router.wait(2.5), Resume) == [Resume("q1", 1, 0)]
+        router.get(AGENT, Gone("q1", 1, Outcome.NOT_RUN))
+        assert sent(router.pull(AGENT), Dispatch)[0].attempt == 2
+
+    def test_a_new_incarnation_settles_the_old_one(self) -> None:
+        router = a_running_request()
+        router.up(an_agent(incarnation=2))
+        assert router.failures()[0].outcome is Outcome.UNKNOWN
