Messages for trials of suspected requests, and who hears an agent

A suspected request runs under the consent of all routers, which needs an ask and a grant; a router says which agents it hears itself, so that peers relay only the others' service.

--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -73,6 +73,9 @@
 KEY_RAN: Final = Notice(
     "B121", "The first request with this key ran; its answer is gone.", 409
 )
+KEY_LOST: Final = Notice(
+    "B123", "Whether the first request with this key ran is not known.", 409
+)
 SHED: Final = Notice(
     "B122", "The router shed the request to bound its memory.", 503
 )
--- a/src/bulrushstream/state/message.py
+++ b/src/bulrushstream/state/message.py
@@ -235,6 +235,7 @@
     service: str  # The service whose ledger this is.
     sequence: int  # Grows with each message of this sender.
     entries: tuple[ServedEntry, ...]
+    heard: tuple[str, ...] = ()  # Agents that a router hears itself.
 
 
 @dataclass(frozen=True, slots=True)
@@ -308,6 +309,24 @@
     dropped: tuple[int, ...]  # Digests that it no longer holds.
 
 
+@dataclass(frozen=True, slots=True)
+class TrialAsk:
+    """Ask a router that it runs no request like a suspected one."""
+
+    fingerprint: int  # Which requests.
+    number: int  # Names this ask among the sender's own.
+    strikes: tuple[Strike, ...]  # What the sender knows of them.
+
+
+@dataclass(frozen=True, slots=True)
+class TrialGrant:
+    """The sender runs no such request until it has been granted that."""
+
+    fingerprint: int  # Which requests.
+    number: int  # The ask that this answers.
+    strikes: tuple[Strike, ...]  # What the sender knows of them.
+
+
 Message: TypeAlias = (
     Hello
     | Proof
@@ -332,4 +351,6 @@
     | ConfigFetch
     | Strikes
     | Cached
+    | TrialAsk
+    | TrialGrant
 )
