--- a/src/bulrushstream/standins/engine.py
+++ b/src/bulrushstream/standins/engine.py
@@ -177,7 +177,8 @@
     async def events(scope: Scope, receive: Receive, send: Send) -> None:
         after = int(query(scope).get("after", "0"))
         found = visible_events(state.cache, after)
-        await send_json(send, 200, {"events": found})
+        last = state.cache.sequence
+        await send_json(send, 200, {"last": last, "events": found})
 
     @asgi(ORDERS_PATH, copy_scope=False)
     async def orders(scope: Scope, receive: Receive, send: Send) -> None:
--- /dev/null
+++ b/src/bulrushstream/transport/admission.py
@@ -0,0 +1,382 @@
+"""From a caller's HTTP request to an admitted request, or a refusal.
+
+Everything that can be refused without a queue is refused here, and so
+was truly not run: a missing token, a body that is too large or too slow,
+a request that no rule serves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import re
+from dataclasses import dataclass
+from typing import Any, Final
+from urllib.parse import unquote
+
+from expression import Error, Ok, Result
+
+from bulrushstream import messages
+from bulrushstream.coordination.matching import (
+    ConfigIndex,
+    Decided,
+    Denied,
+    RequestFacts,
+    authenticate,
+    match,
+)
+from bulrushstream.messages import Notice
+from bulrushstream.protocol.prompt import (
+    ChatBody,
+    decode_chat,
+    fingerprint,
+    prefix_digest,
+)
+from bulrushstream.state.config import ServiceUnit
+from bulrushstream.state.request import Headers, Request
+from bulrushstream.transport.port import RouterPort
+
+CHAT_PATH: Final = "/v1/chat/completions"
+SERVICES_PREFIX: Final = "/services/"
+COST_HEADER: Final = "bulrushstream-cost"
+TIMEOUT_HEADER: Final = "bulrushstream-timeout"
+KEY_HEADER: Final = "idempotency-key"
+MAX_KEY_CHARS: Final = 255
+_SLASHES: Final = re.compile("/{2,}")
+
+# Headers of one connection, of the caller's identity, and those whose
+# meaning the fleet itself defines; none of them goes on to an endpoint.
+DROPPED_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "host",
+        "content-length",
+        "authorization",
+        "x-request-id",
+        "x-resume-offset",
+        COST_HEADER,
+        TIMEOUT_HEADER,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is not admitted."""
+
+    notice: Notice  # The kind of refusal.
+    detail: str = ""  # The notice's text with its values.
+    retry_after_s: float = 0.0  # When to come back; 0: not said.
+    close: bool = False  # Whether the body was left unread.
+
+
+@dataclass(frozen=True, slots=True)
+class BodyLimits:
+    """What callers' bodies may take."""
+
+    max_body_bytes: int = 4 << 20  # One body.
+    max_reading_bytes: int = 64 << 20  # All bodies that are being read.
+    read_timeout_s: float = 30.0  # From the head to the body's end.
+
+
+@dataclass(slots=True)
+class ReadingState:
+    """The bodies that are being read."""
+
+    reading_bytes: int = 0  # What they hold together.
+
+
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """A caller's request with its whole body."""
+
+    method: str  # The HTTP method.
+    path: str  # The path as the caller sent it.
+    query: str  # The query; empty: none.
+    headers: Headers  # All headers, names in lower case.
+    body: bytes  # The body.
+
+
+async def read_incoming(
+    scope: Any, receive: Any, limits: BodyLimits, state: ReadingState
+) -> Result[Incoming, Refusal] | None:
+    """Read a caller's request.
+
+    :param scope: The ASGI scope.
+    :param receive: The ASGI receive function.
+    :param limits: What bodies may take.
+    :param state: The bodies that are being read.
+    :returns: The request or a refusal; None: the caller left.
+    """
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in scope["headers"]
+    )
+    too_large = _refuse_large(limits)
+    length = find_header(headers, "content-length")
+    if length.isdigit() and int(length) > limits.max_body_bytes:
+        return Error(too_large)
+    held = 0
+    pieces: list[bytes] = []
+    try:
+        async with asyncio.timeout(limits.read_timeout_s):
+            while True:
+                message = await receive()
+                if message["type"] != "http.request":
+                    return None
+                piece = message["body"]
+                held += len(piece)
+                state.reading_bytes += len(piece)
+                if held > limits.max_body_bytes:
+                    return Error(too_large)
+                if state.reading_bytes > limits.max_reading_bytes:
+                    return Error(Refusal(messages.MEMORY_FULL, "", 1.0, True))
+                pieces.append(piece)
+                if not message["more_body"]:
+                    break
+    except TimeoutError:
+        notice = messages.READ_TIMEOUT
+        text = notice.format(timeout_s=limits.read_timeout_s)
+        return Error(Refusal(notice, text, close=True))
+    finally:
+        state.reading_bytes -= held
+    return Ok(
+        Incoming(
+            scope["method"],
+            scope["raw_path"].decode("ascii"),
+            scope["query_string"].decode("ascii"),
+            headers,
+            b"".join(pieces),
+        )
+    )
+
+
+def admit(incoming: Incoming, port: RouterPort) -> Result[Request, Refusal]:
+    """Decide how a request is treated.
+
+    :param incoming: The caller's request.
+    :param port: The router.
+    :returns: The request for the core, or why it is refused.
+    """
+    index = port.config()
+    if port.draining():
+        return Error(Refusal(messages.DRAINING, "", 1.0, True))
+    if index is None:
+        return Error(Refusal(messages.NOT_READY, "", 1.0))
+    workspace = authenticate(index, bearer_token(incoming.headers))
+    if workspace is None:
+        return Error(Refusal(messages.NO_TOKEN))
+    if has_dot_segment(incoming.path):
+        return Error(_refuse_malformed("the path has a dot segment"))
+    service = service_name(incoming.path)
+    if service is None:
+        return Error(Refusal(messages.NO_RULE))
+    chat = None
+    if not service:
+        chat = decode_chat(incoming.body)
+        if chat is None or incoming.method != "POST":
+            return Error(_refuse_malformed("no chat-completions body"))
+    return _decide(index, incoming, workspace, service, chat, port)
+
+
+def bearer_token(headers: Headers) -> str:
+    """Return the token of an Authorization header, or an empty string.
+
+    :param headers: The request's headers.
+    :returns: The token.
+    """
+    scheme, _, token = find_header(headers, "authorization").partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
+
+
+def service_name(path: str) -> str | None:
+    """Return the service that a path names.
+
+    :param path: The path of a caller's request.
+    :returns: The service; empty: a model call; None: no such path.
+    """
+    if path == CHAT_PATH:
+        return ""
+    if not path.startswith(SERVICES_PREFIX):
+        return None
+    name = path.removeprefix(SERVICES_PREFIX).partition("/")[0]
+    return name or None
+
+
+def plain_path(path: str) -> str:
+    """Return a path in the one spelling that rules are written in.
+
+    Otherwise a caller could choose its rule by the way it spells a path.
+
+    :param path: The path of a caller's request.
+    :returns: The path without percent signs and doubled slashes.
+    """
+    return _SLASHES.sub("/", unquote(path))
+
+
+def has_dot_segment(path: str) -> bool:
+    """Return whether a path has a segment that names another one.
+
+    :param path: The path of a caller's request.
+    :returns: Whether an endpoint could resolve it to another path.
+    """
+    segments = unquote(path).replace("\\", "/").split("/")
+    return "." in segments or ".." in segments
+
+
+def find_header(headers: Headers, name: str) -> str:
+    """Return the first value of a header, or an empty string.
+
+    :param headers: The headers, names in lower case.
+    :param name: The name in lower case.
+    :returns: The value.
+    """
+    for key, value in headers:
+        if key == name:
+            return value
+    return ""
+
+
+def _decide(
+    index: ConfigIndex,
+    incoming: Incoming,
+    workspace: str,
+    service: str,
+    chat: ChatBody | None,
+    port: RouterPort,
+) -> Result[Request, Refusal]:
+    """Match the rules and build the request."""
+    facts = RequestFacts(
+        workspace=workspace,
+        service=service,
+        method=incoming.method,
+        path=plain_path(incoming.path),
+        headers=incoming.headers,
+        model=chat.model if chat else "",
+        stream=chat.stream if chat else False,
+        body_bytes=len(incoming.body),
+    )
+    key = find_header(incoming.headers, KEY_HEADER)
+    if len(key) > MAX_KEY_CHARS:
+        return Error(_refuse_malformed("the Idempotency-Key is too long"))
+    match match(index, facts):
+        case Result(tag="ok", ok=decided):
+            return Ok(_build(incoming, facts, decided, chat, key, port))
+        case Result(error=denied):
+            return Error(_refuse_denied(denied))
+
+
+def _build(
+    incoming: Incoming,
+    facts: RequestFacts,
+    decided: Decided,
+    chat: ChatBody | None,
+    key: str,
+    port: RouterPort,
+) -> Request:
+    """Return the request as the core takes it."""
+    now_s = port.now()
+    timeout_s = _positive(incoming.headers, TIMEOUT_HEADER)
+    if timeout_s:
+        timeout_s = min(timeout_s, decided.deadline_s)
+    hint = _positive(incoming.headers, COST_HEADER) or decided.cost_hint
+    by_tokens = decided.service.unit is ServiceUnit.TOKENS
+    if not hint and chat is not None and by_tokens:
+        hint = float(max(chat.max_tokens, 0))
+    service = decided.service.name
+    return Request(
+        request_id=port.new_request_id(),
+        workspace=facts.workspace,
+        service=service,
+        rule=decided.rule,
+        request_class=decided.request_class,
+        idempotent=decided.idempotent,
+        method=incoming.method,
+        path=endpoint_path(incoming, facts.service),
+        headers=endpoint_headers(incoming.headers, chat is not None),
+        body=incoming.body,
+        stream=facts.stream,
+        arrived_s=now_s,
+        deadline_s=now_s + (timeout_s or decided.deadline_s),
+        cost_hint=hint,
+        idempotency_key=key,
+        retry_limit=decided.retry_limit,
+        prefix_digest=prefix_digest(chat)
+        if chat is not None and decided.affinity
+        else 0,
+        fingerprint=fingerprint(facts.workspace, service, incoming.body),
+        model=facts.model,
+    )
+
+
+def endpoint_path(incoming: Incoming, service: str) -> str:
+    """Return the path and query that the endpoint is asked for.
+
+    :param incoming: The caller's request.
+    :param service: The service in its path; empty: a model call.
+    :returns: The path without the service's prefix.
+    """
+    path = incoming.path
+    if service:
+        rest = path.removeprefix(SERVICES_PREFIX + service)
+        path = rest or "/"
+    return f"{path}?{incoming.query}" if incoming.query else path
+
+
+def endpoint_headers(headers: Headers, model_call: bool) -> Headers:
+    """Return the headers that go on to the endpoint.
+
+    :param headers: The caller's headers, names in lower case.
+    :param model_call: Whether the answer's tokens must be readable.
+    :returns: Headers of the request itself only.
+    """
+    named = {
+        token.strip().lower()
+        for key, value in headers
+        if key == "connection"
+        for token in value.split(",")
+    }
+    if model_call:
+        # A compressed stream's tokens could not be counted.
+        named.add("accept-encoding")
+    return tuple(
+        (key, value)
+        for key, value in headers
+        if key not in DROPPED_HEADERS and key not in named
+    )
+
+
+def _positive(headers: Headers, name: str) -> float:
+    """Return a header's positive number; 0 for anything else."""
+    try:
+        value = float(find_header(headers, name) or "0")
+    except ValueError:
+        return 0.0
+    return value if math.isfinite(value) and value > 0 else 0.0
+
+
+def _refuse_large(limits: BodyLimits) -> Refusal:
+    """Return the refusal of a body that is too large."""
+    notice = messages.BODY_TOO_LARGE
+    text = notice.format(limit_bytes=limits.max_body_bytes)
+    return Refusal(notice, text, close=True)
+
+
+def _refuse_malformed(why: str) -> Refusal:
+    """Return the refusal of a request that can not be read."""
+    notice = messages.BAD_REQUEST
+    return Refusal(notice, notice.format(why=why))
+
+
+def _refuse_denied(denied: Denied) -> Refusal:
+    """Return the refusal that the rules decided."""
+    return Refusal(denied.notice, denied.text)
--- /dev/null
+++ b/src/bulrushstream/transport/instances.py
@@ -0,0 +1,100 @@
+"""The client of the platform's instance list."""
+
+from __future__ import annotations
+
+import asyncio
+import builtins
+from typing import Any
+from urllib.parse import quote
+
+import httpx
+import msgspec
+
+from bulrushstream.protocol.platform import ListUnavailableError
+from bulrushstream.state.identity import InstanceInfo
+from bulrushstream.transport.client import make_client
+
+INSTANCES_PATH = "/instances"
+
+
+class _Listing(msgspec.Struct, frozen=True):
+    """The answer to a read of the list."""
+
+    instances: builtins.list[InstanceInfo]  # Live and leaving ones.
+
+
+class InstanceListClient:
+    """The platform's instance list over HTTP."""
+
+    _client: httpx.AsyncClient  # The connections.
+    _timeout_s: float  # The deadline of one call.
+
+    def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
+        """Make a client; no connection is opened yet.
+
+        :param base_url: Where the list listens.
+        :param timeout_s: The deadline of one call, in seconds.
+        """
+        self._client = make_client(base_url, timeout_s)
+        self._timeout_s = timeout_s
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def list(self) -> tuple[InstanceInfo, ...]:
+        """Return the instances as the platform knows them, with a lag.
+
+        :returns: Live and leaving instances.
+        :raises ListUnavailableError: If the list did not answer.
+        """
+        answer = await self._call("GET", INSTANCES_PATH)
+        try:
+            listing = msgspec.json.decode(answer, type=_Listing)
+        except msgspec.DecodeError as error:
+            raise ListUnavailableError(str(error)) from error
+        return tuple(listing.instances)
+
+    async def register(self, info: InstanceInfo) -> None:
+        """Enter or renew an instance.
+
+        :param info: The instance.
+        :raises ListUnavailableError: If the list did not answer.
+        """
+        body = msgspec.json.encode(info)
+        await self._call("PUT", _path(info.key.instance), body)
+
+    async def mark_leaving(self, instance: str) -> None:
+        """Mark an instance as leaving.
+
+        :param instance: The instance's name.
+        :raises ListUnavailableError: If the list did not answer.
+        """
+        await self._call("POST", f"{_path(instance)}/leaving")
+
+    async def remove(self, instance: str) -> None:
+        """Remove an instance.
+
+        :param instance: The instance's name.
+        :raises ListUnavailableError: If the list did not answer.
+        """
+        await self._call("DELETE", _path(instance))
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> Any:
+        """Return the body of a good answer."""
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                answer = await self._client.request(method, path, content=body)
+        except (httpx.HTTPError, TimeoutError) as error:
+            why = f"{type(error).__name__}: {error}"
+            raise ListUnavailableError(why) from error
+        if not answer.is_success:
+            raise ListUnavailableError(f"status {answer.status_code}")
+        return answer.content
+
+
+def _path(instance: str) -> str:
+    """Return the path of an instance."""
+    return f"{INSTANCES_PATH}/{quote(instance, safe='')}"
--- /dev/null
+++ b/src/bulrushstream/transport/log.py
@@ -0,0 +1,142 @@
+"""The client of the platform's append-only log.
+
+An append that fails is one of two things.  Either it certainly had no
+effect, because the log was never reached or refused it, or its answer was
+lost and it may have had one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Final
+from urllib.parse import quote
+
+import httpx
+import msgspec
+
+from bulrushstream.protocol.platform import (
+    LogAnswerLostError,
+    LogPage,
+    LogUnavailableError,
+)
+from bulrushstream.state.event import LogRecord
+from bulrushstream.transport.client import make_client
+
+# Statuses with which the log refuses a call without any effect.
+_REFUSING: Final = frozenset({400, 404, 405, 413, 429, 503})
+_NOT_SENT: Final = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+)
+
+
+class _Appended(msgspec.Struct, frozen=True):
+    """The answer to an append."""
+
+    offset: int  # The record's offset.
+
+
+class _Record(msgspec.Struct, frozen=True):
+    """One record of a page."""
+
+    offset: int  # Its place in the stream.
+    body: str  # What was appended, in base64.
+
+
+class _Page(msgspec.Struct, frozen=True):
+    """The answer to a read."""
+
+    first: int  # The oldest offset that is kept.
+    next: int  # The next append's offset.
+    records: list[_Record]  # In order.
+
+
+class LogClient:
+    """The platform's log over HTTP."""
+
+    _client: httpx.AsyncClient  # The connections.
+    _timeout_s: float  # The deadline of one call.
+
+    def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
+        """Make a client; no connection is opened yet.
+
+        :param base_url: Where the log listens.
+        :param timeout_s: The deadline of one call, in seconds.
+        """
+        self._client = make_client(base_url, timeout_s)
+        self._timeout_s = timeout_s
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def append(self, stream: str, body: bytes) -> int:
+        """Append a record.
+
+        :param stream: The stream's name.
+        :param body: What to append.
+        :returns: The record's offset.
+        :raises LogUnavailableError: If the append certainly had no effect.
+        :raises LogAnswerLostError: If it may have had one.
+        """
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                answer = await self._client.post(_path(stream), content=body)
+        except _NOT_SENT as error:
+            raise LogUnavailableError(_reason(error)) from error
+        except (httpx.HTTPError, TimeoutError) as error:
+            raise LogAnswerLostError(_reason(error)) from error
+        if answer.status_code in _REFUSING:
+            raise LogUnavailableError(f"status {answer.status_code}")
+        try:
+            return msgspec.json.decode(answer.content, type=_Appended).offset
+        except msgspec.DecodeError as error:
+            raise LogAnswerLostError(f"status {answer.status_code}") from error
+
+    async def read(self, stream: str, offset: int, limit: int) -> LogPage:
+        """Read records in order.
+
+        :param stream: The stream's name.
+        :param offset: The first offset to return, if it is still kept.
+        :param limit: How many records to return at most.
+        :returns: The records from `offset` on, or from the oldest kept.
+        :raises LogUnavailableError: If the log did not answer.
+        """
+        params = {"offset": offset, "limit": limit}
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                answer = await self._client.get(_path(stream), params=params)
+        except (httpx.HTTPError, TimeoutError) as error:
+            raise LogUnavailableError(_reason(error)) from error
+        if answer.status_code != 200:
+            raise LogUnavailableError(f"status {answer.status_code}")
+        try:
+            return _decode_page(answer.content)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise LogUnavailableError(_reason(error)) from error
+
+
+def _decode_page(body: bytes) -> LogPage:
+    """Return the page in a JSON body.
+
+    :raises msgspec.DecodeError: If it is none.
+    :raises ValueError: If a record is not base64.
+    """
+    page = msgspec.json.decode(body, type=_Page)
+    records = tuple(
+        LogRecord(record.offset, base64.b64decode(record.body, validate=True))
+        for record in page.records
+    )
+    return LogPage(records, page.first, page.next)
+
+
+def _path(stream: str) -> str:
+    """Return the path of a stream."""
+    return f"/streams/{quote(stream, safe='')}"
+
+
+def _reason(error: Exception) -> str:
+    """Return what went wrong, for a log line."""
+    return f"{type(error).__name__}: {error}"
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
-from bulrushstream.state.message import Part, PartKind
+from bulrushstream.state.message import Dispatch, Part, PartKind
 from bulrushstream.state.request import Outcome, Request, RequestClass
 
 
@@ -131,3 +131,33 @@
         whole=whole,
         crashed=crashed,
     )
+
+
+def a_dispatch(
+    body: bytes = b"{}",
+    *,
+    request_id: str = "q1",
+    method: str = "POST",
+    path: str = "/v1/chat/completions",
+    stream: bool = False,
+    timeout_ms: int = 10_000,
+) -> Dispatch:
+    """Return an attempt as an agent gets it."""
+    return Dispatch(
+        request_id=request_id,
+        attempt=1,
+        pull_id=0,
+        incarnation=1,
+        workspace="school",
+        service="proofwriter",
+        request_class=RequestClass.INTERACTIVE,
+        idempotent=True,
+        alone=False,
+        method=method,
+        path=path,
+        headers=(("content-type", "application/json"),),
+        body=body,
+        stream=stream,
+        timeout_ms=timeout_ms,
+        cost_hint=0.0,
+    )
