--- a/src/bulrushstream/protocol/fleet.thrift
+++ b/src/bulrushstream/protocol/fleet.thrift
@@ -134,12 +134,15 @@
   3: string workspace
   4: double total
   5: double in_flight
+  6: optional i64 sequence
+  7: optional bool folded
 }
 
 struct Served {
   1: string service_name
   2: i64 sequence
   3: list<ServedEntry> entries
+  4: optional list<string> heard
 }
 
 struct DigestEntry {
@@ -189,6 +192,18 @@
   3: list<i64> dropped
 }
 
+struct TrialAsk {
+  1: i64 fingerprint
+  2: i64 number
+  3: list<Strike> strikes
+}
+
+struct TrialGrant {
+  1: i64 fingerprint
+  2: i64 number
+  3: list<Strike> strikes
+}
+
 // Exactly one field is set.
 struct Frame {
   1: optional Hello hello
@@ -214,4 +229,6 @@
   21: optional ConfigFetch config_fetch
   22: optional Strikes strikes
   23: optional Cached cached
+  24: optional TrialAsk trial_ask
+  25: optional TrialGrant trial_grant
 }
