Agent core: pulls, admission, runs, numbered parts, drain

Cause: agents decide which workspace gets a free slot, and know for every attempt whether the endpoint saw it. Every refusal leaves a tombstone, as a doubled dispatch would otherwise start an attempt that the router was told was not run.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,14 @@
 
 import msgspec
 
+from bulrushstream.state.config import (
+    FleetConfig,
+    Service,
+    ServiceKind,
+    ServiceUnit,
+    VersionedConfig,
+    Workspace,
+)
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
 from bulrushstream.state.message import Dispatch, Part, PartKind
 from bulrushstream.state.request import Outcome, Request, RequestClass
@@ -161,3 +169,56 @@
         timeout_ms=timeout_ms,
         cost_hint=0.0,
     )
+
+
+def an_attempt(
+    request_id: str = "q1",
+    attempt: int = 1,
+    *,
+    workspace: str = "school",
+    pull_id: int = 0,
+    incarnation: int = 1,
+    idempotent: bool = False,
+    alone: bool = False,
+    timeout_s: float = 60.0,
+    model: str = "",
+    cost_hint: float = 0.0,
+) -> Dispatch:
+    """Return an attempt as a router sends it."""
+    return Dispatch(
+        request_id=request_id,
+        attempt=attempt,
+        pull_id=pull_id,
+        incarnation=incarnation,
+        workspace=workspace,
+        service="proofwriter",
+        request_class=RequestClass.BATCH,
+        idempotent=idempotent,
+        alone=alone,
+        method="POST",
+        path="/v1/chat/completions",
+        headers=(),
+        body=b"{}",
+        stream=True,
+        timeout_ms=round(timeout_s * 1000),
+        cost_hint=cost_hint,
+        model=model,
+    )
+
+
+def a_config(
+    *,
+    slots: int = 2,
+    max_slots: int = 0,
+    unit: ServiceUnit = ServiceUnit.SECONDS,
+    workspaces: tuple[Workspace, ...] = (),
+) -> VersionedConfig:
+    """Return a configuration with one model service."""
+    service = Service(
+        "proofwriter",
+        ServiceKind.MODEL,
+        unit=unit,
+        slots=slots,
+        max_slots=max_slots,
+    )
+    return VersionedConfig(1, FleetConfig(workspaces, (service,)))
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,456 @@
+"""The agent's core takes, refuses, runs and resumes attempts truthfully."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TypeVar
+
+import pytest
+
+from bulrushstream.coordination.agent import (
+    AgentOptions,
+    AgentState,
+    handle,
+    new_agent,
+)
+from bulrushstream.state.effect import (
+    CancelRun,
+    Decision,
+    Effect,
+    Send,
+    StartRun,
+)
+from bulrushstream.state.event import (
+    CacheReported,
+    Configured,
+    DrainStarted,
+    LoadReported,
+    PeerDown,
+    PeerLost,
+    PeerUp,
+    Received,
+    RunBody,
+    RunEnd,
+    RunHead,
+    Ticked,
+)
+from bulrushstream.state.message import (
+    Ack,
+    Backlog,
+    BacklogEntry,
+    Cached,
+    Cancel,
+    Dispatch,
+    Gone,
+    Goodbye,
+    Idle,
+    Message,
+    NoWork,
+    Part,
+    PartKind,
+    Pull,
+    Refuse,
+    RefuseReason,
+    Resume,
+    Revoke,
+    Served,
+)
+from bulrushstream.state.request import Outcome
+from tests.builders import a_config, a_router, an_agent, an_attempt
+
+ROUTER = a_router()
+M = TypeVar("M")
+
+
+class Bench:
+    """One agent, one router, and the time."""
+
+    def __init__(
+        self,
+        slots: int = 2,
+        max_slots: int = 0,
+        options: AgentOptions | None = None,
+    ) -> None:
+        self.now_s = 100.0
+        self.effects: list[Effect] = []
+        self.state: AgentState = new_agent(
+            an_agent(), options or AgentOptions(), Random(1), self.now_s
+        )
+        self.do(Configured(a_config(slots=slots, max_slots=max_slots)))
+        self.do(PeerUp(ROUTER))
+
+    def do(self, event: object, after_s: float = 0.0) -> list[Effect]:
+        self.now_s += after_s
+        self.effects = handle(self.state, event, self.now_s)  # type: ignore
+        return self.effects
+
+    def get(self, message: Message) -> list[Effect]:
+        return self.do(Received(ROUTER.key, message))
+
+    def sent(self, kind: type[M]) -> list[M]:
+        sends = [e for e in self.effects if isinstance(e, Send)]
+        return [s.message for s in sends if isinstance(s.message, kind)]
+
+    def started(self) -> list[str]:
+        runs = [e for e in self.effects if isinstance(e, StartRun)]
+        return [run.dispatch.request_id for run in runs]
+
+    def tick(self, after_s: float) -> list[Effect]:
+        return self.do(Ticked(), after_s)
+
+    def answer(self, request_id: str = "q1", pieces: int = 1) -> None:
+        self.do(RunHead(request_id, 1, 200, ()))
+        for _ in range(pieces):
+            self.do(RunBody(request_id, 1, b"x", 1))
+
+    def waiting(self, *counts: tuple[str, int], sequence: int = 1) -> None:
+        entries = tuple(
+            BacklogEntry("proofwriter", name, 0, count, 0)
+            for name, count in counts
+        )
+        self.get(Backlog(sequence, False, entries))
+
+
+def end(
+    request_id: str = "q1",
+    *,
+    whole: bool = True,
+    started: bool = True,
+    crashed: bool = False,
+) -> RunEnd:
+    return RunEnd(request_id, 1, whole, started, crashed)
+
+
+class AdmissionSuite:
+    def test_starts_within_its_slots_and_refuses_beyond(self) -> None:
+        bench = Bench(slots=2)
+        for number in range(3):
+            bench.get(an_attempt(f"q{number}"))
+        assert bench.started() == []
+        assert bench.sent(Refuse) == [Refuse("q2", 1, RefuseReason.BUSY)]
+        assert bench.state.running == 2
+
+    def test_a_refused_attempt_never_starts(self) -> None:
+        bench = Bench(slots=1)
+        bench.get(an_attempt("q1"))
+        bench.get(an_attempt("q2"))
+        bench.do(end("q1"))
+        bench.get(an_attempt("q2"))
+        assert bench.sent(Refuse) == [Refuse("q2", 1, RefuseReason.REVOKED)]
+        bench.get(an_attempt("q2", attempt=2))
+        assert bench.started() == ["q2"]
+
+    def test_a_doubled_dispatch_runs_once(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt())
+        assert bench.started() == ["q1"]
+        bench.get(an_attempt())
+        assert bench.started() == []
+        bench.do(end())
+        bench.get(Ack("q1", 1, 1))
+        bench.get(an_attempt())
+        assert bench.started() == []
+        assert bench.state.running == 0
+
+    @pytest.mark.parametrize(
+        ("dispatch", "reason"),
+        [
+            (an_attempt(incarnation=7), RefuseReason.STALE),
+            (an_attempt(timeout_s=0.0), RefuseReason.EXPIRED),
+            (an_attempt(model="other"), RefuseReason.LOADING),
+        ],
+    )
+    def test_refuses(self, dispatch: Dispatch, reason: RefuseReason) -> None:
+        bench = Bench()
+        bench.state.loaded = frozenset({"model"})
+        bench.get(dispatch)
+        assert bench.sent(Refuse) == [Refuse("q1", 1, reason)]
+        assert bench.started() == []
+
+    def test_logs_a_refusal(self) -> None:
+        bench = Bench()
+        effects = bench.get(an_attempt(timeout_s=0.0))
+        decisions = [e for e in effects if isinstance(e, Decision)]
+        assert [(d.kind, d.reason) for d in decisions] == [
+            ("refuse", "expired")
+        ]
+
+    def test_a_suspect_runs_alone(self) -> None:
+        bench = Bench(slots=2)
+        bench.get(an_attempt("q1"))
+        bench.get(an_attempt("bad", alone=True))
+        assert bench.started() == []
+        bench.get(an_attempt("q2"))
+        assert bench.sent(Refuse) == [Refuse("q2", 1, RefuseReason.BUSY)]
+        bench.get(an_attempt("bad2", alone=True))
+        assert bench.sent(Refuse) == [Refuse("bad2", 1, RefuseReason.SUSPECT)]
+        bench.do(end("q1"))
+        assert bench.started() == ["bad"]
+        bench.waiting(("school", 3))
+        assert bench.sent(Pull) == []
+        bench.do(end("bad"))
+        assert len(bench.sent(Pull)) == 2
+
+
+class PartsSuite:
+    def test_numbers_parts_and_says_whole(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt())
+        bench.answer()
+        bench.do(end())
+        part = bench.sent(Part)[0]
+        assert (part.sequence, part.kind) == (2, PartKind.END)
+        assert (part.whole, part.outcome) == (True, Outcome.RAN)
+
+    @pytest.mark.parametrize(
+        ("event", "outcome"),
+        [
+            (end(whole=False), Outcome.UNKNOWN),
+            (end(whole=False, crashed=True), Outcome.UNKNOWN),
+            (end(whole=False, started=False), Outcome.NOT_RUN),
+        ],
+    )
+    def test_says_what_is_known(self, event: RunEnd, outcome: Outcome) -> None:
+        bench = Bench()
+        bench.get(an_attempt())
+        bench.do(event)
+        part = bench.sent(Part)[0]
+        assert (part.whole, part.outcome) == (False, outcome)
+        assert part.crashed is event.crashed
+
+    def test_resumes_from_the_first_missing_part(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt())
+        bench.answer(pieces=3)
+        bench.get(Ack("q1", 1, 2))
+        bench.do(PeerDown(ROUTER.key))
+        bench.do(RunBody("q1", 1, b"late", 1))
+        assert bench.sent(Part) == []
+        bench.do(PeerUp(ROUTER), 1.0)
+        bench.get(Resume("q1", 1, 3))
+        assert [p.sequence for p in bench.sent(Part)] == [3, 4]
+        bench.do(end())
+        assert bench.sent(Part)[0].sequence == 5
+
+    def test_an_unknown_attempt_becomes_impossible(self) -> None:
+        bench = Bench()
+        bench.get(Resume("q1", 1, 0))
+        assert bench.sent(Gone) == [Gone("q1", 1, Outcome.NOT_RUN)]
+        bench.get(an_attempt())
+        assert bench.sent(Refuse) == [Refuse("q1", 1, RefuseReason.REVOKED)]
+
+    def test_forgets_an_acknowledged_answer_but_not_its_fate(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt())
+        bench.do(end())
+        bench.get(Ack("q1", 1, 1))
+        assert not bench.state.runs
+        assert bench.state.replay_bytes == 0
+        bench.get(Resume("q1", 1, 1))
+        assert bench.sent(Gone) == [Gone("q1", 1, Outcome.RAN)]
+
+    def test_a_full_replay_buffer_ends_resumption_only(self) -> None:
+        bench = Bench(options=AgentOptions(replay_limit_bytes=300))
+        bench.get(an_attempt())
+        bench.answer(pieces=4)
+        assert bench.sent(Part)[0].sequence == 4
+        assert bench.state.replay_bytes <= 300
+        bench.get(Resume("q1", 1, 1))
+        assert bench.sent(Gone) == [Gone("q1", 1, Outcome.UNKNOWN)]
+
+
+class RevokeSuite:
+    def test_wins_over_a_start_that_has_not_come(self) -> None:
+        bench = Bench()
+        bench.get(Revoke("q1", 1))
+        assert bench.sent(Refuse) == [Refuse("q1", 1, RefuseReason.REVOKED)]
+        bench.get(an_attempt())
+        assert bench.started() == []
+
+    def test_comes_too_late_for_a_run(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt())
+        bench.get(Revoke("q1", 1))
+        assert bench.sent(Gone) == [Gone("q1", 1, Outcome.UNKNOWN)]
+        assert bench.state.running == 1
+
+    def test_cancel_stops_a_run_and_frees_its_slot(self) -> None:
+        bench = Bench(slots=1)
+        bench.get(an_attempt())
+        effects = bench.get(Cancel("q1", 1))
+        assert CancelRun("q1", 1) in effects
+        assert bench.state.running == 1
+        bench.tick(3.0)
+        assert bench.state.running == 0
+
+    def test_cancel_leaves_a_tombstone(self) -> None:
+        bench = Bench()
+        bench.get(Cancel("q1", 1))
+        bench.get(an_attempt())
+        assert bench.started() == []
+
+
+class LostRouterSuite:
+    def test_its_backlog_vanishes_at_once(self) -> None:
+        bench = Bench()
+        bench.waiting(("school", 1))
+        assert len(bench.sent(Pull)) == 1
+        bench.do(PeerDown(ROUTER.key))
+        assert not list(bench.state.backlogs.workspaces())
+        assert not bench.state.pulls
+
+    @pytest.mark.parametrize("idempotent", [True, False])
+    def test_only_idempotent_runs_are_stopped(self, idempotent: bool) -> None:
+        bench = Bench()
+        bench.get(an_attempt(idempotent=idempotent))
+        bench.do(PeerDown(ROUTER.key))
+        assert not any(isinstance(e, CancelRun) for e in bench.tick(9.0))
+        stopped = any(isinstance(e, CancelRun) for e in bench.tick(2.0))
+        assert stopped is idempotent
+
+    def test_a_new_incarnation_ends_the_old_one(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt(idempotent=True))
+        bench.do(PeerDown(ROUTER.key))
+        effects = bench.do(PeerLost(ROUTER.key))
+        assert CancelRun("q1", 1) in effects
+
+
+class PullSuite:
+    def test_pulls_for_each_free_slot(self) -> None:
+        bench = Bench(slots=2)
+        bench.waiting(("school", 5))
+        assert len(bench.sent(Pull)) == 2
+
+    def test_no_more_pulls_than_requests_wait(self) -> None:
+        bench = Bench(slots=2)
+        bench.waiting(("school", 1))
+        assert len(bench.sent(Pull)) == 1
+
+    def test_asks_again_after_a_lost_answer(self) -> None:
+        bench = Bench(slots=1)
+        bench.waiting(("school", 1))
+        bench.tick(0.5)
+        assert bench.sent(Pull) == []
+        bench.tick(0.6)
+        assert len(bench.sent(Pull)) == 1
+
+    def test_a_router_without_work_is_muted_until_it_says_more(
+        self,
+    ) -> None:
+        bench = Bench(slots=1)
+        bench.waiting(("school", 1))
+        bench.get(NoWork(bench.sent(Pull)[0].pull_id))
+        assert bench.sent(Pull) == []
+        bench.waiting(("school", 1), sequence=2)
+        assert len(bench.sent(Pull)) == 1
+
+    def test_pulls_ahead_of_the_end_when_runs_are_short(self) -> None:
+        bench = Bench(slots=2)
+        bench.waiting(("school", 9))
+        for pull in bench.sent(Pull):
+            bench.now_s += 0.01
+            bench.get(an_attempt(f"q{pull.pull_id}", pull_id=pull.pull_id))
+        bench.do(end("q1"), 0.05)
+        pulls = bench.sent(Pull)
+        assert len(pulls) == 2
+        for pull in pulls:
+            bench.get(an_attempt(f"q{pull.pull_id}", pull_id=pull.pull_id))
+        held = [r for r in bench.state.active.values() if r.started_s == 0]
+        assert [run.dispatch.request_id for run in held] == ["q4"]
+        bench.get(Revoke("q4", 1))
+        assert bench.sent(Refuse) == [Refuse("q4", 1, RefuseReason.REVOKED)]
+
+    def test_announces_room_without_work_and_takes_it_back(self) -> None:
+        bench = Bench(slots=2)
+        assert [idle.free_slots for idle in bench.sent(Idle)] == [2]
+        bench.get(an_attempt("q1"))
+        bench.get(an_attempt("q2"))
+        # The router counted both down itself.
+        bench.tick(0.1)
+        assert bench.sent(Idle) == []
+        bench.do(end("q1"))
+        assert [idle.free_slots for idle in bench.sent(Idle)] == [1]
+
+
+class BreakerSuite:
+    def test_opens_probes_and_closes(self) -> None:
+        bench = Bench(slots=3)
+        for number in range(3):
+            bench.get(an_attempt(f"q{number}"))
+        for number in range(3):
+            bench.do(end(f"q{number}", whole=False, crashed=True))
+        bench.waiting(("school", 9))
+        assert bench.sent(Pull) == []
+        bench.get(an_attempt("q9"))
+        assert bench.sent(Refuse) == [Refuse("q9", 1, RefuseReason.OPEN)]
+        bench.tick(1.3)
+        pulls = bench.sent(Pull)
+        assert len(pulls) == 1
+        bench.get(an_attempt("q10", pull_id=pulls[0].pull_id))
+        bench.do(end("q10"))
+        assert len(bench.sent(Pull)) == 3
+
+
+class SlotsSuite:
+    def test_grows_while_full_and_shrinks_by_the_engines_queue(
+        self,
+    ) -> None:
+        bench = Bench(slots=2, max_slots=4)
+        for number in range(2):
+            bench.get(an_attempt(f"q{number}"))
+        bench.do(LoadReported(2, 0, True))
+        assert bench.state.slots.limit == 3
+        bench.get(an_attempt("q2"))
+        bench.do(LoadReported(3, 2, True), 1.0)
+        assert bench.state.slots.limit == 3
+        bench.do(LoadReported(2, 1, True), 1.5)
+        assert bench.state.slots.limit == 2
+
+    def test_stays_fixed_without_a_range(self) -> None:
+        bench = Bench(slots=1)
+        bench.get(an_attempt())
+        bench.do(LoadReported(1, 0, True))
+        assert bench.state.slots.limit == 1
+
+
+class DrainSuite:
+    def test_takes_nothing_new_and_finishes_what_runs(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt("q1"))
+        bench.do(DrainStarted())
+        assert bench.sent(Goodbye) == [Goodbye(1)]
+        bench.get(an_attempt("q2"))
+        assert bench.sent(Refuse) == [Refuse("q2", 1, RefuseReason.DRAINING)]
+        bench.waiting(("school", 1))
+        assert bench.sent(Pull) == []
+        bench.do(end("q1"))
+        assert not bench.state.idle
+        bench.get(Ack("q1", 1, 1))
+        assert bench.state.idle
+
+
+class ReportSuite:
+    def test_reports_seconds_while_a_request_runs(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt(cost_hint=5.0))
+        bench.tick(2.0)
+        entry = bench.sent(Served)[0].entries[0]
+        assert (entry.workspace, entry.total) == ("school", 2.0)
+        assert entry.in_flight == 3.0
+
+    def test_says_nothing_when_nothing_changed(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt())
+        bench.do(end(), 1.0)
+        bench.tick(1.0)
+        bench.tick(5.0)
+        assert bench.sent(Served) == []
+
+    def test_a_gap_in_cache_reports_drops_what_was_known(self) -> None:
+        bench = Bench()
+        bench.do(CacheReported(1, (7,), ()))
+        bench.do(CacheReported(3, (8,), ()))
+        assert bench.sent(Cached) == [Cached(True, (8,), ())]
+        bench.do(PeerUp(a_router("router-2")))
+        assert bench.sent(Cached) == [Cached(True, (8,), ())]
