Tests of the callers' front over real sockets

Thirty-six cases: each refusal is a problem document that says not-run, truncated answers can be told from whole ones, a caller that leaves or reads too slowly is given up, and an ordinary client library reads both forms of an answer.

--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,400 @@
+"""The callers' front admits, refuses and answers over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import httpx
+import msgspec
+import openai
+import pytest
+
+from bulrushstream.standins.answer import Answer, encode_event, encode_whole
+from bulrushstream.state.effect import Fail, Reply
+from bulrushstream.state.message import Part, PartKind
+from bulrushstream.state.request import Outcome, Request
+from bulrushstream.transport.admission import BodyLimits
+from bulrushstream.transport.callers import CallersOptions, Exchange
+from bulrushstream.transport.port import (
+    AnswerItem,
+    AnswerQueue,
+    Overflowed,
+)
+from bulrushstream.transport.server import ServerLimits
+from tests.builders import a_body, an_end, chat_body
+from tests.fronts import BEARER, TOKEN, FakePort, front_of
+
+CHAT = "/v1/chat/completions"
+ANSWER = Answer("chatcmpl-1", "model", "abc", 3, 1)
+EVENTS = [encode_event(ANSWER, index) for index in range(ANSWER.events)]
+
+
+def answer_of(
+    pieces: list[bytes], kind: str, end: Part | None = None
+) -> list[AnswerItem]:
+    head = Part(
+        "q1",
+        1,
+        0,
+        PartKind.HEAD,
+        status=200,
+        headers=(("content-type", kind), ("connection", "x-hop")),
+    )
+    parts = [head]
+    parts += [a_body(n, piece) for n, piece in enumerate(pieces, 1)]
+    parts += [end or an_end(len(parts))]
+    return [Reply("q1", part) for part in parts]
+
+
+def whole_answer(request: Request) -> list[AnswerItem]:
+    if request.stream:
+        return answer_of(EVENTS, "text/event-stream")
+    return answer_of([encode_whole(ANSWER)], "application/json")
+
+
+def no_answer(request: Request) -> list[AnswerItem]:
+    del request
+    return []
+
+
+def execution(answer: httpx.Response) -> str:
+    return str(answer.headers["bulrushstream-execution"])
+
+
+class RefusalSuite:
+    @pytest.mark.parametrize(
+        ("method", "path", "body", "code"),
+        [
+            ("POST", CHAT, b"{", "B112"),
+            ("GET", CHAT, b"", "B112"),
+            ("POST", CHAT, chat_body("x", model="other"), "B102"),
+            ("GET", "/elsewhere", b"", "B102"),
+            ("GET", "/services/", b"", "B102"),
+            ("GET", "/services/closed/x", b"", "B103"),
+            ("GET", "/services/floordesk/a/%2e%2e/b", b"", "B112"),
+            ("POST", CHAT, b"x" * 2000, "B111"),
+        ],
+    )
+    async def test_is_a_problem_that_was_not_run(
+        self, method: str, path: str, body: bytes, code: str
+    ) -> None:
+        port = FakePort(no_answer)
+        options = CallersOptions(BodyLimits(max_body_bytes=1000))
+        async with front_of(port, options) as (client, _):
+            answer = await client.request(method, path, content=body)
+        problem = answer.json()
+        assert answer.headers["content-type"] == "application/problem+json"
+        assert (problem["code"], problem["execution"]) == (code, "not-run")
+        assert problem["status"] == answer.status_code
+        assert execution(answer) == "not-run"
+        assert port.requests == []
+
+    @pytest.mark.parametrize("header", ["", "Bearer wrong", "Basic x"])
+    async def test_no_valid_token(self, header: str) -> None:
+        port = FakePort(no_answer)
+        async with front_of(port) as (client, _):
+            answer = await client.post(
+                CHAT,
+                content=chat_body("x"),
+                headers={"Authorization": header},
+            )
+        assert answer.status_code == 401
+        assert answer.headers["www-authenticate"] == "Bearer"
+        assert port.requests == []
+
+    async def test_not_ready_and_draining(self) -> None:
+        port = FakePort(no_answer, index=None)
+        async with front_of(port) as (client, _):
+            unready = await client.post(CHAT, content=chat_body("x"))
+            port.leaving = True
+            draining = await client.post(CHAT, content=chat_body("x"))
+        assert unready.json()["code"] == "B109"
+        assert draining.json()["code"] == "B110"
+        assert int(unready.headers["retry-after"]) >= 1
+
+    async def test_body_that_does_not_arrive(self) -> None:
+        options = CallersOptions(BodyLimits(read_timeout_s=0.02))
+        async with front_of(FakePort(no_answer), options) as (_, server):
+            reader, writer = await asyncio.open_connection(
+                server.host, server.port
+            )
+            head = f"POST {CHAT} HTTP/1.1\r\nhost: x\r\ncontent-length: 9"
+            writer.write(head.encode() + b"\r\n\r\nab")
+            answer = await reader.read()
+            writer.close()
+        assert answer.startswith(b"HTTP/1.1 408")
+
+    async def test_bodies_that_together_are_too_large(self) -> None:
+        options = CallersOptions(BodyLimits(max_reading_bytes=100))
+        async with front_of(FakePort(no_answer), options) as (client, _):
+            answer = await client.post(CHAT, content=chat_body("x" * 200))
+        assert answer.json()["code"] == "B105"
+
+    async def test_head_that_is_too_large(self) -> None:
+        limits = ServerLimits(max_header_bytes=500)
+        port = FakePort(no_answer)
+        async with front_of(port, None, limits) as (client, server):
+            headers = {"x-large": "y" * 1000}
+            answer = await client.get(CHAT, headers=headers)
+            reader, writer = await asyncio.open_connection(
+                server.host, server.port
+            )
+            writer.write(b"GET / HTTP/1.1\r\nx: " + b"y" * 1000)
+            endless = await reader.read()
+            writer.close()
+        assert answer.status_code == 431
+        assert endless.startswith(b"HTTP/1.1 431")
+
+    async def test_head_that_does_not_arrive(self) -> None:
+        limits = ServerLimits(header_timeout_s=0.02)
+        port = FakePort(no_answer)
+        async with front_of(port, None, limits) as (_, server):
+            reader, writer = await asyncio.open_connection(
+                server.host, server.port
+            )
+            writer.write(b"GET / HT")
+            assert await reader.read() == b""
+            writer.close()
+
+    async def test_connection_too_many(self) -> None:
+        limits = ServerLimits(max_connections=1)
+        port = FakePort(no_answer)
+        async with front_of(port, None, limits) as (client, server):
+            await client.get("/elsewhere")
+            reader, writer = await asyncio.open_connection(
+                server.host, server.port
+            )
+            answer = await reader.read()
+            writer.close()
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"B119" in answer
+
+    async def test_what_is_no_http(self) -> None:
+        async with front_of(FakePort(no_answer)) as (_, server):
+            reader, writer = await asyncio.open_connection(
+                server.host, server.port
+            )
+            writer.write(b"\x16\x03\x01\r\n\r\n")
+            answer = await reader.read()
+            writer.close()
+        assert answer.startswith(b"HTTP/1.1 400")
+
+
+class AdmissionSuite:
+    async def test_request_is_as_the_rule_decided(self) -> None:
+        port = FakePort(whole_answer)
+        headers = {
+            "Idempotency-Key": "k",
+            "Bulrushstream-Timeout": "5",
+            "Bulrushstream-Cost": "7.5",
+            "X-Resume-Offset": "3",
+            "X-Mine": "1",
+            "X-Hop": "2",
+            "Connection": "keep-alive, x-hop",
+        }
+        async with front_of(port) as (client, _):
+            path = "/services/floordesk/jobs%20a?b=1"
+            await client.put(path, content=b"ink", headers=headers)
+        request = port.requests[0]
+        assert (request.method, request.path) == ("PUT", "/jobs%20a?b=1")
+        assert (request.rule, request.idempotent) == ("reads", True)
+        assert (request.workspace, request.body) == ("club", b"ink")
+        assert request.idempotency_key == "k"
+        assert request.deadline_s == 105.0
+        assert request.cost_hint == 7.5
+        names = {name for name, _ in request.headers}
+        assert "x-mine" in names
+        dropped = {"authorization", "host", "x-hop", "x-resume-offset"}
+        assert not dropped & names
+
+    @pytest.mark.parametrize("path", ["/%74ickets", "//tickets", "/tickets/1"])
+    async def test_spelling_does_not_change_the_rule(self, path: str) -> None:
+        port = FakePort(whole_answer)
+        async with front_of(port) as (client, _):
+            await client.post("/services/floordesk" + path)
+        assert port.requests[0].rule == "tickets"
+
+    async def test_same_prompt_has_same_digests(self) -> None:
+        port = FakePort(whole_answer)
+        async with front_of(port) as (client, _):
+            for message in ("a", "a", "b"):
+                await client.post(CHAT, content=chat_body(message))
+        first, second, third = port.requests
+        assert first.prefix_digest == second.prefix_digest != 0
+        assert first.fingerprint == second.fingerprint
+        assert third.prefix_digest != first.prefix_digest
+        assert -(2**63) <= third.fingerprint < 2**63
+
+
+class AnswerSuite:
+    async def test_short_answer_tells_the_outcome_in_its_head(self) -> None:
+        async with front_of(FakePort(whole_answer)) as (client, _):
+            answer = await client.post(CHAT, content=chat_body("x"))
+        assert answer.content == encode_whole(ANSWER)
+        assert execution(answer) == "ran"
+        assert answer.headers["bulrushstream-request-id"] == "q1"
+        assert "connection" not in answer.headers
+
+    async def test_long_answer_is_passed_on(self) -> None:
+        pieces = [b"x" * 100_000] * 5
+
+        def script(request: Request) -> list[AnswerItem]:
+            return answer_of(pieces, "text/plain")
+
+        async with front_of(FakePort(script)) as (client, _):
+            answer = await client.get("/services/floordesk/plan")
+        assert answer.content == b"".join(pieces)
+        assert execution(answer) == "unknown"
+
+    async def test_whole_stream_ends_with_done(self) -> None:
+        async with front_of(FakePort(whole_answer)) as (client, _):
+            body = chat_body("x", stream=True)
+            answer = await client.post(CHAT, content=body)
+        comment = b": bulrushstream-execution ran\n\n"
+        expected = b"".join(EVENTS[:-1]) + comment + EVENTS[-1]
+        assert answer.content == expected
+
+    async def test_done_is_held_back_until_the_outcome_is_known(
+        self,
+    ) -> None:
+        end = an_end(9, outcome=Outcome.UNKNOWN, whole=False)
+
+        parts = answer_of(EVENTS, "text/event-stream", end)
+        port = FakePort(lambda _: parts[:-1])
+        async with front_of(port) as (client, _):
+            body = chat_body("x", stream=True)
+            got = b""
+            with pytest.raises(httpx.RemoteProtocolError):
+                async with client.stream("POST", CHAT, content=body) as answer:
+                    async for piece in answer.aiter_raw():
+                        got += piece
+                        if got.endswith(EVENTS[-2]):
+                            port.queues[0].put(Reply("q1", end))
+        assert b"[DONE]" not in got
+        event = got.split(b"\n\n")[-2]
+        assert event.startswith(b"event: error\ndata: ")
+        problem = msgspec.json.decode(event.split(b"data: ")[1])
+        assert problem["execution"] == "unknown"
+
+    async def test_truncated_body_does_not_look_whole(self) -> None:
+        end = an_end(9, outcome=Outcome.RAN, whole=False)
+
+        def script(request: Request) -> list[AnswerItem]:
+            return answer_of([b"x" * 300_000], "text/plain", end)
+
+        async with front_of(FakePort(script)) as (client, _):
+            with pytest.raises(httpx.RemoteProtocolError):
+                await client.get("/services/floordesk/plan")
+
+    async def test_truncated_short_answer_is_a_problem(self) -> None:
+        end = an_end(9, outcome=Outcome.RAN, whole=False)
+
+        def script(request: Request) -> list[AnswerItem]:
+            return answer_of([b"half"], "text/plain", end)
+
+        async with front_of(FakePort(script)) as (client, _):
+            answer = await client.get("/services/floordesk/plan")
+        assert (answer.status_code, execution(answer)) == (502, "ran")
+
+    async def test_failure_says_when_to_come_back(self) -> None:
+        fail = Fail("q1", "B104", Outcome.NOT_RUN, retry_after_s=2.4)
+        async with front_of(FakePort(lambda _: [fail])) as (client, _):
+            answer = await client.post(CHAT, content=chat_body("x"))
+        assert answer.status_code == 429
+        assert answer.headers["retry-after"] == "3"
+        assert answer.json()["request_id"] == "q1"
+
+    async def test_exchange_is_observed(self) -> None:
+        seen: list[Exchange] = []
+        options = CallersOptions(observe=seen.append)
+        async with front_of(FakePort(whole_answer), options) as (client, _):
+            await client.post(CHAT, content=chat_body("x"))
+            await client.get("/elsewhere")
+        assert seen[0].request is not None
+        assert seen[0].sent.outcome is Outcome.RAN
+        assert (seen[1].request, seen[1].sent.code) == (None, "B102")
+
+    async def test_openai_client_reads_both_forms(self) -> None:
+        async with front_of(FakePort(whole_answer)) as (_, server):
+            client = openai.AsyncOpenAI(
+                api_key=TOKEN, base_url=f"{server.url}/v1", max_retries=0
+            )
+            whole = await client.chat.completions.create(
+                model="model", messages=[{"role": "user", "content": "x"}]
+            )
+            stream = await client.chat.completions.create(
+                model="model",
+                messages=[{"role": "user", "content": "x"}],
+                stream=True,
+            )
+            pieces = [
+                chunk.choices[0].delta.content or "" async for chunk in stream
+            ]
+            await client.close()
+        assert whole.choices[0].message.content == ANSWER.text
+        assert "".join(pieces) == ANSWER.text
+
+
+class DisconnectSuite:
+    async def test_caller_that_leaves_cancels(self) -> None:
+        port = FakePort(no_answer)
+        async with front_of(port) as (_, server):
+            _, writer = await asyncio.open_connection(server.host, server.port)
+            body = chat_body("x")
+            head = (
+                f"POST {CHAT} HTTP/1.1\r\nhost: x\r\n"
+                f"authorization: {BEARER['Authorization']}\r\n"
+                f"content-length: {len(body)}\r\n\r\n"
+            )
+            writer.write(head.encode() + body)
+            while not port.requests:
+                await asyncio.sleep(0.001)
+            writer.transport.abort()
+            while not port.cancelled:
+                await asyncio.sleep(0.001)
+        assert port.cancelled == ["q1"]
+
+    async def test_answered_caller_cancels_nothing(self) -> None:
+        port = FakePort(whole_answer)
+        async with front_of(port) as (client, _):
+            await client.post(CHAT, content=chat_body("x"))
+        assert port.cancelled == []
+
+    async def test_slow_reader_is_given_up(self) -> None:
+        answers = AnswerQueue(max_bytes=1000)
+        answers.put(Reply("q1", a_body(1, b"x" * 600)))
+        answers.put(Reply("q1", a_body(2, b"x" * 600)))
+        answers.put(Reply("q1", an_end(3)))
+        assert await answers.next() == Overflowed()
+        assert answers.next_now() is None
+
+        def script(request: Request) -> list[AnswerItem]:
+            return [*answer_of([b"x"], "text/plain")[:2], Overflowed()]
+
+        port = FakePort(script)
+        async with front_of(port) as (client, _):
+            with pytest.raises(httpx.HTTPError):
+                await client.get("/services/floordesk/plan")
+        assert port.cancelled == ["q1"]
+
+    async def test_unread_answer_times_out(self) -> None:
+        options = CallersOptions(write_timeout_s=0.02)
+        port = FakePort(lambda _: answer_of([], "text/plain")[:1])
+
+        async def submit_slowly(queue: AnswerQueue) -> None:
+            for _ in range(100):
+                queue.put(Reply("q1", a_body(1, b"x" * 1_000_000)))
+                await asyncio.sleep(0)
+
+        async with front_of(port, options) as (client, _):
+            request = client.build_request("GET", "/services/floordesk/x")
+            call = asyncio.ensure_future(client.send(request, stream=True))
+            while not port.queues:
+                await asyncio.sleep(0.001)
+            feed = asyncio.ensure_future(submit_slowly(port.queues[0]))
+            answer = await call
+            while not port.cancelled:
+                await asyncio.sleep(0.001)
+            await feed
+            await answer.aclose()
+        assert port.cancelled == ["q1"]
