--- a/src/bulrushstream/coordination/attempts.py
+++ b/src/bulrushstream/coordination/attempts.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from bulrushstream.coordination import backlogs, dispatching, settling
+from bulrushstream.coordination import backlogs, gating, hub, settling
+from bulrushstream.coordination.budget import pause_s
 from bulrushstream.coordination.routing import (
     AgentView,
     Phase,
@@ -17,7 +18,13 @@
     Tracked,
     endpoint_of,
 )
-from bulrushstream.messages import ENDPOINT_LOST, EXPIRED, RETRIES_SPENT
+from bulrushstream.messages import (
+    ENDPOINT_LOST,
+    EXPIRED,
+    QUARANTINED,
+    RETRIES_SPENT,
+    Notice,
+)
 from bulrushstream.state.identity import InstanceInfo, InstanceKey
 from bulrushstream.state.message import (
     Ack,
@@ -46,7 +53,8 @@
     if tracked is None:
         _dismiss(state, peer, message)
         return
-    tracked.exposed = True
+    if message.kind is not PartKind.END:
+        tracked.exposed = True
     tracked.heard_s = now_s
     for ready in tracked.answer.accept(message):
         if ready.kind is PartKind.END:
@@ -81,6 +89,9 @@
         return
     where = "" if view is None else endpoint_of(view)
     settling.release(state, tracked)
+    if tracked.answered:
+        settling.forget(state, tracked, tracked.outcome, now_s)
+        return
     if message.reason is RefuseReason.EXPIRED:
         settling.fail(state, tracked, EXPIRED, now_s)
         return
@@ -89,10 +100,10 @@
         tracked.tried.add(where)
         tracked.avoid_until_s = now_s + state.options.avoid_s
     if message.reason is RefuseReason.SUSPECT:
-        pause_s = now_s + state.options.refuse_pause_s
-        state.timers.set((Timer.RETRY, message.request_id), pause_s)
+        due_s = now_s + state.options.refuse_pause_s
+        state.timers.set((Timer.RETRY, message.request_id), due_s)
         return
-    dispatching.offer(state, tracked, now_s)
+    state.ready.append(message.request_id)
 
 
 def gone(
@@ -108,6 +119,8 @@
     tracked = _out(state, peer, message.request_id, message.attempt)
     if tracked is None:
         return
+    if tracked.revoked and message.outcome is not Outcome.NOT_RUN:
+        return  # It was started and runs on without its caller.
     _broken(state, tracked, message.outcome, "the answer is gone", now_s)
 
 
@@ -156,6 +169,7 @@
     view.leaving = view.leaving or info.leaving
     view.free_slots = 0
     backlogs.tell_all(state, view, now_s)
+    hub.agent_up(state, view)
     for request_id in sorted(view.running):
         state.timers.cancel((Timer.GRACE, request_id))
         _resume(state, state.tracked[request_id])
@@ -190,8 +204,10 @@
     view = state.remove_agent(key)
     if view is None:
         return
+    hub.agent_over(state, view.info)
     for request_id in sorted(view.running):
         tracked = state.tracked[request_id]
+        gating.strike_lost(state, tracked, view, now_s)
         _broken(state, tracked, Outcome.UNKNOWN, "the agent is lost", now_s)
 
 
@@ -259,8 +275,12 @@
     state: RouterState, tracked: Tracked, end: Part, now_s: float
 ) -> None:
     if end.whole:
+        gating.prove(state, tracked, now_s)
         settling.finish(state, tracked, end, now_s)
         return
+    view = None if tracked.agent is None else state.agents.get(tracked.agent)
+    if end.crashed and view is not None:
+        gating.strike(state, tracked, view, now_s)
     _broken(state, tracked, end.outcome, end.detail, now_s)
 
 
@@ -271,31 +291,48 @@
     why: str,
     now_s: float,
 ) -> None:
-    """Retry an attempt that failed, if that is allowed, or fail it."""
+    """Settle an attempt that failed: retry it if that is allowed."""
     view = None if tracked.agent is None else state.agents.get(tracked.agent)
-    settling.release(state, tracked)
     if outcome is not Outcome.NOT_RUN:
         tracked.exposed = True
     if view is not None:
         tracked.tried.add(endpoint_of(view))
         tracked.avoid_until_s = now_s + state.options.avoid_s
-    if outcome is Outcome.NOT_RUN and not tracked.given:
-        state.decide("requeue", "not run", tracked, now_s)
-        dispatching.offer(state, tracked, now_s)
+    if tracked.answered:
+        settling.forget(state, tracked, tracked.outcome, now_s)
         return
-    if _may_retry(tracked, now_s):
-        tracked.retries += 1
-        state.decide("retry", why, tracked, now_s)
-        dispatching.offer(state, tracked, now_s)
+    notice = _why_no_retry(state, tracked, outcome, now_s)
+    if notice is not None:
+        settled = Outcome.RAN if outcome is Outcome.RAN else None
+        settling.fail(state, tracked, notice, now_s, settled, why)
         return
-    notice = RETRIES_SPENT if tracked.retries else ENDPOINT_LOST
-    settling.fail(state, tracked, notice, now_s, detail=why)
+    settling.release(state, tracked)
+    number = tracked.unstarted + tracked.retries
+    pause = pause_s(state.options.budget, state.rng, number)
+    state.decide("retry", why, tracked, now_s)
+    retry = (Timer.RETRY, tracked.request.request_id)
+    state.timers.set(retry, now_s + pause)
 
 
-def _may_retry(tracked: Tracked, now_s: float) -> bool:
+def _why_no_retry(
+    state: RouterState, tracked: Tracked, outcome: Outcome, now_s: float
+) -> Notice | None:
+    """Return why a request is not tried again; None if it is, and count."""
     request = tracked.request
-    if not request.idempotent or tracked.given or tracked.answered:
-        return False
+    if tracked.given or now_s >= request.deadline_s:
+        return ENDPOINT_LOST
+    if state.quarantine.is_refused(request.fingerprint, now_s):
+        return QUARANTINED
+    if outcome is Outcome.NOT_RUN:
+        tracked.unstarted += 1
+        if tracked.unstarted > state.options.max_not_run:
+            return RETRIES_SPENT
+        return None
+    if not request.idempotent:
+        return ENDPOINT_LOST
     if tracked.retries >= request.retry_limit:
-        return False
-    return now_s < request.deadline_s
+        return RETRIES_SPENT if tracked.retries else ENDPOINT_LOST
+    if not state.budget.withdraw(request.workspace):
+        return RETRIES_SPENT
+    tracked.retries += 1
+    return None
--- /dev/null
+++ b/src/bulrushstream/coordination/claims.py
@@ -0,0 +1,224 @@
+"""Lets a request with a caller's key run at most once in the fleet.
+
+The request waits until the log says whose claim on the key came first.
+If it is its own, it runs; if it is another's, its caller is given that
+one's answer or outcome as soon as there is one.  While the log can not be
+reached, keyed requests wait until their deadline and are then refused.
+"""
+
+from __future__ import annotations
+
+from bulrushstream.coordination import recording, settling
+from bulrushstream.coordination.routing import RouterState, Tracked
+from bulrushstream.messages import (
+    KEY_LOST,
+    KEY_RAN,
+    KEY_REUSED,
+    LOG_DOWN,
+)
+from bulrushstream.state.claim import (
+    ClaimBatch,
+    ClaimEntry,
+    ClaimRecord,
+    ResultRecord,
+    decode_batch,
+    key_of,
+    request_digest,
+)
+from bulrushstream.state.effect import Reply
+from bulrushstream.state.event import LogRecord
+from bulrushstream.state.identity import InstanceKey
+from bulrushstream.state.message import Part, PartKind
+from bulrushstream.state.request import Outcome, Request
+
+
+def is_keyed(request: Request) -> bool:
+    """Return whether a request must claim its key before it runs."""
+    return bool(request.idempotency_key) and not request.idempotent
+
+
+def start(state: RouterState, tracked: Tracked, now_s: float) -> None:
+    """Let a keyed request wait for its claim.
+
+    :param state: the router
+    :param tracked: the request
+    :param now_s: the time on the core's clock
+    """
+    tracked.claim_key = key_of(tracked.request)
+    waiting = state.keyed.setdefault(tracked.claim_key, {})
+    waiting[tracked.request.request_id] = None
+    _look(state, tracked, now_s)
+
+
+def look_again(state: RouterState, now_s: float) -> None:
+    """Look at the requests of every key that has changed.
+
+    :param state: the router
+    :param now_s: the time on the core's clock
+    """
+    while state.rekey:
+        key = state.rekey.popleft()
+        for request_id in list(state.keyed.get(key, ())):
+            tracked = state.tracked.get(request_id)
+            if tracked is not None:
+                _look(state, tracked, now_s)
+
+
+def read(
+    state: RouterState,
+    records: tuple[LogRecord, ...],
+    caught_up: bool,
+    now_s: float,
+) -> None:
+    """Fold records of the stream of claims.
+
+    :param state: the router
+    :param records: the records, in order
+    :param caught_up: whether these reach the end of the stream
+    :param now_s: the time on the core's clock
+    """
+    for record in records:
+        batch = decode_batch(record.body)
+        if batch is None or record.offset < state.claims.next_offset:
+            continue
+        won = state.claims.fold(record.offset, batch, now_s)
+        _resolve(state, batch, won)
+    if caught_up and not state.claims_read:
+        state.claims_read = True
+        state.rekey.extend(state.keyed)
+
+
+def router_lost(state: RouterState) -> None:
+    """Look again at all keys, because the holder of one may be lost."""
+    state.rekey.extend(state.keyed)
+
+
+def holder(
+    state: RouterState, tracked: Tracked, now_s: float
+) -> ClaimEntry | None:
+    """Return the other claim that holds a request's key, if one does.
+
+    :param state: the router
+    :param tracked: a keyed request
+    :param now_s: the time on the core's clock
+    :returns: the claim; None if the key is free or the request's own
+    """
+    entry = state.claims.holds(tracked.claim_key, now_s)
+    if entry is None or entry.record.claim_id == tracked.claim_id:
+        return None
+    return entry
+
+
+def _resolve(
+    state: RouterState, batch: ClaimBatch, won: list[ClaimRecord]
+) -> None:
+    """Tell apart own claims that won and those that lost."""
+    for claim in batch.claims:
+        state.rekey.append(claim.key)
+        if _is_own(state, claim) and claim in won:
+            if _owner(state, claim) is None:
+                recording.release(state, claim)
+        elif _is_own(state, claim):
+            _lose(state, claim)
+    state.rekey.extend(result.key for result in batch.results)
+
+
+def _is_own(state: RouterState, claim: ClaimRecord) -> bool:
+    key = state.me.key
+    return (claim.instance, claim.incarnation) == (
+        key.instance,
+        key.incarnation,
+    )
+
+
+def _owner(state: RouterState, claim: ClaimRecord) -> Tracked | None:
+    """Return the request that an own claim was made for."""
+    for request_id in state.keyed.get(claim.key, ()):
+        tracked = state.tracked[request_id]
+        if tracked.claim_id == claim.claim_id:
+            return tracked
+    return None
+
+
+def _lose(state: RouterState, claim: ClaimRecord) -> None:
+    """Let a request whose claim came too late claim anew if it must."""
+    entry = state.claims.get(claim.key)
+    if entry is not None and entry.record.claim_id == claim.claim_id:
+        return  # A second copy of a claim that has won.
+    tracked = _owner(state, claim)
+    if tracked is not None and not tracked.claim_won:
+        tracked.claim_id = ""
+
+
+def _look(state: RouterState, tracked: Tracked, now_s: float) -> None:
+    if tracked.claim_won or not state.claims_read:
+        return
+    entry = state.claims.holds(tracked.claim_key, now_s)
+    if entry is None:
+        _claim(state, tracked, now_s)
+    elif entry.record.claim_id == tracked.claim_id:
+        tracked.claim_won = True
+        state.ready.append(tracked.request.request_id)
+    elif entry.record.request_digest != request_digest(tracked.request):
+        settling.fail(state, tracked, KEY_REUSED, now_s)
+    elif entry.result is not None:
+        _repeat(state, tracked, entry.result, now_s)
+    elif _is_lost(state, entry.record):
+        settling.fail(state, tracked, KEY_LOST, now_s, Outcome.UNKNOWN)
+
+
+def _claim(state: RouterState, tracked: Tracked, now_s: float) -> None:
+    """Append a claim, unless another request here has one on its way."""
+    for request_id in state.keyed[tracked.claim_key]:
+        if state.tracked[request_id].claim_id:
+            return
+    number = state.next_sequence()
+    key = state.me.key
+    tracked.claim_id = f"{key.instance}/{key.incarnation}/{number}"
+    if not state.claim_log.add(recording.claim_of(state, tracked)):
+        tracked.claim_id = ""
+        settling.fail(state, tracked, LOG_DOWN, now_s)
+
+
+def _is_lost(state: RouterState, claim: ClaimRecord) -> bool:
+    """Return whether the router that holds a claim will not end it."""
+    if InstanceKey(claim.instance, claim.incarnation) in state.lost:
+        return True
+    known = [state.me.key, *state.routers]
+    return any(
+        key.instance == claim.instance and key.incarnation > claim.incarnation
+        for key in known
+    )
+
+
+def _repeat(
+    state: RouterState, tracked: Tracked, result: ResultRecord, now_s: float
+) -> None:
+    """Give a caller the answer or the outcome of an earlier request."""
+    if not result.kept:
+        ran = result.outcome is Outcome.RAN
+        notice = KEY_RAN if ran else KEY_LOST
+        settling.fail(state, tracked, notice, now_s, result.outcome)
+        return
+    request_id = tracked.request.request_id
+    head = Part(
+        request_id=request_id,
+        attempt=0,
+        sequence=0,
+        kind=PartKind.HEAD,
+        status=result.status,
+        headers=result.headers,
+    )
+    body = Part(request_id, 0, 1, PartKind.BODY, data=result.body)
+    end = Part(
+        request_id=request_id,
+        attempt=0,
+        sequence=2,
+        kind=PartKind.END,
+        outcome=result.outcome,
+        whole=True,
+    )
+    state.out.append(Reply(request_id, head))
+    if result.body:
+        state.out.append(Reply(request_id, body))
+    settling.finish(state, tracked, end, now_s)
--- a/src/bulrushstream/coordination/dispatching.py
+++ b/src/bulrushstream/coordination/dispatching.py
@@ -15,10 +15,11 @@
     Timer,
     Tracked,
     endpoint_of,
+    queue_key,
 )
 from bulrushstream.state.answer import Answer
 from bulrushstream.state.identity import InstanceKey
-from bulrushstream.state.message import Dispatch, Idle, NoWork, Pull
+from bulrushstream.state.message import Cached, Dispatch, Idle, NoWork, Pull
 from bulrushstream.state.queues import Fit, FitFunction, QueueKey
 from bulrushstream.state.request import Request
 
@@ -37,9 +38,9 @@
             view.free_slots -= 1
             _dispatch(state, tracked, view, 0, "idle agent", now_s)
             return
-    tracked.phase = Phase.WAITING
+    state.move(tracked, Phase.WAITING)
     state.queues.push(request)
-    backlogs.touch(state, QueueKey(request.service, request.workspace))
+    backlogs.touch(state, queue_key(tracked))
     refresh_s = now_s + state.options.backlog_refresh_s
     state.timers.set_sooner((Timer.REFRESH, request.service), refresh_s)
 
@@ -48,7 +49,7 @@
     """Take a request out of its queue if it is in one."""
     request = tracked.request
     if state.queues.remove(request.request_id) is not None:
-        backlogs.touch(state, QueueKey(request.service, request.workspace))
+        backlogs.touch(state, queue_key(tracked))
 
 
 def pull(
@@ -101,6 +102,24 @@
         backlogs.tell_all(state, view, now_s)
 
 
+def cached(state: RouterState, peer: InstanceKey, message: Cached) -> None:
+    """Note which prefixes an agent's engine holds.
+
+    :param state: the router
+    :param peer: the agent
+    :param message: what its cache gained or lost
+    """
+    view = state.agents.get(peer)
+    if view is None:
+        return
+    if message.reset:
+        view.prefixes.clear()
+    for digest in message.dropped:
+        view.prefixes.pop(digest, None)
+    for digest in message.added:
+        _remember_prefix(state, view, digest)
+
+
 def _dispatch(
     state: RouterState,
     tracked: Tracked,
@@ -110,12 +129,12 @@
     now_s: float,
 ) -> None:
     request = tracked.request
-    tracked.phase = Phase.RUNNING
+    state.move(tracked, Phase.RUNNING)
+    state.drain.note(queue_key(tracked), now_s)
     tracked.attempt += 1
     tracked.agent = view.info.key
     tracked.answer = Answer()
     tracked.head = None
-    tracked.dispatched_s = now_s
     tracked.heard_s = now_s
     view.running.add(request.request_id)
     _remember_prefix(state, view, request.prefix_digest)
--- a/src/bulrushstream/coordination/expiry.py
+++ b/src/bulrushstream/coordination/expiry.py
@@ -1,11 +1,21 @@
-"""Ends requests whose caller gave up, by deadline or by leaving."""
+"""Ends requests whose caller gave up, by deadline or by leaving.
+
+A run that holds an idempotency key is not stopped, because its caller will
+repeat the request to learn what became of it.  It is followed for a while
+without its caller, and its result is recorded when it ends.
+"""
 
 from __future__ import annotations
 
-from bulrushstream.coordination import settling
-from bulrushstream.coordination.routing import Phase, RouterState, Tracked
-from bulrushstream.messages import EXPIRED, TIMED_OUT
-from bulrushstream.state.message import Cancel
+from bulrushstream.coordination import claims, settling
+from bulrushstream.coordination.routing import (
+    Phase,
+    RouterState,
+    Timer,
+    Tracked,
+)
+from bulrushstream.messages import EXPIRED, KEY_PENDING, LOG_DOWN, TIMED_OUT
+from bulrushstream.state.message import Cancel, Revoke
 from bulrushstream.state.request import Outcome
 
 
@@ -20,11 +30,15 @@
     if tracked is None:
         return
     if tracked.phase is not Phase.RUNNING:
-        notice = TIMED_OUT if tracked.exposed else EXPIRED
-        settling.fail(state, tracked, notice, now_s)
-        return
-    _stop(state, tracked)
-    settling.fail(state, tracked, TIMED_OUT, now_s, Outcome.UNKNOWN)
+        _expire(state, tracked, now_s)
+    elif tracked.answered:
+        settling.forget(state, tracked, Outcome.UNKNOWN, now_s)
+    elif tracked.claim_won:
+        settling.give_up(state, tracked, TIMED_OUT, now_s, Outcome.UNKNOWN)
+        _follow(state, tracked, now_s)
+    else:
+        _cancel(state, tracked)
+        settling.fail(state, tracked, TIMED_OUT, now_s, Outcome.UNKNOWN)
 
 
 def caller_left(state: RouterState, request_id: str, now_s: float) -> None:
@@ -35,15 +49,43 @@
     :param now_s: the time on the core's clock
     """
     tracked = state.tracked.get(request_id)
-    if tracked is None:
+    if tracked is None or tracked.answered:
         return
-    if tracked.phase is Phase.RUNNING:
-        _stop(state, tracked)
     state.decide("cancel", "the caller left", tracked, now_s)
-    settling.forget(state, tracked)
+    tracked.answered = True
+    if tracked.phase is not Phase.RUNNING:
+        settling.forget(state, tracked, tracked.outcome, now_s)
+    elif tracked.claim_won:
+        _follow(state, tracked, now_s)
+    else:
+        _cancel(state, tracked)
+        settling.forget(state, tracked, Outcome.UNKNOWN, now_s)
+
+
+def _expire(state: RouterState, tracked: Tracked, now_s: float) -> None:
+    """End a request of which no attempt is out."""
+    if tracked.exposed:
+        settling.fail(state, tracked, TIMED_OUT, now_s)
+    elif not tracked.claim_key or tracked.claim_won:
+        settling.fail(state, tracked, EXPIRED, now_s)
+    elif claims.holder(state, tracked, now_s) is not None:
+        # The first request with the key may yet run, or have run.
+        settling.fail(state, tracked, KEY_PENDING, now_s, Outcome.UNKNOWN)
+    else:
+        settling.fail(state, tracked, LOG_DOWN, now_s)
+
+
+def _follow(state: RouterState, tracked: Tracked, now_s: float) -> None:
+    """Go on with a run without its caller, unless it has not started."""
+    request_id = tracked.request.request_id
+    if tracked.agent is not None:
+        tracked.revoked = True
+        state.send(tracked.agent, Revoke(request_id, tracked.attempt))
+    end_s = now_s + state.options.claims.linger_s
+    state.timers.set((Timer.DEADLINE, request_id), end_s)
 
 
-def _stop(state: RouterState, tracked: Tracked) -> None:
+def _cancel(state: RouterState, tracked: Tracked) -> None:
     if tracked.agent is None:
         return
     request_id = tracked.request.request_id
--- /dev/null
+++ b/src/bulrushstream/coordination/hub.py
@@ -0,0 +1,216 @@
+"""Carries the service ledger between agents that do not hear each other.
+
+Agents report what they served; a router sums it up and sends each agent a
+*digest*: per workspace, what all others have served.  All routers know
+nearly the same, so one of them, chosen by rendezvous hashing, is in charge
+of an agent and the others repeat the digest only now and then.  Routers
+*relay* to each other what only one of them hears.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+import xxhash
+
+from bulrushstream.coordination.routing import (
+    AgentView,
+    RouterState,
+    RouterView,
+    Timer,
+)
+from bulrushstream.state.identity import InstanceInfo, InstanceKey
+from bulrushstream.state.ledger import NO_REVISION, Ledger
+from bulrushstream.state.message import Digest, DigestEntry, Floor, Served
+from bulrushstream.state.queues import QueueKey
+
+HEARD_REPEAT_S: Final = 10.0
+SPARE: Final = "spare"
+
+
+def served(
+    state: RouterState, peer: InstanceKey, message: Served, now_s: float
+) -> None:
+    """Merge what an agent served, or what a router peer knows of it.
+
+    :param state: the router
+    :param peer: who sent it
+    :param message: the changes
+    :param now_s: the time on the core's clock
+    """
+    ledger = _ledger(state, message.service)
+    for entry in message.entries:
+        ledger.merge(entry)
+    view = state.routers.get(peer)
+    if view is not None:
+        view.heard = frozenset(message.heard)
+    _schedule(state, now_s)
+
+
+def floor(
+    state: RouterState, peer: InstanceKey, message: Floor, now_s: float
+) -> None:
+    """Take a workspace's lift, and pass it on to routers if it is new.
+
+    Agents get it with their next digest.
+
+    :param state: the router
+    :param peer: who sent it
+    :param message: the lift
+    :param now_s: the time on the core's clock
+    """
+    key = QueueKey(message.service, message.workspace)
+    if message.floor <= state.floors.get(key, 0.0):
+        return
+    state.floors[key] = message.floor
+    if peer in state.agents:
+        for other in sorted(state.routers):
+            state.send(other, message)
+    _schedule(state, now_s)
+
+
+def agent_up(state: RouterState, view: AgentView) -> None:
+    """Tell an agent that just connected all that it may lack.
+
+    :param state: the router
+    :param view: the agent
+    """
+    view.told.clear()
+    service = view.info.service
+    known = set(_ledger(state, service).workspaces())
+    known.update(
+        key.workspace for key in state.floors if key.service == service
+    )
+    _send_digest(state, view, sorted(known))
+
+
+def agent_over(state: RouterState, info: InstanceInfo) -> None:
+    """Fold away what an incarnation of an agent served.
+
+    :param state: the router
+    :param info: the incarnation that will not come back
+    """
+    ledger = _ledger(state, info.service)
+    ledger.fold(info.key.instance, info.key.incarnation)
+
+
+def digest(state: RouterState, spare: bool, now_s: float) -> None:
+    """Send agents what changed.
+
+    :param state: the router
+    :param spare: whether also to agents that others are in charge of
+    :param now_s: the time on the core's clock
+    """
+    for view in state.agents.values():
+        if view.connected and (spare or _in_charge(state, view)):
+            ledger = _ledger(state, view.info.service)
+            _send_digest(state, view, sorted(ledger.workspaces()))
+    if not spare:
+        due_s = now_s + state.options.digest_spare_s
+        state.timers.set_sooner((Timer.DIGEST, SPARE), due_s)
+
+
+def relay(state: RouterState, now_s: float) -> None:
+    """Send router peers what they do not hear themselves.
+
+    :param state: the router
+    :param now_s: the time on the core's clock
+    """
+    heard = frozenset(
+        view.info.key.instance
+        for view in state.agents.values()
+        if view.connected
+    )
+    for peer in state.routers.values():
+        if not peer.connected:
+            continue
+        _say_heard(state, peer, heard, now_s)
+        for service, ledger in state.ledgers.items():
+            _relay_one(state, peer, service, ledger, heard)
+    due_s = now_s + state.options.relay_interval_s
+    if state.routers:
+        state.timers.set((Timer.RELAY, ""), due_s)
+
+
+def _relay_one(
+    state: RouterState,
+    peer: RouterView,
+    service: str,
+    ledger: Ledger,
+    heard: frozenset[str],
+) -> None:
+    since = peer.told.get(service, NO_REVISION)
+    entries = tuple(
+        entry
+        for entry in ledger.entries(since)
+        if entry.agent not in peer.heard and entry.agent in heard
+    )
+    peer.told[service] = ledger.revision
+    if entries:
+        sequence = state.next_sequence()
+        message = Served(service, sequence, entries, tuple(sorted(heard)))
+        state.send(peer.info.key, message)
+
+
+def _say_heard(
+    state: RouterState, peer: RouterView, heard: frozenset[str], now_s: float
+) -> None:
+    """Tell a peer whom this router hears, on change and now and then."""
+    age_s = now_s - peer.told_s
+    if heard == peer.told_heard and age_s < HEARD_REPEAT_S:
+        return
+    peer.told_heard = heard
+    peer.told_s = now_s
+    message = Served("", state.next_sequence(), (), tuple(sorted(heard)))
+    state.send(peer.info.key, message)
+
+
+def _send_digest(
+    state: RouterState, view: AgentView, workspaces: Iterable[str]
+) -> None:
+    entries = []
+    for workspace in workspaces:
+        entry = _entry(state, view, workspace)
+        if view.told.get(workspace) != entry:
+            view.told[workspace] = entry
+            entries.append(entry)
+    if entries:
+        message = Digest(
+            view.info.service, state.next_sequence(), tuple(entries)
+        )
+        state.send(view.info.key, message)
+
+
+def _entry(state: RouterState, view: AgentView, workspace: str) -> DigestEntry:
+    service = view.info.service
+    sums = _ledger(state, service).total(workspace, view.info.key)
+    lift = state.floors.get(QueueKey(service, workspace), 0.0)
+    return DigestEntry(workspace, sums.total, sums.in_flight, lift)
+
+
+def _in_charge(state: RouterState, view: AgentView) -> bool:
+    """Return whether this router is the one that tells an agent."""
+    agent = view.info.key.instance
+    mine = _rank(state.me.key, agent)
+    return all(
+        _rank(key, agent) < mine
+        for key, peer in state.routers.items()
+        if peer.connected
+    )
+
+
+def _rank(router: InstanceKey, agent: str) -> int:
+    return xxhash.xxh64_intdigest(f"{router.instance}|{agent}".encode())
+
+
+def _ledger(state: RouterState, service: str) -> Ledger:
+    ledger = state.ledgers.get(service)
+    if ledger is None:
+        ledger = state.ledgers[service] = Ledger()
+    return ledger
+
+
+def _schedule(state: RouterState, now_s: float) -> None:
+    due_s = now_s + state.options.digest_interval_s
+    state.timers.set_sooner((Timer.DIGEST, ""), due_s)
--- /dev/null
+++ b/src/bulrushstream/coordination/journal.py
@@ -0,0 +1,132 @@
+"""Reads and writes the router's streams of the platform's log.
+
+The router keeps two streams: claims on idempotency keys and strikes
+against requests that crash endpoints.  It goes on without the log; what
+has to be written waits, and what has to be read is taken when it comes.
+"""
+
+from __future__ import annotations
+
+from bulrushstream.coordination import claims, gating
+from bulrushstream.coordination.quarantine import (
+    StrikeBatch,
+    StrikeRecord,
+    decode_strikes,
+    encode_strikes,
+)
+from bulrushstream.coordination.routing import RouterState, Timer
+from bulrushstream.state.claim import (
+    ClaimBatch,
+    ClaimRecord,
+    ResultRecord,
+    encode_batch,
+)
+from bulrushstream.state.effect import AppendLog
+from bulrushstream.state.event import (
+    LogAppended,
+    LogFailed,
+    LogRead,
+    LogRecord,
+)
+from bulrushstream.state.message import Strike
+
+
+def read(state: RouterState, event: LogRead, now_s: float) -> None:
+    """Take records of one of the router's streams.
+
+    :param state: the router
+    :param event: the records
+    :param now_s: the time on the core's clock
+    """
+    if event.stream == state.options.claims.stream:
+        claims.read(state, event.records, event.caught_up, now_s)
+    elif event.stream == state.options.strikes_stream:
+        for record in event.records:
+            _read_strikes(state, record, now_s)
+
+
+def appended(state: RouterState, event: LogAppended) -> None:
+    """Note that an append was acknowledged."""
+    state.claim_log.appended(event.token)
+    state.strike_log.appended(event.token)
+
+
+def failed(state: RouterState, event: LogFailed, now_s: float) -> None:
+    """Note that an append has no answer.
+
+    :param state: the router
+    :param event: which append
+    :param now_s: the time on the core's clock
+    """
+    state.claim_log.failed(event.token, state.rng, now_s)
+    state.strike_log.failed(event.token, state.rng, now_s)
+
+
+def write(state: RouterState, now_s: float) -> None:
+    """Append what waits, as far as the rate of appends allows.
+
+    :param state: the router
+    :param now_s: the time on the core's clock
+    """
+    _write_claims(state, now_s)
+    _write_strikes(state, now_s)
+
+
+def _write_claims(state: RouterState, now_s: float) -> None:
+    options = state.options.claims
+    due_s = state.claim_log.due_s()
+    if due_s is not None and due_s > now_s:
+        state.timers.set((Timer.CLAIMS, ""), due_s)
+        return
+    # The routers share what the log takes; each knows how many they are.
+    interval_s = (len(state.routers) + 1) / options.fleet_appends_per_s
+    token = state.next_sequence()
+    records = state.claim_log.take(token, now_s, interval_s)
+    if not records:
+        return
+    batch = ClaimBatch(
+        at_ms=state.claims.clock.now_ms(now_s),
+        results=tuple(r for r in records if isinstance(r, ResultRecord)),
+        claims=tuple(r for r in records if isinstance(r, ClaimRecord)),
+    )
+    state.out.append(AppendLog(options.stream, token, encode_batch(batch)))
+
+
+def _write_strikes(state: RouterState, now_s: float) -> None:
+    due_s = state.strike_log.due_s()
+    if due_s is not None and due_s > now_s:
+        state.timers.set((Timer.STRIKES, ""), due_s)
+        return
+    token = state.next_sequence()
+    records = state.strike_log.take(token, now_s, 0.0)
+    if not records:
+        return
+    batch = StrikeBatch(
+        at_ms=state.quarantine.clock.now_ms(now_s),
+        strikes=tuple(r for r in records if isinstance(r, StrikeRecord)),
+        pardons=tuple(r for r in records if isinstance(r, int)),
+    )
+    body = encode_strikes(batch)
+    state.out.append(AppendLog(state.options.strikes_stream, token, body))
+
+
+def _read_strikes(state: RouterState, record: LogRecord, now_s: float) -> None:
+    batch = decode_strikes(record.body)
+    if batch is None:
+        return
+    clock = state.quarantine.clock
+    clock.read(batch.at_ms, now_s)
+    time_ms = clock.now_ms(now_s)
+    strikes = tuple(
+        Strike(
+            each.fingerprint,
+            each.strike_id,
+            each.alone,
+            max(0, time_ms - each.at_ms),
+        )
+        for each in batch.strikes
+    )
+    gating.learn(state, strikes, now_s)
+    # A pardon says nothing of crashes after it.
+    pardoned_s = now_s - max(0, time_ms - batch.at_ms) / 1000
+    gating.lift(state, batch.pardons, pardoned_s, now_s)
--- /dev/null
+++ b/src/bulrushstream/coordination/peers.py
@@ -0,0 +1,95 @@
+"""Takes up, and gives up, the router's peers."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from bulrushstream.coordination import attempts, claims, gating
+from bulrushstream.coordination.routing import RouterState, RouterView, Timer
+from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
+from bulrushstream.state.message import Goodbye
+
+MAX_LOST: Final = 1024
+
+
+def up(state: RouterState, info: InstanceInfo, now_s: float) -> None:
+    """Take up a connection to a peer.
+
+    :param state: the router
+    :param info: the peer
+    :param now_s: the time on the core's clock
+    """
+    if info.role is Role.AGENT:
+        attempts.agent_up(state, info, now_s)
+    else:
+        _router_up(state, info, now_s)
+    if state.goodbye_sent:
+        state.send(info.key, Goodbye(state.me.key.incarnation))
+
+
+def down(state: RouterState, key: InstanceKey, now_s: float) -> None:
+    """Note that the connection to a peer broke.
+
+    :param state: the router
+    :param key: the peer
+    :param now_s: the time on the core's clock
+    """
+    attempts.agent_down(state, key, now_s)
+    view = state.routers.get(key)
+    if view is not None:
+        view.connected = False
+
+
+def lost(state: RouterState, key: InstanceKey, now_s: float) -> None:
+    """Give up a peer that will not come back.
+
+    :param state: the router
+    :param key: the peer
+    :param now_s: the time on the core's clock
+    """
+    attempts.agent_lost(state, key, now_s)
+    if state.routers.pop(key, None) is None:
+        return
+    state.lost[key] = None
+    if len(state.lost) > MAX_LOST:
+        del state.lost[next(iter(state.lost))]
+    gating.router_lost(state, key, now_s)
+    claims.router_lost(state)
+
+
+def leaving(state: RouterState, key: InstanceKey) -> None:
+    """Give a peer no new work any more.
+
+    :param state: the router
+    :param key: the peer
+    """
+    view = state.agents.get(key)
+    if view is not None:
+        view.leaving = True
+        view.free_slots = 0
+
+
+def say_goodbye(state: RouterState) -> None:
+    """Tell peers that a draining router's queues are empty."""
+    if not state.draining or state.goodbye_sent:
+        return
+    if len(state.queues) or state.held:
+        return
+    state.goodbye_sent = True
+    goodbye = Goodbye(state.me.key.incarnation)
+    for key in [*state.agents, *state.routers]:
+        state.send(key, goodbye)
+
+
+def _router_up(state: RouterState, info: InstanceInfo, now_s: float) -> None:
+    for other in sorted(state.routers):
+        same = other.instance == info.key.instance
+        if same and other.incarnation < info.key.incarnation:
+            lost(state, other, now_s)
+    view = state.routers.setdefault(info.key, RouterView(info))
+    view.connected = True
+    # What was sent before may be lost.
+    view.told.clear()
+    view.told_s = float("-inf")
+    gating.router_up(state, info.key, now_s)
+    state.timers.set_sooner((Timer.RELAY, ""), now_s)
--- /dev/null
+++ b/src/bulrushstream/coordination/recording.py
@@ -0,0 +1,105 @@
+"""Keeps what became of keyed requests, for callers that repeat them."""
+
+from __future__ import annotations
+
+from bulrushstream.coordination.routing import (
+    Recording,
+    RouterState,
+    Tracked,
+)
+from bulrushstream.state.claim import (
+    ClaimRecord,
+    ResultRecord,
+    request_digest,
+)
+from bulrushstream.state.message import Part, PartKind
+from bulrushstream.state.request import Outcome
+
+
+def claim_of(state: RouterState, tracked: Tracked) -> ClaimRecord:
+    """Return the record of a request's own claim."""
+    return ClaimRecord(
+        key=tracked.claim_key,
+        claim_id=tracked.claim_id,
+        instance=state.me.key.instance,
+        incarnation=state.me.key.incarnation,
+        request_digest=request_digest(tracked.request),
+    )
+
+
+def note(state: RouterState, tracked: Tracked, part: Part) -> None:
+    """Copy a part of an answer that callers may ask for again.
+
+    :param state: the router
+    :param tracked: the request
+    :param part: the next part in order
+    """
+    if not tracked.claim_won:
+        return
+    if part.kind is PartKind.HEAD:
+        tracked.recording = Recording(part.status, part.headers)
+        return
+    recording = tracked.recording
+    if recording is None or part.kind is not PartKind.BODY:
+        return
+    recording.pieces.append(part.data)
+    recording.size_bytes += len(part.data)
+    if recording.size_bytes > state.options.claims.max_body_bytes:
+        tracked.recording = None
+
+
+def end(
+    state: RouterState, tracked: Tracked, outcome: Outcome, whole: bool
+) -> None:
+    """Record the outcome of a keyed request, and its answer if it is kept.
+
+    :param state: the router
+    :param tracked: a request that has ended
+    :param outcome: whether it ran; not-run releases the key
+    :param whole: whether its answer is complete
+    """
+    if not tracked.claim_key:
+        return
+    _leave_key(state, tracked)
+    if tracked.claim_won:
+        result = _result(tracked, outcome, whole)
+        state.claims.settle(result)
+        state.claim_log.add(result)
+    elif tracked.claim_id:
+        # If it was sent, the fold sees that nobody waits for it.
+        state.claim_log.discard(claim_of(state, tracked))
+    state.rekey.append(tracked.claim_key)
+
+
+def release(state: RouterState, claim: ClaimRecord) -> None:
+    """Release a key whose winning claim nobody waits for.
+
+    :param state: the router
+    :param claim: the claim; nothing was run for it
+    """
+    result = ResultRecord(claim.key, claim.claim_id, Outcome.NOT_RUN)
+    state.claim_log.add(result)
+
+
+def _leave_key(state: RouterState, tracked: Tracked) -> None:
+    waiting = state.keyed.get(tracked.claim_key)
+    if waiting is None:
+        return
+    waiting.pop(tracked.request.request_id, None)
+    if not waiting:
+        del state.keyed[tracked.claim_key]
+
+
+def _result(tracked: Tracked, outcome: Outcome, whole: bool) -> ResultRecord:
+    recording = tracked.recording
+    if not whole or recording is None:
+        return ResultRecord(tracked.claim_key, tracked.claim_id, outcome)
+    return ResultRecord(
+        key=tracked.claim_key,
+        claim_id=tracked.claim_id,
+        outcome=outcome,
+        kept=True,
+        status=recording.status,
+        headers=recording.headers,
+        body=b"".join(recording.pieces),
+    )
--- a/src/bulrushstream/coordination/router.py
+++ b/src/bulrushstream/coordination/router.py
@@ -13,14 +13,21 @@
     admission,
     attempts,
     backlogs,
+    claims,
     dispatching,
     expiry,
+    gating,
+    hub,
+    journal,
+    peers,
+    screening,
 )
-from bulrushstream.coordination.routing import (
-    RouterOptions,
-    RouterState,
-    Timer,
-)
+from bulrushstream.coordination.appender import Appender, AppenderOptions
+from bulrushstream.coordination.budget import RetryBudget
+from bulrushstream.coordination.options import RouterOptions
+from bulrushstream.coordination.quarantine import Quarantine
+from bulrushstream.coordination.routing import RouterState, Timer
+from bulrushstream.state.claim import ClaimTable
 from bulrushstream.state.effect import Effect, WakeAt
 from bulrushstream.state.event import (
     Arrived,
@@ -28,15 +35,19 @@
     Configured,
     DrainStarted,
     Event,
+    LogAppended,
+    LogFailed,
+    LogRead,
     PeerDown,
     PeerLeaving,
     PeerLost,
     PeerUp,
     Received,
-    Ticked,
 )
-from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
+from bulrushstream.state.identity import InstanceInfo, InstanceKey
 from bulrushstream.state.message import (
+    Cached,
+    Floor,
     Gone,
     Goodbye,
     Idle,
@@ -44,6 +55,10 @@
     Part,
     Pull,
     Refuse,
+    Served,
+    Strikes,
+    TrialAsk,
+    TrialGrant,
 )
 from bulrushstream.state.queues import QueueTable
 
@@ -65,10 +80,19 @@
     :returns: the state to hand to `handle`
     """
     del now_s
-    queues = QueueTable(
-        options.aging_s, options.affinity_scan, options.affinity_skips
+    return RouterState(
+        me=me,
+        options=options,
+        rng=rng,
+        queues=QueueTable(
+            options.aging_s, options.affinity_scan, options.affinity_skips
+        ),
+        budget=RetryBudget(options.budget),
+        quarantine=Quarantine(options.quarantine),
+        claims=ClaimTable(options.claims.window_s),
+        claim_log=Appender(AppenderOptions()),
+        strike_log=Appender(AppenderOptions()),
     )
-    return RouterState(me, options, rng, queues)
 
 
 def handle(state: RouterState, event: Event, now_s: float) -> list[Effect]:
@@ -81,8 +105,10 @@
     """
     _on_timers(state, now_s)
     _on_event(state, event, now_s)
+    _go_on(state, now_s)
+    journal.write(state, now_s)
     backlogs.publish(state, now_s)
-    _say_goodbye(state)
+    peers.say_goodbye(state)
     due_s = state.timers.next_s()
     if due_s is not None:
         state.out.append(WakeAt(due_s))
@@ -91,30 +117,47 @@
     return effects
 
 
+def _go_on(state: RouterState, now_s: float) -> None:
+    """Let requests go on for which something has changed."""
+    while state.ready or state.rekey:
+        claims.look_again(state, now_s)
+        screening.screen_ready(state, now_s)
+
+
 def _on_event(state: RouterState, event: Event, now_s: float) -> None:
     match event:
         case Received(peer, message):
             _on_message(state, peer, message, now_s)
         case Arrived(request):
-            limit = state.queue_limit(request)
-            admission.arrive(state, request, limit, now_s)
+            admission.arrive(state, request, now_s)
         case CallerLeft(request_id):
             expiry.caller_left(state, request_id, now_s)
         case Configured(current):
             if current.version > state.config.version:
                 state.configure(current)
+        case LogRead():
+            journal.read(state, event, now_s)
+        case LogAppended():
+            journal.appended(state, event)
+        case LogFailed():
+            journal.failed(state, event, now_s)
+        case DrainStarted():
+            state.draining = True
+        case _:
+            _on_peer(state, event, now_s)
+
+
+def _on_peer(state: RouterState, event: Event, now_s: float) -> None:
+    match event:
         case PeerUp(info):
-            _on_peer_up(state, info, now_s)
+            peers.up(state, info, now_s)
         case PeerDown(key):
-            attempts.agent_down(state, key, now_s)
+            peers.down(state, key, now_s)
         case PeerLost(key):
-            attempts.agent_lost(state, key, now_s)
-            state.routers.pop(key, None)
+            peers.lost(state, key, now_s)
         case PeerLeaving(key):
-            _on_leaving(state, key)
-        case DrainStarted():
-            state.draining = True
-        case Ticked() | _:
+            peers.leaving(state, key)
+        case _:
             pass
 
 
@@ -133,22 +176,31 @@
         case Gone():
             attempts.gone(state, peer, message, now_s)
         case Goodbye():
-            _on_leaving(state, peer)
+            peers.leaving(state, peer)
+        case Cached():
+            dispatching.cached(state, peer, message)
         case _:
-            pass
-
-
-def _on_peer_up(state: RouterState, info: InstanceInfo, now_s: float) -> None:
-    if info.role is Role.AGENT:
-        attempts.agent_up(state, info, now_s)
-    else:
-        state.routers[info.key] = info
+            _on_shared(state, peer, message, now_s)
 
 
-def _on_leaving(state: RouterState, key: InstanceKey) -> None:
-    view = state.agents.get(key)
-    if view is not None:
-        view.leaving = True
+def _on_shared(
+    state: RouterState, peer: InstanceKey, message: Message, now_s: float
+) -> None:
+    """Take a message about what the whole fleet shares."""
+    match message:
+        case Served():
+            hub.served(state, peer, message, now_s)
+        case Floor():
+            hub.floor(state, peer, message, now_s)
+        case Strikes():
+            gating.learn(state, message.strikes, now_s)
+            gating.lift(state, message.pardons, now_s, now_s)
+        case TrialAsk():
+            gating.asked(state, peer, message, now_s)
+        case TrialGrant():
+            gating.granted(state, peer, message, now_s)
+        case _:
+            pass
 
 
 def _on_timers(state: RouterState, now_s: float) -> None:
@@ -168,16 +220,21 @@
             case Timer.GRACE:
                 attempts.out_of_grace(state, name, now_s)
             case Timer.RETRY:
-                tracked = state.tracked.get(name)
-                if tracked is not None:
-                    dispatching.offer(state, tracked, now_s)
-
-
-def _say_goodbye(state: RouterState) -> None:
-    """Tell peers that a draining router's queues are empty."""
-    if not state.draining or state.goodbye_sent or len(state.queues):
-        return
-    state.goodbye_sent = True
-    goodbye = Goodbye(state.me.key.incarnation)
-    for key in [*state.agents, *state.routers]:
-        state.send(key, goodbye)
+                state.ready.append(name)
+            case _:
+                _on_shared_timer(state, timer, name, now_s)
+
+
+def _on_shared_timer(
+    state: RouterState, timer: Timer, name: str, now_s: float
+) -> None:
+    """Act on a timer about what the whole fleet shares."""
+    match timer:
+        case Timer.DIGEST:
+            hub.digest(state, name == hub.SPARE, now_s)
+        case Timer.RELAY:
+            hub.relay(state, now_s)
+        case Timer.TRIAL:
+            gating.ask(state, int(name), now_s)
+        case _:
+            pass  # The journal writes after every event.
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -1,4 +1,4 @@
-"""What a router knows: its options, requests, agents and peers.
+"""What a router knows: its requests, agents and peers.
 
 A request is *tracked* from its arrival until nothing more can become of
 it.  Its *attempt* is one dispatch to one agent.  A request is *exposed*
@@ -14,12 +14,19 @@
 from enum import IntEnum
 from typing import Final, TypeAlias
 
+from bulrushstream.coordination.appender import Appender
+from bulrushstream.coordination.budget import RetryBudget
+from bulrushstream.coordination.drainrate import DrainRate
+from bulrushstream.coordination.options import RouterOptions
+from bulrushstream.coordination.quarantine import Quarantine, StrikeRecord
 from bulrushstream.state.answer import Answer
+from bulrushstream.state.claim import ClaimRecord, ClaimTable, ResultRecord
 from bulrushstream.state.config import EMPTY_CONFIG, Rule, VersionedConfig
 from bulrushstream.state.effect import Decision, Effect, Send
 from bulrushstream.state.identity import InstanceInfo, InstanceKey
-from bulrushstream.state.message import Message, Part
-from bulrushstream.state.queues import QueueKey, QueueTable
+from bulrushstream.state.ledger import Ledger
+from bulrushstream.state.message import DigestEntry, Message, Part
+from bulrushstream.state.queues import QueueKey, QueueTable, memory_bytes
 from bulrushstream.state.request import Outcome, Request
 from bulrushstream.state.timers import Timers
 
@@ -27,25 +34,6 @@
 DEFAULT_QUEUE_LIMIT: Final = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class RouterOptions:
-    """The limits and intervals of a router."""
-
-    aging_s: float = 30.0  # How long batch requests give way.
-    affinity_scan: int = 16  # Requests that a warm one is sought among.
-    affinity_skips: int = 8  # How often warm requests pass a head.
-    affinity_memory: int = 4096  # Prefixes remembered per agent.
-    max_waiting_bytes: int = 48 << 20  # Memory of waiting requests.
-    backlog_interval_s: float = 0.5  # Between lesser changes of counts.
-    backlog_refresh_s: float = 2.0  # Waiting without a pull before a repeat.
-    ack_parts: int = 16  # Parts after which they are acknowledged.
-    ack_delay_s: float = 0.05  # The longest wait of an acknowledgement.
-    probe_s: float = 2.0  # Silence after which an attempt is asked for.
-    resume_grace_s: float = 5.0  # How long a broken connection may last.
-    avoid_s: float = 1.0  # How long a retry waits for another endpoint.
-    refuse_pause_s: float = 0.02  # Before a refused request is offered.
-
-
 class Timer(IntEnum):
     """What a timer of a router is for."""
 
@@ -56,6 +44,11 @@
     PROBE = 5  # A silent attempt is asked for.
     GRACE = 6  # A broken connection has lasted too long.
     RETRY = 7  # A request may be offered again.
+    DIGEST = 8  # Agents are told the fleet's ledger.
+    RELAY = 9  # Router peers are told of agents that they do not hear.
+    CLAIMS = 10  # Claims are appended to the log.
+    STRIKES = 11  # Strikes are appended to the log.
+    TRIAL = 12  # Router peers are asked again for their grants.
 
 
 TimerKey: TypeAlias = tuple[Timer, str]
@@ -69,29 +62,45 @@
     RUNNING = 3  # An attempt of it is out.
 
 
+@dataclass(slots=True)
+class Recording:
+    """A copy of an answer, for callers that repeat a keyed request."""
+
+    status: int = 0  # The HTTP status.
+    headers: tuple[tuple[str, str], ...] = ()  # The headers.
+    pieces: list[bytes] = field(default_factory=list)  # The body.
+    size_bytes: int = 0  # The size of the body.
+
+
 @dataclass(slots=True)
 class Tracked:
     """A request and what has become of it so far."""
 
     request: Request  # What the caller asked.
+    size_bytes: int = 0  # Memory that it is taken to hold.
     phase: Phase = Phase.HELD  # Where it is.
     attempt: int = 0  # The number of the last attempt.
     agent: InstanceKey | None = None  # Where the last attempt went.
-    dispatched_s: float = 0.0  # When the last attempt went out.
     heard_s: float = 0.0  # When the last part or probe was.
     answer: Answer = field(default_factory=Answer)  # Its parts.
     head: Part | None = None  # A head not yet given to the caller.
     given: bool = False  # Whether the caller has the head.
     exposed: bool = False  # Whether an attempt may have been started.
     answered: bool = False  # Whether the caller has its last word.
+    revoked: bool = False  # Whether it may run on without its caller.
+    unstarted: int = 0  # Attempts that ended before they started.
     retries: int = 0  # Attempts that were counted as retries.
     tried: set[str] = field(default_factory=set)  # Failed endpoints.
     avoid_until_s: float = 0.0  # Until when `tried` are passed over.
     alone: bool = False  # Whether nothing else may run beside it.
+    claim_key: str = ""  # The idempotency key's digest; empty: none.
+    claim_id: str = ""  # Its own claim; empty: none.
+    claim_won: bool = False  # Whether its own claim holds the key.
+    recording: Recording | None = None  # Its answer, while it may be kept.
 
     @property
     def outcome(self) -> Outcome:
-        """Return what can be said of it now that no attempt is out."""
+        """Return what can be said of it when no attempt is out."""
         return Outcome.UNKNOWN if self.exposed else Outcome.NOT_RUN
 
 
@@ -107,6 +116,9 @@
     running: set[str] = field(default_factory=set)  # Requests there.
     prefixes: dict[int, None] = field(default_factory=dict)  # Cached.
     missed: set[QueueKey] = field(default_factory=set)  # To tell anew.
+    told: dict[str, DigestEntry] = field(default_factory=dict)  # Ledger.
+    crashes: int = 0  # Crashes of its endpoint that were seen here.
+    crashed_s: float = float("-inf")  # When the last one was.
 
     @property
     def usable(self) -> bool:
@@ -114,6 +126,37 @@
         return self.connected and not self.leaving
 
 
+@dataclass(slots=True)
+class RouterView:
+    """What the router knows of one start of another router."""
+
+    info: InstanceInfo  # Who it is.
+    connected: bool = True  # Whether there is a connection.
+    heard: frozenset[str] = frozenset()  # Agents that it hears itself.
+    told: dict[str, int] = field(default_factory=dict)  # Revisions.
+    told_heard: frozenset[str] = frozenset()  # What it knows of us.
+    told_s: float = float("-inf")  # When it was told that.
+
+
+@dataclass(slots=True)
+class Trial:
+    """A suspected request that asks for the consent of all routers."""
+
+    request_id: str  # The request that is to run.
+    asked: dict[InstanceKey, int] = field(default_factory=dict)
+    granted: set[InstanceKey] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Gate:
+    """The requests of one fingerprint."""
+
+    active: set[str] = field(default_factory=set)  # Queued or out.
+    held: dict[str, None] = field(default_factory=dict)  # Waiting for them.
+    trial: Trial | None = None  # The one that may run if suspected.
+    asks: dict[InstanceKey, int] = field(default_factory=dict)  # Open.
+
+
 @dataclass(slots=True)
 class RouterState:
     """Everything that one router knows."""
@@ -122,16 +165,32 @@
     options: RouterOptions  # Its limits and intervals.
     rng: random.Random  # The source of all randomness.
     queues: QueueTable  # The requests that wait.
+    budget: RetryBudget  # What may be retried.
+    quarantine: Quarantine  # Requests that crashed endpoints.
+    claims: ClaimTable  # Idempotency keys that are held.
+    claim_log: Appender[ClaimRecord | ResultRecord]  # Own records.
+    strike_log: Appender[StrikeRecord | int]  # Own strikes and pardons.
+    drain: DrainRate = field(default_factory=DrainRate)  # Departures.
     config: VersionedConfig = EMPTY_CONFIG  # What is in force.
     draining: bool = False  # Whether it takes no new requests.
     goodbye_sent: bool = False  # Whether its peers know that it leaves.
-    sequence: int = 0  # The number of the last message.
+    sequence: int = 0  # The last number that was given out.
+    claims_read: bool = False  # Whether the stream of claims was read.
     tracked: dict[str, Tracked] = field(default_factory=dict)
+    tracked_bytes: int = 0  # Memory that all of them take.
+    held: dict[QueueKey, int] = field(default_factory=dict)  # Not queued.
+    ready: deque[str] = field(default_factory=deque)  # To be looked at.
+    gates: dict[int, Gate] = field(default_factory=dict)  # By fingerprint.
+    keyed: dict[str, dict[str, None]] = field(default_factory=dict)
+    rekey: deque[str] = field(default_factory=deque)  # Keys to look at.
     agents: dict[InstanceKey, AgentView] = field(default_factory=dict)
     by_service: dict[str, list[AgentView]] = field(default_factory=dict)
+    routers: dict[InstanceKey, RouterView] = field(default_factory=dict)
+    lost: dict[InstanceKey, None] = field(default_factory=dict)  # Routers.
+    ledgers: dict[str, Ledger] = field(default_factory=dict)  # By service.
+    floors: dict[QueueKey, float] = field(default_factory=dict)  # Lifts.
     weights: dict[str, float] = field(default_factory=dict)  # By workspace.
     limits: dict[str, int] = field(default_factory=dict)  # By rule's name.
-    routers: dict[InstanceKey, InstanceInfo] = field(default_factory=dict)
     timers: Timers[TimerKey] = field(default_factory=Timers)
     told: dict[QueueKey, int] = field(default_factory=dict)  # Last counts.
     dirty: set[QueueKey] = field(default_factory=set)  # Changed counts.
@@ -140,8 +199,9 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether no caller waits for anything here."""
-        return not self.tracked
+        """Return whether the router can stop without harm to anyone."""
+        unwritten = len(self.claim_log) and not self.claim_log.failures
+        return not self.tracked and not unwritten
 
     def send(self, peer: InstanceKey, message: Message) -> None:
         """Send a message to a peer."""
@@ -152,6 +212,33 @@
         self.sequence += 1
         return self.sequence
 
+    def track(self, request: Request) -> Tracked:
+        """Take up a request that has arrived."""
+        tracked = Tracked(request, memory_bytes(request))
+        self.tracked[request.request_id] = tracked
+        self.tracked_bytes += tracked.size_bytes
+        self._count_held(tracked, 1)
+        return tracked
+
+    def untrack(self, tracked: Tracked) -> None:
+        """Forget a request."""
+        if self.tracked.pop(tracked.request.request_id, None) is None:
+            return
+        self.tracked_bytes -= tracked.size_bytes
+        if tracked.phase is Phase.HELD:
+            self._count_held(tracked, -1)
+
+    def move(self, tracked: Tracked, phase: Phase) -> None:
+        """Note that a request is somewhere else now."""
+        held = int(phase is Phase.HELD) - int(tracked.phase is Phase.HELD)
+        tracked.phase = phase
+        if held:
+            self._count_held(tracked, held)
+
+    def waiting(self, key: QueueKey) -> int:
+        """Return how many requests of a queue are not out."""
+        return self.queues.counts(key).total + self.held.get(key, 0)
+
     def agents_of(self, service: str) -> list[AgentView]:
         """Return the agents of a service, also those not reachable."""
         return self.by_service.get(service, [])
@@ -221,13 +308,27 @@
             )
         )
 
+    def _count_held(self, tracked: Tracked, change: int) -> None:
+        key = queue_key(tracked)
+        count = self.held.get(key, 0) + change
+        if count:
+            self.held[key] = count
+        else:
+            self.held.pop(key, None)
 
-def _queue_limit(rule: Rule, services: dict[str, int]) -> int:
-    if rule.then.queue_limit is not None:
-        return rule.then.queue_limit
-    return services.get(rule.then.service, DEFAULT_QUEUE_LIMIT)
+
+def queue_key(tracked: Tracked) -> QueueKey:
+    """Return the queue that a request belongs to."""
+    request = tracked.request
+    return QueueKey(request.service, request.workspace)
 
 
 def endpoint_of(view: AgentView) -> str:
     """Return the name that decisions give an agent's endpoint."""
     return view.info.endpoint or view.info.key.instance
+
+
+def _queue_limit(rule: Rule, services: dict[str, int]) -> int:
+    if rule.then.queue_limit is not None:
+        return rule.then.queue_limit
+    return services.get(rule.then.service, DEFAULT_QUEUE_LIMIT)
--- /dev/null
+++ b/src/bulrushstream/coordination/screening.py
@@ -0,0 +1,54 @@
+"""Decides whether a request may queue now, must wait, or is refused.
+
+Every request passes here before each attempt, also before a retry, because
+what is known of its fingerprint may have changed.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from bulrushstream.coordination import dispatching, gating, settling
+from bulrushstream.coordination.routing import Phase, RouterState, Tracked
+from bulrushstream.messages import QUARANTINED
+
+ALONE_STRIKES: Final = 2
+
+
+def screen_ready(state: RouterState, now_s: float) -> None:
+    """Look at every request that may be able to go on.
+
+    :param state: the router
+    :param now_s: the time on the core's clock
+    """
+    while state.ready:
+        tracked = state.tracked.get(state.ready.popleft())
+        if tracked is not None and tracked.phase is Phase.HELD:
+            _screen(state, tracked, now_s)
+
+
+def _screen(state: RouterState, tracked: Tracked, now_s: float) -> None:
+    fingerprint = tracked.request.fingerprint
+    if not fingerprint:
+        dispatching.offer(state, tracked, now_s)
+        return
+    if state.quarantine.is_refused(fingerprint, now_s):
+        ends_s = state.quarantine.ends_s(fingerprint, now_s)
+        settling.fail(state, tracked, QUARANTINED, now_s, retry_after_s=ends_s)
+        return
+    if _may_run(state, tracked, now_s):
+        gating.enter(state, tracked)
+        dispatching.offer(state, tracked, now_s)
+    else:
+        gating.hold(state, tracked)
+
+
+def _may_run(state: RouterState, tracked: Tracked, now_s: float) -> bool:
+    fingerprint = tracked.request.fingerprint
+    strikes = state.quarantine.count(fingerprint, now_s)
+    tracked.alone = strikes >= ALONE_STRIKES
+    if strikes:
+        return gating.has_consent(state, tracked, now_s)
+    if state.quarantine.is_proven(fingerprint, now_s):
+        return True
+    return gating.is_free(state, tracked)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bulrushstream.coordination.routing import RouterOptions
+from bulrushstream.coordination.options import RouterOptions
 from bulrushstream.messages import (
     DRAINING,
     ENDPOINT_LOST,
@@ -127,7 +127,7 @@
         assert failure.outcome is Outcome.NOT_RUN
 
     def test_memory_is_taken_from_the_longest_queue(self) -> None:
-        router = RouterDriver(RouterOptions(max_waiting_bytes=12_000))
+        router = RouterDriver(RouterOptions(max_tracked_bytes=12_000))
         for index in range(9):
             router.arrive(a_request(f"flood-{index}", "council"))
         router.arrive(a_request("q1", "school", body=bytes(5_000)))
@@ -213,6 +213,7 @@
         router = a_running_request()
         assert sent(router.wait(2.5), Resume) == [Resume("q1", 1, 0)]
         router.get(AGENT, Gone("q1", 1, Outcome.NOT_RUN))
+        router.wait(0.1)
         assert sent(router.pull(AGENT), Dispatch)[0].attempt == 2
 
     def test_a_new_incarnation_settles_the_old_one(self) -> None:
