--- /dev/null
+++ b/src/bulrushstream/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The bodies of the command line's commands."""
--- /dev/null
+++ b/src/bulrushstream/commands/standin.py
@@ -0,0 +1,142 @@
+"""`bulrushstream standin`: one stand-in as a process of its own.
+
+A stand-in serves until SIGINT or SIGTERM.  Its faults are set by posting
+to its `/faults`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import Any
+
+from bulrushstream.standins.engine import EngineOptions, make_engine
+from bulrushstream.standins.instances import (
+    InstancesOptions,
+    make_instances,
+)
+from bulrushstream.standins.log import LogOptions, make_log
+from bulrushstream.standins.plain import PlainOptions, make_plain
+from bulrushstream.standins.weights import WeightStore
+from bulrushstream.transport.server import serve
+
+
+def log(
+    port: int = 0,
+    host: str = "127.0.0.1",
+    retention_count: int = 0,
+    retention_s: float = 0.0,
+    max_appends_per_s: float = 0.0,
+) -> None:
+    """Serve a log until interrupted.
+
+    :param port: The port; 0 takes a free one.
+    :param host: The IP number to listen at.
+    :param retention_count: Records kept per stream; 0: all.
+    :param retention_s: How long records are kept, in seconds; 0: for ever.
+    :param max_appends_per_s: More appends are refused; 0: no limit.
+    """
+    options = LogOptions(
+        retention_count=int(retention_count),
+        retention_s=float(retention_s),
+        max_appends_per_s=float(max_appends_per_s),
+    )
+    _run("log", make_log(options).asgi, host, port)
+
+
+def instances(
+    port: int = 0,
+    host: str = "127.0.0.1",
+    lag_s: float = 0.0,
+    expiry_s: float = 30.0,
+) -> None:
+    """Serve an instance list until interrupted.
+
+    :param port: The port; 0 takes a free one.
+    :param host: The IP number to listen at.
+    :param lag_s: How old the list is that readers see, in seconds.
+    :param expiry_s: How long an entry lives without renewal, in seconds.
+    """
+    options = InstancesOptions(lag_s=float(lag_s), expiry_s=float(expiry_s))
+    _run("instances", make_instances(options).asgi, host, port)
+
+
+def engine(
+    port: int = 0,
+    host: str = "127.0.0.1",
+    slots: int = 4,
+    model: str = "model",
+    first_token_s: float = 0.05,
+    token_s: float = 0.02,
+    load_s: float = 1.0,
+    load_lag_s: float = 0.5,
+    checks_token: bool = True,
+) -> None:
+    """Serve a model engine until interrupted.
+
+    :param port: The port; 0 takes a free one.
+    :param host: The IP number to listen at.
+    :param slots: Requests that generate at once.
+    :param model: The model that is loaded at the start.
+    :param first_token_s: Time before the first token, in seconds.
+    :param token_s: Time per token, in seconds.
+    :param load_s: Time per load from the weight store, in seconds.
+    :param load_lag_s: How old the load report is, in seconds.
+    :param checks_token: Whether it refuses stale orders.
+    """
+    options = EngineOptions(
+        slots=int(slots),
+        models=(str(model),),
+        first_token_s=float(first_token_s),
+        token_s=float(token_s),
+        load_lag_s=float(load_lag_s),
+        cache_lag_s=float(load_lag_s),
+        checks_token=bool(checks_token),
+    )
+    store = WeightStore(load_s=float(load_s))
+    _run("engine", make_engine(options, store).asgi, host, port)
+
+
+def service(
+    port: int = 0,
+    host: str = "127.0.0.1",
+    slots: int = 4,
+    call_s: float = 0.05,
+) -> None:
+    """Serve a plain service until interrupted.
+
+    :param port: The port; 0 takes a free one.
+    :param host: The IP number to listen at.
+    :param slots: Calls at once.
+    :param call_s: Time per call, in seconds.
+    """
+    options = PlainOptions(slots=int(slots), call_s=float(call_s))
+    _run("service", make_plain(options).asgi, host, port)
+
+
+def _run(kind: str, app: Any, host: str, port: int) -> None:
+    """Serve an app until SIGINT or SIGTERM."""
+    asyncio.run(serve_until_stopped(kind, app, host, int(port)))
+
+
+async def serve_until_stopped(
+    kind: str, app: Any, host: str, port: int
+) -> None:
+    """Serve an app, say where, and stop at a signal.
+
+    :param kind: What the app is.
+    :param app: The ASGI app.
+    :param host: The IP number to listen at.
+    :param port: The port; 0 takes a free one.
+    """
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    try:
+        async with serve(app, host, port) as server:
+            print(f"{kind} listens at {server.url}", flush=True)
+            await stopped.wait()
+    finally:
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.remove_signal_handler(number)
--- /dev/null
+++ b/src/bulrushstream/metrics.py
@@ -0,0 +1,206 @@
+"""The metrics of one instance, in a registry of their own.
+
+Several instances can share a process, as in a demo or a test, so nothing
+goes into the library's global registry.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+
+from bulrushstream.state.effect import Decision
+from bulrushstream.transport.callers import Exchange
+
+CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+WAIT_BUCKETS_S: Final = (
+    0.001,
+    0.005,
+    0.02,
+    0.1,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Metrics:
+    """The metrics of one instance."""
+
+    registry: CollectorRegistry  # Where they are registered.
+    requests: Counter  # Callers' requests that were answered.
+    waits: Histogram  # Time in the queue of a router.
+    durations: Histogram  # Time from a request to its answer's end.
+    decisions: Counter  # Decisions of the core.
+    queued: Gauge  # Requests that wait.
+    queued_bytes: Gauge  # Memory of the requests that wait.
+    slots: Gauge  # An endpoint's slots.
+    control_bytes: Counter  # Bytes between instances.
+    control_messages: Counter  # Messages between instances.
+    config_version: Gauge  # The configuration in force.
+    degraded: Gauge  # Uses of the platform that fail now.
+    platform_failures: Counter  # Calls of the platform that failed.
+
+
+def make_metrics() -> Metrics:
+    """Make the metrics of an instance.
+
+    :returns: The metrics with a new registry.
+    """
+    registry = CollectorRegistry()
+    ProcessCollector(registry=registry)
+
+    def counter(name: str, text: str, *labels: str) -> Counter:
+        return Counter(
+            f"bulrushstream_{name}", text, labels, registry=registry
+        )
+
+    def gauge(name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"bulrushstream_{name}", text, labels, registry=registry)
+
+    def histogram(name: str, text: str, *labels: str) -> Histogram:
+        return Histogram(
+            f"bulrushstream_{name}",
+            text,
+            labels,
+            registry=registry,
+            buckets=WAIT_BUCKETS_S,
+        )
+
+    return Metrics(
+        registry=registry,
+        requests=counter(
+            "requests",
+            "Callers' requests by what they were given.",
+            "workspace",
+            "service",
+            "outcome",
+            "code",
+        ),
+        waits=histogram(
+            "wait_seconds",
+            "Time that a request waited for a slot.",
+            "service",
+            "request_class",
+        ),
+        durations=histogram(
+            "answer_seconds",
+            "Time from a request to the end of its answer.",
+            "service",
+            "request_class",
+        ),
+        decisions=counter(
+            "decisions", "Decisions of the core.", "kind", "reason"
+        ),
+        queued=gauge(
+            "queued_requests", "Requests that wait.", "service", "workspace"
+        ),
+        queued_bytes=gauge(
+            "queued_bytes", "Memory of the requests that wait."
+        ),
+        slots=gauge("slots", "Slots of the endpoint.", "state"),
+        control_bytes=counter(
+            "control_bytes",
+            "Bytes between instances by kind of message.",
+            "direction",
+            "kind",
+        ),
+        control_messages=counter(
+            "control_messages",
+            "Messages between instances by kind.",
+            "direction",
+            "kind",
+        ),
+        config_version=gauge(
+            "config_version", "Version of the configuration in force."
+        ),
+        degraded=gauge(
+            "platform_degraded",
+            "Whether a use of the platform fails now.",
+            "use",
+        ),
+        platform_failures=counter(
+            "platform_failures", "Calls of the platform that failed.", "use"
+        ),
+    )
+
+
+def encode_metrics(metrics: Metrics) -> bytes:
+    """Return the metrics in the text format of Prometheus."""
+    return generate_latest(metrics.registry)
+
+
+def count_exchange(metrics: Metrics, exchange: Exchange) -> None:
+    """Count a caller's request and what it was given.
+
+    :param metrics: The metrics of a router.
+    :param exchange: The request and its answer.
+    """
+    request = exchange.request
+    sent = exchange.sent
+    workspace = request.workspace if request else ""
+    service = request.service if request else ""
+    metrics.requests.labels(
+        workspace, service, sent.outcome.value, sent.code
+    ).inc()
+    if request is not None:
+        metrics.durations.labels(service, request.request_class.value).observe(
+            exchange.duration_s
+        )
+
+
+def count_decision(metrics: Metrics, decision: Decision) -> None:
+    """Count a decision, and the wait that it ended.
+
+    :param metrics: The metrics of an instance.
+    :param decision: The decision.
+    """
+    metrics.decisions.labels(decision.kind, decision.reason).inc()
+    if decision.kind == "dispatch" and decision.attempt <= 1:
+        metrics.waits.labels(decision.service, decision.request_class).observe(
+            decision.waited_s
+        )
+
+
+def count_message(
+    metrics: Metrics, direction: str, kind: str, size_bytes: int
+) -> None:
+    """Count a message between instances.
+
+    :param metrics: The metrics of an instance.
+    :param direction: `in` or `out`.
+    :param kind: The kind of message.
+    :param size_bytes: Its length on the wire.
+    """
+    metrics.control_bytes.labels(direction, kind).inc(size_bytes)
+    metrics.control_messages.labels(direction, kind).inc()
+
+
+def set_queued(
+    metrics: Metrics, queued: Mapping[tuple[str, str], int], size_bytes: int
+) -> None:
+    """Set how much waits; what is not named any more is forgotten.
+
+    :param metrics: The metrics of a router.
+    :param queued: Waiting requests by service and workspace.
+    :param size_bytes: Their memory.
+    """
+    metrics.queued.clear()
+    for (service, workspace), count in queued.items():
+        metrics.queued.labels(service, workspace).set(count)
+    metrics.queued_bytes.set(size_bytes)
--- /dev/null
+++ b/src/bulrushstream/transport/operators.py
@@ -0,0 +1,124 @@
+"""The operators' port of an instance.
+
+It tells whether the process lives (`/healthz`), whether it takes work
+(`/readyz`), its metrics and its status, and takes a few actions, such as
+lifting a quarantine.  It is not for callers and has a port of its own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from litestar import Litestar, Response, asgi, get
+from litestar.types import Receive, Scope, Send
+
+ACTIONS_PATH = "/actions"
+MAX_ACTION_BYTES = 65536
+
+Action = Callable[[bytes], Awaitable[Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class Readiness:
+    """Whether an instance takes work."""
+
+    ready: bool  # Whether the balancer may send it work.
+    reasons: tuple[str, ...] = ()  # Why not, or what is degraded.
+
+
+class ActionError(Exception):
+    """An action was asked for wrongly; the text says what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorsOptions:
+    """What the operators' port asks its instance."""
+
+    readiness: Callable[[], Readiness]  # Whether it takes work.
+    status: Callable[[], Any]  # Its status; msgspec can encode it.
+    metrics: Callable[[], bytes]  # Its metrics as text.
+    actions: Mapping[str, Action] = field(default_factory=dict)  # By name.
+
+
+def make_operators(options: OperatorsOptions) -> Litestar:
+    """Make the operators' app of an instance.
+
+    :param options: What it asks the instance.
+    :returns: The app.
+    """
+
+    @get("/healthz")
+    async def healthz() -> Response[bytes]:
+        return _json(200, {"alive": True})
+
+    @get("/readyz")
+    async def readyz() -> Response[bytes]:
+        readiness = options.readiness()
+        return _json(200 if readiness.ready else 503, readiness)
+
+    @get("/metrics")
+    async def metrics() -> Response[bytes]:
+        return Response(options.metrics(), media_type="text/plain")
+
+    @get("/status")
+    async def status() -> Response[bytes]:
+        return _json(200, options.status())
+
+    @asgi(ACTIONS_PATH, is_mount=True, copy_scope=False)
+    async def actions(scope: Scope, receive: Receive, send: Send) -> None:
+        code, answer = await _act(options, scope, receive)
+        body = msgspec.json.encode(answer)
+        kind = (b"content-type", b"application/json")
+        length = (b"content-length", b"%d" % len(body))
+        await send(
+            {
+                "type": "http.response.start",
+                "status": code,
+                "headers": [kind, length],
+            }
+        )
+        await send(
+            {"type": "http.response.body", "body": body, "more_body": False}
+        )
+
+    return Litestar(
+        route_handlers=[healthz, readyz, metrics, status, actions],
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+async def _act(
+    options: OperatorsOptions, scope: Any, receive: Any
+) -> tuple[int, Any]:
+    """Carry out an action; return the status and the answer."""
+    path = scope["raw_path"].decode("ascii")
+    name = path.removeprefix(ACTIONS_PATH).strip("/")
+    action = options.actions.get(name)
+    if action is None:
+        return 404, {"error": f"no action {name!r}"}
+    if scope["method"] != "POST":
+        return 405, {"error": "actions are posted"}
+    pieces = []
+    more = True
+    while more:
+        message = await receive()
+        if message["type"] != "http.request":
+            return 400, {"error": "no body"}
+        pieces.append(message["body"])
+        more = message["more_body"]
+        if sum(map(len, pieces)) > MAX_ACTION_BYTES:
+            return 413, {"error": "the body is too large"}
+    try:
+        return 200, await action(b"".join(pieces))
+    except ActionError as error:
+        return 400, {"error": str(error)}
+
+
+def _json(status: int, value: Any) -> Response[bytes]:
+    """Return a JSON response."""
+    body = msgspec.json.encode(value)
+    return Response(body, status_code=status, media_type="application/json")
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,148 @@
+"""The operators' port, metrics and log lines."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Iterator
+
+import httpx
+import pytest
+from absl import logging as absl_logging
+
+from bulrushstream import logs, metrics
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.request import Outcome
+from bulrushstream.transport.answering import Sent
+from bulrushstream.transport.callers import Exchange
+from bulrushstream.transport.operators import (
+    ActionError,
+    OperatorsOptions,
+    Readiness,
+    make_operators,
+)
+from bulrushstream.transport.server import serve
+from tests.builders import FakeClock, a_request
+
+
+async def lift(body: bytes) -> dict[str, str]:
+    if not body:
+        raise ActionError("which one?")
+    return {"lifted": body.decode()}
+
+
+class OperatorsSuite:
+    async def test_answers_each_path(self) -> None:
+        found = metrics.make_metrics()
+        ready = [Readiness(False, ("no configuration",)), Readiness(True)]
+        options = OperatorsOptions(
+            lambda: ready.pop(0),
+            lambda: {"version": 3},
+            lambda: metrics.encode_metrics(found),
+            {"lift": lift},
+        )
+        async with (
+            serve(make_operators(options)) as server,
+            httpx.AsyncClient(base_url=server.url, verify=False) as client,
+        ):
+            health = await client.get("/healthz")
+            unready = await client.get("/readyz")
+            readyz = await client.get("/readyz")
+            status = await client.get("/status")
+            text = await client.get("/metrics")
+            lifted = await client.post("/actions/lift", content=b"7")
+            bad = await client.post("/actions/lift")
+            unknown = await client.post("/actions/none")
+            wrong = await client.get("/actions/lift")
+        assert health.status_code == 200
+        assert unready.status_code == 503
+        assert unready.json()["reasons"] == ["no configuration"]
+        assert readyz.status_code == 200
+        assert status.json() == {"version": 3}
+        assert "bulrushstream_queued_bytes 0.0" in text.text
+        assert lifted.json() == {"lifted": "7"}
+        assert (bad.status_code, bad.json()["error"]) == (400, "which one?")
+        assert (unknown.status_code, wrong.status_code) == (404, 405)
+
+
+class MetricsSuite:
+    def test_counts_by_label(self) -> None:
+        found = metrics.make_metrics()
+        sent = Sent(200, Outcome.RAN, True)
+        metrics.count_exchange(found, Exchange(a_request(), sent, 0.2))
+        refused = Sent(401, Outcome.NOT_RUN, True, "B101")
+        metrics.count_exchange(found, Exchange(None, refused, 0.0))
+        decision = Decision(
+            "dispatch",
+            "idle",
+            service="proofwriter",
+            request_class="batch",
+            waited_s=0.05,
+        )
+        metrics.count_decision(found, decision)
+        metrics.count_message(found, "out", "Pull", 30)
+        metrics.set_queued(found, {("s", "a"): 2}, 10)
+        metrics.set_queued(found, {("s", "b"): 1}, 5)
+        text = metrics.encode_metrics(found).decode()
+        assert 'code="B101",outcome="not-run"' in text
+        assert 'outcome="ran",service="proofwriter"' in text
+        assert "bulrushstream_wait_seconds_count" in text
+        assert 'control_bytes_total{direction="out",kind="Pull"} 30.0' in text
+        assert 'workspace="b"} 1.0' in text
+        assert 'workspace="a"} 2.0' not in text
+
+    def test_instances_share_nothing(self) -> None:
+        first, second = metrics.make_metrics(), metrics.make_metrics()
+        metrics.count_message(first, "in", "Pull", 30)
+        assert b'kind="Pull"' not in metrics.encode_metrics(second)
+
+
+class LogsSuite:
+    @pytest.fixture
+    def lines(self) -> Iterator[list[logging.LogRecord]]:
+        records: list[logging.LogRecord] = []
+
+        class Collector(logging.Handler):
+            def emit(self, record: logging.LogRecord) -> None:
+                records.append(record)
+
+        logger = absl_logging.get_absl_logger()
+        handler = Collector()
+        verbosity = absl_logging.get_verbosity()
+        logger.addHandler(handler)
+        absl_logging.set_verbosity(absl_logging.INFO)
+        yield records
+        absl_logging.set_verbosity(verbosity)
+        logger.removeHandler(handler)
+
+    def test_decision_is_one_json_line(
+        self, lines: list[logging.LogRecord]
+    ) -> None:
+        logs.log_decision(Decision("pull", "least served", request_id="q1"))
+        text = logs.JsonFormatter("router-1").format(lines[-1])
+        line = json.loads(text)
+        assert "\n" not in text
+        assert line["event"] == "decision"
+        assert line["request_id"] == "q1"
+        assert (line["instance"], line["waited_s"]) == ("router-1", 0.0)
+        assert "endpoint" not in line
+
+    def test_library_text_becomes_json(self) -> None:
+        record = logging.LogRecord(
+            "lib", logging.WARNING, "f", 1, "%s went", ("it",), None
+        )
+        line = json.loads(logs.JsonFormatter("i").format(record))
+        assert (line["event"], line["text"]) == ("lib", "it went")
+
+    def test_notes_are_bounded_by_kind(
+        self, lines: list[logging.LogRecord]
+    ) -> None:
+        clock = FakeClock()
+        notes = logs.Notes(clock.now)
+        logged = [logs.note(notes, "link_down", peer="a") for _ in range(9)]
+        assert sum(logged) == logs.NOTES_PER_WINDOW
+        assert logs.note(notes, "other")
+        clock.advance(logs.WINDOW_S)
+        assert logs.note(notes, "link_down", peer="a")
+        line = json.loads(logs.JsonFormatter("i").format(lines[-1]))
+        assert line["left_out"] == 9 - logs.NOTES_PER_WINDOW
