Measure the agent's picks against simple policies in virtual time

Cause: the fairness gap and the use of slots had no figures. Baselines push in turn, push to the least outstanding, or pull from one queue; trials run any cores on the harness's network and endpoints. Fault tests: restart of one and of all agents, cut routers, lost and doubled messages, dishonest hints, equal seeds.

--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -55,6 +55,7 @@
     attempt_limit: int = 2**16  # How many fates are remembered.
     deadline_grace_s: float = 2.0  # After a deadline a run is stopped.
     cancel_grace_s: float = 2.0  # Then a cancelled run counts as over.
+    hold_limit: int = 0  # Dispatches held beyond the slots, if pushed.
     load_lag_s: float = 2.0  # How old a load report may be.
     prompt_tokens_per_byte: float = 1 / 32  # Charged for reading a body.
     prefix_limit: int = 512  # Cached prefixes told to a new router.
--- a/src/bulrushstream/coordination/intake.py
+++ b/src/bulrushstream/coordination/intake.py
@@ -248,6 +248,7 @@
         wanted_alone = dispatch.alone
         return RefuseReason.SUSPECT if wanted_alone else RefuseReason.BUSY
     limit = state.capacity(now_s)
+    limit += state.options.hold_limit
     if pulled:
         limit += capacity_ahead(state, now_s)
     if dispatch.alone:
--- /dev/null
+++ b/src/bulrushstream/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring the fleet's decisions against simpler ones."""
--- a/src/bulrushstream/state/ledger.py
+++ b/src/bulrushstream/state/ledger.py
@@ -1,5 +1,6 @@
 """The service ledger: how much service each workspace has received.
 
+Service is weighted: units divided by the workspace's weight at the time.
 Every start of every agent counts, per workspace, the service that it gave;
 such a *cell* only grows.  The ledger of a service is the map of all cells,
 and merging takes the larger of two copies, so that messages may be lost,
@@ -36,15 +37,15 @@
 class ServedTotal:
     """Service of one workspace, summed over cells."""
 
-    total: float  # Service units that were given.
-    in_flight: float  # Service units that running requests still owe.
+    total: float  # Weighted service units that were given.
+    in_flight: float  # Weighted units that running requests still owe.
 
 
 @dataclass(slots=True)
 class _Cell:
     """What one incarnation of one agent gave to one workspace."""
 
-    total: float = 0.0  # Service units; grows only.
+    total: float = 0.0  # Weighted service units; grows only.
     in_flight: float = 0.0  # As the latest report estimated it.
     sequence: int = -1  # The number of that report.
 
--- a/src/bulrushstream/state/message.py
+++ b/src/bulrushstream/state/message.py
@@ -222,8 +222,8 @@
     agent: str  # The agent's name.
     incarnation: int  # The agent's incarnation.
     workspace: str  # Who received the service.
-    total: float  # Service units since the incarnation began; grows only.
-    in_flight: float  # Estimated units still owed by running requests.
+    total: float  # Weighted units since the incarnation began; grows.
+    in_flight: float  # Weighted units that running requests still owe.
     sequence: int = 0  # The agent's report that this is from.
     folded: bool = False  # Whether it sums all incarnations up to this.
 
--- /dev/null
+++ b/tests/test_fairness.py
@@ -0,0 +1,192 @@
+"""Fair shares hold under floods, lies, restarts and bad networks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from functools import cache
+from random import Random
+from typing import Final
+
+import pytest
+
+from bulrushstream.coordination.agentstate import AgentOptions
+from bulrushstream.history.cores import Cores, RunningCore
+from bulrushstream.history.harness import run_plan
+from bulrushstream.history.plan import (
+    Crash,
+    Cut,
+    Fault,
+    Plan,
+    PlannedCall,
+    Weather,
+)
+from bulrushstream.history.shares import largest_gap
+from bulrushstream.measure.policies import BASELINES
+from bulrushstream.measure.trial import (
+    Trial,
+    TrialResult,
+    WorkspaceLoad,
+    baseline_cores,
+    run_trial,
+    start_agent,
+)
+from bulrushstream.state.effect import Effect
+from bulrushstream.state.event import Arrived, Event
+from bulrushstream.state.identity import InstanceInfo
+from tests.simplerouter import SimpleRouter
+
+AGENTS: Final = 3
+SLOTS: Final = 2
+RUN_S: Final = 0.5
+# Reports and digests are sent every half second each, at the least.
+STALENESS_S: Final = 1.5
+
+
+def pull_cores(
+    change: Callable[[Event], Event] = lambda event: event,
+) -> Cores:
+    """Return the agent's core beside simple routers."""
+
+    def start(info: InstanceInfo, rng: Random, now_s: float) -> RunningCore:
+        router = SimpleRouter(info)
+
+        def handle(event: Event, now_s: float) -> list[Effect]:
+            return router.handle(change(event), now_s)
+
+        return RunningCore(handle, lambda: True)
+
+    return Cores(start, start_agent(AgentOptions()))
+
+
+def steady_calls(
+    seconds: float = 15.0, names: tuple[str, ...] = ("w1", "w2", "w3")
+) -> tuple[PlannedCall, ...]:
+    """Return calls of workspaces that each ask for all there is."""
+    rng = Random(1)
+    per_s = AGENTS * SLOTS / RUN_S
+    calls = []
+    for name in names:
+        for number in range(round(seconds * per_s)):
+            calls.append(
+                PlannedCall(
+                    at_s=1.5 + number / per_s,
+                    request_id=f"{name}-{number}",
+                    router=rng.randrange(2),
+                    workspace=name,
+                    run_s=rng.uniform(0.2, 0.8) * RUN_S * 2,
+                    timeout_s=1000.0,
+                )
+            )
+    return tuple(calls)
+
+
+def plan(faults: tuple[Fault, ...] = (), **changes: object) -> Plan:
+    base = Plan(
+        seed=1,
+        routers=2,
+        agents=AGENTS,
+        slots=SLOTS,
+        calls=steady_calls(),
+        faults=faults,
+        calm_s=16.0,
+        end_s=16.0,
+    )
+    return replace(base, **changes)  # type: ignore[arg-type]
+
+
+def bound(restarts: int = 0) -> float:
+    """Return the bound on the gap in slot seconds."""
+    slots = AGENTS * SLOTS
+    largest_s = 0.8 * RUN_S * 2
+    # A restart forgets what ran, so that its slots count once more.
+    return slots * largest_s * (1 + restarts) + slots * STALENESS_S
+
+
+@cache
+def small_trial(name: str) -> Trial:
+    """Return a load of one large and three small workspaces."""
+    capacity_per_s = AGENTS * SLOTS / RUN_S
+    big = 8.0 if name == "flood" else 1.5
+    only = 0 if name == "skewed" else None
+    loads = (
+        WorkspaceLoad("big", capacity_per_s * big, RUN_S, only),
+        WorkspaceLoad("mid", capacity_per_s * 0.9, RUN_S),
+        WorkspaceLoad("late", capacity_per_s * 0.9, RUN_S, 1, from_s=6.0),
+        WorkspaceLoad("club", capacity_per_s * 0.05, RUN_S),
+    )
+    return Trial(name, loads, 2, AGENTS, SLOTS, 15.0)
+
+
+@cache
+def fair_result(name: str, seed: int) -> TrialResult:
+    return run_trial(small_trial(name), pull_cores(), seed)
+
+
+class TrialSuite:
+    @pytest.mark.parametrize("seed", range(2))
+    @pytest.mark.parametrize("name", ["steady", "flood", "skewed"])
+    def test_gap_is_bounded_and_slots_are_used(
+        self, name: str, seed: int
+    ) -> None:
+        result = fair_result(name, seed)
+        slots = AGENTS * SLOTS
+        limit = slots * result.largest_run_s + slots * STALENESS_S
+        assert result.gap <= limit
+        assert result.utilisation >= 0.97
+
+    @pytest.mark.parametrize("policy", BASELINES)
+    @pytest.mark.parametrize("name", ["flood", "skewed"])
+    def test_gap_is_below_a_baselines(self, name: str, policy: object) -> None:
+        cores = baseline_cores(policy)  # type: ignore[arg-type]
+        baseline = run_trial(small_trial(name), cores, 0)
+        assert fair_result(name, 0).gap < baseline.gap / 3
+
+    def test_a_flood_does_not_delay_a_small_workspace(self) -> None:
+        calm = fair_result("steady", 0).wait_p95_s["club"]
+        flooded = fair_result("flood", 0).wait_p95_s["club"]
+        assert flooded <= calm + RUN_S
+
+
+class FaultSuite:
+    @pytest.mark.parametrize(
+        ("faults", "weather", "restarts"),
+        [
+            ((Crash(5.0, "agent-0", 1.0),), Weather(), 1),
+            (
+                tuple(Crash(5.0, f"agent-{n}", 0.5) for n in range(AGENTS)),
+                Weather(),
+                1,
+            ),
+            ((Cut(4.0, "router-0", "router-1", 6.0),), Weather(), 0),
+            ((Cut(4.0, "agent-0", "router-0", 4.0),), Weather(), 0),
+            ((), Weather(loss=0.05, doubled=0.2, reordered=0.3), 0),
+        ],
+        ids=["restart", "restart-all", "routers-cut", "agent-cut", "bad"],
+    )
+    def test_gap_stays_bounded(
+        self, faults: tuple[Fault, ...], weather: Weather, restarts: int
+    ) -> None:
+        run = run_plan(plan(faults, weather=weather), pull_cores())
+        assert 0 < largest_gap(run.history) <= bound(restarts)
+
+    @pytest.mark.parametrize("hint", [0.001, 1000.0])
+    def test_a_dishonest_hint_gains_nothing(self, hint: float) -> None:
+        def lie(event: Event) -> Event:
+            if not isinstance(event, Arrived):
+                return event
+            if event.request.workspace != "w1":
+                return event
+            return Arrived(replace(event.request, cost_hint=hint))
+
+        run = run_plan(plan(), pull_cores(lie))
+        assert largest_gap(run.history) <= bound()
+
+    def test_the_same_seed_gives_the_same_decisions(self) -> None:
+        crash = (Crash(5.0, "agent-0", 1.0),)
+        weather = Weather(loss=0.05, doubled=0.2, reordered=0.3)
+        short = plan(crash, weather=weather, end_s=8.0)
+        one = run_plan(short, pull_cores(), with_trace=True)
+        two = run_plan(short, pull_cores(), with_trace=True)
+        assert len(one.trace) > 1000
+        assert one.trace == two.trace
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,116 @@
+"""Subsets, the aggregation tree, and what an agent remembers."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from bulrushstream.coordination.subset import (
+    SubsetOptions,
+    agents_to_dial,
+    choose_subset,
+)
+from bulrushstream.coordination.tree import choose_parents
+from bulrushstream.state.replay import AttemptMemory, PartBuffer
+from bulrushstream.state.request import Outcome
+from tests.builders import a_body, a_router, an_agent
+
+ZONES = ("akl-a", "akl-b", "akl-c")
+ROUTERS = [a_router(f"router-{n}", ZONES[n % 3]) for n in range(30)]
+AGENTS = [an_agent(f"agent-{n}", ZONES[n % 3]) for n in range(200)]
+
+
+class SubsetSuite:
+    def test_everybody_while_the_fleet_is_small(self) -> None:
+        options = SubsetOptions()
+        few = AGENTS[:9]
+        dialled = agents_to_dial(ROUTERS[0], ROUTERS, few, options)
+        assert set(dialled) == set(few)
+
+    def test_no_agent_is_left_without_routers(self) -> None:
+        options = SubsetOptions(agents_per_router=10, routers_per_agent=3)
+        routers = Counter[str]()
+        for router in ROUTERS:
+            dialled = agents_to_dial(router, ROUTERS, AGENTS, options)
+            routers.update(agent.key.instance for agent in dialled)
+        assert min(routers[a.key.instance] for a in AGENTS) >= 3
+
+    def test_the_own_zone_comes_first_but_not_alone(self) -> None:
+        chosen = choose_subset(ROUTERS[0], AGENTS, 20, 0.75)
+        zones = Counter(agent.availability_zone for agent in chosen)
+        assert zones["akl-a"] >= 15
+        assert len(zones) > 1
+
+    def test_a_lost_agent_moves_few_connections(self) -> None:
+        before = set(choose_subset(ROUTERS[0], AGENTS, 20, 0.75))
+        gone = next(iter(before))
+        left = [agent for agent in AGENTS if agent != gone]
+        after = set(choose_subset(ROUTERS[0], left, 20, 0.75))
+        assert len(before & after) == 19
+
+
+class TreeSuite:
+    NAMES = tuple(f"router-{n}" for n in range(340))
+
+    def test_fan_in_and_depth_are_bounded(self) -> None:
+        parents = choose_parents("s1", self.NAMES, 4)
+        children = Counter(parents.values())
+        assert max(children.values()) <= 4
+        assert [n for n, p in parents.items() if p is None] != []
+        assert children[None] == 1
+        for name in self.NAMES:
+            depth, at = 0, parents[name]
+            while at is not None:
+                depth, at = depth + 1, parents[at]
+            assert depth <= 5
+
+    def test_order_of_names_does_not_matter(self) -> None:
+        backwards = tuple(reversed(self.NAMES))
+        assert choose_parents("s1", self.NAMES) == choose_parents(
+            "s1", backwards
+        )
+
+    def test_a_lost_instance_moves_few_others(self) -> None:
+        before = choose_parents("s1", self.NAMES)
+        after = choose_parents("s1", self.NAMES[1:])
+        moved = [n for n in after if before[n] != after[n]]
+        assert len(moved) < 40
+
+    def test_services_have_trees_of_their_own(self) -> None:
+        one = choose_parents("s1", self.NAMES)
+        two = choose_parents("s2", self.NAMES)
+        assert sum(one[n] == two[n] for n in self.NAMES) < 30
+
+    def test_refuses_a_chain(self) -> None:
+        with pytest.raises(ValueError, match="below 2"):
+            choose_parents("s1", self.NAMES, 1)
+
+
+class ReplaySuite:
+    def test_keeps_parts_until_acknowledged(self) -> None:
+        buffer = PartBuffer()
+        for number in range(4):
+            buffer.add(a_body(number, b"x"))
+        buffer.acknowledge(2)
+        kept = buffer.after(3)
+        assert kept is not None
+        assert [part.sequence for part in kept] == [3]
+        assert buffer.after(1) is None
+        buffer.acknowledge(9)
+        assert (buffer.size_bytes, buffer.first) == (0, 4)
+
+    def test_the_first_fate_stands_and_is_kept_for_a_time(self) -> None:
+        memory = AttemptMemory(keep_s=10.0, limit=100)
+        memory.put(("q1", 1), Outcome.NOT_RUN, 0.0)
+        memory.put(("q1", 1), Outcome.RAN, 1.0)
+        assert memory.get(("q1", 1)) is Outcome.NOT_RUN
+        memory.put(("q2", 1), Outcome.RAN, 11.0)
+        assert memory.get(("q1", 1)) is None
+
+    def test_memory_is_bounded(self) -> None:
+        memory = AttemptMemory(keep_s=1000.0, limit=10)
+        for number in range(50):
+            memory.put((f"q{number}", 1), Outcome.RAN, 0.0)
+        assert len(memory) == 10
+        assert memory.get(("q49", 1)) is Outcome.RAN
