Log lines of several instances in one process

The demo and the measurements run many instances in one process, so a line names its instance itself and each instance bounds its own lines.

--- a/src/bulrushstream/logs.py
+++ b/src/bulrushstream/logs.py
@@ -9,11 +9,13 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, fields
 from typing import Any, Final
 
 import msgspec
+from absl import flags
 from absl import logging as absl_logging
 
 from bulrushstream.state.effect import Decision
@@ -30,6 +32,7 @@
 class LogLine:
     """One line before it is encoded."""
 
+    instance: str  # The instance that logs.
     event: str  # What it is about.
     values: dict[str, Any]  # What there is to say.
 
@@ -37,24 +40,14 @@
 class JsonFormatter(logging.Formatter):
     """Encodes log records as JSON lines."""
 
-    _instance: str  # The instance that logs.
-
-    def __init__(self, instance: str) -> None:
-        """Make a formatter.
-
-        :param instance: The name of the instance that logs.
-        """
-        super().__init__()
-        self._instance = instance
-
     def format(self, record: logging.LogRecord) -> str:
         """Return a record as one line of JSON."""
-        line = {
+        line: dict[str, Any] = {
             "time_s": round(record.created, 6),
             "level": record.levelname.lower(),
-            "instance": self._instance,
         }
         if isinstance(record.msg, LogLine):
+            line["instance"] = record.msg.instance
             line["event"] = record.msg.event
             line.update(record.msg.values)
         else:
@@ -75,79 +68,105 @@
     left_out: int = 0  # Lines left out since the last one logged.
 
 
-@dataclass(slots=True)
-class Notes:
-    """The lines that are not decisions, bounded by kind."""
+class InstanceLog:
+    """The log lines of one instance."""
 
-    now: Callable[[], float]  # The clock of the windows, in seconds.
-    windows: dict[str, _Window] = field(default_factory=dict)  # By kind.
+    _instance: str  # The instance's name.
+    _now: Callable[[], float]  # The clock of the windows, in seconds.
+    _windows: dict[str, _Window]  # By kind of event.
 
+    def __init__(self, instance: str, now: Callable[[], float]) -> None:
+        """Make the log of an instance.
 
-def start_logging(instance: str, level: int = absl_logging.INFO) -> None:
+        :param instance: The instance's name.
+        :param now: A monotonic clock, in seconds.
+        """
+        self._instance = instance
+        self._now = now
+        self._windows = {}
+
+    def decide(self, decision: Decision) -> None:
+        """Log one decision of a core.
+
+        :param decision: The decision; what it leaves empty is left out.
+        """
+        values = {}
+        for name in _DECISION_FIELDS:
+            value = getattr(decision, name)
+            if value:
+                values[name] = value
+        values["waited_s"] = round(decision.waited_s, 6)
+        line = LogLine(self._instance, DECISION_EVENT, values)
+        absl_logging.info(line)
+
+    def report(self, kind: str, text: str) -> None:
+        """Log a line of text unless there were many of its kind.
+
+        :param kind: The kind of event.
+        :param text: What there is to say.
+        """
+        level = absl_logging.ERROR if kind == "fault" else absl_logging.INFO
+        self.note(kind, level, text=text)
+
+    def note(
+        self, event: str, level: int = absl_logging.INFO, **values: object
+    ) -> bool:
+        """Log a line about an event unless there were many of its kind.
+
+        :param event: The kind of event.
+        :param level: How severe it is.
+        :param values: What there is to say.
+        :returns: Whether it was logged.
+        """
+        window = self._open_window(event)
+        if window.logged >= NOTES_PER_WINDOW:
+            window.left_out += 1
+            return False
+        window.logged += 1
+        if window.left_out:
+            values["left_out"] = window.left_out
+            window.left_out = 0
+        absl_logging.log(level, LogLine(self._instance, event, values))
+        return True
+
+    def _open_window(self, event: str) -> _Window:
+        """Return the window of a kind, begun anew if it is over."""
+        now_s = self._now()
+        window = self._windows.get(event)
+        if window is None:
+            if len(self._windows) >= MAX_KINDS:
+                self._windows.clear()
+            window = self._windows[event] = _Window(now_s)
+        elif now_s - window.began_s >= WINDOW_S:
+            window.began_s = now_s
+            window.logged = 0
+        return window
+
+
+def instance_log(
+    instance: str, now: Callable[[], float] = time.monotonic
+) -> InstanceLog:
+    """Return the log of an instance; several may share a process.
+
+    :param instance: The instance's name.
+    :param now: A monotonic clock, in seconds.
+    :returns: Its log.
+    """
+    return InstanceLog(instance, now)
+
+
+def start_logging(level: int = absl_logging.INFO) -> None:
     """Send every log line of this process to stderr as JSON.
 
-    :param instance: The name of the instance that logs.
     :param level: The least severe level that is logged.
     """
+    # The library warns of every line before its flags are parsed; ours
+    # are not its own.
+    flags.FLAGS.mark_as_parsed()
     absl_logging.use_absl_handler()
     absl_logging.set_stderrthreshold("debug")
     absl_logging.set_verbosity(level)
-    handler = absl_logging.get_absl_handler()
-    handler.setFormatter(JsonFormatter(instance))
+    absl_logging.get_absl_handler().setFormatter(JsonFormatter())
     # The HTTP client logs each request otherwise.
     logging.getLogger("httpx").setLevel(logging.WARNING)
     logging.getLogger("httpcore").setLevel(logging.WARNING)
-
-
-def log_decision(decision: Decision) -> None:
-    """Log one decision of a core.
-
-    :param decision: The decision; what it leaves empty is left out.
-    """
-    values = {}
-    for name in _DECISION_FIELDS:
-        value = getattr(decision, name)
-        if value:
-            values[name] = value
-    values["waited_s"] = round(decision.waited_s, 6)
-    absl_logging.info(LogLine(DECISION_EVENT, values))
-
-
-def note(
-    notes: Notes,
-    event: str,
-    level: int = absl_logging.INFO,
-    **values: object,
-) -> bool:
-    """Log a line about an event unless there were many of its kind.
-
-    :param notes: What was logged before.
-    :param event: The kind of event.
-    :param level: How severe it is.
-    :param values: What there is to say.
-    :returns: Whether it was logged.
-    """
-    window = _open_window(notes, event)
-    if window.logged >= NOTES_PER_WINDOW:
-        window.left_out += 1
-        return False
-    window.logged += 1
-    if window.left_out:
-        values["left_out"] = window.left_out
-        window.left_out = 0
-    absl_logging.log(level, LogLine(event, values))
-    return True
-
-
-def _open_window(notes: Notes, event: str) -> _Window:
-    """Return the window of a kind, begun anew if it is over."""
-    now_s = notes.now()
-    window = notes.windows.get(event)
-    if window is None:
-        if len(notes.windows) >= MAX_KINDS:
-            notes.windows.clear()
-        window = notes.windows[event] = _Window(now_s)
-    elif now_s - window.began_s >= WINDOW_S:
-        window.began_s = now_s
-        window.logged = 0
-    return window
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -118,8 +118,9 @@
     def test_decision_is_one_json_line(
         self, lines: list[logging.LogRecord]
     ) -> None:
-        logs.log_decision(Decision("pull", "least served", request_id="q1"))
-        text = logs.JsonFormatter("router-1").format(lines[-1])
+        decision = Decision("pull", "least served", request_id="q1")
+        logs.instance_log("router-1").decide(decision)
+        text = logs.JsonFormatter().format(lines[-1])
         line = json.loads(text)
         assert "\n" not in text
         assert line["event"] == "decision"
@@ -131,18 +132,18 @@
         record = logging.LogRecord(
             "lib", logging.WARNING, "f", 1, "%s went", ("it",), None
         )
-        line = json.loads(logs.JsonFormatter("i").format(record))
+        line = json.loads(logs.JsonFormatter().format(record))
         assert (line["event"], line["text"]) == ("lib", "it went")
 
     def test_notes_are_bounded_by_kind(
         self, lines: list[logging.LogRecord]
     ) -> None:
         clock = FakeClock()
-        notes = logs.Notes(clock.now)
-        logged = [logs.note(notes, "link_down", peer="a") for _ in range(9)]
+        log = logs.instance_log("router-1", clock.now)
+        logged = [log.note("link_down", peer="a") for _ in range(9)]
         assert sum(logged) == logs.NOTES_PER_WINDOW
-        assert logs.note(notes, "other")
+        assert log.note("other")
         clock.advance(logs.WINDOW_S)
-        assert logs.note(notes, "link_down", peer="a")
-        line = json.loads(logs.JsonFormatter("i").format(lines[-1]))
+        assert log.note("link_down", peer="a")
+        line = json.loads(logs.JsonFormatter().format(lines[-1]))
         assert line["left_out"] == 9 - logs.NOTES_PER_WINDOW
