Configuration log, its fold, and versions spread between peers

A record's fate follows from the records before it; a reader with a gap starts from the highest checkpoint; peers announce and fetch versions.

LogRead says from where it was read and what the log still keeps; ReadLog and Apply are new effects.

--- a/src/bulrushstream/coordination/matching.py
+++ b/src/bulrushstream/coordination/matching.py
@@ -28,6 +28,8 @@
 
 MAX_GROUPS: Final = 8192
 
+_GLOB_SIGN: Final = re.compile(r"[*?\[]")
+
 Group: TypeAlias = tuple[str, str, str, str, bool]
 
 
@@ -74,6 +76,7 @@
     """A rule with its patterns compiled."""
 
     rule: Rule  # The rule.
+    prefix: str  # What every path that matches begins with.
     path: re.Pattern[str] | None  # None: any path.
     headers: tuple[tuple[str, re.Pattern[str]], ...]  # Names in small.
     max_body_bytes: float  # Infinite if the rule sets none.
@@ -165,8 +168,10 @@
     :param facts: What is known of the request.
     :returns: How it is treated, or why it is refused.
     """
+    path = facts.path
     for compiled in index.candidates(facts):
-        if _matches_rest(compiled, facts):
+        # The prefix rules most of a long list out without a call.
+        if path.startswith(compiled.prefix) and _matches_rest(compiled, facts):
             return _decide(index, compiled.rule, facts)
     return Error(Denied(messages.NO_RULE, messages.NO_RULE.format()))
 
@@ -218,6 +223,7 @@
     most = when.max_body_bytes
     return _CompiledRule(
         rule,
+        _GLOB_SIGN.split(when.path_pattern, maxsplit=1)[0],
         path if when.path_pattern else None,
         headers,
         float("inf") if most is None else most,
--- a/src/bulrushstream/state/effect.py
+++ b/src/bulrushstream/state/effect.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+from bulrushstream.state.config import VersionedConfig
 from bulrushstream.state.identity import InstanceKey
 from bulrushstream.state.message import Dispatch, Message, Part
 from bulrushstream.state.request import Outcome
@@ -50,6 +51,24 @@
     body: bytes  # What to append.
 
 
+@dataclass(frozen=True, slots=True)
+class ReadLog:
+    """Read a stream from here on, in place of where it was read before.
+
+    A stream that no effect names is read from its beginning.
+    """
+
+    stream: str  # The stream's name.
+    offset: int  # The next offset to read.
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Put a configuration in force in every core of this instance."""
+
+    current: VersionedConfig  # The configuration; never a lower version.
+
+
 @dataclass(frozen=True, slots=True)
 class StartRun:
     """Send a request to this agent's endpoint."""
@@ -90,5 +109,14 @@
 
 
 Effect: TypeAlias = (
-    Send | Reply | Fail | AppendLog | StartRun | CancelRun | WakeAt | Decision
+    Send
+    | Reply
+    | Fail
+    | AppendLog
+    | ReadLog
+    | Apply
+    | StartRun
+    | CancelRun
+    | WakeAt
+    | Decision
 )
--- a/src/bulrushstream/state/event.py
+++ b/src/bulrushstream/state/event.py
@@ -99,6 +99,8 @@
     stream: str  # The stream's name.
     records: tuple[LogRecord, ...]  # The records.
     caught_up: bool  # Whether these reach the stream's end.
+    first_offset: int = 0  # The oldest offset that the log still keeps.
+    offset: int = -1  # The offset that was read from; -1: not said.
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,10 +7,13 @@
 import msgspec
 
 from bulrushstream.state.config import (
+    Condition,
     FleetConfig,
+    Rule,
     Service,
     ServiceKind,
     ServiceUnit,
+    Treatment,
     VersionedConfig,
     Workspace,
 )
@@ -222,3 +225,13 @@
         max_slots=max_slots,
     )
     return VersionedConfig(1, FleetConfig(workspaces, (service,)))
+
+
+def a_rule_list(number: int, workspaces: int = 3) -> FleetConfig:
+    """Return a valid configuration that differs for each number."""
+    names = [f"w{number}-{i}" for i in range(workspaces)]
+    service = Service("llm", ServiceKind.MODEL, models=("m",))
+    rule = Rule(f"r{number}", Condition(), Treatment("llm"))
+    return FleetConfig(
+        tuple(Workspace(name) for name in names), (service,), (rule,)
+    )
--- /dev/null
+++ b/tests/test_configcore.py
@@ -0,0 +1,447 @@
+"""Every instance comes to one sequence of versions, whatever fails."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from bulrushstream.coordination import configcore
+from bulrushstream.coordination.configcore import ConfigOptions, ConfigState
+from bulrushstream.coordination.configlog import (
+    STREAM,
+    encode_checkpoint,
+    encode_publish,
+    encode_reset,
+    versioned,
+)
+from bulrushstream.state.config import EMPTY_CONFIG, VersionedConfig
+from bulrushstream.state.effect import AppendLog, Apply, Effect, ReadLog, Send
+from bulrushstream.state.event import (
+    Event,
+    LogAppended,
+    LogFailed,
+    LogRead,
+    LogRecord,
+    PeerDown,
+    PeerUp,
+    Received,
+    Ticked,
+)
+from bulrushstream.state.identity import InstanceInfo, InstanceKey
+from bulrushstream.state.message import ConfigPush
+from tests.builders import a_router, a_rule_list, an_agent
+from tests.fakelog import FakeLog
+
+RETENTION_S = 1000.0
+STEP_S = 0.1
+BOUND_S = 3.0
+PAGE_RECORDS = 3
+
+
+@dataclass(slots=True)
+class Node:
+    """One instance with its core and its connection to the log."""
+
+    info: InstanceInfo
+    state: ConfigState
+    born_s: float
+    isolated: bool = False  # From its peers.
+    reaches_log: bool = True
+    applied: list[VersionedConfig] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Cores, a log and a network under virtual time."""
+
+    rng: Random
+    log: FakeLog = field(default_factory=lambda: FakeLog(RETENTION_S))
+    nodes: dict[InstanceKey, Node] = field(default_factory=dict)
+    wire: list[tuple[InstanceKey, Send]] = field(default_factory=list)
+    published: dict[int, tuple[int, int]] = field(default_factory=dict)
+    loss: float = 0.0
+    births: int = 0
+    sent_bytes: int = 0
+
+    @property
+    def now_s(self) -> float:
+        return self.log.now_s
+
+    def start(self, info: InstanceInfo, isolated: bool = False) -> Node:
+        """Start an instance that knows nothing."""
+        self.births += 1
+        reads_log = info.role == "router"
+        options = ConfigOptions(reads_log, log_retention_s=RETENTION_S)
+        state = configcore.new_config(options, Random(self.births))
+        node = Node(info, state, self.now_s, isolated)
+        self.nodes[info.key] = node
+        self.connect(node)
+        return node
+
+    def connect(self, node: Node) -> None:
+        for other in list(self.nodes.values()):
+            apart = other is node or other.isolated or node.isolated
+            agents = {other.info.role, node.info.role} == {"agent"}
+            if not apart and not agents:
+                self.handle(node, PeerUp(other.info))
+                self.handle(other, PeerUp(node.info))
+
+    def disconnect(self, node: Node) -> None:
+        for other in self.nodes.values():
+            if other is not node:
+                self.handle(other, PeerDown(node.info.key))
+                self.handle(node, PeerDown(other.info.key))
+
+    def stop(self, node: Node) -> None:
+        del self.nodes[node.info.key]
+        self.disconnect(node)
+
+    def handle(self, node: Node, event: Event) -> None:
+        for effect in configcore.handle(node.state, event, self.now_s):
+            self.carry_out(node, effect)
+
+    def carry_out(self, node: Node, effect: Effect) -> None:
+        if isinstance(effect, Apply):
+            last = node.applied[-1] if node.applied else EMPTY_CONFIG
+            assert effect.current.version > last.version
+            node.applied.append(effect.current)
+        elif isinstance(effect, Send):
+            self.wire.append((node.info.key, effect))
+        elif isinstance(effect, AppendLog):
+            self.append(node, effect)
+        elif isinstance(effect, ReadLog):
+            assert effect.offset == node.state.next_offset
+
+    def append(self, node: Node, effect: AppendLog) -> None:
+        cut_off = self.log.down or not node.reaches_log
+        offset = -1
+        if not cut_off:
+            offset = self.log.put(effect.stream, effect.body)
+        if cut_off or self.rng.random() < self.loss:
+            self.handle(node, LogFailed(effect.token))
+        else:
+            self.handle(node, LogAppended(effect.token, offset))
+
+    def poll(self, node: Node) -> None:
+        """Read the stream to its end, page by page."""
+        reads_log = node.state.options.reads_log and node.reaches_log
+        if self.log.down or not reads_log:
+            return
+        while True:
+            offset = node.state.next_offset
+            page = self.log.page(STREAM, offset, PAGE_RECORDS)
+            last = page.records[-1].offset + 1 if page.records else offset
+            caught_up = last >= page.end_offset
+            event = LogRead(
+                STREAM, page.records, caught_up, page.first_offset, offset
+            )
+            self.handle(node, event)
+            if caught_up and node.state.next_offset >= page.end_offset:
+                return
+
+    def deliver(self) -> None:
+        wire, self.wire = self.wire, []
+        self.rng.shuffle(wire)
+        for sender, send in wire:
+            node = self.nodes.get(send.peer)
+            source = self.nodes.get(sender)
+            if node is None or source is None:
+                continue
+            if node.isolated or source.isolated:
+                continue
+            if self.rng.random() < self.loss:
+                self.wire.append((sender, send))  # It comes late or again.
+            if self.rng.random() >= self.loss:
+                if isinstance(send.message, ConfigPush):
+                    self.sent_bytes += len(send.message.body) + 80
+                self.handle(node, Received(sender, send.message))
+
+    def advance(self, by_s: float, step_s: float = STEP_S) -> None:
+        until_s = self.now_s + by_s
+        while self.now_s < until_s - 1e-9:
+            self.log.now_s += min(step_s, until_s - self.now_s)
+            for node in list(self.nodes.values()):
+                self.poll(node)
+                self.handle(node, Ticked())
+            self.deliver()
+
+    def truth(self) -> list[VersionedConfig]:
+        """Return what must have been in force, one after the other."""
+        accepted = [EMPTY_CONFIG]
+        for offset, (base, number) in self.published.items():
+            if base == accepted[-1].version:
+                accepted.append(versioned(offset, a_rule_list(number)))
+        return accepted
+
+    def publish(self, base: VersionedConfig, number: int) -> int:
+        body = encode_publish(base, a_rule_list(number), f"p{number}")
+        offset = self.log.put(STREAM, body)
+        self.published[offset] = (base.version, number)
+        return offset
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    """Racing publishers, outages, partitions and empty restarts.
+
+    The log's outages and the instances' lives are long enough for the
+    checkpoints that the design page asks for.
+    """
+
+    @initialize(seed=st.integers(0, 1 << 16))
+    def begin(self, seed: int) -> None:
+        self.fleet = Fleet(Random(seed))
+        self.numbers = 0
+        self.incarnations = 1
+        self.healthy_s = 0.0
+        for name in ("r1", "r2", "r3"):
+            self.fleet.start(a_router(name))
+        self.fleet.start(an_agent("a1"))
+        self.fleet.publish(EMPTY_CONFIG, 0)
+
+    def routers(self) -> list[Node]:
+        nodes = self.fleet.nodes.values()
+        return [n for n in nodes if n.state.options.reads_log]
+
+    @rule(behind=st.integers(0, 2), racers=st.integers(1, 3))
+    def publish(self, behind: int, racers: int) -> None:
+        if self.fleet.log.down:
+            return
+        bases = self.fleet.truth()
+        base = bases[max(0, len(bases) - 1 - behind)]
+        for _ in range(racers):
+            self.numbers += 1
+            self.fleet.publish(base, self.numbers)
+
+    @rule(body=st.sampled_from([b"", b"{}", b"\xff\x00"]))
+    def append_nonsense(self, body: bytes) -> None:
+        if not self.fleet.log.down:
+            self.fleet.log.put(STREAM, body)
+
+    @rule(steps=st.integers(1, 40))
+    def pass_time(self, steps: int) -> None:
+        self.fleet.advance(steps * STEP_S)
+
+    @precondition(lambda self: not self.fleet.log.down)
+    @rule(by_s=st.integers(50, 900))
+    def pass_long_time(self, by_s: int) -> None:
+        self.fleet.advance(float(by_s), 10.0)
+
+    @rule(by_s=st.integers(5, 300))
+    def outage(self, by_s: int) -> None:
+        self.fleet.log.down = True
+        self.fleet.advance(float(by_s), 5.0)
+        self.fleet.log.down = False
+        self.fleet.advance(70.0, 5.0)
+
+    @rule(loss=st.sampled_from([0.0, 0.3]))
+    def lose_messages(self, loss: float) -> None:
+        self.fleet.loss = loss
+
+    @rule(index=st.integers(0, 3), reaches_log=st.booleans())
+    def isolate(self, index: int, reaches_log: bool) -> None:
+        node = list(self.fleet.nodes.values())[index]
+        if self.others_are_old(node) and not node.isolated:
+            node.isolated = True
+            node.reaches_log = reaches_log
+            self.fleet.disconnect(node)
+
+    @rule()
+    def rejoin(self) -> None:
+        for node in list(self.fleet.nodes.values()):
+            if node.isolated:
+                node.isolated = False
+                node.reaches_log = True
+                self.fleet.connect(node)
+
+    @rule(index=st.integers(0, 3))
+    def restart(self, index: int) -> None:
+        node = list(self.fleet.nodes.values())[index]
+        if self.others_are_old(node):
+            self.fleet.stop(node)
+            self.incarnations += 1
+            name = node.info.key.instance
+            if node.state.options.reads_log:
+                info = a_router(name)
+            else:
+                info = an_agent(name)
+            key = InstanceKey(name, self.incarnations)
+            self.fleet.start(_renewed(info, key), node.isolated)
+
+    def others_are_old(self, node: Node) -> bool:
+        """Return whether some other router may write checkpoints."""
+        old_s = self.fleet.now_s - RETENTION_S * 0.25
+        return any(
+            other is not node and other.reaches_log and other.born_s <= old_s
+            for other in self.routers()
+        )
+
+    @rule()
+    def settle(self) -> None:
+        self.fleet.loss = 0.0
+        self.fleet.advance(BOUND_S)
+        truth = self.fleet.truth()
+        for node in self.routers():
+            if node.reaches_log:
+                assert node.state.current == truth[-1]
+        self.rejoin()
+        self.fleet.advance(BOUND_S)
+        for node in self.fleet.nodes.values():
+            assert node.state.current == truth[-1]
+            for version in node.applied:
+                assert version in truth
+
+    def teardown(self) -> None:
+        if hasattr(self, "fleet"):
+            self.settle()
+
+
+def _renewed(info: InstanceInfo, key: InstanceKey) -> InstanceInfo:
+    return InstanceInfo(
+        key,
+        info.role,
+        info.region,
+        info.availability_zone,
+        info.host,
+        info.port,
+        info.service,
+        info.endpoint,
+    )
+
+
+TestConfigMachine = ConfigMachine.TestCase
+TestConfigMachine.settings = settings(max_examples=40, stateful_step_count=25)
+
+
+def _fleet(*infos: InstanceInfo) -> Fleet:
+    fleet = Fleet(Random(1))
+    for info in infos:
+        fleet.start(info)
+    return fleet
+
+
+class ConfigCoreSuite:
+    def test_a_start_in_an_outage_takes_the_version_from_a_peer(self) -> None:
+        fleet = _fleet(a_router("r1"), an_agent("a1"))
+        fleet.publish(EMPTY_CONFIG, 1)
+        fleet.advance(1.0)
+        fleet.log.down = True
+        fleet.stop(next(iter(fleet.nodes.values())))
+        late = fleet.start(a_router("r2"))
+        assert not late.state.ready
+        fleet.advance(1.0)
+        assert late.state.current == versioned(0, a_rule_list(1))
+
+    def test_a_version_spreads_while_the_log_is_down(self) -> None:
+        infos = [a_router(f"r{i}") for i in range(30)]
+        fleet = _fleet(*infos, an_agent("a1"))
+        offset = fleet.publish(EMPTY_CONFIG, 1)
+        first = fleet.nodes[infos[0].key]
+        fleet.poll(first)
+        fleet.log.down = True
+        fleet.advance(BOUND_S)
+        versions = {n.state.current.version for n in fleet.nodes.values()}
+        assert versions == {offset}
+
+    def test_an_outage_longer_than_the_retention(self) -> None:
+        fleet = _fleet(a_router("r1"), a_router("r2"))
+        fleet.publish(EMPTY_CONFIG, 1)
+        fleet.advance(5.0)
+        fleet.log.down = True
+        fleet.advance(RETENTION_S * 2, 20.0)
+        fleet.log.down = False
+        fleet.advance(60.0)
+        for node in list(fleet.nodes.values()):
+            fleet.stop(node)
+        late = fleet.start(a_router("r3"))
+        fleet.advance(1.0)
+        assert late.state.current == versioned(0, a_rule_list(1))
+        published = fleet.publish(late.state.current, 2)
+        fleet.advance(1.0)
+        assert late.state.current == versioned(published, a_rule_list(2))
+
+    def test_only_a_reset_starts_a_log_that_lost_everything(self) -> None:
+        fleet = _fleet(a_router("r1"))
+        fleet.publish(EMPTY_CONFIG, 1)
+        fleet.advance(1.0)
+        fleet.stop(next(iter(fleet.nodes.values())))
+        fleet.log.now_s += RETENTION_S * 2
+        node = fleet.start(a_router("r2"))
+        fleet.publish(EMPTY_CONFIG, 2)
+        fleet.advance(1.0)
+        assert not node.state.ready
+        offset = fleet.log.put(STREAM, encode_reset(a_rule_list(3)))
+        fleet.advance(1.0)
+        assert node.state.current == versioned(offset, a_rule_list(3))
+
+    @pytest.mark.parametrize("lagging_first", [True, False])
+    def test_a_lagging_checkpoint_does_not_hide_a_later_version(
+        self, lagging_first: bool
+    ) -> None:
+        fleet = _fleet(a_router("r1"))
+        fleet.publish(EMPTY_CONFIG, 1)
+        fleet.advance(1.0)
+        node = next(iter(fleet.nodes.values()))
+        old = node.state.current
+        fleet.publish(old, 2)
+        fleet.advance(1.0)
+        new = node.state.current
+        fleet.log.now_s += RETENTION_S * 0.9
+        for version in (old, new) if lagging_first else (new, old):
+            fleet.log.put(STREAM, encode_checkpoint(version))
+        fleet.log.now_s += RETENTION_S * 0.2
+        last = fleet.publish(new, 3)
+        fleet.stop(node)
+        late = fleet.start(a_router("r2"))
+        fleet.advance(1.0)
+        assert late.applied[0] == new
+        assert late.state.current.version == last
+
+    def test_checkpoints_are_few(self) -> None:
+        fleet = _fleet(*(a_router(f"r{i}") for i in range(8)))
+        fleet.publish(EMPTY_CONFIG, 1)
+        fleet.advance(RETENTION_S * 4, 1.0)
+        appended = len(fleet.log.everything[STREAM]) - 1
+        assert 8 <= appended <= 24
+
+    def test_a_page_from_before_a_seek_is_ignored(self) -> None:
+        fleet = _fleet(a_router("r1"))
+        node = next(iter(fleet.nodes.values()))
+        body = encode_publish(EMPTY_CONFIG, a_rule_list(1))
+        record = LogRecord(7, body)
+        fleet.handle(node, LogRead(STREAM, (record,), True, 0, 7))
+        assert node.state.next_offset == 0
+        assert not node.state.ready
+
+    def test_a_late_copy_of_a_lower_version_is_ignored(self) -> None:
+        fleet = _fleet(a_router("r1"), a_router("r2"))
+        node, peer = fleet.nodes.values()
+        for version in (
+            versioned(9, a_rule_list(2)),
+            versioned(8, a_rule_list(1)),
+        ):
+            body = encode_checkpoint(version)
+            push = ConfigPush(version.version, version.digest, body)
+            fleet.handle(node, Received(peer.info.key, push))
+        assert [v.version for v in node.applied] == [9]
+
+    def test_a_peer_with_a_broken_version_is_not_believed(self) -> None:
+        fleet = _fleet(a_router("r1"), a_router("r2"))
+        node, peer = fleet.nodes.values()
+        body = encode_checkpoint(versioned(9, a_rule_list(1)))
+        fleet.handle(
+            node, Received(peer.info.key, ConfigPush(9, "0" * 64, body))
+        )
+        fleet.handle(
+            node, Received(peer.info.key, ConfigPush(9, "0" * 64, b"{"))
+        )
+        assert not node.state.ready
