--- a/src/bulrushstream/coordination/gating.py
+++ b/src/bulrushstream/coordination/gating.py
@@ -9,17 +9,14 @@
 the granting router knows of, so whoever runs a suspected request knows of
 every earlier crash.
 
-If two routers ask at once, the one with the smaller key goes first: a
-router that still waits for grants gives way to it, and must ask it again.
-This is the mutual exclusion of Ricart and Agrawala (1981), with a fixed
-order in place of their clock.
+See `bulrushstream.coordination.trials` for how two that ask at once agree.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from bulrushstream.coordination import backlogs
+from bulrushstream.coordination import backlogs, trials
 from bulrushstream.coordination.quarantine import LOST, SEPARATOR, StrikeRecord
 from bulrushstream.coordination.routing import (
     AgentView,
@@ -67,10 +64,10 @@
     gate = _gate(state, request.fingerprint)
     if gate.trial is None:
         gate.trial = Trial(request.request_id)
-        ask(state, request.fingerprint, now_s)
+        trials.ask(state, request.fingerprint, now_s)
     if gate.trial.request_id != request.request_id:
         return False
-    return is_free(state, tracked) and not _missing(state, gate.trial)
+    return is_free(state, tracked) and not trials.missing(state, gate.trial)
 
 
 def leave(state: RouterState, tracked: Tracked) -> None:
@@ -190,24 +187,6 @@
         _go_on(state, fingerprint, now_s)
 
 
-def ask(state: RouterState, fingerprint: int, now_s: float) -> None:
-    """Ask the routers whose grant a trial lacks, and again later.
-
-    :param state: the router
-    :param fingerprint: which requests
-    :param now_s: the time on the core's clock
-    """
-    gate = state.gates.get(fingerprint)
-    if gate is None or gate.trial is None:
-        return
-    missing = _missing(state, gate.trial)
-    for peer in missing:
-        _ask_one(state, fingerprint, gate.trial, peer, now_s)
-    if missing:
-        due_s = now_s + state.options.trial_interval_s
-        state.timers.set((Timer.TRIAL, str(fingerprint)), due_s)
-
-
 def asked(
     state: RouterState, peer: InstanceKey, message: TrialAsk, now_s: float
 ) -> None:
@@ -265,7 +244,7 @@
     for fingerprint, gate in state.gates.items():
         if gate.trial is not None and peer not in gate.trial.granted:
             _requeue(state, gate)
-            ask(state, fingerprint, now_s)
+            trials.ask(state, fingerprint, now_s)
 
 
 def router_lost(state: RouterState, peer: InstanceKey, now_s: float) -> None:
@@ -330,9 +309,7 @@
     gate = state.gates.get(fingerprint)
     if gate is None:
         return
-    for peer in sorted(gate.asks):
-        if _may_grant(state, gate, peer):
-            _grant(state, fingerprint, gate, peer, now_s)
+    trials.answer(state, fingerprint, gate, now_s)
     _wake(state, fingerprint, gate, now_s)
     if not (gate.active or gate.held or gate.trial or gate.asks):
         del state.gates[fingerprint]
@@ -352,51 +329,6 @@
         state.ready.append(next(iter(gate.held)))
 
 
-def _may_grant(state: RouterState, gate: Gate, peer: InstanceKey) -> bool:
-    """Return whether a peer may run the request that it asks for."""
-    if gate.active:
-        return False
-    if gate.trial is None:
-        return True
-    if not _missing(state, gate.trial):
-        return False
-    return peer < state.me.key
-
-
-def _grant(
-    state: RouterState,
-    fingerprint: int,
-    gate: Gate,
-    peer: InstanceKey,
-    now_s: float,
-) -> None:
-    number = gate.asks.pop(peer)
-    strikes = state.quarantine.strikes(fingerprint, now_s)
-    state.send(peer, TrialGrant(fingerprint, number, strikes))
-    if gate.trial is not None:
-        # The peer's own grant, also one that is on its way, ends here.
-        gate.trial.granted.discard(peer)
-        gate.trial.asked.pop(peer, None)
-        _ask_one(state, fingerprint, gate.trial, peer, now_s)
-
-
-def _ask_one(
-    state: RouterState,
-    fingerprint: int,
-    trial: Trial,
-    peer: InstanceKey,
-    now_s: float,
-) -> None:
-    if peer not in trial.asked:
-        trial.asked[peer] = state.next_sequence()
-    strikes = state.quarantine.strikes(fingerprint, now_s)
-    state.send(peer, TrialAsk(fingerprint, trial.asked[peer], strikes))
-
-
-def _missing(state: RouterState, trial: Trial) -> list[InstanceKey]:
-    return sorted(set(state.routers) - trial.granted)
-
-
 def _gate(state: RouterState, fingerprint: int) -> Gate:
     return state.gates.setdefault(fingerprint, Gate())
 
--- a/src/bulrushstream/coordination/router.py
+++ b/src/bulrushstream/coordination/router.py
@@ -21,6 +21,7 @@
     journal,
     peers,
     screening,
+    trials,
 )
 from bulrushstream.coordination.appender import Appender, AppenderOptions
 from bulrushstream.coordination.budget import RetryBudget
@@ -235,6 +236,6 @@
         case Timer.RELAY:
             hub.relay(state, now_s)
         case Timer.TRIAL:
-            gating.ask(state, int(name), now_s)
+            trials.ask(state, int(name), now_s)
         case _:
             pass  # The journal writes after every event.
--- /dev/null
+++ b/src/bulrushstream/coordination/trials.py
@@ -0,0 +1,95 @@
+"""Asks all routers for their consent to run a suspected request.
+
+A *trial* is the one suspected request of a fingerprint that a router wants
+to run.  It lacks consent until every router has granted it.
+
+If two routers ask at once, the one with the smaller key goes first: a
+router that still waits for grants gives way to it, and must ask it again.
+This is the mutual exclusion of Ricart and Agrawala (1981), with a fixed
+order in place of their clock.
+"""
+
+from __future__ import annotations
+
+from bulrushstream.coordination.routing import Gate, RouterState, Timer, Trial
+from bulrushstream.state.identity import InstanceKey
+from bulrushstream.state.message import TrialAsk, TrialGrant
+
+
+def missing(state: RouterState, trial: Trial) -> list[InstanceKey]:
+    """Return the routers whose grant a trial lacks."""
+    return sorted(set(state.routers) - trial.granted)
+
+
+def ask(state: RouterState, fingerprint: int, now_s: float) -> None:
+    """Ask the routers whose grant a trial lacks, and again later.
+
+    :param state: the router
+    :param fingerprint: which requests
+    :param now_s: the time on the core's clock
+    """
+    gate = state.gates.get(fingerprint)
+    if gate is None or gate.trial is None:
+        return
+    lacking = missing(state, gate.trial)
+    for peer in lacking:
+        _ask_one(state, fingerprint, gate.trial, peer, now_s)
+    if lacking:
+        due_s = now_s + state.options.trial_interval_s
+        state.timers.set((Timer.TRIAL, str(fingerprint)), due_s)
+
+
+def answer(
+    state: RouterState, fingerprint: int, gate: Gate, now_s: float
+) -> None:
+    """Grant every open ask that nothing here stands against.
+
+    :param state: the router
+    :param fingerprint: which requests
+    :param gate: what is known of them here
+    :param now_s: the time on the core's clock
+    """
+    for peer in sorted(gate.asks):
+        if _may_grant(state, gate, peer):
+            _grant(state, fingerprint, gate, peer, now_s)
+
+
+def _may_grant(state: RouterState, gate: Gate, peer: InstanceKey) -> bool:
+    """Return whether a peer may run the request that it asks for."""
+    if gate.active:
+        return False
+    if gate.trial is None:
+        return True
+    if not missing(state, gate.trial):
+        return False
+    return peer < state.me.key
+
+
+def _grant(
+    state: RouterState,
+    fingerprint: int,
+    gate: Gate,
+    peer: InstanceKey,
+    now_s: float,
+) -> None:
+    number = gate.asks.pop(peer)
+    strikes = state.quarantine.strikes(fingerprint, now_s)
+    state.send(peer, TrialGrant(fingerprint, number, strikes))
+    if gate.trial is not None:
+        # The peer's own grant, also one that is on its way, ends here.
+        gate.trial.granted.discard(peer)
+        gate.trial.asked.pop(peer, None)
+        _ask_one(state, fingerprint, gate.trial, peer, now_s)
+
+
+def _ask_one(
+    state: RouterState,
+    fingerprint: int,
+    trial: Trial,
+    peer: InstanceKey,
+    now_s: float,
+) -> None:
+    if peer not in trial.asked:
+        trial.asked[peer] = state.next_sequence()
+    strikes = state.quarantine.strikes(fingerprint, now_s)
+    state.send(peer, TrialAsk(fingerprint, trial.asked[peer], strikes))
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,242 @@
+"""A request that crashes endpoints fells at most three of them."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bulrushstream.coordination.quarantine import (
+    Quarantine,
+    QuarantineOptions,
+    StrikeBatch,
+    encode_strikes,
+)
+from bulrushstream.messages import QUARANTINED
+from bulrushstream.state.effect import AppendLog, Fail, Reply
+from bulrushstream.state.event import (
+    DrainStarted,
+    LogRead,
+    LogRecord,
+    PeerLost,
+)
+from bulrushstream.state.message import (
+    Dispatch,
+    Strike,
+    Strikes,
+    TrialAsk,
+    TrialGrant,
+)
+from bulrushstream.state.request import Outcome, Request
+from tests.builders import a_request, a_router, an_agent, an_end
+from tests.fleets import POISON, Faults, RouterFleet
+from tests.routers import RouterDriver, sent
+
+FINGERPRINT = 77
+AGENT = an_agent()
+
+
+def a_poison(name: str, arrived_s: float = 0.0, retries: int = 2) -> Request:
+    return a_request(
+        name,
+        idempotent=True,
+        retry_limit=retries,
+        body=POISON,
+        fingerprint=FINGERPRINT,
+        arrived_s=arrived_s,
+        deadline_s=arrived_s + 30.0,
+    )
+
+
+def a_crash(router: RouterDriver, name: str, attempt: int = 1) -> None:
+    """Let the endpoint crash under a request."""
+    router.get(
+        AGENT,
+        an_end(
+            0,
+            name,
+            attempt,
+            outcome=Outcome.UNKNOWN,
+            whole=False,
+            crashed=True,
+        ),
+    )
+
+
+class BoundSuite:
+    @settings(max_examples=60)
+    @given(
+        seed=st.integers(0, 1 << 30),
+        routers=st.integers(1, 3),
+        copies=st.integers(1, 30),
+        lose=st.sampled_from([0.0, 0.3, 0.7]),
+    )
+    def test_at_most_three_fall(
+        self, seed: int, routers: int, copies: int, lose: float
+    ) -> None:
+        """The log is out; the routers have only each other."""
+        faults = Faults(lose=lose, double=0.2, log_down=True)
+        fleet = RouterFleet(seed, routers, faults)
+        rng = random.Random(seed)
+        for index in range(copies):
+            at_s = rng.uniform(0.0, 3.0)
+            fleet.arrive(at_s, a_poison(f"p{index}", at_s))
+        for index in range(5):
+            good = a_request(f"g{index}", fingerprint=index + 1)
+            fleet.arrive(rng.uniform(0.0, 3.0), good)
+        fleet.run(120.0)
+        assert 1 <= fleet.crashes <= 3
+        for index in range(copies):
+            assert isinstance(fleet.ends[f"p{index}"][0], Fail)
+        for index in range(5):
+            assert isinstance(fleet.ends[f"g{index}"][0], Reply)
+        assert all(len(words) == 1 for words in fleet.ends.values())
+
+    def test_a_restarted_router_learns_strikes_from_the_log(self) -> None:
+        fleet = RouterFleet(1, 1, Faults())
+        for index in range(3):
+            fleet.arrive(index * 1.0, a_poison(f"p{index}", index, 0))
+        fleet.run(5.0)
+        fleet.stop(a_router("router-0").key)
+        fleet.start(a_router("router-9"))
+        fleet.arrive(1.0, a_poison("again", 5.0))
+        fleet.run(10.0)
+        assert fleet.crashes == 3
+        end = fleet.ends["again"][0]
+        assert isinstance(end, Fail)
+        assert (end.code, end.outcome) == (QUARANTINED.code, Outcome.NOT_RUN)
+        assert end.retry_after_s > 500.0
+
+
+class SuspectSuite:
+    def test_like_requests_wait_until_one_has_ended(self) -> None:
+        router = RouterDriver()
+        router.up(AGENT)
+        for name in ("a", "b", "c"):
+            router.arrive(a_request(name, fingerprint=FINGERPRINT))
+        assert len(sent(router.pull(AGENT), Dispatch)) == 1
+        assert not sent(router.pull(AGENT), Dispatch)
+        router.get(AGENT, an_end(0, "a"))
+        assert len(sent(router.pull(AGENT), Dispatch)) == 1
+        assert len(sent(router.pull(AGENT), Dispatch)) == 1
+
+    def test_a_suspect_waits_for_a_silent_router(self) -> None:
+        router = RouterDriver()
+        peer = a_router("router-2")
+        router.up(peer)
+        router.up(AGENT)
+        router.arrive(a_poison("a", retries=0))
+        router.pull(AGENT)
+        a_crash(router, "a")
+        asks = sent(router.arrive(a_poison("b")), TrialAsk)
+        assert len(asks) == 1
+        assert asks[0].strikes[0].fingerprint == FINGERPRINT
+        assert not sent(router.pull(AGENT), Dispatch)
+        assert sent(router.wait(0.6), TrialAsk) == asks
+        grant = TrialGrant(FINGERPRINT, asks[0].number, ())
+        router.get(peer, grant)
+        assert len(sent(router.pull(AGENT), Dispatch)) == 1
+
+    def test_a_lost_router_need_not_consent(self) -> None:
+        router = RouterDriver()
+        peer = a_router("router-2")
+        router.up(peer)
+        router.up(AGENT)
+        learned = Strikes((Strike(FINGERPRINT, "x@1#r.1", False, 0),))
+        router.get(peer, learned)
+        router.arrive(a_poison("a"))
+        assert not sent(router.pull(AGENT), Dispatch)
+        router.on(PeerLost(peer.key))
+        assert len(sent(router.pull(AGENT), Dispatch)) == 1
+
+    def test_a_queued_copy_is_held_once_it_is_suspected(self) -> None:
+        router = RouterDriver()
+        peer = a_router("router-2")
+        router.up(peer)
+        router.up(AGENT)
+        router.arrive(a_poison("a"))
+        learned = Strikes((Strike(FINGERPRINT, "x@1#r.1", False, 0),))
+        router.get(peer, learned)
+        assert not sent(router.pull(AGENT), Dispatch)
+
+    def test_after_two_crashes_it_runs_alone(self) -> None:
+        router = RouterDriver()
+        router.up(AGENT)
+        router.arrive(a_poison("a"))
+        flags = []
+        for attempt in (1, 2, 3):
+            flags += [d.alone for d in sent(router.pull(AGENT), Dispatch)]
+            a_crash(router, "a", attempt)
+            router.wait(5.0)
+        assert flags == [False, False, True]
+        failure = router.failures("a")[0]
+        assert failure.code == QUARANTINED.code
+        assert failure.outcome is Outcome.UNKNOWN
+
+    def test_an_innocent_request_is_cleared_and_answered(self) -> None:
+        router = RouterDriver()
+        peer = a_router("router-2")
+        router.up(AGENT)
+        router.arrive(a_poison("a"))
+        router.pull(AGENT)
+        a_crash(router, "a")
+        router.wait(1.0)
+        router.pull(AGENT)
+        router.up(peer)
+        effects = router.get(AGENT, an_end(0, "a", 2))
+        assert router.replies("a")[-1].whole
+        assert sent(effects, Strikes) == [Strikes((), (FINGERPRINT,))]
+        assert any(isinstance(effect, AppendLog) for effect in effects)
+        router.arrive(a_poison("b"))
+        assert len(sent(router.pull(AGENT), Dispatch)) == 1
+
+    def test_a_pardon_in_the_log_lifts_a_quarantine(self) -> None:
+        router = RouterDriver()
+        router.up(AGENT)
+        strikes = tuple(
+            Strike(FINGERPRINT, f"x{i}@1#r.1", False, 0) for i in range(3)
+        )
+        router.get(a_router("router-2"), Strikes(strikes))
+        router.arrive(a_poison("a"))
+        assert router.failures("a")[0].code == QUARANTINED.code
+        router.wait(1.0)
+        pardon = encode_strikes(StrikeBatch(0, (), (FINGERPRINT,)))
+        router.on(LogRead("strikes", (LogRecord(0, pardon),), True))
+        router.arrive(a_poison("b"))
+        assert len(sent(router.pull(AGENT), Dispatch)) == 1
+
+    def test_a_draining_router_still_grants(self) -> None:
+        router = RouterDriver()
+        peer = a_router("router-2")
+        router.up(peer)
+        router.on(DrainStarted())
+        strike = Strike(FINGERPRINT, "x@1#r.1", False, 0)
+        effects = router.get(peer, TrialAsk(FINGERPRINT, 5, (strike,)))
+        assert sent(effects, TrialGrant)[0].number == 5
+
+
+class StrikeSuite:
+    def test_one_crash_told_by_two_routers_counts_once(self) -> None:
+        quarantine = Quarantine(QuarantineOptions())
+        assert quarantine.strike(1, "agent@1#a.1", False, 10.0)
+        assert not quarantine.strike(1, "agent@1#b.4", False, 10.2)
+        assert quarantine.strike(1, "agent@1#a.2", False, 10.3)
+        assert quarantine.strike(1, "other@1#b.1", False, 10.3)
+        assert quarantine.count(1, 10.3) == 3
+
+    def test_strikes_expire(self) -> None:
+        quarantine = Quarantine(QuarantineOptions(expiry_s=60.0))
+        for index in range(3):
+            quarantine.strike(1, f"x{index}@1#a.1", False, float(index))
+        assert quarantine.is_refused(1, 59.0)
+        assert quarantine.ends_s(1, 59.0) == 1.0
+        assert not quarantine.is_refused(1, 60.0)
+        assert quarantine.count(1, 62.0) == 0
+
+    def test_a_late_copy_of_a_pardoned_strike_is_void(self) -> None:
+        quarantine = Quarantine(QuarantineOptions())
+        quarantine.strike(1, "x@1#a.1", False, 5.0)
+        quarantine.pardon(1, 6.0)
+        assert not quarantine.strike(1, "x@1#a.1", False, 5.0)
+        assert quarantine.strike(1, "x@1#a.2", False, 7.0)
