--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -99,6 +99,8 @@
     replay_bytes: int = 0  # What all kept parts take.
     draining: bool = False  # Whether it takes no new work.
     next_pull: int = 1  # Names the next pull.
+    crashes: int = 0  # How often the endpoint went down under a run.
+    crashed_s: float = -NEVER_S  # When it last did.
     sequence: int = 0  # Numbers backlog-like announcements.
     idle_told: dict[InstanceKey, int] = field(default_factory=dict)
     idle_at_s: float = 0.0  # When a changed count may be announced.
--- a/src/bulrushstream/coordination/attempts.py
+++ b/src/bulrushstream/coordination/attempts.py
@@ -280,7 +280,7 @@
         return
     view = None if tracked.agent is None else state.agents.get(tracked.agent)
     if end.crashed and view is not None:
-        gating.strike(state, tracked, view, now_s)
+        gating.strike(state, tracked, view, end.crash, now_s)
     _broken(state, tracked, end.outcome, end.detail, now_s)
 
 
--- a/src/bulrushstream/coordination/gating.py
+++ b/src/bulrushstream/coordination/gating.py
@@ -17,7 +17,7 @@
 from collections.abc import Iterable
 
 from bulrushstream.coordination import backlogs, trials
-from bulrushstream.coordination.quarantine import LOST, SEPARATOR, StrikeRecord
+from bulrushstream.coordination.quarantine import LOST, StrikeRecord
 from bulrushstream.coordination.routing import (
     AgentView,
     Gate,
@@ -113,27 +113,21 @@
 
 
 def strike(
-    state: RouterState, tracked: Tracked, view: AgentView, now_s: float
+    state: RouterState,
+    tracked: Tracked,
+    view: AgentView,
+    crash: int,
+    now_s: float,
 ) -> None:
     """Count a crash of an endpoint against a request that ran there.
 
     :param state: the router
     :param tracked: the request
     :param view: the agent of the endpoint
+    :param crash: which crash it was, as the agent counts them
     :param now_s: the time on the core's clock
     """
-    gate = state.gates.get(tracked.request.fingerprint)
-    trial = None if gate is None else gate.trial
-    on_trial = (
-        trial is not None and trial.request_id == tracked.request.request_id
-    )
-    same_s = state.options.quarantine.same_crash_s
-    # Trials follow each other, so each of their crashes is a new one.
-    if on_trial or now_s - view.crashed_s >= same_s:
-        view.crashes += 1
-        view.crashed_s = now_s
-    reporter = f"{state.me.key.instance}.{view.crashes}"
-    _strike(state, tracked, view, reporter, now_s)
+    _strike(state, tracked, view, str(crash), now_s)
 
 
 def strike_lost(
@@ -263,14 +257,14 @@
     state: RouterState,
     tracked: Tracked,
     view: AgentView,
-    reporter: str,
+    crash: str,
     now_s: float,
 ) -> None:
     fingerprint = tracked.request.fingerprint
     if not fingerprint:
         return
     key = view.info.key
-    name = f"{key.instance}@{key.incarnation}{SEPARATOR}{reporter}"
+    name = f"{key.instance}@{key.incarnation}#{crash}"
     if not state.quarantine.strike(fingerprint, name, tracked.alone, now_s):
         return
     state.decide("strike", name, tracked, now_s)
--- a/src/bulrushstream/coordination/quarantine.py
+++ b/src/bulrushstream/coordination/quarantine.py
@@ -7,9 +7,9 @@
 an operator's *pardon* or when a request of the fingerprint ends without a
 crash, after which the fingerprint is *proven* for a while.
 
-One crash may be reported by several routers, so strikes carry the name of
-the crashed agent before a separator, and two strikes that name the same
-agent within a short time count once.
+One crash may be reported by several routers.  A strike's name tells which
+start of which agent and which crash of its endpoint it was, so that all
+reports of one crash count once.
 """
 
 from __future__ import annotations
@@ -23,7 +23,6 @@
 from bulrushstream.state.message import Strike
 from bulrushstream.state.streamclock import StreamClock
 
-SEPARATOR: Final = "#"
 LOST: Final = "lost"
 
 
@@ -33,7 +32,6 @@
 
     max_strikes: int = 3  # Strikes that put it in quarantine.
     expiry_s: float = 600.0  # How long a strike counts.
-    same_crash_s: float = 0.5  # Between two reports of one crash.
     proven_s: float = 600.0  # How long a good end is remembered.
     max_proven: int = 16_384  # Proven fingerprints that are kept.
     max_struck: int = 4096  # Struck fingerprints that are kept.
@@ -94,7 +92,7 @@
             return False
         crashes = self._crashes.setdefault(fingerprint, {})
         self._crashes.move_to_end(fingerprint)
-        if self._known(crashes, strike_id, at_s):
+        if strike_id in crashes:
             return False
         crashes[strike_id] = _Crash(at_s, alone)
         self._proven_s.pop(fingerprint, None)
@@ -175,30 +173,6 @@
     def _over(self, crash: _Crash, now_s: float) -> bool:
         return now_s - crash.at_s >= self.options.expiry_s
 
-    def _known(
-        self, crashes: dict[str, _Crash], strike_id: str, at_s: float
-    ) -> bool:
-        if strike_id in crashes:
-            return True
-        agent = agent_of(strike_id)
-        return any(
-            agent_of(name) == agent
-            and reporter_of(name) != reporter_of(strike_id)
-            and abs(crash.at_s - at_s) < self.options.same_crash_s
-            for name, crash in crashes.items()
-        )
-
-
-def agent_of(strike_id: str) -> str:
-    """Return the agent that a strike's name tells."""
-    return strike_id.partition(SEPARATOR)[0]
-
-
-def reporter_of(strike_id: str) -> str:
-    """Return the router that a strike's name tells."""
-    reporter = strike_id.partition(SEPARATOR)[2]
-    return reporter.rpartition(".")[0]
-
 
 def encode_strikes(batch: StrikeBatch) -> bytes:
     """Return a batch as the body of a log record."""
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -117,8 +117,6 @@
     prefixes: dict[int, None] = field(default_factory=dict)  # Cached.
     missed: set[QueueKey] = field(default_factory=set)  # To tell anew.
     told: dict[str, DigestEntry] = field(default_factory=dict)  # Ledger.
-    crashes: int = 0  # Crashes of its endpoint that were seen here.
-    crashed_s: float = float("-inf")  # When the last one was.
 
     @property
     def usable(self) -> bool:
--- a/src/bulrushstream/coordination/running.py
+++ b/src/bulrushstream/coordination/running.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Final
 
 from bulrushstream.coordination.accrual import (
     accrue_run,
@@ -23,6 +24,9 @@
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.run import Run, RunPhase
 
+# Reports of one crash that come later than this are of another one.
+SAME_CRASH_S: Final = 1.0
+
 
 def start(state: AgentState, run: Run, now_s: float) -> list[Effect]:
     """Hand a held request to the endpoint.
@@ -122,10 +126,23 @@
         whole=event.whole,
         crashed=event.crashed,
         detail=event.detail,
+        crash=_count_crash(state, run, now_s) if event.crashed else 0,
     )
     return _emit(state, run, part)
 
 
+def _count_crash(state: AgentState, run: Run, now_s: float) -> int:
+    """Return the number of the crash that ended a run.
+
+    All runs that one crash ended get the same number.
+    """
+    before = run.started_s <= state.crashed_s
+    if not before or now_s - state.crashed_s >= SAME_CRASH_S:
+        state.crashes += 1
+        state.crashed_s = now_s
+    return state.crashes
+
+
 def stop(run: Run, now_s: float) -> list[Effect]:
     """Ask the endpoint to stop a run; its end follows as an event."""
     if run.cancelled_s is not None or run.phase is not RunPhase.RUNNING:
--- a/src/bulrushstream/protocol/fleet.thrift
+++ b/src/bulrushstream/protocol/fleet.thrift
@@ -98,6 +98,7 @@
   9: optional bool whole
   10: optional bool crashed
   11: optional string detail
+  12: optional i32 crash
 }
 
 struct Ack {
--- a/src/bulrushstream/state/message.py
+++ b/src/bulrushstream/state/message.py
@@ -170,6 +170,7 @@
     whole: bool = False  # END: whether the endpoint's answer is complete.
     crashed: bool = False  # END: whether the endpoint crashed under it.
     detail: str = ""  # END: what went wrong; empty: nothing.
+    crash: int = 0  # END: which crash of the agent's endpoint; 0: none.
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -131,6 +131,7 @@
     outcome: Outcome = Outcome.RAN,
     whole: bool = True,
     crashed: bool = False,
+    crash: int = 0,
 ) -> Part:
     """Return the last part of an answer."""
     return Part(
@@ -141,6 +142,7 @@
         outcome=outcome,
         whole=whole,
         crashed=crashed,
+        crash=crash,
     )
 
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -192,6 +192,7 @@
                     outcome=Outcome.UNKNOWN,
                     whole=False,
                     crashed=True,
+                    crash=self.crashes,
                 )
                 self.hand(router, Received(agent, unknown))
             else:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -17,6 +17,7 @@
 from bulrushstream.state.effect import AppendLog, Fail, Reply
 from bulrushstream.state.event import (
     DrainStarted,
+    LogAppended,
     LogRead,
     LogRecord,
     PeerLost,
@@ -60,10 +61,15 @@
             outcome=Outcome.UNKNOWN,
             whole=False,
             crashed=True,
+            crash=attempt,
         ),
     )
 
 
+def sent_appends(router: RouterDriver) -> list[AppendLog]:
+    return [each for each in router.effects if isinstance(each, AppendLog)]
+
+
 class BoundSuite:
     @settings(max_examples=60)
     @given(
@@ -93,6 +99,14 @@
             assert isinstance(fleet.ends[f"g{index}"][0], Reply)
         assert all(len(words) == 1 for words in fleet.ends.values())
 
+    def test_re_sends_through_many_routers_fell_no_more(self) -> None:
+        """Each copy is sent when the one before has failed."""
+        fleet = RouterFleet(5, 9, Faults(log_down=True))
+        for index in range(20):
+            fleet.arrive(index * 2.0, a_poison(f"p{index}", index * 2.0, 0))
+        fleet.run(60.0)
+        assert fleet.crashes == 3
+
     def test_a_restarted_router_learns_strikes_from_the_log(self) -> None:
         fleet = RouterFleet(1, 1, Faults())
         for index in range(3):
@@ -133,7 +147,8 @@
         assert len(asks) == 1
         assert asks[0].strikes[0].fingerprint == FINGERPRINT
         assert not sent(router.pull(AGENT), Dispatch)
-        assert sent(router.wait(0.6), TrialAsk) == asks
+        again = sent(router.wait(0.6), TrialAsk)
+        assert [each.number for each in again] == [asks[0].number]
         grant = TrialGrant(FINGERPRINT, asks[0].number, ())
         router.get(peer, grant)
         assert len(sent(router.pull(AGENT), Dispatch)) == 1
@@ -181,13 +196,15 @@
         router.arrive(a_poison("a"))
         router.pull(AGENT)
         a_crash(router, "a")
+        strike = sent_appends(router)[0]
+        router.on(LogAppended(strike.token, 0))
         router.wait(1.0)
         router.pull(AGENT)
         router.up(peer)
         effects = router.get(AGENT, an_end(0, "a", 2))
         assert router.replies("a")[-1].whole
         assert sent(effects, Strikes) == [Strikes((), (FINGERPRINT,))]
-        assert any(isinstance(effect, AppendLog) for effect in effects)
+        assert b"pardons" in sent_appends(router)[1].body
         router.arrive(a_poison("b"))
         assert len(sent(router.pull(AGENT), Dispatch)) == 1
 
@@ -219,10 +236,10 @@
 class StrikeSuite:
     def test_one_crash_told_by_two_routers_counts_once(self) -> None:
         quarantine = Quarantine(QuarantineOptions())
-        assert quarantine.strike(1, "agent@1#a.1", False, 10.0)
-        assert not quarantine.strike(1, "agent@1#b.4", False, 10.2)
-        assert quarantine.strike(1, "agent@1#a.2", False, 10.3)
-        assert quarantine.strike(1, "other@1#b.1", False, 10.3)
+        assert quarantine.strike(1, "agent@1#1", False, 10.0)
+        assert not quarantine.strike(1, "agent@1#1", False, 10.2)
+        assert quarantine.strike(1, "agent@1#2", False, 10.3)
+        assert quarantine.strike(1, "agent@2#1", False, 10.3)
         assert quarantine.count(1, 10.3) == 3
 
     def test_strikes_expire(self) -> None:
