--- a/src/bulrushstream/coordination/agent.py
+++ b/src/bulrushstream/coordination/agent.py
@@ -127,9 +127,13 @@
         case PeerUp(info) if info.role is Role.ROUTER:
             return _connect(state, info, now_s)
         case PeerDown(peer):
-            _disconnect(state, peer, now_s)
+            return _disconnect(state, peer, now_s)
         case PeerLost(peer):
-            return _lose(state, peer, now_s)
+            if peer not in state.routers:
+                return _lose(state, peer, now_s)
+            # A standing connection is the better sign; if the router is
+            # gone, its end follows.
+            state.given_up.add(peer)
         case Configured(current):
             _configure(state, current)
         case DrainStarted():
@@ -199,6 +203,7 @@
 ) -> None:
     """Drop what belongs to a connection."""
     state.routers.pop(router, None)
+    state.given_up.discard(router)
     state.idle_told.pop(router, None)
     state.backlogs.drop(router)
     state.shares.silence(router)
@@ -209,10 +214,16 @@
             run.orphaned_s = now_s
 
 
-def _disconnect(state: AgentState, router: InstanceKey, now_s: float) -> None:
+def _disconnect(
+    state: AgentState, router: InstanceKey, now_s: float
+) -> list[Effect]:
     """Note that a router's connection broke."""
-    if router in state.routers:
-        _forget_router(state, router, now_s)
+    if router not in state.routers:
+        return []
+    if router in state.given_up:
+        return _lose(state, router, now_s)
+    _forget_router(state, router, now_s)
+    return []
 
 
 def _lose(
--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -91,6 +91,7 @@
     service: Service | None = None  # None until configured.
     weights: dict[str, float] = field(default_factory=dict)
     routers: dict[InstanceKey, InstanceInfo] = field(default_factory=dict)
+    given_up: set[InstanceKey] = field(default_factory=set)  # Yet here.
     runs: dict[AttemptKey, Run] = field(default_factory=dict)
     active: dict[AttemptKey, Run] = field(default_factory=dict)
     pulls: dict[int, PendingPull] = field(default_factory=dict)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 from typing import TypeVar
 
@@ -34,6 +35,7 @@
     RunHead,
     Ticked,
 )
+from bulrushstream.state.identity import InstanceKey
 from bulrushstream.state.message import (
     Ack,
     Backlog,
@@ -308,13 +310,30 @@
         stopped = any(isinstance(e, CancelRun) for e in bench.tick(2.0))
         assert stopped is idempotent
 
-    def test_a_new_incarnation_ends_the_old_one(self) -> None:
+    def test_a_lost_routers_idempotent_runs_are_stopped_at_once(
+        self,
+    ) -> None:
         bench = Bench()
         bench.get(an_attempt(idempotent=True))
         bench.do(PeerDown(ROUTER.key))
         effects = bench.do(PeerLost(ROUTER.key))
         assert CancelRun("q1", 1) in effects
 
+    def test_a_new_incarnation_ends_the_old_one(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt(idempotent=True))
+        bench.do(PeerDown(ROUTER.key))
+        again = replace(ROUTER, key=InstanceKey(ROUTER.key.instance, 2))
+        assert CancelRun("q1", 1) in bench.do(PeerUp(again))
+
+    def test_a_connected_router_is_not_lost(self) -> None:
+        bench = Bench(slots=1)
+        bench.do(PeerLost(ROUTER.key))
+        bench.waiting(("school", 1))
+        assert len(bench.sent(Pull)) == 1
+        bench.get(an_attempt(idempotent=True))
+        assert CancelRun("q1", 1) in bench.do(PeerDown(ROUTER.key))
+
 
 class PullSuite:
     def test_pulls_for_each_free_slot(self) -> None:
