Take back what was pulled ahead when another slot is free first

Random histories showed slots idle beside waiting work: an agent that had pulled ahead of the end of a long run held the request for as long as the run took, while another agent became idle. Routers now revoke such a request when another agent announces a free slot. The refusal proves that it was not started; an answer that it was started leaves it running.

A draining agent also waited 30 s for the acknowledgement of a router that was lost; it drops such answers now.

--- a/src/bulrushstream/coordination/agent.py
+++ b/src/bulrushstream/coordination/agent.py
@@ -245,6 +245,9 @@
         return give_back(state, run, RefuseReason.REVOKED, now_s)
     if run.phase is RunPhase.RUNNING and run.dispatch.idempotent:
         return stop(run, now_s)
+    if run.phase is RunPhase.ENDED and run.router not in state.routers:
+        # Nobody will acknowledge it; a drain need not wait for that.
+        forget(state, run)
     return []
 
 
--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -72,6 +72,7 @@
     workspace: str  # For whose request.
     sent_s: float  # When.
     owed: float  # What the request is expected to use, weighted.
+    ahead: bool = False  # Whether its slot is still taken.
 
 
 @dataclass(slots=True)
--- a/src/bulrushstream/coordination/attempts.py
+++ b/src/bulrushstream/coordination/attempts.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from bulrushstream.coordination import backlogs, gating, hub, settling
+from bulrushstream.coordination import backlogs, gating, hub, recall, settling
 from bulrushstream.coordination.budget import pause_s
 from bulrushstream.coordination.routing import (
     AgentView,
@@ -56,6 +56,7 @@
     if message.kind is not PartKind.END:
         tracked.exposed = True
     tracked.heard_s = now_s
+    state.ahead.pop(message.request_id, None)
     for ready in tracked.answer.accept(message):
         if ready.kind is PartKind.END:
             _acknowledge(state, tracked)
@@ -96,7 +97,7 @@
         settling.fail(state, tracked, EXPIRED, now_s)
         return
     state.decide("requeue", message.reason.name, tracked, now_s, where)
-    if message.reason is not RefuseReason.BUSY:
+    if message.reason not in (RefuseReason.BUSY, RefuseReason.REVOKED):
         tracked.tried.add(where)
         tracked.avoid_until_s = now_s + state.options.avoid_s
     if message.reason is RefuseReason.SUSPECT:
@@ -121,6 +122,8 @@
         return
     if tracked.revoked and message.outcome is not Outcome.NOT_RUN:
         return  # It was started and runs on without its caller.
+    if recall.is_too_late(state, message):
+        return
     _broken(state, tracked, message.outcome, "the answer is gone", now_s)
 
 
--- a/src/bulrushstream/coordination/dispatching.py
+++ b/src/bulrushstream/coordination/dispatching.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from bulrushstream.coordination import backlogs
+from bulrushstream.coordination import backlogs, recall
 from bulrushstream.coordination.routing import (
     AgentView,
     Phase,
@@ -80,6 +80,8 @@
     backlogs.touch(state, key)
     tracked = state.tracked[request.request_id]
     _dispatch(state, tracked, view, message.pull_id, "pulled", now_s)
+    if message.ahead:
+        state.ahead[request.request_id] = None
 
 
 def idle(
@@ -100,6 +102,7 @@
     if message.free_slots and state.queues.service_count(view.info.service):
         # It does not know of the backlog; the message may be lost.
         backlogs.tell_all(state, view, now_s)
+    recall.recall(state, view)
 
 
 def cached(state: RouterState, peer: InstanceKey, message: Cached) -> None:
--- a/src/bulrushstream/coordination/pulling.py
+++ b/src/bulrushstream/coordination/pulling.py
@@ -216,6 +216,8 @@
         sent_s=now_s,
         owed=estimate / state.weight(workspace),
     )
+    taken = len(state.active) + len(state.pulls)
+    pull.ahead = taken >= state.capacity(now_s)
     state.pulls[pull.pull_id] = pull
     state.next_pull += 1
     # A router takes a pull for the end of an announcement.
@@ -229,7 +231,7 @@
     state: AgentState, pull: PendingPull, counter: float
 ) -> list[Effect]:
     """Return the message of a pull and its decision."""
-    message = Pull(pull.pull_id, state.me.service, pull.workspace)
+    message = Pull(pull.pull_id, state.me.service, pull.workspace, pull.ahead)
     decision = Decision(
         kind="pull",
         reason=f"least served: {counter:.6g}",
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -193,6 +193,8 @@
     told: dict[QueueKey, int] = field(default_factory=dict)  # Last counts.
     dirty: set[QueueKey] = field(default_factory=set)  # Changed counts.
     pulled_s: dict[str, float] = field(default_factory=dict)  # By service.
+    ahead: dict[str, None] = field(default_factory=dict)  # Not started.
+    recalled: set[str] = field(default_factory=set)  # Asked back.
     out: deque[Effect] = field(default_factory=deque)  # Effects to hand out.
 
     @property
--- a/src/bulrushstream/coordination/settling.py
+++ b/src/bulrushstream/coordination/settling.py
@@ -9,7 +9,7 @@
 
 from typing import Final
 
-from bulrushstream.coordination import dispatching, gating, recording
+from bulrushstream.coordination import dispatching, gating, recall, recording
 from bulrushstream.coordination.routing import (
     Phase,
     RouterState,
@@ -183,6 +183,7 @@
         view = state.agents.get(tracked.agent)
         if view is not None:
             view.running.discard(request_id)
+    recall.forget(state, request_id)
     for timer in (Timer.ACK, Timer.PROBE, Timer.GRACE):
         state.timers.cancel((timer, request_id))
     tracked.agent = None
--- a/src/bulrushstream/protocol/fleet.thrift
+++ b/src/bulrushstream/protocol/fleet.thrift
@@ -49,6 +49,7 @@
   1: i64 pull_id
   2: string service_name
   3: string workspace
+  4: optional bool ahead
 }
 
 struct NoWork {
--- a/src/bulrushstream/state/message.py
+++ b/src/bulrushstream/state/message.py
@@ -114,6 +114,7 @@
     pull_id: int  # Names this pull among the agent's own.
     service: str  # The agent's service.
     workspace: str  # The workspace that is next.
+    ahead: bool = False  # Whether its slot is still taken.
 
 
 @dataclass(frozen=True, slots=True)
