--- /dev/null
+++ b/src/bulrushstream/check_command.py
@@ -0,0 +1,146 @@
+"""The command that checks random histories for a time.
+
+On a failure it prints the seed, the violations, the smallest plan that
+still fails and the steps that the cores took in it.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+from bulrushstream.history.cores import Cores
+from bulrushstream.history.fleet import TraceStep
+from bulrushstream.history.generate import random_plan
+from bulrushstream.history.harness import Run, run_plan
+from bulrushstream.history.plan import Plan
+from bulrushstream.history.real import REAL
+from bulrushstream.history.shrink import shrink
+from bulrushstream.state.effect import Decision, WakeAt
+from bulrushstream.state.event import Ticked
+from bulrushstream.state.message import (
+    Backlog,
+    Digest,
+    Served,
+)
+
+MAX_TRACE_LINES: Final = 200  # How many steps of a failure are shown.
+MAX_FIELD: Final = 160  # How long one shown value may be.
+
+Print: TypeAlias = Callable[[str], None]
+Clock: TypeAlias = Callable[[], float]
+
+
+def run_check(
+    seconds: float,
+    seed: int,
+    cores: Cores = REAL,
+    show: Print = print,
+    clock: Clock = time.monotonic,
+) -> int:
+    """Check random histories until a time is over or one fails.
+
+    :param seconds: how long, in seconds; at least one history is checked.
+    :param seed: the first history's seed; the next ones count up.
+    :param cores: the cores to drive.
+    :param show: prints a line.
+    :param clock: tells the time, in seconds.
+    :returns: the exit code: 0 if every promise held, else 1.
+    """
+    end_s = clock() + seconds
+    histories, steps, records = 0, 0, 0
+    while True:
+        run = run_plan(random_plan(seed + histories), cores)
+        histories += 1
+        steps += run.steps
+        records += len(run.history)
+        if run.violations or clock() >= end_s:
+            break
+    if run.violations:
+        _explain(run, cores, show)
+    show(
+        f"{histories} histories, {steps} steps, {records} records,"
+        f" {len(run.violations)} violations"
+    )
+    return 1 if run.violations else 0
+
+
+def _explain(run: Run, cores: Cores, show: Print) -> None:
+    """Print a failing seed and the smallest plan that still fails."""
+    show(f"seed {run.plan.seed} fails:")
+    for violation in run.violations:
+        show(f"  {violation}")
+    kinds = {violation.kind for violation in run.violations}
+
+    def fails(plan: Plan) -> bool:
+        """Return whether a plan breaks one of the same promises."""
+        found = run_plan(plan, cores).violations
+        return any(violation.kind in kinds for violation in found)
+
+    small = run_plan(shrink(run.plan, fails), cores, with_trace=True)
+    _show_plan(small.plan, show)
+    show("violations of the smallest plan:")
+    for violation in small.violations:
+        show(f"  {violation}")
+    show("steps:")
+    for line in _trace_lines(small):
+        show(f"  {line}")
+
+
+def _show_plan(plan: Plan, show: Print) -> None:
+    """Print a plan."""
+    show(
+        f"smallest plan: {plan.routers} routers, {plan.agents} agents with"
+        f" {plan.slots} slots, {plan.weather}"
+    )
+    for call in sorted(plan.calls, key=lambda call: call.at_s):
+        show(f"  {call}")
+    for fault in sorted(plan.faults, key=lambda fault: fault.at_s):
+        show(f"  {fault}")
+
+
+def _trace_lines(run: Run) -> list[str]:
+    """Return the last steps before the first violation, as lines."""
+    until_s = min(
+        (violation.at_s for violation in run.violations), default=0.0
+    )
+    steps = [step for step in run.trace if step.at_s <= until_s]
+    lines = [_trace_line(step) for step in steps if _is_telling(step)]
+    return lines[-MAX_TRACE_LINES:]
+
+
+def _is_telling(step: TraceStep) -> bool:
+    """Return whether a step helps to understand a failure."""
+    message = getattr(step.event, "message", None)
+    if isinstance(message, Backlog | Digest | Served):
+        return False
+    effects = [
+        effect
+        for effect in step.effects
+        if not isinstance(effect, WakeAt | Decision)
+    ]
+    return bool(effects) or not isinstance(step.event, Ticked)
+
+
+def _trace_line(step: TraceStep) -> str:
+    """Return one step as a line."""
+    name = f"{step.instance.instance}/{step.instance.incarnation}"
+    shown = [
+        _brief(effect)
+        for effect in step.effects
+        if not isinstance(effect, WakeAt | Decision)
+    ]
+    arrow = f" -> {'; '.join(shown)}" if shown else ""
+    return f"{step.at_s:.4f} {name} {_brief(step.event)}{arrow}"
+
+
+def _brief(value: object) -> str:
+    """Return a value as text that is not too long."""
+    message = getattr(value, "message", None)
+    if message is not None:
+        peer = getattr(value, "peer", None)
+        name = getattr(peer, "instance", "")
+        return f"{type(value).__name__} {name} {_brief(message)}"
+    text = str(value)
+    return text if len(text) <= MAX_FIELD else f"{text[:MAX_FIELD]}..."
--- a/src/bulrushstream/history/census.py
+++ b/src/bulrushstream/history/census.py
@@ -26,6 +26,7 @@
     _waiting: dict[str, str] = field(default_factory=dict)  # Workspaces.
     _counts: Counter[str] = field(default_factory=Counter)  # By workspace.
     _busy: dict[InstanceKey, int] = field(default_factory=dict)
+    _closed: set[InstanceKey] = field(default_factory=set)
     _last: tuple[int, int] = (0, 0)  # The last supply that was written.
 
     def call(self, now_s: float, request_id: str, workspace: str) -> None:
@@ -49,12 +50,14 @@
             self._change(now_s, workspace, -1)
 
     def open(self, now_s: float, agent: InstanceKey) -> None:
-        """Count the slots of an agent.
+        """Count the slots of an agent that has its first connection.
 
         :param now_s: the time.
         :param agent: which agent.
         """
-        self._busy[agent] = 0
+        if agent in self._closed:
+            return
+        self._busy.setdefault(agent, 0)
         self._write_supply(now_s)
 
     def close(self, now_s: float, agent: InstanceKey) -> None:
@@ -63,6 +66,7 @@
         :param now_s: the time.
         :param agent: which agent.
         """
+        self._closed.add(agent)
         self._busy.pop(agent, None)
         self._write_supply(now_s)
 
--- a/src/bulrushstream/history/fleet.py
+++ b/src/bulrushstream/history/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
@@ -13,6 +14,7 @@
 from bulrushstream.history.network import Network
 from bulrushstream.history.plan import Plan, PlannedCall
 from bulrushstream.history.record import (
+    CoreFailed,
     Record,
     Stopped,
 )
@@ -42,6 +44,7 @@
     Configured,
     Event,
     PeerLost,
+    PeerUp,
     RunEnd,
     Ticked,
 )
@@ -152,8 +155,6 @@
         self.network.join(info)
         if role is Role.ROUTER:
             self.store.follow(info.key)
-        else:
-            self.census.open(self.timeline.now_s, info.key)
 
     def deliver(self, to: InstanceKey, event: Event) -> None:
         """Hand an event to an instance, if that start of it still lives.
@@ -169,18 +170,31 @@
             return
         if isinstance(event, RunEnd):
             self.census.occupy(self.timeline.now_s, to, -1)
+        if isinstance(event, PeerUp) and node.info.role is Role.AGENT:
+            self.census.open(self.timeline.now_s, to)
         self._handle(node, event)
 
     def _handle(self, node: Node, event: Event) -> None:
         """Let a core take an event and carry out what it wants."""
         local_s = self.timeline.now_s + node.offset_s
-        effects = node.core.handle(event, local_s)
+        try:
+            effects = node.core.handle(event, local_s)
+        except Exception as error:
+            self._fail(node, error)
+            effects = []
         if self.trace is not None:
             now_s, key = self.timeline.now_s, node.info.key
             self.trace.append(TraceStep(now_s, key, event, tuple(effects)))
         for effect in effects:
             self._carry_out(node, effect)
 
+    def _fail(self, node: Node, error: Exception) -> None:
+        """Write down that a core raised an exception, and where."""
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        text = f"{error!r} at {frame.filename}:{frame.lineno}"
+        now_s = self.timeline.now_s
+        self.history.append(CoreFailed(now_s, node.info.key, text))
+
     def _carry_out(self, node: Node, effect: Effect) -> None:
         """Carry out one effect of a core."""
         key = node.info.key
@@ -277,8 +291,13 @@
         :param lost: who will not return.
         """
         delay_s = self.rng.uniform(*GIVE_UP_S)
-        event = PeerLost(lost)
-        self.timeline.after(delay_s, lambda: self.deliver(other, event))
+
+        def give_up() -> None:
+            """Tell it, unless it knows better from a connection."""
+            if not self.network.connected(other, lost):
+                self.deliver(other, PeerLost(lost))
+
+        self.timeline.after(delay_s, give_up)
 
     def restart_later(self, node: Node, down_s: float) -> None:
         """Start an instance again with its next incarnation.
--- a/src/bulrushstream/history/generate.py
+++ b/src/bulrushstream/history/generate.py
@@ -71,6 +71,7 @@
         loss=rng.choice((0.0, 0.02, 0.1)),
         doubled=rng.choice((0.0, 0.05, 0.2)),
         reordered=rng.choice((0.0, 0.1, 0.5)),
+        strays=rng.choice((0.0, 0.5)),
     )
 
 
--- a/src/bulrushstream/history/instances.py
+++ b/src/bulrushstream/history/instances.py
@@ -8,6 +8,7 @@
     AnswerEnded,
     Called,
     CallerGone,
+    CoreFailed,
     History,
     LeavingShown,
     Record,
@@ -93,6 +94,12 @@
             _check_stop(scan, index, record)
         case VersionInForce():
             _check_version(scan, index, record)
+        case CoreFailed():
+            kind = ViolationKind.CORE_FAILED
+            subject = record.instance.instance
+            scan.violations.append(
+                Violation(record.at_s, index, kind, subject, record.text)
+            )
         case _:
             pass
 
--- a/src/bulrushstream/history/mishaps.py
+++ b/src/bulrushstream/history/mishaps.py
@@ -79,7 +79,7 @@
     :param name: which instance.
     """
     node = fleet.nodes[name]
-    if not node.alive or node.draining:
+    if not node.alive or node.paused or node.draining:
         return
     node.draining = True
     key = node.info.key
--- a/src/bulrushstream/history/network.py
+++ b/src/bulrushstream/history/network.py
@@ -96,6 +96,19 @@
         delay_s = self.weather.delay_s
         self.weather = Weather(delay_s=delay_s, jitter_s=0.0)
 
+    def connected(self, one: InstanceKey, other: InstanceKey) -> bool:
+        """Return whether two starts of instances have a connection.
+
+        :param one: one of them.
+        :param other: the other one.
+        """
+        link = self._links.get(_pair(one.instance, other.instance))
+        return (
+            link is not None
+            and link.ends is not None
+            and (one in link.ends and other in link.ends)
+        )
+
     def send(
         self, sender: InstanceKey, to: InstanceKey, message: Message
     ) -> None:
@@ -138,9 +151,23 @@
             """Hand the message over."""
             if link.number == number:
                 self.deliver(to, Received(sender, message))
+            elif self.rng.random() < self.weather.strays:
+                self._stray(sender, to, message)
 
         self.timeline.after(at_s - now_s, arrive)
 
+    def _stray(
+        self, sender: InstanceKey, to: InstanceKey, message: Message
+    ) -> None:
+        """Hand a message over although its connection is gone.
+
+        It reaches whoever has the receiver's name by then, so that a new
+        incarnation may get what was meant for an old one.
+        """
+        info = self.infos.get(to.instance)
+        if info is not None:
+            self.deliver(info.key, Received(sender, message))
+
     def _dial_later(self, one: str, other: str) -> None:
         """Try to connect two instances after a while."""
         if one not in self.infos or other not in self.infos:
--- a/src/bulrushstream/history/plan.py
+++ b/src/bulrushstream/history/plan.py
@@ -108,6 +108,7 @@
     loss: float = 0.0  # The part of messages that is lost.
     doubled: float = 0.0  # The part that arrives twice.
     reordered: float = 0.0  # The part that others may overtake.
+    strays: float = 0.0  # Messages that outlive their connection.
     log_delay_s: float = 0.02  # The log's delay.
     log_lost_answers: float = 0.0  # Appends whose answer is lost.
     false_losses: bool = False  # Whether live peers are given up.
--- a/src/bulrushstream/history/record.py
+++ b/src/bulrushstream/history/record.py
@@ -176,6 +176,15 @@
     version: int  # The version.
 
 
+@dataclass(frozen=True, slots=True)
+class CoreFailed:
+    """A core raised an exception."""
+
+    at_s: float  # When.
+    instance: InstanceKey  # Whose core.
+    text: str  # The exception.
+
+
 Record: TypeAlias = (
     Called
     | RunStarted
@@ -193,6 +202,7 @@
     | Backlogged
     | ServiceGiven
     | VersionInForce
+    | CoreFailed
 )
 
 History: TypeAlias = Sequence[Record]
--- a/src/bulrushstream/history/violation.py
+++ b/src/bulrushstream/history/violation.py
@@ -23,6 +23,7 @@
     UNFAIR = "unfair"  # The gap between backlogged workspaces.
     IDLE_SLOT = "idle-slot"  # A slot idled while work waited.
     VERSION_FELL = "version-fell"  # A configuration version went down.
+    CORE_FAILED = "core-failed"  # A core raised an exception.
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -12,6 +12,7 @@
     Backlogged,
     Called,
     CallerGone,
+    CoreFailed,
     EndpointCrashed,
     LeavingShown,
     Record,
@@ -253,4 +254,9 @@
         K.VERSION_FELL,
         (VersionInForce(0.0, ROUTER, 4), VersionInForce(1.0, ROUTER, 3)),
     ),
+    FaultyHistory(
+        "a core raises an exception",
+        K.CORE_FAILED,
+        (CoreFailed(1.0, ROUTER, "KeyError"),),
+    ),
 )
--- /dev/null
+++ b/tests/test_histories_machine.py
@@ -0,0 +1,134 @@
+"""Random sequences of calls and faults never break a promise."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from bulrushstream.history import mishaps
+from bulrushstream.history.checker import check_history
+from bulrushstream.history.fleet import Fleet
+from bulrushstream.history.plan import Plan, PlannedCall, RunFault, Weather
+from bulrushstream.history.real import REAL
+from bulrushstream.history.violation import CheckLimits, Violation
+
+AGENTS: Final = 2
+ROUTERS: Final = 2
+LIMITS: Final = CheckLimits(answer_grace_s=3.0)
+LONGEST_TIMEOUT_S: Final = 12.0
+NAMES: Final = ("agent-0", "agent-1", "router-0", "router-1")
+
+names = st.sampled_from(NAMES)
+spans = st.sampled_from((0.001, 0.05, 0.5, 2.5, 6.0))
+weathers = st.sampled_from(
+    (
+        Weather(),
+        Weather(jitter_s=0.02, log_lost_answers=0.3, false_losses=True),
+        Weather(loss=0.1, doubled=0.2, reordered=0.5),
+    )
+)
+faults = st.sampled_from(
+    (RunFault.NONE, RunFault.NONE, RunFault.NONE, *RunFault)
+)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Calls, faults and the passing of time, in any order."""
+
+    @initialize(seed=st.integers(0, 1000), weather=weathers)
+    def start(self, seed: int, weather: Weather) -> None:
+        plan = Plan(seed, ROUTERS, AGENTS, slots=2, weather=weather)
+        self.fleet = Fleet(plan, REAL)
+        self.count = 0
+
+    @rule(
+        router=st.integers(0, ROUTERS - 1),
+        workspace=st.sampled_from(("w1", "w2")),
+        idempotent=st.booleans(),
+        run_s=st.sampled_from((0.01, 0.5, 3.0)),
+        key=st.sampled_from(("", "", "", "k1", "k2")),
+        fault=faults,
+    )
+    def call(
+        self,
+        router: int,
+        workspace: str,
+        idempotent: bool,
+        run_s: float,
+        key: str,
+        fault: RunFault,
+    ) -> None:
+        self.count += 1
+        poison = b"poison" if fault is RunFault.CRASH else b""
+        call = PlannedCall(
+            at_s=0.0,
+            request_id=f"r{self.count}",
+            router=router,
+            workspace=workspace,
+            idempotent=idempotent,
+            run_s=run_s,
+            timeout_s=LONGEST_TIMEOUT_S,
+            key=key if not poison else "",
+            body=poison or (b"keyed" if key else b""),
+            fault=fault,
+        )
+        self.fleet.call(call)
+
+    @rule(span_s=spans)
+    def wait(self, span_s: float) -> None:
+        timeline = self.fleet.timeline
+        timeline.run_until(timeline.now_s + span_s)
+
+    @rule(name=names, span_s=spans)
+    def crash(self, name: str, span_s: float) -> None:
+        mishaps.crash(self.fleet, name, span_s)
+
+    @rule(name=names, span_s=spans)
+    def pause(self, name: str, span_s: float) -> None:
+        mishaps.pause(self.fleet, name, span_s)
+
+    @rule(name=names, other=st.sampled_from(("", *NAMES)), span_s=spans)
+    def cut(self, name: str, other: str, span_s: float) -> None:
+        mishaps.cut(self.fleet, name, other, span_s)
+
+    @rule(span_s=spans)
+    def log_outage(self, span_s: float) -> None:
+        self.fleet.store.outage(span_s)
+
+    @rule(name=names)
+    def drain(self, name: str) -> None:
+        mishaps.drain(self.fleet, name)
+
+    @invariant()
+    def no_violation_so_far(self) -> None:
+        assert self.violations() == []
+
+    def violations(self) -> list[Violation]:
+        if not hasattr(self, "fleet"):
+            return []
+        return check_history(self.fleet.history, LIMITS)
+
+    def teardown(self) -> None:
+        """End all faults; every caller must have its answer."""
+        if not hasattr(self, "fleet"):
+            return
+        timeline = self.fleet.timeline
+        self.fleet.settle()
+        end_s = timeline.now_s + LONGEST_TIMEOUT_S + 2 * 6.0
+        timeline.run_until(end_s)
+        assert self.violations() == []
+        assert self.fleet.callers.waiting == {}
+
+
+FleetSuite = FleetMachine.TestCase
+FleetSuite.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None
+)
