Publish, show and compare rule lists from the command line

A lost answer is read back by the publication's id and the same record is appended again if it is not there; both copies name one base, so at most one is accepted. A publication whose outcome can not be learnt is said to be open, with the id that tells it later.

A reader that starts from a reset now knows the reset's id too; before, the publisher of a reset could not see that it was accepted.

--- a/src/bulrushstream/coordination/configcore.py
+++ b/src/bulrushstream/coordination/configcore.py
@@ -184,8 +184,12 @@
 
 def _search(state: ConfigState, entry: LogRecord) -> None:
     start = starting_point(entry)
-    if start is not None and start.version > state.found.version:
+    if start is None:
+        return
+    if start.version > state.found.version:
         state.found = start
+    if start.version == entry.offset:
+        _remember(state, judge(EMPTY_CONFIG, entry))
 
 
 def _end_search(
@@ -222,9 +226,7 @@
 ) -> list[Effect]:
     """Judge a record whose predecessors are all known."""
     judged = judge(state.current, entry)
-    state.verdicts.append(judged)
-    while len(state.verdicts) > state.options.verdicts:
-        state.verdicts.popleft()
+    _remember(state, judged)
     if judged.verdict is Verdict.REPEATED:
         _plan_checkpoint(state, now_s)
         return []
@@ -236,6 +238,12 @@
     return _adopt(state, judged.result, now_s, 0.0, "log")
 
 
+def _remember(state: ConfigState, judged: Judged) -> None:
+    state.verdicts.append(judged)
+    while len(state.verdicts) > state.options.verdicts:
+        state.verdicts.popleft()
+
+
 def _adopt(
     state: ConfigState,
     current: VersionedConfig,
--- a/src/bulrushstream/coordination/configlog.py
+++ b/src/bulrushstream/coordination/configlog.py
@@ -250,12 +250,11 @@
     config = open_record(record, EMPTY_CONFIG)
     if isinstance(config, Verdict):
         return None
-    version = record.base
     if record.kind is RecordKind.RESET:
-        version = entry.offset
-    if not 0 <= version <= entry.offset:
+        return VersionedConfig(entry.offset, config, record.digest)
+    if not 0 <= record.base < entry.offset:
         return None
-    return VersionedConfig(version, config, record.digest)
+    return VersionedConfig(record.base, config, record.digest)
 
 
 def _judge_record(
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -111,3 +111,38 @@
 NO_SERVICE: Final = Notice(
     "B217", "The rule names no service and none follows from its condition."
 )
+
+RULES_VALID: Final = Notice(
+    "B301",
+    "The list is valid: {workspaces} workspaces, {services} services, "
+    "{rules} rules.",
+)
+PUBLISHED: Final = Notice("B302", "Version {version} is accepted.")
+ALREADY_IN_FORCE: Final = Notice(
+    "B303", "Version {version} is in force and is the same."
+)
+PUBLISH_CONFLICT: Final = Notice(
+    "B304",
+    "Not published: version {version} by {author} ({note}) replaced "
+    "version {base} first.  The list differs from it in:",
+)
+NOT_PUBLISHED: Final = Notice(
+    "B305", "Not published: the log did not take the record: {why}"
+)
+PUBLISH_UNRESOLVED: Final = Notice(
+    "B306",
+    "The list may have been accepted; the log does not answer: {why}  "
+    "Run the same command with --publish_id={publish_id} to learn it.",
+)
+LOG_LOST_VERSIONS: Final = Notice(
+    "B307",
+    "Not published: the log has dropped every version.  If no instance "
+    "has one either, publish with --reset.",
+)
+LOG_UNREACHED: Final = Notice("B308", "The log can not be read: {why}")
+NO_SUCH_VERSION: Final = Notice(
+    "B309", "The log does not lead to the version: {version}."
+)
+ROUTER_NOT_TOLD: Final = Notice(
+    "B310", "Router {router} was not told; it reads the log by itself."
+)
--- a/tests/fakelog.py
+++ b/tests/fakelog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 
 from bulrushstream.protocol.platform import (
@@ -21,6 +22,7 @@
     down: bool = False  # Whether every call fails.
     lose_answers: int = 0  # Appends to come that take effect unanswered.
     drop_appends: int = 0  # Appends to come that are lost unanswered.
+    down_after_appends: int = 0  # It goes down with that append; 0: never.
     everything: dict[str, list[tuple[float, LogRecord]]] = field(
         default_factory=dict
     )  # All records ever appended, with their times.
@@ -42,12 +44,16 @@
 
     async def append(self, stream: str, body: bytes) -> int:
         """Append a record as the faults allow."""
+        await asyncio.sleep(0)
         if self.down:
             raise LogUnavailableError
         if self.drop_appends:
             self.drop_appends -= 1
             raise LogAnswerLostError
         offset = self.put(stream, body)
+        if self.down_after_appends:
+            self.down_after_appends -= 1
+            self.down = self.down_after_appends == 0
         if self.lose_answers:
             self.lose_answers -= 1
             raise LogAnswerLostError
@@ -55,6 +61,7 @@
 
     async def read(self, stream: str, offset: int, limit: int) -> LogPage:
         """Read records as the faults allow."""
+        await asyncio.sleep(0)
         if self.down:
             raise LogUnavailableError
         return self.page(stream, offset, limit)
--- /dev/null
+++ b/tests/test_publishing.py
@@ -0,0 +1,167 @@
+"""A publication's outcome is known, or said to be unknown."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushstream.coordination.configlog import (
+    STREAM,
+    encode_publish,
+    encode_reset,
+    versioned,
+)
+from bulrushstream.publishing import (
+    Accepted,
+    ConfigReader,
+    Conflict,
+    NoBase,
+    Publication,
+    Published,
+    PublishOptions,
+    Unchanged,
+    Unreached,
+    Unresolved,
+    publish,
+)
+from bulrushstream.state.config import EMPTY_CONFIG
+from tests.builders import a_rule_list
+from tests.fakelog import FakeLog
+
+FIRST = versioned(0, a_rule_list(1))
+
+
+def _log() -> FakeLog:
+    log = FakeLog(retention_s=100.0)
+    log.put(STREAM, encode_publish(EMPTY_CONFIG, FIRST.config, "first", "ann"))
+    return log
+
+
+async def _no_wait(wait_s: float) -> None:
+    assert wait_s > 0.0
+
+
+def _publish(log: FakeLog, publication: Publication) -> Published:
+    return asyncio.run(publish(log, publication, _no_wait))
+
+
+def _second(publish_id: str = "second") -> Publication:
+    return Publication(a_rule_list(2), publish_id)
+
+
+class PublishingSuite:
+    def test_accepted(self) -> None:
+        log = _log()
+        published = _publish(log, _second())
+        assert published == Accepted(versioned(1, a_rule_list(2)))
+
+    def test_the_same_list_is_not_published_again(self) -> None:
+        log = _log()
+        published = _publish(log, replace(_second(), config=FIRST.config))
+        assert published == Unchanged(FIRST)
+        assert len(log.everything[STREAM]) == 1
+
+    def test_a_stale_base_is_a_conflict_before_any_append(self) -> None:
+        log = _log()
+        log.put(STREAM, encode_publish(FIRST, a_rule_list(3), "x", "bob", "n"))
+        published = _publish(log, replace(_second(), base=0))
+        current = versioned(1, a_rule_list(3))
+        assert published == Conflict(current, 0, "bob", "n")
+        assert len(log.everything[STREAM]) == 2
+
+    def test_a_lost_answer_is_read_back(self) -> None:
+        log = _log()
+        log.lose_answers = 1
+        published = _publish(log, _second())
+        assert published == Accepted(versioned(1, a_rule_list(2)))
+        assert len(log.everything[STREAM]) == 2
+
+    def test_a_lost_append_is_repeated(self) -> None:
+        log = _log()
+        log.drop_appends = 2
+        published = _publish(log, _second())
+        assert published == Accepted(versioned(1, a_rule_list(2)))
+
+    def test_a_copy_that_arrives_late_changes_nothing(self) -> None:
+        log = _log()
+        log.drop_appends = 1
+        accepted = _publish(log, _second())
+        copy = log.everything[STREAM][-1][1].body
+        log.put(STREAM, copy)
+        reader = ConfigReader(log)
+        assert accepted == Accepted(asyncio.run(reader.read()))
+
+    def test_a_log_that_is_down_publishes_nothing(self) -> None:
+        log = _log()
+        log.down = True
+        assert isinstance(_publish(log, _second()), Unreached)
+        assert len(log.everything[STREAM]) == 1
+
+    def test_a_log_that_fails_after_the_append_leaves_it_open(self) -> None:
+        log = _log()
+        log.lose_answers = 1
+        log.down_after_appends = 1
+        assert isinstance(_publish(log, _second()), Unresolved)
+        log.down = False
+        again = _publish(log, _second())
+        assert again == Accepted(versioned(1, a_rule_list(2)))
+        assert len(log.everything[STREAM]) == 2
+
+    def test_the_id_of_a_lost_race_stays_lost(self) -> None:
+        log = _log()
+        log.put(STREAM, encode_publish(FIRST, a_rule_list(3), "x"))
+        log.put(STREAM, encode_publish(FIRST, a_rule_list(2), "second"))
+        assert isinstance(_publish(log, _second()), Conflict)
+        assert len(log.everything[STREAM]) == 3
+
+    def test_only_a_reset_follows_a_log_that_lost_everything(self) -> None:
+        log = _log()
+        log.now_s = 1000.0
+        assert _publish(log, _second()) == NoBase()
+        published = _publish(log, replace(_second(), is_reset=True))
+        assert published == Accepted(versioned(1, a_rule_list(2)))
+
+    def test_a_reset_has_the_first_lists_form(self) -> None:
+        log = FakeLog()
+        log.put(STREAM, encode_reset(a_rule_list(1)))
+        assert asyncio.run(ConfigReader(log).read()) == FIRST
+
+    @given(seed=st.integers(0, 1 << 20), count=st.integers(2, 5))
+    def test_of_racing_publishers_one_wins_each_base(
+        self, seed: int, count: int
+    ) -> None:
+        log = _log()
+        outcomes = asyncio.run(_race(log, Random(seed), count))
+        current = asyncio.run(ConfigReader(log).read())
+        accepted = [o for o in outcomes if isinstance(o, Accepted)]
+        versions = [o.current.version for o in accepted]
+        assert len(set(versions)) == len(versions)
+        assert current.version == max([0, *versions])
+        if not any(isinstance(o, Unresolved) for o in outcomes):
+            assert accepted
+
+
+async def _race(
+    log: FakeLog, rng: Random, count: int
+) -> tuple[Published, ...]:
+    """Publish from one base at once, with faults between the steps."""
+
+    async def disturb(_: float) -> None:
+        log.down = rng.random() < 0.2
+        log.lose_answers = rng.randrange(3)
+        log.drop_appends = rng.randrange(2)
+        await asyncio.sleep(0)
+
+    async def one(number: int) -> Published:
+        for _ in range(rng.randrange(4)):
+            await asyncio.sleep(0)
+        publication = Publication(a_rule_list(number), f"p{number}", base=0)
+        options = PublishOptions(attempts=50)
+        return await publish(log, publication, disturb, options)
+
+    tasks = [one(number) for number in range(2, 2 + count)]
+    return tuple(await asyncio.gather(*tasks))
