--- a/src/bulrushstream/transport/admission.py
+++ b/src/bulrushstream/transport/admission.py
@@ -7,11 +7,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 import re
-from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 from urllib.parse import unquote
 
 from expression import Error, Ok, Result
@@ -25,7 +23,6 @@
     authenticate,
     match,
 )
-from bulrushstream.messages import Notice
 from bulrushstream.protocol.prompt import (
     ChatBody,
     decode_chat,
@@ -34,6 +31,8 @@
 )
 from bulrushstream.state.config import ServiceUnit
 from bulrushstream.state.request import Headers, Request
+from bulrushstream.transport.incoming import BodyLimits as BodyLimits
+from bulrushstream.transport.incoming import Incoming, Refusal, find_header
 from bulrushstream.transport.port import RouterPort
 
 CHAT_PATH: Final = "/v1/chat/completions"
@@ -69,97 +68,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a request is not admitted."""
-
-    notice: Notice  # The kind of refusal.
-    detail: str = ""  # The notice's text with its values.
-    retry_after_s: float = 0.0  # When to come back; 0: not said.
-    close: bool = False  # Whether the body was left unread.
-
-
-@dataclass(frozen=True, slots=True)
-class BodyLimits:
-    """What callers' bodies may take."""
-
-    max_body_bytes: int = 4 << 20  # One body.
-    max_reading_bytes: int = 64 << 20  # All bodies that are being read.
-    read_timeout_s: float = 30.0  # From the head to the body's end.
-
-
-@dataclass(slots=True)
-class ReadingState:
-    """The bodies that are being read."""
-
-    reading_bytes: int = 0  # What they hold together.
-
-
-@dataclass(frozen=True, slots=True)
-class Incoming:
-    """A caller's request with its whole body."""
-
-    method: str  # The HTTP method.
-    path: str  # The path as the caller sent it.
-    query: str  # The query; empty: none.
-    headers: Headers  # All headers, names in lower case.
-    body: bytes  # The body.
-
-
-async def read_incoming(
-    scope: Any, receive: Any, limits: BodyLimits, state: ReadingState
-) -> Result[Incoming, Refusal] | None:
-    """Read a caller's request.
-
-    :param scope: The ASGI scope.
-    :param receive: The ASGI receive function.
-    :param limits: What bodies may take.
-    :param state: The bodies that are being read.
-    :returns: The request or a refusal; None: the caller left.
-    """
-    headers = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in scope["headers"]
-    )
-    too_large = _refuse_large(limits)
-    length = find_header(headers, "content-length")
-    if length.isdigit() and int(length) > limits.max_body_bytes:
-        return Error(too_large)
-    held = 0
-    pieces: list[bytes] = []
-    try:
-        async with asyncio.timeout(limits.read_timeout_s):
-            while True:
-                message = await receive()
-                if message["type"] != "http.request":
-                    return None
-                piece = message["body"]
-                held += len(piece)
-                state.reading_bytes += len(piece)
-                if held > limits.max_body_bytes:
-                    return Error(too_large)
-                if state.reading_bytes > limits.max_reading_bytes:
-                    return Error(Refusal(messages.MEMORY_FULL, "", 1.0, True))
-                pieces.append(piece)
-                if not message["more_body"]:
-                    break
-    except TimeoutError:
-        notice = messages.READ_TIMEOUT
-        text = notice.format(timeout_s=limits.read_timeout_s)
-        return Error(Refusal(notice, text, close=True))
-    finally:
-        state.reading_bytes -= held
-    return Ok(
-        Incoming(
-            scope["method"],
-            scope["raw_path"].decode("ascii"),
-            scope["query_string"].decode("ascii"),
-            headers,
-            b"".join(pieces),
-        )
-    )
-
-
 def admit(incoming: Incoming, port: RouterPort) -> Result[Request, Refusal]:
     """Decide how a request is treated.
 
@@ -233,19 +141,6 @@
     return "." in segments or ".." in segments
 
 
-def find_header(headers: Headers, name: str) -> str:
-    """Return the first value of a header, or an empty string.
-
-    :param headers: The headers, names in lower case.
-    :param name: The name in lower case.
-    :returns: The value.
-    """
-    for key, value in headers:
-        if key == name:
-            return value
-    return ""
-
-
 def _decide(
     index: ConfigIndex,
     incoming: Incoming,
@@ -364,13 +259,6 @@
     return value if math.isfinite(value) and value > 0 else 0.0
 
 
-def _refuse_large(limits: BodyLimits) -> Refusal:
-    """Return the refusal of a body that is too large."""
-    notice = messages.BODY_TOO_LARGE
-    text = notice.format(limit_bytes=limits.max_body_bytes)
-    return Refusal(notice, text, close=True)
-
-
 def _refuse_malformed(why: str) -> Refusal:
     """Return the refusal of a request that can not be read."""
     notice = messages.BAD_REQUEST
--- a/src/bulrushstream/transport/callers.py
+++ b/src/bulrushstream/transport/callers.py
@@ -19,19 +19,19 @@
 from litestar.types import Receive, Scope, Send
 
 from bulrushstream.state.request import Outcome, Request
-from bulrushstream.transport.admission import (
-    BodyLimits,
-    ReadingState,
-    Refusal,
-    admit,
-    read_incoming,
-)
+from bulrushstream.transport.admission import admit
 from bulrushstream.transport.answering import (
     AnswerState,
     Sent,
     send_answer,
     send_problem,
 )
+from bulrushstream.transport.incoming import (
+    BodyLimits,
+    ReadingState,
+    Refusal,
+    read_incoming,
+)
 from bulrushstream.transport.port import AnswerQueue, Gone, RouterPort
 from bulrushstream.transport.problem import encode_problem, problem_headers
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -13,8 +13,8 @@
 from bulrushstream.state.effect import Fail, Reply
 from bulrushstream.state.message import Part, PartKind
 from bulrushstream.state.request import Outcome, Request
-from bulrushstream.transport.admission import BodyLimits
 from bulrushstream.transport.callers import CallersOptions, Exchange
+from bulrushstream.transport.incoming import BodyLimits
 from bulrushstream.transport.port import (
     AnswerItem,
     AnswerQueue,
