Daemons, local fleet, demo and command line: the whole path

An OpenAI client gets JSON and streamed answers, and a caller that leaves cancels its run at the engine.

--- /dev/null
+++ b/src/bulrushstream/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets and cores and make a process of them."""
--- /dev/null
+++ b/src/bulrushstream/daemon/driver.py
@@ -0,0 +1,125 @@
+"""The task that owns an instance's cores.
+
+Other tasks *post* events; the driver hands each event to every core, in
+the order of posting, and has the effects carried out.  A core that asked
+to be woken gets a tick of its own when its time comes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from bulrushstream.state.effect import Effect, WakeAt
+from bulrushstream.state.event import Event, Ticked
+
+# After so many events in a row other tasks get a turn.
+_BATCH_EVENTS: Final = 64
+
+Handle = Callable[[Event, float], list[Effect]]
+
+
+@dataclass(frozen=True, slots=True)
+class Core:
+    """One core: a handle function bound to its state."""
+
+    name: str  # Names it in errors.
+    handle: Handle  # Takes an event and the time, gives effects.
+
+
+@dataclass(slots=True)
+class _Waking:
+    """When a core is to be woken."""
+
+    core: Core  # Which core.
+    at_s: float | None = None  # When; None: it has not asked.
+    timer: asyncio.TimerHandle | None = None  # What wakes it.
+
+
+class Driver:
+    """Owner of the cores of one instance."""
+
+    _cores: list[_Waking]  # The cores, in the order of their turn.
+    _inbox: deque[tuple[Event, _Waking | None]]  # Events, and for whom.
+    _awake: asyncio.Event  # Set while the inbox holds events.
+
+    def __init__(
+        self,
+        cores: Sequence[Core],
+        carry_out: Callable[[Effect], None],
+        clock: Callable[[], float],
+    ) -> None:
+        """Take over cores.
+
+        :param cores: the cores; nothing else may touch their states
+        :param carry_out: does what a core wants; must not block
+        :param clock: the monotonic time in seconds
+        """
+        self._cores = [_Waking(core) for core in cores]
+        self._carry_out = carry_out
+        self._clock = clock
+        self._inbox = deque()
+        self._awake = asyncio.Event()
+
+    def post(self, event: Event) -> None:
+        """Put an event into the inbox.
+
+        :param event: what happened; every core is told
+        """
+        self._inbox.append((event, None))
+        self._awake.set()
+
+    async def run(self) -> None:
+        """Hand events to the cores until cancelled."""
+        try:
+            while True:
+                await self._awake.wait()
+                for _ in range(min(len(self._inbox), _BATCH_EVENTS)):
+                    event, waking = self._inbox.popleft()
+                    self._hand_out(event, waking)
+                if not self._inbox:
+                    self._awake.clear()
+                await asyncio.sleep(0)
+        finally:
+            for waking in self._cores:
+                if waking.timer is not None:
+                    waking.timer.cancel()
+
+    def _hand_out(self, event: Event, only: _Waking | None) -> None:
+        """Hand one event to the cores that it is for."""
+        for waking in self._cores:
+            if only is None or only is waking:
+                now_s = self._clock()
+                for effect in waking.core.handle(event, now_s):
+                    self._take(waking, effect)
+
+    def _take(self, waking: _Waking, effect: Effect) -> None:
+        """Carry an effect out, or set the core's timer."""
+        if isinstance(effect, WakeAt):
+            self._wake_at(waking, effect.at_s)
+        else:
+            self._carry_out(effect)
+
+    def _wake_at(self, waking: _Waking, at_s: float) -> None:
+        """Set a core's timer unless it rings earlier anyway."""
+        if waking.at_s is not None and waking.at_s <= at_s:
+            return
+        if waking.timer is not None:
+            waking.timer.cancel()
+            waking.timer = None
+        waking.at_s = at_s
+        if at_s == float("inf"):
+            return
+        loop = asyncio.get_running_loop()
+        delay_s = max(0.0, at_s - self._clock())
+        waking.timer = loop.call_later(delay_s, self._ring, waking)
+
+    def _ring(self, waking: _Waking) -> None:
+        """Post a tick for one core."""
+        waking.at_s = None
+        waking.timer = None
+        self._inbox.append((Ticked(), waking))
+        self._awake.set()
--- /dev/null
+++ b/src/bulrushstream/daemon/port.py
@@ -0,0 +1,92 @@
+"""The callers' front's way to the router core."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+
+from bulrushstream.coordination.matching import ConfigIndex
+from bulrushstream.state.effect import Fail, Reply
+from bulrushstream.state.event import Arrived, CallerLeft, Event
+from bulrushstream.state.message import PartKind
+from bulrushstream.state.request import Request
+from bulrushstream.transport.port import AnswerQueue
+
+_ID_BYTES = 6
+
+
+class CallersPort:
+    """The answers that callers wait for; a `RouterPort`."""
+
+    index: ConfigIndex | None  # The configuration; None: none yet.
+    closed: bool  # Whether no new work is taken.
+    _answers: dict[str, AnswerQueue]  # Callers that wait, by request.
+    _prefix: str  # Random, so that no two starts share request ids.
+    _count: int  # Requests so far.
+
+    def __init__(
+        self, post: Callable[[Event], None], clock: Callable[[], float]
+    ) -> None:
+        """Make a port that nobody waits at.
+
+        :param post: takes events for the core
+        :param clock: the router's monotonic time in seconds
+        """
+        self.index = None
+        self.closed = False
+        self._post = post
+        self._clock = clock
+        self._answers = {}
+        self._prefix = secrets.token_hex(_ID_BYTES)
+        self._count = 0
+
+    @property
+    def waiting(self) -> int:
+        """Return how many callers wait for the rest of an answer."""
+        return len(self._answers)
+
+    def unfinished(self) -> list[str]:
+        """Return the requests of callers that wait."""
+        return list(self._answers)
+
+    def now(self) -> float:
+        """Return the router's monotonic time; see `RouterPort`."""
+        return self._clock()
+
+    def config(self) -> ConfigIndex | None:
+        """Return the configuration in force; see `RouterPort`."""
+        return self.index
+
+    def draining(self) -> bool:
+        """Return whether no new work is taken; see `RouterPort`."""
+        return self.closed
+
+    def new_request_id(self) -> str:
+        """Return a new id; see `RouterPort`."""
+        self._count += 1
+        return f"{self._prefix}{self._count:08x}"
+
+    def submit(self, request: Request) -> AnswerQueue:
+        """Hand a request to the core; see `RouterPort`."""
+        queue = AnswerQueue()
+        self._answers[request.request_id] = queue
+        self._post(Arrived(request))
+        return queue
+
+    def cancel(self, request_id: str) -> None:
+        """Tell the core that a caller left; see `RouterPort`."""
+        if self._answers.pop(request_id, None) is not None:
+            self._post(CallerLeft(request_id))
+
+    def give(self, effect: Reply | Fail) -> None:
+        """Give a caller the next piece of its answer.
+
+        :param effect: the piece, from the core
+        """
+        queue = self._answers.get(effect.request_id)
+        if queue is None:
+            return
+        queue.put(effect)
+        ended = isinstance(effect, Fail) or effect.part.kind is PartKind.END
+        if ended:
+            del self._answers[effect.request_id]
--- /dev/null
+++ b/src/bulrushstream/daemon/router.py
@@ -0,0 +1,156 @@
+"""The router's process: callers in front, agents behind."""
+
+from __future__ import annotations
+
+from bulrushstream.coordination.matching import ConfigIndex
+from bulrushstream.coordination.options import RouterOptions
+from bulrushstream.coordination.router import handle, new_router
+from bulrushstream.daemon.base import Instance, Surroundings, new_incarnation
+from bulrushstream.daemon.driver import Core
+from bulrushstream.daemon.port import CallersPort
+from bulrushstream.daemon.status import RouterStatus
+from bulrushstream.metrics import count_exchange, set_queued
+from bulrushstream.settings import RouterSettings
+from bulrushstream.state.config import VersionedConfig
+from bulrushstream.state.effect import Effect, Fail, Reply
+from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
+from bulrushstream.transport.admission import BodyLimits
+from bulrushstream.transport.callers import CallersOptions, make_callers
+from bulrushstream.transport.server import Server, ServerLimits
+
+
+class RouterInstance(Instance):
+    """One router and its callers' front."""
+
+    port: CallersPort  # The front's way to the core.
+    server: Server  # Where callers connect.
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        around: Surroundings,
+        options: RouterOptions | None = None,
+    ) -> None:
+        """Make a router that runs nothing yet.
+
+        :param settings: its checked settings
+        :param around: what else it is given
+        :param options: its core's options; None: from the settings
+        """
+        host = settings.advertised_host or settings.peers.host
+        me = InstanceInfo(
+            key=InstanceKey(settings.instance, new_incarnation()),
+            role=Role.ROUTER,
+            region=settings.region,
+            availability_zone=settings.availability_zone,
+            host=host,
+            port=settings.peers.port,
+        )
+        super().__init__(me, settings.platform, around)
+        self._settings = settings
+        self.port = CallersPort(
+            lambda event: self.driver.post(event), self.clock
+        )
+        limits = settings.limits
+        self.core = new_router(
+            me,
+            options or RouterOptions(max_tracked_bytes=limits.queue_bytes),
+            self.rng,
+            self.clock(),
+        )
+        self.callers = make_callers(
+            self.port,
+            CallersOptions(
+                body_limits=BodyLimits(
+                    max_body_bytes=limits.body_bytes,
+                    read_timeout_s=limits.read_timeout_s,
+                ),
+                observe=lambda exchange: count_exchange(
+                    around.metrics, exchange
+                ),
+            ),
+        )
+        self.server = Server(
+            self.callers.asgi,
+            settings.callers.host,
+            settings.callers.port,
+            ServerLimits(
+                max_connections=limits.connections,
+                max_header_bytes=limits.header_bytes,
+                header_timeout_s=limits.read_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+            ),
+        )
+
+    async def start(self) -> None:
+        """Listen, and start every task."""
+        self.start_cores(
+            Core(
+                "router",
+                lambda event, now_s: handle(self.core, event, now_s),
+            ),
+            self._carry_out_own,
+        )
+        await self.listen(self._settings.peers.host, self.me.port)
+        await self.server.start()
+        await self.start_operators(self._settings.operators)
+        self.start_platform()
+        options = self.core.options
+        for stream in (options.claims.stream, options.strikes_stream):
+            self.follow(stream)
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a caller still waits for its answer."""
+        return bool(self.port.waiting) or not self.core.idle
+
+    def read_metrics(self) -> bytes:
+        """Return the metrics with what waits now; see `Instance`."""
+        queues = self.core.queues
+        waiting = {
+            (key.service, key.workspace): queues.counts(key).total
+            for key in queues.queue_keys()
+        }
+        set_queued(self.around.metrics, waiting, queues.size_bytes)
+        return super().read_metrics()
+
+    def status(self) -> RouterStatus:
+        """Return what operators ask to see; see `Instance`."""
+        return RouterStatus(
+            common=self.common_status(),
+            waiting=len(self.core.queues),
+            waiting_bytes=self.core.queues.size_bytes,
+            unanswered=self.port.waiting,
+        )
+
+    def unfinished(self) -> list[str]:
+        """Return the requests whose callers wait; see `Instance`."""
+        return self.port.unfinished()
+
+    async def stop(self, limit_s: float) -> bool:
+        """Drain and stop.
+
+        :param limit_s: the longest wait for what runs, in seconds
+        :returns: whether every request ended by then
+        """
+        self.port.closed = True
+        whole = await self.drain(limit_s)
+        await self.server.stop()
+        await self.close()
+        return whole
+
+    async def kill(self) -> None:
+        """Drop everything at once, as a lost process would."""
+        await self.server.stop(grace_s=0.0)
+        await super().kill()
+
+    def configured(self, current: VersionedConfig) -> None:
+        """Make the configuration ready for matching; see `Instance`."""
+        self.port.index = ConfigIndex(current)
+
+    def _carry_out_own(self, effect: Effect) -> bool:
+        """Give callers their answers."""
+        if not isinstance(effect, Reply | Fail):
+            return False
+        self.port.give(effect)
+        return True
--- a/src/bulrushstream/load/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""An open-loop load generator whose callers check their answers."""
--- /dev/null
+++ b/src/bulrushstream/measure/table.py
@@ -0,0 +1,52 @@
+"""Tables and percentiles for what measurements print."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+
+Cell = float | int | str | tuple[float, ...]
+
+
+def percentile(values: Sequence[float], percent: float) -> float:
+    """Return a percentile by the nearest rank.
+
+    :param values: any values, in any order
+    :param percent: 0 to 100
+    :returns: one of the values; NaN if there is none
+    """
+    if not values:
+        return math.nan
+    ranked = sorted(values)
+    rank = math.ceil(percent / 100 * len(ranked))
+    return ranked[max(rank, 1) - 1]
+
+
+def print_table(
+    columns: Sequence[str], rows: Mapping[str, Sequence[Cell]]
+) -> None:
+    """Print rows under a head.
+
+    :param columns: the names of the columns
+    :param rows: the cells by the name of the row
+    """
+    names = ["", *columns]
+    body = [[name, *map(_text, cells)] for name, cells in rows.items()]
+    widths = [
+        max(map(len, column)) for column in zip(names, *body, strict=True)
+    ]
+    for line in [names, *body]:
+        cells = [
+            cell.ljust(width) if place == 0 else cell.rjust(width)
+            for place, (cell, width) in enumerate(
+                zip(line, widths, strict=True)
+            )
+        ]
+        print("  ".join(cells).rstrip())
+
+
+def _text(cell: Cell) -> str:
+    """Return a cell as text."""
+    if isinstance(cell, tuple):
+        return "/".join(map(_text, cell)) or "-"
+    return f"{cell:.3g}" if isinstance(cell, float) else str(cell)
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -178,17 +178,22 @@
 
 
 def count_message(
-    metrics: Metrics, direction: str, kind: str, size_bytes: int
+    metrics: Metrics,
+    direction: str,
+    kind: str,
+    size_bytes: int,
+    messages: int = 1,
 ) -> None:
-    """Count a message between instances.
+    """Count messages between instances.
 
     :param metrics: The metrics of an instance.
     :param direction: `in` or `out`.
     :param kind: The kind of message.
-    :param size_bytes: Its length on the wire.
+    :param size_bytes: Their length on the wire.
+    :param messages: How many there were.
     """
     metrics.control_bytes.labels(direction, kind).inc(size_bytes)
-    metrics.control_messages.labels(direction, kind).inc()
+    metrics.control_messages.labels(direction, kind).inc(messages)
 
 
 def set_queued(
--- a/src/bulrushstream/transport/mesh.py
+++ b/src/bulrushstream/transport/mesh.py
@@ -14,7 +14,7 @@
 import ssl
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from bulrushstream.state.event import Event, PeerDown, PeerUp, Received
@@ -37,12 +37,38 @@
     client_tls: ssl.SSLContext | None = None  # TLS for whom we dial.
 
 
+@dataclass(slots=True)
+class Traffic:
+    """What went one way over a mesh's links, by kind of message."""
+
+    size_bytes: Counter[str] = field(default_factory=Counter)
+    messages: Counter[str] = field(default_factory=Counter)
+
+    def add(self, message: Message, size_bytes: int) -> None:
+        """Count one message.
+
+        :param message: the message
+        :param size_bytes: the length of its frame
+        """
+        kind = type(message).__name__
+        self.size_bytes[kind] += size_bytes
+        self.messages[kind] += 1
+
+    def control_bytes(self) -> int:
+        """Return the bytes that carry no payload."""
+        return sum(
+            count
+            for kind, count in self.size_bytes.items()
+            if kind not in _DATA_KINDS
+        )
+
+
 class Mesh:
     """The links of one instance."""
 
     links: dict[InstanceKey, Link]  # The links that are up.
-    sent_bytes: Counter[str]  # Bytes sent, by kind of message.
-    received_bytes: Counter[str]  # Bytes received, by kind of message.
+    sent: Traffic  # What was sent, heartbeats left out.
+    received: Traffic  # What was received, heartbeats left out.
     _open: set[Link]  # Every link, up or not.
     _dialling: dict[str, asyncio.Task[None]]  # By the peer's name.
     _server: asyncio.Server | None  # Where peers dial us.
@@ -68,8 +94,8 @@
         :param delay_for: a delay to add, for measurements on one machine
         """
         self.links = {}
-        self.sent_bytes = Counter()
-        self.received_bytes = Counter()
+        self.sent = Traffic()
+        self.received = Traffic()
         self._me = me
         self._options = options
         self._deliver = deliver
@@ -122,17 +148,7 @@
         """
         link = self.links.get(peer)
         if link is not None:
-            kind = type(message).__name__
-            self.sent_bytes[kind] += link.send(message)
-
-    def control_bytes(self) -> int:
-        """Return the bytes sent and received that carry no payload."""
-        return sum(
-            count
-            for counter in (self.sent_bytes, self.received_bytes)
-            for kind, count in counter.items()
-            if kind not in _DATA_KINDS
-        )
+            self.sent.add(message, link.send(message))
 
     def cut(self, instance: str) -> None:
         """Cut the links to a peer at once, as a broken network would.
@@ -183,7 +199,7 @@
         peer = link.peer
         if peer is None or self.links.get(peer.key) is not link:
             return
-        self.received_bytes[type(message).__name__] += size
+        self.received.add(message, size)
         self._deliver(Received(peer.key, message))
 
     def link_down(self, link: Link, why: str) -> None:
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,83 @@
+"""An ordinary OpenAI-style client as a caller of a local fleet."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from openai import APIStatusError, AsyncOpenAI
+
+from bulrushstream.commands.demo import demo_plan
+from bulrushstream.local.fleet import LocalFleet, run_fleet
+from bulrushstream.standins.answer import expected_text
+
+MESSAGE = "Draft a proof note for 200 mugs."
+
+
+@asynccontextmanager
+async def fleet_and_client(
+    token: str,
+) -> AsyncIterator[tuple[LocalFleet, AsyncOpenAI]]:
+    async with run_fleet(demo_plan()) as fleet:
+        url = f"{fleet.routers['router-0'].server.url}/v1"
+        async with AsyncOpenAI(
+            base_url=url, api_key=token, max_retries=0
+        ) as client:
+            yield fleet, client
+
+
+class ClientSuite:
+    async def test_json_and_streamed_answers(self) -> None:
+        async with fleet_and_client("demo-club") as (_, client):
+            answer = await client.chat.completions.create(
+                model="proofwriter",
+                messages=[{"role": "user", "content": MESSAGE}],
+                max_tokens=12,
+            )
+            stream = await client.chat.completions.create(
+                model="proofwriter",
+                messages=[{"role": "user", "content": MESSAGE}],
+                max_tokens=12,
+                stream=True,
+            )
+            pieces = [
+                chunk.choices[0].delta.content or ""
+                async for chunk in stream
+                if chunk.choices
+            ]
+        wanted = expected_text(MESSAGE, 12)
+        assert answer.choices[0].message.content == wanted
+        assert "".join(pieces) == wanted
+
+    async def test_a_wrong_token_is_refused_and_not_run(self) -> None:
+        async with fleet_and_client("wrong") as (_, client):
+            try:
+                await client.chat.completions.create(
+                    model="proofwriter",
+                    messages=[{"role": "user", "content": MESSAGE}],
+                )
+            except APIStatusError as error:
+                refusal = error
+            headers = refusal.response.headers
+            assert refusal.status_code == 401
+            assert headers["bulrushstream-execution"] == "not-run"
+
+    async def test_a_caller_that_leaves_cancels_its_run(self) -> None:
+        async with fleet_and_client("demo-club") as (fleet, client):
+            stream = await client.chat.completions.create(
+                model="proofwriter",
+                messages=[{"role": "user", "content": MESSAGE}],
+                max_tokens=5000,
+                stream=True,
+            )
+            await anext(aiter(stream))
+            await stream.close()
+            async with asyncio.timeout(20):
+                while not cancelled_runs(fleet):
+                    await asyncio.sleep(0.01)
+
+
+def cancelled_runs(fleet: LocalFleet) -> int:
+    states = [endpoint.app.state for endpoint in fleet.endpoints.values()]
+    return sum(getattr(state, "cancelled", 0) for state in states)
--- a/tests/test_rulefile.py
+++ b/tests/test_rulefile.py
@@ -9,7 +9,14 @@
 from bulrushstream import rulefile, settings
 from bulrushstream.jsonc import Place, parse
 
-EXAMPLES = Path(__file__).parent.parent / "examples"
+ROOT = Path(__file__).parent.parent
+EXAMPLES = ROOT / "examples"
+# Each rule list that ships, with how many workspaces it has.
+SHIPPED = [
+    ("examples/kowhai/rules.json", 16),
+    ("examples/lantern-path/rules.json", 16),
+    ("src/bulrushstream/local/demo-rules.json", 4),
+]
 
 # Each text with the findings that it must give: line, column, code, path.
 FAULTY_RULES = [
@@ -75,12 +82,12 @@
         found = [(f.line, f.column, f.code, f.path) for f in result.error]
         assert found == expected
 
-    @pytest.mark.parametrize("name", ["demo", "kowhai", "lantern-path"])
-    def test_reads_the_example(self, name: str) -> None:
-        result = rulefile.read_rule_file(str(EXAMPLES / name / "rules.json"))
+    @pytest.mark.parametrize(("path", "workspaces"), SHIPPED)
+    def test_reads_what_ships(self, path: str, workspaces: int) -> None:
+        result = rulefile.read_rule_file(str(ROOT / path))
         assert result.is_ok(), result.error
         config = result.ok
-        assert len(config.workspaces) == (4 if name == "demo" else 16)
+        assert len(config.workspaces) == workspaces
         assert {s.kind for s in config.services} == {"model", "plain"}
 
     def test_a_missing_file_is_a_finding(self) -> None:
