Send an unacknowledged end again; shorten the path of a piece

Cause: with lost acknowledgements a draining agent waited 30 s for one, and every piece of an answer went through the whole round of decisions.

--- a/src/bulrushstream/coordination/agent.py
+++ b/src/bulrushstream/coordination/agent.py
@@ -97,6 +97,8 @@
     :returns: What to do, in order.
     """
     effects = _apply(state, event, now_s)
+    if _is_quiet(event):
+        return effects
     if now_s - state.checked_s >= state.options.tick_s:
         effects += _check_times(state, now_s)
     effects += start_held(state, now_s)
@@ -109,6 +111,19 @@
     return effects
 
 
+def _is_quiet(event: Event) -> bool:
+    """Return whether an event can free no slot and bring no work.
+
+    Most events are pieces of answers, so that their path has to be short;
+    what else is due waits for the next tick.
+    """
+    match event:
+        case RunBody() | RunHead() | Received(_, Ack() | Digest() | Floor()):
+            return True
+        case _:
+            return False
+
+
 def _apply(state: AgentState, event: Event, now_s: float) -> list[Effect]:
     """Do what an event itself asks for."""
     match event:
@@ -306,9 +321,7 @@
     """Act on one run that has taken too long."""
     options = state.options
     if run.phase is RunPhase.ENDED:
-        if now_s - run.ended_s >= options.answer_keep_s:
-            forget(state, run)
-        return []
+        return _check_ended(state, run, now_s)
     if run.phase is RunPhase.HELD and now_s >= run.deadline_s:
         return give_back(state, run, RefuseReason.EXPIRED, now_s)
     if run.cancelled_s is not None:
@@ -323,6 +336,25 @@
     return []
 
 
+def _check_ended(state: AgentState, run: Run, now_s: float) -> list[Effect]:
+    """Forget an answer that nobody fetches, or send its end again.
+
+    A router acknowledges an end that it has no use for, and asks for what
+    it lacks before one that it has, so the end alone is enough.
+    """
+    options = state.options
+    since_s = now_s - run.ended_s
+    away = run.orphaned_s is not None
+    hurried = state.draining and away
+    keep_s = options.resume_grace_s if hurried else options.answer_keep_s
+    if since_s >= keep_s:
+        forget(state, run)
+        return []
+    if away or since_s < options.resend_s or not run.buffer.parts:
+        return []
+    return [Send(run.router, run.buffer.parts[-1])]
+
+
 def _wake(state: AgentState, now_s: float) -> list[Effect]:
     """Ask for the next tick, unless an earlier one was asked for."""
     times = [report_due_s(state)]
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -234,6 +234,19 @@
         bench.do(end())
         assert bench.sent(Part)[0].sequence == 5
 
+    def test_sends_an_end_again_until_it_is_acknowledged(self) -> None:
+        bench = Bench()
+        bench.get(an_attempt())
+        bench.answer()
+        bench.do(end())
+        bench.tick(0.5)
+        assert bench.sent(Part) == []
+        bench.tick(1.0)
+        assert [part.sequence for part in bench.sent(Part)] == [2]
+        bench.get(Ack("q1", 1, 3))
+        bench.tick(1.0)
+        assert bench.sent(Part) == []
+
     def test_an_unknown_attempt_becomes_impossible(self) -> None:
         bench = Bench()
         bench.get(Resume("q1", 1, 0))
