--- a/src/bulrushstream/coordination/agent.py
+++ b/src/bulrushstream/coordination/agent.py
@@ -13,6 +13,8 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 from bulrushstream.coordination.agentstate import (
     NEVER_S,
     AgentOptions,
@@ -337,10 +339,10 @@
 
 
 def _check_ended(state: AgentState, run: Run, now_s: float) -> list[Effect]:
-    """Forget an answer that nobody fetches, or send its end again.
+    """Forget an answer that nobody fetches, or send its rest again.
 
-    A router acknowledges an end that it has no use for, and asks for what
-    it lacks before one that it has, so the end alone is enough.
+    The first parts that lack an acknowledgement go, since the router may
+    wait for one of them; its next acknowledgement shows what is left.
     """
     options = state.options
     since_s = now_s - run.ended_s
@@ -350,9 +352,11 @@
     if since_s >= keep_s:
         forget(state, run)
         return []
-    if away or since_s < options.resend_s or not run.buffer.parts:
+    if away or now_s - max(run.ended_s, run.resent_s) < options.resend_s:
         return []
-    return [Send(run.router, run.buffer.parts[-1])]
+    run.resent_s = now_s
+    parts = islice(run.buffer.parts, options.resend_parts)
+    return [Send(run.router, part) for part in parts]
 
 
 def _wake(state: AgentState, now_s: float) -> list[Effect]:
--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -51,7 +51,8 @@
     relief_requests: float = 1000.0  # Average requests one may be ahead.
     resume_grace_s: float = 10.0  # Runs wait for a lost router.
     answer_keep_s: float = 30.0  # Ended answers wait for an ack.
-    resend_s: float = 1.0  # Then an end without an ack is sent again.
+    resend_s: float = 1.0  # Then an ended answer's rest is sent again.
+    resend_parts: int = 64  # How many parts of it at once.
     replay_limit_bytes: int = 16 * 2**20  # Parts kept for all answers.
     attempt_keep_s: float = 300.0  # Fates of attempts are remembered.
     attempt_limit: int = 2**16  # How many fates are remembered.
--- a/src/bulrushstream/state/run.py
+++ b/src/bulrushstream/state/run.py
@@ -33,6 +33,7 @@
     accrued_s: float = 0.0  # Up to when its seconds were counted.
     cost: float = 0.0  # What it used so far, in service units.
     ended_s: float = 0.0  # When it ended.
+    resent_s: float = 0.0  # When its rest was last sent again.
     outcome: Outcome = Outcome.UNKNOWN  # Its outcome once it ended.
     cancelled_s: float | None = None  # When it was told to stop.
     orphaned_s: float | None = None  # Since when its router is away.
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -234,15 +234,18 @@
         bench.do(end())
         assert bench.sent(Part)[0].sequence == 5
 
-    def test_sends_an_end_again_until_it_is_acknowledged(self) -> None:
+    def test_sends_the_rest_again_until_it_is_acknowledged(self) -> None:
         bench = Bench()
         bench.get(an_attempt())
         bench.answer()
+        bench.get(Ack("q1", 1, 1))
         bench.do(end())
         bench.tick(0.5)
         assert bench.sent(Part) == []
-        bench.tick(1.0)
-        assert [part.sequence for part in bench.sent(Part)] == [2]
+        bench.tick(0.6)
+        assert [part.sequence for part in bench.sent(Part)] == [1, 2]
+        bench.tick(0.5)
+        assert bench.sent(Part) == []
         bench.get(Ack("q1", 1, 3))
         bench.tick(1.0)
         assert bench.sent(Part) == []
