Let agents tell of crashes that no router saw

Only the router that sent a request learned from the answer's end that it crashed the endpoint. If that router was gone or away, the strike was lost, and a request sent again crashed a fourth endpoint. Agents now tell the other routers, and every router that connects later; copies of one crash have one name and count once.

--- a/src/bulrushstream/coordination/agent.py
+++ b/src/bulrushstream/coordination/agent.py
@@ -22,6 +22,7 @@
     new_agent,
     tell,
 )
+from bulrushstream.coordination.crashes import retell
 from bulrushstream.coordination.intake import (
     accept,
     cancel,
@@ -206,7 +207,8 @@
     )
     if state.draining:
         effects.append(Send(info.key, Goodbye(state.me.key.incarnation)))
-    return effects + greet(state, info.key)
+    effects += greet(state, info.key)
+    return effects + retell(state, info.key, now_s)
 
 
 def _orphaning(state: AgentState) -> set[InstanceKey]:
--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -22,7 +22,7 @@
 from bulrushstream.state.config import Service, ServiceUnit
 from bulrushstream.state.effect import Effect, Send
 from bulrushstream.state.identity import InstanceInfo, InstanceKey
-from bulrushstream.state.message import Message
+from bulrushstream.state.message import Message, Strike
 from bulrushstream.state.replay import AttemptKey, AttemptMemory
 from bulrushstream.state.run import Run, RunPhase
 from bulrushstream.state.share import Shares
@@ -104,6 +104,7 @@
     replay_bytes: int = 0  # What all kept parts take.
     draining: bool = False  # Whether it takes no new work.
     next_pull: int = 1  # Names the next pull.
+    strikes: list[tuple[Strike, float]] = field(default_factory=list)
     crashes: int = 0  # How often the endpoint went down under a run.
     crashed_s: float = -NEVER_S  # When it last did.
     sequence: int = 0  # Numbers backlog-like announcements.
--- a/src/bulrushstream/coordination/dispatching.py
+++ b/src/bulrushstream/coordination/dispatching.py
@@ -170,6 +170,7 @@
         timeout_ms=max(1, int(left_s * 1000)),
         cost_hint=request.cost_hint,
         model=request.model,
+        fingerprint=request.fingerprint,
     )
 
 
--- a/src/bulrushstream/coordination/running.py
+++ b/src/bulrushstream/coordination/running.py
@@ -17,6 +17,7 @@
     charge_start,
 )
 from bulrushstream.coordination.agentstate import AgentState
+from bulrushstream.coordination.crashes import strike
 from bulrushstream.state.effect import CancelRun, Effect, Send, StartRun
 from bulrushstream.state.event import RunBody, RunEnd, RunHead
 from bulrushstream.state.message import Part, PartKind
@@ -120,15 +121,19 @@
     run.ended_s = now_s
     state.active.pop(run.key, None)
     state.memory.put(run.key, outcome, now_s)
+    crash = _count_crash(state, run, now_s) if event.crashed else 0
     part = replace(
         _next_part(run, PartKind.END),
         outcome=outcome,
         whole=event.whole,
         crashed=event.crashed,
         detail=event.detail,
-        crash=_count_crash(state, run, now_s) if event.crashed else 0,
+        crash=crash,
     )
-    return _emit(state, run, part)
+    effects = _emit(state, run, part)
+    if crash:
+        effects += strike(state, run, crash, now_s)
+    return effects
 
 
 def _count_crash(state: AgentState, run: Run, now_s: float) -> int:
--- a/src/bulrushstream/protocol/fleet.thrift
+++ b/src/bulrushstream/protocol/fleet.thrift
@@ -79,6 +79,7 @@
   15: i64 timeout_ms
   16: double cost_hint
   17: optional string model
+  18: optional i64 fingerprint
 }
 
 struct Refuse {
--- a/src/bulrushstream/state/message.py
+++ b/src/bulrushstream/state/message.py
@@ -145,6 +145,7 @@
     timeout_ms: int  # Time to the caller's deadline.
     cost_hint: float  # The caller's guess in service units; 0: none.
     model: str = ""  # The model that must be loaded; empty: any.
+    fingerprint: int = 0  # Digest of workspace, service and body.
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,61 @@
+"""Crashes count although the router that sent the request is gone."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from bulrushstream.history.harness import run_plan
+from bulrushstream.history.plan import (
+    Crash,
+    Pause,
+    Plan,
+    PlannedCall,
+    RunFault,
+    Weather,
+)
+from bulrushstream.history.real import REAL
+from bulrushstream.history.record import EndpointCrashed, Refused
+from bulrushstream.messages import QUARANTINED
+
+
+def poison(at_s: float, name: str, router: int, run_s: float) -> PlannedCall:
+    return PlannedCall(
+        at_s,
+        name,
+        router,
+        "w1",
+        run_s=run_s,
+        body=b"poison",
+        fault=RunFault.CRASH,
+    )
+
+
+# router-1 dies while agent-1, paused, holds its second call; the agent then
+# runs it, and the answer's end finds no router.
+PLAN: Final = Plan(
+    seed=109,
+    agents=2,
+    calls=(
+        poison(0.64, "p1", 1, 0.1),
+        poison(2.57, "p2", 1, 0.01),
+        poison(4.87, "p3", 0, 0.5),
+        poison(13.0, "p4", 1, 0.01),
+        poison(14.0, "p5", 0, 0.01),
+    ),
+    faults=(Pause(2.444, "agent-1", 4.7), Crash(3.79, "router-1", 1.83)),
+    weather=Weather(log_delay_s=0.2, false_losses=True),
+)
+
+
+class CrashesSuite:
+    def test_an_agent_tells_of_a_crash_that_no_router_saw(self) -> None:
+        run = run_plan(PLAN, REAL)
+        crashes = [r for r in run.history if isinstance(r, EndpointCrashed)]
+        refused = [
+            record.request_id
+            for record in run.history
+            if isinstance(record, Refused) and record.code == QUARANTINED.code
+        ]
+        assert run.violations == ()
+        assert len(crashes) == 3
+        assert refused == ["p4", "p5"]
