--- a/src/bulrushstream/standins/generation.py
+++ b/src/bulrushstream/standins/generation.py
@@ -16,6 +16,7 @@
 from bulrushstream.standins.asgi import crash, send_bytes, send_json
 from bulrushstream.standins.batch import EngineState, note_load
 from bulrushstream.standins.cache import clear_cache, use_prefix
+from bulrushstream.standins.weights import forget_orders
 from bulrushstream.transport.server import connection_of
 
 KEPT_ANSWERS: Final = 1000
@@ -89,6 +90,8 @@
     state.crashes += 1
     state.answers.clear()
     clear_cache(state.cache)
+    models = dict.fromkeys(state.options.models, state.options.version)
+    forget_orders(state.holdings, models)
     await crash(scope, state.faults.down_s)
 
 
--- a/src/bulrushstream/standins/weights.py
+++ b/src/bulrushstream/standins/weights.py
@@ -103,6 +103,20 @@
     return OrderAnswer.ACCEPTED
 
 
+def forget_orders(holdings: Holdings, models: dict[str, str]) -> None:
+    """Start anew after a crash, with no memory of orders or tokens.
+
+    :param holdings: The engine's holdings.
+    :param models: What is loaded at a start, each with its version.
+    """
+    for task in holdings.tasks:
+        task.cancel()
+    holdings.models = models
+    holdings.adapters = set()
+    holdings.role = ""
+    holdings.highest_token = 0
+
+
 def report_holdings(holdings: Holdings) -> HoldingsReport:
     """Return what the engine reports.
 
--- a/src/bulrushstream/transport/admission.py
+++ b/src/bulrushstream/transport/admission.py
@@ -9,6 +9,7 @@
 
 import math
 import re
+from dataclasses import dataclass
 from typing import Final
 from urllib.parse import unquote
 
@@ -37,14 +38,16 @@
 
 CHAT_PATH: Final = "/v1/chat/completions"
 SERVICES_PREFIX: Final = "/services/"
+OWN_PREFIX: Final = "bulrushstream-"
 COST_HEADER: Final = "bulrushstream-cost"
 TIMEOUT_HEADER: Final = "bulrushstream-timeout"
 KEY_HEADER: Final = "idempotency-key"
 MAX_KEY_CHARS: Final = 255
 _SLASHES: Final = re.compile("/{2,}")
 
-# Headers of one connection, of the caller's identity, and those whose
-# meaning the fleet itself defines; none of them goes on to an endpoint.
+# Headers of one connection, of the caller's identity, and those by which
+# the fleet speaks to engines; none of them is passed on, nor are those
+# that begin with the fleet's own prefix.
 DROPPED_HEADERS: Final = frozenset(
     {
         "connection",
@@ -62,27 +65,46 @@
         "authorization",
         "x-request-id",
         "x-resume-offset",
-        COST_HEADER,
-        TIMEOUT_HEADER,
     }
 )
 
 
-def admit(incoming: Incoming, port: RouterPort) -> Result[Request, Refusal]:
-    """Decide how a request is treated.
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who sends a request, known before its body is read."""
 
-    :param incoming: The caller's request.
+    workspace: str  # Whose token the request carries.
+    index: ConfigIndex  # The configuration that decides the request.
+
+
+def identify(headers: Headers, port: RouterPort) -> Result[Caller, Refusal]:
+    """Tell who sends a request, so that no stranger's body is read.
+
+    :param headers: The request's headers, names in lower case.
     :param port: The router.
-    :returns: The request for the core, or why it is refused.
+    :returns: The caller, or why the request is refused.
     """
     index = port.config()
     if port.draining():
         return Error(Refusal(messages.DRAINING, "", 1.0, True))
     if index is None:
-        return Error(Refusal(messages.NOT_READY, "", 1.0))
-    workspace = authenticate(index, bearer_token(incoming.headers))
+        return Error(Refusal(messages.NOT_READY, "", 1.0, True))
+    workspace = authenticate(index, bearer_token(headers))
     if workspace is None:
-        return Error(Refusal(messages.NO_TOKEN))
+        return Error(Refusal(messages.NO_TOKEN, close=True))
+    return Ok(Caller(workspace, index))
+
+
+def admit(
+    caller: Caller, incoming: Incoming, port: RouterPort
+) -> Result[Request, Refusal]:
+    """Decide how a request is treated.
+
+    :param caller: Who sends it.
+    :param incoming: The request.
+    :param port: The router.
+    :returns: The request for the core, or why it is refused.
+    """
     if has_dot_segment(incoming.path):
         return Error(_refuse_malformed("the path has a dot segment"))
     service = service_name(incoming.path)
@@ -93,7 +115,7 @@
         chat = decode_chat(incoming.body)
         if chat is None or incoming.method != "POST":
             return Error(_refuse_malformed("no chat-completions body"))
-    return _decide(index, incoming, workspace, service, chat, port)
+    return _decide(caller, incoming, service, chat, port)
 
 
 def bearer_token(headers: Headers) -> str:
@@ -116,8 +138,9 @@
         return ""
     if not path.startswith(SERVICES_PREFIX):
         return None
-    name = path.removeprefix(SERVICES_PREFIX).partition("/")[0]
-    return name or None
+    raw_name = path.removeprefix(SERVICES_PREFIX).partition("/")[0]
+    name = unquote(raw_name)
+    return None if not name or "/" in name else name
 
 
 def plain_path(path: str) -> str:
@@ -142,16 +165,15 @@
 
 
 def _decide(
-    index: ConfigIndex,
+    caller: Caller,
     incoming: Incoming,
-    workspace: str,
     service: str,
     chat: ChatBody | None,
     port: RouterPort,
 ) -> Result[Request, Refusal]:
     """Match the rules and build the request."""
     facts = RequestFacts(
-        workspace=workspace,
+        workspace=caller.workspace,
         service=service,
         method=incoming.method,
         path=plain_path(incoming.path),
@@ -163,7 +185,7 @@
     key = find_header(incoming.headers, KEY_HEADER)
     if len(key) > MAX_KEY_CHARS:
         return Error(_refuse_malformed("the Idempotency-Key is too long"))
-    match match(index, facts):
+    match match(caller.index, facts):
         case Result(tag="ok", ok=decided):
             return Ok(_build(incoming, facts, decided, chat, key, port))
         case Result(error=denied):
@@ -222,8 +244,7 @@
     """
     path = incoming.path
     if service:
-        rest = path.removeprefix(SERVICES_PREFIX + service)
-        path = rest or "/"
+        path = "/" + path.removeprefix(SERVICES_PREFIX).partition("/")[2]
     return f"{path}?{incoming.query}" if incoming.query else path
 
 
@@ -246,10 +267,19 @@
     return tuple(
         (key, value)
         for key, value in headers
-        if key not in DROPPED_HEADERS and key not in named
+        if is_passed_on(key) and key not in named
     )
 
 
+def is_passed_on(name: str) -> bool:
+    """Return whether a header passes through the router, either way.
+
+    :param name: The header's name in lower case.
+    :returns: Whether it belongs to the request or answer itself.
+    """
+    return name not in DROPPED_HEADERS and not name.startswith(OWN_PREFIX)
+
+
 def _positive(headers: Headers, name: str) -> float:
     """Return a header's positive number; 0 for anything else."""
     try:
--- a/src/bulrushstream/transport/answering.py
+++ b/src/bulrushstream/transport/answering.py
@@ -23,7 +23,7 @@
 from bulrushstream.state.effect import Fail, Reply
 from bulrushstream.state.message import Part, PartKind
 from bulrushstream.state.request import Headers, Outcome
-from bulrushstream.transport.admission import DROPPED_HEADERS
+from bulrushstream.transport.admission import is_passed_on
 from bulrushstream.transport.port import (
     AnswerItem,
     AnswerQueue,
@@ -226,7 +226,7 @@
     headers = [
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in head.headers
-        if name.lower() not in DROPPED_HEADERS
+        if is_passed_on(name.lower())
     ]
     headers.append((REQUEST_ID_HEADER, state.request_id.encode()))
     headers.append((EXECUTION_HEADER, outcome.value.encode()))
--- a/src/bulrushstream/transport/callers.py
+++ b/src/bulrushstream/transport/callers.py
@@ -14,12 +14,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from expression import Result
+from expression import Error, Result
 from litestar import Litestar, asgi
 from litestar.types import Receive, Scope, Send
 
 from bulrushstream.state.request import Outcome, Request
-from bulrushstream.transport.admission import admit
+from bulrushstream.transport.admission import admit, identify
 from bulrushstream.transport.answering import (
     AnswerState,
     Sent,
@@ -30,6 +30,7 @@
     BodyLimits,
     ReadingState,
     Refusal,
+    decode_headers,
     read_incoming,
 )
 from bulrushstream.transport.port import AnswerQueue, Gone, RouterPort
@@ -97,13 +98,11 @@
     state: CallersState, scope: Any, receive: Any, send: Any
 ) -> None:
     """Answer one request of a caller."""
-    incoming = await read_incoming(
-        scope, receive, state.options.body_limits, state.reading
-    )
-    if incoming is None:
+    admitted = await _admit(state, scope, receive)
+    if admitted is None:
         return
     started_s = state.port.now()
-    match incoming.bind(lambda whole: admit(whole, state.port)):
+    match admitted:
         case Result(tag="ok", ok=request):
             sent = await _route(state, request, scope, receive, send)
             _observe(state, request, sent, started_s)
@@ -112,6 +111,24 @@
             _observe(state, None, sent, started_s)
 
 
+async def _admit(
+    state: CallersState, scope: Any, receive: Any
+) -> Result[Request, Refusal] | None:
+    """Read and admit a request; None: the caller left."""
+    headers = decode_headers(scope)
+    identified = identify(headers, state.port)
+    if identified.is_error():
+        return Error(identified.error)
+    caller = identified.ok
+    limits = state.options.body_limits
+    incoming = await read_incoming(
+        scope, headers, receive, limits, state.reading
+    )
+    if incoming is None:
+        return None
+    return incoming.bind(lambda whole: admit(caller, whole, state.port))
+
+
 async def _route(
     state: CallersState, request: Request, scope: Any, receive: Any, send: Any
 ) -> Sent:
--- a/src/bulrushstream/transport/incoming.py
+++ b/src/bulrushstream/transport/incoming.py
@@ -54,21 +54,34 @@
     body: bytes  # The body.
 
 
+def decode_headers(scope: Any) -> Headers:
+    """Return a request's headers as text, names in lower case.
+
+    :param scope: The ASGI scope.
+    :returns: The headers.
+    """
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in scope["headers"]
+    )
+
+
 async def read_incoming(
-    scope: Any, receive: Any, limits: BodyLimits, state: ReadingState
+    scope: Any,
+    headers: Headers,
+    receive: Any,
+    limits: BodyLimits,
+    state: ReadingState,
 ) -> Result[Incoming, Refusal] | None:
     """Read a caller's request.
 
     :param scope: The ASGI scope.
+    :param headers: Its headers as text.
     :param receive: The ASGI receive function.
     :param limits: What bodies may take.
     :param state: The bodies that are being read.
     :returns: The request or a refusal; None: the caller left.
     """
-    headers = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in scope["headers"]
-    )
     length = find_header(headers, "content-length")
     if length.isdigit() and int(length) > limits.max_body_bytes:
         return Error(_refuse_large(limits))
--- a/src/bulrushstream/transport/server.py
+++ b/src/bulrushstream/transport/server.py
@@ -270,6 +270,10 @@
         """
         self._stop_listening()
         self._drop_all()
+        # A process that is gone does not go on with its other requests.
+        for task in self._state.tasks:
+            if task is not asyncio.current_task():
+                task.cancel()
         loop = asyncio.get_running_loop()
         self._restart = loop.call_later(down_s, self._revive)
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -38,7 +38,11 @@
         0,
         PartKind.HEAD,
         status=200,
-        headers=(("content-type", kind), ("connection", "x-hop")),
+        headers=(
+            ("content-type", kind),
+            ("connection", "x-hop"),
+            ("bulrushstream-execution", "forged"),
+        ),
     )
     parts = [head]
     parts += [a_body(n, piece) for n, piece in enumerate(pieces, 1)]
@@ -57,6 +61,15 @@
     return []
 
 
+def raw_head(length: int) -> bytes:
+    head = (
+        f"POST {CHAT} HTTP/1.1\r\nhost: x\r\n"
+        f"authorization: {BEARER['Authorization']}\r\n"
+        f"content-length: {length}\r\n\r\n"
+    )
+    return head.encode()
+
+
 def execution(answer: httpx.Response) -> str:
     return str(answer.headers["bulrushstream-execution"])
 
@@ -70,6 +83,7 @@
             ("POST", CHAT, chat_body("x", model="other"), "B102"),
             ("GET", "/elsewhere", b"", "B102"),
             ("GET", "/services/", b"", "B102"),
+            ("GET", "/services/floordesk%2Ftickets", b"", "B102"),
             ("GET", "/services/closed/x", b"", "B103"),
             ("GET", "/services/floordesk/a/%2e%2e/b", b"", "B112"),
             ("POST", CHAT, b"x" * 2000, "B111"),
@@ -102,6 +116,17 @@
         assert answer.headers["www-authenticate"] == "Bearer"
         assert port.requests == []
 
+    async def test_strangers_body_is_not_read(self) -> None:
+        async with front_of(FakePort(no_answer)) as (_, server):
+            reader, writer = await asyncio.open_connection(
+                server.host, server.port
+            )
+            head = raw_head(9).replace(TOKEN.encode(), b"wrong")
+            writer.write(head + b"ab")
+            answer = await reader.read()
+            writer.close()
+        assert answer.startswith(b"HTTP/1.1 401")
+
     async def test_not_ready_and_draining(self) -> None:
         port = FakePort(no_answer, index=None)
         async with front_of(port) as (client, _):
@@ -118,8 +143,8 @@
             reader, writer = await asyncio.open_connection(
                 server.host, server.port
             )
-            head = f"POST {CHAT} HTTP/1.1\r\nhost: x\r\ncontent-length: 9"
-            writer.write(head.encode() + b"\r\n\r\nab")
+            head = raw_head(9)
+            writer.write(head + b"ab")
             answer = await reader.read()
             writer.close()
         assert answer.startswith(b"HTTP/1.1 408")
@@ -189,6 +214,7 @@
             "Bulrushstream-Cost": "7.5",
             "X-Resume-Offset": "3",
             "X-Mine": "1",
+            "Bulrushstream-Request-Id": "forged",
             "X-Hop": "2",
             "Connection": "keep-alive, x-hop",
         }
@@ -204,14 +230,23 @@
         assert request.cost_hint == 7.5
         names = {name for name, _ in request.headers}
         assert "x-mine" in names
+        assert not any(name.startswith("bulrushstream") for name in names)
         dropped = {"authorization", "host", "x-hop", "x-resume-offset"}
         assert not dropped & names
 
-    @pytest.mark.parametrize("path", ["/%74ickets", "//tickets", "/tickets/1"])
+    @pytest.mark.parametrize(
+        "path",
+        [
+            "/floordesk/%74ickets",
+            "/floordesk//tickets",
+            "/floordesk/tickets/1",
+            "/floor%64esk/tickets",
+        ],
+    )
     async def test_spelling_does_not_change_the_rule(self, path: str) -> None:
         port = FakePort(whole_answer)
         async with front_of(port) as (client, _):
-            await client.post("/services/floordesk" + path)
+            await client.post("/services" + path)
         assert port.requests[0].rule == "tickets"
 
     async def test_same_prompt_has_same_digests(self) -> None:
@@ -341,12 +376,7 @@
         async with front_of(port) as (_, server):
             _, writer = await asyncio.open_connection(server.host, server.port)
             body = chat_body("x")
-            head = (
-                f"POST {CHAT} HTTP/1.1\r\nhost: x\r\n"
-                f"authorization: {BEARER['Authorization']}\r\n"
-                f"content-length: {len(body)}\r\n\r\n"
-            )
-            writer.write(head.encode() + body)
+            writer.write(raw_head(len(body)) + body)
             while not port.requests:
                 await asyncio.sleep(0.001)
             writer.transport.abort()
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -117,6 +117,23 @@
                 await client.get("/load")
         assert engine.state.crashes == 1
 
+    async def test_crash_forgets_orders_and_tokens(self) -> None:
+        faults = EngineFaults(crash_marker="boom", down_s=0.0)
+        engine = make_engine(EngineOptions(faults=faults))
+        order = {"kind": "load_model", "model": "m2", "version": "3"}
+        async with client_of(engine) as client:
+            await client.post("/orders", json={**order, "token": 7})
+            with pytest.raises(httpx.HTTPError):
+                await client.post(
+                    "/v1/chat/completions", content=chat_body("boom")
+                )
+            while True:
+                with contextlib.suppress(httpx.ConnectError):
+                    report = (await client.get("/models")).json()
+                    break
+        assert report["models"] == {"model": "1"}
+        assert report["highest_token"] == 0
+
     async def test_outage_and_bad_bodies(self) -> None:
         engine = make_engine()
         path = "/v1/chat/completions"
@@ -225,6 +242,23 @@
         assert answer.status_code == 503
         assert plain.state.runs["r9"] == 0
 
+    async def test_crash_ends_other_calls(self) -> None:
+        plain = make_plain(PlainOptions(call_s=60.0))
+        async with client_of(plain) as client:
+            await client.post(
+                "/faults", json={"crash_marker": "boom", "down_s": 60.0}
+            )
+            other = asyncio.ensure_future(client.post("/", content=b"x"))
+            while not plain.state.running:
+                await asyncio.sleep(0)
+            with pytest.raises(httpx.HTTPError):
+                await client.post("/", content=b"boom")
+            with pytest.raises(httpx.HTTPError):
+                await other
+            while plain.state.running:
+                await asyncio.sleep(0)
+        assert plain.state.runs[""] == 2
+
 
 class LogSuite:
     async def test_offsets_and_pages(self) -> None:
