--- a/src/bulrushstream/state/effect.py
+++ b/src/bulrushstream/state/effect.py
@@ -10,8 +10,10 @@
 from typing import TypeAlias
 
 from bulrushstream.state.config import VersionedConfig
-from bulrushstream.state.identity import InstanceKey
+from bulrushstream.state.event import PeerLeaving, PeerLost
+from bulrushstream.state.identity import InstanceInfo, InstanceKey
 from bulrushstream.state.message import Dispatch, Message, Part
+from bulrushstream.state.order import EngineOrder
 from bulrushstream.state.request import Outcome
 
 
@@ -69,6 +71,27 @@
     current: VersionedConfig  # The configuration; never a lower version.
 
 
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Hand an event to this instance's other cores."""
+
+    event: PeerLeaving | PeerLost  # The event.
+
+
+@dataclass(frozen=True, slots=True)
+class Dial:
+    """Keep connections to these peers, in place of those named before."""
+
+    peers: tuple[InstanceInfo, ...]  # By name.
+
+
+@dataclass(frozen=True, slots=True)
+class GiveOrder:
+    """Give an order to this agent's endpoint, and report its answer."""
+
+    order: EngineOrder  # The order, with its fencing token.
+
+
 @dataclass(frozen=True, slots=True)
 class StartRun:
     """Send a request to this agent's endpoint."""
@@ -115,6 +138,9 @@
     | AppendLog
     | ReadLog
     | Apply
+    | Tell
+    | Dial
+    | GiveOrder
     | StartRun
     | CancelRun
     | WakeAt
--- a/src/bulrushstream/state/event.py
+++ b/src/bulrushstream/state/event.py
@@ -14,6 +14,7 @@
 from bulrushstream.state.config import VersionedConfig
 from bulrushstream.state.identity import InstanceInfo, InstanceKey
 from bulrushstream.state.message import Message
+from bulrushstream.state.order import EngineOrder, Holdings, OrderAnswer
 from bulrushstream.state.request import Headers, Request
 
 
@@ -51,6 +52,13 @@
     current: VersionedConfig  # The configuration.
 
 
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """The instance list was read; it lags behind."""
+
+    instances: tuple[InstanceInfo, ...]  # Live and leaving ones.
+
+
 @dataclass(frozen=True, slots=True)
 class PeerLeaving:
     """The instance list or a goodbye says that a peer is leaving."""
@@ -168,12 +176,28 @@
     dropped: tuple[int, ...]  # Prefix digests that it dropped.
 
 
+@dataclass(frozen=True, slots=True)
+class HoldingsReported:
+    """An engine said what it has loaded."""
+
+    holdings: Holdings  # What it has.
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An engine answered an order, or did not."""
+
+    order: EngineOrder  # Which order.
+    answer: OrderAnswer  # What it said.
+
+
 Event: TypeAlias = (
     PeerUp
     | PeerDown
     | Received
     | Ticked
     | Configured
+    | Listed
     | PeerLeaving
     | PeerLost
     | DrainStarted
@@ -187,4 +211,6 @@
     | RunEnd
     | LoadReported
     | CacheReported
+    | HoldingsReported
+    | OrderAnswered
 )
