Dial a restarted peer at its new address

The mesh kept dialling the address that a peer's name had first, so a peer restarted on another port was reached only after it had left the list. The new test waits for ever without the change.

--- a/src/bulrushstream/transport/mesh.py
+++ b/src/bulrushstream/transport/mesh.py
@@ -71,6 +71,7 @@
     received: Traffic  # What was received, heartbeats left out.
     _open: set[Link]  # Every link, up or not.
     _dialling: dict[str, asyncio.Task[None]]  # By the peer's name.
+    _wanted: dict[str, InstanceInfo]  # The peers to dial, by name.
     _server: asyncio.Server | None  # Where peers dial us.
     _ended: dict[Link, asyncio.Event]  # Set when a dialled link ends.
 
@@ -104,6 +105,7 @@
         self._delay_for = delay_for
         self._open = set()
         self._dialling = {}
+        self._wanted = {}
         self._server = None
         self._ended = {}
 
@@ -134,10 +136,12 @@
         for name in list(self._dialling):
             if name not in wanted:
                 self._dialling.pop(name).cancel()
-        for name, peer in wanted.items():
+        # A peer that was restarted may have another address.
+        self._wanted = wanted
+        for name in wanted:
             if name not in self._dialling:
                 self._dialling[name] = asyncio.create_task(
-                    self._keep_dialling(peer), name=f"dial {name}"
+                    self._keep_dialling(name), name=f"dial {name}"
                 )
 
     def send(self, peer: InstanceKey, message: Message) -> None:
@@ -240,11 +244,11 @@
             return True
         return self._me.key.instance < peer.key.instance
 
-    async def _keep_dialling(self, peer: InstanceInfo) -> None:
+    async def _keep_dialling(self, name: str) -> None:
         """Dial a peer, and dial again whenever the link ends."""
         failures = 0
         while True:
-            link = await self._dial(peer)
+            link = await self._dial(self._wanted[name])
             if link is None:
                 failures += 1
             else:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -100,6 +100,19 @@
         kinds = [type(event) for event in agent.events[:3]]
         assert kinds == [PeerUp, PeerDown, PeerUp]
 
+    async def test_a_restarted_peer_is_dialled_at_its_new_address(
+        self,
+    ) -> None:
+        router, old = Node("r", Role.ROUTER), Node("a", Role.AGENT)
+        new = Node("a", Role.AGENT)
+        async with running(router, old, new):
+            router.mesh.set_peers([old.info])
+            await until(lambda: old.has(PeerUp))
+            router.mesh.set_peers([new.info])
+            await old.mesh.close()
+            await until(lambda: new.has(PeerUp))
+        assert new.info.port != old.info.port
+
     async def test_a_bad_frame_disturbs_no_other_link(self) -> None:
         router, agent = Node("r", Role.ROUTER), Node("a", Role.AGENT)
         async with running(router, agent):
