--- a/src/bulrushstream/coordination/hub.py
+++ b/src/bulrushstream/coordination/hub.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import Final
 
 import xxhash
@@ -27,6 +26,7 @@
 
 HEARD_REPEAT_S: Final = 10.0
 SPARE: Final = "spare"
+MAX_ENTRIES: Final = 500
 
 
 def served(
@@ -44,7 +44,7 @@
         ledger.merge(entry)
     view = state.routers.get(peer)
     if view is not None:
-        view.heard = frozenset(message.heard)
+        _note_heard(view, frozenset(message.heard))
     _schedule(state, now_s)
 
 
@@ -64,6 +64,8 @@
     if message.floor <= state.floors.get(key, 0.0):
         return
     state.floors[key] = message.floor
+    for view in state.agents_of(message.service):
+        view.lifted.add(message.workspace)
     if peer in state.agents:
         for other in sorted(state.routers):
             state.send(other, message)
@@ -77,12 +79,12 @@
     :param view: the agent
     """
     view.told.clear()
+    view.told_revision = NO_REVISION
     service = view.info.service
-    known = set(_ledger(state, service).workspaces())
-    known.update(
+    view.lifted.update(
         key.workspace for key in state.floors if key.service == service
     )
-    _send_digest(state, view, sorted(known))
+    _send_digest(state, view)
 
 
 def agent_over(state: RouterState, info: InstanceInfo) -> None:
@@ -104,8 +106,7 @@
     """
     for view in state.agents.values():
         if view.connected and (spare or _in_charge(state, view)):
-            ledger = _ledger(state, view.info.service)
-            _send_digest(state, view, sorted(ledger.workspaces()))
+            _send_digest(state, view)
     if not spare:
         due_s = now_s + state.options.digest_spare_s
         state.timers.set_sooner((Timer.DIGEST, SPARE), due_s)
@@ -141,16 +142,20 @@
     heard: frozenset[str],
 ) -> None:
     since = peer.told.get(service, NO_REVISION)
-    entries = tuple(
+    # A peer that may know nothing is also told of agents that are gone.
+    everything = since == NO_REVISION
+    entries = [
         entry
         for entry in ledger.entries(since)
-        if entry.agent not in peer.heard and entry.agent in heard
-    )
+        if entry.agent not in peer.heard
+        and (everything or entry.agent in heard)
+    ]
     peer.told[service] = ledger.revision
-    if entries:
+    names = tuple(sorted(heard))
+    for start in range(0, len(entries), MAX_ENTRIES):
+        some = tuple(entries[start : start + MAX_ENTRIES])
         sequence = state.next_sequence()
-        message = Served(service, sequence, entries, tuple(sorted(heard)))
-        state.send(peer.info.key, message)
+        state.send(peer.info.key, Served(service, sequence, some, names))
 
 
 def _say_heard(
@@ -166,11 +171,22 @@
     state.send(peer.info.key, message)
 
 
-def _send_digest(
-    state: RouterState, view: AgentView, workspaces: Iterable[str]
-) -> None:
+def _note_heard(view: RouterView, heard: frozenset[str]) -> None:
+    """Note which agents a peer hears."""
+    if view.heard - heard:
+        # It has missed what it was not told of the agents that it lost.
+        view.told.clear()
+    view.heard = heard
+
+
+def _send_digest(state: RouterState, view: AgentView) -> None:
+    """Send an agent what changed since it was told."""
+    ledger = _ledger(state, view.info.service)
+    changed = view.lifted.union(ledger.workspaces(view.told_revision))
+    view.lifted.clear()
+    view.told_revision = ledger.revision
     entries = []
-    for workspace in workspaces:
+    for workspace in sorted(changed):
         entry = _entry(state, view, workspace)
         if view.told.get(workspace) != entry:
             view.told[workspace] = entry
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -24,7 +24,7 @@
 from bulrushstream.state.config import EMPTY_CONFIG, Rule, VersionedConfig
 from bulrushstream.state.effect import Decision, Effect, Send
 from bulrushstream.state.identity import InstanceInfo, InstanceKey
-from bulrushstream.state.ledger import Ledger
+from bulrushstream.state.ledger import NO_REVISION, Ledger
 from bulrushstream.state.message import DigestEntry, Message, Part
 from bulrushstream.state.queues import QueueKey, QueueTable, memory_bytes
 from bulrushstream.state.request import Outcome, Request
@@ -117,6 +117,8 @@
     prefixes: dict[int, None] = field(default_factory=dict)  # Cached.
     missed: set[QueueKey] = field(default_factory=set)  # To tell anew.
     told: dict[str, DigestEntry] = field(default_factory=dict)  # Ledger.
+    told_revision: int = NO_REVISION  # The ledger's when it was told.
+    lifted: set[str] = field(default_factory=set)  # Lifts to tell it.
 
     @property
     def usable(self) -> bool:
