--- a/bench/path.sh
+++ b/bench/path.sh
@@ -5,10 +5,18 @@
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
 pids=()
-trap 'kill "${pids[@]}" 2>/dev/null || true; rm -rf "$work"' EXIT
+stop() {
+    kill "${pids[@]}" 2>/dev/null || true
+    wait "${pids[@]}" 2>/dev/null || true
+    # Whatever a part said beside its decisions is a fault.
+    grep -h '"level":"error"\|Traceback' "$work"/*.err >&2 || true
+    rm -rf "$work"
+}
+trap stop EXIT
 
 start() {
-    bulrushstream "$@" >"$work/$1-$2.out" 2>"$work/$1-$2.err" &
+    bulrushstream "$@" >"$work/${#pids[@]}.out" \
+        2>"$work/${#pids[@]}.err" &
     pids+=($!)
 }
 
--- a/src/bulrushstream/cli.py
+++ b/src/bulrushstream/cli.py
@@ -19,7 +19,8 @@
 from fire.core import FireExit
 from pydantic import ConfigDict, ValidationError, validate_call
 
-from bulrushstream.commands import measure, standin
+from bulrushstream.commands import measure, rules, standin
+from bulrushstream.commands.check import check
 from bulrushstream.commands.daemons import agent, router
 from bulrushstream.commands.demo import demo
 
@@ -32,9 +33,16 @@
 
 COMMANDS: Final[Commands] = {
     "agent": agent,
+    "check": check,
     "demo": demo,
     "measure": {"path": measure.path},
     "router": router,
+    "rules": {
+        "check": rules.check,
+        "diff": rules.diff,
+        "publish": rules.publish,
+        "show": rules.show,
+    },
     "standin": {
         "engine": standin.engine,
         "instances": standin.instances,
@@ -134,6 +142,8 @@
         finding = error.errors()[0]
         place = ".".join(str(part) for part in finding["loc"])
         return _complain(f"{place}: {finding['msg']}")
+    except SystemExit as stop:
+        return stop.code if isinstance(stop.code, int) else USAGE_EXIT
     except KeyboardInterrupt:
         return INTERRUPTED_EXIT
 
