--- a/src/bulrushstream/history/generate.py
+++ b/src/bulrushstream/history/generate.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Final
 
+from bulrushstream.history.flood import flood_plan
 from bulrushstream.history.plan import (
     Crash,
     Cut,
@@ -28,6 +29,7 @@
 MAX_DOWN_S: Final = 4.0  # The longest time that an instance is down.
 MAX_PAUSE_S: Final = 5.0  # The longest pause.
 MAX_CUT_S: Final = 7.0  # The longest time without a connection.
+FLOOD_EVERY: Final = 20  # One plan in so many is a flood.
 POISON: Final = b"poison"  # The body of calls that crash endpoints.
 
 
@@ -35,8 +37,10 @@
     """Return the plan of a seed.
 
     :param seed: any number.
-    :returns: the plan.
+    :returns: the plan; every twentieth is a flood without faults.
     """
+    if seed % FLOOD_EVERY == FLOOD_EVERY - 1:
+        return flood_plan(seed)
     rng = Random(seed)
     plan = Plan(
         seed=seed,
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -12,6 +12,7 @@
 from typing import Final, TypeAlias
 
 from bulrushstream.history.cores import Cores, Handle, RunningCore, StartCore
+from bulrushstream.history.flood import flood_plan
 from bulrushstream.history.generate import random_plan
 from bulrushstream.history.plan import (
     Crash,
@@ -40,6 +41,7 @@
     Goodbye,
     Part,
     PartKind,
+    Pull,
     Refuse,
 )
 from bulrushstream.state.request import Outcome
@@ -245,6 +247,13 @@
     return event
 
 
+def serve_one_workspace(event: Event) -> Event:
+    match event:
+        case Received(message=Pull() as pull):
+            return replace(event, message=replace(pull, workspace="w1"))
+    return event
+
+
 def claim_all_not_run(event: Event) -> Event:
     match event:
         case RunEnd(whole=False):
@@ -347,5 +356,11 @@
         K.TRUNCATED_WHOLE,
     ),
     router("ignore keys", on_events(ignore_keys), K.RUN_TWICE, plan=same_keys),
+    router(
+        "serve one workspace only",
+        on_events(serve_one_workspace),
+        K.UNFAIR,
+        plan=flood_plan,
+    ),
     router("forget crashes", on_events(forget_crashes), K.CRASH_BOUND),
 )
