Hold requests until the fleet's strikes are known

It now waits until it has read the stream of strikes or a peer has told it what it knows; routers say so on every connection, also that there are none. A strike's age is counted from its place in the stream, because a writer that has not read the stream is behind its time.

--- a/src/bulrushstream/coordination/gating.py
+++ b/src/bulrushstream/coordination/gating.py
@@ -158,6 +158,13 @@
             _suspect(state, each.fingerprint)
 
 
+def inform(state: RouterState) -> None:
+    """Note that what the fleet knows of strikes is known here too."""
+    state.strikes_known = True
+    state.ready.extend(state.unscreened)
+    state.unscreened.clear()
+
+
 def lift(
     state: RouterState,
     fingerprints: Iterable[int],
@@ -224,6 +231,9 @@
 def router_up(state: RouterState, peer: InstanceKey, now_s: float) -> None:
     """Tell a router all strikes, and ask it where that is needed.
 
+    A router that just started waits for what its peers or the log know, so
+    it is told also that there are none.
+
     :param state: the router
     :param peer: the router
     :param now_s: the time on the core's clock
@@ -233,7 +243,7 @@
         for fingerprint in state.quarantine.fingerprints()
         for each in state.quarantine.strikes(fingerprint, now_s)
     )
-    if strikes:
+    if state.strikes_known:
         state.send(peer, Strikes(strikes))
     for fingerprint, gate in state.gates.items():
         if gate.trial is not None and peer not in gate.trial.granted:
--- a/src/bulrushstream/coordination/journal.py
+++ b/src/bulrushstream/coordination/journal.py
@@ -43,6 +43,8 @@
     elif event.stream == state.options.strikes_stream:
         for record in event.records:
             _read_strikes(state, record, now_s)
+        if event.caught_up:
+            gating.inform(state)
 
 
 def appended(state: RouterState, event: LogAppended) -> None:
@@ -116,17 +118,19 @@
         return
     clock = state.quarantine.clock
     clock.read(batch.at_ms, now_s)
-    time_ms = clock.now_ms(now_s)
+    # A writer that has not read the stream may be behind its time, but it
+    # wrote after everything that stands before.
+    since_ms = max(0, clock.now_ms(now_s) - clock.time_ms)
     strikes = tuple(
         Strike(
             each.fingerprint,
             each.strike_id,
             each.alone,
-            max(0, time_ms - each.at_ms),
+            since_ms + max(0, batch.at_ms - each.at_ms),
         )
         for each in batch.strikes
     )
     gating.learn(state, strikes, now_s)
     # A pardon says nothing of crashes after it.
-    pardoned_s = now_s - max(0, time_ms - batch.at_ms) / 1000
+    pardoned_s = now_s - since_ms / 1000
     gating.lift(state, batch.pardons, pardoned_s, now_s)
--- a/src/bulrushstream/coordination/router.py
+++ b/src/bulrushstream/coordination/router.py
@@ -194,6 +194,8 @@
         case Floor():
             hub.floor(state, peer, message, now_s)
         case Strikes():
+            if peer in state.routers:
+                gating.inform(state)
             gating.learn(state, message.strikes, now_s)
             gating.lift(state, message.pardons, now_s, now_s)
         case TrialAsk():
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -176,6 +176,8 @@
     goodbye_sent: bool = False  # Whether its peers know that it leaves.
     sequence: int = 0  # The last number that was given out.
     claims_read: bool = False  # Whether the stream of claims was read.
+    strikes_known: bool = False  # Whether the fleet's strikes are known.
+    unscreened: list[str] = field(default_factory=list)  # Wait for them.
     tracked: dict[str, Tracked] = field(default_factory=dict)
     tracked_bytes: int = 0  # Memory that all of them take.
     held: dict[QueueKey, int] = field(default_factory=dict)  # Not queued.
--- a/src/bulrushstream/coordination/screening.py
+++ b/src/bulrushstream/coordination/screening.py
@@ -32,6 +32,11 @@
     if not fingerprint:
         dispatching.offer(state, tracked, now_s)
         return
+    if not state.strikes_known:
+        # A router that has just started does not know yet whether the
+        # request has crashed endpoints before.
+        state.unscreened.append(tracked.request.request_id)
+        return
     if state.quarantine.is_refused(fingerprint, now_s):
         ends_s = state.quarantine.ends_s(fingerprint, now_s)
         settling.fail(state, tracked, QUARANTINED, now_s, retry_after_s=ends_s)
--- a/tests/routers.py
+++ b/tests/routers.py
@@ -12,7 +12,14 @@
     new_router,
 )
 from bulrushstream.state.effect import Effect, Fail, Reply, Send
-from bulrushstream.state.event import Arrived, Event, PeerUp, Received, Ticked
+from bulrushstream.state.event import (
+    Arrived,
+    Event,
+    LogRead,
+    PeerUp,
+    Received,
+    Ticked,
+)
 from bulrushstream.state.identity import InstanceInfo, InstanceKey
 from bulrushstream.state.message import Dispatch, Idle, Message, Part, Pull
 from bulrushstream.state.request import Request
@@ -38,6 +45,7 @@
         self.state = new_router(
             me or a_router(), options or RouterOptions(), random.Random(7), 0.0
         )
+        self.on(LogRead("strikes", (), caught_up=True))
 
     def on(self, event: Event) -> list[Effect]:
         """Hand the core an event and return its effects."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -122,6 +122,28 @@
         assert (end.code, end.outcome) == (QUARANTINED.code, Outcome.NOT_RUN)
         assert end.retry_after_s > 500.0
 
+    def test_a_router_that_knows_no_strikes_yet_waits(self) -> None:
+        """It starts while the log is out and must not run what it can't judge.
+
+        Its peer knows of three strikes.
+        """
+        router = RouterDriver()
+        router.state.strikes_known = False
+        router.up(AGENT)
+        router.arrive(a_poison("a"))
+        assert not sent(router.pull(AGENT), Dispatch)
+        peer = a_router("router-2")
+        router.up(peer)
+        strikes = tuple(
+            Strike(FINGERPRINT, f"x{i}@1#1", False, 0) for i in range(3)
+        )
+        router.get(peer, Strikes(strikes))
+        assert router.failures("a")[0].outcome is Outcome.NOT_RUN
+
+    def test_a_router_tells_one_that_starts_that_there_are_none(self) -> None:
+        router = RouterDriver()
+        assert sent(router.up(a_router("router-2")), Strikes) == [Strikes(())]
+
 
 class SuspectSuite:
     def test_like_requests_wait_until_one_has_ended(self) -> None:
