Shorten the router core's path of a part

A wake-up is asked for only if it is earlier than the one asked for before; streams without records and unchanged backlogs are passed over.

--- a/src/bulrushstream/coordination/appender.py
+++ b/src/bulrushstream/coordination/appender.py
@@ -62,7 +62,7 @@
 
     def due_s(self) -> float | None:
         """Return when the next append may go out; None if none waits."""
-        if self.token is not None or not len(self):
+        if not (self._waiting or self._sent) or self.token is not None:
             return None
         return self._next_s
 
--- a/src/bulrushstream/coordination/backlogs.py
+++ b/src/bulrushstream/coordination/backlogs.py
@@ -25,6 +25,8 @@
     :param state: the router
     :param now_s: the time on the core's clock
     """
+    if not state.dirty:
+        return
     urgent: dict[str, list[QueueKey]] = {}
     for key in sorted(state.dirty):
         count = state.queues.counts(key).total
--- a/src/bulrushstream/coordination/journal.py
+++ b/src/bulrushstream/coordination/journal.py
@@ -77,7 +77,9 @@
 def _write_claims(state: RouterState, now_s: float) -> None:
     options = state.options.claims
     due_s = state.claim_log.due_s()
-    if due_s is not None and due_s > now_s:
+    if due_s is None:
+        return
+    if due_s > now_s:
         state.timers.set((Timer.CLAIMS, ""), due_s)
         return
     # The routers share what the log takes; each knows how many they are.
@@ -96,7 +98,9 @@
 
 def _write_strikes(state: RouterState, now_s: float) -> None:
     due_s = state.strike_log.due_s()
-    if due_s is not None and due_s > now_s:
+    if due_s is None:
+        return
+    if due_s > now_s:
         state.timers.set((Timer.STRIKES, ""), due_s)
         return
     token = state.next_sequence()
--- a/src/bulrushstream/coordination/router.py
+++ b/src/bulrushstream/coordination/router.py
@@ -105,19 +105,30 @@
     :returns: the effects to carry out, in order
     """
     _on_timers(state, now_s)
-    _on_event(state, event, now_s)
+    if isinstance(event, Received):
+        _on_message(state, event.peer, event.message, now_s)
+    else:
+        _on_event(state, event, now_s)
     _go_on(state, now_s)
     journal.write(state, now_s)
     backlogs.publish(state, now_s)
     peers.say_goodbye(state)
-    due_s = state.timers.next_s()
-    if due_s is not None:
-        state.out.append(WakeAt(due_s))
+    _ask_to_wake(state, now_s)
     effects = list(state.out)
     state.out.clear()
     return effects
 
 
+def _ask_to_wake(state: RouterState, now_s: float) -> None:
+    """Ask for a tick, unless one is to come early enough already."""
+    due_s = state.timers.next_s()
+    if due_s is None:
+        return
+    if state.wake_s <= now_s or due_s < state.wake_s:
+        state.wake_s = due_s
+        state.out.append(WakeAt(due_s))
+
+
 def _go_on(state: RouterState, now_s: float) -> None:
     """Let requests go on for which something has changed."""
     while state.ready or state.rekey:
@@ -127,8 +138,6 @@
 
 def _on_event(state: RouterState, event: Event, now_s: float) -> None:
     match event:
-        case Received(peer, message):
-            _on_message(state, peer, message, now_s)
         case Arrived(request):
             admission.arrive(state, request, now_s)
         case CallerLeft(request_id):
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -193,6 +193,7 @@
     floors: dict[QueueKey, float] = field(default_factory=dict)  # Lifts.
     weights: dict[str, float] = field(default_factory=dict)  # By workspace.
     limits: dict[str, int] = field(default_factory=dict)  # By rule's name.
+    wake_s: float = float("-inf")  # The tick that was asked for.
     timers: Timers[TimerKey] = field(default_factory=Timers)
     told: dict[QueueKey, int] = field(default_factory=dict)  # Last counts.
     dirty: set[QueueKey] = field(default_factory=set)  # Changed counts.
