Leases in the log and placement orders under permits

A claim wins if no record of its lease stands between what its writer had read and itself; its offset is the fencing token. Each agent brings its own endpoint to the placement that the configuration asks for, one order at a time, under one of a few permits for the whole fleet, through a gate that no lower token passes.

--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,203 @@
+"""Engines come to what is asked for; no order from an old holder passes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushstream.coordination import lease, orders
+from bulrushstream.coordination.orders import Gate, OrderState, missing
+from bulrushstream.state.config import (
+    FleetConfig,
+    Placement,
+    Service,
+    ServiceKind,
+    VersionedConfig,
+)
+from bulrushstream.state.effect import AppendLog, Decision, GiveOrder
+from bulrushstream.state.event import (
+    Configured,
+    Event,
+    HoldingsReported,
+    LogRead,
+    OrderAnswered,
+    Ticked,
+)
+from bulrushstream.state.order import (
+    EngineOrder,
+    Holdings,
+    OrderAnswer,
+    OrderKind,
+)
+from tests.builders import an_agent
+from tests.fakelog import FakeLog
+
+WANTED = Placement("m", "2", ("x",), "decode")
+LOAD = OrderKind.LOAD_MODEL
+ADAPT = OrderKind.LOAD_ADAPTER
+ROLE = OrderKind.CHANGE_ROLE
+
+# What the engine has and the kinds of order that are still missing.
+MISSING = [
+    (None, []),
+    (Holdings(), [LOAD, ADAPT, ROLE]),
+    (Holdings((("m", "1"),), ("x",), "decode"), [LOAD]),
+    (Holdings((("m", "2"),), ("y",), "decode"), [ADAPT]),
+    (Holdings((("m", "2"), ("n", "1")), ("x",), "decode"), []),
+]
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """An agent's core with an engine that takes its orders."""
+
+    state: OrderState
+    loading_until_s: float = -1.0
+    holdings: Holdings = field(default_factory=Holdings)
+    order: EngineOrder | None = None
+    taken: list[EngineOrder] = field(default_factory=list)
+    answer: OrderAnswer = OrderAnswer.ACCEPTED
+    decisions: int = 0
+    load_s: float = 20.0
+
+    def feed(self, log: FakeLog, event: Event) -> None:
+        for effect in orders.handle(self.state, event, log.now_s):
+            if isinstance(effect, AppendLog):
+                if not log.down:
+                    log.put(effect.stream, effect.body)
+            elif isinstance(effect, Decision):
+                self.decisions += 1
+            elif isinstance(effect, GiveOrder):
+                self.take(log, effect.order)
+
+    def take(self, log: FakeLog, order: EngineOrder) -> None:
+        self.taken.append(order)
+        if self.answer is OrderAnswer.ACCEPTED:
+            self.order = order
+            self.loading_until_s = log.now_s + self.load_s
+        self.feed(log, OrderAnswered(order, self.answer))
+
+    def finish(self) -> None:
+        done, self.order = self.order, None
+        assert done is not None
+        token = done.token
+        if done.kind is LOAD:
+            models = ((done.model, done.version),)
+            self.holdings = replace(
+                self.holdings, models=models, highest_token=token
+            )
+        elif done.kind is ADAPT:
+            self.holdings = replace(self.holdings, adapters=(done.adapter,))
+        else:
+            self.holdings = replace(self.holdings, role=done.role)
+
+    def step(self, log: FakeLog) -> None:
+        if self.order is not None and log.now_s >= self.loading_until_s:
+            self.finish()
+        if not log.down:
+            offset = self.state.leases.next_offset
+            page = log.page(lease.STREAM, offset)
+            event = LogRead(
+                lease.STREAM, page.records, True, page.first_offset, offset
+            )
+            self.feed(log, event)
+        loading = int(self.order is not None)
+        report = replace(self.holdings, loading=loading)
+        self.feed(log, HoldingsReported(report))
+        self.feed(log, Ticked())
+
+
+def _endpoints(count: int) -> list[Endpoint]:
+    service = Service("proofwriter", ServiceKind.MODEL, placement=WANTED)
+    config = VersionedConfig(1, FleetConfig((), (service,)))
+    made: list[Endpoint] = []
+    for number in range(count):
+        state = orders.new_orders(an_agent(f"a{number}"), Random(number))
+        orders.handle(state, Configured(config), 0.0)
+        made.append(Endpoint(state))
+    return made
+
+
+def _run(log: FakeLog, endpoints: list[Endpoint], by_s: float) -> int:
+    """Run for a while; return the most that loaded at once."""
+    most = 0
+    until_s = log.now_s + by_s
+    while log.now_s < until_s:
+        log.now_s += 0.5
+        for endpoint in endpoints:
+            endpoint.step(log)
+        most = max(most, sum(e.order is not None for e in endpoints))
+    return most
+
+
+class OrdersSuite:
+    @pytest.mark.parametrize(("holdings", "kinds"), MISSING)
+    def test_what_is_missing(
+        self, holdings: Holdings | None, kinds: list[OrderKind]
+    ) -> None:
+        assert [o.kind for o in missing(WANTED, holdings)] == kinds
+
+    def test_permits_bound_the_loads_of_the_fleet(self) -> None:
+        log = FakeLog()
+        endpoints = _endpoints(5)
+        assert _run(log, endpoints, 400.0) == 2
+        for endpoint in endpoints:
+            assert [o.kind for o in endpoint.taken] == [LOAD, ADAPT, ROLE]
+            assert list(missing(WANTED, endpoint.holdings)) == []
+            assert endpoint.decisions == 3
+            assert not endpoint.state.leases.active
+
+    def test_without_the_log_no_order_is_given(self) -> None:
+        log = FakeLog(down=True)
+        endpoints = _endpoints(1)
+        _run(log, endpoints, 100.0)
+        assert endpoints[0].taken == []
+
+    def test_a_permit_that_lapsed_gives_no_order(self) -> None:
+        log = FakeLog()
+        endpoints = _endpoints(1)
+        endpoints[0].load_s = 40.0  # Longer than the permit's term.
+        _run(log, endpoints, 5.0)
+        log.down = True
+        _run(log, endpoints, 100.0)
+        assert len(endpoints[0].taken) == 1
+        log.down = False
+        _run(log, endpoints, 200.0)
+        tokens = [order.token for order in endpoints[0].taken]
+        assert len(tokens) == 3
+        assert tokens[1] > tokens[0]
+
+    def test_a_refused_order_is_given_again_with_backoff(self) -> None:
+        log = FakeLog()
+        endpoint = _endpoints(1)[0]
+        endpoint.answer = OrderAnswer.BUSY
+        _run(log, [endpoint], 120.0)
+        assert 2 <= len(endpoint.taken) <= 20
+
+    def test_what_a_newer_holder_ordered_is_not_undone(self) -> None:
+        log = FakeLog()
+        endpoint = _endpoints(1)[0]
+        endpoint.holdings = Holdings(highest_token=5)
+        _run(log, [endpoint], 60.0)
+        assert endpoint.taken
+        assert all(order.token >= 5 for order in endpoint.taken)
+
+    def test_an_engine_serves_what_it_has_loaded(self) -> None:
+        endpoint = _endpoints(1)[0]
+        assert orders.loaded_models(endpoint.state) == frozenset()
+        report = HoldingsReported(Holdings((("m", "1"),)))
+        endpoint.feed(FakeLog(), report)
+        assert orders.loaded_models(endpoint.state) == frozenset({"m"})
+        free = orders.new_orders(an_agent(), Random(1))
+        assert orders.loaded_models(free) is None
+
+    @given(st.lists(st.integers(0, 9)))
+    def test_no_lower_token_passes_the_gate(self, tokens: list[int]) -> None:
+        gate = Gate()
+        passed = [token for token in tokens if gate.admit(token)]
+        assert passed == sorted(passed)
+        assert max(tokens, default=None) == max(passed, default=None)
