--- a/src/bulrushstream/commands/standin.py
+++ b/src/bulrushstream/commands/standin.py
@@ -27,7 +27,7 @@
     retention_count: int = 0,
     retention_s: float = 0.0,
     max_appends_per_s: float = 0.0,
-) -> None:
+) -> int:
     """Serve a log until interrupted.
 
     :param port: The port; 0 takes a free one.
@@ -35,13 +35,14 @@
     :param retention_count: Records kept per stream; 0: all.
     :param retention_s: How long records are kept, in seconds; 0: for ever.
     :param max_appends_per_s: More appends are refused; 0: no limit.
+    :returns: The exit code.
     """
     options = LogOptions(
-        retention_count=int(retention_count),
-        retention_s=float(retention_s),
-        max_appends_per_s=float(max_appends_per_s),
+        retention_count=retention_count,
+        retention_s=retention_s,
+        max_appends_per_s=max_appends_per_s,
     )
-    _run("log", make_log(options).asgi, host, port)
+    return _run("log", make_log(options).asgi, host, port)
 
 
 def instances(
@@ -49,16 +50,17 @@
     host: str = "127.0.0.1",
     lag_s: float = 0.0,
     expiry_s: float = 30.0,
-) -> None:
+) -> int:
     """Serve an instance list until interrupted.
 
     :param port: The port; 0 takes a free one.
     :param host: The IP number to listen at.
     :param lag_s: How old the list is that readers see, in seconds.
     :param expiry_s: How long an entry lives without renewal, in seconds.
+    :returns: The exit code.
     """
-    options = InstancesOptions(lag_s=float(lag_s), expiry_s=float(expiry_s))
-    _run("instances", make_instances(options).asgi, host, port)
+    options = InstancesOptions(lag_s=lag_s, expiry_s=expiry_s)
+    return _run("instances", make_instances(options).asgi, host, port)
 
 
 def engine(
@@ -71,7 +73,7 @@
     load_s: float = 1.0,
     load_lag_s: float = 0.5,
     checks_token: bool = True,
-) -> None:
+) -> int:
     """Serve a model engine until interrupted.
 
     :param port: The port; 0 takes a free one.
@@ -83,18 +85,19 @@
     :param load_s: Time per load from the weight store, in seconds.
     :param load_lag_s: How old the load report is, in seconds.
     :param checks_token: Whether it refuses stale orders.
+    :returns: The exit code.
     """
     options = EngineOptions(
-        slots=int(slots),
-        models=(str(model),),
-        first_token_s=float(first_token_s),
-        token_s=float(token_s),
-        load_lag_s=float(load_lag_s),
-        cache_lag_s=float(load_lag_s),
-        checks_token=bool(checks_token),
+        slots=slots,
+        models=(model,),
+        first_token_s=first_token_s,
+        token_s=token_s,
+        load_lag_s=load_lag_s,
+        cache_lag_s=load_lag_s,
+        checks_token=checks_token,
     )
-    store = WeightStore(load_s=float(load_s))
-    _run("engine", make_engine(options, store).asgi, host, port)
+    store = WeightStore(load_s=load_s)
+    return _run("engine", make_engine(options, store).asgi, host, port)
 
 
 def service(
@@ -102,21 +105,23 @@
     host: str = "127.0.0.1",
     slots: int = 4,
     call_s: float = 0.05,
-) -> None:
+) -> int:
     """Serve a plain service until interrupted.
 
     :param port: The port; 0 takes a free one.
     :param host: The IP number to listen at.
     :param slots: Calls at once.
     :param call_s: Time per call, in seconds.
+    :returns: The exit code.
     """
-    options = PlainOptions(slots=int(slots), call_s=float(call_s))
-    _run("service", make_plain(options).asgi, host, port)
+    options = PlainOptions(slots=slots, call_s=call_s)
+    return _run("service", make_plain(options).asgi, host, port)
 
 
-def _run(kind: str, app: Any, host: str, port: int) -> None:
-    """Serve an app until SIGINT or SIGTERM."""
-    asyncio.run(serve_until_stopped(kind, app, host, int(port)))
+def _run(kind: str, app: Any, host: str, port: int) -> int:
+    """Serve an app until SIGINT or SIGTERM; return the exit code."""
+    asyncio.run(serve_until_stopped(kind, app, host, port))
+    return 0
 
 
 async def serve_until_stopped(
--- a/src/bulrushstream/transport/server.py
+++ b/src/bulrushstream/transport/server.py
@@ -219,6 +219,11 @@
         """Return the server's base URL."""
         return f"http://{self.host}:{self.port}"
 
+    @property
+    def listening(self) -> bool:
+        """Return whether new connections are accepted."""
+        return self._listener is not None
+
     @property
     def open_connections(self) -> int:
         """Return how many connections are open."""
