Relay what agents served that are over; take the latest estimate

Cause: a router that restarted never learned the sums of agents that had ended before, since peers relayed only agents that they hear; counters of agents that it alone digests for then missed them. And the largest estimate of several routers was charged, though routers not in charge repeat theirs seldom; the latest one counts now.

--- a/src/bulrushstream/coordination/hub.py
+++ b/src/bulrushstream/coordination/hub.py
@@ -4,7 +4,8 @@
 *digest*: per workspace, what all others have served.  All routers know
 nearly the same, so one of them, chosen by rendezvous hashing, is in charge
 of an agent and the others repeat the digest only now and then.  Routers
-*relay* to each other what only one of them hears.
+*relay* to each other what only one of them hears, and what incarnations
+served that are over, which nobody else would tell a router that restarted.
 """
 
 from __future__ import annotations
@@ -147,8 +148,11 @@
     entries = [
         entry
         for entry in ledger.entries(since)
-        if entry.agent not in peer.heard
-        and (everything or entry.agent in heard)
+        if entry.folded
+        or (
+            entry.agent not in peer.heard
+            and (everything or entry.agent in heard)
+        )
     ]
     peer.told[service] = ledger.revision
     names = tuple(sorted(heard))
--- a/src/bulrushstream/state/share.py
+++ b/src/bulrushstream/state/share.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass, field
 
 from bulrushstream.state.identity import InstanceKey
-from bulrushstream.state.message import Digest, DigestEntry
+from bulrushstream.state.message import Digest
 
 
 @dataclass(slots=True)
@@ -30,8 +30,7 @@
     """What one router said."""
 
     sequence: int = -1  # The number of its latest digest.
-    silent: bool = False  # Whether the connection to it is down.
-    entries: dict[str, DigestEntry] = field(default_factory=dict)
+    totals: dict[str, float] = field(default_factory=dict)
 
 
 class Shares:
@@ -40,6 +39,7 @@
     __slots__ = (
         "_digested_lifts",
         "_others",
+        "_owed",
         "_relief",
         "_sources",
         "informed",
@@ -49,6 +49,8 @@
 
     # Largest digest total by workspace.
     _others: dict[str, float]
+    # The latest estimate of what runs elsewhere owe, and who sent it.
+    _owed: dict[str, tuple[InstanceKey, float]]
     # Digests by router incarnation.
     _sources: dict[InstanceKey, _Source]
     # What was taken off a counter here, by workspace.
@@ -64,6 +66,7 @@
 
     def __init__(self) -> None:
         self._others = {}
+        self._owed = {}
         self._sources = {}
         self._relief = {}
         self._digested_lifts = {}
@@ -83,21 +86,22 @@
         """
         self.informed = True
         source = self._sources.setdefault(router, _Source())
-        source.silent = False
         late = digest.sequence <= source.sequence
         source.sequence = max(source.sequence, digest.sequence)
         for entry in digest.entries:
-            if not late or entry.workspace not in source.entries:
-                source.entries[entry.workspace] = entry
+            known = source.totals.get(entry.workspace, 0.0)
+            source.totals[entry.workspace] = max(known, entry.total)
+            if not late:
+                self._owed[entry.workspace] = (router, entry.in_flight)
             self._raise_total(entry.workspace, entry.total)
             self.raise_lift(entry.workspace, entry.floor)
-            known = self._digested_lifts.get(entry.workspace, 0.0)
-            self._digested_lifts[entry.workspace] = max(known, entry.floor)
+            told = self._digested_lifts.get(entry.workspace, 0.0)
+            self._digested_lifts[entry.workspace] = max(told, entry.floor)
 
     def silence(self, router: InstanceKey) -> None:
         """Let a router's estimates no longer count; its totals still do."""
-        if router in self._sources:
-            self._sources[router].silent = True
+        for workspace in [w for w, o in self._owed.items() if o[0] == router]:
+            del self._owed[workspace]
 
     def drop_source(self, router: InstanceKey) -> None:
         """Forget what a router said, once it will not come back.
@@ -105,12 +109,13 @@
         If every router lost its ledger at once, the totals of agents that
         ended earlier are gone for all, and must be gone here too.
         """
+        self.silence(router)
         if self._sources.pop(router, None) is None:
             return
         self._others.clear()
         for source in self._sources.values():
-            for workspace, entry in source.entries.items():
-                self._raise_total(workspace, entry.total)
+            for workspace, total in source.totals.items():
+                self._raise_total(workspace, total)
 
     def raise_lift(self, workspace: str, lift: float) -> None:
         """Merge a lift that another agent set."""
@@ -141,14 +146,7 @@
 
     def owed_elsewhere(self, workspace: str) -> float:
         """Return what runs at other agents are expected to add."""
-        return max(
-            (
-                source.entries[workspace].in_flight
-                for source in self._sources.values()
-                if workspace in source.entries and not source.silent
-            ),
-            default=0.0,
-        )
+        return self._owed[workspace][1] if workspace in self._owed else 0.0
 
     def highest(self) -> float:
         """Return the highest counter of all."""
--- a/tests/test_share.py
+++ b/tests/test_share.py
@@ -40,6 +40,12 @@
             assert shares.counter("w1") == 9.0
             assert shares.owed_elsewhere("w1") == 2.0
 
+    def test_the_latest_estimate_counts(self) -> None:
+        shares = Shares()
+        shares.take_digest(R1, digest(1, 5.0, 4.0))
+        shares.take_digest(R2, digest(1, 5.0, 0.0))
+        assert shares.owed_elsewhere("w1") == 0.0
+
     def test_the_best_informed_router_counts(self) -> None:
         shares = Shares()
         shares.serve("w1", 1.0)
