Membership, operators' commands, and faults over real sockets

The membership core now decides whom a router dials and tells the other cores who leaves and who is lost; operators look with status, list and lift quarantines, and hand versions to routers beside the log.

--- a/src/bulrushstream/cli.py
+++ b/src/bulrushstream/cli.py
@@ -19,7 +19,7 @@
 from fire.core import FireExit
 from pydantic import ConfigDict, ValidationError, validate_call
 
-from bulrushstream.commands import measure, rules, standin
+from bulrushstream.commands import measure, operate, rules, standin
 from bulrushstream.commands.check import check
 from bulrushstream.commands.daemons import agent, router
 from bulrushstream.commands.demo import demo
@@ -36,6 +36,10 @@
     "check": check,
     "demo": demo,
     "measure": {"path": measure.path},
+    "quarantine": {
+        "lift": operate.quarantine_lift,
+        "list": operate.quarantine_list,
+    },
     "router": router,
     "rules": {
         "check": rules.check,
@@ -49,6 +53,7 @@
         "log": standin.log,
         "service": standin.service,
     },
+    "status": operate.status,
 }
 
 
--- a/src/bulrushstream/coordination/configcore.py
+++ b/src/bulrushstream/coordination/configcore.py
@@ -103,6 +103,12 @@
         """Return the version in force; EMPTY_CONFIG if there is none."""
         return self.spread.current
 
+    @property
+    def highest_version(self) -> int:
+        """Return the highest version that it or a connected peer has."""
+        shown = (known.version for known in self.spread.peers.values())
+        return max(self.current.version, *shown, NO_VERSION)
+
     @property
     def ready(self) -> bool:
         """Return whether any configuration is in force."""
--- a/src/bulrushstream/coordination/gating.py
+++ b/src/bulrushstream/coordination/gating.py
@@ -188,6 +188,23 @@
         _go_on(state, fingerprint, now_s)
 
 
+def pardon(
+    state: RouterState, fingerprints: Iterable[int], now_s: float
+) -> None:
+    """Take an operator's pardons and tell the fleet of them.
+
+    :param state: the router
+    :param fingerprints: which are lifted
+    :param now_s: the time on the core's clock
+    """
+    lifted = tuple(fingerprints)
+    lift(state, lifted, now_s, now_s)
+    for fingerprint in lifted:
+        state.strike_log.add(fingerprint)
+    for peer in state.routers:
+        state.send(peer, Strikes((), lifted))
+
+
 def asked(
     state: RouterState, peer: InstanceKey, message: TrialAsk, now_s: float
 ) -> None:
--- a/src/bulrushstream/coordination/router.py
+++ b/src/bulrushstream/coordination/router.py
@@ -39,6 +39,7 @@
     LogAppended,
     LogFailed,
     LogRead,
+    Pardoned,
     PeerDown,
     PeerLeaving,
     PeerLost,
@@ -153,6 +154,8 @@
             journal.failed(state, event, now_s)
         case DrainStarted():
             state.draining = True
+        case Pardoned(fingerprints):
+            gating.pardon(state, fingerprints, now_s)
         case _:
             _on_peer(state, event, now_s)
 
--- a/src/bulrushstream/daemon/agent.py
+++ b/src/bulrushstream/daemon/agent.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
+from typing import Protocol
+
+import httpx
 
 from bulrushstream.coordination.agent import (
     AgentOptions,
@@ -18,12 +22,34 @@
 from bulrushstream.state.event import RunEnd
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
 from bulrushstream.state.message import Dispatch
-from bulrushstream.transport.endpoint import EndpointRunner, RunnerOptions
+from bulrushstream.transport.endpoint import (
+    EndpointRunner,
+    RunEvent,
+    RunnerOptions,
+)
 from bulrushstream.transport.reports import poll_cache, poll_load
 
 RunKey = tuple[str, int]
 
 
+class Runner(Protocol):
+    """What an agent needs of its endpoint."""
+
+    @property
+    def client(self) -> httpx.AsyncClient:
+        """Return the HTTP client, for reports and orders."""
+        ...
+
+    def run(
+        self, dispatch: Dispatch, offset: int = 0
+    ) -> AsyncGenerator[RunEvent, None]:
+        """Run one attempt; closing the iterator cancels it."""
+        ...
+
+    async def close(self) -> None:
+        """Close the connections."""
+
+
 class AgentInstance(Instance):
     """One agent and the runs at its endpoint."""
 
@@ -58,7 +84,7 @@
         self.core = new_agent(
             me, options or AgentOptions(), self.rng, self.clock()
         )
-        self.runner = EndpointRunner(
+        self.runner: Runner = EndpointRunner(
             RunnerOptions(
                 base_url=endpoint.url,
                 model=endpoint.kind is EndpointKind.MODEL,
--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -16,7 +16,9 @@
 from typing import Any, Final
 
 from bulrushstream.coordination import configcore
+from bulrushstream.coordination import membership as members
 from bulrushstream.coordination.configcore import ConfigOptions
+from bulrushstream.coordination.membership import MembershipState
 from bulrushstream.daemon.driver import Core, Driver
 from bulrushstream.daemon.platform import (
     Health,
@@ -25,7 +27,6 @@
     follow_list,
     keep_registered,
 )
-from bulrushstream.daemon.status import CommonStatus
 from bulrushstream.metrics import Metrics, count_message, encode_metrics
 from bulrushstream.settings import ListenSettings, PlatformSettings
 from bulrushstream.state.config import VersionedConfig
@@ -33,12 +34,15 @@
     AppendLog,
     Apply,
     Decision,
+    Dial,
     Effect,
     ReadLog,
     Send,
+    Tell,
 )
-from bulrushstream.state.event import Configured, DrainStarted, PeerLeaving
+from bulrushstream.state.event import Configured, DrainStarted, Listed
 from bulrushstream.state.identity import InstanceInfo
+from bulrushstream.state.status import DrainState, Status
 from bulrushstream.transport.instances import InstanceListClient
 from bulrushstream.transport.log import LogClient
 from bulrushstream.transport.mesh import Mesh, MeshOptions, Traffic
@@ -82,6 +86,7 @@
     mesh: Mesh  # Its links to peers.
     health: Health  # Which uses of the platform are degraded.
     config: configcore.ConfigState  # The configuration's core.
+    members: MembershipState  # The membership's core.
     operators: Server  # Where operators connect.
     draining: bool  # Whether it takes no new work.
     driver: Driver  # Owns the cores.
@@ -108,7 +113,7 @@
         self.me = me
         self.rng = random.Random(around.seed)
         self.around = around
-        self.health = Health()
+        self.health = Health(asyncio.get_running_loop().time)
         self.draining = False
         self.log = LogClient(platform.log_url, platform.timeout_s)
         self.listing = InstanceListClient(
@@ -125,6 +130,7 @@
             ),
             self.rng,
         )
+        self.members = members.new_membership(me)
         self.clock = asyncio.get_running_loop().time
 
     def start_cores(
@@ -146,7 +152,11 @@
             "configuration",
             lambda event, now_s: configcore.handle(self.config, event, now_s),
         )
-        self.driver = Driver([config, role], do, self.clock)
+        membership = Core(
+            "membership",
+            lambda event, now_s: members.handle(self.members, event, now_s),
+        )
+        self.driver = Driver([config, membership, role], do, self.clock)
         self.appender = LogAppender(
             self.log, self.driver.post, self.health, self._appended
         )
@@ -175,7 +185,7 @@
             follow_list(
                 self.listing.list,
                 self._platform.list_interval_s,
-                self.take_listing,
+                lambda listing: self.driver.post(Listed(listing)),
                 self.health,
                 self.rng,
             ),
@@ -217,7 +227,8 @@
     def readiness(self) -> Readiness:
         """Return whether the instance takes work, and what is degraded."""
         degraded = tuple(
-            f"{use}: {why}" for use, why in self.health.degraded.items()
+            f"{each.use}: {each.effect}"
+            for each in self.health.degraded_uses(self.clock())
         )
         if self.draining:
             return Readiness(False, ("draining", *degraded))
@@ -229,19 +240,38 @@
         """Return what operators ask to see."""
         raise NotImplementedError
 
-    def common_status(self) -> CommonStatus:
+    def common_status(self) -> Status:
         """Return the status that every role has."""
-        return CommonStatus(
+        current = self.config.current
+        known = self.members.members
+        drain = DrainState.SERVING
+        if self.draining:
+            drain = DrainState.DRAINING if self.busy else DrainState.DRAINED
+        return Status(
             instance=self.me.key.instance,
             incarnation=self.me.key.incarnation,
             role=self.me.role.value,
-            region=self.me.region,
             availability_zone=self.me.availability_zone,
-            config_version=self.config.current.version,
-            config_digest=self.config.current.digest,
-            draining=self.draining,
-            peers=tuple(sorted(key.instance for key in self.mesh.links)),
-            degraded=dict(self.health.degraded),
+            config_version=current.version,
+            config_digest=current.digest,
+            highest_version=self.config.highest_version,
+            drain=drain,
+            peers=len(self.mesh.links),
+            suspected=tuple(
+                sorted(
+                    key.instance
+                    for key, member in known.items()
+                    if member.was_connected and not member.connected
+                )
+            ),
+            leaving=tuple(
+                sorted(
+                    key.instance
+                    for key, member in known.items()
+                    if member.info.leaving
+                )
+            ),
+            degraded=self.health.degraded_uses(self.clock()),
         )
 
     def actions(self) -> Mapping[str, Action]:
@@ -253,8 +283,8 @@
         metrics = self.around.metrics
         metrics.config_version.set(self.config.current.version)
         metrics.degraded.clear()
-        for use in self.health.degraded:
-            metrics.degraded.labels(use).set(1)
+        for each in self.health.degraded_uses(self.clock()):
+            metrics.degraded.labels(each.use).set(1)
         self._count_messages("out", self.mesh.sent, self._counted[0])
         self._count_messages("in", self.mesh.received, self._counted[1])
         return encode_metrics(metrics)
@@ -307,17 +337,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._ended)
 
-    def take_listing(self, listing: tuple[InstanceInfo, ...]) -> None:
-        """Act on a reading of the instance list.
-
-        :param listing: the instances that it names
-        """
-        peers = [p for p in listing if p.key.instance != self.me.key.instance]
-        self.mesh.set_peers(peers)
-        for peer in peers:
-            if peer.leaving:
-                self.driver.post(PeerLeaving(peer.key))
-
     def configured(self, current: VersionedConfig) -> None:
         """Take note that a newer configuration is in force.
 
@@ -392,6 +411,10 @@
             case Apply(current):
                 self.configured(current)
                 self.driver.post(Configured(current))
+            case Tell(event):
+                self.driver.post(event)
+            case Dial(peers):
+                self.mesh.set_peers(peers)
             case Decision():
                 self.around.observe(effect)
             case _:
--- a/src/bulrushstream/daemon/driver.py
+++ b/src/bulrushstream/daemon/driver.py
@@ -45,6 +45,7 @@
     _cores: list[_Waking]  # The cores, in the order of their turn.
     _inbox: deque[tuple[Event, _Waking | None]]  # Events, and for whom.
     _awake: asyncio.Event  # Set while the inbox holds events.
+    _running: asyncio.Event  # Cleared while the driver is held.
 
     def __init__(
         self,
@@ -63,6 +64,16 @@
         self._clock = clock
         self._inbox = deque()
         self._awake = asyncio.Event()
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def hold(self) -> None:
+        """Stand still, as the cores of a paused process would."""
+        self._running.clear()
+
+    def go_on(self) -> None:
+        """End what `hold` began; events that came meanwhile are kept."""
+        self._running.set()
 
     def post(self, event: Event) -> None:
         """Put an event into the inbox.
@@ -77,6 +88,7 @@
         try:
             while True:
                 await self._awake.wait()
+                await self._running.wait()
                 for _ in range(min(len(self._inbox), _BATCH_EVENTS)):
                     event, waking = self._inbox.popleft()
                     self._hand_out(event, waking)
--- a/src/bulrushstream/daemon/platform.py
+++ b/src/bulrushstream/daemon/platform.py
@@ -11,7 +11,6 @@
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
 from typing import Final
 
 from bulrushstream.protocol.platform import (
@@ -28,29 +27,59 @@
     LogRead,
 )
 from bulrushstream.state.identity import InstanceInfo
+from bulrushstream.state.status import Degraded
 
 PAGE_RECORDS: Final = 500
 MAX_BACKOFF_S: Final = 5.0
 
+# What does not work while a use of the platform fails.
+EFFECTS: Final = {
+    "read config": "new versions come from peers only",
+    "read claims": "requests with an Idempotency-Key wait",
+    "read strikes": "strikes come from peers only",
+    "append config": "the version in force is not checkpointed",
+    "append claims": "requests with an Idempotency-Key wait",
+    "append strikes": "strikes go to peers only",
+    "read instances": "new instances are not found",
+    "register": "the instance list may drop this instance",
+}
+
 Post = Callable[[Event], None]
 
 
-@dataclass(slots=True)
 class Health:
-    """Which uses of the platform are degraded, and why."""
+    """Which uses of the platform are degraded."""
+
+    _since_s: dict[str, float]  # When a use began to fail, by use.
 
-    degraded: dict[str, str] = field(default_factory=dict)  # By use.
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Begin with nothing degraded.
+
+        :param clock: the monotonic time in seconds
+        """
+        self._clock = clock
+        self._since_s = {}
 
     def note(self, use: str, error: Exception | None) -> None:
         """Note how the latest call of a use ended.
 
-        :param use: names the use
+        :param use: which use
         :param error: what went wrong; None: nothing
         """
         if error is None:
-            self.degraded.pop(use, None)
+            self._since_s.pop(use, None)
         else:
-            self.degraded[use] = f"{type(error).__name__}: {error}"
+            self._since_s.setdefault(use, self._clock())
+
+    def degraded_uses(self, now_s: float) -> tuple[Degraded, ...]:
+        """Return the uses that do not work.
+
+        :param now_s: the time on the clock
+        """
+        return tuple(
+            Degraded(name, now_s - since_s, EFFECTS.get(name, ""))
+            for name, since_s in sorted(self._since_s.items())
+        )
 
 
 class LogFollower:
--- a/src/bulrushstream/daemon/port.py
+++ b/src/bulrushstream/daemon/port.py
@@ -4,6 +4,7 @@
 
 import secrets
 from collections.abc import Callable
+from typing import Final, TypeAlias
 
 from bulrushstream.coordination.matching import ConfigIndex
 from bulrushstream.state.effect import Fail, Reply
@@ -12,7 +13,9 @@
 from bulrushstream.state.request import Request
 from bulrushstream.transport.port import AnswerQueue
 
-_ID_BYTES = 6
+_ID_BYTES: Final = 6
+
+Watched: TypeAlias = Request | Reply | Fail | CallerLeft
 
 
 class CallersPort:
@@ -20,6 +23,7 @@
 
     index: ConfigIndex | None  # The configuration; None: none yet.
     closed: bool  # Whether no new work is taken.
+    watch: Callable[[Watched], None] | None  # Told of all that passes.
     _answers: dict[str, AnswerQueue]  # Callers that wait, by request.
     _prefix: str  # Random, so that no two starts share request ids.
     _count: int  # Requests so far.
@@ -34,6 +38,7 @@
         """
         self.index = None
         self.closed = False
+        self.watch = None
         self._post = post
         self._clock = clock
         self._answers = {}
@@ -68,6 +73,8 @@
 
     def submit(self, request: Request) -> AnswerQueue:
         """Hand a request to the core; see `RouterPort`."""
+        if self.watch is not None:
+            self.watch(request)
         queue = AnswerQueue()
         self._answers[request.request_id] = queue
         self._post(Arrived(request))
@@ -75,8 +82,12 @@
 
     def cancel(self, request_id: str) -> None:
         """Tell the core that a caller left; see `RouterPort`."""
-        if self._answers.pop(request_id, None) is not None:
-            self._post(CallerLeft(request_id))
+        if self._answers.pop(request_id, None) is None:
+            return
+        left = CallerLeft(request_id)
+        if self.watch is not None:
+            self.watch(left)
+        self._post(left)
 
     def give(self, effect: Reply | Fail) -> None:
         """Give a caller the next piece of its answer.
@@ -86,6 +97,8 @@
         queue = self._answers.get(effect.request_id)
         if queue is None:
             return
+        if self.watch is not None:
+            self.watch(effect)
         queue.put(effect)
         ended = isinstance(effect, Fail) or effect.part.kind is PartKind.END
         if ended:
--- a/src/bulrushstream/daemon/router.py
+++ b/src/bulrushstream/daemon/router.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Final
 
+import msgspec
+
 from bulrushstream.coordination.configlog import STREAM as CONFIG_STREAM
 from bulrushstream.coordination.matching import ConfigIndex
 from bulrushstream.coordination.options import RouterOptions
@@ -11,14 +14,17 @@
 from bulrushstream.daemon.base import Instance, Surroundings, new_incarnation
 from bulrushstream.daemon.driver import Core
 from bulrushstream.daemon.port import CallersPort
-from bulrushstream.daemon.status import RouterStatus
+from bulrushstream.daemon.status import QuarantineStatus, RouterStatus
 from bulrushstream.metrics import count_exchange, set_queued
 from bulrushstream.settings import RouterSettings
 from bulrushstream.state.config import VersionedConfig
 from bulrushstream.state.effect import Effect, Fail, Reply
+from bulrushstream.state.event import Pardoned, Received
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
+from bulrushstream.state.message import ConfigPush
 from bulrushstream.transport.admission import BodyLimits
 from bulrushstream.transport.callers import CallersOptions, make_callers
+from bulrushstream.transport.operators import Action, ActionError
 from bulrushstream.transport.server import Server, ServerLimits
 
 # Peers pass versions and strikes on, and a router reads at once what it
@@ -27,6 +33,29 @@
 CLAIMS_INTERVAL_S: Final = 1.0
 STRIKES_INTERVAL_S: Final = 3.0
 
+# Who an operator's message comes from.
+OPERATOR: Final = InstanceKey("operator", 0)
+
+_FINGERPRINT_BITS: Final = 64
+
+
+def fingerprint_text(fingerprint: int) -> str:
+    """Return a fingerprint as operators see it."""
+    return f"{fingerprint % 2**_FINGERPRINT_BITS:016x}"
+
+
+def fingerprint_of(text: str) -> int:
+    """Return the fingerprint that operators name.
+
+    :param text: hexadecimal digits
+    :raises ValueError: if it is not one
+    """
+    bits = int(text, 16)
+    if not 0 <= bits < 2**_FINGERPRINT_BITS:
+        raise ValueError("more than 64 bits")
+    sign: int = 1 << (_FINGERPRINT_BITS - 1)
+    return (bits ^ sign) - sign
+
 
 class RouterInstance(Instance):
     """One router and its callers' front."""
@@ -134,6 +163,46 @@
             unanswered=self.port.waiting,
         )
 
+    def actions(self) -> Mapping[str, Action]:
+        """Return what operators may have the router do."""
+        return {
+            "config": self._take_config,
+            "quarantine": self._list_quarantine,
+            "pardon": self._pardon,
+        }
+
+    async def _take_config(self, body: bytes) -> bool:
+        """Take a version that an operator published just now."""
+        try:
+            push = msgspec.json.decode(body, type=ConfigPush)
+        except msgspec.DecodeError as error:
+            raise ActionError(str(error)) from error
+        self.driver.post(Received(OPERATOR, push))
+        return True
+
+    async def _list_quarantine(self, _: bytes) -> list[QuarantineStatus]:
+        """Return the requests that have crashed endpoints."""
+        now_s = self.clock()
+        held = self.core.quarantine
+        return [
+            QuarantineStatus(
+                fingerprint=fingerprint_text(fingerprint),
+                strikes=held.count(fingerprint, now_s),
+                refused=held.is_refused(fingerprint, now_s),
+                ends_s=max(0.0, held.ends_s(fingerprint, now_s) - now_s),
+            )
+            for fingerprint in held.fingerprints()
+        ]
+
+    async def _pardon(self, body: bytes) -> bool:
+        """Lift the quarantine of the requests with a fingerprint."""
+        try:
+            fingerprint = fingerprint_of(body.decode())
+        except ValueError as error:
+            raise ActionError("not a fingerprint") from error
+        self.driver.post(Pardoned((fingerprint,)))
+        return True
+
     def unfinished(self) -> list[str]:
         """Return the requests whose callers wait; see `Instance`."""
         return self.port.unfinished()
--- a/src/bulrushstream/daemon/status.py
+++ b/src/bulrushstream/daemon/status.py
@@ -2,31 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True, slots=True)
-class CommonStatus:
-    """What every role tells."""
-
-    instance: str  # The instance's name.
-    incarnation: int  # This start of it.
-    role: str  # What it does.
-    region: str  # Where it runs.
-    availability_zone: str  # Where it runs.
-    config_version: int  # The configuration in force; -1: none.
-    config_digest: str  # Digest of that configuration.
-    draining: bool  # Whether it takes no new work.
-    peers: tuple[str, ...]  # Instances with a link to it.
-    degraded: Mapping[str, str]  # Failing uses of the platform, and why.
+from bulrushstream.state.status import Status
 
 
 @dataclass(frozen=True, slots=True)
 class RouterStatus:
     """What a router tells."""
 
-    common: CommonStatus  # What every role tells.
+    common: Status  # What every role tells.
     waiting: int  # Requests in its queues.
     waiting_bytes: int  # Their memory.
     unanswered: int  # Callers whose answers have not ended.
@@ -36,9 +21,19 @@
 class AgentStatus:
     """What an agent tells."""
 
-    common: CommonStatus  # What every role tells.
+    common: Status  # What every role tells.
     service: str  # The service of its endpoint.
     endpoint: str  # The name of its endpoint.
     slots: int  # Requests that may be at the endpoint now.
     running: int  # Requests that are.
     breaker: str  # The endpoint's circuit breaker.
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineStatus:
+    """What a router tells of requests that crash endpoints."""
+
+    fingerprint: str  # Names them, in hexadecimal digits.
+    strikes: int  # Crashes that count.
+    refused: bool  # Whether they are refused now.
+    ends_s: float  # Until they are not, in seconds.
--- a/src/bulrushstream/local/client.py
+++ b/src/bulrushstream/local/client.py
@@ -14,6 +14,7 @@
 
 from bulrushstream.standins.answer import expected_text
 
+TRUNCATED: Final = "[truncated]"
 EXECUTION_HEADER: Final = "bulrushstream-execution"
 
 
@@ -54,14 +55,15 @@
         "max_tokens": max_tokens,
         "stream": stream,
     }
-    try:
-        answer = await client.post(
-            f"{base_url}/v1/chat/completions",
-            json=body,
-            headers={"Authorization": f"Bearer {token}"},
-        )
-    except httpx.HTTPError as error:
-        return Verdict(False, 0, "", f"{type(error).__name__}: {error}")
+    request = client.build_request(
+        "POST",
+        f"{base_url}/v1/chat/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {token}"},
+    )
+    answer = await _fetch(client, request)
+    if isinstance(answer, Verdict):
+        return answer
     if answer.status_code != 200:
         return _refusal(answer)
     text = _stream_text(answer.text) if stream else _json_text(answer.text)
@@ -93,21 +95,39 @@
     headers = {"Authorization": f"Bearer {token}"}
     if key:
         headers["Idempotency-Key"] = key
-    try:
-        answer = await client.request(
-            method,
-            f"{base_url}/services/{path}",
-            content=body,
-            headers=headers,
-        )
-    except httpx.HTTPError as error:
-        return Verdict(False, 0, "", f"{type(error).__name__}: {error}")
+    request = client.build_request(
+        method,
+        f"{base_url}/services/{path}",
+        content=body,
+        headers=headers,
+    )
+    answer = await _fetch(client, request)
+    if isinstance(answer, Verdict):
+        return answer
     if answer.status_code != 200:
         return _refusal(answer)
     why = "" if answer.content == body else f"got {answer.content!r}"
     return _verdict(answer, why)
 
 
+async def _fetch(
+    client: httpx.AsyncClient, request: httpx.Request
+) -> httpx.Response | Verdict:
+    """Return the whole answer, or the verdict if none came or it broke."""
+    try:
+        answer = await client.send(request, stream=True)
+    except httpx.HTTPError as error:
+        return Verdict(False, 0, "", f"{type(error).__name__}: {error}")
+    try:
+        await answer.aread()
+    except httpx.HTTPError as error:
+        why = f"{TRUNCATED}: {type(error).__name__}: {error}"
+        return Verdict(False, answer.status_code, "", why)
+    finally:
+        await answer.aclose()
+    return answer
+
+
 def _verdict(answer: httpx.Response, why: str) -> Verdict:
     """Return what a caller makes of an answer with status 200."""
     outcome = answer.headers.get(EXECUTION_HEADER, "")
@@ -139,4 +159,4 @@
         elif line.startswith("data: "):
             choices = json.loads(line[6:]).get("choices") or [{}]
             pieces.append(choices[0].get("delta", {}).get("content") or "")
-    return "".join(pieces) + ("" if whole else " [truncated]")
+    return "".join(pieces) + ("" if whole else f" {TRUNCATED}")
--- a/src/bulrushstream/local/fleet.py
+++ b/src/bulrushstream/local/fleet.py
@@ -14,6 +14,7 @@
 from bulrushstream.daemon.agent import AgentInstance
 from bulrushstream.daemon.router import RouterInstance
 from bulrushstream.local.plan import LocalPlan, LocalService
+from bulrushstream.local.recorder import Recorder
 from bulrushstream.settings import (
     AgentSettings,
     EndpointKind,
@@ -65,6 +66,7 @@
     security: SecuritySettings  # The fleet's shared secret.
     routers: dict[str, RouterInstance] = field(default_factory=dict)
     agents: dict[str, AgentInstance] = field(default_factory=dict)
+    recorder: Recorder | None = None  # Writes the history; None: nobody.
 
     def zone(self, number: int) -> str:
         """Return the availability zone of the part with this number."""
@@ -99,6 +101,8 @@
             drain_timeout_s=self.plan.drain_timeout_s,
         )
         router = compose.make_router(settings, delay_for=self._delay(zone))
+        if self.recorder is not None:
+            self.recorder.watch_router(router)
         await router.start()
         self.routers[name] = router
         return router
@@ -131,6 +135,8 @@
         agent = compose.make_agent(
             settings, delay_for=self._delay(endpoint.availability_zone)
         )
+        if self.recorder is not None:
+            self.recorder.watch_agent(agent)
         await agent.start()
         self.agents[name] = agent
         return agent
@@ -179,10 +185,13 @@
 
 
 @asynccontextmanager
-async def run_fleet(plan: LocalPlan) -> AsyncIterator[LocalFleet]:
+async def run_fleet(
+    plan: LocalPlan, recorder: Recorder | None = None
+) -> AsyncIterator[LocalFleet]:
     """Run a local fleet for as long as the context is open.
 
     :param plan: what it is made of
+    :param recorder: writes the history of what happens; None: nobody
     :returns: the fleet, configured and connected
     """
     async with AsyncExitStack() as stack:
@@ -198,6 +207,7 @@
             ),
             endpoints={},
             security=SecuritySettings(shared_secret=secrets.token_hex(16)),
+            recorder=recorder,
         )
         for service in plan.services:
             await _start_endpoints(fleet, service, stack)
--- /dev/null
+++ b/src/bulrushstream/local/recorder.py
@@ -0,0 +1,198 @@
+"""Write the history of a local fleet, for the checker.
+
+Records come from the outer edges: what callers send and are given, and
+what agents pass to their endpoints and get back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
+
+import httpx
+
+from bulrushstream.daemon.agent import AgentInstance, Runner
+from bulrushstream.daemon.port import Watched
+from bulrushstream.daemon.router import RouterInstance
+from bulrushstream.history.record import (
+    AnswerBytes,
+    AnswerEnded,
+    AnswerHead,
+    Called,
+    CallerGone,
+    EndpointCrashed,
+    Record,
+    Refused,
+    RunBytes,
+    RunEnded,
+    RunStarted,
+)
+from bulrushstream.state.effect import Fail, Reply
+from bulrushstream.state.event import CallerLeft, RunBody, RunEnd
+from bulrushstream.state.identity import InstanceKey
+from bulrushstream.state.message import Dispatch, Part, PartKind
+from bulrushstream.state.request import Request
+from bulrushstream.transport.endpoint import RunEvent
+
+
+class Recorder:
+    """The history of one local fleet."""
+
+    history: list[Record]  # What happened, in order.
+    crash_marker: str  # A body with this text crashes its endpoint.
+    _fingerprints: dict[str, int]  # Of each request.
+
+    def __init__(
+        self, clock: Callable[[], float], crash_marker: str = ""
+    ) -> None:
+        """Begin an empty history.
+
+        :param clock: the monotonic time in seconds
+        :param crash_marker: a body with this text crashes its endpoint
+        """
+        self.history = []
+        self.crash_marker = crash_marker
+        self._clock = clock
+        self._fingerprints = {}
+
+    def watch_router(self, router: RouterInstance) -> None:
+        """Record what a router's callers send and are given.
+
+        :param router: the router, before its start
+        """
+        key = router.me.key
+        router.port.watch = lambda passed: self._on_port(key, passed)
+
+    def watch_agent(self, agent: AgentInstance) -> None:
+        """Record what an agent's endpoint is given and gives.
+
+        :param agent: the agent, before its start
+        """
+        agent.runner = RecordingRunner(agent.runner, agent.me.key, self)
+
+    def started(self, dispatch: Dispatch, agent: InstanceKey) -> None:
+        """Record that an endpoint is given a request."""
+        now_s = self._clock()
+        self.history.append(
+            RunStarted(now_s, dispatch.request_id, dispatch.attempt, agent)
+        )
+
+    def passed(
+        self, dispatch: Dispatch, agent: InstanceKey, event: RunEvent
+    ) -> None:
+        """Record what came of a run."""
+        now_s = self._clock()
+        names = (dispatch.request_id, dispatch.attempt, agent)
+        match event:
+            case RunBody():
+                self.history.append(RunBytes(now_s, *names, event.data))
+            case RunEnd():
+                if event.crashed and self._is_marked(dispatch):
+                    fingerprint = self._fingerprints[dispatch.request_id]
+                    self.history.append(
+                        EndpointCrashed(now_s, agent, fingerprint)
+                    )
+                self.history.append(RunEnded(now_s, *names, event.whole))
+
+    def cancelled(self, dispatch: Dispatch, agent: InstanceKey) -> None:
+        """Record that a run was stopped."""
+        names = (dispatch.request_id, dispatch.attempt, agent)
+        self.history.append(
+            RunEnded(self._clock(), *names, whole=False, cancelled=True)
+        )
+
+    def _is_marked(self, dispatch: Dispatch) -> bool:
+        """Return whether a request crashes its endpoint."""
+        marker = self.crash_marker.encode()
+        return bool(marker) and marker in dispatch.body
+
+    def _on_port(self, router: InstanceKey, passed: Watched) -> None:
+        """Record what passes between a router and its callers."""
+        now_s = self._clock()
+        match passed:
+            case Request():
+                self.history.append(self._call(now_s, router, passed))
+            case Reply(request_id, part):
+                self.history += _answer(now_s, request_id, part)
+            case Fail(request_id, code, outcome):
+                self.history.append(Refused(now_s, request_id, code, outcome))
+            case CallerLeft(request_id):
+                self.history.append(CallerGone(now_s, request_id))
+
+    def _call(
+        self, now_s: float, router: InstanceKey, request: Request
+    ) -> Called:
+        """Return the record of a caller's request."""
+        self._fingerprints[request.request_id] = request.fingerprint
+        return Called(
+            at_s=now_s,
+            request_id=request.request_id,
+            router=router,
+            workspace=request.workspace,
+            service=request.service,
+            idempotent=request.idempotent,
+            deadline_s=request.deadline_s,
+            fingerprint=request.fingerprint,
+            idempotency_key=request.idempotency_key,
+        )
+
+
+class RecordingRunner:
+    """A runner that tells a recorder of every run."""
+
+    def __init__(
+        self, inner: Runner, agent: InstanceKey, recorder: Recorder
+    ) -> None:
+        """Wrap a runner.
+
+        :param inner: does the work
+        :param agent: whose runner it is
+        :param recorder: is told
+        """
+        self._inner = inner
+        self._agent = agent
+        self._recorder = recorder
+
+    @property
+    def client(self) -> httpx.AsyncClient:
+        """Return the HTTP client, for reports and orders."""
+        return self._inner.client
+
+    async def run(
+        self, dispatch: Dispatch, offset: int = 0
+    ) -> AsyncGenerator[RunEvent, None]:
+        """Run one attempt and record it; see `Runner`."""
+        # Whether the endpoint saw the request is known with the first event.
+        started = False
+        ended = False
+        try:
+            async with aclosing(self._inner.run(dispatch, offset)) as events:
+                async for event in events:
+                    ended = isinstance(event, RunEnd)
+                    seen = not isinstance(event, RunEnd) or event.started
+                    if seen and not started:
+                        started = True
+                        self._recorder.started(dispatch, self._agent)
+                    if started:
+                        self._recorder.passed(dispatch, self._agent, event)
+                    yield event
+        finally:
+            if not ended:
+                if not started:
+                    self._recorder.started(dispatch, self._agent)
+                self._recorder.cancelled(dispatch, self._agent)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._inner.close()
+
+
+def _answer(now_s: float, request_id: str, part: Part) -> list[Record]:
+    """Return the records of one part of an answer."""
+    match part.kind:
+        case PartKind.HEAD:
+            return [AnswerHead(now_s, request_id, part.status)]
+        case PartKind.BODY:
+            return [AnswerBytes(now_s, request_id, part.data)]
+        case PartKind.END:
+            return [AnswerEnded(now_s, request_id, part.whole, part.outcome)]
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -146,3 +146,5 @@
 ROUTER_NOT_TOLD: Final = Notice(
     "B310", "Router {router} was not told; it reads the log by itself."
 )
+INSTANCE_SILENT: Final = Notice("B311", "{url} does not answer.")
+PARDON_REFUSED: Final = Notice("B312", "{url} did not take the pardon.")
--- a/src/bulrushstream/state/event.py
+++ b/src/bulrushstream/state/event.py
@@ -92,6 +92,13 @@
     request_id: str  # Whose answer is no longer wanted.
 
 
+@dataclass(frozen=True, slots=True)
+class Pardoned:
+    """An operator lifted the quarantine of some requests."""
+
+    fingerprints: tuple[int, ...]  # Which requests.
+
+
 @dataclass(frozen=True, slots=True)
 class LogRecord:
     """One record of a stream of the platform's log."""
@@ -203,6 +210,7 @@
     | DrainStarted
     | Arrived
     | CallerLeft
+    | Pardoned
     | LogRead
     | LogAppended
     | LogFailed
--- /dev/null
+++ b/tests/test_endtoend.py
@@ -0,0 +1,203 @@
+"""A local fleet over real sockets, under load and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import httpx
+import pytest
+
+from bulrushstream.commands.demo import demo_plan
+from bulrushstream.history.checker import check_history
+from bulrushstream.local.client import Verdict, call_service, chat
+from bulrushstream.local.fleet import LocalFleet, run_fleet
+from bulrushstream.local.plan import LocalPlan, LocalService
+from bulrushstream.local.recorder import Recorder
+from bulrushstream.standins.engine import EngineFaults, EngineOptions
+from bulrushstream.standins.plain import PlainOptions
+from bulrushstream.state.config import ServiceKind
+
+REQUESTS = 120
+MARKER = "[crash]"
+
+
+def busy_plan() -> LocalPlan:
+    engine = EngineOptions(
+        models=("proofwriter",), first_token_s=0.01, token_s=0.004
+    )
+    return LocalPlan(
+        config=demo_plan().config,
+        services=(
+            LocalService("proofwriter", ServiceKind.MODEL, 3, engine=engine),
+            LocalService(
+                "floordesk",
+                ServiceKind.PLAIN,
+                2,
+                plain=PlainOptions(call_s=0.02),
+            ),
+        ),
+        routers=2,
+    )
+
+
+@dataclass
+class Load:
+    """Callers that send mixed requests to every router that runs."""
+
+    fleet: LocalFleet
+    rng: random.Random = field(default_factory=lambda: random.Random(7))
+    verdicts: list[Verdict] = field(default_factory=list)
+
+    async def run(self, count: int) -> None:
+        async with (
+            httpx.AsyncClient(timeout=90) as client,
+            asyncio.TaskGroup() as group,
+        ):
+            for number in range(count):
+                group.create_task(self.send(client, number))
+                await asyncio.sleep(0.01)
+
+    async def send(self, client: httpx.AsyncClient, number: int) -> None:
+        router = self.rng.choice(list(self.fleet.routers.values()))
+        url = router.server.url
+        token = f"demo-{self.rng.choice(['press', 'club', 'school'])}"
+        kind = self.rng.choice(["chat", "stream", "ticket", "look-up"])
+        if kind in ("chat", "stream"):
+            verdict = await chat(
+                client,
+                url,
+                token,
+                f"note {number}",
+                model="proofwriter",
+                stream=kind == "stream",
+                max_tokens=20,
+            )
+        elif kind == "ticket":
+            verdict = await call_service(
+                client,
+                url,
+                token,
+                method="POST",
+                path="floordesk/tickets",
+                body=b"ticket %d" % number,
+            )
+        else:
+            verdict = await call_service(
+                client, url, token, method="GET", path=f"floordesk/{number}"
+            )
+        self.verdicts.append(verdict)
+
+
+async def cut_links(fleet: LocalFleet) -> None:
+    for _ in range(6):
+        await asyncio.sleep(0.15)
+        for router in fleet.routers.values():
+            for agent in fleet.agents:
+                router.mesh.cut(agent)
+
+
+async def kill_agent(fleet: LocalFleet) -> None:
+    await asyncio.sleep(0.4)
+    await fleet.agents["agent-proofwriter-0"].kill()
+    await fleet.start_agent("proofwriter-0")
+
+
+async def kill_router(fleet: LocalFleet) -> None:
+    await asyncio.sleep(0.5)
+    await fleet.routers["router-1"].kill()
+    await fleet.start_router(1)
+
+
+async def freeze_agent(fleet: LocalFleet) -> None:
+    """Hold an agent's driver still, as a paused process would be."""
+    await asyncio.sleep(0.3)
+    driver = fleet.agents["agent-floordesk-0"].driver
+    driver.hold()
+    await asyncio.sleep(1.0)
+    driver.go_on()
+
+
+async def log_outage(fleet: LocalFleet) -> None:
+    faults = fleet.log.state.faults
+    fleet.log.state.faults = type(faults)(outage=True)
+    await asyncio.sleep(1.0)
+    fleet.log.state.faults = faults
+
+
+Fault = Callable[[LocalFleet], Awaitable[None]]
+FAULTS = [cut_links, kill_agent, kill_router, freeze_agent, log_outage]
+
+
+class FaultSuite:
+    @pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.__name__)
+    async def test_every_promise_holds(self, fault: Fault) -> None:
+        recorder = Recorder(asyncio.get_running_loop().time)
+        async with run_fleet(busy_plan(), recorder) as fleet:
+            load = Load(fleet)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(load.run(REQUESTS))
+                group.create_task(awaited(fault(fleet)))
+        assert check_history(recorder.history) == []
+        assert len(load.verdicts) == REQUESTS
+        # Only a killed router's callers may be left without an answer.
+        if fault is not kill_router:
+            assert all(verdict.status for verdict in load.verdicts)
+        garbled = [v.why for v in load.verdicts if v.why.startswith("got")]
+        assert not [why for why in garbled if "[truncated]" not in why]
+        assert sum(v.ok for v in load.verdicts) > REQUESTS / 2
+
+    async def test_a_crashing_request_is_quarantined(self) -> None:
+        recorder = Recorder(asyncio.get_running_loop().time, MARKER)
+        async with run_fleet(busy_plan(), recorder) as fleet:
+            for endpoint in fleet.endpoints.values():
+                if endpoint.service.kind is ServiceKind.MODEL:
+                    endpoint.app.state.faults = EngineFaults(
+                        crash_marker=MARKER, down_s=0.3
+                    )
+            load = Load(fleet)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(load.run(REQUESTS // 2))
+                refusals = group.create_task(insist(fleet))
+        assert check_history(recorder.history) == []
+        assert refusals.result()[-1].code == "B113"
+        assert all(verdict.ok for verdict in load.verdicts)
+
+    async def test_a_planned_restart_cuts_nothing(self) -> None:
+        recorder = Recorder(asyncio.get_running_loop().time)
+        async with run_fleet(busy_plan(), recorder) as fleet:
+            load = Load(fleet)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(load.run(REQUESTS))
+                group.create_task(restart_agents(fleet))
+        assert check_history(recorder.history) == []
+        assert [v.why for v in load.verdicts if not v.ok] == []
+
+
+async def awaited(work: Awaitable[None]) -> None:
+    await work
+
+
+async def restart_agents(fleet: LocalFleet) -> None:
+    for name in list(fleet.endpoints):
+        assert await fleet.agents[f"agent-{name}"].stop(limit_s=30)
+        await fleet.start_agent(name)
+        await fleet.until(fleet.ready, "the new agent is connected")
+
+
+async def insist(fleet: LocalFleet) -> list[Verdict]:
+    """Send the crashing request again until it is refused as such."""
+    verdicts: list[Verdict] = []
+    async with httpx.AsyncClient(timeout=90) as client, asyncio.timeout(60):
+        while not verdicts or verdicts[-1].code != "B113":
+            url = random.Random(len(verdicts)).choice(
+                [router.server.url for router in fleet.routers.values()]
+            )
+            verdicts.append(
+                await chat(
+                    client, url, "demo-club", MARKER, model="proofwriter"
+                )
+            )
+    return verdicts
