--- a/src/bulrushstream/cli.py
+++ b/src/bulrushstream/cli.py
@@ -23,6 +23,7 @@
 from bulrushstream.commands.check import check
 from bulrushstream.commands.daemons import agent, router
 from bulrushstream.commands.demo import demo
+from bulrushstream.commands.load import load
 
 PROGRAM: Final = "bulrushstream"
 USAGE_EXIT: Final = 2
@@ -35,6 +36,7 @@
     "agent": agent,
     "check": check,
     "demo": demo,
+    "load": load,
     "measure": {"path": measure.path},
     "quarantine": {
         "lift": operate.quarantine_lift,
--- /dev/null
+++ b/src/bulrushstream/commands/load.py
@@ -0,0 +1,91 @@
+"""`bulrushstream load`: send a scenario's requests to running routers."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+from bulrushstream.load.run import Progress, run_load
+from bulrushstream.load.scenario import (
+    Scenario,
+    fleet_config,
+    read_scenario,
+    scenario_names,
+)
+from bulrushstream.load.summary import LoadSummary, format_summary
+
+BAD_ANSWERS_EXIT: Final = 1
+USAGE_EXIT: Final = 2
+
+
+def load(
+    scenario: str,
+    routers: str = "",
+    seed: int | None = None,
+    out: str = "",
+    rules: bool = False,
+) -> int:
+    """Send a scenario's requests to routers and check every answer.
+
+    :param scenario: the name of one that ships, or a JSON file
+    :param routers: the routers' addresses for callers, with commas
+    :param seed: decides what is left to chance; None: the scenario's
+    :param out: a file for the result in JSON; empty: none
+    :param rules: print the rule list that the scenario needs, and stop
+    :returns: the exit code: 0 only if every answer was whole or refused
+    """
+    result = read_scenario(scenario)
+    if result.is_error():
+        for finding in result.error:
+            print(finding, file=sys.stderr)
+        print(f"scenarios: {', '.join(scenario_names())}", file=sys.stderr)
+        return USAGE_EXIT
+    chosen = result.ok
+    if rules:
+        print(_encode(fleet_config(chosen)))
+        return 0
+    urls = [url.strip() for url in routers.split(",") if url.strip()]
+    if not urls:
+        print("give --routers, one address or more", file=sys.stderr)
+        return USAGE_EXIT
+    used_seed = chosen.seed if seed is None else seed
+    return asyncio.run(_load(chosen, urls, used_seed, out))
+
+
+async def _load(
+    scenario: Scenario, urls: list[str], seed: int, out: str
+) -> int:
+    """Run the load, show its progress and its result."""
+    summary = await run_load(scenario, urls, seed, show_progress)
+    print(format_summary(summary))
+    if out:
+        _write(summary, out)
+    return 0 if summary.good else BAD_ANSWERS_EXIT
+
+
+def show_progress(progress: Progress) -> None:
+    """Print a line that tells how far a run has come.
+
+    :param progress: How far it has come.
+    """
+    print(
+        f"{progress.elapsed_s:6.1f} s: {progress.sent}/{progress.planned}"
+        f" sent, {progress.answered} answered",
+        file=sys.stderr,
+        flush=True,
+    )
+
+
+def _write(summary: LoadSummary, path: str) -> None:
+    """Write a summary as JSON."""
+    Path(path).write_text(_encode(summary) + "\n", encoding="utf-8")
+
+
+def _encode(value: object) -> str:
+    """Return a value as readable JSON."""
+    encoded = msgspec.json.encode(value)
+    return msgspec.json.format(encoded, indent=2).decode()
--- /dev/null
+++ b/src/bulrushstream/load/__init__.py
@@ -0,0 +1,1 @@
+"""An open-loop load generator whose callers check their answers."""
