--- a/src/bulrushstream/coordination/configcore.py
+++ b/src/bulrushstream/coordination/configcore.py
@@ -166,7 +166,7 @@
 
 def _read(state: ConfigState, event: LogRead, now_s: float) -> list[Effect]:
     """Fold a page of the stream."""
-    if event.offset > state.next_offset:
+    if event.offset > max(state.next_offset, event.first_offset):
         return []  # It was read before the reader was sent back.
     effects: list[Effect] = []
     if event.first_offset > state.next_offset:
--- a/src/bulrushstream/coordination/lease.py
+++ b/src/bulrushstream/coordination/lease.py
@@ -207,7 +207,7 @@
 
 
 def _read(state: LeaseState, event: LogRead, now_s: float) -> None:
-    if event.offset > state.next_offset:
+    if event.offset > max(state.next_offset, event.first_offset):
         return
     if event.first_offset > state.next_offset:
         _forget(state, event.first_offset)
--- a/tests/test_configcore.py
+++ b/tests/test_configcore.py
@@ -422,6 +422,14 @@
         assert node.state.next_offset == 0
         assert not node.state.ready
 
+    def test_a_page_that_begins_at_a_gap_is_read(self) -> None:
+        fleet = _fleet(a_router("r1"))
+        node = next(iter(fleet.nodes.values()))
+        current = versioned(4, a_rule_list(1))
+        record = LogRecord(7, encode_checkpoint(current))
+        fleet.handle(node, LogRead(STREAM, (record,), True, 7, 7))
+        assert node.state.current == current
+
     def test_a_late_copy_of_a_lower_version_is_ignored(self) -> None:
         fleet = _fleet(a_router("r1"), a_router("r2"))
         node, peer = fleet.nodes.values()
