Run a suspect only once every earlier crash can be known

A router that had just started, or had just come back from a partition, ran a suspected request before the agents and routers that knew of its third crash had connected. A trial now waits until every agent of the service is connected, or given up, and has had 2 s to tell; and until the router itself is that old. A draining router that alone knows of a strike waits for the log to take it.

Three tests of suspects now let the 2 s pass before they begin; what they check is unchanged.

--- a/src/bulrushstream/coordination/attempts.py
+++ b/src/bulrushstream/coordination/attempts.py
@@ -169,6 +169,7 @@
         view = AgentView(info)
         state.add_agent(view)
     view.connected = True
+    view.since_s = now_s
     view.leaving = view.leaving or info.leaving
     view.free_slots = 0
     backlogs.tell_all(state, view, now_s)
--- a/src/bulrushstream/coordination/gating.py
+++ b/src/bulrushstream/coordination/gating.py
@@ -67,7 +67,25 @@
         trials.ask(state, request.fingerprint, now_s)
     if gate.trial.request_id != request.request_id:
         return False
-    return is_free(state, tracked) and not trials.missing(state, gate.trial)
+    if not is_free(state, tracked) or trials.missing(state, gate.trial):
+        return False
+    wait_s = trials.informed_s(state, request.service) - now_s
+    if wait_s <= 0.0:
+        return True
+    due_s = now_s + min(wait_s, state.options.trial_interval_s)
+    state.timers.set((Timer.TRIAL, str(request.fingerprint)), due_s)
+    return False
+
+
+def try_again(state: RouterState, fingerprint: int, now_s: float) -> None:
+    """Ask again for what a trial lacks, and go on if it lacks nothing.
+
+    :param state: the router
+    :param fingerprint: which requests
+    :param now_s: the time on the core's clock
+    """
+    trials.ask(state, fingerprint, now_s)
+    _go_on(state, fingerprint, now_s)
 
 
 def leave(state: RouterState, tracked: Tracked) -> None:
--- a/src/bulrushstream/coordination/options.py
+++ b/src/bulrushstream/coordination/options.py
@@ -41,6 +41,7 @@
     refuse_pause_s: float = 0.02  # Before a refused request is offered.
     max_not_run: int = 10  # Attempts that may end before they start.
     trial_interval_s: float = 0.5  # Between asks for a trial's grants.
+    trial_settle_s: float = 2.0  # From a connection until crashes are known.
     strikes_stream: str = "strikes"  # The stream of strikes.
     budget: BudgetOptions = field(default_factory=BudgetOptions)
     quarantine: QuarantineOptions = field(default_factory=QuarantineOptions)
--- a/src/bulrushstream/coordination/router.py
+++ b/src/bulrushstream/coordination/router.py
@@ -21,7 +21,6 @@
     journal,
     peers,
     screening,
-    trials,
 )
 from bulrushstream.coordination.appender import Appender, AppenderOptions
 from bulrushstream.coordination.budget import RetryBudget
@@ -81,9 +80,9 @@
     :param now_s: the time on the core's clock
     :returns: the state to hand to `handle`
     """
-    del now_s
     return RouterState(
         me=me,
+        started_s=now_s,
         options=options,
         rng=rng,
         queues=QueueTable(
@@ -250,6 +249,6 @@
         case Timer.RELAY:
             hub.relay(state, now_s)
         case Timer.TRIAL:
-            trials.ask(state, int(name), now_s)
+            gating.try_again(state, int(name), now_s)
         case _:
             pass  # The journal writes after every event.
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -110,6 +110,7 @@
 
     info: InstanceInfo  # Who it is.
     connected: bool = True  # Whether there is a connection.
+    since_s: float = 0.0  # Since when there is one.
     leaving: bool = False  # Whether it takes no new work.
     free_slots: int = 0  # Slots that it announced and nobody took.
     idle_sequence: int = 0  # The last announcement's number.
@@ -162,6 +163,7 @@
     """Everything that one router knows."""
 
     me: InstanceInfo  # Who this router is.
+    started_s: float  # When it started.
     options: RouterOptions  # Its limits and intervals.
     rng: random.Random  # The source of all randomness.
     queues: QueueTable  # The requests that wait.
@@ -206,7 +208,17 @@
     def idle(self) -> bool:
         """Return whether the router can stop without harm to anyone."""
         unwritten = len(self.claim_log) and not self.claim_log.failures
-        return not self.tracked and not unwritten
+        return not self.tracked and not unwritten and not self._untold
+
+    @property
+    def _untold(self) -> bool:
+        """Return whether strikes would be lost if the router stopped."""
+        if not len(self.strike_log):
+            return False
+        if not self.strike_log.failures:
+            return True
+        # The log is out; a peer that was told remembers them as well.
+        return not any(view.connected for view in self.routers.values())
 
     def send(self, peer: InstanceKey, message: Message) -> None:
         """Send a message to a peer."""
--- a/src/bulrushstream/coordination/trials.py
+++ b/src/bulrushstream/coordination/trials.py
@@ -39,6 +39,25 @@
         state.timers.set((Timer.TRIAL, str(fingerprint)), due_s)
 
 
+def informed_s(state: RouterState, service: str) -> float:
+    """Return from when on the router knows of every earlier crash.
+
+    Peers and agents tell of crashes when they connect.  An agent that is
+    away may know of one that nobody else saw.
+
+    :param state: the router
+    :param service: the service of a suspected request
+    :returns: a time on the core's clock; infinite while an agent is away
+    """
+    since_s = state.started_s
+    for view in state.agents_of(service):
+        if view.connected:
+            since_s = max(since_s, view.since_s)
+        elif not view.leaving:
+            return float("inf")
+    return since_s + state.options.trial_settle_s
+
+
 def answer(
     state: RouterState, fingerprint: int, gate: Gate, now_s: float
 ) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -13,6 +13,7 @@
     StrikeBatch,
     encode_strikes,
 )
+from bulrushstream.coordination.router import RouterOptions
 from bulrushstream.messages import QUARANTINED
 from bulrushstream.state.effect import AppendLog, Fail, Reply
 from bulrushstream.state.event import (
@@ -20,6 +21,7 @@
     LogAppended,
     LogRead,
     LogRecord,
+    PeerDown,
     PeerLost,
 )
 from bulrushstream.state.message import (
@@ -36,6 +38,7 @@
 
 FINGERPRINT = 77
 AGENT = an_agent()
+SETTLE_S = RouterOptions().trial_settle_s
 
 
 def a_poison(name: str, arrived_s: float = 0.0, retries: int = 2) -> Request:
@@ -162,6 +165,7 @@
         peer = a_router("router-2")
         router.up(peer)
         router.up(AGENT)
+        router.wait(SETTLE_S)
         router.arrive(a_poison("a", retries=0))
         router.pull(AGENT)
         a_crash(router, "a")
@@ -180,6 +184,7 @@
         peer = a_router("router-2")
         router.up(peer)
         router.up(AGENT)
+        router.wait(SETTLE_S)
         learned = Strikes((Strike(FINGERPRINT, "x@1#r.1", False, 0),))
         router.get(peer, learned)
         router.arrive(a_poison("a"))
@@ -187,6 +192,37 @@
         router.on(PeerLost(peer.key))
         assert len(sent(router.pull(AGENT), Dispatch)) == 1
 
+    def test_a_suspect_waits_until_an_agent_can_have_told(self) -> None:
+        router = RouterDriver()
+        other = an_agent("agent-2")
+        router.up(AGENT)
+        router.up(other)
+        router.wait(SETTLE_S)
+        router.on(PeerDown(other.key))
+        learned = Strikes((Strike(FINGERPRINT, "x@1#r.1", False, 0),))
+        router.get(AGENT, learned)
+        router.arrive(a_poison("a"))
+        router.wait(SETTLE_S)
+        assert not sent(router.pull(AGENT), Dispatch)
+        router.up(other)
+        router.wait(SETTLE_S / 2)
+        assert not sent(router.pull(AGENT), Dispatch)
+        router.wait(SETTLE_S / 2)
+        assert len(sent(router.pull(AGENT), Dispatch)) == 1
+
+    def test_a_suspect_need_not_wait_for_a_lost_agent(self) -> None:
+        router = RouterDriver()
+        other = an_agent("agent-2")
+        router.up(AGENT)
+        router.up(other)
+        router.wait(SETTLE_S)
+        router.on(PeerDown(other.key))
+        router.get(AGENT, Strikes((Strike(FINGERPRINT, "x@1#r.1", False, 0),)))
+        router.arrive(a_poison("a"))
+        router.on(PeerLost(other.key))
+        router.wait(1.0)
+        assert len(sent(router.pull(AGENT), Dispatch)) == 1
+
     def test_a_queued_copy_is_held_once_it_is_suspected(self) -> None:
         router = RouterDriver()
         peer = a_router("router-2")
@@ -215,6 +251,7 @@
         router = RouterDriver()
         peer = a_router("router-2")
         router.up(AGENT)
+        router.wait(SETTLE_S)
         router.arrive(a_poison("a"))
         router.pull(AGENT)
         a_crash(router, "a")
