--- a/src/bulrushstream/coordination/subset.py
+++ b/src/bulrushstream/coordination/subset.py
@@ -3,8 +3,8 @@
 Every router and agent pair has a score from a hash of both names, and each
 side ranks the other by score (rendezvous hashing, Thaler and Ravishankar
 1998).  A router connects to the agents that it ranks best, those of its
-own availability zone first, and to each agent that ranks this router among
-its own best, so that no agent is left without routers.  All instances
+own availability zone first, and to each agent of its zone that ranks it
+among its own best, so that no agent is left without routers.  All instances
 agree without a message, and a change of membership moves few connections.
 In a small fleet everybody connects to everybody.
 """
@@ -83,10 +83,41 @@
         router, agents, options.agents_per_router, options.home_share
     )
     dialled = {agent.key: agent for agent in best}
+    count = options.routers_per_agent
+    by_zone: dict[str, list[InstanceInfo]] = {}
+    for info in routers:
+        by_zone.setdefault(info.availability_zone, []).append(info)
     for agent in agents:
-        wanted = choose_subset(
-            agent, routers, options.routers_per_agent, options.home_share
-        )
-        if any(info.key == router.key for info in wanted):
+        rivals = by_zone.get(agent.availability_zone, [])
+        if len(rivals) < count:
+            rivals = list(routers)
+        if _wants(agent, router, rivals, count):
             dialled[agent.key] = agent
     return tuple(dialled[key] for key in sorted(dialled))
+
+
+def _wants(
+    agent: InstanceInfo,
+    router: InstanceInfo,
+    rivals: Sequence[InstanceInfo],
+    count: int,
+) -> bool:
+    """Return whether an agent ranks a router among its best.
+
+    :param agent: Who ranks.
+    :param router: The router in question.
+    :param rivals: The routers that the agent ranks.
+    :param count: How many of them count as best.
+    :returns: False as soon as enough others rank higher, so that most
+        agents cost a few hashes only.
+    """
+    if not any(rival.key == router.key for rival in rivals):
+        return False
+    name = agent.key.instance
+    mine = pair_score(name, router.key.instance)
+    better = 0
+    for rival in rivals:
+        better += pair_score(name, rival.key.instance) > mine
+        if better >= count:
+            return False
+    return True
