--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -14,6 +14,7 @@
     handle,
     new_agent,
 )
+from bulrushstream.state.config import ServiceUnit, Workspace
 from bulrushstream.state.effect import (
     CancelRun,
     Decision,
@@ -488,6 +489,24 @@
         assert (entry.workspace, entry.total) == ("school", 2.0)
         assert entry.in_flight == 3.0
 
+    def test_weighs_service_at_the_time_of_its_use(self) -> None:
+        bench = Bench()
+        heavy = a_config(workspaces=(Workspace("school", weight=2.0),))
+        bench.do(Configured(heavy))
+        bench.get(an_attempt())
+        bench.do(end(), 3.0)
+        bench.do(Configured(a_config()))
+        assert bench.state.shares.counter("school") == 1.5
+
+    def test_counts_tokens_and_the_prompt(self) -> None:
+        bench = Bench()
+        tokens = a_config(unit=ServiceUnit.TOKENS)
+        bench.do(Configured(tokens))
+        dispatch = replace(an_attempt(), body=b"x" * 320)
+        bench.get(dispatch)
+        bench.do(RunBody("q1", 1, b"data", 25), 4.0)
+        assert bench.state.shares.counter("school") == 10 + 25
+
     def test_says_nothing_when_nothing_changed(self) -> None:
         bench = Bench()
         bench.get(an_attempt())
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -158,11 +158,23 @@
                 Weather(),
                 1,
             ),
+            (
+                tuple(Crash(5.0, f"router-{n}", 0.5) for n in range(2)),
+                Weather(),
+                1,
+            ),
             ((Cut(4.0, "router-0", "router-1", 6.0),), Weather(), 0),
             ((Cut(4.0, "agent-0", "router-0", 4.0),), Weather(), 0),
             ((), Weather(loss=0.05, doubled=0.2, reordered=0.3), 0),
         ],
-        ids=["restart", "restart-all", "routers-cut", "agent-cut", "bad"],
+        ids=[
+            "restart",
+            "all-agents",
+            "all-routers",
+            "routers-cut",
+            "agent-cut",
+            "bad",
+        ],
     )
     def test_gap_stays_bounded(
         self, faults: tuple[Fault, ...], weather: Weather, restarts: int
