Placement orders from the configuration to real engines

Agents read what their engine has loaded, take a permit from the log's leases and give one order at a time; an endpoint that lacks a model is not offered work for it.

--- a/src/bulrushstream/daemon/agent.py
+++ b/src/bulrushstream/daemon/agent.py
@@ -5,32 +5,39 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
-from typing import Protocol
+from typing import Final, Protocol
 
 import httpx
 
+from bulrushstream.coordination import lease
+from bulrushstream.coordination import orders as placement
 from bulrushstream.coordination.agent import (
     AgentOptions,
     handle,
     new_agent,
 )
+from bulrushstream.coordination.lease import STREAM as LEASES_STREAM
 from bulrushstream.daemon.base import Instance, Surroundings, new_incarnation
 from bulrushstream.daemon.driver import Core
 from bulrushstream.daemon.status import AgentStatus
 from bulrushstream.settings import AgentSettings, EndpointKind
-from bulrushstream.state.effect import CancelRun, Effect, StartRun
-from bulrushstream.state.event import RunEnd
+from bulrushstream.state.effect import CancelRun, Effect, GiveOrder, StartRun
+from bulrushstream.state.event import Event, RunEnd
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
 from bulrushstream.state.message import Dispatch
+from bulrushstream.state.order import EngineOrder
 from bulrushstream.transport.endpoint import (
     EndpointRunner,
     RunEvent,
     RunnerOptions,
 )
+from bulrushstream.transport.orders import give_order, poll_holdings
 from bulrushstream.transport.reports import poll_cache, poll_load
 
 RunKey = tuple[str, int]
 
+IDLE_LEASES_S: Final = 60.0
+
 
 class Runner(Protocol):
     """What an agent needs of its endpoint."""
@@ -84,6 +91,7 @@
         self.core = new_agent(
             me, options or AgentOptions(), self.rng, self.clock()
         )
+        self.orders = placement.new_orders(me, self.rng)
         self.runner: Runner = EndpointRunner(
             RunnerOptions(
                 base_url=endpoint.url,
@@ -93,15 +101,18 @@
 
     async def start(self) -> None:
         """Listen, and start every task."""
-        self.start_cores(
-            Core(
-                "agent", lambda event, now_s: handle(self.core, event, now_s)
-            ),
-            self._carry_out_own,
+        core = Core(
+            "agent", lambda event, now_s: handle(self.core, event, now_s)
         )
+        # The placement comes first, so that the agent's own core meets
+        # the models that are loaded now.
+        placing = Core("placement", self._place)
+        self.start_cores([placing, core], self._carry_out_own)
         await self.listen(self._settings.peers.host, self.me.port)
         await self.start_operators(self._settings.operators)
         self.register()
+        if self._settings.endpoint.orders_path:
+            self.follow(LEASES_STREAM, self._lease_interval_s)
         self._start_reports()
 
     @property
@@ -171,12 +182,48 @@
                 "cache",
             )
 
+        if endpoint.holdings_path:
+            self.spawn(
+                poll_holdings(
+                    self.runner.client,
+                    endpoint.holdings_path,
+                    endpoint.load_interval_s,
+                    self.driver.post,
+                ),
+                "holdings",
+            )
+
+    def _place(self, event: Event, now_s: float) -> list[Effect]:
+        """Take an event into the placement's core."""
+        was_active = self.orders.leases.active
+        effects = placement.handle(self.orders, event, now_s)
+        if self.orders.leases.active and not was_active:
+            # What was read of the leases may be old by now.
+            self.hurry(LEASES_STREAM)
+        self.core.loaded = placement.loaded_models(self.orders)
+        return effects
+
+    def _lease_interval_s(self) -> float:
+        """Return when to read the leases next; seldom if none matters."""
+        leases = self.orders.leases
+        if not leases.active:
+            return IDLE_LEASES_S
+        return lease.poll_interval_s(leases)
+
+    async def _give(self, order: EngineOrder) -> None:
+        """Give an order and post the answer."""
+        path = self._settings.endpoint.orders_path
+        client = self.runner.client
+        self.driver.post(await give_order(client, path, order))
+
     def _carry_out_own(self, effect: Effect) -> bool:
         """Start and cancel runs."""
         match effect:
             case StartRun(dispatch):
                 key = (dispatch.request_id, dispatch.attempt)
                 self.spawn(self._run(dispatch, key), f"run {key[0]}")
+            case GiveOrder(order):
+                self.spawn(self._give(order), "order")
             case CancelRun(request_id, attempt):
                 task = self._runs.get((request_id, attempt))
                 if task is not None:
--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -11,7 +11,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any, Final
 
@@ -134,11 +134,11 @@
         self.clock = asyncio.get_running_loop().time
 
     def start_cores(
-        self, role: Core, carry_out: Callable[[Effect], bool]
+        self, own_cores: Sequence[Core], carry_out: Callable[[Effect], bool]
     ) -> None:
         """Make the driver and the mesh.
 
-        :param role: the role's own core
+        :param own_cores: the role's own cores
         :param carry_out: does an effect of the role's own; returns
             whether the effect was one
         """
@@ -156,9 +156,9 @@
             "membership",
             lambda event, now_s: members.handle(self.members, event, now_s),
         )
-        self.driver = Driver([config, membership, role], do, self.clock)
+        self.driver = Driver([config, membership, *own_cores], do, self.clock)
         self.appender = LogAppender(
-            self.log, self.driver.post, self.health, self._appended
+            self.log, self.driver.post, self.health, self.hurry
         )
         self.mesh = Mesh(
             self.me,
@@ -304,17 +304,21 @@
         counted.size_bytes = now.size_bytes.copy()
         counted.messages = now.messages.copy()
 
-    def _appended(self, stream: str) -> None:
-        """Read a stream at once that was appended to."""
+    def hurry(self, stream: str) -> None:
+        """Read a stream at once, if it is followed.
+
+        :param stream: the stream's name
+        """
         follower = self._followers.get(stream)
         if follower is not None:
             follower.hurry()
 
-    def follow(self, stream: str, interval_s: float) -> None:
+    def follow(self, stream: str, interval_s: Callable[[], float]) -> None:
         """Start to read a stream of the log.
 
         :param stream: the stream's name
-        :param interval_s: the time between reads at the stream's end
+        :param interval_s: gives the time between reads at the stream's
+            end, in seconds
         """
         follower = LogFollower(
             self.log,
--- a/src/bulrushstream/daemon/platform.py
+++ b/src/bulrushstream/daemon/platform.py
@@ -30,6 +30,7 @@
 from bulrushstream.state.status import Degraded
 
 PAGE_RECORDS: Final = 500
+BASE_BACKOFF_S: Final = 0.5
 MAX_BACKOFF_S: Final = 5.0
 
 # What does not work while a use of the platform fails.
@@ -40,6 +41,8 @@
     "append config": "the version in force is not checkpointed",
     "append claims": "requests with an Idempotency-Key wait",
     "append strikes": "strikes go to peers only",
+    "read leases": "no order is given to an engine",
+    "append leases": "no order is given to an engine",
     "read instances": "new instances are not found",
     "register": "the instance list may drop this instance",
 }
@@ -93,7 +96,7 @@
         self,
         log: LogService,
         stream: str,
-        interval_s: float,
+        interval_s: Callable[[], float],
         post: Post,
         health: Health,
         rng: random.Random,
@@ -102,7 +105,8 @@
 
         :param log: the log
         :param stream: the stream's name
-        :param interval_s: the time between reads at the stream's end
+        :param interval_s: gives the time between reads at the stream's
+            end, in seconds
         :param post: takes `LogRead` events
         :param health: where outages are noted
         :param rng: the source of jitter
@@ -140,7 +144,7 @@
             except LogUnavailableError as error:
                 failures += 1
                 self._health.note(f"read {self._stream}", error)
-                wait_s = backoff_s(self._interval_s, failures, self._rng)
+                wait_s = backoff_s(BASE_BACKOFF_S, failures, self._rng)
             if wait_s:
                 await self._pause(wait_s)
 
@@ -174,7 +178,7 @@
                 first_offset=page.first_offset,
             )
         )
-        return self._interval_s if caught_up else 0.0
+        return self._interval_s() if caught_up else 0.0
 
 
 class LogAppender:
--- a/src/bulrushstream/daemon/router.py
+++ b/src/bulrushstream/daemon/router.py
@@ -122,22 +122,19 @@
 
     async def start(self) -> None:
         """Listen, and start every task."""
-        self.start_cores(
-            Core(
-                "router",
-                lambda event, now_s: handle(self.core, event, now_s),
-            ),
-            self._carry_out_own,
+        core = Core(
+            "router", lambda event, now_s: handle(self.core, event, now_s)
         )
+        self.start_cores([core], self._carry_out_own)
         await self.listen(self._settings.peers.host, self.me.port)
         await self.server.start()
         await self.start_operators(self._settings.operators)
         self.register()
         self.follow_list()
         options = self.core.options
-        self.follow(CONFIG_STREAM, CONFIG_INTERVAL_S)
-        self.follow(options.claims.stream, CLAIMS_INTERVAL_S)
-        self.follow(options.strikes_stream, STRIKES_INTERVAL_S)
+        self.follow(CONFIG_STREAM, lambda: CONFIG_INTERVAL_S)
+        self.follow(options.claims.stream, lambda: CLAIMS_INTERVAL_S)
+        self.follow(options.strikes_stream, lambda: STRIKES_INTERVAL_S)
 
     @property
     def busy(self) -> bool:
--- a/src/bulrushstream/local/fleet.py
+++ b/src/bulrushstream/local/fleet.py
@@ -129,6 +129,7 @@
                 load_path="/load",
                 events_path="/events" if model else "",
                 orders_path="/orders" if model else "",
+                holdings_path="/models" if model else "",
             ),
             drain_timeout_s=self.plan.drain_timeout_s,
         )
--- a/src/bulrushstream/settings.py
+++ b/src/bulrushstream/settings.py
@@ -120,6 +120,7 @@
     load_interval_s: Seconds = 1.0  # Time between load reports.
     events_path: str = ""  # The path of its cache events; empty: none.
     orders_path: str = ""  # The path that takes orders; empty: none.
+    holdings_path: str = ""  # The path that lists what is loaded.
     health_path: str = ""  # The path that answers when up; empty: none.
 
 
--- /dev/null
+++ b/src/bulrushstream/transport/orders.py
@@ -0,0 +1,100 @@
+"""The agent's client for orders to its engine.
+
+An order without a clear answer counts as failed: the engine may carry it
+out all the same, which its next report shows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import httpx
+import msgspec
+
+from bulrushstream.state.event import HoldingsReported, OrderAnswered
+from bulrushstream.state.order import EngineOrder, Holdings, OrderAnswer
+
+ORDER_TIMEOUT_S: Final = 5.0
+
+
+class _Report(msgspec.Struct, frozen=True):
+    """What an engine reports of its holdings."""
+
+    models: dict[str, str]  # Loaded models, each with its version.
+    adapters: tuple[str, ...] = ()  # Loaded adapters.
+    role: str = ""  # The engine's role.
+    loading: int = 0  # Loads that are not done yet.
+    highest_token: int = -1  # The highest token that it saw.
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    """What an engine says to an order."""
+
+    answer: OrderAnswer  # Whether it is carried out.
+
+
+async def give_order(
+    client: httpx.AsyncClient, path: str, order: EngineOrder
+) -> OrderAnswered:
+    """Give one order.
+
+    :param client: the engine's client
+    :param path: the path that takes orders
+    :param order: the order
+    :returns: the order with the engine's answer
+    """
+    body = msgspec.json.encode(order)
+    answer = OrderAnswer.FAILED
+    try:
+        async with asyncio.timeout(ORDER_TIMEOUT_S):
+            response = await client.post(path, content=body)
+        answer = msgspec.json.decode(response.content, type=_Answer).answer
+    except (httpx.HTTPError, TimeoutError, msgspec.DecodeError):
+        pass
+    return OrderAnswered(order, answer)
+
+
+async def read_holdings(
+    client: httpx.AsyncClient, path: str
+) -> Holdings | None:
+    """Read what an engine has loaded.
+
+    :param client: the engine's client
+    :param path: the path that reports it
+    :returns: the report; None: the engine did not answer
+    """
+    try:
+        async with asyncio.timeout(ORDER_TIMEOUT_S):
+            response = await client.get(path)
+        report = msgspec.json.decode(response.content, type=_Report)
+    except (httpx.HTTPError, TimeoutError, msgspec.DecodeError):
+        return None
+    return Holdings(
+        models=tuple(sorted(report.models.items())),
+        adapters=report.adapters,
+        role=report.role,
+        loading=report.loading,
+        highest_token=report.highest_token,
+    )
+
+
+async def poll_holdings(
+    client: httpx.AsyncClient,
+    path: str,
+    interval_s: float,
+    emit: Callable[[HoldingsReported], None],
+) -> None:
+    """Read an engine's holdings until cancelled.
+
+    :param client: the engine's client
+    :param path: the path that reports them
+    :param interval_s: the time between two reads, in seconds
+    :param emit: is told of each report
+    """
+    while True:
+        holdings = await read_holdings(client, path)
+        if holdings is not None:
+            emit(HoldingsReported(holdings))
+        await asyncio.sleep(interval_s)
