--- a/src/bulrushstream/coordination/backlogs.py
+++ b/src/bulrushstream/coordination/backlogs.py
@@ -1,18 +1,33 @@
 """Tells agents how much waits here, without a message per request.
 
-A count that becomes zero, or stops to be zero, is told at once; other
-changes are gathered for an interval.  A queue from which nobody pulls for
-a while is told again, because a message may be lost.
+That a queue filled is told after a moment, in which many short queues have
+come and gone; that it emptied is told at once, so that nobody asks in vain.
+Agents take counts for hints and ask whether there is work, so lesser
+changes are told only if they matter: a count that grew manifold, a class
+that came or went, an age that has become wrong.  A queue from which nobody
+pulls for a while is told again, because a message may be lost.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-
-from bulrushstream.coordination.routing import AgentView, RouterState, Timer
+from typing import Final
+
+from bulrushstream.coordination.routing import (
+    AgentView,
+    RouterState,
+    Timer,
+    Told,
+)
 from bulrushstream.state.message import Backlog, BacklogEntry
 from bulrushstream.state.queues import QueueKey
 
+NOTHING_TOLD: Final = Told()
+# A count is told again when it is this many times what was told, and at
+# least this many times a small count.
+GROWTH: Final = 4
+SMALL: Final = 2
+
 
 def touch(state: RouterState, key: QueueKey) -> None:
     """Note that a queue has changed."""
@@ -20,37 +35,39 @@
 
 
 def publish(state: RouterState, now_s: float) -> None:
-    """Tell agents at once which queues became empty or filled.
+    """See to it that agents are told what has changed.
 
     :param state: the router
     :param now_s: the time on the core's clock
     """
-    if not state.dirty:
-        return
-    urgent: dict[str, list[QueueKey]] = {}
+    options = state.options
+    emptied: dict[str, list[QueueKey]] = {}
     for key in sorted(state.dirty):
-        count = state.queues.counts(key).total
-        told = state.told.get(key, 0)
-        if count == told:
+        if not state.queues.counts(key).total:
+            if key in state.told:
+                emptied.setdefault(key.service, []).append(key)
             state.dirty.discard(key)
-        elif bool(count) != bool(told):
-            urgent.setdefault(key.service, []).append(key)
-    for service, keys in urgent.items():
+            continue
+        known = key in state.told
+        delay_s = (
+            options.backlog_interval_s if known else options.backlog_delay_s
+        )
+        state.timers.set_sooner((Timer.BACKLOG, ""), now_s + delay_s)
+    for service, keys in emptied.items():
         _tell(state, service, keys, now_s)
-    if state.dirty:
-        due_s = now_s + state.options.backlog_interval_s
-        state.timers.set_sooner((Timer.BACKLOG, ""), due_s)
 
 
 def flush(state: RouterState, now_s: float) -> None:
-    """Tell agents all changes, and those that missed something.
+    """Tell agents the changes that matter, and what some of them missed.
 
     :param state: the router
     :param now_s: the time on the core's clock
     """
     changed: dict[str, list[QueueKey]] = {}
     for key in sorted(state.dirty):
-        changed.setdefault(key.service, []).append(key)
+        if _matters(state, key, now_s):
+            changed.setdefault(key.service, []).append(key)
+    state.dirty.clear()
     for service, keys in changed.items():
         _tell(state, service, keys, now_s)
     for view in state.agents.values():
@@ -111,12 +128,10 @@
     state: RouterState, service: str, keys: list[QueueKey], now_s: float
 ) -> None:
     entries = _entries(state, keys, now_s)
-    for entry in entries:
-        key = QueueKey(entry.service, entry.workspace)
-        state.dirty.discard(key)
-        count = entry.interactive + entry.batch
-        if count:
-            state.told[key] = count
+    for key in keys:
+        told = _told(state, key)
+        if told.total:
+            state.told[key] = told
         else:
             state.told.pop(key, None)
     for view in state.agents_of(service):
@@ -124,6 +139,28 @@
         _send(state, view, entries, full=False)
 
 
+def _told(state: RouterState, key: QueueKey) -> Told:
+    """Return what there is to tell of a queue now."""
+    counts = state.queues.counts(key)
+    oldest_s = state.queues.oldest_arrival_s(key) or 0.0
+    return Told(counts.total, counts.interactive, oldest_s)
+
+
+def _matters(state: RouterState, key: QueueKey, now_s: float) -> bool:
+    """Return whether agents should be told of a queue again."""
+    old = state.told.get(key, NOTHING_TOLD)
+    new = _told(state, key)
+    if bool(old.total) != bool(new.total):
+        return True
+    if bool(old.interactive) != bool(new.interactive):
+        return True
+    if new.total >= GROWTH * max(old.total, SMALL):
+        return True
+    age_s = now_s - new.oldest_s
+    wrong_s = new.oldest_s - old.oldest_s
+    return wrong_s > max(state.options.backlog_stale_s, age_s / 2)
+
+
 def _tell_missed(state: RouterState, view: AgentView, now_s: float) -> None:
     if not view.missed:
         return
--- a/src/bulrushstream/coordination/hub.py
+++ b/src/bulrushstream/coordination/hub.py
@@ -2,10 +2,11 @@
 
 Agents report what they served; a router sums it up and sends each agent a
 *digest*: per workspace, what all others have served.  All routers know
-nearly the same, so one of them, chosen by rendezvous hashing, is in charge
-of an agent and the others repeat the digest only now and then.  Routers
-*relay* to each other what only one of them hears, and what incarnations
-served that are over, which nobody else would tell a router that restarted.
+nearly the same, so one of those that hear an agent, chosen by rendezvous
+hashing, is in charge of it and the others repeat the digest only now and
+then.  Routers *relay* to each other what only one of them hears, and what
+incarnations served that are over, which nobody else would tell a router
+that restarted.
 """
 
 from __future__ import annotations
@@ -68,8 +69,9 @@
     for view in state.agents_of(message.service):
         view.lifted.add(message.workspace)
     if peer in state.agents:
-        for other in sorted(state.routers):
-            state.send(other, message)
+        for other, router in sorted(state.routers.items()):
+            if peer.instance not in router.heard:
+                state.send(other, message)
     _schedule(state, now_s)
 
 
@@ -210,13 +212,16 @@
 
 
 def _in_charge(state: RouterState, view: AgentView) -> bool:
-    """Return whether this router is the one that tells an agent."""
+    """Return whether this router is the one that tells an agent.
+
+    It is one of those that hear the agent, so that it can.
+    """
     agent = view.info.key.instance
     mine = _rank(state.me.key, agent)
     return all(
         _rank(key, agent) < mine
         for key, peer in state.routers.items()
-        if peer.connected
+        if peer.connected and agent in peer.heard
     )
 
 
--- a/src/bulrushstream/coordination/options.py
+++ b/src/bulrushstream/coordination/options.py
@@ -28,10 +28,12 @@
     affinity_skips: int = 8  # How often warm requests pass a head.
     affinity_memory: int = 4096  # Prefixes remembered per agent.
     max_tracked_bytes: int = 48 << 20  # Memory of all requests.
+    backlog_delay_s: float = 0.003  # Before a filled queue is told.
     backlog_interval_s: float = 0.5  # Between lesser changes of counts.
+    backlog_stale_s: float = 2.0  # How wrong an age that was told may be.
     backlog_refresh_s: float = 2.0  # Waiting without a pull before a repeat.
     digest_interval_s: float = 1.0  # Between digests of the ledger.
-    digest_spare_s: float = 5.0  # The same, from routers not in charge.
+    digest_spare_s: float = 10.0  # The same, from routers not in charge.
     relay_interval_s: float = 2.0  # Between relays to router peers.
     ack_parts: int = 16  # Parts after which they are acknowledged.
     ack_delay_s: float = 0.05  # The longest wait of an acknowledgement.
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -127,6 +127,15 @@
         return self.connected and not self.leaving
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What agents were told of a queue."""
+
+    total: int = 0  # How many requests waited.
+    interactive: int = 0  # How many of them were interactive.
+    oldest_s: float = 0.0  # When the head arrived, on the router's clock.
+
+
 @dataclass(slots=True)
 class RouterView:
     """What the router knows of one start of another router."""
@@ -197,7 +206,7 @@
     limits: dict[str, int] = field(default_factory=dict)  # By rule's name.
     wake_s: float = float("-inf")  # The tick that was asked for.
     timers: Timers[TimerKey] = field(default_factory=Timers)
-    told: dict[QueueKey, int] = field(default_factory=dict)  # Last counts.
+    told: dict[QueueKey, Told] = field(default_factory=dict)  # Backlog.
     dirty: set[QueueKey] = field(default_factory=set)  # Changed counts.
     pulled_s: dict[str, float] = field(default_factory=dict)  # By service.
     ahead: dict[str, None] = field(default_factory=dict)  # Not started.
