--- a/src/bulrushstream/history/census.py
+++ b/src/bulrushstream/history/census.py
@@ -22,6 +22,7 @@
     service: str  # Which service.
     slots: int  # Slots of each endpoint.
     record: Callable[[Record], None]  # Writes the history.
+    connected: Callable[[], bool]  # Whether all instances are connected.
     watch_supply: bool = False  # Whether idle slots are of interest now.
     _waiting: dict[str, str] = field(default_factory=dict)  # Workspaces.
     _counts: Counter[str] = field(default_factory=Counter)  # By workspace.
@@ -49,6 +50,13 @@
         if workspace is not None:
             self._change(now_s, workspace, -1)
 
+    def look(self, now_s: float) -> None:
+        """Count again, as a connection was made or broke.
+
+        :param now_s: the time.
+        """
+        self._write_supply(now_s)
+
     def open(self, now_s: float, agent: InstanceKey) -> None:
         """Count the slots of an agent that has its first connection.
 
@@ -93,7 +101,8 @@
         """Write the supply if it is of interest and has changed."""
         busy = self._busy.values()
         free = sum(max(0, self.slots - taken) for taken in busy)
-        supply = (free, len(self._waiting)) if self.watch_supply else (0, 0)
+        watched = self.watch_supply and self.connected()
+        supply = (free, len(self._waiting)) if watched else (0, 0)
         if supply == self._last:
             return
         self._last = supply
--- a/src/bulrushstream/history/fleet.py
+++ b/src/bulrushstream/history/fleet.py
@@ -43,6 +43,7 @@
     CallerLeft,
     Configured,
     Event,
+    PeerDown,
     PeerLost,
     PeerUp,
     RunEnd,
@@ -117,7 +118,9 @@
         self.store = Store(
             self.timeline, self.rng, plan.weather, self.deliver, STREAMS
         )
-        self.census = Census(SERVICE, plan.slots, self.history.append)
+        self.census = Census(
+            SERVICE, plan.slots, self.history.append, self._is_whole
+        )
         self.callers = Callers(self.timeline, self.census, self.history.append)
         self.endpoints = {}
         for number in range(plan.agents):
@@ -172,6 +175,8 @@
             self.census.occupy(self.timeline.now_s, to, -1)
         if isinstance(event, PeerUp) and node.info.role is Role.AGENT:
             self.census.open(self.timeline.now_s, to)
+        if isinstance(event, PeerUp | PeerDown):
+            self.census.look(self.timeline.now_s)
         self._handle(node, event)
 
     def _handle(self, node: Node, event: Event) -> None:
@@ -310,6 +315,16 @@
             down_s, lambda: self.start(key.instance, key.incarnation + 1)
         )
 
+    def _is_whole(self) -> bool:
+        """Return whether every live router has every live agent."""
+        live = [node.info for node in self.nodes.values() if node.alive]
+        return all(
+            self.network.connected(one.key, other.key)
+            for one in live
+            for other in live
+            if one.role is Role.ROUTER and other.role is Role.AGENT
+        )
+
     def _reachable(self, name: str) -> bool:
         """Return whether an instance can make a connection now."""
         node = self.nodes[name]
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -12,6 +12,7 @@
 from typing import Final, TypeAlias
 
 from bulrushstream.history.cores import Cores, Handle, RunningCore, StartCore
+from bulrushstream.history.endpoint import fingerprint_of
 from bulrushstream.history.flood import flood_plan
 from bulrushstream.history.generate import random_plan
 from bulrushstream.history.plan import (
@@ -268,6 +269,17 @@
     return event
 
 
+def tell_no_likeness(event: Event) -> Event:
+    """Take each request for one of a kind, so that none is a suspect."""
+    match event:
+        case Arrived(request):
+            own = fingerprint_of(
+                PlannedCall(0.0, request.request_id, 0, request.workspace)
+            )
+            return Arrived(replace(request, fingerprint=own))
+    return event
+
+
 def forget_crashes(event: Event) -> Event:
     match event:
         case Received(message=Part(kind=PartKind.END) as part):
@@ -362,5 +374,10 @@
         K.UNFAIR,
         plan=flood_plan,
     ),
+    router(
+        "run copies of a suspect side by side",
+        on_events(tell_no_likeness),
+        K.CRASH_BOUND,
+    ),
     router("forget crashes", on_events(forget_crashes), K.CRASH_BOUND),
 )
