--- a/src/bulrushstream/standins/engine.py
+++ b/src/bulrushstream/standins/engine.py
@@ -39,12 +39,11 @@
 from bulrushstream.standins.generation import Job, run_job
 from bulrushstream.standins.weights import (
     HoldingsReport,
-    Order,
-    OrderAnswer,
     WeightStore,
     give_order,
     report_holdings,
 )
+from bulrushstream.state.order import EngineOrder, OrderAnswer
 
 CHAT_PATH: Final = "/v1/chat/completions"
 EVENTS_PATH: Final = "/cache-events"
@@ -118,7 +117,7 @@
 ) -> None:
     """Answer one order."""
     try:
-        order = msgspec.json.decode(await read_body(receive), type=Order)
+        order = msgspec.json.decode(await read_body(receive), type=EngineOrder)
     except msgspec.DecodeError as error:
         await send_json(send, 400, {"error": str(error)})
         return
--- a/src/bulrushstream/standins/weights.py
+++ b/src/bulrushstream/standins/weights.py
@@ -10,35 +10,8 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from enum import StrEnum
 
-
-class OrderKind(StrEnum):
-    """What an order asks of an engine."""
-
-    LOAD_MODEL = "load_model"
-    LOAD_ADAPTER = "load_adapter"
-    CHANGE_ROLE = "change_role"
-
-
-class OrderAnswer(StrEnum):
-    """What an engine says to an order."""
-
-    ACCEPTED = "accepted"  # It is being carried out.
-    STALE = "stale"  # Its token is too low.
-    BUSY = "busy"  # The weight store is at its limit.
-
-
-@dataclass(frozen=True, slots=True)
-class Order:
-    """One order."""
-
-    kind: OrderKind  # What to do.
-    token: int = 0  # The fencing token.
-    model: str = ""  # Which model.
-    version: str = ""  # Which version of it.
-    adapter: str = ""  # Which adapter.
-    role: str = ""  # Which role.
+from bulrushstream.state.order import EngineOrder, OrderAnswer, OrderKind
 
 
 @dataclass(slots=True)
@@ -62,9 +35,9 @@
     models: dict[str, str] = field(default_factory=dict)  # To version.
     adapters: set[str] = field(default_factory=set)  # Loaded adapters.
     role: str = ""  # Its role.
-    highest_token: int = 0  # The highest token that it saw.
-    loading: list[Order] = field(default_factory=list)  # Loads now.
-    obeyed: list[Order] = field(default_factory=list)  # In order.
+    highest_token: int = -1  # The highest token that it saw.
+    loading: list[EngineOrder] = field(default_factory=list)  # Loads now.
+    obeyed: list[EngineOrder] = field(default_factory=list)  # In order.
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
 
@@ -79,7 +52,7 @@
     highest_token: int  # The highest token that it saw.
 
 
-def give_order(holdings: Holdings, order: Order) -> OrderAnswer:
+def give_order(holdings: Holdings, order: EngineOrder) -> OrderAnswer:
     """Take an order, and begin to carry it out.
 
     :param holdings: The engine's holdings.
@@ -114,7 +87,7 @@
     holdings.models = models
     holdings.adapters = set()
     holdings.role = ""
-    holdings.highest_token = 0
+    holdings.highest_token = -1
 
 
 def report_holdings(holdings: Holdings) -> HoldingsReport:
@@ -132,7 +105,7 @@
     )
 
 
-def _begin_load(holdings: Holdings, order: Order) -> None:
+def _begin_load(holdings: Holdings, order: EngineOrder) -> None:
     """Start a load that ends by itself."""
     store = holdings.store
     store.running += 1
@@ -148,7 +121,7 @@
     task.add_done_callback(holdings.tasks.discard)
 
 
-async def _load(holdings: Holdings, order: Order) -> None:
+async def _load(holdings: Holdings, order: EngineOrder) -> None:
     """Wait for the weights and install them."""
     try:
         await asyncio.sleep(holdings.store.load_s)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -132,7 +132,7 @@
                     report = (await client.get("/models")).json()
                     break
         assert report["models"] == {"model": "1"}
-        assert report["highest_token"] == 0
+        assert report["highest_token"] == -1
 
     async def test_outage_and_bad_bodies(self) -> None:
         engine = make_engine()
@@ -201,7 +201,12 @@
     async def test_weight_store_turns_loads_away(self) -> None:
         store = WeightStore(loads_at_once=1, load_s=60.0)
         engine = make_engine(EngineOptions(), store)
-        order = {"kind": "load_model", "model": "m2", "version": "3"}
+        order = {
+            "kind": "load_model",
+            "model": "m2",
+            "version": "3",
+            "token": 1,
+        }
         async with client_of(engine) as client:
             first = await client.post("/orders", json=order)
             second = await client.post("/orders", json=order)
