--- a/src/bulrushstream/commands/load.py
+++ b/src/bulrushstream/commands/load.py
@@ -1,4 +1,4 @@
-"""`bulrushstream load`: send a scenario's requests to running routers."""
+"""`bulrushstream load`: send a scenario's requests to routers."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bulrushstream.load.fleet import local_plan
 from bulrushstream.load.run import Progress, run_load
 from bulrushstream.load.scenario import (
     Scenario,
@@ -17,6 +18,7 @@
     scenario_names,
 )
 from bulrushstream.load.summary import LoadSummary, format_summary
+from bulrushstream.local.fleet import run_fleet
 
 BAD_ANSWERS_EXIT: Final = 1
 USAGE_EXIT: Final = 2
@@ -28,6 +30,7 @@
     seed: int | None = None,
     out: str = "",
     rules: bool = False,
+    local: bool = False,
 ) -> int:
     """Send a scenario's requests to routers and check every answer.
 
@@ -36,6 +39,7 @@
     :param seed: decides what is left to chance; None: the scenario's
     :param out: a file for the result in JSON; empty: none
     :param rules: print the rule list that the scenario needs, and stop
+    :param local: start the scenario's fleet in this process, with stand-ins
     :returns: the exit code: 0 only if every answer was whole or refused
     """
     result = read_scenario(scenario)
@@ -49,11 +53,12 @@
         print(_encode(fleet_config(chosen)))
         return 0
     urls = [url.strip() for url in routers.split(",") if url.strip()]
-    if not urls:
-        print("give --routers, one address or more", file=sys.stderr)
+    if bool(urls) == local:
+        print("give either --routers or --local", file=sys.stderr)
         return USAGE_EXIT
     used_seed = chosen.seed if seed is None else seed
-    return asyncio.run(_load(chosen, urls, used_seed, out))
+    work = _load_local if local else _load
+    return asyncio.run(work(chosen, urls, used_seed, out))
 
 
 async def _load(
@@ -67,6 +72,16 @@
     return 0 if summary.good else BAD_ANSWERS_EXIT
 
 
+async def _load_local(
+    scenario: Scenario, urls: list[str], seed: int, out: str
+) -> int:
+    """Start the scenario's fleet and load it."""
+    async with run_fleet(local_plan(scenario)) as fleet:
+        routers = fleet.routers.values()
+        urls = [router.server.url for router in routers]
+        return await _load(scenario, urls, seed, out)
+
+
 def show_progress(progress: Progress) -> None:
     """Print a line that tells how far a run has come.
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -245,6 +245,18 @@
         printed = capsys.readouterr().out
         assert read_rules(printed, "printed").is_ok()
 
+    def test_loads_a_fleet_of_its_own(self, tmp_path: Path) -> None:
+        desk = Flow("desk", ("a", "b"), 20.0, idempotent=False)
+        scenario = small_scenario()
+        scenario = dataclasses.replace(scenario, flows=(*scenario.flows, desk))
+        source = tmp_path / "small.json"
+        source.write_bytes(msgspec.json.encode(scenario))
+        out = tmp_path / "out.json"
+        assert load(str(source), out=str(out), local=True) == 0
+        result = json.loads(out.read_text())
+        assert result["verdicts"] == {"whole": result["sent"]}
+        assert result["outcomes"] == {"ran": result["sent"]}
+
     def test_writes_its_result(self, tmp_path: Path) -> None:
         scenario = small_scenario()
         source = tmp_path / "small.json"
