Let a workspace that came back overtake what is held ahead

Cause: under a flood of short calls a small workspace waited behind the flood's held requests. One more request is pulled for it, and held ones start in the order of their workspaces' service.

--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -103,6 +103,7 @@
     cache_sequence: int = 0  # The number of the latest cache report.
     replay_bytes: int = 0  # What all kept parts take.
     draining: bool = False  # Whether it takes no new work.
+    came_back: bool = False  # Whether a workspace has since the last pull.
     next_pull: int = 1  # Names the next pull.
     strikes: list[tuple[Strike, float]] = field(default_factory=list)
     crashes: int = 0  # How often the endpoint went down under a run.
--- a/src/bulrushstream/coordination/intake.py
+++ b/src/bulrushstream/coordination/intake.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from bulrushstream.coordination.accrual import owed
 from bulrushstream.coordination.agentstate import AgentState
 from bulrushstream.coordination.breaker import BreakerPhase
 from bulrushstream.coordination.pulling import capacity_ahead
@@ -69,18 +70,15 @@
 
 
 def start_held(state: AgentState, now_s: float) -> list[Effect]:
-    """Start held requests while slots are free, the first ones first."""
+    """Start held requests while slots are free."""
     effects: list[Effect] = []
     if state.breaker.phase(now_s) is BreakerPhase.OPEN:
         return give_all_back(state, RefuseReason.OPEN, now_s)
     running = state.running
     limit = state.capacity(now_s)
-    for run in list(state.active.values()):
-        if run.phase is RunPhase.RUNNING:
-            if run.dispatch.alone:
-                return effects
-            continue
-        if running >= limit or (run.dispatch.alone and running):
+    while running < limit and len(state.active) > running:
+        run = _next_held(state)
+        if running and (run.dispatch.alone or _runs_alone(state)):
             return effects
         if now_s >= run.deadline_s:
             effects += give_back(state, run, RefuseReason.EXPIRED, now_s)
@@ -88,11 +86,38 @@
         effects += start(state, run, now_s)
         running += 1
         state.slots.use(running)
-        if run.dispatch.alone:
-            return effects
     return effects
 
 
+def _next_held(state: AgentState) -> Run:
+    """Return the held request to start next.
+
+    It is one of the workspace with the least service, as a request may
+    have been held before that workspace came back.  One that must run
+    alone goes last, since nothing is taken any more once it is here.
+    """
+    held = [run for run in state.active.values() if run.phase is RunPhase.HELD]
+    if len(held) == 1 or state.options.hold_limit:
+        return held[0]
+    here = owed(state)
+
+    def rank(run: Run) -> tuple[bool, float]:
+        """Return the place of a request in the order of starts."""
+        workspace = run.dispatch.workspace
+        charged = state.shares.charged(workspace, here.get(workspace, 0.0))
+        return run.dispatch.alone, charged
+
+    return min(held, key=rank)
+
+
+def _runs_alone(state: AgentState) -> bool:
+    """Return whether a request runs that nothing may run beside."""
+    return any(
+        run.dispatch.alone and run.phase is RunPhase.RUNNING
+        for run in state.active.values()
+    )
+
+
 def give_all_back(
     state: AgentState, reason: RefuseReason, now_s: float
 ) -> list[Effect]:
@@ -265,8 +290,10 @@
         return RefuseReason.SUSPECT if wanted_alone else RefuseReason.BUSY
     limit = state.capacity(now_s)
     limit += state.options.hold_limit
-    if pulled:
-        limit += capacity_ahead(state, now_s)
+    ahead = capacity_ahead(state, now_s) if pulled else 0
+    if ahead:
+        # One more may have been pulled for a workspace that came back.
+        limit += ahead + 1
     if dispatch.alone:
         # It waits here until the others have ended; nothing new is taken
         # in the meantime.
--- a/src/bulrushstream/coordination/pulling.py
+++ b/src/bulrushstream/coordination/pulling.py
@@ -42,6 +42,7 @@
     :param now_s: When it arrived.
     """
     returning = state.backlogs.update(router, message, now_s)
+    state.came_back = state.came_back or bool(returning)
     settled = state.shares.informed or now_s >= state.settled_at_s
     if returning and settled:
         accrue(state, now_s)
@@ -104,7 +105,9 @@
         return []
     ahead = capacity_ahead(state, now_s)
     if ahead and state.backlogs.total() >= state.options.ahead_backlog:
-        limit += ahead
+        # A workspace that came back need not wait behind what is held.
+        limit += ahead + state.came_back
+    state.came_back = False
     room = limit - len(state.active) - len(state.pulls)
     if room <= 0:
         return []
@@ -194,9 +197,7 @@
     for pull in state.pulls.values():
         here[pull.workspace] = here.get(pull.workspace, 0.0) + pull.owed
     return {
-        workspace: state.shares.counter(workspace)
-        + state.shares.owed_elsewhere(workspace)
-        + here.get(workspace, 0.0)
+        workspace: state.shares.charged(workspace, here.get(workspace, 0.0))
         for workspace in candidates
     }
 
--- a/src/bulrushstream/measure/trials.py
+++ b/src/bulrushstream/measure/trials.py
@@ -7,6 +7,7 @@
 from bulrushstream.measure.trial import Trial, WorkspaceLoad
 
 KOWHAI_RUN_S: Final = 4.0
+DESK_RUN_S: Final = 0.08
 SMALL_WORKSPACES: Final = 13
 LARGE_WORKSPACES: Final = 3
 
@@ -57,8 +58,32 @@
     return Trial(name, tuple(loads))
 
 
+def short_calls(name: str) -> Trial:
+    """Return a flood of short calls on three endpoints.
+
+    One workspace asks for three times the capacity, thirteen others for a
+    little, two of them in the interactive class.
+
+    :param name: The trial's name.
+    :returns: The trial.
+    """
+    capacity_per_s = 3 * 4 / DESK_RUN_S
+    loads = [WorkspaceLoad("council-0", capacity_per_s * 3, DESK_RUN_S)]
+    for number in range(SMALL_WORKSPACES):
+        loads.append(
+            WorkspaceLoad(
+                workspace=f"club-{number}",
+                per_s=capacity_per_s * 0.01,
+                run_s=DESK_RUN_S,
+                interactive=number % 2 == 0,
+            )
+        )
+    return Trial(name, tuple(loads), agents=3, slots=4, seconds=10.0)
+
+
 TRIALS: Final = (
     drafting("steady", flood=False, skewed=False),
     drafting("flood", flood=True, skewed=False),
     drafting("skewed", flood=False, skewed=True),
+    short_calls("desk"),
 )
--- a/src/bulrushstream/state/share.py
+++ b/src/bulrushstream/state/share.py
@@ -144,6 +144,14 @@
             - self._relief.get(workspace, 0.0)
         )
 
+    def charged(self, workspace: str, owed: float) -> float:
+        """Return a counter with what is in flight.
+
+        :param workspace: Whose counter.
+        :param owed: What runs at this agent are expected to add.
+        """
+        return self.counter(workspace) + self.owed_elsewhere(workspace) + owed
+
     def owed_elsewhere(self, workspace: str) -> float:
         """Return what runs at other agents are expected to add."""
         return self._owed[workspace][1] if workspace in self._owed else 0.0
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -397,6 +397,25 @@
         bench.get(Revoke("q4", 1))
         assert bench.sent(Refuse) == [Refuse("q4", 1, RefuseReason.REVOKED)]
 
+    def test_a_workspace_that_came_back_overtakes_what_is_held(self) -> None:
+        bench = Bench(slots=1)
+        bench.waiting(("council", 20))
+        bench.now_s += 0.01
+        bench.get(an_attempt("q1", pull_id=1, workspace="council"))
+        bench.do(end("q1"), 0.05)
+        for pull_id in (2, 3):
+            bench.get(
+                an_attempt(f"q{pull_id}", pull_id=pull_id, workspace="council")
+            )
+        bench.waiting(("club", 1), sequence=2)
+        assert [pull.workspace for pull in bench.sent(Pull)] == ["club"]
+        bench.get(an_attempt("q4", pull_id=4, workspace="club"))
+        assert bench.started() == []
+        bench.do(end("q2"), 0.05)
+        assert bench.started() == ["q4"]
+        bench.do(end("q4"), 0.05)
+        assert bench.started() == ["q3"]
+
     def test_gives_back_what_it_holds_when_nothing_else_waits(self) -> None:
         bench = Bench(slots=1)
         bench.waiting(("school", 20))
