Tell a few agents first that a queue has filled

The others are told after half a second if it lasts, and only those who know of a queue are told that it emptied. An agent that asks in vain is told that the queue is empty, so a lost message does not leave it asking.

--- a/src/bulrushstream/coordination/backlogs.py
+++ b/src/bulrushstream/coordination/backlogs.py
@@ -1,7 +1,10 @@
 """Tells agents how much waits here, without a message per request.
 
 That a queue filled is told after a moment, in which many short queues have
-come and gone; that it emptied is told at once, so that nobody asks in vain.
+come and gone, and to a few agents first; the others are told if it lasts.
+That it emptied is told at once to those who know of it, so that nobody
+asks in vain.  An agent that knows of no backlog announces its free slots
+and is told everything, so a slot that is free never waits for this.
 Agents take counts for hints and ask whether there is work, so lesser
 changes are told only if they matter: a count that grew manifold, a class
 that came or went, an age that has become wrong.  A queue from which nobody
@@ -44,8 +47,7 @@
     emptied: dict[str, list[QueueKey]] = {}
     for key in sorted(state.dirty):
         if not state.queues.counts(key).total:
-            if key in state.told:
-                emptied.setdefault(key.service, []).append(key)
+            emptied.setdefault(key.service, []).append(key)
             state.dirty.discard(key)
             continue
         known = key in state.told
@@ -54,7 +56,7 @@
         )
         state.timers.set_sooner((Timer.BACKLOG, ""), now_s + delay_s)
     for service, keys in emptied.items():
-        _tell(state, service, keys, now_s)
+        _tell_emptied(state, service, keys, now_s)
 
 
 def flush(state: RouterState, now_s: float) -> None:
@@ -64,12 +66,21 @@
     :param now_s: the time on the core's clock
     """
     changed: dict[str, list[QueueKey]] = {}
+    filled: dict[str, list[QueueKey]] = {}
     for key in sorted(state.dirty):
-        if _matters(state, key, now_s):
+        if key not in state.told:
+            filled.setdefault(key.service, []).append(key)
+        elif _matters(state, key, now_s):
             changed.setdefault(key.service, []).append(key)
     state.dirty.clear()
     for service, keys in changed.items():
-        _tell(state, service, keys, now_s)
+        _tell(state, keys, state.agents_of(service), now_s)
+    for service, keys in filled.items():
+        _tell(state, keys, _first_ones(state, service), now_s)
+        # The others are told with the lesser changes, if it lasts.
+        state.dirty.update(keys)
+        due_s = now_s + state.options.backlog_interval_s
+        state.timers.set_sooner((Timer.BACKLOG, ""), due_s)
     for view in state.agents.values():
         _tell_missed(state, view, now_s)
 
@@ -102,6 +113,7 @@
     keys = sorted(
         key for key in state.queues.queue_keys() if key.service == service
     )
+    _note_knowing(state, view, keys)
     _send(state, view, _entries(state, keys, now_s), full=True)
 
 
@@ -124,19 +136,56 @@
     state.timers.set((Timer.REFRESH, service), due_s)
 
 
+def _first_ones(state: RouterState, service: str) -> list[AgentView]:
+    """Return a few agents at random, to be told first."""
+    usable = [view for view in state.agents_of(service) if view.usable]
+    count = min(state.options.backlog_fanout, len(usable))
+    return state.rng.sample(usable, count)
+
+
 def _tell(
+    state: RouterState,
+    keys: list[QueueKey],
+    views: list[AgentView],
+    now_s: float,
+) -> None:
+    """Tell agents of queues in which something waits."""
+    entries = _entries(state, keys, now_s)
+    for key in keys:
+        state.told[key] = _told(state, key)
+    for view in views:
+        view.missed.difference_update(keys)
+        _note_knowing(state, view, keys)
+        _send(state, view, entries, full=False)
+
+
+def _tell_emptied(
     state: RouterState, service: str, keys: list[QueueKey], now_s: float
 ) -> None:
+    """Tell the agents that know of queues that these are empty now."""
     entries = _entries(state, keys, now_s)
+    knowing = {key: state.knowing.pop(key, set()) for key in keys}
     for key in keys:
-        told = _told(state, key)
-        if told.total:
-            state.told[key] = told
-        else:
-            state.told.pop(key, None)
+        state.told.pop(key, None)
     for view in state.agents_of(service):
         view.missed.difference_update(keys)
-        _send(state, view, entries, full=False)
+        theirs = tuple(
+            entry
+            for key, entry in zip(keys, entries, strict=True)
+            if view.info.key in knowing[key]
+        )
+        if theirs:
+            _send(state, view, theirs, full=False)
+
+
+def _note_knowing(
+    state: RouterState, view: AgentView, keys: Iterable[QueueKey]
+) -> None:
+    """Note that an agent takes queues for filled."""
+    if not view.connected:
+        return
+    for key in keys:
+        state.knowing.setdefault(key, set()).add(view.info.key)
 
 
 def _told(state: RouterState, key: QueueKey) -> Told:
@@ -150,7 +199,8 @@
     """Return whether agents should be told of a queue again."""
     old = state.told.get(key, NOTHING_TOLD)
     new = _told(state, key)
-    if bool(old.total) != bool(new.total):
+    agents = len(state.agents_of(key.service))
+    if len(state.knowing.get(key, ())) < agents:
         return True
     if bool(old.interactive) != bool(new.interactive):
         return True
@@ -166,6 +216,7 @@
         return
     keys = sorted(view.missed)
     view.missed.clear()
+    _note_knowing(state, view, [k for k in keys if k in state.told])
     _send(state, view, _entries(state, keys, now_s), full=False)
 
 
--- a/src/bulrushstream/coordination/dispatching.py
+++ b/src/bulrushstream/coordination/dispatching.py
@@ -74,8 +74,7 @@
         request = state.queues.pop(key, _fit(state, view, now_s))
     if request is None:
         state.send(peer, NoWork(message.pull_id))
-        if state.queues.counts(key).total:
-            backlogs.miss(state, view, key, now_s)
+        backlogs.miss(state, view, key, now_s)
         return
     backlogs.touch(state, key)
     tracked = state.tracked[request.request_id]
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -207,6 +207,8 @@
     wake_s: float = float("-inf")  # The tick that was asked for.
     timers: Timers[TimerKey] = field(default_factory=Timers)
     told: dict[QueueKey, Told] = field(default_factory=dict)  # Backlog.
+    # Agents that take a queue for filled.
+    knowing: dict[QueueKey, set[InstanceKey]] = field(default_factory=dict)
     dirty: set[QueueKey] = field(default_factory=set)  # Changed counts.
     pulled_s: dict[str, float] = field(default_factory=dict)  # By service.
     ahead: dict[str, None] = field(default_factory=dict)  # Not started.
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -95,6 +95,33 @@
         effects += router.wait(1.9)
         assert not sent(effects, Backlog)
 
+    def test_a_few_agents_are_told_first_and_all_if_it_lasts(self) -> None:
+        router = RouterDriver(RouterOptions(backlog_fanout=2))
+        agents = [an_agent(f"agent-{n}") for n in range(5)]
+        for agent in agents:
+            router.up(agent)
+        router.arrive(a_request("q1"))
+        assert len(sent(router.wait(0.1), Backlog)) == 2
+        lasting = router.wait(0.6)
+        assert all(sent(lasting, Backlog, agent) for agent in agents)
+        emptied = router.pull(agents[0])
+        assert all(sent(emptied, Backlog, agent) for agent in agents)
+
+    def test_only_those_who_know_are_told_that_it_emptied(self) -> None:
+        router = RouterDriver(RouterOptions(backlog_fanout=1))
+        agents = [an_agent(f"agent-{n}") for n in range(5)]
+        for agent in agents:
+            router.up(agent)
+        router.arrive(a_request("q1"))
+        router.wait(0.1)
+        asker = agents[2]
+        router.idle(asker)
+        effects = router.pull(asker)
+        zeros = [b.entries[0].interactive for b in sent(effects, Backlog)]
+        assert 1 <= len(zeros) <= 2
+        assert set(zeros) == {0}
+        assert sent(effects, Backlog, asker)
+
     def test_a_free_agent_is_told_of_the_backlog_at_once(self) -> None:
         router = RouterDriver()
         router.up(AGENT)
