Count a lost agent against what was given up before its loss

An attempt whose agent is silent is given up after the grace time and, if idempotent, tried elsewhere. Now it counts, unless the request has ended well since.

--- a/src/bulrushstream/coordination/attempts.py
+++ b/src/bulrushstream/coordination/attempts.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from bulrushstream.coordination import backlogs, gating, hub, recall, settling
 from bulrushstream.coordination.budget import pause_s
 from bulrushstream.coordination.routing import (
@@ -38,6 +40,8 @@
 )
 from bulrushstream.state.request import Outcome
 
+MAX_GIVEN_UP: Final = 64
+
 
 def part(
     state: RouterState, peer: InstanceKey, message: Part, now_s: float
@@ -170,6 +174,7 @@
         state.add_agent(view)
     view.connected = True
     view.since_s = now_s
+    view.given_up.clear()
     view.leaving = view.leaving or info.leaving
     view.free_slots = 0
     backlogs.tell_all(state, view, now_s)
@@ -213,6 +218,10 @@
         tracked = state.tracked[request_id]
         gating.strike_lost(state, tracked, view, now_s)
         _broken(state, tracked, Outcome.UNKNOWN, "the agent is lost", now_s)
+    for tracked in view.given_up:
+        fingerprint = tracked.request.fingerprint
+        if not state.quarantine.is_proven(fingerprint, now_s):
+            gating.strike_lost(state, tracked, view, now_s)
 
 
 def out_of_grace(state: RouterState, request_id: str, now_s: float) -> None:
@@ -225,6 +234,10 @@
     tracked = state.tracked.get(request_id)
     if tracked is None or tracked.phase is not Phase.RUNNING:
         return
+    view = None if tracked.agent is None else state.agents.get(tracked.agent)
+    if view is not None and len(view.given_up) < MAX_GIVEN_UP:
+        # If the agent is lost after all, its endpoint may have crashed.
+        view.given_up.append(tracked)
     _broken(state, tracked, Outcome.UNKNOWN, "the agent is silent", now_s)
 
 
--- a/src/bulrushstream/coordination/routing.py
+++ b/src/bulrushstream/coordination/routing.py
@@ -115,6 +115,7 @@
     free_slots: int = 0  # Slots that it announced and nobody took.
     idle_sequence: int = 0  # The last announcement's number.
     running: set[str] = field(default_factory=set)  # Requests there.
+    given_up: list[Tracked] = field(default_factory=list)  # While away.
     prefixes: dict[int, None] = field(default_factory=dict)  # Cached.
     missed: set[QueueKey] = field(default_factory=set)  # To tell anew.
     told: dict[str, DigestEntry] = field(default_factory=dict)  # Ledger.
--- a/src/bulrushstream/history/flood.py
+++ b/src/bulrushstream/history/flood.py
@@ -14,6 +14,7 @@
 
 SPAN_S: Final = 8.0  # How long the flood lasts.
 OVERLOAD: Final = 0.8  # Each workspace's work against the fleet's capacity.
+IDLE_BOUND_S: Final = 0.0061  # Three round trips beside work.
 STALENESS_S: Final = 1.1  # Report and digest intervals, and their delays.
 SPREAD: Final = (0.5, 1.5)  # Of a workspace's requests around their mean.
 
@@ -59,5 +60,5 @@
         calm_s=0.0,
         end_s=1.0 + SPAN_S,
         fairness_gap=capacity * (largest_s + STALENESS_S),
-        idle_bound_s=0.05,
+        idle_bound_s=IDLE_BOUND_S,
     )
--- a/src/bulrushstream/history/generate.py
+++ b/src/bulrushstream/history/generate.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Final
 
-from bulrushstream.history.flood import flood_plan
+from bulrushstream.history.flood import IDLE_BOUND_S, flood_plan
 from bulrushstream.history.plan import (
     Crash,
     Cut,
@@ -25,7 +25,6 @@
 LATE_CALLS_S: Final = 26.0  # When calls come that meet no faults.
 END_S: Final = 62.0  # When every deadline has passed.
 TIMEOUT_S: Final = 25.0  # How long callers wait.
-IDLE_BOUND_S: Final = 0.05  # How long a slot may idle beside work.
 MAX_DOWN_S: Final = 4.0  # The longest time that an instance is down.
 MAX_PAUSE_S: Final = 5.0  # The longest pause.
 MAX_CUT_S: Final = 7.0  # The longest time without a connection.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -223,6 +224,25 @@
         router.wait(1.0)
         assert len(sent(router.pull(AGENT), Dispatch)) == 1
 
+    @pytest.mark.parametrize(("returns", "strikes"), [(False, 1), (True, 0)])
+    def test_a_lost_agent_counts_for_what_was_given_up(
+        self, returns: bool, strikes: int
+    ) -> None:
+        router = RouterDriver()
+        router.up(AGENT)
+        router.arrive(a_poison("a", retries=0))
+        router.pull(AGENT)
+        router.on(PeerDown(AGENT.key))
+        router.wait(6.0)
+        assert router.failures("a")[0].outcome is Outcome.UNKNOWN
+        assert router.state.quarantine.count(FINGERPRINT, router.now_s) == 0
+        if returns:
+            router.up(AGENT)
+            router.on(PeerDown(AGENT.key))
+        router.on(PeerLost(AGENT.key))
+        counted = router.state.quarantine.count(FINGERPRINT, router.now_s)
+        assert counted == strikes
+
     def test_a_queued_copy_is_held_once_it_is_suspected(self) -> None:
         router = RouterDriver()
         peer = a_router("router-2")
