List a service's queues without looking at the others

An idle agent is told its service's backlog; that took a pass over all queues of all services. Tests also check that a router holds nothing of requests that have ended, and that a pull gets what its agent has cached.

--- a/src/bulrushstream/coordination/backlogs.py
+++ b/src/bulrushstream/coordination/backlogs.py
@@ -110,9 +110,7 @@
     :param now_s: the time on the core's clock
     """
     service = view.info.service
-    keys = sorted(
-        key for key in state.queues.queue_keys() if key.service == service
-    )
+    keys = sorted(state.queues.service_keys(service))
     _note_knowing(state, view, keys)
     _send(state, view, _entries(state, keys, now_s), full=True)
 
--- a/src/bulrushstream/state/queues.py
+++ b/src/bulrushstream/state/queues.py
@@ -128,6 +128,7 @@
         self._places: dict[str, tuple[QueueKey, Rank]] = {}
         self._pushed = 0
         self._service_counts: dict[str, int] = {}
+        self._service_keys: dict[str, dict[QueueKey, None]] = {}
 
     def __len__(self) -> int:
         return len(self._places)
@@ -145,7 +146,10 @@
         """
         key = QueueKey(request.service, request.workspace)
         rank = self._rank(request)
-        queue = self._queues.setdefault(key, _Queue())
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = self._queues[key] = _Queue()
+            self._service_keys.setdefault(key.service, {})[key] = None
         queue.entries[rank] = _Entry(request, rank)
         queue.count(request, 1)
         self._places[request.request_id] = (key, rank)
@@ -186,6 +190,7 @@
         queue.count(request, -1)
         if not queue.entries:
             del self._queues[key]
+            del self._service_keys[key.service][key]
         self.size_bytes -= memory_bytes(request)
         self._service_counts[key.service] -= 1
         return request
@@ -206,6 +211,10 @@
         """Return the queues in which something waits."""
         return iter(self._queues)
 
+    def service_keys(self, service: str) -> Iterator[QueueKey]:
+        """Return the queues of a service in which something waits."""
+        return iter(self._service_keys.get(service, ()))
+
     def oldest_arrival_s(self, key: QueueKey) -> float | None:
         """Return when the head of a queue arrived; None if it is empty."""
         queue = self._queues.get(key)
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -133,6 +133,24 @@
             act()
         self.now_s = until_s
 
+    def leftovers(self) -> list[object]:
+        """Return what routers still hold of requests that have ended."""
+        return [
+            left
+            for state in self.routers.values()
+            for left in (
+                state.tracked,
+                state.tracked_bytes,
+                state.gates,
+                state.keyed,
+                state.held,
+                state.unscreened,
+                len(state.queues),
+                [view for view in state.agents.values() if view.running],
+            )
+            if left
+        ]
+
     def hand(self, key: InstanceKey, event: Event) -> None:
         """Hand a router an event and carry out what it wants."""
         state = self.routers.get(key)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -121,6 +121,7 @@
         fleet.stop(a_router("router-1").key)
         fleet.start(a_router("router-1b"))
         fleet.run(60.0)
+        assert not fleet.leftovers()
         for key in set(names.values()):
             same = [name for name in names if names[name] == key]
             assert sum(fleet.runs[name] for name in same) <= 1
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -96,6 +96,7 @@
             good = a_request(f"g{index}", fingerprint=index + 1)
             fleet.arrive(rng.uniform(0.0, 3.0), good)
         fleet.run(120.0)
+        assert not fleet.leftovers()
         assert 1 <= fleet.crashes <= 3
         for index in range(copies):
             assert isinstance(fleet.ends[f"p{index}"][0], Fail)
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -115,6 +115,8 @@
                 for each in queue
             )
             assert (key in set(self.table.queue_keys())) is bool(queue)
+            keys = set(self.table.service_keys("proofwriter"))
+            assert (key in keys) is bool(queue)
 
     def _push(self, request: Request) -> None:
         self.number += 1
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -29,6 +29,7 @@
 from bulrushstream.state.message import (
     Ack,
     Backlog,
+    Cached,
     Cancel,
     Dispatch,
     Gone,
@@ -153,6 +154,17 @@
         assert dispatch_peers(router.arrive(a_request("q2"))) == [OTHER.key]
         assert not dispatch_peers(router.arrive(a_request("q3")))
 
+    def test_a_pull_prefers_what_the_agent_has_cached(self) -> None:
+        router = RouterDriver()
+        router.up(AGENT)
+        router.get(AGENT, Cached(False, (5, 6), ()))
+        for number in (4, 5, 6):
+            router.arrive(a_request(f"q{number}", prefix_digest=number))
+        router.get(AGENT, Cached(False, (), (5,)))
+        taken = [sent(router.pull(AGENT), Dispatch)[0] for _ in range(3)]
+        names = [dispatch.request_id for dispatch in taken]
+        assert names == ["q6", "q4", "q5"]
+
     def test_no_work_is_said_for_an_empty_workspace(self) -> None:
         router = RouterDriver()
         router.up(AGENT)
