Fewer acknowledgements and lifts

Cause: at 50 ms between acknowledgements a router sent one for almost every token of a stream, and lifts of short calls were news every two seconds. Acknowledgements only bound the replay buffer, so 64 parts or 1 s will do; shared lifts keep to 200 B/s.

--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -47,6 +47,8 @@
     report_bytes_per_s: float = 1000.0  # What reports may use in all.
     report_step: float = 0.05  # Unreported part of an average request.
     lift_interval_s: float = 2.0  # The least time between shared lifts.
+    lift_requests: float = 8.0  # Average requests that make a lift news.
+    lift_bytes_per_s: float = 200.0  # What shared lifts may use in all.
     settle_s: float = 2.0  # Wait for a first digest before any lift.
     relief_requests: float = 1000.0  # Average requests one may be ahead.
     resume_grace_s: float = 10.0  # Runs wait for a lost router.
--- a/src/bulrushstream/coordination/options.py
+++ b/src/bulrushstream/coordination/options.py
@@ -36,8 +36,8 @@
     digest_interval_s: float = 1.0  # Between digests of the ledger.
     digest_spare_s: float = 10.0  # The same, from routers not in charge.
     relay_interval_s: float = 2.0  # Between relays to router peers.
-    ack_parts: int = 16  # Parts after which they are acknowledged.
-    ack_delay_s: float = 0.05  # The longest wait of an acknowledgement.
+    ack_parts: int = 64  # Parts after which they are acknowledged.
+    ack_delay_s: float = 1.0  # The longest wait of an acknowledgement.
     probe_s: float = 2.0  # Silence after which an attempt is asked for.
     resume_grace_s: float = 5.0  # How long a broken connection may last.
     avoid_s: float = 1.0  # How long a retry waits for another endpoint.
--- a/src/bulrushstream/coordination/reporting.py
+++ b/src/bulrushstream/coordination/reporting.py
@@ -19,6 +19,8 @@
 
 # About what one entry takes in a frame.
 ENTRY_BYTES: Final = 64
+# About what one lift takes in a frame.
+FLOOR_BYTES: Final = 40
 
 
 def report(state: AgentState, now_s: float) -> list[Effect]:
@@ -69,13 +71,14 @@
     """
     if now_s < state.lift_at_s or not state.routers:
         return []
-    # Agents take turns by chance, so that one of them tells the others.
-    state.lift_at_s = now_s + state.options.lift_interval_s * (
-        state.rng.uniform(0.5, 1.5)
-    )
     effects: list[Effect] = []
-    for workspace, lift in state.shares.news(state.estimator.cost.value):
+    step = state.estimator.cost.value * state.options.lift_requests
+    for workspace, lift in state.shares.news(step):
         effects += tell(state, Floor(state.me.service, workspace, lift))
+    pause_s = len(effects) * FLOOR_BYTES / state.options.lift_bytes_per_s
+    pause_s = max(pause_s, state.options.lift_interval_s)
+    # Agents take turns by chance, so that one of them tells the others.
+    state.lift_at_s = now_s + pause_s * state.rng.uniform(0.5, 1.5)
     return effects
 
 
