Demand whole answers of a calm fleet; record crashes told by others

Every call that comes six seconds after the last fault must now end whole; a refusal that is true but needless was not seen before.

An idle slot may now last three round trips and the 3 ms in which a router gathers changes of its backlog, 9.1 ms.

--- a/src/bulrushstream/check_command.py
+++ b/src/bulrushstream/check_command.py
@@ -16,7 +16,7 @@
 from bulrushstream.history.harness import Run, run_plan
 from bulrushstream.history.plan import Plan
 from bulrushstream.history.real import REAL
-from bulrushstream.history.shrink import shrink
+from bulrushstream.history.shrink import MAX_TRIALS, shrink
 from bulrushstream.state.effect import Decision, WakeAt
 from bulrushstream.state.event import Ticked
 from bulrushstream.state.message import (
@@ -38,6 +38,7 @@
     cores: Cores = REAL,
     show: Print = print,
     clock: Clock = time.monotonic,
+    max_trials: int = MAX_TRIALS,
 ) -> int:
     """Check random histories until a time is over or one fails.
 
@@ -46,6 +47,7 @@
     :param cores: the cores to drive.
     :param show: prints a line.
     :param clock: tells the time, in seconds.
+    :param max_trials: how many plans a failure is made smaller with.
     :returns: the exit code: 0 if every promise held, else 1.
     """
     end_s = clock() + seconds
@@ -58,7 +60,7 @@
         if run.violations or clock() >= end_s:
             break
     if run.violations:
-        _explain(run, cores, show)
+        _explain(run, cores, show, max_trials)
     show(
         f"{histories} histories, {steps} steps, {records} records,"
         f" {len(run.violations)} violations"
@@ -66,7 +68,7 @@
     return 1 if run.violations else 0
 
 
-def _explain(run: Run, cores: Cores, show: Print) -> None:
+def _explain(run: Run, cores: Cores, show: Print, max_trials: int) -> None:
     """Print a failing seed and the smallest plan that still fails."""
     show(f"seed {run.plan.seed} fails:")
     for violation in run.violations:
@@ -78,7 +80,9 @@
         found = run_plan(plan, cores).violations
         return any(violation.kind in kinds for violation in found)
 
-    small = run_plan(shrink(run.plan, fails), cores, with_trace=True)
+    small = run_plan(
+        shrink(run.plan, fails, max_trials), cores, with_trace=True
+    )
     _show_plan(small.plan, show)
     show("violations of the smallest plan:")
     for violation in small.violations:
--- a/src/bulrushstream/coordination/gating.py
+++ b/src/bulrushstream/coordination/gating.py
@@ -310,11 +310,15 @@
         return
     key = view.info.key
     name = f"{key.instance}@{key.incarnation}#{crash}"
-    if not state.quarantine.strike(fingerprint, name, tracked.alone, now_s):
+    new = state.quarantine.strike(fingerprint, name, tracked.alone, now_s)
+    if not new and not state.quarantine.holds(fingerprint, name):
         return
+    # What only peers have told before is not in the log yet.
     state.decide("strike", name, tracked, now_s)
     at_ms = state.quarantine.clock.now_ms(now_s)
     state.strike_log.add(StrikeRecord(fingerprint, name, tracked.alone, at_ms))
+    if not new:
+        return
     _tell_routers(
         state, Strikes((Strike(fingerprint, name, tracked.alone, 0),))
     )
--- a/src/bulrushstream/coordination/quarantine.py
+++ b/src/bulrushstream/coordination/quarantine.py
@@ -100,6 +100,10 @@
             self._crashes.popitem(last=False)
         return True
 
+    def holds(self, fingerprint: int, strike_id: str) -> bool:
+        """Return whether a crash counts against a fingerprint."""
+        return strike_id in self._crashes.get(fingerprint, {})
+
     def pardon(self, fingerprint: int, at_s: float) -> bool:
         """Lift all strikes up to a time; return whether there were any."""
         self._pardoned_s[fingerprint] = max(
--- a/src/bulrushstream/history/answers.py
+++ b/src/bulrushstream/history/answers.py
@@ -80,6 +80,7 @@
     end_s = history[-1].at_s if history else 0.0
     for caller in scan.callers.values():
         _check_final(scan, caller, limits, len(history), end_s)
+        _check_calm(scan, caller, limits)
         _check_bytes(scan, caller, len(history), end_s)
     return scan.violations
 
@@ -157,6 +158,23 @@
     scan.violations.append(Violation(at_s, index, kind, subject, text))
 
 
+def _check_calm(scan: _Scan, caller: _Caller, limits: CheckLimits) -> None:
+    """Report a caller that got no whole answer although all was well."""
+    final = caller.final
+    calm_s = limits.calm_s
+    if final is None or calm_s is None or caller.called.at_s < calm_s:
+        return
+    if isinstance(final, AnswerEnded) and final.whole:
+        return
+    kind = ViolationKind.CALM_FAILURE
+    code = final.code if isinstance(final, Refused) else "not whole"
+    text = f"It ended as {final.outcome} ({code}) in a calm fleet."
+    subject = caller.called.request_id
+    scan.violations.append(
+        Violation(final.at_s, caller.final_index, kind, subject, text)
+    )
+
+
 def _check_bytes(
     scan: _Scan, caller: _Caller, length: int, end_s: float
 ) -> None:
--- a/src/bulrushstream/history/flood.py
+++ b/src/bulrushstream/history/flood.py
@@ -14,7 +14,8 @@
 
 SPAN_S: Final = 8.0  # How long the flood lasts.
 OVERLOAD: Final = 0.8  # Each workspace's work against the fleet's capacity.
-IDLE_BOUND_S: Final = 0.0061  # Three round trips beside work.
+# Three round trips and the pause in which a router gathers changes.
+IDLE_BOUND_S: Final = 0.0091
 STALENESS_S: Final = 1.1  # Report and digest intervals, and their delays.
 SPREAD: Final = (0.5, 1.5)  # Of a workspace's requests around their mean.
 
--- a/src/bulrushstream/history/generate.py
+++ b/src/bulrushstream/history/generate.py
@@ -24,6 +24,7 @@
 CALM_S: Final = 20.0  # When the last pause or outage is over.
 LATE_CALLS_S: Final = 26.0  # When calls come that meet no faults.
 END_S: Final = 62.0  # When every deadline has passed.
+LATE_WORK_S: Final = 10.0  # Their work for each slot, at most.
 TIMEOUT_S: Final = 25.0  # How long callers wait.
 MAX_DOWN_S: Final = 4.0  # The longest time that an instance is down.
 MAX_PAUSE_S: Final = 5.0  # The longest pause.
@@ -49,6 +50,7 @@
         weather=_random_weather(rng),
         calm_s=CALM_S,
         end_s=END_S,
+        sure_s=LATE_CALLS_S,
     )
     calls = _random_calls(rng, plan)
     calls += _poison_calls(rng, plan) if rng.random() < 0.25 else ()
@@ -132,8 +134,12 @@
 def _late_calls(rng: Random, plan: Plan) -> tuple[PlannedCall, ...]:
     """Return the calls that come when faults are over."""
     calls = []
+    left_s = LATE_WORK_S * plan.agents * plan.slots
     for number in range(rng.randint(5, 30)):
         call = _random_call(rng, plan, f"late{number}", 3.0)
+        left_s -= call.run_s
+        if left_s < 0.0:
+            break
         calls.append(replace(call, at_s=LATE_CALLS_S + call.at_s))
     return tuple(calls)
 
--- a/src/bulrushstream/history/harness.py
+++ b/src/bulrushstream/history/harness.py
@@ -74,6 +74,7 @@
     """
     return CheckLimits(
         answer_grace_s=GRACE_S,
+        calm_s=plan.sure_s,
         idle_bound_s=plan.idle_bound_s,
         fairness_gap=plan.fairness_gap,
     )
--- a/src/bulrushstream/history/plan.py
+++ b/src/bulrushstream/history/plan.py
@@ -128,5 +128,6 @@
     weather: Weather = Weather()  # Until faults end.
     calm_s: float = 15.0  # When faults end.
     end_s: float = 45.0  # When the run ends.
+    sure_s: float | None = None  # Calls from then on must succeed.
     fairness_gap: float | None = None  # Checked if given.
     idle_bound_s: float | None = None  # Checked after faults if given.
--- a/src/bulrushstream/history/violation.py
+++ b/src/bulrushstream/history/violation.py
@@ -16,6 +16,7 @@
     NO_ANSWER = "no-answer"  # No final answer by the deadline.
     FALSE_NOT_RUN = "false-not-run"  # Said not run, but it ran.
     FALSE_RAN = "false-ran"  # Said that it ran, but it never did.
+    CALM_FAILURE = "calm-failure"  # A call failed though nothing was wrong.
     RUN_TWICE = "run-twice"  # A non-idempotent request ran twice.
     CRASH_BOUND = "crash-bound"  # One request crashed too many endpoints.
     LATE_WORK = "late-work"  # New work after the draining bound.
@@ -47,6 +48,7 @@
     """The bounds that a history must keep."""
 
     answer_grace_s: float = 1.0  # A final answer this late still counts.
+    calm_s: float | None = None  # Calls from then on succeed; None: any.
     crash_limit: int = 3  # Endpoints that one fingerprint may crash.
     drain_bound_s: float = 3.0  # From leaving to the last new work.
     idle_bound_s: float | None = None  # Idle beside work; None: any.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -244,6 +244,19 @@
         counted = router.state.quarantine.count(FINGERPRINT, router.now_s)
         assert counted == strikes
 
+    def test_a_crash_that_an_agent_told_first_is_recorded(self) -> None:
+        router = RouterDriver()
+        router.up(AGENT)
+        router.arrive(a_poison("a", retries=0))
+        router.pull(AGENT)
+        key = AGENT.key
+        name = f"{key.instance}@{key.incarnation}#1"
+        router.get(AGENT, Strikes((Strike(FINGERPRINT, name, False, 0),)))
+        assert not sent_appends(router)
+        a_crash(router, "a")
+        assert name.encode() in sent_appends(router)[0].body
+        assert router.state.quarantine.count(FINGERPRINT, router.now_s) == 1
+
     def test_a_queued_copy_is_held_once_it_is_suspected(self) -> None:
         router = RouterDriver()
         peer = a_router("router-2")
