--- a/src/bulrushstream/coordination/accrual.py
+++ b/src/bulrushstream/coordination/accrual.py
@@ -27,14 +27,23 @@
 
 
 def charge_start(state: AgentState, run: Run) -> None:
-    """Count what reading the request costs."""
+    """Count what reading the request costs.
+
+    :param state: The agent's state.
+    :param run: The run.
+    """
     if state.counts_tokens():
         size_bytes = len(run.dispatch.body)
         charge(state, run, size_bytes * state.options.prompt_tokens_per_byte)
 
 
 def accrue_run(state: AgentState, run: Run, now_s: float) -> None:
-    """Count a running request's seconds up to now."""
+    """Count a running request's seconds up to now.
+
+    :param state: The agent's state.
+    :param run: The run.
+    :param now_s: The time.
+    """
     elapsed_s = now_s - run.accrued_s
     if elapsed_s <= 0:
         return
@@ -44,7 +53,11 @@
 
 
 def accrue(state: AgentState, now_s: float) -> None:
-    """Count all running requests' seconds, if enough time has passed."""
+    """Count all running requests' seconds, if enough time has passed.
+
+    :param state: The agent's state.
+    :param now_s: The time.
+    """
     for run in state.active.values():
         due = now_s - run.accrued_s >= MIN_ACCRUAL_S
         if due and run.phase is RunPhase.RUNNING:
--- a/src/bulrushstream/coordination/agent.py
+++ b/src/bulrushstream/coordination/agent.py
@@ -3,18 +3,10 @@
 See `bulrushstream.coordination.agentstate` for what an agent is.  After
 every event the agent starts what it holds, pulls for free slots, announces
 room, and reports service, each if there is cause.
-
-When a router's connection breaks, its backlog no longer counts at once;
-its running requests go on and wait for the router to resume them.  If it
-stays away, requests that were not started are dropped with a tombstone and
-idempotent runs are stopped, as the router may have them run elsewhere.
-Other runs go on to their end, since stopping one half way helps nobody.
 """
 
 from __future__ import annotations
 
-from itertools import islice
-
 from bulrushstream.coordination.agentstate import (
     NEVER_S,
     AgentOptions,
@@ -22,12 +14,10 @@
     new_agent,
     tell,
 )
-from bulrushstream.coordination.crashes import retell
 from bulrushstream.coordination.intake import (
     accept,
     cancel,
     give_all_back,
-    give_back,
     give_back_spare,
     resume,
     revoke,
@@ -40,23 +30,21 @@
     no_work,
 )
 from bulrushstream.coordination.reporting import (
-    greet,
     relay_cache,
     report,
     report_due_s,
     share_lifts,
 )
 from bulrushstream.coordination.running import (
-    abandon,
     acknowledge,
     body,
     end,
-    forget,
     head,
-    stop,
 )
+from bulrushstream.coordination.sessions import connect, disconnect, lose
+from bulrushstream.coordination.timeouts import check_times
 from bulrushstream.state.config import VersionedConfig
-from bulrushstream.state.effect import Effect, Send, WakeAt
+from bulrushstream.state.effect import Effect, WakeAt
 from bulrushstream.state.event import (
     CacheReported,
     Configured,
@@ -71,7 +59,7 @@
     RunEnd,
     RunHead,
 )
-from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
+from bulrushstream.state.identity import InstanceKey, Role
 from bulrushstream.state.message import (
     Ack,
     Backlog,
@@ -86,7 +74,6 @@
     Resume,
     Revoke,
 )
-from bulrushstream.state.run import Run, RunPhase
 
 __all__ = ["AgentOptions", "AgentState", "handle", "new_agent"]
 
@@ -103,7 +90,7 @@
     if _is_quiet(event):
         return effects
     if now_s - state.checked_s >= state.options.tick_s:
-        effects += _check_times(state, now_s)
+        effects += check_times(state, now_s)
     effects += start_held(state, now_s)
     effects += give_back_spare(state, now_s)
     effects += fill(state, now_s)
@@ -143,12 +130,12 @@
         case CacheReported():
             return relay_cache(state, event)
         case PeerUp(info) if info.role is Role.ROUTER:
-            return _connect(state, info, now_s)
+            return connect(state, info, now_s)
         case PeerDown(peer):
-            return _disconnect(state, peer, now_s)
+            return disconnect(state, peer, now_s)
         case PeerLost(peer):
             if peer not in state.routers:
-                return _lose(state, peer, now_s)
+                return lose(state, peer, now_s)
             # A standing connection is the better sign; if the router is
             # gone, its end follows.
             state.given_up.add(peer)
@@ -191,85 +178,6 @@
     return []
 
 
-def _connect(
-    state: AgentState, info: InstanceInfo, now_s: float
-) -> list[Effect]:
-    """Start with a router from nothing; it sends everything anew."""
-    effects: list[Effect] = []
-    for key in [*state.routers, *_orphaning(state)]:
-        older = key.incarnation < info.key.incarnation
-        if key.instance == info.key.instance and older:
-            effects += _lose(state, key, now_s)
-    _forget_router(state, info.key, now_s)
-    state.routers[info.key] = info
-    state.settled_at_s = min(
-        state.settled_at_s, now_s + state.options.settle_s
-    )
-    if state.draining:
-        effects.append(Send(info.key, Goodbye(state.me.key.incarnation)))
-    effects += greet(state, info.key)
-    return effects + retell(state, info.key, now_s)
-
-
-def _orphaning(state: AgentState) -> set[InstanceKey]:
-    """Return the routers whose runs wait to be resumed."""
-    waiting = state.runs.values()
-    return {run.router for run in waiting if run.orphaned_s is not None}
-
-
-def _forget_router(
-    state: AgentState, router: InstanceKey, now_s: float
-) -> None:
-    """Drop what belongs to a connection."""
-    state.routers.pop(router, None)
-    state.given_up.discard(router)
-    state.idle_told.pop(router, None)
-    state.backlogs.drop(router)
-    state.shares.silence(router)
-    for pull in [p for p in state.pulls.values() if p.router == router]:
-        del state.pulls[pull.pull_id]
-    for run in state.runs.values():
-        if run.router == router and run.orphaned_s is None:
-            run.orphaned_s = now_s
-
-
-def _disconnect(
-    state: AgentState, router: InstanceKey, now_s: float
-) -> list[Effect]:
-    """Note that a router's connection broke."""
-    if router not in state.routers:
-        return []
-    if router in state.given_up:
-        return _lose(state, router, now_s)
-    _forget_router(state, router, now_s)
-    return []
-
-
-def _lose(
-    state: AgentState, router: InstanceKey, now_s: float
-) -> list[Effect]:
-    """Note that a router will not come back."""
-    _forget_router(state, router, now_s)
-    state.shares.drop_source(router)
-    effects: list[Effect] = []
-    for run in list(state.runs.values()):
-        if run.router == router:
-            effects += _strand(state, run, now_s)
-    return effects
-
-
-def _strand(state: AgentState, run: Run, now_s: float) -> list[Effect]:
-    """Settle a run whose router stayed away."""
-    if run.phase is RunPhase.HELD:
-        return give_back(state, run, RefuseReason.REVOKED, now_s)
-    if run.phase is RunPhase.RUNNING and run.dispatch.idempotent:
-        return stop(run, now_s)
-    if run.phase is RunPhase.ENDED and run.router not in state.routers:
-        # Nobody will acknowledge it; a drain need not wait for that.
-        forget(state, run)
-    return []
-
-
 def _configure(state: AgentState, current: VersionedConfig) -> None:
     """Take over the service's limits and the workspaces' weights."""
     config = current.config
@@ -301,66 +209,6 @@
     )
 
 
-def _check_times(state: AgentState, now_s: float) -> list[Effect]:
-    """Act on everything that has taken too long."""
-    state.checked_s = now_s
-    _expire_pulls(state, now_s)
-    effects: list[Effect] = []
-    for run in list(state.runs.values()):
-        effects += _check_run(state, run, now_s)
-    return effects
-
-
-def _expire_pulls(state: AgentState, now_s: float) -> None:
-    """Count pulls without an answer as lost."""
-    limit_s = now_s - state.options.pull_timeout_s
-    for pull in [p for p in state.pulls.values() if p.sent_s <= limit_s]:
-        del state.pulls[pull.pull_id]
-        waiting = state.backlogs.find(pull.router, pull.workspace)
-        if waiting is not None:
-            waiting.answer()
-
-
-def _check_run(state: AgentState, run: Run, now_s: float) -> list[Effect]:
-    """Act on one run that has taken too long."""
-    options = state.options
-    if run.phase is RunPhase.ENDED:
-        return _check_ended(state, run, now_s)
-    if run.phase is RunPhase.HELD and now_s >= run.deadline_s:
-        return give_back(state, run, RefuseReason.EXPIRED, now_s)
-    if run.cancelled_s is not None:
-        if now_s - run.cancelled_s >= options.cancel_grace_s:
-            return abandon(state, run, now_s)
-        return []
-    if now_s >= run.deadline_s + options.deadline_grace_s:
-        return stop(run, now_s)
-    away_s = now_s - (now_s if run.orphaned_s is None else run.orphaned_s)
-    if away_s >= options.resume_grace_s:
-        return _strand(state, run, now_s)
-    return []
-
-
-def _check_ended(state: AgentState, run: Run, now_s: float) -> list[Effect]:
-    """Forget an answer that nobody fetches, or send its rest again.
-
-    The first parts that lack an acknowledgement go, since the router may
-    wait for one of them; its next acknowledgement shows what is left.
-    """
-    options = state.options
-    since_s = now_s - run.ended_s
-    away = run.orphaned_s is not None
-    hurried = state.draining and away
-    keep_s = options.resume_grace_s if hurried else options.answer_keep_s
-    if since_s >= keep_s:
-        forget(state, run)
-        return []
-    if away or now_s - max(run.ended_s, run.resent_s) < options.resend_s:
-        return []
-    run.resent_s = now_s
-    parts = islice(run.buffer.parts, options.resend_parts)
-    return [Send(run.router, part) for part in parts]
-
-
 def _wake(state: AgentState, now_s: float) -> list[Effect]:
     """Ask for the next tick, unless an earlier one was asked for."""
     times = [report_due_s(state)]
--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -134,7 +134,10 @@
         return not self.runs
 
     def weight(self, workspace: str) -> float:
-        """Return the weight of a workspace; 1 if it is not known."""
+        """Return the weight of a workspace; 1 if it is not known.
+
+        :param workspace: Whose.
+        """
         return self.weights.get(workspace, 1.0)
 
     def counts_tokens(self) -> bool:
@@ -143,7 +146,10 @@
         return unit is ServiceUnit.TOKENS
 
     def capacity(self, now_s: float) -> int:
-        """Return how many requests may be at the endpoint now."""
+        """Return how many requests may be at the endpoint now.
+
+        :param now_s: The time.
+        """
         phase = self.breaker.phase(now_s)
         if self.draining or self.service is None:
             return 0
@@ -157,7 +163,12 @@
 
 
 def tell(state: AgentState, message: Message) -> list[Effect]:
-    """Send a message to every connected router."""
+    """Send a message to every connected router.
+
+    :param state: The agent's state.
+    :param message: What it says.
+    :returns: What to do.
+    """
     return [Send(router, message) for router in state.routers]
 
 
--- a/src/bulrushstream/coordination/breaker.py
+++ b/src/bulrushstream/coordination/breaker.py
@@ -41,7 +41,10 @@
     retry_at_s: float = 0.0  # When a probe may go; set while open.
 
     def phase(self, now_s: float) -> BreakerPhase:
-        """Return whether the endpoint takes requests at this time."""
+        """Return whether the endpoint takes requests at this time.
+
+        :param now_s: The time.
+        """
         if self.failures < self.options.failure_limit:
             return BreakerPhase.CLOSED
         if now_s >= self.retry_at_s:
--- a/src/bulrushstream/coordination/estimate.py
+++ b/src/bulrushstream/coordination/estimate.py
@@ -31,7 +31,10 @@
     count: int = 0  # Samples taken, up to the smoothing's horizon.
 
     def add(self, sample: float) -> None:
-        """Take one sample in."""
+        """Take one sample in.
+
+        :param sample: The sample.
+        """
         self.count = min(self.count + 1, round(1 / SMOOTHING))
         self.value += (sample - self.value) / self.count
 
--- a/src/bulrushstream/coordination/intake.py
+++ b/src/bulrushstream/coordination/intake.py
@@ -70,7 +70,12 @@
 
 
 def start_held(state: AgentState, now_s: float) -> list[Effect]:
-    """Start held requests while slots are free."""
+    """Start held requests while slots are free.
+
+    :param state: The agent's state.
+    :param now_s: The time.
+    :returns: What to do.
+    """
     effects: list[Effect] = []
     if state.breaker.phase(now_s) is BreakerPhase.OPEN:
         return give_all_back(state, RefuseReason.OPEN, now_s)
@@ -102,7 +107,10 @@
     here = owed(state)
 
     def rank(run: Run) -> tuple[bool, float]:
-        """Return the place of a request in the order of starts."""
+        """Return the place of a request in the order of starts.
+
+        :param run: The run.
+        """
         workspace = run.dispatch.workspace
         charged = state.shares.charged(workspace, here.get(workspace, 0.0))
         return run.dispatch.alone, charged
@@ -121,7 +129,13 @@
 def give_all_back(
     state: AgentState, reason: RefuseReason, now_s: float
 ) -> list[Effect]:
-    """Refuse every request that was taken but not started."""
+    """Refuse every request that was taken but not started.
+
+    :param state: The agent's state.
+    :param reason: Why.
+    :param now_s: The time.
+    :returns: What to do.
+    """
     effects: list[Effect] = []
     for run in list(state.active.values()):
         if run.phase is RunPhase.HELD:
@@ -148,7 +162,14 @@
 def give_back(
     state: AgentState, run: Run, reason: RefuseReason, now_s: float
 ) -> list[Effect]:
-    """Refuse a request that was taken but not started."""
+    """Refuse a request that was taken but not started.
+
+    :param state: The agent's state.
+    :param run: The run.
+    :param reason: Why.
+    :param now_s: The time.
+    :returns: What to do.
+    """
     state.active.pop(run.key, None)
     forget(state, run)
     return refuse(state, run.dispatch, run.router, reason, now_s)
@@ -239,7 +260,13 @@
 
 
 def cancel(state: AgentState, message: Cancel, now_s: float) -> list[Effect]:
-    """Stop an attempt whose caller left."""
+    """Stop an attempt whose caller left.
+
+    :param state: The agent's state.
+    :param message: What it says.
+    :param now_s: The time.
+    :returns: What to do.
+    """
     key = (message.request_id, message.attempt)
     run = state.active.get(key)
     if run is None:
--- a/src/bulrushstream/coordination/pulling.py
+++ b/src/bulrushstream/coordination/pulling.py
@@ -88,7 +88,11 @@
 
 
 def free_slots(state: AgentState, now_s: float) -> int:
-    """Return how many slots are neither used nor asked for."""
+    """Return how many slots are neither used nor asked for.
+
+    :param state: The agent's state.
+    :param now_s: The time.
+    """
     taken = len(state.active) + len(state.pulls)
     return max(0, state.capacity(now_s) - taken)
 
--- a/src/bulrushstream/coordination/reporting.py
+++ b/src/bulrushstream/coordination/reporting.py
@@ -83,7 +83,10 @@
 
 
 def report_due_s(state: AgentState) -> float:
-    """Return when the next report is due; never, if nothing changes."""
+    """Return when the next report is due; never, if nothing changes.
+
+    :param state: The agent's state.
+    """
     if not state.routers:
         return NEVER_S
     if not state.active and not _pending(state):
--- a/src/bulrushstream/coordination/running.py
+++ b/src/bulrushstream/coordination/running.py
@@ -47,7 +47,12 @@
 
 
 def head(state: AgentState, event: RunHead) -> list[Effect]:
-    """Pass on the head of an answer."""
+    """Pass on the head of an answer.
+
+    :param state: The agent's state.
+    :param event: What happened.
+    :returns: What to do.
+    """
     run = _find(state, event.request_id, event.attempt)
     if run is None:
         return []
@@ -58,7 +63,12 @@
 
 
 def body(state: AgentState, event: RunBody) -> list[Effect]:
-    """Pass on a piece of an answer and count its tokens."""
+    """Pass on a piece of an answer and count its tokens.
+
+    :param state: The agent's state.
+    :param event: What happened.
+    :returns: What to do.
+    """
     run = _find(state, event.request_id, event.attempt)
     if run is None:
         return []
@@ -94,7 +104,10 @@
 
 
 def outcome_of(event: RunEnd) -> Outcome:
-    """Return what is known of a run that ended."""
+    """Return what is known of a run that ended.
+
+    :param event: What happened.
+    """
     if event.whole:
         return Outcome.RAN
     return Outcome.UNKNOWN if event.started else Outcome.NOT_RUN
@@ -149,7 +162,12 @@
 
 
 def stop(run: Run, now_s: float) -> list[Effect]:
-    """Ask the endpoint to stop a run; its end follows as an event."""
+    """Ask the endpoint to stop a run; its end follows as an event.
+
+    :param run: The run.
+    :param now_s: The time.
+    :returns: What to do.
+    """
     if run.cancelled_s is not None or run.phase is not RunPhase.RUNNING:
         return []
     run.cancelled_s = now_s
@@ -157,7 +175,13 @@
 
 
 def abandon(state: AgentState, run: Run, now_s: float) -> list[Effect]:
-    """Count a run as over though the endpoint never said so."""
+    """Count a run as over though the endpoint never said so.
+
+    :param state: The agent's state.
+    :param run: The run.
+    :param now_s: The time.
+    :returns: What to do.
+    """
     event = RunEnd(
         run.dispatch.request_id,
         run.dispatch.attempt,
@@ -189,7 +213,11 @@
 
 
 def forget(state: AgentState, run: Run) -> None:
-    """Drop a run that is over; its fate stays remembered."""
+    """Drop a run that is over; its fate stays remembered.
+
+    :param state: The agent's state.
+    :param run: The run.
+    """
     state.replay_bytes -= run.buffer.size_bytes
     run.buffer.clear()
     state.runs.pop(run.key, None)
--- a/src/bulrushstream/coordination/slots.py
+++ b/src/bulrushstream/coordination/slots.py
@@ -35,7 +35,10 @@
         self.limit = min(max(self.limit, low), high)
 
     def use(self, in_flight: int) -> None:
-        """Note how many requests are in flight."""
+        """Note how many requests are in flight.
+
+        :param in_flight: How many.
+        """
         self.was_full = self.was_full or in_flight >= self.limit
 
     def report(
--- a/src/bulrushstream/coordination/subset.py
+++ b/src/bulrushstream/coordination/subset.py
@@ -29,7 +29,11 @@
 
 
 def pair_score(left: str, right: str) -> int:
-    """Return the score of two names; it depends on their order."""
+    """Return the score of two names; it depends on their order.
+
+    :param left: One name.
+    :param right: The other name.
+    """
     return xxhash.xxh3_64_intdigest(f"{left}\0{right}".encode())
 
 
--- /dev/null
+++ b/src/bulrushstream/coordination/timeouts.py
@@ -0,0 +1,78 @@
+"""What an agent does about pulls and runs that take too long."""
+
+from __future__ import annotations
+
+from itertools import islice
+
+from bulrushstream.coordination.agentstate import AgentState
+from bulrushstream.coordination.intake import give_back
+from bulrushstream.coordination.running import abandon, forget, stop
+from bulrushstream.coordination.sessions import strand
+from bulrushstream.state.effect import Effect, Send
+from bulrushstream.state.message import RefuseReason
+from bulrushstream.state.run import Run, RunPhase
+
+
+def check_times(state: AgentState, now_s: float) -> list[Effect]:
+    """Act on everything that has taken too long.
+
+    :param state: The agent's state.
+    :param now_s: The time.
+    :returns: What to do.
+    """
+    state.checked_s = now_s
+    _expire_pulls(state, now_s)
+    effects: list[Effect] = []
+    for run in list(state.runs.values()):
+        effects += _check_run(state, run, now_s)
+    return effects
+
+
+def _expire_pulls(state: AgentState, now_s: float) -> None:
+    """Count pulls without an answer as lost."""
+    limit_s = now_s - state.options.pull_timeout_s
+    for pull in [p for p in state.pulls.values() if p.sent_s <= limit_s]:
+        del state.pulls[pull.pull_id]
+        waiting = state.backlogs.find(pull.router, pull.workspace)
+        if waiting is not None:
+            waiting.answer()
+
+
+def _check_run(state: AgentState, run: Run, now_s: float) -> list[Effect]:
+    """Act on one run that has taken too long."""
+    options = state.options
+    if run.phase is RunPhase.ENDED:
+        return _check_ended(state, run, now_s)
+    if run.phase is RunPhase.HELD and now_s >= run.deadline_s:
+        return give_back(state, run, RefuseReason.EXPIRED, now_s)
+    if run.cancelled_s is not None:
+        if now_s - run.cancelled_s >= options.cancel_grace_s:
+            return abandon(state, run, now_s)
+        return []
+    if now_s >= run.deadline_s + options.deadline_grace_s:
+        return stop(run, now_s)
+    away_s = now_s - (now_s if run.orphaned_s is None else run.orphaned_s)
+    if away_s >= options.resume_grace_s:
+        return strand(state, run, now_s)
+    return []
+
+
+def _check_ended(state: AgentState, run: Run, now_s: float) -> list[Effect]:
+    """Forget an answer that nobody fetches, or send its rest again.
+
+    The first parts that lack an acknowledgement go, since the router may
+    wait for one of them; its next acknowledgement shows what is left.
+    """
+    options = state.options
+    since_s = now_s - run.ended_s
+    away = run.orphaned_s is not None
+    hurried = state.draining and away
+    keep_s = options.resume_grace_s if hurried else options.answer_keep_s
+    if since_s >= keep_s:
+        forget(state, run)
+        return []
+    if away or now_s - max(run.ended_s, run.resent_s) < options.resend_s:
+        return []
+    run.resent_s = now_s
+    parts = islice(run.buffer.parts, options.resend_parts)
+    return [Send(run.router, part) for part in parts]
--- a/src/bulrushstream/measure/policies.py
+++ b/src/bulrushstream/measure/policies.py
@@ -88,7 +88,10 @@
 
 
 def agent_options(policy: Policy) -> AgentOptions:
-    """Return the options of the agents beside a policy's routers."""
+    """Return the options of the agents beside a policy's routers.
+
+    :param policy: The policy.
+    """
     if policy in (Policy.ROUND_ROBIN, Policy.LEAST_OUTSTANDING):
         return AgentOptions(hold_limit=PUSHED_LIMIT)
     return AgentOptions()
--- a/src/bulrushstream/state/backlog.py
+++ b/src/bulrushstream/state/backlog.py
@@ -38,7 +38,10 @@
         self.asked = max(0, self.asked - 1)
 
     def ready(self, now_s: float) -> bool:
-        """Return whether a pull is likely to get a request."""
+        """Return whether a pull is likely to get a request.
+
+        :param now_s: The time.
+        """
         return self.count > self.asked and now_s >= self.muted_until_s
 
 
@@ -92,7 +95,10 @@
         return [w for w in self._by_workspace if w not in before]
 
     def drop(self, router: InstanceKey) -> None:
-        """Forget a router's backlog, as its connection is gone."""
+        """Forget a router's backlog, as its connection is gone.
+
+        :param router: Which router.
+        """
         if router not in self._routers:
             return
         for workspace in list(self._routers[router].waiting):
@@ -106,7 +112,11 @@
     def holders(
         self, workspace: str, now_s: float
     ) -> Iterator[tuple[InstanceKey, Waiting]]:
-        """List the routers that a pull may go to."""
+        """List the routers that a pull may go to.
+
+        :param workspace: Whose.
+        :param now_s: The time.
+        """
         for router, waiting in self.all_holders(workspace):
             if waiting.ready(now_s):
                 yield router, waiting
@@ -114,7 +124,10 @@
     def all_holders(
         self, workspace: str
     ) -> Iterator[tuple[InstanceKey, Waiting]]:
-        """List the routers that hold work of a workspace."""
+        """List the routers that hold work of a workspace.
+
+        :param workspace: Whose.
+        """
         return iter(self._by_workspace.get(workspace, {}).items())
 
     def total(self) -> int:
@@ -126,7 +139,11 @@
         )
 
     def find(self, router: InstanceKey, workspace: str) -> Waiting | None:
-        """Return what waits for a workspace at a router."""
+        """Return what waits for a workspace at a router.
+
+        :param router: Which router.
+        :param workspace: Whose.
+        """
         return self._by_workspace.get(workspace, {}).get(router)
 
     def _set(
--- a/src/bulrushstream/state/replay.py
+++ b/src/bulrushstream/state/replay.py
@@ -32,13 +32,19 @@
     parts: deque[Part] = field(default_factory=deque)  # In order.
 
     def add(self, part: Part) -> None:
-        """Keep the next part."""
+        """Keep the next part.
+
+        :param part: The part.
+        """
         self.parts.append(part)
         self.next += 1
         self.size_bytes += _size_bytes(part)
 
     def acknowledge(self, next_sequence: int) -> None:
-        """Forget the parts before a number."""
+        """Forget the parts before a number.
+
+        :param next_sequence: The first part that is not had yet.
+        """
         while self.parts and self.first < next_sequence:
             self.size_bytes -= _size_bytes(self.parts.popleft())
             self.first += 1
@@ -48,7 +54,10 @@
         self.acknowledge(self.next)
 
     def after(self, next_sequence: int) -> tuple[Part, ...] | None:
-        """Return the parts from a number on; None if some are gone."""
+        """Return the parts from a number on; None if some are gone.
+
+        :param next_sequence: The first part that is not had yet.
+        """
         if next_sequence < self.first:
             return None
         skip = next_sequence - self.first
@@ -95,7 +104,10 @@
         self._fates.setdefault(key, (outcome, now_s + self._keep_s))
 
     def get(self, key: AttemptKey) -> Outcome | None:
-        """Return the fate of an attempt, if it is remembered."""
+        """Return the fate of an attempt, if it is remembered.
+
+        :param key: Which attempt.
+        """
         fate = self._fates.get(key)
         return None if fate is None else fate[0]
 
--- a/src/bulrushstream/state/share.py
+++ b/src/bulrushstream/state/share.py
@@ -75,7 +75,11 @@
         self.informed = False
 
     def serve(self, workspace: str, amount: float) -> None:
-        """Count weighted service that this agent gave."""
+        """Count weighted service that this agent gave.
+
+        :param workspace: Whose.
+        :param amount: The weighted units.
+        """
         self.served[workspace] = self.served.get(workspace, 0.0) + amount
 
     def take_digest(self, router: InstanceKey, digest: Digest) -> None:
@@ -99,7 +103,10 @@
             self._digested_lifts[entry.workspace] = max(told, entry.floor)
 
     def silence(self, router: InstanceKey) -> None:
-        """Let a router's estimates no longer count; its totals still do."""
+        """Let a router's estimates no longer count; its totals still do.
+
+        :param router: Which router.
+        """
         for workspace in [w for w, o in self._owed.items() if o[0] == router]:
             del self._owed[workspace]
 
@@ -108,6 +115,8 @@
 
         If every router lost its ledger at once, the totals of agents that
         ended earlier are gone for all, and must be gone here too.
+
+        :param router: Which router.
         """
         self.silence(router)
         if self._sources.pop(router, None) is None:
@@ -118,25 +127,40 @@
                 self._raise_total(workspace, total)
 
     def raise_lift(self, workspace: str, lift: float) -> None:
-        """Merge a lift that another agent set."""
+        """Merge a lift that another agent set.
+
+        :param workspace: Whose.
+        :param lift: The lift.
+        """
         if lift > self.lifts.get(workspace, 0.0):
             self.lifts[workspace] = lift
 
     def lift_to(self, workspace: str, level: float) -> None:
-        """Lift a counter to a level, if it is below."""
+        """Lift a counter to a level, if it is below.
+
+        :param workspace: Whose.
+        :param level: The level, in weighted units.
+        """
         missing = level - self.counter(workspace)
         if missing > 0:
             self.lifts[workspace] = self.lifts.get(workspace, 0.0) + missing
 
     def relieve_to(self, workspace: str, level: float) -> None:
-        """Bring a counter down to a level, if it is above."""
+        """Bring a counter down to a level, if it is above.
+
+        :param workspace: Whose.
+        :param level: The level, in weighted units.
+        """
         excess = self.counter(workspace) - level
         if excess > 0:
             before = self._relief.get(workspace, 0.0)
             self._relief[workspace] = before + excess
 
     def counter(self, workspace: str) -> float:
-        """Return the weighted service that a workspace counts from."""
+        """Return the weighted service that a workspace counts from.
+
+        :param workspace: Whose.
+        """
         return (
             self.served.get(workspace, 0.0)
             + self._others.get(workspace, 0.0)
@@ -153,7 +177,10 @@
         return self.counter(workspace) + self.owed_elsewhere(workspace) + owed
 
     def owed_elsewhere(self, workspace: str) -> float:
-        """Return what runs at other agents are expected to add."""
+        """Return what runs at other agents are expected to add.
+
+        :param workspace: Whose.
+        """
         return self._owed[workspace][1] if workspace in self._owed else 0.0
 
     def highest(self) -> float:
