No work for an engine that has loaded nothing; orders end with a drain

An agent whose engine lacked every model pulled requests and refused each of them as loading; it now has no capacity until a model is there. An engine that does not report what it has loaded was taken for one without models as soon as its service had a placement, and would have served nothing; it now serves whatever it is asked and gets no orders.

A draining agent gives no more orders and gives its permit back. A report that shows an order done lets the next follow at once, not after the 5 s by which reports may lag.

--- a/src/bulrushstream/coordination/agentstate.py
+++ b/src/bulrushstream/coordination/agentstate.py
@@ -153,6 +153,8 @@
         phase = self.breaker.phase(now_s)
         if self.draining or self.service is None:
             return 0
+        if self.loaded is not None and not self.loaded:
+            return 0
         if phase is BreakerPhase.CLOSED:
             return self.slots.limit
         return 1 if phase is BreakerPhase.HALF_OPEN else 0
--- a/src/bulrushstream/coordination/orders.py
+++ b/src/bulrushstream/coordination/orders.py
@@ -23,6 +23,7 @@
 from bulrushstream.state.effect import Decision, Effect, GiveOrder, WakeAt
 from bulrushstream.state.event import (
     Configured,
+    DrainStarted,
     Event,
     HoldingsReported,
     LogRead,
@@ -76,26 +77,35 @@
     gate: Gate = field(default_factory=Gate)  # Fences the orders.
     placement: Placement | None = None  # What is asked for; None: nothing.
     holdings: Holdings | None = None  # The engine's latest report.
+    reports: bool = True  # Whether the engine says what it has loaded.
     pending: EngineOrder | None = None  # The order without an answer.
+    accepted: EngineOrder | None = None  # The latest that was accepted.
     permit: str = ""  # The permit that is wanted or held.
     next_s: float = -NEVER_S  # When the next order may be given.
     failures: int = 0  # Orders that failed in a row.
+    draining: bool = False  # Whether no order is given any more.
 
 
 def new_orders(
-    me: InstanceInfo, rng: Random, options: OrderOptions | None = None
+    me: InstanceInfo,
+    rng: Random,
+    options: OrderOptions | None = None,
+    *,
+    reports: bool = True,
 ) -> OrderState:
     """Return the state of an agent that knows nothing yet.
 
     :param me: The agent.
     :param rng: The agent's own source of random numbers.
     :param options: How orders are given; None: the defaults.
+    :param reports: Whether the engine says what it has loaded; if not, it
+        gets no orders and is taken to serve whatever it is asked.
     :returns: The state.
     """
     options = options or OrderOptions()
     signature = f"{me.key.instance}#{me.key.incarnation}"
     leases = lease.new_leases(signature, rng, options.lease)
-    return OrderState(me, options, rng, leases)
+    return OrderState(me, options, rng, leases, reports=reports)
 
 
 def handle(state: OrderState, event: Event, now_s: float) -> list[Effect]:
@@ -116,6 +126,8 @@
             )
         case HoldingsReported(holdings):
             _take_report(state, holdings)
+        case DrainStarted():
+            state.draining = True
         case OrderAnswered(order, answer):
             _take_answer(state, order, answer, now_s)
         case LogRead() | Ticked():
@@ -135,7 +147,7 @@
     :param state: What the agent knows.
     :returns: The names; a model that is being replaced is not among them.
     """
-    if state.placement is None:
+    if state.placement is None or not state.reports:
         return None
     if state.holdings is None:
         return frozenset()
@@ -170,6 +182,14 @@
     state.holdings = holdings
     highest = max(state.gate.highest_token, holdings.highest_token)
     state.gate.highest_token = highest
+    done = state.accepted
+    if done is None:
+        return
+    bare = replace(done, token=NO_TOKEN)
+    if bare not in missing(state.placement, holdings):
+        # The report has caught up with the order; the next one may follow.
+        state.accepted = None
+        state.next_s = -NEVER_S
 
 
 def _take_answer(
@@ -180,6 +200,7 @@
     state.pending = None
     if answer is OrderAnswer.ACCEPTED:
         state.failures = 0
+        state.accepted = order
         state.next_s = now_s + state.options.settle_s
         return
     state.failures += 1
@@ -192,7 +213,7 @@
     """Give the next order, or do what must come before it."""
     order = next(missing(state.placement, state.holdings), None)
     is_loading = state.holdings is not None and state.holdings.loading > 0
-    if order is None:
+    if order is None or state.draining:
         return _give_permit_back(state, now_s)
     if state.pending is not None or is_loading or now_s < state.next_s:
         return []
--- a/src/bulrushstream/daemon/agent.py
+++ b/src/bulrushstream/daemon/agent.py
@@ -91,7 +91,9 @@
         self.core = new_agent(
             me, options or AgentOptions(), self.rng, self.clock()
         )
-        self.orders = placement.new_orders(me, self.rng)
+        self.orders = placement.new_orders(
+            me, self.rng, reports=bool(endpoint.holdings_path)
+        )
         self.runner: Runner = EndpointRunner(
             RunnerOptions(
                 base_url=endpoint.url,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -124,6 +124,20 @@
     return RunEnd(request_id, 1, whole, started, crashed)
 
 
+class PlacementSuite:
+    def test_an_engine_that_has_loaded_nothing_gets_no_work(self) -> None:
+        bench = Bench()
+        bench.state.loaded = frozenset()
+        bench.waiting(("school", 3))
+        assert not bench.sent(Pull)
+        bench.get(an_attempt("q1"))
+        assert not bench.started()
+        assert bench.sent(Refuse)
+        bench.state.loaded = frozenset({"m"})
+        bench.tick(1.0)
+        assert bench.sent(Pull)
+
+
 class AdmissionSuite:
     def test_starts_within_its_slots_and_refuses_beyond(self) -> None:
         bench = Bench(slots=2)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -21,6 +21,7 @@
 from bulrushstream.state.effect import AppendLog, Decision, GiveOrder
 from bulrushstream.state.event import (
     Configured,
+    DrainStarted,
     Event,
     HoldingsReported,
     LogRead,
@@ -195,6 +196,29 @@
         free = orders.new_orders(an_agent(), Random(1))
         assert orders.loaded_models(free) is None
 
+    def test_an_engine_that_reports_nothing_serves_anything(self) -> None:
+        endpoint = _endpoints(1)[0]
+        endpoint.state.reports = False
+        assert orders.loaded_models(endpoint.state) is None
+        assert endpoint.taken == []
+
+    def test_an_agent_that_drains_gives_its_permit_back(self) -> None:
+        log = FakeLog()
+        endpoint = _endpoints(1)[0]
+        _run(log, [endpoint], 5.0)
+        assert endpoint.state.leases.active
+        endpoint.feed(log, DrainStarted())
+        _run(log, [endpoint], 100.0)
+        assert not endpoint.state.leases.active
+        assert len(endpoint.taken) == 1
+
+    def test_a_report_of_what_was_ordered_lets_the_next_follow(self) -> None:
+        log = FakeLog()
+        endpoint = _endpoints(1)[0]
+        endpoint.load_s = 1.0
+        _run(log, [endpoint], 8.0)
+        assert [o.kind for o in endpoint.taken] == [LOAD, ADAPT, ROLE]
+
     @given(st.lists(st.integers(0, 9)))
     def test_no_lower_token_passes_the_gate(self, tokens: list[int]) -> None:
         gate = Gate()
