--- a/src/bulrushstream/state/ledger.py
+++ b/src/bulrushstream/state/ledger.py
@@ -17,7 +17,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final, TypeAlias
@@ -72,9 +71,9 @@
     # Cells by agent.
     _agents: dict[str, _Agent]
     # The revision of each cell's last change, oldest first.
-    _changed: OrderedDict[_CellKey, int]
+    _changed: dict[_CellKey, int]
     # The same for whole workspaces.
-    _touched: OrderedDict[str, int]
+    _touched: dict[str, int]
     # Sums over all cells, by workspace.
     _sums: dict[str, ServedTotal]
     # Grows with each change.
@@ -82,8 +81,8 @@
 
     def __init__(self) -> None:
         self._agents = {}
-        self._changed = OrderedDict()
-        self._touched = OrderedDict()
+        self._changed = {}
+        self._touched = {}
         self._sums = {}
         self.revision = NO_REVISION
 
@@ -235,7 +234,8 @@
         """Give a cell and its workspace the next revision."""
         self.revision += 1
         key = (agent, incarnation, workspace)
+        # Taken out first, so that the latest change stands last.
+        self._changed.pop(key, None)
         self._changed[key] = self.revision
-        self._changed.move_to_end(key)
+        self._touched.pop(workspace, None)
         self._touched[workspace] = self.revision
-        self._touched.move_to_end(workspace)
