Measure scenarios over sockets; shorter control frames

bulrushstream measure scenario runs a scenario's fleet over real sockets under the fleet's own policy and three simple ones and prints fairness gap, use of slots while work waits, waits, control bytes and processor time per node. The meter counts at callers and endpoints only.

Its first run showed control traffic of 11.6 KB/s at the busiest node, over the 3 KB/s of the target. Cause: the binary encoding of many short strings and of an agent's own name in each ledger entry. Change: all but the three kinds that come with every piece take Thrift's compact encoding, the seal is 8 bytes, and an agent's own ledger entries name no agent.

--- a/src/bulrushstream/cli.py
+++ b/src/bulrushstream/cli.py
@@ -37,7 +37,7 @@
     "check": check,
     "demo": demo,
     "load": load,
-    "measure": {"path": measure.path},
+    "measure": {"path": measure.path, "scenario": measure.scenario},
     "quarantine": {
         "lift": operate.quarantine_lift,
         "list": operate.quarantine_list,
--- a/src/bulrushstream/commands/measure.py
+++ b/src/bulrushstream/commands/measure.py
@@ -3,13 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import sys
+from pathlib import Path
+from typing import Final
 
+import msgspec
+from absl import logging as absl_logging
+
+from bulrushstream.load.scenario import read_scenario
+from bulrushstream.logs import start_logging
 from bulrushstream.measure.path import (
     PathPlan,
     Target,
     measure_path,
     print_results,
 )
+from bulrushstream.measure.policies import Policy
+from bulrushstream.measure.report import draw, print_scenario
+from bulrushstream.measure.scenario import measure_scenario
+
+USAGE_EXIT: Final = 2
 
 
 def path(
@@ -48,3 +61,46 @@
     results = asyncio.run(measure_path(targets, plan))
     print_results(results)
     return 1 if any(result.failed for result in results) else 0
+
+
+def scenario(
+    name: str,
+    policy: str = Policy.FAIR_PULL.value,
+    seeds: int = 1,
+    first_seed: int = 1,
+    out: str = "",
+    plot: str = "",
+) -> int:
+    """Run a scenario's whole fleet in this process and measure it.
+
+    :param name: the name of a scenario that ships, or a JSON file
+    :param policy: fair-pull, round-robin, least-outstanding, one-fifo or
+        all
+    :param seeds: how many seeds to run
+    :param first_seed: the first of them; the others count up
+    :param out: a file for the results in JSON; empty: none
+    :param plot: a PNG file for a picture of the first result; empty: none
+    :returns: the exit code: 0 only if every answer was whole or refused
+    """
+    read = read_scenario(name)
+    if read.is_error():
+        for finding in read.error:
+            print(finding, file=sys.stderr)
+        return USAGE_EXIT
+    known = [each.value for each in Policy]
+    chosen = known if policy == "all" else [policy]
+    if not set(chosen) <= set(known):
+        print(f"policies: {', '.join(known)} or all", file=sys.stderr)
+        return USAGE_EXIT
+    start_logging(absl_logging.FATAL)
+    results = []
+    for seed in range(first_seed, first_seed + seeds):
+        for each in chosen:
+            work = measure_scenario(read.ok, Policy(each), seed)
+            results.append(asyncio.run(work))
+            print_scenario(results[-1:], head=len(results) == 1)
+    if out:
+        Path(out).write_bytes(msgspec.json.encode(results))
+    if plot:
+        draw(results[0], plot)
+    return 0 if all(result.load.good for result in results) else 1
--- a/src/bulrushstream/compose.py
+++ b/src/bulrushstream/compose.py
@@ -32,7 +32,7 @@
     :param delay_for: a delay in seconds to add to what a peer sends, for
         measurements on one machine
     """
-    around = _surroundings(settings.security, settings.instance, delay_for)
+    around = surroundings(settings.security, settings.instance, delay_for)
     return RouterInstance(settings, around)
 
 
@@ -45,14 +45,24 @@
     :param delay_for: a delay in seconds to add to what a peer sends, for
         measurements on one machine
     """
-    around = _surroundings(settings.security, settings.instance, delay_for)
+    around = surroundings(settings.security, settings.instance, delay_for)
     return AgentInstance(settings, around)
 
 
-def _surroundings(
-    security: SecuritySettings, instance: str, delay_for: Delay | None
+def surroundings(
+    security: SecuritySettings,
+    instance: str,
+    delay_for: Delay | None = None,
+    cpu_clock: Callable[[], float] | None = None,
 ) -> Surroundings:
-    """Return what an instance is given beside its settings."""
+    """Return what an instance is given beside its settings.
+
+    :param security: how it proves itself to its peers
+    :param instance: its name
+    :param delay_for: a delay in seconds to add to what a peer sends
+    :param cpu_clock: the processor time in seconds, if the cores' share
+        of it is to be measured
+    """
     link = LinkOptions(secret=security.secret().decode())
     mesh = MeshOptions(
         link=link,
@@ -72,6 +82,7 @@
         report=log.report,
         observe=observe,
         delay_for=delay_for,
+        cpu_clock=cpu_clock,
     )
 
 
--- a/src/bulrushstream/coordination/hub.py
+++ b/src/bulrushstream/coordination/hub.py
@@ -22,7 +22,7 @@
     Timer,
 )
 from bulrushstream.state.identity import InstanceInfo, InstanceKey
-from bulrushstream.state.ledger import NO_REVISION, Ledger
+from bulrushstream.state.ledger import NO_REVISION, Ledger, named
 from bulrushstream.state.message import Digest, DigestEntry, Floor, Served
 from bulrushstream.state.queues import QueueKey
 
@@ -43,7 +43,7 @@
     """
     ledger = _ledger(state, message.service)
     for entry in message.entries:
-        ledger.merge(entry)
+        ledger.merge(named(entry, peer, message.sequence))
     view = state.routers.get(peer)
     if view is not None:
         _note_heard(view, frozenset(message.heard))
--- a/src/bulrushstream/coordination/reporting.py
+++ b/src/bulrushstream/coordination/reporting.py
@@ -154,16 +154,18 @@
 def _entries(
     state: AgentState, workspaces: list[str]
 ) -> tuple[ServedEntry, ...]:
-    """Return the ledger entries of workspaces."""
+    """Return the ledger entries of workspaces.
+
+    They name no agent: the receiver knows who sent them.
+    """
     here = owed(state)
     return tuple(
         ServedEntry(
-            agent=state.me.key.instance,
-            incarnation=state.me.key.incarnation,
+            agent="",
+            incarnation=0,
             workspace=workspace,
             total=state.shares.served[workspace],
             in_flight=here.get(workspace, 0.0),
-            sequence=state.sequence,
         )
         for workspace in workspaces
     )
--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -77,6 +77,7 @@
     observe: Observe  # Takes each routing or placement decision.
     seed: int | None = None  # For its random numbers; None: any.
     delay_for: Callable[[InstanceInfo], float] | None = None  # See `Link`.
+    cpu_clock: Callable[[], float] | None = None  # See `Driver`.
 
 
 class Instance:
@@ -156,7 +157,12 @@
             "membership",
             lambda event, now_s: members.handle(self.members, event, now_s),
         )
-        self.driver = Driver([config, membership, *own_cores], do, self.clock)
+        self.driver = Driver(
+            [config, membership, *own_cores],
+            do,
+            self.clock,
+            self.around.cpu_clock,
+        )
         self.appender = LogAppender(
             self.log, self.driver.post, self.health, self.hurry
         )
--- a/src/bulrushstream/daemon/driver.py
+++ b/src/bulrushstream/daemon/driver.py
@@ -43,6 +43,7 @@
     """Owner of the cores of one instance."""
 
     _cores: list[_Waking]  # The cores, in the order of their turn.
+    core_cpu_s: float  # Processor time in the cores, if it is measured.
     _inbox: deque[tuple[Event, _Waking | None]]  # Events, and for whom.
     _awake: asyncio.Event  # Set while the inbox holds events.
     _running: asyncio.Event  # Cleared while the driver is held.
@@ -52,13 +53,18 @@
         cores: Sequence[Core],
         carry_out: Callable[[Effect], None],
         clock: Callable[[], float],
+        cpu_clock: Callable[[], float] | None = None,
     ) -> None:
         """Take over cores.
 
         :param cores: the cores; nothing else may touch their states
         :param carry_out: does what a core wants; must not block
         :param clock: the monotonic time in seconds
+        :param cpu_clock: the processor time in seconds; None: the cores'
+            share of it is not measured
         """
+        self.core_cpu_s = 0.0
+        self._cpu_clock = cpu_clock
         self._cores = [_Waking(core) for core in cores]
         self._carry_out = carry_out
         self._clock = clock
@@ -104,10 +110,19 @@
         """Hand one event to the cores that it is for."""
         for waking in self._cores:
             if only is None or only is waking:
-                now_s = self._clock()
-                for effect in waking.core.handle(event, now_s):
+                for effect in self._handle(waking.core, event):
                     self._take(waking, effect)
 
+    def _handle(self, core: Core, event: Event) -> list[Effect]:
+        """Have a core handle an event; measure it if asked to."""
+        now_s = self._clock()
+        if self._cpu_clock is None:
+            return core.handle(event, now_s)
+        begun_s = self._cpu_clock()
+        effects = core.handle(event, now_s)
+        self.core_cpu_s += self._cpu_clock() - begun_s
+        return effects
+
     def _take(self, waking: _Waking, effect: Effect) -> None:
         """Carry an effect out, or set the core's timer."""
         if isinstance(effect, WakeAt):
--- a/src/bulrushstream/daemon/router.py
+++ b/src/bulrushstream/daemon/router.py
@@ -122,10 +122,7 @@
 
     async def start(self) -> None:
         """Listen, and start every task."""
-        core = Core(
-            "router", lambda event, now_s: handle(self.core, event, now_s)
-        )
-        self.start_cores([core], self._carry_out_own)
+        self.start_cores([self.role_core()], self._carry_out_own)
         await self.listen(self._settings.peers.host, self.me.port)
         await self.server.start()
         await self.start_operators(self._settings.operators)
@@ -136,6 +133,12 @@
         self.follow(options.claims.stream, lambda: CLAIMS_INTERVAL_S)
         self.follow(options.strikes_stream, lambda: STRIKES_INTERVAL_S)
 
+    def role_core(self) -> Core:
+        """Return the core that decides where requests run."""
+        return Core(
+            "router", lambda event, now_s: handle(self.core, event, now_s)
+        )
+
     @property
     def busy(self) -> bool:
         """Return whether a caller still waits for its answer."""
--- a/src/bulrushstream/local/fleet.py
+++ b/src/bulrushstream/local/fleet.py
@@ -7,14 +7,13 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, TypeAlias
 
 from bulrushstream import compose
 from bulrushstream.coordination.configlog import STREAM, encode_publish
 from bulrushstream.daemon.agent import AgentInstance
 from bulrushstream.daemon.router import RouterInstance
 from bulrushstream.local.plan import LocalPlan, LocalService
-from bulrushstream.local.recorder import Recorder
 from bulrushstream.settings import (
     AgentSettings,
     EndpointKind,
@@ -41,6 +40,9 @@
 START_TIMEOUT_S: Final = 20.0
 POLL_S: Final = 0.01
 
+# What a peer sends is delayed by so much; None: not at all.
+Delay: TypeAlias = Callable[[InstanceInfo], float] | None
+
 
 @dataclass(slots=True)
 class LocalEndpoint:
@@ -53,6 +55,26 @@
     server: Server  # Where it listens.
 
 
+def _make_router(settings: RouterSettings, delay: Delay) -> RouterInstance:
+    """Make a router as production does."""
+    return compose.make_router(settings, delay_for=delay)
+
+
+def _make_agent(settings: AgentSettings, delay: Delay) -> AgentInstance:
+    """Make an agent as production does."""
+    return compose.make_agent(settings, delay_for=delay)
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """How the instances of a local fleet are made."""
+
+    make_router: Callable[[RouterSettings, Delay], RouterInstance] = (
+        _make_router
+    )
+    make_agent: Callable[[AgentSettings, Delay], AgentInstance] = _make_agent
+
+
 @dataclass(slots=True)
 class LocalFleet:
     """A running local fleet."""
@@ -64,9 +86,9 @@
     listing_server: Server  # Where it listens.
     endpoints: dict[str, LocalEndpoint]  # By name.
     security: SecuritySettings  # The fleet's shared secret.
+    parts: Parts  # How its instances are made.
     routers: dict[str, RouterInstance] = field(default_factory=dict)
     agents: dict[str, AgentInstance] = field(default_factory=dict)
-    recorder: Recorder | None = None  # Writes the history; None: nobody.
 
     def zone(self, number: int) -> str:
         """Return the availability zone of the part with this number."""
@@ -100,9 +122,7 @@
             callers=ListenSettings(HOST, port),
             drain_timeout_s=self.plan.drain_timeout_s,
         )
-        router = compose.make_router(settings, delay_for=self._delay(zone))
-        if self.recorder is not None:
-            self.recorder.watch_router(router)
+        router = self.parts.make_router(settings, self._delay(zone))
         await router.start()
         self.routers[name] = router
         return router
@@ -133,11 +153,9 @@
             ),
             drain_timeout_s=self.plan.drain_timeout_s,
         )
-        agent = compose.make_agent(
-            settings, delay_for=self._delay(endpoint.availability_zone)
+        agent = self.parts.make_agent(
+            settings, self._delay(endpoint.availability_zone)
         )
-        if self.recorder is not None:
-            self.recorder.watch_agent(agent)
         await agent.start()
         self.agents[name] = agent
         return agent
@@ -177,7 +195,7 @@
         links = len(self.agents) + len(self.routers) - 1
         return all(len(r.mesh.links) >= links for r in routers)
 
-    def _delay(self, zone: str) -> Callable[[InstanceInfo], float] | None:
+    def _delay(self, zone: str) -> Delay:
         """Return the delay of what peers in other zones send."""
         delay_s = self.plan.zone_delay_s
         if not delay_s:
@@ -187,12 +205,12 @@
 
 @asynccontextmanager
 async def run_fleet(
-    plan: LocalPlan, recorder: Recorder | None = None
+    plan: LocalPlan, parts: Parts | None = None
 ) -> AsyncIterator[LocalFleet]:
     """Run a local fleet for as long as the context is open.
 
     :param plan: what it is made of
-    :param recorder: writes the history of what happens; None: nobody
+    :param parts: how its instances are made; None: as in production
     :returns: the fleet, configured and connected
     """
     async with AsyncExitStack() as stack:
@@ -208,7 +226,7 @@
             ),
             endpoints={},
             security=SecuritySettings(shared_secret=secrets.token_hex(16)),
-            recorder=recorder,
+            parts=parts or Parts(),
         )
         for service in plan.services:
             await _start_endpoints(fleet, service, stack)
--- a/src/bulrushstream/local/recorder.py
+++ b/src/bulrushstream/local/recorder.py
@@ -27,6 +27,8 @@
     RunEnded,
     RunStarted,
 )
+from bulrushstream.local.fleet import Delay, Parts
+from bulrushstream.settings import AgentSettings, RouterSettings
 from bulrushstream.state.effect import Fail, Reply
 from bulrushstream.state.event import CallerLeft, RunBody, RunEnd
 from bulrushstream.state.identity import InstanceKey
@@ -55,20 +57,24 @@
         self._clock = clock
         self._fingerprints = {}
 
-    def watch_router(self, router: RouterInstance) -> None:
-        """Record what a router's callers send and are given.
+    def parts(self) -> Parts:
+        """Return how to make instances whose doings are recorded."""
+        made = Parts()
 
-        :param router: the router, before its start
-        """
-        key = router.me.key
-        router.port.watch = lambda passed: self._on_port(key, passed)
+        def make_router(
+            settings: RouterSettings, delay: Delay
+        ) -> RouterInstance:
+            router = made.make_router(settings, delay)
+            key = router.me.key
+            router.port.watch = lambda passed: self._on_port(key, passed)
+            return router
 
-    def watch_agent(self, agent: AgentInstance) -> None:
-        """Record what an agent's endpoint is given and gives.
+        def make_agent(settings: AgentSettings, delay: Delay) -> AgentInstance:
+            agent = made.make_agent(settings, delay)
+            agent.runner = RecordingRunner(agent.runner, agent.me.key, self)
+            return agent
 
-        :param agent: the agent, before its start
-        """
-        agent.runner = RecordingRunner(agent.runner, agent.me.key, self)
+        return Parts(make_router, make_agent)
 
     def started(self, dispatch: Dispatch, agent: InstanceKey) -> None:
         """Record that an endpoint is given a request."""
--- a/src/bulrushstream/measure/policies.py
+++ b/src/bulrushstream/measure/policies.py
@@ -2,13 +2,13 @@
 
 A *baseline* is a router's core without queues per workspace, fair shares or
 retries.  Two of them *push*: each request goes to an endpoint at once and
-waits there, first in, first out.  The third keeps one queue in order of
-arrival, from which agents pull.  None of them is for production.
+waits there, first in, first out.  The third keeps one queue per service in
+order of arrival, from which agents pull.  None of them is for production.
 """
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 from enum import StrEnum
 from random import Random
@@ -82,7 +82,9 @@
     agents: dict[InstanceKey, InstanceInfo] = field(default_factory=dict)
     outstanding: Counter[InstanceKey] = field(default_factory=Counter)
     sent: dict[str, _Sent] = field(default_factory=dict)  # By request.
-    queue: deque[Request] = field(default_factory=deque)  # For one FIFO.
+    queues: dict[str, deque[Request]] = field(
+        default_factory=lambda: defaultdict(deque)
+    )  # For one FIFO, by service.
     turn: int = 0  # Whose turn it is in round robin.
     sequence: int = 0  # Numbers the backlog messages.
 
@@ -144,8 +146,9 @@
 ) -> list[Effect]:
     """Push a request, or queue it."""
     if state.policy is Policy.ONE_FIFO:
-        state.queue.append(request)
-        first = len(state.queue) == 1
+        queue = state.queues[request.service]
+        queue.append(request)
+        first = len(queue) == 1
         return _tell_backlog(state, now_s) if first else []
     agents = sorted(
         key
@@ -215,7 +218,7 @@
         ):
             sent = _settle(state, request_id)
             if sent is not None:
-                state.queue.appendleft(sent.request)
+                state.queues[sent.request.service].appendleft(sent.request)
             return _tell_backlog(state, now_s)
         case Refuse(request_id):
             if _settle(state, request_id) is None:
@@ -230,9 +233,11 @@
 ) -> list[Effect]:
     """Hand out the oldest request."""
     effects: list[Effect] = []
-    while state.queue:
-        request = state.queue.popleft()
-        if not state.queue:
+    info = state.agents.get(peer)
+    queue = state.queues[info.service] if info else deque()
+    while queue:
+        request = queue.popleft()
+        if not queue:
             effects += _tell_backlog(state, now_s)
         if request.deadline_s > now_s:
             sent = _dispatch(state, request, peer, pull_id, now_s)
@@ -269,9 +274,10 @@
     sent = _settle(state, request_id)
     if sent is not None:
         return [Send(sent.agent, Cancel(request_id, 1))]
-    state.queue = deque(
-        request for request in state.queue if request.request_id != request_id
-    )
+    for service, queue in state.queues.items():
+        state.queues[service] = deque(
+            request for request in queue if request.request_id != request_id
+        )
     return []
 
 
@@ -288,18 +294,19 @@
 
 
 def _tell_backlog(state: BaselineState, now_s: float) -> list[Effect]:
-    """Tell agents whether the one queue is empty."""
+    """Tell agents whether their service's queue is empty."""
     if state.policy is not Policy.ONE_FIFO:
         return []
     state.sequence += 1
     effects: list[Effect] = []
-    oldest_s = state.queue[0].arrived_s if state.queue else now_s
     for key, info in state.agents.items():
+        queue = state.queues[info.service]
+        oldest_s = queue[0].arrived_s if queue else now_s
         entry = BacklogEntry(
             service=info.service,
             workspace="",
             interactive=0,
-            batch=CLAIMED_COUNT if state.queue else 0,
+            batch=CLAIMED_COUNT if queue else 0,
             oldest_age_ms=int((now_s - oldest_s) * MS_PER_S),
         )
         message = Backlog(state.sequence, False, (entry,))
--- a/src/bulrushstream/protocol/codec.py
+++ b/src/bulrushstream/protocol/codec.py
@@ -5,8 +5,11 @@
 converters between the two are built once, from the dataclasses' own field
 types.  A field that holds its default is left out of the frame.
 
-The binary protocol is used because thriftpy2 implements it in Cython; the
-compact protocol is pure Python and takes several times as long per frame.
+Two of Thrift's protocols are used, and a frame says which.  Messages that
+come with every piece of an answer take the binary one, which thriftpy2
+implements in Cython.  The rest takes the compact one: it is pure Python
+and takes some five times as long, but its frames are little more than half
+as long, and control traffic is bounded in bytes.
 """
 
 from __future__ import annotations
@@ -21,7 +24,10 @@
 
 import thriftpy2
 from expression import Error, Ok, Result
-from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.protocol import (
+    TCompactProtocolFactory,
+    TCyBinaryProtocolFactory,
+)
 from thriftpy2.utils import deserialize, serialize
 
 from bulrushstream.state import message
@@ -46,7 +52,10 @@
 
 
 _SCHEMA: Final = _load_schema()
-_FACTORY: Final = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
+_BINARY: Final = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
+_COMPACT: Final = TCompactProtocolFactory()  # type: ignore[no-untyped-call]
+_FACTORIES: Final[dict[bytes, Any]] = {b"B": _BINARY, b"C": _COMPACT}
+_FAST_KINDS: Final = (message.Ack, message.Dispatch, message.Part)
 
 # A field whose name is a word of the schema language goes by another one.
 _WIRE_NAMES: Final = {"service": "service_name"}
@@ -154,7 +163,9 @@
     name, to_wire = _TO_WIRE[type(value)]
     frame = _SCHEMA.Frame()
     setattr(frame, name, to_wire(value))
-    return serialize(frame, _FACTORY)
+    if isinstance(value, _FAST_KINDS):
+        return b"B" + serialize(frame, _BINARY)
+    return b"C" + serialize(frame, _COMPACT)
 
 
 def decode(data: bytes) -> Result[Message, BadFrame]:
@@ -169,7 +180,8 @@
     # The Thrift reader raises many kinds of errors on foreign bytes, and
     # each of them means the same here: this is no frame of the fleet.
     try:
-        frame = deserialize(_SCHEMA.Frame(), data, _FACTORY)
+        factory = _FACTORIES[data[:1]]
+        frame = deserialize(_SCHEMA.Frame(), data[1:], factory)
         held = [
             (name, item)
             for name, item in frame.__dict__.items()
--- a/src/bulrushstream/protocol/seal.py
+++ b/src/bulrushstream/protocol/seal.py
@@ -13,7 +13,7 @@
 import hmac
 from typing import Final
 
-SEAL_SIZE_BYTES: Final = 16
+SEAL_SIZE_BYTES: Final = 8
 NONCE_SIZE_BYTES: Final = 16
 
 _KEY_LIMIT_BYTES: Final = 64
--- a/src/bulrushstream/state/ledger.py
+++ b/src/bulrushstream/state/ledger.py
@@ -18,7 +18,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, TypeAlias
 
 from bulrushstream.state.identity import InstanceKey
@@ -58,6 +58,25 @@
     live: dict[int, dict[str, _Cell]] = field(default_factory=dict)
 
 
+def named(
+    entry: ServedEntry, sender: InstanceKey, sequence: int
+) -> ServedEntry:
+    """Return an entry with its agent; one without a name is the sender's.
+
+    :param entry: An entry as it was received.
+    :param sender: Who sent it.
+    :param sequence: The number of the message that held it.
+    """
+    if entry.agent:
+        return entry
+    return replace(
+        entry,
+        agent=sender.instance,
+        incarnation=sender.incarnation,
+        sequence=sequence,
+    )
+
+
 class Ledger:
     """The service ledger of one service.
 
--- a/src/bulrushstream/state/message.py
+++ b/src/bulrushstream/state/message.py
@@ -219,7 +219,7 @@
 class ServedEntry:
     """What one start of one agent has served to one workspace."""
 
-    agent: str  # The agent's name.
+    agent: str  # The agent's name; empty: the sender's own entry.
     incarnation: int  # The agent's incarnation.
     workspace: str  # Who received the service.
     total: float  # Weighted units since the incarnation began; grows.
--- a/src/bulrushstream/transport/link.py
+++ b/src/bulrushstream/transport/link.py
@@ -51,6 +51,9 @@
     def link_up(self, link: Link, peer: InstanceInfo) -> None:
         """Take note that both sides proved themselves."""
 
+    def link_sent(self, message: Message, size: int) -> None:
+        """Take note of a message that was sent, with its frame's size."""
+
     def link_received(self, link: Link, message: Message, size: int) -> None:
         """Take a message of the fleet that arrived."""
 
@@ -62,7 +65,6 @@
     """One connection, from its start to its end."""
 
     peer: InstanceInfo | None  # Who is at the other end, once it is up.
-    sent_bytes: int  # Bytes written so far.
     _transport: asyncio.Transport | None  # The connection; None: none.
     _key: bytes  # The key that seals and opens frames now.
     _received: bytearray  # Bytes that are no whole frame yet.
@@ -93,7 +95,6 @@
             for measurements on one machine
         """
         self.peer = None
-        self.sent_bytes = 0
         self._me = me
         self._options = options
         self._owner = owner
@@ -175,20 +176,18 @@
             self._take(sealed)
         del self._received[:start]
 
-    def send(self, message: Message) -> int:
-        """Send a message with the others of this turn of the loop.
+    def send(self, message: Message) -> None:
+        """Send a message with others; drop it if the link is closed.
 
         :param message: what to send
-        :returns: the size of its frame in bytes; 0 if the link is closed
         """
         if self._transport is None or self._transport.is_closing():
-            return 0
+            return
         frame = pack(self._key, message)
         if not self._unsent:
             self._plan_flush()
         self._unsent.append(frame)
-        self.sent_bytes += len(frame)
-        return len(frame)
+        self._owner.link_sent(message, len(frame))
 
     def close(self, why: str) -> None:
         """Close the link after what is unsent.
@@ -302,9 +301,8 @@
             self._act_on(message, size)
 
     def _act_on(self, message: Message, size: int) -> None:
-        """Hand a message to the owner; a heartbeat has done its work."""
-        if not isinstance(message, Heartbeat):
-            self._owner.link_received(self, message, size)
+        """Hand a message to the owner."""
+        self._owner.link_received(self, message, size)
 
     def _check_handshake(self) -> None:
         """Close a link whose peer has not proved itself in time."""
--- a/src/bulrushstream/transport/mesh.py
+++ b/src/bulrushstream/transport/mesh.py
@@ -19,7 +19,7 @@
 
 from bulrushstream.state.event import Event, PeerDown, PeerUp, Received
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
-from bulrushstream.state.message import Message
+from bulrushstream.state.message import Heartbeat, Message
 from bulrushstream.transport.link import Link, LinkOptions
 
 _DATA_KINDS: Final = frozenset({"Dispatch", "Part"})
@@ -67,8 +67,8 @@
     """The links of one instance."""
 
     links: dict[InstanceKey, Link]  # The links that are up.
-    sent: Traffic  # What was sent, heartbeats left out.
-    received: Traffic  # What was received, heartbeats left out.
+    sent: Traffic  # What was sent.
+    received: Traffic  # What was received.
     _open: set[Link]  # Every link, up or not.
     _dialling: dict[str, asyncio.Task[None]]  # By the peer's name.
     _wanted: dict[str, InstanceInfo]  # The peers to dial, by name.
@@ -152,7 +152,7 @@
         """
         link = self.links.get(peer)
         if link is not None:
-            self.sent.add(message, link.send(message))
+            link.send(message)
 
     def cut(self, instance: str) -> None:
         """Cut the links to a peer at once, as a broken network would.
@@ -198,13 +198,19 @@
         self._report("link", f"up: {peer.key.instance}")
         self._deliver(PeerUp(peer))
 
+    def link_sent(self, message: Message, size: int) -> None:
+        """Count a message that was sent; see `LinkOwner`."""
+        self.sent.add(message, size)
+
     def link_received(self, link: Link, message: Message, size: int) -> None:
         """Pass a message on; see `LinkOwner`."""
         peer = link.peer
         if peer is None or self.links.get(peer.key) is not link:
             return
         self.received.add(message, size)
-        self._deliver(Received(peer.key, message))
+        # A heartbeat has done its work by being heard.
+        if not isinstance(message, Heartbeat):
+            self._deliver(Received(peer.key, message))
 
     def link_down(self, link: Link, why: str) -> None:
         """Strike a link off; see `LinkOwner`."""
--- a/tests/simplerouter.py
+++ b/tests/simplerouter.py
@@ -22,7 +22,7 @@
     Ticked,
 )
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
-from bulrushstream.state.ledger import Ledger
+from bulrushstream.state.ledger import Ledger, named
 from bulrushstream.state.message import (
     Ack,
     Backlog,
@@ -109,9 +109,9 @@
                     self.running.pop(message.request_id, None)
                 acks: list[Effect] = [Send(peer, ack)] if done else []
                 return [Reply(message.request_id, message), *acks]
-            case Served(_, _, entries):
+            case Served(_, sequence, entries):
                 for entry in entries:
-                    self.ledger.merge(entry)
+                    self.ledger.merge(named(entry, peer, sequence))
             case Floor(_, workspace, floor):
                 known = self.floors.get(workspace, 0.0)
                 self.floors[workspace] = max(known, floor)
--- a/tests/test_endtoend.py
+++ b/tests/test_endtoend.py
@@ -135,7 +135,7 @@
     @pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.__name__)
     async def test_every_promise_holds(self, fault: Fault) -> None:
         recorder = Recorder(asyncio.get_running_loop().time)
-        async with run_fleet(busy_plan(), recorder) as fleet:
+        async with run_fleet(busy_plan(), recorder.parts()) as fleet:
             load = Load(fleet)
             async with asyncio.TaskGroup() as group:
                 group.create_task(load.run(REQUESTS))
@@ -151,7 +151,7 @@
 
     async def test_a_crashing_request_is_quarantined(self) -> None:
         recorder = Recorder(asyncio.get_running_loop().time, MARKER)
-        async with run_fleet(busy_plan(), recorder) as fleet:
+        async with run_fleet(busy_plan(), recorder.parts()) as fleet:
             for endpoint in fleet.endpoints.values():
                 if endpoint.service.kind is ServiceKind.MODEL:
                     endpoint.app.state.faults = EngineFaults(
@@ -167,7 +167,7 @@
 
     async def test_a_planned_restart_cuts_nothing(self) -> None:
         recorder = Recorder(asyncio.get_running_loop().time)
-        async with run_fleet(busy_plan(), recorder) as fleet:
+        async with run_fleet(busy_plan(), recorder.parts()) as fleet:
             load = Load(fleet)
             async with asyncio.TaskGroup() as group:
                 group.create_task(load.run(REQUESTS))
