Local fleets read their engines' cache events

The agents of a local fleet asked /events, the engine stand-in answers at /cache-events, so no agent ever learned a cached prefix and affinity had no effect there. The new test fails with the old path.

--- a/src/bulrushstream/local/fleet.py
+++ b/src/bulrushstream/local/fleet.py
@@ -147,7 +147,7 @@
                 kind=EndpointKind.MODEL if model else EndpointKind.PLAIN,
                 url=endpoint.server.url,
                 load_path="/load",
-                events_path="/events" if model else "",
+                events_path="/cache-events" if model else "",
                 orders_path="/orders" if model else "",
                 holdings_path="/models" if model else "",
             ),
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -11,6 +11,7 @@
 from bulrushstream.commands.demo import demo_plan
 from bulrushstream.local.fleet import LocalFleet, run_fleet
 from bulrushstream.standins.answer import expected_text
+from bulrushstream.standins.engine import Engine
 
 MESSAGE = "Draft a proof note for 200 mugs."
 
@@ -28,6 +29,26 @@
 
 
 class ClientSuite:
+    async def test_agent_learns_what_its_engine_caches(self) -> None:
+        async with fleet_and_client("demo-club") as (fleet, client):
+            await client.chat.completions.create(
+                model="proofwriter",
+                messages=[{"role": "user", "content": MESSAGE}],
+            )
+            agents = fleet.agents.values()
+            await fleet.until(
+                lambda: any(agent.core.prefixes for agent in agents),
+                "an agent knows a cached prefix",
+            )
+            known = {p for agent in agents for p in agent.core.prefixes}
+            cached = {
+                prefix
+                for endpoint in fleet.endpoints.values()
+                if isinstance(endpoint.app, Engine)
+                for prefix in endpoint.app.state.cache.held
+            }
+        assert known == cached
+
     async def test_json_and_streamed_answers(self) -> None:
         async with fleet_and_client("demo-club") as (_, client):
             answer = await client.chat.completions.create(
