--- a/src/bulrushstream/coordination/attempts.py
+++ b/src/bulrushstream/coordination/attempts.py
@@ -10,7 +10,13 @@
 
 from typing import Final
 
-from bulrushstream.coordination import backlogs, gating, hub, recall, settling
+from bulrushstream.coordination import (
+    backlogs,
+    hub,
+    recall,
+    settling,
+    verdicts,
+)
 from bulrushstream.coordination.budget import pause_s
 from bulrushstream.coordination.routing import (
     AgentView,
@@ -216,12 +222,12 @@
     hub.agent_over(state, view.info)
     for request_id in sorted(view.running):
         tracked = state.tracked[request_id]
-        gating.strike_lost(state, tracked, view, now_s)
+        verdicts.strike_lost(state, tracked, view, now_s)
         _broken(state, tracked, Outcome.UNKNOWN, "the agent is lost", now_s)
     for tracked in view.given_up:
         fingerprint = tracked.request.fingerprint
         if not state.quarantine.is_proven(fingerprint, now_s):
-            gating.strike_lost(state, tracked, view, now_s)
+            verdicts.strike_lost(state, tracked, view, now_s)
 
 
 def out_of_grace(state: RouterState, request_id: str, now_s: float) -> None:
@@ -292,12 +298,12 @@
     state: RouterState, tracked: Tracked, end: Part, now_s: float
 ) -> None:
     if end.whole:
-        gating.prove(state, tracked, now_s)
+        verdicts.prove(state, tracked, now_s)
         settling.finish(state, tracked, end, now_s)
         return
     view = None if tracked.agent is None else state.agents.get(tracked.agent)
     if end.crashed and view is not None:
-        gating.strike(state, tracked, view, end.crash, now_s)
+        verdicts.strike(state, tracked, view, end.crash, now_s)
     _broken(state, tracked, end.outcome, end.detail, now_s)
 
 
--- a/src/bulrushstream/coordination/gating.py
+++ b/src/bulrushstream/coordination/gating.py
@@ -17,9 +17,7 @@
 from collections.abc import Iterable
 
 from bulrushstream.coordination import backlogs, trials
-from bulrushstream.coordination.quarantine import LOST, StrikeRecord
 from bulrushstream.coordination.routing import (
-    AgentView,
     Gate,
     Phase,
     RouterState,
@@ -114,53 +112,6 @@
     _go_on(state, fingerprint, now_s)
 
 
-def prove(state: RouterState, tracked: Tracked, now_s: float) -> None:
-    """Note that a request ended and its endpoint stands.
-
-    :param state: the router
-    :param tracked: the request
-    :param now_s: the time on the core's clock
-    """
-    fingerprint = tracked.request.fingerprint
-    if not fingerprint or not state.quarantine.prove(fingerprint, now_s):
-        return
-    state.decide("clear", "ended without a crash", tracked, now_s)
-    state.strike_log.add(fingerprint)
-    _tell_routers(state, Strikes((), (fingerprint,)))
-    lift(state, (fingerprint,), now_s, now_s)
-
-
-def strike(
-    state: RouterState,
-    tracked: Tracked,
-    view: AgentView,
-    crash: int,
-    now_s: float,
-) -> None:
-    """Count a crash of an endpoint against a request that ran there.
-
-    :param state: the router
-    :param tracked: the request
-    :param view: the agent of the endpoint
-    :param crash: which crash it was, as the agent counts them
-    :param now_s: the time on the core's clock
-    """
-    _strike(state, tracked, view, str(crash), now_s)
-
-
-def strike_lost(
-    state: RouterState, tracked: Tracked, view: AgentView, now_s: float
-) -> None:
-    """Count the loss of an agent against a request that ran there.
-
-    :param state: the router
-    :param tracked: the request
-    :param view: the agent
-    :param now_s: the time on the core's clock
-    """
-    _strike(state, tracked, view, LOST, now_s)
-
-
 def learn(state: RouterState, strikes: Iterable[Strike], now_s: float) -> None:
     """Take strikes that a peer or the log knows of.
 
@@ -173,7 +124,20 @@
         if state.quarantine.strike(
             each.fingerprint, each.strike_id, each.alone, at_s
         ):
-            _suspect(state, each.fingerprint)
+            suspect(state, each.fingerprint)
+
+
+def suspect(state: RouterState, fingerprint: int) -> None:
+    """Look again at all requests of a fingerprint that do not run yet.
+
+    :param state: the router
+    :param fingerprint: which requests
+    """
+    gate = state.gates.get(fingerprint)
+    if gate is not None:
+        _requeue(state, gate)
+        if state.quarantine.fingerprints():
+            state.ready.extend(gate.held)
 
 
 def inform(state: RouterState) -> None:
@@ -298,42 +262,6 @@
         _go_on(state, fingerprint, now_s)
 
 
-def _strike(
-    state: RouterState,
-    tracked: Tracked,
-    view: AgentView,
-    crash: str,
-    now_s: float,
-) -> None:
-    fingerprint = tracked.request.fingerprint
-    if not fingerprint:
-        return
-    key = view.info.key
-    name = f"{key.instance}@{key.incarnation}#{crash}"
-    new = state.quarantine.strike(fingerprint, name, tracked.alone, now_s)
-    if not new and not state.quarantine.holds(fingerprint, name):
-        return
-    # What only peers have told before is not in the log yet.
-    state.decide("strike", name, tracked, now_s)
-    at_ms = state.quarantine.clock.now_ms(now_s)
-    state.strike_log.add(StrikeRecord(fingerprint, name, tracked.alone, at_ms))
-    if not new:
-        return
-    _tell_routers(
-        state, Strikes((Strike(fingerprint, name, tracked.alone, 0),))
-    )
-    _suspect(state, fingerprint)
-
-
-def _suspect(state: RouterState, fingerprint: int) -> None:
-    """Look again at all requests of a fingerprint that do not run yet."""
-    gate = state.gates.get(fingerprint)
-    if gate is not None:
-        _requeue(state, gate)
-        if state.quarantine.fingerprints():
-            state.ready.extend(gate.held)
-
-
 def _requeue(state: RouterState, gate: Gate) -> None:
     """Take the requests of a gate out of their queue, to be looked at."""
     for request_id in sorted(gate.active):
@@ -374,8 +302,3 @@
 
 def _gate(state: RouterState, fingerprint: int) -> Gate:
     return state.gates.setdefault(fingerprint, Gate())
-
-
-def _tell_routers(state: RouterState, message: Strikes) -> None:
-    for peer in sorted(state.routers):
-        state.send(peer, message)
