--- a/src/bulrushstream/history/fleet.py
+++ b/src/bulrushstream/history/fleet.py
@@ -18,15 +18,9 @@
     Record,
     Stopped,
 )
+from bulrushstream.history.roster import SERVICE, config_of, info_of
 from bulrushstream.history.store import Store
 from bulrushstream.history.timeline import Timeline
-from bulrushstream.state.config import (
-    FleetConfig,
-    Service,
-    ServiceKind,
-    VersionedConfig,
-    Workspace,
-)
 from bulrushstream.state.effect import (
     AppendLog,
     CancelRun,
@@ -51,7 +45,6 @@
 )
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
 
-SERVICE: Final = "s1"
 STREAMS: Final = ("claims", "strikes")
 GIVE_UP_S: Final = (1.0, 8.0)  # When membership gives a dead peer up.
 MIN_TICK_S: Final = 0.0001  # Time never stands still between ticks.
@@ -147,14 +140,14 @@
         :param incarnation: its incarnation.
         """
         role = Role.AGENT if name in self.endpoints else Role.ROUTER
-        info = _info(name, incarnation, role)
+        info = info_of(name, incarnation, role)
         offset_s = self.rng.uniform(0.0, 1000.0)
         begin = self.cores.agent if role is Role.AGENT else self.cores.router
         core_rng = Random(self.rng.random())
         local_s = self.timeline.now_s + offset_s
         node = Node(info, begin(info, core_rng, local_s), offset_s)
         self.nodes[name] = node
-        self.deliver(info.key, Configured(_config(self.plan)))
+        self.deliver(info.key, Configured(config_of(self.plan)))
         self.network.join(info)
         if role is Role.ROUTER:
             self.store.follow(info.key)
@@ -334,22 +327,3 @@
         """End all faults of the network and the log."""
         self.network.heal()
         self.store.heal()
-
-
-def _info(name: str, incarnation: int, role: Role) -> InstanceInfo:
-    """Return what the fleet knows of an instance."""
-    key = InstanceKey(name, incarnation)
-    zone = f"zone-{int(name.rsplit('-', 1)[1]) % 3}"
-    if role is Role.ROUTER:
-        return InstanceInfo(key, role, "region", zone, "127.0.0.1", 0)
-    endpoint = f"endpoint-{name}"
-    return InstanceInfo(
-        key, role, "region", zone, "127.0.0.1", 0, SERVICE, endpoint
-    )
-
-
-def _config(plan: Plan) -> VersionedConfig:
-    """Return the configuration of a plan's fleet."""
-    workspaces = tuple(Workspace(name) for name in plan.workspaces)
-    service = Service(SERVICE, ServiceKind.PLAIN, slots=plan.slots)
-    return VersionedConfig(0, FleetConfig(workspaces, (service,)))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -20,6 +20,7 @@
 from bulrushstream.state.event import (
     DrainStarted,
     LogAppended,
+    LogFailed,
     LogRead,
     LogRecord,
     PeerDown,
@@ -257,6 +258,19 @@
         assert name.encode() in sent_appends(router)[0].body
         assert router.state.quarantine.count(FINGERPRINT, router.now_s) == 1
 
+    def test_a_stopping_router_does_not_take_strikes_with_it(self) -> None:
+        router = RouterDriver()
+        router.up(AGENT)
+        router.arrive(a_poison("a", retries=0))
+        router.pull(AGENT)
+        a_crash(router, "a")
+        router.on(DrainStarted())
+        assert not router.state.idle
+        router.on(LogFailed(sent_appends(router)[0].token))
+        assert not router.state.idle
+        router.up(a_router("router-2"))
+        assert router.state.idle
+
     def test_a_queued_copy_is_held_once_it_is_suspected(self) -> None:
         router = RouterDriver()
         peer = a_router("router-2")
