Tell the agents that run least of a filled queue at once

Both sides now take only a busy refusal for the end of an announcement, and those that run least for the router are told first, at once.

--- a/src/bulrushstream/coordination/attempts.py
+++ b/src/bulrushstream/coordination/attempts.py
@@ -92,8 +92,10 @@
     """
     view = state.agents.get(peer)
     if view is not None:
-        view.free_slots = 0
-        if message.reason is RefuseReason.DRAINING:
+        if message.reason is RefuseReason.BUSY:
+            # Its announcement is out of date; it will announce anew.
+            view.free_slots = 0
+        elif message.reason is RefuseReason.DRAINING:
             view.leaving = True
     tracked = _out(state, peer, message.request_id, message.attempt)
     if tracked is None:
--- a/src/bulrushstream/coordination/backlogs.py
+++ b/src/bulrushstream/coordination/backlogs.py
@@ -1,7 +1,7 @@
 """Tells agents how much waits here, without a message per request.
 
-That a queue filled is told after a moment, in which many short queues have
-come and gone, and to a few agents first; the others are told if it lasts.
+That a queue filled is told at once to a few agents, those that run least
+for this router; the others are told if it lasts.
 That it emptied is told at once to those who know of it, so that nobody
 asks in vain.  An agent that knows of no backlog announces its free slots
 and is told everything, so a slot that is free never waits for this.
@@ -43,20 +43,21 @@
     :param state: the router
     :param now_s: the time on the core's clock
     """
-    options = state.options
     emptied: dict[str, list[QueueKey]] = {}
+    filled: dict[str, list[QueueKey]] = {}
     for key in sorted(state.dirty):
         if not state.queues.counts(key).total:
             emptied.setdefault(key.service, []).append(key)
             state.dirty.discard(key)
-            continue
-        known = key in state.told
-        delay_s = (
-            options.backlog_interval_s if known else options.backlog_delay_s
-        )
-        state.timers.set_sooner((Timer.BACKLOG, ""), now_s + delay_s)
+        elif key not in state.told:
+            filled.setdefault(key.service, []).append(key)
     for service, keys in emptied.items():
         _tell_emptied(state, service, keys, now_s)
+    for service, keys in filled.items():
+        _tell(state, keys, _first_ones(state, service), now_s)
+    if state.dirty:
+        due_s = now_s + state.options.backlog_interval_s
+        state.timers.set_sooner((Timer.BACKLOG, ""), due_s)
 
 
 def flush(state: RouterState, now_s: float) -> None:
@@ -66,21 +67,12 @@
     :param now_s: the time on the core's clock
     """
     changed: dict[str, list[QueueKey]] = {}
-    filled: dict[str, list[QueueKey]] = {}
     for key in sorted(state.dirty):
-        if key not in state.told:
-            filled.setdefault(key.service, []).append(key)
-        elif _matters(state, key, now_s):
+        if _matters(state, key, now_s):
             changed.setdefault(key.service, []).append(key)
     state.dirty.clear()
     for service, keys in changed.items():
         _tell(state, keys, state.agents_of(service), now_s)
-    for service, keys in filled.items():
-        _tell(state, keys, _first_ones(state, service), now_s)
-        # The others are told with the lesser changes, if it lasts.
-        state.dirty.update(keys)
-        due_s = now_s + state.options.backlog_interval_s
-        state.timers.set_sooner((Timer.BACKLOG, ""), due_s)
     for view in state.agents.values():
         _tell_missed(state, view, now_s)
 
@@ -135,10 +127,13 @@
 
 
 def _first_ones(state: RouterState, service: str) -> list[AgentView]:
-    """Return a few agents at random, to be told first."""
+    """Return the few agents that run least for this router."""
     usable = [view for view in state.agents_of(service) if view.usable]
-    count = min(state.options.backlog_fanout, len(usable))
-    return state.rng.sample(usable, count)
+    count = state.options.backlog_fanout
+    if len(usable) <= count:
+        return usable
+    rng = state.rng
+    return sorted(usable, key=lambda v: (len(v.running), rng.random()))[:count]
 
 
 def _tell(
--- a/src/bulrushstream/coordination/intake.py
+++ b/src/bulrushstream/coordination/intake.py
@@ -193,6 +193,9 @@
     """
     key = (dispatch.request_id, dispatch.attempt)
     state.memory.put(key, Outcome.NOT_RUN, now_s)
+    if reason is RefuseReason.BUSY:
+        # The router takes this for the end of an announcement.
+        state.idle_told[router] = 0
     decision = Decision(
         kind="refuse",
         reason=reason.name.lower(),
--- a/src/bulrushstream/coordination/options.py
+++ b/src/bulrushstream/coordination/options.py
@@ -28,8 +28,7 @@
     affinity_skips: int = 8  # How often warm requests pass a head.
     affinity_memory: int = 4096  # Prefixes remembered per agent.
     max_tracked_bytes: int = 48 << 20  # Memory of all requests.
-    backlog_delay_s: float = 0.003  # Before a filled queue is told.
-    backlog_fanout: int = 3  # Agents that are told of it then.
+    backlog_fanout: int = 3  # Agents told first that a queue filled.
     backlog_interval_s: float = 0.5  # Between lesser changes of counts.
     backlog_stale_s: float = 2.0  # How wrong an age that was told may be.
     backlog_refresh_s: float = 2.0  # Waiting without a pull before a repeat.
