--- a/src/bulrushstream/load/run.py
+++ b/src/bulrushstream/load/run.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
-from contextlib import AsyncExitStack
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import AsyncExitStack, contextmanager
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -16,7 +16,6 @@
 from bulrushstream.load.summary import LoadSummary, summarize
 from bulrushstream.transport.client import make_client
 
-MAX_CONNECTIONS: Final = 4096
 READ_TIMEOUT_S: Final = 300.0
 PROGRESS_INTERVAL_S: Final = 1.0
 
@@ -31,6 +30,50 @@
     planned: int  # Requests in all.
 
 
+class ClientPool:
+    """Clients of one router, each with one connection.
+
+    The library's own pool looks at every open connection for each request,
+    which takes most of the time when a thousand requests wait.
+    """
+
+    _url: str  # The router's address for callers.
+    _free: list[httpx.AsyncClient]  # Clients that wait for a request.
+    _all: list[httpx.AsyncClient]  # Every client.
+
+    def __init__(self, url: str) -> None:
+        """Make an empty pool.
+
+        :param url: The router's address for callers.
+        """
+        self._url = url
+        self._free = []
+        self._all = []
+
+    @property
+    def size(self) -> int:
+        """Return how many clients there are."""
+        return len(self._all)
+
+    @contextmanager
+    def client(self) -> Iterator[httpx.AsyncClient]:
+        """Lend a client for one request."""
+        if not self._free:
+            fresh = make_client(self._url, READ_TIMEOUT_S, max_connections=1)
+            self._all.append(fresh)
+            self._free.append(fresh)
+        lent = self._free.pop()
+        try:
+            yield lent
+        finally:
+            self._free.append(lent)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for client in self._all:
+            await client.aclose()
+
+
 @dataclass(slots=True)
 class _RunState:
     """What a run has done."""
@@ -63,15 +106,12 @@
     loop = asyncio.get_running_loop()
     state = _RunState(scenario, len(arrivals), loop.time())
     async with AsyncExitStack() as stack:
-        clients = [
-            await stack.enter_async_context(
-                make_client(url, READ_TIMEOUT_S, MAX_CONNECTIONS)
-            )
-            for url in urls
-        ]
+        pools = [ClientPool(url) for url in urls]
+        for pool in pools:
+            stack.push_async_callback(pool.close)
         reporter = asyncio.create_task(_report(state, progress))
         try:
-            await _send_all(state, arrivals, clients, finished)
+            await _send_all(state, arrivals, pools, finished)
         finally:
             reporter.cancel()
         if progress is not None:
@@ -85,15 +125,15 @@
 async def _send_all(
     state: _RunState,
     arrivals: Sequence[Arrival],
-    clients: Sequence[httpx.AsyncClient],
+    pools: Sequence[ClientPool],
     finished: Callable[[CallResult], None] | None,
 ) -> None:
     """Send each request at its time, whatever became of earlier ones."""
     loop = asyncio.get_running_loop()
 
     async def one(arrival: Arrival) -> None:
-        client = clients[arrival.router % len(clients)]
-        result = await call(client, state.scenario, arrival)
+        with pools[arrival.router % len(pools)].client() as client:
+            result = await call(client, state.scenario, arrival)
         state.results.append(result)
         if finished is not None:
             finished(result)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -18,7 +18,7 @@
     user_message,
 )
 from bulrushstream.load.plan import Arrival, plan_arrivals
-from bulrushstream.load.run import Progress, run_load
+from bulrushstream.load.run import ClientPool, Progress, run_load
 from bulrushstream.load.scenario import (
     Flow,
     RouterSite,
@@ -222,6 +222,15 @@
         assert summary.first.count == planned
         assert "writer" in format_summary(summary)
 
+    async def test_connections_are_used_again(self) -> None:
+        pool = ClientPool("http://127.0.0.1:9")
+        with pool.client() as first, pool.client() as second:
+            assert first is not second
+        with pool.client() as third:
+            assert third in (first, second)
+        assert pool.size == 2
+        await pool.close()
+
     def test_wrong_answers_are_not_good(self) -> None:
         result = CallResult(an_arrival(), Verdict.WRONG)
         assert not summarize("s", 1, [result], 1.0, 0.0).good
