Pages for operators, embedders and newcomers, kept honest by tests

The project had no page on running it, on its words or on embedding its cores, and callers found no list of the codes in problem documents.

GLOSSARY, OPERATIONS, LIBRARY, SETTINGS, CONTRIBUTING and CHANGELOG are new; CALLERS lists every code. `bulrushstream reference` makes the settings page and the tables of codes from the code. Tests check links, codes, metrics, modules, settings and the commands in code blocks, and run examples/embed.py.

--- a/src/bulrushstream/cli.py
+++ b/src/bulrushstream/cli.py
@@ -19,7 +19,7 @@
 from fire.core import FireExit
 from pydantic import ConfigDict, ValidationError, validate_call
 
-from bulrushstream.commands import measure, operate, rules, standin
+from bulrushstream.commands import measure, operate, reference, rules, standin
 from bulrushstream.commands.check import check
 from bulrushstream.commands.daemons import agent, router
 from bulrushstream.commands.demo import demo
@@ -46,6 +46,10 @@
         "lift": operate.quarantine_lift,
         "list": operate.quarantine_list,
     },
+    "reference": {
+        "errors": reference.errors,
+        "settings": reference.settings,
+    },
     "router": router,
     "rules": {
         "check": rules.check,
