--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -16,8 +16,12 @@
 
 from bulrushstream import cli, messages
 from bulrushstream.commands import reference
+from bulrushstream.coordination.matching import ConfigIndex, authenticate
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import make_metrics
+from bulrushstream.rulefile import read_rule_file
+from bulrushstream.settings import read_agent, read_router
+from bulrushstream.state.config import VersionedConfig
 
 ROOT = Path(__file__).parents[1]
 PAGES = sorted(
@@ -30,6 +34,8 @@
 CODE = re.compile(r"\bB[123]\d\d\b")
 FENCE = re.compile(r"^```.*?^```$", re.MULTILINE | re.DOTALL)
 INDENTED = re.compile(r"(?:\A|\n)\n((?:(?: {4}.*)\n)+)")
+JSON = re.compile(r"^```json\n(.*?)^```$", re.MULTILINE | re.DOTALL)
+TOKEN = re.compile(r"Bearer ([\w-]+)")
 METRIC = re.compile(r"\bbulrushstream_(\w+)")
 MODULE = re.compile(r"`((?:\w+/)+\w+\.py)`")
 
@@ -159,6 +165,24 @@
         assert [row for row in rows if row.endswith("|  |")] == []
 
 
+class FirstFleetSuite:
+    """The files that the operators' page tells a newcomer to write."""
+
+    def test_the_settings_are_valid(self, tmp_path: Path) -> None:
+        blocks = JSON.findall(_text("docs/OPERATIONS.md"))
+        assert len(blocks) == 2
+        for block, read in zip(blocks, (read_router, read_agent), strict=True):
+            file = tmp_path / "settings.json"
+            file.write_text(block)
+            assert read(str(file)).is_ok()
+
+    def test_the_first_call_has_a_token_of_the_rule_list(self) -> None:
+        token = TOKEN.findall(_text("docs/OPERATIONS.md"))[0]
+        config = read_rule_file(str(ROOT / "examples/kowhai/rules.json")).ok
+        index = ConfigIndex(VersionedConfig(0, config))
+        assert authenticate(index, token) is not None
+
+
 class CommandSuite:
     @pytest.mark.parametrize("name", NAMES)
     def test_commands_and_flags_exist(self, name: str) -> None:
