A planned router stop refuses nobody; a cancelled run always ends

Change: callers are taken for 0.9 s after the router is not ready, below the bound of one second; a run is known from the moment of its start effect, and its end is posted whatever ends it.

--- a/src/bulrushstream/daemon/agent.py
+++ b/src/bulrushstream/daemon/agent.py
@@ -222,8 +222,7 @@
         """Start and cancel runs."""
         match effect:
             case StartRun(dispatch):
-                key = (dispatch.request_id, dispatch.attempt)
-                self.spawn(self._run(dispatch, key), f"run {key[0]}")
+                self._start_run(dispatch)
             case GiveOrder(order):
                 self.spawn(self._give(order), "order")
             case CancelRun(request_id, attempt):
@@ -234,20 +233,27 @@
                 return False
         return True
 
-    async def _run(self, dispatch: Dispatch, key: RunKey) -> None:
-        """Run one attempt and post what comes of it."""
-        task = asyncio.current_task()
-        assert task is not None
+    def _start_run(self, dispatch: Dispatch) -> None:
+        """Start a run; from now on it can be cancelled."""
+        key = (dispatch.request_id, dispatch.attempt)
+        task = self.spawn(self._run(dispatch), f"run {key[0]}")
         self._runs[key] = task
-        try:
-            async with aclosing(self.runner.run(dispatch)) as events:
-                async for event in events:
-                    self.driver.post(event)
-        except asyncio.CancelledError:
-            # The endpoint may have seen any part of the request.
-            self.driver.post(
-                RunEnd(*key, whole=False, started=True, detail="cancelled")
-            )
-            raise
-        finally:
-            del self._runs[key]
+        task.add_done_callback(lambda ended: self._run_ended(key, ended))
+
+    async def _run(self, dispatch: Dispatch) -> None:
+        """Run one attempt and post what comes of it."""
+        async with aclosing(self.runner.run(dispatch)) as events:
+            async for event in events:
+                self.driver.post(event)
+
+    def _run_ended(self, key: RunKey, task: asyncio.Task[None]) -> None:
+        """Forget a run, and post the end of one that did not end itself."""
+        del self._runs[key]
+        if task.cancelled():
+            why = "cancelled"
+        elif task.exception() is not None:
+            why = f"failed: {task.exception()!r}"
+        else:
+            return
+        # The endpoint may have seen any part of the request.
+        self.driver.post(RunEnd(*key, whole=False, started=True, detail=why))
--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -340,15 +340,19 @@
         self._followers[stream] = follower
         self.spawn(follower.run(), f"follow {stream}")
 
-    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> None:
+    def spawn(
+        self, work: Coroutine[Any, Any, None], name: str
+    ) -> asyncio.Task[None]:
         """Run a task for as long as the instance lives.
 
         :param work: the task's work
         :param name: names it in errors
+        :returns: the task
         """
         task = asyncio.create_task(work, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._ended)
+        return task
 
     def configured(self, current: VersionedConfig) -> None:
         """Take note that a newer configuration is in force.
@@ -371,9 +375,8 @@
         :param limit_s: the longest wait, in seconds
         :returns: whether everything ended by then
         """
-        if not self.draining:
-            self.draining = True
-            self.driver.post(DrainStarted())
+        self.draining = True
+        self.driver.post(DrainStarted())
         try:
             async with asyncio.timeout(limit_s):
                 while self.busy:
--- a/src/bulrushstream/daemon/router.py
+++ b/src/bulrushstream/daemon/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 from typing import Final
 
@@ -34,6 +35,9 @@
 CLAIMS_INTERVAL_S: Final = 1.0
 STRIKES_INTERVAL_S: Final = 3.0
 
+# How long callers are still taken after the router is not ready.
+BALANCER_NOTICE_S: Final = 0.9
+
 # Who an operator's message comes from.
 OPERATOR: Final = InstanceKey("operator", 0)
 
@@ -219,6 +223,10 @@
         :param limit_s: the longest wait for what runs, in seconds
         :returns: whether every request ended by then
         """
+        # The balancer learns that we are not ready before we refuse what it
+        # sends, so that a planned stop refuses nobody.
+        self.draining = True
+        await asyncio.sleep(min(BALANCER_NOTICE_S, limit_s))
         self.port.closed = True
         whole = await self.drain(limit_s)
         await self.server.stop()
--- /dev/null
+++ b/tests/test_daemons.py
@@ -0,0 +1,68 @@
+"""The agent's process: runs that are cancelled or fail by a fault."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator
+
+import httpx
+
+from bulrushstream.commands.demo import demo_plan
+from bulrushstream.daemon.agent import AgentInstance
+from bulrushstream.local.fleet import run_fleet
+from bulrushstream.state.effect import CancelRun, StartRun
+from bulrushstream.state.event import Event, RunEnd
+from bulrushstream.state.message import Dispatch
+from bulrushstream.transport.endpoint import RunEvent
+from tests.builders import a_dispatch
+
+
+class FaultyRunner:
+    """A runner with a fault of its own."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        self.client = client
+
+    async def run(
+        self, dispatch: Dispatch, offset: int = 0
+    ) -> AsyncGenerator[RunEvent, None]:
+        raise ZeroDivisionError
+        yield
+
+    async def close(self) -> None:
+        await self.client.aclose()
+
+
+async def ends_of(agent: AgentInstance, *, cancel: bool) -> list[RunEnd]:
+    """Return the ends that a run posts that is over at once."""
+    posted: list[Event] = []
+    agent.driver.post = posted.append  # type: ignore[method-assign, assignment]
+    dispatch = a_dispatch()
+    agent._carry_out_own(StartRun(dispatch))
+    if cancel:
+        # The run's task has had no turn yet.
+        agent._carry_out_own(CancelRun(dispatch.request_id, dispatch.attempt))
+    async with asyncio.timeout(20):
+        while not posted:
+            await asyncio.sleep(0.001)
+    return [event for event in posted if isinstance(event, RunEnd)]
+
+
+class RunSuite:
+    async def test_a_cancel_before_the_first_turn_ends_the_run(self) -> None:
+        async with run_fleet(demo_plan()) as fleet:
+            agent = fleet.agents["agent-floordesk-0"]
+            ends = await ends_of(agent, cancel=True)
+            assert not agent.unfinished()
+        assert [(end.whole, end.detail) for end in ends] == [
+            (False, "cancelled")
+        ]
+
+    async def test_a_fault_of_the_runner_ends_the_run(self) -> None:
+        async with run_fleet(demo_plan()) as fleet:
+            agent = fleet.agents["agent-floordesk-0"]
+            agent.runner = FaultyRunner(agent.runner.client)
+            ends = await ends_of(agent, cancel=False)
+            assert not agent.unfinished()
+        assert len(ends) == 1
+        assert "ZeroDivisionError" in ends[0].detail
--- a/tests/test_endtoend.py
+++ b/tests/test_endtoend.py
@@ -61,7 +61,10 @@
                 await asyncio.sleep(0.01)
 
     async def send(self, client: httpx.AsyncClient, number: int) -> None:
-        router = self.rng.choice(list(self.fleet.routers.values()))
+        # The platform's balancer asks each router whether it is ready.
+        router = self.rng.choice(
+            [r for r in self.fleet.routers.values() if r.readiness().ready]
+        )
         url = router.server.url
         token = f"demo-{self.rng.choice(['press', 'club', 'school'])}"
         kind = self.rng.choice(["chat", "stream", "ticket", "look-up"])
@@ -175,6 +178,25 @@
         assert check_history(recorder.history) == []
         assert [v.why for v in load.verdicts if not v.ok] == []
 
+    async def test_a_rolling_restart_cuts_and_refuses_nothing(self) -> None:
+        recorder = Recorder(asyncio.get_running_loop().time)
+        async with run_fleet(busy_plan(), recorder.parts()) as fleet:
+            load = Load(fleet)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(load.run(REQUESTS))
+                group.create_task(restart_routers(fleet))
+        assert check_history(recorder.history) == []
+        assert [v.why for v in load.verdicts if not v.ok] == []
+
+
+async def restart_routers(fleet: LocalFleet) -> None:
+    """Restart each router; the balancer stops sending it callers first."""
+    for number, name in enumerate(sorted(fleet.routers)):
+        router = fleet.routers.pop(name)
+        assert await router.stop(limit_s=30)
+        await fleet.start_router(number)
+        await fleet.until(fleet.ready, "the new router is connected")
+
 
 async def awaited(work: Awaitable[None]) -> None:
     await work
