The users' bound on idle slots; known faults listed and shown

Cause: the bound on a slot that idles beside waiting work had been widened to 3 ms and a round trip for each agent, after histories exceeded it; the users' bound is two round trips, and a bound does not follow the figures.

--- a/check.sh
+++ b/check.sh
@@ -7,3 +7,5 @@
 mypy
 lint-imports
 python3 -m pytest "$@"
+# What CI passes over is said out loud.
+grep -v '^#' KNOWN-RED.txt | sed 's/^/known red: /' || true
--- a/src/bulrushstream/history/flood.py
+++ b/src/bulrushstream/history/flood.py
@@ -15,7 +15,7 @@
 SPAN_S: Final = 8.0  # How long the flood lasts.
 OVERLOAD: Final = 0.8  # Each workspace's work against the fleet's capacity.
 ROUND_TRIP_S: Final = 0.002  # Between a router and an agent, when calm.
-GATHER_S: Final = 0.0031  # A router's pause before it tells of a backlog.
+IDLE_BOUND_S: Final = 2 * ROUND_TRIP_S  # Beside work, when calm.
 STALENESS_S: Final = 1.51  # Report and digest intervals, two delays.
 SPREAD: Final = (0.5, 1.5)  # Of a workspace's requests around their mean.
 
@@ -61,18 +61,5 @@
         calm_s=0.0,
         end_s=1.0 + SPAN_S,
         fairness_gap=capacity * (largest_s + STALENESS_S),
-        idle_bound_s=idle_bound_s(agents),
+        idle_bound_s=IDLE_BOUND_S,
     )
-
-
-def idle_bound_s(agents: int) -> float:
-    """Return how long a slot may idle beside waiting work.
-
-    The router tells of its backlog after a pause, and a pull and its
-    dispatch take two round trips at most.  Before that, each agent whose
-    slot another router has just filled costs a round trip.
-
-    :param agents: how many agents there are.
-    :returns: the bound, in seconds.
-    """
-    return GATHER_S + (agents + 2) * ROUND_TRIP_S
--- a/src/bulrushstream/history/generate.py
+++ b/src/bulrushstream/history/generate.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Final
 
-from bulrushstream.history.flood import flood_plan, idle_bound_s
+from bulrushstream.history.flood import IDLE_BOUND_S, flood_plan
 from bulrushstream.history.plan import (
     Crash,
     Cut,
@@ -85,7 +85,7 @@
     """Return the bound of a plan; what was lost is told again later."""
     if plan.weather.loss or plan.weather.reordered:
         return LOSSY_IDLE_BOUND_S
-    return idle_bound_s(plan.agents)
+    return IDLE_BOUND_S
 
 
 def _random_calls(rng: Random, plan: Plan) -> tuple[PlannedCall, ...]:
--- a/src/bulrushstream/history/shares.py
+++ b/src/bulrushstream/history/shares.py
@@ -10,7 +10,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from bulrushstream.history.record import (
     Backlogged,
@@ -24,6 +24,9 @@
     ViolationKind,
 )
 
+# Times are sums of floating point numbers, so equal ones differ a little.
+ROUNDING_S: Final = 1e-9
+
 _Pair: TypeAlias = tuple[str, str]
 
 
@@ -104,7 +107,10 @@
         return []
     state.idle_since_s = None
     idle_s = record.at_s - since_s
-    if limits.idle_bound_s is None or idle_s <= limits.idle_bound_s:
+    if (
+        limits.idle_bound_s is None
+        or idle_s <= limits.idle_bound_s + ROUNDING_S
+    ):
         return []
     kind = ViolationKind.IDLE_SLOT
     text = f"A slot idled for {idle_s:.4f} s while work waited."
