No fewer connections to an endpoint than it has slots

Cause: an agent's client had at most 64 connections, so of more requests at once the rest waited in the client, counted as running. bench/path.sh with 15 streams/s of 100 tokens: first token at p50 789 ms and p95 5.1 s through the fleet, 91 and 107 ms directly. Ruled out: slots (1000 set), the router's queue (empty). Change: connections are bounded by the slots alone. The new test of 100 slots fails before and passes after.

--- a/src/bulrushstream/daemon/agent.py
+++ b/src/bulrushstream/daemon/agent.py
@@ -38,6 +38,9 @@
 
 IDLE_LEASES_S: Final = 60.0
 
+# Slots bound how many runs there are; the connections must not.
+MAX_CONNECTIONS: Final = 65_536
+
 
 class Runner(Protocol):
     """What an agent needs of its endpoint."""
@@ -98,6 +101,7 @@
             RunnerOptions(
                 base_url=endpoint.url,
                 model=endpoint.kind is EndpointKind.MODEL,
+                max_connections=MAX_CONNECTIONS,
             )
         )
 
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -4,12 +4,17 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
+from dataclasses import replace
 
 import httpx
 
 from bulrushstream.commands.demo import demo_plan
 from bulrushstream.daemon.agent import AgentInstance
+from bulrushstream.local.client import chat
 from bulrushstream.local.fleet import run_fleet
+from bulrushstream.local.plan import LocalPlan, LocalService
+from bulrushstream.standins.engine import Engine, EngineOptions
+from bulrushstream.state.config import ServiceKind
 from bulrushstream.state.effect import CancelRun, StartRun
 from bulrushstream.state.event import Event, RunEnd
 from bulrushstream.state.message import Dispatch
@@ -48,6 +53,50 @@
     return [event for event in posted if isinstance(event, RunEnd)]
 
 
+SLOTS = 100
+
+
+def wide_plan() -> LocalPlan:
+    """Return a plan with one engine that takes many requests at once."""
+    engine = EngineOptions(slots=SLOTS, models=("proofwriter",), token_s=0.02)
+    config = demo_plan().config
+    services = tuple(replace(s, slots=SLOTS) for s in config.services)
+    return LocalPlan(
+        config=replace(config, services=services),
+        services=(
+            LocalService("proofwriter", ServiceKind.MODEL, 1, engine=engine),
+        ),
+        routers=1,
+    )
+
+
+class SlotSuite:
+    async def test_every_slot_is_used_at_once(self) -> None:
+        async with run_fleet(wide_plan()) as fleet, open_client() as client:
+            url = fleet.routers["router-0"].server.url
+            calls = [
+                chat(
+                    client,
+                    url,
+                    "demo-club",
+                    f"note {number}",
+                    model="proofwriter",
+                    max_tokens=100,
+                )
+                for number in range(SLOTS)
+            ]
+            verdicts = await asyncio.gather(*calls)
+            engine = fleet.endpoints["proofwriter-0"].app
+            assert isinstance(engine, Engine)
+            assert engine.state.max_running == SLOTS
+        assert all(verdict.ok for verdict in verdicts)
+
+
+def open_client() -> httpx.AsyncClient:
+    limits = httpx.Limits(max_connections=SLOTS)
+    return httpx.AsyncClient(timeout=90, limits=limits)
+
+
 class RunSuite:
     async def test_a_cancel_before_the_first_turn_ends_the_run(self) -> None:
         async with run_fleet(demo_plan()) as fleet:
