--- a/src/bulrushstream/cli.py
+++ b/src/bulrushstream/cli.py
@@ -38,6 +38,7 @@
     "demo": demo,
     "load": load,
     "measure": {
+        "claims": measure.claims,
         "path": measure.path,
         "rollout": measure.rollout,
         "scenario": measure.scenario,
--- a/src/bulrushstream/commands/measure.py
+++ b/src/bulrushstream/commands/measure.py
@@ -12,6 +12,7 @@
 
 from bulrushstream.load.scenario import read_scenario
 from bulrushstream.logs import start_logging
+from bulrushstream.measure.claims import measure_claims, measure_resume
 from bulrushstream.measure.path import (
     PathPlan,
     Target,
@@ -29,6 +30,7 @@
 )
 from bulrushstream.measure.scenario import measure_scenario
 from bulrushstream.measure.slopes import measure_slopes, print_slopes
+from bulrushstream.measure.table import percentile
 
 USAGE_EXIT: Final = 2
 
@@ -143,3 +145,31 @@
     """
     print_slopes(measure_slopes())
     return 0
+
+
+def claims(calls: int = 40, streams: int = 20) -> int:
+    """Measure the cost of an idempotency key, and of a broken connection.
+
+    :param calls: calls for each kind of log, with and without a key
+    :param streams: streamed answers to cut
+    :returns: the exit code: 0 only if every call was answered whole
+    """
+    start_logging(absl_logging.FATAL)
+    good = True
+    for log_s in (0.002, 0.02, 0.2):
+        for keyed in (False, True):
+            result = asyncio.run(measure_claims(log_s, keyed, calls))
+            good = good and result.calls == calls
+            print(
+                f"log {1000 * log_s:3.0f} ms, {'with' if keyed else 'no'} key:"
+                f" {result.calls}/{calls} whole, p50 {result.p50_ms:.1f} ms,"
+                f" p95 {result.p95_ms:.1f} ms",
+                flush=True,
+            )
+    gaps_s = asyncio.run(measure_resume(streams))
+    print(
+        f"{streams} streams cut: longest gap p50"
+        f" {1000 * percentile(gaps_s, 50):.0f} ms,"
+        f" max {1000 * max(gaps_s):.0f} ms, all whole"
+    )
+    return 0 if good else 1
