--- a/src/bulrushstream/commands/daemons.py
+++ b/src/bulrushstream/commands/daemons.py
@@ -10,8 +10,8 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Coroutine
-from typing import Any, Final, Protocol
+from collections.abc import Callable
+from typing import Final, Protocol
 
 from bulrushstream import compose
 from bulrushstream.logs import start_logging
@@ -75,7 +75,7 @@
     return BAD_SETTINGS_EXIT
 
 
-async def _serve(make: Any, drain_timeout_s: float) -> int:
+async def _serve(make: Callable[[], Daemon], drain_timeout_s: float) -> int:
     """Run an instance until signals end it."""
     start_logging()
     loop = asyncio.get_running_loop()
@@ -86,10 +86,10 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signalled)
-    instance: Daemon = make()
+    instance = make()
     await instance.start()
     await first.wait()
-    stopping = asyncio.create_task(_whole(instance.stop(drain_timeout_s)))
+    stopping = asyncio.create_task(instance.stop(drain_timeout_s))
     hurried = asyncio.create_task(second.wait())
     await asyncio.wait(
         (stopping, hurried), return_when=asyncio.FIRST_COMPLETED
@@ -104,8 +104,3 @@
     for request_id in cut:
         print(f"cut: {request_id}", file=sys.stderr)
     return CUT_EXIT if cut else 0
-
-
-async def _whole(work: Coroutine[Any, Any, bool]) -> bool:
-    """Wait for work; exists so that it can be a task of its own."""
-    return await work
--- /dev/null
+++ b/src/bulrushstream/measure/bench.py
@@ -0,0 +1,216 @@
+"""Cores, messages and events to measure the cores with.
+
+A *bench* is a router or an agent that is connected to as many peers as a
+measurement asks for, driven without sockets at the time of the machine.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+from bulrushstream.coordination import agent as agents
+from bulrushstream.coordination import router as routers
+from bulrushstream.coordination.agentstate import AgentOptions
+from bulrushstream.coordination.options import RouterOptions
+from bulrushstream.state.config import (
+    Condition,
+    FleetConfig,
+    Rule,
+    Service,
+    ServiceKind,
+    Treatment,
+    VersionedConfig,
+    Workspace,
+)
+from bulrushstream.state.effect import Effect, Send
+from bulrushstream.state.event import (
+    Configured,
+    Event,
+    LogRead,
+    PeerUp,
+    Received,
+    RunBody,
+    RunEnd,
+    RunHead,
+)
+from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
+from bulrushstream.state.message import (
+    Backlog,
+    BacklogEntry,
+    Dispatch,
+    Part,
+    PartKind,
+    Pull,
+)
+from bulrushstream.state.request import Outcome, Request, RequestClass
+
+SERVICE: Final = "proofwriter"
+
+
+def make_config(workspaces: int, weight: float = 1.0) -> FleetConfig:
+    """Return a list whose first workspace has a weight."""
+    return FleetConfig(
+        workspaces=tuple(
+            Workspace(
+                f"workspace-{number}",
+                1.0 if number else weight,
+                (f"{number:064x}",),
+            )
+            for number in range(workspaces)
+        ),
+        services=(Service(SERVICE, ServiceKind.MODEL, slots=8),),
+        rules=(Rule("all", Condition(), Treatment(service=SERVICE)),),
+    )
+
+
+def make_info(name: str, role: Role) -> InstanceInfo:
+    """Return an instance."""
+    service = SERVICE if role is Role.AGENT else ""
+    return InstanceInfo(
+        InstanceKey(name, 1), role, "r", "z", "127.0.0.1", 1, service, name
+    )
+
+
+def make_router(
+    agent_count: int, workspaces: int
+) -> tuple[routers.RouterState, list[InstanceInfo], FleetConfig]:
+    """Return a router that is connected to agents."""
+    config = make_config(workspaces)
+    me = make_info("router-0", Role.ROUTER)
+    state = routers.new_router(me, RouterOptions(), random.Random(1), 0.0)
+    step_router(state, Configured(VersionedConfig(1, config)))
+    step_router(state, LogRead("strikes", (), caught_up=True))
+    peers = [make_info(f"agent-{n}", Role.AGENT) for n in range(agent_count)]
+    for peer in peers:
+        step_router(state, PeerUp(peer))
+    return state, peers, config
+
+
+def step_router(state: routers.RouterState, event: Event) -> list[Effect]:
+    """Have a router handle an event now."""
+    return routers.handle(state, event, time.monotonic())
+
+
+def make_request(request_id: str, workspaces: int, size: int = 64) -> Request:
+    """Return a request of the next workspace."""
+    now_s = time.monotonic()
+    number = int(request_id.rpartition("-")[2].lstrip("q") or 0) % workspaces
+    return Request(
+        request_id=request_id,
+        workspace=f"workspace-{number}",
+        service=SERVICE,
+        rule="all",
+        request_class=RequestClass.BATCH,
+        idempotent=True,
+        method="POST",
+        path="/v1/chat/completions",
+        headers=(),
+        body=b"x" * size,
+        stream=True,
+        arrived_s=now_s,
+        deadline_s=now_s + 600,
+    )
+
+
+def dispatch_in(effects: list[Effect]) -> Dispatch:
+    """Return the dispatch among effects."""
+    return next(
+        effect.message
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, Dispatch)
+    )
+
+
+def make_parts(request_id: str, attempt: int, pieces: int) -> list[Part]:
+    """Return the parts of an answer."""
+    head = Part(request_id, attempt, 0, PartKind.HEAD, status=200)
+    body = [
+        Part(request_id, attempt, n + 1, PartKind.BODY, data=b"x" * 200)
+        for n in range(pieces)
+    ]
+    end = Part(
+        request_id,
+        attempt,
+        pieces + 1,
+        PartKind.END,
+        outcome=Outcome.RAN,
+        whole=True,
+    )
+    return [head, *body, end]
+
+
+def make_agent(
+    workspaces: int, router_count: int
+) -> tuple[agents.AgentState, list[InstanceInfo]]:
+    """Return an agent that is connected to routers."""
+    me = make_info("agent-0", Role.AGENT)
+    state = agents.new_agent(me, AgentOptions(), random.Random(1), 0.0)
+    step_agent(state, Configured(VersionedConfig(1, make_config(workspaces))))
+    peers = [
+        make_info(f"router-{n}", Role.ROUTER) for n in range(router_count)
+    ]
+    for peer in peers:
+        step_agent(state, PeerUp(peer))
+    return state, peers
+
+
+def step_agent(state: agents.AgentState, event: Event) -> list[Effect]:
+    """Have an agent handle an event now."""
+    return agents.handle(state, event, time.monotonic())
+
+
+def tell_backlog(
+    state: agents.AgentState, peers: list[InstanceInfo], workspaces: int
+) -> list[Effect]:
+    """Tell an agent that every workspace is backlogged everywhere."""
+    effects: list[Effect] = []
+    entries = tuple(
+        BacklogEntry(SERVICE, f"workspace-{n}", 0, 1000, 10)
+        for n in range(workspaces)
+    )
+    for peer in peers:
+        message = Backlog(time.monotonic_ns(), True, entries)
+        effects += step_agent(state, Received(peer.key, message))
+    return effects
+
+
+def pulls_in(effects: list[Effect]) -> list[tuple[InstanceKey, Pull]]:
+    """Return the pulls among effects, and to whom they go."""
+    return [
+        (effect.peer, effect.message)
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, Pull)
+    ]
+
+
+def make_dispatch(request_id: str, pull: Pull, incarnation: int) -> Dispatch:
+    """Return the answer to a pull."""
+    return Dispatch(
+        request_id=request_id,
+        attempt=1,
+        pull_id=pull.pull_id,
+        incarnation=incarnation,
+        workspace=pull.workspace,
+        service=SERVICE,
+        request_class=RequestClass.BATCH,
+        idempotent=True,
+        alone=False,
+        method="POST",
+        path="/v1/chat/completions",
+        headers=(),
+        body=b"x" * 64,
+        stream=True,
+        timeout_ms=600_000,
+        cost_hint=0.0,
+    )
+
+
+def make_run_events(request_id: str) -> list[Event]:
+    """Return what an endpoint makes of a short request."""
+    return [
+        RunHead(request_id, 1, 200, ()),
+        RunBody(request_id, 1, b"x" * 200, 1),
+        RunEnd(request_id, 1, whole=True, started=True),
+    ]
