Log refusals that meet no core

A refusal at the callers' front was counted but left no line in the log. It is a decision like the core's now; strangers without a token, who may send any number, share the bounded lines.

--- a/src/bulrushstream/daemon/router.py
+++ b/src/bulrushstream/daemon/router.py
@@ -18,15 +18,20 @@
 from bulrushstream.daemon.driver import Core
 from bulrushstream.daemon.port import CallersPort
 from bulrushstream.daemon.status import QuarantineStatus, RouterStatus
+from bulrushstream.messages import NO_TOKEN
 from bulrushstream.metrics import count_exchange, set_queued
 from bulrushstream.settings import RouterSettings
 from bulrushstream.state.config import VersionedConfig
-from bulrushstream.state.effect import Effect, Fail, Reply
+from bulrushstream.state.effect import Decision, Effect, Fail, Reply
 from bulrushstream.state.event import Pardoned, Received
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
 from bulrushstream.state.message import ConfigPush
 from bulrushstream.transport.admission import BodyLimits
-from bulrushstream.transport.callers import CallersOptions, make_callers
+from bulrushstream.transport.callers import (
+    CallersOptions,
+    Exchange,
+    make_callers,
+)
 from bulrushstream.transport.operators import Action, ActionError
 from bulrushstream.transport.server import Server, ServerLimits
 
@@ -108,9 +113,7 @@
                     max_body_bytes=limits.body_bytes,
                     read_timeout_s=limits.read_timeout_s,
                 ),
-                observe=lambda exchange: count_exchange(
-                    around.metrics, exchange
-                ),
+                observe=self._observe,
             ),
         )
         self.server = Server(
@@ -242,6 +245,20 @@
         """Make the configuration ready for matching; see `Instance`."""
         self.port.index = ConfigIndex(current)
 
+    def _observe(self, exchange: Exchange) -> None:
+        """Count an exchange, and log a refusal that met no core."""
+        count_exchange(self.around.metrics, exchange)
+        sent = exchange.sent
+        if exchange.request is not None:
+            return
+        if sent.code == NO_TOKEN.code:
+            # Strangers may send any number of these.
+            self.around.report("refuse", NO_TOKEN.text)
+            return
+        self.around.observe(
+            Decision("refuse", sent.code, outcome=sent.outcome.value)
+        )
+
     def _carry_out_own(self, effect: Effect) -> bool:
         """Give callers their answers."""
         if not isinstance(effect, Reply | Fail):
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -9,13 +9,16 @@
 import httpx
 
 from bulrushstream.commands.demo import demo_plan
+from bulrushstream.compose import surroundings
 from bulrushstream.daemon.agent import AgentInstance
-from bulrushstream.local.client import chat
-from bulrushstream.local.fleet import run_fleet
+from bulrushstream.daemon.router import RouterInstance
+from bulrushstream.local.client import call_service, chat
+from bulrushstream.local.fleet import Delay, Parts, run_fleet
 from bulrushstream.local.plan import LocalPlan, LocalService
+from bulrushstream.settings import RouterSettings
 from bulrushstream.standins.engine import Engine, EngineOptions
 from bulrushstream.state.config import ServiceKind
-from bulrushstream.state.effect import CancelRun, StartRun
+from bulrushstream.state.effect import CancelRun, Decision, StartRun
 from bulrushstream.state.event import Event, RunEnd
 from bulrushstream.state.message import Dispatch
 from bulrushstream.transport.endpoint import RunEvent
@@ -97,6 +100,31 @@
     return httpx.AsyncClient(timeout=90, limits=limits)
 
 
+class RefusalSuite:
+    async def test_a_refusal_without_a_rule_is_logged(self) -> None:
+        decisions: list[Decision] = []
+
+        def make_router(
+            settings: RouterSettings, delay: Delay
+        ) -> RouterInstance:
+            around = surroundings(settings.security, settings.instance, delay)
+            watched = replace(around, observe=decisions.append)
+            return RouterInstance(settings, watched)
+
+        parts = Parts(make_router=make_router)
+        async with run_fleet(demo_plan(), parts) as fleet:
+            url = fleet.routers["router-0"].server.url
+            async with open_client() as client:
+                for token in ("wrong", "demo-club"):
+                    await call_service(
+                        client, url, token, method="GET", path="nowhere/1"
+                    )
+        refused = [each for each in decisions if each.kind == "refuse"]
+        assert [(d.reason, d.outcome) for d in refused] == [
+            ("B102", "not-run")
+        ]
+
+
 class RunSuite:
     async def test_a_cancel_before_the_first_turn_ends_the_run(self) -> None:
         async with run_fleet(demo_plan()) as fleet:
