--- a/src/bulrushstream/commands/measure.py
+++ b/src/bulrushstream/commands/measure.py
@@ -121,8 +121,8 @@
 ) -> int:
     """Time how soon an accepted rule list is in force everywhere.
 
-    :param publishes: lists published while the log is healthy; a third of
-        them while it is slow, and while it is down after the accept
+    :param publishes: lists published in each state of the log: healthy,
+        slow, and down right after the accept
     :param routers: routers of the fleet, beside three agents
     :param workspaces: workspaces in the list
     :returns: the exit code
@@ -130,9 +130,7 @@
     start_logging(absl_logging.ERROR)
     rollouts: dict[str, Rollout] = {}
     for state in LogState:
-        is_healthy = state is LogState.HEALTHY
-        count = publishes if is_healthy else max(1, publishes // 3)
-        plan = RolloutPlan(state, count, routers, workspaces)
+        plan = RolloutPlan(state, publishes, routers, workspaces)
         rollouts[state.value] = asyncio.run(measure_rollout(plan))
     print_rollouts(rollouts)
     return 0
