--- a/src/bulrushstream/commands/daemons.py
+++ b/src/bulrushstream/commands/daemons.py
@@ -11,16 +11,25 @@
 import signal
 import sys
 from collections.abc import Callable
-from typing import Final, Protocol
+from typing import Final, Protocol, TypeVar
+
+from expression import Result
 
 from bulrushstream import compose
 from bulrushstream.logs import start_logging
-from bulrushstream.settings import read_agent, read_router
+from bulrushstream.settings import (
+    AgentSettings,
+    RouterSettings,
+    read_agent,
+    read_router,
+)
 from bulrushstream.state.finding import Finding
 
 BAD_SETTINGS_EXIT: Final = 2
 CUT_EXIT: Final = 1
 
+SettingsT = TypeVar("SettingsT", RouterSettings, AgentSettings)
+
 
 class Daemon(Protocol):
     """What this module needs of an instance."""
@@ -44,13 +53,7 @@
     :param settings: the settings file, JSON with comments
     :returns: the exit code
     """
-    result = read_router(settings)
-    if result.is_error():
-        return _report(result.error)
-    checked = result.ok
-    return asyncio.run(
-        _serve(lambda: compose.make_router(checked), checked.drain_timeout_s)
-    )
+    return _run(read_router(settings), compose.make_router)
 
 
 def agent(settings: str) -> int:
@@ -59,12 +62,19 @@
     :param settings: the settings file, JSON with comments
     :returns: the exit code
     """
-    result = read_agent(settings)
+    return _run(read_agent(settings), compose.make_agent)
+
+
+def _run(
+    result: Result[SettingsT, tuple[Finding, ...]],
+    make: Callable[[SettingsT], Daemon],
+) -> int:
+    """Run an instance with its settings, or report what is wrong in them."""
     if result.is_error():
         return _report(result.error)
-    checked = result.ok
+    settings = result.ok
     return asyncio.run(
-        _serve(lambda: compose.make_agent(checked), checked.drain_timeout_s)
+        _serve(lambda: make(settings), settings.drain_timeout_s)
     )
 
 
