Serve the users' platform by a routing router, thin

A new role, beside the pull fleet: routes by host and prefix, one view of each engine shared among routers by datagrams, max-min shares, the fence of the configuration, a client of the platform's store.

--- /dev/null
+++ b/src/bulrushstream/coordination/routetable.py
@@ -0,0 +1,73 @@
+"""Which route a request takes: its host's longest prefix of the path."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from bulrushstream.state.routes import (
+    KeyHolder,
+    PooledService,
+    Route,
+    RouteConfig,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """A configuration with indexes for each request's questions."""
+
+    config: RouteConfig  # What it was made from.
+    by_host: dict[str, dict[str, Route]]  # Routes by host and prefix.
+    by_key: dict[bytes, KeyHolder]  # Workspaces by digest of a key.
+    services: dict[str, PooledService]  # By name.
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request; None if there is none.
+
+        :param host: the host that the caller named, in lower case
+        :param path: the path without the query
+        """
+        routes = self.by_host.get(host)
+        if routes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+def index_routes(config: RouteConfig) -> RouteTable:
+    """Return the indexes of a configuration.
+
+    :param config: a valid configuration
+    """
+    by_host: dict[str, dict[str, Route]] = {}
+    for route in config.routes:
+        by_host.setdefault(route.host, {})[route.prefix] = route
+    by_key = {
+        digest: holder
+        for holder in config.workspaces
+        for digest in holder.key_digests
+    }
+    services = {service.name: service for service in config.services}
+    return RouteTable(config, by_host, by_key, services)
+
+
+def pick_service(route: Route, rng: random.Random) -> str:
+    """Return the service that one request goes to.
+
+    :param route: the request's route
+    :param rng: draws by the weights of the split
+    """
+    if len(route.split) == 1:
+        return route.split[0].service
+    total = sum(share.weight for share in route.split)
+    drawn = rng.uniform(0.0, total)
+    for share in route.split:
+        drawn -= share.weight
+        if drawn <= 0 and share.weight > 0:
+            return share.service
+    return route.split[-1].service
--- /dev/null
+++ b/src/bulrushstream/daemon/front.py
@@ -0,0 +1,726 @@
+"""A router on an entry instance that sends requests to endpoints itself.
+
+It owns the callers' connections, the pools of connections to endpoints,
+and the state that decisions are made from; `watch` and the peers' updates
+change that state.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from bulrushstream import messages
+from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
+from bulrushstream.coordination.engineview import (
+    DEFAULT_READ_TOKENS_PER_S,
+)
+from bulrushstream.coordination.fairshare import FairShares
+from bulrushstream.coordination.fleetview import FleetView
+from bulrushstream.coordination.freshness import Freshness
+from bulrushstream.coordination.placement import (
+    Admission,
+    Prediction,
+    admit_to_engine,
+    choose_engine,
+    choose_plain,
+)
+from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
+from bulrushstream.coordination.routetable import (
+    RouteTable,
+    index_routes,
+    pick_service,
+)
+from bulrushstream.daemon.forward import Forward
+from bulrushstream.messages import Notice
+from bulrushstream.metrics import Metrics
+from bulrushstream.platform.headers import (
+    BadHead,
+    decode_call,
+    refusal_headers,
+)
+from bulrushstream.platform.nodefile import NodeSettings
+from bulrushstream.state.call import Prompt, PromptPart
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.peerupdate import PeerUpdate, Placed
+from bulrushstream.state.request import Outcome
+from bulrushstream.state.routes import EndpointEntry, RouteConfig
+from bulrushstream.transport.datagrams import PeerPort
+from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
+from bulrushstream.transport.problem import encode_problem
+from bulrushstream.transport.upstream import Pool, PoolOptions
+
+# A call's number holds the router in its upper bits.
+_NUMBER_BITS: Final = 24
+
+# A request that a peer told of is forgotten after this, if its end is not
+# told; longer than any route's requests usually run.
+PEER_CALL_S: Final = 20.0
+
+# How much one observation of an engine's reading moves the estimate.
+RATE_GAIN: Final = 0.05
+MIN_RATE: Final = 2_000.0
+MAX_RATE: Final = 500_000.0
+
+# When a refused caller is told to come back: soon after a passing fault,
+# and spread over a time in which engines get free after an overload.
+RETRY_SOON_S: Final = 0.1
+RETRY_SPREAD_S: Final = 0.6
+
+# A caller heeds a time up to this part of what it has left.
+MAX_RETRY_PART: Final = 1.0 / 3.0
+
+# How long an address is passed over after another endpoint answered there.
+MISDIRECTED_S: Final = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Wiring:
+    """What a front is given beside its settings."""
+
+    clock: Callable[[], float]  # The event loop's time in seconds.
+    boot_clock: Callable[[], float]  # Counts while suspended.
+    rng: random.Random  # The source of all randomness.
+    metrics: Metrics  # What it counts.
+    observe: Callable[[Decision], None]  # Takes each decision.
+    report: Callable[[str, str], None]  # Takes a kind and a line.
+
+
+class Front:
+    """The state of one router, and what it does with a request."""
+
+    def __init__(self, settings: NodeSettings, wiring: Wiring) -> None:
+        """Make a router that knows nothing yet.
+
+        :param settings: its checked settings
+        :param wiring: what else it is given
+        """
+        self.settings = settings
+        self.clock = wiring.clock
+        self.boot_clock = wiring.boot_clock
+        self.rng = wiring.rng
+        self.metrics = wiring.metrics
+        self.observe = wiring.observe
+        self.report = wiring.report
+        self.table: RouteTable | None = None
+        self.listed = False
+        self.draining = False
+        self.pool = EndpointPool()
+        self.fleet = FleetView(settings.host)
+        limit_s = settings.revoke_s
+        self.freshness = Freshness(
+            float("inf") if limit_s is None else limit_s
+        )
+        self.quota = RetryQuota(
+            RetryLimits(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window_s,
+            )
+        )
+        self.shares = FairShares(settings.share_window_s)
+        self.rate = DEFAULT_READ_TOKENS_PER_S
+        self.forwards: set[Forward] = set()
+        self._pools: dict[str, Pool] = {}
+        self._number_base = self.rng.getrandbits(38) << _NUMBER_BITS
+        self._number = 0
+        self._peer_calls: dict[int, str] = {}
+        now_s = self.clock()
+        for seed in settings.seeds:
+            self.fleet.suggest(seed, now_s)
+        self.limits = IngressLimits(
+            connections=max(64, settings.max_descriptors // 2)
+        )
+        self.ingress = Ingress(self.handle, self.limits, self.clock)
+        self.peers: PeerPort | None = None
+
+    def reconfigure(self, settings: NodeSettings) -> None:
+        """Take over what may change while the router runs.
+
+        :param settings: the new settings
+        """
+        self.settings = settings
+        limit_s = settings.revoke_s
+        self.freshness.limit_s = float("inf") if limit_s is None else limit_s
+        self.quota.limits = RetryLimits(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s,
+        )
+        self.shares.window_s = settings.share_window_s
+
+    # --- Requests.
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a caller's request; see `Ingress`."""
+        arrived_boot_s = self.boot_clock()
+        try:
+            call = decode_call(
+                exchange.method, exchange.target, exchange.headers
+            )
+        except BadHead as error:
+            self.report("bad_head", str(error))
+            exchange.keep_alive = False
+            self.refuse(exchange, messages.BAD_HEAD, "", Outcome.NOT_RUN, None)
+            return
+        table = self.table
+        if table is None or not self.listed:
+            self._turn_away(exchange, messages.NOT_READY, call.request_id)
+            return
+        route = table.find(call.host, call.path)
+        fresh = self.freshness.holds(arrived_boot_s)
+        if route is None:
+            notice = messages.NO_RULE if fresh else messages.STALE_CONFIG
+            self._turn_away(exchange, notice, call.request_id)
+            return
+        workspace = ""
+        if table.config.demands_keys and not route.public:
+            if not fresh:
+                self._turn_away(
+                    exchange, messages.STALE_CONFIG, call.request_id
+                )
+                return
+            holder = table.by_key.get(call.key_digest or b"")
+            if holder is None:
+                self._turn_away(exchange, messages.NO_TOKEN, call.request_id)
+                return
+            workspace = holder.name
+        service = pick_service(route, self.rng)
+        forward = Forward(
+            self, exchange, call, route, service, workspace, arrived_boot_s
+        )
+        now_s = self.clock()
+        self.forwards.add(forward)
+        self.quota.count_request(service, now_s)
+        if call.prompt is not None and workspace:
+            tokens = call.prompt.quota_tokens
+            forward.within_share = self.shares.covers(workspace, tokens, now_s)
+            self.shares.ask(workspace, tokens, now_s)
+            if self.peers is not None:
+                self.peers.asked(workspace, tokens, 0)
+        forward.start()
+
+    def _turn_away(
+        self, exchange: Exchange, notice: Notice, request_id: str
+    ) -> None:
+        """Refuse a request that gets no further."""
+        retry_after_s = RETRY_SOON_S if notice.status == 503 else None
+        self.refuse(
+            exchange, notice, request_id, Outcome.NOT_RUN, retry_after_s
+        )
+        self.observe(
+            Decision(
+                "refuse",
+                notice.text,
+                request_id=request_id,
+                outcome=notice.code,
+                inputs=self._inputs(),
+            )
+        )
+
+    def refuse(
+        self,
+        exchange: Exchange,
+        notice: Notice,
+        request_id: str,
+        outcome: Outcome,
+        retry_after_s: float | None,
+    ) -> None:
+        """Answer a request with a refusal or failure of our own.
+
+        :param exchange: the request
+        :param notice: what is wrong
+        :param request_id: the caller's id; empty: it is not known
+        :param outcome: whether an endpoint ran it
+        :param retry_after_s: when to come back; None: not said
+        """
+        body = encode_problem(notice, outcome, request_id)
+        headers = refusal_headers(request_id, retry_after_s)
+        exchange.answer(notice.status, headers, body)
+        self.metrics.requests.labels("", "", outcome.value, notice.code).inc()
+
+    def choose(self, forward: Forward) -> tuple[Endpoint, int] | Notice | None:
+        """Return where a request goes, and the number of its attempt.
+
+        :param forward: the request
+        :returns: None if no endpoint takes requests; a notice if the
+            request is refused
+        """
+        now_s = self.clock()
+        usable = self.pool.usable(forward.service, now_s, forward.tried)
+        if not usable and forward.route.repeatable:
+            usable = self.pool.usable(forward.service, now_s)
+        prompt = forward.call.prompt
+        if prompt is None or not any(each.view for each in usable):
+            zone = self.settings.availability_zone
+            plain = choose_plain(usable, zone, self.rng)
+            if plain is None:
+                return None
+            return plain, self._place(forward, plain, None, now_s)
+        for each in usable:
+            if each.view is not None:
+                each.view.expire(now_s)
+        prediction = choose_engine(usable, prompt, self.rate, now_s)
+        if prediction is None:
+            return None
+        refusal = self._objection(forward, prediction, now_s)
+        if refusal is not None:
+            return refusal
+        number = self._place(forward, prediction.endpoint, prediction, now_s)
+        return prediction.endpoint, number
+
+    def _objection(
+        self, forward: Forward, prediction: Prediction, now_s: float
+    ) -> Notice | None:
+        """Return why a request is not sent to its engine now, if so."""
+        if forward.progress.sends or forward.exchange.started:
+            return None
+        goal_left_s = forward.route.goal_s - (now_s - forward.arrived_s)
+        admission = admit_to_engine(
+            prediction, goal_left_s, within_share=forward.within_share
+        )
+        if admission is Admission.SEND:
+            return None
+        self.decide(
+            "shed",
+            "first token predicted too late",
+            forward,
+            endpoint=prediction.endpoint.name,
+            inputs=_prediction_inputs(prediction),
+        )
+        if forward.within_share:
+            return messages.NO_CAPACITY
+        return messages.OVER_SHARE
+
+    def _place(
+        self,
+        forward: Forward,
+        endpoint: Endpoint,
+        prediction: Prediction | None,
+        now_s: float,
+    ) -> int:
+        """Note an attempt, tell the peers, and return its number."""
+        self._number += 1
+        number = self._number_base + self._number
+        endpoint.outstanding += 1
+        prompt = forward.call.prompt
+        view = endpoint.view
+        if prediction is not None and prompt is not None and view is not None:
+            view.place(number, prompt, self.rate, now_s, forward.deadline_s)
+            if forward.workspace:
+                tokens = prompt.quota_tokens
+                self.shares.grant(forward.workspace, tokens, now_s)
+                if self.peers is not None:
+                    self.peers.asked(forward.workspace, 0, tokens)
+        if self.peers is not None:
+            self.peers.placed(_placed(number, endpoint.name, prompt))
+        inputs: dict[str, float | int | str] = {}
+        if prediction is not None:
+            inputs = _prediction_inputs(prediction)
+        self.decide(
+            "dispatch",
+            "least predicted time" if prediction else "least requests",
+            forward,
+            endpoint=endpoint.name,
+            attempt=forward.progress.sends + 1,
+            inputs=inputs,
+        )
+        return number
+
+    def may_run(self, forward: Forward) -> bool:
+        """Return whether a request may still be sent to an endpoint.
+
+        :param forward: the request
+        """
+        table = self.table
+        if table is None:
+            return False
+        if not table.config.demands_keys or forward.route.public:
+            return True
+        if not self.freshness.holds(forward.arrived_boot_s):
+            return False
+        return (forward.call.key_digest or b"") in table.by_key
+
+    def connections(self, endpoint: Endpoint) -> Pool:
+        """Return the connections to an endpoint.
+
+        :param endpoint: the endpoint
+        """
+        found = self._pools.get(endpoint.name)
+        if found is None:
+            entry = endpoint.entry
+            found = Pool(
+                entry.host, entry.port, self.clock, self._pool_options(entry)
+            )
+            self._pools[endpoint.name] = found
+        return found
+
+    def _pool_options(self, entry: EndpointEntry) -> PoolOptions:
+        """Return how many connections an endpoint may get from here."""
+        limit = 64
+        service = None
+        if self.table is not None:
+            service = self.table.services.get(entry.service)
+        if service is not None:
+            limit = service.max_connections // self.fleet.routers
+        return PoolOptions(max_connections=max(8, limit))
+
+    def take_retry(self, service: str) -> bool:
+        """Take one of the fleet's retries; return whether there was one.
+
+        :param service: the service that would get it
+        """
+        return self.quota.take(service, self.clock(), self.fleet.routers)
+
+    def has_other(self, forward: Forward, endpoint: Endpoint) -> bool:
+        """Return whether a request could go to another endpoint.
+
+        :param forward: the request
+        :param endpoint: where it is
+        """
+        tried = {*forward.tried, endpoint.name}
+        return bool(self.pool.usable(forward.service, self.clock(), tried))
+
+    def retry_after_s(self, forward: Forward) -> float | None:
+        """Return when a refused caller should come back.
+
+        :param forward: the request
+        """
+        left_s = forward.deadline_s - self.clock()
+        if forward.call.patience_s is not None:
+            left_s = forward.call.patience_s - (
+                self.clock() - forward.arrived_s
+            )
+        spread_s = RETRY_SOON_S + self.rng.uniform(0.0, RETRY_SPREAD_S)
+        return max(0.01, min(spread_s, left_s * MAX_RETRY_PART))
+
+    # --- What endpoints do.
+
+    def first_event(
+        self, endpoint: Endpoint, number: int, now_s: float
+    ) -> None:
+        """Note an event of a stream; only an attempt's first one counts.
+
+        :param endpoint: where it comes from
+        :param number: the attempt
+        :param now_s: the time
+        """
+        view = endpoint.view
+        if view is None or number not in view.pending:
+            return
+        observed = view.start(number, self.rate, now_s)
+        if observed is not None:
+            rate = self.rate + RATE_GAIN * (observed - self.rate)
+            self.rate = min(MAX_RATE, max(MIN_RATE, rate))
+        if self.peers is not None:
+            self.peers.started(number)
+
+    def attempt_ended(self, number: int, endpoint: Endpoint) -> None:
+        """Note that an attempt ended.
+
+        :param number: the attempt
+        :param endpoint: where it went
+        """
+        endpoint.outstanding = max(0, endpoint.outstanding - 1)
+        if endpoint.view is not None:
+            endpoint.view.end(number)
+        if self.peers is not None:
+            self.peers.ended(number)
+
+    def misdirected(self, endpoint: Endpoint) -> None:
+        """Note that another endpoint answered at an address.
+
+        :param endpoint: the one that was expected there
+        """
+        endpoint.avoid_until_s = self.clock() + MISDIRECTED_S
+
+    def broken(self, forward: Forward, endpoint: Endpoint) -> None:
+        """Note that a connection broke while a request was out.
+
+        :param forward: the request
+        :param endpoint: where it was
+        """
+        del forward
+        # Idle connections to an endpoint that crashed are of no use.
+        self.connections(endpoint).drop_idle()
+
+    def silent(self, endpoint: Endpoint) -> None:
+        """Note that an endpoint has not answered in time.
+
+        :param endpoint: which one
+        """
+        self.connections(endpoint).drop_idle()
+
+    def finished(
+        self, forward: Forward, reason: str, outcome: Outcome, code: str
+    ) -> None:
+        """Note how a request ended.
+
+        :param forward: the request
+        :param reason: why it ended
+        :param outcome: whether an endpoint ran it
+        :param code: the status or code that the caller got
+        """
+        self.forwards.discard(forward)
+        now_s = self.clock()
+        took_s = now_s - forward.arrived_s
+        self.metrics.durations.labels(
+            forward.service, forward.kind.value
+        ).observe(took_s)
+        if reason != "refuse":
+            self.metrics.requests.labels(
+                forward.workspace, forward.service, outcome.value, code
+            ).inc()
+        inputs: dict[str, float | int | str] = {"took_s": round(took_s, 4)}
+        if forward.first_event_s:
+            inputs["first_event_s"] = round(
+                forward.first_event_s - forward.arrived_s, 4
+            )
+        self.decide(
+            "finish",
+            reason,
+            forward,
+            outcome=f"{outcome.value} {code}".strip(),
+            inputs=inputs,
+        )
+
+    # --- What the platform and the peers say.
+
+    def take_config(self, config: RouteConfig) -> bool:
+        """Put a configuration in force unless it is not newer.
+
+        :param config: the configuration
+        :returns: whether it is in force now
+        """
+        if self.table is not None:
+            if config.version <= self.table.config.version:
+                return False
+        self.table = index_routes(config)
+        limits = config.limits
+        self.limits.header_bytes = limits.header_bytes
+        self.limits.body_bytes = limits.body_bytes
+        self.limits.header_timeout_s = limits.header_timeout_s
+        self.limits.idle_timeout_s = limits.idle_timeout_s
+        self.shares.tokens_per_s = config.tokens_per_s
+        for service in config.services:
+            self.pool.set_traits(service.name, service.engine)
+        self.metrics.config_version.set(config.version)
+        self.observe(
+            Decision(
+                "config",
+                "a newer version",
+                inputs={
+                    "version": config.version,
+                    "routes": len(config.routes),
+                    "workspaces": len(config.workspaces),
+                },
+            )
+        )
+        return True
+
+    def take_entry(self, entry: EndpointEntry) -> None:
+        """Take what the list says of an endpoint.
+
+        :param entry: the list's entry
+        """
+        known = self.pool.by_name.get(entry.endpoint)
+        if known is not None and known.entry == entry:
+            return
+        traits = None
+        if self.table is not None:
+            service = self.table.services.get(entry.service)
+            traits = service.engine if service is not None else None
+        self.pool.update(entry, traits)
+        self.observe(
+            Decision(
+                "endpoint",
+                "leaving" if entry.leaving else "serving",
+                service=entry.service,
+                endpoint=entry.endpoint,
+                inputs={"address": f"{entry.host}:{entry.port}"},
+            )
+        )
+
+    def drop_entry(self, endpoint: str) -> None:
+        """Take it that the list no longer has an endpoint.
+
+        :param endpoint: its id
+        """
+        dropped = self.pool.remove(endpoint)
+        if dropped is None:
+            return
+        pool = self._pools.pop(endpoint, None)
+        if pool is not None:
+            pool.drop_idle()
+        self.observe(
+            Decision(
+                "endpoint",
+                "gone from the list",
+                service=dropped.entry.service,
+                endpoint=endpoint,
+            )
+        )
+
+    def take_update(self, update: PeerUpdate) -> None:
+        """Take what another router tells.
+
+        :param update: what happened there
+        """
+        now_s = self.clock()
+        self._forget_calls(self.fleet.hear(update, now_s))
+        peer = self.fleet.peers.get(update.instance)
+        if peer is None or peer.incarnation != update.incarnation:
+            return
+        for placed in update.placed:
+            self._take_placed(placed, now_s)
+            peer.calls.add(placed.call)
+        for number in update.started:
+            endpoint = self._endpoint_of(number)
+            if endpoint is not None and endpoint.view is not None:
+                endpoint.view.start(number, self.rate, now_s)
+        for number in update.ended:
+            self._end_peer_call(number)
+            peer.calls.discard(number)
+        for asked in update.asked:
+            if asked.asked_tokens:
+                self.shares.ask(asked.workspace, asked.asked_tokens, now_s)
+            if asked.granted_tokens:
+                self.shares.grant(
+                    asked.workspace, asked.granted_tokens, now_s
+                )
+        if update.leaving:
+            self._forget_calls(set(peer.calls))
+
+    def _take_placed(self, placed: Placed, now_s: float) -> None:
+        """Note a request that a peer sent to an endpoint."""
+        endpoint = self.pool.by_name.get(placed.endpoint)
+        if endpoint is None:
+            return
+        self._peer_calls[placed.call] = placed.endpoint
+        endpoint.outstanding += 1
+        if endpoint.view is not None and placed.input_tokens:
+            parts = zip(placed.parts, placed.lengths, strict=False)
+            prompt = Prompt(
+                model="",
+                parts=tuple(PromptPart(part, size) for part, size in parts),
+                input_tokens=placed.input_tokens,
+                output_limit=placed.output_tokens,
+            )
+            endpoint.view.place(
+                placed.call, prompt, self.rate, now_s, now_s + PEER_CALL_S
+            )
+
+    def _endpoint_of(self, number: int) -> Endpoint | None:
+        """Return where a peer's request is."""
+        name = self._peer_calls.get(number)
+        return self.pool.by_name.get(name) if name is not None else None
+
+    def _end_peer_call(self, number: int) -> None:
+        """Note that a peer's request ended."""
+        endpoint = self._endpoint_of(number)
+        self._peer_calls.pop(number, None)
+        if endpoint is None:
+            return
+        endpoint.outstanding = max(0, endpoint.outstanding - 1)
+        if endpoint.view is not None:
+            endpoint.view.end(number)
+
+    def _forget_calls(self, numbers: set[int]) -> None:
+        """Forget requests whose router is gone."""
+        for number in numbers:
+            self._end_peer_call(number)
+
+    def sweep(self) -> None:
+        """Forget what is over; called a few times a second."""
+        now_s = self.clock()
+        self._forget_calls(self.fleet.sweep(now_s))
+        for pool in self._pools.values():
+            pool.expire_idle()
+
+    # --- Log.
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer may send callers."""
+        return (
+            self.table is not None
+            and self.listed
+            and not self.draining
+            and self.freshness.holds(self.boot_clock())
+        )
+
+    def _inputs(self) -> dict[str, float | int | str]:
+        """Return what every decision rests on."""
+        version = self.table.config.version if self.table else -1
+        age_s = self.freshness.age_s(self.boot_clock())
+        return {
+            "config_version": version,
+            "config_age_s": round(min(age_s, 1e6), 3),
+            "routers": self.fleet.routers,
+        }
+
+    def decide(
+        self,
+        kind: str,
+        reason: str,
+        forward: Forward,
+        *,
+        endpoint: str = "",
+        attempt: int = 0,
+        outcome: str = "",
+        inputs: dict[str, float | int | str] | None = None,
+    ) -> None:
+        """Log a decision about a request.
+
+        :param kind: what was decided
+        :param reason: why
+        :param forward: the request
+        :param endpoint: the endpoint that it is about; empty: none
+        :param attempt: which attempt; 0: none
+        :param outcome: what came of it; empty: nothing yet
+        :param inputs: what the decision rests on
+        """
+        self.observe(
+            Decision(
+                kind,
+                reason,
+                request_id=forward.call.request_id,
+                workspace=forward.workspace,
+                service=forward.service,
+                rule=forward.route.name,
+                endpoint=endpoint,
+                attempt=attempt,
+                waited_s=self.clock() - forward.arrived_s,
+                outcome=outcome,
+                inputs={**(inputs or {}), **self._inputs()},
+            )
+        )
+
+
+def _prediction_inputs(
+    prediction: Prediction,
+) -> dict[str, float | int | str]:
+    """Return what a prediction says, for the log."""
+    return {
+        "wait_s": round(prediction.wait_s, 4),
+        "read_s": round(prediction.read_s, 4),
+        "read_tokens": int(prediction.tokens),
+        "room": int(prediction.room),
+    }
+
+
+def _placed(number: int, endpoint: str, prompt: Prompt | None) -> Placed:
+    """Return what peers are told of an attempt."""
+    if prompt is None:
+        return Placed(number, endpoint)
+    return Placed(
+        number,
+        endpoint,
+        tuple(part.part for part in prompt.parts),
+        tuple(part.tokens for part in prompt.parts),
+        prompt.input_tokens,
+        prompt.output_hint or prompt.output_limit,
+    )
--- /dev/null
+++ b/src/bulrushstream/frontmain.py
@@ -0,0 +1,71 @@
+"""The composition root of a routing router on the users' platform.
+
+It is apart from `bulrushstream.compose`, whose parts take longer to load
+than the platform's machines should need to start.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import sys
+from typing import Final
+
+from bulrushstream.daemon.front import Wiring
+from bulrushstream.daemon.frontd import boot_clock, seed, serve
+from bulrushstream.logs import instance_log, start_bounded_logging
+from bulrushstream.metrics import count_decision, make_metrics
+from bulrushstream.platform.nodefile import (
+    SETTINGS_VARIABLE,
+    NodeSettings,
+    read_node_file,
+)
+from bulrushstream.state.effect import Decision
+
+BAD_SETTINGS_EXIT: Final = 2
+LOG_FLUSH_S: Final = 0.2
+STDOUT: Final = 1
+
+
+def main() -> int:
+    """Run a router with the settings that the platform names.
+
+    :returns: the exit code
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    settings = read_node_file(path)
+    if not isinstance(settings, NodeSettings):
+        for finding in settings:
+            print(finding, file=sys.stderr)
+        return BAD_SETTINGS_EXIT
+    # What is loaded now stays; it need not be looked at again and again.
+    gc.collect()
+    gc.freeze()
+    return asyncio.run(serve(path, _wire, settings))
+
+
+def _wire(settings: NodeSettings) -> Wiring:
+    """Return what a router is given beside its settings."""
+    handler = start_bounded_logging(STDOUT)
+    metrics = make_metrics()
+    log = instance_log(settings.instance)
+    loop = asyncio.get_running_loop()
+
+    def observe(decision: Decision) -> None:
+        count_decision(metrics, decision)
+        log.decide(decision)
+
+    def flush() -> None:
+        handler.flush()
+        loop.call_later(LOG_FLUSH_S, flush)
+
+    flush()
+    return Wiring(
+        clock=loop.time,
+        boot_clock=boot_clock,
+        rng=seed(),
+        metrics=metrics,
+        observe=observe,
+        report=log.report,
+    )
--- a/src/bulrushstream/logs.py
+++ b/src/bulrushstream/logs.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, fields
@@ -25,6 +26,10 @@
 MAX_KINDS: Final = 1000
 DECISION_EVENT: Final = "decision"
 
+# Lines that are kept while nobody reads them, and the bytes of one write.
+MAX_HELD_BYTES: Final = 524_288
+WRITE_BYTES: Final = 65_536
+
 _DECISION_FIELDS: Final = tuple(field.name for field in fields(Decision))
 
 
@@ -59,6 +64,55 @@
         return msgspec.json.encode(line, enc_hook=str).decode()
 
 
+class BoundedHandler(logging.Handler):
+    """Writes lines without ever blocking; drops what does not fit.
+
+    Lines are kept until `flush` is called, which the event loop does a few
+    times a second.  A line tells how many were dropped before it.
+    """
+
+    dropped: int  # Lines dropped since the process started.
+
+    def __init__(self, descriptor: int, max_bytes: int = MAX_HELD_BYTES) -> None:
+        """Take a descriptor over and make it non-blocking.
+
+        :param descriptor: where the lines go
+        :param max_bytes: how much is kept while nobody reads
+        """
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._max_bytes = max_bytes
+        self._held = bytearray()
+        self._told = 0
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a line; see `logging.Handler`."""
+        line = self.format(record).encode() + b"\n"
+        if len(self._held) + len(line) > self._max_bytes:
+            self.dropped += 1
+            return
+        if self.dropped > self._told:
+            lost = self.dropped - self._told
+            self._held += b'{"event":"lines_dropped","count":%d}\n' % lost
+            self._told = self.dropped
+        self._held += line
+
+    def flush(self) -> None:
+        """Write what can be written now; see `logging.Handler`."""
+        while self._held:
+            try:
+                written = os.write(self._descriptor, self._held[:WRITE_BYTES])
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more, and there is nowhere to tell it.
+                self._held.clear()
+                return
+            del self._held[:written]
+
+
 @dataclass(slots=True)
 class _Window:
     """How many lines of one kind were logged lately."""
@@ -170,3 +224,22 @@
     # The HTTP client logs each request otherwise.
     logging.getLogger("httpx").setLevel(logging.WARNING)
     logging.getLogger("httpcore").setLevel(logging.WARNING)
+
+
+def start_bounded_logging(
+    descriptor: int, level: int = absl_logging.INFO
+) -> BoundedHandler:
+    """Send every log line of this process to a descriptor, as JSON.
+
+    :param descriptor: where the lines go, such as standard output
+    :param level: the least severe level that is logged
+    :returns: the handler, which somebody has to flush
+    """
+    flags.FLAGS.mark_as_parsed()
+    absl_logging.set_verbosity(level)
+    handler = BoundedHandler(descriptor)
+    handler.setFormatter(JsonFormatter())
+    absl_logging.get_absl_logger().handlers.clear()
+    # The libraries' loggers hand their lines to the root.
+    logging.getLogger().handlers[:] = [handler]
+    return handler
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -79,12 +79,25 @@
 SHED: Final = Notice(
     "B122", "The router shed the request to bound its memory.", 503
 )
+NO_CAPACITY: Final = Notice(
+    "B124", "No endpoint can serve the request in time now.", 503
+)
+OVER_SHARE: Final = Notice(
+    "B125", "The workspace has used its share, and nothing is idle.", 429
+)
+STALE_CONFIG: Final = Notice(
+    "B126", "The router can not prove that its keys are current.", 503
+)
+BAD_HEAD: Final = Notice(
+    "B127", "The head of the request is not acceptable.", 400
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
 WRONG_TYPE: Final = Notice("B203", "{why}")
 OUT_OF_RANGE: Final = Notice("B204", "{why}")
 NOT_JSON: Final = Notice("B205", "Not JSON with comments: {why}")
+NOT_TOML: Final = Notice("B218", "Not TOML: {why}")
 UNREADABLE: Final = Notice("B206", "The file can not be read: {why}")
 DUPLICATE_NAME: Final = Notice("B207", "The name {name!r} stands twice.")
 UNKNOWN_NAME: Final = Notice("B208", "No {kind} is named {name!r}.")
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from prometheus_client import (
     CollectorRegistry,
@@ -20,7 +20,9 @@
 )
 
 from bulrushstream.state.effect import Decision
-from bulrushstream.transport.callers import Exchange
+
+if TYPE_CHECKING:
+    from bulrushstream.transport.callers import Exchange
 
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 WAIT_BUCKETS_S: Final = (
--- /dev/null
+++ b/src/bulrushstream/platform/nodefile.py
@@ -0,0 +1,198 @@
+"""The settings file that the platform hands to each process."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Final, TypeVar
+
+import msgspec
+
+from bulrushstream import messages
+from bulrushstream.state.finding import Finding
+
+SETTINGS_VARIABLE: Final = "BULRUSHSTREAM_NODE_FILE"
+
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class _Listen(msgspec.Struct):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    memory_mb: _Positive = 128.0
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] = 1024
+
+
+class _Bounds(msgspec.Struct, rename="camel"):
+    drain_ms: _Positive = 2_000.0
+    grace_s: _Positive = 8.0
+    revoke_ms: _Positive = 5_000.0
+    strict_revoke: bool = False
+    retry_budget_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.1
+    retry_window_s: _Positive = 10.0
+    retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    quota_window_s: _Positive = 4.0
+
+
+class _Platform(msgspec.Struct):
+    address: str
+
+
+class _Node(msgspec.Struct, rename="camel"):
+    node_name: str
+    ip: str
+    zone: str
+    platform: _Platform
+    listen_addrs: _Listen
+    port_range: tuple[int, int]
+    region: str = ""
+    seed_nodes: list[str] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    contract_bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where something listens."""
+
+    host: str  # An IP number.
+    port: int  # A TCP or UDP port.
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What the platform tells a process that routes requests."""
+
+    instance: str  # Its name, unique in the fleet.
+    host: str  # Its IP number.
+    availability_zone: str  # Where it runs.
+    region: str  # The region of that zone.
+    callers: Address  # Where callers connect.
+    readiness: Address  # Where the balancer asks.
+    store: Address  # The platform's store.
+    peers_port: int  # The port that routers tell each other on.
+    service_port: int  # The port for metrics and configurations.
+    seeds: tuple[str, ...]  # IP numbers of some routers; may be stale.
+    memory_mb: float  # What the process may hold.
+    max_descriptors: int  # What the process may open.
+    drain_s: float  # A leaving endpoint gets nothing new after this.
+    grace_s: float  # From SIGTERM to SIGKILL.
+    revoke_s: float | None  # A key may not be used after this; None: any.
+    retry_ratio: float  # Retries per request, for the whole fleet.
+    retry_slack: float  # Retries beside those.
+    retry_window_s: float  # The window in which retries are counted.
+    share_window_s: float  # The window of a workspace's share.
+
+
+def read_node_file(path: str) -> NodeSettings | tuple[Finding, ...]:
+    """Return the settings in a file, or everything that is wrong in it.
+
+    :param path: a TOML file
+    """
+    try:
+        data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        why = getattr(error, "strerror", None) or str(error)
+        text = messages.UNREADABLE.format(why=why)
+        return (Finding(path, 0, 0, messages.UNREADABLE.code, text),)
+    except tomllib.TOMLDecodeError as error:
+        text = messages.NOT_TOML.format(why=str(error))
+        return (Finding(path, 0, 0, messages.NOT_TOML.code, text),)
+    findings = _check(path, data, _Node, "")
+    node = _convert(data) if not findings else None
+    if node is None:
+        return tuple(sorted(findings))
+    addresses = {}
+    for place, text in (
+        ("listenAddrs.front", node.listen_addrs.front),
+        ("listenAddrs.ready", node.listen_addrs.ready),
+        ("platform.address", node.platform.address),
+    ):
+        try:
+            addresses[place] = _address(text)
+        except ValueError as error:
+            findings.append(_finding(path, place, str(error)))
+    if findings:
+        return tuple(sorted(findings))
+    return _settings(node, addresses)
+
+
+def _settings(node: _Node, addresses: dict[str, Address]) -> NodeSettings:
+    """Return the settings in the product's own words."""
+    bounds = node.contract_bounds
+    return NodeSettings(
+        instance=node.node_name,
+        host=node.ip,
+        availability_zone=node.zone,
+        region=node.region,
+        callers=addresses["listenAddrs.front"],
+        readiness=addresses["listenAddrs.ready"],
+        store=addresses["platform.address"],
+        peers_port=node.port_range[0],
+        service_port=node.port_range[0] + 1,
+        seeds=tuple(seed.rpartition(":")[0] for seed in node.seed_nodes),
+        memory_mb=node.limits.memory_mb,
+        max_descriptors=node.limits.max_fds,
+        drain_s=bounds.drain_ms / 1000.0,
+        grace_s=bounds.grace_s,
+        revoke_s=bounds.revoke_ms / 1000.0 if bounds.strict_revoke else None,
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_slack=bounds.retry_slack,
+        retry_window_s=bounds.retry_window_s,
+        share_window_s=bounds.quota_window_s,
+    )
+
+
+def _convert(data: dict[str, Any]) -> _Node | None:
+    """Return the file as its type, which was checked before."""
+    return msgspec.convert(data, _Node, strict=False)
+
+
+_Raw = TypeVar("_Raw", bound=msgspec.Struct)
+
+
+def _check(
+    path: str, data: object, kind: type[_Raw], place: str
+) -> list[Finding]:
+    """Return everything that is wrong in one table and those below it."""
+    if not isinstance(data, dict):
+        return [_finding(path, place, "a table is expected")]
+    findings = []
+    for field in msgspec.structs.fields(kind):
+        where = f"{place}.{field.encode_name}" if place else field.encode_name
+        if field.encode_name not in data:
+            if field.required:
+                notice = messages.MISSING_KEY
+                text = notice.format(key=field.encode_name)
+                findings.append(Finding(path, 0, 0, notice.code, text, where))
+            continue
+        value = data[field.encode_name]
+        if isinstance(field.type, type) and issubclass(
+            field.type, msgspec.Struct
+        ):
+            findings += _check(path, value, field.type, where)
+            continue
+        try:
+            msgspec.convert(value, field.type, strict=False)
+        except msgspec.ValidationError as error:
+            findings.append(_finding(path, where, str(error)))
+    return findings
+
+
+def _finding(path: str, place: str, why: str) -> Finding:
+    """Return a finding about a value."""
+    notice = messages.WRONG_TYPE
+    return Finding(path, 0, 0, notice.code, notice.format(why=why), place)
+
+
+def _address(text: str) -> Address:
+    """Return an address written as IP number and port."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"not an address with a port: {text!r}")
+    return Address(host, int(port))
--- /dev/null
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -0,0 +1,29 @@
+// What routers tell each other of the requests that they place.
+// The dataclasses in bulrushstream.state.peerupdate explain every field.
+
+struct Placed {
+  1: i64 call
+  2: string endpoint
+  3: list<i64> parts
+  4: list<i32> lengths
+  5: i32 input_tokens
+  6: i32 output_tokens
+}
+
+struct Asked {
+  1: string workspace
+  2: i64 asked_tokens
+  3: i64 granted_tokens
+}
+
+struct Update {
+  1: string instance
+  2: i64 incarnation
+  3: string host
+  4: list<Placed> placed
+  5: list<i64> started
+  6: list<i64> ended
+  7: list<Asked> asked
+  8: list<string> known_hosts
+  9: bool leaving
+}
--- a/src/bulrushstream/state/effect.py
+++ b/src/bulrushstream/state/effect.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import TypeAlias
 
 from bulrushstream.state.config import VersionedConfig
@@ -129,6 +130,7 @@
     attempt: int = 0  # Which attempt; 0: none.
     waited_s: float = 0.0  # How long the request waited.
     outcome: str = ""  # The outcome, if it is settled.
+    inputs: Mapping[str, float | int | str] = field(default_factory=dict)
 
 
 Effect: TypeAlias = (
