--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -44,6 +44,11 @@
 # on waiting for others.
 SURPLUS_WAIT_GOAL: Final = 0.25
 
+# A prompt that takes longer to read than its objective allows is late
+# wherever it goes.  It is sent while no more than this part of the
+# objective is spent on waiting for others.
+OVERSIZE_WAIT_GOAL: Final = 0.15
+
 
 @dataclass(frozen=True, slots=True)
 class Prediction:
@@ -144,7 +149,9 @@
     """
     if within_share:
         limit_s = WITHIN_SHARE_GOAL * goal_left_s
-        good = prediction.first_s <= limit_s or prediction.wait_s <= 0
+        good = prediction.first_s <= limit_s
     else:
         good = prediction.wait_s <= SURPLUS_WAIT_GOAL * goal_left_s
+    if prediction.read_s > goal_left_s:
+        good = good or prediction.wait_s <= OVERSIZE_WAIT_GOAL * goal_left_s
     return Admission.SEND if good else Admission.REFUSE
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -108,6 +108,7 @@
         self.table: RouteTable | None = None
         self.listed = False
         self.draining = False
+        self.closed = False
         self.pool = EndpointPool()
         self.fleet = FleetView(settings.host)
         limit_s = settings.revoke_s
@@ -167,6 +168,9 @@
             self.refuse(exchange, messages.BAD_HEAD, "", Outcome.NOT_RUN, None)
             return
         table = self.table
+        if self.closed:
+            self._turn_away(exchange, messages.DRAINING, call.request_id)
+            return
         if table is None or not self.listed:
             self._turn_away(exchange, messages.NOT_READY, call.request_id)
             return
@@ -516,6 +520,7 @@
                     "version": config.version,
                     "routes": len(config.routes),
                     "workspaces": len(config.workspaces),
+                    "tokens_per_s": config.tokens_per_s,
                 },
             )
         )
--- a/src/bulrushstream/daemon/frontd.py
+++ b/src/bulrushstream/daemon/frontd.py
@@ -161,7 +161,7 @@
         notice_s = begun_s + BALANCER_NOTICE_S
         while self._wiring.clock() < end_s:
             if self._wiring.clock() >= notice_s:
-                front.ingress.close_idle()
+                self._close_door()
                 if not front.forwards:
                     break
             await asyncio.sleep(0.05)
@@ -179,6 +179,12 @@
             front.peers.close()
         self._wiring.observe(Decision("stop", "stopped"))
 
+    def _close_door(self) -> None:
+        """Take no more callers; those who are answered are not disturbed."""
+        self.front.closed = True
+        self._servers[0].close()
+        self.front.ingress.close_idle()
+
     def reload(self) -> None:
         """Read the settings again and take over what may change."""
         found = read_node_file(self._path)
