--- a/deploy/router.py
+++ b/deploy/router.py
@@ -5,6 +5,6 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "src"))
 
-from bulrushstream.frontmain import main  # noqa: E402
+from bulrushstream.compose.entry import main
 
 sys.exit(main())
--- a/src/bulrushstream/commands/daemons.py
+++ b/src/bulrushstream/commands/daemons.py
@@ -15,7 +15,7 @@
 
 from expression import Result
 
-from bulrushstream import compose
+from bulrushstream.compose import fleet as compose
 from bulrushstream.logs import start_logging
 from bulrushstream.settings import (
     AgentSettings,
--- a/src/bulrushstream/frontmain.py
+++ b/src/bulrushstream/compose/entry.py
@@ -1,8 +1,4 @@
-"""The composition root of a routing router on the users' platform.
-
-It is apart from `bulrushstream.compose`, whose parts take longer to load
-than the platform's machines should need to start.
-"""
+"""Wire a routing router on the users' platform."""
 
 from __future__ import annotations
 
@@ -16,12 +12,10 @@
 from bulrushstream.daemon.frontd import boot_clock, seed, serve
 from bulrushstream.logs import instance_log, start_bounded_logging
 from bulrushstream.metrics import count_decision, make_metrics
-from bulrushstream.platform.nodefile import (
-    SETTINGS_VARIABLE,
-    NodeSettings,
-    read_node_file,
-)
+from bulrushstream.platform.dialect import PLATFORM
+from bulrushstream.platform.nodefile import SETTINGS_VARIABLE
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.nodesettings import NodeSettings
 
 BAD_SETTINGS_EXIT: Final = 2
 LOG_FLUSH_S: Final = 0.2
@@ -34,7 +28,7 @@
     :returns: the exit code
     """
     path = os.environ.get(SETTINGS_VARIABLE, "")
-    settings = read_node_file(path)
+    settings = PLATFORM.read_settings(path)
     if not isinstance(settings, NodeSettings):
         for finding in settings:
             print(finding, file=sys.stderr)
@@ -62,6 +56,7 @@
 
     flush()
     return Wiring(
+        dialect=PLATFORM,
         clock=loop.time,
         boot_clock=boot_clock,
         rng=seed(),
--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -55,7 +55,9 @@
     by_name: dict[str, Endpoint] = field(default_factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
 
-    def update(self, entry: EndpointEntry, traits: EngineTraits | None) -> None:
+    def update(
+        self, entry: EndpointEntry, traits: EngineTraits | None
+    ) -> None:
         """Take what the list says of an endpoint.
 
         :param entry: the list's entry
@@ -72,9 +74,9 @@
             view = EngineView(traits.slots, traits.memory_tokens)
         endpoint = Endpoint(entry, view)
         self.by_name[entry.endpoint] = endpoint
-        self.by_service.setdefault(entry.service, {})[
-            entry.endpoint
-        ] = endpoint
+        self.by_service.setdefault(entry.service, {})[entry.endpoint] = (
+            endpoint
+        )
 
     def remove(self, name: str) -> Endpoint | None:
         """Forget an endpoint that the list no longer has.
--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -92,7 +92,8 @@
     def slowness_at(self, now_s: float) -> float:
         """Return how much slower the engine is taken to be now."""
         idle_s = max(0.0, now_s - self.learned_s)
-        return 1.0 + (self.slowness - 1.0) * 0.5 ** (idle_s / FORGET_HALF_S)
+        kept: float = 0.5 ** (idle_s / FORGET_HALF_S)
+        return 1.0 + (self.slowness - 1.0) * kept
 
     def read_s(self, tokens: float, rate: float, now_s: float) -> float:
         """Return how long the engine needs to read so many tokens.
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -19,12 +19,7 @@
     judge,
 )
 from bulrushstream.messages import Notice
-from bulrushstream.platform.headers import (
-    Passage,
-    decode_answer,
-    encode_request,
-)
-from bulrushstream.state.call import AnswerHead, Call, RawHeaders
+from bulrushstream.state.call import AnswerHead, Call, Passage, RawHeaders
 from bulrushstream.state.events import EventCutter
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import RequestKind, Route
@@ -185,7 +180,7 @@
         self.progress.may_have_run = True
         self._sent_s = now_s
         self._watch_overdue(now_s)
-        return encode_request(
+        return front.dialect.encode_request(
             self.call,
             self.exchange.body,
             Passage(
@@ -198,10 +193,10 @@
 
     def head(self, status: int, headers: RawHeaders) -> bool:
         """Take an answer's head; see `Sink`."""
-        head = decode_answer(status, headers)
-        if head.request_id != self.call.request_id:
-            if head.request_id or status < 400:
-                return False
+        head = self.front.dialect.decode_answer(status, headers)
+        other = head.request_id != self.call.request_id
+        if other and (head.request_id or status < 400):
+            return False
         self._head = head
         if not self._streaming and head.event_stream and status == 200:
             self._streaming = head.signed and not head.encoded
@@ -224,9 +219,7 @@
         if not self._first_event_s:
             self._first_event_s = now_s
         if self._endpoint is not None:
-            self.front.first_event(
-                self._endpoint, self._call_number, now_s
-            )
+            self.front.first_event(self._endpoint, self._call_number, now_s)
         if not self.exchange.started:
             self.exchange.begin(head.status, head.headers, None)
         self.exchange.write(whole)
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -37,14 +36,10 @@
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
-from bulrushstream.platform.headers import (
-    BadHead,
-    decode_call,
-    refusal_headers,
-)
-from bulrushstream.platform.nodefile import NodeSettings
+from bulrushstream.protocol.dialect import Dialect, HeadError
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.peerupdate import PeerUpdate, Placed
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import EndpointEntry, RouteConfig
@@ -81,6 +76,7 @@
 class Wiring:
     """What a front is given beside its settings."""
 
+    dialect: Dialect  # How the platform speaks.
     clock: Callable[[], float]  # The event loop's time in seconds.
     boot_clock: Callable[[], float]  # Counts while suspended.
     rng: random.Random  # The source of all randomness.
@@ -99,6 +95,7 @@
         :param wiring: what else it is given
         """
         self.settings = settings
+        self.dialect = wiring.dialect
         self.clock = wiring.clock
         self.boot_clock = wiring.boot_clock
         self.rng = wiring.rng
@@ -159,10 +156,10 @@
         """Take a caller's request; see `Ingress`."""
         arrived_boot_s = self.boot_clock()
         try:
-            call = decode_call(
+            call = self.dialect.decode_call(
                 exchange.method, exchange.target, exchange.headers
             )
-        except BadHead as error:
+        except HeadError as error:
             self.report("bad_head", str(error))
             exchange.keep_alive = False
             self.refuse(exchange, messages.BAD_HEAD, "", Outcome.NOT_RUN, None)
@@ -242,7 +239,7 @@
         :param retry_after_s: when to come back; None: not said
         """
         body = encode_problem(notice, outcome, request_id)
-        headers = refusal_headers(request_id, retry_after_s)
+        headers = self.dialect.refusal_headers(request_id, retry_after_s)
         exchange.answer(notice.status, headers, body)
         self.metrics.requests.labels("", "", outcome.value, notice.code).inc()
 
@@ -499,9 +496,9 @@
         :param config: the configuration
         :returns: whether it is in force now
         """
-        if self.table is not None:
-            if config.version <= self.table.config.version:
-                return False
+        table = self.table
+        if table is not None and config.version <= table.config.version:
+            return False
         self.table = index_routes(config)
         limits = config.limits
         self.limits.header_bytes = limits.header_bytes
@@ -593,9 +590,7 @@
             if asked.asked_tokens:
                 self.shares.ask(asked.workspace, asked.asked_tokens, now_s)
             if asked.granted_tokens:
-                self.shares.grant(
-                    asked.workspace, asked.granted_tokens, now_s
-                )
+                self.shares.grant(asked.workspace, asked.granted_tokens, now_s)
         if update.leaving:
             self._forget_calls(set(peer.calls))
 
--- a/src/bulrushstream/daemon/frontd.py
+++ b/src/bulrushstream/daemon/frontd.py
@@ -11,27 +11,18 @@
 from typing import Any, Final
 
 from bulrushstream.daemon.front import Front, Wiring
-from bulrushstream.daemon.watch import Change, Snapshot, TopicWatch, repeat
+from bulrushstream.daemon.watch import Snapshot, TopicWatch, repeat
 from bulrushstream.metrics import CONTENT_TYPE, encode_metrics
-from bulrushstream.platform.documents import (
-    BadDocument,
-    decode_config,
-    decode_entry,
-)
-from bulrushstream.platform.nodefile import NodeSettings, read_node_file
-from bulrushstream.platform.store import StoreClient, StoreFailure
+from bulrushstream.protocol.dialect import DocumentError
+from bulrushstream.protocol.keyedstore import Keyed, StoreError
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerPort
-from bulrushstream.transport.httpcall import CallFailed, call
+from bulrushstream.transport.httpcall import CallError, call
 from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
 from bulrushstream.transport.upstream import Pool
 
-CONFIG_TOPIC: Final = "keyed.op"
-CONFIG_KEY: Final = "config"
-ENDPOINTS_TOPIC: Final = "keyed.servers"
-ROUTERS_TOPIC: Final = "keyed.routers"
-
 # Endpoints write often and matter within seconds; reads are gathered.
 ENDPOINTS_INTERVAL_S: Final = 0.6
 
@@ -89,10 +80,10 @@
         self._store_ok = True
         self._store_failed_s = float("-inf")
         self._vanished: dict[str, float] = {}
-        store_pool = Pool(
-            settings.store.host, settings.store.port, wiring.clock
+        self._dialect = wiring.dialect
+        self.store = wiring.dialect.make_store(
+            settings.store, wiring.clock, self._count_call
         )
-        self.store = StoreClient(store_pool, self._count_call)
         self._peer_pools: dict[str, Pool] = {}
         self._incarnation = time.time_ns() // 1_000_000
 
@@ -121,9 +112,12 @@
             self._answer_readiness, settings.readiness.port
         )
         await self._listen_small(self._answer_service, settings.service_port)
-        self._watch(CONFIG_TOPIC, 0.0, self._take_config, front.freshness.prove)
+        topics = self._dialect.topics
+        self._watch(
+            topics.config, 0.0, self._take_config, front.freshness.prove
+        )
         self._watch(
-            ENDPOINTS_TOPIC, ENDPOINTS_INTERVAL_S, self._take_endpoints
+            topics.endpoints, ENDPOINTS_INTERVAL_S, self._take_endpoints
         )
         self._spawn(self._join())
         self._spawn(repeat(HEARTBEAT_S, port.flush))
@@ -187,7 +181,7 @@
 
     def reload(self) -> None:
         """Read the settings again and take over what may change."""
-        found = read_node_file(self._path)
+        found = self._dialect.read_settings(self._path)
         if not isinstance(found, NodeSettings):
             for finding in found:
                 self._wiring.report("bad_settings", str(finding))
@@ -196,8 +190,6 @@
             return
         self._settings = found
         self.front.reconfigure(found)
-        self.store.pool.host = found.store.host
-        self.store.pool.port = found.store.port
         self._wiring.observe(Decision("reload", "the settings changed"))
 
     # --- Sockets.
@@ -256,7 +248,7 @@
         self,
         topic: str,
         interval_s: float,
-        take: Callable[[Snapshot | Change], None],
+        take: Callable[[Snapshot | Keyed], None],
         proven: Callable[[float], None] = lambda _: None,
     ) -> None:
         """Start to follow a topic."""
@@ -297,30 +289,31 @@
             self._wiring.observe(Decision("dependency_back", "the store"))
             self._wiring.metrics.degraded.labels("store").set(0)
 
-    def _take_config(self, found: Snapshot | Change) -> None:
+    def _take_config(self, found: Snapshot | Keyed) -> None:
         """Take a record of the operators."""
+        key = self._dialect.topics.config_key
         if isinstance(found, Snapshot):
-            data = found.values.get(CONFIG_KEY)
+            data = found.values.get(key)
         else:
-            data = found.value if found.key == CONFIG_KEY else None
+            data = found.value if found.key == key else None
         if data is not None:
             self._take_raw_config(data)
 
     def _take_raw_config(self, data: bytes) -> None:
         """Put a configuration in force if it is newer."""
         try:
-            config = decode_config(
+            config = self._dialect.decode_config(
                 data, lambda line: self._wiring.report("bad_config", line)
             )
-        except BadDocument as error:
+        except DocumentError as error:
             self._wiring.report("bad_config", str(error))
             return
         if self.front.take_config(config):
             self._raw_config = data
 
-    def _take_endpoints(self, found: Snapshot | Change) -> None:
+    def _take_endpoints(self, found: Snapshot | Keyed) -> None:
         """Take what the list says of endpoints."""
-        if isinstance(found, Change):
+        if isinstance(found, Keyed):
             self._take_endpoint(found.key, found.value)
             return
         for name, value in found.values.items():
@@ -336,8 +329,8 @@
                 self._vanished.setdefault(name, self._wiring.clock())
             return
         try:
-            entry = decode_entry(name, value)
-        except BadDocument as error:
+            entry = self._dialect.decode_entry(name, value)
+        except DocumentError as error:
             self._wiring.report("bad_entry", f"{name}: {error}")
             return
         self._vanished.pop(name, None)
@@ -358,20 +351,19 @@
     async def _join(self) -> None:
         """Enter this router in the routers' topic, and learn of others."""
         settings, front = self._settings, self.front
+        topic = self._dialect.topics.routers
         entered = False
         while True:
             try:
                 if not entered:
-                    await self.store.append_keyed(
-                        ROUTERS_TOPIC, settings.host, b"1"
-                    )
+                    await self.store.append(topic, settings.host, b"1")
                     entered = True
-                hosts, _ = await self.store.newest(ROUTERS_TOPIC)
+                hosts, _ = await self.store.newest(topic)
                 now_s = self._wiring.clock()
                 for host in hosts:
                     front.fleet.suggest(host, now_s)
-            except StoreFailure as error:
-                self._store_failed(f"{type(error).__name__}: {error}")
+            except StoreError as error:
+                self._store_failed(str(error))
                 await asyncio.sleep(self._wiring.rng.uniform(0.5, 1.0))
                 continue
             await asyncio.sleep(ROUTERS_INTERVAL_S)
@@ -401,7 +393,7 @@
                 f"/config?than={version}",
                 timeout_s=ASK_PEER_TIMEOUT_S,
             )
-        except CallFailed as error:
+        except CallError as error:
             pool.drop_idle()
             self._wiring.report("peer_silent", f"{host}: {error}")
             return
--- a/src/bulrushstream/daemon/watch.py
+++ b/src/bulrushstream/daemon/watch.py
@@ -12,12 +12,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from bulrushstream.platform.store import (
-    StoreClient,
-    StoreFailure,
-    Trimmed,
-    split_keyed,
-)
+from bulrushstream.protocol.keyedstore import Keyed, KeyedStore, StoreError
 
 # How long the store waits for a record before it answers.  A proof is as
 # old as the read that gave it, so this bounds the age of the proofs.
@@ -34,23 +29,15 @@
     values: dict[str, bytes]  # By key.
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
-    """One key of a topic."""
-
-    key: str  # The key.
-    value: bytes | None  # Its new content; None: it was dropped.
-
-
 @dataclass(slots=True)
 class TopicWatch:
     """Follows one keyed topic."""
 
-    store: StoreClient  # The platform's store.
+    store: KeyedStore  # The platform's store.
     topic: str  # The topic's name.
     interval_s: float  # The least time between two reads.
     clock: Callable[[], float]  # Counts while the machine is suspended.
-    take: Callable[[Snapshot | Change], None]  # Takes what is read.
+    take: Callable[[Snapshot | Keyed], None]  # Takes what is read.
     proven: Callable[[float], None]  # Takes when a good read was sent.
     failed: Callable[[str], None]  # Takes why a read failed.
     rng: random.Random  # Draws pauses.
@@ -66,8 +53,8 @@
                 else:
                     offset = await self._read_on(offset)
                 pause_s = MIN_PAUSE_S
-            except StoreFailure as error:
-                self.failed(f"{type(error).__name__}: {error}")
+            except StoreError as error:
+                self.failed(str(error))
                 await asyncio.sleep(self.rng.uniform(pause_s / 2, pause_s))
                 pause_s = min(MAX_PAUSE_S, pause_s * 2)
 
@@ -83,15 +70,10 @@
         """Read what was added; return where to read on."""
         sent_s = self.clock()
         batch = await self.store.read(self.topic, offset, WAIT_S)
-        if isinstance(batch, Trimmed):
+        if batch is None:
             return None
         for record in batch.records:
-            try:
-                keyed = split_keyed(record)
-            except (ValueError, UnicodeDecodeError) as error:
-                self.failed(f"record skipped: {error}")
-                continue
-            self.take(Change(keyed.key, keyed.value))
+            self.take(record)
         if batch.next_offset > batch.end_offset:
             # The store's offsets began anew.
             return None
--- a/src/bulrushstream/local/fleet.py
+++ b/src/bulrushstream/local/fleet.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
-from bulrushstream import compose
+from bulrushstream.compose import fleet as compose
 from bulrushstream.coordination.configlog import STREAM, encode_publish
 from bulrushstream.daemon.agent import AgentInstance
 from bulrushstream.daemon.router import RouterInstance
--- a/src/bulrushstream/logs.py
+++ b/src/bulrushstream/logs.py
@@ -73,7 +73,9 @@
 
     dropped: int  # Lines dropped since the process started.
 
-    def __init__(self, descriptor: int, max_bytes: int = MAX_HELD_BYTES) -> None:
+    def __init__(
+        self, descriptor: int, max_bytes: int = MAX_HELD_BYTES
+    ) -> None:
         """Take a descriptor over and make it non-blocking.
 
         :param descriptor: where the lines go
--- a/src/bulrushstream/measure/scenario.py
+++ b/src/bulrushstream/measure/scenario.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from bulrushstream import compose
+from bulrushstream.compose import fleet as compose
 from bulrushstream.daemon.agent import AgentInstance
 from bulrushstream.daemon.router import RouterInstance
 from bulrushstream.history.record import Supply
--- /dev/null
+++ b/src/bulrushstream/platform/dialect.py
@@ -0,0 +1,53 @@
+"""The platform's dialect: every function that translates, in one value."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from bulrushstream.platform.documents import decode_config, decode_entry
+from bulrushstream.platform.headers import (
+    decode_answer,
+    decode_call,
+    encode_request,
+    refusal_headers,
+)
+from bulrushstream.platform.nodefile import read_node_file
+from bulrushstream.platform.store import StoreClient
+from bulrushstream.protocol.dialect import Dialect, Topics
+from bulrushstream.protocol.keyedstore import KeyedStore
+from bulrushstream.state.nodesettings import Address
+from bulrushstream.transport.upstream import Pool
+
+
+def make_store(
+    address: Address,
+    clock: Callable[[], float],
+    count: Callable[[str, bool], None],
+) -> KeyedStore:
+    """Return a client of the platform's store.
+
+    :param address: where the store listens
+    :param clock: the time in seconds
+    :param count: takes each call's name and whether it went well
+    """
+    return StoreClient(Pool(address.host, address.port, clock), count)
+
+
+PLATFORM: Final = Dialect(
+    topics=Topics(
+        config="keyed.op",
+        config_key="config",
+        # The platform calls endpoints servers.
+        endpoints="keyed.servers",
+        routers="keyed.routers",
+    ),
+    read_settings=read_node_file,
+    make_store=make_store,
+    decode_config=decode_config,
+    decode_entry=decode_entry,
+    decode_call=decode_call,
+    encode_request=encode_request,
+    decode_answer=decode_answer,
+    refusal_headers=refusal_headers,
+)
--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bulrushstream.platform.headers import digest_of
+from bulrushstream.protocol.dialect import DocumentError
 from bulrushstream.state.routes import (
     ClientLimits,
     EndpointEntry,
@@ -35,10 +36,6 @@
 _Port = Annotated[int, msgspec.Meta(gt=0, lt=65536)]
 
 
-class BadDocument(ValueError):
-    """A record that is not what its place calls for."""
-
-
 class _Share(msgspec.Struct):
     service: _Name
     weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
@@ -108,12 +105,12 @@
 
     :param data: the record of the operators
     :param report: takes a line for each part that is left out
-    :raises BadDocument: if the record as a whole can not be read
+    :raises DocumentError: if the record as a whole can not be read
     """
     try:
         raw = msgspec.json.decode(data, type=_Config)
     except msgspec.DecodeError as error:
-        raise BadDocument(str(error)) from error
+        raise DocumentError(str(error)) from error
     tenants = raw.tenants or []
     limits = _convert(raw.limits or {}, _Limits, "limits", report) or _Limits()
     return RouteConfig(
@@ -141,16 +138,16 @@
 
     :param endpoint: the id under which the record lies
     :param data: the record
-    :raises BadDocument: if it can not be read
+    :raises DocumentError: if it can not be read
     """
     try:
         raw = msgspec.json.decode(data, type=_Entry)
         host, _, port = raw.address.rpartition(":")
         number = msgspec.convert(port, _Port, strict=False)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise BadDocument(str(error)) from error
+        raise DocumentError(str(error)) from error
     if not endpoint or not host:
-        raise BadDocument(f"no address: {raw.address!r}")
+        raise DocumentError(f"no address: {raw.address!r}")
     return EndpointEntry(
         endpoint=endpoint,
         service=raw.service,
@@ -203,7 +200,7 @@
     )
     if not split:
         if not raw.service:
-            raise BadDocument(f"{raw.name} names no service")
+            raise DocumentError(f"{raw.name} names no service")
         split = (SplitShare(raw.service, 1.0),)
     return Route(
         name=raw.name,
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
 from typing import Final
 
+from bulrushstream.protocol.dialect import HeadError
 from bulrushstream.state.call import (
     AnswerHead,
     Call,
+    Passage,
     Prompt,
     PromptPart,
     RawHeaders,
@@ -82,17 +83,13 @@
 MAX_PROMPT_PARTS: Final = 256
 
 
-class BadHead(ValueError):
-    """A request whose head can not be understood."""
-
-
 def decode_call(method: bytes, target: bytes, headers: RawHeaders) -> Call:
     """Return what a caller's head means.
 
     :param method: the HTTP method
     :param target: the path and query
     :param headers: as they were read
-    :raises BadHead: if the request has to be refused as malformed
+    :raises HeadError: if the request has to be refused as malformed
     """
     known: dict[bytes, bytes] = {}
     dropped: set[bytes] = set()
@@ -100,17 +97,15 @@
         lower = name.lower()
         if lower in _ONCE:
             if lower in known:
-                raise BadHead(f"{lower.decode()} is given twice")
+                raise HeadError(f"{lower.decode()} is given twice")
             known[lower] = value
         elif lower == b"connection":
-            dropped.update(
-                word.strip().lower() for word in value.split(b",")
-            )
+            dropped.update(word.strip().lower() for word in value.split(b","))
     if not target.startswith(b"/"):
-        raise BadHead("the target is not a path")
+        raise HeadError("the target is not a path")
     request_id = known.get(REQUEST_ID, b"").decode("latin-1")
     if not request_id or len(request_id) > MAX_REQUEST_ID_CHARS:
-        raise BadHead("there is no usable request id")
+        raise HeadError("there is no usable request id")
     dropped -= _END_TO_END
     resume_after = _event_id(known.get(b"last-event-id"))
     own = _OWN if resume_after is not None else _OWN - {b"last-event-id"}
@@ -193,9 +188,7 @@
         return None
     if not (0 <= input_tokens < 2**31 and 0 <= output_limit < 2**31):
         return None
-    hint = next(
-        (v for n, v in headers if n.lower() == b"x-length-hint"), b"0"
-    )
+    hint = next((v for n, v in headers if n.lower() == b"x-length-hint"), b"0")
     output_hint = int(hint) if hint.isdigit() and len(hint) < 10 else 0
     return Prompt(
         model=known.get(b"x-model", b"").decode("latin-1"),
@@ -219,16 +212,6 @@
     return tuple(parts)
 
 
-@dataclass(frozen=True, slots=True)
-class Passage:
-    """What the system adds to one attempt of a request."""
-
-    endpoint: str  # The id that the endpoint must have.
-    workspace: str  # Whose request it is; empty: nobody's.
-    left_ms: int  # How long the caller still waits.
-    resume_after: int | None  # The last event that the caller has.
-
-
 def encode_request(call: Call, body: bytes, passage: Passage) -> bytes:
     """Return a request as an endpoint gets it.
 
--- a/src/bulrushstream/platform/nodefile.py
+++ b/src/bulrushstream/platform/nodefile.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import tomllib
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any, Final, TypeVar
 
@@ -11,6 +10,7 @@
 
 from bulrushstream import messages
 from bulrushstream.state.finding import Finding
+from bulrushstream.state.nodesettings import Address, NodeSettings
 
 SETTINGS_VARIABLE: Final = "BULRUSHSTREAM_NODE_FILE"
 
@@ -56,39 +56,6 @@
     contract_bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Where something listens."""
-
-    host: str  # An IP number.
-    port: int  # A TCP or UDP port.
-
-
-@dataclass(frozen=True, slots=True)
-class NodeSettings:
-    """What the platform tells a process that routes requests."""
-
-    instance: str  # Its name, unique in the fleet.
-    host: str  # Its IP number.
-    availability_zone: str  # Where it runs.
-    region: str  # The region of that zone.
-    callers: Address  # Where callers connect.
-    readiness: Address  # Where the balancer asks.
-    store: Address  # The platform's store.
-    peers_port: int  # The port that routers tell each other on.
-    service_port: int  # The port for metrics and configurations.
-    seeds: tuple[str, ...]  # IP numbers of some routers; may be stale.
-    memory_mb: float  # What the process may hold.
-    max_descriptors: int  # What the process may open.
-    drain_s: float  # A leaving endpoint gets nothing new after this.
-    grace_s: float  # From SIGTERM to SIGKILL.
-    revoke_s: float | None  # A key may not be used after this; None: any.
-    retry_ratio: float  # Retries per request, for the whole fleet.
-    retry_slack: float  # Retries beside those.
-    retry_window_s: float  # The window in which retries are counted.
-    share_window_s: float  # The window of a workspace's share.
-
-
 def read_node_file(path: str) -> NodeSettings | tuple[Finding, ...]:
     """Return the settings in a file, or everything that is wrong in it.
 
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -21,7 +21,7 @@
 CHECKSUM: Final = struct.Struct("!Q")
 
 
-class BadDatagram(ValueError):
+class DatagramError(ValueError):
     """Bytes that are no update."""
 
 
@@ -76,20 +76,20 @@
     """Return the update in a datagram.
 
     :param data: the datagram
-    :raises BadDatagram: if it holds none
+    :raises DatagramError: if it holds none
     """
     body = data[CHECKSUM.size :]
     if len(data) <= CHECKSUM.size:
-        raise BadDatagram("shorter than its checksum")
+        raise DatagramError("shorter than its checksum")
     (expected,) = CHECKSUM.unpack_from(data)
     if xxhash.xxh64_intdigest(body) != expected:
-        raise BadDatagram("the checksum differs")
+        raise DatagramError("the checksum differs")
     # The library raises many kinds of errors on bytes of another schema.
     try:
         wire = deserialize(_SCHEMA.Update(), body, _BINARY)
         return _from_wire(wire)
     except Exception as error:
-        raise BadDatagram(f"{type(error).__name__}: {error}") from error
+        raise DatagramError(f"{type(error).__name__}: {error}") from error
 
 
 def _from_wire(wire: Any) -> PeerUpdate:
--- a/src/bulrushstream/state/call.py
+++ b/src/bulrushstream/state/call.py
@@ -61,3 +61,13 @@
     headers: RawHeaders  # Those that go on to the caller.
     keep_alive_s: float | None = None  # How long it keeps idle ones.
     load: tuple[int, int, int] | None = None  # Running, waiting, slots.
+
+
+@dataclass(frozen=True, slots=True)
+class Passage:
+    """What the system adds to one attempt of a request."""
+
+    endpoint: str  # The id that the endpoint must have.
+    workspace: str  # Whose request it is; empty: nobody's.
+    left_ms: int  # How long the caller still waits.
+    resume_after: int | None  # The last event that the caller has.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -8,7 +8,7 @@
 from typing import Final, cast
 
 from bulrushstream.protocol.peercodec import (
-    BadDatagram,
+    DatagramError,
     decode_update,
     encode_update,
 )
@@ -78,7 +78,7 @@
         self.received_bytes += len(data)
         try:
             update = decode_update(data)
-        except BadDatagram as error:
+        except DatagramError as error:
             self._report("bad_datagram", str(error))
             return
         own = self._identity
--- a/src/bulrushstream/transport/httpcall.py
+++ b/src/bulrushstream/transport/httpcall.py
@@ -9,7 +9,7 @@
 from bulrushstream.transport.upstream import Loss, Pool
 
 
-class CallFailed(Exception):
+class CallError(Exception):
     """No answer came; whatever was called may have happened."""
 
 
@@ -55,7 +55,7 @@
     def lost(self, loss: Loss, detail: str) -> None:
         """Hand the failure over; see `Sink`."""
         if not self.future.done():
-            self.future.set_exception(CallFailed(detail))
+            self.future.set_exception(CallError(detail))
 
 
 async def call(
@@ -73,19 +73,20 @@
     :param target: the path and query
     :param body: what to send; None: nothing
     :param timeout_s: the longest wait for the whole answer
-    :raises CallFailed: if no whole answer came in time
+    :raises CallError: if no whole answer came in time
     """
     lines = [f"{method} {target} HTTP/1.1", f"host: {pool.host}:{pool.port}"]
     if body is not None:
         lines.append(f"content-length: {len(body)}")
     request = "\r\n".join([*lines, "", ""]).encode() + (body or b"")
-    future = asyncio.get_running_loop().create_future()
+    loop = asyncio.get_running_loop()
+    future: asyncio.Future[Answer] = loop.create_future()
     pending = pool.send(method.encode(), _Collector(request, future))
     try:
         async with asyncio.timeout(timeout_s):
             return await future
     except TimeoutError:
-        raise CallFailed(f"no answer within {timeout_s} s") from None
+        raise CallError(f"no answer within {timeout_s} s") from None
     finally:
         if not future.done() or future.cancelled():
             pending.cancel()
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -142,9 +142,7 @@
         self.done = True
         self.connection.abort()
 
-    def _head(
-        self, status: int, headers: RawHeaders, framing: bytes
-    ) -> bytes:
+    def _head(self, status: int, headers: RawHeaders, framing: bytes) -> bytes:
         """Return the head of an answer."""
         if self.connection.closing:
             self.keep_alive = False
@@ -252,7 +250,7 @@
             self._reject(400)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
-            status = cause.status if isinstance(cause, _Rejected) else 400
+            status = cause.status if isinstance(cause, _RejectedError) else 400
             self._reject(status)
         except httptools.HttpParserError:
             self._reject(400)
@@ -290,7 +288,7 @@
         size = sum(len(n) + len(v) + 4 for n, v in exchange.headers)
         limits = self._ingress.limits
         if size + len(exchange.target) > limits.header_bytes:
-            raise _Rejected(431)
+            raise _RejectedError(431)
         for name, value in exchange.headers:
             self._check_header(name.lower(), value)
         if self._current is None:
@@ -300,7 +298,7 @@
         """Take a piece of a body; called by the parser."""
         self._size_bytes += len(data)
         if self._size_bytes > self._ingress.limits.body_bytes:
-            raise _Rejected(413)
+            raise _RejectedError(413)
         self._pieces.append(data)
 
     def on_message_complete(self) -> None:
@@ -315,7 +313,7 @@
         self._pieces = []
         exchange.arrived_s = self._ingress.clock()
         if len(self._waiting) >= MAX_PIPELINED:
-            raise _Rejected(400)
+            raise _RejectedError(400)
         self._waiting.append(exchange)
 
     def write(self, data: bytes) -> None:
@@ -373,10 +371,11 @@
         if name == b"content-length":
             too_long = len(value) > 12
             if too_long or int(value) > self._ingress.limits.body_bytes:
-                raise _Rejected(413)
-        elif name == b"expect" and value.lower() == b"100-continue":
-            if self._current is None:
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                raise _RejectedError(413)
+            return
+        waits = name == b"expect" and value.lower() == b"100-continue"
+        if waits and self._current is None:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _check_head(self) -> None:
         """Refuse a head that is too long already."""
@@ -441,7 +440,7 @@
                 exchange.on_gone()
 
 
-class _Rejected(Exception):
+class _RejectedError(Exception):
     """A request that is refused while it arrives."""
 
     def __init__(self, status: int) -> None:
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -296,7 +296,9 @@
     _all: set[Connection] = field(default_factory=set)
     _connecting: int = 0  # Connections that are being made.
 
-    def send(self, method: bytes, sink: Sink, *, fresh: bool = False) -> Pending:
+    def send(
+        self, method: bytes, sink: Sink, *, fresh: bool = False
+    ) -> Pending:
         """Send a request on an idle connection or a new one.
 
         :param method: the HTTP method
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -9,7 +9,7 @@
 import httpx
 
 from bulrushstream.commands.demo import demo_plan
-from bulrushstream.compose import surroundings
+from bulrushstream.compose.fleet import surroundings
 from bulrushstream.daemon.agent import AgentInstance
 from bulrushstream.daemon.router import RouterInstance
 from bulrushstream.local.client import call_service, chat
