--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -31,8 +31,8 @@
 # The share of an engine's memory that cached parts are expected in.
 USABLE_MEMORY: Final = 0.92
 
-# How fast an observed rate replaces the estimate.
-RATE_GAIN: Final = 0.2
+# How much one observation moves the estimate of an engine's speed.
+SLOWNESS_GAIN: Final = 0.4
 
 # Reads shorter than this tell more of the step than of the rate.
 MIN_OBSERVED_TOKENS: Final = 800.0
@@ -181,7 +181,7 @@
         expected_s = entry.read_tokens / rate
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, took_s / expected_s))
         current = self.slowness_at(now_s)
-        self.slowness = current + RATE_GAIN * (ratio - current)
+        self.slowness = current + SLOWNESS_GAIN * (ratio - current)
         self.learned_s = now_s
         return entry.read_tokens / took_s
 
--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -42,7 +42,7 @@
 
 # Surplus is sent while no more than this part of the objective is spent
 # on waiting for others.
-SURPLUS_WAIT_GOAL: Final = 0.25
+SURPLUS_WAIT_GOAL: Final = 0.12
 
 # A prompt that takes longer to read than its objective allows is late
 # wherever it goes.  It is sent while no more than this part of the
--- a/src/bulrushstream/daemon/frontd.py
+++ b/src/bulrushstream/daemon/frontd.py
@@ -76,6 +76,7 @@
         self.front = Front(settings, wiring)
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
+        self.ports: list[int] = []  # Bound: callers, readiness, service.
         self._raw_config = b""
         self._store_ok = True
         self._store_failed_s = float("-inf")
@@ -122,7 +123,8 @@
         self._spawn(self._join())
         self._spawn(repeat(HEARTBEAT_S, port.flush))
         self._spawn(repeat(SWEEP_S, self._sweep))
-        self._spawn(repeat(SETTINGS_INTERVAL_S, self.reload))
+        if self._path:
+            self._spawn(repeat(SETTINGS_INTERVAL_S, self.reload))
         self._spawn(repeat(ASK_PEER_INTERVAL_S, self._ask_peers))
         self._wiring.observe(
             Decision(
@@ -201,6 +203,7 @@
             ingress.make_connection, host, port, backlog=1024
         )
         self._servers.append(server)
+        self.ports.append(server.sockets[0].getsockname()[1])
 
     async def _listen_small(
         self, handle: Callable[[Exchange], None], port: int
--- /dev/null
+++ b/tests/deployments.py
@@ -0,0 +1,238 @@
+"""Builders of what the platform says, and of a router that hears it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import msgspec
+
+from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.engineview import EngineView
+from bulrushstream.daemon.front import Wiring
+from bulrushstream.daemon.frontd import FrontProcess, boot_clock
+from bulrushstream.metrics import make_metrics
+from bulrushstream.platform.dialect import PLATFORM
+from bulrushstream.platform.headers import digest_of
+from bulrushstream.standins.keyedlog import KeyedLog
+from bulrushstream.standins.worker import Worker
+from bulrushstream.state.call import Prompt, PromptPart
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.nodesettings import Address, NodeSettings
+from bulrushstream.state.routes import (
+    EndpointEntry,
+    KeyHolder,
+    RequestKind,
+    Route,
+    RouteConfig,
+    SplitShare,
+)
+
+KEY = "k7b2ex5wa5xwyhks8nbk"
+HOST = "shop.example"
+
+
+def a_route(**changes: Any) -> Route:
+    """Return a route that is plain and idempotent."""
+    route = Route(
+        name="r",
+        host=HOST,
+        prefix="/a/",
+        kind=RequestKind.IDEMPOTENT,
+        split=(SplitShare("desk", 1.0),),
+        timeout_s=2.0,
+        goal_s=0.1,
+        max_attempts=2,
+    )
+    return replace(route, **changes)
+
+
+def a_config(*routes: Route, version: int = 1) -> RouteConfig:
+    """Return a configuration with one workspace."""
+    holder = KeyHolder("club", (digest_of(KEY),))
+    return RouteConfig(
+        version=version,
+        routes=routes,
+        workspaces=(holder,),
+        demands_keys=True,
+    )
+
+
+def a_prompt(*parts: tuple[int, int], output: int = 50) -> Prompt:
+    """Return a prompt of parts with their ids and lengths."""
+    return Prompt(
+        model="m",
+        parts=tuple(PromptPart(part, tokens) for part, tokens in parts),
+        input_tokens=sum(tokens for _, tokens in parts),
+        output_limit=output,
+    )
+
+
+def an_entry(name: str = "i-1", **changes: Any) -> EndpointEntry:
+    """Return what the list says of an endpoint that serves."""
+    entry = EndpointEntry(
+        endpoint=name,
+        service="desk",
+        host="127.0.0.1",
+        port=1,
+        availability_zone="z",
+        slots=6,
+    )
+    return replace(entry, **changes)
+
+
+def an_engine(name: str = "e-1", memory: int = 200_000) -> Endpoint:
+    """Return an engine about which nothing is known yet."""
+    return Endpoint(an_entry(name, service="llm"), EngineView(64, memory))
+
+
+def wire_route(prefix: str, service: str, kind: str, **more: Any) -> Any:
+    """Return a route as operators write it."""
+    return {
+        "name": "r" + prefix,
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeoutMs": 2000,
+        "goalLatencyMs": 200,
+        "service": service,
+        "maxAttempts": 2,
+        **more,
+    }
+
+
+def wire_config(*routes: Any, version: int = 1, keys: Any = (KEY,)) -> bytes:
+    """Return a configuration as operators write it."""
+    engine = {"slots": 64, "kvTokens": 200_000}
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "desk", "maxConns": 100},
+            {"name": "llm", "maxConns": 100, "engine": engine},
+        ],
+        "limits": {"tokensPerS": 100_000},
+        "tenants": [{"name": "club", "apiKeys": list(keys)}],
+    }
+    return msgspec.json.encode(document)
+
+
+def wire_entry(
+    service: str, port: int, state: str = "ready", **more: Any
+) -> bytes:
+    """Return what a worker writes about itself."""
+    document = {
+        "service": service,
+        "address": f"127.0.0.1:{port}",
+        "zone": "z",
+        "slots": 6,
+        "state": state,
+        **more,
+    }
+    return msgspec.json.encode(document)
+
+
+def node_settings(store_port: int = 1, **changes: Any) -> NodeSettings:
+    """Return the settings of a router whose ports are free ones."""
+    settings = NodeSettings(
+        instance="front-1",
+        host="127.0.0.1",
+        availability_zone="z",
+        region="r",
+        callers=Address("127.0.0.1", 0),
+        readiness=Address("127.0.0.1", 0),
+        store=Address("127.0.0.1", store_port),
+        peers_port=0,
+        service_port=0,
+        seeds=(),
+        memory_mb=128,
+        max_descriptors=1024,
+        drain_s=2.0,
+        grace_s=2.0,
+        revoke_s=5.0,
+        retry_ratio=0.2,
+        retry_slack=50,
+        retry_window_s=10,
+        share_window_s=4,
+    )
+    return replace(settings, **changes)
+
+
+@dataclass(slots=True)
+class Deployment:
+    """A store, workers and one router, over loopback."""
+
+    store: KeyedLog  # The platform's store.
+    process: FrontProcess  # The router.
+    workers: dict[str, Worker] = field(default_factory=dict)
+    decisions: list[Decision] = field(default_factory=list)
+    boot_offset_s: list[float] = field(default_factory=lambda: [0.0])
+
+    @property
+    def port(self) -> int:
+        """Return where callers connect."""
+        return self.process.ports[0]
+
+    async def add(
+        self, name: str, service: str = "desk", **options: Any
+    ) -> Worker:
+        """Start a worker and enter it in the list."""
+        loop = asyncio.get_running_loop()
+        worker = Worker(name, loop.time, **options)
+        await worker.start()
+        self.workers[name] = worker
+        self.enter(name, service)
+        return worker
+
+    def enter(
+        self, name: str, service: str = "desk", state: str = "ready"
+    ) -> None:
+        """Write a worker's entry."""
+        entry = wire_entry(service, self.workers[name].port, state)
+        self.store.put("keyed.servers", name, entry)
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Wait until something holds; fail if it never does."""
+        async with asyncio.timeout(10):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    async def until_ready(self, endpoints: int) -> None:
+        """Wait until the router takes requests."""
+        front = self.process.front
+        await self.until(
+            lambda: front.ready and len(front.pool.by_name) == endpoints
+        )
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.process.stop()
+        for worker in self.workers.values():
+            await worker.stop()
+        await self.store.stop()
+
+
+async def deploy(config: bytes, **changes: Any) -> Deployment:
+    """Start a store with a configuration, and a router."""
+    loop = asyncio.get_running_loop()
+    store = KeyedLog(loop.time)
+    await store.start()
+    store.put("keyed.op", "config", config)
+    decisions: list[Decision] = []
+    offset_s = [0.0]
+    wiring = Wiring(
+        dialect=PLATFORM,
+        clock=loop.time,
+        boot_clock=lambda: boot_clock() + offset_s[0],
+        rng=random.Random(1),
+        metrics=make_metrics(),
+        observe=decisions.append,
+        report=lambda kind, text: None,
+    )
+    settings = node_settings(store.port, **changes)
+    process = FrontProcess("", settings, wiring)
+    await process.start()
+    return Deployment(store, process, {}, decisions, offset_s)
--- /dev/null
+++ b/tests/test_endpointpool.py
@@ -0,0 +1,76 @@
+"""Which endpoints take new work."""
+
+from __future__ import annotations
+
+import random
+
+from bulrushstream.coordination.endpointpool import (
+    MAX_EJECTION_S,
+    EndpointPool,
+)
+from bulrushstream.coordination.placement import choose_plain
+from tests.deployments import an_entry
+
+
+def a_pool(count: int = 4) -> EndpointPool:
+    """Return a pool of plain endpoints."""
+    pool = EndpointPool()
+    for number in range(count):
+        pool.update(an_entry(f"i-{number}"), None)
+    return pool
+
+
+class EjectionSuite:
+    def test_one_bad_endpoint_is_ejected_and_comes_back(self) -> None:
+        pool = a_pool()
+        bad = pool.by_name["i-0"]
+        ejected = [pool.failed(bad, 0.0) for _ in range(8)]
+        assert ejected.count(True) == 1
+        assert bad not in pool.usable("desk", 0.0)
+        assert bad in pool.usable("desk", MAX_EJECTION_S + 0.1)
+
+    def test_half_of_the_endpoints_stay_in_use(self) -> None:
+        pool = a_pool()
+        for endpoint in pool.by_name.values():
+            for _ in range(20):
+                pool.failed(endpoint, 0.0)
+        assert len(pool.usable("desk", 0.0)) >= 2
+
+    def test_failures_that_all_share_eject_nobody(self) -> None:
+        pool = a_pool()
+        for _ in range(30):
+            for endpoint in pool.by_name.values():
+                assert not pool.failed(endpoint, 0.0)
+
+    def test_what_is_left_is_used_however_bad(self) -> None:
+        pool = a_pool(1)
+        pool.unreachable(pool.by_name["i-0"], 0.0)
+        assert pool.usable("desk", 0.0)
+
+
+class ListSuite:
+    def test_a_leaving_endpoint_is_not_used(self) -> None:
+        pool = a_pool(2)
+        pool.update(an_entry("i-0", leaving=True), None)
+        assert [each.name for each in pool.usable("desk", 0.0)] == ["i-1"]
+
+    def test_an_address_that_is_used_again_is_another_endpoint(self) -> None:
+        pool = a_pool(1)
+        before = pool.by_name["i-0"]
+        pool.update(an_entry("i-0", service="other"), None)
+        assert before.gone
+        assert not pool.usable("desk", 0.0)
+        assert pool.usable("other", 0.0)
+
+
+class PlainChoiceSuite:
+    def test_the_least_loaded_is_chosen_the_own_zone_first(self) -> None:
+        pool = EndpointPool()
+        pool.update(an_entry("near", availability_zone="z"), None)
+        pool.update(an_entry("far", availability_zone="y"), None)
+        near, far = pool.by_name["near"], pool.by_name["far"]
+        rng = random.Random(1)
+        assert choose_plain([far, near], "z", rng) is near
+        near.outstanding = 1
+        assert choose_plain([far, near], "z", rng) is far
+        assert choose_plain([], "z", rng) is None
--- /dev/null
+++ b/tests/test_engineview.py
@@ -0,0 +1,111 @@
+"""What a router believes of an engine, in virtual time."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushstream.coordination.engineview import FIXED_DELAY_S, EngineView
+from tests.deployments import a_prompt
+
+RATE = 30_000.0
+
+
+class CacheSuite:
+    def test_parts_are_cached_only_behind_cached_parts(self) -> None:
+        view = EngineView(64, 100_000)
+        view.place(1, a_prompt((1, 1000), (2, 2000), (3, 50)), RATE, 0, 9)
+        warm = view.uncached(a_prompt((1, 1000), (2, 2000), (4, 60)))
+        cold = view.uncached(a_prompt((9, 1000), (2, 2000), (4, 60)))
+        assert warm < 80
+        assert cold > 3000
+
+    def test_the_least_recently_used_part_yields(self) -> None:
+        view = EngineView(64, 10_000)
+        for number in range(1, 5):
+            view.place(number, a_prompt((number, 3000)), RATE, 0, 9)
+        assert list(view.cached) == [2, 3, 4]
+
+    @given(
+        st.lists(
+            st.tuples(st.integers(1, 30), st.integers(1, 4000)), max_size=60
+        )
+    )
+    def test_the_sum_of_cached_parts_is_right_and_bounded(
+        self, parts: list[tuple[int, int]]
+    ) -> None:
+        view = EngineView(64, 9000)
+        for number, part in enumerate(parts):
+            view.place(number, a_prompt(part), RATE, 0, 9)
+            assert view.cached_tokens == sum(view.cached.values())
+            assert view.cached_tokens <= 9000
+
+
+class BacklogSuite:
+    def test_reading_adds_up_and_time_works_it_off(self) -> None:
+        view = EngineView(64, 200_000)
+        for number in (1, 2):
+            view.place(number, a_prompt((number, 6000)), RATE, 0.0, 9)
+        both_s = view.backlog_s(0.0)
+        assert 0.4 < both_s < 0.5
+        assert abs(view.backlog_s(0.1) - (both_s - 0.1)) < 1e-9
+        assert view.backlog_s(5.0) == 0.0
+
+    def test_a_first_event_corrects_the_sum(self) -> None:
+        view = EngineView(64, 200_000)
+        for number in (1, 2, 3):
+            view.place(number, a_prompt((number, 6000)), RATE, 0.0, 9)
+        one_s = view.pending[3].read_s
+        view.start(2, RATE, 0.9)
+        # The first and second are read, whatever was predicted.
+        assert abs(view.backlog_s(0.9) - one_s) < 1e-9
+        assert list(view.pending) == [3]
+
+    def test_a_request_that_ends_unread_is_taken_out(self) -> None:
+        view = EngineView(64, 200_000)
+        for number in (1, 2):
+            view.place(number, a_prompt((number, 6000)), RATE, 0.0, 9)
+        view.end(1)
+        assert abs(view.backlog_s(0.0) - view.pending[2].read_s) < 1e-9
+
+    def test_what_nobody_ends_is_forgotten(self) -> None:
+        view = EngineView(64, 200_000)
+        view.place(1, a_prompt((1, 6000)), RATE, 0.0, 3.0)
+        view.expire(2.9)
+        assert view.running_tokens == 6050
+        view.expire(3.1)
+        assert (view.running_tokens, len(view.running)) == (0, 0)
+
+    def test_slots_and_memory_bound_the_room(self) -> None:
+        view = EngineView(2, 10_000)
+        assert view.has_room(a_prompt((1, 6000)))
+        view.place(1, a_prompt((1, 6000)), RATE, 0.0, 9)
+        assert not view.has_room(a_prompt((2, 6000)))
+        assert view.has_room(a_prompt((2, 2000)))
+        view.place(2, a_prompt((2, 10)), RATE, 0.0, 9)
+        assert not view.has_room(a_prompt((3, 10)))
+
+
+class SpeedSuite:
+    def test_a_slow_engine_is_learned_and_forgotten(self) -> None:
+        view = EngineView(64, 10**9)
+        now_s = 0.0
+        for number in range(30):
+            view.place(number, a_prompt((number, 6000)), RATE, now_s, 1e9)
+            slow_s = view.pending[number].read_tokens / RATE * 4
+            now_s += slow_s + FIXED_DELAY_S
+            view.start(number, RATE, now_s)
+            view.end(number)
+            now_s += 2.0
+        assert 2.5 < view.slowness_at(now_s) < 4.5
+        assert view.slowness_at(now_s + 60) < 1.05
+
+    def test_only_a_read_that_met_nothing_tells_the_rate(self) -> None:
+        view = EngineView(64, 10**9)
+        view.place(1, a_prompt((1, 6000)), RATE, 0.0, 9)
+        view.place(2, a_prompt((2, 6000)), RATE, 0.0, 9)
+        observed = view.start(1, RATE, 0.22 + FIXED_DELAY_S)
+        assert observed is not None
+        assert 25_000 < observed < 35_000
+        assert view.start(2, RATE, 0.5) is None
+        assert view.start(2, RATE, 0.6) is None
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,265 @@
+"""What the platform says, decoded into the project's own types."""
+
+from __future__ import annotations
+
+import contextlib
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushstream.platform.documents import decode_config, decode_entry
+from bulrushstream.platform.headers import (
+    decode_answer,
+    decode_call,
+    encode_request,
+)
+from bulrushstream.platform.nodefile import read_node_file
+from bulrushstream.protocol.dialect import DocumentError, HeadError
+from bulrushstream.protocol.peercodec import (
+    DatagramError,
+    decode_update,
+    encode_update,
+)
+from bulrushstream.state.call import Passage, PromptPart
+from bulrushstream.state.nodesettings import Address, NodeSettings
+from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed
+from bulrushstream.state.routes import RequestKind
+from tests.deployments import wire_config, wire_entry, wire_route
+
+HEAD = [
+    (b"Host", b"Shop.Example:80"),
+    (b"X-Request-Id", b"q1"),
+    (b"X-Model", b"m"),
+    (b"X-Token-Counts", b"1460,80"),
+    (b"X-Prompt-Prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    (b"X-Length-Hint", b"60"),
+    (b"X-Deadline-Ms", b"6000"),
+    (b"Last-Event-Id", b"12"),
+    (b"Authorization", b"bearer  abc"),
+]
+
+
+class CallSuite:
+    def test_a_head_means_what_the_platform_says(self) -> None:
+        call = decode_call(b"POST", b"/a/b?c=1", HEAD)
+        assert (call.host, call.path) == ("shop.example", "/a/b")
+        assert call.patience_s == 6.0
+        assert call.resume_after == 12
+        assert call.prompt is not None
+        assert call.prompt.parts[0] == PromptPart(0x5C1E07A2, 800)
+        assert call.prompt.input_tokens == 1460
+        assert call.prompt.quota_tokens == 1460 + 2 * 60
+
+    def test_an_endpoint_gets_the_request_as_it_was_sent(self) -> None:
+        call = decode_call(b"POST", b"/a/b?c=1", HEAD)
+        raw = encode_request(call, b"body", Passage("i-1", "club", 900, 14))
+        head, _, body = raw.partition(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        assert lines[0] == b"POST /a/b?c=1 HTTP/1.1"
+        assert body == b"body"
+        for line in (
+            b"X-Request-Id: q1",
+            b"X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+            b"X-Tenant: club",
+            b"X-Expect-Instance: i-1",
+            b"X-Deadline-Ms: 900",
+            b"Last-Event-Id: 14",
+            b"Content-Length: 4",
+        ):
+            assert lines.count(line) == 1
+        assert b"uthorization" not in head
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from([name for name, _ in HEAD]), st.binary()
+            ),
+            max_size=8,
+        ),
+        st.binary(max_size=40),
+    )
+    def test_any_head_is_understood_or_refused(
+        self, headers: list[tuple[bytes, bytes]], target: bytes
+    ) -> None:
+        try:
+            call = decode_call(b"GET", target, headers)
+        except HeadError:
+            return
+        assert call.request_id
+        encode_request(call, b"", Passage("i", "", 1, call.resume_after))
+
+    def test_an_answer_says_whether_it_ran(self) -> None:
+        shed = decode_answer(503, [(b"X-Not-Executed", b"1")])
+        other = decode_answer(421, [])
+        ran = decode_answer(503, [(b"X-Response-Signature", b"s")])
+        assert shed.not_executed
+        assert other.not_executed
+        assert not ran.not_executed
+        assert ran.signed
+
+
+class DocumentSuite:
+    def test_a_configuration_is_decoded(self) -> None:
+        lost: list[str] = []
+        config = decode_config(
+            wire_config(
+                wire_route(
+                    "/a/",
+                    "",
+                    "streaming",
+                    split=[
+                        {"service": "desk", "weight": 90},
+                        {"service": "llm", "weight": 10},
+                    ],
+                    resumable=True,
+                ),
+                version=7,
+            ),
+            lost.append,
+        )
+        route = config.routes[0]
+        assert lost == []
+        assert config.version == 7
+        assert route.kind is RequestKind.STREAMING
+        assert [share.weight for share in route.split] == [90, 10]
+        assert route.repeatable
+        assert config.services[1].engine is not None
+        assert config.services[1].engine.memory_tokens == 200_000
+        assert config.demands_keys
+
+    def test_a_wrong_part_is_left_out_and_hurts_no_other(self) -> None:
+        lost: list[str] = []
+        document = msgspec.json.decode(
+            wire_config(
+                wire_route("/a/", "desk", "idempotent"),
+                wire_route("/b/", "desk", "no such kind"),
+                wire_route("/c/", "", "idempotent"),
+                {"name": "x"},
+                7,
+            )
+        )
+        document["tenants"].append({"name": 5})
+        document["services"].append({"name": "z", "maxConns": -1})
+        config = decode_config(msgspec.json.encode(document), lost.append)
+        assert [route.prefix for route in config.routes] == ["/a/"]
+        assert len(config.workspaces) == 1
+        assert len(config.services) == 2
+        assert len(lost) == 6
+
+    @given(st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
+    def test_any_bytes_are_decoded_or_refused(self, data: bytes) -> None:
+        for decode in (
+            lambda: decode_config(data, lambda _: None),
+            lambda: decode_entry("i", data),
+        ):
+            with contextlib.suppress(DocumentError):
+                decode()
+
+    @given(
+        st.fixed_dictionaries(
+            {},
+            optional={
+                "service": st.text(max_size=3) | st.integers(),
+                "address": st.text(max_size=12) | st.none(),
+                "slots": st.integers(-2, 9) | st.text(max_size=2),
+                "state": st.text(max_size=5),
+                "coldLeftMs": st.floats(allow_nan=False) | st.text(max_size=2),
+            },
+        )
+    )
+    def test_any_entry_is_decoded_or_refused(self, entry: object) -> None:
+        try:
+            found = decode_entry("i", msgspec.json.encode(entry))
+        except DocumentError:
+            return
+        assert found.host
+        assert 0 < found.port < 65536
+
+    def test_a_worker_that_is_not_ready_is_leaving(self) -> None:
+        assert decode_entry("i", wire_entry("desk", 80, "draining")).leaving
+        assert not decode_entry("i", wire_entry("desk", 80)).leaving
+
+
+NODE = """
+nodeName = "front-1"
+ip = "10.1.0.33"
+zone = "a"
+portRange = [7400, 7415]
+seedNodes = ["10.1.0.33:8785", "10.2.0.18:8785"]
+unknown = 1
+[listenAddrs]
+front = "10.1.0.33:8783"
+ready = "10.1.0.33:8780"
+[contractBounds]
+revokeMs = 5000
+strictRevoke = true
+[platform]
+address = "10.200.1.7:8781"
+"""
+
+
+class NodeFileSuite:
+    def test_a_file_is_read(self, tmp_path: Path) -> None:
+        file = tmp_path / "node.toml"
+        file.write_text(NODE)
+        settings = read_node_file(str(file))
+        assert isinstance(settings, NodeSettings)
+        assert settings.store == Address("10.200.1.7", 8781)
+        assert settings.seeds == ("10.1.0.33", "10.2.0.18")
+        assert settings.revoke_s == 5.0
+        assert (settings.peers_port, settings.service_port) == (7400, 7401)
+
+    def test_everything_wrong_is_found_at_once(self, tmp_path: Path) -> None:
+        file = tmp_path / "node.toml"
+        text = NODE.replace('ip = "10.1.0.33"\n', "")
+        text = text.replace("revokeMs = 5000", 'revokeMs = "soon"')
+        text = text.replace("[7400, 7415]", "7400")
+        file.write_text(text)
+        findings = read_node_file(str(file))
+        assert isinstance(findings, tuple)
+        assert sorted(finding.path for finding in findings) == [
+            "contractBounds.revokeMs",
+            "ip",
+            "portRange",
+        ]
+
+    @pytest.mark.parametrize("text", ["x = ", "\xff"])
+    def test_a_file_that_can_not_be_read_is_a_finding(
+        self, tmp_path: Path, text: str
+    ) -> None:
+        file = tmp_path / "node.toml"
+        file.write_bytes(text.encode("latin-1"))
+        assert isinstance(read_node_file(str(file)), tuple)
+        assert isinstance(read_node_file(str(tmp_path / "none")), tuple)
+
+
+class DatagramSuite:
+    UPDATE = PeerUpdate(
+        "front-1",
+        7,
+        "10.0.0.1",
+        placed=(Placed(2**40, "e-1", (1, 2**62), (10, 20), 30, 5),),
+        started=(1, 2),
+        ended=(3,),
+        asked=(Asked("club", 100, 50),),
+        known_hosts=("10.0.0.2",),
+        leaving=True,
+    )
+
+    def test_an_update_arrives_as_it_was_sent(self) -> None:
+        assert decode_update(encode_update(self.UPDATE)) == self.UPDATE
+
+    @given(st.binary(max_size=80))
+    def test_other_bytes_are_refused(self, data: bytes) -> None:
+        with pytest.raises(DatagramError):
+            decode_update(data)
+
+    @given(st.integers(0, 10_000), st.integers(1, 255))
+    def test_a_changed_byte_is_refused(self, place: int, change: int) -> None:
+        data = bytearray(encode_update(self.UPDATE))
+        data[place % len(data)] ^= change
+        with pytest.raises(DatagramError):
+            decode_update(bytes(data))
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,191 @@
+"""Which route a request takes, and whether its configuration is current."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushstream.coordination.forwarding import (
+    MAX_UNSENT,
+    Failure,
+    Progress,
+    Verdict,
+    judge,
+)
+from bulrushstream.coordination.freshness import MARGIN_S, Freshness
+from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
+from bulrushstream.coordination.routetable import index_routes, pick_service
+from bulrushstream.state.routes import RequestKind, SplitShare
+from tests.deployments import HOST, a_config, a_route
+
+
+class RouteSuite:
+    @pytest.mark.parametrize(
+        ("path", "wanted"),
+        [
+            ("/a/x", "short"),
+            ("/a/b/x", "long"),
+            ("/a/b/", "long"),
+            ("/a/b", "short"),
+            ("/a", None),
+            ("/", None),
+            ("/b/a/", None),
+            ("", None),
+        ],
+    )
+    def test_the_longest_prefix_wins(
+        self, path: str, wanted: str | None
+    ) -> None:
+        table = index_routes(
+            a_config(
+                a_route(name="short", prefix="/a/"),
+                a_route(name="long", prefix="/a/b/"),
+            )
+        )
+        route = table.find(HOST, path)
+        assert (route.name if route else None) == wanted
+        assert table.find("other.example", path) is None
+
+    def test_a_split_draws_by_weight(self) -> None:
+        split = (SplitShare("a", 90), SplitShare("b", 10), SplitShare("c", 0))
+        rng = random.Random(1)
+        drawn = [pick_service(a_route(split=split), rng) for _ in range(2000)]
+        assert 0.85 < drawn.count("a") / 2000 < 0.95
+        assert "c" not in drawn
+
+
+class FreshnessSuite:
+    def test_nothing_is_proven_at_the_start(self) -> None:
+        assert not Freshness(5.0).holds(0.0)
+
+    @given(
+        st.lists(st.floats(0, 100), min_size=1, max_size=20),
+        st.floats(0, 120),
+    )
+    def test_no_request_runs_after_the_limit(
+        self, proofs_s: list[float], came_s: float
+    ) -> None:
+        fresh = Freshness(5.0)
+        for proof_s in proofs_s:
+            fresh.prove(proof_s)
+        # A key may have been taken away just after the newest proof.
+        if came_s > max(proofs_s) + 5.0:
+            assert not fresh.holds(came_s)
+        if came_s <= max(proofs_s) + 5.0 - 2 * MARGIN_S:
+            assert fresh.holds(came_s)
+
+
+class RetryQuotaSuite:
+    @given(
+        st.lists(
+            st.tuples(st.booleans(), st.floats(0, 1.5)),
+            min_size=1,
+            max_size=150,
+        ),
+        st.integers(1, 5),
+    )
+    def test_every_window_stays_within_the_budget(
+        self, steps: list[tuple[bool, float]], routers: int
+    ) -> None:
+        limits = RetryLimits(0.2, 12, 10.0)
+        quota = RetryQuota(limits)
+        now_s, requests, retries = 0.0, [], []
+        for is_retry, pause_s in steps:
+            now_s += pause_s
+            if is_retry and quota.take("s", now_s, routers):
+                retries.append(now_s)
+            elif not is_retry:
+                quota.count_request("s", now_s)
+                requests.append(now_s)
+        for end_s in retries:
+            window = [t for t in retries if end_s - 10.0 < t <= end_s]
+            base = [t for t in requests if end_s - 10.0 <= t <= end_s]
+            assert len(window) <= 0.2 * len(base) + 12 / routers
+
+    def test_services_do_not_share_a_budget(self) -> None:
+        quota = RetryQuota(RetryLimits(0.0, 1, 10.0))
+        assert quota.take("a", 0.0, 1)
+        assert not quota.take("a", 1.0, 1)
+        assert quota.take("b", 1.0, 1)
+        assert quota.take("a", 10.5, 1)
+
+
+class VerdictSuite:
+    def judge(
+        self, failure: Failure, progress: Progress, **route: object
+    ) -> Verdict:
+        return judge(
+            a_route(**route),
+            progress,
+            failure,
+            time_left=True,
+            take_retry=lambda: True,
+        )
+
+    @given(st.integers(1, 4), st.integers(0, 4), st.sampled_from(Failure))
+    def test_what_may_have_run_is_never_called_not_run(
+        self, sends: int, unsent: int, failure: Failure
+    ) -> None:
+        for kind in RequestKind:
+            for resumable in (False, True):
+                progress = Progress(sends, unsent, may_have_run=True)
+                verdict = self.judge(
+                    failure, progress, kind=kind, resumable=resumable
+                )
+                assert verdict is not Verdict.REFUSE
+                if not a_route(kind=kind, resumable=resumable).repeatable:
+                    assert verdict is not Verdict.RETRY
+
+    def test_a_request_that_was_not_run_may_go_elsewhere(self) -> None:
+        progress = Progress(1, 0, may_have_run=False)
+        kind = RequestKind.NON_IDEMPOTENT
+        assert (
+            self.judge(Failure.NOT_EXECUTED, progress, kind=kind)
+            is Verdict.RETRY
+        )
+        assert (
+            self.judge(
+                Failure.NOT_EXECUTED, progress, kind=kind, max_attempts=1
+            )
+            is Verdict.REFUSE
+        )
+
+    def test_a_connection_that_was_not_made_costs_no_attempt(self) -> None:
+        progress = Progress(0, 1)
+        kind = RequestKind.NON_IDEMPOTENT
+        assert (
+            self.judge(Failure.NOT_SENT, progress, kind=kind, max_attempts=1)
+            is Verdict.RETRY
+        )
+        progress.failures = MAX_UNSENT
+        assert (
+            self.judge(Failure.NOT_SENT, progress, kind=kind) is Verdict.REFUSE
+        )
+
+    def test_an_empty_budget_ends_retries_and_is_asked_last(self) -> None:
+        asked = []
+
+        def take() -> bool:
+            asked.append(1)
+            return False
+
+        def judge_with(progress: Progress) -> Verdict:
+            return judge(
+                a_route(),
+                progress,
+                Failure.BROKEN,
+                time_left=True,
+                take_retry=take,
+            )
+
+        assert judge_with(Progress(2, 0, True)) is Verdict.FAIL
+        assert asked == []
+        assert judge_with(Progress(1, 0, True)) is Verdict.FAIL
+        assert asked == [1]
+
+    def test_an_endpoints_error_is_its_own_in_the_end(self) -> None:
+        progress = Progress(2, 0, may_have_run=True)
+        assert self.judge(Failure.ERROR, progress) is Verdict.RELAY
