--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -40,9 +40,15 @@
 # predicted within this part of the objective.
 WITHIN_SHARE_GOAL: Final = 0.95
 
-# Surplus is sent while no more than this part of the objective is spent
-# on waiting for others.
-SURPLUS_WAIT_GOAL: Final = 0.12
+# An engine reads in order of arrival, so whoever waits there makes those
+# with the shortest objective wait as well.  Requests within their share are
+# sent while the wait is within this part of that objective.
+WITHIN_SHARE_WAIT: Final = 9.0
+
+# Surplus is sent while the wait is within this part of the shortest
+# objective, and less the longer its own objective is.
+SURPLUS_WAIT: Final = 0.12
+SURPLUS_SLACK_POWER: Final = 0.0
 
 # A prompt that takes longer to read than its objective allows is late
 # wherever it goes.  It is sent while no more than this part of the
@@ -139,19 +145,27 @@
 
 
 def admit_to_engine(
-    prediction: Prediction, goal_left_s: float, *, within_share: bool
+    prediction: Prediction,
+    goal_left_s: float,
+    tightest_s: float,
+    *,
+    within_share: bool,
 ) -> Admission:
     """Return whether a request may be sent to its engine.
 
     :param prediction: what it would meet there
     :param goal_left_s: what is left of its latency objective
+    :param tightest_s: the shortest objective of its service's routes
     :param within_share: whether its workspace's share covers it
     """
     if within_share:
         limit_s = WITHIN_SHARE_GOAL * goal_left_s
         good = prediction.first_s <= limit_s
+        good = good and prediction.wait_s <= WITHIN_SHARE_WAIT * tightest_s
     else:
-        good = prediction.wait_s <= SURPLUS_WAIT_GOAL * goal_left_s
+        slack = tightest_s / max(tightest_s, goal_left_s)
+        limit_s = SURPLUS_WAIT * tightest_s * slack**SURPLUS_SLACK_POWER
+        good = prediction.wait_s <= limit_s
     if prediction.read_s > goal_left_s:
         good = good or prediction.wait_s <= OVERSIZE_WAIT_GOAL * goal_left_s
     return Admission.SEND if good else Admission.REFUSE
--- a/src/bulrushstream/coordination/routetable.py
+++ b/src/bulrushstream/coordination/routetable.py
@@ -21,6 +21,7 @@
     by_host: dict[str, dict[str, Route]]  # Routes by host and prefix.
     by_key: dict[bytes, KeyHolder]  # Workspaces by digest of a key.
     services: dict[str, PooledService]  # By name.
+    tightest_s: dict[str, float]  # A service's shortest objective.
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request; None if there is none.
@@ -53,7 +54,12 @@
         for digest in holder.key_digests
     }
     services = {service.name: service for service in config.services}
-    return RouteTable(config, by_host, by_key, services)
+    tightest_s: dict[str, float] = {}
+    for route in config.routes:
+        for share in route.split:
+            known_s = tightest_s.get(share.service, route.goal_s)
+            tightest_s[share.service] = min(known_s, route.goal_s)
+    return RouteTable(config, by_host, by_key, services, tightest_s)
 
 
 def pick_service(route: Route, rng: random.Random) -> str:
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -280,8 +280,15 @@
         if forward.progress.sends or forward.exchange.started:
             return None
         goal_left_s = forward.route.goal_s - (now_s - forward.arrived_s)
+        table = self.table
+        goal_s = forward.route.goal_s
+        if table is not None:
+            goal_s = table.tightest_s.get(forward.service, goal_s)
         admission = admit_to_engine(
-            prediction, goal_left_s, within_share=forward.within_share
+            prediction,
+            goal_left_s,
+            goal_s,
+            within_share=forward.within_share,
         )
         if admission is Admission.SEND:
             return None
--- a/tests/test_overload_of_engines.py
+++ b/tests/test_overload_of_engines.py
@@ -58,19 +58,28 @@
 
     def test_a_request_in_time_is_sent(self) -> None:
         found = self.prediction(0.3, 0.2)
-        assert admit_to_engine(found, 0.8, within_share=True) is Admission.SEND
+        assert (
+            admit_to_engine(found, 0.8, 0.8, within_share=True)
+            is Admission.SEND
+        )
 
     def test_a_request_that_would_be_late_is_refused_at_once(self) -> None:
         found = self.prediction(0.7, 0.2)
         for within_share in (True, False):
-            admission = admit_to_engine(found, 0.8, within_share=within_share)
+            admission = admit_to_engine(
+                found, 0.8, 0.8, within_share=within_share
+            )
             assert admission is Admission.REFUSE
 
     def test_surplus_yields_first(self) -> None:
         found = self.prediction(0.4, 0.1)
-        assert admit_to_engine(found, 0.8, within_share=True) is Admission.SEND
         assert (
-            admit_to_engine(found, 0.8, within_share=False) is Admission.REFUSE
+            admit_to_engine(found, 0.8, 0.8, within_share=True)
+            is Admission.SEND
+        )
+        assert (
+            admit_to_engine(found, 0.8, 0.8, within_share=False)
+            is Admission.REFUSE
         )
 
     def test_an_idle_engine_takes_anything(self) -> None:
@@ -79,10 +88,14 @@
                 admission = admit_to_engine(
                     self.prediction(0.0, read_s),
                     0.8,
+                    0.8,
                     within_share=within_share,
                 )
                 assert admission is Admission.SEND
 
     def test_a_prompt_longer_than_its_objective_is_still_served(self) -> None:
         found = self.prediction(0.05, 1.4)
-        assert admit_to_engine(found, 0.8, within_share=True) is Admission.SEND
+        assert (
+            admit_to_engine(found, 0.8, 0.8, within_share=True)
+            is Admission.SEND
+        )
