Let workspaces yield by how much of their share they have used

The wait that a request may meet now shrinks with the used part of its workspace's share, and goes on shrinking beyond it. Prompts that are late wherever they go are judged by their wait alone, so that an idle engine refuses nobody.

--- a/src/bulrushstream/coordination/fairshare.py
+++ b/src/bulrushstream/coordination/fairshare.py
@@ -78,18 +78,21 @@
         step.granted[workspace] = step.granted.get(workspace, 0.0) + tokens
         self.granted[workspace] = self.granted.get(workspace, 0.0) + tokens
 
-    def covers(self, workspace: str, tokens: float, now_s: float) -> bool:
-        """Return whether a workspace's share covers one more request.
+    def used(self, workspace: str, tokens: float, now_s: float) -> float:
+        """Return how much of its share a workspace would have used.
 
         :param workspace: the workspace's name
-        :param tokens: what the request counts
+        :param tokens: what one more request counts
         :param now_s: the time
+        :returns: 0 at the start, 1 when the share is used up, more beyond
         """
         if self.tokens_per_s <= 0:
-            return True
+            return 0.0
         self._step(now_s)
         granted = self.granted.get(workspace, 0.0)
-        return granted <= 0 or granted + tokens <= self.level
+        if granted <= 0:
+            return 0.0
+        return (granted + tokens) / self.level
 
     def _step(self, now_s: float) -> _Step:
         """Return the current step; begin a new one if it is time."""
--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -36,24 +36,27 @@
 # Scores of engines that differ by less than this are a tie.
 TIE_S: Final = 0.004
 
-# Requests within their workspace's share are sent while the first token is
-# predicted within this part of the objective.
-WITHIN_SHARE_GOAL: Final = 0.95
+# A request is sent while its first token is predicted within this part of
+# its objective.
+USABLE_GOAL: Final = 0.95
 
 # An engine reads in order of arrival, so whoever waits there makes those
 # with the shortest objective wait as well.  Requests within their share are
-# sent while the wait is within this part of that objective.
-WITHIN_SHARE_WAIT: Final = 9.0
+# sent while the wait is within a part of that objective, which shrinks from
+# the first figure to the second as the share is used up.
+UNUSED_SHARE_WAIT: Final = 0.7
+USED_SHARE_WAIT: Final = 0.12
 
-# Surplus is sent while the wait is within this part of the shortest
-# objective, and less the longer its own objective is.
-SURPLUS_WAIT: Final = 0.12
-SURPLUS_SLACK_POWER: Final = 0.0
+# Beyond its share a workspace yields the sooner, the more it has had.
+SURPLUS_POWER: Final = 1.0
+
+# Requests with a longer objective than the shortest yield earlier.
+SLACK_POWER: Final = 0.0
 
 # A prompt that takes longer to read than its objective allows is late
 # wherever it goes.  It is sent while no more than this part of the
 # objective is spent on waiting for others.
-OVERSIZE_WAIT_GOAL: Final = 0.15
+OVERSIZE_WAIT: Final = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,28 +147,39 @@
     REFUSE = 2  # Tell the caller to come back.
 
 
+def wait_part(share_used: float) -> float:
+    """Return the part of the shortest objective that a wait may take.
+
+    :param share_used: how much of its share a workspace has used
+    """
+    if share_used > 1.0:
+        kept: float = share_used**-SURPLUS_POWER
+        return USED_SHARE_WAIT * kept
+    unused = 1.0 - share_used
+    return USED_SHARE_WAIT + unused * (UNUSED_SHARE_WAIT - USED_SHARE_WAIT)
+
+
 def admit_to_engine(
     prediction: Prediction,
     goal_left_s: float,
     tightest_s: float,
-    *,
-    within_share: bool,
+    share_used: float,
 ) -> Admission:
     """Return whether a request may be sent to its engine.
 
     :param prediction: what it would meet there
     :param goal_left_s: what is left of its latency objective
     :param tightest_s: the shortest objective of its service's routes
-    :param within_share: whether its workspace's share covers it
+    :param share_used: how much of its workspace's share is used with it
     """
-    if within_share:
-        limit_s = WITHIN_SHARE_GOAL * goal_left_s
-        good = prediction.first_s <= limit_s
-        good = good and prediction.wait_s <= WITHIN_SHARE_WAIT * tightest_s
+    limit_s = tightest_s * wait_part(share_used)
+    slack = tightest_s / max(tightest_s, goal_left_s)
+    limit_s *= slack**SLACK_POWER
+    in_time_s = USABLE_GOAL * goal_left_s
+    alone_s = prediction.first_s - prediction.wait_s
+    if alone_s > in_time_s:
+        limit_s = min(limit_s, OVERSIZE_WAIT * tightest_s)
     else:
-        slack = tightest_s / max(tightest_s, goal_left_s)
-        limit_s = SURPLUS_WAIT * tightest_s * slack**SURPLUS_SLACK_POWER
-        good = prediction.wait_s <= limit_s
-    if prediction.read_s > goal_left_s:
-        good = good or prediction.wait_s <= OVERSIZE_WAIT_GOAL * goal_left_s
+        limit_s = min(limit_s, in_time_s - alone_s)
+    good = prediction.wait_s <= limit_s
     return Admission.SEND if good else Admission.REFUSE
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -77,8 +77,8 @@
         "progress",
         "route",
         "service",
+        "share_used",
         "tried",
-        "within_share",
         "workspace",
     )
 
@@ -117,7 +117,7 @@
         self.deadline_s = self.arrived_s + patience_s
         self.progress = Progress()
         self.tried: set[str] = set()
-        self.within_share = True
+        self.share_used = 0.0
         self.done = False
         self._cutter = EventCutter(last_id=call.resume_after)
         self._endpoint: Endpoint | None = None
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -198,7 +198,7 @@
         self.quota.count_request(service, now_s)
         if call.prompt is not None and workspace:
             tokens = call.prompt.quota_tokens
-            forward.within_share = self.shares.covers(workspace, tokens, now_s)
+            forward.share_used = self.shares.used(workspace, tokens, now_s)
             self.shares.ask(workspace, tokens, now_s)
             if self.peers is not None:
                 self.peers.asked(workspace, tokens, 0)
@@ -288,7 +288,7 @@
             prediction,
             goal_left_s,
             goal_s,
-            within_share=forward.within_share,
+            forward.share_used,
         )
         if admission is Admission.SEND:
             return None
@@ -297,11 +297,14 @@
             "first token predicted too late",
             forward,
             endpoint=prediction.endpoint.name,
-            inputs=_prediction_inputs(prediction),
+            inputs={
+                **_prediction_inputs(prediction),
+                "share_used": round(forward.share_used, 3),
+            },
         )
-        if forward.within_share:
-            return messages.NO_CAPACITY
-        return messages.OVER_SHARE
+        if forward.share_used > 1.0:
+            return messages.OVER_SHARE
+        return messages.NO_CAPACITY
 
     def _place(
         self,
--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -34,7 +34,7 @@
         for step in range(400):
             now_s = step * 0.02
             for workspace, tokens in (("flood", 100.0), ("club", 4.0)):
-                if shares.covers(workspace, tokens, now_s):
+                if shares.used(workspace, tokens, now_s) <= 1.0:
                     shares.grant(workspace, tokens, now_s)
                 else:
                     refused[workspace] += 1
@@ -48,11 +48,11 @@
         shares.ask("a", 1000, 0.0)
         shares.grant("a", 390, 0.0)
         shares.ask("a", 10, 1.0)
-        assert not shares.covers("a", 20, 1.0)
-        assert shares.covers("a", 20, 9.0)
+        assert shares.used("a", 20, 1.0) > 1.0
+        assert shares.used("a", 20, 9.0) <= 1.0
         assert shares.granted == {}
 
     def test_without_a_figure_everything_is_covered(self) -> None:
         shares = FairShares(4.0)
         shares.grant("a", 1e9, 0.0)
-        assert shares.covers("a", 1e9, 0.0)
+        assert shares.used("a", 1e9, 0.0) == 0.0
--- a/tests/test_overload_of_engines.py
+++ b/tests/test_overload_of_engines.py
@@ -10,6 +10,7 @@
     Prediction,
     admit_to_engine,
     choose_engine,
+    wait_part,
 )
 from tests.deployments import a_prompt, an_engine
 
@@ -56,46 +57,29 @@
     def prediction(self, wait_s: float, read_s: float) -> Prediction:
         return Prediction(an_engine(), wait_s, read_s, read_s * RATE, True)
 
+    def admits(self, wait_s: float, read_s: float, share_used: float) -> bool:
+        found = self.prediction(wait_s, read_s)
+        admission = admit_to_engine(found, 0.8, 0.8, share_used)
+        return admission is Admission.SEND
+
     def test_a_request_in_time_is_sent(self) -> None:
-        found = self.prediction(0.3, 0.2)
-        assert (
-            admit_to_engine(found, 0.8, 0.8, within_share=True)
-            is Admission.SEND
-        )
+        assert self.admits(0.3, 0.2, 0.0)
 
     def test_a_request_that_would_be_late_is_refused_at_once(self) -> None:
-        found = self.prediction(0.7, 0.2)
-        for within_share in (True, False):
-            admission = admit_to_engine(
-                found, 0.8, 0.8, within_share=within_share
-            )
-            assert admission is Admission.REFUSE
+        for share_used in (0.0, 0.5, 1.0, 3.0):
+            assert not self.admits(0.7, 0.2, share_used)
 
-    def test_surplus_yields_first(self) -> None:
-        found = self.prediction(0.4, 0.1)
-        assert (
-            admit_to_engine(found, 0.8, 0.8, within_share=True)
-            is Admission.SEND
-        )
-        assert (
-            admit_to_engine(found, 0.8, 0.8, within_share=False)
-            is Admission.REFUSE
-        )
+    def test_who_has_had_more_yields_sooner(self) -> None:
+        used = [0.0, 0.5, 1.0, 2.0, 4.0]
+        limits = [wait_part(each) for each in used]
+        assert limits == sorted(limits, reverse=True)
+        assert self.admits(0.3, 0.1, 0.1)
+        assert not self.admits(0.3, 0.1, 1.1)
 
     def test_an_idle_engine_takes_anything(self) -> None:
-        for read_s in (0.01, 0.5, 5.0):
-            for within_share in (True, False):
-                admission = admit_to_engine(
-                    self.prediction(0.0, read_s),
-                    0.8,
-                    0.8,
-                    within_share=within_share,
-                )
-                assert admission is Admission.SEND
+        for read_s in (0.01, 0.5, 0.77, 5.0):
+            for share_used in (0.0, 1.0, 9.0):
+                assert self.admits(0.0, read_s, share_used)
 
     def test_a_prompt_longer_than_its_objective_is_still_served(self) -> None:
-        found = self.prediction(0.05, 1.4)
-        assert (
-            admit_to_engine(found, 0.8, 0.8, within_share=True)
-            is Admission.SEND
-        )
+        assert self.admits(0.05, 1.4, 0.0)
