--- a/src/bulrushstream/cli.py
+++ b/src/bulrushstream/cli.py
@@ -23,6 +23,7 @@
 from bulrushstream.commands.check import check
 from bulrushstream.commands.daemons import agent, router
 from bulrushstream.commands.demo import demo
+from bulrushstream.commands.explain import explain
 from bulrushstream.commands.load import load
 
 PROGRAM: Final = "bulrushstream"
@@ -36,6 +37,7 @@
     "agent": agent,
     "check": check,
     "demo": demo,
+    "explain": explain,
     "load": load,
     "measure": {
         "claims": measure.claims,
@@ -154,7 +156,7 @@
     bound = inspect.signature(call.command).bind(*call.given, **call.named)
     check = validate_call(config=ConfigDict(coerce_numbers_to_str=True))
     try:
-        return check(call.command)(**bound.arguments) or 0
+        return check(call.command)(*bound.args, **bound.kwargs) or 0
     except ValidationError as error:
         finding = error.errors()[0]
         place = ".".join(str(part) for part in finding["loc"])
