--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -43,6 +43,10 @@
 # The time to the first token that does not depend on the prompt.
 FIXED_DELAY_S: Final = 0.02
 
+# The time from the end of a read to its first event while others are read:
+# an event holds a few tokens, and each is a step of the batch.
+FIRST_EVENT_LAG_S: Final = 0.06
+
 # Half of what was learned of an engine's speed is forgotten in this time
 # while nothing new is learned.
 FORGET_HALF_S: Final = 6.0
@@ -174,7 +178,9 @@
             if first == call:
                 break
         left_s = sum(each.read_s for each in self.pending.values())
-        self.free_s = now_s + left_s
+        # While the first tokens of this one were generated, the next one
+        # was read already.
+        self.free_s = now_s + max(0.0, left_s - FIRST_EVENT_LAG_S)
         if not entry.alone or entry.read_tokens < MIN_OBSERVED_TOKENS:
             return None
         took_s = max(0.001, now_s - entry.sent_s - FIXED_DELAY_S)
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -68,6 +68,9 @@
 # A caller heeds a time up to this part of what it has left.
 MAX_RETRY_PART: Final = 1.0 / 3.0
 
+# The part of a process's memory that callers' bodies may take.
+HELD_PART: Final = 0.3
+
 # How long an address is passed over after another endpoint answered there.
 MISDIRECTED_S: Final = 2.0
 
@@ -130,7 +133,8 @@
         for seed in settings.seeds:
             self.fleet.suggest(seed, now_s)
         self.limits = IngressLimits(
-            connections=max(64, settings.max_descriptors // 2)
+            connections=max(64, settings.max_descriptors // 2),
+            held_bytes=int(settings.memory_mb * HELD_PART * 2**20),
         )
         self.ingress = Ingress(self.handle, self.limits, self.clock)
         self.peers: PeerPort | None = None
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -36,6 +36,7 @@
     header_timeout_s: float = 3.0  # For the head to arrive.
     idle_timeout_s: float = 15.0  # For a connection without a request.
     connections: int = 3_000  # Connections at once.
+    held_bytes: int = 48 * 2**20  # Bodies of all requests at once.
 
 
 class Exchange:
@@ -169,6 +170,7 @@
     connections: set[ClientConnection] = field(default_factory=set)
     closing: bool = False  # Whether connections end with their answer.
     served: int = 0  # Requests that were handed to the handler.
+    held_bytes: int = 0  # Bodies that have arrived, whole or in part.
 
     def make_connection(self) -> ClientConnection:
         """Return the protocol of a new connection."""
@@ -199,6 +201,7 @@
         self._arriving: Exchange | None = None
         self._pieces: list[bytes] = []
         self._size_bytes = 0
+        self._held_bytes = 0
         self._head_bytes = 0
         self._in_head = True
         self._current: Exchange | None = None
@@ -229,6 +232,7 @@
         """Tell who answers that nobody listens; see `asyncio.Protocol`."""
         self._transport = None
         self._ingress.connections.discard(self)
+        self._release(self._held_bytes)
         self._clear_timer()
         self._leave()
 
@@ -296,9 +300,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Take a piece of a body; called by the parser."""
+        ingress = self._ingress
         self._size_bytes += len(data)
-        if self._size_bytes > self._ingress.limits.body_bytes:
+        self._held_bytes += len(data)
+        ingress.held_bytes += len(data)
+        if self._size_bytes > ingress.limits.body_bytes:
             raise _RejectedError(413)
+        if ingress.held_bytes > ingress.limits.held_bytes:
+            raise _RejectedError(503)
         self._pieces.append(data)
 
     def on_message_complete(self) -> None:
@@ -336,6 +345,7 @@
         if self._current is not exchange:
             return
         self._current = None
+        self._release(len(exchange.body))
         if not exchange.keep_alive:
             self._close()
         elif self._waiting:
@@ -429,6 +439,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _release(self, size_bytes: int) -> None:
+        """Count bodies that are no longer kept."""
+        self._held_bytes -= size_bytes
+        self._ingress.held_bytes -= size_bytes
+
     def _leave(self) -> None:
         """Tell who answers that the caller has left."""
         exchange = self._current
