--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -80,18 +80,26 @@
     slowness: float = 1.0  # How much longer reads take than expected.
     learned_s: float = 0.0  # When `slowness` was last observed.
 
-    def uncached(self, prompt: Prompt) -> float:
-        """Return the tokens to read, with the cost of attention.
+    def kept(self, prompt: Prompt) -> int:
+        """Return the tokens of a prompt that need not be read again.
 
         :param prompt: the request's prompt
         """
-        known = 0
+        kept = 0
         for part in prompt.parts:
             if part.part not in self.cached:
                 break
-            known += part.tokens
-        rest = max(1, prompt.input_tokens - known)
-        return rest * (1.0 + (known + rest / 2) / ATTENTION_CONTEXT_TOKENS)
+            kept += part.tokens
+        return min(kept, prompt.input_tokens - 1)
+
+    def uncached(self, prompt: Prompt) -> float:
+        """Return the tokens to read, with the cost of attention.
+
+        :param prompt: the request's prompt
+        """
+        kept = self.kept(prompt)
+        rest = prompt.input_tokens - kept
+        return rest * (1.0 + (kept + rest / 2) / ATTENTION_CONTEXT_TOKENS)
 
     def slowness_at(self, now_s: float) -> float:
         """Return how much slower the engine is taken to be now."""
--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -67,6 +67,7 @@
     wait_s: float  # The time that it still reads for others.
     read_s: float  # The time to read what is not cached there.
     tokens: float  # What is to be read, with the cost of attention.
+    kept: int  # Tokens that are cached there.
     room: bool  # Whether slots and memory are left.
 
     @property
@@ -104,7 +105,8 @@
         score += TIE_S * _affinity(prompt, endpoint.name)
         if score < best_score:
             best_score = score
-            best = Prediction(endpoint, wait_s, read_s, tokens, room)
+            kept = view.kept(prompt)
+            best = Prediction(endpoint, wait_s, read_s, tokens, kept, room)
     return best
 
 
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -722,6 +722,7 @@
         "wait_s": round(prediction.wait_s, 4),
         "read_s": round(prediction.read_s, 4),
         "read_tokens": int(prediction.tokens),
+        "kept_tokens": prediction.kept,
         "room": int(prediction.room),
     }
 
--- a/tests/test_overload_of_engines.py
+++ b/tests/test_overload_of_engines.py
@@ -55,7 +55,7 @@
 
 class SheddingSuite:
     def prediction(self, wait_s: float, read_s: float) -> Prediction:
-        return Prediction(an_engine(), wait_s, read_s, read_s * RATE, True)
+        return Prediction(an_engine(), wait_s, read_s, read_s * RATE, 0, True)
 
     def admits(self, wait_s: float, read_s: float, share_used: float) -> bool:
         found = self.prediction(wait_s, read_s)
