--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -19,6 +19,7 @@
     judge,
 )
 from bulrushstream.messages import Notice
+from bulrushstream.protocol.prompt import fingerprint
 from bulrushstream.state.call import AnswerHead, Call, Passage, RawHeaders
 from bulrushstream.state.events import EventCutter
 from bulrushstream.state.request import Outcome
@@ -307,11 +308,13 @@
         self._clear_overdue()
         if loss is Loss.BROKEN:
             self._count_failure(endpoint)
-            self.front.broken(self, endpoint)
+            self.front.broken(self, endpoint, self._head is not None)
             self._failed(Failure.BROKEN, detail)
             return
         self.progress.failures += 1
-        if loss is Loss.NOT_SENT:
+        if loss is Loss.REFUSED:
+            self.front.crashed(endpoint)
+        if loss in (Loss.NOT_SENT, Loss.REFUSED):
             self.front.pool.unreachable(endpoint, self.front.clock())
         self._failed(Failure.NOT_SENT, detail)
 
@@ -474,6 +477,12 @@
         self._cutter.restart()
         self._attempt()
 
+    @property
+    def fingerprint(self) -> int:
+        """Return what is the same for a repeat of this request."""
+        content = self.call.target + b"\n" + self.exchange.body
+        return fingerprint(self.workspace, self.service, content)
+
     @property
     def first_event_s(self) -> float:
         """Return when the first event came; 0: none has come."""
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from bulrushstream import messages
+from bulrushstream.coordination.crashevidence import CrashEvidence
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
 from bulrushstream.coordination.engineview import (
     DEFAULT_READ_TOKENS_PER_S,
@@ -27,6 +28,10 @@
     choose_engine,
     choose_plain,
 )
+from bulrushstream.coordination.quarantine import (
+    Quarantine,
+    QuarantineOptions,
+)
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routetable import (
     RouteTable,
@@ -40,7 +45,7 @@
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.nodesettings import NodeSettings
-from bulrushstream.state.peerupdate import PeerUpdate, Placed
+from bulrushstream.state.peerupdate import PeerUpdate, Placed, Struck
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import EndpointEntry, RouteConfig
 from bulrushstream.transport.datagrams import PeerPort
@@ -129,6 +134,8 @@
         self._number_base = self.rng.getrandbits(38) << _NUMBER_BITS
         self._number = 0
         self._peer_calls: dict[int, str] = {}
+        self._crashes = CrashEvidence()
+        self._quarantine = Quarantine(QuarantineOptions())
         now_s = self.clock()
         for seed in settings.seeds:
             self.fleet.suggest(seed, now_s)
@@ -198,6 +205,13 @@
             self, exchange, call, route, service, workspace, arrived_boot_s
         )
         now_s = self.clock()
+        if self._quarantine.fingerprints() and self._quarantine.is_refused(
+            forward.fingerprint, now_s
+        ):
+            self._turn_away(
+                exchange, messages.CRASHES_ENDPOINTS, call.request_id
+            )
+            return
         self.forwards.add(forward)
         self.quota.count_request(service, now_s)
         if call.prompt is not None and workspace:
@@ -452,15 +466,47 @@
         """
         endpoint.avoid_until_s = self.clock() + MISDIRECTED_S
 
-    def broken(self, forward: Forward, endpoint: Endpoint) -> None:
+    def broken(
+        self, forward: Forward, endpoint: Endpoint, answering: bool
+    ) -> None:
         """Note that a connection broke while a request was out.
 
         :param forward: the request
         :param endpoint: where it was
+        :param answering: whether its answer had begun
         """
-        del forward
         # Idle connections to an endpoint that crashed are of no use.
         self.connections(endpoint).drop_idle()
+        if not answering:
+            self._crashes.broke_off(
+                endpoint.name, forward.fingerprint, self.clock()
+            )
+
+    def crashed(self, endpoint: Endpoint) -> None:
+        """Note that nothing listens at an endpoint's address.
+
+        :param endpoint: which one
+        """
+        for each in self._crashes.refused(endpoint.name, self.clock()):
+            struck = Struck(each, endpoint.name)
+            self._strike(struck)
+            if self.peers is not None:
+                self.peers.struck(struck)
+
+    def _strike(self, struck: Struck) -> None:
+        """Count a crash against a request."""
+        new = self._quarantine.strike(
+            struck.fingerprint, struck.endpoint, False, self.clock()
+        )
+        if new:
+            self.observe(
+                Decision(
+                    "strike",
+                    "in flight when the endpoint crashed",
+                    endpoint=struck.endpoint,
+                    inputs={"fingerprint": struck.fingerprint},
+                )
+            )
 
     def silent(self, endpoint: Endpoint) -> None:
         """Note that an endpoint has not answered in time.
@@ -481,6 +527,8 @@
         """
         self.forwards.discard(forward)
         now_s = self.clock()
+        if outcome is Outcome.RAN and self._quarantine.fingerprints():
+            self._quarantine.prove(forward.fingerprint, now_s)
         took_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
             forward.service, forward.kind.value
@@ -600,6 +648,8 @@
         for number in update.ended:
             self._end_peer_call(number)
             peer.calls.discard(number)
+        for struck in update.struck:
+            self._strike(struck)
         for asked in update.asked:
             if asked.asked_tokens:
                 self.shares.ask(asked.workspace, asked.asked_tokens, now_s)
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -91,6 +91,9 @@
 BAD_HEAD: Final = Notice(
     "B127", "The head of the request is not acceptable.", 400
 )
+CRASHES_ENDPOINTS: Final = Notice(
+    "B128", "Requests like this one crashed endpoints; none takes it.", 503
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -16,7 +16,7 @@
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
-from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed
+from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed, Struck
 
 CHECKSUM: Final = struct.Struct("!Q")
 
@@ -67,6 +67,10 @@
         ],
         known_hosts=list(update.known_hosts),
         leaving=update.leaving,
+        struck=[
+            _SCHEMA.Struck(each.fingerprint, each.endpoint)
+            for each in update.struck
+        ],
     )
     body = serialize(wire, _BINARY)
     return CHECKSUM.pack(xxhash.xxh64_intdigest(body)) + body
@@ -117,4 +121,7 @@
         ),
         known_hosts=tuple(wire.known_hosts),
         leaving=bool(wire.leaving),
+        struck=tuple(
+            Struck(each.fingerprint, each.endpoint) for each in wire.struck
+        ),
     )
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -16,6 +16,11 @@
   3: i64 granted_tokens
 }
 
+struct Struck {
+  1: i64 fingerprint
+  2: string endpoint
+}
+
 struct Update {
   1: string instance
   2: i64 incarnation
@@ -26,4 +31,5 @@
   7: list<Asked> asked
   8: list<string> known_hosts
   9: bool leaving
+  10: list<Struck> struck
 }
--- a/src/bulrushstream/standins/worker.py
+++ b/src/bulrushstream/standins/worker.py
@@ -47,6 +47,8 @@
     )
     left: list[str] = field(default_factory=list)  # Callers that left.
     port: int = 0  # Where it listens.
+    crashes_on: bytes | None = None  # A body that ends the process.
+    crashed: bool = False  # Whether it has.
     _server: asyncio.Server | None = None
     _ingress: Ingress | None = None
 
@@ -61,6 +63,9 @@
 
     async def stop(self) -> None:
         """Drop every connection and listen no more."""
+        self._drop_all()
+
+    def _drop_all(self) -> None:
         if self._server is not None:
             self._server.close()
         if self._ingress is not None:
@@ -84,6 +89,10 @@
         if expected not in (None, self.name.encode()):
             exchange.answer(421, own)
             return
+        if self.crashes_on is not None and exchange.body == self.crashes_on:
+            self.crashed = True
+            self._drop_all()
+            return
         behaviour = self.script.pop(0) if self.script else Behaviour.SERVE
         if behaviour is Behaviour.SHED:
             exchange.answer(503, [*own, (b"X-Not-Executed", b"1")])
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -31,6 +31,14 @@
     granted_tokens: int  # What was sent to an engine.
 
 
+@dataclass(frozen=True, slots=True)
+class Struck:
+    """A request was in flight when an endpoint crashed."""
+
+    fingerprint: int  # Digest of the request, 64 bits with a sign.
+    endpoint: str  # The id of the start that crashed.
+
+
 @dataclass(frozen=True, slots=True)
 class PeerUpdate:
     """What happened at one router."""
@@ -42,5 +50,6 @@
     started: tuple[int, ...] = ()  # Requests whose first event came.
     ended: tuple[int, ...] = ()  # Requests that ended.
     asked: tuple[Asked, ...] = ()  # What workspaces asked for.
+    struck: tuple[Struck, ...] = ()  # Requests that may crash endpoints.
     known_hosts: tuple[str, ...] = ()  # IP numbers of its peers.
     leaving: bool = False  # Whether it is stopping.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -12,7 +12,7 @@
     decode_update,
     encode_update,
 )
-from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed
+from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed, Struck
 
 # How long events are gathered; a fraction of the time between requests.
 GATHER_S: Final = 0.004
@@ -32,10 +32,12 @@
     started: list[int] = field(default_factory=list)
     ended: list[int] = field(default_factory=list)
     asked: dict[str, list[int]] = field(default_factory=dict)
+    struck: list[Struck] = field(default_factory=list)
 
     def size(self) -> int:
         """Return how many events there are."""
-        return len(self.placed) + len(self.started) + len(self.ended)
+        events = len(self.placed) + len(self.started) + len(self.ended)
+        return events + len(self.struck)
 
 
 class PeerPort(asyncio.DatagramProtocol):
@@ -125,6 +127,14 @@
         entry[1] += granted
         self._gather()
 
+    def struck(self, struck: Struck) -> None:
+        """Tell that a request was in flight at a crash.
+
+        :param struck: which request and which endpoint
+        """
+        self._gathered.struck.append(struck)
+        self._gather()
+
     def flush(self) -> None:
         """Send what was gathered, or just who this router is."""
         if self._timer is not None:
@@ -148,6 +158,7 @@
                     Asked(name, asked, granted)
                     for name, (asked, granted) in gathered.asked.items()
                 ),
+                struck=tuple(gathered.struck),
                 known_hosts=hosts,
                 leaving=self.leaving,
             )
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -40,6 +40,7 @@
     """Why no whole answer came."""
 
     NOT_SENT = 1  # No connection was made; no byte went out.
+    REFUSED = 4  # Nothing listens there; no byte went out.
     WITHDRAWN = 2  # The caller decided against it before it was sent.
     BROKEN = 3  # The connection ended, or what came was no answer.
 
@@ -386,8 +387,10 @@
                     lambda: Connection(self), self.host, self.port
                 )
         except (OSError, TimeoutError) as error:
+            refused = isinstance(error, ConnectionRefusedError)
+            loss = Loss.REFUSED if refused else Loss.NOT_SENT
             if not pending.cancelled:
-                sink.lost(Loss.NOT_SENT, f"{type(error).__name__}: {error}")
+                sink.lost(loss, f"{type(error).__name__}: {error}")
             return
         finally:
             self._connecting -= 1
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -307,6 +307,33 @@
         assert not any(each.runs for each in fleet.workers.values())
 
 
+class CrashSuite:
+    async def test_a_request_that_crashes_endpoints_runs_no_more(self) -> None:
+        deployment = await deploy(CONFIG)
+        names = [f"d-{number}" for number in range(5)]
+        for name in names:
+            worker = await deployment.add(name)
+            worker.crashes_on = b"poison"
+        await deployment.until_ready(5)
+        poison = [
+            request("/once/x", f"q{number}", method="POST", body="poison")
+            for number in range(12)
+        ]
+        for raw in poison:
+            await ask(deployment, raw)
+            # Others ask as well, and find that nothing listens.
+            for number in range(4):
+                await ask(deployment, request("/safe/x", f"s{number}"))
+        crashed = sum(bool(deployment.workers[name].crashed) for name in names)
+        assert crashed == 3
+        status, _, body = await ask(deployment, poison[0])
+        assert status == 503
+        assert b"B128" in body
+        status, _, _ = await ask(deployment, request("/safe/x", "last"))
+        assert status == 200
+        await deployment.stop()
+
+
 class StreamSuite:
     async def test_events_arrive_in_order_and_whole(
         self, fleet: Deployment
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,7 +25,7 @@
 )
 from bulrushstream.state.call import Passage, PromptPart
 from bulrushstream.state.nodesettings import Address, NodeSettings
-from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed
+from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed, Struck
 from bulrushstream.state.routes import RequestKind
 from tests.deployments import wire_config, wire_entry, wire_route
 
@@ -245,6 +245,7 @@
         started=(1, 2),
         ended=(3,),
         asked=(Asked("club", 100, 50),),
+        struck=(Struck(-(2**63), "e-1"),),
         known_hosts=("10.0.0.2",),
         leaving=True,
     )
