--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -76,6 +76,7 @@
         "exchange",
         "front",
         "progress",
+        "room_in_s",
         "route",
         "service",
         "share_used",
@@ -119,6 +120,7 @@
         self.progress = Progress()
         self.tried: set[str] = set()
         self.share_used = 0.0
+        self.room_in_s = 0.0
         self.done = False
         self._cutter = EventCutter(last_id=call.resume_after)
         self._endpoint: Endpoint | None = None
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -27,6 +27,7 @@
     admit_to_engine,
     choose_engine,
     choose_plain,
+    return_s,
 )
 from bulrushstream.coordination.quarantine import (
     Quarantine,
@@ -65,10 +66,10 @@
 MIN_RATE: Final = 2_000.0
 MAX_RATE: Final = 500_000.0
 
-# When a refused caller is told to come back: soon after a passing fault,
-# and spread over a time in which engines get free after an overload.
+# When a refused caller is told to come back: not sooner than this, and up to
+# so many times later than there should be room.
 RETRY_SOON_S: Final = 0.1
-RETRY_SPREAD_S: Final = 0.6
+RETRY_SPREAD: Final = 1.5
 
 # A caller heeds a time up to this part of what it has left.
 MAX_RETRY_PART: Final = 1.0 / 3.0
@@ -310,6 +311,9 @@
         )
         if admission is Admission.SEND:
             return None
+        forward.room_in_s = return_s(
+            prediction, forward.share_used, self.shares.window_s
+        )
         self.decide(
             "shed",
             "first token predicted too late",
@@ -423,8 +427,10 @@
             left_s = forward.call.patience_s - (
                 self.clock() - forward.arrived_s
             )
-        spread_s = RETRY_SOON_S + self.rng.uniform(0.0, RETRY_SPREAD_S)
-        return max(0.01, min(spread_s, left_s * MAX_RETRY_PART))
+        # Returns are spread, so that they do not come in a wave.
+        back_s = max(RETRY_SOON_S, forward.room_in_s)
+        back_s *= self.rng.uniform(1.0, RETRY_SPREAD)
+        return max(0.01, min(back_s, left_s * MAX_RETRY_PART))
 
     # --- What endpoints do.
 
