Tell refused callers to come back while they can still be in time

The state that routers share is a core of its own now (fleetstate), with a test that found a fault: what a peer's first event tells of the engines' speed was dropped, so that the routers' predictions drifted apart.

--- /dev/null
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -0,0 +1,286 @@
+"""What one router knows of endpoints, engines and the other routers.
+
+The state changes by what the platform's list says, by what the router sends
+itself, and by what the other routers tell of theirs.  It reads no clock and
+opens no socket; whatever the others should hear goes to a `Teller`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final, Protocol
+
+from bulrushstream.coordination.crashevidence import CrashEvidence
+from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
+from bulrushstream.coordination.engineview import (
+    DEFAULT_READ_TOKENS_PER_S,
+)
+from bulrushstream.coordination.fairshare import FairShares
+from bulrushstream.coordination.fleetview import FleetView
+from bulrushstream.coordination.quarantine import (
+    Quarantine,
+    QuarantineOptions,
+)
+from bulrushstream.state.call import Prompt, PromptPart
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.peerupdate import PeerUpdate, Placed, Struck
+
+# A call's number holds the router in its upper bits.
+NUMBER_BITS: Final = 24
+
+# A request that a peer told of is forgotten after this, if its end is not
+# told; longer than any route's requests usually run.
+PEER_CALL_S: Final = 20.0
+
+# How much one observation of an engine's reading moves the estimate.
+RATE_GAIN: Final = 0.05
+MIN_RATE: Final = 2_000.0
+MAX_RATE: Final = 500_000.0
+
+
+class Teller(Protocol):
+    """Who tells the other routers."""
+
+    def placed(self, placed: Placed) -> None:
+        """Tell that a request was sent."""
+
+    def started(self, call: int) -> None:
+        """Tell that a request's first event came."""
+
+    def ended(self, call: int) -> None:
+        """Tell that a request ended."""
+
+    def asked(self, workspace: str, asked: int, granted: int) -> None:
+        """Tell what a workspace asked for and was granted, in tokens."""
+
+    def struck(self, struck: Struck) -> None:
+        """Tell that a request was in flight at a crash."""
+
+
+@dataclass(slots=True)
+class FleetState:
+    """The state of one router that others contribute to."""
+
+    peers: FleetView  # The other routers.
+    shares: FairShares  # What workspaces asked for and had.
+    number_base: int  # The router's part of a call's number.
+    observe: Callable[[Decision], None]  # Takes each change of belief.
+    tell: Teller | None = None  # None: nobody listens yet.
+    pool: EndpointPool = field(default_factory=EndpointPool)
+    rate: float = DEFAULT_READ_TOKENS_PER_S  # A usual engine's reading.
+    quarantine: Quarantine = field(
+        default_factory=lambda: Quarantine(QuarantineOptions())
+    )
+    _crashes: CrashEvidence = field(default_factory=CrashEvidence)
+    _number: int = 0  # Attempts so far.
+    _peer_calls: dict[int, str] = field(default_factory=dict)
+
+    def ask(self, workspace: str, tokens: int, now_s: float) -> float:
+        """Count what a request asks for.
+
+        :param workspace: whose request it is
+        :param tokens: what it counts
+        :param now_s: the time
+        :returns: how much of the workspace's share is used with it
+        """
+        used = self.shares.used(workspace, tokens, now_s)
+        self.shares.ask(workspace, tokens, now_s)
+        if self.tell is not None:
+            self.tell.asked(workspace, tokens, 0)
+        return used
+
+    def place(
+        self,
+        endpoint: Endpoint,
+        prompt: Prompt | None,
+        workspace: str,
+        now_s: float,
+        ends_s: float,
+    ) -> int:
+        """Note an attempt and tell the others.
+
+        :param endpoint: where it goes
+        :param prompt: its prompt; None: no request for a model
+        :param workspace: whose request it is; empty: nobody's
+        :param now_s: the time
+        :param ends_s: when it is forgotten at the latest
+        :returns: the attempt's number, unique in the fleet
+        """
+        self._number += 1
+        number = self.number_base + self._number
+        endpoint.outstanding += 1
+        if endpoint.view is not None and prompt is not None:
+            endpoint.view.place(number, prompt, self.rate, now_s, ends_s)
+            if workspace:
+                tokens = prompt.quota_tokens
+                self.shares.grant(workspace, tokens, now_s)
+                if self.tell is not None:
+                    self.tell.asked(workspace, 0, tokens)
+        if self.tell is not None:
+            self.tell.placed(_placed(number, endpoint.name, prompt))
+        return number
+
+    def first_event(
+        self, endpoint: Endpoint, number: int, now_s: float
+    ) -> None:
+        """Note an event of a stream; only an attempt's first one counts.
+
+        :param endpoint: where it comes from
+        :param number: the attempt
+        :param now_s: the time
+        """
+        view = endpoint.view
+        if view is None or number not in view.pending:
+            return
+        self._learn(view.start(number, self.rate, now_s))
+        if self.tell is not None:
+            self.tell.started(number)
+
+    def ended(self, endpoint: Endpoint, number: int) -> None:
+        """Note that an attempt ended.
+
+        :param endpoint: where it went
+        :param number: the attempt
+        """
+        _end(endpoint, number)
+        if self.tell is not None:
+            self.tell.ended(number)
+
+    def broke_off(
+        self, endpoint: Endpoint, fingerprint: int, now_s: float
+    ) -> None:
+        """Note a request whose connection ended without an answer.
+
+        :param endpoint: where it ran
+        :param fingerprint: the request's digest
+        :param now_s: the time
+        """
+        self._crashes.broke_off(endpoint.name, fingerprint, now_s)
+
+    def crashed(self, endpoint: Endpoint, now_s: float) -> None:
+        """Note that nothing listens at an endpoint's address.
+
+        :param endpoint: which one
+        :param now_s: the time
+        """
+        for fingerprint in self._crashes.refused(endpoint.name, now_s):
+            struck = Struck(fingerprint, endpoint.name)
+            self._strike(struck, now_s)
+            if self.tell is not None:
+                self.tell.struck(struck)
+
+    def take_update(self, update: PeerUpdate, now_s: float) -> None:
+        """Take what another router tells.
+
+        :param update: what happened there
+        :param now_s: the time
+        """
+        self._forget_calls(self.peers.hear(update, now_s))
+        peer = self.peers.peers.get(update.instance)
+        if peer is None or peer.incarnation != update.incarnation:
+            return
+        for placed in update.placed:
+            self._take_placed(placed, now_s)
+            peer.calls.add(placed.call)
+        for number in update.started:
+            endpoint = self._endpoint_of(number)
+            if endpoint is not None and endpoint.view is not None:
+                self._learn(endpoint.view.start(number, self.rate, now_s))
+        for number in update.ended:
+            self._end_peer_call(number)
+            peer.calls.discard(number)
+        for struck in update.struck:
+            self._strike(struck, now_s)
+        for asked in update.asked:
+            if asked.asked_tokens:
+                self.shares.ask(asked.workspace, asked.asked_tokens, now_s)
+            if asked.granted_tokens:
+                self.shares.grant(asked.workspace, asked.granted_tokens, now_s)
+        if update.leaving:
+            self._forget_calls(set(peer.calls))
+
+    def sweep(self, now_s: float) -> None:
+        """Forget routers that fell silent, and their requests.
+
+        :param now_s: the time
+        """
+        self._forget_calls(self.peers.sweep(now_s))
+
+    def _learn(self, observed: float | None) -> None:
+        """Take an observed rate of reading into the estimate."""
+        if observed is not None:
+            rate = self.rate + RATE_GAIN * (observed - self.rate)
+            self.rate = min(MAX_RATE, max(MIN_RATE, rate))
+
+    def _strike(self, struck: Struck, now_s: float) -> None:
+        """Count a crash against a request."""
+        new = self.quarantine.strike(
+            struck.fingerprint, struck.endpoint, False, now_s
+        )
+        if new:
+            self.observe(
+                Decision(
+                    "strike",
+                    "in flight when the endpoint crashed",
+                    endpoint=struck.endpoint,
+                    inputs={"fingerprint": struck.fingerprint},
+                )
+            )
+
+    def _take_placed(self, placed: Placed, now_s: float) -> None:
+        """Note a request that a peer sent to an endpoint."""
+        endpoint = self.pool.by_name.get(placed.endpoint)
+        if endpoint is None:
+            return
+        self._peer_calls[placed.call] = placed.endpoint
+        endpoint.outstanding += 1
+        if endpoint.view is not None and placed.input_tokens:
+            parts = zip(placed.parts, placed.lengths, strict=False)
+            prompt = Prompt(
+                model="",
+                parts=tuple(PromptPart(part, size) for part, size in parts),
+                input_tokens=placed.input_tokens,
+                output_limit=placed.output_tokens,
+            )
+            endpoint.view.place(
+                placed.call, prompt, self.rate, now_s, now_s + PEER_CALL_S
+            )
+
+    def _endpoint_of(self, number: int) -> Endpoint | None:
+        """Return where a peer's request is."""
+        name = self._peer_calls.get(number)
+        return self.pool.by_name.get(name) if name is not None else None
+
+    def _end_peer_call(self, number: int) -> None:
+        """Note that a peer's request ended."""
+        endpoint = self._endpoint_of(number)
+        self._peer_calls.pop(number, None)
+        if endpoint is not None:
+            _end(endpoint, number)
+
+    def _forget_calls(self, numbers: set[int]) -> None:
+        """Forget requests whose router is gone."""
+        for number in numbers:
+            self._end_peer_call(number)
+
+
+def _end(endpoint: Endpoint, number: int) -> None:
+    """Take an attempt out of what an endpoint has."""
+    endpoint.outstanding = max(0, endpoint.outstanding - 1)
+    if endpoint.view is not None:
+        endpoint.view.end(number)
+
+
+def _placed(number: int, endpoint: str, prompt: Prompt | None) -> Placed:
+    """Return what peers are told of an attempt."""
+    if prompt is None:
+        return Placed(number, endpoint)
+    return Placed(
+        number,
+        endpoint,
+        tuple(part.part for part in prompt.parts),
+        tuple(part.tokens for part in prompt.parts),
+        prompt.input_tokens,
+        prompt.output_hint or prompt.output_limit,
+    )
--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -161,21 +161,6 @@
     return USED_SHARE_WAIT + unused * (UNUSED_SHARE_WAIT - USED_SHARE_WAIT)
 
 
-def return_s(
-    prediction: Prediction, share_used: float, window_s: float
-) -> float:
-    """Return when a refused request would find room, as far as is known.
-
-    :param prediction: what it would have met at its engine
-    :param share_used: how much of its workspace's share is used with it
-    :param window_s: the window of the shares
-    """
-    if share_used > 1.0:
-        # So much of the window has to pass until the share covers it.
-        return window_s * (1.0 - 1.0 / share_used)
-    return prediction.wait_s
-
-
 def admit_to_engine(
     prediction: Prediction,
     goal_left_s: float,
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -76,7 +76,6 @@
         "exchange",
         "front",
         "progress",
-        "room_in_s",
         "route",
         "service",
         "share_used",
@@ -120,7 +119,6 @@
         self.progress = Progress()
         self.tried: set[str] = set()
         self.share_used = 0.0
-        self.room_in_s = 0.0
         self.done = False
         self._cutter = EventCutter(last_id=call.resume_after)
         self._endpoint: Endpoint | None = None
@@ -222,7 +220,9 @@
         if not self._first_event_s:
             self._first_event_s = now_s
         if self._endpoint is not None:
-            self.front.first_event(self._endpoint, self._call_number, now_s)
+            self.front.state.first_event(
+                self._endpoint, self._call_number, now_s
+            )
         if not self.exchange.started:
             self.exchange.begin(head.status, head.headers, None)
         self.exchange.write(whole)
@@ -256,7 +256,7 @@
         endpoint = self._endpoint
         if head is None or endpoint is None or self.done:
             return
-        self.front.attempt_ended(self._call_number, endpoint)
+        self.front.state.ended(endpoint, self._call_number)
         self._clear_overdue()
         if head.not_executed:
             self.progress.may_have_run = self._ran_before
@@ -306,7 +306,7 @@
         endpoint = self._endpoint
         if endpoint is None or self.done:
             return
-        self.front.attempt_ended(self._call_number, endpoint)
+        self.front.state.ended(endpoint, self._call_number)
         self._clear_overdue()
         if loss is Loss.BROKEN:
             self._count_failure(endpoint)
@@ -315,7 +315,7 @@
             return
         self.progress.failures += 1
         if loss is Loss.REFUSED:
-            self.front.crashed(endpoint)
+            self.front.state.crashed(endpoint, self.front.clock())
         if loss in (Loss.NOT_SENT, Loss.REFUSED):
             self.front.pool.unreachable(endpoint, self.front.clock())
         self._failed(Failure.NOT_SENT, detail)
@@ -407,7 +407,7 @@
         if pending is not None:
             pending.cancel()
             if self._endpoint is not None:
-                self.front.attempt_ended(self._call_number, self._endpoint)
+                self.front.state.ended(self._endpoint, self._call_number)
 
     def _give_up(self, notice: Notice, outcome: Outcome) -> None:
         """Answer with a refusal or failure of our own."""
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -13,12 +13,9 @@
 from typing import Final
 
 from bulrushstream import messages
-from bulrushstream.coordination.crashevidence import CrashEvidence
-from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
-from bulrushstream.coordination.engineview import (
-    DEFAULT_READ_TOKENS_PER_S,
-)
+from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.fairshare import FairShares
+from bulrushstream.coordination.fleetstate import NUMBER_BITS, FleetState
 from bulrushstream.coordination.fleetview import FleetView
 from bulrushstream.coordination.freshness import Freshness
 from bulrushstream.coordination.placement import (
@@ -27,11 +24,6 @@
     admit_to_engine,
     choose_engine,
     choose_plain,
-    return_s,
-)
-from bulrushstream.coordination.quarantine import (
-    Quarantine,
-    QuarantineOptions,
 )
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routetable import (
@@ -43,33 +35,20 @@
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
 from bulrushstream.protocol.dialect import Dialect, HeadError
-from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.nodesettings import NodeSettings
-from bulrushstream.state.peerupdate import PeerUpdate, Placed, Struck
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import EndpointEntry, RouteConfig
-from bulrushstream.transport.datagrams import PeerPort
 from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
 from bulrushstream.transport.problem import encode_problem
 from bulrushstream.transport.upstream import Pool, PoolOptions
 
-# A call's number holds the router in its upper bits.
-_NUMBER_BITS: Final = 24
-
-# A request that a peer told of is forgotten after this, if its end is not
-# told; longer than any route's requests usually run.
-PEER_CALL_S: Final = 20.0
-
-# How much one observation of an engine's reading moves the estimate.
-RATE_GAIN: Final = 0.05
-MIN_RATE: Final = 2_000.0
-MAX_RATE: Final = 500_000.0
-
-# When a refused caller is told to come back: not sooner than this, and up to
-# so many times later than there should be room.
+# When a caller is told to come back that gets no further than this router.
 RETRY_SOON_S: Final = 0.1
-RETRY_SPREAD: Final = 1.5
+
+# When a refused caller is told to come back, in parts of its objective: a
+# queue has changed by then, and the answer can still be in time.
+RETRY_GOAL_PARTS: Final = (0.2, 0.5)
 
 # A caller heeds a time up to this part of what it has left.
 MAX_RETRY_PART: Final = 1.0 / 3.0
@@ -115,8 +94,14 @@
         self.listed = False
         self.draining = False
         self.closed = False
-        self.pool = EndpointPool()
-        self.fleet = FleetView(settings.host)
+        self.state = FleetState(
+            FleetView(settings.host),
+            FairShares(settings.share_window_s),
+            self.rng.getrandbits(38) << NUMBER_BITS,
+            wiring.observe,
+        )
+        self.pool = self.state.pool
+        self.fleet = self.state.peers
         limit_s = settings.revoke_s
         self.freshness = Freshness(
             float("inf") if limit_s is None else limit_s
@@ -128,15 +113,8 @@
                 settings.retry_window_s,
             )
         )
-        self.shares = FairShares(settings.share_window_s)
-        self.rate = DEFAULT_READ_TOKENS_PER_S
         self.forwards: set[Forward] = set()
         self._pools: dict[str, Pool] = {}
-        self._number_base = self.rng.getrandbits(38) << _NUMBER_BITS
-        self._number = 0
-        self._peer_calls: dict[int, str] = {}
-        self._crashes = CrashEvidence()
-        self._quarantine = Quarantine(QuarantineOptions())
         now_s = self.clock()
         for seed in settings.seeds:
             self.fleet.suggest(seed, now_s)
@@ -145,7 +123,6 @@
             held_bytes=int(settings.memory_mb * HELD_PART * 2**20),
         )
         self.ingress = Ingress(self.handle, self.limits, self.clock)
-        self.peers: PeerPort | None = None
 
     def reconfigure(self, settings: NodeSettings) -> None:
         """Take over what may change while the router runs.
@@ -160,7 +137,7 @@
             settings.retry_slack,
             settings.retry_window_s,
         )
-        self.shares.window_s = settings.share_window_s
+        self.state.shares.window_s = settings.share_window_s
 
     # --- Requests.
 
@@ -206,7 +183,8 @@
             self, exchange, call, route, service, workspace, arrived_boot_s
         )
         now_s = self.clock()
-        if self._quarantine.fingerprints() and self._quarantine.is_refused(
+        quarantine = self.state.quarantine
+        if quarantine.fingerprints() and quarantine.is_refused(
             forward.fingerprint, now_s
         ):
             self._turn_away(
@@ -217,10 +195,7 @@
         self.quota.count_request(service, now_s)
         if call.prompt is not None and workspace:
             tokens = call.prompt.quota_tokens
-            forward.share_used = self.shares.used(workspace, tokens, now_s)
-            self.shares.ask(workspace, tokens, now_s)
-            if self.peers is not None:
-                self.peers.asked(workspace, tokens, 0)
+            forward.share_used = self.state.ask(workspace, tokens, now_s)
         forward.start()
 
     def _turn_away(
@@ -283,7 +258,7 @@
         for each in usable:
             if each.view is not None:
                 each.view.expire(now_s)
-        prediction = choose_engine(usable, prompt, self.rate, now_s)
+        prediction = choose_engine(usable, prompt, self.state.rate, now_s)
         if prediction is None:
             return None
         refusal = self._objection(forward, prediction, now_s)
@@ -311,9 +286,6 @@
         )
         if admission is Admission.SEND:
             return None
-        forward.room_in_s = return_s(
-            prediction, forward.share_used, self.shares.window_s
-        )
         self.decide(
             "shed",
             "first token predicted too late",
@@ -336,20 +308,10 @@
         now_s: float,
     ) -> int:
         """Note an attempt, tell the peers, and return its number."""
-        self._number += 1
-        number = self._number_base + self._number
-        endpoint.outstanding += 1
-        prompt = forward.call.prompt
-        view = endpoint.view
-        if prediction is not None and prompt is not None and view is not None:
-            view.place(number, prompt, self.rate, now_s, forward.deadline_s)
-            if forward.workspace:
-                tokens = prompt.quota_tokens
-                self.shares.grant(forward.workspace, tokens, now_s)
-                if self.peers is not None:
-                    self.peers.asked(forward.workspace, 0, tokens)
-        if self.peers is not None:
-            self.peers.placed(_placed(number, endpoint.name, prompt))
+        prompt = forward.call.prompt if prediction is not None else None
+        number = self.state.place(
+            endpoint, prompt, forward.workspace, now_s, forward.deadline_s
+        )
         inputs: dict[str, float | int | str] = {}
         if prediction is not None:
             inputs = _prediction_inputs(prediction)
@@ -428,43 +390,11 @@
                 self.clock() - forward.arrived_s
             )
         # Returns are spread, so that they do not come in a wave.
-        back_s = max(RETRY_SOON_S, forward.room_in_s)
-        back_s *= self.rng.uniform(1.0, RETRY_SPREAD)
+        back_s = forward.route.goal_s * self.rng.uniform(*RETRY_GOAL_PARTS)
         return max(0.01, min(back_s, left_s * MAX_RETRY_PART))
 
     # --- What endpoints do.
 
-    def first_event(
-        self, endpoint: Endpoint, number: int, now_s: float
-    ) -> None:
-        """Note an event of a stream; only an attempt's first one counts.
-
-        :param endpoint: where it comes from
-        :param number: the attempt
-        :param now_s: the time
-        """
-        view = endpoint.view
-        if view is None or number not in view.pending:
-            return
-        observed = view.start(number, self.rate, now_s)
-        if observed is not None:
-            rate = self.rate + RATE_GAIN * (observed - self.rate)
-            self.rate = min(MAX_RATE, max(MIN_RATE, rate))
-        if self.peers is not None:
-            self.peers.started(number)
-
-    def attempt_ended(self, number: int, endpoint: Endpoint) -> None:
-        """Note that an attempt ended.
-
-        :param number: the attempt
-        :param endpoint: where it went
-        """
-        endpoint.outstanding = max(0, endpoint.outstanding - 1)
-        if endpoint.view is not None:
-            endpoint.view.end(number)
-        if self.peers is not None:
-            self.peers.ended(number)
-
     def misdirected(self, endpoint: Endpoint) -> None:
         """Note that another endpoint answered at an address.
 
@@ -484,35 +414,7 @@
         # Idle connections to an endpoint that crashed are of no use.
         self.connections(endpoint).drop_idle()
         if not answering:
-            self._crashes.broke_off(
-                endpoint.name, forward.fingerprint, self.clock()
-            )
-
-    def crashed(self, endpoint: Endpoint) -> None:
-        """Note that nothing listens at an endpoint's address.
-
-        :param endpoint: which one
-        """
-        for each in self._crashes.refused(endpoint.name, self.clock()):
-            struck = Struck(each, endpoint.name)
-            self._strike(struck)
-            if self.peers is not None:
-                self.peers.struck(struck)
-
-    def _strike(self, struck: Struck) -> None:
-        """Count a crash against a request."""
-        new = self._quarantine.strike(
-            struck.fingerprint, struck.endpoint, False, self.clock()
-        )
-        if new:
-            self.observe(
-                Decision(
-                    "strike",
-                    "in flight when the endpoint crashed",
-                    endpoint=struck.endpoint,
-                    inputs={"fingerprint": struck.fingerprint},
-                )
-            )
+            self.state.broke_off(endpoint, forward.fingerprint, self.clock())
 
     def silent(self, endpoint: Endpoint) -> None:
         """Note that an endpoint has not answered in time.
@@ -533,8 +435,9 @@
         """
         self.forwards.discard(forward)
         now_s = self.clock()
-        if outcome is Outcome.RAN and self._quarantine.fingerprints():
-            self._quarantine.prove(forward.fingerprint, now_s)
+        quarantine = self.state.quarantine
+        if outcome is Outcome.RAN and quarantine.fingerprints():
+            quarantine.prove(forward.fingerprint, now_s)
         took_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
             forward.service, forward.kind.value
@@ -573,7 +476,7 @@
         self.limits.body_bytes = limits.body_bytes
         self.limits.header_timeout_s = limits.header_timeout_s
         self.limits.idle_timeout_s = limits.idle_timeout_s
-        self.shares.tokens_per_s = config.tokens_per_s
+        self.state.shares.tokens_per_s = config.tokens_per_s
         for service in config.services:
             self.pool.set_traits(service.name, service.engine)
         self.metrics.config_version.set(config.version)
@@ -634,79 +537,9 @@
             )
         )
 
-    def take_update(self, update: PeerUpdate) -> None:
-        """Take what another router tells.
-
-        :param update: what happened there
-        """
-        now_s = self.clock()
-        self._forget_calls(self.fleet.hear(update, now_s))
-        peer = self.fleet.peers.get(update.instance)
-        if peer is None or peer.incarnation != update.incarnation:
-            return
-        for placed in update.placed:
-            self._take_placed(placed, now_s)
-            peer.calls.add(placed.call)
-        for number in update.started:
-            endpoint = self._endpoint_of(number)
-            if endpoint is not None and endpoint.view is not None:
-                endpoint.view.start(number, self.rate, now_s)
-        for number in update.ended:
-            self._end_peer_call(number)
-            peer.calls.discard(number)
-        for struck in update.struck:
-            self._strike(struck)
-        for asked in update.asked:
-            if asked.asked_tokens:
-                self.shares.ask(asked.workspace, asked.asked_tokens, now_s)
-            if asked.granted_tokens:
-                self.shares.grant(asked.workspace, asked.granted_tokens, now_s)
-        if update.leaving:
-            self._forget_calls(set(peer.calls))
-
-    def _take_placed(self, placed: Placed, now_s: float) -> None:
-        """Note a request that a peer sent to an endpoint."""
-        endpoint = self.pool.by_name.get(placed.endpoint)
-        if endpoint is None:
-            return
-        self._peer_calls[placed.call] = placed.endpoint
-        endpoint.outstanding += 1
-        if endpoint.view is not None and placed.input_tokens:
-            parts = zip(placed.parts, placed.lengths, strict=False)
-            prompt = Prompt(
-                model="",
-                parts=tuple(PromptPart(part, size) for part, size in parts),
-                input_tokens=placed.input_tokens,
-                output_limit=placed.output_tokens,
-            )
-            endpoint.view.place(
-                placed.call, prompt, self.rate, now_s, now_s + PEER_CALL_S
-            )
-
-    def _endpoint_of(self, number: int) -> Endpoint | None:
-        """Return where a peer's request is."""
-        name = self._peer_calls.get(number)
-        return self.pool.by_name.get(name) if name is not None else None
-
-    def _end_peer_call(self, number: int) -> None:
-        """Note that a peer's request ended."""
-        endpoint = self._endpoint_of(number)
-        self._peer_calls.pop(number, None)
-        if endpoint is None:
-            return
-        endpoint.outstanding = max(0, endpoint.outstanding - 1)
-        if endpoint.view is not None:
-            endpoint.view.end(number)
-
-    def _forget_calls(self, numbers: set[int]) -> None:
-        """Forget requests whose router is gone."""
-        for number in numbers:
-            self._end_peer_call(number)
-
     def sweep(self) -> None:
         """Forget what is over; called a few times a second."""
-        now_s = self.clock()
-        self._forget_calls(self.fleet.sweep(now_s))
+        self.state.sweep(self.clock())
         for pool in self._pools.values():
             pool.expire_idle()
 
@@ -781,17 +614,3 @@
         "kept_tokens": prediction.kept,
         "room": int(prediction.room),
     }
-
-
-def _placed(number: int, endpoint: str, prompt: Prompt | None) -> Placed:
-    """Return what peers are told of an attempt."""
-    if prompt is None:
-        return Placed(number, endpoint)
-    return Placed(
-        number,
-        endpoint,
-        tuple(part.part for part in prompt.parts),
-        tuple(part.tokens for part in prompt.parts),
-        prompt.input_tokens,
-        prompt.output_hint or prompt.output_limit,
-    )
--- a/src/bulrushstream/daemon/frontd.py
+++ b/src/bulrushstream/daemon/frontd.py
@@ -74,6 +74,7 @@
         self._settings = settings
         self._wiring = wiring
         self.front = Front(settings, wiring)
+        self._port: PeerPort | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self.ports: list[int] = []  # Bound: callers, readiness, service.
@@ -98,14 +99,17 @@
         port = PeerPort(
             identity,
             settings.peers_port,
-            front.take_update,
+            lambda update: front.state.take_update(
+                update, self._wiring.clock()
+            ),
             self._wiring.report,
         )
         port.hosts = front.fleet.told_hosts
         await loop.create_datagram_endpoint(
             lambda: port, local_addr=(settings.host, settings.peers_port)
         )
-        front.peers = port
+        self._port = port
+        front.state.tell = port
         await self._listen(
             front.ingress, settings.callers.host, settings.callers.port
         )
@@ -165,14 +169,14 @@
             server.close()
         for forward in list(front.forwards):
             forward.stop()
-        if front.peers is not None:
-            front.peers.leaving = True
-            front.peers.flush()
+        if self._port is not None:
+            self._port.leaving = True
+            self._port.flush()
         await asyncio.sleep(0.05)
         for task in self._tasks:
             task.cancel()
-        if front.peers is not None:
-            front.peers.close()
+        if self._port is not None:
+            self._port.close()
         self._wiring.observe(Decision("stop", "stopped"))
 
     def _close_door(self) -> None:
--- /dev/null
+++ b/tests/test_fleetstate.py
@@ -0,0 +1,157 @@
+"""What routers tell each other of endpoints, without a network."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushstream.coordination.fairshare import FairShares
+from bulrushstream.coordination.fleetstate import PEER_CALL_S, FleetState
+from bulrushstream.coordination.fleetview import SILENT_S, FleetView
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.peerupdate import (
+    Asked,
+    PeerUpdate,
+    Placed,
+    Struck,
+)
+from bulrushstream.state.routes import EngineTraits
+from tests.deployments import a_prompt, an_entry
+
+TRAITS = EngineTraits(64, 200_000)
+
+
+@dataclass(slots=True)
+class Wire:
+    """Turns what one router tells into updates."""
+
+    identity: PeerUpdate
+    updates: list[PeerUpdate] = field(default_factory=list)
+
+    def placed(self, placed: Placed) -> None:
+        self.updates.append(replace(self.identity, placed=(placed,)))
+
+    def started(self, call: int) -> None:
+        self.updates.append(replace(self.identity, started=(call,)))
+
+    def ended(self, call: int) -> None:
+        self.updates.append(replace(self.identity, ended=(call,)))
+
+    def asked(self, workspace: str, asked: int, granted: int) -> None:
+        entry = Asked(workspace, asked, granted)
+        self.updates.append(replace(self.identity, asked=(entry,)))
+
+    def struck(self, struck: Struck) -> None:
+        self.updates.append(replace(self.identity, struck=(struck,)))
+
+
+def a_state(number: int) -> tuple[FleetState, Wire]:
+    """Return a router that knows three engines, and what it tells."""
+    decisions: list[Decision] = []
+    state = FleetState(
+        FleetView(f"10.0.0.{number}"),
+        FairShares(4.0, tokens_per_s=100_000.0),
+        number << 30,
+        decisions.append,
+    )
+    for name in ("e-1", "e-2", "e-3"):
+        state.pool.update(an_entry(name, service="llm"), TRAITS)
+    wire = Wire(PeerUpdate(f"front-{number}", 1, f"10.0.0.{number}"))
+    state.tell = wire
+    return state, wire
+
+
+def deliver(wire: Wire, to: FleetState, now_s: float) -> None:
+    """Hand everything that was told to another router."""
+    for update in wire.updates:
+        to.take_update(update, now_s)
+    wire.updates.clear()
+
+
+class OneViewSuite:
+    @given(st.integers(0, 10_000))
+    def test_routers_that_hear_each_other_agree(self, seed: int) -> None:
+        rng = random.Random(seed)
+        states = [a_state(1), a_state(2)]
+        open_calls: list[tuple[int, str, int]] = []
+        now_s = 0.0
+        for _ in range(40):
+            now_s += 0.01
+            side = rng.randrange(2)
+            state, _ = states[side]
+            mine = [each for each in open_calls if each[0] == side]
+            if mine and rng.random() < 0.5:
+                each = rng.choice(mine)
+                endpoint = state.pool.by_name[each[1]]
+                state.first_event(endpoint, each[2], now_s)
+                state.ended(endpoint, each[2])
+                open_calls.remove(each)
+            else:
+                name = rng.choice(("e-1", "e-2", "e-3"))
+                prompt = a_prompt((rng.randrange(5), 900), (99, 300))
+                number = state.place(
+                    state.pool.by_name[name], prompt, "club", now_s, 1e9
+                )
+                open_calls.append((side, name, number))
+            for place, (_, wire) in enumerate(states):
+                deliver(wire, states[1 - place][0], now_s)
+        for name in ("e-1", "e-2", "e-3"):
+            one, two = (s.pool.by_name[name] for s, _ in states)
+            assert one.view is not None
+            assert two.view is not None
+            assert one.outstanding == two.outstanding
+            assert one.view.cached == two.view.cached
+            assert one.view.running.keys() == two.view.running.keys()
+            assert one.view.running_tokens == two.view.running_tokens
+            assert abs(one.view.free_s - two.view.free_s) < 1e-6
+        assert states[0][0].shares.granted == states[1][0].shares.granted
+
+    def test_a_lost_end_is_forgotten_in_time(self) -> None:
+        (first, wire), (second, _) = a_state(1), a_state(2)
+        endpoint = first.pool.by_name["e-1"]
+        number = first.place(endpoint, a_prompt((1, 900)), "", 0.0, 1e9)
+        deliver(wire, second, 0.0)
+        first.ended(endpoint, number)
+        wire.updates.clear()
+        view = second.pool.by_name["e-1"].view
+        assert view is not None
+        view.expire(PEER_CALL_S + 0.1)
+        assert not view.running
+
+    def test_a_restarted_or_silent_router_has_no_requests(self) -> None:
+        for restarted in (True, False):
+            (first, wire), (second, _) = a_state(1), a_state(2)
+            endpoint = first.pool.by_name["e-1"]
+            first.place(endpoint, a_prompt((1, 900)), "", 0.0, 1e9)
+            deliver(wire, second, 0.0)
+            assert second.pool.by_name["e-1"].outstanding == 1
+            if restarted:
+                second.take_update(replace(wire.identity, incarnation=2), 0.1)
+            else:
+                second.sweep(SILENT_S + 0.1)
+            assert second.pool.by_name["e-1"].outstanding == 0
+
+    def test_strikes_count_once_for_each_crash(self) -> None:
+        (first, wire), (second, _) = a_state(1), a_state(2)
+        for name in ("e-1", "e-2", "e-3"):
+            endpoint = first.pool.by_name[name]
+            first.broke_off(endpoint, 77, 1.0)
+            first.crashed(endpoint, 1.5)
+            first.crashed(endpoint, 1.6)
+            updates = list(wire.updates)
+            deliver(wire, second, 1.6)
+            for update in updates:
+                second.take_update(update, 1.7)
+        for state in (first, second):
+            assert state.quarantine.count(77, 2.0) == 3
+            assert state.quarantine.is_refused(77, 2.0)
+
+    def test_a_lost_answer_is_no_crash(self) -> None:
+        state, _ = a_state(1)
+        endpoint = state.pool.by_name["e-1"]
+        state.broke_off(endpoint, 77, 1.0)
+        state.crashed(endpoint, 9.0)
+        assert state.quarantine.count(77, 9.0) == 0
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -253,6 +253,19 @@
         assert "Retry-After: " in head
         assert not any(each.runs for each in fleet.workers.values())
 
+    async def test_a_refused_caller_can_come_back_in_time(
+        self, fleet: Deployment
+    ) -> None:
+        for name in ("d-1", "d-2"):
+            fleet.workers[name].script = [Behaviour.SHED] * 9
+        for number in range(9):
+            _, head, _ = await ask(
+                fleet, request("/once/x", f"q{number}", method="POST")
+            )
+            after_s = float(head.split("Retry-After: ")[1].split("\r\n")[0])
+            # The objective of the route is 0.2 s.
+            assert 0.0 < after_s <= 0.1
+
     @pytest.mark.parametrize(
         "behaviour", [Behaviour.STRAY, Behaviour.EXTRA, Behaviour.UNFRAMED]
     )
