Start without the store: endpoints, configuration and proof from a peer

A peer now gives its list too. The test starts a router beside a store that refuses; before, it was never ready. What peers ask of each other is a module of its own now.

--- a/src/bulrushstream/daemon/frontd.py
+++ b/src/bulrushstream/daemon/frontd.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 from bulrushstream.daemon.front import Front, Wiring
+from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.daemon.watch import Snapshot, TopicWatch, repeat
 from bulrushstream.metrics import CONTENT_TYPE, encode_metrics
 from bulrushstream.protocol.dialect import DocumentError
@@ -19,9 +20,7 @@
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerPort
-from bulrushstream.transport.httpcall import CallError, call
 from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
-from bulrushstream.transport.upstream import Pool
 
 # Endpoints write often and matter within seconds; reads are gathered.
 ENDPOINTS_INTERVAL_S: Final = 0.6
@@ -31,10 +30,8 @@
 # How often the routers' topic is read again for routers not heard from.
 ROUTERS_INTERVAL_S: Final = 15.0
 
-# A router asks a peer for its proof if its own is older than this.
-ASK_PEER_AGE_S: Final = 2.2
+# How often a router looks whether it has to ask a peer.
 ASK_PEER_INTERVAL_S: Final = 0.4
-ASK_PEER_TIMEOUT_S: Final = 0.4
 
 # An endpoint that vanishes from the list within this time of an outage of
 # the store may be back: the platform lets live ones return in two seconds.
@@ -49,9 +46,6 @@
 
 SETTINGS_INTERVAL_S: Final = 1.0
 
-_AGE_HEADER: Final = b"bulrushstream-config-age-ms"
-_VERSION_HEADER: Final = b"bulrushstream-config-version"
-
 
 def boot_clock() -> float:
     """Return a time that also counts while the machine is suspended."""
@@ -78,7 +72,15 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self.ports: list[int] = []  # Bound: callers, readiness, service.
-        self._raw_config = b""
+        self._recovery = Recovery(
+            front=self.front,
+            clock=wiring.clock,
+            boot_clock=wiring.boot_clock,
+            rng=wiring.rng,
+            port=settings.service_port,
+            take_config=self._take_raw_config,
+            take_endpoints=lambda found: self._take_endpoints(Snapshot(found)),
+        )
         self._store_ok = True
         self._store_failed_s = float("-inf")
         self._vanished: dict[str, float] = {}
@@ -86,7 +88,6 @@
         self.store = wiring.dialect.make_store(
             settings.store, wiring.clock, self._count_call
         )
-        self._peer_pools: dict[str, Pool] = {}
         self._incarnation = time.time_ns() // 1_000_000
 
     async def start(self) -> None:
@@ -129,7 +130,7 @@
         self._spawn(repeat(SWEEP_S, self._sweep))
         if self._path:
             self._spawn(repeat(SETTINGS_INTERVAL_S, self.reload))
-        self._spawn(repeat(ASK_PEER_INTERVAL_S, self._ask_peers))
+        self._spawn(repeat(ASK_PEER_INTERVAL_S, self._recovery.ask))
         self._wiring.observe(
             Decision(
                 "start",
@@ -229,26 +230,9 @@
                 [(b"content-type", CONTENT_TYPE.encode())],
                 encode_metrics(self._wiring.metrics),
             )
-        elif exchange.target.startswith(b"/config?than="):
-            self._answer_config(exchange)
-        else:
+        elif not self._recovery.answer(exchange):
             exchange.answer(404, [])
 
-    def _answer_config(self, exchange: Exchange) -> None:
-        """Give a peer the configuration, if it has an older one."""
-        table = self.front.table
-        known = exchange.target.rpartition(b"=")[2]
-        if table is None or not self._raw_config:
-            exchange.answer(503, [])
-            return
-        age_s = self.front.freshness.age_s(self._wiring.boot_clock())
-        headers = [
-            (_AGE_HEADER, b"%d" % int(min(age_s, 1e6) * 1000 + 1)),
-            (_VERSION_HEADER, b"%d" % table.config.version),
-        ]
-        same = known == b"%d" % table.config.version
-        exchange.answer(200, headers, b"" if same else self._raw_config)
-
     # --- The store.
 
     def _watch(
@@ -316,7 +300,7 @@
             self._wiring.report("bad_config", str(error))
             return
         if self.front.take_config(config):
-            self._raw_config = data
+            self._recovery.config = data
 
     def _take_endpoints(self, found: Snapshot | Keyed) -> None:
         """Take what the list says of endpoints."""
@@ -341,6 +325,7 @@
             self._wiring.report("bad_entry", f"{name}: {error}")
             return
         self._vanished.pop(name, None)
+        self._recovery.entries[name] = value
         self.front.take_entry(entry)
 
     def _sweep(self) -> None:
@@ -350,6 +335,7 @@
             outage_s = since_s - self._store_failed_s
             if outage_s > RETURN_S or now_s - since_s > RETURN_S:
                 del self._vanished[name]
+                self._recovery.entries.pop(name, None)
                 self.front.drop_entry(name)
         self.front.sweep()
 
@@ -375,45 +361,6 @@
                 continue
             await asyncio.sleep(ROUTERS_INTERVAL_S)
 
-    async def _ask_peers(self) -> None:
-        """Ask a peer for its proof if our own grows old."""
-        front = self.front
-        age_s = front.freshness.age_s(self._wiring.boot_clock())
-        hosts = [peer.host for peer in front.fleet.peers.values()]
-        if age_s < ASK_PEER_AGE_S:
-            return
-        if not hosts:
-            hosts = list(front.fleet.hosts)
-        if not hosts:
-            return
-        host = self._wiring.rng.choice(hosts)
-        pool = self._peer_pools.get(host)
-        if pool is None:
-            pool = Pool(host, self._settings.service_port, self._wiring.clock)
-            self._peer_pools[host] = pool
-        version = front.table.config.version if front.table else -1
-        sent_s = self._wiring.boot_clock()
-        try:
-            answer = await call(
-                pool,
-                "GET",
-                f"/config?than={version}",
-                timeout_s=ASK_PEER_TIMEOUT_S,
-            )
-        except CallError as error:
-            pool.drop_idle()
-            self._wiring.report("peer_silent", f"{host}: {error}")
-            return
-        headers = {name.lower(): value for name, value in answer.headers}
-        if answer.status != 200 or _AGE_HEADER not in headers:
-            return
-        if answer.body:
-            self._take_raw_config(answer.body)
-        current = front.table.config.version if front.table else -1
-        told = int(headers.get(_VERSION_HEADER, b"-1"))
-        if current >= told:
-            front.freshness.prove(sent_s - int(headers[_AGE_HEADER]) / 1000.0)
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a task until the process stops; a fault of it ends us."""
         task = asyncio.get_running_loop().create_task(work)
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -217,10 +217,15 @@
 
 async def deploy(config: bytes, **changes: Any) -> Deployment:
     """Start a store with a configuration, and a router."""
-    loop = asyncio.get_running_loop()
-    store = KeyedLog(loop.time)
+    store = KeyedLog(asyncio.get_running_loop().time)
     await store.start()
     store.put("keyed.op", "config", config)
+    return await deploy_beside(store, **changes)
+
+
+async def deploy_beside(store: KeyedLog, **changes: Any) -> Deployment:
+    """Start a router on a store that runs already."""
+    loop = asyncio.get_running_loop()
     decisions: list[Decision] = []
     offset_s = [0.0]
     wiring = Wiring(
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -8,12 +8,15 @@
 import pytest
 import pytest_asyncio
 
+from bulrushstream.standins.keyedlog import KeyedLog
 from bulrushstream.standins.worker import Behaviour
+from bulrushstream.state.nodesettings import Address
 from tests.deployments import (
     HOST,
     KEY,
     Deployment,
     deploy,
+    deploy_beside,
     wire_config,
     wire_route,
 )
@@ -484,6 +487,60 @@
         assert status == 200
 
 
+class RecoverySuite:
+    async def test_a_router_that_starts_without_the_store_asks_a_peer(
+        self, fleet: Deployment
+    ) -> None:
+        fleet.store.faults.refuse_status = 503
+        late = await deploy_beside(
+            fleet.store,
+            instance="front-2",
+            host="127.0.0.2",
+            callers=Address("127.0.0.2", 0),
+            service_port=fleet.process.ports[2],
+            seeds=("127.0.0.1",),
+        )
+        await late.until_ready(4)
+        reader, writer = await asyncio.open_connection("127.0.0.2", late.port)
+        writer.write(request("/safe/x"))
+        status, _, _ = await read_answer(reader)
+        assert status == 200
+        writer.close()
+        await late.process.stop()
+
+    async def test_a_router_without_store_and_peers_serves_nobody(
+        self,
+    ) -> None:
+        store = KeyedLog(asyncio.get_running_loop().time)
+        await store.start()
+        store.faults.refuse_status = 503
+        lonely = await deploy_beside(store)
+        status, _, body = await ask(lonely, request("/safe/x"))
+        assert status == 503
+        assert b"B109" in body
+        assert not lonely.process.front.ready
+        await lonely.stop()
+
+    async def test_a_peers_old_proof_proves_nothing_new(
+        self, fleet: Deployment
+    ) -> None:
+        late = await deploy_beside(
+            fleet.store,
+            instance="front-2",
+            host="127.0.0.2",
+            callers=Address("127.0.0.2", 0),
+            service_port=fleet.process.ports[2],
+            seeds=("127.0.0.1",),
+        )
+        await late.until_ready(4)
+        fleet.store.faults.refuse_status = 503
+        # Both proofs have grown old by the same time.
+        fleet.boot_offset_s[0] = late.boot_offset_s[0] = 30.0
+        await asyncio.sleep(0.6)
+        assert not late.process.front.ready
+        await late.process.stop()
+
+
 class StopSuite:
     async def test_a_planned_stop_finishes_what_runs(self) -> None:
         deployment = await deploy(CONFIG, grace_s=6.0)
