Learn the engines' speed only from what was seen awake

The learned rate of reading ran up to its limit, every engine looked idle, and the routers filled the queues: of 1,007 requests predicted within 0.05 s the median took 1.14 s. Now the router that sent a request observes its rate, unless it stood still meanwhile, and tells it; one observation moves the estimate by a factor of two at most. Ruled out: shares (those of all routers agreed), the store. The test fails without the check for standing still.

--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -167,13 +167,12 @@
         self.running_tokens += entry.tokens
         self._keep(prompt)
 
-    def start(self, call: int, rate: float, now_s: float) -> float | None:
+    def start(self, call: int, now_s: float) -> float | None:
         """Note that the first event of a request has come.
 
         Whatever was sent before it has been read as well.
 
         :param call: the request's number
-        :param rate: tokens that a usual engine reads in a second
         :param now_s: the time
         :returns: the tokens that were read in a second, if this told
         """
@@ -192,12 +191,19 @@
         if not entry.alone or entry.read_tokens < MIN_OBSERVED_TOKENS:
             return None
         took_s = max(0.001, now_s - entry.sent_s - FIXED_DELAY_S)
-        expected_s = entry.read_tokens / rate
-        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, took_s / expected_s))
+        return entry.read_tokens / took_s
+
+    def learn(self, observed: float, rate: float, now_s: float) -> None:
+        """Take an observation into the belief about the engine's speed.
+
+        :param observed: tokens that it read in a second
+        :param rate: tokens that a usual engine reads in a second
+        :param now_s: the time
+        """
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, rate / observed))
         current = self.slowness_at(now_s)
         self.slowness = current + SLOWNESS_GAIN * (ratio - current)
         self.learned_s = now_s
-        return entry.read_tokens / took_s
 
     def end(self, call: int) -> None:
         """Note that a request has ended, however it did.
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -24,7 +24,7 @@
 )
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.effect import Decision
-from bulrushstream.state.peerupdate import PeerUpdate, Placed, Struck
+from bulrushstream.state.peerupdate import PeerUpdate, Placed, Started, Struck
 
 # A call's number holds the router in its upper bits.
 NUMBER_BITS: Final = 24
@@ -35,6 +35,7 @@
 
 # How much one observation of an engine's reading moves the estimate.
 RATE_GAIN: Final = 0.05
+MAX_STEP: Final = 2.0
 MIN_RATE: Final = 2_000.0
 MAX_RATE: Final = 500_000.0
 
@@ -45,7 +46,7 @@
     def placed(self, placed: Placed) -> None:
         """Tell that a request was sent."""
 
-    def started(self, call: int) -> None:
+    def started(self, started: Started) -> None:
         """Tell that a request's first event came."""
 
     def ended(self, call: int) -> None:
@@ -58,6 +59,12 @@
         """Tell that a request was in flight at a crash."""
 
 
+# How often the state is swept, and the gap from which on the process is
+# taken to have stood still.
+SWEEP_S: Final = 0.25
+STALL_S: Final = 3 * SWEEP_S
+
+
 @dataclass(slots=True)
 class FleetState:
     """The state of one router that others contribute to."""
@@ -74,6 +81,8 @@
     )
     _crashes: CrashEvidence = field(default_factory=CrashEvidence)
     _number: int = 0  # Attempts so far.
+    _swept_s: float = float("inf")  # The last sweep; inf: none yet.
+    _resumed_s: float = float("-inf")  # When it last stood still until.
     _peer_calls: dict[int, str] = field(default_factory=dict)
 
     def ask(self, workspace: str, tokens: int, now_s: float) -> float:
@@ -133,9 +142,13 @@
         view = endpoint.view
         if view is None or number not in view.pending:
             return
-        self._learn(view.start(number, self.rate, now_s))
+        sent_s = view.pending[number].sent_s
+        observed = view.start(number, now_s)
+        if observed is None or not self._was_awake(sent_s, now_s):
+            observed = 0.0
+        self._learn(endpoint, int(observed), now_s)
         if self.tell is not None:
-            self.tell.started(number)
+            self.tell.started(Started(number, int(observed)))
 
     def ended(self, endpoint: Endpoint, number: int) -> None:
         """Note that an attempt ended.
@@ -183,10 +196,11 @@
         for placed in update.placed:
             self._take_placed(placed, now_s)
             peer.calls.add(placed.call)
-        for number in update.started:
-            endpoint = self._endpoint_of(number)
+        for started in update.started:
+            endpoint = self._endpoint_of(started.call)
             if endpoint is not None and endpoint.view is not None:
-                self._learn(endpoint.view.start(number, self.rate, now_s))
+                endpoint.view.start(started.call, now_s)
+                self._learn(endpoint, started.read_tokens_per_s, now_s)
         for number in update.ended:
             self._end_peer_call(number)
             peer.calls.discard(number)
@@ -203,15 +217,29 @@
     def sweep(self, now_s: float) -> None:
         """Forget routers that fell silent, and their requests.
 
+        It is called every `SWEEP_S`, so a longer gap means that the process
+        stood still.
+
         :param now_s: the time
         """
+        if now_s - self._swept_s > STALL_S:
+            self._resumed_s = now_s
+        self._swept_s = now_s
         self._forget_calls(self.peers.sweep(now_s))
 
-    def _learn(self, observed: float | None) -> None:
-        """Take an observed rate of reading into the estimate."""
-        if observed is not None:
-            rate = self.rate + RATE_GAIN * (observed - self.rate)
-            self.rate = min(MAX_RATE, max(MIN_RATE, rate))
+    def _was_awake(self, since_s: float, now_s: float) -> bool:
+        """Return whether the process has run all the while."""
+        return since_s >= self._resumed_s and now_s - self._swept_s <= STALL_S
+
+    def _learn(self, endpoint: Endpoint, observed: int, now_s: float) -> None:
+        """Take an observed rate of reading into the estimates."""
+        if endpoint.view is None or not observed:
+            return
+        endpoint.view.learn(observed, self.rate, now_s)
+        # What is far off tells of one engine, or of a clock that stood.
+        near = min(self.rate * MAX_STEP, max(self.rate / MAX_STEP, observed))
+        rate = self.rate + RATE_GAIN * (near - self.rate)
+        self.rate = min(MAX_RATE, max(MIN_RATE, rate))
 
     def _strike(self, struck: Struck, now_s: float) -> None:
         """Count a crash against a request."""
--- a/src/bulrushstream/daemon/frontd.py
+++ b/src/bulrushstream/daemon/frontd.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
+from bulrushstream.coordination.fleetstate import SWEEP_S
 from bulrushstream.daemon.front import Front, Wiring
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.daemon.watch import Snapshot, TopicWatch, repeat
@@ -25,8 +26,6 @@
 # Endpoints write often and matter within seconds; reads are gathered.
 ENDPOINTS_INTERVAL_S: Final = 0.6
 
-SWEEP_S: Final = 0.25
-
 # How often the routers' topic is read again for routers not heard from.
 ROUTERS_INTERVAL_S: Final = 15.0
 
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -16,7 +16,13 @@
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
-from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed, Struck
+from bulrushstream.state.peerupdate import (
+    Asked,
+    PeerUpdate,
+    Placed,
+    Started,
+    Struck,
+)
 
 CHECKSUM: Final = struct.Struct("!Q")
 
@@ -57,7 +63,10 @@
             )
             for each in update.placed
         ],
-        started=list(update.started),
+        started=[
+            _SCHEMA.Started(each.call, each.read_tokens_per_s)
+            for each in update.started
+        ],
         ended=list(update.ended),
         asked=[
             _SCHEMA.Asked(
@@ -113,7 +122,9 @@
             )
             for each in wire.placed
         ),
-        started=tuple(wire.started),
+        started=tuple(
+            Started(each.call, each.read_tokens_per_s) for each in wire.started
+        ),
         ended=tuple(wire.ended),
         asked=tuple(
             Asked(each.workspace, each.asked_tokens, each.granted_tokens)
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -10,6 +10,11 @@
   6: i32 output_tokens
 }
 
+struct Started {
+  1: i64 call
+  2: i32 read_tokens_per_s
+}
+
 struct Asked {
   1: string workspace
   2: i64 asked_tokens
@@ -26,7 +31,7 @@
   2: i64 incarnation
   3: string host
   4: list<Placed> placed
-  5: list<i64> started
+  5: list<Started> started
   6: list<i64> ended
   7: list<Asked> asked
   8: list<string> known_hosts
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -22,6 +22,14 @@
     output_tokens: int = 0  # Tokens that are expected to be generated.
 
 
+@dataclass(frozen=True, slots=True)
+class Started:
+    """A request's first event came."""
+
+    call: int  # The request's number.
+    read_tokens_per_s: int = 0  # As its router observed; 0: not known.
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     """What a workspace asked one router for since the last update."""
@@ -47,7 +55,7 @@
     incarnation: int  # Grows with each of its starts.
     host: str  # Its IP number.
     placed: tuple[Placed, ...] = ()  # Requests that were sent.
-    started: tuple[int, ...] = ()  # Requests whose first event came.
+    started: tuple[Started, ...] = ()  # Requests whose first event came.
     ended: tuple[int, ...] = ()  # Requests that ended.
     asked: tuple[Asked, ...] = ()  # What workspaces asked for.
     struck: tuple[Struck, ...] = ()  # Requests that may crash endpoints.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -12,7 +12,13 @@
     decode_update,
     encode_update,
 )
-from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed, Struck
+from bulrushstream.state.peerupdate import (
+    Asked,
+    PeerUpdate,
+    Placed,
+    Started,
+    Struck,
+)
 
 # How long events are gathered; a fraction of the time between requests.
 GATHER_S: Final = 0.004
@@ -29,7 +35,7 @@
     """What is to be told."""
 
     placed: list[Placed] = field(default_factory=list)
-    started: list[int] = field(default_factory=list)
+    started: list[Started] = field(default_factory=list)
     ended: list[int] = field(default_factory=list)
     asked: dict[str, list[int]] = field(default_factory=dict)
     struck: list[Struck] = field(default_factory=list)
@@ -99,12 +105,12 @@
         self._gathered.placed.append(placed)
         self._gather()
 
-    def started(self, call: int) -> None:
+    def started(self, started: Started) -> None:
         """Tell that a request's first event came.
 
-        :param call: the request's number
+        :param started: which request, and what it told of its engine
         """
-        self._gathered.started.append(call)
+        self._gathered.started.append(started)
         self._gather()
 
     def ended(self, call: int) -> None:
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -60,7 +60,7 @@
         for number in (1, 2, 3):
             view.place(number, a_prompt((number, 6000)), RATE, 0.0, 9)
         one_s = view.pending[3].read_s
-        view.start(2, RATE, 0.9)
+        view.start(2, 0.9)
         # The first and second are read, whatever was predicted.
         left_s = one_s - FIRST_EVENT_LAG_S
         assert abs(view.backlog_s(0.9) - left_s) < 1e-9
@@ -99,7 +99,9 @@
             view.place(number, a_prompt((number, 6000)), RATE, now_s, 1e9)
             slow_s = view.pending[number].read_tokens / RATE * 4
             now_s += slow_s + FIXED_DELAY_S
-            view.start(number, RATE, now_s)
+            observed = view.start(number, now_s)
+            assert observed is not None
+            view.learn(observed, RATE, now_s)
             view.end(number)
             now_s += 2.0
         assert 2.5 < view.slowness_at(now_s) < 4.5
@@ -109,8 +111,8 @@
         view = EngineView(64, 10**9)
         view.place(1, a_prompt((1, 6000)), RATE, 0.0, 9)
         view.place(2, a_prompt((2, 6000)), RATE, 0.0, 9)
-        observed = view.start(1, RATE, 0.22 + FIXED_DELAY_S)
+        observed = view.start(1, 0.22 + FIXED_DELAY_S)
         assert observed is not None
         assert 25_000 < observed < 35_000
-        assert view.start(2, RATE, 0.5) is None
-        assert view.start(2, RATE, 0.6) is None
+        assert view.start(2, 0.5) is None
+        assert view.start(2, 0.6) is None
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -16,6 +16,7 @@
     Asked,
     PeerUpdate,
     Placed,
+    Started,
     Struck,
 )
 from bulrushstream.state.routes import EngineTraits
@@ -34,8 +35,8 @@
     def placed(self, placed: Placed) -> None:
         self.updates.append(replace(self.identity, placed=(placed,)))
 
-    def started(self, call: int) -> None:
-        self.updates.append(replace(self.identity, started=(call,)))
+    def started(self, started: Started) -> None:
+        self.updates.append(replace(self.identity, started=(started,)))
 
     def ended(self, call: int) -> None:
         self.updates.append(replace(self.identity, ended=(call,)))
@@ -109,6 +110,34 @@
             assert abs(one.view.free_s - two.view.free_s) < 1e-6
         assert states[0][0].shares.granted == states[1][0].shares.granted
 
+    def test_a_router_that_stood_still_learns_nothing_from_it(self) -> None:
+        (first, wire), (second, _) = a_state(1), a_state(2)
+        rate = first.rate
+        now_s = 0.0
+        for number in range(60):
+            # The first router works as always and learns what is true.
+            now_s += 1.0
+            first.sweep(now_s - 0.3)
+            endpoint = first.pool.by_name["e-1"]
+            prompt = a_prompt((number, 6000))
+            call = first.place(endpoint, prompt, "", now_s - 0.29, 1e9)
+            first.sweep(now_s - 0.05)
+            first.first_event(endpoint, call, now_s)
+            first.ended(endpoint, call)
+        # The second one stood still and hears of all of it at once.
+        second.sweep(0.0)
+        deliver(wire, second, now_s)
+        assert abs(second.rate - first.rate) < 1.0
+        assert 0.7 < second.rate / rate < 1.3
+        # It stood still between its own request and the first event.
+        endpoint = second.pool.by_name["e-2"]
+        second.sweep(now_s)
+        call = second.place(endpoint, a_prompt((9, 6000)), "", now_s, 1e9)
+        second.first_event(endpoint, call, now_s + 5.0)
+        view = endpoint.view
+        assert view is not None
+        assert view.slowness_at(now_s + 5.0) == 1.0
+
     def test_a_lost_end_is_forgotten_in_time(self) -> None:
         (first, wire), (second, _) = a_state(1), a_state(2)
         endpoint = first.pool.by_name["e-1"]
--- a/tests/test_overload_of_engines.py
+++ b/tests/test_overload_of_engines.py
@@ -31,7 +31,7 @@
             view = found.endpoint.view
             assert view is not None
             view.place(number, prompt, RATE, now_s, 1e9)
-            view.start(number, RATE, now_s + found.first_s)
+            view.start(number, now_s + found.first_s)
             view.end(number)
             places.setdefault(subject, set()).add(found.endpoint.name)
         assert all(len(names) == 1 for names in places.values())
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,7 +25,13 @@
 )
 from bulrushstream.state.call import Passage, PromptPart
 from bulrushstream.state.nodesettings import Address, NodeSettings
-from bulrushstream.state.peerupdate import Asked, PeerUpdate, Placed, Struck
+from bulrushstream.state.peerupdate import (
+    Asked,
+    PeerUpdate,
+    Placed,
+    Started,
+    Struck,
+)
 from bulrushstream.state.routes import RequestKind
 from tests.deployments import wire_config, wire_entry, wire_route
 
@@ -242,7 +248,7 @@
         7,
         "10.0.0.1",
         placed=(Placed(2**40, "e-1", (1, 2**62), (10, 20), 30, 5),),
-        started=(1, 2),
+        started=(Started(1), Started(2, 30_000)),
         ended=(3,),
         asked=(Asked("club", 100, 50),),
         struck=(Struck(-(2**63), "e-1"),),
