--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -26,19 +26,16 @@
     choose_plain,
 )
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
-from bulrushstream.coordination.routetable import (
-    RouteTable,
-    index_routes,
-    pick_service,
-)
+from bulrushstream.coordination.routetable import RouteTable, pick_service
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
 from bulrushstream.protocol.dialect import Dialect, HeadError
+from bulrushstream.state.call import Call
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.request import Outcome
-from bulrushstream.state.routes import EndpointEntry, RouteConfig
+from bulrushstream.state.routes import EndpointEntry, Route
 from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
 from bulrushstream.transport.problem import encode_problem
 from bulrushstream.transport.upstream import Pool, PoolOptions
@@ -153,51 +150,63 @@
             exchange.keep_alive = False
             self.refuse(exchange, messages.BAD_HEAD, "", Outcome.NOT_RUN, None)
             return
-        table = self.table
-        if self.closed:
-            self._turn_away(exchange, messages.DRAINING, call.request_id)
-            return
-        if table is None or not self.listed:
-            self._turn_away(exchange, messages.NOT_READY, call.request_id)
+        admitted = self._admit(call, arrived_boot_s)
+        if isinstance(admitted, Notice):
+            self._turn_away(exchange, admitted, call.request_id)
             return
-        route = table.find(call.host, call.path)
-        fresh = self.freshness.holds(arrived_boot_s)
-        if route is None:
-            notice = messages.NO_RULE if fresh else messages.STALE_CONFIG
-            self._turn_away(exchange, notice, call.request_id)
-            return
-        workspace = ""
-        if table.config.demands_keys and not route.public:
-            if not fresh:
-                self._turn_away(
-                    exchange, messages.STALE_CONFIG, call.request_id
-                )
-                return
-            holder = table.by_key.get(call.key_digest or b"")
-            if holder is None:
-                self._turn_away(exchange, messages.NO_TOKEN, call.request_id)
-                return
-            workspace = holder.name
-        service = pick_service(route, self.rng)
+        route, workspace = admitted
         forward = Forward(
-            self, exchange, call, route, service, workspace, arrived_boot_s
+            self,
+            exchange,
+            call,
+            route,
+            pick_service(route, self.rng),
+            workspace,
+            arrived_boot_s,
         )
         now_s = self.clock()
-        quarantine = self.state.quarantine
-        if quarantine.fingerprints() and quarantine.is_refused(
-            forward.fingerprint, now_s
-        ):
+        if self._crashes_endpoints(forward, now_s):
             self._turn_away(
                 exchange, messages.CRASHES_ENDPOINTS, call.request_id
             )
             return
         self.forwards.add(forward)
-        self.quota.count_request(service, now_s)
+        self.quota.count_request(forward.service, now_s)
         if call.prompt is not None and workspace:
             tokens = call.prompt.quota_tokens
             forward.share_used = self.state.ask(workspace, tokens, now_s)
         forward.start()
 
+    def _admit(
+        self, call: Call, arrived_boot_s: float
+    ) -> tuple[Route, str] | Notice:
+        """Return a request's route and workspace, or why it has none."""
+        table = self.table
+        if self.closed:
+            return messages.DRAINING
+        if table is None or not self.listed:
+            return messages.NOT_READY
+        fresh = self.freshness.holds(arrived_boot_s)
+        route = table.find(call.host, call.path)
+        if route is None:
+            return messages.NO_RULE if fresh else messages.STALE_CONFIG
+        if route.public or not table.config.demands_keys:
+            return route, ""
+        if not fresh:
+            return messages.STALE_CONFIG
+        holder = table.by_key.get(call.key_digest or b"")
+        if holder is None:
+            return messages.NO_TOKEN
+        return route, holder.name
+
+    def _crashes_endpoints(self, forward: Forward, now_s: float) -> bool:
+        """Return whether requests like one are in quarantine."""
+        quarantine = self.state.quarantine
+        return bool(
+            quarantine.fingerprints()
+            and quarantine.is_refused(forward.fingerprint, now_s)
+        )
+
     def _turn_away(
         self, exchange: Exchange, notice: Notice, request_id: str
     ) -> None:
@@ -353,6 +362,15 @@
             self._pools[endpoint.name] = found
         return found
 
+    def forget_connections(self, endpoint: str) -> None:
+        """Close the idle connections to an endpoint; what runs goes on.
+
+        :param endpoint: its id
+        """
+        pool = self._pools.pop(endpoint, None)
+        if pool is not None:
+            pool.drop_idle()
+
     def _pool_options(self, entry: EndpointEntry) -> PoolOptions:
         """Return how many connections an endpoint may get from here."""
         limit = 64
@@ -459,84 +477,6 @@
             inputs=inputs,
         )
 
-    # --- What the platform and the peers say.
-
-    def take_config(self, config: RouteConfig) -> bool:
-        """Put a configuration in force unless it is not newer.
-
-        :param config: the configuration
-        :returns: whether it is in force now
-        """
-        table = self.table
-        if table is not None and config.version <= table.config.version:
-            return False
-        self.table = index_routes(config)
-        limits = config.limits
-        self.limits.header_bytes = limits.header_bytes
-        self.limits.body_bytes = limits.body_bytes
-        self.limits.header_timeout_s = limits.header_timeout_s
-        self.limits.idle_timeout_s = limits.idle_timeout_s
-        self.state.shares.tokens_per_s = config.tokens_per_s
-        for service in config.services:
-            self.pool.set_traits(service.name, service.engine)
-        self.metrics.config_version.set(config.version)
-        self.observe(
-            Decision(
-                "config",
-                "a newer version",
-                inputs={
-                    "version": config.version,
-                    "routes": len(config.routes),
-                    "workspaces": len(config.workspaces),
-                    "tokens_per_s": config.tokens_per_s,
-                },
-            )
-        )
-        return True
-
-    def take_entry(self, entry: EndpointEntry) -> None:
-        """Take what the list says of an endpoint.
-
-        :param entry: the list's entry
-        """
-        known = self.pool.by_name.get(entry.endpoint)
-        if known is not None and known.entry == entry:
-            return
-        traits = None
-        if self.table is not None:
-            service = self.table.services.get(entry.service)
-            traits = service.engine if service is not None else None
-        self.pool.update(entry, traits)
-        self.observe(
-            Decision(
-                "endpoint",
-                "leaving" if entry.leaving else "serving",
-                service=entry.service,
-                endpoint=entry.endpoint,
-                inputs={"address": f"{entry.host}:{entry.port}"},
-            )
-        )
-
-    def drop_entry(self, endpoint: str) -> None:
-        """Take it that the list no longer has an endpoint.
-
-        :param endpoint: its id
-        """
-        dropped = self.pool.remove(endpoint)
-        if dropped is None:
-            return
-        pool = self._pools.pop(endpoint, None)
-        if pool is not None:
-            pool.drop_idle()
-        self.observe(
-            Decision(
-                "endpoint",
-                "gone from the list",
-                service=dropped.entry.service,
-                endpoint=endpoint,
-            )
-        )
-
     def sweep(self) -> None:
         """Forget what is over; called a few times a second."""
         self.state.sweep(self.clock())
--- a/src/bulrushstream/daemon/frontd.py
+++ b/src/bulrushstream/daemon/frontd.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 from bulrushstream.coordination.fleetstate import SWEEP_S
+from bulrushstream.daemon import knowledge
 from bulrushstream.daemon.front import Front, Wiring
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.daemon.watch import Snapshot, TopicWatch, repeat
@@ -298,7 +299,7 @@
         except DocumentError as error:
             self._wiring.report("bad_config", str(error))
             return
-        if self.front.take_config(config):
+        if knowledge.take_config(self.front, config):
             self._recovery.config = data
 
     def _take_endpoints(self, found: Snapshot | Keyed) -> None:
@@ -325,7 +326,7 @@
             return
         self._vanished.pop(name, None)
         self._recovery.entries[name] = value
-        self.front.take_entry(entry)
+        knowledge.take_entry(self.front, entry)
 
     def _sweep(self) -> None:
         """Forget what is over."""
@@ -335,7 +336,7 @@
             if outage_s > RETURN_S or now_s - since_s > RETURN_S:
                 del self._vanished[name]
                 self._recovery.entries.pop(name, None)
-                self.front.drop_entry(name)
+                knowledge.drop_entry(self.front, name)
         self.front.sweep()
 
     # --- Peers.
