--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -66,7 +66,6 @@
         "_pending",
         "_pieces",
         "_ran_before",
-        "_sent_s",
         "_streaming",
         "arrived_boot_s",
         "arrived_s",
@@ -129,7 +128,6 @@
         self._pieces = 0
         self._ran_before = False
         self._streaming = False
-        self._sent_s = 0.0
         self._first_event_s = 0.0
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._deadline_timer: asyncio.TimerHandle | None = None
@@ -160,7 +158,7 @@
         self._head = None
         self._answer = []
         self._ran_before = self.progress.may_have_run
-        pool = front.connections(endpoint)
+        pool = front.connections.to(endpoint)
         self._pending = pool.send(
             self.call.method, self, fresh=not self.route.repeatable
         )
@@ -179,7 +177,6 @@
             return None
         self.progress.sends += 1
         self.progress.may_have_run = True
-        self._sent_s = now_s
         self._watch_overdue(now_s)
         return front.dialect.encode_request(
             self.call,
@@ -489,13 +486,3 @@
     def first_event_s(self) -> float:
         """Return when the first event came; 0: none has come."""
         return self._first_event_s
-
-    @property
-    def sent_s(self) -> float:
-        """Return when the last attempt was sent; 0: none was."""
-        return self._sent_s
-
-    @property
-    def kind(self) -> RequestKind:
-        """Return the kind of the request's route."""
-        return self.route.kind
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -27,6 +27,7 @@
 )
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routetable import RouteTable, pick_service
+from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
@@ -35,10 +36,9 @@
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.request import Outcome
-from bulrushstream.state.routes import EndpointEntry, Route
+from bulrushstream.state.routes import Route
 from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
 from bulrushstream.transport.problem import encode_problem
-from bulrushstream.transport.upstream import Pool, PoolOptions
 
 # When a caller is told to come back that gets no further than this router.
 RETRY_SOON_S: Final = 0.1
@@ -111,7 +111,9 @@
             )
         )
         self.forwards: set[Forward] = set()
-        self._pools: dict[str, Pool] = {}
+        self.connections = EndpointConnections(
+            self.clock, self._connection_limit, lambda: self.fleet.routers
+        )
         now_s = self.clock()
         for seed in settings.seeds:
             self.fleet.suggest(seed, now_s)
@@ -348,38 +350,10 @@
             return False
         return (forward.call.key_digest or b"") in table.by_key
 
-    def connections(self, endpoint: Endpoint) -> Pool:
-        """Return the connections to an endpoint.
-
-        :param endpoint: the endpoint
-        """
-        found = self._pools.get(endpoint.name)
-        if found is None:
-            entry = endpoint.entry
-            found = Pool(
-                entry.host, entry.port, self.clock, self._pool_options(entry)
-            )
-            self._pools[endpoint.name] = found
-        return found
-
-    def forget_connections(self, endpoint: str) -> None:
-        """Close the idle connections to an endpoint; what runs goes on.
-
-        :param endpoint: its id
-        """
-        pool = self._pools.pop(endpoint, None)
-        if pool is not None:
-            pool.drop_idle()
-
-    def _pool_options(self, entry: EndpointEntry) -> PoolOptions:
-        """Return how many connections an endpoint may get from here."""
-        limit = 64
-        service = None
-        if self.table is not None:
-            service = self.table.services.get(entry.service)
-        if service is not None:
-            limit = service.max_connections // self.fleet.routers
-        return PoolOptions(max_connections=max(8, limit))
+    def _connection_limit(self, service: str) -> int | None:
+        """Return what a service's endpoints take from all routers."""
+        known = self.table.services.get(service) if self.table else None
+        return known.max_connections if known is not None else None
 
     def take_retry(self, service: str) -> bool:
         """Take one of the fleet's retries; return whether there was one.
@@ -430,7 +404,7 @@
         :param answering: whether its answer had begun
         """
         # Idle connections to an endpoint that crashed are of no use.
-        self.connections(endpoint).drop_idle()
+        self.connections.to(endpoint).drop_idle()
         if not answering:
             self.state.broke_off(endpoint, forward.fingerprint, self.clock())
 
@@ -439,7 +413,7 @@
 
         :param endpoint: which one
         """
-        self.connections(endpoint).drop_idle()
+        self.connections.to(endpoint).drop_idle()
 
     def finished(
         self, forward: Forward, reason: str, outcome: Outcome, code: str
@@ -458,7 +432,7 @@
             quarantine.prove(forward.fingerprint, now_s)
         took_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
-            forward.service, forward.kind.value
+            forward.service, forward.route.kind.value
         ).observe(took_s)
         if reason != "refuse":
             self.metrics.requests.labels(
@@ -480,8 +454,7 @@
     def sweep(self) -> None:
         """Forget what is over; called a few times a second."""
         self.state.sweep(self.clock())
-        for pool in self._pools.values():
-            pool.expire_idle()
+        self.connections.expire_idle()
 
     # --- Log.
 
--- a/src/bulrushstream/daemon/knowledge.py
+++ b/src/bulrushstream/daemon/knowledge.py
@@ -77,7 +77,7 @@
     dropped = front.pool.remove(endpoint)
     if dropped is None:
         return
-    front.forget_connections(endpoint)
+    front.connections.forget(endpoint)
     front.observe(
         Decision(
             "endpoint",
