Forget a peer's request whose end was lost

Cause: what a router counts on a plain endpoint for its peers went up with each placed and down with each ended update; a lost datagram left it up for as long as the peer lived, and the endpoint was chosen ever less. Found in the read-through. The test fails without the change.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -65,6 +65,14 @@
 STALL_S: Final = 3 * SWEEP_S
 
 
+@dataclass(frozen=True, slots=True)
+class _PeerCall:
+    """A request that a peer told of."""
+
+    endpoint: str  # Where it was sent.
+    since_s: float  # When that was told.
+
+
 @dataclass(slots=True)
 class FleetState:
     """The state of one router that others contribute to."""
@@ -83,7 +91,7 @@
     _number: int = 0  # Attempts so far.
     _swept_s: float = float("inf")  # The last sweep; inf: none yet.
     _resumed_s: float = float("-inf")  # When it last stood still until.
-    _peer_calls: dict[int, str] = field(default_factory=dict)
+    _peer_calls: dict[int, _PeerCall] = field(default_factory=dict)
 
     def ask(self, workspace: str, tokens: int, now_s: float) -> float:
         """Count what a request asks for.
@@ -215,7 +223,7 @@
             self._forget_calls(set(peer.calls))
 
     def sweep(self, now_s: float) -> None:
-        """Forget routers that fell silent, and their requests.
+        """Forget routers that fell silent, and requests without an end.
 
         It is called every `SWEEP_S`, so a longer gap means that the process
         stood still.
@@ -226,6 +234,15 @@
             self._resumed_s = now_s
         self._swept_s = now_s
         self._forget_calls(self.peers.sweep(now_s))
+        old = []
+        for number, known in self._peer_calls.items():
+            if now_s - known.since_s <= PEER_CALL_S:
+                break
+            old.append(number)
+        for number in old:
+            self._end_peer_call(number)
+            for peer in self.peers.peers.values():
+                peer.calls.discard(number)
 
     def _was_awake(self, since_s: float, now_s: float) -> bool:
         """Return whether the process has run all the while."""
@@ -261,7 +278,7 @@
         endpoint = self.pool.by_name.get(placed.endpoint)
         if endpoint is None:
             return
-        self._peer_calls[placed.call] = placed.endpoint
+        self._peer_calls[placed.call] = _PeerCall(placed.endpoint, now_s)
         endpoint.outstanding += 1
         if endpoint.view is not None and placed.input_tokens:
             parts = zip(placed.parts, placed.lengths, strict=False)
@@ -277,8 +294,8 @@
 
     def _endpoint_of(self, number: int) -> Endpoint | None:
         """Return where a peer's request is."""
-        name = self._peer_calls.get(number)
-        return self.pool.by_name.get(name) if name is not None else None
+        known = self._peer_calls.get(number)
+        return self.pool.by_name.get(known.endpoint) if known else None
 
     def _end_peer_call(self, number: int) -> None:
         """Note that a peer's request ended."""
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -150,6 +150,23 @@
         view.expire(PEER_CALL_S + 0.1)
         assert not view.running
 
+    def test_a_plain_endpoint_is_not_burdened_for_ever(self) -> None:
+        (first, wire), (second, _) = a_state(1), a_state(2)
+        for state in (first, second):
+            state.pool.update(an_entry("d-1"), None)
+        endpoint = second.pool.by_name["d-1"]
+        first.place(first.pool.by_name["d-1"], None, "", 0.0, 1e9)
+        deliver(wire, second, 0.0)
+        now_s = 0.0
+        while now_s <= PEER_CALL_S + 1.0:
+            # The end is lost, and the router lives on.
+            assert endpoint.outstanding == (now_s <= PEER_CALL_S)
+            now_s += 0.5
+            second.take_update(wire.identity, now_s)
+            second.sweep(now_s)
+        assert endpoint.outstanding == 0
+        assert not second.peers.peers["front-1"].calls
+
     def test_a_restarted_or_silent_router_has_no_requests(self) -> None:
         for restarted in (True, False):
             (first, wire), (second, _) = a_state(1), a_state(2)
