One line of shares a second from each router, and metrics of the same

Each router now logs what was asked, granted and not run there by workspace, what it believes of the fleet's window, the level, the throughput that it rests on, and the age of the oldest update of a peer. The line is bounded (40 workspaces) and goes through the log's bounded buffer, which never blocks. No decision changes.

--- a/bench/front.py
+++ b/bench/front.py
@@ -137,6 +137,7 @@
         metrics=make_metrics(),
         observe=lambda decision: None,
         report=lambda kind, text: print(kind, text),
+        report_shares=lambda report: None,
     )
     process = FrontProcess("", settings(store.port), deps)
     await process.start()
--- a/src/bulrushstream/compose/entry.py
+++ b/src/bulrushstream/compose/entry.py
@@ -11,11 +11,12 @@
 from bulrushstream.daemon.front import FrontDeps
 from bulrushstream.daemon.frontprocess import boot_clock, make_rng, serve
 from bulrushstream.logs import instance_log, start_bounded_logging
-from bulrushstream.metrics import count_decision, make_metrics
+from bulrushstream.metrics import count_decision, count_shares, make_metrics
 from bulrushstream.platform.dialect import PLATFORM
 from bulrushstream.platform.nodefile import SETTINGS_VARIABLE
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.nodesettings import NodeSettings
+from bulrushstream.state.usage import ShareReport
 
 BAD_SETTINGS_EXIT: Final = 2
 LOG_FLUSH_S: Final = 0.2
@@ -50,6 +51,10 @@
         count_decision(metrics, decision)
         log.log_decision(decision)
 
+    def report_shares(report: ShareReport) -> None:
+        count_shares(metrics, report)
+        log.log_shares(report)
+
     def flush() -> None:
         handler.flush()
         loop.call_later(LOG_FLUSH_S, flush)
@@ -63,4 +68,5 @@
         metrics=metrics,
         observe=observe,
         report=log.report,
+        report_shares=report_shares,
     )
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -23,6 +23,7 @@
     Quarantine,
     QuarantineOptions,
 )
+from bulrushstream.coordination.usagecounter import UsageCounter, add_tokens
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.peerupdate import (
@@ -31,6 +32,7 @@
     PeerUpdate,
     RequestPlaced,
 )
+from bulrushstream.state.usage import ShareReport
 
 # The upper bits of a call's number identify the router, the lower ones
 # count its attempts; this is the number of lower bits.
@@ -84,6 +86,14 @@
     received_s: float  # When the peer's report arrived.
 
 
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    """What an attempt of this router added to its workspace's grants."""
+
+    workspace: str
+    tokens: int
+
+
 @dataclass(slots=True)
 class FleetState:
     """The fleet's state at one router, from its own and its peers' calls."""
@@ -99,11 +109,13 @@
     quarantine: Quarantine = field(
         default_factory=lambda: Quarantine(QuarantineOptions())
     )
+    usage: UsageCounter = field(default_factory=UsageCounter)
     _crash_evidence: CrashEvidence = field(default_factory=CrashEvidence)
     _number: int = 0  # Attempts so far.
     _swept_s: float = float("inf")  # The last sweep; inf: none yet.
     _last_stall_s: float = float("-inf")  # The end of the last stall.
     _peer_calls: dict[int, _PeerCall] = field(default_factory=dict)
+    _grants: dict[int, _Grant] = field(default_factory=dict)  # Own attempts.
 
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
         """Count a request's demand and report it to the peers.
@@ -116,6 +128,7 @@
         """
         used = self.shares.used_share(workspace, tokens, now_s)
         self.shares.add_demand(workspace, tokens, now_s)
+        add_tokens(self.usage.requested, workspace, tokens)
         if self.notifier is not None:
             self.notifier.report_usage(workspace, tokens, 0)
         return used
@@ -147,6 +160,8 @@
             if workspace:
                 tokens = prompt.quota_tokens
                 self.shares.add_grant(workspace, tokens, now_s)
+                add_tokens(self.usage.granted, workspace, tokens)
+                self._grants[number] = _Grant(workspace, tokens)
                 if self.notifier is not None:
                     self.notifier.report_usage(workspace, 0, tokens)
         if self.notifier is not None:
@@ -175,12 +190,18 @@
         if self.notifier is not None:
             self.notifier.report_started(FirstEvent(number, int(observed)))
 
-    def ended(self, endpoint: Endpoint, number: int) -> None:
+    def ended(
+        self, endpoint: Endpoint, number: int, *, ran: bool = True
+    ) -> None:
         """Record the end of an attempt and report it to the peers.
 
         :param endpoint: the endpoint that it was sent to
         :param number: the attempt's number
+        :param ran: whether the endpoint may have worked on it
         """
+        grant = self._grants.pop(number, None)
+        if grant is not None and not ran:
+            add_tokens(self.usage.not_run, grant.workspace, grant.tokens)
         _release(endpoint, number)
         if self.notifier is not None:
             self.notifier.report_ended(number)
@@ -251,6 +272,28 @@
         if update.leaving:
             self._end_peer_calls(set(peer.calls))
 
+    def report_shares(self, now_s: float) -> ShareReport:
+        """Return the shares and their use here since the last report.
+
+        :param now_s: the time
+        """
+        shares = self.shares
+        peers = self.peers.peers.values()
+        oldest = min(peers, key=lambda peer: peer.last_heard_s, default=None)
+        return ShareReport(
+            usage=self.usage.take(),
+            window_s=shares.window_s,
+            throughput_tokens_per_s=shares.tokens_per_s,
+            level_tokens=shares.level,
+            demand_tokens=dict(shares.demand),
+            granted_tokens=dict(shares.granted),
+            peers=len(self.peers.peers),
+            oldest_peer=oldest.instance if oldest is not None else "",
+            oldest_peer_age_s=(
+                now_s - oldest.last_heard_s if oldest is not None else 0.0
+            ),
+        )
+
     def sweep(self, now_s: float) -> None:
         """Drop peers that timed out, and peers' requests that expired.
 
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -37,6 +37,7 @@
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import Route
+from bulrushstream.state.usage import ShareReport
 from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
 from bulrushstream.transport.problem import encode_problem
 
@@ -70,6 +71,8 @@
     metrics: Metrics
     observe: Callable[[Decision], None]  # Logs and counts a decision.
     report: Callable[[str, str], None]  # Logs an event's kind and text.
+    # Logs and counts the shares of the workspaces.
+    report_shares: Callable[[ShareReport], None]
 
 
 class Front:
@@ -89,6 +92,7 @@
         self.metrics = deps.metrics
         self.observe = deps.observe
         self.report = deps.report
+        self._report_shares = deps.report_shares
         self.table: RouteTable | None = None
         self.endpoints_listed = False
         self.draining = False
@@ -492,6 +496,10 @@
 
     # --- Log.
 
+    def report_shares(self) -> None:
+        """Log the shares and their use here since the last call."""
+        self._report_shares(self.fleet_state.report_shares(self.clock()))
+
     @property
     def ready(self) -> bool:
         """Return whether the load balancer may send requests here."""
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -49,6 +49,9 @@
 
 SETTINGS_INTERVAL_S: Final = 1.0
 
+# How often the shares of the workspaces are logged.
+SHARES_INTERVAL_S: Final = 1.0
+
 
 def boot_clock() -> float:
     """Return the time since boot, suspension included, in seconds."""
@@ -137,6 +140,7 @@
         self._spawn(self._announce())
         self._spawn(run_periodically(HEARTBEAT_S, port.flush))
         self._spawn(run_periodically(SWEEP_INTERVAL_S, self._sweep))
+        self._spawn(run_periodically(SHARES_INTERVAL_S, front.report_shares))
         if self._path:
             self._spawn(run_periodically(SETTINGS_INTERVAL_S, self.reload))
         self._spawn(
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -258,6 +258,7 @@
             metrics=make_metrics(),
             observe=lambda decision: None,
             report=lambda kind, text: None,
+            report_shares=lambda report: None,
         )
         front = Front(settings_of(number, self.plan.routers), deps)
         front.connections = cast(
--- a/src/bulrushstream/logs.py
+++ b/src/bulrushstream/logs.py
@@ -20,11 +20,17 @@
 from absl import logging as absl_logging
 
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.usage import ShareReport
 
 LINES_PER_WINDOW: Final = 5
 WINDOW_S: Final = 10.0
 MAX_WINDOWS: Final = 1000
 DECISION_EVENT: Final = "decision"
+SHARES_EVENT: Final = "shares"
+
+# A line about shares names at most this many workspaces, those that
+# requested most.
+MAX_LOGGED_WORKSPACES: Final = 40
 
 # The buffer for lines that the reader has not taken yet, and the largest
 # single write.
@@ -161,6 +167,48 @@
         line = LogLine(self._instance, DECISION_EVENT, values)
         absl_logging.info(line)
 
+    def log_shares(self, report: ShareReport) -> None:
+        """Log the shares of the workspaces; not subject to the rate limit.
+
+        Tokens stand as requested, granted and not run; for the fleet, as
+        requested and granted in the window.
+
+        :param report: The shares; the caller bounds how often they come.
+        """
+        busiest = sorted(
+            report.demand_tokens,
+            key=lambda name: report.demand_tokens[name],
+            reverse=True,
+        )[:MAX_LOGGED_WORKSPACES]
+        limited = report.level_tokens != float("inf")
+        values = {
+            "throughput": round(report.throughput_tokens_per_s),
+            "level": round(report.level_tokens) if limited else None,
+            "window_s": report.window_s,
+            "peers": report.peers,
+            "oldest_peer": report.oldest_peer,
+            "oldest_peer_age_s": round(report.oldest_peer_age_s, 3),
+            "here": {
+                name: (
+                    usage.requested_tokens,
+                    usage.granted_tokens,
+                    usage.not_run_tokens,
+                )
+                for name in busiest
+                if (usage := report.usage.get(name)) is not None
+            },
+            "fleet": {
+                name: (
+                    round(report.demand_tokens[name]),
+                    round(report.granted_tokens.get(name, 0.0)),
+                )
+                for name in busiest
+            },
+            "unlisted": max(0, len(report.demand_tokens) - len(busiest)),
+        }
+        line = LogLine(self._instance, SHARES_EVENT, values)
+        absl_logging.info(line)
+
     def report(self, kind: str, text: str) -> None:
         """Log a line of text, subject to the rate limit.
 
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -20,6 +20,7 @@
 )
 
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.usage import ShareReport
 
 if TYPE_CHECKING:
     from bulrushstream.transport.callers import Exchange
@@ -57,6 +58,11 @@
     config_version: Gauge  # The version that the instance applies.
     degraded: Gauge  # 1 for each use of the platform that fails now.
     platform_failures: Counter  # Failed calls to the platform.
+    quota_tokens: Counter  # Quota tokens of requests for models.
+    share_level: Gauge  # The fair-share level, in quota tokens.
+    share_throughput: Gauge  # What the level is based on.
+    peers: Gauge  # The other routers that count as live.
+    oldest_peer_age: Gauge  # Time since the oldest update, in seconds.
 
 
 def make_metrics() -> Metrics:
@@ -139,6 +145,25 @@
         platform_failures=counter(
             "platform_failures", "Calls of the platform that failed.", "use"
         ),
+        quota_tokens=counter(
+            "quota_tokens",
+            "Quota tokens requested, granted, and granted but not run.",
+            "workspace",
+            "state",
+        ),
+        share_level=gauge(
+            "share_level_tokens",
+            "Fair-share level of a workspace in the sliding window.",
+        ),
+        share_throughput=gauge(
+            "share_throughput_tokens_per_second",
+            "Throughput of the engines that the level is based on.",
+        ),
+        peers=gauge("peers", "Other routers that count as live."),
+        oldest_peer_age=gauge(
+            "oldest_peer_age_seconds",
+            "Time since the last update of the peer silent for longest.",
+        ),
     )
 
 
@@ -179,6 +204,25 @@
         )
 
 
+def count_shares(metrics: Metrics, report: ShareReport) -> None:
+    """Count the shares of the workspaces at a router.
+
+    :param metrics: The metrics of the router.
+    :param report: The shares and their use since the last report.
+    """
+    for name, usage in report.usage.items():
+        for state, tokens in (
+            ("requested", usage.requested_tokens),
+            ("granted", usage.granted_tokens),
+            ("not_run", usage.not_run_tokens),
+        ):
+            metrics.quota_tokens.labels(name, state).inc(tokens)
+    metrics.share_level.set(report.level_tokens)
+    metrics.share_throughput.set(report.throughput_tokens_per_s)
+    metrics.peers.set(report.peers)
+    metrics.oldest_peer_age.set(report.oldest_peer_age_s)
+
+
 def count_message(
     metrics: Metrics,
     direction: str,
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -235,6 +235,7 @@
         metrics=make_metrics(),
         observe=decisions.append,
         report=lambda kind, text: None,
+        report_shares=lambda report: None,
     )
     settings = node_settings(store.port, **changes)
     process = FrontProcess("", settings, deps)
