Shares follow what engines did, not the configured throughput

What callers saw: with half of the engines gone, or with a throughput in the configuration that the engines do not reach, callers of one workspace were refused in every second while another one got over twice as much. With no throughput configured, nearly everybody was refused beside idle engines.

Cause: the fair-share level came from tokensPerS, whatever the engines did, and nobody counted as underserved below it. At the start of traffic the capacity of a whole window was held against the demand of its first part.

Change: the level is the max-min share of what the fleet granted in the window, so it follows engines that crash, start or slow down, and needs no setting. A workspace yields by what others that are kept waiting were granted, in a window of two seconds, of which any six consist; a single window keeps an order among workspaces, so the least served never yields (a trial with the rule in windows of several lengths at once ended with all workspaces yielding to each other beside idle engines for five seconds).

--- a/src/bulrushstream/coordination/fairshare.py
+++ b/src/bulrushstream/coordination/fairshare.py
@@ -1,30 +1,50 @@
-"""Max-min fair shares of the fleet's throughput in a sliding window.
+"""Fair shares of the engines' throughput, from demand and grants.
 
-In each window, every workspace is entitled to its demand up to a common
-level, and the level is as high as the fleet's throughput allows: *max-min
+What all workspaces were granted in a sliding window is the throughput that
+there was.  Every workspace is entitled to its demand in the window up to a
+common level, and the level is as high as that throughput allows: *max-min
 fairness* (Bertsekas and Gallager, "Data Networks", 1992).  A request that
 its workspace's share covers is *within share*; the rest is *surplus* and
 is served from capacity that no request within its share needs.
+
+Surplus is bounded: over the fairness window, a workspace that is kept
+waiting gets at least about half of its demand or of what any other one is
+granted, whichever is less.
 """
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Final
 
-# While another workspace is underserved, a workspace may be granted at most
-# this many times the larger of the share and that workspace's grant.  The
-# platform's rule allows twice as much.
-MAX_SURPLUS_RATIO: Final = 1.8
+# While another workspace is kept waiting, a workspace may be granted at most
+# this many times what that one was granted.  The platform's rule allows
+# twice as much.
+MAX_GRANT_RATIO: Final = 1.8
+
+# The length of the fairness window.  The platform's rule is about six
+# seconds; it is met if it holds in each part of them.
+FAIRNESS_WINDOW_S: Final = 2.0
+
+# A workspace is kept waiting if it had unmet demand within this time.
+RECENT_S: Final = 1.0
 
-# A workspace that was granted less than this part of its demand counts as
-# underserved, by the platform's rule.
-UNMET_DEMAND_SHARE: Final = 0.5
+# The windows slide by this time.
+STEP_S: Final = 0.5
 
-# The number of steps in which the window slides.
-WINDOW_STEPS: Final = 8
+# The demand of one workspace is compared with the grants of another second
+# by second.
+STEPS_PER_SECOND: Final = 2
+
+# Fewer tokens than this are a rounding error.
+MIN_TOKENS: Final = 0.5
+
+# The level and the workspaces that are kept waiting are recalculated at most
+# this often.
+REFRESH_INTERVAL_S: Final = 0.1
 
 
 def fair_share_level(demands: Iterable[float], capacity: float) -> float:
@@ -46,27 +66,29 @@
 
 @dataclass(slots=True)
 class _Step:
-    """Demand and grants in one step of the window, in tokens."""
+    """Demand and grants in one step of the windows, in tokens."""
 
-    start_s: float
+    number: int  # The step's start, in units of `STEP_S`.
     demand: dict[str, float] = field(default_factory=dict)
     granted: dict[str, float] = field(default_factory=dict)
+    largest: float = 0.0  # The largest request at this router.
 
 
 @dataclass(slots=True)
 class FairShares:
-    """Demand and grants of each workspace in the window, in tokens."""
+    """Demand and grants of each workspace in the windows, in tokens."""
 
-    window_s: float
-    tokens_per_s: float = 0.0  # The fleet's throughput; 0: unknown.
-    slack_tokens: float = 0.0  # Capacity of a window beyond throughput.
+    window_s: float  # The window of the level.
+    # Demand and grants in the window of the level.
     demand: dict[str, float] = field(default_factory=dict)
     granted: dict[str, float] = field(default_factory=dict)
-    level: float = float("inf")  # The fair-share level at the last step.
-    # Grant and name of the two least served workspaces that demand more
-    # than their share and have unmet demand, least served first.
-    underserved: tuple[tuple[float, str], ...] = ()
+    level: float = float("inf")  # The fair-share level at the last refresh.
+    # Grants in the fairness window and name of each workspace that is kept
+    # waiting, least served first.
+    waiting: tuple[tuple[float, str], ...] = ()
     _steps: deque[_Step] = field(default_factory=deque)
+    _refreshed_s: float = float("-inf")
+    _largest: float = 0.0  # The largest request here in the window.
 
     def add_demand(self, workspace: str, tokens: float, now_s: float) -> None:
         """Count the demand of a request, whether it is served or refused.
@@ -75,7 +97,10 @@
         :param tokens: the request's quota tokens
         :param now_s: the time
         """
-        _add(self.demand, self._current_step(now_s).demand, workspace, tokens)
+        step = self._advance(now_s)
+        step.largest = max(step.largest, tokens)
+        _add(step.demand, workspace, tokens)
+        _add(self.demand, workspace, tokens)
 
     def add_grant(self, workspace: str, tokens: float, now_s: float) -> None:
         """Count a request that was sent to an engine.
@@ -84,9 +109,8 @@
         :param tokens: the request's quota tokens
         :param now_s: the time
         """
-        _add(
-            self.granted, self._current_step(now_s).granted, workspace, tokens
-        )
+        _add(self._advance(now_s).granted, workspace, tokens)
+        _add(self.granted, workspace, tokens)
 
     def used_share(self, workspace: str, tokens: float, now_s: float) -> float:
         """Return the used part of a share if one more request is granted.
@@ -96,71 +120,117 @@
         :param now_s: the time
         :returns: 0 without grants, 1 at the share's limit, more beyond it
         """
-        if self.tokens_per_s <= 0:
-            return 0.0
-        self._current_step(now_s)
+        self._refresh(now_s)
         granted = self.granted.get(workspace, 0.0)
         if granted <= 0:
             return 0.0
         return (granted + tokens) / self.level
 
     def must_yield(self, workspace: str, tokens: float, now_s: float) -> bool:
-        """Return whether a workspace must leave the surplus to others.
+        """Return whether a workspace must leave an engine to others.
 
         :param workspace: the workspace's name
         :param tokens: the quota tokens of one more request
         :param now_s: the time
         """
-        self._current_step(now_s)
-        granted = self.granted.get(workspace, 0.0) + tokens
-        others = [
-            least for least, name in self.underserved if name != workspace
-        ]
-        if granted <= self.level or not others:
-            return False
-        return granted > MAX_SURPLUS_RATIO * max(self.level, others[0])
-
-    def _current_step(self, now_s: float) -> _Step:
-        """Return the current step; begin a new one if it is over."""
-        length_s = self.window_s / WINDOW_STEPS
-        if self._steps and now_s - self._steps[-1].start_s < length_s:
-            return self._steps[-1]
-        while self._steps and self._steps[0].start_s < now_s - self.window_s:
-            old = self._steps.popleft()
-            _subtract(self.demand, old.demand)
-            _subtract(self.granted, old.granted)
+        self._refresh(now_s)
+        total = tokens + sum(
+            step.granted.get(workspace, 0.0) for step in self._fairness_steps()
+        )
+        for granted, name in self.waiting:
+            tolerated = MAX_GRANT_RATIO * (granted + self._largest)
+            if tolerated >= total:
+                return False
+            if name == workspace:
+                continue
+            if self._matched_demand(name, workspace, tokens) > tolerated:
+                return True
+        return False
+
+    def _matched_demand(self, name: str, other: str, tokens: float) -> float:
+        """Return a workspace's demand up to the grants of another one.
+
+        The lesser amount is taken second by second.
+
+        :param name: the workspace whose demand counts
+        :param other: the workspace whose grants count
+        :param tokens: what the other one is to be granted now
+        """
+        total = 0.0
+        demand, granted = 0.0, tokens
+        for step in self._fairness_steps():
+            demand += step.demand.get(name, 0.0)
+            granted += step.granted.get(other, 0.0)
+            if step.number % STEPS_PER_SECOND == 0:
+                total += min(demand, granted)
+                demand = granted = 0.0
+        return total + min(demand, granted)
+
+    def _fairness_steps(self) -> Iterator[_Step]:
+        """Return the steps of the fairness window, newest first."""
+        count = 1 + round(FAIRNESS_WINDOW_S / STEP_S)
+        return islice(reversed(self._steps), count)
+
+    def _refresh(self, now_s: float) -> None:
+        """Recalculate the level and who is kept waiting, if it is due."""
+        self._advance(now_s)
+        if now_s - self._refreshed_s < REFRESH_INTERVAL_S:
+            return
+        self._refreshed_s = now_s
         self.level = fair_share_level(
-            self.demand.values(),
-            self.tokens_per_s * self.window_s + self.slack_tokens,
+            self.demand.values(), sum(self.granted.values())
         )
-        unmet = [
-            (granted, name)
-            for name, demand in self.demand.items()
-            if demand > self.level
-            and (granted := self.granted.get(name, 0.0))
-            < UNMET_DEMAND_SHARE * demand
-        ]
-        self.underserved = tuple(sorted(unmet)[:2])
-        self._steps.append(_Step(now_s))
-        return self._steps[-1]
-
-
-def _add(
-    totals: dict[str, float],
-    step_totals: dict[str, float],
-    workspace: str,
-    amount: float,
-) -> None:
-    """Add an amount to a step and to the window's totals."""
-    step_totals[workspace] = step_totals.get(workspace, 0.0) + amount
-    totals[workspace] = totals.get(workspace, 0.0) + amount
-
-
-def _subtract(totals: dict[str, float], step_totals: dict[str, float]) -> None:
-    """Subtract a step's amounts from the window's totals."""
-    for workspace, amount in step_totals.items():
-        remaining = totals.get(workspace, 0.0) - amount
-        if remaining <= 0.5:
-            totals.pop(workspace, None)
-        else:
-            totals[workspace] = remaining
+        self._largest = max(step.largest for step in self._fairness_steps())
+        recent_count = 1 + round(RECENT_S / STEP_S)
+        unmet: dict[str, float] = {}
+        for step in islice(reversed(self._steps), recent_count):
+            for name, tokens in step.demand.items():
+                unmet[name] = unmet.get(name, 0.0) + tokens
+            for name, tokens in step.granted.items():
+                unmet[name] = unmet.get(name, 0.0) - tokens
+        self.waiting = tuple(
+            sorted(
+                (
+                    sum(
+                        step.granted.get(name, 0.0)
+                        for step in self._fairness_steps()
+                    ),
+                    name,
+                )
+                for name, tokens in unmet.items()
+                if tokens >= MIN_TOKENS
+            )
+        )
+
+    def _advance(self, now_s: float) -> _Step:
+        """Return the current step; drop those that left the windows."""
+        number = int(now_s // STEP_S)
+        steps = self._steps
+        if steps and steps[-1].number >= number:
+            return steps[-1]
+        steps.append(_Step(number))
+        oldest = number - round(max(FAIRNESS_WINDOW_S, self.window_s) / STEP_S)
+        while steps[0].number < oldest:
+            steps.popleft()
+        self.demand, self.granted = {}, {}
+        for step in steps:
+            if self._in_level_window(step):
+                for name, tokens in step.demand.items():
+                    _add(self.demand, name, tokens)
+                for name, tokens in step.granted.items():
+                    _add(self.granted, name, tokens)
+        return steps[-1]
+
+    def _in_level_window(self, step: _Step) -> bool:
+        """Return whether a step is in the window of the level."""
+        age = self._steps[-1].number - step.number
+        return age * STEP_S < self.window_s
+
+
+def _add(totals: dict[str, float], workspace: str, amount: float) -> None:
+    """Add an amount to a workspace's total; a total of 0 is removed."""
+    total = totals.get(workspace, 0.0) + amount
+    if abs(total) >= MIN_TOKENS:
+        totals[workspace] = total
+    else:
+        totals.pop(workspace, None)
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -283,7 +283,9 @@
         return ShareReport(
             usage=self.usage.take(),
             window_s=shares.window_s,
-            throughput_tokens_per_s=shares.tokens_per_s,
+            throughput_tokens_per_s=(
+                sum(shares.granted.values()) / shares.window_s
+            ),
             level_tokens=shares.level,
             demand_tokens=dict(shares.demand),
             granted_tokens=dict(shares.granted),
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -24,7 +24,6 @@
     front.limits.body_bytes = limits.body_bytes
     front.limits.header_timeout_s = limits.header_timeout_s
     front.limits.idle_timeout_s = limits.idle_timeout_s
-    front.fleet_state.shares.tokens_per_s = config.tokens_per_s
     for service in config.services:
         front.pool.set_traits(service.name, service.engine)
     front.metrics.config_version.set(config.version)
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -60,7 +60,7 @@
     platform_failures: Counter  # Failed calls to the platform.
     quota_tokens: Counter  # Quota tokens of requests for models.
     share_level: Gauge  # The fair-share level, in quota tokens.
-    share_throughput: Gauge  # What the level is based on.
+    share_throughput: Gauge  # Granted in the window, per second.
     peers: Gauge  # The other routers that count as live.
     oldest_peer_age: Gauge  # Time since the oldest update, in seconds.
 
@@ -157,7 +157,7 @@
         ),
         share_throughput=gauge(
             "share_throughput_tokens_per_second",
-            "Throughput of the engines that the level is based on.",
+            "Throughput that the fleet granted in the sliding window.",
         ),
         peers=gauge("peers", "Other routers that count as live."),
         oldest_peer_age=gauge(
--- a/src/bulrushstream/state/routes.py
+++ b/src/bulrushstream/state/routes.py
@@ -100,7 +100,7 @@
     services: tuple[PooledService, ...] = ()
     workspaces: tuple[WorkspaceKeys, ...] = ()
     limits: ClientLimits = field(default_factory=ClientLimits)
-    tokens_per_s: float = 0.0  # Capacity of all engines; 0: unknown.
+    tokens_per_s: float = 0.0  # Nominal capacity; only logged.  0: unknown.
     requires_keys: bool = False  # Applies to routes that are not public.
 
 
--- a/src/bulrushstream/state/usage.py
+++ b/src/bulrushstream/state/usage.py
@@ -21,7 +21,7 @@
 
     usage: Mapping[str, WorkspaceUsage]  # By workspace; since the last one.
     window_s: float  # The length of the sliding window.
-    throughput_tokens_per_s: float  # What the level is based on.
+    throughput_tokens_per_s: float  # Granted in the window.
     level_tokens: float  # The fair-share level in the window.
     demand_tokens: Mapping[str, float]  # The fleet's, in the window.
     granted_tokens: Mapping[str, float]  # The fleet's, in the window.
