Routers hear their peers while callers crowd them

Cause: asyncio reads one datagram in each iteration of its loop, and accepts up to the length of the listening queue, 1,024 connections, in one. An iteration of the crowded router took seconds, so its socket's buffer overflowed and it lost most updates of its peers; what it did not know of it took for free capacity.

Evidence: the router's lines of shares are 4 to 9 s apart; at 8.1 s it had heard of 7 of 25 peers, and its level was 1,525,448 tokens where theirs was 237,589.

Change: the socket is read until it is empty, 512 datagrams at most, and 16 connections are accepted in one iteration; the kernel's queue stays at 1,024.

--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -23,6 +23,8 @@
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
 from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
+from bulrushstream.transport.listening import open_listener
+from bulrushstream.transport.udp import open_udp
 
 # Minimum time between reads of the endpoints' topic.  It changes often, and
 # a change matters only within seconds, so several are read at once.
@@ -101,7 +103,6 @@
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
         settings, front = self._settings, self.front
-        loop = asyncio.get_running_loop()
         identity = PeerUpdate(
             settings.instance, self._incarnation, settings.host
         )
@@ -114,9 +115,7 @@
             self._deps.report,
         )
         port.hosts = front.peers.notified_hosts
-        await loop.create_datagram_endpoint(
-            lambda: port, local_addr=(settings.host, settings.peers_port)
-        )
+        port.attach(open_udp(settings.host, settings.peers_port, port))
         self._port = port
         front.fleet_state.notifier = port
         await self._listen(
@@ -219,9 +218,7 @@
     async def _listen(self, ingress: Ingress, host: str, port: int) -> None:
         """Listen for HTTP connections."""
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            ingress.make_connection, host, port, backlog=1024
-        )
+        server = await open_listener(loop, ingress.make_connection, host, port)
         self._servers.append(server)
         self.ports.append(server.sockets[0].getsockname()[1])
 
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -116,8 +116,8 @@
 
 
 @dataclass(slots=True)
-class _DatagramTransport:
-    """One router's socket; stands in for `asyncio.DatagramTransport`."""
+class _DatagramSender:
+    """One router's socket; stands in for `UdpSocket`."""
 
     fleet: RoutingFleet
     router: int
@@ -271,9 +271,7 @@
             lambda kind, text: None,
         )
         port.hosts = front.peers.notified_hosts
-        port.connection_made(
-            cast(asyncio.DatagramTransport, _DatagramTransport(self, number))
-        )
+        port.attach(_DatagramSender(self, number))
         front.fleet_state.notifier = port
         self.fronts.append(front)
         self.ports.append(port)
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final, cast
+from typing import Final, Protocol
 
 from bulrushstream.protocol.peercodec import (
     DatagramError,
@@ -53,7 +53,20 @@
         return events + len(self.crash_suspects)
 
 
-class PeerSocket(asyncio.DatagramProtocol):
+class DatagramSender(Protocol):
+    """Sends datagrams, as `udp.UdpSocket` does."""
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram."""
+
+    def is_closing(self) -> bool:
+        """Return whether the socket is closed."""
+
+    def close(self) -> None:
+        """Close the socket."""
+
+
+class PeerSocket:
     """The UDP socket on which routers report their requests to each other."""
 
     def __init__(
@@ -63,7 +76,7 @@
         receive: Callable[[PeerUpdate], None],
         report: Callable[[str, str], None],
     ) -> None:
-        """Make a protocol that has no socket yet.
+        """Make an object that has no socket yet.
 
         :param identity: an update that only identifies this router
         :param port: every router's port for these datagrams
@@ -74,7 +87,7 @@
         self._port = port
         self._receive = receive
         self._report = report
-        self._transport: asyncio.DatagramTransport | None = None
+        self._sender: DatagramSender | None = None
         self._pending = _PendingEvents()
         self._timer: asyncio.TimerHandle | None = None
         self.hosts: Callable[[], tuple[str, ...]] = tuple
@@ -82,13 +95,15 @@
         self.sent_bytes = 0
         self.received_bytes = 0
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport; see `asyncio.DatagramProtocol`."""
-        # The event loop's own class is no subclass of DatagramTransport.
-        self._transport = cast(asyncio.DatagramTransport, transport)
+    def attach(self, sender: DatagramSender) -> None:
+        """Set the socket that updates are sent with.
+
+        :param sender: the socket
+        """
+        self._sender = sender
 
     def datagram_received(self, data: bytes, addr: object) -> None:
-        """Decode an update and pass it on; see `asyncio.DatagramProtocol`."""
+        """Decode an update and pass it on; see `udp.DatagramReceiver`."""
         del addr
         self.received_bytes += len(data)
         try:
@@ -156,9 +171,9 @@
             self._timer.cancel()
             self._timer = None
         pending, self._pending = self._pending, _PendingEvents()
-        transport = self._transport
+        sender = self._sender
         hosts = self.hosts()
-        if transport is None or transport.is_closing() or not hosts:
+        if sender is None or sender.is_closing() or not hosts:
             return
         own = self._identity
         data = encode_update(
@@ -179,15 +194,15 @@
             )
         )
         for host in hosts:
-            transport.sendto(data, (host, self._port))
+            sender.sendto(data, (host, self._port))
             self.sent_bytes += len(data)
 
     def close(self) -> None:
         """Close the socket."""
         if self._timer is not None:
             self._timer.cancel()
-        if self._transport is not None:
-            self._transport.close()
+        if self._sender is not None:
+            self._sender.close()
 
     def _schedule_flush(self) -> None:
         """Schedule a flush; flush now if a datagram is full."""
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -243,8 +243,8 @@
 
 
 @dataclass(slots=True)
-class _DatagramTransport:
-    """One router's socket; stands in for `asyncio.DatagramTransport`."""
+class _DatagramSender:
+    """One router's socket; stands in for `UdpSocket`."""
 
     fleet: ModelFleet
     _data: bytes = b""
@@ -405,9 +405,7 @@
             identity, 1, lambda update: None, lambda kind, text: None
         )
         port.hosts = front.peers.notified_hosts
-        port.connection_made(
-            cast(asyncio.DatagramTransport, _DatagramTransport(self))
-        )
+        port.attach(_DatagramSender(self))
         front.fleet_state.notifier = port
         platformupdates.apply_config(front, self._config)
         for name, engine in self.engines.items():
