Requests that did not run use up no share

What callers saw: a workspace whose prompts lie at an engine that crashed was refused sooner than others, though what it had sent there never ran.

Cause: a grant counted when a request was given to an engine, whatever became of it.

The new test sends a request to two engines that say that they did not run it: before, its tokens counted as granted.

Change: the grant of an attempt without any sign of a run (not sent, not executed, broken off or overdue before the head of an answer) is withdrawn, at the peers as well.

--- a/src/bulrushstream/coordination/fairshare.py
+++ b/src/bulrushstream/coordination/fairshare.py
@@ -106,7 +106,7 @@
         """Count a request that was sent to an engine.
 
         :param workspace: the workspace's name
-        :param tokens: the request's quota tokens
+        :param tokens: the request's quota tokens; negative: it did not run
         :param now_s: the time
         """
         _add(self._advance(now_s).granted, workspace, tokens)
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -190,18 +190,27 @@
         if self.notifier is not None:
             self.notifier.report_started(FirstEvent(number, int(observed)))
 
-    def ended(
-        self, endpoint: Endpoint, number: int, *, ran: bool = True
-    ) -> None:
+    def withdraw_grant(self, number: int, now_s: float) -> None:
+        """Take back the grant of an attempt that no engine worked on.
+
+        :param number: the attempt's number
+        :param now_s: the time
+        """
+        grant = self._grants.pop(number, None)
+        if grant is None:
+            return
+        self.shares.add_grant(grant.workspace, -grant.tokens, now_s)
+        add_tokens(self.usage.not_run, grant.workspace, grant.tokens)
+        if self.notifier is not None:
+            self.notifier.report_usage(grant.workspace, 0, -grant.tokens)
+
+    def ended(self, endpoint: Endpoint, number: int) -> None:
         """Record the end of an attempt and report it to the peers.
 
         :param endpoint: the endpoint that it was sent to
         :param number: the attempt's number
-        :param ran: whether the endpoint may have worked on it
         """
-        grant = self._grants.pop(number, None)
-        if grant is not None and not ran:
-            add_tokens(self.usage.not_run, grant.workspace, grant.tokens)
+        self._grants.pop(number, None)
         _release(endpoint, number)
         if self.notifier is not None:
             self.notifier.report_ended(number)
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -273,9 +273,9 @@
         endpoint = self._endpoint
         if head is None or endpoint is None or self.done:
             return
-        self.front.fleet_state.ended(
-            endpoint, self._attempt_number, ran=not head.not_executed
-        )
+        if head.not_executed:
+            self._withdraw_grant()
+        self.front.fleet_state.ended(endpoint, self._attempt_number)
         self._cancel_overdue_timer()
         if head.not_executed:
             self.progress.may_have_run = self._may_have_run_before
@@ -334,10 +334,9 @@
         endpoint = self._endpoint
         if endpoint is None or self.done:
             return
-        # Without the head of an answer there is no sign that it ran.
-        self.front.fleet_state.ended(
-            endpoint, self._attempt_number, ran=self._head is not None
-        )
+        if self._head is None:
+            self._withdraw_grant()
+        self.front.fleet_state.ended(endpoint, self._attempt_number)
         self._cancel_overdue_timer()
         if failure is ResponseFailure.BROKEN:
             self._count_failure(endpoint)
@@ -436,17 +435,20 @@
         else:
             self._answer_notice(messages.DRAINING, Outcome.NOT_RUN)
 
-    def _cancel_attempt(self, *, ran: bool = True) -> None:
-        """Cancel the attempt in flight, if there is one.
+    def _withdraw_grant(self) -> None:
+        """Take back the attempt's grant: there is no sign that it ran."""
+        self.front.fleet_state.withdraw_grant(
+            self._attempt_number, self.front.clock()
+        )
 
-        :param ran: whether the endpoint may have worked on it
-        """
+    def _cancel_attempt(self) -> None:
+        """Cancel the attempt in flight, if there is one."""
         pending, self._pending = self._pending, None
         if pending is not None:
             pending.cancel()
             if self._endpoint is not None:
                 self.front.fleet_state.ended(
-                    self._endpoint, self._attempt_number, ran=ran
+                    self._endpoint, self._attempt_number
                 )
 
     def _answer_notice(self, notice: Notice, outcome: Outcome) -> None:
@@ -512,7 +514,9 @@
             return
         if not front.acquire_retry(self.service):
             return
-        self._cancel_attempt(ran=self._head is not None)
+        if self._head is None:
+            self._withdraw_grant()
+        self._cancel_attempt()
         front.endpoint_overdue(endpoint)
         self._count_failure(endpoint)
         front.log_decision(
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -258,6 +258,27 @@
             lambda: any(w.disconnected_ids for w in fleet.workers.values())
         )
 
+    async def test_only_requests_that_may_have_run_use_up_a_share(
+        self, fleet: Deployment
+    ) -> None:
+        """Guards against workspaces that pay for engines that are gone."""
+        for name in ("e-1", "e-2"):
+            fleet.workers[name].script = [Behaviour.SHED] * 9
+        status, _, _ = await send_request(
+            fleet, request_bytes("/talk/x", headers=COUNTS)
+        )
+        assert status == 503
+        shares = fleet.process.front.fleet_state.shares
+        assert shares.demand["club"] > 0
+        assert shares.granted == {}
+        for name in ("e-1", "e-2"):
+            fleet.workers[name].script = []
+        status, _, _ = await send_request(
+            fleet, request_bytes("/talk/x", "q2", headers=COUNTS)
+        )
+        assert status == 200
+        assert shares.granted["club"] > 0
+
     async def test_another_instance_at_the_address_does_not_run_it(
         self, fleet: Deployment
     ) -> None:
--- a/tests/test_share_report.py
+++ b/tests/test_share_report.py
@@ -36,7 +36,7 @@
 
 class ReportSuite:
     def test_requests_grants_and_failed_grants_are_told_apart(self) -> None:
-        state, _ = a_router_state(1)
+        (state, recorder), (peer, _) = a_router_state(1), a_router_state(2)
         endpoint = state.pool.by_name["e-1"]
         prompt = a_prompt((1, 900), output=50)
         for _ in range(3):
@@ -44,11 +44,16 @@
         numbers = [
             state.place(endpoint, prompt, "club", 0.1, 9.0) for _ in range(2)
         ]
-        state.ended(endpoint, numbers[0], ran=False)
+        state.withdraw_grant(numbers[0], 0.2)
+        state.ended(endpoint, numbers[0])
         state.ended(endpoint, numbers[1])
         assert state.report_shares(1.0).usage == {
             "club": WorkspaceUsage(3000, 2000, 1000)
         }
+        deliver(recorder, peer, 0.3)
+        for each in (state, peer):
+            assert each.shares.demand == {"club": 3000}
+            assert each.shares.granted == {"club": 1000}
         assert state.report_shares(2.0).usage == {}
 
     def test_the_age_of_the_oldest_update_is_reported(self) -> None:
