Routers report totals, and do not take silence for free capacity

What callers saw: where one router missed updates of its peers, its callers got over twice as much as others, who were refused in every second.

Cause: updates carried increments, so a lost one was never made up for, and what a router did not know of its peers it took for nothing. A router that started lately knew nothing of the window either.

Change: updates carry totals since the sender began to count, and heartbeats repeat those that changed lately, so any later update makes up for all lost ones; what was missed is spread over the time in between. A new peer is told all totals, and a new router takes the average of each peer's time for the window. Usage at peers that are not heard is extrapolated: for as long as peers count as live, or for ten seconds by a router that hears no one, which also leaves the surplus to others. Steps of the window without any request are kept now, as amounts may be spread over them.

--- a/src/bulrushstream/coordination/fairshare.py
+++ b/src/bulrushstream/coordination/fairshare.py
@@ -25,6 +25,10 @@
 # twice as much.
 MAX_GRANT_RATIO: Final = 1.8
 
+# The same for a router that does not know what its peers grant now, and so
+# can not tell whether there is a surplus.
+STALE_GRANT_RATIO: Final = 1.0
+
 # The length of the fairness window.  The platform's rule is about six
 # seconds; it is met if it holds in each part of them.
 FAIRNESS_WINDOW_S: Final = 2.0
@@ -82,6 +86,7 @@
     # Demand and grants in the window of the level.
     demand: dict[str, float] = field(default_factory=dict)
     granted: dict[str, float] = field(default_factory=dict)
+    stale: bool = False  # Whether most peers' usage is extrapolated.
     level: float = float("inf")  # The fair-share level at the last refresh.
     # Grants in the fairness window and name of each workspace that is kept
     # waiting, least served first.
@@ -90,27 +95,45 @@
     _refreshed_s: float = float("-inf")
     _largest: float = 0.0  # The largest request here in the window.
 
-    def add_demand(self, workspace: str, tokens: float, now_s: float) -> None:
-        """Count the demand of a request, whether it is served or refused.
+    def add_demand(
+        self,
+        workspace: str,
+        tokens: float,
+        now_s: float,
+        since_s: float | None = None,
+    ) -> None:
+        """Count the demand of requests, whether served or refused.
 
         :param workspace: the workspace's name
-        :param tokens: the request's quota tokens
+        :param tokens: the requests' quota tokens; negative: a correction
         :param now_s: the time
+        :param since_s: the tokens are spread from then on; None: now
         """
-        step = self._advance(now_s)
-        step.largest = max(step.largest, tokens)
-        _add(step.demand, workspace, tokens)
-        _add(self.demand, workspace, tokens)
+        for step, part in self._spread(tokens, now_s, since_s):
+            if since_s is None:
+                step.largest = max(step.largest, tokens)
+            _add(step.demand, workspace, part)
+            if self._in_level_window(step):
+                _add(self.demand, workspace, part)
 
-    def add_grant(self, workspace: str, tokens: float, now_s: float) -> None:
-        """Count a request that was sent to an engine.
+    def add_grant(
+        self,
+        workspace: str,
+        tokens: float,
+        now_s: float,
+        since_s: float | None = None,
+    ) -> None:
+        """Count requests that were sent to an engine.
 
         :param workspace: the workspace's name
-        :param tokens: the request's quota tokens; negative: it did not run
+        :param tokens: the requests' quota tokens; negative: a correction
         :param now_s: the time
+        :param since_s: the tokens are spread from then on; None: now
         """
-        _add(self._advance(now_s).granted, workspace, tokens)
-        _add(self.granted, workspace, tokens)
+        for step, part in self._spread(tokens, now_s, since_s):
+            _add(step.granted, workspace, part)
+            if self._in_level_window(step):
+                _add(self.granted, workspace, part)
 
     def used_share(self, workspace: str, tokens: float, now_s: float) -> float:
         """Return the used part of a share if one more request is granted.
@@ -137,8 +160,9 @@
         total = tokens + sum(
             step.granted.get(workspace, 0.0) for step in self._fairness_steps()
         )
+        ratio = STALE_GRANT_RATIO if self.stale else MAX_GRANT_RATIO
         for granted, name in self.waiting:
-            tolerated = MAX_GRANT_RATIO * (granted + self._largest)
+            tolerated = ratio * (granted + self._largest)
             if tolerated >= total:
                 return False
             if name == workspace:
@@ -202,14 +226,15 @@
             )
         )
 
-    def _advance(self, now_s: float) -> _Step:
-        """Return the current step; drop those that left the windows."""
+    def _advance(self, now_s: float) -> None:
+        """Begin the current step and drop those that left the windows."""
         number = int(now_s // STEP_S)
         steps = self._steps
         if steps and steps[-1].number >= number:
-            return steps[-1]
-        steps.append(_Step(number))
+            return
         oldest = number - round(max(FAIRNESS_WINDOW_S, self.window_s) / STEP_S)
+        first = max(oldest, steps[-1].number + 1) if steps else oldest
+        steps.extend(_Step(each) for each in range(first, number + 1))
         while steps[0].number < oldest:
             steps.popleft()
         self.demand, self.granted = {}, {}
@@ -219,13 +244,32 @@
                     _add(self.demand, name, tokens)
                 for name, tokens in step.granted.items():
                     _add(self.granted, name, tokens)
-        return steps[-1]
 
     def _in_level_window(self, step: _Step) -> bool:
         """Return whether a step is in the window of the level."""
         age = self._steps[-1].number - step.number
         return age * STEP_S < self.window_s
 
+    def _spread(
+        self, tokens: float, now_s: float, since_s: float | None
+    ) -> list[tuple[_Step, float]]:
+        """Divide tokens among the steps from a time until now.
+
+        What falls before the oldest step is left out.
+        """
+        self._advance(now_s)
+        current = self._steps[-1]
+        if since_s is None or since_s >= current.number * STEP_S:
+            return [(current, tokens)]
+        length_s = now_s - since_s
+        parts = []
+        for step in self._steps:
+            begin_s = max(since_s, step.number * STEP_S)
+            end_s = min(now_s, (step.number + 1) * STEP_S)
+            if end_s > begin_s:
+                parts.append((step, tokens * (end_s - begin_s) / length_s))
+        return parts
+
 
 def _add(totals: dict[str, float], workspace: str, amount: float) -> None:
     """Add an amount to a workspace's total; a total of 0 is removed."""
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
@@ -18,7 +18,8 @@
     DEFAULT_PREFILL_TOKENS_PER_S,
 )
 from bulrushstream.coordination.fairshare import FairShares
-from bulrushstream.coordination.fleetview import FleetView
+from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S, FleetView
+from bulrushstream.coordination.peerusage import PeerUsage, UsageChange
 from bulrushstream.coordination.quarantine import (
     Quarantine,
     QuarantineOptions,
@@ -42,6 +43,11 @@
 # longer than the requests of any route usually run.
 PEER_CALL_TIMEOUT_S: Final = 20.0
 
+# The usage at a peer that was not heard for this time is extrapolated, a few
+# heartbeats; if no peer is heard, for as long as the second figure.
+USAGE_SILENCE_S: Final = 1.2
+CUT_OFF_TIMEOUT_S: Final = 10.0
+
 # The weight of one observed prefill rate in the moving average, the largest
 # factor by which an observation counts as different from the average, and
 # the bounds of the average in tokens per second.
@@ -68,6 +74,9 @@
     ) -> None:
         """Report the demand and the grants of a workspace, in tokens."""
 
+    def repeat_usage(self) -> None:
+        """Report the usage of all workspaces again, for a new peer."""
+
     def report_strike(self, suspect: CrashSuspect) -> None:
         """Report that a request was in flight when an endpoint crashed."""
 
@@ -94,6 +103,15 @@
     tokens: int
 
 
+@dataclass(slots=True)
+class _KnownUsage:
+    """What is known of the usage at a peer."""
+
+    incarnation: int
+    heard_s: float  # When the last update arrived.
+    usage: PeerUsage
+
+
 @dataclass(slots=True)
 class FleetState:
     """The fleet's state at one router, from its own and its peers' calls."""
@@ -116,6 +134,7 @@
     _last_stall_s: float = float("-inf")  # The end of the last stall.
     _peer_calls: dict[int, _PeerCall] = field(default_factory=dict)
     _grants: dict[int, _Grant] = field(default_factory=dict)  # Own attempts.
+    _peer_usage: dict[str, _KnownUsage] = field(default_factory=dict)
 
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
         """Count a request's demand and report it to the peers.
@@ -269,15 +288,7 @@
             peer.calls.discard(number)
         for suspect in update.crash_suspects:
             self._strike(suspect, now_s)
-        for demand in update.demands:
-            if demand.requested_tokens:
-                self.shares.add_demand(
-                    demand.workspace, demand.requested_tokens, now_s
-                )
-            if demand.granted_tokens:
-                self.shares.add_grant(
-                    demand.workspace, demand.granted_tokens, now_s
-                )
+        self._count_peer_usage(update, now_s)
         if update.leaving:
             self._end_peer_calls(set(peer.calls))
 
@@ -317,6 +328,7 @@
             self._last_stall_s = now_s
         self._swept_s = now_s
         self._end_peer_calls(self.peers.sweep(now_s))
+        self._extrapolate_peer_usage(now_s)
         expired = []
         for number, peer_call in self._peer_calls.items():
             if now_s - peer_call.received_s <= PEER_CALL_TIMEOUT_S:
@@ -327,6 +339,59 @@
             for peer in self.peers.peers.values():
                 peer.calls.discard(number)
 
+    def _count_peer_usage(self, update: PeerUpdate, now_s: float) -> None:
+        """Count the demand and the grants at a peer."""
+        known = self._peer_usage.get(update.instance)
+        if known is None or known.incarnation != update.incarnation:
+            if self.notifier is not None:
+                self.notifier.repeat_usage()
+            known = _KnownUsage(
+                update.incarnation,
+                now_s,
+                PeerUsage(now_s - update.counted_s),
+            )
+            self._peer_usage[update.instance] = known
+        known.heard_s = now_s
+        self._count_usage(known.usage.receive(update.totals, now_s), now_s)
+
+    def _extrapolate_peer_usage(self, now_s: float) -> None:
+        """Assume that callers of peers that are not heard go on as before.
+
+        A peer that alone is not heard is lost, and its callers turn to
+        other routers.  If no peer is heard, this router is cut off.
+        """
+        newest_s = max(
+            (known.heard_s for known in self._peer_usage.values()),
+            default=now_s,
+        )
+        silent = 0
+        limit_s = PEER_TIMEOUT_S
+        if now_s - newest_s > USAGE_SILENCE_S:
+            limit_s = CUT_OFF_TIMEOUT_S
+        for instance, known in list(self._peer_usage.items()):
+            silent_s = now_s - known.heard_s
+            if silent_s > limit_s:
+                del self._peer_usage[instance]
+            elif silent_s > USAGE_SILENCE_S:
+                self._count_usage(known.usage.extrapolate(now_s), now_s)
+                silent += 1
+        self.shares.stale = silent > len(self._peer_usage) / 2
+
+    def _count_usage(
+        self, changes: Iterable[UsageChange], now_s: float
+    ) -> None:
+        """Add changes of a peer's usage to the shares."""
+        for change in changes:
+            name, since_s = change.workspace, change.since_s
+            if change.requested_tokens:
+                self.shares.add_demand(
+                    name, change.requested_tokens, now_s, since_s
+                )
+            if change.granted_tokens:
+                self.shares.add_grant(
+                    name, change.granted_tokens, now_s, since_s
+                )
+
     def _ran_without_stall(self, since_s: float, now_s: float) -> bool:
         """Return whether the process has not stalled since a time."""
         return (
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -137,7 +137,7 @@
             topics.endpoints, ENDPOINTS_INTERVAL_S, self._handle_endpoints
         )
         self._spawn(self._announce())
-        self._spawn(run_periodically(HEARTBEAT_S, port.flush))
+        self._spawn(run_periodically(HEARTBEAT_S, port.beat))
         self._spawn(run_periodically(SWEEP_INTERVAL_S, self._sweep))
         self._spawn(run_periodically(SHARES_INTERVAL_S, front.report_shares))
         if self._path:
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -276,7 +276,7 @@
         self.fronts.append(front)
         self.ports.append(port)
         self._read_store(number)
-        self._repeat(HEARTBEAT_S, port.flush)
+        self._repeat(HEARTBEAT_S, port.beat)
         self._repeat(SWEEP_INTERVAL_S, front.sweep)
         self._repeat(POLL_S, lambda: self._read_store(number))
 
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -21,7 +21,7 @@
     FirstEvent,
     PeerUpdate,
     RequestPlaced,
-    TokenDemand,
+    WorkspaceTotals,
 )
 
 CHECKSUM: Final = struct.Struct("!Q")
@@ -68,18 +68,20 @@
             for each in update.first_events
         ],
         ended=list(update.ended_calls),
-        asked=[
-            _SCHEMA.Asked(
-                each.workspace, each.requested_tokens, each.granted_tokens
-            )
-            for each in update.demands
-        ],
+        asked=[],
         known_hosts=list(update.known_hosts),
         leaving=update.leaving,
         struck=[
             _SCHEMA.Struck(each.fingerprint, each.endpoint)
             for each in update.crash_suspects
         ],
+        totals=[
+            _SCHEMA.Totals(
+                each.workspace, each.requested_tokens, each.granted_tokens
+            )
+            for each in update.totals
+        ],
+        counted_ms=round(update.counted_s * 1000),
     )
     body = serialize(wire, _BINARY)
     return CHECKSUM.pack(xxhash.xxh64_intdigest(body)) + body
@@ -129,14 +131,18 @@
             for each in wire.started
         ),
         ended_calls=tuple(wire.ended),
-        demands=tuple(
-            TokenDemand(each.workspace, each.asked_tokens, each.granted_tokens)
-            for each in wire.asked
-        ),
         known_hosts=tuple(wire.known_hosts),
         leaving=bool(wire.leaving),
         crash_suspects=tuple(
             CrashSuspect(each.fingerprint, each.endpoint)
             for each in wire.struck
         ),
+        # A router of an earlier version sends no totals.
+        totals=tuple(
+            WorkspaceTotals(
+                each.workspace, each.asked_tokens, each.granted_tokens
+            )
+            for each in wire.totals or ()
+        ),
+        counted_s=(wire.counted_ms or 0) / 1000,
     )
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -17,7 +17,7 @@
   2: i32 read_tokens_per_s
 }
 
-struct Asked {
+struct Totals {
   1: string workspace
   2: i64 asked_tokens
   3: i64 granted_tokens
@@ -35,8 +35,10 @@
   4: list<Placed> placed
   5: list<Started> started
   6: list<i64> ended
-  7: list<Asked> asked
+  7: list<Totals> asked  // Empty; earlier versions sent increments here.
   8: list<string> known_hosts
   9: bool leaving
   10: list<Struck> struck
+  11: list<Totals> totals
+  12: i64 counted_ms
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -2,7 +2,7 @@
 
 An *update* collects the changes at one router within a few milliseconds.  A
 lost update is not sent again: later updates correct its effects, or they
-expire.
+expire.  The totals of workspaces make up for all lost updates before them.
 """
 
 from __future__ import annotations
@@ -31,12 +31,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TokenDemand:
-    """A workspace's demand at one router since the last update."""
+class WorkspaceTotals:
+    """A workspace's demand and grants since a router began to count."""
 
     workspace: str  # The workspace's name.
     requested_tokens: int  # Tokens of all requests, served or not.
-    granted_tokens: int  # Tokens of requests sent to an engine.
+    granted_tokens: int  # Tokens of requests that an engine got.
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +57,8 @@
     placements: tuple[RequestPlaced, ...] = ()
     first_events: tuple[FirstEvent, ...] = ()
     ended_calls: tuple[int, ...] = ()  # Call ids of requests that ended.
-    demands: tuple[TokenDemand, ...] = ()
+    totals: tuple[WorkspaceTotals, ...] = ()  # Those that changed lately.
+    counted_s: float = 0.0  # How long ago the totals were zero.
     crash_suspects: tuple[CrashSuspect, ...] = ()
     known_hosts: tuple[str, ...] = ()  # IP addresses of its peers.
     leaving: bool = False  # Whether it is stopping.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -20,7 +20,7 @@
     FirstEvent,
     PeerUpdate,
     RequestPlaced,
-    TokenDemand,
+    WorkspaceTotals,
 )
 
 # How long events are batched; a fraction of the time between requests.
@@ -29,8 +29,10 @@
 # The longest time between two updates, so that peers know of each other.
 HEARTBEAT_S: Final = 0.5
 
-# Events per datagram; keeps its size far below a network link's limit.
+# Events and workspaces' totals per datagram; these keep its size far below a
+# network link's limit.
 MAX_EVENTS: Final = 24
+MAX_TOTALS: Final = 64
 
 
 @dataclass(slots=True)
@@ -40,11 +42,11 @@
     placements: list[RequestPlaced] = field(default_factory=list)
     first_events: list[FirstEvent] = field(default_factory=list)
     ended_calls: list[int] = field(default_factory=list)
-    demands: dict[str, list[int]] = field(default_factory=dict)
+    changed_totals: set[str] = field(default_factory=set)  # Workspaces.
     crash_suspects: list[CrashSuspect] = field(default_factory=list)
 
     def size(self) -> int:
-        """Return the number of events, token demands not included."""
+        """Return the number of events, totals not included."""
         events = (
             len(self.placements)
             + len(self.first_events)
@@ -89,6 +91,11 @@
         self._report = report
         self._sender: DatagramSender | None = None
         self._pending = _PendingEvents()
+        # Requested and granted tokens of each workspace since `_counting_s`.
+        self._totals: dict[str, list[int]] = {}
+        self._counting_s: float | None = None
+        # Workspaces whose totals go with the next heartbeat as well.
+        self._repeated_totals: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
         self.hosts: Callable[[], tuple[str, ...]] = tuple
         self.leaving = False
@@ -146,17 +153,25 @@
     def report_usage(
         self, workspace: str, requested: int, granted: int
     ) -> None:
-        """Report a workspace's demand and grants with the next update.
+        """Add to a workspace's totals and report them with the next update.
 
         :param workspace: the workspace's name
         :param requested: the tokens that its requests need
-        :param granted: the tokens of requests sent to an engine
+        :param granted: the tokens of requests that an engine got; negative:
+            of those that it did not run
         """
-        entry = self._pending.demands.setdefault(workspace, [0, 0])
-        entry[0] += requested
-        entry[1] += granted
+        if self._counting_s is None:
+            self._counting_s = asyncio.get_running_loop().time()
+        totals = self._totals.setdefault(workspace, [0, 0])
+        totals[0] += requested
+        totals[1] += granted
+        self._pending.changed_totals.add(workspace)
         self._schedule_flush()
 
+    def repeat_usage(self) -> None:
+        """Report the totals of all workspaces with the next heartbeat."""
+        self._repeated_totals.update(self._totals)
+
     def report_strike(self, suspect: CrashSuspect) -> None:
         """Report that a request was in flight when an endpoint crashed.
 
@@ -165,18 +180,31 @@
         self._pending.crash_suspects.append(suspect)
         self._schedule_flush()
 
+    def beat(self) -> None:
+        """Send a heartbeat: an update even if nothing is pending.
+
+        It repeats the totals that changed since the last one, in case that
+        the updates with them were lost.
+        """
+        repeated, self._repeated_totals = self._repeated_totals, set()
+        self._pending.changed_totals |= repeated
+        self.flush()
+        # They were repeated now, so the next heartbeat leaves them out.
+        self._repeated_totals.clear()
+
     def flush(self) -> None:
         """Send the pending events, or just this router's identity."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         pending, self._pending = self._pending, _PendingEvents()
-        sender = self._sender
-        hosts = self.hosts()
-        if sender is None or sender.is_closing() or not hosts:
-            return
+        self._repeated_totals |= pending.changed_totals
+        totals = [
+            WorkspaceTotals(name, *self._totals[name])
+            for name in sorted(pending.changed_totals)
+        ]
         own = self._identity
-        data = encode_update(
+        self._send(
             PeerUpdate(
                 own.instance,
                 own.incarnation,
@@ -184,19 +212,41 @@
                 placements=tuple(pending.placements),
                 first_events=tuple(pending.first_events),
                 ended_calls=tuple(pending.ended_calls),
-                demands=tuple(
-                    TokenDemand(name, requested, granted)
-                    for name, (requested, granted) in pending.demands.items()
-                ),
+                totals=tuple(totals[:MAX_TOTALS]),
+                counted_s=self._counted_s(),
                 crash_suspects=tuple(pending.crash_suspects),
-                known_hosts=hosts,
+                known_hosts=self.hosts(),
                 leaving=self.leaving,
             )
         )
+        for begin in range(MAX_TOTALS, len(totals), MAX_TOTALS):
+            self._send(
+                PeerUpdate(
+                    own.instance,
+                    own.incarnation,
+                    own.host,
+                    totals=tuple(totals[begin : begin + MAX_TOTALS]),
+                    counted_s=self._counted_s(),
+                )
+            )
+
+    def _send(self, update: PeerUpdate) -> None:
+        """Send an update to all peers."""
+        sender = self._sender
+        hosts = self.hosts()
+        if sender is None or sender.is_closing() or not hosts:
+            return
+        data = encode_update(update)
         for host in hosts:
             sender.sendto(data, (host, self._port))
             self.sent_bytes += len(data)
 
+    def _counted_s(self) -> float:
+        """Return how long ago all totals were zero."""
+        if self._counting_s is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._counting_s
+
     def close(self) -> None:
         """Close the socket."""
         if self._timer is not None:
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -417,7 +417,7 @@
             step()
             loop.call_later(interval_s, repeat, interval_s, step)
 
-        repeat(HEARTBEAT_S, port.flush)
+        repeat(HEARTBEAT_S, port.beat)
         repeat(SWEEP_INTERVAL_S, front.sweep)
         # The key's freshness is not under test.
         repeat(0.5, lambda: front.freshness.confirm(loop.time()))
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -24,7 +24,7 @@
     FirstEvent,
     PeerUpdate,
     RequestPlaced,
-    TokenDemand,
+    WorkspaceTotals,
 )
 from bulrushstream.state.routes import EngineTraits
 from tests.deployments import a_prompt, an_entry
@@ -38,6 +38,7 @@
 
     identity: PeerUpdate
     updates: list[PeerUpdate] = field(default_factory=list)
+    totals: dict[str, list[int]] = field(default_factory=dict)
 
     def report_placed(self, placed: RequestPlaced) -> None:
         self.updates.append(replace(self.identity, placements=(placed,)))
@@ -51,8 +52,22 @@
     def report_usage(
         self, workspace: str, requested: int, granted: int
     ) -> None:
-        entry = TokenDemand(workspace, requested, granted)
-        self.updates.append(replace(self.identity, demands=(entry,)))
+        totals = self.totals.setdefault(workspace, [0, 0])
+        totals[0] += requested
+        totals[1] += granted
+        entry = WorkspaceTotals(workspace, *totals)
+        self.updates.append(replace(self.identity, totals=(entry,)))
+
+    def repeat_usage(self) -> None:
+        self.updates.append(
+            replace(
+                self.identity,
+                totals=tuple(
+                    WorkspaceTotals(name, *totals)
+                    for name, totals in self.totals.items()
+                ),
+            )
+        )
 
     def report_strike(self, suspect: CrashSuspect) -> None:
         self.updates.append(replace(self.identity, crash_suspects=(suspect,)))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -30,7 +30,7 @@
     FirstEvent,
     PeerUpdate,
     RequestPlaced,
-    TokenDemand,
+    WorkspaceTotals,
 )
 from bulrushstream.state.routes import RequestKind
 from tests.deployments import wire_config, wire_entry, wire_route
@@ -254,7 +254,8 @@
         placements=(RequestPlaced(2**40, "e-1", (1, 2**62), (10, 20), 30, 5),),
         first_events=(FirstEvent(1), FirstEvent(2, 30_000)),
         ended_calls=(3,),
-        demands=(TokenDemand("club", 100, 50),),
+        totals=(WorkspaceTotals("club", 100, 50),),
+        counted_s=1.5,
         crash_suspects=(CrashSuspect(-(2**63), "e-1"),),
         known_hosts=("10.0.0.2",),
         leaving=True,
