A young router takes no peer's past for a burst

A router that starts among others hears updates with the totals of only some workspaces first. What its peers had counted of the others in all their time was then taken for the usage of the last moments, for as long as a window.

Cause: an update told for how long its sender counts, and that was used for the workspaces of the first update only.

Evidence: the new test, in which a total of 60 s that comes with the second update is to count 4,000 tokens in a window of 4 s; on the sources before it counts 60,000.

Change: each total tells for how long it was counted.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -345,11 +345,7 @@
         if known is None or known.incarnation != update.incarnation:
             if self.notifier is not None:
                 self.notifier.repeat_usage()
-            known = _KnownUsage(
-                update.incarnation,
-                now_s,
-                PeerUsage(now_s - update.counted_s),
-            )
+            known = _KnownUsage(update.incarnation, now_s, PeerUsage(now_s))
             self._peer_usage[update.instance] = known
         known.heard_s = now_s
         self._count_usage(known.usage.receive(update.totals, now_s), now_s)
--- a/src/bulrushstream/coordination/peerusage.py
+++ b/src/bulrushstream/coordination/peerusage.py
@@ -35,7 +35,8 @@
 
     requested: float = 0.0
     granted: float = 0.0
-    assumed_since_s: float | None = None  # None: they were reported.
+    # Since when they are assumed; None: they were reported.
+    assumed_since_s: float | None = None
     # The totals at the last measurement of the rates.
     measured_requested: float = 0.0
     measured_granted: float = 0.0
@@ -63,7 +64,8 @@
         for each in totals:
             counted = self._counted.get(each.workspace)
             if counted is None:
-                counted = _Counted(measured_s=self.counted_until_s)
+                first_s = now_s - each.counted_s
+                counted = _Counted(assumed_since_s=first_s, measured_s=first_s)
                 self._counted[each.workspace] = counted
             since_s = counted.assumed_since_s
             changes.append(
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -77,11 +77,13 @@
         ],
         totals=[
             _SCHEMA.Totals(
-                each.workspace, each.requested_tokens, each.granted_tokens
+                each.workspace,
+                each.requested_tokens,
+                each.granted_tokens,
+                round(each.counted_s * 1000),
             )
             for each in update.totals
         ],
-        counted_ms=round(update.counted_s * 1000),
     )
     body = serialize(wire, _BINARY)
     return CHECKSUM.pack(xxhash.xxh64_intdigest(body)) + body
@@ -140,9 +142,11 @@
         # A router of an earlier version sends no totals.
         totals=tuple(
             WorkspaceTotals(
-                each.workspace, each.asked_tokens, each.granted_tokens
+                each.workspace,
+                each.asked_tokens,
+                each.granted_tokens,
+                each.counted_ms / 1000,
             )
             for each in wire.totals or ()
         ),
-        counted_s=(wire.counted_ms or 0) / 1000,
     )
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -21,6 +21,7 @@
   1: string workspace
   2: i64 asked_tokens
   3: i64 granted_tokens
+  4: i64 counted_ms
 }
 
 struct Struck {
@@ -40,5 +41,4 @@
   9: bool leaving
   10: list<Struck> struck
   11: list<Totals> totals
-  12: i64 counted_ms
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -37,6 +37,7 @@
     workspace: str  # The workspace's name.
     requested_tokens: int  # Tokens of all requests, served or not.
     granted_tokens: int  # Tokens of requests that an engine got.
+    counted_s: float  # How long ago both were zero.
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +59,6 @@
     first_events: tuple[FirstEvent, ...] = ()
     ended_calls: tuple[int, ...] = ()  # Call ids of requests that ended.
     totals: tuple[WorkspaceTotals, ...] = ()  # Those that changed lately.
-    counted_s: float = 0.0  # How long ago the totals were zero.
     crash_suspects: tuple[CrashSuspect, ...] = ()
     known_hosts: tuple[str, ...] = ()  # IP addresses of its peers.
     leaving: bool = False  # Whether it is stopping.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -55,6 +55,15 @@
         return events + len(self.crash_suspects)
 
 
+@dataclass(slots=True)
+class _Totals:
+    """Requested and granted tokens of one workspace."""
+
+    since_s: float  # When counting began.
+    requested: int = 0
+    granted: int = 0
+
+
 class DatagramSender(Protocol):
     """Sends datagrams, as `udp.UdpSocket` does."""
 
@@ -91,9 +100,7 @@
         self._report = report
         self._sender: DatagramSender | None = None
         self._pending = _PendingEvents()
-        # Requested and granted tokens of each workspace since `_counting_s`.
-        self._totals: dict[str, list[int]] = {}
-        self._counting_s: float | None = None
+        self._totals: dict[str, _Totals] = {}  # By workspace.
         # Workspaces whose totals go with the next heartbeat as well.
         self._repeated_totals: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -160,11 +167,12 @@
         :param granted: the tokens of requests that an engine got; negative:
             of those that it did not run
         """
-        if self._counting_s is None:
-            self._counting_s = asyncio.get_running_loop().time()
-        totals = self._totals.setdefault(workspace, [0, 0])
-        totals[0] += requested
-        totals[1] += granted
+        totals = self._totals.get(workspace)
+        if totals is None:
+            totals = _Totals(asyncio.get_running_loop().time())
+            self._totals[workspace] = totals
+        totals.requested += requested
+        totals.granted += granted
         self._pending.changed_totals.add(workspace)
         self._schedule_flush()
 
@@ -199,10 +207,7 @@
             self._timer = None
         pending, self._pending = self._pending, _PendingEvents()
         self._repeated_totals |= pending.changed_totals
-        totals = [
-            WorkspaceTotals(name, *self._totals[name])
-            for name in sorted(pending.changed_totals)
-        ]
+        totals = self._report_totals(pending.changed_totals)
         own = self._identity
         self._send(
             PeerUpdate(
@@ -213,7 +218,6 @@
                 first_events=tuple(pending.first_events),
                 ended_calls=tuple(pending.ended_calls),
                 totals=tuple(totals[:MAX_TOTALS]),
-                counted_s=self._counted_s(),
                 crash_suspects=tuple(pending.crash_suspects),
                 known_hosts=self.hosts(),
                 leaving=self.leaving,
@@ -226,7 +230,6 @@
                     own.incarnation,
                     own.host,
                     totals=tuple(totals[begin : begin + MAX_TOTALS]),
-                    counted_s=self._counted_s(),
                 )
             )
 
@@ -241,11 +244,20 @@
             sender.sendto(data, (host, self._port))
             self.sent_bytes += len(data)
 
-    def _counted_s(self) -> float:
-        """Return how long ago all totals were zero."""
-        if self._counting_s is None:
-            return 0.0
-        return asyncio.get_running_loop().time() - self._counting_s
+    def _report_totals(self, workspaces: set[str]) -> list[WorkspaceTotals]:
+        """Return the totals of some workspaces."""
+        if not workspaces:
+            return []
+        now_s = asyncio.get_running_loop().time()
+        return [
+            WorkspaceTotals(
+                name,
+                self._totals[name].requested,
+                self._totals[name].granted,
+                now_s - self._totals[name].since_s,
+            )
+            for name in sorted(workspaces)
+        ]
 
     def close(self) -> None:
         """Close the socket."""
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -55,7 +55,7 @@
         totals = self.totals.setdefault(workspace, [0, 0])
         totals[0] += requested
         totals[1] += granted
-        entry = WorkspaceTotals(workspace, *totals)
+        entry = WorkspaceTotals(workspace, totals[0], totals[1], 0.0)
         self.updates.append(replace(self.identity, totals=(entry,)))
 
     def repeat_usage(self) -> None:
@@ -63,7 +63,7 @@
             replace(
                 self.identity,
                 totals=tuple(
-                    WorkspaceTotals(name, *totals)
+                    WorkspaceTotals(name, totals[0], totals[1], 0.0)
                     for name, totals in self.totals.items()
                 ),
             )
--- a/tests/test_peer_usage.py
+++ b/tests/test_peer_usage.py
@@ -9,6 +9,7 @@
 
 import random
 from collections import defaultdict
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -35,8 +36,7 @@
         f"front-{peer}",
         1,
         f"10.0.0.{peer}",
-        totals=(WorkspaceTotals("club", requested, granted),),
-        counted_s=counted_s,
+        totals=(WorkspaceTotals("club", requested, granted, counted_s),),
     )
 
 
@@ -64,12 +64,15 @@
                 usage.extrapolate(now_s)
                 if rng.random() < 0.5
                 else usage.receive(
-                    [WorkspaceTotals(name, sent[name], sent[name])], now_s
+                    [WorkspaceTotals(name, sent[name], sent[name], now_s)],
+                    now_s,
                 )
             )
             for change in changes:
                 counted[change.workspace] += change.granted_tokens
-        last = [WorkspaceTotals(name, 0, sent[name]) for name in WORKSPACES]
+        last = [
+            WorkspaceTotals(name, 0, sent[name], now_s) for name in WORKSPACES
+        ]
         for change in usage.receive(last, now_s):
             counted[change.workspace] += change.granted_tokens
         for name in WORKSPACES:
@@ -87,6 +90,22 @@
         state.apply_update(an_update(60_000, 30_000, counted_s=60.0), 1.0)
         assert demand_of(state, 1.0) == pytest.approx(4_000, rel=0.3)
 
+    def test_what_a_peer_counted_before_is_no_burst(self) -> None:
+        """The first update that a new router hears may lack workspaces."""
+        state, _ = a_router_state(1)
+        state.apply_update(PeerUpdate("front-2", 1, "10.0.0.2"), 0.9)
+        state.apply_update(an_update(60_000, 30_000, counted_s=60.0), 1.0)
+        assert demand_of(state, 1.0) == pytest.approx(4_000, rel=0.3)
+        # A workspace that sends its first requests counts in full.
+        state.apply_update(
+            replace(
+                an_update(0, 0),
+                totals=(WorkspaceTotals("school", 900, 0, 0.004),),
+            ),
+            1.1,
+        )
+        assert state.shares.demand["school"] == pytest.approx(900)
+
     def test_a_new_peer_is_told_of_all_workspaces(self) -> None:
         (one, recorder), (two, _) = a_router_state(1), a_router_state(2)
         one.add_demand("club", 700, 0.0)
