--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -1,21 +1,18 @@
 """Many front-end routers before simulated model engines, in virtual time.
 
 The routers run their real code from a caller's request to its answer, and
-exchange their real updates.  Callers, connections and engines are simulated:
-an engine does prefill in order of arrival and keeps the parts of prompts.
+exchange their real updates.  Callers, connections and engines are simulated.
 """
 
 from __future__ import annotations
 
 import asyncio
 import re
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any, Final, cast
 
-from bulrushstream.coordination.engineview import ATTENTION_CONTEXT_TOKENS
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.connections import EndpointConnections
@@ -40,14 +37,11 @@
 )
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
 from bulrushstream.transport.ingress import ClientConnection, Exchange
-from bulrushstream.transport.upstream import ResponseFailure, Sink
+from bulrushstream.transport.upstream import Sink
 from tests.deployments import a_route, an_entry
+from tests.modelengines import Attempt, Engine
 from tests.servedshares import Ask, Run, ServedShares
 
-PREFILL_TOKENS_PER_S: Final = 30_900.0
-STEP_S: Final = 0.0062  # One generated token of a batch.
-FIRST_EVENT_STEPS: Final = 4
-CACHED_PARTS: Final = 25  # Parts that an engine keeps.
 CONNECT_S: Final = 0.001
 DATAGRAM_S: Final = 0.002
 LATENCY_TARGETS_S: Final = {"draft": 0.8, "ask": 1.2}
@@ -97,116 +91,6 @@
     end_s: float = 14.0
 
 
-@dataclass(slots=True, eq=False)
-class _Attempt:
-    """One request at an engine; stands in for `PendingRequest`."""
-
-    sink: Sink | None
-
-    def cancel(self) -> None:
-        self.sink = None
-
-
-@dataclass(slots=True)
-class _Engine:
-    """A model engine that does prefill in order of arrival."""
-
-    fleet: ModelFleet
-    name: str
-    alive: bool = True
-    answering: bool = True  # False: it accepts requests and does nothing.
-    busy_s: float = 0.0
-    _prefilling: bool = False
-    _queue: deque[tuple[_Attempt, str]] = field(default_factory=deque)
-    _open: set[_Attempt] = field(default_factory=set)
-    _cached: dict[int, int] = field(default_factory=dict)
-
-    def connect(self, attempt: _Attempt) -> None:
-        sink = attempt.sink
-        if sink is None:
-            return
-        if not self.alive:
-            attempt.cancel()
-            sink.failed(ResponseFailure.REFUSED, "simulated")
-            return
-        payload = sink.payload()
-        if payload is None:
-            attempt.cancel()
-            sink.failed(ResponseFailure.WITHDRAWN, "simulated")
-        elif self.answering:
-            self._open.add(attempt)
-            self._queue.append((attempt, payload.split()[0].decode()))
-            if not self._prefilling:
-                self._start_next()
-
-    def crash(self) -> None:
-        self.alive = False
-        self._queue.clear()
-        for attempt in list(self._open):
-            sink, attempt.sink = attempt.sink, None
-            if sink is not None:
-                sink.failed(ResponseFailure.BROKEN, "simulated")
-        self._open.clear()
-
-    def _start_next(self) -> None:
-        self._prefilling = False
-        while self._queue and self.alive and self.answering:
-            attempt, request_id = self._queue.popleft()
-            if attempt.sink is None:
-                self._open.discard(attempt)
-                continue
-            self._prefilling = True
-            prompt = self.fleet.prompts[request_id]
-            self.fleet.record_run(request_id)
-            duration_s = self._prefill(prompt)
-            self.busy_s += duration_s
-            loop = asyncio.get_running_loop()
-            loop.call_later(duration_s, self._start_next)
-            loop.call_later(
-                duration_s + FIRST_EVENT_STEPS * STEP_S,
-                self._send_event,
-                attempt,
-                request_id,
-            )
-            loop.call_later(
-                duration_s + prompt.output_limit * STEP_S, self._end, attempt
-            )
-            return
-
-    def _prefill(self, prompt: Prompt) -> float:
-        cached = 0
-        for part in prompt.parts:
-            if part.part_id not in self._cached:
-                break
-            cached += part.tokens
-        for part in prompt.parts[:-1]:
-            self._cached.pop(part.part_id, None)
-            self._cached[part.part_id] = part.tokens
-        while len(self._cached) > CACHED_PARTS:
-            del self._cached[next(iter(self._cached))]
-        rest = prompt.input_tokens - cached
-        cost = 1.0 + (cached + rest / 2) / ATTENTION_CONTEXT_TOKENS
-        return rest * cost / PREFILL_TOKENS_PER_S
-
-    def _send_event(self, attempt: _Attempt, request_id: str) -> None:
-        if attempt.sink is None:
-            return
-        headers = [
-            (b"id", request_id.encode()),
-            (b"kind", b"events"),
-            (b"signature", b"yes"),
-        ]
-        attempt.sink.head(200, headers)
-        if attempt.sink is not None:
-            attempt.sink.data(b"id: 1\ndata: x\n\n")
-
-    def _end(self, attempt: _Attempt) -> None:
-        self._open.discard(attempt)
-        sink, attempt.sink = attempt.sink, None
-        if sink is not None:
-            sink.end()
-
-
 @dataclass(slots=True)
 class _Pool:
     """One router's connections to an engine; stands in for `Pool`."""
@@ -214,9 +98,9 @@
     fleet: ModelFleet
     endpoint: str
 
-    def send(self, method: bytes, sink: Sink, *, fresh: bool) -> _Attempt:
+    def send(self, method: bytes, sink: Sink, *, fresh: bool) -> Attempt:
         del method, fresh
-        attempt = _Attempt(sink)
+        attempt = Attempt(sink)
         asyncio.get_running_loop().call_later(
             CONNECT_S, self.fleet.engines[self.endpoint].connect, attempt
         )
@@ -292,7 +176,7 @@
         self.rng = Random(plan.seed)
         self.shares = ServedShares()
         self.prompts: dict[str, Prompt] = {}
-        self.engines: dict[str, _Engine] = {}
+        self.engines: dict[str, Engine] = {}
         self.fronts: list[Front] = []
         self._workspaces: dict[str, str] = {}  # By request.
         self._incarnations = [0] * plan.routers
@@ -308,8 +192,8 @@
 
     async def _play(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in range(self.plan.engines):
-            self._start_engine(number)
+        for _ in range(self.plan.engines):
+            self._start_engine()
         for number in range(self.plan.routers):
             self.fronts.append(self._start_router(number))
         for traffic in self.plan.traffic:
@@ -331,12 +215,11 @@
         workspace = self._workspaces[request_id]
         self.shares.runs.append(Run(now_s, workspace, tokens))
 
-    def _start_engine(self, number: int) -> None:
+    def _start_engine(self) -> None:
         name = f"e-{len(self.engines)}"
-        self.engines[name] = _Engine(self, name)
+        self.engines[name] = Engine(self, name)
         for front in self.fronts:
             self._list_engine(front, name)
-        del number
 
     def _list_engine(self, front: Front, name: str) -> None:
         entry = an_entry(name, service="llm", host="10.1.0.1", slots=64)
@@ -351,7 +234,7 @@
         for number in change.numbers:
             name = f"e-{number}"
             if change.kind == "start":
-                self._start_engine(number)
+                self._start_engine()
             elif change.kind == "restart":
                 self.fronts[number] = self._start_router(number)
             elif change.kind == "deafen":
