Logs tell how a run broke, what was seen at its address, and if it counts

New: run_broken with the fingerprint and the progress of the answer, endpoint_seen, not_counted with the reason, strikes_cleared, and the reporter and number of strikes in strike lines. No decision changes.

--- a/src/bulrushstream/coordination/crashevidence.py
+++ b/src/bulrushstream/coordination/crashevidence.py
@@ -40,15 +40,19 @@
         )
         suspects.append((now_s, fingerprint))
 
-    def take_suspects(self, endpoint: str, now_s: float) -> tuple[int, ...]:
-        """Return and clear the suspects of an endpoint's crash.
+    def take_suspects(
+        self, endpoint: str, now_s: float
+    ) -> tuple[list[int], list[int]]:
+        """Clear the broken connections of an endpoint's crash.
 
         :param endpoint: the endpoint whose address refuses connections
         :param now_s: the time
+        :returns: the suspects, and the requests whose connections broke too
+            long before
         """
-        suspects = self.broken_connections.pop(endpoint, ())
-        return tuple(
-            fingerprint
-            for at_s, fingerprint in suspects
-            if now_s - at_s <= CRASH_WINDOW_S
-        )
+        suspects: list[int] = []
+        expired: list[int] = []
+        for at_s, fingerprint in self.broken_connections.pop(endpoint, ()):
+            in_time = now_s - at_s <= CRASH_WINDOW_S
+            (suspects if in_time else expired).append(fingerprint)
+        return suspects, expired
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -255,14 +255,61 @@
         :param endpoint: the endpoint
         :param now_s: the time
         """
-        for fingerprint in self._crash_evidence.take_suspects(
+        self.log_endpoint_seen(endpoint.name, "it refuses connections")
+        suspects, expired = self._crash_evidence.take_suspects(
             endpoint.name, now_s
-        ):
+        )
+        for fingerprint in expired:
+            self.log_not_counted(
+                endpoint.name, fingerprint, "the run broke too long before"
+            )
+        for fingerprint in suspects:
             suspect = CrashSuspect(fingerprint, endpoint.name)
-            self._strike(suspect, now_s)
+            self._strike(suspect, "", now_s)
             if self.notifier is not None:
                 self.notifier.report_strike(suspect)
 
+    def request_ran(self, fingerprint: int, now_s: float) -> None:
+        """Record that an endpoint answered a request and did not crash.
+
+        :param fingerprint: the request's digest
+        :param now_s: the time
+        """
+        if self.quarantine.mark_proven(fingerprint, now_s):
+            self.on_decision(
+                Decision(
+                    "strikes_cleared",
+                    "an endpoint answered such a request",
+                    inputs={"fingerprint": fingerprint},
+                )
+            )
+
+    def log_endpoint_seen(self, endpoint: str, what: str) -> None:
+        """Log what was seen at the address of an endpoint.
+
+        :param endpoint: the endpoint's id
+        :param what: what was seen
+        """
+        self.on_decision(Decision("endpoint_seen", what, endpoint=endpoint))
+
+    def log_not_counted(
+        self, endpoint: str, fingerprint: int, reason: str
+    ) -> None:
+        """Log that a broken run does not count against its request.
+
+        :param endpoint: the id of the endpoint that ran it
+        :param fingerprint: the request's digest
+        :param reason: why it does not count
+        """
+        self.on_decision(
+            Decision(
+                "not_counted",
+                reason,
+                endpoint=endpoint,
+                inputs={"fingerprint": fingerprint},
+            )
+        )
+
     def apply_update(self, update: PeerUpdate, now_s: float) -> None:
         """Apply an update of another router.
 
@@ -287,7 +334,7 @@
             self._end_peer_call(number)
             peer.calls.discard(number)
         for suspect in update.crash_suspects:
-            self._strike(suspect, now_s)
+            self._strike(suspect, update.instance, now_s)
         self._count_peer_usage(update, now_s)
         if update.leaving:
             self._end_peer_calls(set(peer.calls))
@@ -410,8 +457,15 @@
         rate = self.prefill_rate + RATE_GAIN * (clamped - self.prefill_rate)
         self.prefill_rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, rate))
 
-    def _strike(self, suspect: CrashSuspect, now_s: float) -> None:
-        """Add a strike to a request's fingerprint."""
+    def _strike(
+        self, suspect: CrashSuspect, reporter: str, now_s: float
+    ) -> None:
+        """Add a strike to a request's fingerprint.
+
+        :param suspect: the request and the endpoint
+        :param reporter: the peer that reported it; empty: none
+        :param now_s: the time
+        """
         new = self.quarantine.add_strike(
             suspect.fingerprint, suspect.endpoint, False, now_s
         )
@@ -421,7 +475,13 @@
                     "strike",
                     "in flight when the endpoint crashed",
                     endpoint=suspect.endpoint,
-                    inputs={"fingerprint": suspect.fingerprint},
+                    inputs={
+                        "fingerprint": suspect.fingerprint,
+                        "strikes": self.quarantine.count(
+                            suspect.fingerprint, now_s
+                        ),
+                        "reporter": reporter,
+                    },
                 )
             )
 
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -23,6 +23,7 @@
 from bulrushstream.protocol.prompt import fingerprint
 from bulrushstream.state.call import (
     AnswerHead,
+    AnswerProgress,
     AttemptContext,
     Call,
     RawHeaders,
@@ -217,6 +218,7 @@
         head = self._head
         if head is None or self.done:
             return
+        self._body_bytes += len(data)
         if not (head.event_stream and head.status == 200):
             self._buffer_body(data)
             return
@@ -239,7 +241,6 @@
 
     def _buffer_body(self, data: bytes) -> None:
         """Buffer a chunk; relay the answer once it exceeds the limit."""
-        self._body_bytes += len(data)
         head = self._head
         if self._relaying:
             self.exchange.write(data)
@@ -340,9 +341,7 @@
         self._cancel_overdue_timer()
         if failure is ResponseFailure.BROKEN:
             self._count_failure(endpoint)
-            self.front.connection_broken(
-                self, endpoint, self._head is not None
-            )
+            self.front.connection_broken(self, endpoint, detail)
             self._attempt_failed(Failure.BROKEN, detail)
             return
         self.progress.unsent += 1
@@ -530,6 +529,15 @@
         self._splitter.restart()
         self._start_attempt()
 
+    @property
+    def answer_progress(self) -> AnswerProgress:
+        """Return how much of the current attempt's answer arrived."""
+        if self._head is None:
+            return AnswerProgress.NOTHING
+        if self._body_bytes:
+            return AnswerProgress.BODY
+        return AnswerProgress.HEAD
+
     @property
     def fingerprint(self) -> int:
         """Return a digest that is equal for repeats of this request."""
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -32,7 +32,7 @@
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
 from bulrushstream.protocol.dialect import Dialect, HeadError
-from bulrushstream.state.call import Call
+from bulrushstream.state.call import AnswerProgress, Call
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.request import Outcome
@@ -429,21 +429,37 @@
         :param endpoint: the one that was expected there
         """
         endpoint.avoid_until_s = self.clock() + MISDIRECTED_BACKOFF_S
+        self.fleet_state.log_endpoint_seen(
+            endpoint.name, "another instance answers"
+        )
 
     def connection_broken(
-        self, forward: Forward, endpoint: Endpoint, answering: bool
+        self, forward: Forward, endpoint: Endpoint, detail: str
     ) -> None:
         """Handle a connection that broke while a request was in flight.
 
         :param forward: the request
         :param endpoint: where it was sent
-        :param answering: whether its answer had begun
+        :param detail: how the connection ended
         """
+        progress = forward.answer_progress
+        fingerprint = forward.fingerprint
+        self.log_decision(
+            "run_broken",
+            detail,
+            forward,
+            endpoint=endpoint.name,
+            inputs={"fingerprint": fingerprint, "answer": progress.value},
+        )
         # If the endpoint crashed, its idle connections are dead too.
         self.connections.pool_for(endpoint).drop_idle()
-        if not answering:
+        if progress is AnswerProgress.NOTHING:
             self.fleet_state.connection_broken(
-                endpoint, forward.fingerprint, self.clock()
+                endpoint, fingerprint, self.clock()
+            )
+        else:
+            self.fleet_state.log_not_counted(
+                endpoint.name, fingerprint, "the answer had begun"
             )
 
     def endpoint_overdue(self, endpoint: Endpoint) -> None:
@@ -467,7 +483,7 @@
         now_s = self.clock()
         quarantine = self.fleet_state.quarantine
         if outcome is Outcome.RAN and quarantine.fingerprints():
-            quarantine.mark_proven(forward.fingerprint, now_s)
+            self.fleet_state.request_ran(forward.fingerprint, now_s)
         duration_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
             forward.service, forward.route.kind.value
--- a/src/bulrushstream/state/call.py
+++ b/src/bulrushstream/state/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TypeAlias
 
 RawHeaders: TypeAlias = list[tuple[bytes, bytes]]
@@ -63,6 +64,14 @@
     load: tuple[int, int, int] | None = None  # Running, waiting, slots.
 
 
+class AnswerProgress(StrEnum):
+    """How much of an attempt's answer arrived."""
+
+    NOTHING = "nothing"
+    HEAD = "head"
+    BODY = "body"  # A part of the body, which may be an event.
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptContext:
     """Values that the router adds to the request for one attempt."""
