--- /dev/null
+++ b/tests/crashfleets.py
@@ -0,0 +1,509 @@
+"""Routers, and endpoints that requests crash, in virtual time.
+
+The routers run their real code from a caller's request to its answer, with
+real connection pools, and exchange their real updates.  Callers, the
+platform and the endpoints' processes are simulated.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Any, Final, cast
+
+from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
+from bulrushstream.daemon import platformupdates
+from bulrushstream.daemon.front import Front, FrontDeps
+from bulrushstream.history.routingplatform import host_of, settings_of
+from bulrushstream.metrics import make_metrics
+from bulrushstream.platform.dialect import PLATFORM
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.peerupdate import PeerUpdate
+from bulrushstream.state.routes import (
+    EndpointEntry,
+    EngineTraits,
+    PooledService,
+    RequestKind,
+    RouteConfig,
+    SplitShare,
+)
+from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
+from bulrushstream.transport.ingress import ClientConnection, Exchange
+from tests.crashingendpoints import (
+    After,
+    Body,
+    Ending,
+    Endpoint,
+    Link,
+    Point,
+)
+from tests.deployments import HOST, KEY, a_config, a_route
+from tests.virtualnetwork import NetworkLoop, run_in_network
+
+DATAGRAM_S: Final = 0.002
+CONTACT_S: Final = 3.0  # A router is in touch this long after a fault.
+LEASE_S: Final = 3.6  # An entry is removed this long after a crash.
+LIST_DELAY_S: Final = 0.6  # A router reads the list this often.
+RESTART_S: Final = 2.5  # From a crash to the next start, unless at once.
+TIMEOUT_S: Final = 4.0  # A caller gives up after this.
+STREAM_HEADERS: Final = (
+    (b"X-Model", b"m"),
+    (b"X-Token-Counts", b"60,20"),
+    (b"X-Prompt-Prefix", b"a1:40,b2:20"),
+)
+SERVICES: Final = {"llm": 6, "desk": 4}  # Endpoints of each.
+# Routes by path prefix: service, kind, resumable.
+ROUTES: Final = {
+    "/talk/": ("llm", RequestKind.STREAMING, True),
+    "/tell/": ("llm", RequestKind.STREAMING, False),
+    "/safe/": ("desk", RequestKind.IDEMPOTENT, False),
+    "/once/": ("desk", RequestKind.NON_IDEMPOTENT, False),
+}
+_HEAD: Final = re.compile(rb"HTTP/1.1 ([0-9]+)")
+_CODE: Final = re.compile(rb"B[0-9]{3}")
+
+
+@dataclass(frozen=True, slots=True)
+class Repeats:
+    """One request that its callers send again and again."""
+
+    body: bytes  # What it does to endpoints; see `Body`.
+    path: str
+    interval_s: float = 1.0
+    begin_s: float = 3.0
+    routers: tuple[int, ...] = ()  # In turn; empty: all.
+
+
+@dataclass(frozen=True, slots=True)
+class RouterFault:
+    """A router that is restarted, or cut off from its peers."""
+
+    at_s: float
+    routers: tuple[int, ...]
+    cut_s: float = 0.0  # How long it is cut off; 0: it is restarted.
+
+
+@dataclass(frozen=True, slots=True)
+class CrashPlan:
+    """A run of routers before endpoints that end."""
+
+    repeats: tuple[Repeats, ...] = ()
+    ending: Ending = field(
+        default_factory=lambda: Ending(Point.AMID, Link.CLOSED, After.REFUSES)
+    )
+    faults: tuple[RouterFault, ...] = ()
+    kills: tuple[tuple[float, str], ...] = ()  # Times and services.
+    seed: int = 1
+    routers: int = 4
+    loss: float = 0.02  # Share of lost updates between routers.
+    background_per_s: float = 2.0  # Streams and calls, at each router.
+    end_s: float = 34.0
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request that reached an endpoint."""
+
+    at_s: float
+    router: int
+    endpoint: str
+
+
+@dataclass(slots=True)
+class CrashHistory:
+    """What happened in a run, by the body of the requests."""
+
+    sent: dict[bytes, list[Sent]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    crashes_s: list[float] = field(default_factory=list)
+    asked: dict[bytes, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    # Status and code of each answer; code is empty unless a router's.
+    answers: dict[bytes, list[tuple[str, str]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    decisions: list[tuple[float, int, Decision]] = field(default_factory=list)
+    out_of_touch: list[tuple[float, float, int]] = field(default_factory=list)
+
+    def sent_after_third_crash(self, body: bytes) -> list[Sent]:
+        """Return what routers in touch sent long after the third crash."""
+        if len(self.crashes_s) < 3:
+            return []
+        begin_s = sorted(self.crashes_s)[2] + CONTACT_S
+        return [
+            sent
+            for sent in self.sent[body]
+            if sent.at_s > begin_s and self._in_touch(sent)
+        ]
+
+    def codes(self, body: bytes) -> list[str]:
+        """Return the codes of the routers' own answers to a request."""
+        return [code for _, code in self.answers[body] if code]
+
+    def _in_touch(self, sent: Sent) -> bool:
+        return not any(
+            begin_s <= sent.at_s < end_s and sent.router == router
+            for begin_s, end_s, router in self.out_of_touch
+        )
+
+
+class _Caller:
+    """A caller's connection; records the answer."""
+
+    closing = False
+    accepts_chunked = True
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.ended = False
+
+    def write(self, data: bytes) -> None:
+        self.data += data
+
+    def exchange_finished(self, exchange: Exchange) -> None:
+        self.ended = True
+
+    def abort(self) -> None:
+        self.ended = True
+
+
+@dataclass(slots=True)
+class _DatagramSender:
+    """One router's socket; stands in for `UdpSocket`."""
+
+    fleet: CrashFleet
+    router: int
+    closed: bool = False
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        if not self.closed:
+            self.fleet.send_datagram(self.router, address[0], data)
+
+    def close(self) -> None:
+        self.closed = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+
+@dataclass(slots=True)
+class _Router:
+    """One process of a router."""
+
+    front: Front
+    port: PeerSocket
+    running: bool = True
+
+
+class CrashFleet:
+    """The routers and endpoints of one run."""
+
+    def __init__(self, plan: CrashPlan) -> None:
+        self.plan = plan
+        self.ending = plan.ending
+        self.rng = Random(plan.seed)
+        self.history = CrashHistory()
+        self._routers: list[_Router] = []
+        self._endpoints: dict[str, Endpoint] = {}
+        self._entries: dict[str, EndpointEntry] = {}
+        self._incarnations = [0] * plan.routers
+        self._requests: dict[str, tuple[int, bytes]] = {}
+        self._loop: NetworkLoop | None = None
+        self._names = 0
+
+    @property
+    def loop(self) -> NetworkLoop:
+        """Return the event loop of the run."""
+        assert self._loop is not None
+        return self._loop
+
+    def run(self) -> CrashHistory:
+        """Play the plan and return what happened."""
+        assert run_in_network(self._play) == []
+        return self.history
+
+    async def _play(self, loop: NetworkLoop) -> None:
+        self._loop = loop
+        plan = self.plan
+        for service, count in SERVICES.items():
+            for _ in range(count):
+                self._start_endpoint(service)
+        for number in range(plan.routers):
+            self._routers.append(self._start_router(number))
+        for fault in plan.faults:
+            loop.call_later(fault.at_s, self._begin_fault, fault)
+        for at_s, service in plan.kills:
+            loop.call_later(at_s, self._kill_busiest, service)
+        for number in range(plan.routers):
+            for path in ROUTES:
+                loop.call_later(
+                    self._background_gap_s(),
+                    self._send_background,
+                    number,
+                    path,
+                )
+        for repeats in plan.repeats:
+            loop.call_later(repeats.begin_s, self._repeat, repeats, 0)
+        await asyncio.sleep(plan.end_s)
+
+    # --- Endpoints.
+
+    def record_run(self, request_id: str, endpoint: str) -> None:
+        """Record that an endpoint received a request."""
+        router, body = self._requests[request_id]
+        sent = Sent(self.loop.time(), router, endpoint)
+        self.history.sent[body].append(sent)
+
+    def crash(self, endpoint: Endpoint, request_id: str) -> None:
+        """End an endpoint because of a request."""
+        del request_id
+        if endpoint.name in self._endpoints:
+            self.history.crashes_s.append(self.loop.time())
+            self._end(endpoint)
+
+    def _kill_busiest(self, service: str) -> None:
+        """End the endpoint with the most connections, for no request."""
+        endpoint = max(
+            (e for e in self._endpoints.values() if e.service == service),
+            key=lambda each: len(each.links),
+        )
+        self._end(endpoint)
+
+    def _end(self, endpoint: Endpoint) -> None:
+        loop, after = self.loop, self.ending.after
+        del self._endpoints[endpoint.name]
+        del loop.listeners[endpoint.address]
+        endpoint.end(self.ending.link)
+        if after is After.SAME_ID:
+            self._start_endpoint(endpoint.service, endpoint)
+            return
+        loop.call_later(LEASE_S, self._set_entry, endpoint.name, None)
+        if after is After.OTHER_ID:
+            self._start_endpoint(
+                endpoint.service, replace(endpoint, name=self._new_name())
+            )
+            return
+        if after is After.MUTE:
+            loop.mute.add(endpoint.address)
+        loop.call_later(RESTART_S, self._start_endpoint, endpoint.service)
+
+    def _start_endpoint(
+        self, service: str, at: Endpoint | None = None
+    ) -> None:
+        """Start an endpoint, at the address and with the id of another."""
+        name = at.name if at else self._new_name()
+        address = at.address if at else (f"10.1.0.{self._names}", 80)
+        endpoint = Endpoint(self, name, service, address)
+        self._endpoints[name] = endpoint
+        self.loop.listeners[address] = endpoint.accept
+        entry = EndpointEntry(name, service, *address, "z", 64)
+        self._set_entry(name, entry)
+
+    def _new_name(self) -> str:
+        self._names += 1
+        return f"e-{self._names}"
+
+    def _set_entry(self, name: str, entry: EndpointEntry | None) -> None:
+        """Change the endpoint list; routers read it a little later."""
+        if entry is None:
+            self._entries.pop(name, None)
+        else:
+            self._entries[name] = entry
+        for router in self._routers:
+            self.loop.call_later(
+                self.rng.uniform(0.0, LIST_DELAY_S),
+                self._read_entry,
+                router.front,
+                name,
+            )
+
+    def _read_entry(self, front: Front, name: str) -> None:
+        entry = self._entries.get(name)
+        if entry is None:
+            platformupdates.remove_endpoint(front, name)
+        else:
+            platformupdates.apply_entry(front, entry)
+
+    # --- Routers.
+
+    def send_datagram(self, sender: int, host: str, data: bytes) -> None:
+        """Deliver a router's update to another one, unless it is lost."""
+        receiver = int(host.rsplit(".", 1)[1]) - 1
+        if self._is_cut(sender) or self._is_cut(receiver):
+            return
+        if self.rng.random() < self.plan.loss:
+            return
+
+        def deliver() -> None:
+            router = self._routers[receiver]
+            if router.running:
+                router.port.datagram_received(data, None)
+
+        self.loop.call_later(self.rng.uniform(0.5, 1.5) * DATAGRAM_S, deliver)
+
+    def _is_cut(self, number: int) -> bool:
+        now_s = self.loop.time()
+        return any(
+            fault.cut_s
+            and number in fault.routers
+            and fault.at_s <= now_s < fault.at_s + fault.cut_s
+            for fault in self.plan.faults
+        )
+
+    def _begin_fault(self, fault: RouterFault) -> None:
+        now_s = self.loop.time()
+        for number in fault.routers:
+            end_s = now_s + fault.cut_s + CONTACT_S
+            self.history.out_of_touch.append((now_s, end_s, number))
+            if not fault.cut_s:
+                self._stop_router(self._routers[number])
+                self._routers[number] = self._start_router(number)
+
+    def _stop_router(self, router: _Router) -> None:
+        router.running = False
+        router.port.close()
+        for forward in list(router.front.forwards):
+            forward.stop()
+
+    def _start_router(self, number: int) -> _Router:
+        loop = self.loop
+        self._incarnations[number] += 1
+
+        def observe(decision: Decision) -> None:
+            self.history.decisions.append((loop.time(), number, decision))
+
+        deps = FrontDeps(
+            dialect=PLATFORM,
+            clock=loop.time,
+            boot_clock=loop.time,
+            rng=Random(self.plan.seed * 1000 + number),
+            metrics=make_metrics(),
+            observe=observe,
+            report=lambda kind, text: None,
+            report_shares=lambda report: None,
+        )
+        front = Front(settings_of(number, self.plan.routers), deps)
+        identity = PeerUpdate(
+            f"front-{number}", self._incarnations[number], host_of(number)
+        )
+        port = PeerSocket(
+            identity,
+            1,
+            lambda update: front.fleet_state.apply_update(update, loop.time()),
+            lambda kind, text: None,
+        )
+        port.hosts = front.peers.notified_hosts
+        port.attach(_DatagramSender(self, number))
+        front.fleet_state.notifier = port
+        platformupdates.apply_config(front, _config())
+        for entry in self._entries.values():
+            platformupdates.apply_entry(front, entry)
+        front.endpoints_listed = True
+        router = _Router(front, port)
+
+        def repeat(interval_s: float, step: Callable[[], None]) -> None:
+            if router.running:
+                step()
+                loop.call_later(interval_s, repeat, interval_s, step)
+
+        repeat(HEARTBEAT_S, port.beat)
+        repeat(SWEEP_INTERVAL_S, front.sweep)
+        # The key's freshness is not under test.
+        repeat(0.5, lambda: front.freshness.confirm(loop.time()))
+        return router
+
+    # --- Callers.
+
+    def _repeat(self, repeats: Repeats, count: int) -> None:
+        numbers = repeats.routers or tuple(range(self.plan.routers))
+        self._send(numbers[count % len(numbers)], repeats.path, repeats.body)
+        self.loop.call_later(
+            repeats.interval_s, self._repeat, repeats, count + 1
+        )
+
+    def _background_gap_s(self) -> float:
+        return self.rng.expovariate(self.plan.background_per_s / len(ROUTES))
+
+    def _send_background(self, number: int, path: str) -> None:
+        self._send(number, path, b"background %d" % len(self._requests))
+        self.loop.call_later(
+            self._background_gap_s(), self._send_background, number, path
+        )
+
+    def _send(self, number: int, path: str, body: bytes) -> None:
+        loop = self.loop
+        request_id = f"q{len(self._requests)}"
+        self._requests[request_id] = (number, body)
+        self.history.asked[body].append(loop.time())
+        caller = _Caller()
+        exchange = Exchange(cast(ClientConnection, caller))
+        exchange.method = b"POST"
+        exchange.target = f"{path}x".encode()
+        exchange.headers = [
+            (b"Host", HOST.encode()),
+            (b"X-Request-Id", request_id.encode()),
+            (b"X-Deadline-Ms", b"%d" % (TIMEOUT_S * 1000)),
+            (b"Authorization", b"Bearer " + KEY.encode()),
+        ]
+        if ROUTES[path][0] == "llm":
+            exchange.headers += STREAM_HEADERS
+        exchange.body = body
+        exchange.arrived_s = loop.time()
+        self._routers[number].front.handle(exchange)
+        loop.call_later(TIMEOUT_S, self._give_up, exchange, caller, body)
+
+    def _give_up(
+        self, exchange: Exchange, caller: _Caller, body: bytes
+    ) -> None:
+        if not caller.ended and exchange.on_disconnect is not None:
+            exchange.on_disconnect()
+        head = _HEAD.match(caller.data)
+        code = None
+        if b"problem+json" in caller.data:
+            code = _CODE.search(caller.data)
+        self.history.answers[body].append(
+            (
+                head[1].decode() if head else "",
+                code[0].decode() if code else "",
+            )
+        )
+
+
+def play(plan: CrashPlan) -> CrashHistory:
+    """Play a plan and return what happened."""
+    return CrashFleet(plan).run()
+
+
+def _config() -> RouteConfig:
+    routes: tuple[Any, ...] = tuple(
+        a_route(
+            name=f"r{prefix}",
+            prefix=prefix,
+            kind=kind,
+            split=(SplitShare(service, 1.0),),
+            timeout_s=TIMEOUT_S,
+            latency_target_s=0.8,
+            max_attempts=3,
+            resumable=resumable,
+            max_event_gap_s=0.25,
+        )
+        for prefix, (service, kind, resumable) in ROUTES.items()
+    )
+    return replace(
+        a_config(*routes),
+        services=(
+            PooledService("desk", 400),
+            PooledService("llm", 400, EngineTraits(64, 200_000)),
+        ),
+    )
+
+
+def crashing(path: str, **changes: Any) -> Repeats:
+    """Return the repeats of a request that crashes endpoints."""
+    return replace(Repeats(Body.CRASH, path), **changes)
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,166 @@
+"""A request that crashes endpoints is sent to few; innocent ones go on.
+
+Guards against a request that is sent to ever more endpoints, as routers
+count no crash after the answer's head, or none that they do not see.
+"""
+
+from __future__ import annotations
+
+from itertools import product
+
+import pytest
+
+from bulrushstream.messages import CRASHES_ENDPOINTS
+from tests.crashfleets import (
+    CrashHistory,
+    CrashPlan,
+    Repeats,
+    RouterFault,
+    crashing,
+    play,
+)
+from tests.crashingendpoints import After, Body, Ending, Link, Point
+
+# Sends of a request by routers in touch, long after its third crash.
+MAX_LATE_SENDS = 3
+
+ENDINGS = [
+    Ending(point, link, after)
+    for point, link, after in product(Point, Link, After)
+]
+PATHS = ("/talk/", "/tell/", "/safe/", "/once/")
+
+
+def is_refused_at_last(history: CrashHistory) -> bool:
+    """Return whether the last repeats of the crashing request are refused."""
+    last = history.answers[Body.CRASH][-4:]
+    return {code for _, code in last} == {CRASHES_ENDPOINTS.code}
+
+
+def refused_innocents(history: CrashHistory) -> list[bytes]:
+    return [
+        body
+        for body in history.answers
+        if body != Body.CRASH and CRASHES_ENDPOINTS.code in history.codes(body)
+    ]
+
+
+class CrashingRequestSuite:
+    """A request under which endpoints end reaches few of them."""
+
+    @pytest.mark.parametrize("path", PATHS)
+    @pytest.mark.parametrize("ending", ENDINGS, ids=str)
+    def test_it_stops_after_few_crashes(
+        self, ending: Ending, path: str
+    ) -> None:
+        history = play(CrashPlan((crashing(path),), ending))
+        assert len(history.crashes_s) >= 3
+        late = history.sent_after_third_crash(Body.CRASH)
+        assert len(late) <= MAX_LATE_SENDS
+        assert is_refused_at_last(history)
+        assert refused_innocents(history) == []
+
+    @pytest.mark.parametrize("path", ("/talk/", "/tell/"))
+    @pytest.mark.parametrize("after", After, ids=str)
+    def test_it_stops_at_routers_without_other_traffic(
+        self, after: After, path: str
+    ) -> None:
+        plan = CrashPlan(
+            (crashing(path),),
+            Ending(Point.AMID, Link.CLOSED, after),
+            background_per_s=0.02,
+        )
+        history = play(plan)
+        late = history.sent_after_third_crash(Body.CRASH)
+        assert len(late) <= MAX_LATE_SENDS
+        assert is_refused_at_last(history)
+
+    @pytest.mark.parametrize(
+        "faults",
+        (
+            tuple(RouterFault(6.0 + 2 * n, (n % 4,)) for n in range(8)),
+            (RouterFault(4.0, (1, 2), cut_s=6.0),),
+            (RouterFault(2.0, (3,), cut_s=2.0), RouterFault(5.0, (3,), 2.0)),
+            (RouterFault(9.0, (0, 1, 2)), RouterFault(14.0, (3, 0))),
+        ),
+        ids=("restarted in turn", "two cut off", "cut off twice", "together"),
+    )
+    @pytest.mark.parametrize("path", ("/tell/", "/safe/"))
+    def test_routers_learn_of_crashes_that_they_missed(
+        self, path: str, faults: tuple[RouterFault, ...]
+    ) -> None:
+        history = play(CrashPlan((crashing(path),), faults=faults))
+        late = history.sent_after_third_crash(Body.CRASH)
+        assert len(late) <= MAX_LATE_SENDS
+        assert is_refused_at_last(history)
+        assert refused_innocents(history) == []
+
+
+class InnocentRequestSuite:
+    """Requests that crash nothing are not refused."""
+
+    @pytest.mark.parametrize("path", PATHS)
+    @pytest.mark.parametrize("body", (Body.LOST, Body.CUT, Body.SPOILED))
+    @pytest.mark.parametrize("background_per_s", (2.0, 0.02))
+    def test_lost_and_spoiled_answers_do_not_count(
+        self, path: str, body: bytes, background_per_s: float
+    ) -> None:
+        plan = CrashPlan(
+            (Repeats(body, path),), background_per_s=background_per_s
+        )
+        history = play(plan)
+        assert len(history.sent[body]) >= 20
+        assert refused_innocents(history) == []
+
+    @pytest.mark.parametrize("after", After, ids=str)
+    @pytest.mark.parametrize("link", Link, ids=str)
+    def test_endpoints_that_die_of_something_else(
+        self, link: Link, after: After
+    ) -> None:
+        kills = tuple(
+            (3.0 + 1.3 * n, ("llm", "desk")[n % 2]) for n in range(16)
+        )
+        plan = CrashPlan(
+            tuple(Repeats(b"often", path, 0.3) for path in PATHS),
+            Ending(Point.BEFORE, link, after),
+            kills=kills,
+        )
+        assert refused_innocents(play(plan)) == []
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_long_streams_beside_a_request_that_crashes(
+        self, seed: int
+    ) -> None:
+        plan = CrashPlan(
+            (crashing("/tell/", interval_s=0.5),),
+            seed=seed,
+            background_per_s=8.0,
+        )
+        assert refused_innocents(play(plan)) == []
+
+
+class LogSuite:
+    """The routers' logs show what became of each run that broke."""
+
+    def test_each_broken_run_of_a_crashing_request(self) -> None:
+        history = play(CrashPlan((crashing("/tell/"),)))
+        broken = [
+            decision
+            for _, _, decision in history.decisions
+            if decision.kind == "run_broken"
+        ]
+        assert broken
+        for decision in broken:
+            fingerprint = decision.inputs["fingerprint"]
+            verdicts = {
+                other.kind
+                for _, _, other in history.decisions
+                if other.endpoint == decision.endpoint
+                and other.inputs.get("fingerprint") == fingerprint
+            }
+            assert verdicts & {"strike", "not_counted"}
+            assert any(
+                other.kind == "endpoint_seen"
+                and other.endpoint == decision.endpoint
+                for _, _, other in history.decisions
+            )
