--- /dev/null
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -0,0 +1,195 @@
+"""The requests that crash endpoints, as far as one router knows.
+
+A request is known by its *fingerprint*, which all its repeats share.  It
+gets a *strike* for each crash of an endpoint that was running it.  With
+enough of them it is refused, until an endpoint answers it after all.
+Routers tell each other of strikes and of answers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Final, Protocol
+
+from bulrushstream.coordination.crashids import CrashIds
+from bulrushstream.coordination.quarantine import (
+    Quarantine,
+    QuarantineOptions,
+)
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.peerupdate import CrashSuspect, PeerUpdate
+
+# A request with this many strikes is refused.
+MAX_STRIKES: Final = 3
+
+# How long a request is watched after a run with an unknown end.
+WATCHED_S: Final = 600.0
+MAX_WATCHED: Final = 4096
+
+
+class SuspectNotifier(Protocol):
+    """Reports what this router finds of suspects to the other routers."""
+
+    def report_strike(self, suspect: CrashSuspect) -> None:
+        """Report that a request was in flight when an endpoint crashed."""
+
+
+@dataclass(slots=True)
+class CrashSuspects:
+    """The requests with strikes, and those that are watched."""
+
+    on_decision: Callable[[Decision], None]  # Called for each strike.
+    notifier: SuspectNotifier | None = None  # None: not connected to peers.
+    strikes: Quarantine = field(
+        default_factory=lambda: Quarantine(QuarantineOptions())
+    )
+    _crash_ids: CrashIds = field(default_factory=CrashIds)
+    # When each watched request was last reported, by fingerprint.
+    _watched_s: dict[int, float] = field(default_factory=dict)
+
+    def endpoint_crashed(
+        self, endpoint: str, fingerprint: int, at_s: float, now_s: float
+    ) -> None:
+        """Record that an endpoint crashed during a run of this router.
+
+        :param endpoint: the endpoint's id
+        :param fingerprint: the request's digest
+        :param at_s: when it crashed
+        :param now_s: the time
+        """
+        self._report(CrashSuspect(fingerprint, endpoint), at_s, now_s)
+
+    def end_unknown(
+        self, endpoint: str, fingerprint: int, at_s: float, now_s: float
+    ) -> None:
+        """Watch a request: nobody knows if an endpoint crashed under it.
+
+        :param endpoint: the endpoint's id
+        :param fingerprint: the request's digest
+        :param at_s: when its run broke
+        :param now_s: the time
+        """
+        suspect = CrashSuspect(fingerprint, endpoint, uncertain=True)
+        self._report(suspect, at_s, now_s)
+
+    def request_ran(self, fingerprint: int, now_s: float) -> None:
+        """Record that an endpoint answered a request and did not crash.
+
+        :param fingerprint: the request's digest
+        :param now_s: the time
+        """
+        self._clear(fingerprint, "", now_s)
+
+    def apply_update(self, update: PeerUpdate, now_s: float) -> None:
+        """Apply what another router reports of suspects.
+
+        :param update: the update
+        :param now_s: the time
+        """
+        for suspect in update.crash_suspects:
+            at_s = now_s - suspect.age_s
+            self._add(suspect, update.instance, at_s, now_s)
+
+    def __bool__(self) -> bool:
+        """Return whether any request is watched or has strikes."""
+        return bool(self._watched_s or self.strikes.fingerprints())
+
+    def is_watched(self, fingerprint: int, now_s: float) -> bool:
+        """Return whether an endpoint crashed under a request, or may have.
+
+        :param fingerprint: the request's digest
+        :param now_s: the time
+        """
+        watched_s = self._watched_s.get(fingerprint, float("-inf"))
+        return now_s - watched_s < WATCHED_S or bool(
+            self.strikes.count(fingerprint, now_s)
+        )
+
+    def is_refused(self, fingerprint: int, now_s: float) -> bool:
+        """Return whether a request crashes endpoints and is refused.
+
+        :param fingerprint: the request's digest
+        :param now_s: the time
+        """
+        return self.strikes.count(fingerprint, now_s) >= MAX_STRIKES
+
+    def _report(
+        self, suspect: CrashSuspect, at_s: float, now_s: float
+    ) -> None:
+        """Add a strike that this router found, and report it to the peers."""
+        self._add(suspect, "", at_s, now_s)
+        if self.notifier is not None:
+            age_s = max(0.0, now_s - at_s)
+            self.notifier.report_strike(replace(suspect, age_s=age_s))
+
+    def _add(
+        self, suspect: CrashSuspect, reporter: str, at_s: float, now_s: float
+    ) -> None:
+        """Add a strike to a request's fingerprint.
+
+        :param suspect: the request and the endpoint
+        :param reporter: the peer that reported it; empty: none
+        :param at_s: when the endpoint crashed
+        :param now_s: the time
+        """
+        fingerprint = suspect.fingerprint
+        if suspect.uncertain:
+            if not self.strikes.is_proven(fingerprint, now_s):
+                self._watch(fingerprint, now_s)
+            return
+        strike_id = self._crash_ids.identify(suspect.endpoint, at_s)
+        if not self.strikes.add_strike(fingerprint, strike_id, False, at_s):
+            if not (
+                reporter or self.strikes.has_strike(fingerprint, strike_id)
+            ):
+                self._log_pardoned(suspect)
+            return
+        self.on_decision(
+            Decision(
+                "strike",
+                "in flight when the endpoint crashed",
+                endpoint=suspect.endpoint,
+                inputs={
+                    "fingerprint": fingerprint,
+                    "strikes": self.strikes.count(fingerprint, now_s),
+                    "reporter": reporter,
+                    "age_s": round(now_s - at_s, 3),
+                },
+            )
+        )
+
+    def _log_pardoned(self, suspect: CrashSuspect) -> None:
+        """Log that a strike does not count, as a later run was answered."""
+        self.on_decision(
+            Decision(
+                "not_counted",
+                "an endpoint has answered such a request since",
+                endpoint=suspect.endpoint,
+                inputs={"fingerprint": suspect.fingerprint},
+            )
+        )
+
+    def _watch(self, fingerprint: int, now_s: float) -> None:
+        """Record that an endpoint may have crashed under a request."""
+        self._watched_s.pop(fingerprint, None)
+        self._watched_s[fingerprint] = now_s
+        if len(self._watched_s) > MAX_WATCHED:
+            del self._watched_s[next(iter(self._watched_s))]
+
+    def _clear(self, fingerprint: int, reporter: str, now_s: float) -> bool:
+        """Remove a request's strikes; return whether it was a suspect."""
+        was_watched = self._watched_s.pop(fingerprint, None) is not None
+        had_strikes = self.strikes.mark_proven(fingerprint, now_s)
+        if was_watched or reporter:
+            # Reports of earlier crashes may still arrive.
+            self.strikes.pardon(fingerprint, now_s)
+        if had_strikes:
+            self.on_decision(
+                Decision(
+                    "strikes_cleared",
+                    "an endpoint answered such a request",
+                    inputs={"fingerprint": fingerprint, "reporter": reporter},
+                )
+            )
+        return was_watched or had_strikes
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -8,11 +8,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
-from bulrushstream.coordination.crashevidence import CrashEvidence
+from bulrushstream.coordination.crashsuspects import (
+    CrashSuspects,
+    SuspectNotifier,
+)
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
 from bulrushstream.coordination.engineview import (
     DEFAULT_PREFILL_TOKENS_PER_S,
@@ -20,15 +23,9 @@
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S, FleetView
 from bulrushstream.coordination.peerusage import PeerUsage, UsageChange
-from bulrushstream.coordination.quarantine import (
-    Quarantine,
-    QuarantineOptions,
-)
 from bulrushstream.coordination.usagecounter import UsageCounter, add_tokens
 from bulrushstream.state.call import Prompt, PromptPart
-from bulrushstream.state.effect import Decision
 from bulrushstream.state.peerupdate import (
-    CrashSuspect,
     FirstEvent,
     PeerUpdate,
     RequestPlaced,
@@ -57,7 +54,7 @@
 MAX_PREFILL_RATE: Final = 500_000.0
 
 
-class PeerNotifier(Protocol):
+class PeerNotifier(SuspectNotifier, Protocol):
     """Reports this router's changes to the other routers."""
 
     def report_placed(self, placed: RequestPlaced) -> None:
@@ -77,9 +74,6 @@
     def repeat_usage(self) -> None:
         """Report the usage of all workspaces again, for a new peer."""
 
-    def report_strike(self, suspect: CrashSuspect) -> None:
-        """Report that a request was in flight when an endpoint crashed."""
-
 
 # The interval between sweeps, and the gap between two sweeps above which
 # the process counts as having stalled.
@@ -119,16 +113,12 @@
     peers: FleetView
     shares: FairShares
     number_base: int  # The upper bits of this router's call numbers.
-    on_decision: Callable[[Decision], None]  # Called for each strike.
+    suspects: CrashSuspects
     notifier: PeerNotifier | None = None  # None: not connected to peers.
     pool: EndpointPool = field(default_factory=EndpointPool)
     # Average over all engines, in tokens per second.
     prefill_rate: float = DEFAULT_PREFILL_TOKENS_PER_S
-    quarantine: Quarantine = field(
-        default_factory=lambda: Quarantine(QuarantineOptions())
-    )
     usage: UsageCounter = field(default_factory=UsageCounter)
-    _crash_evidence: CrashEvidence = field(default_factory=CrashEvidence)
     _number: int = 0  # Attempts so far.
     _swept_s: float = float("inf")  # The last sweep; inf: none yet.
     _last_stall_s: float = float("-inf")  # The end of the last stall.
@@ -136,6 +126,14 @@
     _grants: dict[int, _Grant] = field(default_factory=dict)  # Own attempts.
     _peer_usage: dict[str, _KnownUsage] = field(default_factory=dict)
 
+    def set_notifier(self, notifier: PeerNotifier) -> None:
+        """Report changes to the other routers from now on.
+
+        :param notifier: reports them
+        """
+        self.notifier = notifier
+        self.suspects.notifier = notifier
+
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
         """Count a request's demand and report it to the peers.
 
@@ -234,82 +232,6 @@
         if self.notifier is not None:
             self.notifier.report_ended(number)
 
-    def connection_broken(
-        self, endpoint: Endpoint, fingerprint: int, now_s: float
-    ) -> None:
-        """Record a request whose connection ended without an answer.
-
-        :param endpoint: the endpoint that it was sent to
-        :param fingerprint: the request's digest
-        :param now_s: the time
-        """
-        self._crash_evidence.add_broken_connection(
-            endpoint.name, fingerprint, now_s
-        )
-
-    def connection_refused(self, endpoint: Endpoint, now_s: float) -> None:
-        """Record that an endpoint's address refuses connections.
-
-        Requests whose connections to it broke shortly before get a strike.
-
-        :param endpoint: the endpoint
-        :param now_s: the time
-        """
-        self.log_endpoint_seen(endpoint.name, "it refuses connections")
-        suspects, expired = self._crash_evidence.take_suspects(
-            endpoint.name, now_s
-        )
-        for fingerprint in expired:
-            self.log_not_counted(
-                endpoint.name, fingerprint, "the run broke too long before"
-            )
-        for fingerprint in suspects:
-            suspect = CrashSuspect(fingerprint, endpoint.name)
-            self._strike(suspect, "", now_s)
-            if self.notifier is not None:
-                self.notifier.report_strike(suspect)
-
-    def request_ran(self, fingerprint: int, now_s: float) -> None:
-        """Record that an endpoint answered a request and did not crash.
-
-        :param fingerprint: the request's digest
-        :param now_s: the time
-        """
-        if self.quarantine.mark_proven(fingerprint, now_s):
-            self.on_decision(
-                Decision(
-                    "strikes_cleared",
-                    "an endpoint answered such a request",
-                    inputs={"fingerprint": fingerprint},
-                )
-            )
-
-    def log_endpoint_seen(self, endpoint: str, what: str) -> None:
-        """Log what was seen at the address of an endpoint.
-
-        :param endpoint: the endpoint's id
-        :param what: what was seen
-        """
-        self.on_decision(Decision("endpoint_seen", what, endpoint=endpoint))
-
-    def log_not_counted(
-        self, endpoint: str, fingerprint: int, reason: str
-    ) -> None:
-        """Log that a broken run does not count against its request.
-
-        :param endpoint: the id of the endpoint that ran it
-        :param fingerprint: the request's digest
-        :param reason: why it does not count
-        """
-        self.on_decision(
-            Decision(
-                "not_counted",
-                reason,
-                endpoint=endpoint,
-                inputs={"fingerprint": fingerprint},
-            )
-        )
-
     def apply_update(self, update: PeerUpdate, now_s: float) -> None:
         """Apply an update of another router.
 
@@ -333,8 +255,7 @@
         for number in update.ended_calls:
             self._end_peer_call(number)
             peer.calls.discard(number)
-        for suspect in update.crash_suspects:
-            self._strike(suspect, update.instance, now_s)
+        self.suspects.apply_update(update, now_s)
         self._count_peer_usage(update, now_s)
         if update.leaving:
             self._end_peer_calls(set(peer.calls))
@@ -457,34 +378,6 @@
         rate = self.prefill_rate + RATE_GAIN * (clamped - self.prefill_rate)
         self.prefill_rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, rate))
 
-    def _strike(
-        self, suspect: CrashSuspect, reporter: str, now_s: float
-    ) -> None:
-        """Add a strike to a request's fingerprint.
-
-        :param suspect: the request and the endpoint
-        :param reporter: the peer that reported it; empty: none
-        :param now_s: the time
-        """
-        new = self.quarantine.add_strike(
-            suspect.fingerprint, suspect.endpoint, False, now_s
-        )
-        if new:
-            self.on_decision(
-                Decision(
-                    "strike",
-                    "in flight when the endpoint crashed",
-                    endpoint=suspect.endpoint,
-                    inputs={
-                        "fingerprint": suspect.fingerprint,
-                        "strikes": self.quarantine.count(
-                            suspect.fingerprint, now_s
-                        ),
-                        "reporter": reporter,
-                    },
-                )
-            )
-
     def _place_peer_call(self, placed: RequestPlaced, now_s: float) -> None:
         """Record a request that a peer sent to an endpoint."""
         endpoint = self.pool.by_name.get(placed.endpoint)
--- /dev/null
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -0,0 +1,215 @@
+"""Finds out whether endpoints ended during the runs that broke there.
+
+A `CrashWatch` collects the broken and silent runs of one router, looks at
+the endpoint's connections and, if these do not tell, asks at its address.
+`coordination.crashevidence` gives the verdict.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from bulrushstream.coordination.crashevidence import (
+    GIVE_UP_S,
+    SETTLE_S,
+    BrokenRun,
+    Verdict,
+    judge_run,
+)
+from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.endpointsigns import ConnectionsSeen, Sign
+from bulrushstream.transport.probe import ask_identity
+from bulrushstream.transport.upstream import Pool
+
+# The pause between two probes of one endpoint, and the limit of each.
+PROBE_INTERVAL_S: Final = 0.5
+PROBE_TIMEOUT_S: Final = 0.5
+
+# Runs without a verdict, over all endpoints; further ones are not judged.
+MAX_OPEN_RUNS: Final = 4096
+
+# Encodes a probe of an endpoint; None: its service has none.
+EncodeProbe = Callable[[Endpoint], bytes | None]
+
+# Returns the id that the answer to a probe gives, from status and headers;
+# None: an instance with another id than the probe expects.
+DecodeProbe = Callable[[int, list[tuple[bytes, bytes]]], str | None]
+
+
+@dataclass(slots=True)
+class _Watched:
+    """An endpoint at which runs broke.
+
+    It stays for a time after the last verdict, to log what is seen there.
+    """
+
+    endpoint: Endpoint
+    pool: Pool
+    runs: list[BrokenRun] = field(default_factory=list)
+    signs: dict[Sign, float] = field(default_factory=dict)  # Times.
+    probe: asyncio.Task[None] | None = None
+    probed_s: float = float("-inf")  # The end of the last probe.
+    active_s: float = float("-inf")  # When a run was last without a verdict.
+
+
+@dataclass(slots=True)
+class CrashWatch:
+    """The runs of one router that broke, until there is a verdict."""
+
+    clock: Callable[[], float]
+    encode_probe: EncodeProbe
+    decode_probe: DecodeProbe
+    observe: Callable[[Decision], None]
+    # Called with each run during which its endpoint ended.
+    on_crash: Callable[[str, BrokenRun], None]
+    # Called with each run without a verdict.
+    on_unknown: Callable[[str, BrokenRun], None]
+    _watched: dict[str, _Watched] = field(default_factory=dict)
+    # Endpoint and request of the runs that counted.
+    _counted: deque[tuple[str, str]] = field(
+        default_factory=lambda: deque(maxlen=MAX_OPEN_RUNS)
+    )
+
+    def add(self, endpoint: Endpoint, pool: Pool, run: BrokenRun) -> None:
+        """Watch an endpoint because of a run that broke there.
+
+        :param endpoint: the endpoint
+        :param pool: the connections to it
+        :param run: the run
+        """
+        if (endpoint.name, run.request_id) in self._counted:
+            return
+        open_runs = sum(len(each.runs) for each in self._watched.values())
+        if endpoint.entry.leaving or open_runs >= MAX_OPEN_RUNS:
+            reason = "the endpoint was leaving"
+            if not endpoint.entry.leaving:
+                reason = "too many runs have no verdict yet"
+            self._log_verdict(endpoint.name, run, False, reason)
+            return
+        watched = self._watched.get(endpoint.name)
+        if watched is None:
+            watched = _Watched(endpoint, pool)
+            self._watched[endpoint.name] = watched
+        watched.runs.append(run)
+        watched.active_s = self.clock()
+
+    def add_sign(self, endpoint: str, sign: Sign) -> None:
+        """Record what was seen at the address of an endpoint.
+
+        :param endpoint: the endpoint's id
+        :param sign: what was seen
+        """
+        watched = self._watched.get(endpoint)
+        if watched is None:
+            return
+        if sign not in watched.signs:
+            self.observe(
+                Decision("endpoint_seen", sign.value, endpoint=endpoint)
+            )
+        watched.signs[sign] = self.clock()
+        self._judge_all(watched)
+
+    def sweep(self) -> None:
+        """Judge the runs; probe the endpoints whose runs stay open."""
+        now_s = self.clock()
+        for name, watched in list(self._watched.items()):
+            self._judge_all(watched)
+            if watched.runs:
+                watched.active_s = now_s
+                self._probe_if_due(watched, now_s)
+            elif now_s - watched.active_s > GIVE_UP_S:
+                del self._watched[name]
+
+    def _judge_all(self, watched: _Watched) -> None:
+        """Judge the runs at an endpoint; keep those without a verdict."""
+        now_s = self.clock()
+        watched.runs = [
+            run for run in watched.runs if not self._judge(watched, run, now_s)
+        ]
+
+    def _judge(self, watched: _Watched, run: BrokenRun, now_s: float) -> bool:
+        """Judge a run; return whether there is a verdict."""
+        seen = watched.pool.seen(run.broke_s)
+        judgement = judge_run(run, seen, watched.signs, now_s)
+        if judgement.verdict is Verdict.OPEN:
+            return False
+        name = watched.endpoint.name
+        ended = judgement.verdict is Verdict.ENDED
+        self._log_verdict(name, run, ended, judgement.reason, seen)
+        if ended:
+            self._counted.append((name, run.request_id))
+            self.on_crash(name, run)
+        elif judgement.verdict is Verdict.UNKNOWN:
+            self.on_unknown(name, run)
+        return True
+
+    def _log_verdict(
+        self,
+        endpoint: str,
+        run: BrokenRun,
+        counted: bool,
+        reason: str,
+        seen: ConnectionsSeen | None = None,
+    ) -> None:
+        """Log whether a run counts against its request, and why."""
+        inputs: dict[str, float | int | str] = {"fingerprint": run.fingerprint}
+        if seen is not None:
+            inputs["connections_ended"] = seen.ended
+            inputs["connections_open"] = seen.open
+        self.observe(
+            Decision(
+                "counted" if counted else "not_counted",
+                reason,
+                request_id=run.request_id,
+                endpoint=endpoint,
+                inputs=inputs,
+            )
+        )
+
+    def _probe_if_due(self, watched: _Watched, now_s: float) -> None:
+        """Probe an endpoint unless that was done a moment ago."""
+        oldest_s = min(run.broke_s for run in watched.runs)
+        due_s = max(oldest_s + SETTLE_S, watched.probed_s + PROBE_INTERVAL_S)
+        request = self.encode_probe(watched.endpoint)
+        if watched.probe is not None or now_s < due_s or request is None:
+            return
+        loop = asyncio.get_running_loop()
+        watched.probe = loop.create_task(
+            self._probe(watched, oldest_s, request)
+        )
+
+    async def _probe(
+        self, watched: _Watched, broke_s: float, request: bytes
+    ) -> None:
+        """Ask for an endpoint's id on an old connection, then on a new one.
+
+        An answer on a connection that was open before the break shows that
+        the endpoint lives, and one on a new connection what is there now.
+        """
+        name, pool = watched.endpoint.name, watched.pool
+        try:
+            old = pool.pop_witness(broke_s)
+            if old is not None:
+                answer = await ask_identity(
+                    pool, request, PROBE_TIMEOUT_S, old
+                )
+                if answer is None:
+                    self.add_sign(name, Sign.NO_ANSWER)
+            answer = await ask_identity(pool, request, PROBE_TIMEOUT_S)
+            if isinstance(answer, ConnectionRefusedError):
+                self.add_sign(name, Sign.REFUSED)
+            elif answer is not None:
+                found = self.decode_probe(*answer)
+                same = found in ("", name)
+                self.add_sign(
+                    name,
+                    Sign.SAME_INSTANCE if same else Sign.OTHER_INSTANCE,
+                )
+        finally:
+            watched.probe = None
+            watched.probed_s = self.clock()
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -19,6 +19,7 @@
     RetryDecision,
     decide_retry,
 )
+from bulrushstream.daemon import runwatch
 from bulrushstream.messages import Notice
 from bulrushstream.protocol.prompt import fingerprint
 from bulrushstream.state.call import (
@@ -28,11 +29,16 @@
     Call,
     RawHeaders,
 )
+from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.events import EventSplitter
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import RequestKind, Route
 from bulrushstream.transport.ingress import Exchange
-from bulrushstream.transport.upstream import PendingRequest, ResponseFailure
+from bulrushstream.transport.upstream import (
+    PendingRequest,
+    Pool,
+    ResponseFailure,
+)
 
 if TYPE_CHECKING:
     from bulrushstream.daemon.front import Front
@@ -68,8 +74,10 @@
         "_buffered_body",
         "_deadline_timer",
         "_endpoint",
+        "_fingerprint",
         "_first_event_s",
         "_head",
+        "_heard_s",
         "_may_have_run_before",
         "_overdue_timer",
         "_pending",
@@ -83,10 +91,13 @@
         "done",
         "exchange",
         "front",
+        "pool",
         "progress",
         "route",
+        "sent_s",
         "service",
         "share_used",
+        "silent_since_s",
         "tried",
         "workspace",
     )
@@ -126,7 +137,11 @@
         self.deadline_s = self.arrived_s + timeout_s
         self.progress = Progress()
         self.tried: set[str] = set()
+        self.pool: Pool  # The connections of the current attempt.
         self.share_used = 0.0
+        self.sent_s = 0.0  # When the current attempt was sent.
+        # Since when its endpoint is silent, as last watched; 0: it was not.
+        self.silent_since_s = 0.0
         self.done = False
         self._splitter = EventSplitter(last_id=call.resume_after)
         self._endpoint: Endpoint | None = None
@@ -136,6 +151,8 @@
         self._buffered_body: list[bytes] = []
         self._body_bytes = 0
         self._relaying = False  # Whether a long answer is being relayed.
+        self._fingerprint = 0  # 0: not computed yet.
+        self._heard_s = 0.0  # When bytes of the answer last arrived.
         self._may_have_run_before = False
         self._streaming = False
         self._first_event_s = 0.0
@@ -167,13 +184,23 @@
         endpoint, number = choice
         self._endpoint = endpoint
         self._attempt_number = number
+        self.sent_s = 0.0
+        self.silent_since_s = 0.0
         self._head = None
         self._buffered_body = []
         self._body_bytes = 0
+        self._heard_s = 0.0
         self._may_have_run_before = self.progress.may_have_run
-        pool = front.connections.pool_for(endpoint)
-        self._pending = pool.send(
-            self.call.method, self, fresh=not self.route.repeatable
+        self.pool = front.connections.pool_for(endpoint)
+        watched = front.is_watched(self)
+        if watched:
+            # Its fate shows whether the endpoint ends with this run.
+            self.pool.add_idle()
+        self._pending = self.pool.send(
+            self.call.method,
+            self,
+            fresh=not self.route.repeatable,
+            reuse=not watched,
         )
 
     def payload(self) -> bytes | None:
@@ -190,6 +217,7 @@
             return None
         self.progress.sends += 1
         self.progress.may_have_run = True
+        self.sent_s = now_s
         self._restart_overdue_timer(now_s)
         return front.dialect.encode_request(
             self.call,
@@ -204,11 +232,18 @@
 
     def head(self, status: int, headers: RawHeaders) -> bool:
         """Handle an answer's head; see `Sink`."""
+        self._heard_s = self.front.clock()
         head = self.front.dialect.decode_answer(status, headers)
         mismatch = head.request_id != self.call.request_id
         if mismatch and (head.request_id or status < 400):
             return False
         self._head = head
+        pending, endpoint = self._pending, self._endpoint
+        if pending is not None and endpoint is not None and not pending.reused:
+            sign = Sign.SAME_INSTANCE
+            if status == 421:
+                sign = Sign.OTHER_INSTANCE
+            self.front.crash_watch.add_sign(endpoint.name, sign)
         if not self._streaming and head.event_stream and status == 200:
             self._streaming = head.signed and not head.encoded
         return True
@@ -219,6 +254,7 @@
         if head is None or self.done:
             return
         self._body_bytes += len(data)
+        self._heard_s = self.front.clock()
         if not (head.event_stream and head.status == 200):
             self._buffer_body(data)
             return
@@ -267,13 +303,21 @@
             return False
         return head.signed or head.status >= 400
 
-    def end(self) -> None:
+    def end(self, *, framed: bool = True) -> None:
         """Handle the end of a complete answer; see `Sink`."""
         head = self._head
-        self._pending = None
         endpoint = self._endpoint
         if head is None or endpoint is None or self.done:
+            self._pending = None
             return
+        if not framed:
+            runwatch.run_broken(
+                self.front,
+                self,
+                endpoint,
+                "the answer ended with its connection",
+            )
+        self._pending = None
         if head.not_executed:
             self._withdraw_grant()
         self.front.fleet_state.ended(endpoint, self._attempt_number)
@@ -331,24 +375,24 @@
 
     def failed(self, failure: ResponseFailure, detail: str) -> None:
         """Handle an attempt without a complete answer; see `Sink`."""
-        self._pending = None
         endpoint = self._endpoint
         if endpoint is None or self.done:
+            self._pending = None
             return
+        if failure is ResponseFailure.BROKEN:
+            runwatch.run_broken(self.front, self, endpoint, detail)
+        self._pending = None
         if self._head is None:
             self._withdraw_grant()
         self.front.fleet_state.ended(endpoint, self._attempt_number)
         self._cancel_overdue_timer()
         if failure is ResponseFailure.BROKEN:
             self._count_failure(endpoint)
-            self.front.connection_broken(self, endpoint, detail)
             self._attempt_failed(Failure.BROKEN, detail)
             return
         self.progress.unsent += 1
         if failure is ResponseFailure.REFUSED:
-            self.front.fleet_state.connection_refused(
-                endpoint, self.front.clock()
-            )
+            self.front.crash_watch.add_sign(endpoint.name, Sign.REFUSED)
         if failure in (ResponseFailure.NOT_SENT, ResponseFailure.REFUSED):
             self.front.pool.unreachable(endpoint, self.front.clock())
         self._attempt_failed(Failure.NOT_SENT, detail)
@@ -442,6 +486,8 @@
 
     def _cancel_attempt(self) -> None:
         """Cancel the attempt in flight, if there is one."""
+        if self._pending is not None and self._endpoint is not None:
+            runwatch.run_cancelled(self.front, self, self._endpoint)
         pending, self._pending = self._pending, None
         if pending is not None:
             pending.cancel()
@@ -538,11 +584,35 @@
             return AnswerProgress.BODY
         return AnswerProgress.HEAD
 
+    @property
+    def endpoint(self) -> Endpoint | None:
+        """Return the endpoint of the current attempt, once it was sent."""
+        sent = self._pending is not None and self.sent_s
+        return self._endpoint if sent else None
+
+    @property
+    def last_heard_s(self) -> float:
+        """Return when the current attempt was sent or last heard."""
+        return max(self.sent_s, self._heard_s)
+
+    @property
+    def unproven_connection(self) -> bool:
+        """Return whether the attempt's connection may have been dead before.
+
+        That is so if it was used before, and no byte has come since.
+        """
+        pending = self._pending
+        return pending is not None and pending.reused and not self._heard_s
+
     @property
     def fingerprint(self) -> int:
         """Return a digest that is equal for repeats of this request."""
-        content = self.call.target + b"\n" + self.exchange.body
-        return fingerprint(self.workspace, self.service, content)
+        if not self._fingerprint:
+            content = self.call.target + b"\n" + self.exchange.body
+            self._fingerprint = fingerprint(
+                self.workspace, self.service, content
+            )
+        return self._fingerprint
 
     @property
     def first_event_s(self) -> float:
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from bulrushstream import messages
+from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetstate import CALL_NUMBER_BITS, FleetState
@@ -27,13 +28,16 @@
 )
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routetable import RouteTable, pick_service
+from bulrushstream.daemon import runwatch
 from bulrushstream.daemon.connections import EndpointConnections
+from bulrushstream.daemon.crashwatch import CrashWatch
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
 from bulrushstream.protocol.dialect import Dialect, HeadError
-from bulrushstream.state.call import AnswerProgress, Call
+from bulrushstream.state.call import Call
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import Route
@@ -101,7 +105,7 @@
             FleetView(settings.host),
             FairShares(settings.quota_window_s),
             self.rng.getrandbits(38) << CALL_NUMBER_BITS,
-            deps.observe,
+            CrashSuspects(deps.observe),
         )
         self.pool = self.fleet_state.pool
         self.peers = self.fleet_state.peers
@@ -123,6 +127,19 @@
         now_s = self.clock()
         for seed in settings.seed_hosts:
             self.peers.add_host(seed, now_s)
+        suspects = self.fleet_state.suspects
+        self.crash_watch = CrashWatch(
+            self.clock,
+            self._encode_probe,
+            self.dialect.decode_probe,
+            self.observe,
+            lambda endpoint, run: suspects.endpoint_crashed(
+                endpoint, run.fingerprint, run.broke_s, self.clock()
+            ),
+            lambda endpoint, run: suspects.end_unknown(
+                endpoint, run.fingerprint, run.broke_s, self.clock()
+            ),
+        )
         self.limits = IngressLimits(
             connections=max(64, settings.max_descriptors // 2),
             buffered_bytes=int(
@@ -175,7 +192,7 @@
             arrived_boot_s,
         )
         now_s = self.clock()
-        if self._crashes_endpoints(forward, now_s):
+        if self.crashes_endpoints(forward):
             self._refuse_early(
                 exchange, messages.CRASHES_ENDPOINTS, call.request_id
             )
@@ -211,14 +228,34 @@
             return messages.NO_TOKEN
         return route, workspace.name
 
-    def _crashes_endpoints(self, forward: Forward, now_s: float) -> bool:
-        """Return whether the request's fingerprint is quarantined."""
-        quarantine = self.fleet_state.quarantine
-        return bool(
-            quarantine.fingerprints()
-            and quarantine.is_refused(forward.fingerprint, now_s)
+    def crashes_endpoints(self, forward: Forward) -> bool:
+        """Return whether a request is refused as endpoints crash under it.
+
+        :param forward: the request
+        """
+        suspects = self.fleet_state.suspects
+        return bool(suspects) and suspects.is_refused(
+            forward.fingerprint, self.clock()
         )
 
+    def is_watched(self, forward: Forward) -> bool:
+        """Return whether endpoints may have crashed under a request.
+
+        :param forward: the request
+        """
+        suspects = self.fleet_state.suspects
+        return bool(suspects) and suspects.is_watched(
+            forward.fingerprint, self.clock()
+        )
+
+    def _encode_probe(self, endpoint: Endpoint) -> bytes | None:
+        """Return the encoded probe of an endpoint; None: it has none."""
+        service = endpoint.entry.service
+        found = self.table.services.get(service) if self.table else None
+        if found is None or not found.health_path:
+            return None
+        return self.dialect.encode_probe(found.health_path, endpoint.entry)
+
     def _refuse_early(
         self, exchange: Exchange, notice: Notice, request_id: str
     ) -> None:
@@ -429,45 +466,14 @@
         :param endpoint: the one that was expected there
         """
         endpoint.avoid_until_s = self.clock() + MISDIRECTED_BACKOFF_S
-        self.fleet_state.log_endpoint_seen(
-            endpoint.name, "another instance answers"
-        )
-
-    def connection_broken(
-        self, forward: Forward, endpoint: Endpoint, detail: str
-    ) -> None:
-        """Handle a connection that broke while a request was in flight.
-
-        :param forward: the request
-        :param endpoint: where it was sent
-        :param detail: how the connection ended
-        """
-        progress = forward.answer_progress
-        fingerprint = forward.fingerprint
-        self.log_decision(
-            "run_broken",
-            detail,
-            forward,
-            endpoint=endpoint.name,
-            inputs={"fingerprint": fingerprint, "answer": progress.value},
-        )
-        # If the endpoint crashed, its idle connections are dead too.
-        self.connections.pool_for(endpoint).drop_idle()
-        if progress is AnswerProgress.NOTHING:
-            self.fleet_state.connection_broken(
-                endpoint, fingerprint, self.clock()
-            )
-        else:
-            self.fleet_state.log_not_counted(
-                endpoint.name, fingerprint, "the answer had begun"
-            )
+        self.crash_watch.add_sign(endpoint.name, Sign.OTHER_INSTANCE)
 
     def endpoint_overdue(self, endpoint: Endpoint) -> None:
-        """Drop the idle connections to an endpoint that is overdue.
+        """Take the idle connections to an overdue endpoint out of use.
 
         :param endpoint: the endpoint that did not answer in time
         """
-        self.connections.pool_for(endpoint).drop_idle()
+        self.connections.pool_for(endpoint).retire_idle()
 
     def request_finished(
         self, forward: Forward, reason: str, outcome: Outcome, code: str
@@ -481,9 +487,8 @@
         """
         self.forwards.discard(forward)
         now_s = self.clock()
-        quarantine = self.fleet_state.quarantine
-        if outcome is Outcome.RAN and quarantine.fingerprints():
-            self.fleet_state.request_ran(forward.fingerprint, now_s)
+        if outcome is Outcome.RAN and self.fleet_state.suspects:
+            self.fleet_state.suspects.request_ran(forward.fingerprint, now_s)
         duration_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
             forward.service, forward.route.kind.value
@@ -506,7 +511,9 @@
         )
 
     def sweep(self) -> None:
-        """Remove expired state; called a few times a second."""
+        """Judge broken runs, remove expired state; called often."""
+        runwatch.watch_silent_runs(self)
+        self.crash_watch.sweep()
         self.fleet_state.sweep(self.clock())
         self.connections.expire_idle()
 
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -117,7 +117,7 @@
         port.hosts = front.peers.notified_hosts
         port.attach(open_udp(settings.host, settings.peers_port, port))
         self._port = port
-        front.fleet_state.notifier = port
+        front.fleet_state.set_notifier(port)
         await self._listen(
             front.ingress,
             settings.caller_address.host,
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bulrushstream.coordination.routetable import index_routes
+from bulrushstream.daemon import runwatch
 from bulrushstream.daemon.front import Front
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.routes import EndpointEntry, RouteConfig
@@ -76,6 +77,7 @@
     removed = front.pool.remove(endpoint)
     if removed is None:
         return
+    runwatch.endpoint_removed(front, endpoint)
     front.connections.remove(endpoint)
     front.observe(
         Decision(
--- a/src/bulrushstream/history/routingendpoint.py
+++ b/src/bulrushstream/history/routingendpoint.py
@@ -62,6 +62,7 @@
         self._fleet = fleet
         self.endpoint = endpoint
         self._sink: Sink | None = sink
+        self.reused = False
         self._later(CONNECT_S, self._connected)
 
     @property
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -41,6 +41,7 @@
     Run,
 )
 from bulrushstream.metrics import make_metrics
+from bulrushstream.state.endpointsigns import ConnectionsSeen
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.routes import (
     RouteConfig,
@@ -87,13 +88,28 @@
     router: int
     endpoint: str
 
-    def send(self, method: bytes, sink: Sink, *, fresh: bool) -> Attempt:
+    def send(
+        self, method: bytes, sink: Sink, *, fresh: bool, reuse: bool
+    ) -> Attempt:
         """Send a request."""
-        del method, fresh
+        del method, fresh, reuse
         self.fleet.check_not_draining(self.router, self.endpoint)
         return Attempt(self.fleet, self.endpoint, sink)
 
-    def drop_idle(self) -> None:
+    def seen(self, at_s: float) -> ConnectionsSeen:
+        """Return that no connection outlives its request."""
+        del at_s
+        return ConnectionsSeen(ended=0, open=0, heard=False)
+
+    def heard_s(self, opened_by_s: float) -> float:
+        """Return that no bytes came."""
+        del opened_by_s
+        return float("-inf")
+
+    def add_idle(self) -> None:
+        """Do nothing: there are no idle connections."""
+
+    def retire_idle(self) -> None:
         """Do nothing: there are no idle connections."""
 
 
@@ -272,7 +288,7 @@
         )
         port.hosts = front.peers.notified_hosts
         port.attach(_DatagramSender(self, number))
-        front.fleet_state.notifier = port
+        front.fleet_state.set_notifier(port)
         self.fronts.append(front)
         self.ports.append(port)
         self._read_store(number)
--- a/src/bulrushstream/history/routingplatform.py
+++ b/src/bulrushstream/history/routingplatform.py
@@ -187,5 +187,7 @@
     decode_call=_decode_call,
     encode_request=_encode_request,
     decode_answer=_decode_answer,
+    encode_probe=_unused,
+    decode_probe=_unused,
     refusal_headers=_refusal_headers,
 )
--- a/src/bulrushstream/platform/dialect.py
+++ b/src/bulrushstream/platform/dialect.py
@@ -9,6 +9,8 @@
 from bulrushstream.platform.headers import (
     decode_answer,
     decode_call,
+    decode_probe,
+    encode_probe,
     encode_request,
     refusal_headers,
 )
@@ -49,5 +51,7 @@
     decode_call=decode_call,
     encode_request=encode_request,
     decode_answer=decode_answer,
+    encode_probe=encode_probe,
+    decode_probe=decode_probe,
     refusal_headers=refusal_headers,
 )
--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -67,6 +67,7 @@
 class _Service(msgspec.Struct, rename="camel"):
     name: _Name
     max_conns: Annotated[int, msgspec.Meta(gt=0)] = 64
+    health_path: str = ""
     engine: _Engine | None = None
 
 
@@ -227,7 +228,7 @@
     traits = None
     if raw.engine is not None:
         traits = EngineTraits(raw.engine.slots, raw.engine.kv_tokens)
-    return PooledService(raw.name, raw.max_conns, traits)
+    return PooledService(raw.name, raw.max_conns, traits, raw.health_path)
 
 
 def _workspace_keys(raw: _Tenant) -> WorkspaceKeys:
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -14,6 +14,7 @@
     PromptPart,
     RawHeaders,
 )
+from bulrushstream.state.routes import EndpointEntry
 
 REQUEST_ID: Final = b"x-request-id"
 SIGNATURE: Final = b"x-response-signature"
@@ -240,6 +241,34 @@
     return b"\r\n".join([*lines, b"", body])
 
 
+def encode_probe(path: str, entry: EndpointEntry) -> bytes:
+    """Encode a request for an endpoint's id.
+
+    :param path: the health path of the endpoint's service
+    :param entry: the endpoint
+    """
+    lines = (
+        f"GET {path} HTTP/1.1",
+        f"Host: {entry.host}:{entry.port}",
+        f"X-Expect-Instance: {entry.endpoint}",
+    )
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+
+def decode_probe(status: int, headers: RawHeaders) -> str | None:
+    """Return the endpoint's id in the answer to a probe.
+
+    :param status: the HTTP status
+    :param headers: the headers as received
+    :returns: the id; empty if there is none; None if the endpoint says that
+        it is not the expected one
+    """
+    if status == 421:
+        return None
+    values = {name.lower(): value for name, value in headers}
+    return values.get(b"x-instance-id", b"").decode("latin-1")
+
+
 def decode_answer(status: int, headers: RawHeaders) -> AnswerHead:
     """Decode the head of an endpoint's response.
 
--- a/src/bulrushstream/protocol/dialect.py
+++ b/src/bulrushstream/protocol/dialect.py
@@ -71,5 +71,12 @@
     # Decodes the head of an endpoint's answer from status and headers.
     decode_answer: Callable[[int, RawHeaders], AnswerHead]
 
+    # Encodes a probe of an endpoint's id from the path and the endpoint.
+    encode_probe: Callable[[str, EndpointEntry], bytes]
+
+    # Returns the id in the answer to a probe, from status and headers; empty
+    # if the expected endpoint answers without one, None if another one does.
+    decode_probe: Callable[[int, RawHeaders], str | None]
+
     # Returns a refusal's headers from request id and Retry-After in seconds.
     refusal_headers: Callable[[str, float | None], RawHeaders]
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -72,7 +72,12 @@
         known_hosts=list(update.known_hosts),
         leaving=update.leaving,
         struck=[
-            _SCHEMA.Struck(each.fingerprint, each.endpoint)
+            _SCHEMA.Struck(
+                each.fingerprint,
+                each.endpoint,
+                round(each.age_s * 1000),
+                each.uncertain,
+            )
             for each in update.crash_suspects
         ],
         totals=[
@@ -136,7 +141,12 @@
         known_hosts=tuple(wire.known_hosts),
         leaving=bool(wire.leaving),
         crash_suspects=tuple(
-            CrashSuspect(each.fingerprint, each.endpoint)
+            CrashSuspect(
+                each.fingerprint,
+                each.endpoint,
+                (each.age_ms or 0) / 1000,
+                bool(each.uncertain),
+            )
             for each in wire.struck
         ),
         # A router of an earlier version sends no totals.
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -27,6 +27,8 @@
 struct Struck {
   1: i64 fingerprint
   2: string endpoint
+  3: i32 age_ms
+  4: bool uncertain
 }
 
 struct Update {
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -45,7 +45,10 @@
     """A request was in flight when an endpoint crashed."""
 
     fingerprint: int  # Digest of the request, a signed 64-bit number.
-    endpoint: str  # The id of the endpoint start that crashed.
+    endpoint: str  # The endpoint's id.
+    age_s: float = 0.0  # How long ago it crashed.
+    # Whether it is only suspected that the endpoint crashed.
+    uncertain: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bulrushstream/state/routes.py
+++ b/src/bulrushstream/state/routes.py
@@ -70,6 +70,7 @@
     name: str  # Unique in the configuration.
     max_connections: int  # Per endpoint, from all routers together.
     engine: EngineTraits | None = None  # None: a plain service.
+    health_path: str = ""  # Where its endpoints tell their id; empty: none.
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bulrushstream/transport/httpcall.py
+++ b/src/bulrushstream/transport/httpcall.py
@@ -46,7 +46,7 @@
         """Store a piece of the body; see `Sink`."""
         self.pieces.append(data)
 
-    def end(self) -> None:
+    def end(self, *, framed: bool = True) -> None:
         """Resolve the future; see `Sink`."""
         if not self.future.done():
             body = b"".join(self.pieces)
--- /dev/null
+++ b/src/bulrushstream/transport/probe.py
@@ -0,0 +1,77 @@
+"""Asks an endpoint for its id, on an old connection or a new one."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from bulrushstream.state.call import RawHeaders
+from bulrushstream.transport.upstream import (
+    Connection,
+    Pool,
+    ResponseFailure,
+)
+
+# Status and headers, that the address refuses connections, or no answer.
+ProbeAnswer: TypeAlias = tuple[int, RawHeaders] | ConnectionRefusedError | None
+
+
+@dataclass(slots=True)
+class _ProbeSink:
+    """Resolves a future with the head of the response; see `Sink`."""
+
+    request: bytes
+    future: asyncio.Future[ProbeAnswer]
+
+    def payload(self) -> bytes | None:
+        return self.request
+
+    def head(self, status: int, headers: RawHeaders) -> bool:
+        self._resolve((status, headers))
+        return True
+
+    def data(self, data: bytes) -> None:
+        del data
+
+    def end(self, *, framed: bool = True) -> None:
+        del framed
+
+    def failed(self, failure: ResponseFailure, detail: str) -> None:
+        if failure is ResponseFailure.REFUSED:
+            self._resolve(ConnectionRefusedError(detail))
+        else:
+            self._resolve(None)
+
+    def _resolve(self, answer: ProbeAnswer) -> None:
+        if not self.future.done():
+            self.future.set_result(answer)
+
+
+async def ask_identity(
+    pool: Pool,
+    request: bytes,
+    timeout_s: float,
+    connection: Connection | None = None,
+) -> ProbeAnswer:
+    """Send a probe and return the head of its response.
+
+    :param pool: the connections to the endpoint
+    :param request: the encoded probe
+    :param timeout_s: the time limit, in seconds
+    :param connection: an unused connection of the pool; None: a new one
+    """
+    future: asyncio.Future[ProbeAnswer] = (
+        asyncio.get_running_loop().create_future()
+    )
+    sink = _ProbeSink(request, future)
+    if connection is None:
+        pending = pool.send(b"GET", sink, reuse=False)
+    else:
+        pending = pool.send_on(connection, b"GET", sink)
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await future
+    except TimeoutError:
+        pending.cancel()
+        return None
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -18,6 +18,7 @@
 import httptools
 
 from bulrushstream.state.call import RawHeaders
+from bulrushstream.state.endpointsigns import ConnectionsSeen
 
 # A healthy endpoint accepts within a few milliseconds; a lost SYN packet is
 # retransmitted after one second, which this limit allows for.
@@ -32,6 +33,15 @@
 # An idle connection is closed this long before the peer's time-out.
 IDLE_MARGIN_S: Final = 0.5
 
+# A connection that is taken out of use stays open this long, as it may show
+# whether its endpoint still runs.
+RETIRED_S: Final = 1.0
+
+# How long the ends of connections are remembered, and the spread of those
+# that end at the same time.
+MAX_ENDED: Final = 1024
+ENDED_TOGETHER_S: Final = 0.15
+
 _KEEP_ALIVE: Final = re.compile(rb"timeout=(\d{1,6})")
 
 
@@ -56,8 +66,12 @@
     def data(self, data: bytes) -> None:
         """Handle a piece of the response's body."""
 
-    def end(self) -> None:
-        """Handle the end of a complete response."""
+    def end(self, *, framed: bool = True) -> None:
+        """Handle the end of a complete response.
+
+        :param framed: whether its length was known; otherwise it ended with
+            its connection and may be truncated
+        """
 
     def failed(self, failure: ResponseFailure, detail: str) -> None:
         """Handle a failure; no complete response will follow."""
@@ -84,6 +98,8 @@
         self._unusable = False
         self.keep_alive_s: float | None = None  # Announced by the peer.
         self.idle_until_s = float("inf")
+        self.opened_s = pool.clock()
+        self.heard_s = float("-inf")  # When the last bytes arrived.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the time-out of unacknowledged bytes; see `asyncio.Protocol`."""
@@ -95,6 +111,11 @@
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
             )
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the connection is closed or being closed."""
+        return self._unusable or self._transport is None
+
     @property
     def usable(self) -> bool:
         """Return whether the connection can carry a new request."""
@@ -132,18 +153,19 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End or fail the current response; see `asyncio.Protocol`."""
         self._transport = None
-        self._pool.remove(self)
+        self._pool.remove(self, ended_by_peer=not self._unusable)
         sink = self._sink
         self._sink = None
         if sink is None:
             return
         if self._ends_with_close and exc is None and not self._unusable:
-            sink.end()
+            sink.end(framed=False)
         else:
             sink.failed(ResponseFailure.BROKEN, f"connection lost: {exc}")
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; see `asyncio.Protocol`."""
+        self.heard_s = self._pool.clock()
         if self._sink is None:
             self.close()
             return
@@ -253,12 +275,13 @@
 class PendingRequest:
     """A handle to cancel a request."""
 
-    __slots__ = ("_connection", "_task", "cancelled")
+    __slots__ = ("_connection", "_task", "cancelled", "reused")
 
     def __init__(self) -> None:
         self._connection: Connection | None = None
         self._task: asyncio.Task[None] | None = None
         self.cancelled = False
+        self.reused = False  # Whether its connection was used before.
 
     def cancel(self) -> None:
         """Cancel the request; its sink is not called again."""
@@ -293,11 +316,21 @@
     options: PoolOptions = field(default_factory=PoolOptions)
     on_connect: Callable[[], None] | None = None  # For metrics.
     _idle: deque[Connection] = field(default_factory=deque)
+    _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
     _connecting: int = 0  # Connections being opened.
+    # When each connection that the peer ended was opened and ended.
+    _ended: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_ENDED)
+    )
 
     def send(
-        self, method: bytes, sink: Sink, *, fresh: bool = False
+        self,
+        method: bytes,
+        sink: Sink,
+        *,
+        fresh: bool = False,
+        reuse: bool = True,
     ) -> PendingRequest:
         """Send a request on an idle connection or a new one.
 
@@ -305,11 +338,13 @@
         :param sink: supplies the request and receives the response
         :param fresh: whether an idle connection must have been used within
             the first half of its idle time; otherwise open a new one
+        :param reuse: whether an idle connection may be used at all
         :returns: a handle to cancel the request
         """
         pending = PendingRequest()
-        connection = self._pop_idle(fresh)
+        connection = self._pop_idle(fresh) if reuse else None
         if connection is not None:
+            pending.reused = True
             self._send_on(connection, method, sink, pending)
             return pending
         if len(self._all) + self._connecting >= self.options.max_connections:
@@ -327,6 +362,35 @@
         pending.attach_task(task)
         return pending
 
+    def send_on(
+        self, connection: Connection, method: bytes, sink: Sink
+    ) -> PendingRequest:
+        """Send a request on a connection that carries none.
+
+        :param connection: a connection from `pop_witness`
+        :param method: the HTTP method
+        :param sink: supplies the request and receives the response
+        :returns: a handle to cancel the request
+        """
+        pending = PendingRequest()
+        pending.reused = True
+        self._send_on(connection, method, sink, pending)
+        return pending
+
+    def pop_witness(self, opened_before_s: float) -> Connection | None:
+        """Take an idle or retired connection that was opened before a time.
+
+        :param opened_before_s: the time
+        :returns: the connection; None: there is none
+        """
+        for queue in (self._retired, self._idle):
+            for connection in queue:
+                old = connection.opened_s < opened_before_s
+                if old and connection.usable:
+                    queue.remove(connection)
+                    return connection
+        return None
+
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool after a response.
 
@@ -338,14 +402,72 @@
         connection.idle_until_s = self.clock() + idle_s
         self._idle.append(connection)
 
-    def remove(self, connection: Connection) -> None:
+    def remove(
+        self, connection: Connection, *, ended_by_peer: bool = False
+    ) -> None:
         """Remove a closed connection.
 
         :param connection: the connection
+        :param ended_by_peer: whether the peer closed or reset it
         """
         self._all.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
+        for queue in (self._idle, self._retired):
+            if connection in queue:
+                queue.remove(connection)
+        if ended_by_peer:
+            self._ended.append((connection.opened_s, self.clock()))
+
+    def seen(self, at_s: float) -> ConnectionsSeen:
+        """Return what became of the connections that were open at a time.
+
+        :param at_s: the time, not long ago
+        """
+        still_open = [
+            each
+            for each in self._all
+            if each.opened_s < at_s and not each.is_closed
+        ]
+        return ConnectionsSeen(
+            ended=sum(
+                opened_s < at_s and ended_s >= at_s - ENDED_TOGETHER_S
+                for opened_s, ended_s in self._ended
+            ),
+            open=len(still_open),
+            heard=any(
+                each.heard_s > at_s + ENDED_TOGETHER_S for each in still_open
+            ),
+        )
+
+    def heard_s(self, opened_by_s: float) -> float:
+        """Return when bytes last came on a connection opened by a time.
+
+        :param opened_by_s: the time
+        :returns: the time of the bytes; minus infinity: none came
+        """
+        return max(
+            (
+                each.heard_s
+                for each in self._all
+                if each.opened_s <= opened_by_s
+            ),
+            default=float("-inf"),
+        )
+
+    def add_idle(self) -> None:
+        """Open one more connection, which is idle at first."""
+        if len(self._all) + self._connecting < self.options.max_connections:
+            asyncio.get_running_loop().create_task(self._open_idle())
+
+    def retire_idle(self) -> None:
+        """Take all idle connections out of use; close them a little later.
+
+        Until then they show whether the peer still runs.
+        """
+        close_s = self.clock() + RETIRED_S
+        for connection in self._idle:
+            connection.idle_until_s = close_s
+        self._retired.extend(self._idle)
+        self._idle.clear()
 
     def drop_idle(self) -> None:
         """Close all idle connections."""
@@ -355,14 +477,16 @@
     def expire_idle(self) -> None:
         """Close the idle connections whose idle time has passed."""
         now_s = self.clock()
-        while self._idle and self._idle[0].idle_until_s <= now_s:
-            self._idle.popleft().close()
+        for queue in (self._idle, self._retired):
+            while queue and queue[0].idle_until_s <= now_s:
+                queue.popleft().close()
 
     def close(self) -> None:
         """Close all connections."""
         for connection in list(self._all):
             connection.close()
         self._idle.clear()
+        self._retired.clear()
 
     def _pop_idle(self, fresh: bool) -> Connection | None:
         """Return a usable idle connection, or None."""
@@ -409,6 +533,24 @@
             return
         self._send_on(connection, method, sink, pending)
 
+    async def _open_idle(self) -> None:
+        """Open a connection and keep it idle."""
+        loop = asyncio.get_running_loop()
+        self._connecting += 1
+        try:
+            async with asyncio.timeout(self.options.connect_timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(self), self.host, self.port
+                )
+        except (OSError, TimeoutError):
+            return
+        finally:
+            self._connecting -= 1
+        self._all.add(connection)
+        if self.on_connect is not None:
+            self.on_connect()
+        self.release(connection)
+
     def _send_on(
         self,
         connection: Connection,
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -34,6 +34,7 @@
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
 from bulrushstream.transport.ingress import ClientConnection, Exchange
 from tests.crashingendpoints import (
+    HEALTH_PATH,
     After,
     Body,
     Ending,
@@ -55,14 +56,36 @@
     (b"X-Token-Counts", b"60,20"),
     (b"X-Prompt-Prefix", b"a1:40,b2:20"),
 )
-SERVICES: Final = {"llm": 6, "desk": 4}  # Endpoints of each.
-# Routes by path prefix: service, kind, resumable.
+SERVICES: Final = {"llm": 6, "desk": 4, "till": 3}  # Endpoints of each.
+
+
+@dataclass(frozen=True, slots=True)
+class _RouteTraits:
+    """What distinguishes a route of the fleet."""
+
+    services: tuple[str, ...]
+    kind: RequestKind
+    resumable: bool = False
+    max_attempts: int = 3
+
+    @property
+    def streams(self) -> bool:
+        """Return whether its answers are event streams."""
+        return self.kind is RequestKind.STREAMING
+
+
+# By path prefix.
 ROUTES: Final = {
-    "/talk/": ("llm", RequestKind.STREAMING, True),
-    "/tell/": ("llm", RequestKind.STREAMING, False),
-    "/safe/": ("desk", RequestKind.IDEMPOTENT, False),
-    "/once/": ("desk", RequestKind.NON_IDEMPOTENT, False),
+    "/talk/": _RouteTraits(("llm",), RequestKind.STREAMING, True),
+    "/tell/": _RouteTraits(("llm",), RequestKind.STREAMING),
+    "/safe/": _RouteTraits(("desk",), RequestKind.IDEMPOTENT),
+    "/once/": _RouteTraits(("desk",), RequestKind.NON_IDEMPOTENT),
+    "/split/": _RouteTraits(("desk", "till"), RequestKind.NON_IDEMPOTENT),
+    "/often/": _RouteTraits(
+        ("llm",), RequestKind.STREAMING, True, max_attempts=8
+    ),
 }
+BACKGROUND_PATHS: Final = ("/talk/", "/tell/", "/safe/", "/once/")
 _HEAD: Final = re.compile(rb"HTTP/1.1 ([0-9]+)")
 _CODE: Final = re.compile(rb"B[0-9]{3}")
 
@@ -120,6 +143,9 @@
     sent: dict[bytes, list[Sent]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    ids: dict[bytes, list[str]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     crashes_s: list[float] = field(default_factory=list)
     asked: dict[bytes, list[float]] = field(
         default_factory=lambda: defaultdict(list)
@@ -146,6 +172,14 @@
         """Return the codes of the routers' own answers to a request."""
         return [code for _, code in self.answers[body] if code]
 
+    def lines(self, kind: str, endpoint: str = "") -> list[Decision]:
+        """Return the log lines of a kind, about an endpoint if given."""
+        return [
+            line
+            for _, _, line in self.decisions
+            if line.kind == kind and endpoint in ("", line.endpoint)
+        ]
+
     def _in_touch(self, sent: Sent) -> bool:
         return not any(
             begin_s <= sent.at_s < end_s and sent.router == router
@@ -241,7 +275,7 @@
         for at_s, service in plan.kills:
             loop.call_later(at_s, self._kill_busiest, service)
         for number in range(plan.routers):
-            for path in ROUTES:
+            for path in BACKGROUND_PATHS:
                 loop.call_later(
                     self._background_gap_s(),
                     self._send_background,
@@ -254,11 +288,12 @@
 
     # --- Endpoints.
 
-    def record_run(self, request_id: str, endpoint: str) -> None:
-        """Record that an endpoint received a request."""
+    def record_run(self, request_id: str, endpoint: str) -> int:
+        """Record a run; return the number of runs of this request so far."""
         router, body = self._requests[request_id]
-        sent = Sent(self.loop.time(), router, endpoint)
-        self.history.sent[body].append(sent)
+        runs = self.history.sent[body]
+        runs.append(Sent(self.loop.time(), router, endpoint))
+        return len(runs)
 
     def crash(self, endpoint: Endpoint, request_id: str) -> None:
         """End an endpoint because of a request."""
@@ -400,7 +435,7 @@
         )
         port.hosts = front.peers.notified_hosts
         port.attach(_DatagramSender(self, number))
-        front.fleet_state.notifier = port
+        front.fleet_state.set_notifier(port)
         platformupdates.apply_config(front, _config())
         for entry in self._entries.values():
             platformupdates.apply_entry(front, entry)
@@ -428,7 +463,9 @@
         )
 
     def _background_gap_s(self) -> float:
-        return self.rng.expovariate(self.plan.background_per_s / len(ROUTES))
+        return self.rng.expovariate(
+            self.plan.background_per_s / len(BACKGROUND_PATHS)
+        )
 
     def _send_background(self, number: int, path: str) -> None:
         self._send(number, path, b"background %d" % len(self._requests))
@@ -440,6 +477,7 @@
         loop = self.loop
         request_id = f"q{len(self._requests)}"
         self._requests[request_id] = (number, body)
+        self.history.ids[body].append(request_id)
         self.history.asked[body].append(loop.time())
         caller = _Caller()
         exchange = Exchange(cast(ClientConnection, caller))
@@ -451,7 +489,7 @@
             (b"X-Deadline-Ms", b"%d" % (TIMEOUT_S * 1000)),
             (b"Authorization", b"Bearer " + KEY.encode()),
         ]
-        if ROUTES[path][0] == "llm":
+        if ROUTES[path].streams:
             exchange.headers += STREAM_HEADERS
         exchange.body = body
         exchange.arrived_s = loop.time()
@@ -485,21 +523,22 @@
         a_route(
             name=f"r{prefix}",
             prefix=prefix,
-            kind=kind,
-            split=(SplitShare(service, 1.0),),
+            kind=traits.kind,
+            split=tuple(SplitShare(name, 1.0) for name in traits.services),
             timeout_s=TIMEOUT_S,
             latency_target_s=0.8,
-            max_attempts=3,
-            resumable=resumable,
+            max_attempts=traits.max_attempts,
+            resumable=traits.resumable,
             max_event_gap_s=0.25,
         )
-        for prefix, (service, kind, resumable) in ROUTES.items()
+        for prefix, traits in ROUTES.items()
     )
     return replace(
         a_config(*routes),
         services=(
-            PooledService("desk", 400),
-            PooledService("llm", 400, EngineTraits(64, 200_000)),
+            PooledService("desk", 400, None, HEALTH_PATH),
+            PooledService("till", 400, None, HEALTH_PATH),
+            PooledService("llm", 400, EngineTraits(64, 200_000), HEALTH_PATH),
         ),
     )
 
--- a/tests/crashingendpoints.py
+++ b/tests/crashingendpoints.py
@@ -20,13 +20,15 @@
 EVENT_S: Final = 0.1
 EVENTS: Final = 8
 CRASH_S: Final = 0.12  # From the arrival to a crash, after the first event.
-HEALTH_PATH: Final = b"/health"
+HEALTH_PATH: Final = "/health"
 
 
 class Body:
     """What a request does to the endpoint that runs it."""
 
     CRASH: Final = b"crash"  # The endpoint ends.
+    # The endpoint ends, but for every third run, which it answers with 504.
+    CRASH_OR_TIMEOUT: Final = b"crash or time out"
     LOST: Final = b"lost"  # The connection ends without an answer.
     CUT: Final = b"cut"  # The connection ends in the middle of the answer.
     SPOILED: Final = b"spoiled"  # The answer is no HTTP response.
@@ -74,8 +76,8 @@
 
     ending: Ending
 
-    def record_run(self, request_id: str, endpoint: str) -> None:
-        """Record that an endpoint received a request."""
+    def record_run(self, request_id: str, endpoint: str) -> int:
+        """Record a run; return the number of runs of this request so far."""
 
     def crash(self, endpoint: Endpoint, request_id: str) -> None:
         """End an endpoint because of a request."""
@@ -144,7 +146,7 @@
         name = self.endpoint.name.encode()
         if headers.get(b"x-expect-instance", name) != name:
             self._answer(b"421 Misdirected", b"")
-        elif self._target == HEALTH_PATH:
+        elif self._target.decode() == HEALTH_PATH:
             self._answer(b"200 OK", b"", b"X-Instance-Id: %b\r\n" % name)
         else:
             self._run(headers, self._body)
@@ -153,8 +155,12 @@
 
     def _run(self, headers: dict[bytes, bytes], body: bytes) -> None:
         request_id = headers[b"x-request-id"].decode()
-        self.endpoint.fleet.record_run(request_id, self.endpoint.name)
-        if body.startswith(Body.CRASH):
+        run = self.endpoint.fleet.record_run(request_id, self.endpoint.name)
+        if body == Body.CRASH_OR_TIMEOUT and run % 3 == 0:
+            self._later(
+                HEAD_S, lambda: self._answer(b"504 Gateway Timeout", b"")
+            )
+        elif body.startswith(Body.CRASH):
             self._run_until_crash(headers, request_id)
         elif body.startswith(Body.LOST):
             self._later(HEAD_S, lambda: self.transport.end(None))
--- a/tests/modelengines.py
+++ b/tests/modelengines.py
@@ -34,6 +34,7 @@
     """One request at an engine; stands in for `PendingRequest`."""
 
     sink: Sink | None
+    reused: bool = False
 
     def cancel(self) -> None:
         self.sink = None
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -26,6 +26,7 @@
 from bulrushstream.metrics import make_metrics
 from bulrushstream.protocol.peercodec import decode_update
 from bulrushstream.state.call import Call, Prompt, PromptPart, RawHeaders
+from bulrushstream.state.endpointsigns import ConnectionsSeen
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.routes import (
     EngineTraits,
@@ -98,15 +99,30 @@
     fleet: ModelFleet
     endpoint: str
 
-    def send(self, method: bytes, sink: Sink, *, fresh: bool) -> Attempt:
-        del method, fresh
+    def send(
+        self, method: bytes, sink: Sink, *, fresh: bool, reuse: bool
+    ) -> Attempt:
+        del method, fresh, reuse
         attempt = Attempt(sink)
         asyncio.get_running_loop().call_later(
             CONNECT_S, self.fleet.engines[self.endpoint].connect, attempt
         )
         return attempt
 
-    def drop_idle(self) -> None:
+    def seen(self, at_s: float) -> ConnectionsSeen:
+        """Return that no connection outlives its request."""
+        del at_s
+        return ConnectionsSeen(ended=0, open=0, heard=False)
+
+    def heard_s(self, opened_by_s: float) -> float:
+        """Return that no bytes came."""
+        del opened_by_s
+        return float("-inf")
+
+    def add_idle(self) -> None:
+        """Do nothing: there are no idle connections."""
+
+    def retire_idle(self) -> None:
         """Do nothing: there are no idle connections."""
 
 
@@ -289,7 +305,7 @@
         )
         port.hosts = front.peers.notified_hosts
         port.attach(_DatagramSender(self))
-        front.fleet_state.notifier = port
+        front.fleet_state.set_notifier(port)
         platformupdates.apply_config(front, self._config)
         for name, engine in self.engines.items():
             if engine.alive:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,6 +11,7 @@
 import pytest
 
 from bulrushstream.messages import CRASHES_ENDPOINTS
+from bulrushstream.state.call import AnswerProgress
 from tests.crashfleets import (
     CrashHistory,
     CrashPlan,
@@ -31,9 +32,11 @@
 PATHS = ("/talk/", "/tell/", "/safe/", "/once/")
 
 
-def is_refused_at_last(history: CrashHistory) -> bool:
+def is_refused_at_last(
+    history: CrashHistory, body: bytes = Body.CRASH
+) -> bool:
     """Return whether the last repeats of the crashing request are refused."""
-    last = history.answers[Body.CRASH][-4:]
+    last = history.answers[body][-4:]
     return {code for _, code in last} == {CRASHES_ENDPOINTS.code}
 
 
@@ -142,25 +145,35 @@
 class LogSuite:
     """The routers' logs show what became of each run that broke."""
 
-    def test_each_broken_run_of_a_crashing_request(self) -> None:
-        history = play(CrashPlan((crashing("/tell/"),)))
+    @pytest.mark.parametrize("ending", ENDINGS[::3], ids=str)
+    def test_each_broken_run_of_a_crashing_request(
+        self, ending: Ending
+    ) -> None:
+        history = play(CrashPlan((crashing("/tell/"),), ending, loss=0.0))
         broken = [
-            decision
-            for _, _, decision in history.decisions
-            if decision.kind == "run_broken"
+            line
+            for line in history.lines("run_broken")
+            if line.request_id in history.ids[Body.CRASH]
         ]
-        assert broken
-        for decision in broken:
-            fingerprint = decision.inputs["fingerprint"]
-            verdicts = {
-                other.kind
-                for _, _, other in history.decisions
-                if other.endpoint == decision.endpoint
-                and other.inputs.get("fingerprint") == fingerprint
-            }
-            assert verdicts & {"strike", "not_counted"}
-            assert any(
-                other.kind == "endpoint_seen"
-                and other.endpoint == decision.endpoint
-                for _, _, other in history.decisions
-            )
+        assert len(broken) >= 3
+        for line in broken:
+            assert line.inputs["answer"] in list(AnswerProgress)
+            verdicts = [
+                verdict
+                for kind in ("counted", "not_counted")
+                for verdict in history.lines(kind, line.endpoint)
+                if verdict.request_id == line.request_id
+            ]
+            assert len(verdicts) == 1
+            if verdicts[0].kind != "counted":
+                continue
+            assert history.lines("endpoint_seen", line.endpoint)
+            strikes = [
+                strike
+                for strike in history.lines("strike", line.endpoint)
+                if strike.inputs["fingerprint"] == line.inputs["fingerprint"]
+            ]
+            # One router finds each crash, three learn of it.
+            reporters = [strike.inputs["reporter"] for strike in strikes]
+            assert reporters.count("") >= 1
+            assert len(reporters) == 4 * reporters.count("")
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -12,6 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetstate import (
     PEER_CALL_TIMEOUT_S,
@@ -80,14 +81,14 @@
         FleetView(f"10.0.0.{number}"),
         FairShares(4.0),
         number << 30,
-        decisions.append,
+        CrashSuspects(decisions.append),
     )
     for name in ("e-1", "e-2", "e-3"):
         state.pool.update(an_entry(name, service="llm"), TRAITS)
     recorder = UpdateRecorder(
         PeerUpdate(f"front-{number}", 1, f"10.0.0.{number}")
     )
-    state.notifier = recorder
+    state.set_notifier(recorder)
     return state, recorder
 
 
@@ -216,23 +217,27 @@
     def test_each_crash_counts_one_strike(self) -> None:
         (first, recorder), (second, _) = a_router_state(1), a_router_state(2)
         for name in ("e-1", "e-2", "e-3"):
-            endpoint = first.pool.by_name[name]
-            first.connection_broken(endpoint, 77, 1.0)
-            first.connection_refused(endpoint, 1.5)
-            first.connection_refused(endpoint, 1.6)
+            first.suspects.endpoint_crashed(name, 77, 1.0, 1.5)
+            first.suspects.endpoint_crashed(name, 77, 1.1, 1.6)
             updates = list(recorder.updates)
             deliver(recorder, second, 1.6)
             for update in updates:
                 second.apply_update(update, 1.7)
         for state in (first, second):
-            assert state.quarantine.count(77, 2.0) == 3
-            assert state.quarantine.is_refused(77, 2.0)
+            assert state.suspects.strikes.count(77, 2.0) == 3
+            assert state.suspects.is_refused(77, 2.0)
+            assert not state.suspects.is_refused(78, 2.0)
 
-    def test_a_broken_connection_without_early_refusal_is_no_crash(
-        self,
-    ) -> None:
+    def test_an_endpoint_that_crashes_again_counts_again(self) -> None:
         state, _ = a_router_state(1)
-        endpoint = state.pool.by_name["e-1"]
-        state.connection_broken(endpoint, 77, 1.0)
-        state.connection_refused(endpoint, 9.0)
-        assert state.quarantine.count(77, 9.0) == 0
+        for at_s in (1.0, 5.0, 9.0):
+            state.suspects.endpoint_crashed("e-1", 77, at_s, at_s)
+        assert state.suspects.is_refused(77, 10.0)
+
+    def test_a_watched_request_is_known_to_all_routers(self) -> None:
+        (first, recorder), (second, _) = a_router_state(1), a_router_state(2)
+        first.suspects.end_unknown("e-1", 77, 1.0, 1.5)
+        deliver(recorder, second, 1.5)
+        for state in (first, second):
+            assert state.suspects.is_watched(77, 2.0)
+            assert state.suspects.strikes.count(77, 2.0) == 0
