Strikes are repeated to peers, and told to routers that start or return

What callers saw: after a router restarted, or came back to its peers, it sent a request on to endpoints that the others refused already.

Cause: a strike was told in one datagram, once, to those who listened then.

Change: a router repeats its own strikes with each heartbeat for 4 s, longer than a silent peer counts as live; when a peer appears, or returns after that time, all strikes and watched requests are told for 1.2 s.

--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Final, Protocol
@@ -23,6 +24,12 @@
 # A request with this many strikes is refused.
 MAX_STRIKES: Final = 3
 
+# How long the strikes of this router are repeated to its peers, longer than
+# a silent peer counts as live, and all known ones after a new peer appeared.
+REPEAT_STRIKES_S: Final = 4.0
+REPEAT_ALL_STRIKES_S: Final = 1.2
+MAX_REPEATED_STRIKES: Final = 512
+
 # How long a request is watched after a run with an unknown end.
 WATCHED_S: Final = 600.0
 MAX_WATCHED: Final = 4096
@@ -35,6 +42,15 @@
         """Report that a request was in flight when an endpoint crashed."""
 
 
+@dataclass(frozen=True, slots=True)
+class _OwnStrike:
+    """A strike that this router found."""
+
+    at_s: float  # When the endpoint crashed.
+    reported_s: float  # When it was first reported to the peers.
+    suspect: CrashSuspect
+
+
 @dataclass(slots=True)
 class CrashSuspects:
     """The requests with strikes, and those that are watched."""
@@ -47,6 +63,10 @@
     _crash_ids: CrashIds = field(default_factory=CrashIds)
     # When each watched request was last reported, by fingerprint.
     _watched_s: dict[int, float] = field(default_factory=dict)
+    _own_strikes: deque[_OwnStrike] = field(
+        default_factory=lambda: deque(maxlen=MAX_REPEATED_STRIKES)
+    )
+    _repeat_all_until_s: float = float("-inf")
 
     def endpoint_crashed(
         self, endpoint: str, fingerprint: int, at_s: float, now_s: float
@@ -91,6 +111,27 @@
             at_s = now_s - suspect.age_s
             self._add(suspect, update.instance, at_s, now_s)
 
+    def peer_appeared(self, now_s: float) -> None:
+        """Report all strikes with the next heartbeats, for a new peer.
+
+        :param now_s: the time
+        """
+        self._repeat_all_until_s = now_s + REPEAT_ALL_STRIKES_S
+
+    def strikes_to_repeat(self, now_s: float) -> tuple[CrashSuspect, ...]:
+        """Return the strikes that the next heartbeat reports to the peers.
+
+        :param now_s: the time
+        """
+        if now_s < self._repeat_all_until_s:
+            return self._all_known(now_s)[-MAX_REPEATED_STRIKES:]
+        return tuple(
+            replace(own.suspect, age_s=max(0.0, now_s - own.at_s))
+            for own in self._own_strikes
+            if now_s - own.reported_s < REPEAT_STRIKES_S
+            and self.is_watched(own.suspect.fingerprint, now_s)
+        )
+
     def __bool__(self) -> bool:
         """Return whether any request is watched or has strikes."""
         return bool(self._watched_s or self.strikes.fingerprints())
@@ -119,6 +160,7 @@
     ) -> None:
         """Add a strike that this router found, and report it to the peers."""
         self._add(suspect, "", at_s, now_s)
+        self._own_strikes.append(_OwnStrike(at_s, now_s, suspect))
         if self.notifier is not None:
             age_s = max(0.0, now_s - at_s)
             self.notifier.report_strike(replace(suspect, age_s=age_s))
@@ -193,3 +235,20 @@
                 )
             )
         return was_watched or had_strikes
+
+    def _all_known(self, now_s: float) -> tuple[CrashSuspect, ...]:
+        """Return all strikes and watched requests, for a new peer."""
+        watched = tuple(
+            CrashSuspect(fingerprint, "", now_s - at_s, uncertain=True)
+            for fingerprint, at_s in self._watched_s.items()
+        )
+        struck = tuple(
+            CrashSuspect(
+                fingerprint,
+                strike.strike_id.rpartition("#")[0],
+                strike.age_ms / 1000,
+            )
+            for fingerprint in self.strikes.fingerprints()
+            for strike in self.strikes.strikes(fingerprint, now_s)
+        )
+        return watched + struck
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -238,10 +238,13 @@
         :param update: the update
         :param now_s: the time
         """
+        known = self.peers.peers.get(update.instance)
         self._end_peer_calls(self.peers.receive(update, now_s))
         peer = self.peers.peers.get(update.instance)
         if peer is None or peer.incarnation != update.incarnation:
             return
+        if peer is not known:
+            self.suspects.peer_appeared(now_s)
         for placed in update.placements:
             self._place_peer_call(placed, now_s)
             peer.calls.add(placed.call_id)
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -29,8 +29,8 @@
 # The longest time between two updates, so that peers know of each other.
 HEARTBEAT_S: Final = 0.5
 
-# Events and workspaces' totals per datagram; these keep its size far below a
-# network link's limit.
+# Events, and workspaces' totals or strikes, per datagram; these keep its size
+# far below a network link's limit.
 MAX_EVENTS: Final = 24
 MAX_TOTALS: Final = 64
 
@@ -105,6 +105,8 @@
         self._repeated_totals: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
         self.hosts: Callable[[], tuple[str, ...]] = tuple
+        # Returns the strikes that the next heartbeat repeats.
+        self.repeated_strikes: Callable[[], tuple[CrashSuspect, ...]] = tuple
         self.leaving = False
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -191,9 +193,10 @@
     def beat(self) -> None:
         """Send a heartbeat: an update even if nothing is pending.
 
-        It repeats the totals that changed since the last one, in case that
-        the updates with them were lost.
+        It repeats the totals that changed since the last one, and recent
+        strikes, in case that the updates with them were lost.
         """
+        self._pending.crash_suspects.extend(self.repeated_strikes())
         repeated, self._repeated_totals = self._repeated_totals, set()
         self._pending.changed_totals |= repeated
         self.flush()
@@ -218,18 +221,22 @@
                 first_events=tuple(pending.first_events),
                 ended_calls=tuple(pending.ended_calls),
                 totals=tuple(totals[:MAX_TOTALS]),
-                crash_suspects=tuple(pending.crash_suspects),
+                crash_suspects=tuple(pending.crash_suspects[:MAX_TOTALS]),
                 known_hosts=self.hosts(),
                 leaving=self.leaving,
             )
         )
-        for begin in range(MAX_TOTALS, len(totals), MAX_TOTALS):
+        strikes = pending.crash_suspects
+        last = max(len(totals), len(strikes))
+        for begin in range(MAX_TOTALS, last, MAX_TOTALS):
+            part = slice(begin, begin + MAX_TOTALS)
             self._send(
                 PeerUpdate(
                     own.instance,
                     own.incarnation,
                     own.host,
-                    totals=tuple(totals[begin : begin + MAX_TOTALS]),
+                    totals=tuple(totals[part]),
+                    crash_suspects=tuple(strikes[part]),
                 )
             )
 
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -435,6 +435,8 @@
         )
         port.hosts = front.peers.notified_hosts
         port.attach(_DatagramSender(self, number))
+        suspects = front.fleet_state.suspects
+        port.repeated_strikes = lambda: suspects.strikes_to_repeat(loop.time())
         front.fleet_state.set_notifier(port)
         platformupdates.apply_config(front, _config())
         for entry in self._entries.values():
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -234,6 +234,20 @@
             state.suspects.endpoint_crashed("e-1", 77, at_s, at_s)
         assert state.suspects.is_refused(77, 10.0)
 
+    def test_a_new_peer_is_told_all_strikes(self) -> None:
+        (first, _), (second, _) = a_router_state(1), a_router_state(2)
+        first.suspects.endpoint_crashed("e-1", 77, 1.0, 1.5)
+        assert first.suspects.strikes_to_repeat(3.0)
+        assert first.suspects.strikes_to_repeat(20.0) == ()
+        first.apply_update(PeerUpdate("front-2", 1, "10.0.0.2"), 20.0)
+        (repeated,) = first.suspects.strikes_to_repeat(20.5)
+        assert repeated == CrashSuspect(77, "e-1", 19.5)
+        update = PeerUpdate(
+            "front-1", 1, "10.0.0.1", crash_suspects=(repeated,)
+        )
+        second.apply_update(update, 20.5)
+        assert second.suspects.strikes.count(77, 20.5) == 1
+
     def test_a_watched_request_is_known_to_all_routers(self) -> None:
         (first, recorder), (second, _) = a_router_state(1), a_router_state(2)
         first.suspects.end_unknown("e-1", 77, 1.0, 1.5)
