An endpoint's error does not clear strikes, and an answer clears them at all

What callers saw: a request that had crashed two endpoints was sent on as if it were new, once an endpoint had given up on it; or the repeats of an innocent one were refused at routers that had not seen its answer.

Cause: every outcome that counts as run cleared the strikes, also status 504 of an endpoint whose time was up before the request could do harm, and an answer without a length that its connection ended. And it cleared them at the router that got it only.

Change: only a complete answer below status 500 clears, and peers are told.

--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -41,6 +41,9 @@
     def report_strike(self, suspect: CrashSuspect) -> None:
         """Report that a request was in flight when an endpoint crashed."""
 
+    def report_cleared(self, fingerprint: int) -> None:
+        """Report that an endpoint answered a request and did not crash."""
+
 
 @dataclass(frozen=True, slots=True)
 class _OwnStrike:
@@ -99,7 +102,8 @@
         :param fingerprint: the request's digest
         :param now_s: the time
         """
-        self._clear(fingerprint, "", now_s)
+        if self._clear(fingerprint, "", now_s) and self.notifier is not None:
+            self.notifier.report_cleared(fingerprint)
 
     def apply_update(self, update: PeerUpdate, now_s: float) -> None:
         """Apply what another router reports of suspects.
@@ -110,6 +114,8 @@
         for suspect in update.crash_suspects:
             at_s = now_s - suspect.age_s
             self._add(suspect, update.instance, at_s, now_s)
+        for fingerprint in update.cleared:
+            self._clear(fingerprint, update.instance, now_s)
 
     def peer_appeared(self, now_s: float) -> None:
         """Report all strikes with the next heartbeats, for a new peer.
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -76,6 +76,7 @@
         "_endpoint",
         "_fingerprint",
         "_first_event_s",
+        "_framed",
         "_head",
         "_heard_s",
         "_may_have_run_before",
@@ -152,6 +153,7 @@
         self._body_bytes = 0
         self._relaying = False  # Whether a long answer is being relayed.
         self._fingerprint = 0  # 0: not computed yet.
+        self._framed = True  # Whether the answer's length was known.
         self._heard_s = 0.0  # When bytes of the answer last arrived.
         self._may_have_run_before = False
         self._streaming = False
@@ -186,6 +188,7 @@
         self._attempt_number = number
         self.sent_s = 0.0
         self.silent_since_s = 0.0
+        self._framed = True
         self._head = None
         self._buffered_body = []
         self._body_bytes = 0
@@ -310,6 +313,7 @@
         if head is None or endpoint is None or self.done:
             self._pending = None
             return
+        self._framed = framed
         if not framed:
             runwatch.run_broken(
                 self.front,
@@ -604,6 +608,12 @@
         pending = self._pending
         return pending is not None and pending.reused and not self._heard_s
 
+    @property
+    def answer_is_proof(self) -> bool:
+        """Return whether the answer shows that its endpoint lived on."""
+        head = self._head
+        return head is not None and self._framed and head.status < 500
+
     @property
     def fingerprint(self) -> int:
         """Return a digest that is equal for repeats of this request."""
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -487,7 +487,8 @@
         """
         self.forwards.discard(forward)
         now_s = self.clock()
-        if outcome is Outcome.RAN and self.fleet_state.suspects:
+        answered = outcome is Outcome.RAN and forward.answer_is_proof
+        if answered and self.fleet_state.suspects:
             self.fleet_state.suspects.request_ran(forward.fingerprint, now_s)
         duration_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -80,6 +80,7 @@
             )
             for each in update.crash_suspects
         ],
+        cleared=list(update.cleared),
         totals=[
             _SCHEMA.Totals(
                 each.workspace,
@@ -149,6 +150,7 @@
             )
             for each in wire.struck
         ),
+        cleared=tuple(wire.cleared or ()),
         # A router of an earlier version sends no totals.
         totals=tuple(
             WorkspaceTotals(
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -43,4 +43,5 @@
   9: bool leaving
   10: list<Struck> struck
   11: list<Totals> totals
+  12: list<i64> cleared
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -63,5 +63,6 @@
     ended_calls: tuple[int, ...] = ()  # Call ids of requests that ended.
     totals: tuple[WorkspaceTotals, ...] = ()  # Those that changed lately.
     crash_suspects: tuple[CrashSuspect, ...] = ()
+    cleared: tuple[int, ...] = ()  # Fingerprints that an endpoint answered.
     known_hosts: tuple[str, ...] = ()  # IP addresses of its peers.
     leaving: bool = False  # Whether it is stopping.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -44,6 +44,7 @@
     ended_calls: list[int] = field(default_factory=list)
     changed_totals: set[str] = field(default_factory=set)  # Workspaces.
     crash_suspects: list[CrashSuspect] = field(default_factory=list)
+    cleared: list[int] = field(default_factory=list)
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -52,7 +53,7 @@
             + len(self.first_events)
             + len(self.ended_calls)
         )
-        return events + len(self.crash_suspects)
+        return events + len(self.crash_suspects) + len(self.cleared)
 
 
 @dataclass(slots=True)
@@ -190,6 +191,14 @@
         self._pending.crash_suspects.append(suspect)
         self._schedule_flush()
 
+    def report_cleared(self, fingerprint: int) -> None:
+        """Report that an endpoint answered a request and did not crash.
+
+        :param fingerprint: the request's digest
+        """
+        self._pending.cleared.append(fingerprint)
+        self._schedule_flush()
+
     def beat(self) -> None:
         """Send a heartbeat: an update even if nothing is pending.
 
@@ -222,6 +231,7 @@
                 ended_calls=tuple(pending.ended_calls),
                 totals=tuple(totals[:MAX_TOTALS]),
                 crash_suspects=tuple(pending.crash_suspects[:MAX_TOTALS]),
+                cleared=tuple(pending.cleared),
                 known_hosts=self.hosts(),
                 leaving=self.leaving,
             )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -98,6 +98,16 @@
         assert is_refused_at_last(history)
         assert refused_innocents(history) == []
 
+    @pytest.mark.parametrize("path", ("/tell/", "/once/"))
+    def test_an_endpoint_that_gives_up_does_not_clear_it(
+        self, path: str
+    ) -> None:
+        body = Body.CRASH_OR_TIMEOUT
+        history = play(CrashPlan((Repeats(body, path),)))
+        late = history.sent_after_third_crash(body)
+        assert len(late) <= MAX_LATE_SENDS
+        assert is_refused_at_last(history, body)
+
 
 class InnocentRequestSuite:
     """Requests that crash nothing are not refused."""
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -73,6 +73,9 @@
     def report_strike(self, suspect: CrashSuspect) -> None:
         self.updates.append(replace(self.identity, crash_suspects=(suspect,)))
 
+    def report_cleared(self, fingerprint: int) -> None:
+        self.updates.append(replace(self.identity, cleared=(fingerprint,)))
+
 
 def a_router_state(number: int) -> tuple[FleetState, UpdateRecorder]:
     """Return a router's state with three engines, and its recorder."""
@@ -234,6 +237,16 @@
             state.suspects.endpoint_crashed("e-1", 77, at_s, at_s)
         assert state.suspects.is_refused(77, 10.0)
 
+    def test_an_answer_clears_the_strikes_at_all_routers(self) -> None:
+        (first, recorder), (second, _) = a_router_state(1), a_router_state(2)
+        for name in ("e-1", "e-2", "e-3"):
+            first.suspects.endpoint_crashed(name, 77, 1.0, 1.5)
+        deliver(recorder, second, 1.6)
+        first.suspects.request_ran(77, 2.0)
+        deliver(recorder, second, 2.1)
+        for state in (first, second):
+            assert not state.suspects.is_refused(77, 3.0)
+
     def test_a_new_peer_is_told_all_strikes(self) -> None:
         (first, _), (second, _) = a_router_state(1), a_router_state(2)
         first.suspects.endpoint_crashed("e-1", 77, 1.0, 1.5)
