Repeats of a request share their strikes whatever service they go to

What callers saw: nothing yet; found while looking for the cause elsewhere.

Cause: the fingerprint contained the service, so that the repeats of one request had two of them on a split route, and new ones after a route moved.

Evidence: the new test of a split route, in which the request crashes more than four endpoints before, and passes now.

--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -616,12 +616,13 @@
 
     @property
     def fingerprint(self) -> int:
-        """Return a digest that is equal for repeats of this request."""
+        """Return a digest that is equal for repeats of this request.
+
+        The service is left out, as a route may be split or move.
+        """
         if not self._fingerprint:
             content = self.call.target + b"\n" + self.exchange.body
-            self._fingerprint = fingerprint(
-                self.workspace, self.service, content
-            )
+            self._fingerprint = fingerprint(self.workspace, "", content)
         return self._fingerprint
 
     @property
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -98,6 +98,13 @@
         assert is_refused_at_last(history)
         assert refused_innocents(history) == []
 
+    def test_the_services_of_a_split_route_count_together(self) -> None:
+        history = play(CrashPlan((crashing("/split/"),)))
+        late = history.sent_after_third_crash(Body.CRASH)
+        assert len(late) <= MAX_LATE_SENDS
+        assert len(history.sent[Body.CRASH]) <= 4
+        assert is_refused_at_last(history)
+
     @pytest.mark.parametrize("path", ("/tell/", "/once/"))
     def test_an_endpoint_that_gives_up_does_not_clear_it(
         self, path: str
