Each retry of an attempt is checked against the strikes, not just arrivals

What callers saw: a resumable stream, or a call that may be repeated, went through all of its endpoints although its repeats were refused by then.

Cause: strikes were looked at once, when a request arrived. Its retries, also those after an endpoint was silent for too long, were sent unseen.

If the request may have run before, the caller gets B108 (502), else B128.

--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -174,6 +174,9 @@
     def _start_attempt(self) -> None:
         """Choose an endpoint and queue the request for a connection to it."""
         front = self.front
+        if front.crashes_endpoints(self):
+            self._refuse_crashing()
+            return
         choice = front.choose_endpoint(self)
         if isinstance(choice, Notice):
             self._answer_notice(choice, Outcome.NOT_RUN)
@@ -500,6 +503,13 @@
                     self._endpoint, self._attempt_number
                 )
 
+    def _refuse_crashing(self) -> None:
+        """End a request that crashes endpoints."""
+        if self.progress.may_have_run:
+            self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
+        else:
+            self._answer_notice(messages.CRASHES_ENDPOINTS, Outcome.NOT_RUN)
+
     def _answer_notice(self, notice: Notice, outcome: Outcome) -> None:
         """End the request with a refusal or failure from the router."""
         if self.exchange.started:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -115,6 +115,13 @@
         assert len(late) <= MAX_LATE_SENDS
         assert is_refused_at_last(history, body)
 
+    def test_retries_of_one_attempt_stop_too(self) -> None:
+        plan = CrashPlan((crashing("/often/", interval_s=100.0),), end_s=10.0)
+        history = play(plan)
+        sent = history.sent[Body.CRASH]
+        assert len(history.asked[Body.CRASH]) == 1
+        assert len(sent) <= 3 + MAX_LATE_SENDS
+
 
 class InnocentRequestSuite:
     """Requests that crash nothing are not refused."""
