Requests that crash nothing are not refused for crashes beside them

What callers saw: nothing yet.

Change: a strike does not count if another request that was in flight there has more of them, and one more strike is needed if most of the crashes in the same time were without the request. The first is tested with a request that was beside another one at three crashes, the second with one that was hit by three of nine; both would be refused before.

--- a/src/bulrushstream/coordination/crashids.py
+++ b/src/bulrushstream/coordination/crashids.py
@@ -40,3 +40,15 @@
         if len(self._times_s) > MAX_ENDPOINTS:
             self._times_s.popitem(last=False)
         return f"{endpoint}#{len(times_s) - 1}"
+
+    def count_between(self, begin_s: float, end_s: float) -> int:
+        """Return the number of crashes of all endpoints in an interval.
+
+        :param begin_s: its begin
+        :param end_s: its end
+        """
+        return sum(
+            begin_s <= at_s <= end_s
+            for times_s in self._times_s.values()
+            for at_s in times_s
+        )
--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -2,8 +2,9 @@
 
 A request is known by its *fingerprint*, which all its repeats share.  It
 gets a *strike* for each crash of an endpoint that was running it.  With
-enough of them it is refused, until an endpoint answers it after all.
-Routers tell each other of strikes and of answers.
+enough of them it is refused, unless other requests explain the crashes
+better, until an endpoint answers it after all.  Routers tell each other of
+strikes and of answers.
 """
 
 from __future__ import annotations
@@ -21,7 +22,8 @@
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.peerupdate import CrashSuspect, PeerUpdate
 
-# A request with this many strikes is refused.
+# A request with this many strikes is refused, or with one more if most of
+# the crashes in the same time were without it.
 MAX_STRIKES: Final = 3
 
 # How long the strikes of this router are repeated to its peers, longer than
@@ -159,7 +161,13 @@
         :param fingerprint: the request's digest
         :param now_s: the time
         """
-        return self.strikes.count(fingerprint, now_s) >= MAX_STRIKES
+        if self.strikes.count(fingerprint, now_s) < MAX_STRIKES:
+            return False
+        count = self.strikes.unexplained_count(fingerprint, now_s)
+        begin_s, end_s = self.strikes.span_s(fingerprint)
+        crashes = self._crash_ids.count_between(begin_s, end_s)
+        limit = MAX_STRIKES if count * 2 > crashes else MAX_STRIKES + 1
+        return count >= limit
 
     def _report(
         self, suspect: CrashSuspect, at_s: float, now_s: float
--- a/src/bulrushstream/coordination/quarantine.py
+++ b/src/bulrushstream/coordination/quarantine.py
@@ -156,6 +156,34 @@
             del self._strikes[fingerprint]
         return len(strikes)
 
+    def unexplained_count(self, fingerprint: int, now_s: float) -> int:
+        """Return the number of strikes that no other request explains.
+
+        Of the requests with a strike for one crash, those with the most
+        strikes explain it.
+
+        :param fingerprint: the requests' fingerprint
+        :param now_s: the time
+        """
+        own = self.count(fingerprint, now_s)
+        explained: set[str] = set()
+        for strikes in self._strikes.values():
+            if len(strikes) > own:
+                explained.update(strikes)
+        own_strikes = self._strikes.get(fingerprint, {})
+        return sum(strike_id not in explained for strike_id in own_strikes)
+
+    def span_s(self, fingerprint: int) -> tuple[float, float]:
+        """Return the times of the first and the last strike; (0, 0): none.
+
+        :param fingerprint: the requests' fingerprint
+        """
+        times = [
+            strike.at_s
+            for strike in self._strikes.get(fingerprint, {}).values()
+        ]
+        return (min(times), max(times)) if times else (0.0, 0.0)
+
     def is_refused(self, fingerprint: int, now_s: float) -> bool:
         """Return whether a fingerprint is in quarantine."""
         return self.count(fingerprint, now_s) >= self.options.max_strikes
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -237,6 +237,29 @@
             state.suspects.endpoint_crashed("e-1", 77, at_s, at_s)
         assert state.suspects.is_refused(77, 10.0)
 
+    def test_strikes_that_another_request_explains_do_not_count(self) -> None:
+        state, _ = a_router_state(1)
+        for number in range(4):
+            state.suspects.endpoint_crashed(f"e-{number}", 77, number, number)
+            if number:
+                state.suspects.endpoint_crashed(
+                    f"e-{number}", 78, number, number
+                )
+        assert state.suspects.is_refused(77, 10.0)
+        assert not state.suspects.is_refused(78, 10.0)
+
+    def test_more_strikes_are_needed_while_others_crash(self) -> None:
+        state, _ = a_router_state(1)
+        for number in range(8):
+            state.suspects.endpoint_crashed(
+                f"e-{number}", 100 + number, number, number
+            )
+        for number in (0, 3, 7):
+            state.suspects.endpoint_crashed(f"e-{number}", 77, number, number)
+        assert not state.suspects.is_refused(77, 10.0)
+        state.suspects.endpoint_crashed("e-9", 77, 9.0, 9.0)
+        assert state.suspects.is_refused(77, 10.0)
+
     def test_an_answer_clears_the_strikes_at_all_routers(self) -> None:
         (first, recorder), (second, _) = a_router_state(1), a_router_state(2)
         for name in ("e-1", "e-2", "e-3"):
