--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -30,6 +30,9 @@
 PROBE_INTERVAL_S: Final = 0.5
 PROBE_TIMEOUT_S: Final = 0.5
 
+# Added to timers, which may fire a little early.
+TIMER_MARGIN_S: Final = 0.005
+
 # Runs without a verdict, over all endpoints; further ones are not judged.
 MAX_OPEN_RUNS: Final = 4096
 
@@ -97,6 +100,10 @@
             self._watched[endpoint.name] = watched
         watched.runs.append(run)
         watched.active_s = self.clock()
+        # The verdict should not wait for the next sweep.
+        asyncio.get_running_loop().call_later(
+            SETTLE_S + TIMER_MARGIN_S, self._judge_all, watched
+        )
 
     def add_sign(self, endpoint: str, sign: Sign) -> None:
         """Record what was seen at the address of an endpoint.
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -116,7 +116,13 @@
         assert is_refused_at_last(history, body)
 
     def test_retries_of_one_attempt_stop_too(self) -> None:
-        plan = CrashPlan((crashing("/often/", interval_s=100.0),), end_s=10.0)
+        plan = CrashPlan(
+            (crashing("/often/", interval_s=100.0),),
+            Ending(Point.BEFORE, Link.CLOSED, After.OTHER_ID),
+            routers=1,  # It has the whole budget of retries.
+            background_per_s=20.0,
+            end_s=10.0,
+        )
         history = play(plan)
         sent = history.sent[Body.CRASH]
         assert len(history.asked[Body.CRASH]) == 1
