Agents report a crash also if the answer ends early, or not at all

An endpoint that crashes amid a stream whose end is that of its connection, or that holds it open until the deadline, was reported as alive, and the request that crashes it got no strike.

The agent now asks after every answer that does not end properly. Both cases of the new test fail before and pass now.

--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -7,8 +7,8 @@
   endpoint.
 - `complete` is true only if the answer ended properly; a model engine's
   stream ends with `data: [DONE]`.
-- `crashed` is true if the connection broke and the endpoint then refused
-  a new one.
+- `crashed` is true if the answer did not end properly and the endpoint then
+  accepted no new connection.
 
 A model engine's broken stream is resumed, once by default, after the
 complete events received so far.  Incomplete events are not passed on, so
@@ -130,7 +130,8 @@
                 yield self._end(state, False, True, _reason(error))
                 return
             except TimeoutError:
-                yield self._end(state, False, detail="deadline passed")
+                crashed = await self._is_down()
+                yield self._end(state, False, crashed, "deadline passed")
                 return
             except httpx.HTTPError as error:
                 if self._may_resume(state):
@@ -143,7 +144,8 @@
                 yield self._end(state, True)
                 return
             if not self._may_resume(state):
-                yield self._end(state, False, detail="no last event")
+                crashed = await self._is_down()
+                yield self._end(state, False, crashed, "no last event")
                 return
 
     async def _run_once(
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -150,6 +150,40 @@
         end = run_end(first + rest)
         assert (end.complete, end.started, end.crashed) == (False, True, True)
 
+    @pytest.mark.parametrize("closes", (True, False))
+    async def test_crash_is_reported_without_a_broken_connection(
+        self, closes: bool
+    ) -> None:
+        """Guards against crashes after the head that go uncounted."""
+        writers = []
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writers.append(writer)
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+                b"connection: close\r\n\r\ndata: {}\n\n"
+            )
+            server.close()
+            if closes:
+                writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        options = RunnerOptions(
+            f"http://127.0.0.1:{port}", True, resume_limit=0
+        )
+        runner = EndpointRunner(options)
+        dispatch = a_dispatch(STREAM, stream=True, timeout_ms=500)
+        events = await collect_run(runner, dispatch)
+        await runner.close()
+        for writer in writers:
+            writer.close()
+        end = run_end(events)
+        assert (end.complete, end.started, end.crashed) == (False, True, True)
+
     async def test_refused_connection_is_not_started(self) -> None:
         with socket.socket() as unused:
             unused.bind(("127.0.0.1", 0))
