Silent runs are found by the first connection that is heard

Four times a second a router looked at every connection of an endpoint for each request that waits there without an answer. It stops now at the first connection that bytes came on lately.

--- a/src/bulrushstream/daemon/runwatch.py
+++ b/src/bulrushstream/daemon/runwatch.py
@@ -61,7 +61,7 @@
             limit_s = max(limit_s, forward.route.latency_target_s)
         if now_s - forward.last_heard_s <= limit_s:
             continue
-        if now_s - _heard_s(forward) > LONG_SILENCE_S:
+        if not forward.pool.is_heard(forward.sent_s, now_s - LONG_SILENCE_S):
             _watch_silent(front, forward, endpoint)
 
 
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -101,6 +101,11 @@
         del at_s
         return ConnectionsSeen(ended=0, open=0, heard=False)
 
+    def is_heard(self, opened_by_s: float, since_s: float) -> bool:
+        """Return that no bytes came."""
+        del opened_by_s, since_s
+        return False
+
     def heard_s(self, opened_by_s: float) -> float:
         """Return that no bytes came."""
         del opened_by_s
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -438,6 +438,17 @@
             ),
         )
 
+    def is_heard(self, opened_by_s: float, since_s: float) -> bool:
+        """Return whether bytes came lately on a connection opened by a time.
+
+        :param opened_by_s: the time by which it was opened
+        :param since_s: the time since which bytes count
+        """
+        return any(
+            each.heard_s >= since_s and each.opened_s <= opened_by_s
+            for each in self._all
+        )
+
     def heard_s(self, opened_by_s: float) -> float:
         """Return when bytes last came on a connection opened by a time.
 
