Retired connections end with their pool; unknown ends are told once

Connections that were retired just before an endpoint was removed stayed open until the endpoint closed them. An uncertain report asks for care only, and is not worth a repeat at each heartbeat. Runs that counted are looked up in a dictionary.

--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -174,7 +174,8 @@
     ) -> None:
         """Add a strike that this router found, and report it to the peers."""
         self._add(suspect, "", at_s, now_s)
-        self._own_strikes.append(_OwnStrike(at_s, now_s, suspect))
+        if not suspect.uncertain:
+            self._own_strikes.append(_OwnStrike(at_s, now_s, suspect))
         if self.notifier is not None:
             age_s = max(0.0, now_s - at_s)
             self.notifier.report_strike(replace(suspect, age_s=age_s))
--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -36,6 +35,9 @@
 # Runs without a verdict, over all endpoints; further ones are not judged.
 MAX_OPEN_RUNS: Final = 4096
 
+# Runs that counted, which are remembered so that each counts once.
+MAX_COUNTED_RUNS: Final = 4096
+
 # Encodes a probe of an endpoint; None: its service has none.
 EncodeProbe = Callable[[Endpoint], bytes | None]
 
@@ -74,9 +76,7 @@
     on_unknown: Callable[[str, BrokenRun], None]
     _watched: dict[str, _Watched] = field(default_factory=dict)
     # Endpoint and request of the runs that counted.
-    _counted: deque[tuple[str, str]] = field(
-        default_factory=lambda: deque(maxlen=MAX_OPEN_RUNS)
-    )
+    _counted: dict[tuple[str, str], None] = field(default_factory=dict)
 
     def add(self, endpoint: Endpoint, pool: Pool, run: BrokenRun) -> None:
         """Watch an endpoint because of a run that broke there.
@@ -149,7 +149,9 @@
         ended = judgement.verdict is Verdict.ENDED
         self._log_verdict(name, run, ended, judgement.reason, seen)
         if ended:
-            self._counted.append((name, run.request_id))
+            self._counted[name, run.request_id] = None
+            if len(self._counted) > MAX_COUNTED_RUNS:
+                del self._counted[next(iter(self._counted))]
             self.on_crash(name, run)
         elif judgement.verdict is Verdict.UNKNOWN:
             self.on_unknown(name, run)
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -481,9 +481,10 @@
         self._idle.clear()
 
     def drop_idle(self) -> None:
-        """Close all idle connections."""
-        while self._idle:
-            self._idle.popleft().close()
+        """Close all idle and retired connections."""
+        for queue in (self._idle, self._retired):
+            while queue:
+                queue.popleft().close()
 
     def expire_idle(self) -> None:
         """Close the idle connections whose idle time has passed."""
