--- /dev/null
+++ b/tests/test_crash_evidence.py
@@ -0,0 +1,173 @@
+"""Verdicts on broken runs: whether the endpoint ended or lost an answer."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from bulrushstream.coordination.crashevidence import (
+    GIVE_UP_S,
+    SETTLE_S,
+    SILENT_S,
+    BrokenRun,
+    Verdict,
+    judge_run,
+)
+from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.daemon.crashwatch import CrashWatch
+from bulrushstream.state.call import AnswerProgress
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.endpointsigns import ConnectionsSeen, Sign
+from bulrushstream.transport.upstream import Pool
+from tests.deployments import an_entry
+
+CLOSED = BrokenRun("q1", 77, 1.0, False, False, AnswerProgress.BODY)
+SILENT = replace(CLOSED, silent=True)
+ALONE = ConnectionsSeen(ended=1, open=0, heard=False)
+
+
+def verdict(
+    run: BrokenRun,
+    seen: ConnectionsSeen,
+    signs: dict[Sign, float],
+    after_s: float = SETTLE_S,
+) -> Verdict:
+    return judge_run(run, seen, signs, run.broke_s + after_s).verdict
+
+
+class VerdictSuite:
+    @pytest.mark.parametrize("run", (CLOSED, SILENT))
+    @pytest.mark.parametrize("progress", AnswerProgress)
+    @pytest.mark.parametrize(
+        "sign", (Sign.REFUSED, Sign.OTHER_INSTANCE, Sign.REMOVED)
+    )
+    def test_signs_of_an_end_count_however_far_the_answer_was(
+        self, run: BrokenRun, progress: AnswerProgress, sign: Sign
+    ) -> None:
+        run = replace(run, progress=progress)
+        assert verdict(run, ALONE, {sign: 1.1}, 0.1) is Verdict.ENDED
+
+    def test_signs_from_before_the_break_do_not_count(self) -> None:
+        assert verdict(CLOSED, ALONE, {Sign.REFUSED: 0.9}) is Verdict.OPEN
+
+    @pytest.mark.parametrize("run", (CLOSED, SILENT))
+    @pytest.mark.parametrize("sign", Sign)
+    def test_a_connection_that_goes_on_shows_that_it_lives(
+        self, run: BrokenRun, sign: Sign
+    ) -> None:
+        seen = ConnectionsSeen(ended=9, open=1, heard=True)
+        assert verdict(run, seen, {sign: 1.1}) is Verdict.LIVES
+
+    @pytest.mark.parametrize(
+        ("ended", "still_open", "expected"),
+        (
+            (1, 1, Verdict.LIVES),
+            (1, 5, Verdict.LIVES),
+            (2, 0, Verdict.ENDED),
+            (6, 1, Verdict.ENDED),
+            (2, 1, Verdict.OPEN),
+            (1, 0, Verdict.OPEN),
+        ),
+    )
+    def test_connections_that_end_together(
+        self, ended: int, still_open: int, expected: Verdict
+    ) -> None:
+        seen = ConnectionsSeen(ended, still_open, heard=False)
+        assert verdict(CLOSED, seen, {}) is expected
+        assert verdict(CLOSED, seen, {}, SETTLE_S / 2) is Verdict.OPEN
+
+    def test_the_same_id_behind_a_single_connection_tells_nothing(
+        self,
+    ) -> None:
+        signs = {Sign.SAME_INSTANCE: 1.1}
+        assert verdict(CLOSED, ALONE, signs) is Verdict.UNKNOWN
+        seen = ConnectionsSeen(ended=0, open=1, heard=False)
+        after_s = SILENT_S + 1.0
+        assert verdict(SILENT, seen, signs, after_s) is Verdict.UNKNOWN
+
+    def test_old_connections_are_silent_beside_new_ones(self) -> None:
+        signs = {Sign.NO_ANSWER: 1.6, Sign.SAME_INSTANCE: 1.7}
+        seen = ConnectionsSeen(ended=0, open=2, heard=False)
+        assert verdict(SILENT, seen, signs, 1.0) is Verdict.OPEN
+        assert verdict(SILENT, seen, signs, SILENT_S) is Verdict.ENDED
+        reused = replace(SILENT, unproven_connection=True)
+        assert verdict(reused, seen, signs, SILENT_S) is Verdict.UNKNOWN
+
+    def test_a_mute_address_tells_nothing(self) -> None:
+        signs = {Sign.NO_ANSWER: 2.0}
+        for run in (CLOSED, SILENT):
+            assert verdict(run, ALONE, signs, GIVE_UP_S) is Verdict.OPEN
+            after_s = GIVE_UP_S + 0.1
+            assert verdict(run, ALONE, signs, after_s) is Verdict.UNKNOWN
+
+
+class _SeenPool(Pool):
+    """A pool whose connections became what a test says."""
+
+    seen_value = ALONE
+
+    def seen(self, at_s: float) -> ConnectionsSeen:
+        return self.seen_value
+
+
+class _Watch:
+    """A watch of one endpoint, and what it found."""
+
+    def __init__(
+        self, seen: ConnectionsSeen = ALONE, leaving: bool = False
+    ) -> None:
+        self.now_s = 1.0
+        self.crashes: list[str] = []
+        self.lines: list[Decision] = []
+        self.watch = CrashWatch(
+            lambda: self.now_s,
+            lambda endpoint: None,
+            lambda status, headers: None,
+            self.lines.append,
+            lambda endpoint, run: self.crashes.append(endpoint),
+            lambda endpoint, run: None,
+        )
+        self._endpoint = Endpoint(an_entry("e-1", leaving=leaving), None)
+        self._pool = _SeenPool("h", 1, lambda: self.now_s)
+        self._pool.seen_value = seen
+
+    def add(self, run: BrokenRun) -> None:
+        self.watch.add(self._endpoint, self._pool, run)
+
+    def refuse(self, now_s: float) -> None:
+        """Record that the endpoint's address refuses a connection."""
+        self.now_s = now_s
+        self.watch.add_sign("e-1", Sign.REFUSED)
+        self.watch.sweep()
+
+    def kinds(self) -> list[str]:
+        return [line.kind for line in self.lines]
+
+
+class WatchSuite:
+    async def test_a_verdict_stands_whatever_is_seen_later(self) -> None:
+        """Guards against a lost answer that a later crash makes a strike."""
+        watch = _Watch(ConnectionsSeen(ended=1, open=2, heard=False))
+        watch.add(CLOSED)
+        watch.now_s = 2.0
+        watch.watch.sweep()
+        watch.refuse(2.5)
+        watch.refuse(9.0)
+        assert watch.crashes == []
+        assert watch.kinds() == ["not_counted", "endpoint_seen"]
+
+    async def test_each_run_counts_once(self) -> None:
+        watch = _Watch()
+        watch.add(SILENT)
+        watch.refuse(1.5)
+        watch.add(replace(CLOSED, broke_s=4.0))
+        watch.refuse(5.0)
+        assert watch.crashes == ["e-1"]
+
+    async def test_a_leaving_endpoint_may_cut_off_its_runs(self) -> None:
+        watch = _Watch(leaving=True)
+        watch.add(CLOSED)
+        watch.refuse(1.5)
+        assert watch.crashes == []
+        assert watch.kinds() == ["not_counted"]
