Review of the change: one stand-in of pools without idle connections

Two simulated pools had the same answers about connections that carry no request. The plans of the test of crashing requests are in a module of their own, and each test says what it guards against.

--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -40,8 +40,8 @@
     RoutingHistory,
     Run,
 )
+from bulrushstream.history.singleusepool import SingleUsePool
 from bulrushstream.metrics import make_metrics
-from bulrushstream.state.endpointsigns import ConnectionsSeen
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.routes import (
     RouteConfig,
@@ -81,7 +81,7 @@
 
 
 @dataclass(slots=True)
-class _Pool:
+class _Pool(SingleUsePool):
     """One router's connections to an endpoint; stands in for `Pool`."""
 
     fleet: RoutingFleet
@@ -96,27 +96,6 @@
         self.fleet.check_not_draining(self.router, self.endpoint)
         return Attempt(self.fleet, self.endpoint, sink)
 
-    def seen(self, at_s: float) -> ConnectionsSeen:
-        """Return that no connection outlives its request."""
-        del at_s
-        return ConnectionsSeen(ended=0, open=0, heard=False)
-
-    def is_heard(self, opened_by_s: float, since_s: float) -> bool:
-        """Return that no bytes came."""
-        del opened_by_s, since_s
-        return False
-
-    def heard_s(self, opened_by_s: float) -> float:
-        """Return that no bytes came."""
-        del opened_by_s
-        return float("-inf")
-
-    def add_idle(self) -> None:
-        """Do nothing: there are no idle connections."""
-
-    def retire_idle(self) -> None:
-        """Do nothing: there are no idle connections."""
-
 
 @dataclass(slots=True)
 class _EndpointConnections:
--- /dev/null
+++ b/src/bulrushstream/history/singleusepool.py
@@ -0,0 +1,32 @@
+"""A simulated pool whose connections carry one request each."""
+
+from __future__ import annotations
+
+from bulrushstream.state.endpointsigns import ConnectionsSeen
+
+
+class SingleUsePool:
+    """The parts of `Pool` that concern connections without a request."""
+
+    __slots__ = ()
+
+    def seen(self, at_s: float) -> ConnectionsSeen:
+        """Return that no connection outlives its request."""
+        del at_s
+        return ConnectionsSeen(ended=0, open=0, heard=False)
+
+    def is_heard(self, opened_by_s: float, since_s: float) -> bool:
+        """Return that no bytes came on other connections."""
+        del opened_by_s, since_s
+        return False
+
+    def heard_s(self, opened_by_s: float) -> float:
+        """Return that no bytes came on other connections."""
+        del opened_by_s
+        return float("-inf")
+
+    def add_idle(self) -> None:
+        """Do nothing: there are no idle connections."""
+
+    def retire_idle(self) -> None:
+        """Do nothing: there are no idle connections."""
--- /dev/null
+++ b/tests/crashplans.py
@@ -0,0 +1,186 @@
+"""Plans of runs in which endpoints end, and what happened in a run."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field, replace
+from typing import Any, Final
+
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.routes import (
+    EngineTraits,
+    PooledService,
+    RequestKind,
+    RouteConfig,
+    SplitShare,
+)
+from tests.crashingendpoints import (
+    HEALTH_PATH,
+    After,
+    Body,
+    Ending,
+    Link,
+    Point,
+)
+from tests.deployments import a_config, a_route
+
+CONTACT_S: Final = 3.0  # A router is in touch this long after a fault.
+TIMEOUT_S: Final = 4.0  # A caller gives up after this.
+SERVICES: Final = {"llm": 6, "desk": 4, "till": 3}  # Endpoints of each.
+
+
+@dataclass(frozen=True, slots=True)
+class _RouteTraits:
+    """What distinguishes a route of the fleet."""
+
+    services: tuple[str, ...]
+    kind: RequestKind
+    resumable: bool = False
+    max_attempts: int = 3
+
+    @property
+    def streams(self) -> bool:
+        """Return whether its answers are event streams."""
+        return self.kind is RequestKind.STREAMING
+
+
+# By path prefix.
+ROUTES: Final = {
+    "/talk/": _RouteTraits(("llm",), RequestKind.STREAMING, True),
+    "/tell/": _RouteTraits(("llm",), RequestKind.STREAMING),
+    "/safe/": _RouteTraits(("desk",), RequestKind.IDEMPOTENT),
+    "/once/": _RouteTraits(("desk",), RequestKind.NON_IDEMPOTENT),
+    "/split/": _RouteTraits(("desk", "till"), RequestKind.NON_IDEMPOTENT),
+    "/often/": _RouteTraits(
+        ("llm",), RequestKind.STREAMING, True, max_attempts=8
+    ),
+}
+BACKGROUND_PATHS: Final = ("/talk/", "/tell/", "/safe/", "/once/")
+
+
+@dataclass(frozen=True, slots=True)
+class Repeats:
+    """One request that its callers send again and again."""
+
+    body: bytes  # What it does to endpoints; see `Body`.
+    path: str
+    interval_s: float = 1.0
+    begin_s: float = 3.0
+    routers: tuple[int, ...] = ()  # In turn; empty: all.
+
+
+@dataclass(frozen=True, slots=True)
+class RouterFault:
+    """A router that is restarted, or cut off from its peers."""
+
+    at_s: float
+    routers: tuple[int, ...]
+    cut_s: float = 0.0  # How long it is cut off; 0: it is restarted.
+
+
+@dataclass(frozen=True, slots=True)
+class CrashPlan:
+    """A run of routers before endpoints that end."""
+
+    repeats: tuple[Repeats, ...] = ()
+    ending: Ending = field(
+        default_factory=lambda: Ending(Point.AMID, Link.CLOSED, After.REFUSES)
+    )
+    faults: tuple[RouterFault, ...] = ()
+    kills: tuple[tuple[float, str], ...] = ()  # Times and services.
+    seed: int = 1
+    routers: int = 4
+    loss: float = 0.02  # Share of lost updates between routers.
+    background_per_s: float = 2.0  # Streams and calls, at each router.
+    end_s: float = 34.0
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request that reached an endpoint."""
+
+    at_s: float
+    router: int
+    endpoint: str
+
+
+@dataclass(slots=True)
+class CrashHistory:
+    """What happened in a run, by the body of the requests."""
+
+    sent: dict[bytes, list[Sent]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    ids: dict[bytes, list[str]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    crashes_s: list[float] = field(default_factory=list)
+    asked: dict[bytes, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    # Status and code of each answer; code is empty unless a router's.
+    answers: dict[bytes, list[tuple[str, str]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    decisions: list[tuple[float, int, Decision]] = field(default_factory=list)
+    out_of_touch: list[tuple[float, float, int]] = field(default_factory=list)
+
+    def sent_after_third_crash(self, body: bytes) -> list[Sent]:
+        """Return what routers in touch sent long after the third crash."""
+        if len(self.crashes_s) < 3:
+            return []
+        begin_s = sorted(self.crashes_s)[2] + CONTACT_S
+        return [
+            sent
+            for sent in self.sent[body]
+            if sent.at_s > begin_s and self._in_touch(sent)
+        ]
+
+    def codes(self, body: bytes) -> list[str]:
+        """Return the codes of the routers' own answers to a request."""
+        return [code for _, code in self.answers[body] if code]
+
+    def lines(self, kind: str, endpoint: str = "") -> list[Decision]:
+        """Return the log lines of a kind, about an endpoint if given."""
+        return [
+            line
+            for _, _, line in self.decisions
+            if line.kind == kind and endpoint in ("", line.endpoint)
+        ]
+
+    def _in_touch(self, sent: Sent) -> bool:
+        return not any(
+            begin_s <= sent.at_s < end_s and sent.router == router
+            for begin_s, end_s, router in self.out_of_touch
+        )
+
+
+def crashing(path: str, **changes: Any) -> Repeats:
+    """Return the repeats of a request that crashes endpoints."""
+    return replace(Repeats(Body.CRASH, path), **changes)
+
+
+def crash_config() -> RouteConfig:
+    """Return the configuration of the fleet's routes and services."""
+    routes: tuple[Any, ...] = tuple(
+        a_route(
+            name=f"r{prefix}",
+            prefix=prefix,
+            kind=traits.kind,
+            split=tuple(SplitShare(name, 1.0) for name in traits.services),
+            timeout_s=TIMEOUT_S,
+            latency_target_s=0.8,
+            max_attempts=traits.max_attempts,
+            resumable=traits.resumable,
+            max_event_gap_s=0.25,
+        )
+        for prefix, traits in ROUTES.items()
+    )
+    return replace(
+        a_config(*routes),
+        services=(
+            PooledService("desk", 400, None, HEALTH_PATH),
+            PooledService("till", 400, None, HEALTH_PATH),
+            PooledService("llm", 400, EngineTraits(64, 200_000), HEALTH_PATH),
+        ),
+    )
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -22,11 +22,11 @@
     host_of,
     settings_of,
 )
+from bulrushstream.history.singleusepool import SingleUsePool
 from bulrushstream.history.virtualloop import run_virtually
 from bulrushstream.metrics import make_metrics
 from bulrushstream.protocol.peercodec import decode_update
 from bulrushstream.state.call import Call, Prompt, PromptPart, RawHeaders
-from bulrushstream.state.endpointsigns import ConnectionsSeen
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.routes import (
     EngineTraits,
@@ -93,7 +93,7 @@
 
 
 @dataclass(slots=True)
-class _Pool:
+class _Pool(SingleUsePool):
     """One router's connections to an engine; stands in for `Pool`."""
 
     fleet: ModelFleet
@@ -109,27 +109,6 @@
         )
         return attempt
 
-    def seen(self, at_s: float) -> ConnectionsSeen:
-        """Return that no connection outlives its request."""
-        del at_s
-        return ConnectionsSeen(ended=0, open=0, heard=False)
-
-    def is_heard(self, opened_by_s: float, since_s: float) -> bool:
-        """Return that no bytes came."""
-        del opened_by_s, since_s
-        return False
-
-    def heard_s(self, opened_by_s: float) -> float:
-        """Return that no bytes came."""
-        del opened_by_s
-        return float("-inf")
-
-    def add_idle(self) -> None:
-        """Do nothing: there are no idle connections."""
-
-    def retire_idle(self) -> None:
-        """Do nothing: there are no idle connections."""
-
 
 @dataclass(slots=True)
 class _Connections:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,15 +12,15 @@
 
 from bulrushstream.messages import CRASHES_ENDPOINTS
 from bulrushstream.state.call import AnswerProgress
-from tests.crashfleets import (
+from tests.crashfleets import play
+from tests.crashingendpoints import After, Body, Ending, Link, Point
+from tests.crashplans import (
     CrashHistory,
     CrashPlan,
     Repeats,
     RouterFault,
     crashing,
-    play,
 )
-from tests.crashingendpoints import After, Body, Ending, Link, Point
 
 # Sends of a request by routers in touch, long after its third crash.
 MAX_LATE_SENDS = 3
@@ -56,6 +56,7 @@
     def test_it_stops_after_few_crashes(
         self, ending: Ending, path: str
     ) -> None:
+        """Guards against crashes that no router counts."""
         history = play(CrashPlan((crashing(path),), ending))
         assert len(history.crashes_s) >= 3
         late = history.sent_after_third_crash(Body.CRASH)
@@ -68,6 +69,7 @@
     def test_it_stops_at_routers_without_other_traffic(
         self, after: After, path: str
     ) -> None:
+        """Guards against crashes that only other traffic would show."""
         plan = CrashPlan(
             (crashing(path),),
             Ending(Point.AMID, Link.CLOSED, after),
@@ -92,6 +94,7 @@
     def test_routers_learn_of_crashes_that_they_missed(
         self, path: str, faults: tuple[RouterFault, ...]
     ) -> None:
+        """Guards against strikes that are told once."""
         history = play(CrashPlan((crashing(path),), faults=faults))
         late = history.sent_after_third_crash(Body.CRASH)
         assert len(late) <= MAX_LATE_SENDS
@@ -99,6 +102,7 @@
         assert refused_innocents(history) == []
 
     def test_the_services_of_a_split_route_count_together(self) -> None:
+        """Guards against strikes by service."""
         history = play(CrashPlan((crashing("/split/"),)))
         late = history.sent_after_third_crash(Body.CRASH)
         assert len(late) <= MAX_LATE_SENDS
@@ -109,6 +113,7 @@
     def test_an_endpoint_that_gives_up_does_not_clear_it(
         self, path: str
     ) -> None:
+        """Guards against errors that pass for proof."""
         body = Body.CRASH_OR_TIMEOUT
         history = play(CrashPlan((Repeats(body, path),)))
         late = history.sent_after_third_crash(body)
@@ -116,6 +121,7 @@
         assert is_refused_at_last(history, body)
 
     def test_retries_of_one_attempt_stop_too(self) -> None:
+        """Guards against retries that are not checked."""
         plan = CrashPlan(
             (crashing("/often/", interval_s=100.0),),
             Ending(Point.BEFORE, Link.CLOSED, After.OTHER_ID),
@@ -138,6 +144,7 @@
     def test_lost_and_spoiled_answers_do_not_count(
         self, path: str, body: bytes, background_per_s: float
     ) -> None:
+        """Guards against lost answers that pass for crashes."""
         plan = CrashPlan(
             (Repeats(body, path),), background_per_s=background_per_s
         )
@@ -150,6 +157,7 @@
     def test_endpoints_that_die_of_something_else(
         self, link: Link, after: After
     ) -> None:
+        """Guards against strikes for being there by chance."""
         kills = tuple(
             (3.0 + 1.3 * n, ("llm", "desk")[n % 2]) for n in range(16)
         )
@@ -164,6 +172,7 @@
     def test_long_streams_beside_a_request_that_crashes(
         self, seed: int
     ) -> None:
+        """Guards against strikes for the crashes of another request."""
         plan = CrashPlan(
             (crashing("/tell/", interval_s=0.5),),
             seed=seed,
