Logs name the shared parts of the prompts of runs that break

It can not show what those requests have in common, as no line names the parts of a prompt. Now each run_broken line does, so the lines of all routers about one endpoint give the parts that were in flight there.

--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -28,6 +28,7 @@
     AttemptContext,
     Call,
     RawHeaders,
+    part_name,
 )
 from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.events import EventSplitter
@@ -635,6 +636,12 @@
             self._fingerprint = fingerprint(self.workspace, "", content)
         return self._fingerprint
 
+    @property
+    def shared_part_names(self) -> str:
+        """Return the names of the prompt's shared parts, for the log."""
+        prompt = self.call.prompt
+        return ",".join(map(part_name, prompt.shared_parts if prompt else ()))
+
     @property
     def first_event_s(self) -> float:
         """Return when the first event arrived; 0: none yet."""
--- a/src/bulrushstream/daemon/runwatch.py
+++ b/src/bulrushstream/daemon/runwatch.py
@@ -122,6 +122,7 @@
         endpoint=endpoint.name,
         inputs={
             "fingerprint": run.fingerprint,
+            "parts": forward.shared_part_names,
             "answer": run.progress.value,
             "reused": int(run.unproven_connection),
         },
--- a/src/bulrushstream/state/call.py
+++ b/src/bulrushstream/state/call.py
@@ -17,6 +17,14 @@
     tokens: int  # The part's length.
 
 
+def part_name(part_id: int) -> str:
+    """Return a part's name in logs, which is its id in hexadecimal.
+
+    :param part_id: the part's id
+    """
+    return f"{part_id:x}"
+
+
 @dataclass(frozen=True, slots=True)
 class Prompt:
     """The size of a model request's prompt and output."""
@@ -27,6 +35,11 @@
     output_limit: int  # The largest number of generated tokens.
     output_hint: int = 0  # The caller's estimate of the output; 0: none.
 
+    @property
+    def shared_parts(self) -> tuple[int, ...]:
+        """Return the ids of the parts that other prompts may share."""
+        return tuple(dict.fromkeys(part.part_id for part in self.parts[:-1]))
+
     @property
     def quota_tokens(self) -> int:
         """Return the tokens charged to the workspace's quota."""
