Failing tests: a part of prompts that crashes endpoints, before several routers

Requests of which no two are alike share a part of their prompts under which endpoints end.

An entry of KNOWN-RED.txt may stand for all cases of a test.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,13 +32,14 @@
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Expect the tests that KNOWN-RED.txt names to fail.
 
-    The expectation is strict: a test that passes fails the run until its
-    entry is removed.
+    An entry without parameters stands for all cases of its test.  The
+    expectation is strict: a case that passes fails the run until the entry
+    is removed.
     """
     lines = KNOWN_RED_PATH.read_text().splitlines()
     known = {line.split(" | ")[0] for line in lines if line[:6] == "tests/"}
     for item in items:
-        if item.nodeid in known:
+        if item.nodeid in known or item.nodeid.partition("[")[0] in known:
             mark = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
             item.add_marker(mark)
 
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -39,6 +39,7 @@
     TIMEOUT_S,
     CrashHistory,
     CrashPlan,
+    Prompts,
     Repeats,
     RouterFault,
     Sent,
@@ -51,11 +52,7 @@
 LEASE_S: Final = 3.6  # An entry is removed this long after a crash.
 LIST_DELAY_S: Final = 0.6  # A router reads the list this often.
 RESTART_S: Final = 2.5  # From a crash to the next start, unless at once.
-STREAM_HEADERS: Final = (
-    (b"X-Model", b"m"),
-    (b"X-Token-Counts", b"60,20"),
-    (b"X-Prompt-Prefix", b"a1:40,b2:20"),
-)
+DEFAULT_PREFIX: Final = "a1:40,b2:20"
 _HEAD: Final = re.compile(rb"HTTP/1.1 ([0-9]+)")
 _CODE: Final = re.compile(rb"B[0-9]{3}")
 
@@ -120,7 +117,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._entries: dict[str, EndpointEntry] = {}
         self._incarnations = [0] * plan.routers
-        self._requests: dict[str, tuple[int, bytes]] = {}
+        self._requests: dict[str, tuple[int, bytes]] = {}  # Router, label.
         self._loop: NetworkLoop | None = None
         self._names = 0
 
@@ -138,7 +135,7 @@
     async def _play(self, loop: NetworkLoop) -> None:
         self._loop = loop
         plan = self.plan
-        for service, count in SERVICES.items():
+        for service, count in {**SERVICES, "llm": plan.engines}.items():
             for _ in range(count):
                 self._start_endpoint(service)
         for number in range(plan.routers):
@@ -157,22 +154,26 @@
                 )
         for repeats in plan.repeats:
             loop.call_later(repeats.begin_s, self._repeat, repeats, 0)
+        for prompts in plan.prompts:
+            loop.call_later(prompts.begin_s, self._send_prompt, prompts)
         await asyncio.sleep(plan.end_s)
 
     # --- Endpoints.
 
     def record_run(self, request_id: str, endpoint: str) -> int:
         """Record a run; return the number of runs of this request so far."""
-        router, body = self._requests[request_id]
-        runs = self.history.sent[body]
+        router, label = self._requests[request_id]
+        runs = self.history.sent[label]
         runs.append(Sent(self.loop.time(), router, endpoint))
         return len(runs)
 
     def crash(self, endpoint: Endpoint, request_id: str) -> None:
         """End an endpoint because of a request."""
-        del request_id
-        if endpoint.name in self._endpoints:
-            self.history.crashes_s.append(self.loop.time())
+        if self._endpoints.get(endpoint.name) is endpoint:
+            now_s = self.loop.time()
+            self.history.crashes_s.append(now_s)
+            label = self._requests[request_id][1]
+            self.history.crashed_by[label].append(now_s)
             self._end(endpoint)
 
     def _kill_busiest(self, service: str) -> None:
@@ -348,12 +349,40 @@
             self._background_gap_s(), self._send_background, number, path
         )
 
-    def _send(self, number: int, path: str, body: bytes) -> None:
+    def _send_prompt(self, prompts: Prompts) -> None:
+        now_s = self.loop.time()
+        if now_s >= prompts.end_s:
+            return
+        numbers = prompts.routers or range(self.plan.routers)
+        count = len(self._requests)
+        shared = [f"{self.rng.choice(group)}:9" for group in prompts.groups]
+        self._send(
+            self.rng.choice(numbers),
+            prompts.path,
+            prompts.body + b" %d" % count,
+            prompts.label,
+            ",".join([*shared, f"{10**9 + count:x}:9"]),
+            prompts.leave_s or TIMEOUT_S,
+        )
+        gap_s = self.rng.expovariate(prompts.per_s)
+        self.loop.call_later(gap_s, self._send_prompt, prompts)
+
+    def _send(
+        self,
+        number: int,
+        path: str,
+        body: bytes,
+        label: bytes = b"",
+        prefix: str = DEFAULT_PREFIX,
+        leave_s: float = TIMEOUT_S,
+    ) -> None:
+        """Send a request; its name in the history is by default its body."""
         loop = self.loop
+        label = label or body
         request_id = f"q{len(self._requests)}"
-        self._requests[request_id] = (number, body)
-        self.history.ids[body].append(request_id)
-        self.history.asked[body].append(loop.time())
+        self._requests[request_id] = (number, label)
+        self.history.ids[label].append(request_id)
+        self.history.asked[label].append(loop.time())
         caller = _Caller()
         exchange = Exchange(cast(ClientConnection, caller))
         exchange.method = b"POST"
@@ -365,14 +394,18 @@
             (b"Authorization", b"Bearer " + KEY.encode()),
         ]
         if ROUTES[path].streams:
-            exchange.headers += STREAM_HEADERS
+            exchange.headers += [
+                (b"X-Model", b"m"),
+                (b"X-Token-Counts", b"60,20"),
+                (b"X-Prompt-Prefix", prefix.encode()),
+            ]
         exchange.body = body
         exchange.arrived_s = loop.time()
         self._routers[number].front.handle(exchange)
-        loop.call_later(TIMEOUT_S, self._give_up, exchange, caller, body)
+        loop.call_later(leave_s, self._give_up, exchange, caller, label)
 
     def _give_up(
-        self, exchange: Exchange, caller: _Caller, body: bytes
+        self, exchange: Exchange, caller: _Caller, label: bytes
     ) -> None:
         if not caller.ended and exchange.on_disconnect is not None:
             exchange.on_disconnect()
@@ -380,7 +413,8 @@
         code = None
         if b"problem+json" in caller.data:
             code = _CODE.search(caller.data)
-        self.history.answers[body].append(
+        self.history.answered_asked_s[label].append(exchange.arrived_s)
+        self.history.answers[label].append(
             (
                 head[1].decode() if head else "",
                 code[0].decode() if code else "",
--- a/tests/crashingendpoints.py
+++ b/tests/crashingendpoints.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import partial
 from typing import Final, Protocol
 
 import httptools
@@ -29,6 +30,8 @@
     CRASH: Final = b"crash"  # The endpoint ends.
     # The endpoint ends, but for every third run, which it answers with 504.
     CRASH_OR_TIMEOUT: Final = b"crash or time out"
+    # The same, also if its caller has left.
+    CRASH_UNHEARD: Final = b"crash unheard"
     LOST: Final = b"lost"  # The connection ends without an answer.
     CUT: Final = b"cut"  # The connection ends in the middle of the answer.
     SPOILED: Final = b"spoiled"  # The answer is no HTTP response.
@@ -161,7 +164,7 @@
                 HEAD_S, lambda: self._answer(b"504 Gateway Timeout", b"")
             )
         elif body.startswith(Body.CRASH):
-            self._run_until_crash(headers, request_id)
+            self._run_until_crash(headers, body, request_id)
         elif body.startswith(Body.LOST):
             self._later(HEAD_S, lambda: self.transport.end(None))
         elif body.startswith(Body.SPOILED):
@@ -176,7 +179,7 @@
             self._later(HEAD_S, lambda: self._answer(b"200 OK", b"whole"))
 
     def _run_until_crash(
-        self, headers: dict[bytes, bytes], request_id: str
+        self, headers: dict[bytes, bytes], body: bytes, request_id: str
     ) -> None:
         point = self.endpoint.fleet.ending.point
         if point is not Point.BEFORE:
@@ -189,10 +192,11 @@
                 number = int(headers.get(b"last-event-id", b"0")) + 1
                 piece = _chunk(_event(number))
             self._later(HEAD_S, lambda: self.transport.send(piece))
-        self._later(
-            CRASH_S,
-            lambda: self.endpoint.fleet.crash(self.endpoint, request_id),
-        )
+        crash = partial(self.endpoint.fleet.crash, self.endpoint, request_id)
+        if body.startswith(Body.CRASH_UNHEARD):
+            asyncio.get_running_loop().call_later(CRASH_S, crash)
+        else:
+            self._later(CRASH_S, crash)
 
     def _stream(
         self, headers: dict[bytes, bytes], first: int, last: int
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -69,6 +69,25 @@
     routers: tuple[int, ...] = ()  # In turn; empty: all.
 
 
+@dataclass(frozen=True, slots=True)
+class Prompts:
+    """Requests whose prompts share parts, no two alike, at random times.
+
+    Each has one part of each group, picked at random, and a last part of its
+    own.
+    """
+
+    label: bytes  # Its requests' name in the history.
+    groups: tuple[tuple[str, ...], ...]  # The parts' ids, in order.
+    per_s: float = 1.0
+    body: bytes = b"sound"  # What they do to endpoints; see `Body`.
+    path: str = "/tell/"
+    begin_s: float = 0.5
+    end_s: float = 1000.0
+    leave_s: float = 0.0  # When callers leave; 0: at their timeout.
+    routers: tuple[int, ...] = ()  # Picked at random; empty: all.
+
+
 @dataclass(frozen=True, slots=True)
 class RouterFault:
     """A router that is restarted, or cut off from its peers."""
@@ -92,7 +111,9 @@
     routers: int = 4
     loss: float = 0.02  # Share of lost updates between routers.
     background_per_s: float = 2.0  # Streams and calls, at each router.
+    engines: int = 6  # Endpoints of the model service.
     end_s: float = 34.0
+    prompts: tuple[Prompts, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,17 +143,48 @@
     answers: dict[bytes, list[tuple[str, str]]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    # When each answer's request was sent, in the order of `answers`.
+    answered_asked_s: dict[bytes, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    # When the endpoints that each kind of request crashed ended.
+    crashed_by: dict[bytes, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     decisions: list[tuple[float, int, Decision]] = field(default_factory=list)
     out_of_touch: list[tuple[float, float, int]] = field(default_factory=list)
 
     def sent_after_third_crash(self, body: bytes) -> list[Sent]:
         """Return what routers in touch sent long after the third crash."""
-        if len(self.crashes_s) < 3:
+        return self._sent_after(body, self.crashes_s, 3)
+
+    def sent_after_fifth_crash(self, label: bytes) -> list[Sent]:
+        """Return what routers in touch sent long after the fifth crash."""
+        return self._sent_after(label, self.crashed_by[label], 5)
+
+    def served_share(
+        self, label: bytes, begin_s: float, end_s: float = float("inf")
+    ) -> float:
+        """Return the share of requests sent in an interval that got 200."""
+        answers = [
+            status == "200"
+            for (status, _), asked_s in zip(
+                self.answers[label], self.answered_asked_s[label], strict=True
+            )
+            if begin_s <= asked_s < end_s
+        ]
+        assert len(answers) >= 20
+        return sum(answers) / len(answers)
+
+    def _sent_after(
+        self, label: bytes, crashes_s: list[float], number: int
+    ) -> list[Sent]:
+        if len(crashes_s) < number:
             return []
-        begin_s = sorted(self.crashes_s)[2] + CONTACT_S
+        begin_s = sorted(crashes_s)[number - 1] + CONTACT_S
         return [
             sent
-            for sent in self.sent[body]
+            for sent in self.sent[label]
             if sent.at_s > begin_s and self._in_touch(sent)
         ]
 
