Two lost answers do not pass for a crash of their endpoint

A run counted as broken by a crash if two connections to its endpoint ended within 0.25 s and none stayed open. Where answers are lost, both may have carried requests whose answers were lost: a caller's request was then struck for a crash that did not occur.

A process that ends takes its idle connections too, so one of those must be among them, or five that were busy. Else a probe tells, as before.

--- a/src/bulrushstream/state/endpointsigns.py
+++ b/src/bulrushstream/state/endpointsigns.py
@@ -13,6 +13,7 @@
     ended: int  # The endpoint has closed or reset them.
     open: int  # They are still open.
     heard: bool  # Whether bytes came on one of the open ones since then.
+    ended_busy: int = 0  # Those that ended while they carried a request.
 
 
 class Sign(StrEnum):
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -153,8 +153,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End or fail the current response; see `asyncio.Protocol`."""
         self._transport = None
-        self._pool.remove(self, ended_by_peer=not self._unusable)
         sink = self._sink
+        self._pool.remove(
+            self, ended_by_peer=not self._unusable, busy=sink is not None
+        )
         self._sink = None
         if sink is None:
             return
@@ -319,8 +321,9 @@
     _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
     _connecting: int = 0  # Connections being opened.
-    # When each connection that the peer ended was opened and ended.
-    _ended: deque[tuple[float, float]] = field(
+    # When each connection that the peer ended was opened and ended, and
+    # whether it carried a request.
+    _ended: deque[tuple[float, float, bool]] = field(
         default_factory=lambda: deque(maxlen=MAX_ENDED)
     )
 
@@ -403,19 +406,24 @@
         self._idle.append(connection)
 
     def remove(
-        self, connection: Connection, *, ended_by_peer: bool = False
+        self,
+        connection: Connection,
+        *,
+        ended_by_peer: bool = False,
+        busy: bool = False,
     ) -> None:
         """Remove a closed connection.
 
         :param connection: the connection
         :param ended_by_peer: whether the peer closed or reset it
+        :param busy: whether it carried a request
         """
         self._all.discard(connection)
         for queue in (self._idle, self._retired):
             if connection in queue:
                 queue.remove(connection)
         if ended_by_peer:
-            self._ended.append((connection.opened_s, self.clock()))
+            self._ended.append((connection.opened_s, self.clock(), busy))
 
     def seen(self, at_s: float) -> ConnectionsSeen:
         """Return what became of the connections that were open at a time.
@@ -427,15 +435,18 @@
             for each in self._all
             if each.opened_s < at_s and not each.is_closed
         ]
+        ended = [
+            busy
+            for opened_s, ended_s, busy in self._ended
+            if opened_s < at_s and ended_s >= at_s - ENDED_TOGETHER_S
+        ]
         return ConnectionsSeen(
-            ended=sum(
-                opened_s < at_s and ended_s >= at_s - ENDED_TOGETHER_S
-                for opened_s, ended_s in self._ended
-            ),
+            ended=len(ended),
             open=len(still_open),
             heard=any(
                 each.heard_s > at_s + ENDED_TOGETHER_S for each in still_open
             ),
+            ended_busy=sum(ended),
         )
 
     def is_heard(self, opened_by_s: float, since_s: float) -> bool:
