Parts of prompts that crash endpoints are found and refused

What callers saw: one request after the other was answered 502, and broke ten to twenty others with it, as its endpoint ended. No two were alike; all had one part of their prompts in common.

Cause: a crash counted against a digest of the whole request and nothing else. Each request was a new suspect.

Now each crash also counts against the shared parts of the prompts in flight, at all routers, unless an endpoint has since begun an answer on the part and ended it whole. A request is refused if it holds every part that may explain four crashes (six, if most crashes in that time were without the part). Sound requests lack the bad part, so they are not refused for what they share with it. Until it is known which part it is, those with three strikes are held: one request at a time in the fleet, each on an endpoint without another. Routers learn of these trials from the placements that they report anyway, and take turns by a hash. Runs with an unknown end make their parts watched. Crashes that repeats of one request explain do not count against its parts, nor the other way round.

--- a/src/bulrushstream/coordination/crashevidence.py
+++ b/src/bulrushstream/coordination/crashevidence.py
@@ -34,6 +34,10 @@
 # this time after it answered on a new one.
 RESUMED_S: Final = 0.2
 
+# A part of a prompt crashes endpoints as they begin to write; one that had
+# written for longer than this crashed for another reason.
+BEGINNING_S: Final = 1.0
+
 # A run without a verdict after this time remains without one.
 GIVE_UP_S: Final = 8.0
 
@@ -60,6 +64,15 @@
     # may have been dead before.
     unproven_connection: bool
     progress: AnswerProgress
+    parts: tuple[int, ...] = ()  # The shared parts of its prompt.
+    sent_s: float = 0.0  # When it was sent.
+    # When the endpoint began to write the answer; infinity: it had not yet.
+    began_s: float = float("inf")
+
+    @property
+    def had_just_begun(self) -> bool:
+        """Return whether the endpoint had written for a moment at most."""
+        return self.broke_s - self.began_s < BEGINNING_S
 
 
 class Verdict(IntEnum):
--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass, field, replace
 from typing import Final, Protocol
 
@@ -65,7 +65,7 @@
     strikes: Quarantine = field(
         default_factory=lambda: Quarantine(QuarantineOptions())
     )
-    _crash_ids: CrashIds = field(default_factory=CrashIds)
+    crash_ids: CrashIds = field(default_factory=CrashIds)
     # When each watched request was last reported, by fingerprint.
     _watched_s: dict[int, float] = field(default_factory=dict)
     _own_strikes: deque[_OwnStrike] = field(
@@ -155,17 +155,33 @@
             self.strikes.count(fingerprint, now_s)
         )
 
-    def is_refused(self, fingerprint: int, now_s: float) -> bool:
+    def explained_crashes(self, now_s: float) -> set[str]:
+        """Return the ids of the crashes that refused requests explain.
+
+        :param now_s: the time
+        """
+        return {
+            strike.strike_id
+            for fingerprint in self.strikes.fingerprints()
+            if self.strikes.count(fingerprint, now_s) >= MAX_STRIKES
+            and self.is_refused(fingerprint, now_s)
+            for strike in self.strikes.strikes(fingerprint, now_s)
+        }
+
+    def is_refused(
+        self, fingerprint: int, now_s: float, explained: Set[str] = frozenset()
+    ) -> bool:
         """Return whether a request crashes endpoints and is refused.
 
         :param fingerprint: the request's digest
         :param now_s: the time
+        :param explained: the ids of crashes that parts of prompts explain
         """
         if self.strikes.count(fingerprint, now_s) < MAX_STRIKES:
             return False
-        count = self.strikes.unexplained_count(fingerprint, now_s)
+        count = self.strikes.unexplained_count(fingerprint, now_s, explained)
         begin_s, end_s = self.strikes.span_s(fingerprint)
-        crashes = self._crash_ids.count_between(begin_s, end_s)
+        crashes = self.crash_ids.count_between(begin_s, end_s)
         limit = MAX_STRIKES if count * 2 > crashes else MAX_STRIKES + 1
         return count >= limit
 
@@ -195,7 +211,7 @@
             if not self.strikes.is_proven(fingerprint, now_s):
                 self._watch(fingerprint, now_s)
             return
-        strike_id = self._crash_ids.identify(suspect.endpoint, at_s)
+        strike_id = self.crash_ids.identify(suspect.endpoint, at_s)
         if not self.strikes.add_strike(fingerprint, strike_id, False, at_s):
             if not (
                 reporter or self.strikes.has_strike(fingerprint, strike_id)
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -22,10 +22,13 @@
 )
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S, FleetView
+from bulrushstream.coordination.partreports import PartNotifier
+from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.peerusage import PeerUsage, UsageChange
 from bulrushstream.coordination.usagecounter import UsageCounter, add_tokens
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.peerupdate import (
+    CrashEvidence,
     FirstEvent,
     PeerUpdate,
     RequestPlaced,
@@ -54,7 +57,7 @@
 MAX_PREFILL_RATE: Final = 500_000.0
 
 
-class PeerNotifier(SuspectNotifier, Protocol):
+class PeerNotifier(SuspectNotifier, PartNotifier, Protocol):
     """Reports this router's changes to the other routers."""
 
     def report_placed(self, placed: RequestPlaced) -> None:
@@ -113,7 +116,8 @@
     peers: FleetView
     shares: FairShares
     number_base: int  # The upper bits of this router's call numbers.
-    suspects: CrashSuspects
+    suspects: CrashSuspects  # Requests that may crash endpoints.
+    parts: PartSuspects  # Parts of prompts that may.
     notifier: PeerNotifier | None = None  # None: not connected to peers.
     pool: EndpointPool = field(default_factory=EndpointPool)
     # Average over all engines, in tokens per second.
@@ -133,6 +137,18 @@
         """
         self.notifier = notifier
         self.suspects.notifier = notifier
+        self.parts.reports.notifier = notifier
+
+    def repeated_evidence(self, now_s: float) -> CrashEvidence:
+        """Return the evidence of crashes that the next heartbeat repeats.
+
+        :param now_s: the time
+        """
+        return CrashEvidence(
+            self.suspects.strikes_to_repeat(now_s),
+            self.parts.reports.strikes_to_repeat(now_s),
+            self.parts.reports.proofs_to_repeat(now_s),
+        )
 
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
         """Count a request's demand and report it to the peers.
@@ -245,6 +261,7 @@
             return
         if peer is not known:
             self.suspects.peer_appeared(now_s)
+            self.parts.reports.peer_appeared(now_s)
         for placed in update.placements:
             self._place_peer_call(placed, now_s)
             peer.calls.add(placed.call_id)
@@ -259,6 +276,7 @@
             self._end_peer_call(number)
             peer.calls.discard(number)
         self.suspects.apply_update(update, now_s)
+        self.parts.apply_update(update, now_s)
         self._count_peer_usage(update, now_s)
         if update.leaving:
             self._end_peer_calls(set(peer.calls))
@@ -299,6 +317,8 @@
             self._last_stall_s = now_s
         self._swept_s = now_s
         self._end_peer_calls(self.peers.sweep(now_s))
+        self.parts.set_explained(self.suspects.explained_crashes(now_s))
+        self.parts.sweep(now_s)
         self._extrapolate_peer_usage(now_s)
         expired = []
         for number, peer_call in self._peer_calls.items():
@@ -388,6 +408,7 @@
             return
         self._peer_calls[placed.call_id] = _PeerCall(placed.endpoint, now_s)
         endpoint.outstanding += 1
+        self.parts.placed(endpoint.name, placed.part_ids[:-1], now_s)
         if endpoint.view is not None and placed.input_tokens:
             parts = zip(placed.part_ids, placed.part_tokens, strict=False)
             prompt = Prompt(
--- a/src/bulrushstream/coordination/fleetview.py
+++ b/src/bulrushstream/coordination/fleetview.py
@@ -89,6 +89,10 @@
                 del self.hosts[host]
         return lost
 
+    def live_hosts(self) -> tuple[str, ...]:
+        """Return the IP addresses of the routers that count as live."""
+        return tuple(peer.host for peer in self.peers.values())
+
     def notified_hosts(self) -> tuple[str, ...]:
         """Return the hosts that updates are sent to."""
         return tuple(self.hosts)
--- a/src/bulrushstream/coordination/quarantine.py
+++ b/src/bulrushstream/coordination/quarantine.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Set
 from dataclasses import dataclass
 from typing import Final
 
@@ -156,7 +157,12 @@
             del self._strikes[fingerprint]
         return len(strikes)
 
-    def unexplained_count(self, fingerprint: int, now_s: float) -> int:
+    def unexplained_count(
+        self,
+        fingerprint: int,
+        now_s: float,
+        explained_otherwise: Set[str] = frozenset(),
+    ) -> int:
         """Return the number of strikes that no other request explains.
 
         Of the requests with a strike for one crash, those with the most
@@ -164,9 +170,10 @@
 
         :param fingerprint: the requests' fingerprint
         :param now_s: the time
+        :param explained_otherwise: ids of strikes that do not count
         """
         own = self.count(fingerprint, now_s)
-        explained: set[str] = set()
+        explained = set(explained_otherwise)
         for strikes in self._strikes.values():
             if len(strikes) > own:
                 explained.update(strikes)
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -28,7 +28,6 @@
     AttemptContext,
     Call,
     RawHeaders,
-    part_name,
 )
 from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.events import EventSplitter
@@ -42,7 +41,7 @@
 )
 
 if TYPE_CHECKING:
-    from bulrushstream.daemon.front import Front
+    from bulrushstream.daemon.front import CrashRefusal, Front
 
 # Answers up to this size are buffered until they are complete, so that a
 # retry can replace one that breaks off.  Longer ones are relayed as they come.
@@ -88,11 +87,13 @@
         "_streaming",
         "arrived_boot_s",
         "arrived_s",
+        "began_s",
         "call",
         "deadline_s",
         "done",
         "exchange",
         "front",
+        "on_trial",
         "pool",
         "progress",
         "route",
@@ -142,6 +143,10 @@
         self.pool: Pool  # The connections of the current attempt.
         self.share_used = 0.0
         self.sent_s = 0.0  # When the current attempt was sent.
+        # When its endpoint began to write the answer; infinity: not yet.
+        self.began_s = float("inf")
+        # Whether its outcome shows if parts of its prompt crash endpoints.
+        self.on_trial = False
         # Since when its endpoint is silent, as last watched; 0: it was not.
         self.silent_since_s = 0.0
         self.done = False
@@ -175,8 +180,9 @@
     def _start_attempt(self) -> None:
         """Choose an endpoint and queue the request for a connection to it."""
         front = self.front
-        if front.crashes_endpoints(self):
-            self._refuse_crashing()
+        refusal = front.crash_refusal(self)
+        if refusal is not None:
+            self._refuse_crashing(refusal)
             return
         choice = front.choose_endpoint(self)
         if isinstance(choice, Notice):
@@ -191,6 +197,7 @@
         self._endpoint = endpoint
         self._attempt_number = number
         self.sent_s = 0.0
+        self.began_s = float("inf")
         self.silent_since_s = 0.0
         self._framed = True
         self._head = None
@@ -263,6 +270,7 @@
         self._body_bytes += len(data)
         self._heard_s = self.front.clock()
         if not (head.event_stream and head.status == 200):
+            self.began_s = min(self.began_s, self._heard_s)
             self._buffer_body(data)
             return
         if not head.signed or head.encoded:
@@ -271,6 +279,7 @@
         if not events:
             return
         now_s = self.front.clock()
+        self.began_s = min(self.began_s, now_s)
         if not self._first_event_s:
             self._first_event_s = now_s
         if self._endpoint is not None:
@@ -504,12 +513,18 @@
                     self._endpoint, self._attempt_number
                 )
 
-    def _refuse_crashing(self) -> None:
-        """End a request that crashes endpoints."""
+    def _refuse_crashing(self, refusal: CrashRefusal) -> None:
+        """End a request under which endpoints crash, or may crash."""
+        self.front.log_decision(
+            "refuse",
+            refusal.notice.text,
+            self,
+            inputs={"part": refusal.part},
+        )
         if self.progress.may_have_run:
             self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
         else:
-            self._answer_notice(messages.CRASHES_ENDPOINTS, Outcome.NOT_RUN)
+            self._answer_notice(refusal.notice, Outcome.NOT_RUN)
 
     def _answer_notice(self, notice: Notice, outcome: Outcome) -> None:
         """End the request with a refusal or failure from the router."""
@@ -637,10 +652,17 @@
         return self._fingerprint
 
     @property
-    def shared_part_names(self) -> str:
-        """Return the names of the prompt's shared parts, for the log."""
+    def shared_parts(self) -> tuple[int, ...]:
+        """Return the parts of the prompt that others may share."""
         prompt = self.call.prompt
-        return ",".join(map(part_name, prompt.shared_parts if prompt else ()))
+        return prompt.shared_parts if prompt is not None else ()
+
+    @property
+    def proves_parts(self) -> bool:
+        """Return whether an endpoint read the prompt and answered whole."""
+        head = self._head
+        whole = head is not None and self._framed and head.status == 200
+        return whole and self.began_s < float("inf")
 
     @property
     def first_event_s(self) -> float:
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -13,12 +13,15 @@
 from typing import Final
 
 from bulrushstream import messages
+from bulrushstream.coordination.crashevidence import BrokenRun
+from bulrushstream.coordination.crashids import CrashIds
 from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetstate import CALL_NUMBER_BITS, FleetState
 from bulrushstream.coordination.fleetview import FleetView
 from bulrushstream.coordination.freshness import Freshness
+from bulrushstream.coordination.partsuspects import PartSuspects, PartVerdict
 from bulrushstream.coordination.placement import (
     Admission,
     Prediction,
@@ -35,13 +38,14 @@
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
 from bulrushstream.protocol.dialect import Dialect, HeadError
-from bulrushstream.state.call import Call
+from bulrushstream.state.call import Call, part_name
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import Route
 from bulrushstream.state.usage import ShareReport
+from bulrushstream.transport.datagrams import PeerSocket
 from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
 from bulrushstream.transport.problem import encode_problem
 
@@ -79,6 +83,14 @@
     report_shares: Callable[[ShareReport], None]
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRefusal:
+    """Why a request is refused for the sake of the endpoints."""
+
+    notice: Notice
+    part: str = ""  # The part of its prompt; empty: the whole request.
+
+
 class Front:
     """One front-end router: its state and how it handles requests."""
 
@@ -101,14 +113,18 @@
         self.endpoints_listed = False
         self.draining = False
         self.refusing_requests = False
+        self.peers = FleetView(settings.host)
+        crash_ids = CrashIds()
         self.fleet_state = FleetState(
-            FleetView(settings.host),
+            self.peers,
             FairShares(settings.quota_window_s),
             self.rng.getrandbits(38) << CALL_NUMBER_BITS,
-            CrashSuspects(deps.observe),
+            CrashSuspects(deps.observe, crash_ids=crash_ids),
+            PartSuspects(
+                deps.observe, crash_ids, settings.host, self.peers.live_hosts
+            ),
         )
         self.pool = self.fleet_state.pool
-        self.peers = self.fleet_state.peers
         limit_s = settings.revocation_limit_s
         self.freshness = Freshness(
             float("inf") if limit_s is None else limit_s
@@ -127,18 +143,13 @@
         now_s = self.clock()
         for seed in settings.seed_hosts:
             self.peers.add_host(seed, now_s)
-        suspects = self.fleet_state.suspects
         self.crash_watch = CrashWatch(
             self.clock,
             self._encode_probe,
             self.dialect.decode_probe,
             self.observe,
-            lambda endpoint, run: suspects.endpoint_crashed(
-                endpoint, run.fingerprint, run.broke_s, self.clock()
-            ),
-            lambda endpoint, run: suspects.end_unknown(
-                endpoint, run.fingerprint, run.broke_s, self.clock()
-            ),
+            self._endpoint_crashed,
+            self.end_unknown,
         )
         self.limits = IngressLimits(
             connections=max(64, settings.max_descriptors // 2),
@@ -148,6 +159,42 @@
         )
         self.ingress = Ingress(self.handle, self.limits, self.clock)
 
+    def connect_peers(self, port: PeerSocket) -> None:
+        """Exchange updates with the other routers from now on.
+
+        :param port: sends and receives them
+        """
+        port.hosts = self.peers.notified_hosts
+        port.repeated_evidence = lambda: self.fleet_state.repeated_evidence(
+            self.clock()
+        )
+        self.fleet_state.set_notifier(port)
+
+    def _endpoint_crashed(self, endpoint: str, run: BrokenRun) -> None:
+        """Count a crash of an endpoint against a run that broke there."""
+        now_s = self.clock()
+        self.fleet_state.suspects.endpoint_crashed(
+            endpoint, run.fingerprint, run.broke_s, now_s
+        )
+        if run.had_just_begun:
+            self.fleet_state.parts.endpoint_crashed(
+                endpoint, run.parts, run.sent_s, run.broke_s, now_s
+            )
+
+    def end_unknown(self, endpoint: str, run: BrokenRun) -> None:
+        """Watch a request and its parts: its endpoint may have crashed.
+
+        :param endpoint: the endpoint's id
+        :param run: the run that broke there
+        """
+        now_s = self.clock()
+        self.fleet_state.suspects.end_unknown(
+            endpoint, run.fingerprint, run.broke_s, now_s
+        )
+        self.fleet_state.parts.end_unknown(
+            endpoint, run.parts, run.broke_s, now_s
+        )
+
     def reconfigure(self, settings: NodeSettings) -> None:
         """Apply the settings that may change while the router runs.
 
@@ -192,9 +239,10 @@
             arrived_boot_s,
         )
         now_s = self.clock()
-        if self.crashes_endpoints(forward):
+        refusal = self.crash_refusal(forward)
+        if refusal is not None:
             self._refuse_early(
-                exchange, messages.CRASHES_ENDPOINTS, call.request_id
+                exchange, refusal.notice, call.request_id, refusal.part
             )
             return
         self.forwards.add(forward)
@@ -228,24 +276,44 @@
             return messages.NO_TOKEN
         return route, workspace.name
 
-    def crashes_endpoints(self, forward: Forward) -> bool:
-        """Return whether a request is refused as endpoints crash under it.
+    def crash_refusal(self, forward: Forward) -> CrashRefusal | None:
+        """Return why a request is refused as endpoints crash under it.
 
         :param forward: the request
+        :returns: the reason; None: it may run
         """
-        suspects = self.fleet_state.suspects
-        return bool(suspects) and suspects.is_refused(
-            forward.fingerprint, self.clock()
-        )
+        now_s = self.clock()
+        suspects, parts = self.fleet_state.suspects, self.fleet_state.parts
+        if suspects and suspects.is_refused(
+            forward.fingerprint, now_s, parts.explained_crashes()
+        ):
+            return CrashRefusal(messages.CRASHES_ENDPOINTS)
+        judgement = parts.judge(forward.shared_parts, now_s)
+        if judgement.verdict is PartVerdict.REFUSE:
+            return CrashRefusal(
+                messages.CRASHES_ENDPOINTS, part_name(judgement.part)
+            )
+        if judgement.verdict is PartVerdict.HOLD:
+            # Its own trial is not over while no endpoint has got it.
+            if not forward.on_trial or forward.progress.sends:
+                return CrashRefusal(
+                    messages.PART_HELD, part_name(judgement.part)
+                )
+        elif judgement.verdict is PartVerdict.TRY:
+            forward.on_trial = True
+        return None
 
     def is_watched(self, forward: Forward) -> bool:
         """Return whether endpoints may have crashed under a request.
 
         :param forward: the request
         """
-        suspects = self.fleet_state.suspects
+        now_s = self.clock()
+        suspects, parts = self.fleet_state.suspects, self.fleet_state.parts
+        if forward.on_trial or parts.is_watched(forward.shared_parts, now_s):
+            return True
         return bool(suspects) and suspects.is_watched(
-            forward.fingerprint, self.clock()
+            forward.fingerprint, now_s
         )
 
     def _encode_probe(self, endpoint: Endpoint) -> bytes | None:
@@ -257,7 +325,11 @@
         return self.dialect.encode_probe(found.health_path, endpoint.entry)
 
     def _refuse_early(
-        self, exchange: Exchange, notice: Notice, request_id: str
+        self,
+        exchange: Exchange,
+        notice: Notice,
+        request_id: str,
+        part: str = "",
     ) -> None:
         """Refuse a request before it is forwarded, and log that."""
         retry_after_s = EARLY_REFUSAL_RETRY_S if notice.status == 503 else None
@@ -270,7 +342,7 @@
                 notice.text,
                 request_id=request_id,
                 outcome=notice.code,
-                inputs=self._common_inputs(),
+                inputs={"part": part, **self._common_inputs()},
             )
         )
 
@@ -308,6 +380,11 @@
         usable = self.pool.usable(forward.service, now_s, forward.tried)
         if not usable and forward.route.repeatable:
             usable = self.pool.usable(forward.service, now_s)
+        if forward.on_trial:
+            parts = self.fleet_state.parts
+            usable = [e for e in usable if not parts.has_trial(e.name, now_s)]
+            if not usable:
+                return messages.PART_HELD
         prompt = forward.call.prompt
         if prompt is None or not any(each.view for each in usable):
             zone = self.settings.availability_zone
@@ -389,6 +466,9 @@
         number = self.fleet_state.place(
             endpoint, prompt, forward.workspace, now_s, forward.deadline_s
         )
+        self.fleet_state.parts.placed(
+            endpoint.name, forward.shared_parts, now_s
+        )
         inputs: dict[str, float | int | str] = {}
         if prediction is not None:
             inputs = _prediction_inputs(prediction)
@@ -490,6 +570,10 @@
         answered = outcome is Outcome.RAN and forward.answer_is_proof
         if answered and self.fleet_state.suspects:
             self.fleet_state.suspects.request_ran(forward.fingerprint, now_s)
+        if answered and forward.proves_parts:
+            self.fleet_state.parts.answered(
+                forward.shared_parts, forward.began_s, now_s
+            )
         duration_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
             forward.service, forward.route.kind.value
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -114,14 +114,9 @@
             ),
             self._deps.report,
         )
-        port.hosts = front.peers.notified_hosts
+        front.connect_peers(port)
         port.attach(open_udp(settings.host, settings.peers_port, port))
         self._port = port
-        suspects = front.fleet_state.suspects
-        port.repeated_strikes = lambda: suspects.strikes_to_repeat(
-            self._deps.clock()
-        )
-        front.fleet_state.set_notifier(port)
         await self._listen(
             front.ingress,
             settings.caller_address.host,
--- a/src/bulrushstream/daemon/runwatch.py
+++ b/src/bulrushstream/daemon/runwatch.py
@@ -6,6 +6,7 @@
 
 from bulrushstream.coordination.crashevidence import BrokenRun
 from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.state.call import part_name
 from bulrushstream.state.endpointsigns import Sign
 
 if TYPE_CHECKING:
@@ -30,7 +31,8 @@
     """
     # If the endpoint crashed, its idle connections are dead too.
     forward.pool.retire_idle()
-    _watch(front, forward, endpoint, front.clock(), detail)
+    run = _describe_run(forward, front.clock())
+    _watch(front, forward, endpoint, run, detail)
 
 
 def run_cancelled(front: Front, forward: Forward, endpoint: Endpoint) -> None:
@@ -81,11 +83,10 @@
     if at_s <= forward.silent_since_s:
         return
     forward.silent_since_s = at_s
-    # The verdict takes time, in which the request may come again.
-    front.fleet_state.suspects.end_unknown(
-        endpoint.name, forward.fingerprint, at_s, front.clock()
-    )
-    _watch(front, forward, endpoint, at_s, "silent", silent=True)
+    # The verdict takes time, in which such a request may come again.
+    run = _describe_run(forward, at_s, silent=True)
+    front.end_unknown(endpoint.name, run)
+    _watch(front, forward, endpoint, run, "silent")
 
 
 def _heard_s(forward: Forward) -> float:
@@ -97,24 +98,31 @@
     return max(forward.last_heard_s, forward.pool.heard_s(forward.sent_s))
 
 
-def _watch(
-    front: Front,
-    forward: Forward,
-    endpoint: Endpoint,
-    broke_s: float,
-    detail: str,
-    *,
-    silent: bool = False,
-) -> None:
-    """Log a run that broke or went silent, and have it judged."""
-    run = BrokenRun(
+def _describe_run(
+    forward: Forward, broke_s: float, *, silent: bool = False
+) -> BrokenRun:
+    """Return the run of a request's current attempt."""
+    return BrokenRun(
         forward.call.request_id,
         forward.fingerprint,
         broke_s,
         silent,
         forward.unproven_connection,
         forward.answer_progress,
+        forward.shared_parts,
+        forward.sent_s,
+        forward.began_s,
     )
+
+
+def _watch(
+    front: Front,
+    forward: Forward,
+    endpoint: Endpoint,
+    run: BrokenRun,
+    detail: str,
+) -> None:
+    """Log a run that broke or went silent, and have it judged."""
     front.log_decision(
         "run_broken",
         detail,
@@ -122,7 +130,7 @@
         endpoint=endpoint.name,
         inputs={
             "fingerprint": run.fingerprint,
-            "parts": forward.shared_part_names,
+            "parts": ",".join(map(part_name, run.parts)),
             "answer": run.progress.value,
             "reused": int(run.unproven_connection),
         },
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -95,6 +95,9 @@
 CRASHES_ENDPOINTS: Final = Notice(
     "B128", "Requests like this one crashed endpoints; none takes it.", 503
 )
+PART_HELD: Final = Notice(
+    "B129", "A part of the prompt may crash endpoints and is on trial.", 503
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -16,6 +16,11 @@
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
+from bulrushstream.state.partevidence import (
+    PartProof,
+    PartStrikes,
+    StruckPart,
+)
 from bulrushstream.state.peerupdate import (
     CrashSuspect,
     FirstEvent,
@@ -26,6 +31,8 @@
 
 CHECKSUM: Final = struct.Struct("!Q")
 
+_MAX_MS: Final = 2**31 - 1
+
 
 class DatagramError(ValueError):
     """A datagram can not be decoded."""
@@ -81,6 +88,22 @@
             for each in update.crash_suspects
         ],
         cleared=list(update.cleared),
+        part_strikes=[
+            _SCHEMA.PartStrikes(
+                each.endpoint,
+                _to_ms(each.age_s),
+                [
+                    _SCHEMA.StruckPart(part.part_id, _to_ms(part.in_flight_s))
+                    for part in each.parts
+                ],
+                each.uncertain,
+            )
+            for each in update.part_strikes
+        ],
+        part_proofs=[
+            _SCHEMA.PartProof(each.part_id, _to_ms(each.age_s))
+            for each in update.part_proofs
+        ],
         totals=[
             _SCHEMA.Totals(
                 each.workspace,
@@ -117,6 +140,11 @@
         raise DatagramError(f"{type(error).__name__}: {error}") from error
 
 
+def _to_ms(time_s: float) -> int:
+    """Return a time in whole milliseconds, within the wire's bounds."""
+    return max(0, min(_MAX_MS, round(time_s * 1000)))
+
+
 def _from_wire(wire: Any) -> PeerUpdate:
     """Convert a Thrift structure to an update."""
     return PeerUpdate(
@@ -151,6 +179,22 @@
             for each in wire.struck
         ),
         cleared=tuple(wire.cleared or ()),
+        part_strikes=tuple(
+            PartStrikes(
+                each.endpoint,
+                each.age_ms / 1000,
+                tuple(
+                    StruckPart(part.part, part.in_flight_ms / 1000)
+                    for part in each.parts
+                ),
+                bool(each.uncertain),
+            )
+            for each in wire.part_strikes or ()
+        ),
+        part_proofs=tuple(
+            PartProof(each.part, each.age_ms / 1000)
+            for each in wire.part_proofs or ()
+        ),
         # A router of an earlier version sends no totals.
         totals=tuple(
             WorkspaceTotals(
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -31,6 +31,23 @@
   4: bool uncertain
 }
 
+struct StruckPart {
+  1: i64 part
+  2: i32 in_flight_ms
+}
+
+struct PartStrikes {
+  1: string endpoint
+  2: i32 age_ms
+  3: list<StruckPart> parts
+  4: bool uncertain
+}
+
+struct PartProof {
+  1: i64 part
+  2: i32 age_ms
+}
+
 struct Update {
   1: string instance
   2: i64 incarnation
@@ -44,4 +61,6 @@
   10: list<Struck> struck
   11: list<Totals> totals
   12: list<i64> cleared
+  13: list<PartStrikes> part_strikes
+  14: list<PartProof> part_proofs
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -9,6 +9,8 @@
 
 from dataclasses import dataclass
 
+from bulrushstream.state.partevidence import PartProof, PartStrikes
+
 
 @dataclass(frozen=True, slots=True)
 class RequestPlaced:
@@ -51,6 +53,15 @@
     uncertain: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class CrashEvidence:
+    """What a heartbeat repeats of crashes, for peers that missed it."""
+
+    crash_suspects: tuple[CrashSuspect, ...] = ()
+    part_strikes: tuple[PartStrikes, ...] = ()
+    part_proofs: tuple[PartProof, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class PeerUpdate:
     """Changes at one router."""
@@ -64,5 +75,7 @@
     totals: tuple[WorkspaceTotals, ...] = ()  # Those that changed lately.
     crash_suspects: tuple[CrashSuspect, ...] = ()
     cleared: tuple[int, ...] = ()  # Fingerprints that an endpoint answered.
+    part_strikes: tuple[PartStrikes, ...] = ()
+    part_proofs: tuple[PartProof, ...] = ()
     known_hosts: tuple[str, ...] = ()  # IP addresses of its peers.
     leaving: bool = False  # Whether it is stopping.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -15,7 +15,9 @@
     decode_update,
     encode_update,
 )
+from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
+    CrashEvidence,
     CrashSuspect,
     FirstEvent,
     PeerUpdate,
@@ -29,8 +31,8 @@
 # The longest time between two updates, so that peers know of each other.
 HEARTBEAT_S: Final = 0.5
 
-# Events, and workspaces' totals or strikes, per datagram; these keep its size
-# far below a network link's limit.
+# Events, and workspaces' totals, strikes or parts, per datagram; these keep
+# its size far below a network link's limit.
 MAX_EVENTS: Final = 24
 MAX_TOTALS: Final = 64
 
@@ -45,6 +47,8 @@
     changed_totals: set[str] = field(default_factory=set)  # Workspaces.
     crash_suspects: list[CrashSuspect] = field(default_factory=list)
     cleared: list[int] = field(default_factory=list)
+    part_strikes: list[PartStrikes] = field(default_factory=list)
+    part_proofs: list[PartProof] = field(default_factory=list)
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -53,7 +57,8 @@
             + len(self.first_events)
             + len(self.ended_calls)
         )
-        return events + len(self.crash_suspects) + len(self.cleared)
+        events += len(self.crash_suspects) + len(self.cleared)
+        return events + len(self.part_strikes) + len(self.part_proofs)
 
 
 @dataclass(slots=True)
@@ -106,8 +111,8 @@
         self._repeated_totals: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
         self.hosts: Callable[[], tuple[str, ...]] = tuple
-        # Returns the strikes that the next heartbeat repeats.
-        self.repeated_strikes: Callable[[], tuple[CrashSuspect, ...]] = tuple
+        # Returns the evidence that the next heartbeat repeats.
+        self.repeated_evidence: Callable[[], CrashEvidence] = CrashEvidence
         self.leaving = False
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -199,13 +204,32 @@
         self._pending.cleared.append(fingerprint)
         self._schedule_flush()
 
+    def report_part_strikes(self, strikes: PartStrikes) -> None:
+        """Report parts that were in flight when an endpoint crashed.
+
+        :param strikes: the parts and the endpoint
+        """
+        self._pending.part_strikes.append(strikes)
+        self._schedule_flush()
+
+    def report_part_proof(self, proof: PartProof) -> None:
+        """Report that an endpoint wrote a whole answer on a part.
+
+        :param proof: the part and the time
+        """
+        self._pending.part_proofs.append(proof)
+        self._schedule_flush()
+
     def beat(self) -> None:
         """Send a heartbeat: an update even if nothing is pending.
 
         It repeats the totals that changed since the last one, and recent
-        strikes, in case that the updates with them were lost.
+        evidence of crashes, in case that the updates with them were lost.
         """
-        self._pending.crash_suspects.extend(self.repeated_strikes())
+        evidence = self.repeated_evidence()
+        self._pending.crash_suspects.extend(evidence.crash_suspects)
+        self._pending.part_strikes.extend(evidence.part_strikes)
+        self._pending.part_proofs.extend(evidence.part_proofs)
         repeated, self._repeated_totals = self._repeated_totals, set()
         self._pending.changed_totals |= repeated
         self.flush()
@@ -232,12 +256,13 @@
                 totals=tuple(totals[:MAX_TOTALS]),
                 crash_suspects=tuple(pending.crash_suspects[:MAX_TOTALS]),
                 cleared=tuple(pending.cleared),
+                part_proofs=tuple(pending.part_proofs[:MAX_TOTALS]),
                 known_hosts=self.hosts(),
                 leaving=self.leaving,
             )
         )
-        strikes = pending.crash_suspects
-        last = max(len(totals), len(strikes))
+        strikes, proofs = pending.crash_suspects, pending.part_proofs
+        last = max(len(totals), len(strikes), len(proofs))
         for begin in range(MAX_TOTALS, last, MAX_TOTALS):
             part = slice(begin, begin + MAX_TOTALS)
             self._send(
@@ -247,6 +272,16 @@
                     own.host,
                     totals=tuple(totals[part]),
                     crash_suspects=tuple(strikes[part]),
+                    part_proofs=tuple(proofs[part]),
+                )
+            )
+        for group in _group_by_size(pending.part_strikes):
+            self._send(
+                PeerUpdate(
+                    own.instance,
+                    own.incarnation,
+                    own.host,
+                    part_strikes=tuple(group),
                 )
             )
 
@@ -290,3 +325,16 @@
         elif self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(FLUSH_DELAY_S, self.flush)
+
+
+def _group_by_size(reports: list[PartStrikes]) -> list[list[PartStrikes]]:
+    """Split reports so that each group fits in a datagram."""
+    groups: list[list[PartStrikes]] = []
+    size = MAX_TOTALS
+    for report in reports:
+        size += len(report.parts) + 1
+        if size > MAX_TOTALS:
+            groups.append([])
+            size = len(report.parts) + 1
+        groups[-1].append(report)
+    return groups
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -19,7 +19,9 @@
     FleetState,
 )
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S, FleetView
+from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
     CrashSuspect,
     FirstEvent,
@@ -76,6 +78,12 @@
     def report_cleared(self, fingerprint: int) -> None:
         self.updates.append(replace(self.identity, cleared=(fingerprint,)))
 
+    def report_part_strikes(self, strikes: PartStrikes) -> None:
+        self.updates.append(replace(self.identity, part_strikes=(strikes,)))
+
+    def report_part_proof(self, proof: PartProof) -> None:
+        self.updates.append(replace(self.identity, part_proofs=(proof,)))
+
 
 def a_router_state(number: int) -> tuple[FleetState, UpdateRecorder]:
     """Return a router's state with three engines, and its recorder."""
@@ -85,6 +93,7 @@
         FairShares(4.0),
         number << 30,
         CrashSuspects(decisions.append),
+        PartSuspects(decisions.append),
     )
     for name in ("e-1", "e-2", "e-3"):
         state.pool.update(an_entry(name, service="llm"), TRAITS)
