A crash counts against parts of prompts whose callers have left

Callers may leave before the endpoint ends under their request.

A cancelled run with shared parts is now judged for a second like one that broke, by the endpoint's other connections and by what is seen at its address anyway; it causes no probe of its own.

--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from bulrushstream.coordination.crashevidence import (
+    CANCELLED_S,
     GIVE_UP_S,
     SETTLE_S,
     BrokenRun,
@@ -89,6 +90,8 @@
             return
         open_runs = sum(len(each.runs) for each in self._watched.values())
         if endpoint.entry.leaving or open_runs >= MAX_OPEN_RUNS:
+            if run.cancelled:
+                return
             reason = "the endpoint was leaving"
             if not endpoint.entry.leaving:
                 reason = "too many runs have no verdict yet"
@@ -143,6 +146,9 @@
         """Judge a run; return whether there is a verdict."""
         seen = watched.pool.seen(run.broke_s)
         judgement = judge_run(run, seen, watched.signs, now_s)
+        if run.cancelled and judgement.verdict is not Verdict.ENDED:
+            expired = now_s - run.broke_s > CANCELLED_S
+            return expired or judgement.verdict is not Verdict.OPEN
         if judgement.verdict is Verdict.OPEN:
             return False
         name = watched.endpoint.name
@@ -182,7 +188,10 @@
 
     def _probe_if_due(self, watched: _Watched, now_s: float) -> None:
         """Probe an endpoint unless that was done a moment ago."""
-        oldest_s = min(run.broke_s for run in watched.runs)
+        broken = [run.broke_s for run in watched.runs if not run.cancelled]
+        if not broken:
+            return
+        oldest_s = min(broken)
         due_s = max(oldest_s + SETTLE_S, watched.probed_s + PROBE_INTERVAL_S)
         request = self.encode_probe(watched.endpoint)
         if watched.probe is not None or now_s < due_s or request is None:
--- a/src/bulrushstream/daemon/runwatch.py
+++ b/src/bulrushstream/daemon/runwatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from bulrushstream.coordination.crashevidence import BrokenRun
@@ -44,8 +45,12 @@
     """
     if not forward.sent_s:
         return
-    if front.clock() - _heard_s(forward) >= MIN_SILENCE_S:
+    now_s = front.clock()
+    if now_s - _heard_s(forward) >= MIN_SILENCE_S:
         _watch_silent(front, forward, endpoint)
+    elif forward.shared_parts:
+        run = replace(_describe_run(forward, now_s), cancelled=True)
+        front.crash_watch.add(endpoint, forward.pool, run)
 
 
 def watch_silent_runs(front: Front) -> None:
