Logs tell which limits endpoints name

The header is decoded: a decimal number, the lowest of several. Each router logs when an endpoint's limit changes, and once for each endpoint a value that is no limit. Routers do not keep to it yet.

--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -253,6 +253,10 @@
             return False
         self._head = head
         pending, endpoint = self._pending, self._endpoint
+        if endpoint is not None and status != 421:
+            self.front.endpoint_limits.observe(
+                endpoint.name, head.request_limit, head.bad_limit
+            )
         if pending is not None and endpoint is not None and not pending.reused:
             sign = Sign.SAME_INSTANCE
             if status == 421:
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -16,6 +16,7 @@
 from bulrushstream.coordination.crashevidence import BrokenRun
 from bulrushstream.coordination.crashids import CrashIds
 from bulrushstream.coordination.crashsuspects import CrashSuspects
+from bulrushstream.coordination.endpointlimits import EndpointLimits
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetstate import CALL_NUMBER_BITS, FleetState
@@ -124,6 +125,7 @@
                 deps.observe, crash_ids, settings.host, self.peers.live_hosts
             ),
         )
+        self.endpoint_limits = EndpointLimits(deps.observe)
         self.pool = self.fleet_state.pool
         limit_s = settings.revocation_limit_s
         self.freshness = Freshness(
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import re
 from typing import Final
 
 from bulrushstream.protocol.dialect import HeadError
@@ -81,6 +82,12 @@
 )
 
 MAX_REQUEST_ID_CHARS: Final = 256
+MAX_BAD_LIMIT_CHARS: Final = 40
+
+# A limit in requests a second above this one is no limit in practice.
+MAX_REQUEST_LIMIT: Final = 1e6
+
+_LIMIT: Final = re.compile(rb"[0-9]{1,300}(\.[0-9]{0,300})?|\.[0-9]{1,300}")
 MAX_PROMPT_PARTS: Final = 256
 
 
@@ -281,6 +288,7 @@
         for word in values.get(b"connection", b"").split(b",")
     } - {REQUEST_ID, SIGNATURE, b"content-type"}
     not_executed = b"x-not-executed" in values or status == 421
+    request_limit, bad_limit = _parse_limits(headers)
     return AnswerHead(
         status=status,
         request_id=values.get(REQUEST_ID, b"").decode("latin-1"),
@@ -297,6 +305,8 @@
             and lower not in connection_options
         ],
         load=_parse_load(values.get(b"x-server-load")),
+        request_limit=request_limit,
+        bad_limit=bad_limit,
     )
 
 
@@ -311,6 +321,23 @@
     return running, waiting, slots
 
 
+def _parse_limits(headers: RawHeaders) -> tuple[float | None, str]:
+    """Return the lowest limit that an answer names, and one that is none."""
+    limit: float | None = None
+    bad = ""
+    for name, value in headers:
+        if name.lower() != b"server-limit":
+            continue
+        for text in value.split(b","):
+            if _LIMIT.fullmatch(text.strip()):
+                named = min(MAX_REQUEST_LIMIT, float(text))
+                limit = named if limit is None else min(limit, named)
+            else:
+                bad = text.strip().decode("latin-1")[:MAX_BAD_LIMIT_CHARS]
+                bad = bad or "(empty)"
+    return limit, bad
+
+
 def refusal_headers(
     request_id: str, retry_after_s: float | None
 ) -> RawHeaders:
