--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -136,12 +136,14 @@
         self._loop = loop
         plan = self.plan
         for service, count in {**SERVICES, "llm": plan.engines}.items():
-            for _ in range(count):
-                self._start_endpoint(service)
+            for each in range(count):
+                self._start_endpoint(service, number=each)
         for number in range(plan.routers):
             self._routers.append(self._start_router(number))
         for fault in plan.faults:
             loop.call_later(fault.at_s, self._begin_fault, fault)
+        for at_s, name in plan.drains:
+            loop.call_later(at_s, self._drain, name)
         for at_s, service in plan.kills:
             loop.call_later(at_s, self._kill_busiest, service)
         for number in range(plan.routers):
@@ -176,6 +178,31 @@
             self.history.crashed_by[label].append(now_s)
             self._end(endpoint)
 
+    def record_arrival(self, request_id: str, endpoint: str) -> None:
+        """Record that a request reached an endpoint."""
+        router = self._requests[request_id][0]
+        sent = Sent(self.loop.time(), router, endpoint)
+        self.history.arrivals[endpoint].append(sent)
+
+    def name_limit(self, request_id: str, endpoint: Endpoint) -> bytes:
+        """Return the limit that an answer names; empty: none."""
+        now_s = self.loop.time()
+        for limit in self.plan.limits:
+            if not limit.applies(endpoint.service, endpoint.number, now_s):
+                continue
+            if request_id in self._requests:
+                router = self._requests[request_id][0]
+                named = self.history.named[endpoint.name]
+                named.append((now_s, router, limit.value))
+            return limit.value
+        return b""
+
+    def _drain(self, name: str) -> None:
+        """Announce that an endpoint is leaving."""
+        entry = self._entries.get(name)
+        if entry is not None:
+            self._set_entry(name, replace(entry, leaving=True))
+
     def _kill_busiest(self, service: str) -> None:
         """End the endpoint with the most connections, for no request."""
         endpoint = max(
@@ -203,12 +230,13 @@
         loop.call_later(RESTART_S, self._start_endpoint, endpoint.service)
 
     def _start_endpoint(
-        self, service: str, at: Endpoint | None = None
+        self, service: str, at: Endpoint | None = None, number: int = 10**6
     ) -> None:
         """Start an endpoint, at the address and with the id of another."""
         name = at.name if at else self._new_name()
         address = at.address if at else (f"10.1.0.{self._names}", 80)
-        endpoint = Endpoint(self, name, service, address)
+        number = at.number if at else number
+        endpoint = Endpoint(self, name, service, address, number=number)
         self._endpoints[name] = endpoint
         self.loop.listeners[address] = endpoint.accept
         entry = EndpointEntry(name, service, *address, "z", 64)
@@ -272,7 +300,8 @@
             self.history.out_of_touch.append((now_s, end_s, number))
             if not fault.cut_s:
                 self._stop_router(self._routers[number])
-                self._routers[number] = self._start_router(number)
+                if not fault.stops:
+                    self._routers[number] = self._start_router(number)
 
     def _stop_router(self, router: _Router) -> None:
         router.running = False
--- a/tests/crashingendpoints.py
+++ b/tests/crashingendpoints.py
@@ -85,6 +85,12 @@
     def crash(self, endpoint: Endpoint, request_id: str) -> None:
         """End an endpoint because of a request."""
 
+    def record_arrival(self, request_id: str, endpoint: str) -> None:
+        """Record that a request reached an endpoint."""
+
+    def name_limit(self, request_id: str, endpoint: Endpoint) -> bytes:
+        """Return the limit that an answer names; empty: none."""
+
 
 @dataclass(slots=True, eq=False)
 class Endpoint:
@@ -95,6 +101,7 @@
     service: str
     address: Address
     links: dict[Serving, None] = field(default_factory=dict)
+    number: int = 0  # Among the first endpoints of its service, from 0.
 
     def accept(self, transport: Transport) -> Serving:
         return Serving(self, transport)
@@ -147,6 +154,10 @@
     def on_message_complete(self) -> None:
         headers = self._headers
         name = self.endpoint.name.encode()
+        if self._target.decode() != HEALTH_PATH:
+            self.endpoint.fleet.record_arrival(
+                headers[b"x-request-id"].decode(), self.endpoint.name
+            )
         if headers.get(b"x-expect-instance", name) != name:
             self._answer(b"421 Misdirected", b"")
         elif self._target.decode() == HEALTH_PATH:
@@ -237,10 +248,14 @@
     def _send_head(
         self, status: bytes, headers: dict[bytes, bytes], more: bytes
     ) -> None:
+        request_id = headers.get(b"x-request-id", b"")
+        fleet = self.endpoint.fleet
+        limit = fleet.name_limit(request_id.decode(), self.endpoint)
+        if limit:
+            more += b"Server-Limit: %b\r\n" % limit
         self.transport.send(
             b"HTTP/1.1 %b\r\nX-Request-Id: %b\r\n"
-            b"X-Response-Signature: s\r\n%b\r\n"
-            % (status, headers.get(b"x-request-id", b""), more)
+            b"X-Response-Signature: s\r\n%b\r\n" % (status, request_id, more)
         )
 
     def _later(self, delay_s: float, step: Callable[[], None]) -> None:
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -91,11 +91,31 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterFault:
-    """A router that is restarted, or cut off from its peers."""
+    """A router that is restarted, stopped, or cut off from its peers."""
 
     at_s: float
     routers: tuple[int, ...]
     cut_s: float = 0.0  # How long it is cut off; 0: it is restarted.
+    stops: bool = False  # Whether it stops for good instead.
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """Endpoints that name a limit for a time."""
+
+    value: bytes  # As in the header.
+    begin_s: float
+    end_s: float
+    service: str = "llm"
+    endpoints: int = 100  # So many of the service's first ones.
+
+    def applies(self, service: str, number: int, now_s: float) -> bool:
+        """Return whether an endpoint names it now."""
+        return (
+            service == self.service
+            and number < self.endpoints
+            and self.begin_s <= now_s < self.end_s
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +135,8 @@
     engines: int = 6  # Endpoints of the model service.
     end_s: float = 34.0
     prompts: tuple[Prompts, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
+    drains: tuple[tuple[float, str], ...] = ()  # Times and endpoints.
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +174,14 @@
     crashed_by: dict[bytes, list[float]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    # The requests that reached each endpoint, run or not.
+    arrivals: dict[str, list[Sent]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    # When each endpoint named a limit to each router, and the value.
+    named: dict[str, list[tuple[float, int, bytes]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     decisions: list[tuple[float, int, Decision]] = field(default_factory=list)
     out_of_touch: list[tuple[float, float, int]] = field(default_factory=list)
 
@@ -189,7 +219,7 @@
         return [
             sent
             for sent in self.sent[label]
-            if sent.at_s > begin_s and self._in_touch(sent)
+            if sent.at_s > begin_s and self.in_touch(sent)
         ]
 
     def codes(self, body: bytes) -> list[str]:
@@ -204,7 +234,7 @@
             if line.kind == kind and endpoint in ("", line.endpoint)
         ]
 
-    def _in_touch(self, sent: Sent) -> bool:
+    def in_touch(self, sent: Sent) -> bool:
         return not any(
             begin_s <= sent.at_s < end_s and sent.router == router
             for begin_s, end_s, router in self.out_of_touch
