The first grant after a time without any does not divide by zero

What callers saw: a request was neither forwarded nor answered, and its caller waited to the deadline. If no engine got a request for the whole window, the level of the shares is 0 until the next refresh, 0.1 s later at most. A second request of the workspace that is granted first then failed with a ZeroDivisionError. Found by the test of endpoints that name a limit of 0.

The share's use is not known then, so it counts as unused, as before the grant. The new test failed before.

--- a/src/bulrushstream/coordination/fairshare.py
+++ b/src/bulrushstream/coordination/fairshare.py
@@ -145,7 +145,8 @@
         """
         self._refresh(now_s)
         granted = self.granted.get(workspace, 0.0)
-        if granted <= 0:
+        if granted <= 0 or self.level <= 0:
+            # Nothing was granted to anybody at the last refresh.
             return 0.0
         return (granted + tokens) / self.level
 
--- a/tests/crashingendpoints.py
+++ b/tests/crashingendpoints.py
@@ -101,6 +101,7 @@
     service: str
     address: Address
     links: dict[Serving, None] = field(default_factory=dict)
+    running: int = 0  # Requests that it works on.
     number: int = 0  # Among the first endpoints of its service, from 0.
 
     def accept(self, transport: Transport) -> Serving:
@@ -128,6 +129,7 @@
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
         self._body = b""
+        self._running = False
         endpoint.links[self] = None
 
     def received(self, data: bytes) -> None:
@@ -135,6 +137,7 @@
 
     def closed(self) -> None:
         self._open = False
+        self._end_run()
         self.endpoint.links.pop(self, None)
 
     # --- Called by the parser.
@@ -167,9 +170,15 @@
 
     # --- Runs.
 
+    def _end_run(self) -> None:
+        self.endpoint.running -= self._running
+        self._running = False
+
     def _run(self, headers: dict[bytes, bytes], body: bytes) -> None:
         request_id = headers[b"x-request-id"].decode()
         run = self.endpoint.fleet.record_run(request_id, self.endpoint.name)
+        self._running = True
+        self.endpoint.running += 1
         if body == Body.CRASH_OR_TIMEOUT and run % 3 == 0:
             self._later(
                 HEAD_S, lambda: self._answer(b"504 Gateway Timeout", b"")
@@ -221,6 +230,7 @@
             self._later(EVENT_S, lambda: self._send_event(number + 1, last))
         elif last == EVENTS:
             self.transport.send(b"0\r\n\r\n")
+            self._end_run()
         else:
             self.transport.end(None)
 
@@ -244,6 +254,7 @@
         length = b"Content-Length: %d\r\n" % len(body)
         self._send_head(status, self._headers, length + more)
         self.transport.send(body)
+        self._end_run()
 
     def _send_head(
         self, status: bytes, headers: dict[bytes, bytes], more: bytes
@@ -253,6 +264,7 @@
         limit = fleet.name_limit(request_id.decode(), self.endpoint)
         if limit:
             more += b"Server-Limit: %b\r\n" % limit
+        more += b"X-Server-Load: %d,0,64\r\n" % self.endpoint.running
         self.transport.send(
             b"HTTP/1.1 %b\r\nX-Request-Id: %b\r\n"
             b"X-Response-Signature: s\r\n%b\r\n" % (status, request_id, more)
--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -55,6 +55,15 @@
         # The flood demands 5,000 tokens per second; 800 are left for it.
         assert 0.7 < refused["flood"] / 400 < 0.95
 
+    def test_the_first_grant_after_a_time_without_any(self) -> None:
+        """Guards against a level of 0 as a divisor."""
+        shares = FairShares(4.0)
+        shares.add_demand("club", 100.0, 10.0)
+        assert shares.used_share("club", 100.0, 10.0) == 0.0
+        shares.add_grant("club", 100.0, 10.01)
+        now_s = 10.01 + REFRESH_INTERVAL_S / 2
+        assert shares.used_share("club", 100.0, now_s) == 0.0
+
     def test_usage_before_the_window_is_forgotten(self) -> None:
         shares = FairShares(4.0)
         shares.add_demand("a", 1000, 0.0)
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 
 from bulrushstream.coordination.crashsuspects import CrashSuspects
+from bulrushstream.coordination.endpointlimits import EndpointLimits
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetstate import (
     PEER_CALL_TIMEOUT_S,
@@ -20,10 +21,12 @@
 )
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S, FleetView
 from bulrushstream.coordination.partsuspects import PartSuspects
+from bulrushstream.coordination.routerpresence import RouterPresence
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
     CrashSuspect,
+    EndpointLimit,
     FirstEvent,
     PeerUpdate,
     RequestPlaced,
@@ -78,6 +81,9 @@
     def report_cleared(self, fingerprint: int) -> None:
         self.updates.append(replace(self.identity, cleared=(fingerprint,)))
 
+    def report_limit(self, limit: EndpointLimit) -> None:
+        self.updates.append(replace(self.identity, limits=(limit,)))
+
     def report_part_strikes(self, strikes: PartStrikes) -> None:
         self.updates.append(replace(self.identity, part_strikes=(strikes,)))
 
@@ -94,6 +100,9 @@
         number << 30,
         CrashSuspects(decisions.append),
         PartSuspects(decisions.append),
+        EndpointLimits(
+            decisions.append, RouterPresence(0.0, lambda: 2), random.Random(1)
+        ),
     )
     for name in ("e-1", "e-2", "e-3"):
         state.pool.update(an_entry(name, service="llm"), TRAITS)
