Routers keep together to the limits that endpoints name

Cause: nobody read the header.

Each router now keeps a token bucket of each limit, with debt, that all routers' requests fill: they report each one that they place to each other anyway. A random wait beyond one token keeps routers from taking the same one. Limits and their ends are told to peers at once and repeated, the latest answer to any router counts. What has no room goes to another endpoint, else it is refused with B130 and the time until there is room; that holds for retries too.

Routers that are not heard keep their share for 10 s, for longer if an endpoint's load shows requests of which nobody tells, so that routers that hear no peers do not each take the whole limit, and one that remains alone does not idle for long.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -16,6 +16,7 @@
     CrashSuspects,
     SuspectNotifier,
 )
+from bulrushstream.coordination.endpointlimits import EndpointLimits
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
 from bulrushstream.coordination.engineview import (
     DEFAULT_PREFILL_TOKENS_PER_S,
@@ -28,9 +29,10 @@
 from bulrushstream.coordination.usagecounter import UsageCounter, add_tokens
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.peerupdate import (
-    CrashEvidence,
+    EndpointLimit,
     FirstEvent,
     PeerUpdate,
+    RepeatedReports,
     RequestPlaced,
 )
 from bulrushstream.state.usage import ShareReport
@@ -77,6 +79,9 @@
     def repeat_usage(self) -> None:
         """Report the usage of all workspaces again, for a new peer."""
 
+    def report_limit(self, limit: EndpointLimit) -> None:
+        """Report a limit that an endpoint names, or that has ended."""
+
 
 # The interval between sweeps, and the gap between two sweeps above which
 # the process counts as having stalled.
@@ -118,6 +123,7 @@
     number_base: int  # The upper bits of this router's call numbers.
     suspects: CrashSuspects  # Requests that may crash endpoints.
     parts: PartSuspects  # Parts of prompts that may.
+    limits: EndpointLimits
     notifier: PeerNotifier | None = None  # None: not connected to peers.
     pool: EndpointPool = field(default_factory=EndpointPool)
     # Average over all engines, in tokens per second.
@@ -138,16 +144,18 @@
         self.notifier = notifier
         self.suspects.notifier = notifier
         self.parts.reports.notifier = notifier
+        self.limits.report = notifier.report_limit
 
-    def repeated_evidence(self, now_s: float) -> CrashEvidence:
-        """Return the evidence of crashes that the next heartbeat repeats.
+    def repeated_reports(self, now_s: float) -> RepeatedReports:
+        """Return what the next heartbeat repeats to the peers.
 
         :param now_s: the time
         """
-        return CrashEvidence(
+        return RepeatedReports(
             self.suspects.strikes_to_repeat(now_s),
             self.parts.reports.strikes_to_repeat(now_s),
             self.parts.reports.proofs_to_repeat(now_s),
+            self.limits.limits_to_repeat(now_s),
         )
 
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
@@ -186,6 +194,7 @@
         self._number += 1
         number = self.number_base + self._number
         endpoint.outstanding += 1
+        self.limits.placed(endpoint.name, now_s)
         if endpoint.view is not None and prompt is not None:
             endpoint.view.place(
                 number, prompt, self.prefill_rate, now_s, expires_s
@@ -259,6 +268,9 @@
         peer = self.peers.peers.get(update.instance)
         if peer is None or peer.incarnation != update.incarnation:
             return
+        self.limits.presence.heard(
+            update.instance, now_s, leaving=update.leaving
+        )
         if peer is not known:
             self.suspects.peer_appeared(now_s)
             self.parts.reports.peer_appeared(now_s)
@@ -277,6 +289,7 @@
             peer.calls.discard(number)
         self.suspects.apply_update(update, now_s)
         self.parts.apply_update(update, now_s)
+        self.limits.apply_update(update, now_s)
         self._count_peer_usage(update, now_s)
         if update.leaving:
             self._end_peer_calls(set(peer.calls))
@@ -319,6 +332,8 @@
         self._end_peer_calls(self.peers.sweep(now_s))
         self.parts.set_explained(self.suspects.explained_crashes(now_s))
         self.parts.sweep(now_s)
+        self.limits.presence.sweep(now_s)
+        self.limits.sweep(now_s)
         self._extrapolate_peer_usage(now_s)
         expired = []
         for number, peer_call in self._peer_calls.items():
@@ -409,6 +424,7 @@
         self._peer_calls[placed.call_id] = _PeerCall(placed.endpoint, now_s)
         endpoint.outstanding += 1
         self.parts.placed(endpoint.name, placed.part_ids[:-1], now_s)
+        self.limits.placed(endpoint.name, now_s, elsewhere=True)
         if endpoint.view is not None and placed.input_tokens:
             parts = zip(placed.part_ids, placed.part_tokens, strict=False)
             prompt = Prompt(
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -41,7 +41,7 @@
 )
 
 if TYPE_CHECKING:
-    from bulrushstream.daemon.front import CrashRefusal, Front
+    from bulrushstream.daemon.front import Front, Refusal
 
 # Answers up to this size are buffered until they are complete, so that a
 # retry can replace one that breaks off.  Longer ones are relayed as they come.
@@ -180,19 +180,15 @@
     def _start_attempt(self) -> None:
         """Choose an endpoint and queue the request for a connection to it."""
         front = self.front
-        refusal = front.crash_refusal(self)
-        if refusal is not None:
-            self._refuse_crashing(refusal)
-            return
-        choice = front.choose_endpoint(self)
-        if isinstance(choice, Notice):
-            self._answer_notice(choice, Outcome.NOT_RUN)
-            return
+        choice = front.crash_refusal(self) or front.choose_endpoint(self)
         if choice is None:
             self._attempt_failed(
                 Failure.NO_ENDPOINT, "no endpoint accepts requests"
             )
             return
+        if not isinstance(choice, tuple):
+            self._refuse(choice)
+            return
         endpoint, number = choice
         self._endpoint = endpoint
         self._attempt_number = number
@@ -254,9 +250,7 @@
         self._head = head
         pending, endpoint = self._pending, self._endpoint
         if endpoint is not None and status != 421:
-            self.front.endpoint_limits.observe(
-                endpoint.name, head.request_limit, head.bad_limit
-            )
+            self._observe_load(endpoint, head)
         if pending is not None and endpoint is not None and not pending.reused:
             sign = Sign.SAME_INSTANCE
             if status == 421:
@@ -266,6 +260,24 @@
             self._streaming = head.signed and not head.encoded
         return True
 
+    def _observe_load(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        """Record what an answer says of its endpoint's load and limit."""
+        now_s = self._heard_s
+        limits = self.front.fleet_state.limits
+        if head.bad_limit:
+            limits.observe_bad(endpoint.name, head.bad_limit)
+        # An answer of a full endpoint need not name the limit.
+        known = head.bad_limit or head.not_executed
+        if head.request_limit is not None or not known:
+            limits.observe(
+                endpoint.name, head.request_limit, self.sent_s, now_s
+            )
+        if head.load is not None and limits:
+            running, waiting, _ = head.load
+            limits.presence.load_told(
+                endpoint.name, running + waiting, endpoint.outstanding, now_s
+            )
+
     def data(self, data: bytes) -> None:
         """Relay or buffer a chunk of an answer's body; see `Sink`."""
         head = self._head
@@ -517,20 +529,29 @@
                     self._endpoint, self._attempt_number
                 )
 
-    def _refuse_crashing(self, refusal: CrashRefusal) -> None:
-        """End a request under which endpoints crash, or may crash."""
-        self.front.log_decision(
-            "refuse",
-            refusal.notice.text,
-            self,
-            inputs={"part": refusal.part},
-        )
+    def _refuse(self, refusal: Refusal) -> None:
+        """End a request that is refused, now or after a failed attempt."""
+        if refusal.part or refusal.wait_s:
+            self.front.log_decision(
+                "refuse",
+                refusal.notice.text,
+                self,
+                outcome=refusal.notice.code,
+                inputs={
+                    "part": refusal.part,
+                    "wait_s": round(refusal.wait_s, 3),
+                },
+            )
         if self.progress.may_have_run:
             self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
         else:
-            self._answer_notice(refusal.notice, Outcome.NOT_RUN)
+            self._answer_notice(
+                refusal.notice, Outcome.NOT_RUN, refusal.wait_s
+            )
 
-    def _answer_notice(self, notice: Notice, outcome: Outcome) -> None:
+    def _answer_notice(
+        self, notice: Notice, outcome: Outcome, wait_s: float = 0.0
+    ) -> None:
         """End the request with a refusal or failure from the router."""
         if self.exchange.started:
             self.exchange.abort()
@@ -538,7 +559,7 @@
             return
         retry_after_s = None
         if outcome is Outcome.NOT_RUN:
-            retry_after_s = self.front.retry_after_s(self)
+            retry_after_s = self.front.retry_after_s(self, wait_s)
         self.front.refuse(
             self.exchange, notice, self.call.request_id, outcome, retry_after_s
         )
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -31,6 +31,7 @@
     choose_plain,
 )
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
+from bulrushstream.coordination.routerpresence import RouterPresence
 from bulrushstream.coordination.routetable import RouteTable, pick_service
 from bulrushstream.daemon import runwatch
 from bulrushstream.daemon.connections import EndpointConnections
@@ -85,11 +86,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CrashRefusal:
-    """Why a request is refused for the sake of the endpoints."""
+class Refusal:
+    """Why a request is refused, and when it may come again."""
 
     notice: Notice
-    part: str = ""  # The part of its prompt; empty: the whole request.
+    part: str = ""  # The part of its prompt that crashes endpoints, if any.
+    wait_s: float = 0.0  # Until it may be served; 0: not known.
 
 
 class Front:
@@ -124,8 +126,12 @@
             PartSuspects(
                 deps.observe, crash_ids, settings.host, self.peers.live_hosts
             ),
+            EndpointLimits(
+                deps.observe,
+                RouterPresence(self.clock(), lambda: self.peers.router_count),
+                self.rng,
+            ),
         )
-        self.endpoint_limits = EndpointLimits(deps.observe)
         self.pool = self.fleet_state.pool
         limit_s = settings.revocation_limit_s
         self.freshness = Freshness(
@@ -167,7 +173,7 @@
         :param port: sends and receives them
         """
         port.hosts = self.peers.notified_hosts
-        port.repeated_evidence = lambda: self.fleet_state.repeated_evidence(
+        port.repeated_reports = lambda: self.fleet_state.repeated_reports(
             self.clock()
         )
         self.fleet_state.set_notifier(port)
@@ -278,7 +284,7 @@
             return messages.NO_TOKEN
         return route, workspace.name
 
-    def crash_refusal(self, forward: Forward) -> CrashRefusal | None:
+    def crash_refusal(self, forward: Forward) -> Refusal | None:
         """Return why a request is refused as endpoints crash under it.
 
         :param forward: the request
@@ -289,18 +295,16 @@
         if suspects and suspects.is_refused(
             forward.fingerprint, now_s, parts.explained_crashes()
         ):
-            return CrashRefusal(messages.CRASHES_ENDPOINTS)
+            return Refusal(messages.CRASHES_ENDPOINTS)
         judgement = parts.judge(forward.shared_parts, now_s)
         if judgement.verdict is PartVerdict.REFUSE:
-            return CrashRefusal(
+            return Refusal(
                 messages.CRASHES_ENDPOINTS, part_name(judgement.part)
             )
         if judgement.verdict is PartVerdict.HOLD:
             # Its own trial is not over while no endpoint has got it.
             if not forward.on_trial or forward.progress.sends:
-                return CrashRefusal(
-                    messages.PART_HELD, part_name(judgement.part)
-                )
+                return Refusal(messages.PART_HELD, part_name(judgement.part))
         elif judgement.verdict is PartVerdict.TRY:
             forward.on_trial = True
         return None
@@ -371,12 +375,12 @@
 
     def choose_endpoint(
         self, forward: Forward
-    ) -> tuple[Endpoint, int] | Notice | None:
+    ) -> tuple[Endpoint, int] | Refusal | None:
         """Choose an endpoint and start an attempt there.
 
         :param forward: the request
         :returns: the endpoint and the attempt's number; None if no endpoint
-            accepts requests; a notice if the request is refused
+            accepts requests; the reason if the request is refused
         """
         now_s = self.clock()
         usable = self.pool.usable(forward.service, now_s, forward.tried)
@@ -386,7 +390,10 @@
             parts = self.fleet_state.parts
             usable = [e for e in usable if not parts.has_trial(e.name, now_s)]
             if not usable:
-                return messages.PART_HELD
+                return Refusal(messages.PART_HELD)
+        usable, wait_s = self._with_room(usable, now_s)
+        if wait_s > 0.0:
+            return Refusal(messages.LIMITS_REACHED, wait_s=wait_s)
         prompt = forward.call.prompt
         if prompt is None or not any(each.view for each in usable):
             zone = self.settings.availability_zone
@@ -402,14 +409,33 @@
         )
         if prediction is None:
             return None
-        refusal = self._check_admission(forward, prediction, now_s)
-        if refusal is not None:
-            return refusal
+        notice = self._check_admission(forward, prediction, now_s)
+        if notice is not None:
+            return Refusal(notice)
         number = self._record_attempt(
             forward, prediction.endpoint, prediction, now_s
         )
         return prediction.endpoint, number
 
+    def _with_room(
+        self, endpoints: list[Endpoint], now_s: float
+    ) -> tuple[list[Endpoint], float]:
+        """Return the endpoints whose limits have room for a request.
+
+        :returns: these, and the time until one of the others has room if
+            there are none; else 0
+        """
+        limits = self.fleet_state.limits
+        if not limits or not endpoints:
+            return endpoints, 0.0
+        waits_s = [limits.room_s(each.name, now_s) for each in endpoints]
+        if min(waits_s) > 0.0:
+            for each in endpoints:
+                limits.refused(each.name)
+            return [], min(waits_s)
+        pairs = zip(endpoints, waits_s, strict=True)
+        return [each for each, wait_s in pairs if wait_s <= 0.0], 0.0
+
     def _check_admission(
         self, forward: Forward, prediction: Prediction, now_s: float
     ) -> Notice | None:
@@ -522,12 +548,15 @@
         :param endpoint: where it was sent last
         """
         tried = {*forward.tried, endpoint.name}
-        return bool(self.pool.usable(forward.service, self.clock(), tried))
+        now_s = self.clock()
+        usable = self.pool.usable(forward.service, now_s, tried)
+        return bool(self._with_room(usable, now_s)[0])
 
-    def retry_after_s(self, forward: Forward) -> float | None:
+    def retry_after_s(self, forward: Forward, wait_s: float) -> float:
         """Return the retry-after time of a refused request, in seconds.
 
         :param forward: the request
+        :param wait_s: the time until it may be served; 0: not known
         """
         remaining_s = forward.deadline_s - self.clock()
         if forward.call.timeout_s is not None:
@@ -538,6 +567,8 @@
         retry_s = forward.route.latency_target_s * self.rng.uniform(
             *RETRY_TARGET_FRACTIONS
         )
+        if wait_s:
+            return wait_s + retry_s
         return max(0.01, min(retry_s, remaining_s * MAX_RETRY_FRACTION))
 
     # --- Results and failures.
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -79,7 +79,7 @@
         return
     runwatch.endpoint_removed(front, endpoint)
     front.connections.remove(endpoint)
-    front.endpoint_limits.forget(endpoint)
+    front.fleet_state.limits.forget(endpoint)
     front.observe(
         Decision(
             "endpoint",
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -98,6 +98,9 @@
 PART_HELD: Final = Notice(
     "B129", "A part of the prompt may crash endpoints and is on trial.", 503
 )
+LIMITS_REACHED: Final = Notice(
+    "B130", "Every endpoint has reached the limit that it names.", 503
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -23,6 +23,7 @@
 )
 from bulrushstream.state.peerupdate import (
     CrashSuspect,
+    EndpointLimit,
     FirstEvent,
     PeerUpdate,
     RequestPlaced,
@@ -104,6 +105,14 @@
             _SCHEMA.PartProof(each.part_id, _to_ms(each.age_s))
             for each in update.part_proofs
         ],
+        limits=[
+            _SCHEMA.Limit(
+                each.endpoint,
+                -1.0 if each.per_s is None else each.per_s,
+                _to_ms(each.age_s),
+            )
+            for each in update.limits
+        ],
         totals=[
             _SCHEMA.Totals(
                 each.workspace,
@@ -195,6 +204,14 @@
             PartProof(each.part, each.age_ms / 1000)
             for each in wire.part_proofs or ()
         ),
+        limits=tuple(
+            EndpointLimit(
+                each.endpoint,
+                each.per_s if each.per_s >= 0.0 else None,
+                each.age_ms / 1000,
+            )
+            for each in wire.limits or ()
+        ),
         # A router of an earlier version sends no totals.
         totals=tuple(
             WorkspaceTotals(
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -48,6 +48,12 @@
   2: i32 age_ms
 }
 
+struct Limit {
+  1: string endpoint
+  2: double per_s  // Negative: none.
+  3: i32 age_ms
+}
+
 struct Update {
   1: string instance
   2: i64 incarnation
@@ -63,4 +69,5 @@
   12: list<i64> cleared
   13: list<PartStrikes> part_strikes
   14: list<PartProof> part_proofs
+  15: list<Limit> limits
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -54,12 +54,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CrashEvidence:
-    """What a heartbeat repeats of crashes, for peers that missed it."""
+class EndpointLimit:
+    """How many requests a second an endpoint takes from all routers."""
+
+    endpoint: str  # The endpoint's id.
+    per_s: float | None  # None: it names no limit any more.
+    age_s: float = 0.0  # How long ago an answer said so.
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatedReports:
+    """What a heartbeat repeats, for peers that missed it."""
 
     crash_suspects: tuple[CrashSuspect, ...] = ()
     part_strikes: tuple[PartStrikes, ...] = ()
     part_proofs: tuple[PartProof, ...] = ()
+    limits: tuple[EndpointLimit, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,5 +87,6 @@
     cleared: tuple[int, ...] = ()  # Fingerprints that an endpoint answered.
     part_strikes: tuple[PartStrikes, ...] = ()
     part_proofs: tuple[PartProof, ...] = ()
+    limits: tuple[EndpointLimit, ...] = ()
     known_hosts: tuple[str, ...] = ()  # IP addresses of its peers.
     leaving: bool = False  # Whether it is stopping.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -17,10 +17,11 @@
 )
 from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
-    CrashEvidence,
     CrashSuspect,
+    EndpointLimit,
     FirstEvent,
     PeerUpdate,
+    RepeatedReports,
     RequestPlaced,
     WorkspaceTotals,
 )
@@ -49,6 +50,7 @@
     cleared: list[int] = field(default_factory=list)
     part_strikes: list[PartStrikes] = field(default_factory=list)
     part_proofs: list[PartProof] = field(default_factory=list)
+    limits: list[EndpointLimit] = field(default_factory=list)
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -58,7 +60,8 @@
             + len(self.ended_calls)
         )
         events += len(self.crash_suspects) + len(self.cleared)
-        return events + len(self.part_strikes) + len(self.part_proofs)
+        events += len(self.part_strikes) + len(self.part_proofs)
+        return events + len(self.limits)
 
 
 @dataclass(slots=True)
@@ -111,8 +114,8 @@
         self._repeated_totals: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
         self.hosts: Callable[[], tuple[str, ...]] = tuple
-        # Returns the evidence that the next heartbeat repeats.
-        self.repeated_evidence: Callable[[], CrashEvidence] = CrashEvidence
+        # Returns the reports that the next heartbeat repeats.
+        self.repeated_reports: Callable[[], RepeatedReports] = RepeatedReports
         self.leaving = False
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -220,16 +223,25 @@
         self._pending.part_proofs.append(proof)
         self._schedule_flush()
 
+    def report_limit(self, limit: EndpointLimit) -> None:
+        """Report a limit that an endpoint names, or that has ended.
+
+        :param limit: the limit
+        """
+        self._pending.limits.append(limit)
+        self._schedule_flush()
+
     def beat(self) -> None:
         """Send a heartbeat: an update even if nothing is pending.
 
-        It repeats the totals that changed since the last one, and recent
-        evidence of crashes, in case that the updates with them were lost.
+        It repeats the totals that changed since the last one, and other
+        recent reports, in case that the updates with them were lost.
         """
-        evidence = self.repeated_evidence()
-        self._pending.crash_suspects.extend(evidence.crash_suspects)
-        self._pending.part_strikes.extend(evidence.part_strikes)
-        self._pending.part_proofs.extend(evidence.part_proofs)
+        reports = self.repeated_reports()
+        self._pending.crash_suspects.extend(reports.crash_suspects)
+        self._pending.part_strikes.extend(reports.part_strikes)
+        self._pending.part_proofs.extend(reports.part_proofs)
+        self._pending.limits.extend(reports.limits)
         repeated, self._repeated_totals = self._repeated_totals, set()
         self._pending.changed_totals |= repeated
         self.flush()
@@ -257,6 +269,7 @@
                 crash_suspects=tuple(pending.crash_suspects[:MAX_TOTALS]),
                 cleared=tuple(pending.cleared),
                 part_proofs=tuple(pending.part_proofs[:MAX_TOTALS]),
+                limits=tuple(pending.limits),
                 known_hosts=self.hosts(),
                 leaving=self.leaving,
             )
