--- a/src/bulrushstream/coordination/partsuspects.py
+++ b/src/bulrushstream/coordination/partsuspects.py
@@ -64,6 +64,7 @@
 
     verdict: PartVerdict
     part: int = 0
+    due_s: float = 0.0  # When a held part may be tried again.
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,8 +124,9 @@
             ):
                 return PartJudgement(PartVerdict.REFUSE, part)
         for part in held:
-            if now_s < self._turn_s(part):
-                return PartJudgement(PartVerdict.HOLD, part)
+            due_s = self._turn_s(part)
+            if now_s < due_s:
+                return PartJudgement(PartVerdict.HOLD, part, due_s)
         return PartJudgement(PartVerdict.TRY, held[0])
 
     def has_trial(self, endpoint: str, now_s: float) -> bool:
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -304,7 +304,11 @@
         if judgement.verdict is PartVerdict.HOLD:
             # Its own trial is not over while no endpoint has got it.
             if not forward.on_trial or forward.progress.sends:
-                return Refusal(messages.PART_HELD, part_name(judgement.part))
+                return Refusal(
+                    messages.PART_HELD,
+                    part_name(judgement.part),
+                    judgement.due_s - now_s,
+                )
         elif judgement.verdict is PartVerdict.TRY:
             forward.on_trial = True
         return None
