Answers that end with their connection are not looked into like broken ones

An answer may have neither a length nor chunks. Each of them closed the idle connections to its endpoint, was logged as a broken run and caused probes, as the endpoint might have ended there. It is now judged by what is seen of the endpoint anyway. A stream that ends amid an event is still a broken one.

Before, the new test saw a probe or a line for most of them.

--- a/src/bulrushstream/coordination/crashevidence.py
+++ b/src/bulrushstream/coordination/crashevidence.py
@@ -38,9 +38,9 @@
 # written for longer than this crashed for another reason.
 BEGINNING_S: Final = 1.0
 
-# A run that the router cancelled is judged for this time only, as nothing
-# suggests that its endpoint ends.
-CANCELLED_S: Final = 1.0
+# A passive run is judged for this time only, as nothing suggests that its
+# endpoint ends.
+PASSIVE_S: Final = 1.0
 
 # A run without a verdict after this time remains without one.
 GIVE_UP_S: Final = 8.0
@@ -72,8 +72,9 @@
     sent_s: float = 0.0  # When it was sent.
     # When the endpoint began to write the answer; infinity: it had not yet.
     began_s: float = float("inf")
-    # Whether the router ended it, and the endpoint may end on it still.
-    cancelled: bool = False
+    # Whether it broke for another reason, and is judged only by what is seen
+    # of its endpoint anyway.
+    passive: bool = False
 
     @property
     def had_just_begun(self) -> bool:
--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -13,8 +13,8 @@
 from typing import Final
 
 from bulrushstream.coordination.crashevidence import (
-    CANCELLED_S,
     GIVE_UP_S,
+    PASSIVE_S,
     SETTLE_S,
     BrokenRun,
     Verdict,
@@ -57,6 +57,7 @@
     endpoint: Endpoint
     pool: Pool
     runs: list[BrokenRun] = field(default_factory=list)
+    logs_signs: bool = False  # Whether runs broke there that are not passive.
     signs: dict[Sign, float] = field(default_factory=dict)  # Times.
     probe: asyncio.Task[None] | None = None
     probed_s: float = float("-inf")  # The end of the last probe.
@@ -90,7 +91,7 @@
             return
         open_runs = sum(len(each.runs) for each in self._watched.values())
         if endpoint.entry.leaving or open_runs >= MAX_OPEN_RUNS:
-            if run.cancelled:
+            if run.passive:
                 return
             reason = "the endpoint was leaving"
             if not endpoint.entry.leaving:
@@ -102,6 +103,7 @@
             watched = _Watched(endpoint, pool)
             self._watched[endpoint.name] = watched
         watched.runs.append(run)
+        watched.logs_signs = watched.logs_signs or not run.passive
         watched.active_s = self.clock()
         # The verdict should not wait for the next sweep.
         asyncio.get_running_loop().call_later(
@@ -117,7 +119,7 @@
         watched = self._watched.get(endpoint)
         if watched is None:
             return
-        if sign not in watched.signs:
+        if sign not in watched.signs and watched.logs_signs:
             self.observe(
                 Decision("endpoint_seen", sign.value, endpoint=endpoint)
             )
@@ -146,8 +148,8 @@
         """Judge a run; return whether there is a verdict."""
         seen = watched.pool.seen(run.broke_s)
         judgement = judge_run(run, seen, watched.signs, now_s)
-        if run.cancelled and judgement.verdict is not Verdict.ENDED:
-            expired = now_s - run.broke_s > CANCELLED_S
+        if run.passive and judgement.verdict is not Verdict.ENDED:
+            expired = now_s - run.broke_s > PASSIVE_S
             return expired or judgement.verdict is not Verdict.OPEN
         if judgement.verdict is Verdict.OPEN:
             return False
@@ -188,7 +190,7 @@
 
     def _probe_if_due(self, watched: _Watched, now_s: float) -> None:
         """Probe an endpoint unless that was done a moment ago."""
-        broken = [run.broke_s for run in watched.runs if not run.cancelled]
+        broken = [run.broke_s for run in watched.runs if not run.passive]
         if not broken:
             return
         oldest_s = min(broken)
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -369,12 +369,7 @@
             return
         self._framed = framed
         if not framed:
-            runwatch.run_broken(
-                self.front,
-                self,
-                endpoint,
-                "the answer ended with its connection",
-            )
+            runwatch.run_unframed(self.front, self, endpoint)
         self._pending = None
         if head.not_executed:
             self._withdraw_grant()
@@ -407,6 +402,9 @@
     def _end_stream(self, endpoint: Endpoint) -> None:
         """Handle the end of an event stream."""
         if self._splitter.mid_event:
+            runwatch.run_broken(
+                self.front, self, endpoint, "the stream ended amid an event"
+            )
             self._count_failure(endpoint)
             self._attempt_failed(
                 Failure.BROKEN, "the stream ended in the middle of an event"
--- a/src/bulrushstream/daemon/runwatch.py
+++ b/src/bulrushstream/daemon/runwatch.py
@@ -36,6 +36,16 @@
     _watch(front, forward, endpoint, run, detail)
 
 
+def run_unframed(front: Front, forward: Forward, endpoint: Endpoint) -> None:
+    """Handle an answer without a length that ended with its connection.
+
+    :param front: the router
+    :param forward: the request
+    :param endpoint: where it was sent
+    """
+    _watch_passively(front, forward, endpoint)
+
+
 def run_cancelled(front: Front, forward: Forward, endpoint: Endpoint) -> None:
     """Handle an attempt that the router ends without an answer.
 
@@ -49,8 +59,7 @@
     if now_s - _heard_s(forward) >= MIN_SILENCE_S:
         _watch_silent(front, forward, endpoint)
     elif forward.shared_parts:
-        run = replace(_describe_run(forward, now_s), cancelled=True)
-        front.crash_watch.add(endpoint, forward.pool, run)
+        _watch_passively(front, forward, endpoint)
 
 
 def watch_silent_runs(front: Front) -> None:
@@ -82,6 +91,14 @@
     front.crash_watch.add_sign(endpoint, Sign.REMOVED)
 
 
+def _watch_passively(
+    front: Front, forward: Forward, endpoint: Endpoint
+) -> None:
+    """Watch a run by what is seen of its endpoint anyway."""
+    run = _describe_run(forward, front.clock())
+    front.crash_watch.add(endpoint, forward.pool, replace(run, passive=True))
+
+
 def _watch_silent(front: Front, forward: Forward, endpoint: Endpoint) -> None:
     """Watch a run whose endpoint is silent, once for each silence."""
     at_s = _heard_s(forward)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -106,6 +106,19 @@
         for reply in replies:
             assert is_whole_200(reply) == whole
 
+    @pytest.mark.parametrize("path", PATHS)
+    def test_they_are_not_taken_for_crashes(self, path: str) -> None:
+        body = b"%b:%b:" % (Body.UNFRAMED, Unframed.CLOSED.encode())
+        asking = replace(ASKING, path=path, body=body, per_s=20.0, end_s=12.0)
+        history = play(
+            CrashPlan(prompts=(asking,), background_per_s=8.0, end_s=18.0)
+        )
+        assert history.served_share(ASKING.label, 2.0) >= 0.98
+        assert history.lines("part_strikes") == []
+        assert history.lines("strike") == []
+        assert history.probes == 0
+        assert history.lines("endpoint_seen") == []
+
     def test_time_is_bounded(self) -> None:
         """Guards against waiting for an end beyond the caller's deadline."""
         body = b"%b:%b:trickle" % (Body.ENDLESS, Endless.EVENT.encode())
