Operators can list suspects and limits

Each front-end router serves at /suspects, on its metrics port, the parts of prompts and the requests that it suspects or refuses, by which crashes and what else may explain them, and the limits that endpoints name. The command 'bulrushstream suspects' prints them for several routers.

--- a/src/bulrushstream/cli.py
+++ b/src/bulrushstream/cli.py
@@ -68,6 +68,7 @@
         "service": standin.service,
     },
     "status": operate.status,
+    "suspects": operate.suspects,
 }
 
 
--- a/src/bulrushstream/commands/operate.py
+++ b/src/bulrushstream/commands/operate.py
@@ -1,4 +1,4 @@
-"""`bulrushstream status` and `bulrushstream quarantine`."""
+"""`bulrushstream status`, `suspects` and `quarantine`."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
     :returns: the exit code: 0 only if every instance answered
     """
     urls = [url for url in operators.split(",") if url]
-    answers = asyncio.run(_get_all(urls))
+    answers = asyncio.run(_get_all(urls, "status"))
     statuses = [answer["common"] for answer in answers if answer is not None]
     print("  ".join(f"{name:>18}" for name in STATUS_COLUMNS))
     for common in sorted(statuses, key=lambda each: str(each["instance"])):
@@ -43,6 +43,36 @@
     return _report_unanswered(urls, answers)
 
 
+def suspects(routers: str) -> int:
+    """List what may crash endpoints, and the limits that endpoints name.
+
+    This is for front-end routers on a platform; see also `quarantine list`.
+
+    :param routers: addresses of routers' metrics, comma-separated
+    :returns: the exit code: 0 only if every router answered
+    """
+    urls = [url for url in routers.split(",") if url]
+    answers = asyncio.run(_get_all(urls, "suspects"))
+    for url, answer in zip(urls, answers, strict=True):
+        if answer is None:
+            continue
+        print(url)
+        for each in answer["suspects"]:
+            state = "refused" if each["refused"] else "suspected"
+            print(
+                f"  {each['kind']:8}{each['name']:20}  {state:9}"
+                f"  {each['strikes']:3} crashes"
+                f"  {','.join(each['endpoints'])}"
+                f"  explained by {','.join(each['explained_by']) or 'itself'}"
+            )
+        for each in answer["limits"]:
+            print(
+                f"  limit   {each['endpoint']:20}  {each['per_s']:g} a second"
+                f"  share {each['share']:.2f}"
+            )
+    return _report_unanswered(urls, answers)
+
+
 def quarantine_list(operators: str) -> int:
     """List quarantined requests, which have crashed endpoints.
 
@@ -89,10 +119,12 @@
     return UNREACHABLE_EXIT if None in answers else 0
 
 
-async def _get_all(urls: list[str]) -> list[Any]:
-    """Return each instance's status; None if it did not answer."""
+async def _get_all(urls: list[str], document: str) -> list[Any]:
+    """Return a document of each instance; None if it did not answer."""
     async with httpx.AsyncClient(timeout=TIMEOUT_S) as client:
-        calls = [_json_or_none(client.get(f"{url}/status")) for url in urls]
+        calls = [
+            _json_or_none(client.get(f"{url}/{document}")) for url in urls
+        ]
         return await asyncio.gather(*calls)
 
 
--- a/src/bulrushstream/coordination/endpointlimits.py
+++ b/src/bulrushstream/coordination/endpointlimits.py
@@ -153,6 +153,10 @@
             for endpoint, bucket in chosen
         )
 
+    def known(self) -> list[tuple[str, float]]:
+        """Return each endpoint with a limit, in requests a second."""
+        return [(name, each.per_s) for name, each in self._buckets.items()]
+
     def forget(self, endpoint: str) -> None:
         """Remove an endpoint that is no longer in the list.
 
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -14,6 +14,7 @@
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.front import Front, FrontDeps
 from bulrushstream.daemon.recovery import Recovery
+from bulrushstream.daemon.suspectlist import encode_suspects
 from bulrushstream.daemon.watch import Snapshot, TopicWatch, run_periodically
 from bulrushstream.metrics import CONTENT_TYPE, encode_metrics
 from bulrushstream.protocol.dialect import DocumentError
@@ -234,13 +235,17 @@
         exchange.answer(200 if self.front.ready else 503, [])
 
     def _answer_service(self, exchange: Exchange) -> None:
-        """Answer requests for metrics, and peers' recovery requests."""
+        """Answer requests of operators, and peers' recovery requests."""
         if exchange.target == b"/metrics":
             exchange.answer(
                 200,
                 [(b"content-type", CONTENT_TYPE.encode())],
                 encode_metrics(self._deps.metrics),
             )
+        elif exchange.target == b"/suspects":
+            state, now_s = self.front.fleet_state, self._deps.clock()
+            headers = [(b"content-type", b"application/json")]
+            exchange.answer(200, headers, encode_suspects(state, now_s))
         elif not self._recovery.answer_peer(exchange):
             exchange.answer(404, [])
 
--- /dev/null
+++ b/src/bulrushstream/daemon/suspectlist.py
@@ -0,0 +1,88 @@
+"""The list of suspects that a front-end router serves to operators."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bulrushstream.state.call import part_name
+
+if TYPE_CHECKING:
+    from bulrushstream.coordination.fleetstate import FleetState
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectStatus:
+    """A request, or a part of prompts, that may crash endpoints."""
+
+    kind: str  # "request" or "part".
+    name: str  # The fingerprint, or the part's id in hexadecimal.
+    refused: bool  # Whether such requests are refused; else they are held.
+    strikes: int  # Crashes that still count.
+    endpoints: tuple[str, ...] = ()  # Those that crashed; of parts only.
+    # The parts that may be the cause, this one included; of parts only.
+    explained_by: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LimitStatus:
+    """A limit that an endpoint names."""
+
+    endpoint: str  # The endpoint's id.
+    per_s: float  # Requests a second, from all routers.
+    share: float  # The part of it that the routers heard here may use.
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectList:
+    """What one router knows of suspects and limits."""
+
+    suspects: tuple[SuspectStatus, ...]
+    limits: tuple[LimitStatus, ...]
+
+
+def list_suspects(state: FleetState, now_s: float) -> SuspectList:
+    """Return the suspects and limits that a router knows.
+
+    :param state: the router's state
+    :param now_s: the time
+    """
+    strikes = state.suspects.strikes
+    requests = [
+        SuspectStatus(
+            "request",
+            str(fingerprint),
+            state.suspects.is_refused(fingerprint, now_s),
+            strikes.count(fingerprint, now_s),
+        )
+        for fingerprint in strikes.fingerprints()
+    ]
+    parts = [
+        SuspectStatus(
+            "part",
+            part_name(suspect.part),
+            suspect.refused,
+            len(suspect.strikes),
+            tuple(strike.endpoint for strike in suspect.strikes),
+            tuple(map(part_name, suspect.explanations)),
+        )
+        for suspect in state.parts.suspects()
+    ]
+    limits = [
+        LimitStatus(
+            endpoint, per_s, state.limits.presence.heard_share(endpoint, now_s)
+        )
+        for endpoint, per_s in state.limits.known()
+    ]
+    return SuspectList((*parts, *requests), tuple(limits))
+
+
+def encode_suspects(state: FleetState, now_s: float) -> bytes:
+    """Return the suspects and limits that a router knows, as JSON.
+
+    :param state: the router's state
+    :param now_s: the time
+    """
+    return msgspec.json.encode(list_suspects(state, now_s))
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bulrushstream.commands import operate
 from bulrushstream.standins.worker import Behaviour
 from tests.deployments import (
     CONFIG,
@@ -325,6 +326,28 @@
         assert status == 200
         await deployment.stop()
 
+    async def test_operators_list_suspects_and_limits(
+        self, fleet: Deployment, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        front = fleet.process.front
+        now_s = front.clock()
+        for number in range(4):
+            at_s = now_s - 5.0 + number
+            front.fleet_state.parts.endpoint_crashed(
+                f"e-{number}", (0x5C1E,), at_s - 0.1, at_s, now_s
+            )
+        front.fleet_state.suspects.endpoint_crashed("e-0", 77, now_s, now_s)
+        front.fleet_state.limits.observe("d-1", 4.5, now_s, now_s)
+        url = f"http://127.0.0.1:{fleet.process.ports[2]}"
+        assert await asyncio.to_thread(operate.suspects, url) == 0
+        printed = capsys.readouterr().out
+        assert "5c1e" in printed
+        assert "refused" in printed
+        assert "e-0,e-1,e-2,e-3" in printed
+        assert "77" in printed
+        assert "4.5 a second" in printed
+        assert await asyncio.to_thread(operate.suspects, f"{url}/x") == 1
+
 
 class StreamSuite:
     async def test_events_arrive_complete_and_in_order(
