--- a/src/bulrushstream/coordination/partsuspects.py
+++ b/src/bulrushstream/coordination/partsuspects.py
@@ -7,8 +7,7 @@
 requests run one at a time in the fleet, each on an endpoint without another
 one.  What becomes of these trials shows which part it is.
 
-Routers report strikes and proofs to each other.  They take turns with trials
-by a hash, and learn of each other's trials when requests are placed.
+Routers report strikes and proofs to each other, and take turns with trials.
 """
 
 from __future__ import annotations
@@ -19,8 +18,6 @@
 from enum import IntEnum
 from typing import Final
 
-import xxhash
-
 from bulrushstream.coordination.crashids import CrashIds
 from bulrushstream.coordination.partreports import PartReports
 from bulrushstream.coordination.partrules import (
@@ -33,15 +30,11 @@
     PartStrike,
     PartStrikeTable,
 )
+from bulrushstream.coordination.parttrials import PartTrials
 from bulrushstream.state.call import part_name
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.peerupdate import PeerUpdate
 
-# The time between two trials of a held part, and the time by which routers
-# wait for each other.
-TRIAL_S: Final = 2.0
-TURN_S: Final = 0.05
-
 # How long a part is watched after a run with an unknown end.
 WATCHED_S: Final = 600.0
 MAX_WATCHED: Final = 4096
@@ -86,16 +79,12 @@
 
     on_decision: Callable[[Decision], None]  # Called for each finding.
     crash_ids: CrashIds = field(default_factory=CrashIds)
-    own_host: str = ""  # This router's IP address.
-    # Returns the IP addresses of the live peers.
-    peer_hosts: Callable[[], Sequence[str]] = tuple
+    trials: PartTrials = field(default_factory=PartTrials)
     table: PartStrikeTable = field(default_factory=PartStrikeTable)
     reports: PartReports = field(init=False)
     # The held parts, and whether requests may be refused for them.
     _held: dict[int, bool] = field(default_factory=dict)
     _changed: bool = False  # Whether `_held` must be computed anew.
-    _tried_s: dict[int, float] = field(default_factory=dict)  # Held parts.
-    _tried_at_s: dict[str, float] = field(default_factory=dict)  # Endpoints.
     # When a run with an unknown end broke, by part.
     _watched_s: OrderedDict[int, float] = field(default_factory=OrderedDict)
     _explained: frozenset[str] = frozenset()  # Crashes of whole requests.
@@ -129,15 +118,6 @@
                 return PartJudgement(PartVerdict.HOLD, part, due_s)
         return PartJudgement(PartVerdict.TRY, held[0])
 
-    def has_trial(self, endpoint: str, now_s: float) -> bool:
-        """Return whether a trial runs on an endpoint.
-
-        :param endpoint: the endpoint's id
-        :param now_s: the time
-        """
-        tried_s = self._tried_at_s.get(endpoint, float("-inf"))
-        return now_s - tried_s < TRIAL_S
-
     def is_watched(self, parts: Sequence[int], now_s: float) -> bool:
         """Return whether an endpoint may have crashed on one of the parts.
 
@@ -161,10 +141,7 @@
         :param now_s: the time
         """
         held = [part for part in parts if part in self._held]
-        for part in held:
-            self._tried_s[part] = now_s
-        if held:
-            self._tried_at_s[endpoint] = now_s
+        self.trials.placed(endpoint, held, now_s)
 
     # --- Evidence.
 
@@ -285,9 +262,7 @@
         if self.table.expire(now_s):
             self._changed = True
         self._update()
-        for endpoint, at_s in list(self._tried_at_s.items()):
-            if now_s - at_s >= TRIAL_S:
-                del self._tried_at_s[endpoint]
+        self.trials.sweep(now_s)
 
     def _strike(
         self,
@@ -363,29 +338,16 @@
                 self._log(part, "requests with all that explains it", "")
             elif part not in before:
                 self._log(part, "its requests run one at a time", "")
-        for part in before.keys() - self._held.keys():
-            self._tried_s.pop(part, None)
+        self.trials.forget(before.keys() - self._held.keys())
 
     def _retrial_s(self, part: int) -> float:
         """Return when a refused part is tried again."""
-        last_run_s = self._tried_s.get(part, float("-inf"))
-        return retrial_s(self.table, part, last_run_s)
+        return retrial_s(self.table, part, self.trials.last_s(part))
 
     def _turn_s(self, part: int) -> float:
         """Return when this router may try a held part."""
         strikes = self.table.strikes(part)
-        free_s = strikes[-1].crash_s
-        if part in self._tried_s:
-            free_s = max(free_s, self._tried_s[part] + TRIAL_S)
-        seed = (part + len(strikes)) & 0xFFFFFFFF
-
-        def order(host: str) -> int:
-            digest: int = xxhash.xxh32_intdigest(host.encode(), seed)
-            return digest
-
-        own = order(self.own_host)
-        before = sum(order(host) < own for host in self.peer_hosts())
-        return free_s + before * TURN_S
+        return self.trials.turn_s(part, strikes[-1].crash_s, len(strikes))
 
     def _log(self, part: int, reason: str, reporter: str) -> None:
         """Log that a part is held, refused or cleared, and why."""
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -19,7 +19,8 @@
     RetryDecision,
     decide_retry,
 )
-from bulrushstream.daemon import runwatch
+from bulrushstream.daemon import runwatch, safeguards
+from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.messages import Notice
 from bulrushstream.protocol.prompt import fingerprint
 from bulrushstream.state.call import (
@@ -41,7 +42,7 @@
 )
 
 if TYPE_CHECKING:
-    from bulrushstream.daemon.front import Front, Refusal
+    from bulrushstream.daemon.front import Front
 
 # Answers up to this size are buffered until they are complete, so that a
 # retry can replace one that breaks off.  Longer ones are relayed as they come.
@@ -180,7 +181,10 @@
     def _start_attempt(self) -> None:
         """Choose an endpoint and queue the request for a connection to it."""
         front = self.front
-        choice = front.crash_refusal(self) or front.choose_endpoint(self)
+        state, now_s = front.fleet_state, front.clock()
+        choice = safeguards.crash_refusal(
+            state, self, now_s
+        ) or front.choose_endpoint(self)
         if choice is None:
             self._attempt_failed(
                 Failure.NO_ENDPOINT, "no endpoint accepts requests"
@@ -202,7 +206,7 @@
         self._heard_s = 0.0
         self._may_have_run_before = self.progress.may_have_run
         self.pool = front.connections.pool_for(endpoint)
-        watched = front.is_watched(self)
+        watched = safeguards.is_watched(state, self, now_s)
         if watched:
             # Its fate shows whether the endpoint ends with this run.
             self.pool.add_idle()
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -22,7 +22,8 @@
 from bulrushstream.coordination.fleetstate import CALL_NUMBER_BITS, FleetState
 from bulrushstream.coordination.fleetview import FleetView
 from bulrushstream.coordination.freshness import Freshness
-from bulrushstream.coordination.partsuspects import PartSuspects, PartVerdict
+from bulrushstream.coordination.partsuspects import PartSuspects
+from bulrushstream.coordination.parttrials import PartTrials
 from bulrushstream.coordination.placement import (
     Admission,
     Prediction,
@@ -33,14 +34,15 @@
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routerpresence import RouterPresence
 from bulrushstream.coordination.routetable import RouteTable, pick_service
-from bulrushstream.daemon import runwatch
+from bulrushstream.daemon import runwatch, safeguards
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashwatch import CrashWatch
 from bulrushstream.daemon.forward import Forward
+from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
 from bulrushstream.protocol.dialect import Dialect, HeadError
-from bulrushstream.state.call import Call, part_name
+from bulrushstream.state.call import Call
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.nodesettings import NodeSettings
@@ -85,15 +87,6 @@
     report_shares: Callable[[ShareReport], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a request is refused, and when it may come again."""
-
-    notice: Notice
-    part: str = ""  # The part of its prompt that crashes endpoints, if any.
-    wait_s: float = 0.0  # Until it may be served; 0: not known.
-
-
 class Front:
     """One front-end router: its state and how it handles requests."""
 
@@ -124,7 +117,9 @@
             self.rng.getrandbits(38) << CALL_NUMBER_BITS,
             CrashSuspects(deps.observe, crash_ids=crash_ids),
             PartSuspects(
-                deps.observe, crash_ids, settings.host, self.peers.live_hosts
+                deps.observe,
+                crash_ids,
+                PartTrials(settings.host, self.peers.live_hosts),
             ),
             EndpointLimits(
                 deps.observe,
@@ -156,7 +151,9 @@
             self._encode_probe,
             self.dialect.decode_probe,
             self.observe,
-            self._endpoint_crashed,
+            lambda endpoint, run: safeguards.endpoint_crashed(
+                self.fleet_state, endpoint, run, self.clock()
+            ),
             self.end_unknown,
         )
         self.limits = IngressLimits(
@@ -178,30 +175,13 @@
         )
         self.fleet_state.set_notifier(port)
 
-    def _endpoint_crashed(self, endpoint: str, run: BrokenRun) -> None:
-        """Count a crash of an endpoint against a run that broke there."""
-        now_s = self.clock()
-        self.fleet_state.suspects.endpoint_crashed(
-            endpoint, run.fingerprint, run.broke_s, now_s
-        )
-        if run.had_just_begun:
-            self.fleet_state.parts.endpoint_crashed(
-                endpoint, run.parts, run.sent_s, run.broke_s, now_s
-            )
-
     def end_unknown(self, endpoint: str, run: BrokenRun) -> None:
         """Watch a request and its parts: its endpoint may have crashed.
 
         :param endpoint: the endpoint's id
         :param run: the run that broke there
         """
-        now_s = self.clock()
-        self.fleet_state.suspects.end_unknown(
-            endpoint, run.fingerprint, run.broke_s, now_s
-        )
-        self.fleet_state.parts.end_unknown(
-            endpoint, run.parts, run.broke_s, now_s
-        )
+        safeguards.end_unknown(self.fleet_state, endpoint, run, self.clock())
 
     def reconfigure(self, settings: NodeSettings) -> None:
         """Apply the settings that may change while the router runs.
@@ -247,7 +227,7 @@
             arrived_boot_s,
         )
         now_s = self.clock()
-        refusal = self.crash_refusal(forward)
+        refusal = safeguards.crash_refusal(self.fleet_state, forward, now_s)
         if refusal is not None:
             self._refuse_early(
                 exchange, refusal.notice, call.request_id, refusal.part
@@ -284,48 +264,6 @@
             return messages.NO_TOKEN
         return route, workspace.name
 
-    def crash_refusal(self, forward: Forward) -> Refusal | None:
-        """Return why a request is refused as endpoints crash under it.
-
-        :param forward: the request
-        :returns: the reason; None: it may run
-        """
-        now_s = self.clock()
-        suspects, parts = self.fleet_state.suspects, self.fleet_state.parts
-        if suspects and suspects.is_refused(
-            forward.fingerprint, now_s, parts.explained_crashes()
-        ):
-            return Refusal(messages.CRASHES_ENDPOINTS)
-        judgement = parts.judge(forward.shared_parts, now_s)
-        if judgement.verdict is PartVerdict.REFUSE:
-            return Refusal(
-                messages.CRASHES_ENDPOINTS, part_name(judgement.part)
-            )
-        if judgement.verdict is PartVerdict.HOLD:
-            # Its own trial is not over while no endpoint has got it.
-            if not forward.on_trial or forward.progress.sends:
-                return Refusal(
-                    messages.PART_HELD,
-                    part_name(judgement.part),
-                    judgement.due_s - now_s,
-                )
-        elif judgement.verdict is PartVerdict.TRY:
-            forward.on_trial = True
-        return None
-
-    def is_watched(self, forward: Forward) -> bool:
-        """Return whether endpoints may have crashed under a request.
-
-        :param forward: the request
-        """
-        now_s = self.clock()
-        suspects, parts = self.fleet_state.suspects, self.fleet_state.parts
-        if forward.on_trial or parts.is_watched(forward.shared_parts, now_s):
-            return True
-        return bool(suspects) and suspects.is_watched(
-            forward.fingerprint, now_s
-        )
-
     def _encode_probe(self, endpoint: Endpoint) -> bytes | None:
         """Return the encoded probe of an endpoint; None: it has none."""
         service = endpoint.entry.service
@@ -390,14 +328,12 @@
         usable = self.pool.usable(forward.service, now_s, forward.tried)
         if not usable and forward.route.repeatable:
             usable = self.pool.usable(forward.service, now_s)
-        if forward.on_trial:
-            parts = self.fleet_state.parts
-            usable = [e for e in usable if not parts.has_trial(e.name, now_s)]
-            if not usable:
-                return Refusal(messages.PART_HELD)
-        usable, wait_s = self._with_room(usable, now_s)
-        if wait_s > 0.0:
-            return Refusal(messages.LIMITS_REACHED, wait_s=wait_s)
+        selected = safeguards.select_endpoints(
+            self.fleet_state, usable, now_s, on_trial=forward.on_trial
+        )
+        if isinstance(selected, Refusal):
+            return selected
+        usable = selected
         prompt = forward.call.prompt
         if prompt is None or not any(each.view for each in usable):
             zone = self.settings.availability_zone
@@ -421,25 +357,6 @@
         )
         return prediction.endpoint, number
 
-    def _with_room(
-        self, endpoints: list[Endpoint], now_s: float
-    ) -> tuple[list[Endpoint], float]:
-        """Return the endpoints whose limits have room for a request.
-
-        :returns: these, and the time until one of the others has room if
-            there are none; else 0
-        """
-        limits = self.fleet_state.limits
-        if not limits or not endpoints:
-            return endpoints, 0.0
-        waits_s = [limits.room_s(each.name, now_s) for each in endpoints]
-        if min(waits_s) > 0.0:
-            for each in endpoints:
-                limits.refused(each.name)
-            return [], min(waits_s)
-        pairs = zip(endpoints, waits_s, strict=True)
-        return [each for each, wait_s in pairs if wait_s <= 0.0], 0.0
-
     def _check_admission(
         self, forward: Forward, prediction: Prediction, now_s: float
     ) -> Notice | None:
@@ -554,7 +471,8 @@
         tried = {*forward.tried, endpoint.name}
         now_s = self.clock()
         usable = self.pool.usable(forward.service, now_s, tried)
-        return bool(self._with_room(usable, now_s)[0])
+        selected = safeguards.select_endpoints(self.fleet_state, usable, now_s)
+        return bool(selected) and not isinstance(selected, Refusal)
 
     def retry_after_s(self, forward: Forward, wait_s: float) -> float:
         """Return the retry-after time of a refused request, in seconds.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -46,7 +46,7 @@
 
     @pytest.mark.parametrize("path", PATHS)
     @pytest.mark.parametrize(
-        ("how", "speed"), product(Endless, ("fast", "trickle"))
+        ("how", "speed"), list(product(Endless, ("fast", "trickle")))
     )
     def test_they_are_not_read_for_long(
         self, how: Endless, speed: str, path: str
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -16,10 +16,10 @@
 )
 from bulrushstream.coordination.partstrikes import EXPIRY_S, MAX_STRUCK
 from bulrushstream.coordination.partsuspects import (
-    TRIAL_S,
     PartSuspects,
     PartVerdict,
 )
+from bulrushstream.coordination.parttrials import TRIAL_S
 from bulrushstream.protocol.peercodec import decode_update, encode_update
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.effect import Decision
@@ -88,7 +88,7 @@
         assert verdict(suspects, (FIRST, BAD), now_s) is PartVerdict.REFUSE
         assert verdict(suspects, (FIRST, OTHER), now_s) is PartVerdict.TRY
         suspects.placed("e-9", (FIRST, OTHER), now_s)
-        assert suspects.has_trial("e-9", now_s)
+        assert suspects.trials.runs_at("e-9", now_s)
         assert verdict(suspects, (FIRST,), now_s) is PartVerdict.HOLD
         assert verdict(suspects, (FIRST,), now_s + TRIAL_S) is PartVerdict.TRY
         suspects.answered((FIRST, OTHER), now_s + 0.1, now_s + 1.0)
