--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -270,9 +270,9 @@
         limits = self.front.fleet_state.limits
         if head.bad_limit:
             limits.observe_bad(endpoint.name, head.bad_limit)
-        # An answer of a full endpoint need not name the limit.
-        known = head.bad_limit or head.not_executed
-        if head.request_limit is not None or not known:
+        # Neither a bad value nor the answer of a full endpoint ends a limit.
+        may_end = not head.bad_limit and not head.not_executed
+        if head.request_limit is not None or may_end:
             limits.observe(
                 endpoint.name, head.request_limit, self.sent_s, now_s
             )
@@ -329,12 +329,12 @@
         if not too_long or head is None:
             return
         if head.not_executed:
-            # What the head says is enough.
+            # The body of a refusal does not matter.
             self._cancel_pending()
             self.end()
             return
         if head.status >= 500 or not self._is_relayable(head):
-            self._end_attempt("an error, unsigned or encoded, is too long")
+            self._end_attempt("a body that could not be passed on is too long")
             return
         if self.exchange.started:
             self._end_attempt("an answer after a stream had begun")
