Connections that end at the same moment show an end of their endpoint again

Cause: asks for an idle connection among those that ended, or for five busy ones. Where endpoints live for a moment only, routers have two or three, all busy, and had to wait for the endpoint list.

Lost answers end a connection each, at different times; a process ends all of its own within milliseconds. So two that end within 20 ms of each other are enough.

--- a/src/bulrushstream/coordination/crashevidence.py
+++ b/src/bulrushstream/coordination/crashevidence.py
@@ -49,10 +49,6 @@
 # the notice of some ends may be late.
 ENDED_PER_OPEN: Final = 3
 
-# So many connections that carried requests end together only with their
-# endpoint.
-MIN_ENDED_BUSY: Final = 5
-
 _ENDING_SIGNS: Final = (Sign.REFUSED, Sign.OTHER_INSTANCE, Sign.REMOVED)
 
 
@@ -138,8 +134,9 @@
     """Judge a run whose connection was closed or reset."""
     if seen.open and seen.open >= seen.ended:
         return Judgement(Verdict.LIVES, "other connections to it stay open")
-    # Connections that carried requests may have ended with lost answers.
-    enough = seen.ended > seen.ended_busy or seen.ended >= MIN_ENDED_BUSY
+    # Connections that carried requests may have ended with lost answers, but
+    # hardly at the same moment.
+    enough = seen.ended > seen.ended_busy or seen.ended_at_once >= 2
     if seen.ended >= 2 and enough and seen.ended >= ENDED_PER_OPEN * seen.open:
         return Judgement(Verdict.ENDED, "its connections ended together")
     if signs.get(Sign.SAME_INSTANCE, float("-inf")) < run.broke_s:
--- a/src/bulrushstream/state/endpointsigns.py
+++ b/src/bulrushstream/state/endpointsigns.py
@@ -14,6 +14,7 @@
     open: int  # They are still open.
     heard: bool  # Whether bytes came on one of the open ones since then.
     ended_busy: int = 0  # Those that ended while they carried a request.
+    ended_at_once: int = 0  # Those that ended at this very moment.
 
 
 class Sign(StrEnum):
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -42,6 +42,9 @@
 MAX_ENDED: Final = 1024
 ENDED_TOGETHER_S: Final = 0.15
 
+# The spread of those that end at the same moment, with one process.
+SAME_MOMENT_S: Final = 0.02
+
 # Limits of a response's head, of the bodies that belong to no request, and of
 # the interim responses before a final one.
 MAX_HEAD_BYTES: Final = 65_536
@@ -458,7 +461,7 @@
             if each.opened_s < at_s and not each.is_closed
         ]
         ended = [
-            busy
+            (ended_s, busy)
             for opened_s, ended_s, busy in self._ended
             if opened_s < at_s and ended_s >= at_s - ENDED_TOGETHER_S
         ]
@@ -468,7 +471,10 @@
             heard=any(
                 each.heard_s > at_s + ENDED_TOGETHER_S for each in still_open
             ),
-            ended_busy=sum(ended),
+            ended_busy=sum(busy for _, busy in ended),
+            ended_at_once=sum(
+                abs(ended_s - at_s) <= SAME_MOMENT_S for ended_s, _ in ended
+            ),
         )
 
     def is_heard(self, opened_by_s: float, since_s: float) -> bool:
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -92,6 +92,25 @@
         end_s = 34.0 if per_s >= 8.0 else 56.0
         check(play(a_plan(crashing, seed=seed, end_s=end_s)))
 
+    @pytest.mark.parametrize("point", Point, ids=str)
+    @pytest.mark.parametrize("link", (Link.CLOSED, Link.RESET), ids=str)
+    def test_often_while_endpoints_fall_mute(
+        self, point: Point, link: Link
+    ) -> None:
+        """Guards against verdicts that wait for the endpoint list."""
+        crashing = replace(CRASHING, per_s=60.0, groups=(BAD,))
+        ending = Ending(point, link, After.MUTE)
+        plan = a_plan(crashing, ending=ending, seed=140, loss=0.0)
+        check(play(replace(plan, background_per_s=0.3)))
+
+    def test_often_while_endpoints_fall_silent_and_mute(self) -> None:
+        """Guards against evidence that comes with the endpoint list only."""
+        groups = (FIRST, BAD, SECOND)
+        crashing = replace(CRASHING, per_s=60.0, groups=groups)
+        ending = Ending(Point.AMID, Link.SILENT, After.MUTE)
+        plan = a_plan(crashing, ending=ending, seed=145, routers=2)
+        check(play(replace(plan, background_per_s=0.3)))
+
     @pytest.mark.parametrize(
         "groups",
         ((BAD, SECOND), (FIRST, BAD, SECOND), (FIRST, SECOND, BAD)),
