An answer that ends with its connection does not show an end of its endpoint

The orderly end of such a connection is a part of the answer. It is no longer kept among the connections that the endpoint ended.

--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -167,13 +167,22 @@
         """End or fail the current response; see `asyncio.Protocol`."""
         self._transport = None
         sink = self._sink
+        # Such an end is a part of the response, and shows nothing else.
+        ends_response = (
+            sink is not None
+            and self._ends_with_close
+            and exc is None
+            and not self._unusable
+        )
         self._pool.remove(
-            self, ended_by_peer=not self._unusable, busy=sink is not None
+            self,
+            ended_by_peer=not self._unusable and not ends_response,
+            busy=sink is not None,
         )
         self._sink = None
         if sink is None:
             return
-        if self._ends_with_close and exc is None and not self._unusable:
+        if ends_response:
             sink.end(framed=False)
         else:
             sink.failed(ResponseFailure.BROKEN, f"connection lost: {exc}")
