Held requests are told when to come back also on arrival

Nearly all are held on arrival, and were told 0.1 s, so that they came back while the trial still went on. The new test failed before.

--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -229,8 +229,15 @@
         now_s = self.clock()
         refusal = safeguards.crash_refusal(self.fleet_state, forward, now_s)
         if refusal is not None:
+            retry_after_s = None
+            if refusal.wait_s:
+                retry_after_s = self.retry_after_s(forward, refusal.wait_s)
             self._refuse_early(
-                exchange, refusal.notice, call.request_id, refusal.part
+                exchange,
+                refusal.notice,
+                call.request_id,
+                refusal.part,
+                retry_after_s,
             )
             return
         self.forwards.add(forward)
@@ -278,9 +285,11 @@
         notice: Notice,
         request_id: str,
         part: str = "",
+        retry_after_s: float | None = None,
     ) -> None:
         """Refuse a request before it is forwarded, and log that."""
-        retry_after_s = EARLY_REFUSAL_RETRY_S if notice.status == 503 else None
+        if retry_after_s is None and notice.status == 503:
+            retry_after_s = EARLY_REFUSAL_RETRY_S
         self.refuse(
             exchange, notice, request_id, Outcome.NOT_RUN, retry_after_s
         )
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -26,6 +26,7 @@
 
 CONTACT_S: Final = 3.0  # A router is in touch this long after a fault.
 TIMEOUT_S: Final = 4.0  # A caller gives up after this.
+LATENCY_TARGET_S: Final = 0.8
 SERVICES: Final = {"llm": 6, "desk": 4, "till": 3}  # Endpoints of each.
 
 
@@ -263,7 +264,7 @@
             kind=traits.kind,
             split=tuple(SplitShare(name, 1.0) for name in traits.services),
             timeout_s=TIMEOUT_S,
-            latency_target_s=0.8,
+            latency_target_s=LATENCY_TARGET_S,
             max_attempts=traits.max_attempts,
             resumable=traits.resumable,
             max_event_gap_s=0.25,
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -6,17 +6,20 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import replace
 from itertools import product
 from typing import Any, Final
 
 import pytest
 
+from bulrushstream.coordination.parttrials import TRIAL_S
 from bulrushstream.messages import CRASHES_ENDPOINTS, PART_HELD
 from tests.crashfleets import play
 from tests.crashingendpoints import After, Body, Ending, Link, Point
 from tests.crashplans import (
     CONTACT_S,
+    LATENCY_TARGET_S,
     CrashHistory,
     CrashPlan,
     Prompts,
@@ -31,6 +34,8 @@
 MIN_SERVED: Final = 0.5
 MIN_ANSWERS: Final = 20
 
+RETRY_AFTER: Final = re.compile(rb"Retry-After: ([0-9.]+)")
+
 FIRST: Final = ("a1", "a2", "a3")
 SECOND: Final = tuple(f"c{n}" for n in range(12))
 BAD: Final = ("bad",)
@@ -198,6 +203,26 @@
         check(play(a_plan(crashing)))
 
 
+class HeldRequestSuite:
+    """Callers whose requests are held learn when they may come again."""
+
+    def test_the_time_to_come_back(self) -> None:
+        """Guards against callers that return while a trial goes on."""
+        crashing = replace(CRASHING, per_s=60.0, groups=(FIRST, BAD))
+        history = play(a_plan(crashing, end_s=20.0))
+        waits_s = [
+            float(RETRY_AFTER.findall(reply)[0])
+            for replies in history.replies.values()
+            for reply in replies
+            if PART_HELD.code.encode() in reply
+        ]
+        assert len(waits_s) >= 20
+        # A part of the latency target is added, so that they do not return
+        # all at once.
+        assert min(waits_s) >= 0.2 * LATENCY_TARGET_S
+        assert max(waits_s) >= TRIAL_S
+
+
 class LogSuite:
     """The routers' logs show which part is suspected, and why."""
 
