Requests that look for an alternative do not count as refused for a limit

limit_use lines tell how many requests a router refused for want of room. A request that is overdue at its endpoint, and looks for another one with room, counted too, though it goes on where it is. The count is made where requests are refused now.

Also tests of the contrary case: while some endpoints name limits, no request is refused for them as long as others name none, and these are used; without any limit nothing is refused or logged for one.

--- a/src/bulrushstream/coordination/endpointlimits.py
+++ b/src/bulrushstream/coordination/endpointlimits.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
@@ -203,14 +203,15 @@
         else:
             bucket.taken_here += 1
 
-    def refused(self, endpoint: str) -> None:
-        """Count a request for which an endpoint's limit had no room.
+    def refused(self, endpoints: Iterable[str]) -> None:
+        """Count a request that is refused, as no limit had room for it.
 
-        :param endpoint: the endpoint's id
+        :param endpoints: the ids of the endpoints
         """
-        bucket = self._buckets.get(endpoint)
-        if bucket is not None:
-            bucket.refused += 1
+        for endpoint in endpoints:
+            bucket = self._buckets.get(endpoint)
+            if bucket is not None:
+                bucket.refused += 1
 
     def sweep(self, now_s: float) -> None:
         """Log the use of the limits; called often.
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -341,6 +341,8 @@
             self.fleet_state, usable, now_s, on_trial=forward.on_trial
         )
         if isinstance(selected, Refusal):
+            if selected.notice is messages.LIMITS_REACHED:
+                self.fleet_state.limits.refused(each.name for each in usable)
             return selected
         usable = selected
         prompt = forward.call.prompt
--- a/src/bulrushstream/daemon/safeguards.py
+++ b/src/bulrushstream/daemon/safeguards.py
@@ -99,8 +99,6 @@
         return endpoints
     waits_s = [limits.room_s(each.name, now_s) for each in endpoints]
     if min(waits_s) > 0.0:
-        for each in endpoints:
-            limits.refused(each.name)
         return Refusal(messages.LIMITS_REACHED, wait_s=min(waits_s))
     pairs = zip(endpoints, waits_s, strict=True)
     return [each for each, wait_s in pairs if wait_s <= 0.0]
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -13,7 +13,11 @@
 
 import pytest
 
-from bulrushstream.messages import CRASHES_ENDPOINTS, NO_CAPACITY
+from bulrushstream.messages import (
+    CRASHES_ENDPOINTS,
+    LIMITS_REACHED,
+    NO_CAPACITY,
+)
 from tests.crashfleets import play
 from tests.crashingendpoints import After, Ending, Link, Point
 from tests.crashplans import (
@@ -296,6 +300,52 @@
         assert share >= MIN_USED
 
 
+class UnlimitedSuite:
+    """Endpoints that name no limit are used as if none did."""
+
+    def test_no_request_is_refused_for_the_limits_of_others(self) -> None:
+        """Guards against refusals while some endpoints are not limited."""
+        sound = replace(SOUND, per_s=120.0)
+        plan = a_plan(a_limit(b"0.5", endpoints=6), prompts=(sound,))
+        history = play(plan)
+        assert LIMITS_REACHED.code not in history.codes(SOUND.label)
+        for line in history.lines("limit_use"):
+            assert line.inputs["refused"] == 0
+        unlimited = [
+            name
+            for name in history.arrivals
+            if name not in history.named and int(name[2:]) <= ENGINES
+        ]
+        assert len(unlimited) == 3
+        # They get what the limited ones leave, but for what is refused as
+        # late.
+        arrived = sum(
+            BEGIN_S + 4.0 <= sent.at_s < END_S
+            for name in unlimited
+            for sent in history.arrivals[name]
+        )
+        answered = [
+            code
+            for (_, code), asked_s in zip(
+                history.answers[SOUND.label],
+                history.answered_asked_s[SOUND.label],
+                strict=True,
+            )
+            if BEGIN_S + 4.0 <= asked_s < END_S
+        ]
+        refused = sum(code == NO_CAPACITY.code for code in answered)
+        limited = 6 * 0.5 * (END_S - BEGIN_S - 4.0)
+        assert arrived >= len(answered) - refused - 1.5 * limited - MAX_MORE
+
+    def test_nothing_is_refused_where_no_limit_is_named(self) -> None:
+        """Guards against limits that nobody named."""
+        history = play(a_plan())
+        assert LIMITS_REACHED.code not in history.codes(SOUND.label)
+        assert history.lines("endpoint_limit") == []
+        assert history.lines("limit_use") == []
+        assert history.served_share(SOUND.label, 1.0) >= 0.98
+
+
 class RefusalSuite:
     """Refused callers learn when there is room, and the logs tell why."""
 
@@ -303,7 +353,7 @@
         plan = a_plan(a_limit(b"1"))
         history = play(plan)
         codes = set(history.codes(SOUND.label))
-        assert codes - {NO_CAPACITY.code} == {"B130"}
+        assert codes - {NO_CAPACITY.code} == {LIMITS_REACHED.code}
         assert CRASHES_ENDPOINTS.code not in codes
         lines = history.lines("endpoint_limit")
         # Each router learns once of each engine's limit, and of its end.
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -7,7 +7,11 @@
 import pytest
 
 from bulrushstream.commands import operate
+from bulrushstream.coordination.endpointlimits import LOG_INTERVAL_S
+from bulrushstream.daemon import safeguards
+from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.standins.worker import Behaviour
+from bulrushstream.state.effect import Decision
 from tests.deployments import (
     CONFIG,
     COUNTS,
@@ -349,6 +353,26 @@
         assert await asyncio.to_thread(operate.suspects, f"{url}/x") == 1
 
 
+class LimitSuite:
+    async def test_only_refused_requests_count_as_refused(
+        self, fleet: Deployment
+    ) -> None:
+        """Guards against counting those that look for an alternative."""
+        front = fleet.process.front
+        state, now_s = front.fleet_state, front.clock()
+        decisions: list[Decision] = []
+        state.limits.on_decision = decisions.append
+        endpoints = front.pool.usable("desk", now_s)
+        for each in endpoints:
+            state.limits.observe(each.name, 1.0, now_s, now_s)
+        selected = safeguards.select_endpoints(state, endpoints, now_s)
+        assert isinstance(selected, Refusal)
+        state.limits.sweep(now_s + LOG_INTERVAL_S)
+        lines = [line for line in decisions if line.kind == "limit_use"]
+        assert len(lines) == len(endpoints)
+        assert [line.inputs["refused"] for line in lines] == [0, 0]
+
+
 class StreamSuite:
     async def test_events_arrive_complete_and_in_order(
         self, fleet: Deployment
