Split the attempt of a request from the request, and the choice of its endpoint

Now daemon/attempt.py holds what one attempt at an endpoint receives, daemon/forward.py the request with its attempts, and daemon/dispatch.py chooses the endpoint and admits the request.

The delay after which a second attempt is started moves to coordination/forwarding.py.

--- a/src/bulrushstream/coordination/forwarding.py
+++ b/src/bulrushstream/coordination/forwarding.py
@@ -12,7 +12,7 @@
 from enum import IntEnum
 from typing import Final
 
-from bulrushstream.state.routes import Route
+from bulrushstream.state.routes import RequestKind, Route
 
 
 class Failure(IntEnum):
@@ -43,6 +43,17 @@
     may_have_run: bool = False  # Whether "not run" may be false.
 
 
+# A repeatable request without an answer is retried at another endpoint after
+# its latency target times this factor, but not before the minimum.
+OVERDUE_TARGET_FACTOR: Final = 3.0
+MIN_OVERDUE_S: Final = 0.3
+
+# A resumable stream without a new event is resumed at another endpoint after
+# the route's target gap between events times this factor, but not before the
+# minimum.
+OVERDUE_GAP_FACTOR: Final = 5.0
+MIN_STREAM_OVERDUE_S: Final = 1.0
+
 # A request is refused after this many attempts without a connection.
 MAX_UNSENT: Final = 4
 
@@ -78,3 +89,19 @@
     return (
         RetryDecision.FAIL if progress.may_have_run else RetryDecision.REFUSE
     )
+
+
+def overdue_delay_s(route: Route, *, stream_begun: bool) -> float:
+    """Return after which time without progress an endpoint is overdue.
+
+    :param route: the request's route, which permits repeats
+    :param stream_begun: whether events of its stream have arrived
+    """
+    if route.kind is not RequestKind.STREAMING:
+        return max(
+            MIN_OVERDUE_S, OVERDUE_TARGET_FACTOR * route.latency_target_s
+        )
+    delay_s = max(
+        MIN_STREAM_OVERDUE_S, OVERDUE_GAP_FACTOR * route.max_event_gap_s
+    )
+    return delay_s if stream_begun else delay_s + route.latency_target_s
--- /dev/null
+++ b/src/bulrushstream/daemon/attempt.py
@@ -0,0 +1,385 @@
+"""One attempt of a request at an endpoint, and its answer.
+
+An `Attempt` is the `Sink` of the endpoint's response.  It passes a good
+answer on to the caller, and reports any other end to its `Forward`, which
+decides what follows.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.forwarding import Failure
+from bulrushstream.daemon import runwatch
+from bulrushstream.state.call import (
+    AnswerHead,
+    AnswerProgress,
+    RawHeaders,
+)
+from bulrushstream.state.endpointsigns import Sign
+from bulrushstream.transport.upstream import (
+    PendingRequest,
+    ResponseFailure,
+)
+
+if TYPE_CHECKING:
+    from bulrushstream.daemon.forward import Forward
+
+# Answers up to this size are buffered until they are complete, so that a
+# retry can replace one that breaks off.  Longer ones are relayed as they come.
+MAX_BUFFERED_BYTES: Final = 262_144
+
+
+class Attempt:
+    """One attempt at one endpoint."""
+
+    __slots__ = (
+        "_body_bytes",
+        "_buffered_body",
+        "_framed",
+        "_head",
+        "_heard_s",
+        "_may_have_run_before",
+        "_pending",
+        "_relaying",
+        "began_s",
+        "endpoint",
+        "forward",
+        "front",
+        "number",
+        "pool",
+        "sent_s",
+        "silent_since_s",
+    )
+
+    def __init__(
+        self, forward: Forward, endpoint: Endpoint, number: int
+    ) -> None:
+        """Create an attempt that is not sent yet.
+
+        :param forward: the request
+        :param endpoint: where it is sent
+        :param number: the attempt's number, unique in the fleet
+        """
+        self.forward = forward
+        self.front = forward.front
+        self.endpoint = endpoint
+        self.number = number
+        self.pool = forward.front.connections.pool_for(endpoint)
+        self.sent_s = 0.0  # 0: not yet.
+        # When the endpoint began to write the answer; infinity: not yet.
+        self.began_s = float("inf")
+        # Since when the endpoint is silent, as last watched; 0: it was not.
+        self.silent_since_s = 0.0
+        self._pending: PendingRequest | None = None
+        self._may_have_run_before = forward.progress.may_have_run
+        self._head: AnswerHead | None = None
+        self._buffered_body: list[bytes] = []
+        self._body_bytes = 0
+        self._relaying = False  # Whether a long answer is being relayed.
+        self._framed = True  # Whether the answer's length was known.
+        self._heard_s = 0.0  # When bytes of the answer last arrived.
+
+    def start(self, *, watched: bool) -> None:
+        """Queue the request for a connection to the endpoint.
+
+        :param watched: whether its fate must show if the endpoint ends
+        """
+        if watched:
+            self.pool.add_idle()
+        self._pending = self.pool.send(
+            self.forward.call.method,
+            self,
+            fresh=not self.forward.route.repeatable,
+            reuse=not watched,
+        )
+
+    def cancel(self) -> None:
+        """End the attempt without an answer, if it is in flight."""
+        if self._pending is None:
+            return
+        runwatch.run_cancelled(self)
+        self._pending.cancel()
+        self._pending = None
+        self.front.fleet_state.ended(self.endpoint, self.number)
+
+    def withdraw_grant(self) -> None:
+        """Take back the attempt's grant: there is no sign that it ran."""
+        self.front.fleet_state.withdraw_grant(self.number, self.front.clock())
+
+    # --- The response; see `Sink`.
+
+    def payload(self) -> bytes | None:
+        """Return the bytes to send, or None to withdraw; see `Sink`."""
+        return self.forward.encode(self)
+
+    def head(self, status: int, headers: RawHeaders) -> bool:
+        """Handle an answer's head; see `Sink`."""
+        front, forward = self.front, self.forward
+        self._heard_s = front.clock()
+        head = front.dialect.decode_answer(status, headers)
+        mismatch = head.request_id != forward.call.request_id
+        if mismatch and (head.request_id or status < 400):
+            return False
+        self._head = head
+        if status != 421:
+            self._observe_load(head)
+        if self._pending is not None and not self._pending.reused:
+            sign = Sign.SAME_INSTANCE
+            if status == 421:
+                sign = Sign.OTHER_INSTANCE
+            front.crash_watch.add_sign(self.endpoint.name, sign)
+        if head.event_stream and status == 200:
+            forward.streaming |= head.signed and not head.encoded
+        return True
+
+    def data(self, data: bytes) -> None:
+        """Relay or buffer a chunk of an answer's body; see `Sink`."""
+        head = self._head
+        if head is None or self.forward.done:
+            return
+        self._body_bytes += len(data)
+        self._heard_s = self.front.clock()
+        if not (head.event_stream and head.status == 200):
+            self.began_s = min(self.began_s, self._heard_s)
+            self._buffer(head, data)
+        elif head.signed and not head.encoded:
+            self._relay_events(head, data)
+        elif self._body_bytes > MAX_BUFFERED_BYTES:
+            self._give_up("a stream that is unsigned or encoded")
+
+    def end(self, *, framed: bool = True) -> None:
+        """Handle the end of a complete answer; see `Sink`."""
+        forward, head = self.forward, self._head
+        if head is None or forward.done:
+            self._pending = None
+            return
+        self._framed = framed
+        if not framed:
+            runwatch.run_unframed(self)
+        self._record_end(ran=not head.not_executed)
+        if head.not_executed:
+            forward.progress.may_have_run = self._may_have_run_before
+            if head.status == 421:
+                self.front.endpoint_misdirected(self.endpoint)
+            forward.attempt_failed(
+                Failure.NOT_EXECUTED, f"status {head.status}"
+            )
+        elif not _is_relayable(head):
+            self.count_failure()
+            forward.attempt_failed(
+                Failure.BROKEN, "the answer is unsigned or encoded"
+            )
+        elif head.status >= 500:
+            self.count_failure()
+            forward.attempt_failed(Failure.ERROR, f"status {head.status}")
+        elif head.event_stream and head.status == 200:
+            self._end_stream(head)
+        elif forward.streaming and forward.exchange.started:
+            forward.attempt_failed(
+                Failure.BROKEN,
+                f"status {head.status} after the stream had begun",
+            )
+        else:
+            self.front.pool.succeeded(self.endpoint)
+            self.relay("answer")
+
+    def failed(self, failure: ResponseFailure, detail: str) -> None:
+        """Handle the lack of a complete answer; see `Sink`."""
+        forward = self.forward
+        if forward.done:
+            self._pending = None
+            return
+        broken = failure is ResponseFailure.BROKEN
+        if broken:
+            runwatch.run_broken(self, detail)
+        self._record_end(ran=self._head is not None)
+        if broken:
+            self.count_failure()
+            forward.attempt_failed(Failure.BROKEN, detail)
+            return
+        forward.progress.unsent += 1
+        if failure is ResponseFailure.REFUSED:
+            self.front.crash_watch.add_sign(self.endpoint.name, Sign.REFUSED)
+        if failure in (ResponseFailure.NOT_SENT, ResponseFailure.REFUSED):
+            self.front.pool.unreachable(self.endpoint, self.front.clock())
+        forward.attempt_failed(Failure.NOT_SENT, detail)
+
+    def relay(self, reason: str) -> None:
+        """Relay the endpoint's buffered answer to the caller.
+
+        :param reason: why the request ends with it
+        """
+        head, exchange = self._head, self.forward.exchange
+        assert head is not None
+        if exchange.started:
+            exchange.finish()
+        else:
+            body = b"".join(self._buffered_body)
+            exchange.answer(head.status, head.headers, body)
+        self.forward.answered(reason, head.status)
+
+    def count_failure(self) -> None:
+        """Count a failure of the endpoint, and log if that ejects it."""
+        endpoint = self.endpoint
+        if self.front.pool.failed(endpoint, self.front.clock()):
+            self.front.log_decision(
+                "eject",
+                f"failure rate {endpoint.failure_rate:.2f}",
+                self.forward,
+                endpoint=endpoint.name,
+            )
+
+    def _observe_load(self, head: AnswerHead) -> None:
+        """Record what an answer says of its endpoint's load and limit."""
+        endpoint, now_s = self.endpoint, self._heard_s
+        limits = self.front.fleet_state.limits
+        if head.bad_limit:
+            limits.observe_bad(endpoint.name, head.bad_limit)
+        # Neither a bad value nor the answer of a full endpoint ends a limit.
+        may_end = not head.bad_limit and not head.not_executed
+        if head.request_limit is not None or may_end:
+            limits.observe(
+                endpoint.name, head.request_limit, self.sent_s, now_s
+            )
+        if head.load is not None and limits:
+            running, waiting, _ = head.load
+            limits.presence.load_told(
+                endpoint.name, running + waiting, endpoint.outstanding, now_s
+            )
+
+    def _relay_events(self, head: AnswerHead, data: bytes) -> None:
+        """Relay the events of a stream that are complete now."""
+        splitter = self.forward.splitter
+        events = splitter.feed(data)
+        if splitter.is_too_long:
+            self._give_up("an event is too long")
+        elif events:
+            now_s = self._heard_s
+            self.began_s = min(self.began_s, now_s)
+            self.front.fleet_state.first_event(
+                self.endpoint, self.number, now_s
+            )
+            self.forward.relay_events(head, events, now_s)
+
+    def _buffer(self, head: AnswerHead, data: bytes) -> None:
+        """Buffer a chunk; relay the answer once it exceeds the limit."""
+        exchange = self.forward.exchange
+        if self._relaying:
+            exchange.write(data)
+            return
+        # A caller that has received part of a stream can not get this answer.
+        if not exchange.started:
+            self._buffered_body.append(data)
+        if self._body_bytes <= MAX_BUFFERED_BYTES:
+            return
+        if head.not_executed:
+            # The body of a refusal does not matter.
+            self._close()
+            self.end()
+        elif head.status >= 500 or not _is_relayable(head):
+            self._give_up("a body that could not be passed on is too long")
+        elif exchange.started:
+            self._give_up("an answer after a stream had begun")
+        else:
+            self._relaying = True
+            exchange.begin(head.status, head.headers, None)
+            for chunk in self._buffered_body:
+                exchange.write(chunk)
+            self._buffered_body = []
+
+    def _end_stream(self, head: AnswerHead) -> None:
+        """Handle the end of an event stream."""
+        forward = self.forward
+        if forward.splitter.mid_event:
+            runwatch.run_broken(self, "the stream ended amid an event")
+            self.count_failure()
+            forward.attempt_failed(
+                Failure.BROKEN, "the stream ended in the middle of an event"
+            )
+            return
+        self.front.pool.succeeded(self.endpoint)
+        if not forward.exchange.started:
+            forward.exchange.begin(head.status, head.headers, None)
+        forward.exchange.finish()
+        forward.answered("answer", head.status)
+
+    def _close(self) -> None:
+        """Close the attempt's connection."""
+        if self._pending is not None:
+            self._pending.cancel()
+
+    def _give_up(self, detail: str) -> None:
+        """End the attempt, as its bytes are no answer."""
+        self._close()
+        self.failed(ResponseFailure.BROKEN, detail)
+
+    def _record_end(self, *, ran: bool) -> None:
+        """Record that the attempt is over.
+
+        :param ran: whether there is a sign that the endpoint worked on it
+        """
+        self._pending = None
+        if not ran:
+            self.withdraw_grant()
+        self.front.fleet_state.ended(self.endpoint, self.number)
+        self.forward.cancel_overdue_timer()
+
+    # --- Its state.
+
+    @property
+    def in_flight(self) -> bool:
+        """Return whether it waits for a connection or for its answer."""
+        return self._pending is not None
+
+    @property
+    def answer_begun(self) -> bool:
+        """Return whether the answer's head has arrived."""
+        return self._head is not None
+
+    @property
+    def progress(self) -> AnswerProgress:
+        """Return how much of the answer arrived."""
+        if self._head is None:
+            return AnswerProgress.NOTHING
+        if self._body_bytes:
+            return AnswerProgress.BODY
+        return AnswerProgress.HEAD
+
+    @property
+    def last_heard_s(self) -> float:
+        """Return when it was sent or last heard."""
+        return max(self.sent_s, self._heard_s)
+
+    @property
+    def unproven_connection(self) -> bool:
+        """Return whether its connection may have been dead before.
+
+        That is so if it was used before, and no byte has come since.
+        """
+        pending = self._pending
+        return pending is not None and pending.reused and not self._heard_s
+
+    @property
+    def is_proof(self) -> bool:
+        """Return whether the answer shows that its endpoint lived on."""
+        head = self._head
+        return head is not None and self._framed and head.status < 500
+
+    @property
+    def proves_parts(self) -> bool:
+        """Return whether the endpoint read the prompt and answered whole."""
+        head = self._head
+        whole = head is not None and self._framed and head.status == 200
+        return whole and self.began_s < float("inf")
+
+
+def _is_relayable(head: AnswerHead) -> bool:
+    """Return whether an answer may be relayed.
+
+    It must not be encoded, and a success must be signed.
+    """
+    if head.encoded:
+        return False
+    return head.signed or head.status >= 400
--- /dev/null
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -0,0 +1,201 @@
+"""Chooses the endpoint of each attempt, and when a refused caller returns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from bulrushstream import messages
+from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.placement import (
+    Admission,
+    Prediction,
+    admit_to_engine,
+    choose_engine,
+    choose_plain,
+)
+from bulrushstream.daemon import safeguards
+from bulrushstream.daemon.safeguards import Refusal
+from bulrushstream.messages import Notice
+
+if TYPE_CHECKING:
+    from bulrushstream.daemon.forward import Forward
+    from bulrushstream.daemon.front import Front
+
+# Bounds of a refused caller's retry-after time, as fractions of its latency
+# target: long enough for a queue to change, short enough that the answer
+# can still meet the target.
+RETRY_TARGET_FRACTIONS: Final = (0.2, 0.5)
+
+# Callers obey a retry-after time of up to this fraction of their remaining
+# time.
+MAX_RETRY_FRACTION: Final = 1.0 / 3.0
+
+
+def choose_endpoint(
+    front: Front, forward: Forward
+) -> tuple[Endpoint, int] | Refusal | None:
+    """Choose an endpoint and start an attempt there.
+
+    :param front: the router
+    :param forward: the request
+    :returns: the endpoint and the attempt's number; None if no endpoint
+        accepts requests; the reason if the request is refused
+    """
+    now_s = front.clock()
+    usable = front.pool.usable(forward.service, now_s, forward.tried)
+    if not usable and forward.route.repeatable:
+        usable = front.pool.usable(forward.service, now_s)
+    selected = safeguards.select_endpoints(
+        front.fleet_state, usable, now_s, on_trial=forward.on_trial
+    )
+    if isinstance(selected, Refusal):
+        if selected.notice is messages.LIMITS_REACHED:
+            front.fleet_state.limits.refused(each.name for each in usable)
+        return selected
+    usable = selected
+    prompt = forward.call.prompt
+    if prompt is None or not any(each.view for each in usable):
+        zone = front.settings.availability_zone
+        plain = choose_plain(usable, zone, front.rng)
+        if plain is None:
+            return None
+        return plain, _record_attempt(front, forward, plain, None, now_s)
+    for each in usable:
+        if each.view is not None:
+            each.view.expire(now_s)
+    prediction = choose_engine(
+        usable, prompt, front.fleet_state.prefill_rate, now_s
+    )
+    if prediction is None:
+        return None
+    notice = _check_admission(front, forward, prediction, now_s)
+    if notice is not None:
+        return Refusal(notice)
+    number = _record_attempt(
+        front, forward, prediction.endpoint, prediction, now_s
+    )
+    return prediction.endpoint, number
+
+
+def _check_admission(
+    front: Front, forward: Forward, prediction: Prediction, now_s: float
+) -> Notice | None:
+    """Return why a request may not go to its engine now, or None.
+
+    A request that was already sent once is not refused any more.
+    """
+    if forward.progress.sends or forward.exchange.started:
+        return None
+    target_left_s = forward.route.latency_target_s - (
+        now_s - forward.arrived_s
+    )
+    table = front.table
+    latency_target_s = forward.route.latency_target_s
+    if table is not None:
+        latency_target_s = table.shortest_latency_target_s.get(
+            forward.service, latency_target_s
+        )
+    admission = admit_to_engine(
+        prediction,
+        target_left_s,
+        latency_target_s,
+        forward.share_used,
+    )
+    reason = "predicted first token misses the latency target"
+    prompt = forward.call.prompt
+    if admission is Admission.SEND:
+        if prompt is None or not front.fleet_state.shares.must_yield(
+            forward.workspace, prompt.quota_tokens, now_s
+        ):
+            return None
+        reason = "workspace over its share, and others are waiting"
+    front.log_decision(
+        "shed",
+        reason,
+        forward,
+        endpoint=prediction.endpoint.name,
+        inputs={
+            **_prediction_inputs(prediction),
+            "share_used": round(forward.share_used, 3),
+        },
+    )
+    if forward.share_used > 1.0:
+        return messages.SHARE_EXCEEDED
+    return messages.NO_CAPACITY
+
+
+def _record_attempt(
+    front: Front,
+    forward: Forward,
+    endpoint: Endpoint,
+    prediction: Prediction | None,
+    now_s: float,
+) -> int:
+    """Record an attempt, inform the peers, and return its number."""
+    prompt = forward.call.prompt if prediction is not None else None
+    number = front.fleet_state.place(
+        endpoint, prompt, forward.workspace, now_s, forward.deadline_s
+    )
+    front.fleet_state.parts.placed(endpoint.name, forward.shared_parts, now_s)
+    inputs: dict[str, float | int | str] = {}
+    if prediction is not None:
+        inputs = _prediction_inputs(prediction)
+    front.log_decision(
+        "dispatch",
+        "least predicted time" if prediction else "fewest requests",
+        forward,
+        endpoint=endpoint.name,
+        attempt=forward.progress.sends + 1,
+        inputs=inputs,
+    )
+    return number
+
+
+def has_alternative(
+    front: Front, forward: Forward, endpoint: Endpoint
+) -> bool:
+    """Return whether an untried endpoint could run the request.
+
+    :param front: the router
+    :param forward: the request
+    :param endpoint: where it was sent last
+    """
+    tried = {*forward.tried, endpoint.name}
+    now_s = front.clock()
+    usable = front.pool.usable(forward.service, now_s, tried)
+    selected = safeguards.select_endpoints(front.fleet_state, usable, now_s)
+    return bool(selected) and not isinstance(selected, Refusal)
+
+
+def retry_after_s(front: Front, forward: Forward, wait_s: float) -> float:
+    """Return the retry-after time of a refused request, in seconds.
+
+    :param front: the router
+    :param forward: the request
+    :param wait_s: the time until it may be served; 0: not known
+    """
+    remaining_s = forward.deadline_s - front.clock()
+    if forward.call.timeout_s is not None:
+        remaining_s = forward.call.timeout_s - (
+            front.clock() - forward.arrived_s
+        )
+    # Spread randomly, so that refused callers do not return in a wave.
+    retry_s = forward.route.latency_target_s * front.rng.uniform(
+        *RETRY_TARGET_FRACTIONS
+    )
+    if wait_s:
+        return wait_s + retry_s
+    return max(0.01, min(retry_s, remaining_s * MAX_RETRY_FRACTION))
+
+
+def _prediction_inputs(
+    prediction: Prediction,
+) -> dict[str, float | int | str]:
+    """Return a prediction as inputs of a logged decision."""
+    return {
+        "wait_s": round(prediction.wait_s, 4),
+        "read_s": round(prediction.prefill_s, 4),
+        "read_tokens": int(prediction.prefill_tokens),
+        "kept_tokens": prediction.cached_tokens,
+        "room": int(prediction.has_capacity),
+    }
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -24,21 +24,13 @@
 from bulrushstream.coordination.freshness import Freshness
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.parttrials import PartTrials
-from bulrushstream.coordination.placement import (
-    Admission,
-    Prediction,
-    admit_to_engine,
-    choose_engine,
-    choose_plain,
-)
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routerpresence import RouterPresence
 from bulrushstream.coordination.routetable import RouteTable, pick_service
-from bulrushstream.daemon import runwatch, safeguards
+from bulrushstream.daemon import dispatch, runwatch, safeguards
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashwatch import CrashWatch
 from bulrushstream.daemon.forward import Forward
-from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
 from bulrushstream.protocol.dialect import Dialect, HeadError
@@ -56,15 +48,6 @@
 # Retry-after time for a request that is refused before an endpoint is chosen.
 EARLY_REFUSAL_RETRY_S: Final = 0.1
 
-# Bounds of a refused caller's retry-after time, as fractions of its latency
-# target: long enough for a queue to change, short enough that the answer
-# can still meet the target.
-RETRY_TARGET_FRACTIONS: Final = (0.2, 0.5)
-
-# Callers obey a retry-after time of up to this fraction of their remaining
-# time.
-MAX_RETRY_FRACTION: Final = 1.0 / 3.0
-
 # Fraction of the process's memory limit that buffered request bodies may use.
 BODY_MEMORY_FRACTION: Final = 0.3
 
@@ -231,7 +214,9 @@
         if refusal is not None:
             retry_after_s = None
             if refusal.wait_s:
-                retry_after_s = self.retry_after_s(forward, refusal.wait_s)
+                retry_after_s = dispatch.retry_after_s(
+                    self, forward, refusal.wait_s
+                )
             self._refuse_early(
                 exchange,
                 refusal.notice,
@@ -324,124 +309,6 @@
         exchange.answer(notice.status, headers, body)
         self.metrics.requests.labels("", "", outcome.value, notice.code).inc()
 
-    def choose_endpoint(
-        self, forward: Forward
-    ) -> tuple[Endpoint, int] | Refusal | None:
-        """Choose an endpoint and start an attempt there.
-
-        :param forward: the request
-        :returns: the endpoint and the attempt's number; None if no endpoint
-            accepts requests; the reason if the request is refused
-        """
-        now_s = self.clock()
-        usable = self.pool.usable(forward.service, now_s, forward.tried)
-        if not usable and forward.route.repeatable:
-            usable = self.pool.usable(forward.service, now_s)
-        selected = safeguards.select_endpoints(
-            self.fleet_state, usable, now_s, on_trial=forward.on_trial
-        )
-        if isinstance(selected, Refusal):
-            if selected.notice is messages.LIMITS_REACHED:
-                self.fleet_state.limits.refused(each.name for each in usable)
-            return selected
-        usable = selected
-        prompt = forward.call.prompt
-        if prompt is None or not any(each.view for each in usable):
-            zone = self.settings.availability_zone
-            plain = choose_plain(usable, zone, self.rng)
-            if plain is None:
-                return None
-            return plain, self._record_attempt(forward, plain, None, now_s)
-        for each in usable:
-            if each.view is not None:
-                each.view.expire(now_s)
-        prediction = choose_engine(
-            usable, prompt, self.fleet_state.prefill_rate, now_s
-        )
-        if prediction is None:
-            return None
-        notice = self._check_admission(forward, prediction, now_s)
-        if notice is not None:
-            return Refusal(notice)
-        number = self._record_attempt(
-            forward, prediction.endpoint, prediction, now_s
-        )
-        return prediction.endpoint, number
-
-    def _check_admission(
-        self, forward: Forward, prediction: Prediction, now_s: float
-    ) -> Notice | None:
-        """Return why a request may not go to its engine now, or None.
-
-        A request that was already sent once is not refused any more.
-        """
-        if forward.progress.sends or forward.exchange.started:
-            return None
-        target_left_s = forward.route.latency_target_s - (
-            now_s - forward.arrived_s
-        )
-        table = self.table
-        latency_target_s = forward.route.latency_target_s
-        if table is not None:
-            latency_target_s = table.shortest_latency_target_s.get(
-                forward.service, latency_target_s
-            )
-        admission = admit_to_engine(
-            prediction,
-            target_left_s,
-            latency_target_s,
-            forward.share_used,
-        )
-        reason = "predicted first token misses the latency target"
-        prompt = forward.call.prompt
-        if admission is Admission.SEND:
-            if prompt is None or not self.fleet_state.shares.must_yield(
-                forward.workspace, prompt.quota_tokens, now_s
-            ):
-                return None
-            reason = "workspace over its share, and others are waiting"
-        self.log_decision(
-            "shed",
-            reason,
-            forward,
-            endpoint=prediction.endpoint.name,
-            inputs={
-                **_prediction_inputs(prediction),
-                "share_used": round(forward.share_used, 3),
-            },
-        )
-        if forward.share_used > 1.0:
-            return messages.SHARE_EXCEEDED
-        return messages.NO_CAPACITY
-
-    def _record_attempt(
-        self,
-        forward: Forward,
-        endpoint: Endpoint,
-        prediction: Prediction | None,
-        now_s: float,
-    ) -> int:
-        """Record an attempt, inform the peers, and return its number."""
-        prompt = forward.call.prompt if prediction is not None else None
-        number = self.fleet_state.place(
-            endpoint, prompt, forward.workspace, now_s, forward.deadline_s
-        )
-        self.fleet_state.parts.placed(
-            endpoint.name, forward.shared_parts, now_s
-        )
-        inputs: dict[str, float | int | str] = {}
-        if prediction is not None:
-            inputs = _prediction_inputs(prediction)
-        self.log_decision(
-            "dispatch",
-            "least predicted time" if prediction else "fewest requests",
-            forward,
-            endpoint=endpoint.name,
-            attempt=forward.progress.sends + 1,
-            inputs=inputs,
-        )
-        return number
-
     def may_send(self, forward: Forward) -> bool:
         """Return whether a request may still be sent to an endpoint.
 
@@ -473,37 +340,6 @@
             service, self.clock(), self.peers.router_count
         )
 
-    def has_alternative(self, forward: Forward, endpoint: Endpoint) -> bool:
-        """Return whether an untried endpoint could run the request.
-
-        :param forward: the request
-        :param endpoint: where it was sent last
-        """
-        tried = {*forward.tried, endpoint.name}
-        now_s = self.clock()
-        usable = self.pool.usable(forward.service, now_s, tried)
-        selected = safeguards.select_endpoints(self.fleet_state, usable, now_s)
-        return bool(selected) and not isinstance(selected, Refusal)
-
-    def retry_after_s(self, forward: Forward, wait_s: float) -> float:
-        """Return the retry-after time of a refused request, in seconds.
-
-        :param forward: the request
-        :param wait_s: the time until it may be served; 0: not known
-        """
-        remaining_s = forward.deadline_s - self.clock()
-        if forward.call.timeout_s is not None:
-            remaining_s = forward.call.timeout_s - (
-                self.clock() - forward.arrived_s
-            )
-        # Spread randomly, so that refused callers do not return in a wave.
-        retry_s = forward.route.latency_target_s * self.rng.uniform(
-            *RETRY_TARGET_FRACTIONS
-        )
-        if wait_s:
-            return wait_s + retry_s
-        return max(0.01, min(retry_s, remaining_s * MAX_RETRY_FRACTION))
-
     # --- Results and failures.
 
     def endpoint_misdirected(self, endpoint: Endpoint) -> None:
@@ -533,13 +369,8 @@
         """
         self.forwards.discard(forward)
         now_s = self.clock()
-        answered = outcome is Outcome.RAN and forward.answer_is_proof
-        if answered and self.fleet_state.suspects:
-            self.fleet_state.suspects.request_ran(forward.fingerprint, now_s)
-        if answered and forward.proves_parts:
-            self.fleet_state.parts.answered(
-                forward.shared_parts, forward.began_s, now_s
-            )
+        if outcome is Outcome.RAN and forward.attempt is not None:
+            safeguards.request_ran(self.fleet_state, forward.attempt, now_s)
         duration_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
             forward.service, forward.route.kind.value
@@ -630,16 +461,3 @@
                 inputs={**(inputs or {}), **self._common_inputs()},
             )
         )
-
-
-def _prediction_inputs(
-    prediction: Prediction,
-) -> dict[str, float | int | str]:
-    """Return a prediction as inputs of a logged decision."""
-    return {
-        "wait_s": round(prediction.wait_s, 4),
-        "read_s": round(prediction.prefill_s, 4),
-        "read_tokens": int(prediction.prefill_tokens),
-        "kept_tokens": prediction.cached_tokens,
-        "room": int(prediction.has_capacity),
-    }
--- a/src/bulrushstream/daemon/safeguards.py
+++ b/src/bulrushstream/daemon/safeguards.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from bulrushstream.coordination.fleetstate import FleetState
+    from bulrushstream.daemon.attempt import Attempt
     from bulrushstream.daemon.forward import Forward
 
 
@@ -123,6 +124,20 @@
         )
 
 
+def request_ran(state: FleetState, attempt: Attempt, now_s: float) -> None:
+    """Record what the answer that a caller got shows of its endpoint.
+
+    :param state: the router's state
+    :param attempt: the attempt that got the answer
+    :param now_s: the time
+    """
+    forward = attempt.forward
+    if attempt.is_proof and state.suspects:
+        state.suspects.request_ran(forward.fingerprint, now_s)
+    if attempt.proves_parts:
+        state.parts.answered(forward.shared_parts, attempt.began_s, now_s)
+
+
 def end_unknown(
     state: FleetState, endpoint: str, run: BrokenRun, now_s: float
 ) -> None:
--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -14,6 +14,7 @@
 from bulrushstream.coordination.freshness import Freshness
 from bulrushstream.coordination.retryquota import RetryQuota
 from bulrushstream.daemon import forward
+from bulrushstream.daemon.attempt import Attempt
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.history.routingcheck import run_routing_seed
 from bulrushstream.history.violation import (
@@ -84,14 +85,14 @@
 
 def accept_foreign_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Accept an answer that carries another request's id."""
-    original = Forward.head
+    original = Attempt.head
 
-    def head(self: Forward, status: int, headers: Any) -> bool:
-        expected_id = (b"id", self.call.request_id.encode())
+    def head(self: Attempt, status: int, headers: Any) -> bool:
+        expected_id = (b"id", self.forward.call.request_id.encode())
         others = [pair for pair in headers if pair[0] != b"id"]
         return original(self, status, [expected_id, *others])
 
-    monkeypatch.setattr(Forward, "head", head)
+    monkeypatch.setattr(Attempt, "head", head)
 
 
 # Each fault's patch and the violations of which one must be found.
