An agent that stops stays until its goodbye has been read

Cause: an agent without requests in flight said goodbye and closed its links 20 ms later. What a router had sent before it read the goodbye was lost, and the router can not know whether it ran. Within a process a stall of 20 ms is enough, across availability zones any round trip longer than that. The agent also judged itself idle before it had handled what was in its inbox.

Now the agent goes on to refuse requests, which run elsewhere, for half a second after its goodbye, and looks once more whether anything runs.

--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -61,6 +61,9 @@
 from bulrushstream.transport.server import Server, ServerLimits
 
 IDLE_POLL_S: Final = 0.02
+# After a goodbye, until the peers have read it and nothing they sent before
+# is on its way.
+GOODBYE_GRACE_S: Final = 0.5
 REGISTER_INTERVAL_S: Final = 10.0
 FAULT: Final = "fault"  # The log event for an internal error.
 
@@ -389,15 +392,20 @@
         self.driver.post(DrainStarted())
         try:
             async with asyncio.timeout(limit_s):
-                while self.busy:
-                    await asyncio.sleep(IDLE_POLL_S)
+                await self._wait_until_idle()
+                # Peers that have not read the goodbye yet still send
+                # requests.  They are refused while the links are open.
+                await asyncio.sleep(GOODBYE_GRACE_S)
+                await self._wait_until_idle()
         except TimeoutError:
-            return False
-        # Let the last acknowledgements and goodbyes be sent before the links
-        # are closed.
-        await asyncio.sleep(IDLE_POLL_S)
+            return not self.busy
         return True
 
+    async def _wait_until_idle(self) -> None:
+        """Wait until no request is in flight."""
+        while self.busy:
+            await asyncio.sleep(IDLE_POLL_S)
+
     async def close(self) -> None:
         """Close all links and clients and cancel all tasks."""
         await self.mesh.close()
--- a/tests/test_endtoend.py
+++ b/tests/test_endtoend.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import httpx
 import pytest
@@ -22,6 +22,9 @@
 
 REQUESTS = 120
 CRASH_MARKER = "[crash]"
+FAST_TICKETS = LocalService(
+    "floordesk", ServiceKind.PLAIN, 2, plain=PlainOptions(call_s=0.001)
+)
 
 
 def load_plan() -> LocalPlan:
@@ -48,6 +51,7 @@
     """Callers that send mixed requests to all ready routers."""
 
     fleet: LocalFleet
+    kinds: tuple[str, ...] = ("chat", "stream", "ticket", "look-up")
     rng: random.Random = field(default_factory=lambda: random.Random(7))
     verdicts: list[Verdict] = field(default_factory=list)
 
@@ -67,7 +71,7 @@
         )
         url = router.server.url
         token = f"demo-{self.rng.choice(['press', 'club', 'school'])}"
-        kind = self.rng.choice(["chat", "stream", "ticket", "look-up"])
+        kind = self.rng.choice(self.kinds)
         if kind in ("chat", "stream"):
             verdict = await chat(
                 client,
@@ -182,6 +186,31 @@
         assert check_history(recorder.history) == []
         assert [v.problem for v in load.verdicts if not v.ok] == []
 
+    # Guards against an agent that stops before its goodbye has reached the
+    # routers, which lost what they had sent it in the meantime.
+    async def test_an_agent_that_stops_refuses_requests_on_their_way(
+        self,
+    ) -> None:
+        recorder = Recorder(asyncio.get_running_loop().time)
+        plan = replace(
+            load_plan(), services=(FAST_TICKETS,), routers=1, zone_delay_s=0.1
+        )
+        async with run_fleet(plan, recorder.factories()) as fleet:
+            # The other agent is in another availability zone.
+            await fleet.agents["agent-floordesk-0"].stop(limit_s=30)
+            remote = fleet.agents["agent-floordesk-1"]
+            load = CallerLoad(fleet, kinds=("ticket",))
+            await load.run(10)
+            await asyncio.sleep(0.5)
+            async with asyncio.TaskGroup() as group:
+                stop = group.create_task(remote.stop(limit_s=30))
+                await asyncio.sleep(0.01)
+                group.create_task(load.run(10))
+                assert await stop
+                await fleet.start_agent("floordesk-0")
+        assert check_history(recorder.history) == []
+        assert [v.problem for v in load.verdicts if not v.ok] == []
+
     async def test_a_rolling_restart_of_routers_breaks_no_request(
         self,
     ) -> None:
