--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -18,10 +18,7 @@
     RawHeaders,
 )
 from bulrushstream.state.endpointsigns import Sign
-from bulrushstream.transport.upstream import (
-    PendingRequest,
-    ResponseFailure,
-)
+from bulrushstream.transport.connection import PendingRequest, ResponseFailure
 
 if TYPE_CHECKING:
     from bulrushstream.daemon.forward import Forward
--- a/src/bulrushstream/history/routingendpoint.py
+++ b/src/bulrushstream/history/routingendpoint.py
@@ -8,7 +8,7 @@
 from typing import Final, Protocol
 
 from bulrushstream.history.routingplan import ENDPOINTS, AttemptFault
-from bulrushstream.transport.upstream import ResponseFailure, Sink
+from bulrushstream.transport.connection import ResponseFailure, Sink
 
 CONNECT_S: Final = 0.001  # Time to open a connection.
 EVENTS: Final = 4  # Number of events in each stream.
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -46,9 +46,9 @@
 from bulrushstream.state.routes import (
     RouteConfig,
 )
+from bulrushstream.transport.connection import Sink
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
 from bulrushstream.transport.ingress import ClientConnection, Exchange
-from bulrushstream.transport.upstream import Sink
 
 POLL_S: Final = 0.5  # Interval at which a router reads the store.
 STORE_DELAY_S: Final = 0.02  # The store's latency, each way.
--- /dev/null
+++ b/src/bulrushstream/transport/connection.py
@@ -0,0 +1,324 @@
+"""One HTTP client connection, and what it tells who sends a request.
+
+A connection carries one request at a time.  A response with the id of
+another request is discarded; unexpected bytes close the connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+from collections.abc import Callable
+from enum import IntEnum
+from typing import Final, Protocol
+
+import httptools
+
+from bulrushstream.state.call import RawHeaders
+
+# A connection is closed if sent bytes stay unacknowledged for this time.
+UNACKNOWLEDGED_MS: Final = 4_000
+
+# Limits of a response's head, of the bodies that belong to no request, and of
+# the interim responses before a final one.
+MAX_HEAD_BYTES: Final = 65_536
+MAX_DISCARDED_BYTES: Final = 262_144
+MAX_INTERIM: Final = 16
+
+_KEEP_ALIVE: Final = re.compile(rb"timeout=(\d{1,6})")
+
+
+class ResponseFailure(IntEnum):
+    """Why no complete response was received."""
+
+    NOT_SENT = 1  # Not connected; no byte was sent.
+    REFUSED = 4  # Connection refused; no byte was sent.
+    WITHDRAWN = 2  # The sink returned no payload.
+    BROKEN = 3  # Connection lost, or an invalid response.
+
+
+class Sink(Protocol):
+    """Supplies a request and receives its response."""
+
+    def payload(self) -> bytes | None:
+        """Return the encoded request; None: do not send it."""
+
+    def head(self, status: int, headers: RawHeaders) -> bool:
+        """Handle a head; return whether it belongs to the request."""
+
+    def data(self, data: bytes) -> None:
+        """Handle a piece of the response's body."""
+
+    def end(self, *, framed: bool = True) -> None:
+        """Handle the end of a complete response.
+
+        :param framed: whether its length was known; otherwise it ended with
+            its connection and may be truncated
+        """
+
+    def failed(self, failure: ResponseFailure, detail: str) -> None:
+        """Handle a failure; no complete response will follow."""
+
+
+class ConnectionOwner(Protocol):
+    """Keeps connections and is told when they are idle or lost."""
+
+    @property
+    def clock(self) -> Callable[[], float]:
+        """Return the clock, which returns the time in seconds."""
+
+    def release(self, connection: Connection) -> None:
+        """Handle the end of a request; the connection is idle."""
+
+    def remove(
+        self, connection: Connection, *, ended_by_peer: bool, busy: bool
+    ) -> None:
+        """Handle the end of a connection."""
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a peer."""
+
+    def __init__(self, owner: ConnectionOwner) -> None:
+        """Make a protocol that is not connected yet.
+
+        :param owner: the pool that the connection belongs to
+        """
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._sink: Sink | None = None
+        self._method = b""
+        self._headers: RawHeaders = []
+        self._in_head = True
+        self._head_bytes = 0  # Received since the head began.
+        self._interim_count = 0
+        self._discarding = False
+        self._discarded_bytes = 0
+        self._ends_with_close = False
+        self._keep_alive = True
+        self._unusable = False
+        self.keep_alive_s: float | None = None  # Announced by the peer.
+        self.idle_until_s = float("inf")
+        self.opened_s = owner.clock()
+        self.heard_s = float("-inf")  # When the last bytes arrived.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the time-out of unacknowledged bytes; see `asyncio.Protocol`."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+            )
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the connection is closed or being closed."""
+        return self._unusable or self._transport is None
+
+    @property
+    def usable(self) -> bool:
+        """Return whether the connection can carry a new request."""
+        transport = self._transport
+        return (
+            transport is not None
+            and not transport.is_closing()
+            and self._sink is None
+            and not self._unusable
+        )
+
+    def send(self, method: bytes, payload: bytes, sink: Sink) -> None:
+        """Send a request.
+
+        :param method: the HTTP method
+        :param payload: the encoded request
+        :param sink: receives the response
+        """
+        assert self._transport is not None
+        self._interim_count = self._discarded_bytes = 0
+        self._sink = sink
+        self._method = method
+        self._transport.write(payload)
+
+    def cancel(self) -> None:
+        """Abort the connection without a call to the sink."""
+        self._sink = None
+        self.close()
+
+    def close(self) -> None:
+        """Abort the connection."""
+        self._unusable = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End or fail the current response; see `asyncio.Protocol`."""
+        self._transport = None
+        sink = self._sink
+        # Such an end is a part of the response, and shows nothing else.
+        ends_response = (
+            sink is not None
+            and self._ends_with_close
+            and exc is None
+            and not self._unusable
+        )
+        self._owner.remove(
+            self,
+            ended_by_peer=not self._unusable and not ends_response,
+            busy=sink is not None,
+        )
+        self._sink = None
+        if sink is None:
+            return
+        if ends_response:
+            sink.end(framed=False)
+        else:
+            sink.failed(ResponseFailure.BROKEN, f"connection lost: {exc}")
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; see `asyncio.Protocol`."""
+        self.heard_s = self._owner.clock()
+        if self._sink is None:
+            self.close()
+            return
+        self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as why:
+            self._fail(f"invalid response: {why}")
+            return
+        if self._unusable:
+            self.close()
+        elif self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+            self._fail("the head is too long")
+        elif self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._fail("a response to another request is too long")
+        elif self._interim_count > MAX_INTERIM:
+            self._fail("too many interim responses")
+
+    def on_message_begin(self) -> None:
+        """Start a new response; called by the parser."""
+        self._headers = []
+        if not self._in_head:
+            self._in_head = True
+            self._head_bytes = 0
+        if self._sink is None:
+            self._unusable = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header; called by the parser."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Pass a response's head to the sink; called by the parser."""
+        self._in_head = False
+        sink = self._sink
+        if sink is None or self._unusable:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            self._interim_count += 1
+            self._discarding = True
+            return
+        self._keep_alive = self._parser.should_keep_alive()
+        self.keep_alive_s = _keep_alive_s(self._headers)
+        self._discarding = not sink.head(status, self._headers)
+        self._ends_with_close = not self._discarding and not _is_framed(
+            status, self._headers
+        )
+        if self._method == b"HEAD" and not self._discarding:
+            self._unusable = True
+            self._finish()
+
+    def on_body(self, data: bytes) -> None:
+        """Pass a piece of the body to the sink; called by the parser."""
+        if self._discarding:
+            self._discarded_bytes += len(data)
+        elif self._sink is not None:
+            self._sink.data(data)
+
+    def on_message_complete(self) -> None:
+        """Handle the end of a response; called by the parser."""
+        if self._discarding:
+            self._discarding = False
+            return
+        if self._sink is not None:
+            self._finish()
+
+    def _finish(self) -> None:
+        """End the response; return the connection to the pool or close it."""
+        sink = self._sink
+        self._sink = None
+        self._ends_with_close = False
+        transport = self._transport
+        unsent = transport is not None and transport.get_write_buffer_size()
+        if unsent or not self._keep_alive:
+            self._unusable = True
+        if sink is not None:
+            sink.end()
+        if self._unusable:
+            self.close()
+        else:
+            self._owner.release(self)
+
+    def _fail(self, why: str) -> None:
+        """Report an invalid response and abort the connection."""
+        sink = self._sink
+        self._sink = None
+        self.close()
+        if sink is not None:
+            sink.failed(ResponseFailure.BROKEN, why)
+
+
+def _is_framed(status: int, headers: RawHeaders) -> bool:
+    """Return whether a response can end before the connection closes."""
+    if status in (204, 304):
+        return True
+    names = {name.lower() for name, _ in headers}
+    return b"content-length" in names or b"transfer-encoding" in names
+
+
+def _keep_alive_s(headers: RawHeaders) -> float | None:
+    """Return the idle time-out in a peer's keep-alive header, if any."""
+    for name, value in headers:
+        if name.lower() == b"keep-alive":
+            found = _KEEP_ALIVE.search(value)
+            return float(found[1]) if found else None
+    return None
+
+
+class PendingRequest:
+    """A handle to cancel a request."""
+
+    __slots__ = ("_connection", "_task", "cancelled", "reused")
+
+    def __init__(self) -> None:
+        self._connection: Connection | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.cancelled = False
+        self.reused = False  # Whether its connection was used before.
+
+    def cancel(self) -> None:
+        """Cancel the request; its sink is not called again."""
+        self.cancelled = True
+        if self._connection is not None:
+            self._connection.cancel()
+        elif self._task is not None:
+            self._task.cancel()
+
+    def attach_connection(self, connection: Connection) -> None:
+        """Set the connection that carries the request.
+
+        :param connection: the connection
+        """
+        self._connection = connection
+
+    def attach_task(self, task: asyncio.Task[None]) -> None:
+        """Set the task that opens the connection.
+
+        :param task: the task
+        """
+        self._task = task
--- a/src/bulrushstream/transport/httpcall.py
+++ b/src/bulrushstream/transport/httpcall.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 from bulrushstream.state.call import RawHeaders
-from bulrushstream.transport.upstream import Pool, ResponseFailure
+from bulrushstream.transport.connection import ResponseFailure
+from bulrushstream.transport.upstream import Pool
 
 
 class CallError(Exception):
--- a/src/bulrushstream/transport/probe.py
+++ b/src/bulrushstream/transport/probe.py
@@ -7,12 +7,12 @@
 from typing import TypeAlias
 
 from bulrushstream.state.call import RawHeaders
-from bulrushstream.transport.upstream import (
+from bulrushstream.transport.connection import (
     Connection,
     PendingRequest,
-    Pool,
     ResponseFailure,
 )
+from bulrushstream.transport.upstream import Pool
 
 # Status and headers, that the address refuses connections, or no answer.
 ProbeAnswer: TypeAlias = tuple[int, RawHeaders] | ConnectionRefusedError | None
--- a/tests/modelengines.py
+++ b/tests/modelengines.py
@@ -12,7 +12,7 @@
 
 from bulrushstream.coordination.engineview import ATTENTION_CONTEXT_TOKENS
 from bulrushstream.state.call import Prompt
-from bulrushstream.transport.upstream import ResponseFailure, Sink
+from bulrushstream.transport.connection import ResponseFailure, Sink
 
 PREFILL_TOKENS_PER_S: Final = 30_900.0
 STEP_S: Final = 0.0062  # One generated token of a batch.
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -36,9 +36,9 @@
     SplitShare,
     WorkspaceKeys,
 )
+from bulrushstream.transport.connection import Sink
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
 from bulrushstream.transport.ingress import ClientConnection, Exchange
-from bulrushstream.transport.upstream import Sink
 from tests.deployments import a_route, an_entry
 from tests.modelengines import Attempt, Engine
 from tests.servedshares import Ask, Run, ServedShares
