One list of what is watched, one place for how long reports are repeated

The requests and the parts of prompts that may have crashed an endpoint were kept by two copies of the same code, and the times of repeated reports stood twice. What refused parts explain was collected for each request; now when what is held changes. An unused method of EventSplitter is removed. No behaviour changes.

--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -19,6 +19,7 @@
     Quarantine,
     QuarantineOptions,
 )
+from bulrushstream.coordination.watchlist import WatchList
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.peerupdate import CrashSuspect, PeerUpdate
 
@@ -26,15 +27,12 @@
 # the crashes in the same time were without it.
 MAX_STRIKES: Final = 3
 
-# How long the strikes of this router are repeated to its peers, longer than
-# a silent peer counts as live, and all known ones after a new peer appeared.
-REPEAT_STRIKES_S: Final = 4.0
-REPEAT_ALL_STRIKES_S: Final = 1.2
-MAX_REPEATED_STRIKES: Final = 512
+# How long what this router finds is repeated to its peers, longer than a
+# silent peer counts as live, and all that is known after a new peer appeared.
+REPEAT_S: Final = 4.0
+REPEAT_ALL_S: Final = 1.2
 
-# How long a request is watched after a run with an unknown end.
-WATCHED_S: Final = 600.0
-MAX_WATCHED: Final = 4096
+MAX_REPEATED: Final = 512  # In one heartbeat.
 
 
 class SuspectNotifier(Protocol):
@@ -66,10 +64,9 @@
         default_factory=lambda: Quarantine(QuarantineOptions())
     )
     crash_ids: CrashIds = field(default_factory=CrashIds)
-    # When each watched request was last reported, by fingerprint.
-    _watched_s: dict[int, float] = field(default_factory=dict)
+    _watched: WatchList = field(default_factory=WatchList)  # By fingerprint.
     _own_strikes: deque[_OwnStrike] = field(
-        default_factory=lambda: deque(maxlen=MAX_REPEATED_STRIKES)
+        default_factory=lambda: deque(maxlen=MAX_REPEATED)
     )
     _repeat_all_until_s: float = float("-inf")
 
@@ -124,7 +121,7 @@
 
         :param now_s: the time
         """
-        self._repeat_all_until_s = now_s + REPEAT_ALL_STRIKES_S
+        self._repeat_all_until_s = now_s + REPEAT_ALL_S
 
     def strikes_to_repeat(self, now_s: float) -> tuple[CrashSuspect, ...]:
         """Return the strikes that the next heartbeat reports to the peers.
@@ -132,17 +129,17 @@
         :param now_s: the time
         """
         if now_s < self._repeat_all_until_s:
-            return self._all_known(now_s)[-MAX_REPEATED_STRIKES:]
+            return self._all_known(now_s)[-MAX_REPEATED:]
         return tuple(
             replace(own.suspect, age_s=max(0.0, now_s - own.at_s))
             for own in self._own_strikes
-            if now_s - own.reported_s < REPEAT_STRIKES_S
+            if now_s - own.reported_s < REPEAT_S
             and self.is_watched(own.suspect.fingerprint, now_s)
         )
 
     def __bool__(self) -> bool:
         """Return whether any request is watched or has strikes."""
-        return bool(self._watched_s or self.strikes.fingerprints())
+        return bool(self._watched or self.strikes.fingerprints())
 
     def is_watched(self, fingerprint: int, now_s: float) -> bool:
         """Return whether an endpoint crashed under a request, or may have.
@@ -150,8 +147,7 @@
         :param fingerprint: the request's digest
         :param now_s: the time
         """
-        watched_s = self._watched_s.get(fingerprint, float("-inf"))
-        return now_s - watched_s < WATCHED_S or bool(
+        return self._watched.covers(fingerprint, now_s) or bool(
             self.strikes.count(fingerprint, now_s)
         )
 
@@ -209,7 +205,7 @@
         fingerprint = suspect.fingerprint
         if suspect.uncertain:
             if not self.strikes.is_proven(fingerprint, now_s):
-                self._watch(fingerprint, now_s)
+                self._watched.add(fingerprint, now_s)
             return
         strike_id = self.crash_ids.identify(suspect.endpoint, at_s)
         if not self.strikes.add_strike(fingerprint, strike_id, False, at_s):
@@ -243,16 +239,9 @@
             )
         )
 
-    def _watch(self, fingerprint: int, now_s: float) -> None:
-        """Record that an endpoint may have crashed under a request."""
-        self._watched_s.pop(fingerprint, None)
-        self._watched_s[fingerprint] = now_s
-        if len(self._watched_s) > MAX_WATCHED:
-            del self._watched_s[next(iter(self._watched_s))]
-
     def _clear(self, fingerprint: int, reporter: str, now_s: float) -> bool:
         """Remove a request's strikes; return whether it was a suspect."""
-        was_watched = self._watched_s.pop(fingerprint, None) is not None
+        was_watched = self._watched.remove(fingerprint)
         had_strikes = self.strikes.mark_proven(fingerprint, now_s)
         if was_watched or reporter:
             # Reports of earlier crashes may still arrive.
@@ -271,7 +260,7 @@
         """Return all strikes and watched requests, for a new peer."""
         watched = tuple(
             CrashSuspect(fingerprint, "", now_s - at_s, uncertain=True)
-            for fingerprint, at_s in self._watched_s.items()
+            for fingerprint, at_s in self._watched
         )
         struck = tuple(
             CrashSuspect(
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -26,6 +26,7 @@
 from bulrushstream.coordination.partreports import PartNotifier
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.peerusage import PeerUsage, UsageChange
+from bulrushstream.coordination.routerpresence import SILENT_S
 from bulrushstream.coordination.usagecounter import UsageCounter, add_tokens
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.peerupdate import (
@@ -45,9 +46,7 @@
 # longer than the requests of any route usually run.
 PEER_CALL_TIMEOUT_S: Final = 20.0
 
-# The usage at a peer that was not heard for this time is extrapolated, a few
-# heartbeats; if no peer is heard, for as long as the second figure.
-USAGE_SILENCE_S: Final = 1.2
+# How long the usage at silent peers is extrapolated if no peer is heard.
 CUT_OFF_TIMEOUT_S: Final = 10.0
 
 # The weight of one observed prefill rate in the moving average, the largest
@@ -368,13 +367,13 @@
         )
         silent = 0
         limit_s = PEER_TIMEOUT_S
-        if now_s - newest_s > USAGE_SILENCE_S:
+        if now_s - newest_s > SILENT_S:
             limit_s = CUT_OFF_TIMEOUT_S
         for instance, known in list(self._peer_usage.items()):
             silent_s = now_s - known.heard_s
             if silent_s > limit_s:
                 del self._peer_usage[instance]
-            elif silent_s > USAGE_SILENCE_S:
+            elif silent_s > SILENT_S:
                 self._count_usage(known.usage.extrapolate(now_s), now_s)
                 silent += 1
         self.shares.stale = silent > len(self._peer_usage) / 2
--- a/src/bulrushstream/coordination/partreports.py
+++ b/src/bulrushstream/coordination/partreports.py
@@ -12,6 +12,11 @@
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
+from bulrushstream.coordination.crashsuspects import (
+    MAX_REPEATED,
+    REPEAT_ALL_S,
+    REPEAT_S,
+)
 from bulrushstream.coordination.partstrikes import PartStrikeTable
 from bulrushstream.state.partevidence import (
     PartProof,
@@ -19,12 +24,6 @@
     StruckPart,
 )
 
-# How long own strikes and proofs are repeated, and all known strikes after a
-# new peer appeared.
-REPEAT_S: Final = 4.0
-REPEAT_ALL_S: Final = 1.2
-
-MAX_REPORTED_PARTS: Final = 512  # In one heartbeat.
 MAX_PARTS_OF_REPORT: Final = 64  # Of one crash; more are split.
 
 
@@ -106,7 +105,7 @@
         if known is not None and began_s <= known.began_s:
             return
         self._proofs[part] = _OwnProof(began_s, now_s)
-        if len(self._proofs) > MAX_REPORTED_PARTS:
+        if len(self._proofs) > MAX_REPEATED:
             self._proofs.popitem(last=False)
         if self.notifier is not None:
             self.notifier.report_part_proof(PartProof(part, now_s - began_s))
@@ -157,7 +156,7 @@
             self.table.parts(), key=lambda part: -len(self.table.items(part))
         )
         by_crash: dict[str, list[int]] = {}
-        for part in parts[:MAX_REPORTED_PARTS]:
+        for part in parts[:MAX_REPEATED]:
             for crash_id, _ in self.table.items(part):
                 by_crash.setdefault(crash_id, []).append(part)
         return by_crash
--- a/src/bulrushstream/coordination/partsuspects.py
+++ b/src/bulrushstream/coordination/partsuspects.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -31,14 +30,11 @@
     PartStrikeTable,
 )
 from bulrushstream.coordination.parttrials import PartTrials
+from bulrushstream.coordination.watchlist import WatchList
 from bulrushstream.state.call import part_name
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.peerupdate import PeerUpdate
 
-# How long a part is watched after a run with an unknown end.
-WATCHED_S: Final = 600.0
-MAX_WATCHED: Final = 4096
-
 MAX_LOGGED_PARTS: Final = 8  # Of those that share crashes with another.
 
 
@@ -85,9 +81,9 @@
     # The held parts, and whether requests may be refused for them.
     _held: dict[int, bool] = field(default_factory=dict)
     _changed: bool = False  # Whether `_held` must be computed anew.
-    # When a run with an unknown end broke, by part.
-    _watched_s: OrderedDict[int, float] = field(default_factory=OrderedDict)
+    _watched: WatchList = field(default_factory=WatchList)  # By part.
     _explained: frozenset[str] = frozenset()  # Crashes of whole requests.
+    _explained_here: frozenset[str] = frozenset()  # By refused parts.
 
     def __post_init__(self) -> None:
         """Create the reports of the table's strikes."""
@@ -124,11 +120,8 @@
         :param parts: the shared parts of a prompt
         :param now_s: the time
         """
-        if not self._watched_s:
-            return False
-        return any(
-            now_s - self._watched_s.get(part, float("-inf")) < WATCHED_S
-            for part in parts
+        return bool(self._watched) and any(
+            self._watched.covers(part, now_s) for part in parts
         )
 
     def placed(
@@ -231,15 +224,10 @@
             self._explained = explained
             self._changed = True
 
-    def explained_crashes(self) -> set[str]:
+    def explained_crashes(self) -> frozenset[str]:
         """Return the ids of the crashes that refused parts explain."""
         self._update()
-        return {
-            crash_id
-            for part, refused in self._held.items()
-            if refused
-            for crash_id, _ in self.table.items(part)
-        }
+        return self._explained_here
 
     def suspects(self) -> list[SuspectPart]:
         """Return the parts that are held or refused."""
@@ -299,8 +287,7 @@
 
     def _prove(self, part: int, began_s: float, reporter: str) -> bool:
         """Record a proof; return whether the part had strikes."""
-        if self._watched_s.get(part, began_s) < began_s:
-            del self._watched_s[part]
+        self._watched.remove(part, before_s=began_s)
         if not self.table.prove(part, began_s):
             return False
         self._changed = True
@@ -312,12 +299,7 @@
         """Watch a part; return whether that is new."""
         if at_s <= self.table.proven_s(part):
             return False
-        known_s = self._watched_s.get(part, float("-inf"))
-        self._watched_s[part] = max(at_s, known_s)
-        self._watched_s.move_to_end(part)
-        if len(self._watched_s) > MAX_WATCHED:
-            self._watched_s.popitem(last=False)
-        return at_s > known_s
+        return self._watched.add(part, at_s)
 
     # --- Held parts.
 
@@ -338,6 +320,12 @@
                 self._log(part, "requests with all that explains it", "")
             elif part not in before:
                 self._log(part, "its requests run one at a time", "")
+        self._explained_here = frozenset(
+            crash_id
+            for part, refused in self._held.items()
+            if refused
+            for crash_id, _ in self.table.items(part)
+        )
         self.trials.forget(before.keys() - self._held.keys())
 
     def _retrial_s(self, part: int) -> float:
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -9,8 +9,7 @@
 _END: Final = b"\n\n"
 _ID: Final = re.compile(rb"(?:\A|\n)id: ?(\d{1,18})(?=\n|\Z)")
 
-# An event that is longer is not held back until it is complete;
-# `EventSplitter` does not enforce this limit.
+# The longest event that is held back until it is complete.
 MAX_EVENT_BYTES: Final = 262_144
 
 
@@ -66,11 +65,6 @@
         """Return whether an incomplete event exceeds the limit."""
         return len(self._partial) > MAX_EVENT_BYTES
 
-    def take_remainder(self) -> bytes:
-        """Remove and return the incomplete event at the end of a stream."""
-        remainder, self._partial = self._partial, b""
-        return remainder
-
     def _without_seen(self, complete: bytes) -> bytes:
         """Return the events that the caller does not have yet."""
         unseen = []
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -6,10 +6,8 @@
 
 import pytest
 
-from bulrushstream.coordination.partreports import (
-    MAX_PARTS_OF_REPORT,
-    MAX_REPORTED_PARTS,
-)
+from bulrushstream.coordination.crashsuspects import MAX_REPEATED
+from bulrushstream.coordination.partreports import MAX_PARTS_OF_REPORT
 from bulrushstream.coordination.partrules import (
     REFUSED_STRIKES,
     RETRIAL_S,
@@ -204,7 +202,7 @@
         assert len(suspects.table.parts()) == MAX_STRUCK
         suspects.reports.peer_appeared(2.0)
         repeated = suspects.reports.strikes_to_repeat(2.0)
-        assert sum(len(r.parts) for r in repeated) == MAX_REPORTED_PARTS
+        assert sum(len(r.parts) for r in repeated) == MAX_REPEATED
         for report in (*notifier.strikes, *repeated):
             assert len(report.parts) <= MAX_PARTS_OF_REPORT
             update = PeerUpdate("front-1", 1, "h", part_strikes=(report,))
--- a/tests/test_peer_usage.py
+++ b/tests/test_peer_usage.py
@@ -17,11 +17,11 @@
 
 from bulrushstream.coordination.fleetstate import (
     CUT_OFF_TIMEOUT_S,
-    USAGE_SILENCE_S,
     FleetState,
 )
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S
 from bulrushstream.coordination.peerusage import PeerUsage
+from bulrushstream.coordination.routerpresence import SILENT_S
 from bulrushstream.state.peerupdate import PeerUpdate, WorkspaceTotals
 from tests.test_fleetstate import a_router_state, deliver
 
@@ -168,6 +168,6 @@
         state, _ = a_router_state(1)
         self.hear(state, peers=3, until_s=8.0)
         before = demand_of(state, 8.0)
-        self.sweep(state, 8.0, 8.0 + 0.9 * USAGE_SILENCE_S)
+        self.sweep(state, 8.0, 8.0 + 0.9 * SILENT_S)
         assert not state.shares.stale
-        assert demand_of(state, 8.0 + 0.9 * USAGE_SILENCE_S) <= before
+        assert demand_of(state, 8.0 + 0.9 * SILENT_S) <= before
