Logs show the version of each endpoint, and which stream goes on there

The lines of endpoints and of dispatches name the endpoint's software version, and a dispatch that goes on with a stream names the last event that the caller has and the request that brought the first one. Without these, the hypotheses on streams that went on at another version could not be told apart. No decision changes.

--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -140,6 +140,11 @@
     inputs: dict[str, float | int | str] = {}
     if prediction is not None:
         inputs = _prediction_inputs(prediction)
+    if forward.resumes:
+        inputs["after_event"] = forward.splitter.last_id or 0
+        inputs["first_request"] = forward.call.first_request_id
+    if endpoint.entry.version:
+        inputs["version"] = endpoint.entry.version
     front.log_decision(
         "dispatch",
         "least predicted time" if prediction else "fewest requests",
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -397,6 +397,11 @@
             self._fingerprint = fingerprint(self.workspace, "", content)
         return self._fingerprint
 
+    @property
+    def resumes(self) -> bool:
+        """Return whether the caller has events of the stream already."""
+        return self.splitter.last_id is not None
+
     @property
     def shared_parts(self) -> tuple[int, ...]:
         """Return the parts of the prompt that others may share."""
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -63,7 +63,10 @@
             "leaving" if entry.leaving else "serving",
             service=entry.service,
             endpoint=entry.endpoint,
-            inputs={"address": f"{entry.host}:{entry.port}"},
+            inputs={
+                "address": f"{entry.host}:{entry.port}",
+                "version": entry.version,
+            },
         )
     )
 
--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -100,6 +100,7 @@
     slots: Annotated[int, msgspec.Meta(ge=0)] = 1
     state: str = "ready"
     cold_left_ms: float = 0.0
+    version: Any = None
 
 
 def decode_config(data: bytes, report: Report) -> RouteConfig:
@@ -163,6 +164,8 @@
         slots=raw.slots,
         leaving=raw.state != "ready",
         warmup_remaining_s=raw.cold_left_ms / MILLISECONDS_PER_S,
+        # An entry with an unusable version still names an endpoint.
+        version=raw.version if isinstance(raw.version, str) else "",
     )
 
 
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -19,6 +19,7 @@
 
 REQUEST_ID: Final = b"x-request-id"
 SIGNATURE: Final = b"x-response-signature"
+FIRST_REQUEST_ID: Final = b"resumes"
 
 # Headers that apply to one connection and are not forwarded.
 _HOP_BY_HOP: Final = frozenset(
@@ -118,6 +119,7 @@
         raise HeadError("there is no usable request id")
     connection_options -= _END_TO_END
     resume_after = _parse_event_id(values.get(b"last-event-id"))
+    first_ids = [v for n, v in headers if n.lower() == FIRST_REQUEST_ID]
     reserved = (
         _RESERVED
         if resume_after is not None
@@ -142,6 +144,7 @@
         prompt=_parse_prompt(values, headers),
         resume_after=resume_after,
         headers=forwarded,
+        first_request_id=_parse_first_id(first_ids),
     )
 
 
@@ -190,6 +193,13 @@
     return int(value)
 
 
+def _parse_first_id(values: list[bytes]) -> str:
+    """Return the id of a stream's first request; empty if it is invalid."""
+    if len(values) != 1 or len(values[0]) > MAX_REQUEST_ID_CHARS:
+        return ""
+    return values[0].strip().decode("latin-1")
+
+
 def _parse_prompt(
     values: dict[bytes, bytes], headers: RawHeaders
 ) -> Prompt | None:
--- a/src/bulrushstream/state/call.py
+++ b/src/bulrushstream/state/call.py
@@ -60,6 +60,9 @@
     prompt: Prompt | None  # None: not a model request.
     resume_after: int | None  # Id of the last event that the caller has.
     headers: RawHeaders  # The headers to forward to the endpoint.
+    # The id of the request that brought the first event of a stream that is
+    # taken up; empty: not given.
+    first_request_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bulrushstream/state/routes.py
+++ b/src/bulrushstream/state/routes.py
@@ -117,3 +117,4 @@
     slots: int  # The number of requests that it processes concurrently.
     leaving: bool = False  # Whether it takes no new requests.
     warmup_remaining_s: float = 0.0  # It is slow for this long.
+    version: str = ""  # Of its software; empty: not known.
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -59,6 +59,25 @@
         assert call.prompt.input_tokens == 1460
         assert call.prompt.quota_tokens == 1460 + 2 * 60
 
+    @pytest.mark.parametrize(
+        ("values", "expected"),
+        (
+            ((b"q0",), "q0"),
+            ((), ""),
+            ((b"q0", b"q0"), ""),
+            ((b"x" * 257,), ""),
+            ((b"\xff",), "\xff"),
+        ),
+    )
+    def test_first_request_of_a_stream(
+        self, values: tuple[bytes, ...], expected: str
+    ) -> None:
+        named = [(b"Resumes", value) for value in values]
+        call = decode_call(b"POST", b"/a/", HEAD + named)
+        assert call.first_request_id == expected
+        # Endpoints get the header as the caller sent it.
+        assert [each for each in call.headers if each in named] == named
+
     def test_a_request_is_forwarded_as_it_was_sent(self) -> None:
         call = decode_call(b"POST", b"/a/b?c=1", HEAD)
         raw = encode_request(
@@ -192,6 +211,22 @@
         assert decode_entry("i", wire_entry("desk", 80, "draining")).leaving
         assert not decode_entry("i", wire_entry("desk", 80)).leaving
 
+    @pytest.mark.parametrize(
+        ("fields", "expected"),
+        (
+            ({"version": "v1.1"}, "v1.1"),
+            ({}, ""),
+            ({"version": ""}, ""),
+            ({"version": None}, ""),
+            ({"version": 2}, ""),
+        ),
+    )
+    def test_version_of_an_endpoint(
+        self, fields: dict[str, object], expected: str
+    ) -> None:
+        entry = decode_entry("i", wire_entry("desk", 80, **fields))
+        assert entry.version == expected
+
 
 NODE = """
 nodeName = "front-1"
