--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
-from typing import Final, cast
+from typing import Final
 
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
@@ -27,7 +27,7 @@
     EndpointEntry,
 )
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
-from bulrushstream.transport.ingress import ClientConnection, Exchange
+from bulrushstream.transport.ingress import Exchange
 from tests.crashingendpoints import (
     After,
     Endpoint,
@@ -35,7 +35,6 @@
 from tests.crashplans import (
     BACKGROUND_PATHS,
     CONTACT_S,
-    ROUTES,
     SERVICES,
     TIMEOUT_S,
     CrashHistory,
@@ -46,38 +45,17 @@
     Sent,
     crash_config,
 )
-from tests.deployments import HOST, KEY
+from tests.simulatedcallers import DEFAULT_PREFIX, Caller, an_exchange
 from tests.virtualnetwork import NetworkLoop, run_in_network
 
 DATAGRAM_S: Final = 0.002
 LEASE_S: Final = 3.6  # An entry is removed this long after a crash.
 LIST_DELAY_S: Final = 0.6  # A router reads the list this often.
 RESTART_S: Final = 2.5  # From a crash to the next start, unless at once.
-DEFAULT_PREFIX: Final = "a1:40,b2:20"
 _HEAD: Final = re.compile(rb"HTTP/1.1 ([0-9]+)")
 _CODE: Final = re.compile(rb"B[0-9]{3}")
 
 
-class _Caller:
-    """A caller's connection; records the answer."""
-
-    closing = False
-    accepts_chunked = True
-
-    def __init__(self) -> None:
-        self.data = b""
-        self.ended = False
-
-    def write(self, data: bytes) -> None:
-        self.data += data
-
-    def exchange_finished(self, exchange: Exchange) -> None:
-        self.ended = True
-
-    def abort(self) -> None:
-        self.ended = True
-
-
 @dataclass(slots=True)
 class _DatagramSender:
     """One router's socket; stands in for `UdpSocket`."""
@@ -98,7 +76,7 @@
 
 
 @dataclass(slots=True)
-class _Router:
+class Router:
     """One process of a router."""
 
     front: Front
@@ -109,16 +87,18 @@
 class CrashFleet:
     """The routers and endpoints of one run."""
 
+    first_version = ""  # Of endpoints for which no version is given.
+
     def __init__(self, plan: CrashPlan) -> None:
         self.plan = plan
         self.ending = plan.ending
         self.rng = Random(plan.seed)
         self.history = CrashHistory()
-        self._routers: list[_Router] = []
-        self._endpoints: dict[str, Endpoint] = {}
-        self._entries: dict[str, EndpointEntry] = {}
+        self.routers: list[Router] = []
+        self.endpoints: dict[str, Endpoint] = {}
+        self.entries: dict[str, EndpointEntry] = {}
         self._incarnations = [0] * plan.routers
-        self._requests: dict[str, tuple[int, bytes]] = {}  # Router, label.
+        self.requests: dict[str, tuple[int, bytes]] = {}  # Router, label.
         self._loop: NetworkLoop | None = None
         self._names = 0
 
@@ -140,7 +120,16 @@
             for each in range(count):
                 self._start_endpoint(service, number=each)
         for number in range(plan.routers):
-            self._routers.append(self._start_router(number))
+            self.routers.append(self._start_router(number))
+        self.schedule()
+        await asyncio.sleep(plan.end_s)
+        self.history.useless_bytes = [
+            endpoint.sent_bytes for endpoint in self.endpoints.values()
+        ]
+
+    def schedule(self) -> None:
+        """Schedule what the plan says."""
+        loop, plan = self.loop, self.plan
         for fault in plan.faults:
             loop.call_later(fault.at_s, self._begin_fault, fault)
         for at_s, name in plan.drains:
@@ -159,32 +148,28 @@
             loop.call_later(repeats.begin_s, self._repeat, repeats, 0)
         for prompts in plan.prompts:
             loop.call_later(prompts.begin_s, self._send_prompt, prompts)
-        await asyncio.sleep(plan.end_s)
-        self.history.useless_bytes = [
-            endpoint.sent_bytes for endpoint in self._endpoints.values()
-        ]
 
     # --- Endpoints.
 
     def record_run(self, request_id: str, endpoint: str) -> int:
         """Record a run; return the number of runs of this request so far."""
-        router, label = self._requests[request_id]
+        router, label = self.requests[request_id]
         runs = self.history.sent[label]
         runs.append(Sent(self.loop.time(), router, endpoint))
         return len(runs)
 
     def crash(self, endpoint: Endpoint, request_id: str) -> None:
         """End an endpoint because of a request."""
-        if self._endpoints.get(endpoint.name) is endpoint:
+        if self.endpoints.get(endpoint.name) is endpoint:
             now_s = self.loop.time()
             self.history.crashes_s.append(now_s)
-            label = self._requests[request_id][1]
+            label = self.requests[request_id][1]
             self.history.crashed_by[label].append(now_s)
             self._end(endpoint)
 
     def record_arrival(self, request_id: str, endpoint: str) -> None:
         """Record that a request reached an endpoint."""
-        router = self._requests[request_id][0]
+        router = self.requests[request_id][0]
         sent = Sent(self.loop.time(), router, endpoint)
         self.history.arrivals[endpoint].append(sent)
 
@@ -198,8 +183,8 @@
         for limit in self.plan.limits:
             if not limit.applies(endpoint.service, endpoint.number, now_s):
                 continue
-            if request_id in self._requests:
-                router = self._requests[request_id][0]
+            if request_id in self.requests:
+                router = self.requests[request_id][0]
                 named = self.history.named[endpoint.name]
                 named.append((now_s, router, limit.value))
             return limit.value
@@ -207,21 +192,21 @@
 
     def _drain(self, name: str) -> None:
         """Announce that an endpoint is leaving."""
-        entry = self._entries.get(name)
+        entry = self.entries.get(name)
         if entry is not None:
             self._set_entry(name, replace(entry, leaving=True))
 
     def _kill_busiest(self, service: str) -> None:
         """End the endpoint with the most connections, for no request."""
         endpoint = max(
-            (e for e in self._endpoints.values() if e.service == service),
+            (e for e in self.endpoints.values() if e.service == service),
             key=lambda each: len(each.links),
         )
         self._end(endpoint)
 
     def _end(self, endpoint: Endpoint) -> None:
         loop, after = self.loop, self.ending.after
-        del self._endpoints[endpoint.name]
+        del self.endpoints[endpoint.name]
         del loop.listeners[endpoint.address]
         endpoint.end(self.ending.link)
         if after is After.SAME_ID:
@@ -235,19 +220,34 @@
             return
         if after is After.MUTE:
             loop.mute.add(endpoint.address)
-        loop.call_later(RESTART_S, self._start_endpoint, endpoint.service)
+        again = partial(
+            self._start_endpoint, endpoint.service, version=endpoint.version
+        )
+        loop.call_later(RESTART_S, again)
 
     def _start_endpoint(
-        self, service: str, at: Endpoint | None = None, number: int = 10**6
+        self,
+        service: str,
+        at: Endpoint | None = None,
+        number: int = 10**6,
+        version: str = "",
     ) -> None:
-        """Start an endpoint, at the address and with the id of another."""
+        """Start an endpoint, at the address and with the id of another.
+
+        It has the other one's version unless one is given.
+        """
         name = at.name if at else self._new_name()
         address = at.address if at else (f"10.1.0.{self._names}", 80)
         number = at.number if at else number
-        endpoint = Endpoint(self, name, service, address, number=number)
-        self._endpoints[name] = endpoint
+        version = version or (at.version if at else self.first_version)
+        endpoint = Endpoint(
+            self, name, service, address, number=number, version=version
+        )
+        self.endpoints[name] = endpoint
         self.loop.listeners[address] = endpoint.accept
-        entry = EndpointEntry(name, service, *address, "z", 64)
+        entry = EndpointEntry(
+            name, service, *address, "z", 64, version=version
+        )
         self._set_entry(name, entry)
 
     def _new_name(self) -> str:
@@ -257,10 +257,10 @@
     def _set_entry(self, name: str, entry: EndpointEntry | None) -> None:
         """Change the endpoint list; routers read it a little later."""
         if entry is None:
-            self._entries.pop(name, None)
+            self.entries.pop(name, None)
         else:
-            self._entries[name] = entry
-        for router in self._routers:
+            self.entries[name] = entry
+        for router in self.routers:
             self.loop.call_later(
                 self.rng.uniform(0.0, LIST_DELAY_S),
                 self._read_entry,
@@ -269,7 +269,7 @@
             )
 
     def _read_entry(self, front: Front, name: str) -> None:
-        entry = self._entries.get(name)
+        entry = self.entries.get(name)
         if entry is None:
             platformupdates.remove_endpoint(front, name)
         else:
@@ -286,7 +286,7 @@
             return
 
         def deliver() -> None:
-            router = self._routers[receiver]
+            router = self.routers[receiver]
             if router.running:
                 router.port.datagram_received(data, None)
 
@@ -322,17 +322,17 @@
             end_s = now_s + fault.cut_s + fault.frozen_s + CONTACT_S
             self.history.out_of_touch.append((now_s, end_s, number))
             if not fault.cut_s and not fault.frozen_s:
-                self._stop_router(self._routers[number])
+                self._stop_router(self.routers[number])
                 if not fault.stops:
-                    self._routers[number] = self._start_router(number)
+                    self.routers[number] = self._start_router(number)
 
-    def _stop_router(self, router: _Router) -> None:
+    def _stop_router(self, router: Router) -> None:
         router.running = False
         router.port.close()
         for forward in list(router.front.forwards):
             forward.stop()
 
-    def _start_router(self, number: int) -> _Router:
+    def _start_router(self, number: int) -> Router:
         loop = self.loop
         self._incarnations[number] += 1
 
@@ -362,10 +362,10 @@
         front.connect_peers(port)
         port.attach(_DatagramSender(self, number))
         platformupdates.apply_config(front, crash_config())
-        for entry in self._entries.values():
+        for entry in self.entries.values():
             platformupdates.apply_entry(front, entry)
         front.endpoints_listed = True
-        router = _Router(front, port)
+        router = Router(front, port)
 
         def repeat(interval_s: float, step: Callable[[], None]) -> None:
             if router.running:
@@ -393,7 +393,7 @@
         )
 
     def _send_background(self, number: int, path: str) -> None:
-        self._send(number, path, b"background %d" % len(self._requests))
+        self._send(number, path, b"background %d" % len(self.requests))
         self.loop.call_later(
             self._background_gap_s(), self._send_background, number, path
         )
@@ -403,7 +403,7 @@
         if now_s >= prompts.end_s:
             return
         numbers = prompts.routers or range(self.plan.routers)
-        count = len(self._requests)
+        count = len(self.requests)
         shared = [f"{self.rng.choice(group)}:9" for group in prompts.groups]
         self._send(
             self.rng.choice(numbers),
@@ -438,33 +438,18 @@
             loop.call_later(frozen_s, again)
             return
         label = label or body
-        request_id = f"q{len(self._requests)}"
-        self._requests[request_id] = (number, label)
+        request_id = f"q{len(self.requests)}"
+        self.requests[request_id] = (number, label)
         self.history.ids[label].append(request_id)
         self.history.asked[label].append(loop.time())
-        caller = _Caller()
-        exchange = Exchange(cast(ClientConnection, caller))
-        exchange.method = b"POST"
-        exchange.target = f"{path}x".encode()
-        exchange.headers = [
-            (b"Host", HOST.encode()),
-            (b"X-Request-Id", request_id.encode()),
-            (b"X-Deadline-Ms", b"%d" % (TIMEOUT_S * 1000)),
-            (b"Authorization", b"Bearer " + KEY.encode()),
-        ]
-        if ROUTES[path].streams:
-            exchange.headers += [
-                (b"X-Model", b"m"),
-                (b"X-Token-Counts", b"60,20"),
-                (b"X-Prompt-Prefix", prefix.encode()),
-            ]
-        exchange.body = body
+        caller = Caller()
+        exchange = an_exchange(caller, request_id, path, body, prefix)
         exchange.arrived_s = loop.time()
-        self._routers[number].front.handle(exchange)
+        self.routers[number].front.handle(exchange)
         loop.call_later(leave_s, self._give_up, exchange, caller, label)
 
     def _give_up(
-        self, exchange: Exchange, caller: _Caller, label: bytes
+        self, exchange: Exchange, caller: Caller, label: bytes
     ) -> None:
         if not caller.ended and exchange.on_disconnect is not None:
             exchange.on_disconnect()
--- a/tests/crashingendpoints.py
+++ b/tests/crashingendpoints.py
@@ -135,6 +135,7 @@
     sent_bytes: int = 0  # Bytes that belong to no answer.
     running: int = 0  # Requests that it works on.
     number: int = 0  # Among the first endpoints of its service, from 0.
+    version: str = ""  # Of its software.
 
     def accept(self, transport: Transport) -> Serving:
         return Serving(self, transport)
@@ -249,7 +250,7 @@
             piece = b"a piece"
             if b"x-token-counts" in headers:
                 number = int(headers.get(b"last-event-id", b"0")) + 1
-                piece = _chunk(_event(number))
+                piece = _chunk(self._event(number))
             self._later(HEAD_S, lambda: self.transport.send(piece))
         crash = partial(self.endpoint.fleet.crash, self.endpoint, request_id)
         if body.startswith(Body.CRASH_UNHEARD):
@@ -265,7 +266,7 @@
 
     def _send_event(self, number: int, last: int) -> None:
         if number <= last:
-            self.transport.send(_chunk(_event(number)))
+            self.transport.send(_chunk(self._event(number)))
             self._later(EVENT_S, lambda: self._send_event(number + 1, last))
         elif last == EVENTS:
             self.transport.send(b"0\r\n\r\n")
@@ -273,6 +274,11 @@
         else:
             self.transport.end(None)
 
+    def _event(self, number: int) -> bytes:
+        """Return an event, which tells the version that wrote it."""
+        version = self.endpoint.version.encode() or b"x"
+        return b"id: %d\ndata: %b\n\n" % (number, version)
+
     def _begin_stream(self, headers: dict[bytes, bytes]) -> None:
         self._send_head(
             b"200 OK",
@@ -342,7 +348,7 @@
         self._send_head(b"200 OK", self._headers, kind)
         if streams:
             for number in range(1, EVENTS + 1):
-                self.transport.send(_event(number))
+                self.transport.send(self._event(number))
         else:
             self.transport.send(b"whole")
         if how is Unframed.AMID_EVENT:
@@ -384,9 +390,5 @@
         asyncio.get_running_loop().call_later(delay_s, run_step)
 
 
-def _event(number: int) -> bytes:
-    return b"id: %d\ndata: x\n\n" % number
-
-
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(data), data)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,6 +4,7 @@
 
 import contextlib
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
@@ -222,7 +223,7 @@
         ),
     )
     def test_version_of_an_endpoint(
-        self, fields: dict[str, object], expected: str
+        self, fields: dict[str, Any], expected: str
     ) -> None:
         entry = decode_entry("i", wire_entry("desk", 80, **fields))
         assert entry.version == expected
--- /dev/null
+++ b/tests/versionfleets.py
@@ -0,0 +1,182 @@
+"""Routers before endpoints of several software versions, in virtual time.
+
+A caller whose stream breaks takes it up at another router.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import replace
+from functools import partial
+from typing import Final, cast
+
+from tests.crashfleets import CrashFleet
+from tests.crashingendpoints import EVENTS, Endpoint, Link
+from tests.crashplans import TIMEOUT_S
+from tests.simulatedcallers import Caller, an_exchange
+from tests.versionplans import (
+    Change,
+    ChangeKind,
+    Stream,
+    Try,
+    VersionHistory,
+    VersionPlan,
+)
+
+DRAIN_S: Final = 3.0  # An endpoint that leaves serves on for this long.
+SERVICE: Final = "llm"
+_HEAD: Final = re.compile(rb"HTTP/1.1 ([0-9]+)")
+_CODE: Final = re.compile(rb"B[0-9]{3}")
+_EVENT: Final = re.compile(rb"id: ([0-9]+)\ndata: ([^\n]+)\n\n")
+
+
+class VersionFleet(CrashFleet):
+    """The routers, endpoints and callers of one run."""
+
+    def __init__(self, plan: VersionPlan) -> None:
+        super().__init__(plan)
+        self.first_version = plan.first_version
+        self.history: VersionHistory = VersionHistory()
+        self._plan = plan
+
+    def schedule(self) -> None:
+        """Schedule the changes and the first stream."""
+        super().schedule()
+        for change in self._plan.changes:
+            self.loop.call_later(change.at_s, self._apply, change)
+        self.loop.call_later(0.5, self._begin_stream)
+
+    # --- Endpoints.
+
+    def _of_version(self, version: str) -> list[Endpoint]:
+        """Return the ready endpoints of a version."""
+        return [
+            each
+            for each in self.endpoints.values()
+            if each.service == SERVICE
+            and each.version == version
+            and each.name in self.entries
+            and not self.entries[each.name].leaving
+        ]
+
+    def _apply(self, change: Change) -> None:
+        for _ in range(change.count):
+            self._apply_once(change)
+
+    def _apply_once(self, change: Change) -> None:
+        version = change.version
+        if change.kind is ChangeKind.START:
+            self._start_endpoint(SERVICE, version=version)
+            return
+        found = self._of_version(version)
+        if change.kind is ChangeKind.RETURN:
+            found = [
+                each
+                for each in self.endpoints.values()
+                if each.service == SERVICE and each.version != version
+            ]
+        if not found:
+            return
+        busiest = max(found, key=lambda each: each.running)
+        if change.kind is ChangeKind.CRASH:
+            self._end(busiest)
+        elif change.kind is ChangeKind.RETURN:
+            del self.endpoints[busiest.name]
+            busiest.end(Link.CLOSED)
+            self._start_endpoint(SERVICE, busiest, version=version)
+        else:
+            oldest = found[0]
+            entry = replace(self.entries[oldest.name], leaving=True)
+            gone = change.kind is ChangeKind.DELIST
+            self._set_entry(oldest.name, None if gone else entry)
+            self.loop.call_later(DRAIN_S, self._stop_endpoint, oldest)
+
+    def _stop_endpoint(self, endpoint: Endpoint) -> None:
+        """End an endpoint that has left, and drop its entry."""
+        if self.endpoints.get(endpoint.name) is not endpoint:
+            return
+        del self.endpoints[endpoint.name]
+        del self.loop.listeners[endpoint.address]
+        endpoint.end(Link.CLOSED)
+        self._set_entry(endpoint.name, None)
+
+    # --- Callers.
+
+    def _begin_stream(self) -> None:
+        stream = Stream()
+        self.history.streams.append(stream)
+        self._try(stream, self.rng.randrange(self.plan.routers))
+        gap_s = self.rng.expovariate(self._plan.streams_per_s)
+        if self.loop.time() + gap_s < self.plan.end_s - TIMEOUT_S:
+            self.loop.call_later(gap_s, self._begin_stream)
+
+    def _try(self, stream: Stream, number: int) -> None:
+        """Ask a router for a stream, or for the rest of it."""
+        frozen_s = self._frozen_for_s(number)
+        if frozen_s:
+            self.loop.call_later(frozen_s, self._try, stream, number)
+            return
+        plan = self._plan
+        request_id = f"q{len(self.requests)}"
+        self.requests[request_id] = (number, b"stream")
+        after = len(stream.events)
+        current = Try(request_id, number, self.loop.time(), after)
+        if after:
+            current.serving = len(self._of_version(stream.events[0][1]))
+        caller = Caller()
+        exchange = an_exchange(
+            caller, request_id, plan.path, b"stream %d" % len(self.requests)
+        )
+        if after:
+            last = b"%d" % stream.events[-1][0]
+            exchange.headers.append((b"Last-Event-Id", last))
+            first = next(each for each in stream.tries if each.events)
+            if plan.names_first:
+                named = first.request_id.encode()
+                exchange.headers.append((b"Resumes", named))
+        stream.tries.append(current)
+        exchange.arrived_s = self.loop.time()
+        caller.on_end = partial(self._ended, stream, current, caller)
+        self.routers[number].front.handle(exchange)
+
+        def give_up() -> None:
+            if not caller.ended and exchange.on_disconnect is not None:
+                exchange.on_disconnect()
+                read_answer(current, caller.data)
+
+        self.loop.call_later(TIMEOUT_S, give_up)
+
+    def _ended(self, stream: Stream, current: Try, caller: Caller) -> None:
+        read_answer(current, caller.data)
+        broken = current.status in ("", "200") and not current.whole
+        if not broken or len(stream.tries) >= self._plan.tries:
+            return
+        others = [
+            number
+            for number, router in enumerate(self.routers)
+            if router.running and number != current.router
+        ]
+        number = self.rng.choice(others or [current.router])
+        delay_s = self.rng.uniform(*self._plan.return_s)
+        self.loop.call_later(delay_s, self._try, stream, number)
+
+
+def read_answer(current: Try, data: bytes) -> None:
+    """Read what a caller received for one request."""
+    head = _HEAD.match(data)
+    current.status = head[1].decode() if head else ""
+    code = _CODE.search(data) if b"problem+json" in data else None
+    current.code = code[0].decode() if code else ""
+    body = data.partition(b"\r\n\r\n")[2]
+    if current.status == "200":
+        current.events = [
+            (int(number), version.decode())
+            for number, version in _EVENT.findall(body)
+        ]
+        last = current.events[-1][0] if current.events else 0
+        current.whole = last == EVENTS and data.endswith(b"0\r\n\r\n")
+
+
+def play_versions(plan: VersionPlan) -> VersionHistory:
+    """Play a plan and return what happened."""
+    return cast(VersionHistory, VersionFleet(plan).run())
