--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -41,6 +41,15 @@
     ejections: int = 0  # Consecutive ejections.
     avoid_until_s: float = 0.0  # The end of an ejection or pause.
     removed: bool = False  # Whether the platform's list dropped it.
+    # Since when another process may have its id; infinity: the same as listed.
+    unverified_s: float = float("inf")
+
+    def is_same_at(self, at_s: float) -> bool:
+        """Return whether the listed process had its id at a time.
+
+        :param at_s: the time
+        """
+        return at_s < self.unverified_s
 
     @property
     def name(self) -> str:
@@ -60,14 +69,14 @@
     ) -> None:
         """Add an endpoint, or update its entry.
 
-        An endpoint whose address or service changed starts with a fresh
-        state.
+        An endpoint whose address, service or version changed starts with a
+        fresh state.
 
         :param entry: the entry in the platform's list
         :param traits: the engine's slots and memory; None: a plain service
         """
         known = self.by_name.get(entry.endpoint)
-        if known is not None and _same_address(known.entry, entry):
+        if known is not None and _same_process(known.entry, entry):
             known.entry = entry
             return
         if known is not None:
@@ -110,7 +119,11 @@
                 endpoint.view.memory_tokens = traits.memory_tokens
 
     def usable(
-        self, service: str, now_s: float, exclude: Iterable[str] = ()
+        self,
+        service: str,
+        now_s: float,
+        exclude: Iterable[str] = (),
+        version: str | None = None,
     ) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests.
 
@@ -119,11 +132,14 @@
         :param service: the service's name
         :param now_s: the time
         :param exclude: ids of endpoints that were tried before
+        :param version: the software version that they must have; None: any
         """
         serving = [
             endpoint
             for endpoint in self.by_service.get(service, {}).values()
-            if not endpoint.entry.leaving and endpoint.name not in exclude
+            if not endpoint.entry.leaving
+            and endpoint.name not in exclude
+            and version in (None, endpoint.entry.version)
         ]
         good = [each for each in serving if each.avoid_until_s <= now_s]
         return good or serving
@@ -178,10 +194,11 @@
         )
 
 
-def _same_address(known: EndpointEntry, entry: EndpointEntry) -> bool:
-    """Return whether two entries have the same service and address."""
-    return (known.service, known.host, known.port) == (
+def _same_process(known: EndpointEntry, entry: EndpointEntry) -> bool:
+    """Return whether two entries have the same service, address, version."""
+    return (known.service, known.host, known.port, known.version) == (
         entry.service,
         entry.host,
         entry.port,
+        entry.version,
     )
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -27,6 +27,10 @@
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.peerusage import PeerUsage, UsageChange
 from bulrushstream.coordination.routerpresence import SILENT_S
+from bulrushstream.coordination.streamversions import (
+    StreamVersions,
+    VersionNotifier,
+)
 from bulrushstream.coordination.usagecounter import UsageCounter, add_tokens
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.peerupdate import (
@@ -58,7 +62,7 @@
 MAX_PREFILL_RATE: Final = 500_000.0
 
 
-class PeerNotifier(SuspectNotifier, PartNotifier, Protocol):
+class PeerNotifier(SuspectNotifier, PartNotifier, VersionNotifier, Protocol):
     """Reports this router's changes to the other routers."""
 
     def report_placed(self, placed: RequestPlaced) -> None:
@@ -123,6 +127,7 @@
     suspects: CrashSuspects  # Requests that may crash endpoints.
     parts: PartSuspects  # Parts of prompts that may.
     limits: EndpointLimits
+    streams: StreamVersions
     notifier: PeerNotifier | None = None  # None: not connected to peers.
     pool: EndpointPool = field(default_factory=EndpointPool)
     # Average over all engines, in tokens per second.
@@ -144,6 +149,7 @@
         self.suspects.notifier = notifier
         self.parts.reports.notifier = notifier
         self.limits.report = notifier.report_limit
+        self.streams.set_notifier(notifier)
 
     def repeated_reports(self, now_s: float) -> RepeatedReports:
         """Return what the next heartbeat repeats to the peers.
@@ -155,6 +161,7 @@
             self.parts.reports.strikes_to_repeat(now_s),
             self.parts.reports.proofs_to_repeat(now_s),
             self.limits.limits_to_repeat(now_s),
+            self.streams.history.listed_with_several(),
         )
 
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
@@ -289,6 +296,7 @@
         self.suspects.apply_update(update, now_s)
         self.parts.apply_update(update, now_s)
         self.limits.apply_update(update, now_s)
+        self.streams.apply_update(update, now_s)
         self._count_peer_usage(update, now_s)
         if update.leaving:
             self._end_peer_calls(set(peer.calls))
--- /dev/null
+++ b/src/bulrushstream/coordination/streamorigins.py
@@ -0,0 +1,293 @@
+"""Where the streams began that callers may take up at any router.
+
+A router that relays the first event of a stream knows the version of the
+endpoint that wrote it.  While its service has several versions, it tells that
+to a few *keepers*, routers that a hash of the stream picks, as callers mostly
+take a stream up at another router, and often because the first one ended.  A
+router that gets a take-up of a stream that it does not know asks the keepers.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from typing import Final, Protocol
+
+import xxhash
+
+from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.versionhistory import KEEP_S
+from bulrushstream.state.peerupdate import PeerUpdate
+from bulrushstream.state.streamorigin import StreamOrigin
+
+# How many other routers are told of a stream, and are asked for it.
+KEEPERS: Final = 3
+
+# How long keepers may take to answer, and when they are asked again.
+ASK_TIMEOUT_S: Final = 0.08
+ASK_AGAIN_S: Final = 0.02
+
+# A stream that goes on for longer is told again.
+RETELL_S: Final = KEEP_S / 3
+
+# Streams that are remembered; the oldest are forgotten.
+MAX_STREAMS: Final = 32_768
+
+# Streams that are told in one sweep.
+MAX_TOLD_AT_ONCE: Final = 256
+
+
+class OriginNotifier(Protocol):
+    """Sends origins and questions for them to single routers."""
+
+    def send_origin(self, host: str, origin: StreamOrigin) -> None:
+        """Tell a router where a stream began."""
+
+    def ask_origin(self, host: str, stream: int) -> None:
+        """Ask a router where a stream began; send that at once."""
+
+
+@dataclass(slots=True)
+class OwnStream:
+    """A stream of which this router relays or relayed events."""
+
+    stream: int
+    endpoint: Endpoint
+    version: str  # As listed when the endpoint began it.
+    began_s: float
+    told_s: float = float("-inf")  # When keepers were last told.
+
+    @property
+    def known_version(self) -> str:
+        """Return the version that began it; empty: not known."""
+        return self.version if self.endpoint.is_same_at(self.began_s) else ""
+
+
+@dataclass(frozen=True, slots=True)
+class KnownOrigin:
+    """Where a stream began, and who says so."""
+
+    origin: StreamOrigin
+    reporter: str = ""  # The router's name; empty: this one.
+    learned_s: float = 0.0
+
+    def age_s(self, now_s: float) -> float:
+        """Return how long ago a router vouched for it.
+
+        :param now_s: the time
+        """
+        return self.origin.age_s + now_s - self.learned_s
+
+
+@dataclass(slots=True)
+class StreamOrigins:
+    """The streams that this router began, and those that others told of."""
+
+    own_host: str  # This router's IP address.
+    live_hosts: Callable[[], tuple[str, ...]]  # Those of the other routers.
+    notifier: OriginNotifier | None = None  # None: not connected to peers.
+    _own: OrderedDict[int, OwnStream] = field(default_factory=OrderedDict)
+    _told: OrderedDict[int, KnownOrigin] = field(default_factory=OrderedDict)
+    # Called with the origin of a stream that is asked for.
+    _waiting: dict[int, list[Callable[[KnownOrigin], None]]] = field(
+        default_factory=dict
+    )
+
+    # --- Streams of this router.
+
+    def began(
+        self, streams: Iterable[int], endpoint: Endpoint, now_s: float
+    ) -> tuple[OwnStream, ...]:
+        """Record the first event of a stream.
+
+        :param streams: the digests by which it may be taken up
+        :param endpoint: the endpoint that wrote the event
+        :param now_s: the time
+        """
+        recorded = tuple(
+            OwnStream(stream, endpoint, endpoint.entry.version, now_s)
+            for stream in streams
+        )
+        for each in recorded:
+            self._own[each.stream] = each
+            self._own.move_to_end(each.stream)
+        while len(self._own) > MAX_STREAMS:
+            self._own.popitem(last=False)
+        return recorded
+
+    def ended(self, own: Iterable[OwnStream]) -> None:
+        """Forget a stream that its caller has got whole.
+
+        :param own: what `began` returned for it
+        """
+        for each in own:
+            if self._own.get(each.stream) is each:
+                del self._own[each.stream]
+
+    def tell(self, own: OwnStream, now_s: float) -> None:
+        """Tell the keepers of a stream where it began.
+
+        :param own: the stream
+        :param now_s: the time
+        """
+        version = own.known_version
+        if self.notifier is None or not version:
+            return
+        own.told_s = now_s
+        service = own.endpoint.entry.service
+        origin = StreamOrigin(own.stream, service, version)
+        for host in self.keepers(own.stream):
+            self.notifier.send_origin(host, origin)
+
+    def tell_services(
+        self, services: Callable[[str], bool], now_s: float
+    ) -> None:
+        """Tell the keepers of streams that they do not know yet.
+
+        :param services: returns whether a service's streams are told
+        :param now_s: the time
+        """
+        count = 0
+        for own in self._own.values():
+            if now_s - own.told_s < RETELL_S:
+                continue
+            if services(own.endpoint.entry.service):
+                self.tell(own, now_s)
+                count += 1
+            if count >= MAX_TOLD_AT_ONCE:
+                return
+
+    def sweep(self, running: set[int], now_s: float) -> None:
+        """Forget what was not vouched for lately.
+
+        :param running: the streams of which this router relays events now
+        :param now_s: the time
+        """
+        for stream in running:
+            own = self._own.get(stream)
+            if own is not None and now_s - own.began_s > KEEP_S:
+                self._own.move_to_end(stream)
+        for stream, own in list(self._own.items()):
+            if now_s - own.began_s <= KEEP_S:
+                break
+            if stream not in running:
+                del self._own[stream]
+        for stream, known in list(self._told.items()):
+            if known.age_s(now_s) <= KEEP_S:
+                break
+            del self._told[stream]
+
+    # --- Take-ups.
+
+    def find(self, stream: int, now_s: float) -> KnownOrigin | None:
+        """Return where a stream began; None: not known here.
+
+        :param stream: its digest
+        :param now_s: the time
+        """
+        own = self._own.get(stream)
+        if own is not None and own.known_version:
+            service = own.endpoint.entry.service
+            origin = StreamOrigin(
+                stream, service, own.version, now_s - own.began_s
+            )
+            return KnownOrigin(origin, "", now_s)
+        known = self._told.get(stream)
+        if known is None or known.age_s(now_s) > KEEP_S:
+            return None
+        return known
+
+    def ask(
+        self, stream: int, answered: Callable[[KnownOrigin], None]
+    ) -> None:
+        """Ask the keepers of a stream where it began.
+
+        :param stream: its digest
+        :param answered: called once if one of them knows
+        """
+        self._waiting.setdefault(stream, []).append(answered)
+        self.ask_again(stream)
+
+    def ask_again(self, stream: int) -> None:
+        """Repeat a question, as datagrams are lost.
+
+        :param stream: the stream's digest
+        """
+        if self.notifier is None:
+            return
+        # Its own view of the routers may differ by one from the teller's.
+        for host in self.keepers(stream, KEEPERS + 1):
+            self.notifier.ask_origin(host, stream)
+
+    def stop_asking(
+        self, stream: int, answered: Callable[[KnownOrigin], None]
+    ) -> None:
+        """Take a question back.
+
+        :param stream: the stream's digest
+        :param answered: the same as passed to `ask`
+        """
+        waiting = self._waiting.get(stream, [])
+        if answered in waiting:
+            waiting.remove(answered)
+        if not waiting:
+            self._waiting.pop(stream, None)
+
+    def keepers(self, stream: int, count: int = KEEPERS) -> tuple[str, ...]:
+        """Return the hosts of the other routers that keep an origin.
+
+        :param stream: the stream's digest
+        :param count: how many of all routers keep it
+        """
+        hosts = {self.own_host, *self.live_hosts()}
+        ranked = rank_hosts(hosts, stream.to_bytes(8, "big", signed=True))
+        return tuple(host for host in ranked[:count] if host != self.own_host)
+
+    # --- Peers.
+
+    def apply_update(self, update: PeerUpdate, now_s: float) -> None:
+        """Keep the origins that a peer tells, and answer its questions.
+
+        :param update: the peer's update
+        :param now_s: the time
+        """
+        for origin in update.origins:
+            known = KnownOrigin(origin, update.instance, now_s)
+            self._told[origin.stream] = known
+            self._told.move_to_end(origin.stream)
+            for answered in self._waiting.pop(origin.stream, ()):
+                answered(known)
+        while len(self._told) > MAX_STREAMS:
+            self._told.popitem(last=False)
+        for stream in update.asked_origins:
+            found = self.find(stream, now_s)
+            if found is not None and self.notifier is not None:
+                origin = replace(found.origin, age_s=found.age_s(now_s))
+                self.notifier.send_origin(update.host, origin)
+
+
+def rank_hosts(hosts: Iterable[str], key: bytes) -> list[str]:
+    """Return hosts in an order that a key gives, the same at all routers.
+
+    :param hosts: the hosts
+    :param key: the key
+    """
+    seed: int = xxhash.xxh32_intdigest(key)
+
+    def weight(host: str) -> int:
+        digest: int = xxhash.xxh32_intdigest(host.encode(), seed)
+        return digest
+
+    return sorted(hosts, key=weight)
+
+
+def stream_digest(workspace: str, request_id: str) -> int:
+    """Return the digest of a stream, a signed 64-bit number.
+
+    :param workspace: the caller's workspace; another one's streams have
+        other digests
+    :param request_id: the id of the request that brought its first event
+    """
+    name = f"{workspace}\0{request_id}".encode("utf-8", "surrogateescape")
+    return int(xxhash.xxh3_64_intdigest(name)) - 2**63
--- /dev/null
+++ b/src/bulrushstream/coordination/versionhistory.py
@@ -0,0 +1,179 @@
+"""Whether the endpoints of a service had several software versions lately.
+
+A router that does not know where a stream began may let it go on only if no
+other version served while it may have begun.  A router *shows* that if it
+knows of one version only, and follows the endpoint list or hears a peer that
+would have told it of another one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from bulrushstream.coordination.routerpresence import SILENT_S
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.routes import RequestKind, Route
+
+# Streams are remembered for this time after the last sign of them, or for
+# the second figure times the timeout of their route if that is longer.
+KEEP_S: Final = 30.0
+KEEP_TIMEOUTS: Final = 2.0
+
+# The endpoint list is followed if it was confirmed this lately: two reads,
+# which wait for up to 1.5 s each, and their latency.
+LIST_AGE_S: Final = 3.5
+
+
+@dataclass(slots=True)
+class VersionHistory:
+    """The versions of each service's endpoints, as one router knows them."""
+
+    observe: Callable[[Decision], None]  # Logs a decision.
+    clock: Callable[[], float]  # Also runs while suspended; seconds.
+    # Whether it is known what served before this router started.
+    complete: bool = False
+    list_confirmed_s: float = float("-inf")  # The last read that was current.
+    peer_heard_s: float = float("-inf")  # The last update of any peer.
+    _listed: dict[str, frozenset[str]] = field(default_factory=dict)
+    # Until when streams of several versions may be taken up, by service.
+    _several_until_s: dict[str, float] = field(default_factory=dict)
+    _keep_s: dict[str, float] = field(default_factory=dict)  # By service.
+    _routes: dict[str, frozenset[str]] = field(default_factory=dict)
+    # Services that share a route with others.
+    _split: set[str] = field(default_factory=set)
+    # Until when streams may be taken up that began before their route moved
+    # from or to a service.
+    _moved_until_s: dict[str, float] = field(default_factory=dict)
+
+    def configure(self, routes: Iterable[Route]) -> None:
+        """Apply the routes of a configuration.
+
+        :param routes: all routes
+        """
+        now_s = self.clock()
+        self._split.clear()
+        for route in routes:
+            if route.kind is not RequestKind.STREAMING:
+                continue
+            services = frozenset(share.service for share in route.split)
+            before = self._routes.get(route.name, services)
+            keep_s = max(KEEP_S, KEEP_TIMEOUTS * route.timeout_s)
+            for service in services | before:
+                known_s = self._keep_s.get(service, KEEP_S)
+                self._keep_s[service] = max(known_s, keep_s)
+                if before != services:
+                    self._moved_until_s[service] = now_s + keep_s
+            if len(services) > 1:
+                self._split |= services
+            self._routes[route.name] = services
+
+    def list_versions(self, service: str, versions: Iterable[str]) -> None:
+        """Record the versions that the endpoint list names for a service.
+
+        :param service: the service's name
+        :param versions: of each of its endpoints; empty: not known, which
+            counts as another version than any other
+        """
+        listed = frozenset(versions)
+        before = self._listed.get(service, listed)
+        several = len(listed) > 1 or "" in listed
+        # An endpoint may be replaced within one read of the list.
+        several = several or (bool(listed and before) and listed != before)
+        if listed:
+            self._listed[service] = listed
+        if several:
+            self._set_several(service, "")
+
+    def told(self, services: Iterable[str], reporter: str) -> None:
+        """Record services that had several versions, as others know them.
+
+        :param services: the names of the services
+        :param reporter: the router that told it, or the store
+        """
+        for service in services:
+            self._set_several(service, reporter)
+
+    def had_several(self, service: str) -> bool:
+        """Return whether streams of several versions may be taken up.
+
+        :param service: the service's name
+        """
+        until_s = self._several_until_s.get(service, float("-inf"))
+        return self.clock() < until_s
+
+    def listed_with_several(self) -> tuple[str, ...]:
+        """Return the services of which several versions are listed now."""
+        return tuple(filter(self.lists_several, self._listed))
+
+    def lists_several(self, service: str) -> bool:
+        """Return whether several versions are listed now.
+
+        :param service: the service's name
+        """
+        listed = self._listed.get(service, frozenset())
+        return len(listed) > 1 or "" in listed
+
+    def origins_matter(self, service: str) -> bool:
+        """Return whether take-ups of a service's streams may go wrong.
+
+        :param service: the service's name
+        """
+        moved_until_s = self._moved_until_s.get(service, float("-inf"))
+        return (
+            self.had_several(service)
+            or service in self._split
+            or self.clock() < moved_until_s
+        )
+
+    def needs_origins(self, route: Route) -> bool:
+        """Return whether a stream's origin must be known to take it up.
+
+        :param route: the stream's route
+        """
+        return any(self.origins_matter(each.service) for each in route.split)
+
+    def shows_one_version(self, route: Route) -> bool:
+        """Return whether all streams of a route began at the same version.
+
+        :param route: the route
+        """
+        if not self.complete or self.needs_origins(route):
+            return False
+        now_s = self.clock()
+        return (
+            now_s - self.list_confirmed_s <= LIST_AGE_S
+            or now_s - self.peer_heard_s <= SILENT_S
+        )
+
+    def list_read(self, sent_s: float) -> None:
+        """Record that the endpoint list was current at a time.
+
+        :param sent_s: when the read was sent that showed it
+        """
+        self.list_confirmed_s = max(self.list_confirmed_s, sent_s)
+
+    def peer_heard(self) -> None:
+        """Record that an update of a peer arrived."""
+        self.peer_heard_s = self.clock()
+
+    def _set_several(self, service: str, reporter: str) -> None:
+        """Record that several versions of a service serve now."""
+        known = self.had_several(service)
+        keep_s = self._keep_s.get(service, KEEP_S)
+        self._several_until_s[service] = self.clock() + keep_s
+        if known:
+            return
+        self.observe(
+            Decision(
+                "versions",
+                "several versions of a service",
+                service=service,
+                inputs={
+                    "listed": ",".join(sorted(self._listed.get(service, ()))),
+                    "reporter": reporter,
+                    "keep_s": keep_s,
+                },
+            )
+        )
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -11,7 +11,7 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.forwarding import Failure
-from bulrushstream.daemon import runwatch
+from bulrushstream.daemon import runwatch, takeups
 from bulrushstream.state.call import (
     AnswerHead,
     AnswerProgress,
@@ -193,11 +193,13 @@
             runwatch.run_broken(self, detail)
         self._record_end(ran=self._head is not None)
         if broken:
+            takeups.connection_broke(self.front, self.endpoint)
             self.count_failure()
             forward.attempt_failed(Failure.BROKEN, detail)
             return
         forward.progress.unsent += 1
         if failure is ResponseFailure.REFUSED:
+            takeups.connection_broke(self.front, self.endpoint)
             self.front.crash_watch.add_sign(self.endpoint.name, Sign.REFUSED)
         if failure in (ResponseFailure.NOT_SENT, ResponseFailure.REFUSED):
             self.front.pool.unreachable(self.endpoint, self.front.clock())
@@ -291,6 +293,7 @@
         forward = self.forward
         if forward.splitter.mid_event:
             runwatch.run_broken(self, "the stream ended amid an event")
+            takeups.connection_broke(self.front, self.endpoint)
             self.count_failure()
             forward.attempt_failed(
                 Failure.BROKEN, "the stream ended in the middle of an event"
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -13,7 +13,7 @@
     choose_engine,
     choose_plain,
 )
-from bulrushstream.daemon import safeguards
+from bulrushstream.daemon import safeguards, takeups
 from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.messages import Notice
 
@@ -42,9 +42,11 @@
         accepts requests; the reason if the request is refused
     """
     now_s = front.clock()
-    usable = front.pool.usable(forward.service, now_s, forward.tried)
+    usable = takeups.usable(forward, forward.tried)
     if not usable and forward.route.repeatable:
-        usable = front.pool.usable(forward.service, now_s)
+        usable = takeups.usable(forward)
+    if not usable and forward.version is not None:
+        return takeups.version_gone(forward)
     selected = safeguards.select_endpoints(
         front.fleet_state, usable, now_s, on_trial=forward.on_trial
     )
@@ -101,11 +103,18 @@
         latency_target_s,
         forward.share_used,
     )
+    if takeups.is_restricted(forward):
+        fits = prediction.wait_s <= latency_target_s
+        admission = Admission.SEND if fits else Admission.REFUSE
     reason = "predicted first token misses the latency target"
     prompt = forward.call.prompt
     if admission is Admission.SEND:
-        if prompt is None or not front.fleet_state.shares.must_yield(
-            forward.workspace, prompt.quota_tokens, now_s
+        if (
+            prompt is None
+            or takeups.is_restricted(forward)
+            or not front.fleet_state.shares.must_yield(
+                forward.workspace, prompt.quota_tokens, now_s
+            )
         ):
             return None
         reason = "workspace over its share, and others are waiting"
@@ -167,7 +176,7 @@
     """
     tried = {*forward.tried, endpoint.name}
     now_s = front.clock()
-    usable = front.pool.usable(forward.service, now_s, tried)
+    usable = takeups.usable(forward, tried)
     selected = safeguards.select_endpoints(front.fleet_state, usable, now_s)
     return bool(selected) and not isinstance(selected, Refusal)
 
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -19,7 +19,7 @@
     decide_retry,
     overdue_delay_s,
 )
-from bulrushstream.daemon import dispatch, safeguards
+from bulrushstream.daemon import dispatch, safeguards, takeups
 from bulrushstream.daemon.attempt import Attempt
 from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.messages import Notice
@@ -31,6 +31,7 @@
 from bulrushstream.transport.ingress import Exchange
 
 if TYPE_CHECKING:
+    from bulrushstream.coordination.streamorigins import OwnStream
     from bulrushstream.daemon.front import Front
 
 # Subtracted from the caller's timeout, to leave time for the way back.
@@ -57,13 +58,16 @@
         "first_event_s",
         "front",
         "on_trial",
+        "own_streams",
         "progress",
         "route",
         "service",
         "share_used",
         "splitter",
         "streaming",
+        "take_up",
         "tried",
+        "version",
         "workspace",
     )
 
@@ -107,6 +111,11 @@
         # Whether its outcome shows if parts of its prompt crash endpoints.
         self.on_trial = False
         self.splitter = EventSplitter(last_id=call.resume_after)
+        self.take_up = takeups.make_take_up(self)
+        # The only version at which it may go on; None: any.
+        self.version: str | None = None
+        # Its entries among the streams that began here; empty: no event yet.
+        self.own_streams: tuple[OwnStream, ...] = ()
         self.streaming = False  # Whether an attempt's answer is a stream.
         self.first_event_s = 0.0  # When it arrived; 0: none yet.
         self.done = False
@@ -122,9 +131,12 @@
         self._deadline_timer = loop.call_later(
             max(0.0, remaining_s), self._deadline_expired
         )
-        self._start_attempt()
+        if self.take_up is not None:
+            self.take_up.start()
+        else:
+            self.start_attempt()
 
-    def _start_attempt(self) -> None:
+    def start_attempt(self) -> None:
         """Choose an endpoint and queue the request for a connection to it."""
         choice = dispatch.choose_endpoint(self.front, self)
         if choice is None:
@@ -133,7 +145,7 @@
             )
             return
         if isinstance(choice, Refusal):
-            self._refuse(choice)
+            self.refuse(choice)
             return
         self.attempt = Attempt(self, *choice)
         self.attempt.start(
@@ -150,9 +162,9 @@
             self.front.fleet_state, self, self.front.clock()
         )
         if refusal is not None:
-            self._refuse(refusal)
+            self.refuse(refusal)
         else:
-            self._start_attempt()
+            self.start_attempt()
 
     # --- Called by the attempt.
 
@@ -194,7 +206,9 @@
         :param events: complete events that the caller does not have yet
         :param now_s: the time
         """
-        self.first_event_s = self.first_event_s or now_s
+        if not self.first_event_s:
+            self.first_event_s = now_s
+            takeups.stream_began(self, now_s)
         if not self.exchange.started:
             self.exchange.begin(head.status, head.headers, None)
         self.exchange.write(events)
@@ -206,6 +220,7 @@
         :param reason: why it ends with this answer
         :param status: the answer's status
         """
+        self.front.streams.origins.ended(self.own_streams)
         self._finish(reason, Outcome.RAN, str(status))
 
     def attempt_failed(self, failure: Failure, detail: str) -> None:
@@ -225,7 +240,8 @@
             self.progress,
             failure,
             time_left=self.deadline_s - now_s > MIN_ATTEMPT_S
-            and (not answer_begun or self.streaming),
+            and (not answer_begun or self.streaming)
+            and takeups.can_go_on(self),
             acquire_retry=lambda: front.acquire_retry(self.service),
         )
         front.log_decision(
@@ -286,12 +302,17 @@
             self._answer_notice(messages.DRAINING, Outcome.NOT_RUN)
 
     def _cancel_attempt(self) -> None:
-        """Cancel the attempt in flight, if there is one."""
+        """Cancel the attempt in flight or the question for the origin."""
+        if self.take_up is not None:
+            self.take_up.cancel()
         if self.attempt is not None:
             self.attempt.cancel()
 
-    def _refuse(self, refusal: Refusal) -> None:
-        """End a request that is refused, now or after a failed attempt."""
+    def refuse(self, refusal: Refusal) -> None:
+        """End a request that is refused, now or after a failed attempt.
+
+        :param refusal: the reason
+        """
         if refusal.part or refusal.wait_s:
             self.front.log_decision(
                 "refuse",
@@ -307,11 +328,19 @@
             self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
         else:
             self._answer_notice(
-                refusal.notice, Outcome.NOT_RUN, refusal.wait_s
+                refusal.notice,
+                Outcome.NOT_RUN,
+                refusal.wait_s,
+                final=refusal.final,
             )
 
     def _answer_notice(
-        self, notice: Notice, outcome: Outcome, wait_s: float = 0.0
+        self,
+        notice: Notice,
+        outcome: Outcome,
+        wait_s: float = 0.0,
+        *,
+        final: bool = False,
     ) -> None:
         """End the request with a refusal or failure from the router."""
         if self.exchange.started:
@@ -319,7 +348,7 @@
             self._finish("broken_off", Outcome.UNKNOWN, notice.code)
             return
         retry_after_s = None
-        if outcome is Outcome.NOT_RUN:
+        if outcome is Outcome.NOT_RUN and not final:
             retry_after_s = dispatch.retry_after_s(self.front, self, wait_s)
         self.front.refuse(
             self.exchange, notice, self.call.request_id, outcome, retry_after_s
@@ -400,7 +429,7 @@
     @property
     def resumes(self) -> bool:
         """Return whether the caller has events of the stream already."""
-        return self.splitter.last_id is not None
+        return self.call.takes_up or self.splitter.last_id is not None
 
     @property
     def shared_parts(self) -> tuple[int, ...]:
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -27,7 +27,10 @@
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routerpresence import RouterPresence
 from bulrushstream.coordination.routetable import RouteTable, pick_service
-from bulrushstream.daemon import dispatch, runwatch, safeguards
+from bulrushstream.coordination.streamorigins import StreamOrigins
+from bulrushstream.coordination.streamversions import StreamVersions
+from bulrushstream.coordination.versionhistory import VersionHistory
+from bulrushstream.daemon import dispatch, runwatch, safeguards, takeups
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashwatch import CrashWatch
 from bulrushstream.daemon.forward import Forward
@@ -109,7 +112,12 @@
                 RouterPresence(self.clock(), lambda: self.peers.router_count),
                 self.rng,
             ),
+            StreamVersions(
+                VersionHistory(deps.observe, self.boot_clock),
+                StreamOrigins(settings.host, self.peers.live_hosts),
+            ),
         )
+        self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
         limit_s = settings.revocation_limit_s
         self.freshness = Freshness(
@@ -397,6 +405,7 @@
         runwatch.watch_silent_runs(self)
         self.crash_watch.sweep()
         self.fleet_state.sweep(self.clock())
+        takeups.sweep(self)
         self.connections.expire_idle()
 
     # --- Log.
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -15,6 +15,7 @@
 from bulrushstream.daemon.front import Front, FrontDeps
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.daemon.suspectlist import encode_suspects
+from bulrushstream.daemon.versionrecords import VersionRecords
 from bulrushstream.daemon.watch import Snapshot, TopicWatch, run_periodically
 from bulrushstream.metrics import CONTENT_TYPE, encode_metrics
 from bulrushstream.protocol.dialect import DocumentError
@@ -134,7 +135,13 @@
             topics.config, 0.0, self._handle_config, front.freshness.confirm
         )
         self._watch(
-            topics.endpoints, ENDPOINTS_INTERVAL_S, self._handle_endpoints
+            topics.endpoints,
+            ENDPOINTS_INTERVAL_S,
+            self._handle_endpoints,
+            front.streams.history.list_read,
+        )
+        self._spawn(
+            VersionRecords(self.store, topics.mixed_services, front).run()
         )
         self._spawn(self._announce())
         self._spawn(run_periodically(HEARTBEAT_S, port.beat))
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -25,6 +25,7 @@
     front.limits.body_bytes = limits.body_bytes
     front.limits.header_timeout_s = limits.header_timeout_s
     front.limits.idle_timeout_s = limits.idle_timeout_s
+    front.streams.history.configure(config.routes)
     for service in config.services:
         front.pool.set_traits(service.name, service.engine)
     front.metrics.config_version.set(config.version)
@@ -57,6 +58,7 @@
         service = front.table.services.get(entry.service)
         traits = service.engine if service is not None else None
     front.pool.update(entry, traits)
+    front.streams.endpoints_changed(entry.service, front.pool)
     front.observe(
         Decision(
             "endpoint",
@@ -80,6 +82,7 @@
     removed = front.pool.remove(endpoint)
     if removed is None:
         return
+    front.streams.endpoints_changed(removed.entry.service, front.pool)
     runwatch.endpoint_removed(front, endpoint)
     front.connections.remove(endpoint)
     front.fleet_state.limits.forget(endpoint)
--- a/src/bulrushstream/daemon/safeguards.py
+++ b/src/bulrushstream/daemon/safeguards.py
@@ -29,6 +29,7 @@
     notice: Notice
     part: str = ""  # The part of its prompt that crashes endpoints, if any.
     wait_s: float = 0.0  # Until it may be served; 0: not known.
+    final: bool = False  # Whether it can not be served later either.
 
 
 def crash_refusal(
--- /dev/null
+++ b/src/bulrushstream/daemon/takeups.py
@@ -0,0 +1,267 @@
+"""Streams that go on: taken up by callers, or at the router's next attempt.
+
+A stream goes on only at the software version of endpoints that began it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Final
+
+from bulrushstream import messages
+from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.streamorigins import (
+    ASK_AGAIN_S,
+    ASK_TIMEOUT_S,
+    KnownOrigin,
+    stream_digest,
+)
+from bulrushstream.daemon.safeguards import Refusal
+from bulrushstream.state.routes import RequestKind
+
+if TYPE_CHECKING:
+    from bulrushstream.daemon.forward import Forward
+    from bulrushstream.daemon.front import Front
+
+# Bytes that arrive this long after a connection broke, on an older one, show
+# that the process lives on.
+SETTLE_S: Final = 0.15
+
+# An endpoint that started again under its id is listed within this time.
+LIST_LAG_S: Final = 1.0
+
+
+class TakeUp:
+    """A caller's request to go on with a stream, until its origin is known."""
+
+    __slots__ = ("_asked_s", "_timer", "forward", "front", "stream")
+
+    def __init__(self, forward: Forward) -> None:
+        """Create a take-up that has not started.
+
+        :param forward: the request
+        """
+        self.forward = forward
+        self.front = forward.front
+        call = forward.call
+        named = call.first_request_id not in ("", call.request_id)
+        # The stream's digest; None: the caller does not name it.
+        self.stream = (
+            stream_digest(forward.workspace, call.first_request_id)
+            if named
+            else None
+        )
+        self._asked_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Make the first attempt once it is known where the stream began."""
+        front, stream = self.front, self.stream
+        known = None
+        if stream is not None:
+            known = front.streams.origins.find(stream, front.clock())
+        if known is not None:
+            self._go_on(known)
+        elif front.streams.history.shows_one_version(self.forward.route):
+            self._log("one_version", "one version of the service serves")
+            self.forward.start_attempt()
+        elif stream is None:
+            self._refuse("the caller does not name the first request")
+        else:
+            self._asked_s = front.clock()
+            front.streams.origins.ask(stream, self._answered)
+            self._wait()
+
+    def cancel(self) -> None:
+        """Stop waiting for an answer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+            assert self.stream is not None
+            self.front.streams.origins.stop_asking(self.stream, self._answered)
+
+    def _wait(self) -> None:
+        """Wait until the question is repeated."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(ASK_AGAIN_S, self._unanswered)
+
+    def _unanswered(self) -> None:
+        """Ask again, or refuse the request."""
+        assert self.stream is not None
+        if self.front.clock() - self._asked_s < ASK_TIMEOUT_S:
+            self.front.streams.origins.ask_again(self.stream)
+            self._wait()
+            return
+        self.cancel()
+        self._refuse("no router that was asked knows the stream")
+
+    def _answered(self, known: KnownOrigin) -> None:
+        """Go on with a stream of which a router told the origin."""
+        self.cancel()
+        if not self.forward.done:
+            self._go_on(known)
+
+    def _go_on(self, known: KnownOrigin) -> None:
+        """Make the first attempt at the version that began the stream."""
+        forward, origin = self.forward, known.origin
+        self._log("known", "the origin of the stream is known", known)
+        services = {share.service for share in forward.route.split}
+        if origin.service not in services:
+            # The route has moved to other services since.
+            forward.refuse(Refusal(messages.VERSION_GONE, final=True))
+            return
+        forward.service = origin.service
+        forward.version = origin.version
+        forward.start_attempt()
+
+    def _refuse(self, reason: str) -> None:
+        """Refuse a request whose stream may have begun at any version."""
+        self._log("unknown", reason)
+        self.forward.refuse(Refusal(messages.ORIGIN_UNKNOWN, final=True))
+
+    def _log(
+        self, result: str, reason: str, known: KnownOrigin | None = None
+    ) -> None:
+        """Log and count what is known of the origin."""
+        front, forward = self.front, self.forward
+        inputs: dict[str, float | int | str] = {
+            "first_request": forward.call.first_request_id,
+            "after_event": forward.splitter.last_id or 0,
+        }
+        if known is not None:
+            inputs["service"] = known.origin.service
+            inputs["version"] = known.origin.version
+            inputs["reporter"] = known.reporter
+            inputs["age_s"] = round(known.age_s(front.clock()), 3)
+        front.metrics.take_ups.labels(forward.service, result).inc()
+        front.log_decision(
+            "take_up", reason, forward, outcome=result, inputs=inputs
+        )
+
+
+def make_take_up(forward: Forward) -> TakeUp | None:
+    """Return the take-up that a request is; None: it begins a stream.
+
+    :param forward: the request
+    """
+    streams = forward.route.kind is RequestKind.STREAMING
+    return TakeUp(forward) if streams and forward.call.takes_up else None
+
+
+def stream_began(forward: Forward, now_s: float) -> None:
+    """Record the first event of a stream that a caller gets here.
+
+    :param forward: the request
+    :param now_s: the time
+    """
+    attempt = forward.attempt
+    if attempt is None or forward.route.kind is not RequestKind.STREAMING:
+        return
+    digests = [stream_digest(forward.workspace, forward.call.request_id)]
+    take_up = forward.take_up
+    if take_up is not None and take_up.stream is not None:
+        digests.append(take_up.stream)
+    forward.own_streams = forward.front.streams.stream_began(
+        forward.route, tuple(digests), attempt.endpoint, now_s
+    )
+    forward.version = attempt.endpoint.entry.version
+
+
+def is_restricted(forward: Forward) -> bool:
+    """Return whether a request can go to some endpoints of its service only.
+
+    :param forward: the request
+    """
+    if forward.version is None or forward.take_up is None:
+        return False
+    return forward.front.streams.history.had_several(forward.service)
+
+
+def usable(forward: Forward, exclude: Iterable[str] = ()) -> list[Endpoint]:
+    """Return the endpoints that accept a request, at its stream's version.
+
+    :param forward: the request
+    :param exclude: ids of endpoints that were tried before
+    """
+    front, now_s, version = forward.front, forward.front.clock(), None
+    if forward.version is not None:
+        version = _required_version(forward)
+        if version == "":
+            return []
+    found = front.pool.usable(forward.service, now_s, exclude, version)
+    if version is None:
+        return found
+    verified = [each for each in found if _is_verified(front, each)]
+    if front.streams.history.shows_one_version(forward.route):
+        return verified or found
+    return verified
+
+
+def can_go_on(forward: Forward) -> bool:
+    """Return whether an endpoint could take a stream that has begun.
+
+    :param forward: the request
+    """
+    return forward.version is None or bool(usable(forward))
+
+
+def version_gone(forward: Forward) -> Refusal:
+    """Return the refusal of a stream whose version no endpoint serves.
+
+    :param forward: the request
+    """
+    pool, now_s = forward.front.pool, forward.front.clock()
+    listed = pool.usable(forward.service, now_s, (), forward.version)
+    # Those that are listed may turn out to be the same processes still.
+    return Refusal(messages.VERSION_GONE, final=not listed)
+
+
+def connection_broke(front: Front, endpoint: Endpoint) -> None:
+    """Record that another process may have an endpoint's id from now on.
+
+    :param front: the router
+    :param endpoint: the endpoint
+    """
+    if _is_verified(front, endpoint):
+        endpoint.unverified_s = front.clock()
+
+
+def sweep(front: Front) -> None:
+    """Tell other routers what they miss, and forget what is old.
+
+    :param front: the router
+    """
+    running = {
+        own.stream for each in front.forwards for own in each.own_streams
+    }
+    front.streams.sweep(running, front.clock())
+
+
+def _required_version(forward: Forward) -> str | None:
+    """Return the version of a stream that has begun; empty: not known.
+
+    None means that the endpoints of its service have only one.
+    """
+    if not forward.own_streams:
+        return forward.version
+    version = forward.own_streams[0].known_version
+    if version:
+        return version
+    history = forward.front.streams.history
+    return None if history.shows_one_version(forward.route) else ""
+
+
+def _is_verified(front: Front, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint's process is the one that is listed."""
+    since_s = endpoint.unverified_s
+    if since_s == float("inf"):
+        return True
+    heard = front.connections.pool_for(endpoint).is_heard(
+        since_s, since_s + SETTLE_S
+    )
+    age_s = front.boot_clock() - front.streams.history.list_confirmed_s
+    listed = front.clock() - age_s >= since_s + LIST_LAG_S
+    if heard or listed:
+        endpoint.unverified_s = float("inf")
+    return heard or listed
--- a/src/bulrushstream/history/routingplatform.py
+++ b/src/bulrushstream/history/routingplatform.py
@@ -88,7 +88,9 @@
     :param leaving: whether it is draining and takes no new requests
     """
     service = ENDPOINTS[name]
-    return EndpointEntry(name, service, "10.1.0.1", 80, "z", 8, leaving)
+    return EndpointEntry(
+        name, service, "10.1.0.1", 80, "z", 8, leaving, version="v1"
+    )
 
 
 def settings_of(number: int, routers: int) -> NodeSettings:
@@ -179,7 +181,7 @@
 
 
 DIALECT: Final = Dialect(
-    topics=Topics("config", "config", "endpoints", "routers"),
+    topics=Topics("config", "config", "endpoints", "routers", "mixed"),
     read_settings=_unused,
     make_store=cast(Callable[..., KeyedStore], _unused),
     decode_config=_unused,
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -101,6 +101,12 @@
 LIMITS_REACHED: Final = Notice(
     "B130", "Every endpoint has reached the limit that it names.", 503
 )
+ORIGIN_UNKNOWN: Final = Notice(
+    "B131", "Which version of the endpoints began the stream is unknown.", 503
+)
+VERSION_GONE: Final = Notice(
+    "B132", "No endpoint of the version that began the stream serves.", 503
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -62,6 +62,7 @@
     share_level: Gauge  # The fair-share level, in quota tokens.
     share_throughput: Gauge  # Granted in the window, per second.
     peers: Gauge  # The other routers that count as live.
+    take_ups: Counter  # Streams that callers take up.
     oldest_peer_age: Gauge  # Time since the oldest update, in seconds.
 
 
@@ -159,6 +160,12 @@
             "share_throughput_tokens_per_second",
             "Throughput that the fleet granted in the sliding window.",
         ),
+        take_ups=counter(
+            "take_ups",
+            "Streams that callers take up, by what is known of their origin.",
+            "service",
+            "origin",
+        ),
         peers=gauge("peers", "Other routers that count as live."),
         oldest_peer_age=gauge(
             "oldest_peer_age_seconds",
--- a/src/bulrushstream/platform/dialect.py
+++ b/src/bulrushstream/platform/dialect.py
@@ -43,6 +43,7 @@
         # The platform calls endpoints servers.
         endpoints="keyed.servers",
         routers="keyed.routers",
+        mixed_services="keyed.mixed",
     ),
     read_settings=read_node_file,
     make_store=make_store,
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -145,6 +145,7 @@
         resume_after=resume_after,
         headers=forwarded,
         first_request_id=_parse_first_id(first_ids),
+        takes_up=b"last-event-id" in values,
     )
 
 
--- a/src/bulrushstream/protocol/dialect.py
+++ b/src/bulrushstream/protocol/dialect.py
@@ -38,6 +38,8 @@
     config_key: str  # The configuration's key in that topic.
     endpoints: str  # Keyed by endpoint id.
     routers: str  # Written by routers; keyed by IP number.
+    # Written by routers; keyed by service, while it has several versions.
+    mixed_services: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -29,6 +29,7 @@
     RequestPlaced,
     WorkspaceTotals,
 )
+from bulrushstream.state.streamorigin import StreamOrigin
 
 CHECKSUM: Final = struct.Struct("!Q")
 
@@ -113,6 +114,15 @@
             )
             for each in update.limits
         ],
+        origins=[
+            _SCHEMA.Origin(
+                each.stream, each.service, each.version, _to_ms(each.age_s)
+            )
+            for each in update.origins
+        ]
+        or None,
+        asked_origins=list(update.asked_origins) or None,
+        mixed_services=list(update.mixed_services) or None,
         totals=[
             _SCHEMA.Totals(
                 each.workspace,
@@ -212,6 +222,14 @@
             )
             for each in wire.limits or ()
         ),
+        origins=tuple(
+            StreamOrigin(
+                each.stream, each.pool, each.version, each.age_ms / 1000
+            )
+            for each in wire.origins or ()
+        ),
+        asked_origins=tuple(wire.asked_origins or ()),
+        mixed_services=tuple(wire.mixed_services or ()),
         # A router of an earlier version sends no totals.
         totals=tuple(
             WorkspaceTotals(
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -54,6 +54,13 @@
   3: i32 age_ms
 }
 
+struct Origin {
+  1: i64 stream
+  2: string pool
+  3: string version
+  4: i32 age_ms
+}
+
 struct Update {
   1: string instance
   2: i64 incarnation
@@ -70,4 +77,7 @@
   13: list<PartStrikes> part_strikes
   14: list<PartProof> part_proofs
   15: list<Limit> limits
+  16: optional list<Origin> origins
+  17: optional list<i64> asked_origins
+  18: optional list<string> mixed_services
 }
--- a/src/bulrushstream/state/call.py
+++ b/src/bulrushstream/state/call.py
@@ -63,6 +63,8 @@
     # The id of the request that brought the first event of a stream that is
     # taken up; empty: not given.
     first_request_id: str = ""
+    # Whether the caller has events of the stream, of an id or not.
+    takes_up: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from bulrushstream.state.partevidence import PartProof, PartStrikes
+from bulrushstream.state.streamorigin import StreamOrigin
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +71,7 @@
     part_strikes: tuple[PartStrikes, ...] = ()
     part_proofs: tuple[PartProof, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
+    mixed_services: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,5 +90,9 @@
     part_strikes: tuple[PartStrikes, ...] = ()
     part_proofs: tuple[PartProof, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
+    origins: tuple[StreamOrigin, ...] = ()
+    asked_origins: tuple[int, ...] = ()  # Streams whose origin it asks for.
+    # Services whose endpoints have several versions.
+    mixed_services: tuple[str, ...] = ()
     known_hosts: tuple[str, ...] = ()  # IP addresses of its peers.
     leaving: bool = False  # Whether it is stopping.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -25,6 +25,7 @@
     RequestPlaced,
     WorkspaceTotals,
 )
+from bulrushstream.state.streamorigin import StreamOrigin
 
 # How long events are batched; a fraction of the time between requests.
 FLUSH_DELAY_S: Final = 0.004
@@ -51,6 +52,7 @@
     part_strikes: list[PartStrikes] = field(default_factory=list)
     part_proofs: list[PartProof] = field(default_factory=list)
     limits: list[EndpointLimit] = field(default_factory=list)
+    mixed_services: set[str] = field(default_factory=set)
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -109,6 +111,7 @@
         self._report = report
         self._sender: DatagramSender | None = None
         self._pending = _PendingEvents()
+        self._pending_origins: dict[str, list[StreamOrigin]] = {}  # By host.
         self._totals: dict[str, _Totals] = {}  # By workspace.
         # Workspaces whose totals go with the next heartbeat as well.
         self._repeated_totals: set[str] = set()
@@ -231,6 +234,31 @@
         self._pending.limits.append(limit)
         self._schedule_flush()
 
+    def report_mixed(self, service: str) -> None:
+        """Report that a service's endpoints have several versions.
+
+        :param service: the service's name
+        """
+        self._pending.mixed_services.add(service)
+        self._schedule_flush()
+
+    def send_origin(self, host: str, origin: StreamOrigin) -> None:
+        """Tell one router where a stream began; see `OriginNotifier`."""
+        waiting = self._pending_origins.setdefault(host, [])
+        waiting.append(origin)
+        if len(waiting) >= MAX_EVENTS:
+            self._send_origins()
+        else:
+            self._schedule_flush()
+
+    def ask_origin(self, host: str, stream: int) -> None:
+        """Ask one router where a stream began; see `OriginNotifier`."""
+        own = self._identity
+        update = PeerUpdate(
+            own.instance, own.incarnation, own.host, asked_origins=(stream,)
+        )
+        self._send_to((host,), update)
+
     def beat(self) -> None:
         """Send a heartbeat: an update even if nothing is pending.
 
@@ -242,6 +270,7 @@
         self._pending.part_strikes.extend(reports.part_strikes)
         self._pending.part_proofs.extend(reports.part_proofs)
         self._pending.limits.extend(reports.limits)
+        self._pending.mixed_services.update(reports.mixed_services)
         repeated, self._repeated_totals = self._repeated_totals, set()
         self._pending.changed_totals |= repeated
         self.flush()
@@ -253,6 +282,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        self._send_origins()
         pending, self._pending = self._pending, _PendingEvents()
         self._repeated_totals |= pending.changed_totals
         totals = self._report_totals(pending.changed_totals)
@@ -270,6 +300,7 @@
                 cleared=tuple(pending.cleared),
                 part_proofs=tuple(pending.part_proofs[:MAX_TOTALS]),
                 limits=tuple(pending.limits),
+                mixed_services=tuple(sorted(pending.mixed_services)),
                 known_hosts=self.hosts(),
                 leaving=self.leaving,
             )
@@ -298,10 +329,26 @@
                 )
             )
 
+    def _send_origins(self) -> None:
+        """Send the pending origins, each to its router."""
+        pending, self._pending_origins = self._pending_origins, {}
+        own = self._identity
+        for host, origins in pending.items():
+            update = PeerUpdate(
+                own.instance,
+                own.incarnation,
+                own.host,
+                origins=tuple(origins),
+            )
+            self._send_to((host,), update)
+
     def _send(self, update: PeerUpdate) -> None:
         """Send an update to all peers."""
+        self._send_to(self.hosts(), update)
+
+    def _send_to(self, hosts: tuple[str, ...], update: PeerUpdate) -> None:
+        """Send an update to some routers."""
         sender = self._sender
-        hosts = self.hosts()
         if sender is None or sender.is_closing() or not hosts:
             return
         data = encode_update(update)
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -87,7 +87,7 @@
 class CrashFleet:
     """The routers and endpoints of one run."""
 
-    first_version = ""  # Of endpoints for which no version is given.
+    first_version = "v1"  # Of endpoints for which no version is given.
 
     def __init__(self, plan: CrashPlan) -> None:
         self.plan = plan
@@ -97,6 +97,7 @@
         self.routers: list[Router] = []
         self.endpoints: dict[str, Endpoint] = {}
         self.entries: dict[str, EndpointEntry] = {}
+        self.mixed_services: set[str] = set()  # As recorded in the store.
         self._incarnations = [0] * plan.routers
         self.requests: dict[str, tuple[int, bytes]] = {}  # Router, label.
         self._loop: NetworkLoop | None = None
@@ -275,6 +276,13 @@
         else:
             platformupdates.apply_entry(front, entry)
 
+    def _read_list(self, front: Front) -> None:
+        """Confirm the endpoint list, and record services' versions."""
+        history = front.streams.history
+        # A change that was not read yet is not older than this.
+        history.list_read(self.loop.time() - LIST_DELAY_S)
+        self.mixed_services.update(history.listed_with_several())
+
     # --- Routers.
 
     def send_datagram(self, sender: int, host: str, data: bytes) -> None:
@@ -365,6 +373,8 @@
         for entry in self.entries.values():
             platformupdates.apply_entry(front, entry)
         front.endpoints_listed = True
+        front.streams.history.told(self.mixed_services, "store")
+        front.streams.history.complete = True
         router = Router(front, port)
 
         def repeat(interval_s: float, step: Callable[[], None]) -> None:
@@ -376,6 +386,7 @@
         repeat(SWEEP_INTERVAL_S, front.sweep)
         # The key's freshness is not under test.
         repeat(0.5, lambda: front.freshness.confirm(loop.time()))
+        repeat(0.5, lambda: self._read_list(front))
         return router
 
     # --- Callers.
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -81,6 +81,7 @@
         port=1,
         availability_zone="z",
         slots=6,
+        version="v1",
     )
     return replace(entry, **changes)
 
@@ -131,6 +132,7 @@
         "zone": "z",
         "slots": 6,
         "state": state,
+        "version": "v1",
         **fields,
     }
     return msgspec.json.encode(document)
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -22,6 +22,9 @@
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S, FleetView
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.routerpresence import RouterPresence
+from bulrushstream.coordination.streamorigins import StreamOrigins
+from bulrushstream.coordination.streamversions import StreamVersions
+from bulrushstream.coordination.versionhistory import VersionHistory
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
@@ -33,6 +36,7 @@
     WorkspaceTotals,
 )
 from bulrushstream.state.routes import EngineTraits
+from bulrushstream.state.streamorigin import StreamOrigin
 from tests.deployments import a_prompt, an_entry
 
 TRAITS = EngineTraits(64, 200_000)
@@ -90,6 +94,16 @@
     def report_part_proof(self, proof: PartProof) -> None:
         self.updates.append(replace(self.identity, part_proofs=(proof,)))
 
+    def report_mixed(self, service: str) -> None:
+        update = replace(self.identity, mixed_services=(service,))
+        self.updates.append(update)
+
+    def send_origin(self, host: str, origin: StreamOrigin) -> None:
+        self.updates.append(replace(self.identity, origins=(origin,)))
+
+    def ask_origin(self, host: str, stream: int) -> None:
+        self.updates.append(replace(self.identity, asked_origins=(stream,)))
+
 
 def a_router_state(number: int) -> tuple[FleetState, UpdateRecorder]:
     """Return a router's state with three engines, and its recorder."""
@@ -103,6 +117,10 @@
         EndpointLimits(
             decisions.append, RouterPresence(0.0, lambda: 2), random.Random(1)
         ),
+        StreamVersions(
+            VersionHistory(decisions.append, lambda: 0.0),
+            StreamOrigins(f"10.0.0.{number}", tuple),
+        ),
     )
     for name in ("e-1", "e-2", "e-3"):
         state.pool.update(an_entry(name, service="llm"), TRAITS)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -216,7 +216,6 @@
         ("fields", "expected"),
         (
             ({"version": "v1.1"}, "v1.1"),
-            ({}, ""),
             ({"version": ""}, ""),
             ({"version": None}, ""),
             ({"version": 2}, ""),
@@ -228,6 +227,12 @@
         entry = decode_entry("i", wire_entry("desk", 80, **fields))
         assert entry.version == expected
 
+    def test_an_entry_without_a_version(self) -> None:
+        fields = msgspec.json.decode(wire_entry("desk", 80))
+        del fields["version"]
+        entry = decode_entry("i", msgspec.json.encode(fields))
+        assert entry.version == ""
+
 
 NODE = """
 nodeName = "front-1"
--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -75,8 +75,9 @@
         service: str,
         now_s: float,
         exclude: Iterable[str] = (),
+        version: str | None = None,
     ) -> list[Endpoint]:
-        del now_s
+        del now_s, version
         endpoints = self.by_service.get(service, {}).values()
         return [each for each in endpoints if each.name not in exclude]
 
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -173,7 +173,7 @@
             (int(number), version.decode())
             for number, version in _EVENT.findall(body)
         ]
-        last = current.events[-1][0] if current.events else 0
+        last = current.events[-1][0] if current.events else current.after
         current.whole = last == EVENTS and data.endswith(b"0\r\n\r\n")
 
 
--- a/tests/versionplans.py
+++ b/tests/versionplans.py
@@ -120,7 +120,8 @@
     def went_on_share(self, begin_s: float = 0.0) -> float:
         """Return the share of these take-ups that went on."""
         found = self.take_ups(begin_s)
-        return sum(bool(each.events) for each in found) / len(found)
+        went_on = [bool(each.events) or each.whole for each in found]
+        return sum(went_on) / len(found)
 
     def _counts(self, each: Try) -> bool:
         return self.in_touch(Sent(each.at_s, each.router, ""))
