Logs show which endpoints ask for rest, and which say that they leave

The time that an endpoint names as it turns a request away, and its notice that it leaves, are decoded from every answer, kept and logged, with values that can not be read once for each endpoint. No decision follows from them yet; without these lines it could not be told whether a rest is not read, or known and not kept.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -77,7 +77,7 @@
         :param traits: the engine's slots and memory; None: a plain service
         """
         known = self.by_name.get(entry.endpoint)
-        if known is not None and _same_process(known.entry, entry):
+        if known is not None and known.entry.may_be_process_of(entry):
             known.entry = entry
             return
         if known is not None:
@@ -193,13 +193,3 @@
         endpoint.avoid_until_s = max(
             endpoint.avoid_until_s, now_s + UNREACHABLE_PAUSE_S
         )
-
-
-def _same_process(known: EndpointEntry, entry: EndpointEntry) -> bool:
-    """Return whether two entries have the same service, address, version."""
-    return (known.service, known.host, known.port, known.version) == (
-        entry.service,
-        entry.host,
-        entry.port,
-        entry.version,
-    )
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -17,6 +17,7 @@
     SuspectNotifier,
 )
 from bulrushstream.coordination.endpointlimits import EndpointLimits
+from bulrushstream.coordination.endpointnotices import EndpointNotices
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
 from bulrushstream.coordination.engineview import (
     DEFAULT_PREFILL_TOKENS_PER_S,
@@ -128,6 +129,7 @@
     parts: PartSuspects  # Parts of prompts that may.
     limits: EndpointLimits
     streams: StreamVersions
+    notices: EndpointNotices
     notifier: PeerNotifier | None = None  # None: not connected to peers.
     pool: EndpointPool = field(default_factory=EndpointPool)
     # Average over all engines, in tokens per second.
@@ -341,6 +343,7 @@
         self.parts.sweep(now_s)
         self.limits.presence.sweep(now_s)
         self.limits.sweep(now_s)
+        self.notices.sweep(now_s)
         self._extrapolate_peer_usage(now_s)
         expired = []
         for number, peer_call in self._peer_calls.items():
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -116,6 +116,7 @@
         front, forward = self.front, self.forward
         self._heard_s = front.clock()
         head = front.dialect.decode_answer(status, headers)
+        front.answer_seen(self.endpoint, head)
         mismatch = head.request_id != forward.call.request_id
         if mismatch and (head.request_id or status < 400):
             return False
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -17,6 +17,7 @@
 from bulrushstream.coordination.crashids import CrashIds
 from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointlimits import EndpointLimits
+from bulrushstream.coordination.endpointnotices import EndpointNotices
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetstate import CALL_NUMBER_BITS, FleetState
@@ -37,7 +38,7 @@
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
 from bulrushstream.protocol.dialect import Dialect, HeadError
-from bulrushstream.state.call import Call
+from bulrushstream.state.call import AnswerHead, Call
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.nodesettings import NodeSettings
@@ -116,6 +117,7 @@
                 VersionHistory(deps.observe, self.boot_clock),
                 StreamOrigins(settings.host, self.peers.live_hosts),
             ),
+            EndpointNotices(deps.observe),
         )
         self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
@@ -358,6 +360,23 @@
         endpoint.avoid_until_s = self.clock() + MISDIRECTED_BACKOFF_S
         self.crash_watch.add_sign(endpoint.name, Sign.OTHER_INSTANCE)
 
+    def answer_seen(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        """Record what an answer says of its endpoint, run or not.
+
+        :param endpoint: the endpoint
+        :param head: the head of any answer of it
+        """
+        if head.status == 421:
+            # Another endpoint is at its address.
+            return
+        notices, now_s = self.fleet_state.notices, self.clock()
+        if head.bad_rest:
+            notices.bad_rest(endpoint.name, head.bad_rest)
+        if head.rest_s > 0.0:
+            notices.asked_for_rest(endpoint.name, head.rest_s, now_s)
+        if head.leaving:
+            notices.leaves(endpoint.name, endpoint.entry, now_s)
+
     def endpoint_overdue(self, endpoint: Endpoint) -> None:
         """Take the idle connections to an overdue endpoint out of use.
 
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -58,6 +58,7 @@
         service = front.table.services.get(entry.service)
         traits = service.engine if service is not None else None
     front.pool.update(entry, traits)
+    front.fleet_state.notices.listed(entry)
     front.streams.endpoints_changed(entry.service, front.pool)
     front.observe(
         Decision(
@@ -86,6 +87,7 @@
     runwatch.endpoint_removed(front, endpoint)
     front.connections.remove(endpoint)
     front.fleet_state.limits.forget(endpoint)
+    front.fleet_state.notices.delisted(endpoint, front.clock())
     front.observe(
         Decision(
             "endpoint",
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -88,7 +88,10 @@
 # A limit in requests a second above this one is no limit in practice.
 MAX_REQUEST_LIMIT: Final = 1e6
 
-_LIMIT: Final = re.compile(rb"[0-9]{1,300}(\.[0-9]{0,300})?|\.[0-9]{1,300}")
+# A rest above this one is endless in practice.
+MAX_REST_S: Final = 1e6
+
+_NUMBER: Final = re.compile(rb"[0-9]{1,300}(\.[0-9]{0,300})?|\.[0-9]{1,300}")
 MAX_PROMPT_PARTS: Final = 256
 
 
@@ -300,6 +303,9 @@
     } - {REQUEST_ID, SIGNATURE, b"content-type"}
     not_executed = b"x-not-executed" in values or status == 421
     request_limit, bad_limit = _parse_limits(headers)
+    rest_s, bad_rest = 0.0, ""
+    if status == 503:
+        rest_s, bad_rest = _parse_rests(headers)
     return AnswerHead(
         status=status,
         request_id=values.get(REQUEST_ID, b"").decode("latin-1"),
@@ -318,6 +324,12 @@
         load=_parse_load(values.get(b"x-server-load")),
         request_limit=request_limit,
         bad_limit=bad_limit,
+        rest_s=rest_s,
+        bad_rest=bad_rest,
+        leaving=any(
+            name.lower() == b"server-leaving" and value.strip() == b"1"
+            for name, value in headers
+        ),
     )
 
 
@@ -340,7 +352,7 @@
         if name.lower() != b"server-limit":
             continue
         for text in value.split(b","):
-            if _LIMIT.fullmatch(text.strip()):
+            if _NUMBER.fullmatch(text.strip()):
                 named = min(MAX_REQUEST_LIMIT, float(text))
                 limit = named if limit is None else min(limit, named)
             else:
@@ -349,6 +361,25 @@
     return limit, bad
 
 
+def _parse_rests(headers: RawHeaders) -> tuple[float, str]:
+    """Return the longest rest that an answer asks for, and one that is none.
+
+    A date is none: the endpoint's clock may differ from the router's.
+    """
+    rest_s, bad = 0.0, ""
+    for name, value in headers:
+        if name.lower() != b"retry-after":
+            continue
+        # A date contains a comma, and its parts are no numbers.
+        for text in value.split(b","):
+            if _NUMBER.fullmatch(text.strip()):
+                rest_s = max(rest_s, min(MAX_REST_S, float(text)))
+            else:
+                bad = value.strip().decode("latin-1")[:MAX_BAD_LIMIT_CHARS]
+                bad = bad or "(empty)"
+    return rest_s, bad
+
+
 def refusal_headers(
     request_id: str, retry_after_s: float | None
 ) -> RawHeaders:
--- a/src/bulrushstream/state/call.py
+++ b/src/bulrushstream/state/call.py
@@ -83,6 +83,9 @@
     # The requests a second that the endpoint takes; None: it names no limit.
     request_limit: float | None = None
     bad_limit: str = ""  # A limit that can not be read, for the log.
+    rest_s: float = 0.0  # How long the endpoint wants no request.
+    bad_rest: str = ""  # A rest that can not be read, for the log.
+    leaving: bool = False  # Whether the endpoint says that it leaves.
 
 
 class AnswerProgress(StrEnum):
--- a/src/bulrushstream/state/routes.py
+++ b/src/bulrushstream/state/routes.py
@@ -118,3 +118,15 @@
     leaving: bool = False  # Whether it takes no new requests.
     warmup_remaining_s: float = 0.0  # It is slow for this long.
     version: str = ""  # Of its software; empty: not known.
+
+    def may_be_process_of(self, other: EndpointEntry) -> bool:
+        """Return whether another entry of this id may be of this process.
+
+        :param other: the other entry
+        """
+        return (self.service, self.host, self.port, self.version) == (
+            other.service,
+            other.host,
+            other.port,
+            other.version,
+        )
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -14,6 +14,7 @@
 
 from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointlimits import EndpointLimits
+from bulrushstream.coordination.endpointnotices import EndpointNotices
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetstate import (
     PEER_CALL_TIMEOUT_S,
@@ -121,6 +122,7 @@
             VersionHistory(decisions.append, lambda: 0.0),
             StreamOrigins(f"10.0.0.{number}", tuple),
         ),
+        EndpointNotices(decisions.append),
     )
     for name in ("e-1", "e-2", "e-3"):
         state.pool.update(an_entry(name, service="llm"), TRAITS)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -49,6 +49,52 @@
 ]
 
 
+class AnswerSuite:
+    @pytest.mark.parametrize(
+        ("status", "values", "expected"),
+        (
+            (503, (b"3",), (3.0, "")),
+            (503, (b"0.25",), (0.25, "")),
+            (503, (b"0",), (0.0, "")),
+            (503, (b"9" * 300,), (1e6, "")),
+            (503, (b"1", b"4"), (4.0, "")),
+            (503, (b"4, 1",), (4.0, "")),
+            (503, (b"-3",), (0.0, "-3")),
+            (503, (b"nan",), (0.0, "nan")),
+            (503, (b"inf",), (0.0, "inf")),
+            (503, (b"",), (0.0, "(empty)")),
+            (
+                503,
+                (b"Fri, 04 Dec 2026 17:00:00 GMT",),
+                (0.0, "Fri, 04 Dec 2026 17:00:00 GMT"),
+            ),
+            (503, (b"soon", b"2"), (2.0, "soon")),
+            (503, (), (0.0, "")),
+            (429, (b"3",), (0.0, "")),
+            (200, (b"3",), (0.0, "")),
+        ),
+    )
+    def test_rest_that_an_endpoint_asks_for(
+        self,
+        status: int,
+        values: tuple[bytes, ...],
+        expected: tuple[float, str],
+    ) -> None:
+        headers = [(b"Retry-After", value) for value in values]
+        head = decode_answer(status, headers)
+        assert (head.rest_s, head.bad_rest) == expected
+
+    @pytest.mark.parametrize(
+        ("value", "leaving"), ((b"1", True), (b"0", False), (b"", False))
+    )
+    @pytest.mark.parametrize("status", (200, 404, 500, 503))
+    def test_endpoint_that_leaves(
+        self, status: int, value: bytes, leaving: bool
+    ) -> None:
+        head = decode_answer(status, [(b"Server-Leaving", value)])
+        assert head.leaving == leaving
+
+
 class CallSuite:
     def test_a_request_head_is_decoded(self) -> None:
         call = decode_call(b"POST", b"/a/b?c=1", HEAD)
