Failing tests: requests to endpoints that ask for rest, or leave

Simulated endpoints turn requests away with a time to rest, or say in all answers that they leave while the list says that they are ready.

--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -191,6 +191,16 @@
             return limit.value
         return b""
 
+    def notice(self, request_id: str, endpoint: Endpoint) -> bytes:
+        """Return headers that all answers of an endpoint have now."""
+        del request_id, endpoint
+        return b""
+
+    def turn_away(self, request_id: str, endpoint: Endpoint) -> bytes | None:
+        """Return headers of the 503 that a request gets; None: it runs."""
+        del request_id, endpoint
+        return None
+
     def _drain(self, name: str) -> None:
         """Announce that an endpoint is leaving."""
         entry = self.entries.get(name)
--- a/tests/crashingendpoints.py
+++ b/tests/crashingendpoints.py
@@ -122,6 +122,12 @@
     def name_limit(self, request_id: str, endpoint: Endpoint) -> bytes:
         """Return the limit that an answer names; empty: none."""
 
+    def notice(self, request_id: str, endpoint: Endpoint) -> bytes:
+        """Return headers that all answers of an endpoint have now."""
+
+    def turn_away(self, request_id: str, endpoint: Endpoint) -> bytes | None:
+        """Return headers of the 503 that a request gets; None: it runs."""
+
 
 @dataclass(slots=True, eq=False)
 class Endpoint:
@@ -194,8 +200,13 @@
             self.endpoint.fleet.record_arrival(
                 headers[b"x-request-id"].decode(), self.endpoint.name
             )
+        request_id = headers.get(b"x-request-id", b"").decode()
         if headers.get(b"x-expect-instance", name) != name:
             self._answer(b"421 Misdirected", b"")
+            return
+        turned_away = self.endpoint.fleet.turn_away(request_id, self.endpoint)
+        if turned_away is not None:
+            self._answer(b"503 Busy", b"", turned_away)
         elif self._target.decode() == HEALTH_PATH:
             self.endpoint.fleet.record_probe()
             self._answer(b"200 OK", b"", b"X-Instance-Id: %b\r\n" % name)
@@ -376,6 +387,7 @@
         limit = fleet.name_limit(request_id.decode(), self.endpoint)
         if limit:
             more += b"Server-Limit: %b\r\n" % limit
+        more += fleet.notice(request_id.decode(), self.endpoint)
         more += b"X-Server-Load: %d,0,64\r\n" % self.endpoint.running
         self.transport.send(
             b"HTTP/1.1 %b\r\nX-Request-Id: %b\r\n"
