Endpoints that ask for rest get it

The header was read by nobody.

A router now sends an endpoint nothing until the rest has ended: it is not chosen, a request that waits for a connection there is withdrawn as it would be sent, and it gets no probe. If all endpoints that could serve a request rest, it is refused with the time until the first one's end, spread as other refusals. A rest is not a failure of the endpoint, and is not told to other routers, for which it does not hold.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from bulrushstream.coordination.endpointnotices import EndpointNotices
 from bulrushstream.coordination.engineview import EngineView
 from bulrushstream.state.routes import EndpointEntry, EngineTraits
 
@@ -62,6 +63,7 @@
 class EndpointPool:
     """All endpoints, by id and by service."""
 
+    notices: EndpointNotices  # What they say in their answers.
     by_name: dict[str, Endpoint] = field(default_factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
 
@@ -128,7 +130,8 @@
     ) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests.
 
-        If all of them are to be avoided, all are returned.
+        If all of them are to be avoided, all are returned; those that rest
+        are left out in any case.
 
         :param service: the service's name
         :param now_s: the time
@@ -138,13 +141,38 @@
         serving = [
             endpoint
             for endpoint in self.by_service.get(service, {}).values()
-            if not endpoint.entry.leaving
-            and endpoint.name not in exclude
+            if endpoint.name not in exclude
             and version in (None, endpoint.entry.version)
+            and not self.is_leaving(endpoint)
+            and not self.notices.rest_left_s(endpoint.name, now_s)
         ]
         good = [each for each in serving if each.avoid_until_s <= now_s]
         return good or serving
 
+    def resting(
+        self, service: str, now_s: float, version: str | None = None
+    ) -> dict[str, float]:
+        """Return the endpoints of a service that rest, and how long.
+
+        :param service: the service's name
+        :param now_s: the time
+        :param version: the software version that they must have; None: any
+        """
+        left_s = {
+            endpoint.name: self.notices.rest_left_s(endpoint.name, now_s)
+            for endpoint in self.by_service.get(service, {}).values()
+            if version in (None, endpoint.entry.version)
+            and not self.is_leaving(endpoint)
+        }
+        return {name: rest_s for name, rest_s in left_s.items() if rest_s}
+
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint takes no new requests.
+
+        :param endpoint: the endpoint
+        """
+        return endpoint.entry.leaving
+
     def succeeded(self, endpoint: Endpoint) -> None:
         """Count a request that an endpoint answered.
 
@@ -167,7 +195,7 @@
             for each in self.by_service.get(
                 endpoint.entry.service, {}
             ).values()
-            if each is not endpoint and not each.entry.leaving
+            if each is not endpoint and not self.is_leaving(each)
         ]
         if not others or endpoint.avoid_until_s > now_s:
             return False
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -131,7 +131,7 @@
     streams: StreamVersions
     notices: EndpointNotices
     notifier: PeerNotifier | None = None  # None: not connected to peers.
-    pool: EndpointPool = field(default_factory=EndpointPool)
+    pool: EndpointPool = field(init=False)
     # Average over all engines, in tokens per second.
     prefill_rate: float = DEFAULT_PREFILL_TOKENS_PER_S
     usage: UsageCounter = field(default_factory=UsageCounter)
@@ -142,6 +142,9 @@
     _grants: dict[int, _Grant] = field(default_factory=dict)  # Own attempts.
     _peer_usage: dict[str, _KnownUsage] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.pool = EndpointPool(self.notices)
+
     def set_notifier(self, notifier: PeerNotifier) -> None:
         """Report changes to the other routers from now on.
 
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -170,7 +170,9 @@
                 Failure.BROKEN, "the answer is unsigned or encoded"
             )
         elif head.status >= 500:
-            self.count_failure()
+            # An endpoint that asks for rest has not failed.
+            if not head.rest_s:
+                self.count_failure()
             forward.attempt_failed(Failure.ERROR, f"status {head.status}")
         elif head.event_stream and head.status == 200:
             self._end_stream(head)
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -45,6 +45,10 @@
     usable = takeups.usable(forward, forward.tried)
     if not usable and forward.route.repeatable:
         usable = takeups.usable(forward)
+    if not usable:
+        refusal = _rest_refusal(front, forward, now_s)
+        if refusal is not None:
+            return refusal
     if not usable and forward.version is not None:
         return takeups.version_gone(forward)
     selected = safeguards.select_endpoints(
@@ -79,6 +83,18 @@
     return prediction.endpoint, number
 
 
+def _rest_refusal(
+    front: Front, forward: Forward, now_s: float
+) -> Refusal | None:
+    """Return the refusal of a request that all endpoints' rest turns away."""
+    resting = front.pool.resting(forward.service, now_s, forward.version)
+    if not resting:
+        return None
+    for name in resting:
+        front.fleet_state.notices.turned_away(name)
+    return Refusal(messages.ENDPOINTS_REST, wait_s=min(resting.values()))
+
+
 def _check_admission(
     front: Front, forward: Forward, prediction: Prediction, now_s: float
 ) -> Notice | None:
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -178,7 +178,13 @@
         remaining_s = self.deadline_s - now_s
         if self.done or remaining_s <= MIN_ATTEMPT_S:
             return None
-        if endpoint.removed or endpoint.entry.leaving:
+        if endpoint.removed or front.pool.is_leaving(endpoint):
+            return None
+        if front.fleet_state.notices.rest_left_s(endpoint.name, now_s):
+            # It asked for rest while this request waited for a connection.
+            front.fleet_state.notices.turned_away(
+                endpoint.name, withdrawn=True
+            )
             return None
         if not front.may_send(self):
             return None
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -267,7 +267,10 @@
         return route, workspace.name
 
     def _encode_probe(self, endpoint: Endpoint) -> bytes | None:
-        """Return the encoded probe of an endpoint; None: it has none."""
+        """Return the encoded probe of an endpoint; None: it gets none now."""
+        notices = self.fleet_state.notices
+        if notices.rest_left_s(endpoint.name, self.clock()):
+            return None
         service = endpoint.entry.service
         found = self.table.services.get(service) if self.table else None
         if found is None or not found.health_path:
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -107,6 +107,9 @@
 VERSION_GONE: Final = Notice(
     "B132", "No endpoint of the version that began the stream serves.", 503
 )
+ENDPOINTS_REST: Final = Notice(
+    "B133", "Every endpoint that could serve the request asks for rest.", 503
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
--- a/tests/test_endpointpool.py
+++ b/tests/test_endpointpool.py
@@ -4,6 +4,7 @@
 
 import random
 
+from bulrushstream.coordination.endpointnotices import EndpointNotices
 from bulrushstream.coordination.endpointpool import (
     MAX_EJECTION_S,
     EndpointPool,
@@ -14,7 +15,7 @@
 
 def a_pool(count: int = 4) -> EndpointPool:
     """Return a pool of plain endpoints."""
-    pool = EndpointPool()
+    pool = EndpointPool(EndpointNotices(lambda decision: None))
     for number in range(count):
         pool.update(an_entry(f"i-{number}"), None)
     return pool
@@ -67,7 +68,7 @@
     def test_the_least_loaded_is_chosen_and_the_own_zone_on_a_tie(
         self,
     ) -> None:
-        pool = EndpointPool()
+        pool = EndpointPool(EndpointNotices(lambda decision: None))
         pool.update(an_entry("near", availability_zone="z"), None)
         pool.update(an_entry("far", availability_zone="y"), None)
         near, far = pool.by_name["near"], pool.by_name["far"]
