Endpoints that say that they leave get no new requests

A request may reach an endpoint 2 s at most after it has said in an answer that it leaves, whatever the list says, which may lag for seconds. The notice was read by nobody.

A router that gets it in any answer, also in that of a probe or a refusal, sends the endpoint nothing new and tells the other routers, who would learn it at the cost of a caller each. It holds until an entry names another process under that id, also while the entry is gone.

--- a/src/bulrushstream/coordination/endpointnotices.py
+++ b/src/bulrushstream/coordination/endpointnotices.py
@@ -49,6 +49,8 @@
     """The rests and departures that one router knows of."""
 
     observe: Callable[[Decision], None]  # Logs a decision.
+    # Tells the other routers of an endpoint that leaves.
+    report_leaving: Callable[[str], None] = lambda endpoint: None
     _rests: dict[str, _Rest] = field(default_factory=dict)  # By endpoint.
     _leaving: dict[str, _Leaving] = field(default_factory=dict)
     _bad: set[str] = field(default_factory=set)  # Endpoints with bad values.
@@ -115,6 +117,8 @@
             known.own = known.own or not reporter
             return False
         self._leaving[endpoint] = _Leaving(entry, now_s, not reporter)
+        if not reporter:
+            self.report_leaving(endpoint)
         self.observe(
             Decision(
                 "endpoint_leaving",
--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -171,7 +171,7 @@
 
         :param endpoint: the endpoint
         """
-        return endpoint.entry.leaving
+        return endpoint.entry.leaving or self.notices.is_leaving(endpoint.name)
 
     def succeeded(self, endpoint: Endpoint) -> None:
         """Count a request that an endpoint answered.
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -86,6 +86,9 @@
     def report_limit(self, limit: EndpointLimit) -> None:
         """Report a limit that an endpoint names, or that has ended."""
 
+    def report_leaving(self, endpoint: str) -> None:
+        """Report that an endpoint says that it leaves."""
+
 
 # The interval between sweeps, and the gap between two sweeps above which
 # the process counts as having stalled.
@@ -154,6 +157,7 @@
         self.suspects.notifier = notifier
         self.parts.reports.notifier = notifier
         self.limits.report = notifier.report_limit
+        self.notices.report_leaving = notifier.report_leaving
         self.streams.set_notifier(notifier)
 
     def repeated_reports(self, now_s: float) -> RepeatedReports:
@@ -167,6 +171,7 @@
             self.parts.reports.proofs_to_repeat(now_s),
             self.limits.limits_to_repeat(now_s),
             self.streams.history.listed_with_several(),
+            self.notices.to_repeat(now_s),
         )
 
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
@@ -302,6 +307,10 @@
         self.parts.apply_update(update, now_s)
         self.limits.apply_update(update, now_s)
         self.streams.apply_update(update, now_s)
+        for name in update.leaving_endpoints:
+            endpoint = self.pool.by_name.get(name)
+            entry = endpoint.entry if endpoint is not None else None
+            self.notices.leaves(name, entry, now_s, update.instance)
         self._count_peer_usage(update, now_s)
         if update.leaving:
             self._end_peer_calls(set(peer.calls))
--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -21,6 +21,7 @@
     judge_run,
 )
 from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.endpointsigns import ConnectionsSeen, Sign
 from bulrushstream.transport.probe import ask_identity
@@ -42,9 +43,9 @@
 # Encodes a probe of an endpoint; None: its service has none.
 EncodeProbe = Callable[[Endpoint], bytes | None]
 
-# Returns the id that the answer to a probe gives, from status and headers;
-# None: an instance with another id than the probe expects.
-DecodeProbe = Callable[[int, list[tuple[bytes, bytes]]], str | None]
+# Returns the id that the answer to a probe gives, from the endpoint, status
+# and headers; None: an instance with another id than the probe expects.
+DecodeProbe = Callable[[Endpoint, int, RawHeaders], str | None]
 
 
 @dataclass(slots=True)
@@ -72,6 +73,7 @@
     encode_probe: EncodeProbe
     decode_probe: DecodeProbe
     observe: Callable[[Decision], None]
+    is_leaving: Callable[[Endpoint], bool]
     # Called with each run during which its endpoint ended.
     on_crash: Callable[[str, BrokenRun], None]
     # Called with each run without a verdict.
@@ -90,11 +92,12 @@
         if (endpoint.name, run.request_id) in self._counted:
             return
         open_runs = sum(len(each.runs) for each in self._watched.values())
-        if endpoint.entry.leaving or open_runs >= MAX_OPEN_RUNS:
+        leaving = self.is_leaving(endpoint)
+        if leaving or open_runs >= MAX_OPEN_RUNS:
             if run.passive:
                 return
             reason = "the endpoint was leaving"
-            if not endpoint.entry.leaving:
+            if not leaving:
                 reason = "too many runs have no verdict yet"
             self._log_verdict(endpoint.name, run, False, reason)
             return
@@ -220,11 +223,13 @@
                 )
                 if answer is None:
                     self.add_sign(name, Sign.NO_ANSWER)
+                elif isinstance(answer, tuple):
+                    self.decode_probe(watched.endpoint, *answer)
             answer = await ask_identity(pool, request, PROBE_TIMEOUT_S)
             if isinstance(answer, ConnectionRefusedError):
                 self.add_sign(name, Sign.REFUSED)
             elif answer is not None:
-                found = self.decode_probe(*answer)
+                found = self.decode_probe(watched.endpoint, *answer)
                 same = found in ("", name)
                 self.add_sign(
                     name,
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -38,7 +38,7 @@
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
 from bulrushstream.protocol.dialect import Dialect, HeadError
-from bulrushstream.state.call import AnswerHead, Call
+from bulrushstream.state.call import AnswerHead, Call, RawHeaders
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.nodesettings import NodeSettings
@@ -142,8 +142,9 @@
         self.crash_watch = CrashWatch(
             self.clock,
             self._encode_probe,
-            self.dialect.decode_probe,
+            self._decode_probe,
             self.observe,
+            self.pool.is_leaving,
             lambda endpoint, run: safeguards.endpoint_crashed(
                 self.fleet_state, endpoint, run, self.clock()
             ),
@@ -266,6 +267,14 @@
             return messages.NO_TOKEN
         return route, workspace.name
 
+    def _decode_probe(
+        self, endpoint: Endpoint, status: int, headers: RawHeaders
+    ) -> str | None:
+        """Return the id in the answer to a probe; see `Dialect`."""
+        head = self.dialect.decode_answer(status, headers)
+        self.answer_seen(endpoint, head)
+        return self.dialect.decode_probe(status, headers)
+
     def _encode_probe(self, endpoint: Endpoint) -> bytes | None:
         """Return the encoded probe of an endpoint; None: it gets none now."""
         notices = self.fleet_state.notices
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -123,6 +123,7 @@
         or None,
         asked_origins=list(update.asked_origins) or None,
         mixed_services=list(update.mixed_services) or None,
+        leaving_endpoints=list(update.leaving_endpoints) or None,
         totals=[
             _SCHEMA.Totals(
                 each.workspace,
@@ -230,6 +231,7 @@
         ),
         asked_origins=tuple(wire.asked_origins or ()),
         mixed_services=tuple(wire.mixed_services or ()),
+        leaving_endpoints=tuple(wire.leaving_endpoints or ()),
         # A router of an earlier version sends no totals.
         totals=tuple(
             WorkspaceTotals(
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -80,4 +80,5 @@
   16: optional list<Origin> origins
   17: optional list<i64> asked_origins
   18: optional list<string> mixed_services
+  19: optional list<string> leaving_endpoints
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -72,6 +72,7 @@
     part_proofs: tuple[PartProof, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
     mixed_services: tuple[str, ...] = ()
+    leaving_endpoints: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,5 +95,7 @@
     asked_origins: tuple[int, ...] = ()  # Streams whose origin it asks for.
     # Services whose endpoints have several versions.
     mixed_services: tuple[str, ...] = ()
+    # Ids of endpoints that say in their answers that they leave.
+    leaving_endpoints: tuple[str, ...] = ()
     known_hosts: tuple[str, ...] = ()  # IP addresses of its peers.
     leaving: bool = False  # Whether it is stopping.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -53,6 +53,7 @@
     part_proofs: list[PartProof] = field(default_factory=list)
     limits: list[EndpointLimit] = field(default_factory=list)
     mixed_services: set[str] = field(default_factory=set)
+    leaving_endpoints: set[str] = field(default_factory=set)
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -242,6 +243,14 @@
         self._pending.mixed_services.add(service)
         self._schedule_flush()
 
+    def report_leaving(self, endpoint: str) -> None:
+        """Report that an endpoint says that it leaves.
+
+        :param endpoint: the endpoint's id
+        """
+        self._pending.leaving_endpoints.add(endpoint)
+        self._schedule_flush()
+
     def send_origin(self, host: str, origin: StreamOrigin) -> None:
         """Tell one router where a stream began; see `OriginNotifier`."""
         waiting = self._pending_origins.setdefault(host, [])
@@ -271,6 +280,7 @@
         self._pending.part_proofs.extend(reports.part_proofs)
         self._pending.limits.extend(reports.limits)
         self._pending.mixed_services.update(reports.mixed_services)
+        self._pending.leaving_endpoints.update(reports.leaving_endpoints)
         repeated, self._repeated_totals = self._repeated_totals, set()
         self._pending.changed_totals |= repeated
         self.flush()
@@ -301,6 +311,7 @@
                 part_proofs=tuple(pending.part_proofs[:MAX_TOTALS]),
                 limits=tuple(pending.limits),
                 mixed_services=tuple(sorted(pending.mixed_services)),
+                leaving_endpoints=tuple(sorted(pending.leaving_endpoints)),
                 known_hosts=self.hosts(),
                 leaving=self.leaving,
             )
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -141,8 +141,9 @@
         self.watch = CrashWatch(
             lambda: self.now_s,
             lambda endpoint: None,
-            lambda status, headers: None,
+            lambda endpoint, status, headers: None,
             self.lines.append,
+            lambda endpoint: endpoint.entry.leaving,
             lambda endpoint, run: self.crashes.append(endpoint),
             lambda endpoint, run: None,
         )
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -89,6 +89,10 @@
     def report_limit(self, limit: EndpointLimit) -> None:
         self.updates.append(replace(self.identity, limits=(limit,)))
 
+    def report_leaving(self, endpoint: str) -> None:
+        update = replace(self.identity, leaving_endpoints=(endpoint,))
+        self.updates.append(update)
+
     def report_part_strikes(self, strikes: PartStrikes) -> None:
         self.updates.append(replace(self.identity, part_strikes=(strikes,)))
 
