bulrushstream check plays versions, rests and endpoints that leave

Random histories add endpoints of another software version, endpoints that turn requests away and ask for rest, and endpoints that say that they leave, and report streams with events of two versions, requests within a rest, and late arrivals. Each of the three is found when the mending is taken out.

--- a/src/bulrushstream/history/routingcheck.py
+++ b/src/bulrushstream/history/routingcheck.py
@@ -10,6 +10,7 @@
 from bulrushstream.history.routingendpoint import EVENTS, event_of
 from bulrushstream.history.routingfleet import RoutingFleet
 from bulrushstream.history.routingplan import (
+    REST_S,
     ROUTES,
     RoutingPlan,
     random_routing_plan,
@@ -38,6 +39,14 @@
 # allows 0.5 s.
 ANSWER_GRACE_S: Final = 0.1
 
+# An endpoint that asked for rest may get so many requests of the router, but
+# for those that arrive within this time of its answer.
+MAX_IN_REST: Final = 2
+REST_GRACE_S: Final = 0.5
+
+# An endpoint that said that it leaves gets requests for so long.
+DRAIN_S: Final = 2.0
+
 _Finding: TypeAlias = tuple[ViolationKind | RoutingViolationKind, str]
 
 # Statuses that guarantee that the request has not run and will not.
@@ -65,6 +74,9 @@
         *_check_state(history),
         *_check_requests(history),
         *_check_retries(history),
+        *_check_versions(history),
+        *_check_rests(history),
+        *_check_notices(history),
     ]
     return RoutingRun(plan, history, tuple(sorted(violations)))
 
@@ -220,6 +232,45 @@
     return b""
 
 
+def _check_versions(history: RoutingHistory) -> list[Violation]:
+    """Report streams with events of several software versions."""
+    kind = RoutingViolationKind.MIXED_VERSIONS
+    return [
+        Violation(0.0, 0, kind, request_id, f"events of {sorted(versions)}")
+        for request_id, versions in history.versions.items()
+        if len(versions) > 1
+    ]
+
+
+def _check_rests(history: RoutingHistory) -> list[Violation]:
+    """Report endpoints that got requests while they rested."""
+    found = []
+    for at_s, router, endpoint in history.rests:
+        count = sum(
+            (run.router, run.endpoint) == (router, endpoint)
+            and at_s + REST_GRACE_S < run.at_s < at_s + REST_S
+            for run in history.runs
+        )
+        if count > MAX_IN_REST:
+            text = f"{count} requests of router {router} while it rested"
+            kind = RoutingViolationKind.REST_BROKEN
+            found.append(Violation(at_s, 0, kind, endpoint, text))
+    return found
+
+
+def _check_notices(history: RoutingHistory) -> list[Violation]:
+    """Report requests that reached endpoints long after they had left."""
+    found = []
+    for run in history.runs:
+        left_s = history.left_s.get((run.router, run.endpoint))
+        if left_s is None or run.at_s <= left_s + DRAIN_S:
+            continue
+        text = f"a request came {run.at_s - left_s:.2f} s after its notice"
+        kind = ViolationKind.LATE_WORK
+        found.append(Violation(run.at_s, 0, kind, run.endpoint, text))
+    return found
+
+
 def _check_retries(history: RoutingHistory) -> list[Violation]:
     """Report windows in which a service got too many retries."""
     sent_times: dict[str, list[float]] = defaultdict(list)
--- a/src/bulrushstream/history/routingendpoint.py
+++ b/src/bulrushstream/history/routingendpoint.py
@@ -7,13 +7,18 @@
 from random import Random
 from typing import Final, Protocol
 
-from bulrushstream.history.routingplan import ENDPOINTS, AttemptFault
+from bulrushstream.history.routingplan import (
+    ENDPOINTS,
+    REST_S,
+    AttemptFault,
+)
 from bulrushstream.transport.connection import ResponseFailure, Sink
 
 CONNECT_S: Final = 0.001  # Time to open a connection.
 EVENTS: Final = 4  # Number of events in each stream.
 STATUSES: Final = {
     AttemptFault.BUSY: 503,
+    AttemptFault.REST: 503,
     AttemptFault.ERROR: 500,
     AttemptFault.DENIED: 404,
 }
@@ -28,6 +33,15 @@
     def draw_fault(self) -> AttemptFault:
         """Draw the fault of the next attempt."""
 
+    def says_leaving(self, attempt: Attempt) -> bool:
+        """Return whether the answer to an attempt says that it leaves."""
+
+    def rest_asked(self, attempt: Attempt) -> None:
+        """Record that an endpoint asks a router for rest."""
+
+    def event_sent(self, attempt: Attempt, request_id: str) -> None:
+        """Record that an endpoint wrote an event."""
+
     def record_run(
         self,
         attempt: Attempt,
@@ -51,15 +65,21 @@
     """One attempt at an endpoint; stands in for `Pending`."""
 
     def __init__(
-        self, fleet: EndpointController, endpoint: str, sink: Sink
+        self,
+        fleet: EndpointController,
+        router: int,
+        endpoint: str,
+        sink: Sink,
     ) -> None:
         """Begin to open a connection.
 
         :param fleet: draws the fault and records the run
+        :param router: the number of the router that sends the request
         :param endpoint: the endpoint's id
         :param sink: receives the answer
         """
         self._fleet = fleet
+        self.router = router
         self.endpoint = endpoint
         self._sink: Sink | None = sink
         self.reused = False
@@ -119,10 +139,15 @@
     ) -> None:
         status = STATUSES.get(fault, 200)
         headers = [(b"id", request_id.encode()), (b"kind", kind)]
-        if fault is AttemptFault.BUSY:
+        if fault in (AttemptFault.BUSY, AttemptFault.REST):
             headers.append((b"not-executed", b"yes"))
         else:
             headers.append(SIGNED)
+        if fault is AttemptFault.REST:
+            headers.append((b"rest", b"%.1f" % REST_S))
+            self._fleet.rest_asked(self)
+        if self._fleet.says_leaving(self):
+            headers.append((b"leaving", b"yes"))
         sink.head(status, headers)
 
     def _send_answer(
@@ -161,6 +186,7 @@
             sink.data(event[:7])
             self._end_with_loss(ResponseFailure.BROKEN)
             return
+        self._fleet.event_sent(self, request_id)
         sink.data(event)
         if last:
             self._sink = None
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -21,6 +21,8 @@
 from bulrushstream.history.routingplan import (
     END_S,
     ENDPOINTS,
+    FIRST_VERSION,
+    RELEASED,
     REQUESTS_END_S,
     AttemptFault,
     PlannedRequest,
@@ -94,7 +96,7 @@
         """Send a request."""
         del method, fresh, reuse
         self.fleet.check_not_draining(self.router, self.endpoint)
-        return Attempt(self.fleet, self.endpoint, sink)
+        return Attempt(self.fleet, self.router, self.endpoint, sink)
 
 
 @dataclass(slots=True)
@@ -208,11 +210,34 @@
                 request_id,
                 ENDPOINTS[attempt.endpoint],
                 attempt.endpoint,
-                fault is not AttemptFault.BUSY,
+                fault not in (AttemptFault.BUSY, AttemptFault.REST),
                 timeout_s,
+                attempt.router,
             )
         )
 
+    def says_leaving(self, attempt: Attempt) -> bool:
+        """Return whether the answer to an attempt says that it leaves."""
+        now_s = asyncio.get_running_loop().time()
+        if not any(
+            name == attempt.endpoint and at_s <= now_s
+            for at_s, name in self.plan.notices
+        ):
+            return False
+        key = attempt.router, attempt.endpoint
+        self.history.left_s.setdefault(key, now_s)
+        return True
+
+    def rest_asked(self, attempt: Attempt) -> None:
+        """Record that an endpoint asks a router for rest."""
+        now_s = asyncio.get_running_loop().time()
+        self.history.rests.append((now_s, attempt.router, attempt.endpoint))
+
+    def event_sent(self, attempt: Attempt, request_id: str) -> None:
+        """Record that an endpoint wrote an event."""
+        version = RELEASED.get(attempt.endpoint, FIRST_VERSION)
+        self.history.versions.setdefault(request_id, set()).add(version)
+
     def check_not_draining(self, router: int, endpoint: str) -> None:
         """Record an attempt at an endpoint that its router knows is draining.
 
@@ -304,11 +329,16 @@
 
         def apply(config: RouteConfig, draining: set[str]) -> None:
             platformupdates.apply_config(front, config)
+            released = loop.time() >= self.plan.release_s
             for name in ENDPOINTS:
+                if name in RELEASED and not released:
+                    continue
                 platformupdates.apply_entry(
                     front, entry_of(name, name in draining)
                 )
             front.endpoints_listed = True
+            front.streams.history.complete = True
+            front.streams.history.list_read(sent_boot_s)
             front.freshness.confirm(sent_boot_s)
 
         loop.call_later(STORE_DELAY_S, read)
--- a/src/bulrushstream/history/routingplan.py
+++ b/src/bulrushstream/history/routingplan.py
@@ -29,6 +29,7 @@
     BREAK = "break"  # The connection breaks in the middle of the answer.
     SILENT = "silent"  # No answer.
     FOREIGN = "foreign"  # Another request's answer.
+    REST = "rest"  # Busy, and asks the router for rest.
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +75,10 @@
     delay_s: float  # Maximum delay of a datagram.
     revocations: tuple[tuple[float, int], ...]  # Times and keys.
     drains: tuple[tuple[float, str], ...]  # Times and endpoint ids.
+    # When endpoints with another version of their software are added.
+    release_s: float
+    # When endpoints begin to say in their answers that they leave.
+    notices: tuple[tuple[float, str], ...]
 
 
 # Routes by name: kind, service, resumable, maximum number of attempts.
@@ -89,9 +94,18 @@
     "d-3": "desk",
     "e-1": "llm",
     "e-2": "llm",
+    "e-3": "llm",
+    "e-4": "llm",
 }
+# Endpoints with another version of their software, by id.
+RELEASED: Final = {"e-3": "v2", "e-4": "v2"}
+FIRST_VERSION: Final = "v1"
+REST_S: Final = 2.0  # How long a rest is.
 KEYS: Final = 4
 
+# Faults that are rarer than others, as one affects many requests.
+FAULT_SHARES: Final = {AttemptFault.REST: 0.1}
+
 
 def random_routing_plan(seed: int) -> RoutingPlan:
     """Generate the plan of a seed.
@@ -102,7 +116,8 @@
     routers = rng.randint(1, 5)
     rate = rng.choice((0.0, 0.05, 0.2, 0.5))
     fault_rates = tuple(
-        (fault, rate * rng.random()) for fault in list(AttemptFault)[1:]
+        (fault, rate * rng.random() * FAULT_SHARES.get(fault, 1.0))
+        for fault in list(AttemptFault)[1:]
     )
     requests = tuple(
         PlannedRequest(
@@ -151,4 +166,9 @@
             (rng.uniform(2.0, FAULTS_END_S), name)
             for name in rng.sample(["d-1", "e-1"], rng.randint(0, 2))
         ),
+        release_s=rng.uniform(1.0, FAULTS_END_S),
+        notices=tuple(
+            (rng.uniform(2.0, FAULTS_END_S), name)
+            for name in rng.sample(["d-2", "e-2", "e-4"], rng.randint(0, 2))
+        ),
     )
--- a/src/bulrushstream/history/routingplatform.py
+++ b/src/bulrushstream/history/routingplatform.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable
 from typing import Any, Final, cast
 
-from bulrushstream.history.routingplan import ENDPOINTS, KEYS, ROUTES
+from bulrushstream.history.routingplan import (
+    ENDPOINTS,
+    FIRST_VERSION,
+    KEYS,
+    RELEASED,
+    ROUTES,
+)
 from bulrushstream.protocol.dialect import Dialect, Topics
 from bulrushstream.protocol.keyedstore import KeyedStore
 from bulrushstream.state.call import (
@@ -88,8 +94,9 @@
     :param leaving: whether it is draining and takes no new requests
     """
     service = ENDPOINTS[name]
+    version = RELEASED.get(name, FIRST_VERSION)
     return EndpointEntry(
-        name, service, "10.1.0.1", 80, "z", 8, leaving, version="v1"
+        name, service, "10.1.0.1", 80, "z", 8, leaving, version=version
     )
 
 
@@ -162,6 +169,8 @@
         event_stream=values.get(b"kind") == b"events",
         encoded=False,
         headers=headers,
+        rest_s=float(values.get(b"rest", b"0")),
+        leaving=b"leaving" in values,
     )
 
 
--- a/src/bulrushstream/history/routingrecord.py
+++ b/src/bulrushstream/history/routingrecord.py
@@ -17,6 +17,7 @@
     endpoint: str  # The endpoint's id.
     executed: bool  # False: it answered that it did not run the request.
     timeout_s: float  # The remaining time that the router sent.
+    router: int  # The number of the router that sent it.
 
 
 @dataclass(slots=True)
@@ -50,5 +51,11 @@
     orphaned_runs: list[str] = field(default_factory=list)
     # Attempts at endpoints that the router knew to be draining.
     sent_to_draining: list[str] = field(default_factory=list)
+    # Time, router and endpoint of each rest that was asked for.
+    rests: list[tuple[float, int, str]] = field(default_factory=list)
+    # When each router was first told that an endpoint leaves.
+    left_s: dict[tuple[int, str], float] = field(default_factory=dict)
+    # The software versions that wrote a request's events.
+    versions: dict[str, set[str]] = field(default_factory=dict)
     leaks: list[str] = field(default_factory=list)  # State left at the end.
     exceptions: list[str] = field(default_factory=list)  # Unhandled ones.
--- a/src/bulrushstream/history/violation.py
+++ b/src/bulrushstream/history/violation.py
@@ -32,6 +32,8 @@
 
     REVOKED_KEY = "revoked-key"  # It ran too long after its key was revoked.
     OVER_BUDGET = "over-budget"  # More attempts or retries than allowed.
+    MIXED_VERSIONS = "mixed-versions"  # Events of two software versions.
+    REST_BROKEN = "rest-broken"  # Requests to an endpoint that rests.
     LEFTOVER = "leftover"  # State of requests that ended long ago.
 
 
--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bulrushstream.coordination.endpointnotices import EndpointNotices
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
 from bulrushstream.coordination.fleetstate import FleetState
 from bulrushstream.coordination.forwarding import decide_retry
@@ -96,6 +97,23 @@
     monkeypatch.setattr(Attempt, "head", head)
 
 
+def use_any_version(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let streams go on at endpoints of any version."""
+    original = EndpointPool.usable
+
+    def usable(
+        self: EndpointPool,
+        service: str,
+        now_s: float,
+        exclude: Iterable[str] = (),
+        version: str | None = None,
+    ) -> list[Endpoint]:
+        del version
+        return original(self, service, now_s, exclude)
+
+    monkeypatch.setattr(EndpointPool, "usable", usable)
+
+
 # Each fault's patch and the violations of which one must be found.
 FAULTS: Final[dict[str, tuple[Patch, set[K | R]]]] = {
     "forgets runs": (ignore_earlier_runs, {K.RUN_TWICE, K.FALSE_NOT_RUN}),
@@ -113,6 +131,15 @@
     ),
     "works for nobody": (stub_method(Forward, "_caller_left"), {K.LATE_WORK}),
     "no timeout": (stub_method(Forward, "_deadline_expired"), {K.NO_ANSWER}),
+    "any version": (use_any_version, {R.MIXED_VERSIONS}),
+    "no rest": (
+        stub_method(EndpointNotices, "rest_left_s", 0.0),
+        {R.REST_BROKEN},
+    ),
+    "no notice": (
+        stub_method(EndpointNotices, "is_leaving", False),
+        {K.LATE_WORK},
+    ),
     "foreign answer": (accept_foreign_answer, {K.GARBLED_ANSWER}),
 }
 
