--- a/src/bulrushstream/standins/worker.py
+++ b/src/bulrushstream/standins/worker.py
@@ -25,6 +25,7 @@
 
     SERVE = "serve"  # Runs it and answers.
     SHED = "shed"  # Answers 503, marked as not executed.
+    REST = "rest"  # The same, and asks for rest.
     ERROR = "error"  # Runs it and answers 500.
     LOSE = "lose"  # Runs it and drops the connection unanswered.
     CUT = "cut"  # Runs it and truncates the answer.
@@ -49,6 +50,8 @@
     # The ids of requests whose caller disconnected.
     disconnected_ids: list[str] = field(default_factory=list)
     port: int = 0  # Set by `start`.
+    rest_s: float = 3.0  # The rest that it asks for.
+    leaving: bool = False  # Whether its answers say that it leaves.
     crash_body: bytes | None = None  # A request with this body crashes it.
     crashed: bool = False
     _server: asyncio.Server | None = None
@@ -89,6 +92,8 @@
             request_id
         )
         echoed: RawHeaders = [(b"X-Request-Id", request_id.encode())]
+        if self.leaving:
+            echoed.append((b"Server-Leaving", b"1"))
         expected = headers.get(b"x-expect-instance")
         if expected not in (None, self.name.encode()):
             exchange.answer(421, echoed)
@@ -98,8 +103,11 @@
             self._abort_connections()
             return
         behaviour = self.script.pop(0) if self.script else Behaviour.SERVE
-        if behaviour is Behaviour.SHED:
-            exchange.answer(503, [*echoed, (b"X-Not-Executed", b"1")])
+        if behaviour in (Behaviour.SHED, Behaviour.REST):
+            echoed.append((b"X-Not-Executed", b"1"))
+            if behaviour is Behaviour.REST:
+                echoed.append((b"Retry-After", b"%.1f" % self.rest_s))
+            exchange.answer(503, echoed)
             return
         self.runs[request_id] += 1
         signed = [*echoed, (b"X-Response-Signature", self.name.encode())]
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -105,6 +105,30 @@
         )
         assert status == 200
 
+    async def test_an_endpoint_that_asks_for_rest_gets_it(
+        self, fleet: Deployment
+    ) -> None:
+        worker = fleet.workers["d-1"]
+        worker.script = [Behaviour.REST]
+        for number in range(12):
+            status, _, _ = await send_request(
+                fleet, request_bytes("/safe/x", request_id=f"r{number}")
+            )
+            assert status == 200
+        assert len(worker.received) == 1
+
+    async def test_an_endpoint_that_leaves_gets_nothing_new(
+        self, fleet: Deployment
+    ) -> None:
+        worker = fleet.workers["d-1"]
+        worker.leaving = True
+        for number in range(12):
+            status, _, _ = await send_request(
+                fleet, request_bytes("/safe/x", request_id=f"r{number}")
+            )
+            assert status == 200
+        assert len(worker.received) == 1
+
     async def test_a_chunked_body_arrives_complete(
         self, fleet: Deployment
     ) -> None:
