Failing tests: all routers end amid a release, and callers take streams up

In virtual time, with the store that routers record versions in: all four routers end at once and start again without memory, while two versions serve, while the old endpoints leave, and after they have left.

This is the fault that an operator of a like system reported; until now it was believed to be gone.

--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -337,12 +337,19 @@
     def _begin_fault(self, fault: RouterFault) -> None:
         now_s = self.loop.time()
         for number in fault.routers:
-            end_s = now_s + fault.cut_s + fault.frozen_s + CONTACT_S
+            end_s = now_s + fault.cut_s + fault.frozen_s + fault.dark_s
+            end_s += CONTACT_S
             self.history.out_of_touch.append((now_s, end_s, number))
             if not fault.cut_s and not fault.frozen_s:
                 self._stop_router(self.routers[number])
-                if not fault.stops:
-                    self.routers[number] = self._start_router(number)
+                if fault.dark_s:
+                    self.loop.call_later(fault.dark_s, self._restart, number)
+                elif not fault.stops:
+                    self._restart(number)
+
+    def _restart(self, number: int) -> None:
+        """Start a router's process again."""
+        self.routers[number] = self._start_router(number)
 
     def _stop_router(self, router: Router) -> None:
         router.running = False
@@ -350,6 +357,12 @@
         for forward in list(router.front.forwards):
             forward.stop()
 
+    def _follow_store(self, router: Router) -> None:
+        """Read what routers recorded in the store."""
+        history = router.front.streams.history
+        history.told(self.mixed_services, "store")
+        history.complete = True
+
     def _start_router(self, number: int) -> Router:
         loop = self.loop
         self._incarnations[number] += 1
@@ -383,9 +396,8 @@
         for entry in self.entries.values():
             platformupdates.apply_entry(front, entry)
         front.endpoints_listed = True
-        front.streams.history.told(self.mixed_services, "store")
-        front.streams.history.complete = True
         router = Router(front, port)
+        self._follow_store(router)
 
         def repeat(interval_s: float, step: Callable[[], None]) -> None:
             if router.running:
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -99,6 +99,7 @@
     cut_s: float = 0.0  # How long it is cut off; 0: it is restarted.
     stops: bool = False  # Whether it stops for good instead.
     frozen_s: float = 0.0  # How long it stands still instead.
+    dark_s: float = 0.0  # From its end to its next start.
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/simulatedstore.py
@@ -0,0 +1,63 @@
+"""The platform's store in virtual time: topics in memory, with delay."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Final
+
+from bulrushstream.protocol.keyedstore import Batch, KeyedRecord, StoreError
+
+CALL_S: Final = 0.006  # From a call to its answer.
+
+
+@dataclass(slots=True)
+class SimulatedStore:
+    """Topics of records; implements `KeyedStore`."""
+
+    away: bool = False  # Whether all calls fail.
+    calls: int = 0
+    written_bytes: int = 0
+    _topics: dict[str, list[KeyedRecord]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+
+    def fail(self, away: bool) -> None:
+        """Let all calls fail from now on, or none."""
+        self.away = away
+
+    async def newest(self, topic: str) -> tuple[dict[str, bytes], int]:
+        """Return the newest record of each key; see `KeyedStore`."""
+        await self._answer()
+        newest = {each.key: each.value for each in self._topics[topic]}
+        found = {key: value for key, value in newest.items() if value}
+        return found, len(self._topics[topic])
+
+    async def read(
+        self, topic: str, offset: int, wait_s: float
+    ) -> Batch | None:
+        """Return the records from an offset on; see `KeyedStore`."""
+        del wait_s
+        await self._answer()
+        records = self._topics[topic]
+        end = len(records)
+        return Batch(tuple(records[offset:]), 0, end, end)
+
+    async def append(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record under a key; see `KeyedStore`."""
+        await asyncio.sleep(CALL_S / 2)
+        if self.away:
+            self.calls += 1
+            raise StoreError("away")
+        self.written_bytes += len(value)
+        self._topics[topic].append(KeyedRecord(key, value or None))
+        await self._answer(CALL_S / 2)
+        return len(self._topics[topic]) - 1
+
+    async def _answer(self, delay_s: float = CALL_S) -> None:
+        """Wait for an answer."""
+        self.calls += 1
+        await asyncio.sleep(delay_s)
+        if self.away:
+            raise StoreError("away")
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -121,6 +121,59 @@
         assert all(b"Retry-After" not in each.data for each in refused)
 
 
+ALL = (0, 1, 2, 3)
+QUICK = release("v1", "v2", 4.0, lead_s=0.1, gap_s=0.05)
+BACK_S = 6.5
+
+
+def all_killed(at_s: float, dark_s: float = 0.5) -> RouterFault:
+    """Return a fault at which all routers end, and are back together."""
+    return RouterFault(at_s, ALL, dark_s=dark_s)
+
+
+class AllKilledSuite:
+    """All routers end at once, and start again without memory."""
+
+    @pytest.mark.parametrize("seed", (1, 2, 3))
+    @pytest.mark.parametrize(
+        ("changes", "fault"),
+        (
+            (HALF, all_killed(6.0)),
+            (QUICK, all_killed(4.5, 1.0)),
+            (QUICK, all_killed(6.0)),
+            (QUICK, all_killed(9.0)),
+        ),
+        ids=("both serve", "old ones leave", "left lately", "left before"),
+    )
+    def test_take_ups_go_on(
+        self, changes: tuple[Change, ...], fault: RouterFault, seed: int
+    ) -> None:
+        """Guards against callers who pay for what routers forget."""
+        history = play_versions(a_plan(*changes, faults=(fault,), seed=seed))
+        assert history.crossings() == []
+        assert history.gaps() == []
+        begin_s = fault.at_s + fault.dark_s
+        taken_up = history.serving_take_ups(begin_s)
+        assert len(taken_up) >= MIN_TAKE_UPS
+        went_on = [bool(each.events) or each.whole for each in taken_up]
+        begun_share = history.begun_share(begin_s)
+        assert sum(went_on) >= MIN_WENT_ON * begun_share * len(taken_up)
+
+    @pytest.mark.parametrize("seed", (1, 2, 3))
+    @pytest.mark.parametrize("again_s", ((), (7.5,), (7.5, 8.5)), ids=len)
+    def test_a_release_while_no_router_runs(
+        self, again_s: tuple[float, ...], seed: int
+    ) -> None:
+        """Guards against routers that find one version, and begin anew."""
+        unseen = (
+            Change(3.1, ChangeKind.START, "v2", 6),
+            Change(3.3, ChangeKind.DELIST, "v1", 6),
+        )
+        faults = all_killed(3.0, 4.0), *map(all_killed, again_s)
+        history = play_versions(a_plan(*unseen, faults=faults, seed=seed))
+        assert history.crossings() == []
+
+
 class RouterSuite:
     """Routers that restart, stand still, or hear nobody."""
 
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -5,15 +5,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from dataclasses import replace
 from functools import partial
 from typing import Final, cast
 
-from tests.crashfleets import CrashFleet
+from bulrushstream.daemon.versionrecords import VersionRecords
+from tests.crashfleets import CrashFleet, Router
 from tests.crashingendpoints import EVENTS, Endpoint, Link
 from tests.crashplans import TIMEOUT_S
 from tests.simulatedcallers import Caller, an_exchange
+from tests.simulatedstore import SimulatedStore
 from tests.versionplans import (
     Change,
     ChangeKind,
@@ -24,6 +27,7 @@
 )
 
 DRAIN_S: Final = 3.0  # An endpoint that leaves serves on for this long.
+CONNECT_AGAIN_S: Final = 0.05
 SERVICE: Final = "llm"
 _HEAD: Final = re.compile(rb"HTTP/1.1 ([0-9]+)")
 _CODE: Final = re.compile(rb"B[0-9]{3}")
@@ -38,6 +42,8 @@
         self.first_version = plan.first_version
         self.history: VersionHistory = VersionHistory()
         self._plan = plan
+        self.store = SimulatedStore()
+        self._store_tasks: dict[int, tuple[asyncio.Task[None], ...]] = {}
 
     def schedule(self) -> None:
         """Schedule the changes and the first stream."""
@@ -45,6 +51,23 @@
         for change in self._plan.changes:
             self.loop.call_later(change.at_s, self._apply, change)
         self.loop.call_later(0.5, self._begin_stream)
+        for begin_s, end_s in self._plan.store_away:
+            self.loop.call_later(begin_s, self.store.fail, True)
+            self.loop.call_later(end_s, self.store.fail, False)
+
+    # --- Routers.
+
+    def _follow_store(self, router: Router) -> None:
+        """Run the tasks that read and write records of versions."""
+        task = self.loop.create_task(
+            VersionRecords(self.store, "mixed", router.front).run()
+        )
+        self._store_tasks[id(router)] = (task,)
+
+    def _stop_router(self, router: Router) -> None:
+        for task in self._store_tasks.pop(id(router)):
+            task.cancel()
+        super()._stop_router(router)
 
     # --- Endpoints.
 
@@ -116,6 +139,11 @@
         if frozen_s:
             self.loop.call_later(frozen_s, self._try, stream, number)
             return
+        if not self.routers[number].running:
+            # Connections are refused; the balancer sends on to another one.
+            number = self.rng.randrange(self.plan.routers)
+            self.loop.call_later(CONNECT_AGAIN_S, self._try, stream, number)
+            return
         plan = self._plan
         request_id = f"q{len(self.requests)}"
         self.requests[request_id] = (number, b"stream")
--- a/tests/versionplans.py
+++ b/tests/versionplans.py
@@ -48,6 +48,8 @@
     naming: Naming = lambda stream, own_id: (first_id(stream),)
     tries: int = 3  # Of one caller for a stream.
     return_s: tuple[float, float] = (0.001, 0.02)  # To the next try.
+    # When the store answers no call: from and to.
+    store_away: tuple[tuple[float, float], ...] = ()
 
 
 @dataclass(slots=True)
@@ -112,14 +114,15 @@
             != list(range(1, len(each.events) + 1))
         ]
 
-    def begun_share(self) -> float:
+    def begun_share(self, begin_s: float = 0.0) -> float:
         """Return the share of new streams that began."""
-        first = [each.tries[0] for each in self.streams]
+        first = [each.tries[0] for each in self.streams if each.tries]
+        first = [each for each in first if each.at_s >= begin_s]
         began = [bool(each.events) for each in first if self._counts(each)]
         return sum(began) / len(began)
 
-    def take_ups(self, begin_s: float = 0.0) -> list[Try]:
-        """Return the take-ups at routers in touch that could go on.
+    def serving_take_ups(self, begin_s: float) -> list[Try]:
+        """Return the take-ups that could go on, at any router.
 
         At least two endpoints of the stream's version are ready.
         """
@@ -127,12 +130,17 @@
             each
             for stream in self.streams
             for each in stream.tries[1:]
-            if each.after
-            and each.serving >= 2
-            and each.at_s >= begin_s
-            and self._counts(each)
+            if each.after and each.serving >= 2 and each.at_s >= begin_s
         ]
 
+    def take_ups(self, begin_s: float = 0.0) -> list[Try]:
+        """Return the take-ups at routers in touch that could go on.
+
+        At least two endpoints of the stream's version are ready.
+        """
+        found = self.serving_take_ups(begin_s)
+        return [each for each in found if self._counts(each)]
+
     def went_on_share(self, begin_s: float = 0.0) -> float:
         """Return the share of these take-ups that went on."""
         found = self.take_ups(begin_s)
