Take-ups go on after all routers ended amid a release, and none crosses

What callers saw: after all routers had ended, every stream of a service with several versions was refused for 30 s; and if its endpoints were replaced while no router ran, streams went on at the other version.

Cause: origins of streams lived in routers' memory only, and the store named a service only while several versions were listed, so a router that starts could not know what had served before.

A stream whose next attempt goes to another version gets its first event only when the store has that. Appends are numbered, so a late one can not replace a newer one. The record of a service now names the version that serves, written once by one router, so that one which starts notices if it was replaced.

With one version: one write of a service's version, once.

--- a/src/bulrushstream/coordination/streamorigins.py
+++ b/src/bulrushstream/coordination/streamorigins.py
@@ -34,6 +34,9 @@
 # Streams that are remembered; the oldest are forgotten.
 MAX_STREAMS: Final = 32_768
 
+# Names the platform's store among those who tell of origins.
+STORE: Final = "store"
+
 # Streams that are told in one sweep.
 MAX_TOLD_AT_ONCE: Final = 256
 
@@ -142,21 +145,23 @@
 
     def tell_services(
         self, services: Callable[[str], bool], now_s: float
-    ) -> None:
+    ) -> list[OwnStream]:
         """Tell the keepers of streams that they do not know yet.
 
         :param services: returns whether a service's streams are told
         :param now_s: the time
+        :returns: the streams that were told
         """
-        count = 0
+        told: list[OwnStream] = []
         for own in self._own.values():
             if now_s - own.told_s < RETELL_S:
                 continue
             if services(own.endpoint.entry.service):
                 self.tell(own, now_s)
-                count += 1
-            if count >= MAX_TOLD_AT_ONCE:
-                return
+                told.append(own)
+            if len(told) >= MAX_TOLD_AT_ONCE:
+                break
+        return told
 
     def sweep(self, running: set[int], now_s: float) -> None:
         """Forget what was not vouched for lately.
@@ -194,9 +199,9 @@
             )
             return KnownOrigin(origin, "", now_s)
         known = self._told.get(stream)
-        if known is None or known.age_s(now_s) > KEEP_S:
+        if known is None or not known.origin.version:
             return None
-        return known
+        return known if known.age_s(now_s) <= KEEP_S else None
 
     def ask(
         self, stream: int, answered: Callable[[KnownOrigin], None]
@@ -244,6 +249,19 @@
         ranked = rank_hosts(hosts, stream.to_bytes(8, "big", signed=True))
         return tuple(host for host in ranked[:count] if host != self.own_host)
 
+    def apply_stored(
+        self, origins: Iterable[StreamOrigin], now_s: float
+    ) -> None:
+        """Keep origins that the store has, unless a peer told them.
+
+        :param origins: the newest origin of each stream
+        :param now_s: the time
+        """
+        for origin in origins:
+            known = self._told.get(origin.stream)
+            if known is None or known.reporter == STORE:
+                self._keep(KnownOrigin(origin, STORE, now_s))
+
     # --- Peers.
 
     def apply_update(self, update: PeerUpdate, now_s: float) -> None:
@@ -253,19 +271,24 @@
         :param now_s: the time
         """
         for origin in update.origins:
-            known = KnownOrigin(origin, update.instance, now_s)
-            self._told[origin.stream] = known
-            self._told.move_to_end(origin.stream)
-            for answered in self._waiting.pop(origin.stream, ()):
-                answered(known)
-        while len(self._told) > MAX_STREAMS:
-            self._told.popitem(last=False)
+            self._keep(KnownOrigin(origin, update.instance, now_s))
         for stream in update.asked_origins:
             found = self.find(stream, now_s)
             if found is not None and self.notifier is not None:
                 origin = replace(found.origin, age_s=found.age_s(now_s))
                 self.notifier.send_origin(update.host, origin)
 
+    def _keep(self, known: KnownOrigin) -> None:
+        """Keep an origin, and tell who waits for it."""
+        stream = known.origin.stream
+        self._told[stream] = known
+        self._told.move_to_end(stream)
+        if len(self._told) > MAX_STREAMS:
+            self._told.popitem(last=False)
+        if known.origin.version:
+            for answered in self._waiting.pop(stream, ()):
+                answered(known)
+
 
 def rank_hosts(hosts: Iterable[str], key: bytes) -> list[str]:
     """Return hosts in an order that a key gives, the same at all routers.
--- a/src/bulrushstream/coordination/streamversions.py
+++ b/src/bulrushstream/coordination/streamversions.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
+from bulrushstream.coordination.originqueue import OriginQueue
 from bulrushstream.coordination.streamorigins import (
     OriginNotifier,
     OwnStream,
@@ -14,6 +16,7 @@
 from bulrushstream.coordination.versionhistory import VersionHistory
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.routes import Route
+from bulrushstream.state.streamorigin import StreamOrigin
 
 
 class VersionNotifier(OriginNotifier, Protocol):
@@ -30,6 +33,12 @@
     history: VersionHistory
     origins: StreamOrigins
     notifier: VersionNotifier | None = None  # None: not connected to peers.
+    queue: OriginQueue = field(default_factory=OriginQueue)
+    on_queued: Callable[[], None] = lambda: None  # An origin was queued.
+    # Reads from the store what other routers wrote.
+    request_stored: Callable[[], None] = lambda: None
+    # When the last such read was sent that succeeded.
+    stored_read_s: float = float("-inf")
     _mixed: set[str] = field(default_factory=set)  # As last reported.
 
     def set_notifier(self, notifier: VersionNotifier) -> None:
@@ -51,6 +60,23 @@
         self.history.list_versions(service, versions)
         self._report_mixed()
 
+    def request_sent(
+        self, streams: tuple[int, ...], endpoint: Endpoint, now_s: float
+    ) -> None:
+        """Let the store know where a stream will begin, if that matters.
+
+        :param streams: the digests by which it may be taken up
+        :param endpoint: the endpoint to which its request is sent
+        :param now_s: the time
+        """
+        service, version = endpoint.entry.service, endpoint.entry.version
+        if not self.history.had_several(service):
+            return
+        if not endpoint.is_same_at(now_s):
+            version = ""
+        for stream in streams:
+            self._store(StreamOrigin(stream, service, version), now_s)
+
     def stream_began(
         self,
         route: Route,
@@ -69,8 +95,16 @@
         if self.history.needs_origins(route):
             for each in own:
                 self.origins.tell(each, now_s)
+                self._store_own(each, now_s)
         return own
 
+    def is_disputed(self, own: tuple[OwnStream, ...]) -> bool:
+        """Return whether the store may name another origin of a stream.
+
+        :param own: what `stream_began` returned for it
+        """
+        return any(self.queue.is_disputed(each.stream) for each in own)
+
     def apply_update(self, update: PeerUpdate, now_s: float) -> None:
         """Apply an update of another router.
 
@@ -92,8 +126,23 @@
         for service in self.history.listed_with_several():
             self.history.told((service,), "endpoint list")
         self._report_mixed()
-        self.origins.tell_services(self.history.origins_matter, now_s)
+        told = self.origins.tell_services(self.history.origins_matter, now_s)
+        for own in told:
+            self._store_own(own, now_s)
         self.origins.sweep(running, now_s)
+        self.queue.sweep(now_s)
+
+    def _store_own(self, own: OwnStream, now_s: float) -> None:
+        """Queue the origin of a stream that has begun here."""
+        service = own.endpoint.entry.service
+        if self.history.had_several(service):
+            origin = StreamOrigin(own.stream, service, own.known_version)
+            self._store(origin, now_s)
+
+    def _store(self, origin: StreamOrigin, now_s: float) -> None:
+        """Queue an origin to be written to the store."""
+        if self.queue.put(origin, now_s):
+            self.on_queued()
 
     def _report_mixed(self) -> None:
         """Report the services that have several versions since lately."""
--- a/src/bulrushstream/coordination/versionhistory.py
+++ b/src/bulrushstream/coordination/versionhistory.py
@@ -36,7 +36,11 @@
     complete: bool = False
     list_confirmed_s: float = float("-inf")  # The last read that was current.
     peer_heard_s: float = float("-inf")  # The last update of any peer.
+    # Called when it becomes known that a service has several versions.
+    on_several: Callable[[], None] = lambda: None
     _listed: dict[str, frozenset[str]] = field(default_factory=dict)
+    # The versions that served before this router started, by service.
+    _served_before: dict[str, str] = field(default_factory=dict)
     # Until when streams of several versions may be taken up, by service.
     _several_until_s: dict[str, float] = field(default_factory=dict)
     _keep_s: dict[str, float] = field(default_factory=dict)  # By service.
@@ -77,7 +81,10 @@
             counts as another version than any other
         """
         listed = frozenset(versions)
-        before = self._listed.get(service, listed)
+        before = self._listed.get(service)
+        if before is None:
+            recorded = self._served_before.get(service)
+            before = frozenset((recorded,)) if recorded else listed
         several = len(listed) > 1 or "" in listed
         # An endpoint may be replaced within one read of the list.
         several = several or (bool(listed and before) and listed != before)
@@ -95,6 +102,17 @@
         for service in services:
             self._set_several(service, reporter)
 
+    def served_before(self, service: str, version: str) -> None:
+        """Record the version that served before this router started.
+
+        :param service: the service's name
+        :param version: the only one that it had
+        """
+        self._served_before[service] = version
+        listed = self._listed.get(service)
+        if listed and listed != {version}:
+            self._set_several(service, "store")
+
     def had_several(self, service: str) -> bool:
         """Return whether streams of several versions may be taken up.
 
@@ -107,6 +125,18 @@
         """Return the services of which several versions are listed now."""
         return tuple(filter(self.lists_several, self._listed))
 
+    def streaming_services(self) -> tuple[str, ...]:
+        """Return the services whose streams may be taken up."""
+        return tuple(self._keep_s)
+
+    def only_version(self, service: str) -> str:
+        """Return the version that all endpoints have; empty: none.
+
+        :param service: the service's name
+        """
+        listed = self._listed.get(service, frozenset())
+        return next(iter(listed)) if len(listed) == 1 else ""
+
     def lists_several(self, service: str) -> bool:
         """Return whether several versions are listed now.
 
@@ -165,6 +195,7 @@
         self._several_until_s[service] = self.clock() + keep_s
         if known:
             return
+        self.on_several()
         self.observe(
             Decision(
                 "versions",
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -147,6 +147,7 @@
         if isinstance(choice, Refusal):
             self.refuse(choice)
             return
+        takeups.attempt_chosen(self, choice[0])
         self.attempt = Attempt(self, *choice)
         self.attempt.start(
             watched=safeguards.is_watched(
@@ -214,7 +215,13 @@
         """
         if not self.first_event_s:
             self.first_event_s = now_s
-            takeups.stream_began(self, now_s)
+            if not takeups.stream_began(self, now_s):
+                self._cancel_attempt()
+                self.front.log_decision(
+                    "take_up", "the store may name another origin", self
+                )
+                self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
+                return
         if not self.exchange.started:
             self.exchange.begin(head.status, head.headers, None)
         self.exchange.write(events)
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -13,6 +13,7 @@
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.front import Front, FrontDeps
+from bulrushstream.daemon.originrecords import OriginRecords
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.daemon.suspectlist import encode_suspects
 from bulrushstream.daemon.versionrecords import VersionRecords
@@ -141,8 +142,12 @@
             front.streams.history.list_read,
         )
         self._spawn(
-            VersionRecords(self.store, topics.mixed_services, front).run()
+            VersionRecords(self.store, topics.service_versions, front).run()
         )
+        origins = OriginRecords(self.store, topics.stream_origins, front)
+        origins.attach()
+        self._spawn(origins.write())
+        self._spawn(origins.read())
         self._spawn(self._announce())
         self._spawn(run_periodically(HEARTBEAT_S, port.beat))
         self._spawn(run_periodically(SWEEP_INTERVAL_S, self._sweep))
--- /dev/null
+++ b/src/bulrushstream/daemon/originrecords.py
@@ -0,0 +1,149 @@
+"""Writes origins of streams to the store, and reads those of other routers.
+
+Each router writes to the partition that a hash of its host picks, and reads
+all of them: once when it starts while a service has several versions, and
+again when it is asked for a stream that no router knows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+import xxhash
+
+from bulrushstream.coordination.originqueue import write_interval_s
+from bulrushstream.daemon.front import Front
+from bulrushstream.protocol.keyedstore import (
+    KeyedRecord,
+    KeyedStore,
+    OutOfTurnError,
+    StoreError,
+    Turn,
+)
+from bulrushstream.protocol.origincodec import decode_origins, encode_origins
+from bulrushstream.state.streamorigin import StreamOrigin
+
+RETRY_S: Final = 0.2
+
+# Reads of all routers together take up at most this share of the calls that
+# the store accepts.
+MAX_READ_SHARE: Final = 0.1
+MIN_READ_INTERVAL_S: Final = 0.1
+
+
+@dataclass(slots=True)
+class OriginRecords:
+    """The origins in the store, as one router reads and writes them."""
+
+    store: KeyedStore
+    topic: str
+    front: Front
+    _queued: asyncio.Event = field(default_factory=asyncio.Event)
+    _read_wanted: asyncio.Event = field(default_factory=asyncio.Event)
+    _turn: Turn = field(init=False)
+    _offsets: dict[int, int] = field(default_factory=dict)  # By partition.
+
+    def __post_init__(self) -> None:
+        """Give this process a name of its own as a writer."""
+        settings, now_s = self.front.settings, self.front.boot_clock()
+        self._turn = Turn(f"{settings.host}-{int(now_s * 1000)}")
+
+    def attach(self) -> None:
+        """Be told when there is something to write or to read."""
+        streams = self.front.streams
+        streams.on_queued = self._queued.set
+        streams.request_stored = self._read_wanted.set
+
+    async def write(self) -> None:
+        """Write what is queued until cancelled."""
+        front, settings = self.front, self.front.settings
+        queue = front.streams.queue
+        host = settings.host
+        part = (
+            xxhash.xxh32_intdigest(host.encode()) % settings.store_partitions
+        )
+        while True:
+            if queue.is_empty:
+                self._queued.clear()
+                await self._queued.wait()
+            started_s = front.clock()
+            await self._append(host, encode_origins(queue.next_batch()), part)
+            queue.written()
+            interval_s = write_interval_s(
+                front.peers.router_count, settings.store_writes_per_s
+            )
+            took_s = front.clock() - started_s
+            await asyncio.sleep(max(0.0, interval_s - took_s))
+
+    async def _append(self, host: str, record: bytes, part: int) -> None:
+        """Append a record, once, before any later one of this process.
+
+        The store refuses a call that is carried out late, and answers a
+        repeated one as it did the first.
+        """
+        self._turn = replace(self._turn, number=self._turn.number + 1)
+        while True:
+            try:
+                await self.store.append(
+                    self.topic, host, record, part, self._turn
+                )
+            except OutOfTurnError:
+                # The store has forgotten earlier calls.
+                turn = self._turn
+                self._turn = replace(turn, epoch=turn.epoch + 1, number=1)
+            except StoreError:
+                pass
+            else:
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def read(self) -> None:
+        """Read what other routers wrote, when asked, until cancelled."""
+        front, settings = self.front, self.front.settings
+        while True:
+            await self._read_wanted.wait()
+            self._read_wanted.clear()
+            sent_s = front.clock()
+            try:
+                await asyncio.gather(
+                    *map(
+                        self._read_partition, range(settings.store_partitions)
+                    )
+                )
+            except StoreError:
+                self._read_wanted.set()
+                await asyncio.sleep(RETRY_S)
+                continue
+            front.streams.stored_read_s = sent_s
+            calls = front.peers.router_count * settings.store_partitions
+            calls_per_s = MAX_READ_SHARE * settings.store_reads_per_s
+            await asyncio.sleep(max(MIN_READ_INTERVAL_S, calls / calls_per_s))
+
+    async def _read_partition(self, part: int) -> None:
+        """Read the new records of one partition, and apply all at once.
+
+        A later record of a stream replaces an earlier one.
+        """
+        offset = self._offsets.get(part, 0)
+        newest: dict[int, StreamOrigin] = {}
+        while True:
+            batch = await self.store.read_retained(self.topic, part, offset)
+            for record in batch.records:
+                for origin in self._decode(record):
+                    newest[origin.stream] = origin
+            offset = batch.next_offset
+            if not batch.records or offset >= batch.end_offset:
+                break
+        self._offsets[part] = offset
+        front = self.front
+        front.streams.origins.apply_stored(newest.values(), front.clock())
+
+    def _decode(self, record: KeyedRecord) -> tuple[StreamOrigin, ...]:
+        """Decode a record; a malformed one is reported and left out."""
+        try:
+            return decode_origins(record.value or b"")
+        except ValueError as error:
+            self.front.report("bad_origins", f"{record.key}: {error}")
+            return ()
--- a/src/bulrushstream/daemon/takeups.py
+++ b/src/bulrushstream/daemon/takeups.py
@@ -14,6 +14,7 @@
 from bulrushstream.coordination.streamorigins import (
     ASK_AGAIN_S,
     ASK_TIMEOUT_S,
+    STORE,
     KnownOrigin,
     stream_digest,
 )
@@ -24,6 +25,9 @@
     from bulrushstream.daemon.forward import Forward
     from bulrushstream.daemon.front import Front
 
+# How long a take-up waits for the store if no router knows its stream.
+STORE_TIMEOUT_S: Final = 0.3
+
 # Bytes that arrive this long after a connection broke, on an older one, show
 # that the process lives on.
 SETTLE_S: Final = 0.15
@@ -64,13 +68,13 @@
         if known is not None:
             self._go_on(known)
         elif front.streams.history.shows_one_version(self.forward.route):
-            self._log("one_version", "one version of the service serves")
-            self.forward.start_attempt()
+            self._start_at_one_version()
         elif stream is None:
             self._refuse("the caller does not name the first request")
         else:
             self._asked_s = front.clock()
             front.streams.origins.ask(stream, self._answered)
+            front.streams.request_stored()
             self._wait()
 
     def cancel(self) -> None:
@@ -81,6 +85,11 @@
             assert self.stream is not None
             self.front.streams.origins.stop_asking(self.stream, self._answered)
 
+    def _start_at_one_version(self) -> None:
+        """Make the first attempt at any endpoint."""
+        self._log("one_version", "one version of the service serves")
+        self.forward.start_attempt()
+
     def _wait(self) -> None:
         """Wait until the question is repeated."""
         loop = asyncio.get_running_loop()
@@ -89,12 +98,22 @@
     def _unanswered(self) -> None:
         """Ask again, or refuse the request."""
         assert self.stream is not None
-        if self.front.clock() - self._asked_s < ASK_TIMEOUT_S:
-            self.front.streams.origins.ask_again(self.stream)
+        streams = self.front.streams
+        asked_for_s = self.front.clock() - self._asked_s
+        if streams.history.shows_one_version(self.forward.route):
+            self.cancel()
+            self._start_at_one_version()
+        elif asked_for_s < ASK_TIMEOUT_S:
+            streams.origins.ask_again(self.stream)
             self._wait()
-            return
-        self.cancel()
-        self._refuse("no router that was asked knows the stream")
+        elif streams.stored_read_s >= self._asked_s:
+            self.cancel()
+            self._refuse("neither a router nor the store knows the stream")
+        elif asked_for_s < STORE_TIMEOUT_S:
+            self._wait()
+        else:
+            self.cancel()
+            self._refuse("no router knows the stream", final=False)
 
     def _answered(self, known: KnownOrigin) -> None:
         """Go on with a stream of which a router told the origin."""
@@ -105,7 +124,8 @@
     def _go_on(self, known: KnownOrigin) -> None:
         """Make the first attempt at the version that began the stream."""
         forward, origin = self.forward, known.origin
-        self._log("known", "the origin of the stream is known", known)
+        way = {"": "own", STORE: "store"}.get(known.reporter, "peer")
+        self._log(way, "the origin of the stream is known", known)
         services = {share.service for share in forward.route.split}
         if origin.service not in services:
             # The route has moved to other services since.
@@ -115,10 +135,13 @@
         forward.version = origin.version
         forward.start_attempt()
 
-    def _refuse(self, reason: str) -> None:
-        """Refuse a request whose stream may have begun at any version."""
+    def _refuse(self, reason: str, *, final: bool = True) -> None:
+        """Refuse a request whose stream may have begun at any version.
+
+        It is not final if the store may still tell.
+        """
         self._log("unknown", reason)
-        self.forward.refuse(Refusal(messages.ORIGIN_UNKNOWN, final=True))
+        self.forward.refuse(Refusal(messages.ORIGIN_UNKNOWN, final=final))
 
     def _log(
         self, result: str, reason: str, known: KnownOrigin | None = None
@@ -149,24 +172,47 @@
     return TakeUp(forward) if streams and forward.call.takes_up else None
 
 
-def stream_began(forward: Forward, now_s: float) -> None:
+def attempt_chosen(forward: Forward, endpoint: Endpoint) -> None:
+    """Record where a stream will begin, while versions are mixed.
+
+    :param forward: the request
+    :param endpoint: the endpoint of its next attempt
+    """
+    front = forward.front
+    if forward.route.kind is not RequestKind.STREAMING:
+        return
+    if front.streams.history.had_several(forward.service):
+        _is_verified(front, endpoint)
+        front.streams.request_sent(_digests(forward), endpoint, front.clock())
+
+
+def stream_began(forward: Forward, now_s: float) -> bool:
     """Record the first event of a stream that a caller gets here.
 
     :param forward: the request
     :param now_s: the time
+    :returns: whether the caller may have it; if not, the caller could take
+        the stream up at another version
     """
     attempt = forward.attempt
     if attempt is None or forward.route.kind is not RequestKind.STREAMING:
-        return
-    digests = [stream_digest(forward.workspace, forward.call.request_id)]
-    take_up = forward.take_up
-    if take_up is not None and take_up.stream is not None:
-        digests.append(take_up.stream)
+        return True
+    streams = forward.front.streams
     _is_verified(forward.front, attempt.endpoint)
-    forward.own_streams = forward.front.streams.stream_began(
-        forward.route, tuple(digests), attempt.endpoint, now_s
+    forward.own_streams = streams.stream_began(
+        forward.route, _digests(forward), attempt.endpoint, now_s
     )
     forward.version = attempt.endpoint.entry.version
+    return not streams.is_disputed(forward.own_streams)
+
+
+def _digests(forward: Forward) -> tuple[int, ...]:
+    """Return the digests by which a stream may be taken up."""
+    own = stream_digest(forward.workspace, forward.call.request_id)
+    take_up = forward.take_up
+    if take_up is not None and take_up.stream is not None:
+        return own, take_up.stream
+    return (own,)
 
 
 def is_restricted(forward: Forward) -> bool:
--- a/src/bulrushstream/daemon/versionrecords.py
+++ b/src/bulrushstream/daemon/versionrecords.py
@@ -1,23 +1,35 @@
-"""Records in the store which services have several software versions.
+"""Records in the store of the software versions of services.
 
 A router that starts does not know which versions served before, and if all
-start at once no other one does either.
+start at once no other one does either.  The record of a service names the
+version that serves, so that a router notices if it was replaced while none
+ran; or it says that there were several versions lately.
 """
 
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Final
 
-from bulrushstream.coordination.streamorigins import KEEPERS, rank_hosts
+from bulrushstream.coordination.streamorigins import (
+    KEEPERS,
+    STORE,
+    rank_hosts,
+)
 from bulrushstream.daemon.front import Front
 from bulrushstream.protocol.keyedstore import KeyedStore, StoreError
 
 CHECK_INTERVAL_S: Final = 0.25
 RETRY_S: Final = 0.5
 
-_VALUE: Final = b"1"
+# A router knows its peers this long after its start; then one of them writes
+# which version serves.
+SETTLE_S: Final = 1.5
+
+_SEVERAL: Final = b"1"
+_ONE_PREFIX: Final = b"="
 
 
 @dataclass(slots=True)
@@ -27,48 +39,66 @@
     store: KeyedStore
     topic: str
     front: Front
-    _recorded: set[str] = field(default_factory=set)  # Services.
+    _records: dict[str, bytes] = field(default_factory=dict)  # By service.
+    _several_seen: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def run(self) -> None:
         """Follow the services' versions until cancelled."""
+        history = self.front.streams.history
+        history.on_several = self._several_seen.set
+        started_s = self.front.clock()
         loaded = False
         while True:
             try:
                 if not loaded:
                     await self._load()
                     loaded = True
-                await self._update()
-                await asyncio.sleep(CHECK_INTERVAL_S)
+                settled = self.front.clock() - started_s >= SETTLE_S
+                await self._update(settled=settled)
             except StoreError:
                 await asyncio.sleep(RETRY_S)
+                continue
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self._several_seen.wait()
+            self._several_seen.clear()
 
     async def _load(self) -> None:
-        """Read the services that had several versions lately."""
-        history = self.front.streams.history
-        services, _ = await self.store.newest(self.topic)
-        self._recorded.update(
-            name for name, value in services.items() if value
-        )
-        history.told(self._recorded, "store")
-        history.complete = True
+        """Read what served before this router started."""
+        streams = self.front.streams
+        self._records, _ = await self.store.newest(self.topic)
+        for service, record in self._records.items():
+            if record[:1] == _ONE_PREFIX:
+                version = record[1:].decode(errors="replace")
+                streams.history.served_before(service, version)
+            elif record:
+                streams.history.told((service,), STORE)
+        streams.history.complete = True
+        if any(map(streams.history.had_several, self._records)):
+            streams.request_stored()
 
-    async def _update(self) -> None:
+    async def _update(self, *, settled: bool) -> None:
         """Write what has changed, if this router is one that writes."""
         history = self.front.streams.history
-        for service in history.listed_with_several():
-            if service not in self._recorded and self._writes(service):
-                await self.store.append(self.topic, service, _VALUE)
-                self._recorded.add(service)
-        for service in list(self._recorded):
-            if history.had_several(service):
+        for service in history.streaming_services():
+            if history.lists_several(service):
+                record, writers = _SEVERAL, KEEPERS
+            elif history.had_several(service) or not settled:
+                continue
+            else:
+                version = history.only_version(service)
+                if not version:
+                    continue
+                record, writers = _ONE_PREFIX + version.encode(), 1
+            if self._records.get(service) == record:
                 continue
-            if self._writes(service):
-                await self.store.append(self.topic, service, b"")
-            self._recorded.discard(service)
+            if self._is_among(writers, service):
+                await self.store.append(self.topic, service, record)
+                self._records[service] = record
 
-    def _writes(self, service: str) -> bool:
-        """Return whether this router is one of those that write a record."""
+    def _is_among(self, count: int, service: str) -> bool:
+        """Return whether this router is among the first writers."""
         front = self.front
         hosts = {front.settings.host, *front.peers.live_hosts()}
         ranked = rank_hosts(hosts, service.encode())
-        return front.settings.host in ranked[:KEEPERS]
+        return front.settings.host in ranked[:count]
--- a/src/bulrushstream/history/routingplatform.py
+++ b/src/bulrushstream/history/routingplatform.py
@@ -190,7 +190,9 @@
 
 
 DIALECT: Final = Dialect(
-    topics=Topics("config", "config", "endpoints", "routers", "mixed"),
+    topics=Topics(
+        "config", "config", "endpoints", "routers", "mixed", "origins"
+    ),
     read_settings=_unused,
     make_store=cast(Callable[..., KeyedStore], _unused),
     decode_config=_unused,
--- a/src/bulrushstream/platform/dialect.py
+++ b/src/bulrushstream/platform/dialect.py
@@ -43,7 +43,8 @@
         # The platform calls endpoints servers.
         endpoints="keyed.servers",
         routers="keyed.routers",
-        mixed_services="keyed.mixed",
+        service_versions="keyed.mixed",
+        stream_origins="origins",
     ),
     read_settings=read_node_file,
     make_store=make_store,
--- a/src/bulrushstream/platform/nodefile.py
+++ b/src/bulrushstream/platform/nodefile.py
@@ -38,8 +38,11 @@
     quota_window_s: _Positive = 4.0
 
 
-class _Platform(msgspec.Struct):
+class _Platform(msgspec.Struct, rename="camel"):
     address: str
+    writes_per_s: _Positive = 400.0
+    reads_per_s: _Positive = 2_000.0
+    parts: Annotated[int, msgspec.Meta(gt=0, le=64)] = 1
 
 
 class _Node(msgspec.Struct, rename="camel"):
@@ -110,6 +113,9 @@
         retry_slack=bounds.retry_slack,
         retry_window_s=bounds.retry_window_s,
         quota_window_s=bounds.quota_window_s,
+        store_writes_per_s=node.platform.writes_per_s,
+        store_reads_per_s=node.platform.reads_per_s,
+        store_partitions=node.platform.parts,
     )
 
 
--- a/src/bulrushstream/platform/store.py
+++ b/src/bulrushstream/platform/store.py
@@ -16,7 +16,13 @@
 
 import msgspec
 
-from bulrushstream.protocol.keyedstore import Batch, KeyedRecord, StoreError
+from bulrushstream.protocol.keyedstore import (
+    Batch,
+    KeyedRecord,
+    OutOfTurnError,
+    StoreError,
+    Turn,
+)
 from bulrushstream.transport.httpcall import Answer, CallError, call
 from bulrushstream.transport.upstream import Pool
 
@@ -26,6 +32,15 @@
 # The status for a read of records that the store has deleted.
 TRIMMED_STATUS: Final = 410
 
+# The status for a read of a topic that has no records yet.
+NOT_FOUND_STATUS: Final = 404
+
+# The status for an append that has another number than the next one.
+OUT_OF_TURN_STATUS: Final = 409
+
+# Reads in a row whose first record was deleted meanwhile.
+MAX_TRIMMED_READS: Final = 3
+
 # The topic's end offset and its first offset, which is not used here.
 _BATCH_HEAD: Final = struct.Struct("!QQ")
 _LENGTH: Final = struct.Struct("!I")
@@ -43,6 +58,10 @@
     end_offset: int = 0
 
 
+class _Trimmed(msgspec.Struct, rename="camel"):
+    first_offset: int
+
+
 class _Appended(msgspec.Struct, rename="camel"):
     offset: int
     end_offset: int
@@ -96,14 +115,46 @@
             return None
         return _decode_batch(answer.body, offset)
 
-    async def append(self, topic: str, key: str, value: bytes) -> int:
+    async def read_retained(self, topic: str, part: int, offset: int) -> Batch:
+        """Return the records that are still there; see `KeyedStore`."""
+        for _ in range(MAX_TRIMMED_READS):
+            query = {"topic": topic, "part": part, "from": offset}
+            accepted = (TRIMMED_STATUS, NOT_FOUND_STATUS)
+            answer = await self._call(
+                "GET", "log-read", query, accept=accepted
+            )
+            if answer.status == NOT_FOUND_STATUS:
+                return Batch((), 0, 0, 0)
+            if answer.status != TRIMMED_STATUS:
+                return _decode_batch(answer.body, offset)
+            trimmed: _Trimmed = _decode_json(answer, _Trimmed)
+            offset = trimmed.first_offset
+        raise StoreError("log-read: the records are deleted while read")
+
+    async def append(
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        part: int = 0,
+        turn: Turn | None = None,
+    ) -> int:
         """Append a record under a key; see `KeyedStore`."""
         name = key.encode()
         record = bytes((len(name),)) + name + value
         body = _LENGTH.pack(len(record)) + record
+        query: dict[str, Any] = {"topic": topic, "part": part}
+        accepted: tuple[int, ...] = ()
+        if turn is not None:
+            query["producer"] = turn.writer
+            query["epoch"] = turn.epoch
+            query["callSeq"] = turn.number
+            accepted = (OUT_OF_TURN_STATUS,)
         answer = await self._call(
-            "POST", "log-append", {"topic": topic, "part": 0}, body
+            "POST", "log-append", query, body, accept=accepted
         )
+        if answer.status == OUT_OF_TURN_STATUS:
+            raise OutOfTurnError("log-append: it was not its turn")
         appended: _Appended = _decode_json(answer, _Appended)
         return appended.offset
 
--- a/src/bulrushstream/protocol/dialect.py
+++ b/src/bulrushstream/protocol/dialect.py
@@ -38,8 +38,10 @@
     config_key: str  # The configuration's key in that topic.
     endpoints: str  # Keyed by endpoint id.
     routers: str  # Written by routers; keyed by IP number.
-    # Written by routers; keyed by service, while it has several versions.
-    mixed_services: str
+    # Written by routers; keyed by service: the version that serves, or that
+    # there were several lately.
+    service_versions: str
+    stream_origins: str  # Written by routers; its records expire.
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bulrushstream/protocol/keyedstore.py
+++ b/src/bulrushstream/protocol/keyedstore.py
@@ -13,6 +13,23 @@
     """
 
 
+class OutOfTurnError(StoreError):
+    """An append had another number than the next one, and had no effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """The place of an append among those of its writer to a partition.
+
+    The store carries out each number once and in order, within an epoch;
+    calls of earlier epochs have no effect.
+    """
+
+    writer: str  # A name that no other writer uses.
+    epoch: int = 1
+    number: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
     """A record of a topic."""
@@ -53,11 +70,30 @@
         :raises StoreError: if the call failed
         """
 
-    async def append(self, topic: str, key: str, value: bytes) -> int:
+    async def read_retained(self, topic: str, part: int, offset: int) -> Batch:
+        """Return the records from an offset on that are still there.
+
+        :param topic: the topic's name; one that does not exist is empty
+        :param part: the partition
+        :param offset: the offset of the first record
+        :raises StoreError: if the call failed
+        """
+
+    async def append(
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        part: int = 0,
+        turn: Turn | None = None,
+    ) -> int:
         """Append a record under a key; return its offset.
 
         :param topic: a topic that belongs to this project
         :param key: the key
         :param value: the value; empty: the key is deleted
+        :param part: the partition
+        :param turn: its place among others; None: any
+        :raises OutOfTurnError: if it was not its turn
         :raises StoreError: if the call failed
         """
--- a/src/bulrushstream/standins/keyedlog.py
+++ b/src/bulrushstream/standins/keyedlog.py
@@ -28,17 +28,20 @@
     refuse_status: int = 0  # Status of every answer; 0: no fault.
     silent: bool = False  # Leaves every call unanswered.
     lose_answers: bool = False  # Appends, then aborts the connection.
+    unknown_topics: bool = False  # Answers 404 to reads of unused topics.
 
 
 @dataclass(slots=True)
 class _Topic:
-    """One topic with a single partition."""
+    """One partition of a topic."""
 
     # The retained records, the first of them at `first_offset`.
     records: list[bytes] = field(default_factory=list)
     first_offset: int = 0  # Of the oldest retained record.
     newest_by_key: dict[str, tuple[int, bytes]] = field(default_factory=dict)
     appended: asyncio.Event = field(default_factory=asyncio.Event)
+    # The epoch and the number of the last append, by its writer.
+    turns: dict[str, tuple[int, int]] = field(default_factory=dict)
 
     @property
     def end_offset(self) -> int:
@@ -135,7 +138,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         elif call == (b"POST", "/v1/log-append"):
-            self._answer_append(exchange, query["topic"])
+            self._answer_append(exchange, query)
         else:
             exchange.answer(404, [])
 
@@ -159,7 +162,11 @@
     async def _answer_read(
         self, exchange: Exchange, query: dict[str, str]
     ) -> None:
-        topic = self._topic(query["topic"])
+        name = _partition(query)
+        if self.faults.unknown_topics and name not in self._topics:
+            exchange.answer(404, [])
+            return
+        topic = self._topic(name)
         offset = int(query["from"])
         wait_s = int(query.get("waitMs", "0")) / 1000.0
         if offset >= topic.end_offset and wait_s:
@@ -179,9 +186,26 @@
             body += _LENGTH.pack(len(record)) + record
         exchange.answer(200, [], body)
 
-    def _answer_append(self, exchange: Exchange, name: str) -> None:
+    def _answer_append(
+        self, exchange: Exchange, query: dict[str, str]
+    ) -> None:
+        name = _partition(query)
         body, position = exchange.body, 0
-        offset = self._topic(name).end_offset
+        topic = self._topic(name)
+        offset = topic.end_offset
+        if "producer" in query:
+            writer = query["producer"]
+            turn = int(query["epoch"]), int(query["callSeq"])
+            last = topic.turns.get(writer, (0, 0))
+            if turn == last:
+                # The first answer is not kept; its offsets are not used.
+                body = b""
+            elif turn[0] < last[0] or (
+                turn[0] == last[0] and turn[1] != last[1] + 1
+            ):
+                exchange.answer(409, [])
+                return
+            topic.turns[writer] = turn
         while position + _LENGTH.size <= len(body):
             (length,) = _LENGTH.unpack_from(body, position)
             position += _LENGTH.size
@@ -193,3 +217,9 @@
         end = self._topic(name).end_offset
         document = {"offset": offset, "endOffset": end}
         exchange.answer(200, [], msgspec.json.encode(document))
+
+
+def _partition(query: dict[str, str]) -> str:
+    """Return the name under which the partition of a call is kept."""
+    part = query.get("part", "0")
+    return query["topic"] if part == "0" else f"{query['topic']}/{part}"
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -20,6 +20,7 @@
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
 from bulrushstream.state.message import Dispatch, Part, PartKind
 from bulrushstream.state.request import Outcome, Request, RequestClass
+from bulrushstream.state.streamorigin import StreamOrigin
 
 
 @dataclass(slots=True)
@@ -239,3 +240,8 @@
     return FleetConfig(
         tuple(Workspace(name) for name in names), (service,), (rule,)
     )
+
+
+def an_origin(stream: int, version: str = "v1") -> StreamOrigin:
+    """Return where a stream of the model service began."""
+    return StreamOrigin(stream, "llm", version)
