Nothing is sent for callers whose close was not read yet

What callers and engines saw: a router that is behind reads a request, and only seconds later that its caller has closed the connection; meanwhile it sends the request on, or sends it once more.

Cause: an event loop reads the end of a connection in a later iteration than the bytes before it, and an iteration of a crowded router takes long; what was already queued goes out first.

Change: right before bytes go out to an endpoint, and before another attempt, the kernel is asked whether the caller has closed (one poll of one socket).

--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -179,6 +179,8 @@
         remaining_s = self.deadline_s - now_s
         if self.done or remaining_s <= MIN_ATTEMPT_S:
             return None
+        if self.exchange.is_caller_gone():
+            return None
         if endpoint.removed or front.pool.is_leaving(endpoint):
             return None
         if front.fleet_state.notices.rest_left_s(endpoint.name, now_s):
@@ -242,6 +244,9 @@
         :param failure: how it failed
         :param detail: the same for the log
         """
+        if self.exchange.is_caller_gone():
+            self._caller_left()
+            return
         front, attempt = self.front, self.attempt
         endpoint = attempt.endpoint.name if attempt is not None else ""
         if endpoint:
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -70,6 +70,10 @@
         """Record the bytes that the router writes."""
         self._reply.data += data
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the caller has closed; it is told at once."""
+        return False
+
     def exchange_finished(self, exchange: Exchange) -> None:
         """Record the end of an answer."""
         del exchange
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -24,6 +25,9 @@
 # The connection is aborted if more response bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 1_048_576
 
+# What the kernel reports of a connection that the peer has closed.
+_CLOSED_EVENTS: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 _REASONS: Final = {each.value: each.phrase.encode() for each in HTTPStatus}
 
 
@@ -138,6 +142,10 @@
         self.ended = True
         self.connection.exchange_finished(self)
 
+    def is_caller_gone(self) -> bool:
+        """Return whether the caller closed, even if that was not read yet."""
+        return self.ended or self.connection.has_peer_closed()
+
     def abort(self) -> None:
         """Abort the connection, so that the response is seen as truncated."""
         if self.ended:
@@ -344,6 +352,18 @@
         else:
             self._set_timer(self._ingress.limits.idle_timeout_s)
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the peer closed, even if that was not read yet.
+
+        A loop that is behind reads an end seconds late.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return True
+        poller = select.poll()
+        poller.register(transport.get_extra_info("socket"), _CLOSED_EVENTS)
+        return bool(poller.poll(0))
+
     def abort(self) -> None:
         """Abort the connection."""
         self._current = None
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -161,6 +161,9 @@
         if on_head is not None:
             on_head(data)
 
+    def has_peer_closed(self) -> bool:
+        return False
+
     def exchange_finished(self, exchange: Exchange) -> None:
         """Do nothing: the connection is used once."""
 
--- a/tests/simulatedcallers.py
+++ b/tests/simulatedcallers.py
@@ -21,11 +21,15 @@
     def __init__(self) -> None:
         self.data = b""
         self.ended = False
+        self.gone = False  # Whether it closed, and the router did not read it.
         self.on_end: Callable[[], None] = lambda: None
 
     def write(self, data: bytes) -> None:
         self.data += data
 
+    def has_peer_closed(self) -> bool:
+        return self.gone
+
     def exchange_finished(self, exchange: Exchange) -> None:
         self.ended = True
         self.on_end()
