Updates cross to each other zone once, and name other routers in heartbeats only

Cause, by what a datagram holds (peercodec, 27 / 68 / 340 routers): 156 bytes of identity and empty lists, 338 / 898 / 4,955 that name all other routers, 97 for a request that is placed, 96 for two workspaces' totals; and each goes to every router.

Change: heartbeats alone name other routers, four in turn; lists that readers of all versions can do without are left out. In each other zone one router, picked by a hash among those heard within 0.8 s, passes on what is placed, begun, ended and requested. Heartbeats and all reports go to each router itself, so a relay that ends is replaced within a heartbeat, and no strike, limit or version depends on it. With one zone nothing changes but the bytes.

Weighed: digests some times a second (views of engines would be up to that old; not needed for the bytes), subsets (they lose the one view).

--- a/src/bulrushstream/coordination/fleetview.py
+++ b/src/bulrushstream/coordination/fleetview.py
@@ -9,8 +9,13 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from bulrushstream.coordination.rendezvous import rank_hosts
 from bulrushstream.state.peerupdate import PeerUpdate
 
+# A router passes updates on while it was heard this lately: within one
+# heartbeat, and its latency.
+RELAY_SILENT_S: Final = 0.8
+
 # A router without an update for this time is removed.
 PEER_TIMEOUT_S: Final = 2.5
 
@@ -28,6 +33,15 @@
     host: str  # Its IP address.
     last_heard_s: float  # When its last update arrived.
     calls: set[int] = field(default_factory=set)  # Its open requests.
+    zone: str = ""  # Its availability zone; empty: not known.
+
+
+@dataclass(frozen=True, slots=True)
+class Paths:
+    """The hosts to which an update is sent so that all routers get it."""
+
+    direct: tuple[str, ...] = ()
+    relays: tuple[str, ...] = ()  # They pass it on in their zones.
 
 
 @dataclass(slots=True)
@@ -35,6 +49,7 @@
     """The other routers."""
 
     own_host: str  # This router's IP address.
+    own_zone: str = ""
     peers: dict[str, PeerView] = field(default_factory=dict)  # By name.
     # By IP address: when it was added or last heard from.
     hosts: dict[str, float] = field(default_factory=dict)
@@ -68,6 +83,7 @@
             )
             self.peers[update.instance] = known
         known.last_heard_s = now_s
+        known.zone = update.zone or known.zone
         self.hosts[update.host] = now_s
         for host in update.known_hosts:
             self.add_host(host, now_s)
@@ -97,6 +113,42 @@
         """Return the hosts that updates are sent to."""
         return tuple(self.hosts)
 
+    def paths(self, now_s: float) -> Paths:
+        """Return how an update reaches all routers.
+
+        In each other zone one router passes it on, picked by a hash of this
+        one's host among those that were heard lately.
+
+        :param now_s: the time
+        """
+        zones: dict[str, list[str]] = {}
+        for peer in self.peers.values():
+            fresh = now_s - peer.last_heard_s <= RELAY_SILENT_S
+            if fresh and peer.zone and peer.zone != self.own_zone:
+                zones.setdefault(peer.zone, []).append(peer.host)
+        relays, passed_on = [], set()
+        for hosts in zones.values():
+            relays.append(rank_hosts(hosts, self.own_host.encode())[0])
+            passed_on.update(hosts)
+        direct = tuple(host for host in self.hosts if host not in passed_on)
+        return Paths(direct, tuple(relays))
+
+    def pass_on_to(self, update: PeerUpdate) -> tuple[str, ...]:
+        """Return the hosts to which a relay sends an update.
+
+        :param update: an update that came from its router itself
+        """
+        sender = self.peers.get(update.instance)
+        if not update.pass_on or sender is None or not sender.zone:
+            return ()
+        if sender.zone == self.own_zone:
+            return ()
+        return tuple(
+            peer.host
+            for peer in self.peers.values()
+            if peer.zone == self.own_zone
+        )
+
     @property
     def router_count(self) -> int:
         """Return an upper estimate of the number of routers in the fleet.
--- a/src/bulrushstream/coordination/streamorigins.py
+++ b/src/bulrushstream/coordination/streamorigins.py
@@ -17,6 +17,7 @@
 import xxhash
 
 from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.rendezvous import rank_hosts
 from bulrushstream.coordination.versionhistory import KEEP_S
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.streamorigin import StreamOrigin
@@ -290,21 +291,6 @@
                 answered(known)
 
 
-def rank_hosts(hosts: Iterable[str], key: bytes) -> list[str]:
-    """Return hosts in an order that a key gives, the same at all routers.
-
-    :param hosts: the hosts
-    :param key: the key
-    """
-    seed: int = xxhash.xxh32_intdigest(key)
-
-    def weight(host: str) -> int:
-        digest: int = xxhash.xxh32_intdigest(host.encode(), seed)
-        return digest
-
-    return sorted(hosts, key=weight)
-
-
 def stream_digest(workspace: str, request_id: str) -> int:
     """Return the digest of a stream, a signed 64-bit number.
 
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -96,7 +96,7 @@
         self.endpoints_listed = False
         self.draining = False
         self.refusing_requests = False
-        self.peers = FleetView(settings.host)
+        self.peers = FleetView(settings.host, settings.availability_zone)
         crash_ids = CrashIds()
         self.fleet_state = FleetState(
             self.peers,
@@ -164,6 +164,9 @@
         :param port: sends and receives them
         """
         port.hosts = self.peers.notified_hosts
+        port.paths = lambda: self.peers.paths(self.clock())
+        port.zone = self.settings.availability_zone
+        port.pass_on_to = self.peers.pass_on_to
         port.repeated_reports = lambda: self.fleet_state.repeated_reports(
             self.clock()
         )
--- a/src/bulrushstream/daemon/versionrecords.py
+++ b/src/bulrushstream/daemon/versionrecords.py
@@ -13,11 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from bulrushstream.coordination.streamorigins import (
-    KEEPERS,
-    STORE,
-    rank_hosts,
-)
+from bulrushstream.coordination.rendezvous import rank_hosts
+from bulrushstream.coordination.streamorigins import KEEPERS, STORE
 from bulrushstream.daemon.front import Front
 from bulrushstream.protocol.keyedstore import KeyedStore, StoreError
 
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -77,7 +77,6 @@
             for each in update.first_events
         ],
         ended=list(update.ended_calls),
-        asked=[],
         known_hosts=list(update.known_hosts),
         leaving=update.leaving,
         struck=[
@@ -89,7 +88,8 @@
             )
             for each in update.crash_suspects
         ],
-        cleared=list(update.cleared),
+        # Readers of all versions do without the lists from here on.
+        cleared=list(update.cleared) or None,
         part_strikes=[
             _SCHEMA.PartStrikes(
                 each.endpoint,
@@ -101,11 +101,13 @@
                 each.uncertain,
             )
             for each in update.part_strikes
-        ],
+        ]
+        or None,
         part_proofs=[
             _SCHEMA.PartProof(each.part_id, _to_ms(each.age_s))
             for each in update.part_proofs
-        ],
+        ]
+        or None,
         limits=[
             _SCHEMA.Limit(
                 each.endpoint,
@@ -113,7 +115,8 @@
                 _to_ms(each.age_s),
             )
             for each in update.limits
-        ],
+        ]
+        or None,
         origins=[
             _SCHEMA.Origin(
                 each.stream, each.service, each.version, _to_ms(each.age_s)
@@ -124,6 +127,8 @@
         asked_origins=list(update.asked_origins) or None,
         mixed_services=list(update.mixed_services) or None,
         leaving_endpoints=list(update.leaving_endpoints) or None,
+        zone=update.zone or None,
+        pass_on=update.pass_on or None,
         totals=[
             _SCHEMA.Totals(
                 each.workspace,
@@ -132,7 +137,8 @@
                 round(each.counted_s * 1000),
             )
             for each in update.totals
-        ],
+        ]
+        or None,
     )
     body = serialize(wire, _BINARY)
     return CHECKSUM.pack(xxhash.xxh64_intdigest(body)) + body
@@ -232,6 +238,8 @@
         asked_origins=tuple(wire.asked_origins or ()),
         mixed_services=tuple(wire.mixed_services or ()),
         leaving_endpoints=tuple(wire.leaving_endpoints or ()),
+        zone=wire.zone or "",
+        pass_on=bool(wire.pass_on),
         # A router of an earlier version sends no totals.
         totals=tuple(
             WorkspaceTotals(
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -68,7 +68,7 @@
   4: list<Placed> placed
   5: list<Started> started
   6: list<i64> ended
-  7: list<Totals> asked  // Empty; earlier versions sent increments here.
+  // 7 was used by earlier versions.
   8: list<string> known_hosts
   9: bool leaving
   10: list<Struck> struck
@@ -81,4 +81,6 @@
   17: optional list<i64> asked_origins
   18: optional list<string> mixed_services
   19: optional list<string> leaving_endpoints
+  20: optional string zone
+  21: optional bool pass_on
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -97,5 +97,8 @@
     mixed_services: tuple[str, ...] = ()
     # Ids of endpoints that say in their answers that they leave.
     leaving_endpoints: tuple[str, ...] = ()
-    known_hosts: tuple[str, ...] = ()  # IP addresses of its peers.
+    known_hosts: tuple[str, ...] = ()  # IP addresses of some of its peers.
+    zone: str = ""  # The router's availability zone; only in heartbeats.
+    # Whether a receiver in another zone passes it on to that zone's routers.
+    pass_on: bool = False
     leaving: bool = False  # Whether it is stopping.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -7,9 +7,10 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, Protocol
 
+from bulrushstream.coordination.fleetview import Paths
 from bulrushstream.protocol.peercodec import (
     DatagramError,
     decode_update,
@@ -38,6 +39,9 @@
 MAX_EVENTS: Final = 24
 MAX_TOTALS: Final = 64
 
+# Other hosts that a heartbeat names, so that routers find each other.
+MAX_TOLD_HOSTS: Final = 4
+
 
 @dataclass(slots=True)
 class _PendingEvents:
@@ -66,6 +70,24 @@
         events += len(self.part_strikes) + len(self.part_proofs)
         return events + len(self.limits)
 
+    @property
+    def has_events(self) -> bool:
+        """Return whether requests were placed, began or ended."""
+        return bool(self.placements or self.first_events or self.ended_calls)
+
+    @property
+    def has_reports(self) -> bool:
+        """Return whether there is anything else, totals not included."""
+        return bool(
+            self.crash_suspects
+            or self.cleared
+            or self.part_strikes
+            or self.part_proofs
+            or self.limits
+            or self.mixed_services
+            or self.leaving_endpoints
+        )
+
 
 @dataclass(slots=True)
 class _Totals:
@@ -117,7 +139,16 @@
         # Workspaces whose totals go with the next heartbeat as well.
         self._repeated_totals: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
+        # Hosts that have been told of in heartbeats so far.
+        self._told_hosts = 0
         self.hosts: Callable[[], tuple[str, ...]] = tuple
+        self.zone = ""  # This router's availability zone.
+        # How an update reaches all routers.
+        self.paths: Callable[[], Paths] = lambda: Paths(self.hosts())
+        # Returns the hosts to which a received update is to be passed on.
+        self.pass_on_to: Callable[[PeerUpdate], tuple[str, ...]] = (
+            lambda update: ()
+        )
         # Returns the reports that the next heartbeat repeats.
         self.repeated_reports: Callable[[], RepeatedReports] = RepeatedReports
         self.leaving = False
@@ -133,7 +164,6 @@
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Decode an update and pass it on; see `udp.DatagramReceiver`."""
-        del addr
         self.received_bytes += len(data)
         try:
             update = decode_update(data)
@@ -141,8 +171,13 @@
             self._report("bad_datagram", str(error))
             return
         own = self._identity
-        if update.instance != own.instance:
-            self._receive(update)
+        if update.instance == own.instance:
+            return
+        self._receive(update)
+        # Not if it was passed on already.
+        sender = addr[0] if isinstance(addr, tuple) else ""
+        if update.pass_on and sender == update.host:
+            self._send_data(self.pass_on_to(update), data)
 
     def error_received(self, exc: Exception) -> None:
         """Log an unreachable peer; it is detected by its missing updates."""
@@ -283,12 +318,16 @@
         self._pending.leaving_endpoints.update(reports.leaving_endpoints)
         repeated, self._repeated_totals = self._repeated_totals, set()
         self._pending.changed_totals |= repeated
-        self.flush()
+        self._flush(heartbeat=True)
         # They were repeated now, so the next heartbeat leaves them out.
         self._repeated_totals.clear()
 
     def flush(self) -> None:
-        """Send the pending events, or just this router's identity."""
+        """Send the pending events and reports."""
+        self._flush(heartbeat=self.leaving)
+
+    def _flush(self, *, heartbeat: bool) -> None:
+        """Send what is pending, and a heartbeat if that is due."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -296,49 +335,65 @@
         pending, self._pending = self._pending, _PendingEvents()
         self._repeated_totals |= pending.changed_totals
         totals = self._report_totals(pending.changed_totals)
-        own = self._identity
-        self._send(
-            PeerUpdate(
-                own.instance,
-                own.incarnation,
-                own.host,
-                placements=tuple(pending.placements),
-                first_events=tuple(pending.first_events),
-                ended_calls=tuple(pending.ended_calls),
-                totals=tuple(totals[:MAX_TOTALS]),
-                crash_suspects=tuple(pending.crash_suspects[:MAX_TOTALS]),
-                cleared=tuple(pending.cleared),
-                part_proofs=tuple(pending.part_proofs[:MAX_TOTALS]),
-                limits=tuple(pending.limits),
-                mixed_services=tuple(sorted(pending.mixed_services)),
-                leaving_endpoints=tuple(sorted(pending.leaving_endpoints)),
-                known_hosts=self.hosts(),
-                leaving=self.leaving,
-            )
+        events = replace(
+            self._identity,
+            placements=tuple(pending.placements),
+            first_events=tuple(pending.first_events),
+            ended_calls=tuple(pending.ended_calls),
+            totals=tuple(totals[:MAX_TOTALS]),
+            leaving=self.leaving,
         )
+        paths = self.paths()
+        if not (heartbeat or pending.has_reports):
+            self._send_by_zone(events, paths)
+        elif not paths.relays:
+            self._send(self._add_reports(events, pending, heartbeat))
+        else:
+            if pending.has_events or totals:
+                self._send_by_zone(events, paths)
+            self._send(self._add_reports(self._identity, pending, heartbeat))
+        for begin in range(MAX_TOTALS, len(totals), MAX_TOTALS):
+            part = tuple(totals[begin : begin + MAX_TOTALS])
+            self._send_by_zone(replace(self._identity, totals=part), paths)
         strikes, proofs = pending.crash_suspects, pending.part_proofs
-        last = max(len(totals), len(strikes), len(proofs))
+        last = max(len(strikes), len(proofs))
         for begin in range(MAX_TOTALS, last, MAX_TOTALS):
-            part = slice(begin, begin + MAX_TOTALS)
+            chunk = slice(begin, begin + MAX_TOTALS)
             self._send(
-                PeerUpdate(
-                    own.instance,
-                    own.incarnation,
-                    own.host,
-                    totals=tuple(totals[part]),
-                    crash_suspects=tuple(strikes[part]),
-                    part_proofs=tuple(proofs[part]),
+                replace(
+                    self._identity,
+                    crash_suspects=tuple(strikes[chunk]),
+                    part_proofs=tuple(proofs[chunk]),
                 )
             )
         for group in _group_by_size(pending.part_strikes):
-            self._send(
-                PeerUpdate(
-                    own.instance,
-                    own.incarnation,
-                    own.host,
-                    part_strikes=tuple(group),
-                )
-            )
+            self._send(replace(self._identity, part_strikes=tuple(group)))
+
+    def _add_reports(
+        self, update: PeerUpdate, pending: _PendingEvents, heartbeat: bool
+    ) -> PeerUpdate:
+        """Add what each router must get from this one itself."""
+        return replace(
+            update,
+            crash_suspects=tuple(pending.crash_suspects[:MAX_TOTALS]),
+            cleared=tuple(pending.cleared),
+            part_proofs=tuple(pending.part_proofs[:MAX_TOTALS]),
+            limits=tuple(pending.limits),
+            mixed_services=tuple(sorted(pending.mixed_services)),
+            leaving_endpoints=tuple(sorted(pending.leaving_endpoints)),
+            known_hosts=self._next_hosts() if heartbeat else (),
+            zone=self.zone if heartbeat else "",
+            leaving=self.leaving,
+        )
+
+    def _next_hosts(self) -> tuple[str, ...]:
+        """Return the hosts that the next heartbeat names, all in turn."""
+        hosts = self.hosts()
+        if len(hosts) <= MAX_TOLD_HOSTS:
+            return hosts
+        begin = self._told_hosts % len(hosts)
+        self._told_hosts = begin + MAX_TOLD_HOSTS
+        return (hosts + hosts)[begin : begin + MAX_TOLD_HOSTS]
 
     def _send_origins(self) -> None:
         """Send the pending origins, each to its router."""
@@ -357,12 +412,22 @@
         """Send an update to all peers."""
         self._send_to(self.hosts(), update)
 
+    def _send_by_zone(self, update: PeerUpdate, paths: Paths) -> None:
+        """Send an update to all peers, once to each other zone."""
+        if paths.relays:
+            update = replace(update, pass_on=True)
+        self._send_to(paths.direct + paths.relays, update)
+
     def _send_to(self, hosts: tuple[str, ...], update: PeerUpdate) -> None:
         """Send an update to some routers."""
+        if hosts:
+            self._send_data(hosts, encode_update(update))
+
+    def _send_data(self, hosts: tuple[str, ...], data: bytes) -> None:
+        """Send a datagram to some routers."""
         sender = self._sender
-        if sender is None or sender.is_closing() or not hosts:
+        if sender is None or sender.is_closing():
             return
-        data = encode_update(update)
         for host in hosts:
             sender.sendto(data, (host, self._port))
             self.sent_bytes += len(data)
