bulrushstream check plays callers who take up and ends of all routers

Callers of a route whose streams may be taken up do so, at any router; all routers of a history may end at once, up to three times, and start again after up to 3 s against a store in virtual time. A mutation confuses the versions that the store names and is caught.

It found a fault: 9 of the first 330 histories exceeded the retry budget. Cause: a router that starts again has its part of the fleet's slack anew within the same window. It has none for one window now, unless the settings say that the whole system starts for the first time.

--- a/src/bulrushstream/coordination/retryquota.py
+++ b/src/bulrushstream/coordination/retryquota.py
@@ -34,6 +34,9 @@
     """The retries that this router may make, by service."""
 
     limits: RetryLimits
+    # From when on it may use slack.  A process that was started again does
+    # not know what the one before it used within the window.
+    slack_from_s: float = float("-inf")
     windows: dict[str, _Window] = field(default_factory=dict)
 
     def count_request(self, service: str, now_s: float) -> None:
@@ -56,7 +59,8 @@
         window = self.windows.setdefault(service, _Window())
         self._trim(window, now_s)
         allowed = self.limits.ratio * len(window.requests)
-        allowed += self.limits.slack / max(1, routers)
+        if now_s >= self.slack_from_s:
+            allowed += self.limits.slack / max(1, routers)
         if len(window.retries) + 1 > allowed:
             return False
         window.retries.append(now_s)
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -132,6 +132,9 @@
                 settings.retry_window_s,
             )
         )
+        if not settings.first_start:
+            slack_from_s = self.clock() + settings.retry_window_s
+            self.retry_quota.slack_from_s = slack_from_s
         self.forwards: set[Forward] = set()
         self.connections = EndpointConnections(
             self.clock, self._connection_limit, lambda: self.peers.router_count
--- a/src/bulrushstream/history/routingcheck.py
+++ b/src/bulrushstream/history/routingcheck.py
@@ -210,7 +210,8 @@
     expected = b"answer of " + request_id.encode()
     if ROUTES[reply.request.route][1] == "llm":
         expected = b"".join(
-            event_of(request_id, number + 1) for number in range(EVENTS)
+            event_of(request_id, number + 1)
+            for number in range(reply.after, EVENTS)
         )
     if b"chunked" in head:
         body = _join_chunks(body)
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any, Final, cast
 
@@ -17,13 +17,17 @@
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.front import Front, FrontDeps
+from bulrushstream.daemon.originrecords import OriginRecords
+from bulrushstream.daemon.versionrecords import VersionRecords
 from bulrushstream.history.routingendpoint import Attempt
 from bulrushstream.history.routingplan import (
     END_S,
     ENDPOINTS,
     FIRST_VERSION,
+    MAX_TRIES,
     RELEASED,
     REQUESTS_END_S,
+    REST_S,
     AttemptFault,
     PlannedRequest,
     RouterFault,
@@ -42,6 +46,7 @@
     RoutingHistory,
     Run,
 )
+from bulrushstream.history.simulatedstore import SimulatedStore
 from bulrushstream.history.singleusepool import SingleUsePool
 from bulrushstream.metrics import make_metrics
 from bulrushstream.state.peerupdate import PeerUpdate
@@ -52,6 +57,8 @@
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
 from bulrushstream.transport.ingress import ClientConnection, Exchange
 
+CONNECT_AGAIN_S: Final = 0.05  # Until a caller tries again.
+TAKEN_UP_ROUTE: Final = "talk"  # Its callers take up broken streams.
 POLL_S: Final = 0.5  # Interval at which a router reads the store.
 STORE_DELAY_S: Final = 0.02  # The store's latency, each way.
 
@@ -62,9 +69,15 @@
     closing = False
     accepts_chunked = True
 
-    def __init__(self, reply: Reply, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        reply: Reply,
+        clock: Callable[[], float],
+        broken_off: Callable[[], None],
+    ) -> None:
         self._reply = reply
         self._clock = clock
+        self._broken_off = broken_off
 
     def write(self, data: bytes) -> None:
         """Record the bytes that the router writes."""
@@ -84,6 +97,7 @@
         """Record that the router closed the connection."""
         self._reply.aborted = True
         self._reply.ended_s = self._clock()
+        self._broken_off()
 
 
 @dataclass(slots=True)
@@ -161,13 +175,20 @@
         self._revoked: set[int] = set()
         self._draining: set[str] = set()
         self._version = 1
+        self._store = SimulatedStore()
+        self._incarnations = [0] * plan.routers
+        self._tasks: list[asyncio.Task[None]] = []
+        self._back_s = 0.0  # When the routers run again.
+        # The first request of streams that callers take up, by request.
+        self._first_ids: dict[str, str] = {}
 
     async def run(self) -> None:
         """Run the plan to its end."""
         loop = asyncio.get_running_loop()
         plan = self.plan
-        for number in range(plan.routers):
-            self._start(number)
+        self._start_all()
+        for at_s, dark_s in plan.restarts:
+            loop.call_later(at_s, self._end_all, dark_s)
         for fault in plan.faults:
             loop.call_later(fault.at_s, self._begin_fault, fault)
         for at_s, key in plan.revocations:
@@ -181,6 +202,8 @@
         await asyncio.sleep(END_S)
         for front in self.fronts:
             self._record_leaks(front)
+        for task in self._tasks:
+            task.cancel()
 
     # --- Endpoints.
 
@@ -240,7 +263,8 @@
     def event_sent(self, attempt: Attempt, request_id: str) -> None:
         """Record that an endpoint wrote an event."""
         version = RELEASED.get(attempt.endpoint, FIRST_VERSION)
-        self.history.versions.setdefault(request_id, set()).add(version)
+        first_id = self._first_ids.get(request_id, request_id)
+        self.history.versions.setdefault(first_id, set()).add(version)
 
     def check_not_draining(self, router: int, endpoint: str) -> None:
         """Record an attempt at an endpoint that its router knows is draining.
@@ -269,16 +293,48 @@
         ) or self._has_fault(receiver, RouterFaultKind.PEERS)
         if blocked or self.rng.random() < self.plan.loss:
             return
-        asyncio.get_running_loop().call_later(
-            self.rng.random() * self.plan.delay_s,
-            self.ports[receiver].datagram_received,
-            data,
-            None,
-        )
+        delay_s = self.rng.random() * self.plan.delay_s
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._deliver, receiver, data)
+
+    def _deliver(self, receiver: int, data: bytes) -> None:
+        """Deliver a datagram if its receiver runs."""
+        if self.ports:
+            self.ports[receiver].datagram_received(data, None)
+
+    def _start_all(self) -> None:
+        """Start all routers."""
+        for number in range(self.plan.routers):
+            self._start(number)
+
+    def _end_all(self, dark_s: float) -> None:
+        """End all routers, without notice, until they start again."""
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._back_s:
+            return
+        self._back_s = loop.time() + dark_s
+        for task in self._tasks:
+            task.cancel()
+        for front in self.fronts:
+            for forward in list(front.forwards):
+                forward.exchange.abort()
+                forward.stop()
+        for port in self.ports:
+            port.close()
+        self._tasks, self.fronts, self.ports = [], [], []
+        # Routers forget what endpoints had asked of them.
+        self.history.left_s.clear()
+        self.history.rests = [
+            rest
+            for rest in self.history.rests
+            if rest[0] + REST_S < loop.time()
+        ]
+        loop.call_later(dark_s, self._start_all)
 
     def _start(self, number: int) -> None:
         """Start a router."""
         loop = asyncio.get_running_loop()
+        self._incarnations[number] += 1
         deps = FrontDeps(
             dialect=DIALECT,
             clock=loop.time,
@@ -289,12 +345,16 @@
             report=lambda kind, text: None,
             report_shares=lambda report: None,
         )
-        front = Front(settings_of(number, self.plan.routers), deps)
+        settings = settings_of(number, self.plan.routers)
+        first = self._incarnations[number] == 1
+        front = Front(replace(settings, first_start=first), deps)
         front.connections = cast(
             EndpointConnections, _EndpointConnections(self, number)
         )
         port = PeerSocket(
-            PeerUpdate(f"front-{number}", 1, host_of(number)),
+            PeerUpdate(
+                f"front-{number}", self._incarnations[number], host_of(number)
+            ),
             1,
             lambda update: front.fleet_state.apply_update(update, loop.time()),
             lambda kind, text: None,
@@ -303,18 +363,29 @@
         port.attach(_DatagramSender(self, number))
         self.fronts.append(front)
         self.ports.append(port)
+        origins = OriginRecords(self._store, "origins", front)
+        origins.attach()
+        versions = VersionRecords(self._store, "versions", front)
+        for work in (versions.run(), origins.write(), origins.read()):
+            self._tasks.append(loop.create_task(work))
         self._read_store(number)
-        self._repeat(HEARTBEAT_S, port.beat)
-        self._repeat(SWEEP_INTERVAL_S, front.sweep)
-        self._repeat(POLL_S, lambda: self._read_store(number))
+        self._repeat(front, HEARTBEAT_S, port.beat)
+        self._repeat(front, SWEEP_INTERVAL_S, front.sweep)
+        self._repeat(front, POLL_S, lambda: self._read_store(number))
+
+    def _repeat(
+        self, front: Front, interval_s: float, step: Callable[[], None]
+    ) -> None:
+        """Call a function at an interval while a router runs.
 
-    def _repeat(self, interval_s: float, step: Callable[[], None]) -> None:
-        """Call a function at an interval, from a random offset on."""
+        It begins at a random offset.
+        """
         loop = asyncio.get_running_loop()
 
         def run_step() -> None:
-            step()
-            loop.call_later(interval_s, run_step)
+            if front in self.fronts:
+                step()
+                loop.call_later(interval_s, run_step)
 
         loop.call_later(self.rng.random() * interval_s, run_step)
 
@@ -341,7 +412,6 @@
                     front, entry_of(name, name in draining)
                 )
             front.endpoints_listed = True
-            front.streams.history.complete = True
             front.streams.history.list_read(sent_boot_s)
             front.freshness.confirm(sent_boot_s)
 
@@ -370,23 +440,44 @@
         """Revoke a key in a new configuration version."""
         self._revoked.add(key)
         self._version += 1
+        now_s = asyncio.get_running_loop().time()
         self.history.revoked_boot_s[key] = tuple(
-            front.boot_clock() for front in self.fronts
+            now_s + offset_s for offset_s in self._boot_offset_s
         )
 
     # --- Callers.
 
-    def _send_request(self, request_id: str, request: PlannedRequest) -> None:
-        """Send a caller's request to its router."""
+    def _send_request(
+        self,
+        request_id: str,
+        request: PlannedRequest,
+        after: int = 0,
+    ) -> None:
+        """Send a caller's request to its router.
+
+        While no router runs, the caller tries to connect until one does.
+        """
         loop = asyncio.get_running_loop()
+        if not self.fronts:
+            wait_s = self._back_s - loop.time() + CONNECT_AGAIN_S
+            loop.call_later(
+                wait_s, self._send_request, request_id, request, after
+            )
+            return
         front = self.fronts[request.router]
-        reply = Reply(request, loop.time(), front.boot_clock())
+        reply = Reply(request, loop.time(), front.boot_clock(), after)
         self.history.replies[request_id] = reply
-        caller = _CallerConnection(reply, loop.time)
+        caller = _CallerConnection(
+            reply, loop.time, lambda: self._take_up(request_id, reply)
+        )
         exchange = Exchange(cast(ClientConnection, caller))
         exchange.method = b"POST"
         exchange.target = f"/{request.route}/{request_id}".encode()
         exchange.headers = [(b"key", b"key%d" % request.key)]
+        if request_id in self._first_ids:
+            first_id = self._first_ids[request_id].encode()
+            exchange.headers.append((b"first", first_id))
+            exchange.headers.append((b"after", b"%d" % after))
         exchange.arrived_s = loop.time()
         front.handle(exchange)
         if request.disconnects_after_s is not None:
@@ -398,6 +489,34 @@
                 reply,
             )
 
+    def _take_up(self, request_id: str, reply: Reply) -> None:
+        """Take a stream up at any router, if it broke off after an event."""
+        loop = asyncio.get_running_loop()
+        request = reply.request
+        events = reply.data.count(b"\n\n")
+        if request.route != TAKEN_UP_ROUTE or reply.disconnected:
+            return
+        first_id = self._first_ids.get(request_id, request_id)
+        tries = list(self._first_ids.values()).count(first_id) + 1
+        if not events or tries >= MAX_TRIES or loop.time() > REQUESTS_END_S:
+            return
+        next_id = f"q{len(self.plan.requests) + len(self._first_ids)}"
+        self._first_ids[next_id] = first_id
+        router = self.rng.randrange(self.plan.routers)
+        again = replace(
+            request,
+            at_s=loop.time(),
+            router=router,
+            disconnects_after_s=None,
+        )
+        loop.call_later(
+            CONNECT_AGAIN_S,
+            self._send_request,
+            next_id,
+            again,
+            reply.after + events,
+        )
+
     def _disconnect(
         self, request_id: str, exchange: Exchange, reply: Reply
     ) -> None:
--- a/src/bulrushstream/history/routingplan.py
+++ b/src/bulrushstream/history/routingplan.py
@@ -16,6 +16,8 @@
 REQUESTS_END_S: Final = 20.0  # Callers send no requests after this.
 END_S: Final = 60.0  # The routers' updates to each other have expired.
 MAX_FAULT_S: Final = 9.0
+MAX_DARK_S: Final = 3.0  # From the end of all routers to their next start.
+MAX_TRIES: Final = 3  # Of a caller for one stream.
 
 
 class AttemptFault(StrEnum):
@@ -79,6 +81,8 @@
     release_s: float
     # When endpoints begin to say in their answers that they leave.
     notices: tuple[tuple[float, str], ...]
+    # When all routers end, and after how long they start again.
+    restarts: tuple[tuple[float, float], ...] = ()
 
 
 # Routes by name: kind, service, resumable, maximum number of attempts.
@@ -171,4 +175,10 @@
             (rng.uniform(2.0, FAULTS_END_S), name)
             for name in rng.sample(["d-2", "e-2", "e-4"], rng.randint(0, 2))
         ),
+        restarts=tuple(
+            sorted(
+                (rng.uniform(2.0, FAULTS_END_S), rng.uniform(0.0, MAX_DARK_S))
+                for _ in range(rng.choice((0, 0, 1, 3)))
+            )
+        ),
     )
--- a/src/bulrushstream/history/routingplatform.py
+++ b/src/bulrushstream/history/routingplatform.py
@@ -130,6 +130,7 @@
 
 def _decode_call(method: bytes, target: bytes, headers: RawHeaders) -> Call:
     """Decode a caller's request."""
+    values = dict(headers)
     path = target.decode()
     _, route, request_id = path.split("/")
     prompt = None
@@ -143,11 +144,13 @@
         target=target,
         host="h",
         path=path,
-        key_digest=dict(headers)[b"key"],
+        key_digest=values[b"key"],
         timeout_s=None,
         prompt=prompt,
-        resume_after=None,
+        resume_after=int(values[b"after"]) if b"after" in values else None,
         headers=[],
+        first_request_id=values.get(b"first", b"").decode(),
+        takes_up=b"after" in values,
     )
 
 
--- a/src/bulrushstream/history/routingrecord.py
+++ b/src/bulrushstream/history/routingrecord.py
@@ -27,6 +27,7 @@
     request: PlannedRequest
     sent_s: float  # Virtual time.
     sent_boot_s: float  # The router's CLOCK_BOOTTIME at that moment.
+    after: int = 0  # The last event that the caller has already.
     data: bytes = b""  # The bytes received so far.
     end_count: int = 0  # Number of times that an answer ended.
     ended_s: float = 0.0  # When the answer or the connection ended.
@@ -55,7 +56,8 @@
     rests: list[tuple[float, int, str]] = field(default_factory=list)
     # When each router was first told that an endpoint leaves.
     left_s: dict[tuple[int, str], float] = field(default_factory=dict)
-    # The software versions that wrote a request's events.
+    # The software versions that wrote a stream's events, over all tries, by
+    # the id of its first request.
     versions: dict[str, set[str]] = field(default_factory=dict)
     leaks: list[str] = field(default_factory=list)  # State left at the end.
     exceptions: list[str] = field(default_factory=list)  # Unhandled ones.
--- a/tests/simulatedstore.py
+++ b/src/bulrushstream/history/simulatedstore.py
@@ -31,7 +31,10 @@
     )
 
     def fail(self, away: bool) -> None:
-        """Let all calls fail from now on, or none."""
+        """Let all calls fail from now on, or none.
+
+        :param away: whether they fail
+        """
         self.away = away
 
     async def newest(self, topic: str) -> tuple[dict[str, bytes], int]:
--- a/src/bulrushstream/platform/nodefile.py
+++ b/src/bulrushstream/platform/nodefile.py
@@ -53,6 +53,7 @@
     listen_addrs: _Listen
     port_range: tuple[int, int]
     seed_nodes: list[str] = []
+    bootstrap: bool = False
     limits: _Limits = msgspec.field(default_factory=_Limits)
     contract_bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -113,6 +114,7 @@
         retry_slack=bounds.retry_slack,
         retry_window_s=bounds.retry_window_s,
         quota_window_s=bounds.quota_window_s,
+        first_start=node.bootstrap,
         store_writes_per_s=node.platform.writes_per_s,
         store_reads_per_s=node.platform.reads_per_s,
         store_partitions=node.platform.parts,
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -105,6 +105,18 @@
             base = [t for t in requests if end_s - 10.0 <= t <= end_s]
             assert len(window) <= 0.2 * len(base) + 12 / routers
 
+    def test_a_process_that_was_started_again_has_no_slack_at_first(
+        self,
+    ) -> None:
+        """Guards against restarts that renew what the fleet has used."""
+        quota = RetryQuota(RetryLimits(0.5, 8, 10.0), slack_from_s=10.0)
+        assert not quota.acquire("a", 1.0, 4)
+        for _ in range(2):
+            quota.count_request("a", 2.0)
+        assert quota.acquire("a", 2.0, 4)
+        assert not quota.acquire("a", 2.0, 4)
+        assert quota.acquire("a", 10.0, 4)
+
     def test_services_do_not_share_a_budget(self) -> None:
         quota = RetryQuota(RetryLimits(0.0, 1, 10.0))
         assert quota.acquire("a", 0.0, 1)
--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -14,7 +14,7 @@
 from bulrushstream.coordination.forwarding import decide_retry
 from bulrushstream.coordination.freshness import Freshness
 from bulrushstream.coordination.retryquota import RetryQuota
-from bulrushstream.daemon import forward
+from bulrushstream.daemon import forward, originrecords
 from bulrushstream.daemon.attempt import Attempt
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.history.routingcheck import run_routing_seed
@@ -22,9 +22,13 @@
     RoutingViolationKind,
     ViolationKind,
 )
+from bulrushstream.protocol.origincodec import decode_origins
 from bulrushstream.state.events import EventSplitter
+from bulrushstream.state.streamorigin import StreamOrigin
 
 SEEDS: Final = range(40)
+# All routers start again, each with the whole slack of retries.
+SLACK_SEEDS: Final = (100, 118, 130, 173, 186, 199, 201, 237, 321)
 MUTATION_SEEDS: Final = range(40)
 
 K = ViolationKind
@@ -97,6 +101,20 @@
     monkeypatch.setattr(Attempt, "head", head)
 
 
+def confuse_stored(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Read another version of each stream from the store."""
+    original = decode_origins
+    other = {"v1": "v2", "v2": "v1"}
+
+    def decode(record: bytes) -> tuple[StreamOrigin, ...]:
+        return tuple(
+            replace(each, version=other[each.version])
+            for each in original(record)
+        )
+
+    monkeypatch.setattr(originrecords, "decode_origins", decode)
+
+
 def use_any_version(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let streams go on at endpoints of any version."""
     original = EndpointPool.usable
@@ -132,6 +150,7 @@
     "works for nobody": (stub_method(Forward, "_caller_left"), {K.LATE_WORK}),
     "no timeout": (stub_method(Forward, "_deadline_expired"), {K.NO_ANSWER}),
     "any version": (use_any_version, {R.MIXED_VERSIONS}),
+    "stored versions confused": (confuse_stored, {R.MIXED_VERSIONS}),
     "no rest": (
         stub_method(EndpointNotices, "rest_left_s", 0.0),
         {R.REST_BROKEN},
@@ -145,7 +164,7 @@
 
 
 class RoutingHistoriesSuite:
-    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("seed", (*SEEDS, *SLACK_SEEDS))
     def test_correct_routers_cause_no_violations(self, seed: int) -> None:
         assert run_routing_seed(seed).violations == ()
 
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -13,11 +13,11 @@
 
 from bulrushstream.daemon.originrecords import OriginRecords
 from bulrushstream.daemon.versionrecords import VersionRecords
+from bulrushstream.history.simulatedstore import SimulatedStore
 from tests.crashfleets import CrashFleet, Router
 from tests.crashingendpoints import EVENTS, Endpoint, Link
 from tests.crashplans import TIMEOUT_S
 from tests.simulatedcallers import Caller, an_exchange
-from tests.simulatedstore import SimulatedStore
 from tests.versionplans import (
     Change,
     ChangeKind,
