--- a/src/bulrushstream/coordination/fleetview.py
+++ b/src/bulrushstream/coordination/fleetview.py
@@ -16,6 +16,9 @@
 # heartbeat, and its latency.
 RELAY_SILENT_S: Final = 0.8
 
+# In a smaller zone each router gets updates itself.
+MIN_RELAYED_ROUTERS: Final = 3
+
 # A router without an update for this time is removed.
 PEER_TIMEOUT_S: Final = 2.5
 
@@ -116,8 +119,8 @@
     def paths(self, now_s: float) -> Paths:
         """Return how an update reaches all routers.
 
-        In each other zone one router passes it on, picked by a hash of this
-        one's host among those that were heard lately.
+        In each other zone with some routers one passes it on, picked by a
+        hash of this one's host among those that were heard lately.
 
         :param now_s: the time
         """
@@ -128,6 +131,8 @@
                 zones.setdefault(peer.zone, []).append(peer.host)
         relays, passed_on = [], set()
         for hosts in zones.values():
+            if len(hosts) < MIN_RELAYED_ROUTERS:
+                continue
             relays.append(rank_hosts(hosts, self.own_host.encode())[0])
             passed_on.update(hosts)
         direct = tuple(host for host in self.hosts if host not in passed_on)
