A crowded router may use connections that other routers leave unused

Cause: an engine's 350 connections are divided evenly, 12 for each router; callers crowd some routers, whose requests go to the engines that keep the parts of their prompts.

Change: a router may exceed its even share while all routers together have fewer requests at the endpoint than a third of its limit. The others keep their shares.

Test: one router uses all slots of an endpoint (failed before), even shares hold, and whoever sends in whatever order, all together stay below four thirds of the limit; the endpoint resets the excess, as it did before.

--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -16,6 +16,10 @@
 # routers together then exceed its limit; the endpoint resets the excess.
 MIN_CONNECTIONS: Final = 8
 
+# Callers crowd some routers.  A router may exceed its even share while the
+# requests of all routers at an endpoint are fewer than this part of its limit.
+SHARED_FRACTION: Final = 1.0 / 3.0
+
 
 @dataclass(slots=True)
 class EndpointConnections:
@@ -41,7 +45,7 @@
             pool = Pool(entry.host, entry.port, self.clock)
             self._pools[endpoint.name] = pool
         # The number of routers and the configured limit may have changed.
-        pool.options = self._options(endpoint.entry.service)
+        pool.options = self._options(endpoint)
         return pool
 
     def remove(self, endpoint: str) -> None:
@@ -58,10 +62,11 @@
         for pool in self._pools.values():
             pool.expire_idle()
 
-    def _options(self, service: str) -> PoolOptions:
+    def _options(self, endpoint: Endpoint) -> PoolOptions:
         """Return the options for this router's share of the limit."""
-        limit = self.limit(service)
+        limit = self.limit(endpoint.entry.service)
         if limit is None:
             return PoolOptions(max_connections=DEFAULT_CONNECTIONS)
-        share = limit // self.routers()
-        return PoolOptions(max_connections=max(MIN_CONNECTIONS, share))
+        share = max(MIN_CONNECTIONS, limit // self.routers())
+        unused = int(limit * SHARED_FRACTION) - endpoint.outstanding
+        return PoolOptions(max_connections=share + max(0, unused))
