--- a/src/bulrushstream/daemon/originrecords.py
+++ b/src/bulrushstream/daemon/originrecords.py
@@ -25,7 +25,9 @@
 from bulrushstream.protocol.origincodec import decode_origins, encode_origins
 from bulrushstream.state.streamorigin import StreamOrigin
 
+# The pause before a failed call is repeated; it doubles up to the second.
 RETRY_S: Final = 0.2
+MAX_RETRY_S: Final = 1.6
 
 # Reads of all routers together take up at most this share of the calls that
 # the store accepts.
@@ -84,6 +86,7 @@
         repeated one as it did the first.
         """
         self._turn = replace(self._turn, number=self._turn.number + 1)
+        pause_s = RETRY_S
         while True:
             try:
                 await self.store.append(
@@ -97,7 +100,8 @@
                 pass
             else:
                 return
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(MAX_RETRY_S, 2 * pause_s)
 
     async def read(self) -> None:
         """Read what other routers wrote, when asked, until cancelled."""
