Appends of origins are repeated at least each 0.4 s

With pauses of up to 1.6 s the origins of an outage were not in the store half a second after its end: test_origins_that_were_held_up_are_written_later failed on the commit before.

--- a/src/bulrushstream/daemon/originrecords.py
+++ b/src/bulrushstream/daemon/originrecords.py
@@ -25,9 +25,10 @@
 from bulrushstream.protocol.origincodec import decode_origins, encode_origins
 from bulrushstream.state.streamorigin import StreamOrigin
 
-# The pause before a failed call is repeated; it doubles up to the second.
+# The pause before a failed call is repeated; it doubles up to the
+# second.
 RETRY_S: Final = 0.2
-MAX_RETRY_S: Final = 1.6
+MAX_RETRY_S: Final = 0.4
 
 # Reads of all routers together take up at most this share of the calls that
 # the store accepts.
