--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -17,12 +17,7 @@
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.daemon.suspectlist import encode_suspects
 from bulrushstream.daemon.versionrecords import VersionRecords
-from bulrushstream.daemon.watch import (
-    Snapshot,
-    TopicWatch,
-    list_interval_s,
-    run_periodically,
-)
+from bulrushstream.daemon.watch import Snapshot, TopicWatch, run_periodically
 from bulrushstream.metrics import CONTENT_TYPE, encode_metrics
 from bulrushstream.protocol.dialect import DocumentError
 from bulrushstream.protocol.keyedstore import KeyedRecord, StoreError
@@ -34,6 +29,10 @@
 from bulrushstream.transport.listening import open_listener
 from bulrushstream.transport.udp import open_udp
 
+# Minimum time between reads of the endpoints' topic.  It changes often, and
+# a change matters only within seconds, so several are read at once.
+ENDPOINTS_INTERVAL_S: Final = 0.6
+
 # How often the routers' topic is read for routers that sent no update yet.
 ROUTERS_INTERVAL_S: Final = 15.0
 
@@ -134,16 +133,11 @@
         )
         topics = self._dialect.topics
         self._watch(
-            topics.config,
-            lambda: 0.0,
-            self._handle_config,
-            front.freshness.confirm,
+            topics.config, 0.0, self._handle_config, front.freshness.confirm
         )
         self._watch(
             topics.endpoints,
-            lambda: list_interval_s(
-                front.peers.router_count, self._settings.drain_s
-            ),
+            ENDPOINTS_INTERVAL_S,
             self._handle_endpoints,
             front.streams.history.list_read,
         )
@@ -272,7 +266,7 @@
     def _watch(
         self,
         topic: str,
-        interval_s: Callable[[], float],
+        interval_s: float,
         handle: Callable[[Snapshot | KeyedRecord], None],
         on_confirmed: Callable[[float], None] = lambda _: None,
     ) -> None:
--- a/src/bulrushstream/daemon/watch.py
+++ b/src/bulrushstream/daemon/watch.py
@@ -22,13 +22,6 @@
 # confirmation dates from when its read was sent, so this limits its age.
 WAIT_S: Final = 1.5
 
-# Time between two reads of a topic that changes often: several changes are
-# read at once, and the fleet makes no more calls as it grows, as far as the
-# bound on endpoints that leave allows.
-MIN_LIST_INTERVAL_S: Final = 0.6
-LIST_READS_PER_S: Final = 22.0  # Of all routers together.
-MAX_LIST_DRAIN_SHARE: Final = 0.4
-
 MIN_PAUSE_S: Final = 0.1
 MAX_PAUSE_S: Final = 0.8
 
@@ -46,8 +39,7 @@
 
     store: KeyedStore
     topic: str
-    # Returns the minimum time between the starts of two reads.
-    interval_s: Callable[[], float]
+    interval_s: float  # The minimum time between the starts of two reads.
     clock: Callable[[], float]  # Also runs while suspended; seconds.
     handle: Callable[[Snapshot | KeyedRecord], None]  # Receives what was read.
     # Called when nothing newer is left, with the time the read was sent.
@@ -98,22 +90,11 @@
         if batch.next_offset == batch.end_offset:
             self.on_confirmed(sent_s)
         elapsed_s = self.clock() - sent_s
-        pause_s = self.interval_s() - elapsed_s
-        if pause_s > 0.0:
-            await asyncio.sleep(pause_s)
+        if elapsed_s < self.interval_s:
+            await asyncio.sleep(self.interval_s - elapsed_s)
         return batch.next_offset
 
 
-def list_interval_s(routers: int, drain_s: float) -> float:
-    """Return the time between two reads of the endpoint list, in seconds.
-
-    :param routers: how many routers read it
-    :param drain_s: how long requests may still reach an endpoint that leaves
-    """
-    most_s = max(MIN_LIST_INTERVAL_S, MAX_LIST_DRAIN_SHARE * drain_s)
-    return min(most_s, max(MIN_LIST_INTERVAL_S, routers / LIST_READS_PER_S))
-
-
 async def run_periodically(
     interval_s: float, action: Callable[[], Awaitable[None] | None]
 ) -> None:
--- a/src/bulrushstream/platform/nodefile.py
+++ b/src/bulrushstream/platform/nodefile.py
@@ -30,7 +30,6 @@
 
 class _Bounds(msgspec.Struct, rename="camel"):
     grace_s: _Positive = 8.0
-    drain_ms: _Positive = 2_000.0
     revoke_ms: _Positive = 5_000.0
     strict_revoke: bool = False
     retry_budget_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.1
@@ -115,7 +114,6 @@
         retry_slack=bounds.retry_slack,
         retry_window_s=bounds.retry_window_s,
         quota_window_s=bounds.quota_window_s,
-        drain_s=bounds.drain_ms / 1000.0,
         first_start=node.bootstrap,
         store_writes_per_s=node.platform.writes_per_s,
         store_reads_per_s=node.platform.reads_per_s,
--- a/src/bulrushstream/state/nodesettings.py
+++ b/src/bulrushstream/state/nodesettings.py
@@ -35,8 +35,6 @@
     retry_slack: float  # Retries allowed in addition to the ratio.
     retry_window_s: float  # The window in which retries are counted.
     quota_window_s: float  # The window of a workspace's quota.
-    # How long requests may still reach an endpoint that leaves.
-    drain_s: float = 2.0
     # Whether the whole system starts for the first time.
     first_start: bool = True
     # The calls that the store accepts from all routers, and the partitions
