A stored origin is believed only if it was read since the take-up

Cause, found by reading: a router that has read the store before an attempt failed keeps the version of that attempt, though the next one began the stream elsewhere and only then its origin was written. It believed that for 30 s, and told it to routers that asked.

Change: what the store says is kept apart from what peers tell, is told to nobody, and counts only after a read that was sent since the stream is taken up. Reads of all routers may take a fifth of the calls, so that one comes within the time that a take-up waits.

Test: test_what_was_read_earlier_is_not_told_or_believed_unasked.

--- a/src/bulrushstream/coordination/streamorigins.py
+++ b/src/bulrushstream/coordination/streamorigins.py
@@ -93,6 +93,9 @@
     notifier: OriginNotifier | None = None  # None: not connected to peers.
     _own: OrderedDict[int, OwnStream] = field(default_factory=OrderedDict)
     _told: OrderedDict[int, KnownOrigin] = field(default_factory=OrderedDict)
+    _stored: OrderedDict[int, KnownOrigin] = field(
+        default_factory=OrderedDict
+    )  # As read from the store.
     # Called with the origin of a stream that is asked for.
     _waiting: dict[int, list[Callable[[KnownOrigin], None]]] = field(
         default_factory=dict
@@ -179,10 +182,11 @@
                 break
             if stream not in running:
                 del self._own[stream]
-        for stream, known in list(self._told.items()):
-            if known.age_s(now_s) <= KEEP_S:
-                break
-            del self._told[stream]
+        for origins in (self._told, self._stored):
+            for stream, known in list(origins.items()):
+                if known.age_s(now_s) <= KEEP_S:
+                    break
+                del origins[stream]
 
     # --- Take-ups.
 
@@ -200,9 +204,9 @@
             )
             return KnownOrigin(origin, "", now_s)
         known = self._told.get(stream)
-        if known is None or not known.origin.version:
+        if known is None or known.age_s(now_s) > KEEP_S:
             return None
-        return known if known.age_s(now_s) <= KEEP_S else None
+        return known
 
     def ask(
         self, stream: int, answered: Callable[[KnownOrigin], None]
@@ -253,15 +257,30 @@
     def apply_stored(
         self, origins: Iterable[StreamOrigin], now_s: float
     ) -> None:
-        """Keep origins that the store has, unless a peer told them.
+        """Keep origins that the store has.
 
         :param origins: the newest origin of each stream
         :param now_s: the time
         """
         for origin in origins:
-            known = self._told.get(origin.stream)
-            if known is None or known.reporter == STORE:
-                self._keep(KnownOrigin(origin, STORE, now_s))
+            self._stored[origin.stream] = KnownOrigin(origin, STORE, now_s)
+            self._stored.move_to_end(origin.stream)
+        while len(self._stored) > MAX_STREAMS:
+            self._stored.popitem(last=False)
+
+    def find_stored(self, stream: int, now_s: float) -> KnownOrigin | None:
+        """Return where the store says that a stream began; None: nowhere.
+
+        It holds only if the store was read since the stream is taken up: an
+        attempt at another version may have followed the one that it names.
+
+        :param stream: the stream's digest
+        :param now_s: the time
+        """
+        known = self._stored.get(stream)
+        if known is None or not known.origin.version:
+            return None
+        return known if known.age_s(now_s) <= KEEP_S else None
 
     # --- Peers.
 
@@ -272,24 +291,19 @@
         :param now_s: the time
         """
         for origin in update.origins:
-            self._keep(KnownOrigin(origin, update.instance, now_s))
+            known = KnownOrigin(origin, update.instance, now_s)
+            self._told[origin.stream] = known
+            self._told.move_to_end(origin.stream)
+            for answered in self._waiting.pop(origin.stream, ()):
+                answered(known)
+        while len(self._told) > MAX_STREAMS:
+            self._told.popitem(last=False)
         for stream in update.asked_origins:
             found = self.find(stream, now_s)
             if found is not None and self.notifier is not None:
                 origin = replace(found.origin, age_s=found.age_s(now_s))
                 self.notifier.send_origin(update.host, origin)
 
-    def _keep(self, known: KnownOrigin) -> None:
-        """Keep an origin, and tell who waits for it."""
-        stream = known.origin.stream
-        self._told[stream] = known
-        self._told.move_to_end(stream)
-        if len(self._told) > MAX_STREAMS:
-            self._told.popitem(last=False)
-        if known.origin.version:
-            for answered in self._waiting.pop(stream, ()):
-                answered(known)
-
 
 def stream_digest(workspace: str, request_id: str) -> int:
     """Return the digest of a stream, a signed 64-bit number.
--- a/src/bulrushstream/daemon/originrecords.py
+++ b/src/bulrushstream/daemon/originrecords.py
@@ -32,7 +32,7 @@
 
 # Reads of all routers together take up at most this share of the calls that
 # the store accepts.
-MAX_READ_SHARE: Final = 0.1
+MAX_READ_SHARE: Final = 0.2
 MIN_READ_INTERVAL_S: Final = 0.1
 
 
--- a/src/bulrushstream/daemon/takeups.py
+++ b/src/bulrushstream/daemon/takeups.py
@@ -99,14 +99,19 @@
         """Ask again, or refuse the request."""
         assert self.stream is not None
         streams = self.front.streams
-        asked_for_s = self.front.clock() - self._asked_s
-        if streams.history.shows_one_version(self.forward.route):
+        now_s = self.front.clock()
+        asked_for_s = now_s - self._asked_s
+        read_since = streams.stored_read_s >= self._asked_s
+        stored = streams.origins.find_stored(self.stream, now_s)
+        if stored is not None and read_since:
+            self._answered(stored)
+        elif streams.history.shows_one_version(self.forward.route):
             self.cancel()
             self._start_at_one_version()
         elif asked_for_s < ASK_TIMEOUT_S:
             streams.origins.ask_again(self.stream)
             self._wait()
-        elif streams.stored_read_s >= self._asked_s:
+        elif read_since:
             self.cancel()
             self._refuse("neither a router nor the store knows the stream")
         elif asked_for_s < STORE_TIMEOUT_S:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -16,11 +16,14 @@
     OriginQueue,
     write_interval_s,
 )
+from bulrushstream.coordination.streamorigins import StreamOrigins
 from bulrushstream.coordination.versionhistory import KEEP_S
 from bulrushstream.platform.store import StoreClient
 from bulrushstream.protocol.keyedstore import OutOfTurnError, StoreError, Turn
 from bulrushstream.protocol.origincodec import decode_origins, encode_origins
 from bulrushstream.standins.keyedlog import KeyedLog
+from bulrushstream.state.peerupdate import PeerUpdate
+from bulrushstream.state.streamorigin import StreamOrigin
 from bulrushstream.transport.upstream import Pool
 from tests.builders import an_origin
 from tests.test_stream_versions import HALF, RELEASE, all_killed
@@ -94,6 +97,40 @@
         assert calls_per_s <= 0.2 * writes_per_s * 1.001
 
 
+class StoredSuite:
+    """Origins that were read from the store."""
+
+    def test_what_was_read_earlier_is_not_told_or_believed_unasked(
+        self,
+    ) -> None:
+        """Guards against the origin of an attempt that another one followed.
+
+        A router reads the store, the first attempt of a stream fails, and
+        its next one begins it at another version.
+        """
+        origins = StreamOrigins("10.0.0.1", tuple)
+        origins.apply_stored((an_origin(1, "v1"),), 0.0)
+        assert origins.find(1, 0.1) is None
+        told: list[StreamOrigin] = []
+
+        class Notifier:
+            def send_origin(self, host: str, origin: StreamOrigin) -> None:
+                told.append(origin)
+
+            def ask_origin(self, host: str, stream: int) -> None:
+                pass
+
+        origins.notifier = Notifier()
+        asked = PeerUpdate("front-2", 1, "10.0.0.2", asked_origins=(1,))
+        origins.apply_update(asked, 0.1)
+        assert told == []
+        origins.apply_stored((an_origin(1, "v2"),), 0.2)
+        stored = origins.find_stored(1, 0.2)
+        assert stored is not None
+        assert stored.origin.version == "v2"
+        assert origins.find_stored(1, KEEP_S + 1.0) is None
+
+
 class CodecSuite:
     def test_records_of_several_versions(self) -> None:
         origins = {an_origin(-(2**63)), an_origin(7, "v2"), an_origin(8, "")}
