A stop ends requests in their order of arrival

Cause: a router kept its requests in a set of objects, whose order follows their addresses.

Change: an ordered dictionary.

--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -135,7 +135,8 @@
         if not settings.first_start:
             slack_from_s = self.clock() + settings.retry_window_s
             self.retry_quota.slack_from_s = slack_from_s
-        self.forwards: set[Forward] = set()
+        # In order of arrival, so that a stop ends them in that order.
+        self.forwards: dict[Forward, None] = {}
         self.connections = EndpointConnections(
             self.clock, self._connection_limit, lambda: self.peers.router_count
         )
@@ -242,7 +243,7 @@
                 retry_after_s,
             )
             return
-        self.forwards.add(forward)
+        self.forwards[forward] = None
         self.retry_quota.count_request(forward.service, now_s)
         if call.prompt is not None and workspace:
             tokens = call.prompt.quota_tokens
@@ -412,7 +413,7 @@
         :param outcome: whether an endpoint ran it
         :param code: the HTTP status or message code that the caller got
         """
-        self.forwards.discard(forward)
+        self.forwards.pop(forward, None)
         now_s = self.clock()
         if outcome is Outcome.RAN and forward.attempt is not None:
             safeguards.request_ran(self.fleet_state, forward.attempt, now_s)
