--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -10,11 +10,10 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Final, Protocol
+from typing import Final
 
 from bulrushstream.coordination.crashsuspects import (
     CrashSuspects,
-    SuspectNotifier,
 )
 from bulrushstream.coordination.endpointlimits import EndpointLimits
 from bulrushstream.coordination.endpointnotices import EndpointNotices
@@ -24,18 +23,16 @@
 )
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S, FleetView
-from bulrushstream.coordination.partreports import PartNotifier
 from bulrushstream.coordination.partsuspects import PartSuspects
+from bulrushstream.coordination.peernotifier import PeerNotifier
 from bulrushstream.coordination.peerusage import PeerUsage, UsageChange
 from bulrushstream.coordination.routerpresence import SILENT_S
 from bulrushstream.coordination.streamversions import (
     StreamVersions,
-    VersionNotifier,
 )
 from bulrushstream.coordination.usagecounter import UsageCounter, add_tokens
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.peerupdate import (
-    EndpointLimit,
     FirstEvent,
     PeerUpdate,
     RepeatedReports,
@@ -62,34 +59,6 @@
 MIN_PREFILL_RATE: Final = 2_000.0
 MAX_PREFILL_RATE: Final = 500_000.0
 
-
-class PeerNotifier(SuspectNotifier, PartNotifier, VersionNotifier, Protocol):
-    """Reports this router's changes to the other routers."""
-
-    def report_placed(self, placed: RequestPlaced) -> None:
-        """Report that a request was sent to an endpoint."""
-
-    def report_started(self, started: FirstEvent) -> None:
-        """Report that the first event of a request arrived."""
-
-    def report_ended(self, call: int) -> None:
-        """Report that a request ended."""
-
-    def report_usage(
-        self, workspace: str, requested: int, granted: int
-    ) -> None:
-        """Report the demand and the grants of a workspace, in tokens."""
-
-    def repeat_usage(self) -> None:
-        """Report the usage of all workspaces again, for a new peer."""
-
-    def report_limit(self, limit: EndpointLimit) -> None:
-        """Report a limit that an endpoint names, or that has ended."""
-
-    def report_leaving(self, endpoint: str) -> None:
-        """Report that an endpoint says that it leaves."""
-
-
 # The interval between sweeps, and the gap between two sweeps above which
 # the process counts as having stalled.
 SWEEP_INTERVAL_S: Final = 0.25
--- /dev/null
+++ b/src/bulrushstream/coordination/peernotifier.py
@@ -0,0 +1,41 @@
+"""What a router reports of its own changes to the other routers."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from bulrushstream.coordination.crashsuspects import SuspectNotifier
+from bulrushstream.coordination.partreports import PartNotifier
+from bulrushstream.coordination.streamversions import VersionNotifier
+from bulrushstream.state.peerupdate import (
+    EndpointLimit,
+    FirstEvent,
+    RequestPlaced,
+)
+
+
+class PeerNotifier(SuspectNotifier, PartNotifier, VersionNotifier, Protocol):
+    """Reports this router's changes to the other routers."""
+
+    def report_placed(self, placed: RequestPlaced) -> None:
+        """Report that a request was sent to an endpoint."""
+
+    def report_started(self, started: FirstEvent) -> None:
+        """Report that the first event of a request arrived."""
+
+    def report_ended(self, call: int) -> None:
+        """Report that a request ended."""
+
+    def report_usage(
+        self, workspace: str, requested: int, granted: int
+    ) -> None:
+        """Report the demand and the grants of a workspace, in tokens."""
+
+    def repeat_usage(self) -> None:
+        """Report the usage of all workspaces again, for a new peer."""
+
+    def report_limit(self, limit: EndpointLimit) -> None:
+        """Report a limit that an endpoint names, or that has ended."""
+
+    def report_leaving(self, endpoint: str) -> None:
+        """Report that an endpoint says that it leaves."""
--- /dev/null
+++ b/src/bulrushstream/daemon/fleetsetup.py
@@ -0,0 +1,63 @@
+"""Puts together what a router knows of the fleet."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from bulrushstream.coordination.crashids import CrashIds
+from bulrushstream.coordination.crashsuspects import CrashSuspects
+from bulrushstream.coordination.endpointlimits import EndpointLimits
+from bulrushstream.coordination.endpointnotices import EndpointNotices
+from bulrushstream.coordination.fairshare import FairShares
+from bulrushstream.coordination.fleetstate import CALL_NUMBER_BITS, FleetState
+from bulrushstream.coordination.fleetview import FleetView
+from bulrushstream.coordination.partsuspects import PartSuspects
+from bulrushstream.coordination.parttrials import PartTrials
+from bulrushstream.coordination.routerpresence import RouterPresence
+from bulrushstream.coordination.streamorigins import StreamOrigins
+from bulrushstream.coordination.streamversions import StreamVersions
+from bulrushstream.coordination.versionhistory import VersionHistory
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.nodesettings import NodeSettings
+
+
+def make_fleet_state(
+    settings: NodeSettings,
+    peers: FleetView,
+    clock: Callable[[], float],
+    boot_clock: Callable[[], float],
+    rng: random.Random,
+    observe: Callable[[Decision], None],
+) -> FleetState:
+    """Return the state of a fleet of which nothing is known yet.
+
+    :param settings: the router's settings
+    :param peers: the other routers
+    :param clock: the event loop's time, in seconds
+    :param boot_clock: the same, also while suspended
+    :param rng: the source of all randomness
+    :param observe: logs a decision
+    """
+    crash_ids = CrashIds()
+    return FleetState(
+        peers,
+        FairShares(settings.quota_window_s),
+        rng.getrandbits(38) << CALL_NUMBER_BITS,
+        CrashSuspects(observe, crash_ids=crash_ids),
+        PartSuspects(
+            observe,
+            crash_ids,
+            PartTrials(settings.host, peers.live_hosts),
+        ),
+        EndpointLimits(
+            observe,
+            RouterPresence(clock(), lambda: peers.router_count),
+            rng,
+        ),
+        StreamVersions(
+            VersionHistory(observe, boot_clock),
+            StreamOrigins(settings.host, peers.live_hosts),
+        ),
+        EndpointNotices(observe),
+    )
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -14,26 +14,15 @@
 
 from bulrushstream import messages
 from bulrushstream.coordination.crashevidence import BrokenRun
-from bulrushstream.coordination.crashids import CrashIds
-from bulrushstream.coordination.crashsuspects import CrashSuspects
-from bulrushstream.coordination.endpointlimits import EndpointLimits
-from bulrushstream.coordination.endpointnotices import EndpointNotices
 from bulrushstream.coordination.endpointpool import Endpoint
-from bulrushstream.coordination.fairshare import FairShares
-from bulrushstream.coordination.fleetstate import CALL_NUMBER_BITS, FleetState
 from bulrushstream.coordination.fleetview import FleetView
 from bulrushstream.coordination.freshness import Freshness
-from bulrushstream.coordination.partsuspects import PartSuspects
-from bulrushstream.coordination.parttrials import PartTrials
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
-from bulrushstream.coordination.routerpresence import RouterPresence
 from bulrushstream.coordination.routetable import RouteTable, pick_service
-from bulrushstream.coordination.streamorigins import StreamOrigins
-from bulrushstream.coordination.streamversions import StreamVersions
-from bulrushstream.coordination.versionhistory import VersionHistory
 from bulrushstream.daemon import dispatch, runwatch, safeguards, takeups
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashwatch import CrashWatch
+from bulrushstream.daemon.fleetsetup import make_fleet_state
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics
@@ -97,27 +86,13 @@
         self.draining = False
         self.refusing_requests = False
         self.peers = FleetView(settings.host, settings.availability_zone)
-        crash_ids = CrashIds()
-        self.fleet_state = FleetState(
+        self.fleet_state = make_fleet_state(
+            settings,
             self.peers,
-            FairShares(settings.quota_window_s),
-            self.rng.getrandbits(38) << CALL_NUMBER_BITS,
-            CrashSuspects(deps.observe, crash_ids=crash_ids),
-            PartSuspects(
-                deps.observe,
-                crash_ids,
-                PartTrials(settings.host, self.peers.live_hosts),
-            ),
-            EndpointLimits(
-                deps.observe,
-                RouterPresence(self.clock(), lambda: self.peers.router_count),
-                self.rng,
-            ),
-            StreamVersions(
-                VersionHistory(deps.observe, self.boot_clock),
-                StreamOrigins(settings.host, self.peers.live_hosts),
-            ),
-            EndpointNotices(deps.observe),
+            deps.clock,
+            deps.boot_clock,
+            deps.rng,
+            deps.observe,
         )
         self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
@@ -125,13 +100,7 @@
         self.freshness = Freshness(
             float("inf") if limit_s is None else limit_s
         )
-        self.retry_quota = RetryQuota(
-            RetryLimits(
-                settings.retry_ratio,
-                settings.retry_slack,
-                settings.retry_window_s,
-            )
-        )
+        self.retry_quota = RetryQuota(_retry_limits(settings))
         if not settings.first_start:
             slack_from_s = self.clock() + settings.retry_window_s
             self.retry_quota.slack_from_s = slack_from_s
@@ -192,11 +161,7 @@
         self.settings = settings
         limit_s = settings.revocation_limit_s
         self.freshness.max_age_s = float("inf") if limit_s is None else limit_s
-        self.retry_quota.limits = RetryLimits(
-            settings.retry_ratio,
-            settings.retry_slack,
-            settings.retry_window_s,
-        )
+        self.retry_quota.limits = _retry_limits(settings)
         self.fleet_state.shares.window_s = settings.quota_window_s
 
     # --- Requests.
@@ -508,3 +473,12 @@
                 inputs={**(inputs or {}), **self._common_inputs()},
             )
         )
+
+
+def _retry_limits(settings: NodeSettings) -> RetryLimits:
+    """Return the fleet's budget of retries."""
+    return RetryLimits(
+        settings.retry_ratio,
+        settings.retry_slack,
+        settings.retry_window_s,
+    )
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -9,15 +9,20 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
-from typing import Any, Final, cast
+from typing import Final, cast
 
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.front import Front, FrontDeps
 from bulrushstream.daemon.versionrecords import version_tasks
+from bulrushstream.history.routingconnections import (
+    CallerConnection,
+    DatagramSender,
+    RouterConnections,
+)
 from bulrushstream.history.routingendpoint import Attempt
 from bulrushstream.history.routingplan import (
     END_S,
@@ -46,13 +51,11 @@
     Run,
 )
 from bulrushstream.history.simulatedstore import SimulatedStore
-from bulrushstream.history.singleusepool import SingleUsePool
 from bulrushstream.metrics import make_metrics
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.routes import (
     RouteConfig,
 )
-from bulrushstream.transport.connection import Sink
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
 from bulrushstream.transport.ingress import ClientConnection, Exchange
 
@@ -62,97 +65,6 @@
 STORE_DELAY_S: Final = 0.02  # The store's latency, each way.
 
 
-class _CallerConnection:
-    """A caller's connection; see `ClientConnection`."""
-
-    closing = False
-    accepts_chunked = True
-
-    def __init__(
-        self,
-        reply: Reply,
-        clock: Callable[[], float],
-        broken_off: Callable[[], None],
-    ) -> None:
-        self._reply = reply
-        self._clock = clock
-        self._broken_off = broken_off
-
-    def write(self, data: bytes) -> None:
-        """Record the bytes that the router writes."""
-        self._reply.data += data
-
-    def has_peer_closed(self) -> bool:
-        """Return whether the caller has closed; it is told at once."""
-        return False
-
-    def exchange_finished(self, exchange: Exchange) -> None:
-        """Record the end of an answer."""
-        del exchange
-        self._reply.end_count += 1
-        self._reply.ended_s = self._clock()
-
-    def abort(self) -> None:
-        """Record that the router closed the connection."""
-        self._reply.aborted = True
-        self._reply.ended_s = self._clock()
-        self._broken_off()
-
-
-@dataclass(slots=True)
-class _Pool(SingleUsePool):
-    """One router's connections to an endpoint; stands in for `Pool`."""
-
-    fleet: RoutingFleet
-    router: int
-    endpoint: str
-
-    def send(
-        self, method: bytes, sink: Sink, *, fresh: bool, reuse: bool
-    ) -> Attempt:
-        """Send a request."""
-        del method, fresh, reuse
-        self.fleet.check_not_draining(self.router, self.endpoint)
-        return Attempt(self.fleet, self.router, self.endpoint, sink)
-
-
-@dataclass(slots=True)
-class _EndpointConnections:
-    """One router's connections; stands in for `EndpointConnections`."""
-
-    fleet: RoutingFleet
-    router: int
-
-    def pool_for(self, endpoint: Any) -> _Pool:
-        """Return the connections to an endpoint."""
-        return _Pool(self.fleet, self.router, endpoint.name)
-
-    def remove(self, endpoint: str) -> None:
-        """Do nothing: there are no idle connections."""
-
-    def expire_idle(self) -> None:
-        """Do nothing: there are no idle connections."""
-
-
-@dataclass(slots=True)
-class _DatagramSender:
-    """One router's socket; stands in for `UdpSocket`."""
-
-    fleet: RoutingFleet
-    router: int
-
-    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
-        """Send a datagram."""
-        self.fleet.send_datagram(self.router, address[0], data)
-
-    def close(self) -> None:
-        """Close the socket."""
-
-    def is_closing(self) -> bool:
-        """Return whether the socket is closed."""
-        return False
-
-
 class RoutingFleet:
     """The routers of a run and the history that they produce."""
 
@@ -348,7 +260,7 @@
         first = self._incarnations[number] == 1
         front = Front(replace(settings, first_start=first), deps)
         front.connections = cast(
-            EndpointConnections, _EndpointConnections(self, number)
+            EndpointConnections, RouterConnections(self, number)
         )
         port = PeerSocket(
             PeerUpdate(
@@ -359,7 +271,7 @@
             lambda kind, text: None,
         )
         front.connect_peers(port)
-        port.attach(_DatagramSender(self, number))
+        port.attach(DatagramSender(self, number))
         self.fronts.append(front)
         self.ports.append(port)
         for work in version_tasks(self._store, front):
@@ -463,7 +375,7 @@
         front = self.fronts[request.router]
         reply = Reply(request, loop.time(), front.boot_clock(), after)
         self.history.replies[request_id] = reply
-        caller = _CallerConnection(
+        caller = CallerConnection(
             reply, loop.time, lambda: self._take_up(request_id, reply)
         )
         exchange = Exchange(cast(ClientConnection, caller))
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -10,23 +10,19 @@
 import asyncio
 import re
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 from random import Random
 from typing import Final
 
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
-from bulrushstream.daemon.front import Front, FrontDeps
-from bulrushstream.history.routingplatform import host_of, settings_of
-from bulrushstream.metrics import make_metrics
-from bulrushstream.platform.dialect import PLATFORM
+from bulrushstream.daemon.front import Front
 from bulrushstream.state.effect import Decision
-from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.routes import (
     EndpointEntry,
 )
-from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
+from bulrushstream.transport.datagrams import HEARTBEAT_S
 from bulrushstream.transport.ingress import Exchange
 from tests.crashingendpoints import (
     After,
@@ -43,8 +39,8 @@
     Repeats,
     RouterFault,
     Sent,
-    crash_config,
 )
+from tests.crashrouters import Router, make_router
 from tests.simulatedcallers import DEFAULT_PREFIX, Caller, an_exchange
 from tests.virtualnetwork import NetworkLoop, run_in_network
 
@@ -56,34 +52,6 @@
 _CODE: Final = re.compile(rb"B[0-9]{3}")
 
 
-@dataclass(slots=True)
-class _DatagramSender:
-    """One router's socket; stands in for `UdpSocket`."""
-
-    fleet: CrashFleet
-    router: int
-    closed: bool = False
-
-    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
-        if not self.closed:
-            self.fleet.send_datagram(self.router, address[0], data)
-
-    def close(self) -> None:
-        self.closed = True
-
-    def is_closing(self) -> bool:
-        return self.closed
-
-
-@dataclass(slots=True)
-class Router:
-    """One process of a router."""
-
-    front: Front
-    port: PeerSocket
-    running: bool = True
-
-
 class CrashFleet:
     """The routers and endpoints of one run."""
 
@@ -365,33 +333,18 @@
         def observe(decision: Decision) -> None:
             self.history.decisions.append((loop.time(), number, decision))
 
-        deps = FrontDeps(
-            dialect=PLATFORM,
-            clock=loop.time,
-            boot_clock=loop.time,
-            rng=Random(self.plan.seed * 1000 + number),
-            metrics=make_metrics(),
-            observe=observe,
-            report=lambda kind, text: None,
-            report_shares=lambda report: None,
-        )
-        front = Front(settings_of(number, self.plan.routers), deps)
-        identity = PeerUpdate(
-            f"front-{number}", self._incarnations[number], host_of(number)
-        )
-        port = PeerSocket(
-            identity,
-            1,
-            lambda update: front.fleet_state.apply_update(update, loop.time()),
-            lambda kind, text: None,
+        router = make_router(
+            number,
+            self._incarnations[number],
+            self.plan,
+            loop.time,
+            observe,
+            partial(self.send_datagram, number),
         )
-        front.connect_peers(port)
-        port.attach(_DatagramSender(self, number))
-        platformupdates.apply_config(front, crash_config())
+        front, port = router.front, router.port
         for entry in self.entries.values():
             platformupdates.apply_entry(front, entry)
         front.endpoints_listed = True
-        router = Router(front, port)
         self._follow_store(router)
 
         def repeat(interval_s: float, step: Callable[[], None]) -> None:
--- a/tests/test_zone_relays.py
+++ b/tests/test_zone_relays.py
@@ -14,7 +14,7 @@
 import pytest
 
 from bulrushstream.coordination.fleetview import FleetView
-from bulrushstream.history.virtualloop import VirtualLoop
+from bulrushstream.history.virtualloop import run_virtually
 from bulrushstream.protocol.peercodec import encode_update
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
@@ -114,15 +114,6 @@
         pass
 
 
-def run(work: object) -> None:
-    """Run a coroutine in virtual time."""
-    loop = VirtualLoop()
-    try:
-        loop.run_until_complete(work)  # type: ignore[arg-type]
-    finally:
-        loop.close()
-
-
 class ZoneRelaySuite:
     @pytest.mark.parametrize("routers", (4, 27, 68))
     def test_all_routers_are_told_once_each_zone(self, routers: int) -> None:
@@ -134,7 +125,7 @@
             await asyncio.sleep(0.02)
             assert fleet.untold(7) == []
 
-        run(work())
+        assert run_virtually(work()) == []
 
     @pytest.mark.parametrize("routers", (27, 68))
     def test_bytes_between_zones_grow_with_the_routers(
@@ -154,7 +145,7 @@
             heartbeats = routers * routers * 2.0 / HEARTBEAT_S * 300
             assert spent <= calls * 3 * 220 + heartbeats
 
-        run(work())
+        assert run_virtually(work()) == []
 
     def test_a_relay_that_ended_is_replaced(self) -> None:
         async def work() -> None:
@@ -169,7 +160,7 @@
             await asyncio.sleep(0.1)
             assert fleet.untold(9) == []
 
-        run(work())
+        assert run_virtually(work()) == []
 
     def test_reports_reach_all_while_a_relay_is_dead(self) -> None:
         """Guards against strikes and heartbeats that depend on a relay."""
@@ -199,7 +190,7 @@
             running = {n.number for n in fleet.nodes[1:] if n.running}
             assert mixed == running
 
-        run(work())
+        assert run_virtually(work()) == []
 
     def test_hosts_of_unknown_zone_are_told_directly(self) -> None:
         view = FleetView("10.0.0.1", "a")
@@ -258,4 +249,4 @@
             text = b"".join(named)
             assert all(host.encode() in text for host in hosts)
 
-        run(work())
+        assert run_virtually(work()) == []
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -13,9 +13,10 @@
 
 from bulrushstream.daemon.versionrecords import version_tasks
 from bulrushstream.history.simulatedstore import SimulatedStore
-from tests.crashfleets import CrashFleet, Router
+from tests.crashfleets import CrashFleet
 from tests.crashingendpoints import EVENTS, Endpoint, Link
 from tests.crashplans import TIMEOUT_S
+from tests.crashrouters import Router
 from tests.simulatedcallers import Caller, an_exchange
 from tests.versionplans import (
     Change,
