--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -426,7 +426,9 @@
         caller = Caller()
         exchange = an_exchange(caller, request_id, path, body, prefix)
         exchange.arrived_s = loop.time()
-        self.routers[number].front.handle(exchange)
+        router = self.routers[number]
+        if router.running:
+            router.front.handle(exchange)
         loop.call_later(leave_s, self._give_up, exchange, caller, label)
 
     def _give_up(
