Crashes of endpoints outlive the routers, in the platform's store

What callers saw: a request that crashes endpoints was sent to ever more of them (BUDGET), whenever all routers lost power at the same time.

Cause: strikes are with routers only. Peers tell those that start, but not if all of them start; the count began anew each time.

Change: each router has one record in the topic keyed.crashes: the crashes that it found, with the requests and parts of prompts then in flight that are still suspected. It is written at once when a crash is found, and within 3 s when suspects were cleared; nothing is written or read while nothing crashes. All records are read when a router starts, beside the configuration, and no request waits for that. Only a router itself writes its record, in the order of its appends, so that a late one can not undo a pardon. Expiry is by the time of day, which is wrong by seconds at most; crashes are told apart by their number under the endpoint's id.

--- a/src/bulrushstream/compose/entry.py
+++ b/src/bulrushstream/compose/entry.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import sys
+import time
 from typing import Final
 
 from bulrushstream.daemon.front import FrontDeps
@@ -64,6 +65,7 @@
         dialect=PLATFORM,
         clock=loop.time,
         boot_clock=boot_clock,
+        time_of_day=time.time,
         rng=make_rng(),
         metrics=metrics,
         observe=observe,
--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -10,11 +10,11 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Set
+from collections.abc import Callable, Iterable, Set
 from dataclasses import dataclass, field, replace
 from typing import Final, Protocol
 
-from bulrushstream.coordination.crashids import CrashIds
+from bulrushstream.coordination.crashids import CrashIds, split_id
 from bulrushstream.coordination.quarantine import (
     Quarantine,
     QuarantineOptions,
@@ -116,6 +116,18 @@
         for fingerprint in update.cleared:
             self._clear(fingerprint, update.instance, now_s)
 
+    def restore(
+        self, fingerprints: Iterable[int], crash_id: str, at_s: float
+    ) -> None:
+        """Apply strikes that were read from the store.
+
+        :param fingerprints: the requests' digests
+        :param crash_id: the id of the crash
+        :param at_s: when it was
+        """
+        for fingerprint in fingerprints:
+            self.strikes.add_strike(fingerprint, crash_id, False, at_s)
+
     def peer_appeared(self, now_s: float) -> None:
         """Report all strikes with the next heartbeats, for a new peer.
 
@@ -265,7 +277,7 @@
         struck = tuple(
             CrashSuspect(
                 fingerprint,
-                strike.strike_id.rpartition("#")[0],
+                split_id(strike.strike_id)[0],
                 strike.age_ms / 1000,
             )
             for fingerprint in self.strikes.fingerprints()
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -12,9 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from bulrushstream.coordination.crashsuspects import (
-    CrashSuspects,
-)
+from bulrushstream.coordination.crashrecords import CrashRecords
+from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointlimits import EndpointLimits
 from bulrushstream.coordination.endpointnotices import EndpointNotices
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
@@ -102,6 +101,7 @@
     limits: EndpointLimits
     streams: StreamVersions
     notices: EndpointNotices
+    crash_records: CrashRecords
     notifier: PeerNotifier | None = None  # None: not connected to peers.
     pool: EndpointPool = field(init=False)
     # Average over all engines, in tokens per second.
--- a/src/bulrushstream/coordination/partstrikes.py
+++ b/src/bulrushstream/coordination/partstrikes.py
@@ -125,6 +125,14 @@
         """
         return list(self._strikes.get(part, {}).items())
 
+    def find(self, part: int, crash_id: str) -> PartStrike | None:
+        """Return a part's strike for a crash; None: it has none.
+
+        :param part: the part's id
+        :param crash_id: the id of the crash
+        """
+        return self._strikes.get(part, {}).get(crash_id)
+
     def independent_count(self, part: int) -> int:
         """Return the number of strikes that one event can not explain.
 
--- a/src/bulrushstream/daemon/fleetsetup.py
+++ b/src/bulrushstream/daemon/fleetsetup.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from bulrushstream.coordination.crashids import CrashIds
+from bulrushstream.coordination.crashrecords import CrashRecords
 from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointlimits import EndpointLimits
 from bulrushstream.coordination.endpointnotices import EndpointNotices
@@ -29,6 +30,7 @@
     boot_clock: Callable[[], float],
     rng: random.Random,
     observe: Callable[[Decision], None],
+    time_of_day: Callable[[], float],
 ) -> FleetState:
     """Return the state of a fleet of which nothing is known yet.
 
@@ -38,18 +40,19 @@
     :param boot_clock: the same, also while suspended
     :param rng: the source of all randomness
     :param observe: logs a decision
+    :param time_of_day: Unix time, in seconds
     """
     crash_ids = CrashIds()
+    suspects = CrashSuspects(observe, crash_ids=crash_ids)
+    parts = PartSuspects(
+        observe, crash_ids, PartTrials(settings.host, peers.live_hosts)
+    )
     return FleetState(
         peers,
         FairShares(settings.quota_window_s),
         rng.getrandbits(38) << CALL_NUMBER_BITS,
-        CrashSuspects(observe, crash_ids=crash_ids),
-        PartSuspects(
-            observe,
-            crash_ids,
-            PartTrials(settings.host, peers.live_hosts),
-        ),
+        suspects,
+        parts,
         EndpointLimits(
             observe,
             RouterPresence(clock(), lambda: peers.router_count),
@@ -60,4 +63,5 @@
             StreamOrigins(settings.host, peers.live_hosts),
         ),
         EndpointNotices(observe),
+        CrashRecords(suspects, parts, time_of_day, observe),
     )
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -55,6 +55,7 @@
     dialect: Dialect  # The platform's formats and protocols.
     clock: Callable[[], float]  # The event loop's time, in seconds.
     boot_clock: Callable[[], float]  # Also runs while suspended; seconds.
+    time_of_day: Callable[[], float]  # Unix time in seconds; may be set.
     rng: random.Random  # The source of all randomness.
     metrics: Metrics
     observe: Callable[[Decision], None]  # Logs and counts a decision.
@@ -76,6 +77,7 @@
         self.dialect = deps.dialect
         self.clock = deps.clock
         self.boot_clock = deps.boot_clock
+        self.time_of_day = deps.time_of_day
         self.rng = deps.rng
         self.metrics = deps.metrics
         self.observe = deps.observe
@@ -93,6 +95,7 @@
             deps.boot_clock,
             deps.rng,
             deps.observe,
+            deps.time_of_day,
         )
         self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -12,6 +12,7 @@
 
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
+from bulrushstream.daemon.crashstore import CrashStore
 from bulrushstream.daemon.front import Front, FrontDeps
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.daemon.suspectlist import encode_suspects
@@ -100,6 +101,9 @@
         self.store = deps.dialect.make_store(
             settings.store_address, deps.clock, self._count_store_call
         )
+        self._crash_store = CrashStore(
+            self.store, self._dialect.topics.crashes, self.front
+        )
         self._incarnation = time.time_ns() // 1_000_000
 
     async def start(self) -> None:
@@ -142,6 +146,8 @@
         )
         for work in version_tasks(self.store, front):
             self._spawn(work)
+        self._spawn(self._crash_store.read())
+        self._spawn(self._crash_store.write())
         self._spawn(self._announce())
         self._spawn(run_periodically(HEARTBEAT_S, port.beat))
         self._spawn(run_periodically(SWEEP_INTERVAL_S, self._sweep))
@@ -302,6 +308,7 @@
             self._deps.observe(
                 Decision("dependency_back", "the store answers again")
             )
+            self._crash_store.rewrite()
             self._deps.metrics.degraded.labels("store").set(0)
 
     def _handle_config(self, update: Snapshot | KeyedRecord) -> None:
--- a/src/bulrushstream/daemon/originrecords.py
+++ b/src/bulrushstream/daemon/originrecords.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Final
 
 import xxhash
@@ -18,19 +18,18 @@
     write_interval_s,
 )
 from bulrushstream.daemon.front import Front
+from bulrushstream.daemon.orderedwriter import OrderedWriter
 from bulrushstream.protocol.keyedstore import (
     KeyedRecord,
     KeyedStore,
-    OutOfTurnError,
     StoreError,
     Turn,
 )
 from bulrushstream.protocol.origincodec import decode_origins, encode_origins
 from bulrushstream.state.streamorigin import StreamOrigin
 
-# The pause before a failed call is repeated; it doubles up to the second.
+# The pause before a failed read is repeated.
 RETRY_S: Final = 0.2
-MAX_RETRY_S: Final = 0.4
 
 
 @dataclass(slots=True)
@@ -42,14 +41,11 @@
     front: Front
     _queued: asyncio.Event = field(default_factory=asyncio.Event)
     _read_wanted: asyncio.Event = field(default_factory=asyncio.Event)
-    _turn: Turn = field(init=False)
     _offsets: dict[int, int] = field(default_factory=dict)  # By partition.
 
     def __post_init__(self) -> None:
         """Be told when there is something to write or to read."""
-        front, streams = self.front, self.front.streams
-        started_ms = int(front.boot_clock() * 1000)
-        self._turn = Turn(f"{front.settings.host}-{started_ms}")
+        streams = self.front.streams
         streams.on_queued = self._queued.set
         streams.request_stored = self._read_wanted.set
 
@@ -61,12 +57,16 @@
         part = (
             xxhash.xxh32_intdigest(host.encode()) % settings.store_partitions
         )
+        started_ms = int(front.boot_clock() * 1000)
+        writer = OrderedWriter(
+            self.store, self.topic, host, part, Turn(f"{host}-{started_ms}")
+        )
         while True:
             if queue.is_empty:
                 self._queued.clear()
                 await self._queued.wait()
             started_s = front.clock()
-            await self._append(host, encode_origins(queue.next_batch()), part)
+            await writer.append(encode_origins(queue.next_batch()))
             queue.written()
             interval_s = write_interval_s(
                 front.peers.router_count, settings.store_writes_per_s
@@ -74,30 +74,6 @@
             took_s = front.clock() - started_s
             await asyncio.sleep(max(0.0, interval_s - took_s))
 
-    async def _append(self, host: str, record: bytes, part: int) -> None:
-        """Append a record, once, before any later one of this process.
-
-        The store refuses a call that is carried out late, and answers a
-        repeated one as it did the first.
-        """
-        self._turn = replace(self._turn, number=self._turn.number + 1)
-        pause_s = RETRY_S
-        while True:
-            try:
-                await self.store.append(
-                    self.topic, host, record, part, self._turn
-                )
-            except OutOfTurnError:
-                # The store has forgotten earlier calls.
-                turn = self._turn
-                self._turn = replace(turn, epoch=turn.epoch + 1, number=1)
-            except StoreError:
-                pass
-            else:
-                return
-            await asyncio.sleep(pause_s)
-            pause_s = min(MAX_RETRY_S, 2 * pause_s)
-
     async def read(self) -> None:
         """Read what other routers wrote, when asked, until cancelled."""
         front, settings = self.front, self.front.settings
--- a/src/bulrushstream/daemon/safeguards.py
+++ b/src/bulrushstream/daemon/safeguards.py
@@ -119,10 +119,14 @@
     state.suspects.endpoint_crashed(
         endpoint, run.fingerprint, run.broke_s, now_s
     )
-    if run.had_just_begun:
+    parts = run.parts if run.had_just_begun else ()
+    if parts:
         state.parts.endpoint_crashed(
-            endpoint, run.parts, run.sent_s, run.broke_s, now_s
+            endpoint, parts, run.sent_s, run.broke_s, now_s
         )
+    state.crash_records.found(
+        endpoint, run.broke_s, run.fingerprint, parts, now_s
+    )
 
 
 def request_ran(state: FleetState, attempt: Attempt, now_s: float) -> None:
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -16,6 +16,7 @@
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.connections import EndpointConnections
+from bulrushstream.daemon.crashstore import CrashStore
 from bulrushstream.daemon.front import Front, FrontDeps
 from bulrushstream.daemon.versionrecords import version_tasks
 from bulrushstream.history.routingconnections import (
@@ -63,6 +64,7 @@
 TAKEN_UP_ROUTE: Final = "talk"  # Its callers take up broken streams.
 POLL_S: Final = 0.5  # Interval at which a router reads the store.
 STORE_DELAY_S: Final = 0.02  # The store's latency, each way.
+EPOCH_S: Final = 1.8e9  # The time of day at which runs begin.
 
 
 class RoutingFleet:
@@ -250,6 +252,7 @@
             dialect=DIALECT,
             clock=loop.time,
             boot_clock=lambda: loop.time() + self._boot_offset_s[number],
+            time_of_day=lambda: EPOCH_S + loop.time(),
             rng=Random(self.plan.seed + number),
             metrics=make_metrics(),
             observe=lambda decision: None,
@@ -274,7 +277,12 @@
         port.attach(DatagramSender(self, number))
         self.fronts.append(front)
         self.ports.append(port)
-        for work in version_tasks(self._store, front):
+        crashes = CrashStore(self._store, DIALECT.topics.crashes, front)
+        for work in (
+            *version_tasks(self._store, front),
+            crashes.read(),
+            crashes.write(),
+        ):
             self._tasks.append(loop.create_task(work))
         self._read_store(number)
         self._repeat(front, HEARTBEAT_S, port.beat)
--- a/src/bulrushstream/history/routingplatform.py
+++ b/src/bulrushstream/history/routingplatform.py
@@ -194,7 +194,13 @@
 
 DIALECT: Final = Dialect(
     topics=Topics(
-        "config", "config", "endpoints", "routers", "mixed", "origins"
+        "config",
+        "config",
+        "endpoints",
+        "routers",
+        "mixed",
+        "origins",
+        "crashes",
     ),
     read_settings=_unused,
     make_store=cast(Callable[..., KeyedStore], _unused),
--- a/src/bulrushstream/platform/dialect.py
+++ b/src/bulrushstream/platform/dialect.py
@@ -45,6 +45,7 @@
         routers="keyed.routers",
         service_versions="keyed.mixed",
         stream_origins="origins",
+        crashes="keyed.crashes",
     ),
     read_settings=read_node_file,
     make_store=make_store,
--- a/src/bulrushstream/protocol/dialect.py
+++ b/src/bulrushstream/protocol/dialect.py
@@ -42,6 +42,8 @@
     # there were several lately.
     service_versions: str
     stream_origins: str  # Written by routers; its records expire.
+    # Written by routers; keyed by IP number: the crashes that they found.
+    crashes: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -9,15 +9,17 @@
 
 import asyncio
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from functools import partial
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
+from bulrushstream.daemon.crashstore import CrashStore
 from bulrushstream.daemon.front import Front
+from bulrushstream.history.simulatedstore import SimulatedStore
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.routes import (
     EndpointEntry,
@@ -52,6 +54,9 @@
 _CODE: Final = re.compile(rb"B[0-9]{3}")
 
 
+StoreWork = tuple[Coroutine[Any, Any, None], ...]
+
+
 class CrashFleet:
     """The routers and endpoints of one run."""
 
@@ -69,6 +74,8 @@
         self.requests: dict[str, tuple[int, bytes]] = {}  # Router, label.
         self._loop: NetworkLoop | None = None
         self._names = 0
+        self.store = SimulatedStore()
+        self._store_tasks: dict[int, tuple[asyncio.Task[None], ...]] = {}
 
     @property
     def loop(self) -> NetworkLoop:
@@ -112,6 +119,9 @@
                     number,
                     path,
                 )
+        for begin_s, end_s in plan.store_away:
+            loop.call_later(begin_s, self.store.fail, True)
+            loop.call_later(end_s, self.store.fail, False)
         for repeats in plan.repeats:
             loop.call_later(repeats.begin_s, self._repeat, repeats, 0)
         for prompts in plan.prompts:
@@ -318,13 +328,22 @@
 
     def _stop_router(self, router: Router) -> None:
         router.running = False
+        for task in self._store_tasks.pop(id(router)):
+            task.cancel()
         router.port.close()
         for forward in list(router.front.forwards):
             forward.stop()
 
-    def _follow_store(self, router: Router) -> None:
-        """Read what routers recorded in the store: nothing, by default."""
+    def crash_work(self, router: Router) -> StoreWork:
+        """Return the tasks that read and write records of crashes."""
+        front = router.front
+        crashes = CrashStore(self.store, front.dialect.topics.crashes, front)
+        return crashes.read(), crashes.write()
+
+    def store_work(self, router: Router) -> StoreWork:
+        """Return the tasks that read and write records in the store."""
         router.front.streams.history.complete = True
+        return self.crash_work(router)
 
     def _start_router(self, number: int) -> Router:
         loop = self.loop
@@ -345,7 +364,9 @@
         for entry in self.entries.values():
             platformupdates.apply_entry(front, entry)
         front.endpoints_listed = True
-        self._follow_store(router)
+        self._store_tasks[id(router)] = tuple(
+            map(loop.create_task, self.store_work(router))
+        )
 
         def repeat(interval_s: float, step: Callable[[], None]) -> None:
             if router.running:
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -140,6 +140,10 @@
     prompts: tuple[Prompts, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
     drains: tuple[tuple[float, str], ...] = ()  # Times and endpoints.
+    # When the store answers no call: from and to.
+    store_away: tuple[tuple[float, float], ...] = ()
+    # By how much the times of day of routers are wrong, by their numbers.
+    clock_errors_s: dict[int, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/crashrouters.py
+++ b/tests/crashrouters.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Final
 
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.front import Front, FrontDeps
@@ -16,6 +17,8 @@
 from bulrushstream.transport.datagrams import PeerSocket
 from tests.crashplans import CrashPlan, crash_config
 
+EPOCH_S: Final = 1.8e9  # The time of day at which runs begin.
+
 
 @dataclass(slots=True)
 class _DatagramSender:
@@ -57,6 +60,9 @@
         dialect=PLATFORM,
         clock=clock,
         boot_clock=clock,
+        time_of_day=lambda: (
+            EPOCH_S + clock() + plan.clock_errors_s.get(number, 0.0)
+        ),
         rng=Random(plan.seed * 1000 + number),
         metrics=make_metrics(),
         observe=observe,
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -233,6 +234,7 @@
         dialect=PLATFORM,
         clock=loop.time,
         boot_clock=lambda: boot_clock() + offset_s[0],
+        time_of_day=time.time,
         rng=random.Random(1),
         metrics=make_metrics(),
         observe=decisions.append,
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -276,6 +276,7 @@
             dialect=self._dialect,
             clock=loop.time,
             boot_clock=loop.time,
+            time_of_day=loop.time,
             rng=Random(self.plan.seed * 1000 + number),
             metrics=make_metrics(),
             observe=lambda decision: None,
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -6,11 +6,32 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
+from dataclasses import replace
+from typing import Any
+
+import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from bulrushstream.coordination.crashids import CrashIds
+from bulrushstream.coordination.crashrecords import MAX_SUSPECTS, CrashRecords
+from bulrushstream.coordination.crashsuspects import MAX_STRIKES, CrashSuspects
+from bulrushstream.coordination.partsuspects import PartSuspects, PartVerdict
+from bulrushstream.daemon.crashstore import REVIEW_S, CrashStore
+from bulrushstream.history.simulatedstore import SimulatedStore
+from bulrushstream.history.virtualloop import run_virtually
+from bulrushstream.protocol.crashcodec import decode_crashes, encode_crashes
+from bulrushstream.protocol.keyedstore import OutOfTurnError, Turn
+from bulrushstream.state.crashrecord import RecordedCrash, RecordedPart
+from bulrushstream.state.effect import Decision
 from tests.crashfleets import play
 from tests.crashingendpoints import Body
-from tests.crashplans import CrashPlan, RouterFault, crashing
+from tests.crashplans import CrashPlan, Prompts, Repeats, RouterFault, crashing
+from tests.crashrouters import EPOCH_S, Router, make_router
+from tests.test_crashing_parts import BAD, FIRST, SOUND
 from tests.test_crashing_requests import (
     MAX_LATE_SENDS,
     PATHS,
@@ -19,6 +40,9 @@
 )
 
 ALL = (0, 1, 2, 3)
+TOPIC = "crashes"
+BAD_REQUEST, INNOCENT = 7, -8
+PART = 11
 
 
 def kills(*times_s: float, dark_s: float = 1.0) -> tuple[RouterFault, ...]:
@@ -42,3 +66,434 @@
         assert sum(at_s > 8.0 for at_s in history.crashes_s) <= MAX_LATE_SENDS
         assert is_refused_at_last(history)
         assert refused_innocents(history) == []
+
+    @pytest.mark.parametrize("path", PATHS)
+    def test_routers_end_after_each_crash(self, path: str) -> None:
+        """Guards against first strikes that are not written."""
+        times_s = [3.9 + 2.0 * n for n in range(12)]
+        plan = CrashPlan((crashing(path),), faults=kills(*times_s, dark_s=0.5))
+        history = play(plan)
+        assert len(history.crashes_s) <= 3 + MAX_LATE_SENDS
+        assert is_refused_at_last(history)
+
+    @pytest.mark.parametrize("error_s", (-5.0, 4.0, 100.0))
+    def test_clocks_differ(self, error_s: float) -> None:
+        """Guards against a crash that counts twice, and against none."""
+        plan = CrashPlan(
+            (crashing("/tell/"),),
+            faults=(*kills(8.0, 16.0), RouterFault(20.0, (0,))),
+            clock_errors_s={1: error_s, 2: -error_s},
+        )
+        history = play(plan)
+        assert sum(at_s > 8.0 for at_s in history.crashes_s) <= MAX_LATE_SENDS
+        assert is_refused_at_last(history)
+        assert refused_innocents(history) == []
+
+    def test_the_store_is_away_as_routers_start(self) -> None:
+        """Guards against routers that never read, or wait for the store."""
+        plan = CrashPlan(
+            (crashing("/tell/"),),
+            faults=kills(8.0),
+            store_away=((7.0, 10.5),),
+        )
+        history = play(plan)
+        assert is_refused_at_last(history)
+        # What they do not know yet costs one run a second at most.
+        assert sum(at_s > 8.0 for at_s in history.crashes_s) <= 3
+        during = [
+            history.answers[label][0][0]
+            for label, asked_s in history.asked.items()
+            if label.startswith(b"background") and 9.1 < asked_s[0] < 10.5
+        ]
+        assert "200" in during
+
+    def test_a_part_that_crashes_endpoints_stays_refused(self) -> None:
+        """Guards against strikes of parts that only routers know."""
+        prompts = Prompts(
+            b"crashing", (FIRST, BAD), body=Body.CRASH, begin_s=3.0
+        )
+        plan = CrashPlan(
+            prompts=(SOUND, prompts),
+            engines=9,
+            background_per_s=0.5,
+            faults=kills(14.0, 22.0),
+        )
+        history = play(plan)
+        late = history.sent_after_fifth_crash(b"crashing")
+        assert len(late) <= MAX_LATE_SENDS
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_innocent_requests_go_on(self, seed: int) -> None:
+        """Guards against strikes that pile up over ends of routers."""
+        deaths = tuple(
+            (3.0 + 1.3 * n, ("llm", "desk")[n % 2]) for n in range(16)
+        )
+        plan = CrashPlan(
+            tuple(Repeats(b"often", path, 0.3) for path in PATHS),
+            kills=deaths,
+            faults=kills(8.0, 14.0, 20.0),
+            seed=seed,
+        )
+        assert refused_innocents(play(plan)) == []
+
+
+# --- One router and the store.
+
+
+class CountingStore(SimulatedStore):
+    """A store that counts its calls."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls: list[str] = []
+
+    async def newest(self, topic: str) -> tuple[dict[str, bytes], int]:
+        self.calls.append("newest")
+        return await super().newest(topic)
+
+    async def append(
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        part: int = 0,
+        turn: Turn | None = None,
+    ) -> int:
+        self.calls.append("append")
+        return await super().append(topic, key, value, part, turn)
+
+
+def a_router(
+    number: int, clock_errors_s: dict[int, float] | None = None
+) -> Router:
+    """Return a router without peers."""
+    loop = asyncio.get_running_loop()
+    plan = CrashPlan(clock_errors_s=clock_errors_s or {})
+    return make_router(
+        number, 1, plan, loop.time, lambda decision: None, lambda *args: None
+    )
+
+
+def start(store: SimulatedStore, router: Router) -> list[asyncio.Task[None]]:
+    """Start the tasks of a router."""
+    crashes = CrashStore(store, TOPIC, router.front)
+    loop = asyncio.get_running_loop()
+    work = (crashes.read(), crashes.write())
+    return [loop.create_task(each) for each in work]
+
+
+def crash(router: Router, endpoint: str, *fingerprints: int) -> None:
+    """Let an endpoint crash under some requests of a router."""
+    now_s = asyncio.get_running_loop().time()
+    state = router.front.fleet_state
+    for fingerprint in fingerprints:
+        state.suspects.endpoint_crashed(endpoint, fingerprint, now_s, now_s)
+        state.crash_records.found(endpoint, now_s, fingerprint, (), now_s)
+
+
+def is_refused(router: Router, fingerprint: int) -> bool:
+    now_s = asyncio.get_running_loop().time()
+    return router.front.fleet_state.suspects.is_refused(fingerprint, now_s)
+
+
+def strikes(router: Router, fingerprint: int) -> int:
+    now_s = asyncio.get_running_loop().time()
+    suspects = router.front.fleet_state.suspects
+    return suspects.strikes.count(fingerprint, now_s)
+
+
+async def end(tasks: list[asyncio.Task[None]]) -> None:
+    """End a router's tasks, as the end of its process does."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def run(work: Any) -> None:
+    """Run a coroutine in virtual time."""
+    assert run_virtually(work) == []
+
+
+class StoredCrashSuite:
+    """The record of one router."""
+
+    def test_nothing_is_called_while_nothing_crashes(self) -> None:
+        """Guards against calls that are paid for and useless."""
+
+        async def play_one() -> None:
+            store = CountingStore()
+            tasks = start(store, a_router(0))
+            await asyncio.sleep(100.0)
+            assert store.calls == ["newest"]
+            await end(tasks)
+
+        run(play_one())
+
+    def test_cleared_strikes_do_not_return(self) -> None:
+        """Guards against pardons that end with the routers."""
+
+        async def play_one() -> None:
+            store = CountingStore()
+            router = a_router(0)
+            tasks = start(store, router)
+            await asyncio.sleep(1.0)
+            for name in ("e-1", "e-2"):
+                crash(router, name, BAD_REQUEST, INNOCENT)
+            await asyncio.sleep(1.0)
+            now_s = asyncio.get_running_loop().time()
+            suspects = router.front.fleet_state.suspects
+            suspects.request_ran(INNOCENT, now_s)
+            await asyncio.sleep(REVIEW_S + 0.1)
+            await end(tasks)
+            again = a_router(1)
+            tasks = start(store, again)
+            await asyncio.sleep(0.1)
+            assert strikes(again, BAD_REQUEST) == 2
+            assert strikes(again, INNOCENT) == 0
+            crash(again, "e-3", BAD_REQUEST, INNOCENT)
+            assert is_refused(again, BAD_REQUEST)
+            assert not is_refused(again, INNOCENT)
+            assert store.calls.count("append") <= 3
+            await end(tasks)
+
+        run(play_one())
+
+    def test_a_late_append_does_not_undo_a_pardon(self) -> None:
+        """Guards against an append that the store carries out seconds later.
+
+        It may be of this process, or of the one before it.
+        """
+
+        async def play_one() -> None:
+            store = SimulatedStore()
+            router = a_router(0)
+            host = router.front.settings.host
+            epoch = int(EPOCH_S * 1000)
+            late = encode_crashes(
+                [RecordedCrash("e-1", 0, epoch, (INNOCENT,))]
+            )
+            tasks = start(store, router)
+            await asyncio.sleep(1.0)
+            crash(router, "e-1", INNOCENT)
+            await asyncio.sleep(1.0)
+            now_s = asyncio.get_running_loop().time()
+            router.front.fleet_state.suspects.request_ran(INNOCENT, now_s)
+            await asyncio.sleep(REVIEW_S + 0.1)
+            for turn in (
+                Turn(f"crashes-{host}", epoch, 1),
+                Turn(f"crashes-{host}", epoch - 30_000, 5),
+            ):
+                with suppress(OutOfTurnError):
+                    await store.append(TOPIC, host, late, 0, turn)
+            await end(tasks)
+            again = a_router(1)
+            tasks = start(store, again)
+            await asyncio.sleep(0.1)
+            assert strikes(again, INNOCENT) == 0
+            await end(tasks)
+
+        run(play_one())
+
+    def test_a_clock_that_was_set_back_does_not_stop_writes(self) -> None:
+        """Guards against epochs that are lower than the store's."""
+
+        async def play_one() -> None:
+            store = SimulatedStore()
+            for error_s, name in ((0.0, "e-1"), (-90.0, "e-2")):
+                router = a_router(0, {0: error_s})
+                tasks = start(store, router)
+                await asyncio.sleep(1.0)
+                crash(router, name, BAD_REQUEST)
+                await asyncio.sleep(3.0)
+                await end(tasks)
+            last = a_router(1)
+            tasks = start(store, last)
+            await asyncio.sleep(0.1)
+            assert strikes(last, BAD_REQUEST) == 2
+            await end(tasks)
+
+        run(play_one())
+
+    def test_a_store_that_is_away_gets_it_later(self) -> None:
+        """Guards against crashes amid an outage that are never written."""
+
+        async def play_one() -> None:
+            store = SimulatedStore()
+            store.away = True
+            router = a_router(0)
+            tasks = start(store, router)
+            crash(router, "e-1", BAD_REQUEST)
+            await asyncio.sleep(5.0)
+            store.away = False
+            await asyncio.sleep(2.5)
+            await end(tasks)
+            again = a_router(1)
+            tasks = start(store, again)
+            await asyncio.sleep(0.1)
+            assert strikes(again, BAD_REQUEST) == 1
+            await end(tasks)
+
+        run(play_one())
+
+    def test_a_wrong_verdict_ends(self) -> None:
+        """Guards against strikes that last longer than those in memory."""
+
+        async def play_one() -> None:
+            store = SimulatedStore()
+            router = a_router(0)
+            tasks = start(store, router)
+            await asyncio.sleep(1.0)
+            for number in range(MAX_STRIKES):
+                crash(router, f"e-{number}", INNOCENT)
+                await asyncio.sleep(2.0)
+            assert is_refused(router, INNOCENT)
+            await end(tasks)
+            await asyncio.sleep(300.0)
+            again = a_router(0)
+            tasks = start(store, again)
+            await asyncio.sleep(0.1)
+            assert is_refused(again, INNOCENT)
+            await asyncio.sleep(301.0)
+            assert not is_refused(again, INNOCENT)
+            await asyncio.sleep(REVIEW_S)
+            assert (await store.newest(TOPIC))[0] == {}
+            await end(tasks)
+
+        run(play_one())
+
+    @pytest.mark.parametrize(
+        "odd",
+        (
+            b"\xc1",
+            b"\x91" * 100_000,
+            msgspec.msgpack.encode([["e-1", 0, 5, b"123"]]),
+            msgspec.msgpack.encode([["e-1", -1, 5, b""]]),
+            msgspec.msgpack.encode([["e-1", 0, 2**60, b"12345678"]]),
+            msgspec.msgpack.encode([["e" * 300, 0, 5, b"12345678"]]),
+            msgspec.msgpack.encode({"e-1": 5}),
+        ),
+    )
+    def test_an_odd_record_leaves_the_others(self, odd: bytes) -> None:
+        """Guards against a record that hides all the others."""
+
+        async def play_one() -> None:
+            store = SimulatedStore()
+            at_ms = int(EPOCH_S * 1000)
+            sound = encode_crashes(
+                [RecordedCrash("e-1", 0, at_ms, (BAD_REQUEST,))]
+            )
+            await store.append(TOPIC, "10.0.0.7", odd)
+            await store.append(TOPIC, "10.0.0.8", sound)
+            await store.append(TOPIC, "10.0.0.9", odd)
+            router = a_router(0)
+            reports: list[str] = []
+            router.front.report = lambda kind, text: reports.append(kind)
+            tasks = start(store, router)
+            await asyncio.sleep(0.1)
+            assert strikes(router, BAD_REQUEST) == 1
+            assert reports == ["bad_crashes"] * 2
+            await end(tasks)
+
+        run(play_one())
+
+
+# --- Records without a store.
+
+crashes_strategy = st.lists(
+    st.builds(
+        RecordedCrash,
+        st.text("abc-1", min_size=1, max_size=9),
+        st.integers(0, 2**31 - 1),
+        st.integers(0, 2**47 - 1),
+        st.lists(st.integers(-(2**63), 2**63 - 1)).map(tuple),
+        st.lists(
+            st.builds(
+                RecordedPart,
+                st.integers(-(2**63), 2**63 - 1),
+                st.integers(0, 2**31 - 1),
+            )
+        ).map(tuple),
+    )
+)
+
+
+def some_records() -> CrashRecords:
+    """Return the records of a router that knows of no crash."""
+    crash_ids = CrashIds()
+    decisions: list[Decision] = []
+    return CrashRecords(
+        CrashSuspects(decisions.append, crash_ids=crash_ids),
+        PartSuspects(decisions.append, crash_ids),
+        lambda: EPOCH_S,
+        decisions.append,
+    )
+
+
+class CrashRecordSuite:
+    @given(crashes_strategy)
+    def test_records_are_read_as_written(
+        self, crashes: list[RecordedCrash]
+    ) -> None:
+        assert decode_crashes(encode_crashes(crashes)) == tuple(crashes)
+
+    @given(st.binary())
+    def test_any_bytes_are_read_or_refused(self, record: bytes) -> None:
+        with suppress(ValueError):
+            decode_crashes(record)
+
+    @given(st.lists(st.tuples(st.text("0.1", max_size=3), crashes_strategy)))
+    def test_any_records_are_applied(
+        self, records: list[tuple[str, list[RecordedCrash]]]
+    ) -> None:
+        """Guards against values that break what follows."""
+        known = some_records()
+        known.restore(records, "0.1", 5.0)
+        known.suspects.strikes_to_repeat(5.0)
+        encode_crashes(known.current(5.0))
+        known.parts.sweep(5.0)
+
+    def test_a_crash_read_and_heard_of_counts_once(self) -> None:
+        """Guards against a second strike as clocks differ by seconds."""
+        known = some_records()
+        at_ms = int(EPOCH_S * 1000) - 9_000
+        crash = RecordedCrash("e-1", 0, at_ms, (INNOCENT,))
+        known.restore([("a", [crash])], "b", 100.0)
+        known.suspects.endpoint_crashed("e-1", INNOCENT, 95.0, 100.0)
+        assert known.suspects.strikes.count(INNOCENT, 100.0) == 1
+
+    def test_crashes_of_one_id_count_each(self) -> None:
+        """Guards against crashes of an id that are taken for one."""
+        known = some_records()
+        at_ms = int(EPOCH_S * 1000) - 9_000
+        crashes = [
+            RecordedCrash("e-1", number, at_ms + 2_000 * number, (INNOCENT,))
+            for number in range(3)
+        ]
+        known.restore([("a", crashes[1:]), ("b", crashes[:1])], "b", 100.0)
+        assert known.suspects.strikes.count(INNOCENT, 100.0) == 3
+
+    def test_a_refused_part_stays_refused(self) -> None:
+        known = some_records()
+        at_ms = int(EPOCH_S * 1000) - 20_000
+        crashes = [
+            RecordedCrash(
+                f"e-{n}", 0, at_ms + 3_000 * n, (), (RecordedPart(PART, 100),)
+            )
+            for n in range(5)
+        ]
+        known.restore([("a", crashes)], "b", 100.0)
+        judgement = known.parts.judge((PART,), 100.0)
+        assert judgement.verdict is PartVerdict.REFUSE
+
+    def test_the_newest_stay_if_there_are_too_many(self) -> None:
+        known = some_records()
+        now_ms = int(EPOCH_S * 1000)
+        old = RecordedCrash(
+            "e-1", 0, now_ms - 9_000, tuple(range(MAX_SUSPECTS))
+        )
+        new = replace(
+            old, endpoint="e-2", at_ms=now_ms - 1_000, fingerprints=(-1,)
+        )
+        known.restore([("a", [new]), ("b", [old])], "c", 100.0)
+        assert known.suspects.strikes.count(-1, 100.0) == 1
+        assert known.suspects.strikes.count(5, 100.0) == 0
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -12,6 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bulrushstream.coordination.crashrecords import CrashRecords
 from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointlimits import EndpointLimits
 from bulrushstream.coordination.endpointnotices import EndpointNotices
@@ -113,12 +114,14 @@
 def a_router_state(number: int) -> tuple[FleetState, UpdateRecorder]:
     """Return a router's state with three engines, and its recorder."""
     decisions: list[Decision] = []
+    suspects = CrashSuspects(decisions.append)
+    parts = PartSuspects(decisions.append)
     state = FleetState(
         FleetView(f"10.0.0.{number}"),
         FairShares(4.0),
         number << 30,
-        CrashSuspects(decisions.append),
-        PartSuspects(decisions.append),
+        suspects,
+        parts,
         EndpointLimits(
             decisions.append, RouterPresence(0.0, lambda: 2), random.Random(1)
         ),
@@ -127,6 +130,7 @@
             StreamOrigins(f"10.0.0.{number}", tuple),
         ),
         EndpointNotices(decisions.append),
+        CrashRecords(suspects, parts, lambda: 0.0, decisions.append),
     )
     for name in ("e-1", "e-2", "e-3"):
         state.pool.update(an_entry(name, service="llm"), TRAITS)
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -5,15 +5,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 from dataclasses import replace
 from functools import partial
 from typing import Final, cast
 
 from bulrushstream.daemon.versionrecords import version_tasks
-from bulrushstream.history.simulatedstore import SimulatedStore
-from tests.crashfleets import CrashFleet
+from tests.crashfleets import CrashFleet, StoreWork
 from tests.crashingendpoints import EVENTS, Endpoint, Link
 from tests.crashplans import TIMEOUT_S
 from tests.crashrouters import Router
@@ -43,8 +41,6 @@
         self.first_version = plan.first_version
         self.history: VersionHistory = VersionHistory()
         self._plan = plan
-        self.store = SimulatedStore()
-        self._store_tasks: dict[int, tuple[asyncio.Task[None], ...]] = {}
 
     def schedule(self) -> None:
         """Schedule the changes and the first stream."""
@@ -52,21 +48,13 @@
         for change in self._plan.changes:
             self.loop.call_later(change.at_s, self._apply, change)
         self.loop.call_later(0.5, self._begin_stream)
-        for begin_s, end_s in self._plan.store_away:
-            self.loop.call_later(begin_s, self.store.fail, True)
-            self.loop.call_later(end_s, self.store.fail, False)
 
     # --- Routers.
 
-    def _follow_store(self, router: Router) -> None:
-        """Run the tasks that read and write records of versions."""
-        work = version_tasks(self.store, router.front)
-        self._store_tasks[id(router)] = tuple(map(self.loop.create_task, work))
-
-    def _stop_router(self, router: Router) -> None:
-        for task in self._store_tasks.pop(id(router)):
-            task.cancel()
-        super()._stop_router(router)
+    def store_work(self, router: Router) -> StoreWork:
+        """Return the tasks that read and write all records."""
+        versions = version_tasks(self.store, router.front)
+        return (*self.crash_work(router), *versions)
 
     # --- Endpoints.
 
--- a/tests/versionplans.py
+++ b/tests/versionplans.py
@@ -48,8 +48,6 @@
     naming: Naming = lambda stream, own_id: (first_id(stream),)
     tries: int = 3  # Of one caller for a stream.
     return_s: tuple[float, float] = (0.001, 0.02)  # To the next try.
-    # When the store answers no call: from and to.
-    store_away: tuple[tuple[float, float], ...] = ()
 
 
 @dataclass(slots=True)
