Whatever one record holds, the others are followed

What other operators saw: one odd entry among those of the workers ended the machines that read the list, or they stopped following it.

It could happen here.

Change: DECODE_ERRORS names what decoding may raise, for all decoders, of our own interface too. Entries name IP numbers, ports in decimal digits and ids that fit in a header; other values are bounded. Hosts of routers must be IP numbers. A watch skips a record that its handler fails on, and says so; periodic and other tasks go on after an error.

Open: Thrift's reader can take all memory with malformed bytes under a right 64-bit checksum; only a process that computes the checksum can send them.

--- a/src/bulrushstream/coordination/configlog.py
+++ b/src/bulrushstream/coordination/configlog.py
@@ -32,6 +32,7 @@
     FleetConfig,
     VersionedConfig,
 )
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.event import LogRecord
 
 STREAM: Final = "config"
@@ -189,7 +190,7 @@
         return None
     try:
         return _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/bulrushstream/coordination/fleetview.py
+++ b/src/bulrushstream/coordination/fleetview.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -63,8 +65,12 @@
         :param host: its IP address
         :param now_s: the time
         """
-        if host and host != self.own_host:
-            self.hosts.setdefault(host, now_s)
+        if host == self.own_host or host in self.hosts:
+            return
+        # Anything else would be looked up as a name.
+        with suppress(ValueError):
+            ipaddress.ip_address(host)
+            self.hosts[host] = now_s
 
     def receive(self, update: PeerUpdate, now_s: float) -> set[int]:
         """Record the sender of an update, and the hosts that it names.
@@ -87,7 +93,9 @@
             self.peers[update.instance] = known
         known.last_heard_s = now_s
         known.zone = update.zone or known.zone
-        self.hosts[update.host] = now_s
+        self.add_host(update.host, now_s)
+        if update.host in self.hosts:
+            self.hosts[update.host] = now_s
         for host in update.known_hosts:
             self.add_host(host, now_s)
         return lost
--- a/src/bulrushstream/coordination/lease.py
+++ b/src/bulrushstream/coordination/lease.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.effect import AppendLog, Effect, WakeAt
 from bulrushstream.state.event import Event, LogRead, LogRecord, TimerFired
 
@@ -233,7 +234,7 @@
 def _apply_record(state: LeaseState, entry: LogRecord, now_s: float) -> None:
     try:
         record = _DECODER.decode(entry.body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return
     if not 0.0 < record.term_s < NEVER_S:
         return
--- a/src/bulrushstream/coordination/quarantine.py
+++ b/src/bulrushstream/coordination/quarantine.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.message import Strike
 from bulrushstream.state.streamclock import StreamClock
 
@@ -234,7 +235,7 @@
     """Return the batch in a log record; None if it can not be decoded."""
     try:
         return msgspec.json.decode(body, type=StrikeBatch)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -7,8 +7,8 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any, Final
+from collections.abc import Awaitable, Callable
+from typing import Final
 
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
@@ -17,7 +17,12 @@
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.daemon.suspectlist import encode_suspects
 from bulrushstream.daemon.versionrecords import version_tasks
-from bulrushstream.daemon.watch import Snapshot, TopicWatch, run_periodically
+from bulrushstream.daemon.watch import (
+    Snapshot,
+    TopicWatch,
+    run_periodically,
+    run_supervised,
+)
 from bulrushstream.metrics import CONTENT_TYPE, encode_metrics
 from bulrushstream.protocol.dialect import DocumentError
 from bulrushstream.protocol.keyedstore import KeyedRecord, StoreError
@@ -54,6 +59,9 @@
 
 SETTINGS_INTERVAL_S: Final = 1.0
 
+# Longer texts of errors are cut.
+MAX_FAULT_CHARS: Final = 400
+
 # How often the shares of the workspaces are logged.
 SHARES_INTERVAL_S: Final = 1.0
 
@@ -146,17 +154,15 @@
         )
         for work in version_tasks(self.store, front):
             self._spawn(work)
-        self._spawn(self._crash_store.read())
-        self._spawn(self._crash_store.write())
-        self._spawn(self._announce())
-        self._spawn(run_periodically(HEARTBEAT_S, port.beat))
-        self._spawn(run_periodically(SWEEP_INTERVAL_S, self._sweep))
-        self._spawn(run_periodically(SHARES_INTERVAL_S, front.report_shares))
+        self._spawn(self._crash_store.read)
+        self._spawn(self._crash_store.write)
+        self._spawn(self._announce)
+        self._repeat(HEARTBEAT_S, port.beat)
+        self._repeat(SWEEP_INTERVAL_S, self._sweep)
+        self._repeat(SHARES_INTERVAL_S, front.report_shares)
         if self._path:
-            self._spawn(run_periodically(SETTINGS_INTERVAL_S, self.reload))
-        self._spawn(
-            run_periodically(PEER_QUERY_INTERVAL_S, self._recovery.query_peer)
-        )
+            self._repeat(SETTINGS_INTERVAL_S, self.reload)
+        self._repeat(PEER_QUERY_INTERVAL_S, self._recovery.query_peer)
         self._deps.observe(
             Decision(
                 "start",
@@ -284,9 +290,10 @@
             handle,
             confirmed,
             self._store_failed,
+            self._report_fault,
             self._deps.rng,
         )
-        self._spawn(watch.run())
+        self._spawn(watch.run)
 
     def _count_store_call(self, name: str, success: bool) -> None:
         """Count a store call in the metrics if it failed."""
@@ -339,7 +346,11 @@
             self._handle_endpoint(update.key, update.value)
             return
         for name, value in update.values.items():
-            self._handle_endpoint(name, value)
+            try:
+                self._handle_endpoint(name, value)
+            except Exception as error:
+                # The other entries still hold.
+                self._report_fault(error)
         for name in set(self.front.pool.by_name) - set(update.values):
             self._handle_endpoint(name, None)
         self.front.endpoints_listed = True
@@ -353,6 +364,7 @@
         try:
             entry = self._dialect.decode_entry(name, value)
         except DocumentError as error:
+            name = name[:MAX_FAULT_CHARS]
             self._deps.report("bad_entry", f"{name}: {error}")
             return
         self._missing_since_s.pop(name, None)
@@ -395,17 +407,24 @@
                 continue
             await asyncio.sleep(ROUTERS_INTERVAL_S)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run a task until the process stops; a failure is reported."""
+    def _spawn(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a task until the process stops; start it again if it fails."""
+        work = run_supervised(run, self._report_fault)
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._task_ended)
+        task.add_done_callback(self._tasks.discard)
+
+    def _repeat(
+        self, interval_s: float, action: Callable[[], Awaitable[None] | None]
+    ) -> None:
+        """Call a function periodically until the process stops."""
+        self._spawn(
+            lambda: run_periodically(interval_s, action, self._report_fault)
+        )
 
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        """Report a task that ended with an exception."""
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._deps.report("fault", repr(task.exception()))
+    def _report_fault(self, error: Exception) -> None:
+        """Log an error that only a fault of the program explains."""
+        self._deps.report("fault", repr(error)[:MAX_FAULT_CHARS])
 
 
 async def serve(
--- a/src/bulrushstream/daemon/recovery.py
+++ b/src/bulrushstream/daemon/recovery.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -16,6 +17,7 @@
 import msgspec
 
 from bulrushstream.daemon.front import Front
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.effect import Decision
 from bulrushstream.transport.httpcall import Answer, CallError, call
 from bulrushstream.transport.ingress import Exchange
@@ -32,6 +34,8 @@
 _AGE_HEADER: Final = b"bulrushstream-config-age-ms"
 _VERSION_HEADER: Final = b"bulrushstream-config-version"
 
+_NUMBER: Final = re.compile(rb"[0-9]{1,19}")
+
 # Upper limit of the age sent to a peer; stands for an unknown age.
 _MAX_AGE_S: Final = 1e6
 
@@ -109,8 +113,10 @@
         if answer is None:
             return
         headers = {name.lower(): value for name, value in answer.headers}
-        age, version = headers.get(_AGE_HEADER), headers.get(_VERSION_HEADER)
-        if age is None or version is None:
+        age, version = (
+            headers.get(name, b"") for name in (_AGE_HEADER, _VERSION_HEADER)
+        )
+        if not _NUMBER.fullmatch(age) or not _NUMBER.fullmatch(version):
             return
         if answer.body:
             self.apply_config(answer.body)
@@ -124,7 +130,7 @@
             return
         try:
             entries = msgspec.json.decode(answer.body, type=dict[str, bytes])
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.front.report("peer_silent", f"{host}: {error}")
             return
         self.apply_endpoints(entries)
--- a/src/bulrushstream/daemon/router.py
+++ b/src/bulrushstream/daemon/router.py
@@ -22,6 +22,7 @@
 from bulrushstream.metrics import count_exchange, set_queued
 from bulrushstream.settings import RouterSettings
 from bulrushstream.state.config import VersionedConfig
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.effect import Decision, Effect, FailRequest, Reply
 from bulrushstream.state.event import MessageReceived, QuarantineLifted
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
@@ -188,7 +189,7 @@
         """Accept a configuration that an operator just published."""
         try:
             push = msgspec.json.decode(body, type=ConfigPush)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise ActionError(str(error)) from error
         self.driver.post(MessageReceived(OPERATOR, push))
         return True
--- a/src/bulrushstream/daemon/versionrecords.py
+++ b/src/bulrushstream/daemon/versionrecords.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -106,14 +106,14 @@
 
 def version_tasks(
     store: KeyedStore, front: Front
-) -> tuple[Coroutine[Any, Any, None], ...]:
+) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
     """Return what keeps versions and origins in the store up to date.
 
     :param store: the platform's store
     :param front: the router
-    :returns: coroutines that run until cancelled
+    :returns: functions that each start a task, which runs until cancelled
     """
     topics = front.dialect.topics
     origins = OriginRecords(store, topics.stream_origins, front)
     versions = VersionRecords(store, topics.service_versions, front)
-    return versions.run(), origins.write(), origins.read()
+    return versions.run, origins.write, origins.read
--- a/src/bulrushstream/daemon/watch.py
+++ b/src/bulrushstream/daemon/watch.py
@@ -1,7 +1,8 @@
 """Follows topics of the platform's store, such as the endpoint list.
 
 A `TopicWatch` reads a topic's snapshot once and then its new records, and
-passes both to a handler.  A failed read is retried with backoff.
+passes both to a handler.  A failed read is retried with backoff; a record
+that the handler fails on is reported and skipped.
 """
 
 from __future__ import annotations
@@ -25,6 +26,9 @@
 MIN_PAUSE_S: Final = 0.1
 MAX_PAUSE_S: Final = 0.8
 
+# The pause before a failed task is started again.
+RESTART_S: Final = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
@@ -45,6 +49,7 @@
     # Called when nothing newer is left, with the time the read was sent.
     on_confirmed: Callable[[float], None]
     on_failed: Callable[[str], None]  # Called with the reason.
+    on_fault: Callable[[Exception], None]  # Called if the handler fails.
     rng: random.Random  # Jitter of the backoff.
 
     async def run(self) -> None:
@@ -67,7 +72,7 @@
         """Read a snapshot; return the next offset."""
         sent_s = self.clock()
         values, offset = await self.store.newest(self.topic)
-        self.handle(Snapshot(values))
+        self._apply(Snapshot(values))
         self.on_confirmed(sent_s)
         return offset
 
@@ -81,7 +86,7 @@
         if batch is None:
             return None
         for record in batch.records:
-            self.handle(record)
+            self._apply(record)
         if batch.next_offset > batch.end_offset:
             # The store was reset, and its offsets restarted from 0.
             return None
@@ -94,17 +99,48 @@
             await asyncio.sleep(self.interval_s - elapsed_s)
         return batch.next_offset
 
+    def _apply(self, update: Snapshot | KeyedRecord) -> None:
+        """Pass on what was read; a failure must not end the watch."""
+        try:
+            self.handle(update)
+        except Exception as error:
+            self.on_fault(error)
+
 
 async def run_periodically(
-    interval_s: float, action: Callable[[], Awaitable[None] | None]
+    interval_s: float,
+    action: Callable[[], Awaitable[None] | None],
+    on_fault: Callable[[Exception], None],
 ) -> None:
     """Call a function periodically until cancelled.
 
     :param interval_s: the pause before each call, in seconds
     :param action: the function; an awaitable that it returns is awaited
+    :param on_fault: called if the function fails; it is called again later
     """
     while True:
         await asyncio.sleep(interval_s)
-        result = action()
-        if result is not None:
-            await result
+        try:
+            result = action()
+            if result is not None:
+                await result
+        except Exception as error:
+            on_fault(error)
+
+
+async def run_supervised(
+    run: Callable[[], Awaitable[None]], on_fault: Callable[[Exception], None]
+) -> None:
+    """Run a coroutine, and again a little later each time that it fails.
+
+    :param run: starts the coroutine
+    :param on_fault: called if it fails
+    """
+    while True:
+        try:
+            await run()
+        except Exception as error:
+            on_fault(error)
+            await asyncio.sleep(RESTART_S)
+        else:
+            return
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -280,10 +280,10 @@
         crashes = CrashStore(self._store, DIALECT.topics.crashes, front)
         for work in (
             *version_tasks(self._store, front),
-            crashes.read(),
-            crashes.write(),
+            crashes.read,
+            crashes.write,
         ):
-            self._tasks.append(loop.create_task(work))
+            self._tasks.append(loop.create_task(work()))
         self._read_store(number)
         self._repeat(front, HEARTBEAT_S, port.beat)
         self._repeat(front, SWEEP_INTERVAL_S, front.sweep)
--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from collections.abc import Callable
 from typing import Annotated, Any, Final, TypeVar
 
@@ -14,6 +16,7 @@
 
 from bulrushstream.platform.headers import digest_key
 from bulrushstream.protocol.dialect import DocumentError
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.routes import (
     ClientLimits,
     EndpointEntry,
@@ -28,13 +31,32 @@
 
 MILLISECONDS_PER_S: Final = 1000.0
 
+# Larger values stand for these: they are absurd, and some would not fit in
+# what they are passed on with.
+MAX_COUNT: Final = 2**31 - 1
+MAX_MS: Final = 1e9
+MAX_WEIGHT: Final = 1e9
+
+MAX_NAME_CHARS: Final = 255
+
 Report = Callable[[str], None]
 
 _Decoded = TypeVar("_Decoded")
 
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
-_Name = Annotated[str, msgspec.Meta(min_length=1)]
-_Port = Annotated[int, msgspec.Meta(gt=0, lt=65536)]
+# Names go into headers and logs.
+_Name = Annotated[
+    str,
+    msgspec.Meta(
+        min_length=1,
+        max_length=MAX_NAME_CHARS,
+        pattern=r"^[^\x00-\x1f\x7f]*$",
+    ),
+]
+_HealthPath = Annotated[str, msgspec.Meta(pattern=r"^(/[\x21-\x7e]*)?$")]
+
+_ENDPOINT_ID: Final = re.compile(rf"[\x21-\x7e]{{1,{MAX_NAME_CHARS}}}")
+_PORT: Final = re.compile("[0-9]{1,5}")
 
 
 class _Share(msgspec.Struct):
@@ -67,7 +89,7 @@
 class _Service(msgspec.Struct, rename="camel"):
     name: _Name
     max_conns: Annotated[int, msgspec.Meta(gt=0)] = 64
-    health_path: str = ""
+    health_path: _HealthPath = ""
     engine: _Engine | None = None
 
 
@@ -86,7 +108,7 @@
 
 
 class _Config(msgspec.Struct, rename="camel"):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=-1, le=2**63 - 1)]
     routes: list[Any] = []
     services: list[Any] = []
     limits: Any = None
@@ -112,7 +134,7 @@
     """
     try:
         raw = msgspec.json.decode(data, type=_Config)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise DocumentError(str(error)) from error
     tenants = raw.tenants or []
     limits = _convert(raw.limits or {}, _Limits, "limits", report) or _Limits()
@@ -130,10 +152,10 @@
             )
         ),
         limits=ClientLimits(
-            header_bytes=limits.max_header_bytes,
-            body_bytes=limits.max_body_bytes,
-            header_timeout_s=limits.header_timeout_ms / MILLISECONDS_PER_S,
-            idle_timeout_s=limits.idle_timeout_ms / MILLISECONDS_PER_S,
+            header_bytes=min(limits.max_header_bytes, MAX_COUNT),
+            body_bytes=min(limits.max_body_bytes, MAX_COUNT),
+            header_timeout_s=_seconds(limits.header_timeout_ms),
+            idle_timeout_s=_seconds(limits.idle_timeout_ms),
         ),
         tokens_per_s=limits.tokens_per_s,
         requires_keys=raw.tenants is not None,
@@ -149,26 +171,49 @@
     """
     try:
         raw = msgspec.json.decode(data, type=_Entry)
-        host, _, port = raw.address.rpartition(":")
-        number = msgspec.convert(port, _Port, strict=False)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except DECODE_ERRORS as error:
         raise DocumentError(str(error)) from error
-    if not endpoint or not host:
-        raise DocumentError(f"no endpoint id or no host: {raw.address!r}")
+    if not _ENDPOINT_ID.fullmatch(endpoint):
+        raise DocumentError(f"no endpoint id: {endpoint[:MAX_NAME_CHARS]!r}")
+    host, port = _parse_address(raw.address)
+    version = raw.version if isinstance(raw.version, str) else ""
     return EndpointEntry(
         endpoint=endpoint,
         service=raw.service,
         host=host,
-        port=number,
-        availability_zone=raw.zone,
-        slots=raw.slots,
+        port=port,
+        availability_zone=raw.zone[:MAX_NAME_CHARS],
+        slots=min(raw.slots, MAX_COUNT),
         leaving=raw.state != "ready",
-        warmup_remaining_s=raw.cold_left_ms / MILLISECONDS_PER_S,
+        warmup_remaining_s=_seconds(max(0.0, raw.cold_left_ms)),
         # An entry with an unusable version still names an endpoint.
-        version=raw.version if isinstance(raw.version, str) else "",
+        version=version if len(version) <= MAX_NAME_CHARS else "",
     )
 
 
+def _parse_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of an endpoint's address.
+
+    :raises DocumentError: if it has other parts
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        host = ""
+    number = int(port) if _PORT.fullmatch(port) else 0
+    if not host or not 0 < number < 65536:
+        raise DocumentError(
+            f"no IP number and port: {address[:MAX_NAME_CHARS]!r}"
+        )
+    return host, number
+
+
+def _seconds(milliseconds: float) -> float:
+    """Convert milliseconds to seconds, within bounds."""
+    return min(milliseconds, MAX_MS) / MILLISECONDS_PER_S
+
+
 _Raw = TypeVar("_Raw")
 
 
@@ -178,7 +223,7 @@
     """Convert one part of a document; report it and return None if invalid."""
     try:
         return msgspec.convert(item, raw_type)
-    except msgspec.ValidationError as error:
+    except DECODE_ERRORS as error:
         report(f"{label} left out: {error}")
         return None
 
@@ -205,7 +250,8 @@
 
 def _route(raw: _Route) -> Route:
     split = tuple(
-        SplitShare(share.service, share.weight) for share in raw.split
+        SplitShare(share.service, min(share.weight, MAX_WEIGHT))
+        for share in raw.split
     )
     if not split:
         if not raw.service:
@@ -217,21 +263,25 @@
         prefix=raw.prefix,
         kind=RequestKind(raw.kind),
         split=split,
-        timeout_s=raw.timeout_ms / MILLISECONDS_PER_S,
-        latency_target_s=raw.goal_latency_ms / MILLISECONDS_PER_S,
+        timeout_s=_seconds(raw.timeout_ms),
+        latency_target_s=_seconds(raw.goal_latency_ms),
         priority=raw.priority,
-        max_attempts=raw.max_attempts,
+        max_attempts=min(raw.max_attempts, MAX_COUNT),
         public=raw.public,
         resumable=raw.resumable,
-        max_event_gap_s=raw.gap_target_ms / MILLISECONDS_PER_S,
+        max_event_gap_s=_seconds(raw.gap_target_ms),
     )
 
 
 def _service(raw: _Service) -> PooledService:
     traits = None
     if raw.engine is not None:
-        traits = EngineTraits(raw.engine.slots, raw.engine.kv_tokens)
-    return PooledService(raw.name, raw.max_conns, traits, raw.health_path)
+        traits = EngineTraits(
+            min(raw.engine.slots, MAX_COUNT),
+            min(raw.engine.kv_tokens, MAX_COUNT),
+        )
+    max_connections = min(raw.max_conns, MAX_COUNT)
+    return PooledService(raw.name, max_connections, traits, raw.health_path)
 
 
 def _workspace_keys(raw: _Tenant) -> WorkspaceKeys:
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -92,6 +92,7 @@
 MAX_REST_S: Final = 1e6
 
 _NUMBER: Final = re.compile(rb"[0-9]{1,300}(\.[0-9]{0,300})?|\.[0-9]{1,300}")
+_COUNT: Final = re.compile(rb"[ \t]*[0-9]{1,9}[ \t]*")
 MAX_PROMPT_PARTS: Final = 256
 
 
@@ -157,7 +158,7 @@
 
     :param key: the API key
     """
-    return hashlib.sha256(key.encode("latin-1", "replace")).digest()
+    return hashlib.sha256(key.encode()).digest()
 
 
 def _strip_port(value: bytes) -> str:
@@ -236,9 +237,11 @@
         name, _, tokens = entry.strip().partition(b":")
         try:
             part_id = int(name, 16) & (2**63 - 1)
-            parts.append(PromptPart(part_id, int(tokens)))
         except ValueError:
             return ()
+        if not _COUNT.fullmatch(tokens):
+            return ()
+        parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
 
 
@@ -254,7 +257,7 @@
     lines.append(b"X-Deadline-Ms: %d" % context.remaining_ms)
     lines.append(b"X-Expect-Instance: " + context.endpoint.encode("latin-1"))
     if context.workspace:
-        lines.append(b"X-Tenant: " + context.workspace.encode("latin-1"))
+        lines.append(b"X-Tenant: " + context.workspace.encode())
     if context.resume_after is not None:
         lines.append(b"Last-Event-Id: %d" % context.resume_after)
     if body or call.method not in (b"GET", b"HEAD"):
@@ -338,7 +341,7 @@
     if value is None:
         return None
     counts = value.split(b",")
-    if len(counts) != 3 or not all(n.strip().isdigit() for n in counts):
+    if len(counts) != 3 or not all(_COUNT.fullmatch(n) for n in counts):
         return None
     running, waiting, slots = (int(n) for n in counts)
     return running, waiting, slots
--- a/src/bulrushstream/platform/nodefile.py
+++ b/src/bulrushstream/platform/nodefile.py
@@ -69,7 +69,7 @@
         reason = getattr(error, "strerror", None) or str(error)
         text = messages.UNREADABLE.format(why=reason)
         return (Finding(path, 0, 0, messages.UNREADABLE.code, text),)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         text = messages.NOT_TOML.format(why=str(error))
         return (Finding(path, 0, 0, messages.NOT_TOML.code, text),)
     findings = _check(path, data, _Node, "")
--- a/src/bulrushstream/platform/store.py
+++ b/src/bulrushstream/platform/store.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,6 +22,7 @@
     StoreError,
     Turn,
 )
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.transport.httpcall import Answer, CallError, call
 from bulrushstream.transport.upstream import Pool
 
@@ -194,7 +194,7 @@
     """Decode an item's value; empty if it is not valid base64."""
     try:
         return base64.b64decode(item.value, validate=True)
-    except binascii.Error:
+    except ValueError:
         return b""
 
 
@@ -213,7 +213,7 @@
     """Decode the JSON body of an answer."""
     try:
         return msgspec.json.decode(answer.body, type=document_type)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise StoreError(f"the answer can not be decoded: {error}") from error
 
 
--- a/src/bulrushstream/protocol/origincodec.py
+++ b/src/bulrushstream/protocol/origincodec.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.streamorigin import StreamOrigin
 
 _STREAM_BYTES: Final = 8
@@ -45,7 +46,7 @@
     """
     try:
         groups = msgspec.msgpack.decode(record, type=list[_Group])
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"malformed origins: {error}") from error
     origins = []
     for group in groups:
--- a/src/bulrushstream/protocol/prompt.py
+++ b/src/bulrushstream/protocol/prompt.py
@@ -12,6 +12,8 @@
 import msgspec
 import xxhash
 
+from bulrushstream.state.decoding import DECODE_ERRORS
+
 PREFIX_BYTES: Final = 1024
 _SIGN_BIT: Final = 1 << 63
 _MODULUS: Final = 1 << 64
@@ -37,7 +39,7 @@
     """
     try:
         return _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/bulrushstream/state/claim.py
+++ b/src/bulrushstream/state/claim.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.request import Headers, Outcome, Request
 from bulrushstream.state.streamclock import StreamClock
 
@@ -223,7 +224,7 @@
     """Decode the batch in a log record; return None if it is malformed."""
     try:
         return msgspec.json.decode(body, type=ClaimBatch)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -173,7 +173,11 @@
         own = self._identity
         if update.instance == own.instance:
             return
-        self._receive(update)
+        try:
+            self._receive(update)
+        except Exception as error:
+            self._report("bad_datagram", f"{update.instance}: {error!r}")
+            return
         # Not if it was passed on already.
         sender = addr[0] if isinstance(addr, tuple) else ""
         if update.pass_on and sender == update.host:
--- a/src/bulrushstream/transport/instances.py
+++ b/src/bulrushstream/transport/instances.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from bulrushstream.protocol.logservice import ListUnavailableError
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.identity import InstanceInfo
 from bulrushstream.transport.client import make_client
 
@@ -51,7 +52,7 @@
         answer = await self._call("GET", INSTANCES_PATH)
         try:
             listing = msgspec.json.decode(answer, type=_Listing)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise ListUnavailableError(str(error)) from error
         return tuple(listing.instances)
 
--- a/src/bulrushstream/transport/log.py
+++ b/src/bulrushstream/transport/log.py
@@ -20,6 +20,7 @@
     LogPage,
     LogUnavailableError,
 )
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.event import LogRecord
 from bulrushstream.transport.client import make_client
 
@@ -92,7 +93,7 @@
             raise LogUnavailableError(f"status {answer.status_code}")
         try:
             return msgspec.json.decode(answer.content, type=_Appended).offset
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise LogAnswerLostError(f"status {answer.status_code}") from error
 
     async def read(self, stream: str, offset: int, limit: int) -> LogPage:
@@ -114,7 +115,7 @@
             raise LogUnavailableError(f"status {answer.status_code}")
         try:
             return _decode_page(answer.content)
-        except (msgspec.DecodeError, ValueError) as error:
+        except (*DECODE_ERRORS, ValueError) as error:
             raise LogUnavailableError(_reason(error)) from error
 
 
--- a/src/bulrushstream/transport/orders.py
+++ b/src/bulrushstream/transport/orders.py
@@ -13,6 +13,7 @@
 import httpx
 import msgspec
 
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.event import HoldingsReported, OrderAnswered
 from bulrushstream.state.order import EngineOrder, Holdings, OrderAnswer
 
@@ -51,7 +52,7 @@
         async with asyncio.timeout(ORDER_TIMEOUT_S):
             response = await client.post(path, content=body)
         answer = msgspec.json.decode(response.content, type=_Answer).answer
-    except (httpx.HTTPError, TimeoutError, msgspec.DecodeError):
+    except (httpx.HTTPError, TimeoutError, *DECODE_ERRORS):
         pass
     return OrderAnswered(order, answer)
 
@@ -69,7 +70,7 @@
         async with asyncio.timeout(ORDER_TIMEOUT_S):
             response = await client.get(path)
         report = msgspec.json.decode(response.content, type=_Report)
-    except (httpx.HTTPError, TimeoutError, msgspec.DecodeError):
+    except (httpx.HTTPError, TimeoutError, *DECODE_ERRORS):
         return None
     return Holdings(
         models=tuple(sorted(report.models.items())),
--- a/src/bulrushstream/transport/reports.py
+++ b/src/bulrushstream/transport/reports.py
@@ -14,6 +14,7 @@
 import httpx
 import msgspec
 
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.event import CacheReported, LoadReported
 
 REPORT_TIMEOUT_S: Final = 2.0
@@ -61,7 +62,7 @@
         return UNHEALTHY
     try:
         load = msgspec.json.decode(body, type=_Load)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return UNHEALTHY
     return LoadReported(load.running, load.waiting, True)
 
@@ -81,7 +82,7 @@
         return []
     try:
         found = msgspec.json.decode(body, type=_CacheEvents)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return []
     if found.last < cursor.last_sequence:
         # The engine has restarted, and its sequence numbers as well.
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -54,7 +54,7 @@
     def store_work(self, router: Router) -> StoreWork:
         """Return the tasks that read and write all records."""
         versions = version_tasks(self.store, router.front)
-        return (*self.crash_work(router), *versions)
+        return (*self.crash_work(router), *(work() for work in versions))
 
     # --- Endpoints.
 
