A refusal that comes once more answers no later request

What other operators saw: a faulty worker wrote an earlier refusal once more on a kept connection.

It could happen here where the refusal names no request id: then an error on a connection that was used before was taken for the answer to the next request. With an id it was discarded already.

Change: an answer without an id on a used connection may belong to another request; the attempt has failed and may have run, and the connection is closed. A connection with bytes that the loop has not read yet carries no request, which holds for the store's and peers' answers too. One on which an answer to another request came carries no further one. A second attempt at an endpoint, which would have the same id, opens a new connection.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -40,6 +40,7 @@
         "_may_have_run_before",
         "_pending",
         "_relaying",
+        "_unattributed",
         "began_s",
         "endpoint",
         "forward",
@@ -76,6 +77,8 @@
         self._body_bytes = 0
         self._relaying = False  # Whether a long answer is being relayed.
         self._framed = True  # Whether the answer's length was known.
+        # Whether its answer may be that of another request.
+        self._unattributed = False
         self._heard_s = 0.0  # When bytes of the answer last arrived.
 
     def start(self, *, watched: bool) -> None:
@@ -89,7 +92,8 @@
             self.forward.call.method,
             self,
             fresh=not self.forward.route.repeatable,
-            reuse=not watched,
+            # An answer of the earlier attempt there would have the same id.
+            reuse=not watched and self.endpoint.name not in self.forward.tried,
         )
 
     def cancel(self) -> None:
@@ -120,10 +124,13 @@
         mismatch = head.request_id != forward.call.request_id
         if mismatch and (head.request_id or status < 400):
             return False
+        # On a connection that was used before, it may answer an earlier
+        # request once more.
+        self._unattributed = mismatch and self._reused
         self._head = head
         if status != 421:
             self._observe_load(head)
-        if self._pending is not None and not self._pending.reused:
+        if self._pending is not None and not self._reused:
             sign = Sign.SAME_INSTANCE
             if status == 421:
                 sign = Sign.OTHER_INSTANCE
@@ -156,8 +163,15 @@
         self._framed = framed
         if not framed:
             runwatch.run_unframed(self)
-        self._record_end(ran=not head.not_executed)
-        if head.not_executed:
+        if self._unattributed:
+            # The answer to this request may still come.
+            self._close()
+        self._record_end(ran=self._unattributed or not head.not_executed)
+        if self._unattributed:
+            forward.attempt_failed(
+                Failure.BROKEN, f"status {head.status} without a request id"
+            )
+        elif head.not_executed:
             forward.progress.may_have_run = self._may_have_run_before
             if head.status == 421:
                 self.front.endpoint_misdirected(self.endpoint)
@@ -222,6 +236,11 @@
             exchange.answer(head.status, head.headers, body)
         self.forward.answered(reason, head.status)
 
+    @property
+    def _reused(self) -> bool:
+        """Return whether its connection was used before."""
+        return self._pending is not None and self._pending.reused
+
     def count_failure(self) -> None:
         """Count a failure of the endpoint, and log if that ejects it."""
         endpoint = self.endpoint
@@ -276,8 +295,8 @@
             self._buffered_body.append(data)
         if self._body_bytes <= MAX_BUFFERED_BYTES:
             return
-        if head.not_executed:
-            # The body of a refusal does not matter.
+        if head.not_executed or self._unattributed:
+            # Its body does not matter.
             self._close()
             self.end()
         elif head.status >= 500 or not _is_relayable(head):
@@ -361,8 +380,7 @@
 
         That is so if it was used before, and no byte has come since.
         """
-        pending = self._pending
-        return pending is not None and pending.reused and not self._heard_s
+        return self._reused and not self._heard_s
 
     @property
     def is_proof(self) -> bool:
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import re
+import select
 import socket
 from collections.abc import Callable
 from enum import IntEnum
@@ -98,6 +99,7 @@
         self._discarded_bytes = 0
         self._ends_with_close = False
         self._keep_alive = True
+        self._used_up = False  # Whether it carries no further request.
         self._unusable = False
         self.keep_alive_s: float | None = None  # Announced by the peer.
         self.idle_until_s = float("inf")
@@ -130,6 +132,19 @@
             and not self._unusable
         )
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether anything came that the loop has not read yet.
+
+        That also holds for the peer's end of the connection.
+        """
+        transport = self._transport
+        sock = transport.get_extra_info("socket") if transport else None
+        if sock is None:
+            return False
+        poller = select.poll()
+        poller.register(sock, select.POLLIN)
+        return bool(poller.poll(0))
+
     def send(self, method: bytes, payload: bytes, sink: Sink) -> None:
         """Send a request.
 
@@ -244,6 +259,9 @@
         """Handle the end of a response; called by the parser."""
         if self._discarding:
             self._discarding = False
+            if self._parser.get_status_code() >= 200:
+                # More such responses may come.
+                self._used_up = True
             return
         if self._sink is not None:
             self._finish()
@@ -255,7 +273,7 @@
         self._ends_with_close = False
         transport = self._transport
         unsent = transport is not None and transport.get_write_buffer_size()
-        if unsent or not self._keep_alive:
+        if unsent or not self._keep_alive or self._used_up:
             self._unusable = True
         if sink is not None:
             sink.end()
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -269,6 +269,10 @@
             if fresh and remaining_s < self.options.idle_s / 2:
                 self._idle.append(connection)
                 return None
+            if connection.has_unread_bytes():
+                # What came before a request was sent does not answer it.
+                # The loop will read it and close the connection.
+                continue
             if connection.usable and remaining_s > 0:
                 return connection
             connection.close()
