Broken streams hold no byte of another answer; the agent's answers are its own

What other operators saw: a stream had begun and broke off, the next worker answered with an error, and its text stood in the middle of the stream, or the stream looked complete.

It could happen at the pulling fleet's agent: a stream that it resumed was taken for complete if the engine answered 200 without a stream, and that text was passed on. There a refusal that came once more also answered the next run. Now the agent takes only a stream in place of a lost one, and no answer that names another request; both tests failed before.

--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -156,9 +156,14 @@
         async with asyncio.timeout_at(state.deadline_s):
             answer = await self._send(state, request)
         try:
+            own_id = state.dispatch.request_id
+            if answer.headers.get(REQUEST_ID_HEADER, own_id) != own_id:
+                raise httpx.RemoteProtocolError("answer to another request")
             if state.resume_count and answer.status_code != 200:
                 raise _LostStreamError("nothing to resume")
             head = self._head(state, answer)
+            if state.resume_count and not state.event_stream:
+                raise _LostStreamError("no stream in place of the lost one")
             if not state.head_sent:
                 state.head_sent = True
                 yield head
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -298,3 +299,79 @@
     chunks = [e.data for e in events if isinstance(e, RunBody)]
     assert b"".join(chunks) == event + b"data: [DONE]\n\n"
     assert all(chunk.endswith(b"\n\n") for chunk in chunks)
+
+
+Answers = list[bytes]
+
+
+@contextlib.asynccontextmanager
+async def serve_bytes(answers: Answers) -> AsyncIterator[EndpointRunner]:
+    """Answer requests with given bytes; an empty piece ends a connection."""
+    waiting = list(answers)
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while waiting:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = head.lower().partition(b"content-length: ")[2]
+                await reader.readexactly(int(length.split(b"\r\n")[0]))
+                writer.write(waiting.pop(0))
+                if not waiting[0]:
+                    waiting.pop(0)
+                    break
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    runner = EndpointRunner(RunnerOptions(f"http://127.0.0.1:{port}", True))
+    try:
+        yield runner
+    finally:
+        await runner.close()
+        server.close()
+        await server.wait_closed()
+        await asyncio.sleep(0.01)
+
+
+def an_answer(request_id: bytes, body: bytes, status: bytes = b"200") -> bytes:
+    return (
+        b"HTTP/1.1 %b x\r\nX-Request-Id: %b\r\nContent-Length: %d\r\n\r\n%b"
+        % (status, request_id, len(body), body)
+    )
+
+
+class ForeignAnswerSuite:
+    """Answers that belong to no run, or are no part of its stream."""
+
+    async def test_a_refusal_that_comes_again_is_not_taken(self) -> None:
+        """Guards against an untrue answer to the next request."""
+        refusal = an_answer(b"q1", b"full", b"503")
+        answers = [refusal, refusal + an_answer(b"q2", b"{}"), b"", b""]
+        async with serve_bytes(answers) as runner:
+            first = await collect_run(runner, a_dispatch(chat_body("a")))
+            second = await collect_run(
+                runner, replace(a_dispatch(chat_body("b")), request_id="q2")
+            )
+        assert run_end(first).complete
+        end = run_end(second)
+        assert (end.complete, end.started) == (False, True)
+        assert not [event for event in second if isinstance(event, RunHead)]
+
+    @pytest.mark.parametrize("status", (b"200", b"404", b"500"))
+    async def test_a_broken_stream_holds_no_other_answer(
+        self, status: bytes
+    ) -> None:
+        """Guards against a text in the middle of a stream that looks whole."""
+        event = b'data: {"choices":[]}\n\n'
+        stream = (
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n"
+            % (len(event), event)
+        )
+        other = an_answer(b"q1", b"an error\n\n", status)
+        async with serve_bytes([stream, b"", other, b"", b""]) as runner:
+            events = await collect_run(runner, a_dispatch(STREAM, stream=True))
+        assert body_of(events) == event
+        assert not run_end(events).complete
