--- a/src/bulrushstream/commands/operate.py
+++ b/src/bulrushstream/commands/operate.py
@@ -43,15 +43,22 @@
     return _report_unanswered(urls, answers)
 
 
-def suspects(routers: str) -> int:
+def suspects(routers: str, clear: str = "") -> int:
     """List what may crash endpoints, and the limits that endpoints name.
 
     This is for front-end routers on a platform; see also `quarantine list`.
 
     :param routers: addresses of routers' metrics, comma-separated
-    :returns: the exit code: 0 only if every router answered
+    :param clear: a suspect whose crashes no longer count from now on, such
+        as "part 5c1e07a2"; routers tell each other
+    :returns: the exit code: 0 only if every router answered, and knew the
+        suspect
     """
     urls = [url for url in routers.split(",") if url]
+    if clear:
+        return _report_refused(
+            urls, asyncio.run(_post_all(urls, "clear", clear))
+        )
     answers = asyncio.run(_get_all(urls, "suspects"))
     for url, answer in zip(urls, answers, strict=True):
         if answer is None:
@@ -104,7 +111,13 @@
     :returns: the exit code: 0 only if every named router accepted it
     """
     urls = [url for url in operators.split(",") if url]
-    answers = asyncio.run(_post_all(urls, "pardon", fingerprint))
+    return _report_refused(
+        urls, asyncio.run(_post_all(urls, "pardon", fingerprint))
+    )
+
+
+def _report_refused(urls: list[str], answers: list[Any]) -> int:
+    """Print the addresses that lifted nothing; return the exit code."""
     for url, answer in zip(urls, answers, strict=True):
         if answer is None:
             print(LIFT_REFUSED.format(url=url), file=sys.stderr)
--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -34,6 +34,8 @@
 
 MAX_REPEATED: Final = 512  # In one heartbeat.
 
+ANSWERED: Final = "an endpoint answered such a request"
+
 
 class SuspectNotifier(Protocol):
     """Reports what this router finds of suspects to the other routers."""
@@ -95,14 +97,20 @@
         suspect = CrashSuspect(fingerprint, endpoint, uncertain=True)
         self._report(suspect, at_s, now_s)
 
-    def request_ran(self, fingerprint: int, now_s: float) -> None:
+    def request_ran(
+        self, fingerprint: int, now_s: float, reason: str = ANSWERED
+    ) -> bool:
         """Record that an endpoint answered a request and did not crash.
 
         :param fingerprint: the request's digest
         :param now_s: the time
+        :param reason: for the log, if something else clears it
+        :returns: whether it was a suspect
         """
-        if self._clear(fingerprint, "", now_s) and self.notifier is not None:
+        cleared = self._clear(fingerprint, "", now_s, reason)
+        if cleared and self.notifier is not None:
             self.notifier.report_cleared(fingerprint)
+        return cleared
 
     def apply_update(self, update: PeerUpdate, now_s: float) -> None:
         """Apply what another router reports of suspects.
@@ -251,7 +259,13 @@
             )
         )
 
-    def _clear(self, fingerprint: int, reporter: str, now_s: float) -> bool:
+    def _clear(
+        self,
+        fingerprint: int,
+        reporter: str,
+        now_s: float,
+        reason: str = ANSWERED,
+    ) -> bool:
         """Remove a request's strikes; return whether it was a suspect."""
         was_watched = self._watched.remove(fingerprint)
         had_strikes = self.strikes.mark_proven(fingerprint, now_s)
@@ -262,7 +276,7 @@
             self.on_decision(
                 Decision(
                     "strikes_cleared",
-                    "an endpoint answered such a request",
+                    reason,
                     inputs={"fingerprint": fingerprint, "reporter": reporter},
                 )
             )
--- a/src/bulrushstream/coordination/partsuspects.py
+++ b/src/bulrushstream/coordination/partsuspects.py
@@ -35,6 +35,9 @@
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.peerupdate import PeerUpdate
 
+ANSWERED: Final = "an endpoint answered such a prompt"
+PARDONED: Final = "an operator cleared it"
+
 MAX_LOGGED_PARTS: Final = 8  # Of those that share crashes with another.
 
 
@@ -186,6 +189,18 @@
             if self._prove(part, began_s, ""):
                 self.reports.add_proof(part, began_s, now_s)
 
+    def pardon(self, part: int, now_s: float) -> bool:
+        """Remove a part's strikes, as an operator asks.
+
+        :param part: the part's id
+        :param now_s: the time
+        :returns: whether it had any
+        """
+        had_strikes = self._prove(part, now_s, "", PARDONED)
+        if had_strikes:
+            self.reports.add_proof(part, now_s, now_s)
+        return had_strikes
+
     def apply_update(self, update: PeerUpdate, now_s: float) -> None:
         """Apply what another router reports of parts.
 
@@ -296,14 +311,16 @@
             self._update()
         return new
 
-    def _prove(self, part: int, began_s: float, reporter: str) -> bool:
+    def _prove(
+        self, part: int, began_s: float, reporter: str, reason: str = ANSWERED
+    ) -> bool:
         """Record a proof; return whether the part had strikes."""
         self._watched.remove(part, before_s=began_s)
         if not self.table.prove(part, began_s):
             return False
         self._changed = True
         if part in self._held:
-            self._log(part, "an endpoint answered such a prompt", reporter)
+            self._log(part, reason, reporter)
         return True
 
     def _watch(self, part: int, at_s: float) -> bool:
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -15,7 +15,7 @@
 from bulrushstream.daemon.crashstore import CrashStore
 from bulrushstream.daemon.front import Front, FrontDeps
 from bulrushstream.daemon.recovery import Recovery
-from bulrushstream.daemon.suspectlist import encode_suspects
+from bulrushstream.daemon.suspectlist import clear_suspect, encode_suspects
 from bulrushstream.daemon.versionrecords import version_tasks
 from bulrushstream.daemon.watch import (
     Snapshot,
@@ -264,6 +264,10 @@
             state, now_s = self.front.fleet_state, self._deps.clock()
             headers = [(b"content-type", b"application/json")]
             exchange.answer(200, headers, encode_suspects(state, now_s))
+        elif exchange.target == b"/actions/clear":
+            state, now_s = self.front.fleet_state, self._deps.clock()
+            found = clear_suspect(state, exchange.body, now_s)
+            exchange.answer(200 if found else 404, [], b"%d" % found)
         elif not self._recovery.answer_peer(exchange):
             exchange.answer(404, [])
 
--- a/src/bulrushstream/daemon/suspectlist.py
+++ b/src/bulrushstream/daemon/suspectlist.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
+from bulrushstream.coordination.crashids import split_id
+from bulrushstream.coordination.partsuspects import PARDONED
 from bulrushstream.state.call import part_name
 
 if TYPE_CHECKING:
     from bulrushstream.coordination.fleetstate import FleetState
 
 
+_REQUEST: Final = re.compile(rb"request -?[0-9]{1,19}")
+_PART: Final = re.compile(rb"part [0-9a-f]{1,16}")
+
+
 @dataclass(frozen=True, slots=True)
 class SuspectStatus:
     """A request, or a part of prompts, that may crash endpoints."""
@@ -21,7 +28,7 @@
     name: str  # The fingerprint, or the part's id in hexadecimal.
     refused: bool  # Whether such requests are refused; else they are held.
     strikes: int  # Crashes that still count.
-    endpoints: tuple[str, ...] = ()  # Those that crashed; of parts only.
+    endpoints: tuple[str, ...] = ()  # Those that crashed.
     # The parts that may be the cause, this one included; of parts only.
     explained_by: tuple[str, ...] = ()
 
@@ -56,6 +63,10 @@
             str(fingerprint),
             state.suspects.is_refused(fingerprint, now_s),
             strikes.count(fingerprint, now_s),
+            tuple(
+                split_id(strike.strike_id)[0]
+                for strike in strikes.strikes(fingerprint, now_s)
+            ),
         )
         for fingerprint in strikes.fingerprints()
     ]
@@ -79,6 +90,22 @@
     return SuspectList((*parts, *requests), tuple(limits))
 
 
+def clear_suspect(state: FleetState, name: bytes, now_s: float) -> bool:
+    """Remove the strikes of a suspect at all routers.
+
+    :param state: a router's state
+    :param name: "request" or "part" and its name, as the list shows them
+    :param now_s: the time
+    :returns: whether there is such a suspect
+    """
+    if _REQUEST.fullmatch(name):
+        fingerprint = int(name.split()[1])
+        return state.suspects.request_ran(fingerprint, now_s, PARDONED)
+    if _PART.fullmatch(name):
+        return state.parts.pardon(int(name.split()[1], 16), now_s)
+    return False
+
+
 def encode_suspects(state: FleetState, now_s: float) -> bytes:
     """Return the suspects and limits that a router knows, as JSON.
 
