Plays of other ways in which a fourth endpoint may fall

Crashes for other reasons once a second, two such requests at once, a bad part beside a bad request, endpoints back under their id, routers that miss reports and many broken runs a crash; each with and without ends of routers.

--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -33,6 +33,7 @@
 from tests.crashplans import (
     BACKGROUND_PATHS,
     CONTACT_S,
+    DEFAULT_PREFIX,
     SERVICES,
     TIMEOUT_S,
     CrashHistory,
@@ -43,7 +44,7 @@
     Sent,
 )
 from tests.crashrouters import Router, make_router
-from tests.simulatedcallers import DEFAULT_PREFIX, Caller, an_exchange
+from tests.simulatedcallers import Caller, an_exchange
 from tests.virtualnetwork import NetworkLoop, run_in_network
 
 DATAGRAM_S: Final = 0.002
@@ -186,11 +187,9 @@
 
     def _kill_busiest(self, service: str) -> None:
         """End the endpoint with the most connections, for no request."""
-        endpoint = max(
-            (e for e in self.endpoints.values() if e.service == service),
-            key=lambda each: len(each.links),
-        )
-        self._end(endpoint)
+        found = [e for e in self.endpoints.values() if e.service == service]
+        if found:
+            self._end(max(found, key=lambda each: len(each.links)))
 
     def _end(self, endpoint: Endpoint) -> None:
         loop, after = self.loop, self.ending.after
@@ -384,7 +383,8 @@
 
     def _repeat(self, repeats: Repeats, count: int) -> None:
         numbers = repeats.routers or tuple(range(self.plan.routers))
-        self._send(numbers[count % len(numbers)], repeats.path, repeats.body)
+        number = numbers[count % len(numbers)]
+        self._send(number, repeats.path, repeats.body, prefix=repeats.prefix)
         self.loop.call_later(
             repeats.interval_s, self._repeat, repeats, count + 1
         )
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -24,6 +24,7 @@
 )
 from tests.deployments import a_config, a_route
 
+DEFAULT_PREFIX: Final = "a1:40,b2:20"
 CONTACT_S: Final = 3.0  # A router is in touch this long after a fault.
 TIMEOUT_S: Final = 4.0  # A caller gives up after this.
 LATENCY_TARGET_S: Final = 0.8
@@ -68,6 +69,7 @@
     interval_s: float = 1.0
     begin_s: float = 3.0
     routers: tuple[int, ...] = ()  # In turn; empty: all.
+    prefix: str = DEFAULT_PREFIX  # The parts of its prompt, if it streams.
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/simulatedcallers.py
+++ b/tests/simulatedcallers.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Final, cast
+from typing import cast
 
 from bulrushstream.transport.ingress import ClientConnection, Exchange
-from tests.crashplans import ROUTES, TIMEOUT_S
+from tests.crashplans import DEFAULT_PREFIX, ROUTES, TIMEOUT_S
 from tests.deployments import HOST, KEY
 
-DEFAULT_PREFIX: Final = "a1:40,b2:20"
-
 
 class Caller:
     """A caller's connection; records the answer."""
