bulrushstream check plays odd records, repeated refusals and broken streams

Endpoints of random histories write an earlier refusal once more on a kept connection, with real connections on the router's side; the endpoint list has records of other writers; and of a stream that was broken off every byte is checked, and that it does not look complete. Each of four faults put into the routers is caught.

The list's handler is a module of its own now, so that histories run it.

--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -13,6 +13,7 @@
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.crashstore import CrashStore
+from bulrushstream.daemon.endpointlist import EndpointList
 from bulrushstream.daemon.front import Front, FrontDeps
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.daemon.suspectlist import clear_suspect, encode_suspects
@@ -44,11 +45,6 @@
 # How often a router checks whether it has to query a peer.
 PEER_QUERY_INTERVAL_S: Final = 0.4
 
-# An endpoint that disappears from the list this soon after a failed read of
-# the store is removed only if it stays away for as long: the platform enters
-# live endpoints again within two seconds of an outage.
-DELIST_DELAY_S: Final = 2.0
-
 # How long requests are still accepted after readiness fails: the load
 # balancer probes every second and needs two failed probes.
 BALANCER_NOTICE_S: Final = 2.2
@@ -91,6 +87,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self.ports: list[int] = []  # Callers, readiness, service.
+        self._endpoints = EndpointList(self.front, self._report_fault)
         self._recovery = Recovery(
             front=self.front,
             clock=deps.clock,
@@ -98,13 +95,12 @@
             rng=deps.rng,
             port=settings.control_port,
             apply_config=self._apply_raw_config,
-            apply_endpoints=lambda entries: self._handle_endpoints(
+            apply_endpoints=lambda entries: self._endpoints.handle(
                 Snapshot(entries)
             ),
+            entries=self._endpoints.entries,
         )
         self._store_ok = True
-        self._store_failed_s = float("-inf")
-        self._missing_since_s: dict[str, float] = {}
         self._dialect = deps.dialect
         self.store = deps.dialect.make_store(
             settings.store_address, deps.clock, self._count_store_call
@@ -149,7 +145,7 @@
         self._watch(
             topics.endpoints,
             ENDPOINTS_INTERVAL_S,
-            self._handle_endpoints,
+            self._endpoints.handle,
             front.streams.history.list_read,
         )
         for work in version_tasks(self.store, front):
@@ -306,7 +302,7 @@
 
     def _store_failed(self, reason: str) -> None:
         """Record a failed store call; log the start of an outage."""
-        self._store_failed_s = self._deps.clock()
+        self._endpoints.store_failed_s = self._deps.clock()
         if self._store_ok:
             self._store_ok = False
             self._deps.observe(Decision("dependency_lost", reason))
@@ -344,49 +340,9 @@
         if platformupdates.apply_config(self.front, config):
             self._recovery.config = data
 
-    def _handle_endpoints(self, update: Snapshot | KeyedRecord) -> None:
-        """Apply an update of the endpoint list."""
-        if isinstance(update, KeyedRecord):
-            self._handle_endpoint(update.key, update.value)
-            return
-        for name, value in update.values.items():
-            try:
-                self._handle_endpoint(name, value)
-            except Exception as error:
-                # The other entries still hold.
-                self._report_fault(error)
-        for name in set(self.front.pool.by_name) - set(update.values):
-            self._handle_endpoint(name, None)
-        self.front.endpoints_listed = True
-
-    def _handle_endpoint(self, name: str, value: bytes | None) -> None:
-        """Apply the list's entry of one endpoint; None: it was removed."""
-        if value is None:
-            if name in self.front.pool.by_name:
-                self._missing_since_s.setdefault(name, self._deps.clock())
-            return
-        try:
-            entry = self._dialect.decode_entry(name, value)
-        except DocumentError as error:
-            name = name[:MAX_FAULT_CHARS]
-            self._deps.report("bad_entry", f"{name}: {error}")
-            return
-        self._missing_since_s.pop(name, None)
-        self._recovery.entries[name] = value
-        platformupdates.apply_entry(self.front, entry)
-
     def _sweep(self) -> None:
         """Remove endpoints that stay delisted, and other expired state."""
-        now_s = self._deps.clock()
-        for name, since_s in list(self._missing_since_s.items()):
-            since_failure_s = since_s - self._store_failed_s
-            if (
-                since_failure_s > DELIST_DELAY_S
-                or now_s - since_s > DELIST_DELAY_S
-            ):
-                del self._missing_since_s[name]
-                self._recovery.entries.pop(name, None)
-                platformupdates.remove_endpoint(self.front, name)
+        self._endpoints.sweep()
         self.front.sweep()
 
     # --- Peers.
--- a/src/bulrushstream/history/routingcheck.py
+++ b/src/bulrushstream/history/routingcheck.py
@@ -199,13 +199,16 @@
                 f"status {reply.status} although a run executed",
             )
         )
-    if reply.status == 200 and not reply.aborted:
+    if reply.status == 200:
         found += _check_body(request_id, reply)
     return found
 
 
 def _check_body(request_id: str, reply: Reply) -> list[_Finding]:
-    """Report a body of status 200 that is not the expected one."""
+    """Report a body of status 200 that is not the expected one.
+
+    A body that was broken off must be a part of it, and be seen as such.
+    """
     head, _, body = reply.data.partition(b"\r\n\r\n")
     expected = b"answer of " + request_id.encode()
     if ROUTES[reply.request.route][1] == "llm":
@@ -213,24 +216,29 @@
             event_of(request_id, number + 1)
             for number in range(reply.after, EVENTS)
         )
+    complete = not reply.aborted
     if b"chunked" in head:
-        body = _join_chunks(body)
-    if body == expected:
+        body, complete = _join_chunks(body)
+    if reply.aborted and complete:
+        return [(ViolationKind.TRUNCATED_WHOLE, repr(body[-80:]))]
+    if complete and body == expected:
+        return []
+    if reply.aborted and expected.startswith(body):
         return []
     return [(ViolationKind.GARBLED_ANSWER, repr(body[-80:]))]
 
 
-def _join_chunks(body: bytes) -> bytes:
-    """Decode a chunked body; empty if the last chunk is missing."""
+def _join_chunks(body: bytes) -> tuple[bytes, bool]:
+    """Decode a chunked body; return whether the last chunk is there, too."""
     body_data = b""
     while body:
         size, _, rest = body.partition(b"\r\n")
         length = int(size, 16)
         if length == 0:
-            return body_data
+            return body_data, True
         body_data += rest[:length]
         body = rest[length + 2 :]
-    return b""
+    return body_data, False
 
 
 def _check_versions(history: RoutingHistory) -> list[Violation]:
--- a/src/bulrushstream/history/routingendpoint.py
+++ b/src/bulrushstream/history/routingendpoint.py
@@ -7,6 +7,10 @@
 from random import Random
 from typing import Final, Protocol
 
+from bulrushstream.history.keptconnection import (
+    KeptConnection,
+    encode_response,
+)
 from bulrushstream.history.routingplan import (
     ENDPOINTS,
     REST_S,
@@ -83,6 +87,7 @@
         self.endpoint = endpoint
         self._sink: Sink | None = sink
         self.reused = False
+        self._kept: KeptConnection | None = None  # Speaks HTTP, if any.
         self._later(CONNECT_S, self._connected)
 
     @property
@@ -93,6 +98,8 @@
     def cancel(self) -> None:
         """Stop the attempt; the sink is not called any more."""
         self._sink = None
+        if self._kept is not None:
+            self._kept.cancel()
 
     def _later(self, delay_s: float, step: Callable[[Sink], None]) -> None:
         def run_step() -> None:
@@ -120,6 +127,11 @@
         fleet.record_run(self, request_id, fault, int(remaining_ms) / 1000.0)
         if fault is AttemptFault.SILENT:
             return
+        if fault is AttemptFault.REPEATED:
+            self._use_kept_connection(
+                sink, payload, request_id, int(resume_after) + 1
+            )
+            return
         work_s = rng.expovariate(1 / 0.05)
         if ENDPOINTS[self.endpoint] == "llm":
             self._later(
@@ -134,6 +146,45 @@
                 lambda sink: self._send_answer(sink, request_id, fault),
             )
 
+    def _use_kept_connection(
+        self, sink: Sink, payload: bytes, request_id: str, number: int
+    ) -> None:
+        """Refuse an earlier request once more, and answer this one."""
+        rng, loop = self._fleet.rng, asyncio.get_running_loop()
+        self.reused = True
+        kept = self._kept = KeptConnection(loop.time)
+        kept.send(payload, sink)
+        named = rng.choice(([], [(b"id", b"another")]))
+        status = rng.choice((400, 429, 503))
+        refusal = encode_response(
+            status, [*named, (b"not-executed", b"yes")], [b"full"]
+        )
+        kind, chunks = b"plain", [b"answer of ", request_id.encode()]
+        if ENDPOINTS[self.endpoint] == "llm":
+            kind = b"events"
+            chunks = [
+                event_of(request_id, each)
+                for each in range(number, EVENTS + 1)
+            ]
+        headers = [(b"id", request_id.encode()), (b"kind", kind), SIGNED]
+        answer = encode_response(200, headers, chunks)
+        cut = rng.randrange(len(refusal))
+        pieces = rng.choice(
+            ([refusal + answer], [refusal[:cut], refusal[cut:], answer])
+        )
+
+        def receive(sink: Sink) -> None:
+            del sink
+            # No router takes an answer after a refusal that names nobody.
+            if kind == b"events" and named:
+                self._fleet.event_sent(self, request_id)
+            kept.receive(pieces.pop(0))
+            if not pieces:
+                self._sink = None
+            self._later(0.002, receive)
+
+        self._later(rng.expovariate(1 / 0.05), receive)
+
     def _send_head(
         self, sink: Sink, request_id: str, fault: AttemptFault, kind: bytes
     ) -> None:
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -17,8 +17,10 @@
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashstore import CrashStore
+from bulrushstream.daemon.endpointlist import EndpointList
 from bulrushstream.daemon.front import Front, FrontDeps
 from bulrushstream.daemon.versionrecords import version_tasks
+from bulrushstream.daemon.watch import Snapshot
 from bulrushstream.history.routingconnections import (
     CallerConnection,
     DatagramSender,
@@ -42,8 +44,9 @@
 from bulrushstream.history.routingplatform import (
     DIALECT,
     config_of,
-    entry_of,
     host_of,
+    odd_record,
+    record_of,
     settings_of,
 )
 from bulrushstream.history.routingrecord import (
@@ -284,10 +287,13 @@
             crashes.write,
         ):
             self._tasks.append(loop.create_task(work()))
-        self._read_store(number)
+        endpoints = EndpointList(front, self._record_fault)
+        self._read_store(number, endpoints)
         self._repeat(front, HEARTBEAT_S, port.beat)
         self._repeat(front, SWEEP_INTERVAL_S, front.sweep)
-        self._repeat(front, POLL_S, lambda: self._read_store(number))
+        self._repeat(
+            front, POLL_S, lambda: self._read_store(number, endpoints)
+        )
 
     def _repeat(
         self, front: Front, interval_s: float, step: Callable[[], None]
@@ -305,7 +311,12 @@
 
         loop.call_later(self.rng.random() * interval_s, run_step)
 
-    def _read_store(self, number: int) -> None:
+    def _record_fault(self, error: Exception) -> None:
+        """Record a failure that only a record made to fail explains."""
+        if not isinstance(error, ArithmeticError):
+            self.history.exceptions.append(repr(error))
+
+    def _read_store(self, number: int, endpoints: EndpointList) -> None:
         """Let a router read the configuration and the endpoint list."""
         if self._has_fault(number, RouterFaultKind.STORE):
             return
@@ -320,19 +331,25 @@
 
         def apply(config: RouteConfig, draining: set[str]) -> None:
             platformupdates.apply_config(front, config)
-            released = loop.time() >= self.plan.release_s
-            for name in ENDPOINTS:
-                if name in RELEASED and not released:
-                    continue
-                platformupdates.apply_entry(
-                    front, entry_of(name, name in draining)
-                )
-            front.endpoints_listed = True
+            endpoints.handle(Snapshot(self._list_endpoints(draining)))
             front.streams.history.list_read(sent_boot_s)
             front.freshness.confirm(sent_boot_s)
 
         loop.call_later(STORE_DELAY_S, read)
 
+    def _list_endpoints(self, draining: set[str]) -> dict[str, bytes]:
+        """Return the records of the endpoint list, odd ones first."""
+        now_s = asyncio.get_running_loop().time()
+        records = {
+            f"odd-{kind}": odd_record(kind)
+            for at_s, kind in self.plan.odd_records
+            if at_s <= now_s
+        }
+        for name in ENDPOINTS:
+            if name not in RELEASED or now_s >= self.plan.release_s:
+                records[name] = record_of(name, name in draining)
+        return records
+
     # --- Faults.
 
     def _has_fault(self, router: int, kind: RouterFaultKind) -> bool:
--- a/src/bulrushstream/history/routingplan.py
+++ b/src/bulrushstream/history/routingplan.py
@@ -32,6 +32,9 @@
     SILENT = "silent"  # No answer.
     FOREIGN = "foreign"  # Another request's answer.
     REST = "rest"  # Busy, and asks the router for rest.
+    # An earlier refusal comes once more on a kept connection, and then a
+    # complete, correct answer.
+    REPEATED = "repeated"
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +48,14 @@
     disconnects_after_s: float | None  # After sending; None: never.
 
 
+class OddRecord(StrEnum):
+    """A record of another writer in the endpoint list."""
+
+    NESTED = "nested"  # Too deeply to be decoded.
+    VALUES = "values"  # Absurd numbers and texts.
+    FAILING = "failing"  # One on which the decoder fails unexpectedly.
+
+
 class RouterFaultKind(StrEnum):
     """A kind of router fault."""
 
@@ -83,6 +94,8 @@
     notices: tuple[tuple[float, str], ...]
     # When all routers end, and after how long they start again.
     restarts: tuple[tuple[float, float], ...] = ()
+    # When odd records are added to the endpoint list.
+    odd_records: tuple[tuple[float, OddRecord], ...] = ()
 
 
 # Routes by name: kind, service, resumable, maximum number of attempts.
@@ -181,4 +194,8 @@
                 for _ in range(rng.choice((0, 0, 1, 3)))
             )
         ),
+        odd_records=tuple(
+            (rng.uniform(0.0, FAULTS_END_S), kind)
+            for kind in rng.sample(list(OddRecord), rng.randint(0, 2))
+        ),
     )
--- a/src/bulrushstream/history/routingplatform.py
+++ b/src/bulrushstream/history/routingplatform.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, Final, cast
 
+import msgspec
+
 from bulrushstream.history.routingplan import (
     ENDPOINTS,
     FIRST_VERSION,
     KEYS,
     RELEASED,
     ROUTES,
+    OddRecord,
 )
-from bulrushstream.protocol.dialect import Dialect, Topics
+from bulrushstream.protocol.dialect import Dialect, DocumentError, Topics
 from bulrushstream.protocol.keyedstore import KeyedStore
 from bulrushstream.state.call import (
     AnswerHead,
@@ -22,6 +26,7 @@
     PromptPart,
     RawHeaders,
 )
+from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.nodesettings import Address, NodeSettings
 from bulrushstream.state.routes import (
     EndpointEntry,
@@ -38,6 +43,8 @@
 RETRY_RATIO: Final = 0.2
 RETRY_SLACK: Final = 20.0
 RETRY_WINDOW_S: Final = 10.0
+NESTED_LEVELS: Final = 10_000
+_FAILING: Final = b"failing"
 
 
 def config_of(version: int, revoked: set[int]) -> RouteConfig:
@@ -79,6 +86,39 @@
     )
 
 
+def record_of(name: str, leaving: bool) -> bytes:
+    """Return the record of an endpoint's entry.
+
+    :param name: the endpoint's id
+    :param leaving: whether it is draining and takes no new requests
+    """
+    return msgspec.json.encode(entry_of(name, leaving))
+
+
+def odd_record(kind: OddRecord) -> bytes:
+    """Return a record of another writer.
+
+    :param kind: what is odd about it
+    """
+    sound = record_of(next(iter(ENDPOINTS)), False)
+    if kind is OddRecord.NESTED:
+        return b"[" * NESTED_LEVELS + b"]" * NESTED_LEVELS
+    if kind is OddRecord.VALUES:
+        return sound.replace(b'"port":80', b'"port":1e99')
+    return _FAILING
+
+
+def _decode_entry(endpoint: str, data: bytes) -> EndpointEntry:
+    """Decode a record of the endpoint list."""
+    if data == _FAILING:
+        raise ArithmeticError("unexpected")
+    try:
+        entry = msgspec.json.decode(data, type=EndpointEntry)
+    except DECODE_ERRORS as error:
+        raise DocumentError(str(error)) from error
+    return replace(entry, endpoint=endpoint)
+
+
 def host_of(number: int) -> str:
     """Return a router's IP address.
 
@@ -171,7 +211,7 @@
         not_executed=b"not-executed" in values,
         event_stream=values.get(b"kind") == b"events",
         encoded=False,
-        headers=headers,
+        headers=[pair for pair in headers if pair[0] != b"transfer-encoding"],
         rest_s=float(values.get(b"rest", b"0")),
         leaving=b"leaving" in values,
     )
@@ -205,7 +245,7 @@
     read_settings=_unused,
     make_store=cast(Callable[..., KeyedStore], _unused),
     decode_config=_unused,
-    decode_entry=_unused,
+    decode_entry=_decode_entry,
     decode_call=_decode_call,
     encode_request=_encode_request,
     decode_answer=_decode_answer,
--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -16,6 +16,7 @@
 from bulrushstream.coordination.retryquota import RetryQuota
 from bulrushstream.daemon import forward, originrecords
 from bulrushstream.daemon.attempt import Attempt
+from bulrushstream.daemon.endpointlist import EndpointList
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.history.routingcheck import run_routing_seed
 from bulrushstream.history.violation import (
@@ -25,11 +26,12 @@
 from bulrushstream.protocol.origincodec import decode_origins
 from bulrushstream.state.events import EventSplitter
 from bulrushstream.state.streamorigin import StreamOrigin
+from bulrushstream.transport.ingress import Exchange
 
 SEEDS: Final = range(40)
 # All routers start again, each with the whole slack of retries.
 SLACK_SEEDS: Final = (100, 118, 130, 173, 186, 199, 201, 237, 321)
-MUTATION_SEEDS: Final = range(40)
+MUTATION_SEEDS: Final = range(80)
 
 K = ViolationKind
 R = RoutingViolationKind
@@ -101,6 +103,53 @@
     monkeypatch.setattr(Attempt, "head", head)
 
 
+def take_unnamed_refusals(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Take each refusal for the answer to the request that was sent last."""
+    monkeypatch.setattr(Attempt, "_reused", False)
+
+
+def relay_errors_in_streams(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Pass an endpoint's error on after a stream had begun."""
+    original = Attempt.data
+
+    def data(self: Attempt, data: bytes) -> None:
+        if self.forward.exchange.started and self.forward.streaming:
+            self.forward.exchange.write(data)
+        original(self, data)
+
+    def relay_events(
+        self: Forward, head: Any, events: bytes, now_s: float
+    ) -> None:
+        if not self.exchange.started:
+            self.exchange.begin(head.status, head.headers, None)
+            self.exchange.write(events)
+
+    monkeypatch.setattr(Attempt, "data", data)
+    monkeypatch.setattr(Forward, "relay_events", relay_events)
+
+
+def end_broken_streams(monkeypatch: pytest.MonkeyPatch) -> None:
+    """End a broken stream as if it were complete."""
+
+    def abort(self: Exchange) -> None:
+        if self.chunked and not self.ended:
+            self.connection.write(b"0\r\n\r\n")
+        if not self.ended:
+            self.ended = True
+            self.connection.abort()
+
+    monkeypatch.setattr(Exchange, "abort", abort)
+
+
+def follow_until_an_odd_record(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let an error in one record keep the others from being applied."""
+
+    def handle(self: EndpointList, name: str, value: bytes | None) -> None:
+        self._apply(name, value)
+
+    monkeypatch.setattr(EndpointList, "_handle_record", handle)
+
+
 def confuse_stored(monkeypatch: pytest.MonkeyPatch) -> None:
     """Read another version of each stream from the store."""
     original = decode_origins
@@ -160,6 +209,13 @@
         {K.LATE_WORK},
     ),
     "foreign answer": (accept_foreign_answer, {K.GARBLED_ANSWER}),
+    "repeated refusal": (
+        take_unnamed_refusals,
+        {K.RUN_TWICE, K.FALSE_NOT_RUN},
+    ),
+    "error in a stream": (relay_errors_in_streams, {K.GARBLED_ANSWER}),
+    "broken stream ended": (end_broken_streams, {K.TRUNCATED_WHOLE}),
+    "odd record": (follow_until_an_odd_record, {K.CORE_FAILED}),
 }
 
 
