The pulling fleet's instance list: one odd entry leaves the others

The same class as the odd entries of the platform's endpoint list: an instance with a port out of range, another role or a host that is no address made the whole list unreadable, so that new instances were not discovered. Entries are decoded one by one. The test failed before (ListUnavailableError).

--- a/src/bulrushstream/transport/instances.py
+++ b/src/bulrushstream/transport/instances.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import builtins
+import ipaddress
 from typing import Any
 from urllib.parse import quote
 
@@ -21,7 +22,17 @@
 class _Listing(msgspec.Struct, frozen=True):
     """The answer to a read of the list."""
 
-    instances: builtins.list[InstanceInfo]  # Live and leaving instances.
+    instances: builtins.list[Any]  # Live and leaving instances.
+
+
+def _decode_instance(item: object) -> InstanceInfo | None:
+    """Decode one instance; None if it can not be connected to."""
+    try:
+        info = msgspec.convert(item, InstanceInfo)
+        ipaddress.ip_address(info.host)
+    except (*DECODE_ERRORS, ValueError):
+        return None
+    return info if 0 < info.port < 65536 else None
 
 
 class InstanceListClient:
@@ -54,7 +65,8 @@
             listing = msgspec.json.decode(answer, type=_Listing)
         except DECODE_ERRORS as error:
             raise ListUnavailableError(str(error)) from error
-        return tuple(listing.instances)
+        decoded = map(_decode_instance, listing.instances)
+        return tuple(info for info in decoded if info is not None)
 
     async def register(self, info: InstanceInfo) -> None:
         """Add an instance to the list, or renew its entry.
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -7,7 +7,9 @@
 
 import contextlib
 from collections.abc import AsyncIterator
+from typing import Any
 
+import msgspec
 import pytest
 
 from bulrushstream.protocol.logservice import (
@@ -124,6 +126,33 @@
         assert leaving[0].leaving
         assert remaining == ()
 
+    async def test_odd_entries_leave_the_others(self) -> None:
+        """Guards against one entry that hides all instances."""
+        info = a_router()
+        sound = msgspec.to_builtins(info)
+        odd = [
+            {**sound, "port": 70_000},
+            {**sound, "port": -1},
+            {**sound, "host": "a\x00b"},
+            {**sound, "host": "localhost"},
+            {**sound, "role": "none"},
+            {"x": 10**400},
+            None,
+        ]
+        body = str({"instances": [*odd, sound, *odd]})
+        for name, value in (("'", '"'), ("None", "null"), ("False", "false")):
+            body = body.replace(name, value)
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            await send({"type": "http.response.start", "status": 200})
+            text = body.replace("\\x00", "\\u0000").encode()
+            await send({"type": "http.response.body", "body": text})
+
+        async with serve(app) as server:
+            client = InstanceListClient(server.url, 5.0)
+            assert await client.list() == (info,)
+            await client.close()
+
     async def test_outage_raises_an_error(self) -> None:
         instances = make_instances()
         instances.state.faults = InstancesFaults(outage=True)
