--- a/src/bulrushstream/coordination/crashrecords.py
+++ b/src/bulrushstream/coordination/crashrecords.py
@@ -126,11 +126,11 @@
         )
         for crash, host in crashes:
             age_s = max(0, now_ms - crash.at_ms) / 1000
-            self._restore_crash(crash, now_s - age_s, now_s, host == own_host)
+            self._restore_crash(crash, now_s - age_s, host == own_host)
         self._log_restored(crashes, now_ms)
 
     def _restore_crash(
-        self, crash: RecordedCrash, at_s: float, now_s: float, own: bool
+        self, crash: RecordedCrash, at_s: float, own: bool
     ) -> None:
         """Apply one crash of a record."""
         crash_id = self.suspects.crash_ids.restore(
@@ -145,7 +145,6 @@
                 )
                 for part in crash.parts
             },
-            now_s,
         )
         if own:
             found = self._found.setdefault(crash_id, _FoundCrash(crash.at_ms))
--- a/src/bulrushstream/coordination/partsuspects.py
+++ b/src/bulrushstream/coordination/partsuspects.py
@@ -229,16 +229,17 @@
         for proof in update.part_proofs:
             self._prove(proof.part_id, now_s - proof.age_s, update.instance)
 
-    def restore(
-        self, crash_id: str, strikes: dict[int, PartStrike], now_s: float
-    ) -> None:
+    def restore(self, crash_id: str, strikes: dict[int, PartStrike]) -> None:
         """Apply strikes that were read from the store.
 
+        Which parts are held is computed later, once for all crashes.
+
         :param crash_id: the id of the crash
         :param strikes: by part
-        :param now_s: the time
         """
-        self._strike(crash_id, strikes, "store", now_s)
+        for part, strike in strikes.items():
+            if self.table.add(part, crash_id, strike):
+                self._changed = True
 
     def set_explained(self, crash_ids: Iterable[str]) -> None:
         """Leave out the crashes that repeats of one request explain.
