Records of crashes are bounded by what the store takes

With 256 crashes of 128 requests each a record would have exceeded the store's 262,144 bytes, and its append would have been repeated for ever. The newest 4,096 suspects are kept. Many routers repeat failed appends more rarely.

--- a/src/bulrushstream/coordination/crashrecords.py
+++ b/src/bulrushstream/coordination/crashrecords.py
@@ -26,7 +26,8 @@
 from bulrushstream.state.crashrecord import RecordedCrash, RecordedPart
 from bulrushstream.state.effect import Decision
 
-# Limits of a record; the oldest crashes, and further suspects, are left out.
+# Limits of a record, and of the suspects in all records that are applied; the
+# oldest crashes are left out, and further suspects of one.
 MAX_CRASHES: Final = 256
 MAX_SUSPECTS_OF_CRASH: Final = 128
 MAX_SUSPECTS: Final = 4_096
@@ -97,7 +98,7 @@
                 crashes.append(crash)
             else:
                 del self._found[crash_id]
-        return tuple(crashes)
+        return tuple(crashes[_first_kept(crashes) :])
 
     def restore(
         self,
@@ -112,18 +113,16 @@
         :param now_s: the time
         """
         now_ms = int(self.time_of_day() * 1000)
-        # The newest ones stay if there are too many.
-        crashes = _newest(
-            sorted(
-                (
-                    (crash, host)
-                    for host, crashes in records
-                    for crash in crashes
-                    if now_ms - crash.at_ms < _EXPIRY_S * 1000
-                ),
-                key=lambda each: each[0].at_ms,
-            )
+        crashes = sorted(
+            (
+                (crash, host)
+                for host, crashes in records
+                for crash in crashes
+                if now_ms - crash.at_ms < _EXPIRY_S * 1000
+            ),
+            key=lambda each: each[0].at_ms,
         )
+        crashes = crashes[_first_kept([crash for crash, _ in crashes]) :]
         for crash, host in crashes:
             age_s = max(0, now_ms - crash.at_ms) / 1000
             self._restore_crash(crash, now_s - age_s, host == own_host)
@@ -201,14 +200,12 @@
         )
 
 
-def _newest(
-    crashes: Sequence[tuple[RecordedCrash, str]],
-) -> Sequence[tuple[RecordedCrash, str]]:
-    """Return the last crashes that have no more suspects than the limit."""
+def _first_kept(crashes: Sequence[RecordedCrash]) -> int:
+    """Return the first crash from which on the suspects are not too many."""
     count = 0
     for index in range(len(crashes) - 1, -1, -1):
-        crash, _ = crashes[index]
+        crash = crashes[index]
         count += len(crash.fingerprints) + len(crash.parts)
         if count > MAX_SUSPECTS:
-            return crashes[index + 1 :]
-    return crashes
+            return index + 1
+    return 0
--- a/src/bulrushstream/daemon/crashstore.py
+++ b/src/bulrushstream/daemon/crashstore.py
@@ -94,6 +94,10 @@
             record = encode_crashes(crashes)
             if record == self._written:
                 continue
+            interval_s = write_interval_s(
+                front.peers.router_count, settings.store_writes_per_s
+            )
+            writer.max_retry_s = max(MAX_RETRY_S, interval_s)
             started_s = front.clock()
             await writer.append(record)
             self._written = record
@@ -111,9 +115,6 @@
                     },
                 )
             )
-            interval_s = write_interval_s(
-                front.peers.router_count, settings.store_writes_per_s
-            )
             await asyncio.sleep(max(0.0, interval_s - took_s))
 
     async def _wait_for_changes(self) -> None:
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -43,6 +43,7 @@
 TOPIC = "crashes"
 BAD_REQUEST, INNOCENT = 7, -8
 PART = 11
+MAX_RECORD_BYTES = 262_144  # That the platform's store takes.
 
 
 def kills(*times_s: float, dark_s: float = 1.0) -> tuple[RouterFault, ...]:
@@ -485,6 +486,21 @@
         judgement = known.parts.judge((PART,), 100.0)
         assert judgement.verdict is PartVerdict.REFUSE
 
+    def test_a_record_is_bounded(self) -> None:
+        """Guards against a record that no store takes."""
+        known = some_records()
+        for crash in range(300):
+            for fingerprint in range(200):
+                known.suspects.endpoint_crashed(
+                    f"e-{crash}", 1000 * crash + fingerprint, 5.0, 5.0
+                )
+                known.found(
+                    f"e-{crash}", 5.0, 1000 * crash + fingerprint, (), 5.0
+                )
+        record = encode_crashes(known.current(5.0))
+        assert len(record) < MAX_RECORD_BYTES
+        assert b"e-299" in record
+
     def test_the_newest_stay_if_there_are_too_many(self) -> None:
         known = some_records()
         now_ms = int(EPOCH_S * 1000)
