--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -236,11 +236,6 @@
             exchange.answer(head.status, head.headers, body)
         self.forward.answered(reason, head.status)
 
-    @property
-    def _reused(self) -> bool:
-        """Return whether its connection was used before."""
-        return self._pending is not None and self._pending.reused
-
     def count_failure(self) -> None:
         """Count a failure of the endpoint, and log if that ejects it."""
         endpoint = self.endpoint
@@ -374,6 +369,11 @@
         """Return when it was sent or last heard."""
         return max(self.sent_s, self._heard_s)
 
+    @property
+    def _reused(self) -> bool:
+        """Return whether its connection was used before."""
+        return self._pending is not None and self._pending.reused
+
     @property
     def unproven_connection(self) -> bool:
         """Return whether its connection may have been dead before.
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -336,6 +336,27 @@
 
         run(play_one())
 
+    def test_a_store_that_returns_from_an_older_copy(self) -> None:
+        """Guards against crashes that only the lost copy had."""
+
+        async def play_one() -> None:
+            store = CountingStore()
+            router = a_router(0)
+            crashes = CrashStore(store, TOPIC, router.front)
+            loop = asyncio.get_running_loop()
+            work = (crashes.read(), crashes.write())
+            tasks = [loop.create_task(each) for each in work]
+            await asyncio.sleep(1.0)
+            crash(router, "e-1", BAD_REQUEST)
+            await asyncio.sleep(1.0)
+            await store.append(TOPIC, router.front.settings.host, b"")
+            crashes.rewrite()
+            await asyncio.sleep(1.0)
+            assert (await store.newest(TOPIC))[0]
+            await end(tasks)
+
+        run(play_one())
+
     def test_a_wrong_verdict_ends(self) -> None:
         """Guards against strikes that last longer than those in memory."""
 
@@ -453,6 +474,14 @@
         encode_crashes(known.current(5.0))
         known.parts.sweep(5.0)
 
+    @pytest.mark.parametrize("more", ((), ([],), ([], 5, {"new": 1})))
+    def test_records_of_other_versions_are_read(
+        self, more: tuple[Any, ...]
+    ) -> None:
+        fields = ["e-1", 0, 5, b"\0\0\0\0\0\0\0\x07", *more]
+        record = msgspec.msgpack.encode([fields])
+        assert decode_crashes(record) == (RecordedCrash("e-1", 0, 5, (7,)),)
+
     def test_a_crash_read_and_heard_of_counts_once(self) -> None:
         """Guards against a second strike as clocks differ by seconds."""
         known = some_records()
