--- a/src/bulrushstream/protocol/crashcodec.py
+++ b/src/bulrushstream/protocol/crashcodec.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import struct
 from collections.abc import Sequence
-from typing import Annotated, Final
+from typing import Annotated
 
 import msgspec
 
+from bulrushstream.protocol.digests import pack_digests, unpack_digests
 from bulrushstream.state.crashrecord import RecordedCrash, RecordedPart
 from bulrushstream.state.decoding import DECODE_ERRORS
 
-_DIGEST_BYTES: Final = 8
-
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
 _Number = Annotated[int, msgspec.Meta(ge=0, lt=2**31)]
 # Beyond these, times of day are absurd.
@@ -26,7 +24,7 @@
     endpoint: _Name
     number: _Number
     at_ms: _TimeMs
-    fingerprints: bytes  # 8 bytes each, big-endian.
+    fingerprints: bytes  # See `pack_digests`.
     parts: list[tuple[_PartId, _Number]] = []  # Ids and milliseconds.
 
 
@@ -43,7 +41,7 @@
                 each.endpoint,
                 each.number,
                 each.at_ms,
-                struct.pack(f"!{len(each.fingerprints)}q", *each.fingerprints),
+                pack_digests(each.fingerprints),
                 [(part.part_id, part.in_flight_ms) for part in each.parts],
             )
             for each in crashes
@@ -63,18 +61,13 @@
         crashes = msgspec.msgpack.decode(record, type=list[_Crash])
     except DECODE_ERRORS as error:
         raise ValueError(f"malformed crashes: {error}") from error
-    decoded = []
-    for each in crashes:
-        count, rest = divmod(len(each.fingerprints), _DIGEST_BYTES)
-        if rest:
-            raise ValueError("malformed crashes: a digest is cut off")
-        decoded.append(
-            RecordedCrash(
-                each.endpoint,
-                each.number,
-                each.at_ms,
-                struct.unpack(f"!{count}q", each.fingerprints),
-                tuple(RecordedPart(*part) for part in each.parts),
-            )
+    return tuple(
+        RecordedCrash(
+            each.endpoint,
+            each.number,
+            each.at_ms,
+            unpack_digests(each.fingerprints),
+            tuple(RecordedPart(*part) for part in each.parts),
         )
-    return tuple(decoded)
+        for each in crashes
+    )
--- a/src/bulrushstream/protocol/origincodec.py
+++ b/src/bulrushstream/protocol/origincodec.py
@@ -2,25 +2,22 @@
 
 from __future__ import annotations
 
-import struct
 from collections import defaultdict
 from collections.abc import Iterable
-from typing import Final
 
 import msgspec
 
+from bulrushstream.protocol.digests import pack_digests, unpack_digests
 from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.streamorigin import StreamOrigin
 
-_STREAM_BYTES: Final = 8
-
 
 class _Group(msgspec.Struct, array_like=True):
     """Streams that began at the same version."""
 
     service: str
     version: str
-    streams: bytes  # Their digests, 8 bytes each, big-endian.
+    streams: bytes  # Their digests; see `pack_digests`.
 
 
 def encode_origins(origins: Iterable[StreamOrigin]) -> bytes:
@@ -32,7 +29,7 @@
     for each in origins:
         digests[each.service, each.version].append(each.stream)
     groups = [
-        _Group(service, version, struct.pack(f"!{len(found)}q", *found))
+        _Group(service, version, pack_digests(found))
         for (service, version), found in digests.items()
     ]
     return msgspec.msgpack.encode(groups)
@@ -48,13 +45,8 @@
         groups = msgspec.msgpack.decode(record, type=list[_Group])
     except DECODE_ERRORS as error:
         raise ValueError(f"malformed origins: {error}") from error
-    origins = []
-    for group in groups:
-        count, rest = divmod(len(group.streams), _STREAM_BYTES)
-        if rest:
-            raise ValueError("malformed origins: a digest is cut off")
-        origins += [
-            StreamOrigin(stream, group.service, group.version)
-            for stream in struct.unpack(f"!{count}q", group.streams)
-        ]
-    return tuple(origins)
+    return tuple(
+        StreamOrigin(stream, group.service, group.version)
+        for group in groups
+        for stream in unpack_digests(group.streams)
+    )
