--- a/src/bulrushstream/coordination/crashrecords.py
+++ b/src/bulrushstream/coordination/crashrecords.py
@@ -3,9 +3,9 @@
 Strikes are with routers only, and if all of them end at once nobody is left
 to tell those that start.  Each router therefore has one record, with the
 crashes that it found and the requests and parts of prompts that it had in
-flight there.  A new crash is written at once; suspects that were cleared
-are left out when the record is written next.  So a record is never added to
-by anybody else, and a late write can not undo a pardon.
+flight there.  A new crash is written at once, and the record without a
+suspect that was cleared soon after.  So a record is never added to by anybody
+else, and a late write can not undo a pardon.
 
 Routers read the records of all when they start.  Times in them are times of
 day, which may be wrong by some seconds.
@@ -55,9 +55,15 @@
     time_of_day: Callable[[], float]  # Unix time, in seconds.
     observe: Callable[[Decision], None]  # Logs a decision.
     on_found: Callable[[], None] = lambda: None  # Called with each crash.
+    # Called when a suspect of a recorded crash may have been cleared.
+    on_pardon: Callable[[], None] = lambda: None
     # By the crash's id; the last one found at the end.
     _found: OrderedDict[str, _FoundCrash] = field(default_factory=OrderedDict)
 
+    def __post_init__(self) -> None:
+        """Be told of suspects that are cleared."""
+        self.suspects.on_pardon = self.parts.on_pardon = self._pardoned
+
     def found(
         self,
         endpoint: str,
@@ -128,6 +134,11 @@
             self._restore_crash(crash, now_s - age_s, host == own_host)
         self._log_restored(crashes, now_ms)
 
+    def _pardoned(self) -> None:
+        """Report that a suspect was cleared, if there is a record."""
+        if self._found:
+            self.on_pardon()
+
     def _restore_crash(
         self, crash: RecordedCrash, at_s: float, own: bool
     ) -> None:
--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -66,6 +66,8 @@
         default_factory=lambda: Quarantine(QuarantineOptions())
     )
     crash_ids: CrashIds = field(default_factory=CrashIds)
+    # Called when a request with several strikes was cleared.
+    on_pardon: Callable[[], None] = lambda: None
     _watched: WatchList = field(default_factory=WatchList)  # By fingerprint.
     _own_strikes: deque[_OwnStrike] = field(
         default_factory=lambda: deque(maxlen=MAX_REPEATED)
@@ -268,7 +270,10 @@
     ) -> bool:
         """Remove a request's strikes; return whether it was a suspect."""
         was_watched = self._watched.remove(fingerprint)
+        several = self.strikes.count(fingerprint, now_s) > 1
         had_strikes = self.strikes.mark_proven(fingerprint, now_s)
+        if several:
+            self.on_pardon()
         if was_watched or reporter:
             # Reports of earlier crashes may still arrive.
             self.strikes.pardon(fingerprint, now_s)
--- a/src/bulrushstream/coordination/partsuspects.py
+++ b/src/bulrushstream/coordination/partsuspects.py
@@ -81,6 +81,7 @@
     trials: PartTrials = field(default_factory=PartTrials)
     table: PartStrikeTable = field(default_factory=PartStrikeTable)
     reports: PartReports = field(init=False)
+    on_pardon: Callable[[], None] = lambda: None  # A part was cleared.
     # The held parts, and whether requests may be refused for them.
     _held: dict[int, bool] = field(default_factory=dict)
     _changed: bool = False  # Whether `_held` must be computed anew.
@@ -322,6 +323,7 @@
         self._changed = True
         if part in self._held:
             self._log(part, reason, reporter)
+        self.on_pardon()
         return True
 
     def _watch(self, part: int, at_s: float) -> bool:
--- a/src/bulrushstream/daemon/crashstore.py
+++ b/src/bulrushstream/daemon/crashstore.py
@@ -21,8 +21,11 @@
 RETRY_S: Final = 0.2
 MAX_RETRY_S: Final = 1.0
 
+# Suspects that are cleared within this time are left out together.
+PARDON_S: Final = 0.25
+
 # While this router has crashes in the store, it is looked so often whether
-# suspects were cleared or have expired.
+# requests with a single strike were cleared, or strikes have expired.
 REVIEW_S: Final = 3.0
 
 # Epochs are the times of day at which routers started, in milliseconds; the
@@ -39,11 +42,14 @@
     front: Front
     _found: asyncio.Event = field(default_factory=asyncio.Event)
     _loaded: asyncio.Event = field(default_factory=asyncio.Event)
+    _review: asyncio.TimerHandle | None = None
     _written: bytes | None = b""  # This router's record; None: unknown.
 
     def __post_init__(self) -> None:
         """Be told when there is something to write."""
-        self.front.fleet_state.crash_records.on_found = self._found.set
+        records = self.front.fleet_state.crash_records
+        records.on_found = self._found.set
+        records.on_pardon = self._review_soon
 
     async def read(self) -> None:
         """Read the records of all routers once."""
@@ -117,9 +123,18 @@
             )
             await asyncio.sleep(max(0.0, interval_s - took_s))
 
+    def _review_soon(self) -> None:
+        """Look a little later whether the record has changed."""
+        if self._review is None:
+            loop = asyncio.get_running_loop()
+            self._review = loop.call_later(PARDON_S, self._found.set)
+
     async def _wait_for_changes(self) -> None:
         """Wait for a new crash, or until the record is to be reviewed."""
         with suppress(TimeoutError):
             async with asyncio.timeout(REVIEW_S if self._written else None):
                 await self._found.wait()
         self._found.clear()
+        if self._review is not None:
+            self._review.cancel()
+            self._review = None
--- a/src/bulrushstream/protocol/digests.py
+++ b/src/bulrushstream/protocol/digests.py
@@ -25,5 +25,5 @@
     """
     count, rest = divmod(len(data), _DIGEST_BYTES)
     if rest:
-        raise ValueError("a digest is cut off")
+        raise ValueError("malformed record: a digest is cut off")
     return struct.unpack(f"!{count}q", data)
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -20,7 +20,7 @@
 from bulrushstream.coordination.crashrecords import MAX_SUSPECTS, CrashRecords
 from bulrushstream.coordination.crashsuspects import MAX_STRIKES, CrashSuspects
 from bulrushstream.coordination.partsuspects import PartSuspects, PartVerdict
-from bulrushstream.daemon.crashstore import REVIEW_S, CrashStore
+from bulrushstream.daemon.crashstore import PARDON_S, REVIEW_S, CrashStore
 from bulrushstream.history.simulatedstore import SimulatedStore
 from bulrushstream.history.virtualloop import run_virtually
 from bulrushstream.protocol.crashcodec import decode_crashes, encode_crashes
@@ -259,6 +259,36 @@
 
         run(play_one())
 
+    def test_a_pardon_just_before_the_end_counts(self) -> None:
+        """Guards against innocent parts that are refused after an end."""
+
+        async def play_one() -> None:
+            store = CountingStore()
+            router = a_router(0)
+            tasks = start(store, router)
+            await asyncio.sleep(1.0)
+            state = router.front.fleet_state
+            for number in range(4):
+                now_s = asyncio.get_running_loop().time()
+                name = f"e-{number}"
+                state.parts.endpoint_crashed(
+                    name, (PART,), now_s - 0.1, now_s, now_s
+                )
+                state.crash_records.found(name, now_s, 5, (PART,), now_s)
+                await asyncio.sleep(1.0)
+            now_s = asyncio.get_running_loop().time()
+            state.parts.answered((PART,), now_s, now_s)
+            await asyncio.sleep(2 * PARDON_S)
+            await end(tasks)
+            again = a_router(1)
+            tasks = start(store, again)
+            await asyncio.sleep(0.1)
+            judgement = again.front.fleet_state.parts.judge((PART,), now_s)
+            assert judgement.verdict is PartVerdict.SERVE
+            await end(tasks)
+
+        run(play_one())
+
     def test_a_late_append_does_not_undo_a_pardon(self) -> None:
         """Guards against an append that the store carries out seconds later.
 
