One way to ask the kernel about connections, and to clear suspects

Found by reading the change: unread bytes of endpoints' connections were looked for with a copy of what finds callers who left; an operator's pardon of a request went through the method for answers, that of a part had its own. The kernel is asked only of connections that could be used otherwise. Behaviour stays.

--- a/src/bulrushstream/coordination/crashsuspects.py
+++ b/src/bulrushstream/coordination/crashsuspects.py
@@ -34,7 +34,9 @@
 
 MAX_REPEATED: Final = 512  # In one heartbeat.
 
+# Why a suspect is cleared, for the log.
 ANSWERED: Final = "an endpoint answered such a request"
+PARDONED: Final = "an operator cleared it"
 
 
 class SuspectNotifier(Protocol):
@@ -99,20 +101,22 @@
         suspect = CrashSuspect(fingerprint, endpoint, uncertain=True)
         self._report(suspect, at_s, now_s)
 
-    def request_ran(
-        self, fingerprint: int, now_s: float, reason: str = ANSWERED
-    ) -> bool:
+    def request_ran(self, fingerprint: int, now_s: float) -> None:
         """Record that an endpoint answered a request and did not crash.
 
         :param fingerprint: the request's digest
         :param now_s: the time
-        :param reason: for the log, if something else clears it
+        """
+        self._clear_everywhere(fingerprint, now_s, ANSWERED)
+
+    def pardon(self, fingerprint: int, now_s: float) -> bool:
+        """Remove a request's strikes, as an operator asks.
+
+        :param fingerprint: the request's digest
+        :param now_s: the time
         :returns: whether it was a suspect
         """
-        cleared = self._clear(fingerprint, "", now_s, reason)
-        if cleared and self.notifier is not None:
-            self.notifier.report_cleared(fingerprint)
-        return cleared
+        return self._clear_everywhere(fingerprint, now_s, PARDONED)
 
     def apply_update(self, update: PeerUpdate, now_s: float) -> None:
         """Apply what another router reports of suspects.
@@ -124,7 +128,7 @@
             at_s = now_s - suspect.age_s
             self._add(suspect, update.instance, at_s, now_s)
         for fingerprint in update.cleared:
-            self._clear(fingerprint, update.instance, now_s)
+            self._clear(fingerprint, update.instance, now_s, ANSWERED)
 
     def restore(
         self, fingerprints: Iterable[int], crash_id: str, at_s: float
@@ -261,12 +265,17 @@
             )
         )
 
+    def _clear_everywhere(
+        self, fingerprint: int, now_s: float, reason: str
+    ) -> bool:
+        """Remove a request's strikes, at the peers too."""
+        cleared = self._clear(fingerprint, "", now_s, reason)
+        if cleared and self.notifier is not None:
+            self.notifier.report_cleared(fingerprint)
+        return cleared
+
     def _clear(
-        self,
-        fingerprint: int,
-        reporter: str,
-        now_s: float,
-        reason: str = ANSWERED,
+        self, fingerprint: int, reporter: str, now_s: float, reason: str
     ) -> bool:
         """Remove a request's strikes; return whether it was a suspect."""
         was_watched = self._watched.remove(fingerprint)
--- a/src/bulrushstream/coordination/partsuspects.py
+++ b/src/bulrushstream/coordination/partsuspects.py
@@ -18,6 +18,7 @@
 from typing import Final
 
 from bulrushstream.coordination.crashids import CrashIds
+from bulrushstream.coordination.crashsuspects import PARDONED
 from bulrushstream.coordination.partreports import PartReports
 from bulrushstream.coordination.partrules import (
     explains_crashes,
@@ -36,7 +37,6 @@
 from bulrushstream.state.peerupdate import PeerUpdate
 
 ANSWERED: Final = "an endpoint answered such a prompt"
-PARDONED: Final = "an operator cleared it"
 
 MAX_LOGGED_PARTS: Final = 8  # Of those that share crashes with another.
 
--- a/src/bulrushstream/daemon/suspectlist.py
+++ b/src/bulrushstream/daemon/suspectlist.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from bulrushstream.coordination.crashids import split_id
-from bulrushstream.coordination.partsuspects import PARDONED
 from bulrushstream.state.call import part_name
 
 if TYPE_CHECKING:
@@ -100,7 +99,7 @@
     """
     if _REQUEST.fullmatch(name):
         fingerprint = int(name.split()[1])
-        return state.suspects.request_ran(fingerprint, now_s, PARDONED)
+        return state.suspects.pardon(fingerprint, now_s)
     if _PART.fullmatch(name):
         return state.parts.pardon(int(name.split()[1], 16), now_s)
     return False
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import re
-import select
 import socket
 from collections.abc import Callable
 from enum import IntEnum
@@ -17,6 +16,7 @@
 import httptools
 
 from bulrushstream.state.call import RawHeaders
+from bulrushstream.transport.polling import UNREAD_EVENTS, has_events
 
 # A connection is closed if sent bytes stay unacknowledged for this time.
 UNACKNOWLEDGED_MS: Final = 4_000
@@ -138,12 +138,7 @@
         That also holds for the peer's end of the connection.
         """
         transport = self._transport
-        sock = transport.get_extra_info("socket") if transport else None
-        if sock is None:
-            return False
-        poller = select.poll()
-        poller.register(sock, select.POLLIN)
-        return bool(poller.poll(0))
+        return transport is not None and has_events(transport, UNREAD_EVENTS)
 
     def send(self, method: bytes, payload: bytes, sink: Sink) -> None:
         """Send a request.
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -18,6 +17,7 @@
 import httptools
 
 from bulrushstream.state.call import RawHeaders
+from bulrushstream.transport.polling import CLOSED_EVENTS, has_events
 
 # Limit of pipelined requests queued behind the one being answered.
 MAX_PIPELINED: Final = 16
@@ -25,9 +25,6 @@
 # The connection is aborted if more response bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 1_048_576
 
-# What the kernel reports of a connection that the peer has closed.
-_CLOSED_EVENTS: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-
 _REASONS: Final = {each.value: each.phrase.encode() for each in HTTPStatus}
 
 
@@ -353,16 +350,11 @@
             self._set_timer(self._ingress.limits.idle_timeout_s)
 
     def has_peer_closed(self) -> bool:
-        """Return whether the peer closed, even if that was not read yet.
-
-        A loop that is behind reads an end seconds late.
-        """
+        """Return whether the peer closed, even if that was not read yet."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return True
-        poller = select.poll()
-        poller.register(transport.get_extra_info("socket"), _CLOSED_EVENTS)
-        return bool(poller.poll(0))
+        return has_events(transport, CLOSED_EVENTS)
 
     def abort(self) -> None:
         """Abort the connection."""
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -269,13 +269,12 @@
             if fresh and remaining_s < self.options.idle_s / 2:
                 self._idle.append(connection)
                 return None
-            if connection.has_unread_bytes():
-                # What came before a request was sent does not answer it.
-                # The loop will read it and close the connection.
-                continue
-            if connection.usable and remaining_s > 0:
+            if not connection.usable or remaining_s <= 0:
+                connection.close()
+            # What came before a request was sent does not answer it; the loop
+            # will read it and close the connection.
+            elif not connection.has_unread_bytes():
                 return connection
-            connection.close()
         return None
 
     async def _connect(
