--- a/tests/test_fourth_endpoint.py
+++ b/tests/test_fourth_endpoint.py
@@ -24,13 +24,13 @@
     Sent,
     crashing,
 )
-from tests.test_crash_records import kills
 from tests.test_crashing_parts import BAD, FIRST
 from tests.test_crashing_requests import (
     MAX_LATE_SENDS,
     is_refused_at_last,
     refused_innocents,
 )
+from tests.test_killed_routers import kills
 
 SECOND = b"crash as well"
 PATHS = ("/tell/", "/once/")
