Engines do not idle while requests are refused for their share

Cause: a workspace yielded to each one that had got less within two seconds, whether or not that one could use the engine. After a burst most workspaces had something refused, so all waited for each other. A router that had seen no large request also took the tolerance for zero. Another part was refused as the engine that keeps most of the prompt was late, while others idled.

Now a workspace yields only if the idle engines, less the one that it takes, do not suffice for what those who wait ask for; and a request for which the best engine is late goes to an idle one.

--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -150,7 +150,7 @@
         rate: float,
         now_s: float,
         expires_s: float,
-    ) -> None:
+    ) -> float:
         """Record a request that was sent to the engine.
 
         :param call: the request's number, unique in the fleet
@@ -158,6 +158,7 @@
         :param rate: the average prefill rate, in tokens per second
         :param now_s: the time
         :param expires_s: when the request is dropped if no end is recorded
+        :returns: the predicted duration of its prefill in seconds
         """
         tokens = self.prefill_tokens(prompt)
         prefill_s = self.prefill_s(tokens, rate, now_s)
@@ -175,6 +176,7 @@
         self.pending[call] = entry
         self.running_tokens += entry.tokens
         self._cache_parts(prompt)
+        return prefill_s
 
     def start(self, call: int, now_s: float) -> float | None:
         """Record the first event of a request.
--- a/src/bulrushstream/coordination/fairshare.py
+++ b/src/bulrushstream/coordination/fairshare.py
@@ -94,6 +94,8 @@
     _steps: deque[_Step] = field(default_factory=deque)
     _refreshed_s: float = float("-inf")
     _largest: float = 0.0  # The largest request here in the window.
+    # Demand within `RECENT_S`, at the last refresh.
+    _recent_demand: dict[str, float] = field(default_factory=dict)
 
     def add_demand(
         self,
@@ -150,24 +152,38 @@
             return 0.0
         return (granted + tokens) / self.level
 
-    def must_yield(self, workspace: str, tokens: float, now_s: float) -> bool:
+    def must_yield(
+        self,
+        workspace: str,
+        tokens: float,
+        now_s: float,
+        spare_tokens_per_s: float = 0.0,
+    ) -> bool:
         """Return whether a workspace must leave an engine to others.
 
+        It need not if idle engines suffice for the others, too.
+
         :param workspace: the workspace's name
         :param tokens: the quota tokens of one more request
         :param now_s: the time
+        :param spare_tokens_per_s: what the engines can do that would have
+            nothing to do beside this request, in quota tokens per second
         """
         self._refresh(now_s)
         total = tokens + self._granted_lately(workspace)
         ratio = STALE_GRANT_RATIO if self.stale else MAX_GRANT_RATIO
+        largest = max(self._largest, tokens)
+        needed_per_s = 0.0
         for granted, name in self.waiting:
-            tolerated = ratio * (granted + self._largest)
+            tolerated = ratio * (granted + largest)
             if tolerated >= total:
                 return False
             if name == workspace:
                 continue
             if self._matched_demand(name, workspace, tokens) > tolerated:
-                return True
+                needed_per_s += self._recent_demand[name] / RECENT_S
+                if needed_per_s > spare_tokens_per_s:
+                    return True
         return False
 
     def _matched_demand(self, name: str, other: str, tokens: float) -> float:
@@ -212,11 +228,14 @@
         self._largest = max(step.largest for step in self._fairness_steps())
         recent_count = 1 + round(RECENT_S / STEP_S)
         unmet: dict[str, float] = {}
+        demand: dict[str, float] = {}
         for step in islice(reversed(self._steps), recent_count):
             for name, tokens in step.demand.items():
+                demand[name] = demand.get(name, 0.0) + tokens
                 unmet[name] = unmet.get(name, 0.0) + tokens
             for name, tokens in step.granted.items():
                 unmet[name] = unmet.get(name, 0.0) - tokens
+        self._recent_demand = demand
         self.waiting = tuple(
             sorted(
                 (self._granted_lately(name), name)
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -19,6 +19,7 @@
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
 from bulrushstream.coordination.engineview import (
     DEFAULT_PREFILL_TOKENS_PER_S,
+    EngineView,
 )
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S, FleetView
@@ -58,6 +59,12 @@
 MIN_PREFILL_RATE: Final = 2_000.0
 MAX_PREFILL_RATE: Final = 500_000.0
 
+# The weight of one request in the average prefill time of a quota token, the
+# lower bound of the average in seconds, and the tokens that it starts with.
+PREFILL_COST_GAIN: Final = 0.01
+MIN_PREFILL_COST_S: Final = 1e-6
+INITIAL_QUOTA_TOKENS: Final = 2_000.0
+
 # The interval between sweeps, and the gap between two sweeps above which
 # the process counts as having stalled.
 SWEEP_INTERVAL_S: Final = 0.25
@@ -106,7 +113,12 @@
     pool: EndpointPool = field(init=False)
     # Average over all engines, in tokens per second.
     prefill_rate: float = DEFAULT_PREFILL_TOKENS_PER_S
+    # Average time of an engine's prefill for one quota token, in seconds.
+    prefill_cost_s: float = 1.0 / DEFAULT_PREFILL_TOKENS_PER_S
     usage: UsageCounter = field(default_factory=UsageCounter)
+    # Moving averages over placed requests.
+    _prefill_s: float = INITIAL_QUOTA_TOKENS / DEFAULT_PREFILL_TOKENS_PER_S
+    _quota_tokens: float = INITIAL_QUOTA_TOKENS
     _number: int = 0  # Attempts so far.
     _swept_s: float = float("inf")  # The last sweep; inf: none yet.
     _last_stall_s: float = float("-inf")  # The end of the last stall.
@@ -181,8 +193,8 @@
         endpoint.outstanding += 1
         self.limits.placed(endpoint.name, now_s)
         if endpoint.view is not None and prompt is not None:
-            endpoint.view.place(
-                number, prompt, self.prefill_rate, now_s, expires_s
+            self._place_in_view(
+                endpoint.view, number, prompt, now_s, expires_s
             )
             if workspace:
                 tokens = prompt.quota_tokens
@@ -197,6 +209,21 @@
             )
         return number
 
+    def must_yield(
+        self, workspace: str, prompt: Prompt, idle_engines: int, now_s: float
+    ) -> bool:
+        """Return whether a request must leave an engine to others.
+
+        :param workspace: the request's workspace
+        :param prompt: the request's prompt
+        :param idle_engines: the engines without pending prefill
+        :param now_s: the time
+        """
+        spare = max(0, idle_engines - 1) / self.prefill_cost_s
+        return self.shares.must_yield(
+            workspace, prompt.quota_tokens, now_s, spare
+        )
+
     def first_event(
         self, endpoint: Endpoint, number: int, now_s: float
     ) -> None:
@@ -407,6 +434,26 @@
         rate = self.prefill_rate + RATE_GAIN * (clamped - self.prefill_rate)
         self.prefill_rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, rate))
 
+    def _place_in_view(
+        self,
+        view: EngineView,
+        number: int,
+        prompt: Prompt,
+        now_s: float,
+        expires_s: float,
+    ) -> None:
+        """Record a request in the view of its engine."""
+        prefill_s = view.place(
+            number, prompt, self.prefill_rate, now_s, expires_s
+        )
+        self._prefill_s += PREFILL_COST_GAIN * (prefill_s - self._prefill_s)
+        self._quota_tokens += PREFILL_COST_GAIN * (
+            prompt.quota_tokens - self._quota_tokens
+        )
+        self.prefill_cost_s = max(
+            MIN_PREFILL_COST_S, self._prefill_s / max(1.0, self._quota_tokens)
+        )
+
     def _place_peer_call(self, placed: RequestPlaced, now_s: float) -> None:
         """Record a request that a peer sent to an endpoint."""
         endpoint = self.pool.by_name.get(placed.endpoint)
@@ -424,10 +471,10 @@
                 input_tokens=placed.input_tokens,
                 output_limit=placed.output_tokens,
             )
-            endpoint.view.place(
+            self._place_in_view(
+                endpoint.view,
                 placed.call_id,
                 prompt,
-                self.prefill_rate,
                 now_s,
                 now_s + PEER_CALL_TIMEOUT_S,
             )
--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -80,10 +80,20 @@
         return self.wait_s + self.prefill_s + FIXED_DELAY_S
 
 
+@dataclass(frozen=True, slots=True)
+class EngineChoice:
+    """The engines that a request for a model may go to."""
+
+    best: Prediction
+    # The best one of those without pending prefill; None: all have some.
+    idle: Prediction | None
+    idle_engines: int  # The number of those.
+
+
 def choose_engine(
     endpoints: Sequence[Endpoint], prompt: Prompt, rate: float, now_s: float
-) -> Prediction | None:
-    """Return the best engine for a request for a model; None: no engine.
+) -> EngineChoice | None:
+    """Return the best engines for a request for a model; None: no engine.
 
     :param endpoints: engines that accept new requests
     :param prompt: the request's prompt
@@ -92,6 +102,9 @@
     """
     best: Prediction | None = None
     best_score = float("inf")
+    idle: Prediction | None = None
+    idle_score = float("inf")
+    idle_engines = 0
     for endpoint in endpoints:
         view = endpoint.view
         if view is None:
@@ -107,13 +120,21 @@
         # A hash of the prompt breaks ties, so that all routers choose the
         # same engine without communication.
         score += TIE_S * _affinity(prompt, endpoint.name)
+        is_idle = has_capacity and wait_s <= 0.0
+        idle_engines += is_idle
+        if score >= best_score and not (is_idle and score < idle_score):
+            continue
+        cached = view.cached_prefix_tokens(prompt)
+        prediction = Prediction(
+            endpoint, wait_s, prefill_s, tokens, cached, has_capacity
+        )
         if score < best_score:
-            best_score = score
-            cached = view.cached_prefix_tokens(prompt)
-            best = Prediction(
-                endpoint, wait_s, prefill_s, tokens, cached, has_capacity
-            )
-    return best
+            best, best_score = prediction, score
+        if is_idle and score < idle_score:
+            idle, idle_score = prediction, score
+    if best is None:
+        return None
+    return EngineChoice(best, idle, idle_engines)
 
 
 def _affinity(prompt: Prompt, endpoint: str) -> float:
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -8,6 +8,7 @@
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.placement import (
     Admission,
+    EngineChoice,
     Prediction,
     admit_to_engine,
     choose_engine,
@@ -16,6 +17,7 @@
 from bulrushstream.daemon import safeguards, takeups
 from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.messages import Notice
+from bulrushstream.state.call import Prompt
 
 if TYPE_CHECKING:
     from bulrushstream.daemon.forward import Forward
@@ -30,6 +32,10 @@
 # time.
 MAX_RETRY_FRACTION: Final = 1.0 / 3.0
 
+# Why a request may not go to an engine now.
+LATE_REASON: Final = "predicted first token misses the latency target"
+YIELD_REASON: Final = "workspace over its share, and others are waiting"
+
 
 def choose_endpoint(
     front: Front, forward: Forward
@@ -69,14 +75,14 @@
     for each in usable:
         if each.view is not None:
             each.view.expire(now_s)
-    prediction = choose_engine(
+    choice = choose_engine(
         usable, prompt, front.fleet_state.prefill_rate, now_s
     )
-    if prediction is None:
+    if choice is None:
         return None
-    notice = _check_admission(front, forward, prediction, now_s)
-    if notice is not None:
-        return Refusal(notice)
+    prediction, reason = _admitted(front, forward, prompt, choice, now_s)
+    if reason:
+        return Refusal(_refuse_admission(front, forward, prediction, reason))
     number = _record_attempt(
         front, forward, prediction.endpoint, prediction, now_s
     )
@@ -95,15 +101,21 @@
     return Refusal(messages.ENDPOINTS_REST, wait_s=min(resting.values()))
 
 
-def _check_admission(
-    front: Front, forward: Forward, prediction: Prediction, now_s: float
-) -> Notice | None:
-    """Return why a request may not go to its engine now, or None.
+def _admitted(
+    front: Front,
+    forward: Forward,
+    prompt: Prompt,
+    choice: EngineChoice,
+    now_s: float,
+) -> tuple[Prediction, str]:
+    """Return the engine for a request, and why it may not go there now.
 
-    A request that was already sent once is not refused any more.
+    The reason is empty if it may.  A request that was already sent once is
+    not refused any more.
     """
+    best = choice.best
     if forward.progress.sends or forward.exchange.started:
-        return None
+        return best, ""
     target_left_s = forward.route.latency_target_s - (
         now_s - forward.arrived_s
     )
@@ -113,27 +125,37 @@
         latency_target_s = table.shortest_latency_target_s.get(
             forward.service, latency_target_s
         )
-    admission = admit_to_engine(
-        prediction,
-        target_left_s,
-        latency_target_s,
-        forward.share_used,
-    )
     if takeups.is_restricted(forward):
-        fits = prediction.wait_s <= latency_target_s
-        admission = Admission.SEND if fits else Admission.REFUSE
-    reason = "predicted first token misses the latency target"
-    prompt = forward.call.prompt
-    if admission is Admission.SEND:
-        if (
-            prompt is None
-            or takeups.is_restricted(forward)
-            or not front.fleet_state.shares.must_yield(
-                forward.workspace, prompt.quota_tokens, now_s
+        fits = best.wait_s <= latency_target_s
+        return best, "" if fits else LATE_REASON
+    # An engine that keeps more of the prompt is of no use if it is late.
+    candidates = [best]
+    if choice.idle is not None and choice.idle is not best:
+        candidates.append(choice.idle)
+    admitted = next(
+        (
+            each
+            for each in candidates
+            if admit_to_engine(
+                each, target_left_s, latency_target_s, forward.share_used
             )
-        ):
-            return None
-        reason = "workspace over its share, and others are waiting"
+            is Admission.SEND
+        ),
+        None,
+    )
+    if admitted is None:
+        return best, LATE_REASON
+    if front.fleet_state.must_yield(
+        forward.workspace, prompt, choice.idle_engines, now_s
+    ):
+        return admitted, YIELD_REASON
+    return admitted, ""
+
+
+def _refuse_admission(
+    front: Front, forward: Forward, prediction: Prediction, reason: str
+) -> Notice:
+    """Log the refusal of a request by admission; return its notice."""
     front.log_decision(
         "shed",
         reason,
--- a/tests/modelengines.py
+++ b/tests/modelengines.py
@@ -48,13 +48,21 @@
     name: str
     alive: bool = True
     answering: bool = True  # False: it accepts requests and does nothing.
+    expected: int = 0  # Requests on their way to it.
     busy_s: float = 0.0
     _prefilling: bool = False
     _queue: deque[tuple[Attempt, str]] = field(default_factory=deque)
     _open: set[Attempt] = field(default_factory=set)
     _cached: dict[int, int] = field(default_factory=dict)
 
+    @property
+    def idle(self) -> bool:
+        """Whether it could begin with a request at once."""
+        busy = self._prefilling or self.expected > 0
+        return self.alive and self.answering and not busy
+
     def connect(self, attempt: Attempt) -> None:
+        self.expected -= 1
         sink = attempt.sink
         if sink is None:
             return
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -65,6 +65,7 @@
     routers: tuple[int, ...] = ()  # The routers that get it; empty: all.
     begin_s: float = 0.0
     end_s: float = 1e9
+    batch: int = 1  # Requests that are sent at the same moment.
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +93,15 @@
     end_s: float = 14.0
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that a router refused."""
+
+    at_s: float
+    workspace: str
+    idle_engines: int  # That had nothing to do then.
+
+
 @dataclass(slots=True)
 class _Pool(SingleUsePool):
     """One router's connections to an engine; stands in for `Pool`."""
@@ -104,8 +114,10 @@
     ) -> Attempt:
         del method, fresh, reuse
         attempt = Attempt(sink)
+        engine = self.fleet.engines[self.endpoint]
+        engine.expected += 1
         asyncio.get_running_loop().call_later(
-            CONNECT_S, self.fleet.engines[self.endpoint].connect, attempt
+            CONNECT_S, engine.connect, attempt
         )
         return attempt
 
@@ -178,6 +190,7 @@
         self.plan = plan
         self.rng = Random(plan.seed)
         self.shares = ServedShares()
+        self.refusals: list[Refusal] = []
         self.prompts: dict[str, Prompt] = {}
         self.engines: dict[str, Engine] = {}
         self.fronts: list[Front] = []
@@ -330,13 +343,17 @@
         )
 
     def _gap_s(self, traffic: Traffic) -> float:
-        return self.rng.expovariate(traffic.requests_per_s)
+        return self.rng.expovariate(traffic.requests_per_s / traffic.batch)
 
     def _send_new(self, traffic: Traffic) -> None:
         loop = asyncio.get_running_loop()
         if loop.time() >= traffic.end_s:
             return
         loop.call_later(self._gap_s(traffic), self._send_new, traffic)
+        for _ in range(traffic.batch):
+            self._send_one(traffic)
+
+    def _send_one(self, traffic: Traffic) -> None:
         subject = self.rng.randrange(traffic.subjects)
         shared = f"{traffic.workspace}/{traffic.route}/{subject}"
         own_tokens = int(traffic.own_tokens * self.rng.uniform(0.5, 1.5))
@@ -369,6 +386,11 @@
             match = _STATUS.match(data)
             assert match is not None
             refused = match[1] != b"200"
+            if refused:
+                idle = sum(each.idle for each in self.engines.values())
+                self.refusals.append(
+                    Refusal(loop.time(), traffic.workspace, idle)
+                )
             if refused or loop.time() > sent_s + target_s:
                 self.shares.waits.append((loop.time(), traffic.workspace))
             after = _RETRY_AFTER.search(data)
--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -118,6 +118,24 @@
             shares.add_demand("flood", 1_000.0, step * 0.1)
         assert not shares.must_yield("flood", 1_000.0, 2.0)
 
+    def test_no_one_yields_while_idle_engines_suffice_for_all(self) -> None:
+        shares = FairShares(4.0)
+        for _ in range(50):
+            for workspace in ("club", "flood"):
+                shares.add_demand(workspace, 1_000.0, 0.0)
+        shares.add_grant("flood", 40_000.0, 0.0)
+        # The club asks for 50,000 tokens a second.
+        assert shares.must_yield("flood", 1_000.0, 0.2, 40_000.0)
+        assert not shares.must_yield("flood", 1_000.0, 0.2, 60_000.0)
+
+    def test_the_least_served_does_not_yield_for_its_first_request(
+        self,
+    ) -> None:
+        # The largest request so far was not seen by this router.
+        shares = FairShares(4.0)
+        shares.add_demand("first", 9_000.0, 0.0, since_s=-0.5)
+        assert not shares.must_yield("second", 9_000.0, 0.2)
+
     def test_a_small_unmet_demand_lets_others_go_on(self) -> None:
         shares = FairShares(4.0)
         shares.add_demand("small", 900.0, 0.0)
--- a/tests/test_overload_of_engines.py
+++ b/tests/test_overload_of_engines.py
@@ -94,13 +94,13 @@
             now_s += 0.05
             found = choose_engine(engines, prompt, RATE, now_s)
             assert found is not None
-            view = found.endpoint.view
+            view = found.best.endpoint.view
             assert view is not None
             view.place(number, prompt, RATE, now_s, 1e9)
-            view.start(number, now_s + found.first_token_s)
+            view.start(number, now_s + found.best.first_token_s)
             view.end(number)
             names_by_subject.setdefault(subject, set()).add(
-                found.endpoint.name
+                found.best.endpoint.name
             )
         assert all(len(names) == 1 for names in names_by_subject.values())
 
@@ -111,11 +111,11 @@
             prompt = a_prompt((7, 4000), (1000 + number, 3000))
             found = choose_engine(engines, prompt, RATE, 0.0)
             assert found is not None
-            view = found.endpoint.view
+            view = found.best.endpoint.view
             assert view is not None
             view.place(number, prompt, RATE, 0.0, 1e9)
-            waits_s.append(found.first_token_s)
-            used.add(found.endpoint.name)
+            waits_s.append(found.best.first_token_s)
+            used.add(found.best.endpoint.name)
         assert len(used) == 4
         # Four engines prefill forty prompts of 3,000 tokens in a second.
         assert max(waits_s) < 2.0
