A router with too many connections closes idle ones, not new ones

Its descriptors were at 2,082: it may hold 2,050 callers' connections, and the workspace's callers keep theirs for seconds after an answer. From then on it reset each new connection, whoever opened it, so that the other workspaces' callers paid as well.

Now it closes the connection that is without a request for longest, if no bytes of a request have arrived on it.

--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -12,12 +12,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from itertools import islice
 from typing import Final
 
 import httptools
 
 from bulrushstream.state.call import RawHeaders
-from bulrushstream.transport.polling import CLOSED_EVENTS, has_events
+from bulrushstream.transport.polling import (
+    CLOSED_EVENTS,
+    UNREAD_EVENTS,
+    has_events,
+)
 
 # Limit of pipelined requests queued behind the one being answered.
 MAX_PIPELINED: Final = 16
@@ -25,6 +30,9 @@
 # The connection is aborted if more response bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 1_048_576
 
+# Idle connections that are looked at for each new one over the limit.
+MAX_IDLE_CHECKED: Final = 8
+
 _REASONS: Final = {each.value: each.phrase.encode() for each in HTTPStatus}
 
 
@@ -175,6 +183,8 @@
     limits: IngressLimits
     clock: Callable[[], float]  # Returns the time in seconds.
     connections: set[ClientConnection] = field(default_factory=set)
+    # Those without a request, in the order in which they became so.
+    idle: dict[ClientConnection, None] = field(default_factory=dict)
     closing: bool = False  # Whether to close after a response.
     buffered_bytes: int = 0  # Received body bytes, complete or not.
 
@@ -182,6 +192,21 @@
         """Return the protocol of a new connection."""
         return ClientConnection(self)
 
+    def make_room(self) -> bool:
+        """Close a connection without a request if there are too many.
+
+        Callers keep connections that they may never use again, and those
+        that come later would find no way in.
+
+        :returns: whether there is room for one more connection
+        """
+        if len(self.connections) < self.limits.connections:
+            return True
+        for connection in list(islice(self.idle, MAX_IDLE_CHECKED)):
+            if connection.close_if_unused():
+                return True
+        return False
+
     def close_idle(self) -> None:
         """Close all connections without a request."""
         for connection in list(self.connections):
@@ -217,10 +242,11 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         ingress = self._ingress
-        if len(ingress.connections) >= ingress.limits.connections:
+        if not ingress.make_room():
             transport.abort()
             return
         ingress.connections.add(self)
+        ingress.idle[self] = None
         self.closing = ingress.closing
         self._set_timer(ingress.limits.idle_timeout_s)
 
@@ -228,6 +254,7 @@
         """Report that the caller disconnected; see `asyncio.Protocol`."""
         self._transport = None
         self._ingress.connections.discard(self)
+        self._ingress.idle.pop(self, None)
         self._release(self._buffered_bytes)
         self._clear_timer()
         self._notify_disconnect()
@@ -240,6 +267,7 @@
         """Parse received bytes; see `asyncio.Protocol`."""
         if self._rejected:
             return
+        self._ingress.idle.pop(self, None)
         if self._in_head:
             if not self._head_bytes and self._current is None:
                 self._set_timer(self._ingress.limits.header_timeout_s)
@@ -348,6 +376,8 @@
             self._begin_next()
         else:
             self._set_timer(self._ingress.limits.idle_timeout_s)
+            if self._incoming is None and not self._head_bytes:
+                self._ingress.idle[self] = None
 
     def has_peer_closed(self) -> bool:
         """Return whether the peer closed, even if that was not read yet."""
@@ -362,6 +392,19 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def close_if_unused(self) -> bool:
+        """Close the connection if no bytes of a request have arrived.
+
+        :returns: whether it was closed
+        """
+        transport = self._transport
+        if transport is None or has_events(transport, UNREAD_EVENTS):
+            return False
+        self._ingress.idle.pop(self, None)
+        self._ingress.connections.discard(self)
+        self._close()
+        return True
+
     def close_if_idle(self) -> None:
         """Close the connection if it has no request, else after the response.
 
