--- a/src/bulrushstream/coordination/endpointnotices.py
+++ b/src/bulrushstream/coordination/endpointnotices.py
@@ -150,11 +150,11 @@
 
         :param now_s: the time
         """
-        names = set(self._leaving)
-        names.update(
-            name for name, rest in self._rests.items() if rest.until_s > now_s
-        )
-        return names
+        return {
+            name
+            for name in (*self._leaving, *self._rests)
+            if self.is_leaving(name) or self.rest_left_s(name, now_s)
+        }
 
     def turned_away(self, endpoint: str, *, withdrawn: bool = False) -> None:
         """Count a request that an endpoint's rest kept from it.
