A router out of step goes on with no stream at another version

It could happen here: a router said that there was one version only if it had read the endpoint list within 3.5 s or heard any peer within 1.2 s, which may both be older than the new version.

A take-up now goes on without a known origin only if the list was read after it came (an endpoint gets requests once it is listed), which takes one more read of the store; while the list can not be read, if peers were heard since then and for two seconds without a pause. Otherwise the origin is asked for, as in a release.

--- a/src/bulrushstream/coordination/streamversions.py
+++ b/src/bulrushstream/coordination/streamversions.py
@@ -37,7 +37,9 @@
     on_queued: Callable[[], None] = lambda: None  # An origin was queued.
     # Reads from the store what other routers wrote.
     request_stored: Callable[[], None] = lambda: None
-    # When the last such read was sent that succeeded.
+    # Reads the endpoint list once more.
+    request_list: Callable[[], None] = lambda: None
+    # When the last read of origins was sent that succeeded.
     stored_read_s: float = float("-inf")
     _mixed: set[str] = field(default_factory=set)  # As last reported.
 
--- a/src/bulrushstream/coordination/versionhistory.py
+++ b/src/bulrushstream/coordination/versionhistory.py
@@ -4,6 +4,11 @@
 other version served while it may have begun.  A router *shows* that if it
 knows of one version only, and follows the endpoint list or hears a peer that
 would have told it of another one.
+
+A caller's take-up needs more: a router that stood still or was cut off does
+not know yet what has joined meanwhile.  An endpoint gets requests once it is
+listed, so a list that was read after the take-up came shows all versions at
+which the stream may have begun.
 """
 
 from __future__ import annotations
@@ -29,6 +34,11 @@
 LIST_AGE_S: Final = 3.5
 
 
+# While the list can not be read, a router relies on its peers if it has heard
+# them for this long without a pause: several of their heartbeats.
+IN_STEP_S: Final = 2.0
+
+
 @dataclass(slots=True)
 class VersionHistory:
     """The versions of each service's endpoints, as one router knows them."""
@@ -39,6 +49,7 @@
     complete: bool = False
     list_confirmed_s: float = float("-inf")  # The last read that was current.
     peer_heard_s: float = float("-inf")  # The last update of any peer.
+    in_step_since_s: float = float("inf")  # Peers are heard since then.
     # Called when it becomes known that a service has several versions.
     on_several: Callable[[], None] = lambda: None
     _listed: dict[str, frozenset[str]] = field(default_factory=dict)
@@ -166,7 +177,7 @@
 
         :param route: the route
         """
-        if not self.complete or self.needs_origins(route):
+        if not self.may_show_one_version(route):
             return False
         now_s = self.clock()
         return (
@@ -174,6 +185,35 @@
             or now_s - self.peer_heard_s <= SILENT_S
         )
 
+    def may_show_one_version(self, route: Route) -> bool:
+        """Return whether only the age of what is known is in question.
+
+        :param route: the route
+        """
+        return self.complete and not self.needs_origins(route)
+
+    def shows_one_version_at(self, route: Route, at_s: float) -> bool:
+        """Return whether all streams of a route began at the same version.
+
+        :param route: the route
+        :param at_s: the streams had begun by then
+        """
+        return (
+            self.may_show_one_version(route) and self.list_confirmed_s >= at_s
+        )
+
+    def peers_show_one_version(self, route: Route, at_s: float) -> bool:
+        """Return the same, as peers would have told of another version.
+
+        :param route: the route
+        :param at_s: the streams had begun by then
+        """
+        return (
+            self.may_show_one_version(route)
+            and self.peer_heard_s >= at_s
+            and self.clock() - self.in_step_since_s >= IN_STEP_S
+        )
+
     def list_read(self, sent_s: float) -> None:
         """Record that the endpoint list was current at a time.
 
@@ -183,7 +223,10 @@
 
     def peer_heard(self) -> None:
         """Record that an update of a peer arrived."""
-        self.peer_heard_s = self.clock()
+        now_s = self.clock()
+        if now_s - self.peer_heard_s > SILENT_S:
+            self.in_step_since_s = now_s
+        self.peer_heard_s = now_s
 
     def _set_several(self, service: str, reporter: str) -> None:
         """Record that several versions of a service serve now."""
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -142,12 +142,14 @@
         self._watch(
             topics.config, 0.0, self._handle_config, front.freshness.confirm
         )
-        self._watch(
+        endpoints = self._watch(
             topics.endpoints,
             ENDPOINTS_INTERVAL_S,
             self._endpoints.handle,
             front.streams.history.list_read,
         )
+        front.streams.request_list = endpoints.check
+        self._spawn(endpoints.run_checks)
         for work in version_tasks(self.store, front):
             self._spawn(work)
         self._spawn(self._crash_store.read)
@@ -275,7 +277,7 @@
         interval_s: float,
         handle: Callable[[Snapshot | KeyedRecord], None],
         on_confirmed: Callable[[float], None] = lambda _: None,
-    ) -> None:
+    ) -> TopicWatch:
         """Start following a topic."""
 
         def confirmed(sent_s: float) -> None:
@@ -294,6 +296,7 @@
             self._deps.rng,
         )
         self._spawn(watch.run)
+        return watch
 
     def _count_store_call(self, name: str, success: bool) -> None:
         """Count a store call in the metrics if it failed."""
--- a/src/bulrushstream/daemon/takeups.py
+++ b/src/bulrushstream/daemon/takeups.py
@@ -39,7 +39,14 @@
 class TakeUp:
     """A caller's request to go on with a stream, until its origin is known."""
 
-    __slots__ = ("_asked_s", "_timer", "forward", "front", "stream")
+    __slots__ = (
+        "_asked_s",
+        "_asking",
+        "_timer",
+        "forward",
+        "front",
+        "stream",
+    )
 
     def __init__(self, forward: Forward) -> None:
         """Create a take-up that has not started.
@@ -56,7 +63,8 @@
             if named
             else None
         )
-        self._asked_s = 0.0
+        self._asked_s = 0.0  # When the list or the origin was asked for.
+        self._asking = False  # Whether other routers are asked.
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -67,24 +75,43 @@
             known = front.streams.origins.find(stream, front.clock())
         if known is not None:
             self._go_on(known)
-        elif front.streams.history.shows_one_version(self.forward.route):
+        elif self._shows_one_version():
             self._start_at_one_version()
-        elif stream is None:
-            self._refuse("the caller does not name the first request")
         else:
             self._asked_s = front.clock()
-            front.streams.origins.ask(stream, self._answered)
-            front.streams.request_stored()
-            self._wait()
+            if front.streams.history.may_show_one_version(self.forward.route):
+                front.streams.request_list()
+                self._wait()
+            else:
+                self._ask()
 
     def cancel(self) -> None:
         """Stop waiting for an answer."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-            assert self.stream is not None
+        if self._asking and self.stream is not None:
+            self._asking = False
             self.front.streams.origins.stop_asking(self.stream, self._answered)
 
+    def _shows_one_version(self) -> bool:
+        """Return whether the endpoint list shows where the stream began."""
+        return self.front.streams.history.shows_one_version_at(
+            self.forward.route, self.forward.arrived_boot_s
+        )
+
+    def _ask(self) -> None:
+        """Ask the other routers and the store for the origin."""
+        streams = self.front.streams
+        if self.stream is None:
+            self._refuse("the caller does not name the first request")
+            return
+        self._asking = True
+        self._asked_s = self.front.clock()
+        streams.origins.ask(self.stream, self._answered)
+        streams.request_stored()
+        self._wait()
+
     def _start_at_one_version(self) -> None:
         """Make the first attempt at any endpoint."""
         self._log("one_version", "one version of the service serves")
@@ -96,22 +123,39 @@
         self._timer = loop.call_later(ASK_AGAIN_S, self._unanswered)
 
     def _unanswered(self) -> None:
-        """Ask again, or refuse the request."""
-        assert self.stream is not None
-        streams = self.front.streams
+        """Look at the list again, ask again, or refuse the request."""
+        self._timer = None
+        streams, route = self.front.streams, self.forward.route
         now_s = self.front.clock()
         asked_for_s = now_s - self._asked_s
+        if self._shows_one_version():
+            self.cancel()
+            self._start_at_one_version()
+            return
+        if not self._asking:
+            if not streams.history.may_show_one_version(route):
+                self._ask()
+            elif (
+                asked_for_s >= ASK_TIMEOUT_S
+                and streams.history.peers_show_one_version(
+                    route, self.forward.arrived_boot_s
+                )
+            ):
+                self._start_at_one_version()
+            elif asked_for_s < STORE_TIMEOUT_S:
+                self._wait()
+            else:
+                self._ask()
+            return
+        assert self.stream is not None
         read_since = streams.stored_read_s >= self._asked_s
         stored = streams.origins.find_stored(self.stream, now_s)
         if stored is not None and read_since:
             self._answered(stored)
-        elif streams.history.shows_one_version(self.forward.route):
-            self.cancel()
-            self._start_at_one_version()
         elif asked_for_s < ASK_TIMEOUT_S:
             streams.origins.ask_again(self.stream)
             self._wait()
-        elif read_since:
+        elif read_since and not streams.history.may_show_one_version(route):
             self.cancel()
             self._refuse("neither a router nor the store knows the stream")
         elif asked_for_s < STORE_TIMEOUT_S:
--- a/src/bulrushstream/daemon/watch.py
+++ b/src/bulrushstream/daemon/watch.py
@@ -10,7 +10,8 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from contextlib import suppress
+from dataclasses import dataclass, field
 from typing import Final
 
 from bulrushstream.protocol.keyedstore import (
@@ -26,6 +27,9 @@
 MIN_PAUSE_S: Final = 0.1
 MAX_PAUSE_S: Final = 0.8
 
+# The least time between two additional reads.
+CHECK_PAUSE_S: Final = 0.02
+
 # The pause before a failed task is started again.
 RESTART_S: Final = 1.0
 
@@ -51,17 +55,56 @@
     on_failed: Callable[[str], None]  # Called with the reason.
     on_fault: Callable[[Exception], None]  # Called if the handler fails.
     rng: random.Random  # Jitter of the backoff.
+    # Where the next read starts; None: a snapshot is read.
+    _offset: int | None = None
+    _check_wanted: asyncio.Event = field(default_factory=asyncio.Event)
+    # Whether the next read is due at once.
+    _hurry: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def check(self) -> None:
+        """Confirm soon that nothing newer is left, or read what is."""
+        self._check_wanted.set()
+
+    async def run_checks(self) -> None:
+        """Confirm what was read whenever `check` is called.
+
+        The read of `run` may have been sent before, and waits.
+        """
+        while True:
+            await self._check_wanted.wait()
+            self._check_wanted.clear()
+            sent_s, offset = self.clock(), self._offset
+            batch = None
+            try:
+                if offset is not None:
+                    batch = await self.store.read(self.topic, offset, 0.0)
+            except StoreError as error:
+                # Who needs the confirmation calls again.
+                self.on_failed(str(error))
+                await asyncio.sleep(MIN_PAUSE_S)
+                continue
+            if (
+                batch is not None
+                and not batch.records
+                and batch.next_offset == batch.end_offset
+                and offset == self._offset
+            ):
+                self.on_confirmed(sent_s)
+            else:
+                # `run` applies the records, as it keeps their order.
+                self._hurry.set()
+                self._check_wanted.set()
+            await asyncio.sleep(CHECK_PAUSE_S)
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
-        offset: int | None = None
         pause_s = MIN_PAUSE_S
         while True:
             try:
-                if offset is None:
-                    offset = await self._read_all()
+                if self._offset is None:
+                    self._offset = await self._read_all()
                 else:
-                    offset = await self._read_changes(offset)
+                    self._offset = await self._read_changes(self._offset)
                 pause_s = MIN_PAUSE_S
             except StoreError as error:
                 self.on_failed(str(error))
@@ -96,7 +139,10 @@
             self.on_confirmed(sent_s)
         elapsed_s = self.clock() - sent_s
         if elapsed_s < self.interval_s:
-            await asyncio.sleep(self.interval_s - elapsed_s)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self.interval_s - elapsed_s):
+                    await self._hurry.wait()
+        self._hurry.clear()
         return batch.next_offset
 
     def _apply(self, update: Snapshot | KeyedRecord) -> None:
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -49,6 +49,7 @@
 
 DATAGRAM_S: Final = 0.002
 LEASE_S: Final = 3.6  # An entry is removed this long after a crash.
+LIST_CALL_S: Final = 0.008  # One read of the list.
 LIST_DELAY_S: Final = 0.6  # A router reads the list this often.
 RESTART_S: Final = 2.5  # From a crash to the next start, unless at once.
 _HEAD: Final = re.compile(rb"HTTP/1.1 ([0-9]+)")
@@ -247,9 +248,10 @@
             self.entries.pop(name, None)
         else:
             self.entries[name] = entry
-        for router in self.routers:
+        for number, router in enumerate(self.routers):
+            delay_s = self.rng.uniform(0.0, LIST_DELAY_S)
             self.loop.call_later(
-                self.rng.uniform(0.0, LIST_DELAY_S),
+                delay_s + self._blind_for_s(number),
                 self._read_entry,
                 router.front,
                 name,
@@ -262,11 +264,36 @@
         else:
             platformupdates.apply_entry(front, entry)
 
-    def _read_list(self, front: Front) -> None:
+    def _blind_for_s(self, number: int) -> float:
+        """Return for how long a router still reads no endpoint list."""
+        now_s = self.loop.time()
+        ends_s = [
+            fault.at_s + fault.no_list_s
+            for fault in self.plan.faults
+            if number in fault.routers and fault.at_s <= now_s
+        ]
+        return max(0.0, max(ends_s, default=0.0) - now_s)
+
+    def _read_list(self, number: int, front: Front) -> None:
         """Confirm the endpoint list."""
+        if self._blind_for_s(number):
+            return
         # A change that was not read yet is not older than this.
         front.streams.history.list_read(self.loop.time() - LIST_DELAY_S)
 
+    def _check_list(self, number: int, front: Front) -> None:
+        """Read the endpoint list for a router that asks for it."""
+        sent_s = self.loop.time()
+
+        def answered() -> None:
+            if self._blind_for_s(number) or self.store.away:
+                return
+            for name in {*self.entries, *front.pool.by_name}:
+                self._read_entry(front, name)
+            front.streams.history.list_read(sent_s)
+
+        self.loop.call_later(LIST_CALL_S, answered)
+
     # --- Routers.
 
     def send_datagram(self, sender: int, host: str, data: bytes) -> None:
@@ -363,6 +390,7 @@
         for entry in self.entries.values():
             platformupdates.apply_entry(front, entry)
         front.endpoints_listed = True
+        front.streams.request_list = partial(self._check_list, number, front)
         self._store_tasks[id(router)] = tuple(
             map(loop.create_task, self.store_work(router))
         )
@@ -376,7 +404,7 @@
         repeat(SWEEP_INTERVAL_S, front.sweep)
         # The key's freshness is not under test.
         repeat(0.5, lambda: front.freshness.confirm(loop.time()))
-        repeat(0.5, lambda: self._read_list(front))
+        repeat(0.5, lambda: self._read_list(number, front))
         return router
 
     # --- Callers.
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -102,6 +102,7 @@
     stops: bool = False  # Whether it stops for good instead.
     frozen_s: float = 0.0  # How long it stands still instead.
     dark_s: float = 0.0  # From its end to its next start.
+    no_list_s: float = 0.0  # How long it reads no endpoint list, besides.
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -219,6 +219,60 @@
         assert play_versions(plan).crossings() == []
 
 
+JOIN = Change(4.0, ChangeKind.START, "v2", 6)
+
+
+class OutOfStepSuite:
+    """One router misses that endpoints of a new version join.
+
+    Guards against a router that says that there is one version only, as it
+    has read no list and heard no peer since the other one joined.
+    """
+
+    @pytest.mark.parametrize("seed", (1, 2))
+    @pytest.mark.parametrize("routers", (4, 27))
+    @pytest.mark.parametrize(
+        "fault",
+        (
+            RouterFault(3.9, (1,), cut_s=3.5, no_list_s=3.5),
+            RouterFault(3.9, (1,), cut_s=8.0, no_list_s=8.0),
+            RouterFault(3.9, (1,), cut_s=8.0, no_list_s=3.0),
+            RouterFault(3.9, (1,), cut_s=3.0, no_list_s=8.0),
+            RouterFault(1.0, (1,), cut_s=3.4, no_list_s=3.4),
+            RouterFault(3.9, (1,), frozen_s=1.5, no_list_s=1.5),
+            RouterFault(3.9, (1,), frozen_s=3.0, no_list_s=3.0),
+            RouterFault(3.9, (1,), frozen_s=3.0, no_list_s=6.0),
+            RouterFault(3.9, (1,), cut_s=3.5),
+        ),
+        ids=(
+            "cut off",
+            "cut off for long",
+            "sees the list again first",
+            "hears peers again first",
+            "cut off before",
+            "frozen for short",
+            "frozen",
+            "frozen, then without the list",
+            "cut off from peers",
+        ),
+    )
+    def test_streams_of_a_new_version_are_taken_up_at_it(
+        self, fault: RouterFault, routers: int, seed: int
+    ) -> None:
+        plan = a_plan(
+            JOIN,
+            *crashes("v2", *(4.3 + 0.25 * n for n in range(20))),
+            faults=(fault,),
+            routers=routers,
+            streams_per_s=60.0,
+            seed=seed,
+            end_s=16.0,
+        )
+        history = play_versions(plan)
+        assert history.crossings() == []
+        assert history.gaps() == []
+
+
 class ReturnSuite:
     """Endpoints that start again under their id with another version."""
 
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -90,3 +90,29 @@
         split = a_stream_route("llm", "new")
         history.configure([split])
         assert not history.shows_one_version(split)
+
+
+class TakeUpSuite:
+    """What shows the version of a stream that a caller takes up.
+
+    Guards against a router that was out of step, and takes what it knew
+    before for what it knows.
+    """
+
+    def test_a_list_that_was_read_before_shows_nothing(self) -> None:
+        clock = FakeClock()
+        history = a_history(clock, "v1")
+        history.list_read(clock.now_s)
+        assert history.shows_one_version_at(ROUTE, clock.now_s)
+        assert not history.shows_one_version_at(ROUTE, clock.now_s + 0.01)
+
+    def test_peers_show_it_if_they_were_heard_without_a_pause(self) -> None:
+        clock = FakeClock()
+        history = a_history(clock, "v1")
+        for pause_s, steps, shown in ((0.5, 6, True), (3.0, 1, False)):
+            for _ in range(steps):
+                clock.now_s += pause_s
+                history.peer_heard()
+            at_s = clock.now_s
+            assert history.peers_show_one_version(ROUTE, at_s) is shown
+            assert not history.peers_show_one_version(ROUTE, at_s + 0.01)
