An answer without a length is passed on without one

A head that is cut gives no answer here, at any byte. But an answer that ends with its connection was passed on with a length of our own, or as chunks with a last one, and so looked whole whatever was missing, even all of its body.

It is now passed on as it came: its end is the end of the connection, and a connection that is broken off is reset, so that the caller sees what the router saw. If nothing of the body came, the attempt counts as broken.

Simulated endpoints say now how their answers are framed, and a simulated caller loses on a reset what it has not read.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -18,7 +18,11 @@
     RawHeaders,
 )
 from bulrushstream.state.endpointsigns import Sign
-from bulrushstream.transport.connection import PendingRequest, ResponseFailure
+from bulrushstream.transport.connection import (
+    PendingRequest,
+    ResponseFailure,
+    is_framed,
+)
 
 if TYPE_CHECKING:
     from bulrushstream.daemon.forward import Forward
@@ -76,7 +80,9 @@
         self._buffered_body: list[bytes] = []
         self._body_bytes = 0
         self._relaying = False  # Whether a long answer is being relayed.
-        self._framed = True  # Whether the answer's length was known.
+        # Whether something shows the end of the answer besides that of the
+        # connection.
+        self._framed = True
         # Whether its answer may be that of another request.
         self._unattributed = False
         self._heard_s = 0.0  # When bytes of the answer last arrived.
@@ -128,6 +134,7 @@
         # request once more.
         self._unattributed = mismatch and self._reused
         self._head = head
+        self._framed = is_framed(status, headers)
         if status != 421:
             self._observe_load(head)
         if self._pending is not None and not self._reused:
@@ -160,9 +167,13 @@
         if head is None or forward.done:
             self._pending = None
             return
-        self._framed = framed
         if not framed:
             runwatch.run_unframed(self)
+            if head.status < 400 and not self._body_bytes:
+                self.failed(
+                    ResponseFailure.BROKEN, "the connection ended at the body"
+                )
+                return
         if self._unattributed:
             # The answer to this request may still come.
             self._close()
@@ -229,11 +240,16 @@
         """
         head, exchange = self._head, self.forward.exchange
         assert head is not None
+        body = b"".join(self._buffered_body)
         if exchange.started:
             exchange.finish()
-        else:
-            body = b"".join(self._buffered_body)
+        elif self._framed:
             exchange.answer(head.status, head.headers, body)
+        else:
+            # It may have been cut short, which a length would conceal.
+            self._begin(head)
+            exchange.write(body)
+            exchange.finish()
         self.forward.answered(reason, head.status)
 
     def count_failure(self) -> None:
@@ -300,7 +316,7 @@
             self._give_up("an answer after a stream had begun")
         else:
             self._relaying = True
-            exchange.begin(head.status, head.headers, None)
+            self._begin(head)
             for chunk in self._buffered_body:
                 exchange.write(chunk)
             self._buffered_body = []
@@ -318,10 +334,16 @@
             return
         self.front.pool.succeeded(self.endpoint)
         if not forward.exchange.started:
-            forward.exchange.begin(head.status, head.headers, None)
+            self._begin(head)
         forward.exchange.finish()
         forward.answered("answer", head.status)
 
+    def _begin(self, head: AnswerHead) -> None:
+        """Begin the caller's answer, whose length is not known."""
+        self.forward.exchange.begin(
+            head.status, head.headers, None, until_close=not self._framed
+        )
+
     def _close(self) -> None:
         """Close the attempt's connection."""
         if self._pending is not None:
@@ -350,6 +372,11 @@
         """Return whether it waits for a connection or for its answer."""
         return self._pending is not None
 
+    @property
+    def framed(self) -> bool:
+        """Return whether more than its connection shows the answer's end."""
+        return self._framed
+
     @property
     def answer_begun(self) -> bool:
         """Return whether the answer's head has arrived."""
--- a/src/bulrushstream/history/routingconnections.py
+++ b/src/bulrushstream/history/routingconnections.py
@@ -52,6 +52,10 @@
         self._reply.ended_s = self._clock()
         self._broken_off()
 
+    def reset(self) -> None:
+        """Record that the router reset the connection."""
+        self.abort()
+
 
 @dataclass(slots=True)
 class _Pool(SingleUsePool):
--- a/src/bulrushstream/history/routingendpoint.py
+++ b/src/bulrushstream/history/routingendpoint.py
@@ -199,6 +199,7 @@
             self._fleet.rest_asked(self)
         if self._fleet.says_leaving(self):
             headers.append((b"leaving", b"yes"))
+        headers.append((b"transfer-encoding", b"chunked"))
         sink.head(status, headers)
 
     def _send_answer(
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -236,7 +236,7 @@
         self._keep_alive = self._parser.should_keep_alive()
         self.keep_alive_s = _keep_alive_s(self._headers)
         self._discarding = not sink.head(status, self._headers)
-        self._ends_with_close = not self._discarding and not _is_framed(
+        self._ends_with_close = not self._discarding and not is_framed(
             status, self._headers
         )
         if self._method == b"HEAD" and not self._discarding:
@@ -286,8 +286,12 @@
             sink.failed(ResponseFailure.BROKEN, why)
 
 
-def _is_framed(status: int, headers: RawHeaders) -> bool:
-    """Return whether a response can end before the connection closes."""
+def is_framed(status: int, headers: RawHeaders) -> bool:
+    """Return whether a response can end before the connection closes.
+
+    :param status: the HTTP status
+    :param headers: its headers
+    """
     if status in (204, 304):
         return True
     names = {name.lower() for name, _ in headers}
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -30,6 +32,9 @@
 # The connection is aborted if more response bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 1_048_576
 
+# The socket option that resets a connection when it is closed.
+RESET_LINGER: Final = struct.pack("ii", 1, 0)
+
 # Idle connections that are looked at for each new one over the limit.
 MAX_IDLE_CHECKED: Final = 8
 
@@ -64,6 +69,7 @@
         "on_disconnect",
         "started",
         "target",
+        "until_close",
     )
 
     def __init__(self, connection: ClientConnection) -> None:
@@ -81,6 +87,8 @@
         self.started = False  # Whether the head was written.
         self.chunked = False  # Whether chunked encoding is used.
         self.bodyless = False  # Whether HTTP forbids a body.
+        # Whether the end of the connection is the end of the body.
+        self.until_close = False
         self.ended = False  # Whether the response has ended.
         self.on_disconnect: Callable[[], None] | None = None
 
@@ -104,7 +112,12 @@
         self.finish()
 
     def begin(
-        self, status: int, headers: RawHeaders, length: int | None
+        self,
+        status: int,
+        headers: RawHeaders,
+        length: int | None,
+        *,
+        until_close: bool = False,
     ) -> None:
         """Write a response's head; the body follows in pieces.
 
@@ -112,14 +125,19 @@
         :param headers: headers without content-length, transfer-encoding
             and connection
         :param length: the body's length in bytes; None: unknown
+        :param until_close: whether nothing but the end of the connection
+            shows the end of the body
         """
         if self.ended:
             return
         self.started = True
         self.bodyless = self.method == b"HEAD" or status in (204, 304)
+        self.until_close = length is None and (
+            until_close or not self.connection.accepts_chunked
+        )
         if length is not None:
             framing = b"content-length: %d\r\n" % length
-        elif self.connection.accepts_chunked:
+        elif not self.until_close:
             self.chunked = not self.bodyless
             framing = b"transfer-encoding: chunked\r\n"
         else:
@@ -156,7 +174,11 @@
         if self.ended:
             return
         self.ended = True
-        self.connection.abort()
+        if self.until_close:
+            # An ordinary end would look like the end of the body.
+            self.connection.reset()
+        else:
+            self.connection.abort()
 
     def _head(self, status: int, headers: RawHeaders, framing: bytes) -> bytes:
         """Return the encoded head of a response."""
@@ -392,6 +414,16 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Abort the connection so that the caller sees a reset."""
+        if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            if sock is not None:
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER
+                )
+        self.abort()
+
     def close_if_unused(self) -> bool:
         """Close the connection if no bytes of a request have arrived.
 
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -332,6 +332,8 @@
         elif "content-length: " in lower:
             size = int(lower.split("content-length: ")[1].split("\r\n")[0])
             body = await reader.readexactly(size)
+        elif "connection: close" in lower:
+            body = await reader.read()
     return status, head, body
 
 
--- a/tests/modelengines.py
+++ b/tests/modelengines.py
@@ -136,6 +136,7 @@
             (b"id", request_id.encode()),
             (b"kind", b"events"),
             (b"signature", b"yes"),
+            (b"transfer-encoding", b"chunked"),
         ]
         attempt.sink.head(200, headers)
         if attempt.sink is not None:
--- a/tests/simulatedcallers.py
+++ b/tests/simulatedcallers.py
@@ -19,6 +19,7 @@
     def __init__(self) -> None:
         self.data = b""
         self.ended = False
+        self.aborted = False
         self.gone = False  # Whether it closed, and the router did not read it.
         self.on_end: Callable[[], None] = lambda: None
 
@@ -33,9 +34,14 @@
         self.on_end()
 
     def abort(self) -> None:
-        self.ended = True
+        self.ended = self.aborted = True
         self.on_end()
 
+    def reset(self) -> None:
+        # What the caller has not read yet is lost.
+        self.data = b""
+        self.abort()
+
 
 def an_exchange(
     caller: Caller,
