A router that stops answers the requests whose bodies are on their way

Report: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end (LOST).

But the process ended as soon as nothing ran, also while a part of a request had arrived: its caller got no answer. And an idle connection was closed though bytes of a request lay in the kernel, which reset it.

The process now waits for such requests within the grace, and refuses those that are still not whole at its end as not run.

--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -193,11 +193,12 @@
         while self._deps.clock() < end_s:
             if self._deps.clock() >= notice_s:
                 self.stop_accepting()
-                if not front.forwards:
+                if not front.forwards and not front.ingress.receiving:
                     break
             await asyncio.sleep(0.05)
         for server in self._servers:
             server.close()
+        front.ingress.refuse_incomplete()
         for forward in list(front.forwards):
             forward.stop()
         if self._port is not None:
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -234,6 +234,17 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    @property
+    def receiving(self) -> bool:
+        """Return whether a part of a request has arrived anywhere."""
+        return any(each.receiving for each in self.connections)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests of which only a part has arrived."""
+        for connection in list(self.connections):
+            if connection.receiving:
+                connection.refuse_incomplete()
+
 
 class ClientConnection(asyncio.Protocol):
     """One caller's connection."""
@@ -443,10 +454,22 @@
         A partly received request counts, too.
         """
         self.closing = True
-        idle = self._current is None and self._incoming is None
-        if idle and not self._head_bytes:
+        transport = self._transport
+        if transport is None or self._current is not None or self.receiving:
+            return
+        # What the loop has not read yet is answered first.
+        if not has_events(transport, UNREAD_EVENTS):
             self._close()
 
+    @property
+    def receiving(self) -> bool:
+        """Return whether a part of a request has arrived."""
+        return self._incoming is not None or self._head_bytes > 0
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the request of which a part has arrived, and close."""
+        self._reject(503)
+
     def _begin_next(self) -> None:
         """Pass the next queued request to the handler if none is active."""
         if self._current is not None or not self._pipelined:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -116,19 +116,19 @@
     return caller
 
 
-def status_of(caller: Caller) -> bytes:
-    """Return the status that a caller got; empty: none."""
-    found = _STATUS.match(caller.data)
+def status_of(data: bytes) -> bytes:
+    """Return the status of what a caller got; empty: none."""
+    found = _STATUS.match(data)
     return found[1] if found else b""
 
 
-def body_that_looks_whole(caller: Caller) -> bytes | None:
+def body_that_looks_whole(data: bytes) -> bytes | None:
     """Return the body of a success whose end is marked; None: there is none.
 
     An end that only the end of the connection shows is no mark.
     """
-    head, _, body = caller.data.partition(b"\r\n\r\n")
-    if status_of(caller) != b"200":
+    head, _, body = data.partition(b"\r\n\r\n")
+    if status_of(data) != b"200":
         return None
     if b"transfer-encoding: chunked" in head.lower():
         if not body.endswith(b"0\r\n\r\n"):
@@ -162,8 +162,8 @@
         whole = encode_answer(b"q1", framing, streams)
         for kept_bytes in range(len(whole)):
             caller = play(path, Cut(framing, kept_bytes, reset))
-            assert body_that_looks_whole(caller) is None, kept_bytes
-            if status_of(caller) == b"200":
+            assert body_that_looks_whole(caller.data) is None, kept_bytes
+            if status_of(caller.data) == b"200":
                 # The caller sees what the router saw.
                 assert framing == "close" or caller.aborted
 
@@ -173,7 +173,7 @@
         head_bytes = whole.index(b"\r\n\r\n") + 4
         for kept_bytes in range(head_bytes + 1):
             caller = play(path, Cut("close", kept_bytes))
-            assert status_of(caller) == b"502"
+            assert status_of(caller.data) == b"502"
 
     @pytest.mark.parametrize("interim", [b"100 Continue", b"103 Early Hints"])
     def test_heads_that_are_cut_after_an_interim_one(
@@ -182,7 +182,7 @@
         prefix = b"HTTP/1.1 %b\r\nA: b\r\n\r\n" % interim
         for kept_bytes in range(60):
             cut = Cut("length", kept_bytes, prefix=prefix)
-            assert status_of(play("/once/", cut)) == b"502"
+            assert status_of(play("/once/", cut).data) == b"502"
 
     @pytest.mark.parametrize("path", PATHS)
     @pytest.mark.parametrize("framing", ["length", "chunks", "close"])
@@ -190,11 +190,11 @@
         self, path: str, framing: str
     ) -> None:
         caller = play(path, Cut(framing, WHOLE))
-        assert status_of(caller) == b"200"
+        assert status_of(caller.data) == b"200"
         assert not caller.aborted
         expected = EVENTS if path.startswith("/t") else BODY
         if framing == "close":
             assert caller.data.endswith(b"\r\n\r\n" + expected)
             assert b"connection: close" in caller.data
         else:
-            assert body_that_looks_whole(caller) == expected
+            assert body_that_looks_whole(caller.data) == expected
