A router whose event loop is behind turns the crowd away, not all callers

Callers of the hottest workspace's zone waited for over half of their target before their requests were sent on, also those of quiet workspaces: one of 13 routers had most of the workspace's callers, and not the processor time for them. Its loop read requests seconds late.

A refusal before any work costs a tenth of a request, and callers try another router next.

tests/test_crowded_router.py, ProcessorSuite: 250 to 1,000 requests a second at a processor for 250; quiet workspaces wait 0.4 s at most and none is turned away.

--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -17,6 +17,7 @@
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.fleetview import FleetView
 from bulrushstream.coordination.freshness import Freshness
+from bulrushstream.coordination.looplag import LoopLag
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routetable import RouteTable, pick_service
 from bulrushstream.daemon import dispatch, runwatch, safeguards, takeups
@@ -85,6 +86,7 @@
         self._report_shares = deps.report_shares
         self.table: RouteTable | None = None
         self.endpoints_listed = False
+        self.loop_lag = LoopLag()
         self.draining = False
         self.refusing_requests = False
         self.peers = FleetView(settings.host, settings.availability_zone)
@@ -186,6 +188,13 @@
             self._refuse_early(exchange, admitted, call.request_id)
             return
         route, workspace = admitted
+        if call.prompt is not None and self.loop_lag.turns_away(
+            workspace, self.clock()
+        ):
+            self._refuse_early(
+                exchange, messages.ROUTER_CROWDED, call.request_id
+            )
+            return
         forward = Forward(
             self,
             exchange,
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
+from bulrushstream.coordination.looplag import TICK_S
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.crashstore import CrashStore
 from bulrushstream.daemon.endpointlist import EndpointList
@@ -112,7 +113,7 @@
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
-        settings, front = self._settings, self.front
+        settings, front, deps = self._settings, self.front, self._deps
         identity = PeerUpdate(
             settings.instance, self._incarnation, settings.host
         )
@@ -157,6 +158,7 @@
         self._spawn(self._announce)
         self._repeat(HEARTBEAT_S, port.beat)
         self._repeat(SWEEP_INTERVAL_S, self._sweep)
+        self._repeat(TICK_S, lambda: front.loop_lag.tick(deps.clock()))
         self._repeat(SHARES_INTERVAL_S, front.report_shares)
         if self._path:
             self._repeat(SETTINGS_INTERVAL_S, self.reload)
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -110,6 +110,9 @@
 ENDPOINTS_REST: Final = Notice(
     "B133", "Every endpoint that could serve the request asks for rest.", 503
 )
+ROUTER_CROWDED: Final = Notice(
+    "B134", "The router is crowded; another one may take the request.", 503
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
--- a/tests/test_crowded_router.py
+++ b/tests/test_crowded_router.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Final
 
 import pytest
 
+from bulrushstream.coordination.looplag import TICK_S, LoopLag
 from bulrushstream.history.virtualloop import run_virtually
 from bulrushstream.transport.ingress import (
     ClientConnection,
@@ -110,3 +114,91 @@
                 assert not transport.closed
 
         assert run_virtually(play()) == []
+
+
+SERVED_S: Final = 0.004  # Processor time of a request that is served.
+TURNED_AWAY_S: Final = 0.0004
+PLAYED_S: Final = 10.0
+LATENCY_TARGET_S: Final = 0.8
+
+
+@dataclass
+class Processed:
+    """What one router's processor did."""
+
+    waits_s: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    turned_away: Counter[str] = field(default_factory=Counter)
+    busy_s: float = 0.0  # With requests that were served.
+
+
+def process(per_s: dict[str, float], seed: int) -> Processed:
+    """Play the processor of one router, which does one thing at a time.
+
+    :param per_s: requests a second of each workspace
+    """
+    rng, lag, done = Random(seed), LoopLag(), Processed()
+    arrivals = sorted(
+        (rng.uniform(0.0, PLAYED_S), name)
+        for name, rate in per_s.items()
+        for _ in range(int(rate * PLAYED_S))
+    )
+    now_s = tick_s = 0.0
+    while arrivals:
+        # While the router has nothing to do, timers are on time.
+        now_s = max(now_s, arrivals[0][0])
+        while tick_s < now_s and tick_s <= arrivals[0][0]:
+            lag.tick(tick_s)
+            tick_s += TICK_S
+        if tick_s <= now_s:
+            lag.tick(now_s)
+            tick_s = now_s + TICK_S
+        # One iteration of the event loop handles all that has arrived.
+        count = sum(at_s <= now_s for at_s, _ in arrivals)
+        for at_s, name in arrivals[:count]:
+            if lag.turns_away(name, now_s):
+                done.turned_away[name] += 1
+                now_s += TURNED_AWAY_S
+            else:
+                done.waits_s[name].append(now_s - at_s)
+                done.busy_s += SERVED_S
+                now_s += SERVED_S
+        del arrivals[:count]
+    return done
+
+
+QUIET: Final = {f"quiet{number}": 3.0 for number in range(8)}
+
+
+class ProcessorSuite:
+    """More requests than one router has processor time for.
+
+    Guards against callers who wait for seconds, or find no connection, since
+    another workspace's callers crowd their router.
+    """
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize("hot_per_s", [250.0, 500.0, 1_000.0])
+    def test_quiet_callers_do_not_pay_for_a_crowd_at_their_router(
+        self, hot_per_s: float, seed: int
+    ) -> None:
+        done = process({"hot": hot_per_s, **QUIET}, seed)
+        assert set(done.turned_away) == {"hot"}
+        for waits_s in done.waits_s.values():
+            assert max(waits_s) <= LATENCY_TARGET_S / 2
+        assert done.busy_s >= 0.5 * PLAYED_S
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_no_one_is_turned_away_while_the_processor_suffices(
+        self, seed: int
+    ) -> None:
+        done = process({"hot": 180.0, **QUIET}, seed)
+        assert not done.turned_away
+
+    def test_a_router_that_stood_still_turns_no_quiet_workspace_away(
+        self,
+    ) -> None:
+        lag = LoopLag()
+        lag.tick(1.0)
+        assert not any(lag.turns_away(name, 4.0) for name in QUIET)
