--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -32,6 +32,10 @@
 # time.
 MAX_RETRY_FRACTION: Final = 1.0 / 3.0
 
+# Engines read more for a request where less of its prompt is kept.  That is
+# worth while only if at least this part of them has nothing to do.
+MIN_IDLE_FRACTION: Final = 0.2
+
 # Why a request may not go to an engine now.
 LATE_REASON: Final = "predicted first token misses the latency target"
 YIELD_REASON: Final = "workspace over its share, and others are waiting"
@@ -77,7 +81,10 @@
     )
     if choice is None:
         return None
-    prediction, reason = _admitted(front, forward, prompt, choice, now_s)
+    spare = choice.idle_engines >= MIN_IDLE_FRACTION * len(usable)
+    prediction, reason = _admitted(
+        front, forward, prompt, choice, now_s, spare=spare
+    )
     if reason:
         return Refusal(_refuse_admission(front, forward, prediction, reason))
     number = _record_attempt(
@@ -104,11 +111,14 @@
     prompt: Prompt,
     choice: EngineChoice,
     now_s: float,
+    *,
+    spare: bool,
 ) -> tuple[Prediction, str]:
     """Return the engine for a request, and why it may not go there now.
 
     The reason is empty if it may.  A request that was already sent once is
-    not refused any more.
+    not refused any more.  If there is spare capacity, it may also go to an
+    idle engine that keeps less of its prompt.
     """
     best = choice.best
     if forward.progress.sends or forward.exchange.started:
@@ -125,9 +135,8 @@
     if takeups.is_restricted(forward):
         fits = best.wait_s <= latency_target_s
         return best, "" if fits else LATE_REASON
-    # An engine that keeps more of the prompt is of no use if it is late.
     candidates = [best]
-    if choice.idle is not None and choice.idle is not best:
+    if spare and choice.idle is not None:
         candidates.append(choice.idle)
     admitted = next(
         (
