Crowds at a router show in its log and metrics

Nothing told apart a router that refuses for shares from one that is behind or has no room for connections. Added: loop_lag_seconds, caller_connections_ended, and a line 'crowded' with requests turned away, idle connections closed and new ones refused.

A line 'shares' wrote its level over the log level (null, 62659). It is level_tokens now, and members of a line never replace those that all lines have; the test that asserted the mix-up asserts both.

--- a/src/bulrushstream/coordination/looplag.py
+++ b/src/bulrushstream/coordination/looplag.py
@@ -32,7 +32,8 @@
     """The lag of one router's event loop, and who uses it."""
 
     lag_s: float = 0.0  # Of the last tick.
-    turned_away: int = 0  # Requests, since the router started.
+    longest_s: float = 0.0  # The longest one since the last report.
+    turned_away: int = 0  # Requests, since the last report.
     _ticked_s: float = float("inf")
     _step: int = 0
     _counts: dict[str, int] = field(default_factory=dict)  # By workspace.
@@ -45,6 +46,11 @@
         """
         self.lag_s = max(0.0, now_s - self._ticked_s - TICK_S)
         self._ticked_s = now_s
+        self.longest_s = max(self.longest_s, self.lag_s)
+
+    def reported(self) -> None:
+        """Start a new report."""
+        self.longest_s, self.turned_away = 0.0, 0
 
     def turns_away(self, workspace: str, now_s: float) -> bool:
         """Count a request; return whether it is to be turned away.
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -26,7 +26,7 @@
 from bulrushstream.daemon.fleetsetup import make_fleet_state
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.messages import Notice
-from bulrushstream.metrics import Metrics
+from bulrushstream.metrics import Metrics, count_crowd
 from bulrushstream.protocol.dialect import Dialect, HeadError
 from bulrushstream.state.call import AnswerHead, Call, RawHeaders
 from bulrushstream.state.effect import Decision
@@ -34,7 +34,7 @@
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import Route
-from bulrushstream.state.usage import ShareReport
+from bulrushstream.state.usage import Crowd, ShareReport
 from bulrushstream.transport.datagrams import PeerSocket
 from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
 from bulrushstream.transport.problem import encode_problem
@@ -426,8 +426,26 @@
     # --- Log.
 
     def report_shares(self) -> None:
-        """Log the shares and their use here since the last call."""
+        """Log the shares, their use here, and crowds since the last call."""
         self._report_shares(self.fleet_state.report_shares(self.clock()))
+        ingress, lag = self.ingress, self.loop_lag
+        crowd = Crowd(
+            lag.longest_s,
+            lag.turned_away,
+            ingress.closed_count,
+            ingress.refused_count,
+        )
+        ingress.closed_count = ingress.refused_count = 0
+        lag.reported()
+        count_crowd(self.metrics, crowd)
+        if crowd.is_crowded:
+            self.report(
+                "crowded",
+                f"the event loop is {crowd.loop_lag_s:.2f} s late; "
+                f"{crowd.turned_away} requests turned away, "
+                f"{crowd.closed_connections} idle connections closed, "
+                f"{crowd.refused_connections} new ones refused",
+            )
 
     @property
     def ready(self) -> bool:
--- a/src/bulrushstream/logs.py
+++ b/src/bulrushstream/logs.py
@@ -61,7 +61,8 @@
         if isinstance(record.msg, LogLine):
             line["instance"] = record.msg.instance
             line["event"] = record.msg.event
-            line.update(record.msg.values)
+            # A line's own members never replace those that all lines have.
+            line = {**record.msg.values, **line}
         else:
             # A library's record, which is plain text.
             line["event"] = record.name
@@ -183,7 +184,7 @@
         limited = report.level_tokens != float("inf")
         values = {
             "throughput": round(report.throughput_tokens_per_s),
-            "level": round(report.level_tokens) if limited else None,
+            "level_tokens": round(report.level_tokens) if limited else None,
             "window_s": report.window_s,
             "peers": report.peers,
             "oldest_peer": report.oldest_peer,
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -20,7 +20,7 @@
 )
 
 from bulrushstream.state.effect import Decision
-from bulrushstream.state.usage import ShareReport
+from bulrushstream.state.usage import Crowd, ShareReport
 
 if TYPE_CHECKING:
     from bulrushstream.transport.callers import Exchange
@@ -64,6 +64,8 @@
     peers: Gauge  # The other routers that count as live.
     take_ups: Counter  # Streams that callers take up.
     oldest_peer_age: Gauge  # Time since the oldest update, in seconds.
+    loop_lag: Gauge  # How late the event loop was, in seconds.
+    caller_connections: Counter  # Callers' connections that were ended.
 
 
 def make_metrics() -> Metrics:
@@ -171,6 +173,15 @@
             "oldest_peer_age_seconds",
             "Time since the last update of the peer silent for longest.",
         ),
+        loop_lag=gauge(
+            "loop_lag_seconds",
+            "How late the event loop was at most in the last second.",
+        ),
+        caller_connections=counter(
+            "caller_connections_ended",
+            "Callers' connections that were ended for want of room.",
+            "state",
+        ),
     )
 
 
@@ -230,6 +241,21 @@
     metrics.oldest_peer_age.set(report.oldest_peer_age_s)
 
 
+def count_crowd(metrics: Metrics, crowd: Crowd) -> None:
+    """Count what a router did as too many callers use it.
+
+    :param metrics: The metrics of the router.
+    :param crowd: What it did since the last report.
+    """
+    metrics.loop_lag.set(crowd.loop_lag_s)
+    for state, count in (
+        ("idle", crowd.closed_connections),
+        ("new", crowd.refused_connections),
+    ):
+        if count:
+            metrics.caller_connections.labels(state).inc(count)
+
+
 def count_message(
     metrics: Metrics,
     direction: str,
--- a/src/bulrushstream/state/usage.py
+++ b/src/bulrushstream/state/usage.py
@@ -1,4 +1,4 @@
-"""What one router reports about the shares of its callers' workspaces."""
+"""What one router reports about its callers and their workspaces."""
 
 from __future__ import annotations
 
@@ -28,3 +28,23 @@
     peers: int  # The other routers that count as live.
     oldest_peer: str  # The one not heard from for the longest time.
     oldest_peer_age_s: float  # The time since its last update.
+
+
+@dataclass(frozen=True, slots=True)
+class Crowd:
+    """Signs that too many callers use one router, since the last report."""
+
+    loop_lag_s: float = 0.0  # How late its event loop was at most.
+    turned_away: int = 0  # Requests that were refused for that.
+    # Callers' connections without a request that made room for others.
+    closed_connections: int = 0
+    refused_connections: int = 0  # New ones for which there was no room.
+
+    @property
+    def is_crowded(self) -> bool:
+        """Return whether callers noticed anything."""
+        return bool(
+            self.turned_away
+            or self.closed_connections
+            or self.refused_connections
+        )
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -209,6 +209,9 @@
     idle: dict[ClientConnection, None] = field(default_factory=dict)
     closing: bool = False  # Whether to close after a response.
     buffered_bytes: int = 0  # Received body bytes, complete or not.
+    # Connections closed to make room, and refused for want of it.
+    closed_count: int = 0
+    refused_count: int = 0
 
     def make_connection(self) -> ClientConnection:
         """Return the protocol of a new connection."""
@@ -226,7 +229,9 @@
             return True
         for connection in list(islice(self.idle, MAX_IDLE_CHECKED)):
             if connection.close_if_unused():
+                self.closed_count += 1
                 return True
+        self.refused_count += 1
         return False
 
     def close_idle(self) -> None:
--- a/tests/test_share_report.py
+++ b/tests/test_share_report.py
@@ -80,7 +80,9 @@
         assert line["fleet"]["w0"] == [1_000_000, 700]
         assert line["here"]["w0"] == [500, 300, 100]
         assert line["unlisted"] == 700 - logs.MAX_LOGGED_WORKSPACES
-        assert line["level"] is None
+        assert line["level_tokens"] is None
+        # Members of all lines are never replaced by those of one.
+        assert line["level"] == "info"
         assert len(text) < 4096
 
     def test_tokens_are_counted_by_workspace_and_state(self) -> None:
