bulrushstream check plays cut heads and routers out of step

Random histories of routers: connections that end after a head without a length, and a router that is suspended, or without store and peers, as endpoints of a new version start. A mutation shows that heads passed on as whole are found. Planned stops are not played by it; tests/test_planned_stop.py plays them.

--- a/src/bulrushstream/history/routingendpoint.py
+++ b/src/bulrushstream/history/routingendpoint.py
@@ -199,7 +199,8 @@
             self._fleet.rest_asked(self)
         if self._fleet.says_leaving(self):
             headers.append((b"leaving", b"yes"))
-        headers.append((b"transfer-encoding", b"chunked"))
+        if fault is not AttemptFault.CUT_HEAD:
+            headers.append((b"transfer-encoding", b"chunked"))
         sink.head(status, headers)
 
     def _send_answer(
@@ -212,6 +213,10 @@
             self._end_with_loss(ResponseFailure.BROKEN)
             return
         self._send_head(sink, request_id, fault, b"plain")
+        if fault is AttemptFault.CUT_HEAD:
+            self._sink = None
+            sink.end(framed=False)
+            return
         sink.data(b"answer of ")
         if fault is AttemptFault.BREAK:
             self._end_with_loss(ResponseFailure.BROKEN)
@@ -227,6 +232,10 @@
             self._send_answer(sink, request_id, fault)
             return
         self._send_head(sink, request_id, fault, b"events")
+        if fault is AttemptFault.CUT_HEAD:
+            self._sink = None
+            sink.end(framed=False)
+            return
         self._send_event(sink, request_id, fault, number)
 
     def _send_event(
--- a/src/bulrushstream/history/routingplan.py
+++ b/src/bulrushstream/history/routingplan.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from random import Random
 from typing import Final
@@ -35,6 +35,8 @@
     # An earlier refusal comes once more on a kept connection, and then a
     # complete, correct answer.
     REPEATED = "repeated"
+    # The connection ends after a head that names no length.
+    CUT_HEAD = "cut-head"
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +137,7 @@
     fault_rates = tuple(
         (fault, rate * rng.random() * FAULT_SHARES.get(fault, 1.0))
         for fault in list(AttemptFault)[1:]
+        if fault is not AttemptFault.CUT_HEAD
     )
     requests = tuple(
         PlannedRequest(
@@ -170,7 +173,7 @@
         for at_s, _ in revocations
         if rng.random() < 0.4
     )
-    return RoutingPlan(
+    plan = RoutingPlan(
         seed=seed,
         routers=routers,
         requests=tuple(sorted(requests, key=lambda request: request.at_s)),
@@ -199,3 +202,32 @@
             for kind in rng.sample(list(OddRecord), rng.randint(0, 2))
         ),
     )
+    # Drawn last, so that seeds keep the rest of their plans.
+    cut_heads = (AttemptFault.CUT_HEAD, rate * rng.random())
+    return replace(
+        plan,
+        fault_rates=(*plan.fault_rates, cut_heads),
+        faults=plan.faults + _out_of_step(plan, rng),
+    )
+
+
+def _out_of_step(plan: RoutingPlan, rng: Random) -> tuple[RouterFault, ...]:
+    """Return faults of a router that misses the start of a new version."""
+    if rng.random() < 0.5:
+        return ()
+    router = rng.randrange(plan.routers)
+    kinds = rng.choice(
+        (
+            (RouterFaultKind.STORE, RouterFaultKind.PEERS),
+            (RouterFaultKind.SUSPEND,),
+        )
+    )
+    return tuple(
+        RouterFault(
+            max(0.0, plan.release_s - rng.random()),
+            rng.uniform(0.5, 5.0),
+            router,
+            kind,
+        )
+        for kind in kinds
+    )
--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -14,7 +14,7 @@
 from bulrushstream.coordination.forwarding import decide_retry
 from bulrushstream.coordination.freshness import Freshness
 from bulrushstream.coordination.retryquota import RetryQuota
-from bulrushstream.daemon import forward, originrecords
+from bulrushstream.daemon import attempt, forward, originrecords
 from bulrushstream.daemon.attempt import Attempt
 from bulrushstream.daemon.endpointlist import EndpointList
 from bulrushstream.daemon.forward import Forward
@@ -182,6 +182,18 @@
     monkeypatch.setattr(EndpointPool, "usable", usable)
 
 
+def frame_cut_answers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Take an answer that ends with its connection for a whole one."""
+    original = Attempt.end
+
+    def end(self: Attempt, *, framed: bool = True) -> None:
+        del framed
+        original(self)
+
+    monkeypatch.setattr(Attempt, "end", end)
+    monkeypatch.setattr(attempt, "is_framed", lambda status, headers: True)
+
+
 # Each fault's patch and the violations of which one must be found.
 FAULTS: Final[dict[str, tuple[Patch, set[K | R]]]] = {
     "forgets runs": (ignore_earlier_runs, {K.RUN_TWICE, K.FALSE_NOT_RUN}),
@@ -216,6 +228,7 @@
     ),
     "error in a stream": (relay_errors_in_streams, {K.GARBLED_ANSWER}),
     "broken stream ended": (end_broken_streams, {K.TRUNCATED_WHOLE}),
+    "cut head": (frame_cut_answers, {K.GARBLED_ANSWER}),
     "odd record": (follow_until_an_odd_record, {K.CORE_FAILED}),
 }
 
