--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -131,10 +131,10 @@
     def test_grants_that_are_taken_back_late(self) -> None:
         """Guards against an error for a workspace that asks no more."""
         shares = FairShares(4.0)
-        shares.add_demand("club", 60_000.0, 0.1)
-        shares.add_demand("flood", 60_000.0, 0.1)
-        shares.add_grant("club", 60_000.0, 0.1)
-        shares.add_grant("flood", 60_000.0, 0.1)
+        for workspace in ("club", "flood"):
+            for _ in range(60):
+                shares.add_demand(workspace, 1_000.0, 0.1)
+            shares.add_grant(workspace, 60_000.0, 0.1)
         shares.add_grant("club", -60_000.0, 1.8)
         assert not shares.must_yield("flood", 1_000.0, 1.9, 10.0)
 
