A few engines that are idle by chance are no spare capacity

Cause: of nine engines one or two are idle by chance also in overload, and requests went there to be read anew, or before others.

A fifth of the engines is left for bursts now, and a prompt is read anew only while as many are idle as the root of their number.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -210,16 +210,22 @@
         return number
 
     def must_yield(
-        self, workspace: str, prompt: Prompt, idle_engines: int, now_s: float
+        self,
+        workspace: str,
+        prompt: Prompt,
+        spare_engines: float,
+        now_s: float,
     ) -> bool:
         """Return whether a request must leave an engine to others.
 
         :param workspace: the request's workspace
         :param prompt: the request's prompt
-        :param idle_engines: the engines without pending prefill
+        :param spare_engines: how many engines have nothing to do, less those
+            that are left idle for bursts
         :param now_s: the time
         """
-        spare = max(0, idle_engines - 1) / self.prefill_cost_s
+        # One of them takes this request.
+        spare = max(0.0, spare_engines - 1.0) / self.prefill_cost_s
         return self.shares.must_yield(
             workspace, prompt.quota_tokens, now_s, spare
         )
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 from bulrushstream import messages
@@ -32,8 +33,8 @@
 # time.
 MAX_RETRY_FRACTION: Final = 1.0 / 3.0
 
-# Engines read more for a request where less of its prompt is kept.  That is
-# worth while only if at least this part of them has nothing to do.
+# This part of the engines is left idle for bursts: only beyond it a request
+# may go before those that wait for their share.
 MIN_IDLE_FRACTION: Final = 0.2
 
 # Why a request may not go to an engine now.
@@ -81,9 +82,15 @@
     )
     if choice is None:
         return None
-    spare = choice.idle_engines >= MIN_IDLE_FRACTION * len(usable)
+    spare = choice.idle_engines - MIN_IDLE_FRACTION * len(usable)
     prediction, reason = _admitted(
-        front, forward, prompt, choice, now_s, spare=spare
+        front,
+        forward,
+        prompt,
+        choice,
+        spare,
+        now_s,
+        may_read_anew=choice.idle_engines >= math.sqrt(len(usable)),
     )
     if reason:
         return Refusal(_refuse_admission(front, forward, prediction, reason))
@@ -110,15 +117,19 @@
     forward: Forward,
     prompt: Prompt,
     choice: EngineChoice,
+    spare_engines: float,
     now_s: float,
     *,
-    spare: bool,
+    may_read_anew: bool,
 ) -> tuple[Prediction, str]:
     """Return the engine for a request, and why it may not go there now.
 
     The reason is empty if it may.  A request that was already sent once is
-    not refused any more.  If there is spare capacity, it may also go to an
-    idle engine that keeps less of its prompt.
+    not refused any more.
+
+    :param spare_engines: idle engines beyond those left for bursts
+    :param may_read_anew: whether it may go to an idle engine that keeps less
+        of its prompt; a few are idle by chance also in overload
     """
     best = choice.best
     if forward.progress.sends or forward.exchange.started:
@@ -136,7 +147,7 @@
         fits = best.wait_s <= latency_target_s
         return best, "" if fits else LATE_REASON
     candidates = [best]
-    if spare and choice.idle is not None:
+    if may_read_anew and choice.idle is not None:
         candidates.append(choice.idle)
     admitted = next(
         (
@@ -152,7 +163,7 @@
     if admitted is None:
         return best, LATE_REASON
     if front.fleet_state.must_yield(
-        forward.workspace, prompt, choice.idle_engines, now_s
+        forward.workspace, prompt, spare_engines, now_s
     ):
         return admitted, YIELD_REASON
     return admitted, ""
