--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,4 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec python3 review/1/case.py
+# TROUBLE=0 plays the case without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+TROUBLE="${TROUBLE:-1}" exec python3 review/1/case.py
--- a/review/standins.py
+++ b/review/standins.py
@@ -138,6 +138,7 @@
         self.port = 0
         # Takes the caller's IP number and the call's name; False: a 503.
         self.allowed: Callable[[str, str], bool] = lambda host, name: True
+        self.silent_until_s = 0.0  # No call gets an answer before then.
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -146,6 +147,19 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether calls get no answer now."""
+        return time.monotonic() < self.silent_until_s
+
+    def fall_silent(self, for_s: float) -> None:
+        """Answer no call for a time, also none that came before.
+
+        :param for_s: the time in seconds
+        """
+        self.silent_until_s = time.monotonic() + for_s
+        self._record(f"store: silent for {for_s} s")
+
     def part(self, topic: str, number: int = 0) -> _Part:
         """Return a partition, which is made on first use."""
         return self._parts.setdefault((topic, number), _Part())
@@ -169,10 +183,16 @@
                 parts = urlsplit(target)
                 query = {k: v[0] for k, v in parse_qs(parts.query).items()}
                 name = parts.path.rpartition("/")[2]
+                if self.is_silent:
+                    await asyncio.sleep(60.0)
+                    return
                 if not self.allowed(host, name):
                     status, answer = 503, b"{}"
                 else:
                     status, answer = await self._call(name, query, body)
+                if self.is_silent:
+                    await asyncio.sleep(60.0)
+                    return
                 writer.write(
                     http_head(
                         f"HTTP/1.1 {status} X",
@@ -323,6 +343,13 @@
             **{name.replace("_", "-"): value for name, value in more.items()},
         }
 
+    def crash(self) -> None:
+        """Close its port and all of its connections at once."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
