The finish line tells how an answer was framed and how it ended

From the log, an answer that was cut, one with an extra answer behind it and one that two attempts wrote could not be told apart: neither the framing, nor the end, nor the bytes in and out were written. The line has them now, and the number of attempts.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -19,9 +19,10 @@
 )
 from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.transport.connection import (
+    Framing,
     PendingRequest,
     ResponseFailure,
-    is_framed,
+    framing_of,
 )
 
 if TYPE_CHECKING:
@@ -38,7 +39,8 @@
     __slots__ = (
         "_body_bytes",
         "_buffered_body",
-        "_framed",
+        "_end",
+        "_framing",
         "_head",
         "_heard_s",
         "_may_have_run_before",
@@ -80,9 +82,8 @@
         self._buffered_body: list[bytes] = []
         self._body_bytes = 0
         self._relaying = False  # Whether a long answer is being relayed.
-        # Whether something shows the end of the answer besides that of the
-        # connection.
-        self._framed = True
+        self._framing = Framing.LENGTH
+        self._end = ""  # How the answer ended, for the log; empty: not yet.
         # Whether its answer may be that of another request.
         self._unattributed = False
         self._heard_s = 0.0  # When bytes of the answer last arrived.
@@ -107,6 +108,7 @@
         if self._pending is None:
             return
         runwatch.run_cancelled(self)
+        self._end = "cancelled"
         self._pending.cancel()
         self._pending = None
         self.front.fleet_state.ended(self.endpoint, self.number)
@@ -134,7 +136,7 @@
         # request once more.
         self._unattributed = mismatch and self._reused
         self._head = head
-        self._framed = is_framed(status, headers)
+        self._framing = framing_of(status, headers)
         if status != 421:
             self._observe_load(head)
         if self._pending is not None and not self._reused:
@@ -164,6 +166,7 @@
     def end(self, *, framed: bool = True) -> None:
         """Handle the end of a complete answer; see `Sink`."""
         forward, head = self.forward, self._head
+        self._end = "complete" if framed else "connection closed in order"
         if head is None or forward.done:
             self._pending = None
             return
@@ -213,6 +216,7 @@
     def failed(self, failure: ResponseFailure, detail: str) -> None:
         """Handle the lack of a complete answer; see `Sink`."""
         forward = self.forward
+        self._end = detail
         if forward.done:
             self._pending = None
             return
@@ -243,7 +247,7 @@
         body = b"".join(self._buffered_body)
         if exchange.started:
             exchange.finish()
-        elif self._framed:
+        elif self.framed:
             exchange.answer(head.status, head.headers, body)
         else:
             # It may have been cut short, which a length would conceal.
@@ -341,7 +345,7 @@
     def _begin(self, head: AnswerHead) -> None:
         """Begin the caller's answer, whose length is not known."""
         self.forward.exchange.begin(
-            head.status, head.headers, None, until_close=not self._framed
+            head.status, head.headers, None, until_close=not self.framed
         )
 
     def _close(self) -> None:
@@ -375,7 +379,17 @@
     @property
     def framed(self) -> bool:
         """Return whether more than its connection shows the answer's end."""
-        return self._framed
+        return self._framing is not Framing.CLOSE
+
+    def describe_answer(self) -> dict[str, float | int | str]:
+        """Return what is known of the endpoint's answer, for the log."""
+        if self._head is None:
+            return {"answer_end": self._end}
+        return {
+            "framing": self._framing.value,
+            "answer_end": self._end,
+            "received_bytes": self._body_bytes,
+        }
 
     @property
     def answer_begun(self) -> bool:
@@ -413,13 +427,13 @@
     def is_proof(self) -> bool:
         """Return whether the answer shows that its endpoint lived on."""
         head = self._head
-        return head is not None and self._framed and head.status < 500
+        return head is not None and self.framed and head.status < 500
 
     @property
     def proves_parts(self) -> bool:
         """Return whether the endpoint read the prompt and answered whole."""
         head = self._head
-        whole = head is not None and self._framed and head.status == 200
+        whole = head is not None and self.framed and head.status == 200
         return whole and self.began_s < float("inf")
 
 
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -407,6 +407,10 @@
             inputs["first_event_s"] = round(
                 forward.first_event_s - forward.arrived_s, 4
             )
+        inputs["attempts"] = forward.progress.sends
+        inputs["sent_bytes"] = forward.exchange.sent_bytes
+        if forward.attempt is not None:
+            inputs |= forward.attempt.describe_answer()
         self.log_decision(
             "finish",
             reason,
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -10,7 +10,7 @@
 import re
 import socket
 from collections.abc import Callable
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 from typing import Final, Protocol
 
 import httptools
@@ -39,6 +39,15 @@
     BROKEN = 3  # Connection lost, or an invalid response.
 
 
+class Framing(StrEnum):
+    """How the end of a response is shown."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"  # By the end of the connection only.
+
+
 class Sink(Protocol):
     """Supplies a request and receives its response."""
 
@@ -236,8 +245,9 @@
         self._keep_alive = self._parser.should_keep_alive()
         self.keep_alive_s = _keep_alive_s(self._headers)
         self._discarding = not sink.head(status, self._headers)
-        self._ends_with_close = not self._discarding and not is_framed(
-            status, self._headers
+        framing = framing_of(status, self._headers)
+        self._ends_with_close = (
+            not self._discarding and framing is Framing.CLOSE
         )
         if self._method == b"HEAD" and not self._discarding:
             self._unusable = True
@@ -286,16 +296,18 @@
             sink.failed(ResponseFailure.BROKEN, why)
 
 
-def is_framed(status: int, headers: RawHeaders) -> bool:
-    """Return whether a response can end before the connection closes.
+def framing_of(status: int, headers: RawHeaders) -> Framing:
+    """Return how the end of a response is shown.
 
     :param status: the HTTP status
     :param headers: its headers
     """
     if status in (204, 304):
-        return True
+        return Framing.NO_BODY
     names = {name.lower() for name, _ in headers}
-    return b"content-length" in names or b"transfer-encoding" in names
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
 
 
 def _keep_alive_s(headers: RawHeaders) -> float | None:
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -67,6 +67,7 @@
         "keep_alive",
         "method",
         "on_disconnect",
+        "sent_bytes",
         "started",
         "target",
         "until_close",
@@ -85,6 +86,7 @@
         self.keep_alive = True
         self.arrived_s = 0.0
         self.started = False  # Whether the head was written.
+        self.sent_bytes = 0  # Written of the body.
         self.chunked = False  # Whether chunked encoding is used.
         self.bodyless = False  # Whether HTTP forbids a body.
         # Whether the end of the connection is the end of the body.
@@ -108,6 +110,7 @@
         length = b"content-length: %d\r\n" % len(body)
         if self.method == b"HEAD" or status in (204, 304):
             body = b""
+        self.sent_bytes = len(body)
         self.connection.write(self._head(status, headers, length) + body)
         self.finish()
 
@@ -152,6 +155,7 @@
         """
         if self.ended or self.bodyless or not data:
             return
+        self.sent_bytes += len(data)
         if self.chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self.connection.write(data)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -119,6 +119,20 @@
         assert history.probes == 0
         assert history.lines("endpoint_seen") == []
 
+    def test_the_log_tells_how_they_ended(self) -> None:
+        body = b"%b:%b:" % (Body.UNFRAMED, Unframed.CLOSED.encode())
+        lines = [
+            each.inputs
+            for each in play_one_kind(body, "/once/").lines("finish")
+            if each.inputs.get("framing") == "close"
+        ]
+        assert len(lines) >= 3
+        for inputs in lines:
+            assert inputs["answer_end"] == "connection closed in order"
+            assert inputs["received_bytes"] == len("whole")
+            assert inputs["sent_bytes"] == len("whole")
+            assert inputs["attempts"] == 1
+
     def test_time_is_bounded(self) -> None:
         """Guards against waiting for an end beyond the caller's deadline."""
         body = b"%b:%b:trickle" % (Body.ENDLESS, Endless.EVENT.encode())
--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -26,6 +26,7 @@
 from bulrushstream.protocol.origincodec import decode_origins
 from bulrushstream.state.events import EventSplitter
 from bulrushstream.state.streamorigin import StreamOrigin
+from bulrushstream.transport.connection import Framing
 from bulrushstream.transport.ingress import Exchange
 
 SEEDS: Final = range(40)
@@ -191,7 +192,9 @@
         original(self)
 
     monkeypatch.setattr(Attempt, "end", end)
-    monkeypatch.setattr(attempt, "is_framed", lambda status, headers: True)
+    monkeypatch.setattr(
+        attempt, "framing_of", lambda status, headers: Framing.LENGTH
+    )
 
 
 # Each fault's patch and the violations of which one must be found.
