A stream that a killed router cuts is seen as cut

Cause: an endpoint's answer without a length was passed on without one. A killed process can not reset its connections; the kernel closes them in order, which is how such an answer ends. So it was for all streams and long answers to HTTP/1.0 callers, and for answers that were finished while the process held bytes that a slow caller had not taken.

Fix: chunks to HTTP/1.1 callers. To HTTP/1.0 callers, SO_LINGER of zero from the head until the kernel has all bytes, which makes any other end a reset.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -247,7 +247,7 @@
         body = b"".join(self._buffered_body)
         if exchange.started:
             exchange.finish()
-        elif self.framed:
+        elif self._framed:
             exchange.answer(head.status, head.headers, body)
         else:
             # It may have been cut short, which a length would conceal.
@@ -344,9 +344,7 @@
 
     def _begin(self, head: AnswerHead) -> None:
         """Begin the caller's answer, whose length is not known."""
-        self.forward.exchange.begin(
-            head.status, head.headers, None, until_close=not self.framed
-        )
+        self.forward.exchange.begin(head.status, head.headers, None)
 
     def _close(self) -> None:
         """Close the attempt's connection."""
@@ -376,11 +374,6 @@
         """Return whether it waits for a connection or for its answer."""
         return self._pending is not None
 
-    @property
-    def framed(self) -> bool:
-        """Return whether more than its connection shows the answer's end."""
-        return self._framing is not Framing.CLOSE
-
     def describe_answer(self) -> dict[str, float | int | str]:
         """Return what is known of the endpoint's answer, for the log."""
         if self._head is None:
@@ -415,6 +408,11 @@
         """Return whether its connection was used before."""
         return self._pending is not None and self._pending.reused
 
+    @property
+    def _framed(self) -> bool:
+        """Return whether more than its connection shows the answer's end."""
+        return self._framing is not Framing.CLOSE
+
     @property
     def unproven_connection(self) -> bool:
         """Return whether its connection may have been dead before.
@@ -427,13 +425,13 @@
     def is_proof(self) -> bool:
         """Return whether the answer shows that its endpoint lived on."""
         head = self._head
-        return head is not None and self.framed and head.status < 500
+        return head is not None and self._framed and head.status < 500
 
     @property
     def proves_parts(self) -> bool:
         """Return whether the endpoint read the prompt and answered whole."""
         head = self._head
-        whole = head is not None and self.framed and head.status == 200
+        whole = head is not None and self._framed and head.status == 200
         return whole and self.began_s < float("inf")
 
 
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -225,13 +225,7 @@
                 self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
                 return
         if not self.exchange.started:
-            attempt = self.attempt
-            self.exchange.begin(
-                head.status,
-                head.headers,
-                None,
-                until_close=attempt is not None and not attempt.framed,
-            )
+            self.exchange.begin(head.status, head.headers, None)
         self.exchange.write(events)
         self._restart_overdue_timer(now_s)
 
--- a/src/bulrushstream/history/routingconnections.py
+++ b/src/bulrushstream/history/routingconnections.py
@@ -20,7 +20,6 @@
     """A caller's connection; see `ClientConnection`."""
 
     closing = False
-    accepts_chunked = True
 
     def __init__(
         self,
@@ -52,9 +51,8 @@
         self._reply.ended_s = self._clock()
         self._broken_off()
 
-    def reset(self) -> None:
-        """Record that the router reset the connection."""
-        self.abort()
+    def reset_unless_finished(self) -> None:
+        """Do nothing: all callers accept chunks."""
 
 
 @dataclass(slots=True)
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -32,8 +32,10 @@
 # The connection is aborted if more response bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 1_048_576
 
-# The socket option that resets a connection when it is closed.
+# The socket options with which a connection is reset when it is closed, also
+# by the end of the process, and closed in order.
 RESET_LINGER: Final = struct.pack("ii", 1, 0)
+ORDERLY_LINGER: Final = struct.pack("ii", 0, 0)
 
 # Idle connections that are looked at for each new one over the limit.
 MAX_IDLE_CHECKED: Final = 8
@@ -57,6 +59,7 @@
     """One request of a caller, and its response."""
 
     __slots__ = (
+        "accepts_chunked",
         "arrived_s",
         "body",
         "bodyless",
@@ -84,6 +87,7 @@
         self.headers: RawHeaders = []
         self.body: bytes = b""
         self.keep_alive = True
+        self.accepts_chunked = True  # Not so for HTTP/1.0.
         self.arrived_s = 0.0
         self.started = False  # Whether the head was written.
         self.sent_bytes = 0  # Written of the body.
@@ -115,29 +119,24 @@
         self.finish()
 
     def begin(
-        self,
-        status: int,
-        headers: RawHeaders,
-        length: int | None,
-        *,
-        until_close: bool = False,
+        self, status: int, headers: RawHeaders, length: int | None
     ) -> None:
         """Write a response's head; the body follows in pieces.
 
+        A body of unknown length is sent in chunks, as the end of a killed
+        process closes its connections in order.  To callers that accept no
+        chunks, any end but that of a whole response is a reset.
+
         :param status: the HTTP status
         :param headers: headers without content-length, transfer-encoding
             and connection
         :param length: the body's length in bytes; None: unknown
-        :param until_close: whether nothing but the end of the connection
-            shows the end of the body
         """
         if self.ended:
             return
         self.started = True
         self.bodyless = self.method == b"HEAD" or status in (204, 304)
-        self.until_close = length is None and (
-            until_close or not self.connection.accepts_chunked
-        )
+        self.until_close = length is None and not self.accepts_chunked
         if length is not None:
             framing = b"content-length: %d\r\n" % length
         elif not self.until_close:
@@ -146,6 +145,8 @@
         else:
             self.keep_alive = False
             framing = b""
+            if not self.bodyless:
+                self.connection.reset_unless_finished()
         self.connection.write(self._head(status, headers, framing))
 
     def write(self, data: bytes) -> None:
@@ -178,11 +179,7 @@
         if self.ended:
             return
         self.ended = True
-        if self.until_close:
-            # An ordinary end would look like the end of the body.
-            self.connection.reset()
-        else:
-            self.connection.abort()
+        self.connection.abort()
 
     def _head(self, status: int, headers: RawHeaders, framing: bytes) -> bytes:
         """Return the encoded head of a response."""
@@ -276,7 +273,8 @@
         self._pipelined: deque[Exchange] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._rejected = False
-        self.accepts_chunked = True
+        self._resets = False  # Whether closing the socket resets it.
+        self._finishing = False  # Whether to close once all is written.
         self.closing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -354,7 +352,7 @@
         self._head_bytes = 0
         exchange.method = self._parser.get_method()
         exchange.keep_alive = self._parser.should_keep_alive()
-        self.accepts_chunked = self._parser.get_http_version() != "1.0"
+        exchange.accepts_chunked = self._parser.get_http_version() != "1.0"
         size = sum(len(n) + len(v) + 4 for n, v in exchange.headers)
         limits = self._ingress.limits
         if size + len(exchange.target) > limits.header_bytes:
@@ -434,15 +432,18 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def reset(self) -> None:
-        """Abort the connection so that the caller sees a reset."""
-        if self._transport is not None:
-            sock = self._transport.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER
-                )
-        self.abort()
+    def reset_unless_finished(self) -> None:
+        """Let the caller see a reset unless the response is finished.
+
+        The kernel sends it, whatever ends the connection.
+        """
+        self._set_linger(RESET_LINGER)
+        self._resets = True
+
+    def resume_writing(self) -> None:
+        """Close in order if that waited; see `asyncio.BaseProtocol`."""
+        if self._finishing:
+            self._close()
 
     def close_if_unused(self) -> bool:
         """Close the connection if no bytes of a request have arrived.
@@ -548,8 +549,25 @@
     def _close(self) -> None:
         """Close the connection after all buffered bytes are written."""
         self._clear_timer()
-        if self._transport is not None:
-            self._transport.close()
+        transport = self._transport
+        if transport is None:
+            return
+        if self._resets:
+            if transport.get_write_buffer_size():
+                # Until the kernel has all bytes, the process may lose some.
+                self._finishing = self._rejected = True
+                transport.set_write_buffer_limits(high=0)
+                return
+            self._set_linger(ORDERLY_LINGER)
+        transport.close()
+
+    def _set_linger(self, option: bytes) -> None:
+        """Set how the socket is closed."""
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
     def _release(self, size_bytes: int) -> None:
         """Subtract released body bytes from the totals."""
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -163,7 +163,6 @@
     """A caller's connection; tells the fleet about the answer."""
 
     closing = False
-    accepts_chunked = True
 
     def __init__(self, on_head: Callable[[bytes], None]) -> None:
         self._on_head: Callable[[bytes], None] | None = on_head
--- a/tests/simulatedcallers.py
+++ b/tests/simulatedcallers.py
@@ -14,13 +14,13 @@
     """A caller's connection; records the answer."""
 
     closing = False
-    accepts_chunked = True
 
     def __init__(self) -> None:
         self.data = b""
         self.ended = False
         self.aborted = False
         self.gone = False  # Whether it closed, and the router did not read it.
+        self.resets = False  # Whether any end but that of a response resets.
         self.on_end: Callable[[], None] = lambda: None
 
     def write(self, data: bytes) -> None:
@@ -35,12 +35,13 @@
 
     def abort(self) -> None:
         self.ended = self.aborted = True
+        if self.resets:
+            # What the caller has not read yet is lost.
+            self.data = b""
         self.on_end()
 
-    def reset(self) -> None:
-        # What the caller has not read yet is lost.
-        self.data = b""
-        self.abort()
+    def reset_unless_finished(self) -> None:
+        self.resets = True
 
 
 def an_exchange(
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import replace
 from itertools import product
 
@@ -38,7 +39,8 @@
     head, _, body = reply.partition(b"\r\n\r\n")
     if b"chunked" in head.lower():
         return body.endswith(b"0\r\n\r\n")
-    return bool(head)
+    length = re.search(rb"content-length: (\d+)", head)
+    return bool(head) and (length is None or len(body) == int(length[1]))
 
 
 class EndlessSuite:
@@ -119,6 +121,17 @@
         assert history.probes == 0
         assert history.lines("endpoint_seen") == []
 
+    @pytest.mark.parametrize("path", PATHS)
+    def test_a_part_of_an_answer_is_not_whole(self, path: str) -> None:
+        """Guards against a killed router, whose kernel closes in order."""
+        body = b"%b:%b:" % (Body.UNFRAMED, Unframed.CLOSED.encode())
+        replies = play_one_kind(body, path).replies[ASKING.label]
+        assert len(replies) >= 3
+        for reply in replies:
+            body_start = reply.index(b"\r\n\r\n") + 4
+            for size in range(body_start, len(reply)):
+                assert not is_whole(reply[:size])
+
     def test_the_log_tells_how_they_ended(self) -> None:
         body = b"%b:%b:" % (Body.UNFRAMED, Unframed.CLOSED.encode())
         lines = [
