What a missing entry means depends on when the list was last good

Cause: an entry that vanished within two seconds of a failed call was kept for two seconds. The failure counted from when the call gave up, up to three seconds after the outage, and until then no other read was sent.

Fix: missing entries are kept only if the list was not known to be good for as long as a live entry takes to expire, and only until 1.9 s after the first good read; later ones are gone at once. A read that is 0.4 s late is repeated beside, so that the return of the store shows soon.

--- a/src/bulrushstream/daemon/endpointlist.py
+++ b/src/bulrushstream/daemon/endpointlist.py
@@ -1,10 +1,16 @@
 """Applies the platform's endpoint list to a router.
 
 Whatever one record of the list holds, the others are applied.
+
+An entry that is missing means that its endpoint is gone, unless the entry may
+have expired while the store was away: live endpoints enter themselves again
+once it is back.  So what an absence means depends on when the list was last
+known to be good.
 """
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -14,11 +20,19 @@
 from bulrushstream.daemon.watch import Snapshot
 from bulrushstream.protocol.dialect import DocumentError
 from bulrushstream.protocol.keyedstore import KeyedRecord
+from bulrushstream.state.effect import Decision
+
+# Within this time of the first good read after an outage, live endpoints have
+# entered themselves again.  The store was back somewhat before that read.
+RETURN_S: Final = 1.9
+
+# The list is read this long before a missing endpoint is removed, as the
+# ordinary reads are further apart.
+LAST_READ_S: Final = 0.1
 
-# An endpoint that disappears from the list this soon after a failed read of
-# the store is removed only if it stays away for as long: the platform enters
-# live endpoints again within two seconds of an outage.
-DELIST_DELAY_S: Final = 2.0
+# An entry expires after three heartbeats without a renewal.  The first of
+# them may have passed before the list was last known to be good.
+MIN_EXPIRY_HEARTBEATS: Final = 2
 
 # Longer keys of records are cut in the log.
 MAX_LOGGED_CHARS: Final = 80
@@ -30,9 +44,39 @@
 
     front: Front
     on_fault: Callable[[Exception], None]  # Called if a record fails.
+    heartbeat_s: float = 0.0  # How often endpoints renew their entries.
+    # Called to read the list soon.
+    request_read: Callable[[], None] = lambda: None
     entries: dict[str, bytes] = field(default_factory=dict)  # By endpoint.
-    store_failed_s: float = float("-inf")  # The last failed read.
-    _missing_since_s: dict[str, float] = field(default_factory=dict)
+    # When the last read was sent that found nothing newer, on the clock that
+    # also runs while the machine is suspended.
+    _good_s: float = float("-inf")
+    _interrupted: bool = False  # Whether a read has failed since then.
+    # Until when entries that expired in an outage may come back.
+    _return_until_s: float = float("-inf")
+    # Until when each missing endpoint is kept.
+    _kept_until_s: dict[str, float] = field(default_factory=dict)
+
+    def follow(self, update: Snapshot | KeyedRecord) -> None:
+        """Apply what was read from the store.
+
+        :param update: what was read
+        """
+        self._end_interruption()
+        self.handle(update)
+
+    def confirm(self, sent_s: float) -> None:
+        """Record that the store has nothing newer.
+
+        :param sent_s: when that was asked, on the clock that also runs while
+            the machine is suspended
+        """
+        self._end_interruption()
+        self._good_s = max(self._good_s, sent_s)
+
+    def interrupt(self) -> None:
+        """Record that a read of the list has failed."""
+        self._interrupted = True
 
     def handle(self, update: Snapshot | KeyedRecord) -> None:
         """Apply the whole list or a change of it.
@@ -48,18 +92,25 @@
             self._handle_record(name, None)
         self.front.endpoints_listed = True
 
-    def sweep(self) -> None:
-        """Remove the endpoints that stay delisted; called often."""
-        now_s = self.front.clock()
-        for name, since_s in list(self._missing_since_s.items()):
-            since_failure_s = since_s - self.store_failed_s
-            if (
-                since_failure_s > DELIST_DELAY_S
-                or now_s - since_s > DELIST_DELAY_S
-            ):
-                del self._missing_since_s[name]
-                self.entries.pop(name, None)
-                platformupdates.remove_endpoint(self.front, name)
+    def _end_interruption(self) -> None:
+        """Begin to wait for entries that may have expired meanwhile."""
+        if not self._interrupted:
+            return
+        self._interrupted = False
+        away_s = self.front.boot_clock() - self._good_s
+        if away_s >= MIN_EXPIRY_HEARTBEATS * self.heartbeat_s:
+            self._return_until_s = self.front.clock() + RETURN_S
+
+    def _expire(self, name: str, until_s: float) -> None:
+        """Remove an endpoint unless it has come back in time."""
+        if self._kept_until_s.get(name) == until_s:
+            self._remove(name)
+
+    def _remove(self, name: str) -> None:
+        """Remove an endpoint."""
+        self._kept_until_s.pop(name, None)
+        self.entries.pop(name, None)
+        platformupdates.remove_endpoint(self.front, name)
 
     def _handle_record(self, name: str, value: bytes | None) -> None:
         """Apply one record; an error must not keep others from it."""
@@ -72,13 +123,32 @@
             self.on_fault(error)
 
     def _apply(self, name: str, value: bytes | None) -> None:
-        """Apply an endpoint's entry; None: it was removed."""
-        front = self.front
+        """Apply an endpoint's entry; None: it is missing."""
         if value is None:
-            if name in front.pool.by_name:
-                self._missing_since_s.setdefault(name, front.clock())
+            if name in self.front.pool.by_name:
+                self._miss(name)
             return
-        entry = front.dialect.decode_entry(name, value)
-        self._missing_since_s.pop(name, None)
+        entry = self.front.dialect.decode_entry(name, value)
+        self._kept_until_s.pop(name, None)
         self.entries[name] = value
-        platformupdates.apply_entry(front, entry)
+        platformupdates.apply_entry(self.front, entry)
+
+    def _miss(self, name: str) -> None:
+        """Remove an endpoint, or keep it as long as it may come back."""
+        front = self.front
+        left_s = self._return_until_s - front.clock()
+        if left_s <= 0:
+            self._remove(name)
+        elif name not in self._kept_until_s:
+            until_s = self._kept_until_s[name] = self._return_until_s
+            loop = asyncio.get_running_loop()
+            loop.call_later(left_s - LAST_READ_S, self.request_read)
+            loop.call_later(left_s, self._expire, name, until_s)
+            front.observe(
+                Decision(
+                    "endpoint",
+                    "missing after an outage of the store",
+                    endpoint=name,
+                    inputs={"kept_s": round(left_s, 3)},
+                )
+            )
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -88,7 +88,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self.ports: list[int] = []  # Callers, readiness, service.
-        self._endpoints = EndpointList(self.front, self._report_fault)
+        self._endpoints = EndpointList(
+            self.front, self._report_fault, settings.heartbeat_s
+        )
         self._recovery = Recovery(
             front=self.front,
             clock=deps.clock,
@@ -146,10 +148,12 @@
         endpoints = self._watch(
             topics.endpoints,
             ENDPOINTS_INTERVAL_S,
-            self._endpoints.handle,
-            front.streams.history.list_read,
+            self._endpoints.follow,
+            self._list_confirmed,
+            self._endpoints.interrupt,
         )
         front.streams.request_list = endpoints.check
+        self._endpoints.request_read = endpoints.check
         self._spawn(endpoints.run_checks)
         for work in version_tasks(self.store, front):
             self._spawn(work)
@@ -157,7 +161,7 @@
         self._spawn(self._crash_store.write)
         self._spawn(self._announce)
         self._repeat(HEARTBEAT_S, port.beat)
-        self._repeat(SWEEP_INTERVAL_S, self._sweep)
+        self._repeat(SWEEP_INTERVAL_S, self.front.sweep)
         self._repeat(TICK_S, lambda: front.loop_lag.tick(deps.clock()))
         self._repeat(SHARES_INTERVAL_S, front.report_shares)
         if self._path:
@@ -280,6 +284,7 @@
         interval_s: float,
         handle: Callable[[Snapshot | KeyedRecord], None],
         on_confirmed: Callable[[float], None] = lambda _: None,
+        on_failed: Callable[[], None] = lambda: None,
     ) -> TopicWatch:
         """Start following a topic."""
 
@@ -287,6 +292,10 @@
             on_confirmed(sent_s)
             self._store_answered()
 
+        def failed(reason: str) -> None:
+            on_failed()
+            self._store_failed(reason)
+
         watch = TopicWatch(
             self.store,
             topic,
@@ -294,7 +303,7 @@
             self._deps.boot_clock,
             handle,
             confirmed,
-            self._store_failed,
+            failed,
             self._report_fault,
             self._deps.rng,
         )
@@ -308,7 +317,6 @@
 
     def _store_failed(self, reason: str) -> None:
         """Record a failed store call; log the start of an outage."""
-        self._endpoints.store_failed_s = self._deps.clock()
         if self._store_ok:
             self._store_ok = False
             self._deps.observe(Decision("dependency_lost", reason))
@@ -324,6 +332,11 @@
             self._crash_store.rewrite()
             self._deps.metrics.degraded.labels("store").set(0)
 
+    def _list_confirmed(self, sent_s: float) -> None:
+        """Record that the endpoint list was read to its end."""
+        self._endpoints.confirm(sent_s)
+        self.front.streams.history.list_read(sent_s)
+
     def _handle_config(self, update: Snapshot | KeyedRecord) -> None:
         """Apply the configuration in an update of the operators' topic."""
         key = self._dialect.topics.config_key
@@ -346,11 +359,6 @@
         if platformupdates.apply_config(self.front, config):
             self._recovery.config = data
 
-    def _sweep(self) -> None:
-        """Remove endpoints that stay delisted, and other expired state."""
-        self._endpoints.sweep()
-        self.front.sweep()
-
     # --- Peers.
 
     async def _announce(self) -> None:
--- a/src/bulrushstream/daemon/watch.py
+++ b/src/bulrushstream/daemon/watch.py
@@ -9,10 +9,10 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Any, Final, TypeVar
 
 from bulrushstream.protocol.keyedstore import (
     KeyedRecord,
@@ -27,12 +27,19 @@
 MIN_PAUSE_S: Final = 0.1
 MAX_PAUSE_S: Final = 0.8
 
+# A read that is answered this much later than the store may hold it is
+# repeated beside: a lost answer would hide the return of the store until the
+# time-out of the call.
+LATE_S: Final = 0.4
+
 # The least time between two additional reads.
 CHECK_PAUSE_S: Final = 0.02
 
 # The pause before a failed task is started again.
 RESTART_S: Final = 1.0
 
+_Read = TypeVar("_Read")
+
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
@@ -113,8 +120,9 @@
 
     async def _read_all(self) -> int:
         """Read a snapshot; return the next offset."""
-        sent_s = self.clock()
-        values, offset = await self.store.newest(self.topic)
+        sent_s, (values, offset) = await self._read_until_answered(
+            lambda _: self.store.newest(self.topic)
+        )
         self._apply(Snapshot(values))
         self.on_confirmed(sent_s)
         return offset
@@ -124,8 +132,9 @@
 
         None means that a snapshot has to be read again.
         """
-        sent_s = self.clock()
-        batch = await self.store.read(self.topic, offset, WAIT_S)
+        sent_s, batch = await self._read_until_answered(
+            lambda wait_s: self.store.read(self.topic, offset, wait_s)
+        )
         if batch is None:
             return None
         for record in batch.records:
@@ -145,6 +154,43 @@
         self._hurry.clear()
         return batch.next_offset
 
+    async def _read_until_answered(
+        self, read: Callable[[float], Coroutine[Any, Any, _Read]]
+    ) -> tuple[float, _Read]:
+        """Read; while there is no answer, read again beside.
+
+        :param read: reads once, and lets the store wait for so many seconds
+        :returns: when the first read that succeeds was sent, and its result
+        :raises StoreError: if a read fails and no other is in progress
+        """
+        loop = asyncio.get_running_loop()
+        reads: dict[asyncio.Task[_Read], float] = {}
+        wait_s = WAIT_S
+        try:
+            while True:
+                reads[loop.create_task(read(wait_s))] = self.clock()
+                late_s = loop.time() + wait_s + LATE_S
+                while reads and loop.time() < late_s:
+                    done, _ = await asyncio.wait(
+                        reads,
+                        timeout=late_s - loop.time(),
+                        return_when=asyncio.FIRST_COMPLETED,
+                    )
+                    for task in done:
+                        sent_s = reads.pop(task)
+                        try:
+                            return sent_s, task.result()
+                        except StoreError as error:
+                            if not reads:
+                                raise
+                            self.on_failed(str(error))
+                wait_s = 0.0
+        finally:
+            for task in reads:
+                task.cancel()
+                if task.done() and not task.cancelled():
+                    task.exception()  # Its result does not matter.
+
     def _apply(self, update: Snapshot | KeyedRecord) -> None:
         """Pass on what was read; a failure must not end the watch."""
         try:
--- a/src/bulrushstream/platform/nodefile.py
+++ b/src/bulrushstream/platform/nodefile.py
@@ -54,6 +54,7 @@
     port_range: tuple[int, int]
     seed_nodes: list[str] = []
     bootstrap: bool = False
+    heartbeat_ms: _Positive = 1_200.0
     limits: _Limits = msgspec.field(default_factory=_Limits)
     contract_bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -118,6 +119,7 @@
         store_writes_per_s=node.platform.writes_per_s,
         store_reads_per_s=node.platform.reads_per_s,
         store_partitions=node.platform.parts,
+        heartbeat_s=node.heartbeat_ms / 1000.0,
     )
 
 
