A second answer is not read into the body of the first

Cause: the parser reads such a body to the end of its connection.

Fix: a response's head to the same request ends the body, wherever it begins and however it is cut (ExtraAnswerFinder, which parses with httptools); one to an earlier request on the connection breaks the answer off; an event whose id does not rise is never passed on. A body that speaks of HTTP stays whole.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -11,7 +11,8 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.forwarding import Failure
-from bulrushstream.daemon import runwatch, takeups
+from bulrushstream.daemon import endpointload, runwatch, takeups
+from bulrushstream.daemon.unframed import UnframedBody
 from bulrushstream.state.call import (
     AnswerHead,
     AnswerProgress,
@@ -47,6 +48,7 @@
         "_pending",
         "_relaying",
         "_unattributed",
+        "_unframed",
         "began_s",
         "endpoint",
         "forward",
@@ -83,6 +85,8 @@
         self._body_bytes = 0
         self._relaying = False  # Whether a long answer is being relayed.
         self._framing = Framing.LENGTH
+        # The body, if only its connection shows the end.
+        self._unframed: UnframedBody | None = None
         self._end = ""  # How the answer ended, for the log; empty: not yet.
         # Whether its answer may be that of another request.
         self._unattributed = False
@@ -137,8 +141,15 @@
         self._unattributed = mismatch and self._reused
         self._head = head
         self._framing = framing_of(status, headers)
+        self._unframed = None
+        if self._pending is not None:
+            self._pending.record_answer(forward.call.request_id)
+            if self._framing is Framing.CLOSE:
+                self._unframed = UnframedBody(front.dialect, self._pending)
         if status != 421:
-            self._observe_load(head)
+            endpointload.observe(
+                front, self.endpoint, head, self.sent_s, self._heard_s
+            )
         if self._pending is not None and not self._reused:
             sign = Sign.SAME_INSTANCE
             if status == 421:
@@ -150,9 +161,20 @@
 
     def data(self, data: bytes) -> None:
         """Relay or buffer a chunk of an answer's body; see `Sink`."""
-        head = self._head
+        head, unframed = self._head, self._unframed
         if head is None or self.forward.done:
             return
+        if unframed is None:
+            self._accept(head, data)
+            return
+        self._accept(head, unframed.feed(data))
+        if unframed.followed_by is not None and self.in_flight:
+            self._end_followed(head, unframed.followed_by)
+
+    def _accept(self, head: AnswerHead, data: bytes) -> None:
+        """Relay or buffer bytes of an answer's body."""
+        if not data:
+            return
         self._body_bytes += len(data)
         self._heard_s = self.front.clock()
         if not (head.event_stream and head.status == 200):
@@ -170,13 +192,41 @@
         if head is None or forward.done:
             self._pending = None
             return
-        if not framed:
-            runwatch.run_unframed(self)
-            if head.status < 400 and not self._body_bytes:
-                self.failed(
-                    ResponseFailure.BROKEN, "the connection ended at the body"
-                )
-                return
+        if framed:
+            self._end_complete(head)
+        else:
+            self._end_closed(head)
+
+    def _end_closed(self, head: AnswerHead) -> None:
+        """Handle an answer that the end of its connection ended."""
+        runwatch.run_unframed(self)
+        rest: bytes | None = b""
+        if self._unframed is not None:
+            rest = self._unframed.close(self.front.clock())
+        if rest is None:
+            self._give_up("the connection ended amid the head of an answer")
+            return
+        self._accept(head, rest)
+        if not self.in_flight:
+            return
+        if head.status < 400 and not self._body_bytes:
+            self._give_up("the connection ended at the body")
+        else:
+            self._end_complete(head)
+
+    def _end_followed(self, head: AnswerHead, request_id: str) -> None:
+        """Handle the head of another answer, to a request, in the body."""
+        if request_id != self.forward.call.request_id:
+            # The rest of the body may follow.
+            self._give_up("an answer to an earlier request within the body")
+            return
+        self._close()
+        self._end = "another answer to the request followed"
+        self._end_complete(head)
+
+    def _end_complete(self, head: AnswerHead) -> None:
+        """Handle the end of an answer that is whole."""
+        forward = self.forward
         if self._unattributed:
             # The answer to this request may still come.
             self._close()
@@ -267,37 +317,22 @@
                 endpoint=endpoint.name,
             )
 
-    def _observe_load(self, head: AnswerHead) -> None:
-        """Record what an answer says of its endpoint's load and limit."""
-        endpoint, now_s = self.endpoint, self._heard_s
-        limits = self.front.fleet_state.limits
-        if head.bad_limit:
-            limits.observe_bad(endpoint.name, head.bad_limit)
-        # Neither a bad value nor the answer of a full endpoint ends a limit.
-        may_end = not head.bad_limit and not head.not_executed
-        if head.request_limit is not None or may_end:
-            limits.observe(
-                endpoint.name, head.request_limit, self.sent_s, now_s
-            )
-        if head.load is not None and limits:
-            running, waiting, _ = head.load
-            limits.presence.load_told(
-                endpoint.name, running + waiting, endpoint.outstanding, now_s
-            )
-
     def _relay_events(self, head: AnswerHead, data: bytes) -> None:
         """Relay the events of a stream that are complete now."""
         splitter = self.forward.splitter
         events = splitter.feed(data)
         if splitter.is_too_long:
             self._give_up("an event is too long")
-        elif events:
+            return
+        if events:
             now_s = self._heard_s
             self.began_s = min(self.began_s, now_s)
             self.front.fleet_state.first_event(
                 self.endpoint, self.number, now_s
             )
             self.forward.relay_events(head, events, now_s)
+        if splitter.out_of_order and self.in_flight:
+            self._give_up("the id of an event does not rise")
 
     def _buffer(self, head: AnswerHead, data: bytes) -> None:
         """Buffer a chunk; relay the answer once it exceeds the limit."""
--- /dev/null
+++ b/src/bulrushstream/daemon/unframed.py
@@ -0,0 +1,60 @@
+"""Answers whose end only the end of their connection shows.
+
+A process that is killed ends such an answer in the same way, and a faulty one
+may write another answer below it.
+"""
+
+from __future__ import annotations
+
+from bulrushstream.protocol.dialect import Dialect
+from bulrushstream.state.call import RawHeaders
+from bulrushstream.transport.connection import PendingRequest
+from bulrushstream.transport.extraanswers import ExtraAnswerFinder
+
+
+class UnframedBody:
+    """The body of such an answer, as it arrives."""
+
+    __slots__ = ("_dialect", "_finder", "_pending", "closed_s", "followed_by")
+
+    def __init__(self, dialect: Dialect, pending: PendingRequest) -> None:
+        """Begin a body.
+
+        :param dialect: decodes the heads of answers
+        :param pending: the request
+        """
+        self._dialect = dialect
+        self._pending = pending
+        self._finder = ExtraAnswerFinder(self._is_extra)
+        # The id of the request that another answer within the body names.
+        self.followed_by: str | None = None
+        # When its connection ended; None: it has not.
+        self.closed_s: float | None = None
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes that are known to be of the body.
+
+        :param data: the next bytes that arrived
+        """
+        return self._finder.feed(data)
+
+    def close(self, now_s: float) -> bytes | None:
+        """Return the rest of the body as its connection has ended.
+
+        :param now_s: the time
+        :returns: the rest; None: it ended amid the head of another answer
+        """
+        self.closed_s = now_s
+        return self._finder.finish()
+
+    def _is_extra(self, status: int, headers: RawHeaders) -> bool:
+        """Return whether a head within the body begins another answer.
+
+        A body may show the heads of other answers; those to this request and
+        to earlier ones on its connection are the endpoint's.
+        """
+        request_id = self._dialect.decode_answer(status, headers).request_id
+        if not self._pending.has_answered(request_id):
+            return False
+        self.followed_by = request_id
+        return True
--- a/src/bulrushstream/history/routingendpoint.py
+++ b/src/bulrushstream/history/routingendpoint.py
@@ -95,6 +95,14 @@
         """Return whether the attempt is still in progress."""
         return self._sink is not None
 
+    def record_answer(self, request_id: str) -> None:
+        """Do nothing: the connection carries no other request."""
+
+    def has_answered(self, request_id: str) -> bool:
+        """Return that the connection carries no other answer."""
+        del request_id
+        return False
+
     def cancel(self) -> None:
         """Stop the attempt; the sink is not called any more."""
         self._sink = None
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -23,12 +23,17 @@
 
     last_id: int | None = None  # Id of the last event that was passed on.
     event_count: int = 0  # Number of events that were passed on.
+    # Whether an id did not rise; nothing is passed on from there.
+    out_of_order: bool = False
     _partial: bytes = b""  # The beginning of an incomplete event.
+    _run_id: int = -1  # The last id that the endpoint's stream had.
     _skip_seen: bool = False  # Whether the stream may repeat events.
 
     def restart(self) -> None:
         """Drop an incomplete event, as another endpoint resumes the stream."""
         self._partial = b""
+        self._run_id = -1
+        self.out_of_order = False
         self._skip_seen = self.last_id is not None
 
     def feed(self, data: bytes) -> bytes:
@@ -36,6 +41,8 @@
 
         :param data: the next bytes of the stream
         """
+        if self.out_of_order:
+            return b""
         if self._partial:
             data = self._partial + data
         end = data.rfind(_END)
@@ -44,15 +51,15 @@
             return b""
         end += len(_END)
         self._partial = data[end:]
-        complete = data[:end]
+        complete = self._until_fall(data[:end])
         if self._skip_seen:
             complete = self._without_seen(complete)
         if not complete:
             return b""
         self.event_count += complete.count(_END)
-        found = _ID.findall(complete)
-        if found:
-            self.last_id = int(found[-1])
+        if self._run_id >= 0:
+            last = self.last_id if self._skip_seen else None
+            self.last_id = max(self._run_id, -1 if last is None else last)
         return complete
 
     @property
@@ -65,6 +72,20 @@
         """Return whether an incomplete event exceeds the limit."""
         return len(self._partial) > MAX_EVENT_BYTES
 
+    def _until_fall(self, complete: bytes) -> bytes:
+        """Return the events up to the first whose id does not rise."""
+        event_start = -1
+        for found in _ID.finditer(complete):
+            number, position = int(found[1]), found.start(1)
+            end = complete.rfind(_END, 0, position)
+            start = end + len(_END) if end >= 0 else 0
+            if number <= self._run_id and start != event_start:
+                self.out_of_order = True
+                self._partial = b""
+                return complete[:start]
+            self._run_id, event_start = number, start
+        return complete
+
     def _without_seen(self, complete: bytes) -> bytes:
         """Return the events that the caller does not have yet."""
         unseen = []
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import re
 import socket
+from collections import deque
 from collections.abc import Callable
 from enum import IntEnum, StrEnum
 from typing import Final, Protocol
@@ -27,6 +28,9 @@
 MAX_DISCARDED_BYTES: Final = 262_144
 MAX_INTERIM: Final = 16
 
+# Requests of one connection that are remembered after their responses.
+MAX_ANSWERED: Final = 8
+
 _KEEP_ALIVE: Final = re.compile(rb"timeout=(\d{1,6})")
 
 
@@ -114,6 +118,8 @@
         self.idle_until_s = float("inf")
         self.opened_s = owner.clock()
         self.heard_s = float("-inf")  # When the last bytes arrived.
+        # The ids of requests that were answered on it, the last ones.
+        self.answered_ids: deque[str] = deque(maxlen=MAX_ANSWERED)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the time-out of unacknowledged bytes; see `asyncio.Protocol`."""
@@ -338,6 +344,22 @@
         elif self._task is not None:
             self._task.cancel()
 
+    def record_answer(self, request_id: str) -> None:
+        """Record that the response to a request has begun.
+
+        :param request_id: the request's id
+        """
+        if self._connection is not None:
+            self._connection.answered_ids.append(request_id)
+
+    def has_answered(self, request_id: str) -> bool:
+        """Return whether the connection carried a response to a request.
+
+        :param request_id: the request's id
+        """
+        connection = self._connection
+        return connection is not None and request_id in connection.answered_ids
+
     def attach_connection(self, connection: Connection) -> None:
         """Set the connection that carries the request.
 
