The end of an endpoint's process is not the end of its answer

Cause: the kernel closes the connections of a killed process in order, as the process does at the end of such an answer.

Fix: 50 ms after such an end the router opens a connection to the endpoint, which serves the next request. If it is refused and no older connection has stayed open, the answer is broken off, or repeated where that is allowed and nothing was passed on. Answers with a length or chunks do not wait.

KilledEndpointSuite kills a real process.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -3,6 +3,10 @@
 An `Attempt` is the `Sink` of the endpoint's response.  It passes a good
 answer on to the caller, and reports any other end to its `Forward`, which
 decides what follows.
+
+An answer whose end only its connection shows (see `unframed`) counts as
+complete if its endpoint still runs then, or if another answer to the request
+follows it.
 """
 
 from __future__ import annotations
@@ -211,8 +215,25 @@
             return
         if head.status < 400 and not self._body_bytes:
             self._give_up("the connection ended at the body")
+        elif (
+            self._unattributed
+            or head.not_executed
+            or self.forward.splitter.mid_event
+        ):
+            self._end_complete(head)  # It is not passed on as whole.
         else:
+            self.forward.cancel_overdue_timer()
+            self._pending = self.pool.check_running(self._endpoint_checked)
+
+    def _endpoint_checked(self, running: bool) -> None:
+        """Handle what is known of the endpoint after its answer's end."""
+        head = self._head
+        if head is None or self.forward.done:
+            self._pending = None
+        elif running:
             self._end_complete(head)
+        else:
+            self.failed(ResponseFailure.BROKEN, "its process may have ended")
 
     def _end_followed(self, head: AnswerHead, request_id: str) -> None:
         """Handle the head of another answer, to a request, in the body."""
@@ -272,7 +293,10 @@
             return
         broken = failure is ResponseFailure.BROKEN
         if broken:
-            runwatch.run_broken(self, detail)
+            closed_s = None
+            if self._unframed is not None:
+                closed_s = self._unframed.closed_s
+            runwatch.run_broken(self, detail, closed_s)
         self._record_end(ran=self._head is not None)
         if broken:
             takeups.connection_broke(self.front, self.endpoint)
@@ -297,12 +321,12 @@
         body = b"".join(self._buffered_body)
         if exchange.started:
             exchange.finish()
-        elif self._framed:
+        elif self._framed or body:
             exchange.answer(head.status, head.headers, body)
         else:
-            # It may have been cut short, which a length would conceal.
+            # It may answer a HEAD request, whose length is not that of the
+            # body here.
             self._begin(head)
-            exchange.write(body)
             exchange.finish()
         self.forward.answered(reason, head.status)
 
--- a/src/bulrushstream/daemon/runwatch.py
+++ b/src/bulrushstream/daemon/runwatch.py
@@ -19,15 +19,20 @@
 LONG_SILENCE_S: Final = 0.8
 
 
-def run_broken(attempt: Attempt, detail: str) -> None:
+def run_broken(
+    attempt: Attempt, detail: str, broke_s: float | None = None
+) -> None:
     """Handle a connection that ended while a request was in flight.
 
     :param attempt: the attempt
     :param detail: how the connection ended
+    :param broke_s: when it ended; None: now
     """
+    if broke_s is None:
+        broke_s = attempt.front.clock()
     # If the endpoint crashed, its idle connections are dead too.
     attempt.pool.retire_idle()
-    _watch(attempt, _describe_run(attempt, attempt.front.clock()), detail)
+    _watch(attempt, _describe_run(attempt, broke_s), detail)
 
 
 def run_unframed(attempt: Attempt) -> None:
--- a/src/bulrushstream/history/singleusepool.py
+++ b/src/bulrushstream/history/singleusepool.py
@@ -2,9 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
 from bulrushstream.state.endpointsigns import ConnectionsSeen
 
 
+@dataclass(slots=True)
+class PendingCheck:
+    """A check that has not reported yet; stands in for `PendingRequest`."""
+
+    timer: asyncio.Handle
+    reused: bool = False
+
+    def cancel(self) -> None:
+        """Cancel the check."""
+        self.timer.cancel()
+
+
 class SingleUsePool:
     """The parts of `Pool` that concern connections without a request."""
 
@@ -33,5 +49,10 @@
     def add_idle(self) -> None:
         """Do nothing: there are no idle connections."""
 
+    def check_running(self, on_result: Callable[[bool], None]) -> PendingCheck:
+        """Report that the peer runs: simulated endpoints always do."""
+        loop = asyncio.get_running_loop()
+        return PendingCheck(loop.call_soon(on_result, True))
+
     def retire_idle(self) -> None:
         """Do nothing: there are no idle connections."""
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -31,6 +31,11 @@
 # whether its endpoint still runs.
 RETIRED_S: Final = 1.0
 
+# A process that ends closes its connections and its port within this time, and
+# one that runs accepts a connection within the second one.
+EXIT_S: Final = 0.05
+ACCEPT_TIMEOUT_S: Final = 0.5
+
 # The number of ends of connections that are remembered, and the spread of
 # those that end at the same time.
 MAX_ENDED: Final = 1024
@@ -229,6 +234,40 @@
         if len(self._all) + self._connecting < self.options.max_connections:
             asyncio.get_running_loop().create_task(self._open_idle())
 
+    def check_running(
+        self, on_result: Callable[[bool], None]
+    ) -> PendingRequest:
+        """Find out whether the peer still runs after it closed a connection.
+
+        The kernel closes the connections of a process that ends in the same
+        way as the process does at the end of a response.
+
+        :param on_result: called with whether the peer is known to run
+        :returns: a handle to cancel the check
+        """
+        check = PendingRequest()
+        task = asyncio.get_running_loop().create_task(
+            self._check_running(on_result)
+        )
+        check.attach_task(task)
+        return check
+
+    async def _check_running(self, on_result: Callable[[bool], None]) -> None:
+        """Look for signs of the peer's process; report the result."""
+        closed_s = self.clock()
+        await asyncio.sleep(EXIT_S)
+        try:
+            async with asyncio.timeout(ACCEPT_TIMEOUT_S):
+                self.release(await self._open())
+            on_result(True)
+        except ConnectionRefusedError:
+            # One that is leaving may accept no connections any more.
+            await asyncio.sleep(ENDED_TOGETHER_S)
+            seen = self.seen(closed_s)
+            on_result(bool(seen.open) and not seen.ended)
+        except (OSError, TimeoutError):
+            on_result(False)
+
     def retire_idle(self) -> None:
         """Take all idle connections out of use; close them a little later.
 
--- a/tests/test_killed_amid_answers.py
+++ b/tests/test_killed_amid_answers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 import socket
 import subprocess
@@ -17,6 +18,7 @@
 
 import pytest
 
+from bulrushstream.transport.upstream import Pool
 from tests.unfinishedanswers import LARGE_BYTES, PIECE
 
 VERSIONS = ("1.0", "1.1")
@@ -83,6 +85,26 @@
         process.communicate()
 
 
+class KilledEndpointSuite:
+    """Guards against a killed endpoint that counts as one that runs."""
+
+    @pytest.mark.parametrize("killed", (False, True))
+    async def test_its_end_is_known(self, killed: bool) -> None:
+        with asking("/part", "1.1") as exchange:
+            port = exchange.caller.getpeername()[1]
+            loop = asyncio.get_running_loop()
+            pool = Pool("127.0.0.1", port, loop.time)
+            pool.add_idle()
+            exchange.read_until(PIECE)
+            if killed:
+                exchange.kill()
+            result: asyncio.Future[bool] = loop.create_future()
+            pool.check_running(result.set_result)
+            async with asyncio.timeout(5.0):
+                assert await result == (not killed)
+            pool.close()
+
+
 class KilledAmidAnswersSuite:
     @pytest.mark.parametrize("version", VERSIONS)
     def test_a_part_is_not_whole(self, version: str) -> None:
