--- a/tests/modelengines.py
+++ b/tests/modelengines.py
@@ -39,6 +39,9 @@
     def cancel(self) -> None:
         self.sink = None
 
+    def record_answer(self, request_id: str) -> None:
+        """Do nothing: the connection carries no other request."""
+
 
 @dataclass(slots=True)
 class Engine:
