The agent does not take a killed endpoint's answer for whole

The agent asks now whether the endpoint accepts connections, 50 ms later, as it did for broken ones. A model's stream has a last event and is not concerned.

Test, failing before: test_an_answer_that_only_its_connection_ends[True].

--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -6,7 +6,9 @@
 - `started` is false only if no byte of the request can have reached the
   endpoint.
 - `complete` is true only if the answer ended properly; a model engine's
-  stream ends with `data: [DONE]`.
+  stream ends with `data: [DONE]`.  Another answer whose end only that of its
+  connection shows is complete if the endpoint accepts connections then: a
+  process that is killed ends its connections in the same way.
 - `crashed` is true if the answer did not end properly and the endpoint then
   accepted no new connection.
 
@@ -39,6 +41,9 @@
 USAGE_TAIL_BYTES: Final = 256
 PROBE_TIMEOUT_S: Final = 1.0
 
+# A process that ends closes its connections and its port within this time.
+EXIT_S: Final = 0.05
+
 _USAGE: Final = re.compile(rb'"completion_tokens"\s*:\s*(\d+)')
 _NOT_SENT: Final = (
     httpx.ConnectError,
@@ -70,6 +75,7 @@
     head_sent: bool  # Whether RunHead was yielded.
     maybe_started: bool = False  # See RunEnd.started.
     event_stream: bool = False  # Whether it is a model's stream.
+    framed: bool = True  # Whether the answer has a length or chunks.
     done_received: bool = False  # Whether DONE_EVENT was received.
     partial: bytes = b""  # An incomplete event.
     usage_tail: bytes = b""  # The last bytes, to search for usage.
@@ -140,6 +146,11 @@
                 crashed = lost or await self._is_down()
                 yield self._end(state, False, crashed, _reason(error))
                 return
+            if not state.event_stream and not state.framed:
+                await asyncio.sleep(EXIT_S)
+                ended = await self._is_down()
+                yield self._end(state, not ended, ended, "no length")
+                return
             if not state.event_stream or state.done_received:
                 yield self._end(state, True)
                 return
@@ -218,6 +229,12 @@
         kind = answer.headers.get("content-type", "")
         stream = kind.startswith("text/event-stream")
         state.event_stream = self._options.is_model_engine and stream
+        state.framed = (
+            answer.status_code in (204, 304)
+            or state.dispatch.method == "HEAD"
+            or "content-length" in answer.headers
+            or "transfer-encoding" in answer.headers
+        )
         headers = tuple(
             (name.decode("latin-1").lower(), value.decode("latin-1"))
             for name, value in answer.headers.raw
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -185,6 +185,32 @@
         end = run_end(events)
         assert (end.complete, end.started, end.crashed) == (False, True, True)
 
+    @pytest.mark.parametrize("ends", (False, True))
+    async def test_an_answer_that_only_its_connection_ends(
+        self, ends: bool
+    ) -> None:
+        """Guards against a killed endpoint whose answer looks whole."""
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nthe body")
+            if ends:
+                server.close()
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        runner = EndpointRunner(
+            RunnerOptions(f"http://127.0.0.1:{port}", False)
+        )
+        events = await collect_run(runner, a_dispatch(STREAM))
+        await runner.close()
+        server.close()
+        end = run_end(events)
+        assert (end.complete, end.crashed) == (not ends, ends)
+
     async def test_refused_connection_is_not_started(self) -> None:
         with socket.socket() as unused:
             unused.bind(("127.0.0.1", 0))
