Callers of HTTP/1.0 get a length at the project's own interface, too

Streams and answers of over 256 KiB ended with their connection there, as the server sends no chunks to HTTP/1.0: a killed router, and an answer that broke off, looked like a whole one. Such answers are buffered up to 4 MiB now, and have a length; longer ones end with 502.

--- a/src/bulrushstream/transport/answering.py
+++ b/src/bulrushstream/transport/answering.py
@@ -12,6 +12,9 @@
   outcome is known.  It is preceded by a comment, `: bulrushstream-execution
   ran`.  A truncated stream has an `error` event with the problem document
   instead, and the connection closes without the end of the body.
+
+To a caller of HTTP/1.0, only a length shows that an answer is truncated.  All
+of its answer is buffered, up to a limit.
 """
 
 from __future__ import annotations
@@ -42,6 +45,7 @@
 from bulrushstream.transport.server import connection_of
 
 MAX_BUFFERED_BYTES: Final = 256 << 10
+MAX_WHOLE_BYTES: Final = 4 << 20  # For callers of HTTP/1.0.
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 EVENT_STREAM: Final = "text/event-stream"
 EXECUTION_COMMENT: Final = b": bulrushstream-execution "
@@ -74,6 +78,11 @@
     buffered_bytes: int = 0  # The size of the buffered body.
     sent_bytes: int = 0  # Body bytes sent.
 
+    @property
+    def needs_length(self) -> bool:
+        """Return whether the caller accepts no chunks."""
+        return bool(self.scope.get("http_version") == "1.0")
+
 
 async def send_answer(
     state: AnswerState, answers: AnswerQueue
@@ -150,7 +159,10 @@
     if part.kind is PartKind.BODY:
         state.buffered.append(part.data)
         state.buffered_bytes += len(part.data)
-        if (
+        if state.needs_length:
+            if state.buffered_bytes > MAX_WHOLE_BYTES:
+                return await _fail_too_long(state)
+        elif (
             not state.event_stream
             and state.buffered_bytes > MAX_BUFFERED_BYTES
         ):
@@ -176,8 +188,10 @@
         comment = EXECUTION_COMMENT + end.outcome.value.encode() + b"\n\n"
         ends = body.endswith(DONE_EVENT)
         body = body.removesuffix(DONE_EVENT) + comment
-        await _send_head(state, head, Outcome.UNKNOWN, None)
-        await _send_body(state, body + (DONE_EVENT if ends else b""), False)
+        body += DONE_EVENT if ends else b""
+        length = len(body) if state.needs_length else None
+        await _send_head(state, head, Outcome.UNKNOWN, length)
+        await _send_body(state, body, False)
     elif state.head_sent:
         await _send_body(state, _pop_buffered(state), False)
     else:
@@ -211,9 +225,24 @@
     )
 
 
+async def _fail_too_long(state: AnswerState) -> ResponseSummary:
+    """Send a problem document in place of an answer that needs a length."""
+    detail = "the answer is too long for a caller of HTTP/1.0"
+    await _fail(
+        state,
+        FailRequest(
+            state.request_id,
+            messages.ENDPOINT_LOST.code,
+            Outcome.UNKNOWN,
+            detail=detail,
+        ),
+    )
+    return _incomplete_response(state)
+
+
 async def _flush_events(state: AnswerState) -> None:
     """Send the buffered events, except the last one of the stream."""
-    if not state.event_stream or state.head is None:
+    if not state.event_stream or state.head is None or state.needs_length:
         return
     await _send_head(state, state.head, Outcome.UNKNOWN, None)
     body = _pop_buffered(state)
