Requests that wait on a connection are answered at a planned stop

Cause: the next answer said close, and the end of a connection clears its queue; bad or incomplete input behind them cleared it, too.

Fix: only the last answer of a connection says close; what was read before the router refuses is served, in order. The process waits, within the grace, until the kernel has taken its answers.

--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -88,7 +88,8 @@
         self.endpoints_listed = False
         self.loop_lag = LoopLag()
         self.draining = False
-        self.refusing_requests = False
+        # Requests that are read later are refused, as the process stops.
+        self.refuse_from_s = float("inf")
         self.peers = FleetView(settings.host, settings.availability_zone)
         self.fleet_state = make_fleet_state(
             settings,
@@ -183,7 +184,9 @@
             exchange.keep_alive = False
             self.refuse(exchange, messages.BAD_HEAD, "", Outcome.NOT_RUN, None)
             return
-        admitted = self._admit(call, arrived_boot_s)
+        admitted: tuple[Route, str] | Notice = messages.DRAINING
+        if exchange.arrived_s < self.refuse_from_s:
+            admitted = self._admit(call, arrived_boot_s)
         if isinstance(admitted, Notice):
             self._refuse_early(exchange, admitted, call.request_id)
             return
@@ -234,8 +237,6 @@
     ) -> tuple[Route, str] | Notice:
         """Return a request's route and workspace, or the refusal."""
         table = self.table
-        if self.refusing_requests:
-            return messages.DRAINING
         if table is None or not self.endpoints_listed:
             return messages.NOT_READY
         fresh = self.freshness.is_fresh_at(arrived_boot_s)
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -199,7 +199,8 @@
         while self._deps.clock() < end_s:
             if self._deps.clock() >= notice_s:
                 self.stop_accepting()
-                if not front.forwards and not front.ingress.receiving:
+                ingress = front.ingress
+                if not (front.forwards or ingress.receiving or ingress.unsent):
                     break
             await asyncio.sleep(0.05)
         for server in self._servers:
@@ -219,9 +220,10 @@
 
     def stop_accepting(self) -> None:
         """Close the callers' port and idle connections, not the busy ones."""
-        self.front.refusing_requests = True
+        front = self.front
+        front.refuse_from_s = min(front.refuse_from_s, self._deps.clock())
         self._servers[0].close()
-        self.front.ingress.close_idle()
+        front.ingress.close_idle()
 
     def reload(self) -> None:
         """Reread the settings and apply those that may change at run time."""
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -211,7 +211,7 @@
 
     def _head(self, status: int, headers: RawHeaders, framing: bytes) -> bytes:
         """Return the encoded head of a response."""
-        if self.connection.closing:
+        if self.connection.closing and not self.connection.has_waiting:
             self.keep_alive = False
         reason = _REASONS.get(status, b"Unknown")
         lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
@@ -273,6 +273,11 @@
         """Return whether a part of a request has arrived anywhere."""
         return any(each.receiving for each in self.connections)
 
+    @property
+    def unsent(self) -> bool:
+        """Return whether a caller has not taken all bytes of its responses."""
+        return any(each.unsent for each in self.connections)
+
     def refuse_incomplete(self) -> None:
         """Refuse the requests of which only a part has arrived."""
         for connection in list(self.connections):
@@ -499,6 +504,17 @@
         if not has_events(transport, UNREAD_EVENTS):
             self._close()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether whole requests wait behind the current one."""
+        return bool(self._pipelined)
+
+    @property
+    def unsent(self) -> bool:
+        """Return whether the kernel has not taken all bytes yet."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     @property
     def receiving(self) -> bool:
         """Return whether a part of a request has arrived."""
@@ -539,14 +555,13 @@
         """Respond with an error status and close; parse nothing more."""
         self._rejected = True
         self._incoming = None
-        if self._current is not None:
-            # The active request is still answered, pipelined ones are not.
-            self._current.keep_alive = False
-            self._pipelined.clear()
-            return
+        # Whole requests that came before are still answered.
         if self._pipelined:
             self._pipelined[-1].keep_alive = False
             return
+        if self._current is not None:
+            self._current.keep_alive = False
+            return
         refusal = Exchange(self)
         refusal.keep_alive = False
         self._current = refusal
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -123,7 +123,12 @@
 
 
 def play_stop(
-    path: str, at_s: list[float], late_bytes: int, *, long: bool
+    path: str,
+    at_s: list[float],
+    late_bytes: int,
+    *,
+    long: bool,
+    behind: int = 0,
 ) -> Stop:
     """Stop a router; send requests on kept connections at some times.
 
@@ -131,6 +136,7 @@
     :param at_s: when they are sent, counted from the stop
     :param late_bytes: how many of their bytes come half a second later
     :param long: whether a long request keeps the process up
+    :param behind: how many more requests come right behind each
     """
     stop = Stop()
 
@@ -184,6 +190,8 @@
             transport.protocol = connection
             connection.connection_made(transport)
             data = encode_call(path, request_id)
+            for number in range(behind):
+                data += encode_call(path, f"{request_id}-{number}")
             cut = len(data) - late_bytes
 
             def send(
@@ -220,6 +228,36 @@
     return stop
 
 
+def answers_of(data: bytes) -> list[bytes]:
+    """Return the answers that were written to a connection."""
+    begin = b"HTTP/1.1 "
+    return [begin + each for each in data.split(begin)[1:]]
+
+
+class WaitingRequestSuite:
+    """Whole requests that wait behind another one on their connection.
+
+    Guards against a stop that closes the connection in front of them.
+    """
+
+    @pytest.mark.parametrize("path", ["/talk/", "/safe/", "/once/"])
+    def test_each_is_answered_in_order(self, path: str) -> None:
+        statuses = []
+        for step in range(-4, 24):
+            stop = play_stop(path, [0.1 * step], 0, long=False, behind=3)
+            assert stop.ended_s <= 1.0 + GRACE_S
+            for transport in stop.begun.values():
+                answers = answers_of(transport.data)
+                assert len(answers) == 4
+                for number, answer in enumerate(answers):
+                    head = answer.partition(b"\r\n\r\n")[0]
+                    closes = b"connection: close" in head
+                    assert closes == (number == len(answers) - 1)
+                    statuses.append(status_of(answer))
+        assert set(statuses) <= {b"200", b"503"}
+        assert statuses.count(b"200") >= 0.7 * len(statuses)
+
+
 class PlannedStopSuite:
     """Requests on kept connections at each moment of the grace period.
 
