A read that a later one overtook has failed

Cause: found by more random times in test_a_live_endpoint_is_kept: if the first answer after an outage of 2.45 to 2.9 s came from the read beside the lost one, no read had failed, and entries that had expired meanwhile were dropped at once (3 of 180 plays).

Fix: earlier reads that are still without an answer count as failed. How long the list was away counts from the last answer, not from when that was asked for, and the read beside comes after 0.25 s, so that an outage too short for entries to expire holds up no removal (15 of 1,125 plays with the first part only). 4 x 375 removals and 3 x 400 returns at random times hold.

--- a/src/bulrushstream/daemon/endpointlist.py
+++ b/src/bulrushstream/daemon/endpointlist.py
@@ -48,8 +48,8 @@
     # Called to read the list soon.
     request_read: Callable[[], None] = lambda: None
     entries: dict[str, bytes] = field(default_factory=dict)  # By endpoint.
-    # When the last read was sent that found nothing newer, on the clock that
-    # also runs while the machine is suspended.
+    # When the store last answered, on the clock that also runs while the
+    # machine is suspended.
     _good_s: float = float("-inf")
     _interrupted: bool = False  # Whether a read has failed since then.
     # Until when entries that expired in an outage may come back.
@@ -62,17 +62,19 @@
 
         :param update: what was read
         """
-        self._end_interruption()
+        self.confirm()
         self.handle(update)
 
-    def confirm(self, sent_s: float) -> None:
-        """Record that the store has nothing newer.
-
-        :param sent_s: when that was asked, on the clock that also runs while
-            the machine is suspended
-        """
-        self._end_interruption()
-        self._good_s = max(self._good_s, sent_s)
+    def confirm(self) -> None:
+        """Record that the store has answered a read of the list."""
+        now_s = self.front.boot_clock()
+        if self._interrupted:
+            self._interrupted = False
+            away_s = now_s - self._good_s
+            if away_s >= MIN_EXPIRY_HEARTBEATS * self.heartbeat_s:
+                # Entries that expired meanwhile may come back.
+                self._return_until_s = self.front.clock() + RETURN_S
+        self._good_s = now_s
 
     def interrupt(self) -> None:
         """Record that a read of the list has failed."""
@@ -92,15 +94,6 @@
             self._handle_record(name, None)
         self.front.endpoints_listed = True
 
-    def _end_interruption(self) -> None:
-        """Begin to wait for entries that may have expired meanwhile."""
-        if not self._interrupted:
-            return
-        self._interrupted = False
-        away_s = self.front.boot_clock() - self._good_s
-        if away_s >= MIN_EXPIRY_HEARTBEATS * self.heartbeat_s:
-            self._return_until_s = self.front.clock() + RETURN_S
-
     def _expire(self, name: str, until_s: float) -> None:
         """Remove an endpoint unless it has come back in time."""
         if self._kept_until_s.get(name) == until_s:
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -336,7 +336,7 @@
 
     def _list_confirmed(self, sent_s: float) -> None:
         """Record that the endpoint list was read to its end."""
-        self._endpoints.confirm(sent_s)
+        self._endpoints.confirm()
         self.front.streams.history.list_read(sent_s)
 
     def _handle_config(self, update: Snapshot | KeyedRecord) -> None:
--- a/src/bulrushstream/daemon/watch.py
+++ b/src/bulrushstream/daemon/watch.py
@@ -30,7 +30,7 @@
 # A read that is answered this much later than the store may hold it is
 # repeated beside: a lost answer would hide the return of the store until the
 # time-out of the call.
-LATE_S: Final = 0.4
+LATE_S: Final = 0.25
 
 # The least time between two additional reads.
 CHECK_PAUSE_S: Final = 0.02
@@ -179,11 +179,15 @@
                     for task in done:
                         sent_s = reads.pop(task)
                         try:
-                            return sent_s, task.result()
+                            result = task.result()
                         except StoreError as error:
                             if not reads:
                                 raise
                             self.on_failed(str(error))
+                            continue
+                        if any(each < sent_s for each in reads.values()):
+                            self.on_failed("no answer to an earlier read")
+                        return sent_s, result
                 wait_s = 0.0
         finally:
             for task in reads:
--- a/tests/test_endpoint_absence.py
+++ b/tests/test_endpoint_absence.py
@@ -124,7 +124,7 @@
             ENDPOINTS_INTERVAL_S,
             loop.time,
             found.follow,
-            found.confirm,
+            lambda sent_s: found.confirm(),
             lambda reason: found.interrupt(),
             faults.append,
             Random(1),
@@ -195,12 +195,12 @@
         assert follower.gap_s("a", 2.0) == 0.0
 
     @pytest.mark.parametrize("how", How)
-    @pytest.mark.parametrize("seed", range(25))
+    @pytest.mark.parametrize("seed", range(60))
     def test_a_live_endpoint_is_kept(self, how: How, seed: int) -> None:
         """Guards against the loss of endpoints whose entries expired."""
         rng = Random(seed)
         begin_s = 3.0 + rng.random() * 2.0
-        end_s = begin_s + rng.choice((3.0, 4.5, 8.0))
+        end_s = begin_s + rng.choice((2.45, 2.6, 2.8, 3.0, 4.5, 8.0))
         changes = {0.0: ("b", True), end_s + RETURN_S: ("b", True)}
         for number in range(6):
             name = f"a{number}"
