--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -256,17 +256,19 @@
         """Look for signs of the peer's process; report the result."""
         closed_s = self.clock()
         await asyncio.sleep(EXIT_S)
+        running = False
         try:
             async with asyncio.timeout(ACCEPT_TIMEOUT_S):
                 self.release(await self._open())
-            on_result(True)
+            running = True
         except ConnectionRefusedError:
             # One that is leaving may accept no connections any more.
             await asyncio.sleep(ENDED_TOGETHER_S)
             seen = self.seen(closed_s)
-            on_result(bool(seen.open) and not seen.ended)
+            running = seen.open > 0 and not seen.ended
         except (OSError, TimeoutError):
-            on_result(False)
+            pass
+        on_result(running)
 
     def retire_idle(self) -> None:
         """Take all idle connections out of use; close them a little later.
