Read once more: state that is derived, a constant twice, a digest too early

Exchange.until_close is used where it is set only; EXIT_S stood in two modules; a retry computed the request's digest though no request was suspected, which crash_refusal does not do. Behaviour stays.

--- a/src/bulrushstream/daemon/safeguards.py
+++ b/src/bulrushstream/daemon/safeguards.py
@@ -72,11 +72,13 @@
     :returns: the reason; None: it may run again
     """
     state, now_s = front.fleet_state, front.clock()
-    unjudged = front.crash_watch.unjudged(forward.fingerprint)
-    if unjudged and state.suspects.may_reach_limit(
-        forward.fingerprint, unjudged, now_s
-    ):
-        return Refusal(messages.CRASHES_ENDPOINTS)
+    if state.suspects:
+        fingerprint = forward.fingerprint
+        unjudged = front.crash_watch.unjudged(fingerprint)
+        if unjudged and state.suspects.may_reach_limit(
+            fingerprint, unjudged, now_s
+        ):
+            return Refusal(messages.CRASHES_ENDPOINTS)
     return crash_refusal(state, forward, now_s)
 
 
--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -31,6 +31,7 @@
 from bulrushstream.state.event import RunBody, RunEnd, RunHead
 from bulrushstream.state.message import Dispatch
 from bulrushstream.transport.client import make_client
+from bulrushstream.transport.upstream import EXIT_S
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 RESUME_HEADER: Final = "X-Resume-Offset"
@@ -41,9 +42,6 @@
 USAGE_TAIL_BYTES: Final = 256
 PROBE_TIMEOUT_S: Final = 1.0
 
-# A process that ends closes its connections and its port within this time.
-EXIT_S: Final = 0.05
-
 _USAGE: Final = re.compile(rb'"completion_tokens"\s*:\s*(\d+)')
 _NOT_SENT: Final = (
     httpx.ConnectError,
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -112,7 +112,6 @@
         "sent_bytes",
         "started",
         "target",
-        "until_close",
     )
 
     def __init__(self, connection: ClientConnection) -> None:
@@ -132,8 +131,6 @@
         self.sent_bytes = 0  # Written of the body.
         self.chunked = False  # Whether chunked encoding is used.
         self.bodyless = False  # Whether HTTP forbids a body.
-        # Whether the end of the connection is the end of the body.
-        self.until_close = False
         self.ended = False  # Whether the response has ended.
         self.on_disconnect: Callable[[], None] | None = None
 
@@ -184,10 +181,10 @@
             return BodyWriter(self)
         self.started = True
         self.bodyless = self.method == b"HEAD" or status in (204, 304)
-        self.until_close = length is None and not self.accepts_chunked
+        until_close = length is None and not self.accepts_chunked
         if length is not None:
             framing = b"content-length: %d\r\n" % length
-        elif not self.until_close:
+        elif not until_close:
             self.chunked = not self.bodyless
             framing = b"transfer-encoding: chunked\r\n"
         else:
