--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -26,11 +26,12 @@
 from bulrushstream.daemon.fleetsetup import make_fleet_state
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.messages import Notice
-from bulrushstream.metrics import Metrics, count_crowd
+from bulrushstream.metrics import Metrics, count_crowd, count_excess
 from bulrushstream.protocol.dialect import Dialect, HeadError
 from bulrushstream.state.call import AnswerHead, Call, RawHeaders
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.endpointsigns import Sign
+from bulrushstream.state.excess import Excess
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import Route
@@ -349,6 +350,14 @@
 
     # --- Results and failures.
 
+    def peer_exceeded(self, excess: Excess) -> None:
+        """Log and count a connection whose peer sent too much; `OnExcess`.
+
+        :param excess: what it sent
+        """
+        self.report("excess", str(excess))
+        count_excess(self.metrics, excess)
+
     def endpoint_misdirected(self, endpoint: Endpoint) -> None:
         """Avoid an endpoint for a time: another one answers at its address.
 
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -20,6 +20,7 @@
 )
 
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.excess import Excess
 from bulrushstream.state.usage import Crowd, ShareReport
 
 if TYPE_CHECKING:
@@ -66,6 +67,7 @@
     oldest_peer_age: Gauge  # Time since the oldest update, in seconds.
     loop_lag: Gauge  # How late the event loop was, in seconds.
     caller_connections: Counter  # Callers' connections that were ended.
+    excess: Counter  # Connections whose peers sent too much.
 
 
 def make_metrics() -> Metrics:
@@ -182,6 +184,12 @@
             "Callers' connections that were ended for want of room.",
             "state",
         ),
+        excess=counter(
+            "excess",
+            "Connections ended as the peer sent more than is accepted.",
+            "peer",
+            "reason",
+        ),
     )
 
 
@@ -222,6 +230,15 @@
         )
 
 
+def count_excess(metrics: Metrics, excess: Excess) -> None:
+    """Count a peer that sent more than is accepted.
+
+    :param metrics: The metrics of an instance.
+    :param excess: What it sent.
+    """
+    metrics.excess.labels(excess.peer.value, excess.reason.value).inc()
+
+
 def count_shares(metrics: Metrics, report: ShareReport) -> None:
     """Count the shares of the workspaces at a router.
 
