--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -32,6 +32,7 @@
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.excess import Excess
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import Route
@@ -46,6 +47,9 @@
 # Fraction of the process's memory limit that buffered request bodies may use.
 BODY_MEMORY_FRACTION: Final = 0.3
 
+# Fraction of it that all bytes kept for connections may use.
+KEPT_MEMORY_FRACTION: Final = 0.4
+
 # How long an endpoint is avoided after another one answered at its address.
 MISDIRECTED_BACKOFF_S: Final = 2.0
 
@@ -130,6 +134,10 @@
             ),
             self.end_unknown,
         )
+        # The bytes kept for callers, endpoints and the calls of the process.
+        self.memory = MemoryBudget(
+            int(settings.memory_mb * KEPT_MEMORY_FRACTION * 2**20)
+        )
         self.limits = IngressLimits(
             connections=max(64, settings.max_descriptors // 2),
             buffered_bytes=int(
