A soak of streams in virtual time, which fails: ends believed, events twice

Random faults of endpoints and routers around streams; callers of HTTP/1.0 and 1.1 judge the order and the end of what they get.

- A stream without a length looks complete and is not: the endpoint's process has ended, its port still accepts connections (as a kernel or a proxy does), and the router takes the accepted connection for a process that lives.
- A stream that its caller takes up with Last-Event-Id begins at the first event again, and the router passes that on: events are skipped only after a retry of its own.

--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -63,6 +63,7 @@
     """The routers and endpoints of one run."""
 
     first_version = "v1"  # Of endpoints for which no version is given.
+    endpoint_type = Endpoint
 
     def __init__(self, plan: CrashPlan) -> None:
         self.plan = plan
@@ -228,7 +229,7 @@
         address = at.address if at else (f"10.1.0.{self._names}", 80)
         number = at.number if at else number
         version = version or (at.version if at else self.first_version)
-        endpoint = Endpoint(
+        endpoint = self.endpoint_type(
             self, name, service, address, number=number, version=version
         )
         self.endpoints[name] = endpoint
--- /dev/null
+++ b/tests/streamsoak.py
@@ -0,0 +1,330 @@
+"""Random faults around streams, in virtual time, and a judge of their order.
+
+Endpoints cut, repeat and spoil streams, and end behind a port that accepts
+connections without them; routers are restarted and stand still.  Callers take
+broken streams up at other routers.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+from typing import Final, cast
+
+from bulrushstream.transport.ingress import Exchange
+from tests.crashingendpoints import (
+    EVENT_STREAM,
+    EVENTS,
+    HEAD_S,
+    Endpoint,
+    Link,
+    Serving,
+)
+from tests.crashplans import RouterFault, Sent
+from tests.simulatedcallers import Caller
+from tests.versionfleets import VersionFleet
+from tests.versionplans import Try, VersionPlan
+from tests.virtualnetwork import Transport
+
+CUTS: Final = ("fin", "rst", "amid event", "garbage")
+EXTRAS: Final = ("extra", "late extra", "extra in parts")
+STALL_S: Final = 1.5
+LIVES_ON_S: Final = 1.0
+REPEAT_SHARE: Final = 0.5  # Of the faulty runs that take a stream up.
+_CHUNK: Final = re.compile(rb"([0-9a-f]+)\r\n")
+_EVENT: Final = re.compile(rb"id: (\d+)\ndata: (\d+)\n\n")
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan(VersionPlan):
+    """A run with random faults."""
+
+    fault_share: float = 0.3  # Of the runs at faulty endpoints.
+    unframed_share: float = 0.3  # Of all answers.
+    faulty_share: float = 0.5  # Of the endpoints.
+    ends_per_s: float = 0.5  # Endpoints whose process ends.
+    old_callers_share: float = 0.25  # Callers of HTTP/1.0.
+
+
+def random_plan(seed: int, path: str) -> SoakPlan:
+    """Return a plan with random faults of routers."""
+    rng = Random(seed)
+    faults = tuple(
+        RouterFault(
+            at_s,
+            (rng.randrange(4),),
+            frozen_s=rng.choice((0.0, rng.uniform(0.2, 3.0))),
+        )
+        for at_s in sorted(rng.uniform(1.0, 12.0) for _ in range(5))
+    )
+    return SoakPlan(
+        seed=seed,
+        path=path,
+        faults=faults,
+        end_s=18.0,
+        background_per_s=0.5,
+        tries=3 if path == "/talk/" else 1,
+    )
+
+
+@dataclass(slots=True, eq=False)
+class FaultyEndpoint(Endpoint):
+    """An endpoint that may serve streams wrongly."""
+
+    def accept(self, transport: Transport) -> Serving:
+        return FaultyServing(self, transport)
+
+
+class FaultyServing(Serving):
+    """One connection to it."""
+
+    def _run(self, headers: dict[bytes, bytes], body: bytes) -> None:
+        fleet = cast(SoakFleet, self.endpoint.fleet)
+        if not body.startswith(b"stream"):
+            super()._run(headers, body)
+            return
+        request_id = headers[b"x-request-id"].decode()
+        run = fleet.begin_run()
+        self._running = True
+        self.endpoint.running += 1
+        rng = Random(f"{fleet.plan.seed} {run}")
+        plan = cast(SoakPlan, fleet.plan)
+        after = int(headers.get(b"last-event-id", b"0"))
+        unframed = rng.random() < plan.unframed_share
+        fault = ""
+        faulty = self.endpoint.name in fleet.faulty
+        if faulty and rng.random() < plan.fault_share:
+            fault = rng.choice((*CUTS, *EXTRAS, "stall"))
+            if after and rng.random() < REPEAT_SHARE:
+                fault = "repeat"
+        if unframed and fault == "fin":
+            # Nothing tells it from the end of a whole answer.
+            fault = "rst"
+        first = 1 if fault == "repeat" else after + 1
+        stop = rng.randint(after, EVENTS)
+        last = stop if fault in CUTS else EVENTS
+        framing = b"" if unframed else b"Transfer-Encoding: chunked\r\n"
+
+        def begin() -> None:
+            self._send_head(b"200 OK", headers, EVENT_STREAM + framing)
+            step(first)
+
+        def send(data: bytes) -> None:
+            if not unframed:
+                data = b"%x\r\n%b\r\n" % (len(data), data)
+            cut = rng.randrange(len(data)) if rng.random() < 0.2 else 0
+            for piece in (data[:cut], data[cut:]):
+                self.transport.send(piece)
+
+        def step(number: int) -> None:
+            if number > last:
+                end()
+                return
+            send(b"id: %d\ndata: %d\n\n" % (number, run))
+            pause_s = rng.choice((0.0, 0.01, 0.1))
+            if fault == "stall" and number == stop:
+                pause_s = STALL_S
+            self._later(pause_s, partial(step, number + 1))
+
+        def end() -> None:
+            if fault == "amid event":
+                send(b"id: %d\nda" % (last + 1))
+            elif fault == "garbage":
+                self.transport.send(b"\0\xffnot an answer\r\n" * 20)
+            if fault not in CUTS and not unframed:
+                self.transport.send(b"0\r\n\r\n")
+            if fault == "late extra":
+                self._later(rng.uniform(0.1, 0.4), extra)
+            elif fault in EXTRAS:
+                extra()
+            else:
+                finish()
+
+        def extra() -> None:
+            data = b"".join(
+                b"id: %d\ndata: %d\n\n" % (number, run)
+                for number in range(1, EVENTS + 1)
+            )
+            length = b"Content-Length: %d\r\n" % len(data)
+            if fault == "extra in parts":
+                data = data[: rng.randrange(len(data))]
+            self._send_head(b"200 OK", headers, EVENT_STREAM + length)
+            self.transport.send(data)
+            finish()
+
+        def finish() -> None:
+            if fault in CUTS or unframed:
+                reset = ConnectionResetError("reset by peer")
+                resets = fault in CUTS and fault != "fin"
+                self.transport.end(reset if resets else None)
+                self.closed()
+            else:
+                self._end_run()
+            if not fault and after < EVENTS:
+                fleet.run_was_whole(request_id, self.endpoint)
+
+        self._later(rng.uniform(0.0, HEAD_S), begin)
+
+
+class SilentServing:
+    """The end of a connection that leads to no process."""
+
+    def received(self, data: bytes) -> None:
+        """Ignore the bytes."""
+
+    def closed(self) -> None:
+        """Ignore the end."""
+
+
+class SoakFleet(VersionFleet):
+    """A fleet whose endpoints and routers fail at random."""
+
+    endpoint_type = FaultyEndpoint
+
+    def __init__(self, plan: SoakPlan) -> None:
+        super().__init__(plan)
+        self._soak = plan
+        self._runs = 0
+        self._fault_rng = Random(f"{plan.seed} faults")
+        self.faulty: set[str] = set()
+        self.judge = Judge(plan.tries > 1)
+        # Requests whose last run was whole, at an endpoint that lived on.
+        self.answered: set[str] = set()
+
+    def begin_run(self) -> int:
+        """Return the number of a new run."""
+        self._runs += 1
+        return self._runs
+
+    def run_was_whole(self, request_id: str, endpoint: Endpoint) -> None:
+        """Record a whole answer unless the endpoint ends soon after it."""
+
+        def record() -> None:
+            if self.endpoints.get(endpoint.name) is endpoint:
+                self.answered.add(request_id)
+
+        self.loop.call_later(LIVES_ON_S, record)
+
+    def given_up(self) -> list[Try]:
+        """Return the whole answers that callers did not get as whole."""
+        return [
+            each
+            for each in self.history.tries()
+            if each.request_id in self.answered
+            and not each.whole
+            and self.history.in_touch(Sent(each.at_s, each.router, ""))
+        ]
+
+    def schedule(self) -> None:
+        """Schedule the ends of endpoints, too."""
+        super().schedule()
+        names = [n for n, e in self.endpoints.items() if e.service == "llm"]
+        count = int(len(names) * self._soak.faulty_share)
+        self.faulty.update(names[:count])
+        self._schedule_end()
+
+    def _schedule_end(self) -> None:
+        delay_s = self._fault_rng.expovariate(self._soak.ends_per_s)
+        self.loop.call_later(delay_s, self._end_any)
+
+    def _end_any(self) -> None:
+        """End an endpoint, whose port may go on accepting connections."""
+        found = [
+            each
+            for each in self.endpoints.values()
+            if each.name in self.faulty and each.running
+        ]
+        if found:
+            endpoint = self._fault_rng.choice(found)
+            link = self._fault_rng.choice((Link.CLOSED, Link.RESET))
+            how = self._fault_rng.choice(("refuses", "silent", "closes"))
+            del self.endpoints[endpoint.name]
+            endpoint.end(link)
+            if how == "refuses":
+                del self.loop.listeners[endpoint.address]
+            else:
+                self.loop.listeners[endpoint.address] = partial(
+                    _accept_for_nobody, closes=how == "closes"
+                )
+            self.loop.call_later(3.6, self._set_entry, endpoint.name, None)
+            self.loop.call_later(1.0, self._start_faulty)
+        self._schedule_end()
+
+    def _start_faulty(self) -> None:
+        self._start_endpoint("llm")
+        self.faulty.add(next(reversed(self.endpoints)))
+
+    def prepare(self, exchange: Exchange) -> None:
+        """Let some callers speak HTTP/1.0."""
+        old = self._fault_rng.random() < self._soak.old_callers_share
+        exchange.accepts_chunked = not old
+
+    def read_answer(self, current: Try, caller: Caller) -> None:
+        """Judge an answer as its caller sees it."""
+        self.judge.read(current, caller)
+
+
+def _accept_for_nobody(transport: Transport, *, closes: bool) -> SilentServing:
+    """Accept a connection as a kernel or a proxy does."""
+    if closes:
+        transport.end(None)
+    return SilentServing()
+
+
+@dataclass(slots=True)
+class Judge:
+    """Reads callers' answers; collects what is wrong with them."""
+
+    may_join: bool  # Whether a stream may go on in another run.
+    wrong: list[str] = field(default_factory=list)
+
+    def read(self, current: Try, caller: Caller) -> None:
+        """Read one answer.
+
+        :param current: receives the events and whether the answer is whole
+        :param caller: the caller's connection
+        """
+        current.data = caller.data
+        head, _, rest = caller.data.partition(b"\r\n\r\n")
+        current.status = head[9:12].decode()
+        if current.status != "200":
+            return
+        if b"transfer-encoding: chunked" in head:
+            body, complete = _join_chunks(rest)
+        else:
+            body, complete = rest, caller.ended and not caller.aborted
+        found = [(int(n), run.decode()) for n, run in _EVENT.findall(body)]
+        current.events = found
+        numbers = [number for number, _ in found]
+        name = current.request_id
+        last = numbers[-1] if numbers else current.after
+        if b"".join(m[0] for m in _EVENT.finditer(body)) != body:
+            self.wrong.append(f"{name}: bytes that are no event")
+        if numbers != list(range(current.after + 1, last + 1)):
+            self.wrong.append(f"{name}: {numbers} after {current.after}")
+        if not self.may_join and len({run for _, run in found}) > 1:
+            self.wrong.append(f"{name}: runs are joined")
+        if complete and last != EVENTS:
+            self.wrong.append(f"{name}: complete at {last}")
+        current.whole = complete
+
+
+def _join_chunks(data: bytes) -> tuple[bytes, bool]:
+    """Return the body in chunks, and whether its end was received."""
+    body, position = b"", 0
+    while found := _CHUNK.match(data, position):
+        size = int(found[1], 16)
+        if not size:
+            return body, data[position:] == b"0\r\n\r\n"
+        body += data[found.end() : found.end() + size]
+        position = found.end() + size + 2
+    return body, False
+
+
+def play_soak(plan: SoakPlan) -> SoakFleet:
+    """Play a plan and return the fleet, which knows what callers got."""
+    fleet = SoakFleet(plan)
+    fleet.run()
+    return fleet
--- /dev/null
+++ b/tests/test_stream_order.py
@@ -0,0 +1,23 @@
+"""The order and the ends of streams under random faults.
+
+Guards against streams in which events are missing, come twice or belong to
+two runs, and against streams that look complete and are not.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.streamsoak import play_soak, random_plan
+
+SEEDS = range(1, 9)
+
+
+class StreamOrderSuite:
+    @pytest.mark.parametrize("path", ("/talk/", "/tell/"))
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_random_faults(self, seed: int, path: str) -> None:
+        """Guards against a stream that ends early or goes back."""
+        fleet = play_soak(random_plan(seed, path))
+        assert fleet.judge.wrong == []
+        assert fleet.given_up() == []
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -11,6 +11,7 @@
 from typing import Final, cast
 
 from bulrushstream.daemon.versionrecords import version_tasks
+from bulrushstream.transport.ingress import Exchange
 from tests.crashfleets import CrashFleet, StoreWork
 from tests.crashingendpoints import EVENTS, Endpoint, Link
 from tests.crashplans import TIMEOUT_S
@@ -149,6 +150,7 @@
                 (b"Resumes", named.encode())
                 for named in plan.naming(stream, request_id)
             ]
+        self.prepare(exchange)
         stream.tries.append(current)
         exchange.arrived_s = self.loop.time()
         caller.on_end = partial(self._ended, stream, current, caller)
@@ -157,12 +159,19 @@
         def give_up() -> None:
             if not caller.ended and exchange.on_disconnect is not None:
                 exchange.on_disconnect()
-                read_answer(current, caller.data)
+                self.read_answer(current, caller)
 
         self.loop.call_later(TIMEOUT_S, give_up)
 
-    def _ended(self, stream: Stream, current: Try, caller: Caller) -> None:
+    def prepare(self, exchange: Exchange) -> None:
+        """Change a caller's request before it is sent."""
+
+    def read_answer(self, current: Try, caller: Caller) -> None:
+        """Read what a caller received for one request."""
         read_answer(current, caller.data)
+
+    def _ended(self, stream: Stream, current: Try, caller: Caller) -> None:
+        self.read_answer(current, caller)
         broken = current.status in ("", "200") and not current.whole
         if not broken or len(stream.tries) >= self._plan.tries:
             return
