An endpoint lives only if its own process says so

Cause: the end of a process looks like the end of an answer without a length. The check after it opened a connection and took an accepted one for a process that lives, and a few open ones for one that left its port. A proxy, a kernel's backlog or another process at the address accepts, too.

Fix: LifeProofs waits for what only the process can say: the head of its answer to a request that was sent after the end, bytes on an older connection that stays open, or its answer to a probe that names it. One probe serves all answers that wait there, and one is in flight at a time. A refused connection or another instance ends the wait early if no older connection is open. Where another endpoint could answer, the wait takes 2 s at most, else until shortly before the deadline. An answer that could not be passed on whole (an error after the stream had begun, an unsigned one) is not waited for.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -5,8 +5,8 @@
 decides what follows.
 
 An answer whose end only its connection shows (see `unframed`) counts as
-complete if its endpoint still runs then, or if another answer to the request
-follows it.
+complete if its endpoint proves that it runs on (see `lifeproof`), or if
+another answer to the request follows it.
 """
 
 from __future__ import annotations
@@ -38,6 +38,11 @@
 # retry can replace one that breaks off.  Longer ones are relayed as they come.
 MAX_BUFFERED_BYTES: Final = 262_144
 
+# How long an endpoint may take to prove that it lives if another one could
+# answer instead, and how long before the deadline the wait ends otherwise.
+PROOF_BEFORE_RETRY_S: Final = 2.0
+PROOF_MARGIN_S: Final = 0.05
+
 
 class Attempt:
     """One attempt at one endpoint."""
@@ -153,6 +158,8 @@
             if self._framing is Framing.CLOSE:
                 self._unframed = UnframedBody(front.dialect, self._pending)
         if status != 421:
+            if not mismatch:
+                self.pool.answered_s = max(self.pool.answered_s, self.sent_s)
             endpointload.observe(
                 front, self.endpoint, head, self.sent_s, self._heard_s
             )
@@ -215,25 +222,48 @@
             return
         if head.status < 400 and not self._body_bytes:
             self._give_up("the connection ended at the body")
-        elif (
-            self._unattributed
-            or head.not_executed
-            or self.forward.splitter.mid_event
-        ):
-            self._end_complete(head)  # It is not passed on as whole.
+        elif not self._may_be_whole(head):
+            self._end_complete(head)
         else:
-            self.forward.cancel_overdue_timer()
-            self._pending = self.pool.check_running(self._endpoint_checked)
+            self._wait_for_proof()
+
+    def _may_be_whole(self, head: AnswerHead) -> bool:
+        """Return whether an answer that ended here could be passed on."""
+        forward = self.forward
+        if self._unattributed or head.not_executed:
+            return False
+        if not _is_relayable(head) or forward.splitter.mid_event:
+            return False
+        goes_on = head.event_stream and head.status == 200
+        return goes_on or forward.stream_writer is None
+
+    def _wait_for_proof(self) -> None:
+        """Wait until the endpoint proves that it outlived its connection."""
+        forward = self.forward
+        forward.cancel_overdue_timer()
+        wait_until_s = forward.deadline_s - PROOF_MARGIN_S
+        if forward.route.repeatable:
+            retry_s = self.front.clock() + PROOF_BEFORE_RETRY_S
+            wait_until_s = min(wait_until_s, retry_s)
+        self._pending = self.front.life_proofs.wait(
+            self.endpoint,
+            self.pool,
+            self.sent_s,
+            wait_until_s,
+            self._endpoint_checked,
+        )
 
     def _endpoint_checked(self, running: bool) -> None:
-        """Handle what is known of the endpoint after its answer's end."""
+        """Handle whether the endpoint outlived its answer's connection."""
         head = self._head
         if head is None or self.forward.done:
             self._pending = None
         elif running:
             self._end_complete(head)
         else:
-            self.failed(ResponseFailure.BROKEN, "its process may have ended")
+            self.failed(
+                ResponseFailure.BROKEN, "nothing proves that its process lives"
+            )
 
     def _end_followed(self, head: AnswerHead, request_id: str) -> None:
         """Handle the head of another answer, to a request, in the body."""
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -25,6 +25,7 @@
 from bulrushstream.daemon.crashwatch import CrashWatch
 from bulrushstream.daemon.fleetsetup import make_fleet_state
 from bulrushstream.daemon.forward import Forward
+from bulrushstream.daemon.lifeproof import LifeProofs
 from bulrushstream.messages import Notice
 from bulrushstream.metrics import Metrics, count_crowd, count_excess
 from bulrushstream.protocol.dialect import Dialect, HeadError
@@ -125,7 +126,7 @@
             self.peers.add_host(seed, now_s)
         self.crash_watch = CrashWatch(
             self.clock,
-            self._encode_probe,
+            self.encode_probe,
             self._decode_probe,
             self.observe,
             self.pool.is_leaving,
@@ -134,6 +135,9 @@
             ),
             self.end_unknown,
         )
+        self.life_proofs = LifeProofs(
+            self.clock, self.encode_probe, self._is_own_answer
+        )
         # The bytes kept for callers, endpoints and the calls of the process.
         self.memory = MemoryBudget(
             int(settings.memory_mb * KEPT_MEMORY_FRACTION * 2**20)
@@ -269,7 +273,20 @@
         self.answer_seen(endpoint, head)
         return self.dialect.decode_probe(status, headers)
 
-    def _encode_probe(self, endpoint: Endpoint) -> bytes | None:
+    def _is_own_answer(
+        self, endpoint: Endpoint, status: int, headers: RawHeaders
+    ) -> bool | None:
+        """Return whether an endpoint itself answers a probe; None: unknown."""
+        found = self._decode_probe(endpoint, status, headers)
+        if found:
+            return found == endpoint.name
+        if found is None:
+            return False
+        # Another one would have said that it is not the expected one.
+        head = self.dialect.decode_answer(status, headers)
+        return True if head.not_executed else None
+
+    def encode_probe(self, endpoint: Endpoint) -> bytes | None:
         """Return the encoded probe of an endpoint; None: it gets none now."""
         notices = self.fleet_state.notices
         if notices.rest_left_s(endpoint.name, self.clock()):
--- a/src/bulrushstream/standins/worker.py
+++ b/src/bulrushstream/standins/worker.py
@@ -19,6 +19,9 @@
 
 EVENT_PAUSE_S: Final = 0.002
 
+# Where a worker tells its id.
+HEALTH_PATH: Final = "/health"
+
 
 class Behaviour(StrEnum):
     """How a worker handles one request."""
@@ -80,6 +83,9 @@
     def _handle(self, exchange: Exchange) -> None:
         headers = {name.lower(): text for name, text in exchange.headers}
         request_id = headers.get(b"x-request-id", b"").decode()
+        if exchange.target == HEALTH_PATH.encode():
+            exchange.answer(200, [(b"X-Instance-Id", self.name.encode())])
+            return
         self.received.append(
             (
                 exchange.method,
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -31,10 +31,9 @@
 # whether its endpoint still runs.
 RETIRED_S: Final = 1.0
 
-# A process that ends closes its connections and its port within this time, and
-# one that runs accepts a connection within the second one.
+# The ends of a process's connections, and the last bytes on them, arrive
+# within this time.
 EXIT_S: Final = 0.05
-ACCEPT_TIMEOUT_S: Final = 0.5
 
 # The number of ends of connections that are remembered, and the spread of
 # those that end at the same time.
@@ -63,6 +62,8 @@
     clock: Callable[[], float]  # Returns the time in seconds.
     options: PoolOptions = field(default_factory=PoolOptions)
     on_connect: Callable[[], None] | None = None  # For metrics.
+    # When the last of the requests was sent that the peer itself answered.
+    answered_s: float = float("-inf")
     _idle: deque[Connection] = field(default_factory=deque)
     _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
@@ -135,7 +136,9 @@
         for queue in (self._retired, self._idle):
             for connection in queue:
                 old = connection.opened_s < opened_before_s
-                if old and connection.usable:
+                if not old or not connection.usable:
+                    continue
+                if not connection.has_unread_bytes():
                     queue.remove(connection)
                     return connection
         return None
@@ -214,6 +217,28 @@
             for each in self._all
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether any connection carries a request."""
+        return len(self._all) > len(self._idle) + len(self._retired)
+
+    def goes_on(self, opened_by_s: float, since_s: float) -> bool:
+        """Return whether bytes came on a connection that stays open.
+
+        One that the peer has ended does not count, though its end may not
+        have been read yet.
+
+        :param opened_by_s: the time by which it was opened
+        :param since_s: the time since which bytes count
+        """
+        return any(
+            each.heard_s >= since_s
+            and each.opened_s <= opened_by_s
+            and not each.is_closed
+            and not each.has_unread_bytes()
+            for each in self._all
+        )
+
     def heard_s(self, opened_by_s: float) -> float:
         """Return when bytes last came on a connection opened by a time.
 
@@ -234,42 +259,6 @@
         if len(self._all) + self._connecting < self.options.max_connections:
             asyncio.get_running_loop().create_task(self._open_idle())
 
-    def check_running(
-        self, on_result: Callable[[bool], None]
-    ) -> PendingRequest:
-        """Find out whether the peer still runs after it closed a connection.
-
-        The kernel closes the connections of a process that ends in the same
-        way as the process does at the end of a response.
-
-        :param on_result: called with whether the peer is known to run
-        :returns: a handle to cancel the check
-        """
-        check = PendingRequest()
-        task = asyncio.get_running_loop().create_task(
-            self._check_running(on_result)
-        )
-        check.attach_task(task)
-        return check
-
-    async def _check_running(self, on_result: Callable[[bool], None]) -> None:
-        """Look for signs of the peer's process; report the result."""
-        closed_s = self.clock()
-        await asyncio.sleep(EXIT_S)
-        running = False
-        try:
-            async with asyncio.timeout(ACCEPT_TIMEOUT_S):
-                self.release(await self._open())
-            running = True
-        except ConnectionRefusedError:
-            # One that is leaving may accept no connections any more.
-            await asyncio.sleep(ENDED_TOGETHER_S)
-            seen = self.seen(closed_s)
-            running = seen.open > 0 and not seen.ended
-        except (OSError, TimeoutError):
-            pass
-        on_result(running)
-
     def retire_idle(self) -> None:
         """Take all idle connections out of use; close them a little later.
 
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -29,6 +29,8 @@
 from tests.crashingendpoints import (
     After,
     Endpoint,
+    Proxied,
+    Proxy,
 )
 from tests.crashplans import (
     BACKGROUND_PATHS,
@@ -208,6 +210,9 @@
             return
         if after is After.MUTE:
             loop.mute.add(endpoint.address)
+        elif isinstance(after, Proxied):
+            closes = after is Proxied.CLOSES
+            loop.listeners[endpoint.address] = partial(Proxy, closes)
         again = partial(
             self._start_endpoint, endpoint.service, version=endpoint.version
         )
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -28,6 +28,7 @@
 EVENTS: Final = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
 BODY: Final = b"the whole body"
 _STATUS: Final = re.compile(rb"HTTP/1.1 ([0-9]+)")
+_PROBE: Final = re.compile(rb"(?s)GET /health .*X-Expect-Instance: (\S+)")
 _REQUEST_ID: Final = re.compile(rb"(?i)x-request-id: *([^\r]*)\r\n")
 
 
@@ -84,8 +85,15 @@
         self._data += data
         if b"\r\n\r\n" not in self._data:
             return
+        probe = _PROBE.match(self._data)
         found = _REQUEST_ID.search(self._data)
         self._data = b""
+        if probe is not None:
+            self._transport.send(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                b"X-Instance-Id: %b\r\n\r\n" % probe[1]
+            )
+            return
         assert found is not None
         cut = self._cut
         answer = encode_answer(found[1], cut.framing, self._streams)
