The agent takes an answer, not a port, as proof that its endpoint lives

The same fault as behind the routers, on the own interface: a plain answer without a length, cut by the end of its endpoint, was complete if the port still accepted connections (a proxy, a sidecar, a kernel's backlog).

Fix: the agent asks the endpoint for its load report or health check, without either OPTIONS *, which runs nothing; any answer but 502 and 504 proves that a process speaks there. It asks again for up to 2 s, within the deadline. Whether the run counts as a crash still needs a port that refuses: a proxy's word counts against no request. Nothing there names the process: one that was started again within 50 ms would pass for the old one. The pool's idle connections are used first, which lead to the old one.

Test, failing before: test_an_answer_that_only_its_connection_ends, 8 cases of a proxy that closes, is silent or answers 502 or 504, and 2 that look for the question.

--- a/src/bulrushstream/daemon/agent.py
+++ b/src/bulrushstream/daemon/agent.py
@@ -101,6 +101,7 @@
             RunnerOptions(
                 base_url=endpoint.url,
                 is_model_engine=endpoint.kind is EndpointKind.MODEL,
+                check_path=endpoint.load_path or endpoint.health_path,
                 max_connections=MAX_CONNECTIONS,
             )
         )
--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -42,6 +42,14 @@
 USAGE_TAIL_BYTES: Final = 256
 PROBE_TIMEOUT_S: Final = 1.0
 
+# How long an endpoint may take to prove that it outlived an answer's
+# connection, and the pause between two questions.
+PROOF_S: Final = 2.0
+PROOF_PAUSE_S: Final = 0.25
+
+# Statuses of a proxy whose endpoint does not answer.
+_PROXY_STATUSES: Final = (502, 504)
+
 _USAGE: Final = re.compile(rb'"completion_tokens"\s*:\s*(\d+)')
 _NOT_SENT: Final = (
     httpx.ConnectError,
@@ -61,6 +69,8 @@
     max_connections: int = 64  # At least the slots plus the pollers.
     read_timeout_s: float = 120.0  # Longest gap within an answer.
     resume_limit: int = 1  # Resumes per run.
+    # What the endpoint answers without running anything; empty: nothing.
+    check_path: str = ""
 
 
 @dataclass(slots=True)
@@ -145,9 +155,9 @@
                 yield self._end(state, False, crashed, _reason(error))
                 return
             if not state.event_stream and not state.framed:
-                await asyncio.sleep(EXIT_S)
-                ended = await self._is_down()
-                yield self._end(state, not ended, ended, "no length")
+                lives = await self._proves_life(state.deadline_s)
+                crashed = not lives and await self._is_down()
+                yield self._end(state, lives, crashed, "no length")
                 return
             if not state.event_stream or state.done_received:
                 yield self._end(state, True)
@@ -272,6 +282,37 @@
             detail=detail,
         )
 
+    async def _proves_life(self, deadline_s: float) -> bool:
+        """Return whether the endpoint answers after its connection ended.
+
+        The kernel ends the connections of a killed process in the same way,
+        and a proxy may accept new ones in its place.
+        """
+        await asyncio.sleep(EXIT_S)
+        limit_s = asyncio.get_running_loop().time() + PROOF_S
+        path = self._options.check_path
+        request = self._client.build_request(
+            "GET" if path else "OPTIONS",
+            path or "/",
+            extensions={} if path else {"target": b"*"},
+        )
+        try:
+            async with asyncio.timeout_at(min(limit_s, deadline_s)):
+                while True:
+                    try:
+                        answer = await self._client.send(request, stream=True)
+                    except httpx.ConnectError:
+                        return False
+                    except httpx.HTTPError:
+                        pass
+                    else:
+                        await answer.aclose()
+                        if answer.status_code not in _PROXY_STATUSES:
+                            return True
+                    await asyncio.sleep(PROOF_PAUSE_S)
+        except TimeoutError:
+            return False
+
     async def _is_down(self) -> bool:
         """Return whether the endpoint accepts no connection."""
         url = httpx.URL(self._options.base_url)
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -185,31 +185,56 @@
         end = run_end(events)
         assert (end.complete, end.started, end.crashed) == (False, True, True)
 
-    @pytest.mark.parametrize("ends", (False, True))
+    @pytest.mark.parametrize("check_path", ("", "/load"))
+    @pytest.mark.parametrize(
+        "after", ("lives", "refuses", "closes", "mute", "502 Bad", "504 Late")
+    )
     async def test_an_answer_that_only_its_connection_ends(
-        self, ends: bool
+        self, after: str, check_path: str
     ) -> None:
-        """Guards against a killed endpoint whose answer looks whole."""
+        """Guards against a killed endpoint whose answer looks whole.
+
+        A proxy may accept connections in its place.
+        """
+        lines: list[bytes] = []
+        writers = []
 
         async def answer(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"HTTP/1.1 200 OK\r\n\r\nthe body")
-            if ends:
+            writers.append(writer)
+            if lines and after == "closes":
+                writer.close()
+                return
+            lines.append(await reader.readuntil(b"\r\n\r\n"))
+            ended = len(lines) > 1 and after != "lives"
+            if ended and after == "mute":
+                return
+            status = after.encode() if ended else b"200 OK"
+            writer.write(b"HTTP/1.1 %b\r\n\r\nthe body" % status)
+            if after == "refuses":
                 server.close()
             writer.close()
 
         server = await asyncio.start_server(answer, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         runner = EndpointRunner(
-            RunnerOptions(f"http://127.0.0.1:{port}", False)
+            RunnerOptions(
+                f"http://127.0.0.1:{port}", False, check_path=check_path
+            )
         )
-        events = await collect_run(runner, a_dispatch(STREAM))
+        dispatch = a_dispatch(STREAM, timeout_ms=700)
+        events = await collect_run(runner, dispatch)
         await runner.close()
         server.close()
+        for writer in writers:
+            writer.close()
         end = run_end(events)
-        assert (end.complete, end.crashed) == (not ends, ends)
+        expected = (after == "lives", after == "refuses")
+        assert (end.complete, end.crashed) == expected
+        if after == "lives":
+            asked = f"GET {check_path} " if check_path else "OPTIONS * "
+            assert lines[1].startswith(asked.encode())
 
     async def test_refused_connection_is_not_started(self) -> None:
         with socket.socket() as unused:
