A caller that goes on with a stream gets no event twice

An endpoint may repeat events up to Last-Event-Id. They were skipped after a retry of the router only, so a caller that named its last event got them again at the first attempt: its ids went back.

Fix: a splitter that begins behind an event skips repeats from the first byte. A gap in ids stays unknown: they increase, but need not be consecutive.

Test, failing before: test_a_caller_goes_on_without_gap_or_repeat (a property).

--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -17,8 +17,9 @@
 class EventSplitter:
     """Passes on complete events, each of them once.
 
-    When another endpoint resumes a stream, it may repeat events that the
-    caller already has; these are skipped.
+    When an endpoint resumes a stream, of this request or of an earlier one of
+    the caller, it may repeat events that the caller already has; these are
+    skipped.
     """
 
     last_id: int | None = None  # Id of the last event that was passed on.
@@ -29,6 +30,10 @@
     _run_id: int = -1  # The last id that the endpoint's stream had.
     _skip_seen: bool = False  # Whether the stream may repeat events.
 
+    def __post_init__(self) -> None:
+        """Expect repeated events if the caller has some already."""
+        self._skip_seen = self.last_id is not None
+
     def restart(self) -> None:
         """Drop an incomplete event, as another endpoint resumes the stream."""
         self._partial = b""
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -65,6 +65,21 @@
             output += splitter.feed(piece)
         assert output == events(1, 20)
 
+    @given(
+        st.integers(0, 12),
+        st.integers(0, 12),
+        st.lists(st.integers(0, 10_000), max_size=8),
+    )
+    def test_a_caller_goes_on_without_gap_or_repeat(
+        self, after: int, repeats: int, cuts: list[int]
+    ) -> None:
+        """Guards against a first endpoint that repeats what a caller has."""
+        splitter = EventSplitter(last_id=after)
+        first = max(1, after + 1 - repeats)
+        output = b"".join(map(splitter.feed, pieces(events(first, 20), cuts)))
+        assert output == events(after + 1, 20)
+        assert splitter.last_id == 20
+
     def test_an_incomplete_event_is_held_back(self) -> None:
         splitter = EventSplitter()
         assert splitter.feed(b"id: 1\ndata") == b""
