A proxy's word counts against no request

Behind a proxy whose endpoint had ended, requests that other callers sent there counted as crashes of it: the proxy accepted their connections and closed them, which looked like connections that end together.

Cause: the verdict took every connection for one to the process. A connection that was opened after the process had ended shows nothing of it.

Fix: a run that was sent after another one had broken, after the endpoint was found to have ended, or after the peer had closed an idle connection, counts only if the process itself answered a request that was sent since, which a probe does, too.

Tests, failing before: 4 of the 12 cases of test_endpoints_that_die_of_something_else with a proxy, for requests and for parts.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -159,7 +159,7 @@
                 self._unframed = UnframedBody(front.dialect, self._pending)
         if status != 421:
             if not mismatch:
-                self.pool.answered_s = max(self.pool.answered_s, self.sent_s)
+                self.pool.record_answer(self.sent_s)
             endpointload.observe(
                 front, self.endpoint, head, self.sent_s, self._heard_s
             )
--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -17,6 +17,7 @@
     PASSIVE_S,
     SETTLE_S,
     BrokenRun,
+    Judgement,
     Verdict,
     judge_run,
 )
@@ -63,6 +64,26 @@
     probe: asyncio.Task[None] | None = None
     probed_s: float = float("-inf")  # The end of the last probe.
     active_s: float = float("-inf")  # When a run was last without a verdict.
+    # When a run first broke since its process last proved that it lived.
+    broke_s: float = float("-inf")
+    ended_s: float = float("-inf")  # When a run last broke as it ended.
+
+    def add(self, run: BrokenRun) -> None:
+        """Add a run that broke."""
+        self.runs.append(run)
+        self.logs_signs = self.logs_signs or not run.passive
+        broke = not run.passive and not run.silent
+        if broke and self.pool.answered_s >= self.broke_s:
+            self.broke_s = run.broke_s
+
+    def may_have_ended_before(self, run: BrokenRun) -> bool:
+        """Return whether its process may have ended before a run was sent.
+
+        A proxy may have accepted the run's connection, and closed it.
+        """
+        answered_s = self.pool.answered_s
+        ends_s = (self.broke_s, self.ended_s, self.pool.idle_ended_s)
+        return any(run.sent_s > each_s > answered_s for each_s in ends_s)
 
 
 @dataclass(slots=True)
@@ -105,8 +126,7 @@
         if watched is None:
             watched = _Watched(endpoint, pool)
             self._watched[endpoint.name] = watched
-        watched.runs.append(run)
-        watched.logs_signs = watched.logs_signs or not run.passive
+        watched.add(run)
         watched.active_s = self.clock()
         # The verdict should not wait for the next sweep.
         asyncio.get_running_loop().call_later(
@@ -162,6 +182,10 @@
         """Judge a run; return whether there is a verdict."""
         seen = watched.pool.seen(run.broke_s)
         judgement = judge_run(run, seen, watched.signs, now_s)
+        if watched.may_have_ended_before(run):
+            judgement = Judgement(Verdict.OPEN)
+            if now_s - run.broke_s >= SETTLE_S:
+                judgement = Judgement(Verdict.LIVES, "it had ended before")
         if run.passive and judgement.verdict is not Verdict.ENDED:
             expired = now_s - run.broke_s > PASSIVE_S
             return expired or judgement.verdict is not Verdict.OPEN
@@ -171,6 +195,7 @@
         ended = judgement.verdict is Verdict.ENDED
         self._log_verdict(name, run, ended, judgement.reason, seen)
         if ended:
+            watched.ended_s = max(watched.ended_s, run.broke_s)
             self._counted[name, run.request_id] = None
             if len(self._counted) > MAX_COUNTED_RUNS:
                 del self._counted[next(iter(self._counted))]
@@ -236,11 +261,14 @@
                     self.add_sign(name, Sign.NO_ANSWER)
                 elif isinstance(answer, tuple):
                     self.decode_probe(watched.endpoint, *answer)
+            sent_s = self.clock()
             answer = await ask_identity(pool, request, PROBE_TIMEOUT_S)
             if isinstance(answer, ConnectionRefusedError):
                 self.add_sign(name, Sign.REFUSED)
             elif answer is not None:
                 found = self.decode_probe(watched.endpoint, *answer)
+                if found == name:
+                    pool.record_answer(sent_s)
                 same = found in ("", name)
                 self.add_sign(
                     name,
--- a/src/bulrushstream/daemon/lifeproof.py
+++ b/src/bulrushstream/daemon/lifeproof.py
@@ -207,5 +207,6 @@
             own = self.is_own(waiting.endpoint, *answer)
         if own:
             waiting.answered_s = sent_s
+            waiting.pool.record_answer(sent_s)
         elif own is not None:
             waiting.gone_s = self.clock()
--- a/src/bulrushstream/history/singleusepool.py
+++ b/src/bulrushstream/history/singleusepool.py
@@ -10,14 +10,23 @@
 
     __slots__ = ()
 
-    # No answer is known to follow the end of another connection.
-    answered_s = float("-inf")
+    # Simulated endpoints always run.
+    answered_s = float("inf")
 
     def seen(self, at_s: float) -> ConnectionsSeen:
         """Return that no connection outlives its request."""
         del at_s
         return ConnectionsSeen(ended=0, open=0, heard=False)
 
+    def record_answer(self, sent_s: float) -> None:
+        """Do nothing: the peer is known to run."""
+        del sent_s
+
+    @property
+    def idle_ended_s(self) -> float:
+        """Return that the peer ended no other connection."""
+        return float("-inf")
+
     @property
     def last_ended_s(self) -> float:
         """Return that the peer ended no other connection."""
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -201,6 +201,21 @@
             ),
         )
 
+    def record_answer(self, sent_s: float) -> None:
+        """Record that the peer itself answered a request.
+
+        :param sent_s: when the request was sent
+        """
+        self.answered_s = max(self.answered_s, sent_s)
+
+    @property
+    def idle_ended_s(self) -> float:
+        """Return when the peer last ended one that carried no request."""
+        return max(
+            (ended_s for _, ended_s, busy in self._ended if not busy),
+            default=float("-inf"),
+        )
+
     @property
     def last_ended_s(self) -> float:
         """Return when the peer last ended a connection; -infinity: never."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -16,7 +16,7 @@
 from bulrushstream.coordination.parttrials import TRIAL_S
 from bulrushstream.messages import CRASHES_ENDPOINTS, PART_HELD
 from tests.crashfleets import play
-from tests.crashingendpoints import After, Body, Ending, Link, Point
+from tests.crashingendpoints import After, Body, Ending, Link, Point, Proxied
 from tests.crashplans import (
     CONTACT_S,
     LATENCY_TARGET_S,
@@ -267,10 +267,10 @@
 class SoundPartSuite:
     """Requests are not refused for crashes that they do not cause."""
 
-    @pytest.mark.parametrize("after", After, ids=str)
+    @pytest.mark.parametrize("after", (*After, *Proxied), ids=str)
     @pytest.mark.parametrize("link", Link, ids=str)
     def test_endpoints_that_die_of_something_else(
-        self, link: Link, after: After
+        self, link: Link, after: After | Proxied
     ) -> None:
         """Guards against suspecting what all crashes have in common."""
         kills = tuple((3.0 + 1.3 * n, "llm") for n in range(16))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -13,7 +13,7 @@
 from bulrushstream.messages import CRASHES_ENDPOINTS
 from bulrushstream.state.call import AnswerProgress
 from tests.crashfleets import play
-from tests.crashingendpoints import After, Body, Ending, Link, Point
+from tests.crashingendpoints import After, Body, Ending, Link, Point, Proxied
 from tests.crashplans import (
     CrashHistory,
     CrashPlan,
@@ -187,10 +187,10 @@
         assert len(history.sent[body]) >= 20
         assert refused_innocents(history) == []
 
-    @pytest.mark.parametrize("after", After, ids=str)
+    @pytest.mark.parametrize("after", (*After, *Proxied), ids=str)
     @pytest.mark.parametrize("link", Link, ids=str)
     def test_endpoints_that_die_of_something_else(
-        self, link: Link, after: After
+        self, link: Link, after: After | Proxied
     ) -> None:
         """Guards against strikes for being there by chance."""
         kills = tuple(
