Callers: requests without end are not read on, and take turns

Callers who sent a chunked request whose trailers, chunk extension or chunk size never ended were read for as long as they wrote; one long trailer was kept whole (3 callers: 36 to 248 MB in 8 s). Callers who held a few large requests back had everybody else's bodies refused, and one read of tiny chunks was parsed whole before others got their turn.

The head was counted only until it was complete, and trailers come after it. The limit of all bodies refused whoever came last, not who held most.

The reading side is a module of its own now. All bytes of a request that are not its body have one count, and headers and trailers another. Who exceeds them gets 431, or 400 for the framing of chunks, and may then write a bounded time, unread, so that the answer is not lost to a reset. Requests that are incomplete or wait count in the process's memory budget; of bodies beyond their limit, the largest waiting request goes, or the newest among similar ones, as before. A large read is parsed in slices, and the reading pauses meanwhile. Very many pieces of a body are joined early.

--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -144,7 +144,13 @@
                 settings.memory_mb * BODY_MEMORY_FRACTION * 2**20
             ),
         )
-        self.ingress = Ingress(self.handle, self.limits, self.clock)
+        self.ingress = Ingress(
+            self.handle,
+            self.limits,
+            self.clock,
+            self.memory,
+            on_excess=self.peer_exceeded,
+        )
 
     def connect_peers(self, port: PeerSocket) -> None:
         """Exchange updates with the other routers from now on.
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -29,6 +29,7 @@
 from bulrushstream.protocol.dialect import DocumentError
 from bulrushstream.protocol.keyedstore import KeyedRecord, StoreError
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.excess import PeerKind
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
@@ -252,7 +253,14 @@
     ) -> None:
         """Listen for requests of the platform or of peer routers."""
         limits = IngressLimits(connections=64)
-        ingress = Ingress(handle, limits, self._deps.clock)
+        ingress = Ingress(
+            handle,
+            limits,
+            self._deps.clock,
+            self.front.memory,
+            PeerKind.OPERATOR,
+            self.front.peer_exceeded,
+        )
         await self._listen(ingress, self._settings.host, port)
 
     def _answer_readiness(self, exchange: Exchange) -> None:
--- a/src/bulrushstream/state/excess.py
+++ b/src/bulrushstream/state/excess.py
@@ -27,6 +27,7 @@
     INTERIM = "interim"  # Interim responses before the final one.
     FRAMING = "framing"  # Trailers, extensions of chunks and the like.
     BODY = "body"
+    PIPELINED = "pipelined"  # Requests that wait on one connection.
     EXTRA = "extra"  # Responses to other requests.
     EVENT = "event"  # One event of a stream.
     MEMORY = "memory"  # What the process keeps of all connections.
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -1,8 +1,11 @@
 """HTTP/1.1 server side of callers' connections, with streamed responses.
 
-Each connection parses requests with httptools and passes one *exchange*
+Each connection reads requests (see `requestreader`) and passes one *exchange*
 at a time to a handler: a complete request, and the methods to answer it.
 Only headers that HTTP itself defines are interpreted here.
+
+A caller that sends too much, or no whole request in time, gets an error
+status; then its connection ends, also if the caller goes on writing.
 """
 
 from __future__ import annotations
@@ -17,18 +20,36 @@
 from itertools import islice
 from typing import Final
 
-import httptools
-
 from bulrushstream.state.call import RawHeaders
+from bulrushstream.state.excess import (
+    Excess,
+    ExcessReason,
+    OnExcess,
+    PeerKind,
+)
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.transport.polling import (
     CLOSED_EVENTS,
     UNREAD_EVENTS,
     has_events,
 )
+from bulrushstream.transport.requestreader import (
+    RejectedError,
+    Request,
+    RequestReader,
+)
 
 # Limit of pipelined requests queued behind the one being answered.
 MAX_PIPELINED: Final = 16
 
+# Received bytes that are parsed before other connections get their turn.
+SLICE_BYTES: Final = 32_768
+
+# Bytes and time after a rejected request in which the caller may still write,
+# as a connection that ends with unread bytes is reset and the answer lost.
+MAX_DROPPED_BYTES: Final = 1_048_576
+LINGER_S: Final = 2.0
+
 # The connection is aborted if more response bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 1_048_576
 
@@ -37,6 +58,9 @@
 RESET_LINGER: Final = struct.pack("ii", 1, 0)
 ORDERLY_LINGER: Final = struct.pack("ii", 0, 0)
 
+# Limit of the bytes of waiting requests, unless they share one with others.
+MAX_WAITING_BYTES: Final = 64 * 2**20
+
 # Idle connections that are looked at for each new one over the limit.
 MAX_IDLE_CHECKED: Final = 8
 
@@ -105,6 +129,7 @@
         "chunked",
         "connection",
         "ended",
+        "head_bytes",
         "headers",
         "keep_alive",
         "method",
@@ -115,7 +140,7 @@
     )
 
     def __init__(self, connection: ClientConnection) -> None:
-        """Make an exchange whose request has not been received yet.
+        """Make an exchange without a request.
 
         :param connection: the caller's connection
         """
@@ -126,6 +151,7 @@
         self.body: bytes = b""
         self.keep_alive = True
         self.accepts_chunked = True  # Not so for HTTP/1.0.
+        self.head_bytes = 0  # Received of the request's head.
         self.arrived_s = 0.0
         self.started = False  # Whether the head was written.
         self.sent_bytes = 0  # Written of the body.
@@ -134,6 +160,19 @@
         self.ended = False  # Whether the response has ended.
         self.on_disconnect: Callable[[], None] | None = None
 
+    def take(self, request: Request) -> None:
+        """Take a received request.
+
+        :param request: the complete request
+        """
+        self.method = request.method
+        self.target = request.target
+        self.headers = request.headers
+        self.body = request.body
+        self.keep_alive = request.keep_alive
+        self.accepts_chunked = request.accepts_chunked
+        self.head_bytes = request.head_bytes
+
     def answer(
         self, status: int, headers: RawHeaders, body: bytes = b""
     ) -> None:
@@ -230,6 +269,12 @@
     handle: Handler  # Called with each received request.
     limits: IngressLimits
     clock: Callable[[], float]  # Returns the time in seconds.
+    # The bytes of requests that are incomplete or wait, beside others.
+    memory: MemoryBudget = field(
+        default_factory=lambda: MemoryBudget(MAX_WAITING_BYTES)
+    )
+    peer: PeerKind = PeerKind.CALLER  # Who connects.
+    on_excess: OnExcess = lambda _: None
     connections: set[ClientConnection] = field(default_factory=set)
     # Those without a request, in the order in which they became so.
     idle: dict[ClientConnection, None] = field(default_factory=dict)
@@ -260,6 +305,20 @@
         self.refused_count += 1
         return False
 
+    def make_body_room(self, asking: ClientConnection) -> None:
+        """Reject the largest waiting requests if there are too many bytes.
+
+        Among requests of much the same size, the newest one goes.
+
+        :param asking: the connection that received another piece of a body
+        :raises RejectedError: if its own request goes
+        """
+        while self.buffered_bytes > self.limits.buffered_bytes:
+            largest = max(self.connections, key=lambda each: each.kept_bytes)
+            if largest.kept_bytes <= 2 * asking.kept_bytes:
+                raise RejectedError(503, ExcessReason.MEMORY)
+            largest.end_for_memory()
+
     def close_idle(self) -> None:
         """Close all connections without a request."""
         for connection in list(self.connections):
@@ -292,13 +351,11 @@
         """
         self._ingress = ingress
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._incoming: Exchange | None = None
-        self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._reader = RequestReader(self)
+        self._unparsed: memoryview | None = None  # Received, for later turns.
+        self._account = ingress.memory.open(self.end_for_memory)
         self._buffered_bytes = 0
-        self._head_bytes = 0
-        self._in_head = True
+        self._dropped_bytes = 0  # Received after a rejected request.
         self._current: Exchange | None = None
         self._pipelined: deque[Exchange] = deque()
         self._timer: asyncio.TimerHandle | None = None
@@ -326,6 +383,8 @@
         self._ingress.connections.discard(self)
         self._ingress.idle.pop(self, None)
         self._release(self._buffered_bytes)
+        self._unparsed = None
+        self._account.resize(0)
         self._clear_timer()
         self._notify_disconnect()
 
@@ -336,87 +395,46 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; see `asyncio.Protocol`."""
         if self._rejected:
+            self._drop(len(data))
             return
         self._ingress.idle.pop(self, None)
-        if self._in_head:
-            if not self._head_bytes and self._current is None:
-                self._set_timer(self._ingress.limits.header_timeout_s)
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            status = cause.status if isinstance(cause, _RejectedError) else 400
-            self._reject(status)
-        except httptools.HttpParserError:
-            self._reject(400)
+        if len(data) > SLICE_BYTES and self._transport is not None:
+            self._unparsed = memoryview(data)
+            self._transport.pause_reading()
+            self._parse_slice()
         else:
-            self._check_head()
-        self._begin_next()
+            self._parse(data)
 
-    def on_message_begin(self) -> None:
-        """Start a new request; called by the parser."""
-        self._incoming = Exchange(self)
-        self._body_chunks = []
-        self._body_bytes = 0
-        self._in_head = True
-
-    def on_url(self, url: bytes) -> None:
-        """Append a piece of the request target; called by the parser."""
-        if self._incoming is not None:
-            self._incoming.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; called by the parser."""
-        if self._incoming is not None and self._in_head:
-            self._incoming.headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Check the head of a request; called by the parser."""
-        exchange = self._incoming
-        if exchange is None:
-            return
-        self._in_head = False
-        self._head_bytes = 0
-        exchange.method = self._parser.get_method()
-        exchange.keep_alive = self._parser.should_keep_alive()
-        exchange.accepts_chunked = self._parser.get_http_version() != "1.0"
-        size = sum(len(n) + len(v) + 4 for n, v in exchange.headers)
-        limits = self._ingress.limits
-        if size + len(exchange.target) > limits.header_bytes:
-            raise _RejectedError(431)
-        for name, value in exchange.headers:
+    @property
+    def max_head_bytes(self) -> int:
+        """Return the limit of a head's bytes; see `RequestSink`."""
+        return self._ingress.limits.header_bytes
+
+    def head_received(self, request: Request) -> None:
+        """Check the head of a request; see `RequestSink`."""
+        for name, value in request.headers:
             self._check_header(name.lower(), value)
         if self._current is None:
-            self._set_timer(limits.idle_timeout_s)
+            self._set_timer(self._ingress.limits.idle_timeout_s)
 
-    def on_body(self, data: bytes) -> None:
-        """Store a piece of the body; called by the parser."""
+    def body_received(self, size_bytes: int) -> None:
+        """Count a piece of a body; see `RequestSink`."""
         ingress = self._ingress
-        self._body_bytes += len(data)
-        self._buffered_bytes += len(data)
-        ingress.buffered_bytes += len(data)
-        if self._body_bytes > ingress.limits.body_bytes:
-            raise _RejectedError(413)
+        self._buffered_bytes += size_bytes
+        ingress.buffered_bytes += size_bytes
+        if self._reader.body_bytes > ingress.limits.body_bytes:
+            raise RejectedError(413, ExcessReason.BODY)
         if ingress.buffered_bytes > ingress.limits.buffered_bytes:
-            raise _RejectedError(503)
-        self._body_chunks.append(data)
-
-    def on_message_complete(self) -> None:
-        """Queue a complete request; called by the parser."""
-        exchange = self._incoming
-        self._incoming = None
-        self._in_head = True
-        self._head_bytes = 0
-        if exchange is None:
-            return
-        exchange.body = b"".join(self._body_chunks)
-        self._body_chunks = []
-        exchange.arrived_s = self._ingress.clock()
+            ingress.make_body_room(self)
+
+    def request_received(self, request: Request) -> None:
+        """Queue a complete request; see `RequestSink`."""
         if len(self._pipelined) >= MAX_PIPELINED:
-            raise _RejectedError(400)
+            self._release(len(request.body))
+            raise RejectedError(400, ExcessReason.PIPELINED)
+        exchange = Exchange(self)
+        exchange.take(request)
+        exchange.arrived_s = self._ingress.clock()
         self._pipelined.append(exchange)
 
     def write(self, data: bytes) -> None:
@@ -440,13 +458,15 @@
             return
         self._current = None
         self._release(len(exchange.body))
-        if not exchange.keep_alive:
+        if self._rejected and not (exchange.keep_alive or self._resets):
+            self._linger()
+        elif not exchange.keep_alive:
             self._close()
         elif self._pipelined:
             self._begin_next()
         else:
             self._set_timer(self._ingress.limits.idle_timeout_s)
-            if self._incoming is None and not self._head_bytes:
+            if not self.receiving:
                 self._ingress.idle[self] = None
 
     def has_peer_closed(self) -> bool:
@@ -515,7 +535,24 @@
     @property
     def receiving(self) -> bool:
         """Return whether a part of a request has arrived."""
-        return self._incoming is not None or self._head_bytes > 0
+        return self._reader.receiving or self._unparsed is not None
+
+    @property
+    def kept_bytes(self) -> int:
+        """Return the bytes of requests that no handler has yet."""
+        kept = self._reader.kept_bytes
+        if self._unparsed is not None:
+            kept += len(self._unparsed)
+        for exchange in self._pipelined:
+            kept += exchange.head_bytes + len(exchange.body)
+        return kept
+
+    def end_for_memory(self) -> None:
+        """Reject the requests that no handler has yet; answer the other."""
+        for exchange in self._pipelined:
+            self._release(len(exchange.body))
+        self._pipelined.clear()
+        self._reject(503, ExcessReason.MEMORY)
 
     def refuse_incomplete(self) -> None:
         """Refuse the request of which a part has arrived, and close."""
@@ -528,30 +565,82 @@
         exchange = self._pipelined.popleft()
         self._clear_timer()
         self._current = exchange
+        self._count_kept()
         self._ingress.handle(exchange)
 
+    def _parse_slice(self) -> None:
+        """Parse a part of the bytes of a large read."""
+        data, transport = self._unparsed, self._transport
+        if data is None or transport is None:
+            return
+        self._unparsed = data[SLICE_BYTES:] or None
+        self._parse(data[:SLICE_BYTES])
+        if self._unparsed is not None:
+            asyncio.get_running_loop().call_soon(self._parse_slice)
+        else:
+            transport.resume_reading()
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse received bytes, and begin the next request."""
+        reader = self._reader
+        begins = reader.in_head and not reader.framing_bytes
+        if begins and self._current is None:
+            self._set_timer(self._ingress.limits.header_timeout_s)
+        try:
+            reader.feed(data)
+        except RejectedError as error:
+            self._reject(error.status, error.reason)
+        self._begin_next()
+        if self.receiving or self._pipelined or self._account.size_bytes:
+            self._count_kept()
+
+    def _count_kept(self) -> None:
+        """Count the bytes of requests that no handler has yet."""
+        kept_bytes = self.kept_bytes
+        if kept_bytes != self._account.size_bytes:
+            self._account.resize(kept_bytes)
+
+    def _drop(self, size_bytes: int) -> None:
+        """Drop bytes after a rejected request, up to a limit."""
+        self._dropped_bytes += size_bytes
+        if self._dropped_bytes <= MAX_DROPPED_BYTES:
+            return
+        if self._current is None:
+            self._close()
+        elif self._transport is not None:
+            self._transport.pause_reading()
+
+    def _linger(self) -> None:
+        """Close once the caller has had time to read the answer."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._dropped_bytes > MAX_DROPPED_BYTES:
+            self._close()
+            return
+        transport.write_eof()
+        self._set_timer(LINGER_S)
+
     def _check_header(self, name: bytes, value: bytes) -> None:
         """Check content-length and answer an expect header."""
         if name == b"content-length":
             too_long = len(value) > 12
             if too_long or int(value) > self._ingress.limits.body_bytes:
-                raise _RejectedError(413)
+                raise RejectedError(413, ExcessReason.BODY)
             return
         waits = name == b"expect" and value.lower() == b"100-continue"
         if waits and self._current is None:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _check_head(self) -> None:
-        """Reject an incomplete head that exceeds the limit."""
-        if self._in_head and not self._rejected:
-            limits = self._ingress.limits
-            if self._head_bytes > limits.header_bytes + 4096:
-                self._reject(431)
-
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, reason: ExcessReason | None = None) -> None:
         """Respond with an error status and close; parse nothing more."""
         self._rejected = True
-        self._incoming = None
+        self._release(self._reader.body_bytes)
+        self._reader.discard()
+        self._unparsed = None
+        self._count_kept()
+        if reason is not None:
+            self._report(reason)
         # Whole requests that came before are still answered.
         if self._pipelined:
             self._pipelined[-1].keep_alive = False
@@ -564,6 +653,13 @@
         self._current = refusal
         refusal.answer(status, [])
 
+    def _report(self, reason: ExcessReason) -> None:
+        """Report that the caller sent too much."""
+        ingress, transport = self._ingress, self._transport
+        peer = transport and transport.get_extra_info("peername")
+        address = f"{peer[0]}:{peer[1]}" if peer else ""
+        ingress.on_excess(Excess(ingress.peer, address, reason))
+
     def _set_timer(self, delay_s: float) -> None:
         """Start the timer for a head or an idle connection."""
         self._clear_timer()
@@ -581,8 +677,8 @@
         self._timer = None
         if self._current is not None:
             return
-        if self._head_bytes or self._incoming is not None:
-            self._reject(408)
+        if self.receiving:
+            self._reject(408, ExcessReason.TIME)
         else:
             self._close()
 
@@ -623,15 +719,3 @@
             exchange.ended = True
             if exchange.on_disconnect is not None:
                 exchange.on_disconnect()
-
-
-class _RejectedError(Exception):
-    """Raised in parser callbacks to reject the current request."""
-
-    def __init__(self, status: int) -> None:
-        """Make the error.
-
-        :param status: the HTTP status of the response
-        """
-        super().__init__(status)
-        self.status = status
