Callers: all bytes that wait count, and each end is reported

What a read held behind a whole request, and what a header takes beside its bytes, did not count in the memory budget: 40 callers with half a head behind a whole request passed a limit of 200 kB unseen. Both count now, rather too much than too little. A request is parsed into its exchange, without a copy of its fields.

Evidence: of the cases of one limit for all that waits, "heads" failed before the bytes behind a request counted; all pass now.

--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -118,40 +118,27 @@
         exchange.connection.exchange_finished(exchange)
 
 
-class Exchange:
+class Exchange(Request):
     """One request of a caller, and its response."""
 
     __slots__ = (
-        "accepts_chunked",
         "arrived_s",
-        "body",
         "bodyless",
         "chunked",
         "connection",
         "ended",
-        "head_bytes",
-        "headers",
-        "keep_alive",
-        "method",
         "on_disconnect",
         "sent_bytes",
         "started",
-        "target",
     )
 
     def __init__(self, connection: ClientConnection) -> None:
-        """Make an exchange without a request.
+        """Make an exchange whose request has not been received yet.
 
         :param connection: the caller's connection
         """
+        super().__init__()
         self.connection = connection
-        self.method = b""
-        self.target = b""
-        self.headers: RawHeaders = []
-        self.body: bytes = b""
-        self.keep_alive = True
-        self.accepts_chunked = True  # Not so for HTTP/1.0.
-        self.head_bytes = 0  # Received of the request's head.
         self.arrived_s = 0.0
         self.started = False  # Whether the head was written.
         self.sent_bytes = 0  # Written of the body.
@@ -160,19 +147,6 @@
         self.ended = False  # Whether the response has ended.
         self.on_disconnect: Callable[[], None] | None = None
 
-    def take(self, request: Request) -> None:
-        """Take a received request.
-
-        :param request: the complete request
-        """
-        self.method = request.method
-        self.target = request.target
-        self.headers = request.headers
-        self.body = request.body
-        self.keep_alive = request.keep_alive
-        self.accepts_chunked = request.accepts_chunked
-        self.head_bytes = request.head_bytes
-
     def answer(
         self, status: int, headers: RawHeaders, body: bytes = b""
     ) -> None:
@@ -351,7 +325,7 @@
         """
         self._ingress = ingress
         self._transport: asyncio.Transport | None = None
-        self._reader = RequestReader(self)
+        self._reader: RequestReader[Exchange] = RequestReader(self)
         self._unparsed: memoryview | None = None  # Received, for later turns.
         self._account = ingress.memory.open(self.end_for_memory)
         self._buffered_bytes = 0
@@ -410,7 +384,11 @@
         """Return the limit of a head's bytes; see `RequestSink`."""
         return self._ingress.limits.header_bytes
 
-    def head_received(self, request: Request) -> None:
+    def new_request(self) -> Exchange:
+        """Return an exchange for the next request; see `RequestSink`."""
+        return Exchange(self)
+
+    def head_received(self, request: Exchange) -> None:
         """Check the head of a request; see `RequestSink`."""
         for name, value in request.headers:
             self._check_header(name.lower(), value)
@@ -427,15 +405,13 @@
         if ingress.buffered_bytes > ingress.limits.buffered_bytes:
             ingress.make_body_room(self)
 
-    def request_received(self, request: Request) -> None:
+    def request_received(self, request: Exchange) -> None:
         """Queue a complete request; see `RequestSink`."""
         if len(self._pipelined) >= MAX_PIPELINED:
             self._release(len(request.body))
             raise RejectedError(400, ExcessReason.PIPELINED)
-        exchange = Exchange(self)
-        exchange.take(request)
-        exchange.arrived_s = self._ingress.clock()
-        self._pipelined.append(exchange)
+        request.arrived_s = self._ingress.clock()
+        self._pipelined.append(request)
 
     def write(self, data: bytes) -> None:
         """Write bytes to the caller if it is still connected.
@@ -565,7 +541,8 @@
         exchange = self._pipelined.popleft()
         self._clear_timer()
         self._current = exchange
-        self._count_kept()
+        if self._account.size_bytes:
+            self._count_kept()
         self._ingress.handle(exchange)
 
     def _parse_slice(self) -> None:
@@ -591,7 +568,12 @@
         except RejectedError as error:
             self._reject(error.status, error.reason)
         self._begin_next()
-        if self.receiving or self._pipelined or self._account.size_bytes:
+        if (
+            self._pipelined
+            or self._account.size_bytes
+            or reader.kept_bytes
+            or self._unparsed is not None
+        ):
             self._count_kept()
 
     def _count_kept(self) -> None:
--- a/src/bulrushstream/transport/requestreader.py
+++ b/src/bulrushstream/transport/requestreader.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from typing import Final, Protocol
+from typing import Final, Generic, Protocol, TypeVar
 
 import httptools
 
@@ -23,21 +22,35 @@
 # Size line and end of an ordinary chunk, which do not count.
 CHUNK_FRAMING_BYTES: Final = 16
 
+# What a header takes in memory beside its bytes.
+HEADER_OVERHEAD_BYTES: Final = 128
+
 # Pieces of a body that are kept apart.
-MAX_PIECES: Final = 1_024
+MAX_PIECES: Final = 128
 
 
-@dataclass(slots=True)
 class Request:
     """One request, complete or not."""
 
-    method: bytes = b""
-    target: bytes = b""
-    headers: RawHeaders = field(default_factory=list)
-    body: bytes = b""
-    keep_alive: bool = True
-    accepts_chunked: bool = True  # Not so for HTTP/1.0.
-    head_bytes: int = 0  # Known once the head is complete.
+    __slots__ = (
+        "accepts_chunked",
+        "body",
+        "head_bytes",
+        "headers",
+        "keep_alive",
+        "method",
+        "target",
+    )
+
+    def __init__(self) -> None:
+        """Make a request of which nothing has been received yet."""
+        self.method = b""
+        self.target = b""
+        self.headers: RawHeaders = []
+        self.body: bytes = b""
+        self.keep_alive = True
+        self.accepts_chunked = True  # Not so for HTTP/1.0.
+        self.head_bytes = 0  # In memory; known once the head is complete.
 
 
 class RejectedError(Exception):
@@ -56,16 +69,22 @@
         self.reason = reason
 
 
-class RequestSink(Protocol):
+AnyRequest = TypeVar("AnyRequest", bound=Request)
+
+
+class RequestSink(Protocol[AnyRequest]):
     """Takes requests; its methods may raise `RejectedError`."""
 
-    def head_received(self, request: Request) -> None:
+    def new_request(self) -> AnyRequest:
+        """Return a request of which nothing has been received yet."""
+
+    def head_received(self, request: AnyRequest) -> None:
         """Handle a request whose head is complete."""
 
     def body_received(self, size_bytes: int) -> None:
         """Count a piece of a body before it is kept."""
 
-    def request_received(self, request: Request) -> None:
+    def request_received(self, request: AnyRequest) -> None:
         """Handle a complete request."""
 
     @property
@@ -73,33 +92,40 @@
         """Return the limit of a head's bytes."""
 
 
-class RequestReader:
+class RequestReader(Generic[AnyRequest]):
     """Parses the requests of one connection."""
 
     __slots__ = (
+        "_begun_now",
         "_chunk_begun",
+        "_fed_bytes",
         "_gathered",
         "_header_count",
         "_parser",
         "_pieces",
         "_request",
         "_sink",
+        "_uncounted_bytes",
         "body_bytes",
         "framing_bytes",
         "in_head",
     )
 
-    def __init__(self, sink: RequestSink) -> None:
+    def __init__(self, sink: RequestSink[AnyRequest]) -> None:
         """Make a reader at the start of a connection.
 
         :param sink: takes the requests
         """
         self._sink = sink
         self._parser = httptools.HttpRequestParser(self)
-        self._request: Request | None = None
+        self._request: AnyRequest | None = None
         self._pieces: list[bytes] = []
         self._gathered = bytearray()  # Of the body, before the pieces.
         self._header_count = 0
+        self._begun_now = False  # Whether the request began in this read.
+        self._fed_bytes = 0  # Of this read, without its whole requests.
+        # What the request may have of a read that another one ended in.
+        self._uncounted_bytes = 0
         self._chunk_begun = False  # Whether a chunk's size line is complete.
         self.body_bytes = 0  # Received of the body.
         self.framing_bytes = 0  # Received of the request, beside its body.
@@ -112,8 +138,15 @@
 
     @property
     def kept_bytes(self) -> int:
-        """Return the bytes of the incomplete request."""
-        return self.framing_bytes + self.body_bytes
+        """Return the bytes of the incomplete request, or more."""
+        if self._request is None:
+            return self.framing_bytes
+        return (
+            self.framing_bytes
+            + self.body_bytes
+            + self._uncounted_bytes
+            + self._header_count * HEADER_OVERHEAD_BYTES
+        )
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
@@ -122,6 +155,8 @@
         :raises RejectedError: if a request is not accepted
         """
         self.framing_bytes += len(data)
+        self._fed_bytes = len(data)
+        self._begun_now = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -140,16 +175,17 @@
     def discard(self) -> None:
         """Drop the incomplete request; nothing may be fed afterwards."""
         self._request = None
-        self._pieces = []
-        self._gathered = bytearray()
+        self._pieces.clear()
+        self._gathered.clear()
         self.body_bytes = self.framing_bytes = 0
 
     # --- Called by the parser.
 
     def on_message_begin(self) -> None:
         """Start a new request."""
-        self._request = Request()
+        self._request = self._sink.new_request()
         self._header_count = 0
+        self._begun_now = True
 
     def on_url(self, url: bytes) -> None:
         """Append a piece of the request target."""
@@ -173,17 +209,19 @@
         request.method = self._parser.get_method()
         request.keep_alive = self._parser.should_keep_alive()
         request.accepts_chunked = self._parser.get_http_version() != "1.0"
-        request.head_bytes = len(request.target) + sum(
+        size = len(request.target) + sum(
             len(name) + len(value) + 4 for name, value in request.headers
         )
-        if request.head_bytes > self._sink.max_head_bytes:
+        if size > self._sink.max_head_bytes:
             raise RejectedError(431, ExcessReason.HEAD)
+        overhead_bytes = len(request.headers) * HEADER_OVERHEAD_BYTES
+        request.head_bytes = size + overhead_bytes
         self._sink.head_received(request)
 
     def on_chunk_header(self) -> None:
         """Do not count the ordinary part of a chunk's framing."""
         self._chunk_begun = True
-        self._discount(CHUNK_FRAMING_BYTES)
+        self.framing_bytes -= min(CHUNK_FRAMING_BYTES, self.framing_bytes)
 
     def on_chunk_complete(self) -> None:
         """Expect another chunk."""
@@ -192,7 +230,7 @@
     def on_body(self, data: bytes) -> None:
         """Store a piece of the body."""
         size = len(data)
-        self._discount(size)
+        self.framing_bytes -= min(size, self.framing_bytes)
         self.body_bytes += size
         self._sink.body_received(size)
         self._pieces.append(data)
@@ -208,10 +246,15 @@
         if self._gathered:
             pieces.insert(0, bytes(self._gathered))
         request.body = b"".join(pieces)
+        if self._begun_now:
+            self._fed_bytes -= self._whole_bytes(request)
         self.discard()
+        self._uncounted_bytes = max(0, self._fed_bytes)
         self.in_head = True
         self._sink.request_received(request)
 
-    def _discount(self, size_bytes: int) -> None:
-        """Subtract bytes that are no framing, or ordinary framing."""
-        self.framing_bytes = max(0, self.framing_bytes - size_bytes)
+    @staticmethod
+    def _whole_bytes(request: Request) -> int:
+        """Return the least number of bytes that a request was sent in."""
+        overhead_bytes = len(request.headers) * (HEADER_OVERHEAD_BYTES + 1)
+        return request.head_bytes - overhead_bytes + len(request.body)
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -14,6 +14,8 @@
 import pytest
 
 from bulrushstream.history.virtualloop import run_virtually
+from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.transport.ingress import (
     ClientConnection,
     Exchange,
@@ -42,16 +44,23 @@
     "behind another": (WHOLE + LAST + b"x: ", b"x", 200),
 }
 MAX_BODY_BYTES: Final = 10_000
+REASONS: Final = {
+    "head": ExcessReason.HEAD,
+    "headers": ExcessReason.HEADERS,
+    "url": ExcessReason.HEAD,
+    "lines": ExcessReason.HEAD,
+    "trailers": ExcessReason.HEADERS,
+    "body": ExcessReason.BODY,
+    "tiny chunks": ExcessReason.BODY,
+}
 
 
 class CallerTransport(asyncio.Transport):
     """A caller's connection, of which the router reads while it wants."""
 
     def __init__(self, connection: ClientConnection) -> None:
-        super().__init__()
+        super().__init__({"peername": ("192.0.2.7", 40000)})
         self._connection = connection
-        self._rest = memoryview(b"")
-        self._sending: Iterable[bytes] = ()
         self.answer = b""
         self.read_bytes = 0
         self.paused = self.ended = self.closed = False
@@ -102,18 +111,29 @@
 
 
 class Router:
-    """A router's callers' side, which answers each request at once."""
+    """A router's callers' side, which answers each request at once.
+
+    Except those to `/held`, which it never answers.
+    """
 
-    def __init__(self, limits: IngressLimits | None = None) -> None:
+    def __init__(
+        self, limits: IngressLimits | None = None, memory_bytes: int = 2**24
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.received: list[Exchange] = []
+        self.reports: list[Excess] = []
         self.ingress = Ingress(
-            self._handle, limits or IngressLimits(), loop.time
+            self._handle,
+            limits or IngressLimits(),
+            loop.time,
+            MemoryBudget(memory_bytes),
+            on_excess=self.reports.append,
         )
 
     def _handle(self, exchange: Exchange) -> None:
         self.received.append(exchange)
-        exchange.answer(200, [])
+        if exchange.target != b"/held":
+            exchange.answer(200, [])
 
     def connect(self) -> CallerTransport:
         return CallerTransport(self.ingress.make_connection())
@@ -158,6 +178,22 @@
 
         play(case)
 
+    def test_each_end_is_reported_once(self, place: str) -> None:
+        """Guards against operators who can't see who sends too much."""
+        start, repeated, _ = ENDLESS[place]
+
+        async def case() -> None:
+            router = Router(IngressLimits(body_bytes=MAX_BODY_BYTES))
+            caller = router.connect()
+            await caller.send(pieces(start, repeated, 1460))
+            await asyncio.sleep(3.0)
+            reason = REASONS.get(place, ExcessReason.FRAMING)
+            assert router.reports == [
+                Excess(PeerKind.CALLER, "192.0.2.7:40000", reason)
+            ]
+
+        play(case)
+
     def test_a_trickle_ends_in_time(self, place: str) -> None:
         start, repeated, status = ENDLESS[place]
 
@@ -198,6 +234,56 @@
 
         play(case)
 
+    @pytest.mark.parametrize("current", ("held", "none"))
+    @pytest.mark.parametrize(
+        "kind",
+        ("bodies", "heads", "half a head", "behind another", "short headers"),
+    )
+    def test_all_that_waits_has_one_limit(
+        self, kind: str, current: str
+    ) -> None:
+        """Guards against many callers with a little each."""
+        body = b"POST /a HTTP/1.1\r\nContent-Length: 15000\r\n\r\n"
+        head = b"GET /a HTTP/1.1\r\nx: %b" % (b"x" * 15_000)
+        waiting = {
+            "bodies": (body + b"x" * 15_000) * 3 + body + b"x" * 9_000,
+            "heads": (head + b"\r\n\r\n") * 3 + head,
+            "half a head": head,
+            "behind another": WHOLE + head,
+            "short headers": b"GET /a HTTP/1.1\r\n" + b"ab:cd\r\n" * 120,
+        }[kind]
+        held = b"GET /held HTTP/1.1\r\n\r\n"
+
+        async def case() -> None:
+            router = Router(memory_bytes=200_000)
+            greedy = [router.connect() for _ in range(40)]
+            for each in greedy:
+                await each.send([held] if current == "held" else [])
+                await each.send([waiting])
+                ingress = router.ingress
+                kept = sum(each.kept_bytes for each in ingress.connections)
+                assert ingress.memory.used_bytes == kept <= 200_000
+            # No connection's waiting bytes go uncounted.
+            assert kept >= 130_000
+            other = router.connect()
+            await other.send([WHOLE[:20], WHOLE[20:]])
+            assert other.statuses == [200]
+            ended = len(router.reports)
+            assert {each.reason for each in router.reports} <= {
+                ExcessReason.MEMORY
+            }
+            if current == "held":
+                assert ended >= 27
+                for exchange in router.received[:40]:
+                    exchange.answer(200, [])
+                assert all(each.statuses[0] == 200 for each in greedy)
+                assert sum(each.ended for each in greedy) == ended
+            else:
+                refused = [x for x in greedy if x.statuses[-1:] == [503]]
+                assert len(refused) == ended >= 18
+
+        play(case)
+
     @pytest.mark.parametrize("chunk", (b"1\r\nx\r\n", b"1;a\r\nx\r\n"))
     def test_one_callers_bytes_take_one_turn_of_many(
         self, chunk: bytes
