--- a/src/bulrushstream/transport/requestreader.py
+++ b/src/bulrushstream/transport/requestreader.py
@@ -25,9 +25,6 @@
 # What a header takes in memory beside its bytes.
 HEADER_OVERHEAD_BYTES: Final = 128
 
-# Pieces of a body that are kept apart.
-MAX_PIECES: Final = 128
-
 
 class Request:
     """One request, complete or not."""
@@ -99,11 +96,11 @@
         "_begun_now",
         "_chunk_begun",
         "_fed_bytes",
-        "_gathered",
+        "_first_piece",
         "_header_count",
         "_parser",
-        "_pieces",
         "_request",
+        "_rest",
         "_sink",
         "_uncounted_bytes",
         "body_bytes",
@@ -119,8 +116,8 @@
         self._sink = sink
         self._parser = httptools.HttpRequestParser(self)
         self._request: AnyRequest | None = None
-        self._pieces: list[bytes] = []
-        self._gathered = bytearray()  # Of the body, before the pieces.
+        self._first_piece = b""  # Of the body; often all of it.
+        self._rest = bytearray()
         self._header_count = 0
         self._begun_now = False  # Whether the request began in this read.
         self._fed_bytes = 0  # Of this read, without its whole requests.
@@ -175,8 +172,8 @@
     def discard(self) -> None:
         """Drop the incomplete request; nothing may be fed afterwards."""
         self._request = None
-        self._pieces.clear()
-        self._gathered.clear()
+        self._first_piece = b""
+        self._rest.clear()
         self.body_bytes = self.framing_bytes = 0
 
     # --- Called by the parser.
@@ -233,19 +230,19 @@
         self.framing_bytes -= min(size, self.framing_bytes)
         self.body_bytes += size
         self._sink.body_received(size)
-        self._pieces.append(data)
-        if len(self._pieces) >= MAX_PIECES:
-            self._gathered += b"".join(self._pieces)
-            self._pieces.clear()
+        if self._first_piece:
+            self._rest += data
+        else:
+            self._first_piece = data
 
     def on_message_complete(self) -> None:
         """Pass on a complete request."""
-        request, pieces = self._request, self._pieces
+        request = self._request
         if request is None:
             return
-        if self._gathered:
-            pieces.insert(0, bytes(self._gathered))
-        request.body = b"".join(pieces)
+        request.body = self._first_piece
+        if self._rest:
+            request.body += self._rest
         if self._begun_now:
             self._fed_bytes -= self._whole_bytes(request)
         self.discard()
