Own interface: requests without end are not read on, and refusals wait

Peers of the fleet's own interface could send trailers, chunk extensions and sizes without end; trailers became headers of a running request. One read of very many small requests made a task's worth of state for each. A connection whose request was answered early, or that sent empty lines after an answer, stayed open for as long as bytes trickled. A refusal of a request behind another was written at once: the caller of the first one got 400 or 431 for a request that was running, or found a head within its answer.

The server counted bytes until the head was complete, the time until the head only, and looked at no other request when it refused one.

The protocol is a module of its own, with one count for what is not body, a limit of headers and of waiting requests, and a time limit for the rest of an answered request and for bytes between requests. A refusal waits: the request before it is answered, then the connection closes. What a peer writes after a refusal is dropped up to a limit. Bodies of very many small pieces are joined as they come, and operators' actions have a time limit. Each end is reported.

--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -28,7 +28,12 @@
     follow_list,
     keep_registered,
 )
-from bulrushstream.metrics import Metrics, count_message, encode_metrics
+from bulrushstream.metrics import (
+    Metrics,
+    count_excess,
+    count_message,
+    encode_metrics,
+)
 from bulrushstream.settings import ListenSettings, PlatformSettings
 from bulrushstream.state.config import VersionedConfig
 from bulrushstream.state.effect import (
@@ -46,6 +51,7 @@
     DrainStarted,
     InstancesListed,
 )
+from bulrushstream.state.excess import Excess, PeerKind
 from bulrushstream.state.identity import InstanceInfo
 from bulrushstream.state.message import ConfigFetch, ConfigPush, Goodbye
 from bulrushstream.state.status import DrainState, Status
@@ -240,10 +246,23 @@
             )
         )
         self.operators = Server(
-            app, listen.host, listen.port, ServerLimits(max_connections=64)
+            app,
+            listen.host,
+            listen.port,
+            ServerLimits(max_connections=64),
+            PeerKind.OPERATOR,
+            self.peer_exceeded,
         )
         await self.operators.start()
 
+    def peer_exceeded(self, excess: Excess) -> None:
+        """Log and count a connection whose peer sent too much; `OnExcess`.
+
+        :param excess: what it sent
+        """
+        self.deps.report("excess", str(excess))
+        count_excess(self.deps.metrics, excess)
+
     def readiness(self) -> Readiness:
         """Return whether requests are accepted, and what is degraded."""
         degraded = tuple(
--- a/src/bulrushstream/daemon/router.py
+++ b/src/bulrushstream/daemon/router.py
@@ -127,6 +127,7 @@
                 header_timeout_s=limits.read_timeout_s,
                 idle_timeout_s=limits.idle_timeout_s,
             ),
+            on_excess=self.peer_exceeded,
         )
 
     async def start(self) -> None:
--- a/src/bulrushstream/transport/incoming.py
+++ b/src/bulrushstream/transport/incoming.py
@@ -113,24 +113,25 @@
 ) -> Result[bytes, Refusal] | None:
     """Read a body; return None if the caller disconnected."""
     body_bytes = 0
-    chunks: list[bytes] = []
+    body = bytearray()
     more = True
     try:
         while more:
             message = await receive()
             if message["type"] != "http.request":
                 return None
-            chunks.append(message["body"])
+            piece = message["body"]
             more = message["more_body"]
-            body_bytes += len(chunks[-1])
-            state.reading_bytes += len(chunks[-1])
+            body += piece
+            body_bytes += len(piece)
+            state.reading_bytes += len(piece)
             if body_bytes > limits.max_body_bytes:
                 return Error(_refuse_large(limits))
             if state.reading_bytes > limits.max_reading_bytes:
                 return Error(Refusal(messages.MEMORY_FULL, "", 1.0, True))
     finally:
         state.reading_bytes -= body_bytes
-    return Ok(b"".join(chunks))
+    return Ok(bytes(body))
 
 
 def _incoming(scope: Any, headers: Headers, body: bytes) -> Incoming:
--- a/src/bulrushstream/transport/operators.py
+++ b/src/bulrushstream/transport/operators.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,6 +18,7 @@
 
 ACTIONS_PATH = "/actions"
 MAX_ACTION_BYTES = 65536
+READ_TIMEOUT_S = 10.0  # For the body of an action.
 
 Action = Callable[[bytes], Awaitable[Any]]
 
@@ -102,20 +104,32 @@
         return 404, {"error": f"no action {name!r}"}
     if scope["method"] != "POST":
         return 405, {"error": "actions are posted"}
-    pieces = []
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            body = await _read_body(receive)
+    except TimeoutError:
+        return 408, {"error": "the body takes too long"}
+    if body is None:
+        return 400, {"error": "no body"}
+    if len(body) > MAX_ACTION_BYTES:
+        return 413, {"error": "the body is too large"}
+    try:
+        return 200, await action(body)
+    except ActionError as error:
+        return 400, {"error": str(error)}
+
+
+async def _read_body(receive: Any) -> bytes | None:
+    """Return a body, or a part above the limit; None: it has no end."""
+    body = bytearray()
     more = True
-    while more:
+    while more and len(body) <= MAX_ACTION_BYTES:
         message = await receive()
         if message["type"] != "http.request":
-            return 400, {"error": "no body"}
-        pieces.append(message["body"])
+            return None
+        body += message["body"]
         more = message["more_body"]
-        if sum(map(len, pieces)) > MAX_ACTION_BYTES:
-            return 413, {"error": "the body is too large"}
-    try:
-        return 200, await action(b"".join(pieces))
-    except ActionError as error:
-        return 400, {"error": str(error)}
+    return bytes(body)
 
 
 def _json(status: int, value: Any) -> Response[bytes]:
--- a/src/bulrushstream/transport/server.py
+++ b/src/bulrushstream/transport/server.py
@@ -21,11 +21,15 @@
 from typing import Any, Final
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
-from bulrushstream.messages import BAD_REQUEST, TOO_MANY_CONNECTIONS, Notice
-from bulrushstream.transport.problem import encode_problem, problem_headers
+from bulrushstream.state.excess import OnExcess, PeerKind
+from bulrushstream.transport.boundedprotocol import (
+    BoundedProtocol,
+    ServerLimits,
+)
+
+__all__ = ["Connection", "Server", "ServerLimits", "connection_of", "serve"]
 
 EXTENSION: Final = "bulrushstream"
 STOP_GRACE_S: Final = 5.0
@@ -35,123 +39,6 @@
 logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """Limits of a server."""
-
-    max_connections: int = 1024  # Open connections.
-    max_header_bytes: int = 32768  # Request line and headers together.
-    header_timeout_s: float = 10.0  # To receive the head of a request.
-    idle_timeout_s: float = 75.0  # Between two requests.
-
-
-class BoundedProtocol(HttpToolsProtocol):
-    """uvicorn's HTTP protocol with limits on connections and heads."""
-
-    limits: ServerLimits
-    owner: Server  # The server that accepted the connection.
-    _head_bytes: int  # Received bytes of an incomplete head.
-    _in_head: bool  # Whether no complete head was received.
-    _head_timer: asyncio.TimerHandle | None  # Limits the time for a head.
-
-    def __init__(
-        self, config: uvicorn.Config, state: ServerState, owner: Server
-    ) -> None:
-        super().__init__(config, state, {})
-        self.owner = owner
-        self.limits = owner.limits
-        self._head_bytes = 0
-        self._in_head = True
-        self._head_timer = None
-
-    def connection_made(  # type: ignore[override]
-        self, transport: asyncio.Transport
-    ) -> None:
-        """Start the head's timer, or refuse a connection over the limit."""
-        super().connection_made(transport)
-        if len(self.connections) > self.limits.max_connections:
-            self._refuse(TOO_MANY_CONNECTIONS, 503)
-            return
-        self._start_head_timer()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timer."""
-        self._stop_head_timer()
-        super().connection_lost(exc)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes; refuse a head that exceeds the limit."""
-        if self.transport.is_closing():
-            return
-        if self._in_head:
-            self._head_bytes += len(data)
-        super().data_received(data)
-        too_large = self._head_bytes > self.limits.max_header_bytes
-        if self._in_head and too_large:
-            self._refuse_head()
-
-    def on_message_begin(self) -> None:
-        """Start the timer for a head."""
-        super().on_message_begin()
-        self._start_head_timer()
-
-    def on_headers_complete(self) -> None:
-        """Check the head's size and pass the request to the app."""
-        self._in_head = False
-        self._head_bytes = 0
-        self._stop_head_timer()
-        size_bytes = len(self.url) + sum(
-            len(name) + len(value) for name, value in self.headers
-        )
-        if size_bytes > self.limits.max_header_bytes:
-            self._refuse_head()
-            return
-        extensions: dict[str, Any] = {
-            EXTENSION: Connection(self.transport, self.owner)
-        }
-        self.scope["extensions"] = extensions
-        super().on_headers_complete()
-
-    def send_400_response(self, msg: str) -> None:
-        """Refuse invalid HTTP with a problem document."""
-        if not self.transport.is_closing():
-            self._refuse(BAD_REQUEST, 400, why=msg)
-
-    def _start_head_timer(self) -> None:
-        """Start to wait for a head."""
-        self._in_head = True
-        self._stop_head_timer()
-        self._head_timer = self.loop.call_later(
-            self.limits.header_timeout_s, self._close_on_timeout
-        )
-
-    def _stop_head_timer(self) -> None:
-        """Cancel the timer for the head."""
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-    def _close_on_timeout(self) -> None:
-        """Close a connection whose head was not received in time."""
-        if self._in_head:
-            self.transport.close()
-
-    def _refuse_head(self) -> None:
-        """Refuse a head that is too large."""
-        why = f"the head exceeds {self.limits.max_header_bytes} bytes"
-        self._refuse(BAD_REQUEST, 431, why=why)
-
-    def _refuse(self, notice: Notice, status: int, why: str = "") -> None:
-        """Write a problem document and close the connection."""
-        body = encode_problem(notice, status=status, why=why)
-        head = [b"HTTP/1.1 %d Refused\r\n" % status]
-        for name, value in problem_headers(len(body)):
-            head.append(name + b": " + value + b"\r\n")
-        head.append(b"connection: close\r\n\r\n")
-        self.transport.write(b"".join(head) + body)
-        self.transport.close()
-
-
 @dataclass(frozen=True, slots=True)
 class Connection:
     """The connection of a request."""
@@ -187,6 +74,8 @@
     host: str  # The IP address that it listens on.
     port: int  # The port, known once it has started.
     limits: ServerLimits
+    _peer: PeerKind  # Who connects.
+    _on_excess: OnExcess
     _config: uvicorn.Config  # uvicorn's settings with the app.
     _state: ServerState  # Open connections and running tasks.
     _listener: asyncio.Server | None  # The listening socket.
@@ -195,11 +84,28 @@
     )  # Restarts after a simulated crash.
 
     def __init__(
-        self, app: Any, host: str, port: int, limits: ServerLimits
+        self,
+        app: Any,
+        host: str,
+        port: int,
+        limits: ServerLimits,
+        peer: PeerKind = PeerKind.CALLER,
+        on_excess: OnExcess = lambda _: None,
     ) -> None:
+        """Make a server that does not listen yet.
+
+        :param app: The ASGI app.
+        :param host: The IP address to listen on.
+        :param port: The port; 0: any free port.
+        :param limits: The limits.
+        :param peer: Who connects.
+        :param on_excess: Logs and counts a peer that sends too much.
+        """
         self.host = host
         self.port = port
         self.limits = limits
+        self._peer = peer
+        self._on_excess = on_excess
         self._config = uvicorn.Config(
             app,
             http=BoundedProtocol,
@@ -303,7 +209,20 @@
 
     def _make_protocol(self) -> BoundedProtocol:
         """Return the protocol of a new connection."""
-        return BoundedProtocol(self._config, self._state, self)
+        return BoundedProtocol(
+            self._config,
+            self._state,
+            self.limits,
+            self._add_connection,
+            self._peer,
+            self._on_excess,
+        )
+
+    def _add_connection(self, protocol: BoundedProtocol) -> None:
+        """Add the connection to the scope of a request."""
+        connection = Connection(protocol.transport, self)
+        extensions: dict[str, Any] = {EXTENSION: connection}
+        protocol.scope["extensions"] = extensions
 
 
 @contextlib.asynccontextmanager
