Callers: tests on real sockets of what is counted and answered

On each port of a router, a caller who writes far too much reads its answer to the end, and the connection is counted once with its reason.

--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -88,6 +88,47 @@
         assert answer.startswith(b"HTTP/1.1 413")
         assert not fleet.workers["d-1"].received
 
+    @pytest.mark.parametrize(
+        ("flood", "status", "reason"),
+        [
+            (b"0\r\nx: " + b"x" * 700_000, b"431", "framing"),
+            (b"0\r\n" + b"xy: z\r\n" * 100_000, b"431", "headers"),
+            (b"1;" + b"x" * 700_000, b"400", "framing"),
+            (b"3e8\r\n%b\r\n" % (b"x" * 1000) * 700, b"413", "body"),
+        ],
+    )
+    @pytest.mark.parametrize("listener", [0, 1, 2])
+    async def test_who_sends_too_much_gets_an_answer_and_is_counted(
+        self,
+        fleet: Deployment,
+        listener: int,
+        flood: bytes,
+        status: bytes,
+        reason: str,
+    ) -> None:
+        """Guards against a reset that takes the answer with it."""
+        front = fleet.process.front
+        front.limits.body_bytes = 1000
+        head = request_bytes(
+            "/once/x",
+            method="POST",
+            headers="Transfer-Encoding: chunked",
+        )
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", fleet.process.ports[listener]
+        )
+        # Those of the service port have the default limit.
+        large = listener > 0 and reason == "body"
+        writer.write(head + flood * (7 if large else 1))
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        peer = "operator" if listener else "caller"
+        counter = front.metrics.excess.labels(peer, reason)
+        assert counter._value.get() == 1
+        await fleet.wait_until(lambda: front.memory.used_bytes == 0)
+
     @pytest.mark.parametrize(
         "raw",
         [
