--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -120,9 +120,11 @@
         # Those of the service port have the default limit.
         large = listener > 0 and reason == "body"
         writer.write(head + flood * (7 if large else 1))
-        async with asyncio.timeout(5):
-            answer = await reader.read()
-        writer.close()
+        try:
+            async with asyncio.timeout(5):
+                answer = await reader.read()
+        finally:
+            writer.transport.abort()
         assert answer.startswith(b"HTTP/1.1 " + status)
         peer = "operator" if listener else "caller"
         counter = front.metrics.excess.labels(peer, reason)
