Own interface: all answers that callers have not read have one limit

Each caller who read slowly could have 4 MiB of its answer kept, and each of HTTP/1.0 4 MiB more until it was whole; the sum had no limit. Both count in a memory budget of 64 MiB now; at the limit the largest is broken off, as a single one is at 4 MiB.

--- a/src/bulrushstream/daemon/port.py
+++ b/src/bulrushstream/daemon/port.py
@@ -9,12 +9,16 @@
 from bulrushstream.coordination.matching import ConfigIndex
 from bulrushstream.state.effect import FailRequest, Reply
 from bulrushstream.state.event import CallerDisconnected, Event, RequestArrived
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.state.message import PartKind
 from bulrushstream.state.request import Request
 from bulrushstream.transport.port import AnswerQueue
 
 _ID_BYTES: Final = 6
 
+# Limit of the bytes of answers that callers have not read yet.
+MAX_ANSWERS_BYTES: Final = 64 << 20
+
 PortEvent: TypeAlias = Request | Reply | FailRequest | CallerDisconnected
 
 
@@ -26,6 +30,7 @@
     # Called with each request, answer part, failure and cancellation.
     on_event: Callable[[PortEvent], None] | None
     _queues: dict[str, AnswerQueue]  # Unfinished answers, by request id.
+    _answers: MemoryBudget  # The bytes in all queues.
     _prefix: str  # Random, so that request ids differ between restarts.
     _request_count: int  # Requests so far.
 
@@ -43,6 +48,7 @@
         self._post = post
         self._clock = clock
         self._queues = {}
+        self._answers = MemoryBudget(MAX_ANSWERS_BYTES)
         self._prefix = secrets.token_hex(_ID_BYTES)
         self._request_count = 0
 
@@ -76,7 +82,7 @@
         """Submit a request to the core; see `RouterPort`."""
         if self.on_event is not None:
             self.on_event(request)
-        queue = AnswerQueue()
+        queue = AnswerQueue(budget=self._answers)
         self._queues[request.request_id] = queue
         self._post(RequestArrived(request))
         return queue
--- a/src/bulrushstream/transport/answering.py
+++ b/src/bulrushstream/transport/answering.py
@@ -100,6 +100,8 @@
                 summary = await _handle_item(state, item)
                 if summary is not None:
                     return summary
+                if state.needs_length:
+                    answers.hold(state.buffered_bytes)
                 item = answers.next_nowait()
             await _flush_events(state)
     except TimeoutError:
--- a/src/bulrushstream/transport/callers.py
+++ b/src/bulrushstream/transport/callers.py
@@ -146,6 +146,7 @@
     finally:
         state.open_requests -= 1
         watcher.cancel()
+        answers.close()
         if sent is None or not sent.complete:
             state.port.cancel(request.request_id)
 
--- a/src/bulrushstream/transport/port.py
+++ b/src/bulrushstream/transport/port.py
@@ -4,7 +4,8 @@
 The router's task puts each `Reply` and `FailRequest` effect for the
 request into that queue, in the order in which the core returned them.  If
 a queue exceeds its limit because the caller reads too slowly, the front
-cancels the request, so that no caller can exhaust the router's memory.
+cancels the request, so that no caller can exhaust the router's memory.  All
+queues together have a limit, too, at which the largest one ends.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 
 from bulrushstream.coordination.matching import ConfigIndex
 from bulrushstream.state.effect import FailRequest, Reply
+from bulrushstream.state.memorybudget import Account, MemoryBudget
 from bulrushstream.state.request import Request
 
 MAX_QUEUED_BYTES: Final = 4 << 20
@@ -40,14 +42,24 @@
     _items: deque[AnswerItem]  # Not read by the front yet.
     _waiter: asyncio.Future[None] | None  # Set while next() waits.
     _queued_bytes: int  # Body bytes in the queue.
+    _held_bytes: int  # Body bytes that the front read and still keeps.
+    _account: Account  # All of these.
     _max_bytes: int  # The limit of queued body bytes.
     _overflowed: bool  # If set, further items are dropped.
 
-    def __init__(self, max_bytes: int = MAX_QUEUED_BYTES) -> None:
+    def __init__(
+        self,
+        max_bytes: int = MAX_QUEUED_BYTES,
+        budget: MemoryBudget | None = None,
+    ) -> None:
         """Make an empty queue.
 
         :param max_bytes: The limit of queued body bytes.
+        :param budget: The limit of all queues; None: this one has its own.
         """
+        budget = budget or MemoryBudget(2 * max_bytes)
+        self._account = budget.open(self._overflow)
+        self._held_bytes = 0
         self._items = deque()
         self._waiter = None
         self._queued_bytes = 0
@@ -64,13 +76,25 @@
         if isinstance(item, Reply):
             self._queued_bytes += len(item.part.data)
         if self._queued_bytes > self._max_bytes:
-            self._overflowed = True
-            self._items.clear()
-            item = Overflowed()
+            self._overflow()
+            return
         self._items.append(item)
-        waiter = self._waiter
-        if waiter is not None and not waiter.done():
-            waiter.set_result(None)
+        self._wake()
+        self._count()
+
+    def hold(self, size_bytes: int) -> None:
+        """Count bytes that the front read and still keeps.
+
+        :param size_bytes: The number of bytes.
+        """
+        self._held_bytes = size_bytes
+        self._count()
+
+    def close(self) -> None:
+        """Drop what is in the queue, and all further items."""
+        self._overflowed = True
+        self._items.clear()
+        self._account.resize(0)
 
     async def next(self) -> AnswerItem:
         """Wait for the next item; only one task may wait.
@@ -97,8 +121,26 @@
         item = self._items.popleft()
         if isinstance(item, Reply):
             self._queued_bytes -= len(item.part.data)
+            self._count()
         return item
 
+    def _overflow(self) -> None:
+        """Clear the queue, and tell the front that it overflowed."""
+        self.close()
+        self._items.append(Overflowed())
+        self._wake()
+
+    def _wake(self) -> None:
+        """Wake the front if it waits."""
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def _count(self) -> None:
+        """Count the bytes; this may end the largest queue."""
+        if not self._overflowed:
+            self._account.resize(self._queued_bytes + self._held_bytes)
+
 
 class RouterPort(Protocol):
     """The functions of the router's task that the callers' front uses."""
