--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -250,6 +250,8 @@
     peer: PeerKind = PeerKind.CALLER  # Who connects.
     on_excess: OnExcess = lambda _: None
     connections: set[ClientConnection] = field(default_factory=set)
+    # Those with bytes of requests that no handler has yet.
+    waiting: set[ClientConnection] = field(default_factory=set)
     # Those without a request, in the order in which they became so.
     idle: dict[ClientConnection, None] = field(default_factory=dict)
     closing: bool = False  # Whether to close after a response.
@@ -288,8 +290,13 @@
         :raises RejectedError: if its own request goes
         """
         while self.buffered_bytes > self.limits.buffered_bytes:
-            largest = max(self.connections, key=lambda each: each.kept_bytes)
-            if largest.kept_bytes <= 2 * asking.kept_bytes:
+            largest = max(
+                self.waiting,
+                key=lambda each: each.counted_bytes,
+                default=asking,
+            )
+            small = largest.counted_bytes <= 2 * asking.kept_bytes
+            if largest is asking or small:
                 raise RejectedError(503, ExcessReason.MEMORY)
             largest.end_for_memory()
 
@@ -358,6 +365,7 @@
         self._ingress.idle.pop(self, None)
         self._release(self._buffered_bytes)
         self._unparsed = None
+        self._ingress.waiting.discard(self)
         self._account.resize(0)
         self._clear_timer()
         self._notify_disconnect()
@@ -523,6 +531,11 @@
             kept += exchange.head_bytes + len(exchange.body)
         return kept
 
+    @property
+    def counted_bytes(self) -> int:
+        """Return what the memory budget has of these bytes."""
+        return self._account.size_bytes
+
     def end_for_memory(self) -> None:
         """Reject the requests that no handler has yet; answer the other."""
         for exchange in self._pipelined:
@@ -579,6 +592,10 @@
     def _count_kept(self) -> None:
         """Count the bytes of requests that no handler has yet."""
         kept_bytes = self.kept_bytes
+        if kept_bytes:
+            self._ingress.waiting.add(self)
+        else:
+            self._ingress.waiting.discard(self)
         if kept_bytes != self._account.size_bytes:
             self._account.resize(kept_bytes)
 
@@ -616,13 +633,13 @@
 
     def _reject(self, status: int, reason: ExcessReason | None = None) -> None:
         """Respond with an error status and close; parse nothing more."""
+        if reason is not None and not self._rejected:
+            self._report(reason)
         self._rejected = True
         self._release(self._reader.body_bytes)
         self._reader.discard()
         self._unparsed = None
         self._count_kept()
-        if reason is not None:
-            self._report(reason)
         # Whole requests that came before are still answered.
         if self._pipelined:
             self._pipelined[-1].keep_alive = False
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -84,6 +84,7 @@
                 assert each.read_bytes <= 1_700_000
             assert router.ingress.buffered_bytes == 0
             assert not router.ingress.connections
+            assert not router.ingress.waiting
 
         play(case)
 
@@ -172,6 +173,9 @@
                 ingress = router.ingress
                 kept = sum(each.kept_bytes for each in ingress.connections)
                 assert ingress.memory.used_bytes == kept <= 200_000
+                assert ingress.waiting == {
+                    each for each in ingress.connections if each.kept_bytes
+                }
             # No connection's waiting bytes go uncounted.
             assert kept >= 130_000
             other = router.connect()
