Answers of the store and of peers that are collected have limits

Cause: `call` collected whole bodies of any size, and `newest` read pages as long as the store said that there were more, even the same page again.

Now whoever calls sets a limit of the body and of the whole call, which is enforced while the body is read: twice the store's largest call (4 MiB at least, as values are in base64), 8 MiB for a peer's endpoint list, 16 MiB and 60 s for all pages of a topic. What all calls keep counts against the process's one limit for kept bytes; there the largest call ends. A call that is given up fails as one without an answer: the reader retries with back-off, and keys that can not be proved current are refused as before. Its connection ends, and a log line and a counter say why.

--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -26,7 +26,7 @@
     run_supervised,
 )
 from bulrushstream.metrics import CONTENT_TYPE, encode_metrics
-from bulrushstream.protocol.dialect import DocumentError
+from bulrushstream.protocol.dialect import DocumentError, StoreDeps
 from bulrushstream.protocol.keyedstore import KeyedRecord, StoreError
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.nodesettings import NodeSettings
@@ -106,7 +106,13 @@
         self._store_ok = True
         self._dialect = deps.dialect
         self.store = deps.dialect.make_store(
-            settings.store_address, deps.clock, self._count_store_call
+            settings,
+            StoreDeps(
+                deps.clock,
+                self._count_store_call,
+                self.front.peer_exceeded,
+                self.front.memory,
+            ),
         )
         self._crash_store = CrashStore(
             self.store, self._dialect.topics.crashes, self.front
--- a/src/bulrushstream/daemon/recovery.py
+++ b/src/bulrushstream/daemon/recovery.py
@@ -19,7 +19,13 @@
 from bulrushstream.daemon.front import Front
 from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.effect import Decision
-from bulrushstream.transport.httpcall import Answer, CallError, call
+from bulrushstream.state.excess import PeerKind
+from bulrushstream.transport.httpcall import (
+    Answer,
+    CallError,
+    CallLimits,
+    call,
+)
 from bulrushstream.transport.ingress import Exchange
 from bulrushstream.transport.upstream import Pool
 
@@ -29,6 +35,9 @@
 MAX_CONFIRMATION_AGE_S: Final = 2.2
 PEER_TIMEOUT_S: Final = 0.4
 
+# A peer's endpoint list has some hundred bytes for each of many thousands.
+MAX_ANSWER_BYTES: Final = 8 * 2**20
+
 _CONFIG: Final = b"/config?than="
 _ENDPOINTS: Final = b"/endpoints"
 _AGE_HEADER: Final = b"bulrushstream-config-age-ms"
@@ -146,9 +155,18 @@
         """Call a peer; return its answer, or None unless that is a 200."""
         pool = self._pools.get(host)
         if pool is None:
-            pool = self._pools[host] = Pool(host, self.port, self.clock)
+            pool = self._pools[host] = Pool(
+                host,
+                self.port,
+                self.clock,
+                on_excess=self.front.peer_exceeded,
+                peer=PeerKind.ROUTER,
+            )
+        limits = CallLimits(
+            PEER_TIMEOUT_S, MAX_ANSWER_BYTES, self.front.memory
+        )
         try:
-            answer = await call(pool, "GET", target, timeout_s=PEER_TIMEOUT_S)
+            answer = await call(pool, "GET", target, limits=limits)
         except CallError as error:
             pool.drop_idle()
             self.front.report("peer_silent", f"{host}: {error}")
--- a/src/bulrushstream/platform/dialect.py
+++ b/src/bulrushstream/platform/dialect.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Final
 
 from bulrushstream.platform.documents import decode_config, decode_entry
@@ -15,25 +14,30 @@
     refusal_headers,
 )
 from bulrushstream.platform.nodefile import read_node_file
-from bulrushstream.platform.store import StoreClient
-from bulrushstream.protocol.dialect import Dialect, Topics
+from bulrushstream.platform.store import StoreClient, StoreLimits
+from bulrushstream.protocol.dialect import Dialect, StoreDeps, Topics
 from bulrushstream.protocol.keyedstore import KeyedStore
-from bulrushstream.state.nodesettings import Address
+from bulrushstream.state.excess import PeerKind
+from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.transport.upstream import Pool
 
 
-def make_store(
-    address: Address,
-    clock: Callable[[], float],
-    count_call: Callable[[str, bool], None],
-) -> KeyedStore:
+def make_store(settings: NodeSettings, deps: StoreDeps) -> KeyedStore:
     """Return a client of the platform's store.
 
-    :param address: the store's address
-    :param clock: a monotonic clock, in seconds
-    :param count_call: called with each call's name and whether it succeeded
+    :param settings: the node settings
+    :param deps: the client's collaborators
     """
-    return StoreClient(Pool(address.host, address.port, clock), count_call)
+    address = settings.store_address
+    pool = Pool(
+        address.host,
+        address.port,
+        deps.clock,
+        on_excess=deps.on_excess,
+        peer=PeerKind.STORE,
+    )
+    limits = StoreLimits(call_bytes=settings.store_call_bytes)
+    return StoreClient(pool, deps.count_call, limits, deps.memory)
 
 
 PLATFORM: Final = Dialect(
--- a/src/bulrushstream/platform/nodefile.py
+++ b/src/bulrushstream/platform/nodefile.py
@@ -43,6 +43,7 @@
     writes_per_s: _Positive = 400.0
     reads_per_s: _Positive = 2_000.0
     parts: Annotated[int, msgspec.Meta(gt=0, le=64)] = 1
+    call_bytes: Annotated[int, msgspec.Meta(gt=0)] = 2 * 2**20
 
 
 class _Node(msgspec.Struct, rename="camel"):
@@ -119,6 +120,7 @@
         store_writes_per_s=node.platform.writes_per_s,
         store_reads_per_s=node.platform.reads_per_s,
         store_partitions=node.platform.parts,
+        store_call_bytes=node.platform.call_bytes,
         heartbeat_s=node.heartbeat_ms / 1000.0,
     )
 
--- a/src/bulrushstream/platform/store.py
+++ b/src/bulrushstream/platform/store.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final
 from urllib.parse import urlencode
 
@@ -23,7 +24,14 @@
     Turn,
 )
 from bulrushstream.state.decoding import DECODE_ERRORS
-from bulrushstream.transport.httpcall import Answer, CallError, call
+from bulrushstream.state.excess import Excess, ExcessReason
+from bulrushstream.state.memorybudget import MemoryBudget
+from bulrushstream.transport.httpcall import (
+    Answer,
+    CallError,
+    CallLimits,
+    call,
+)
 from bulrushstream.transport.upstream import Pool
 
 # The timeout of a call, on top of the time that the store is asked to wait.
@@ -41,6 +49,13 @@
 # Reads in a row whose first record was deleted meanwhile.
 MAX_TRIMMED_READS: Final = 3
 
+# Smallest limit of an answer.  A page has 1 MB of values, in base64, and 500
+# keys; a single record may have more.
+MIN_ANSWER_BYTES: Final = 4 * 2**20
+
+# What a page's entry takes besides its key and value.
+ENTRY_BYTES: Final = 200
+
 # The topic's end offset and its first offset, which is not used here.
 _BATCH_HEAD: Final = struct.Struct("!QQ")
 _LENGTH: Final = struct.Struct("!I")
@@ -67,12 +82,32 @@
     end_offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """What is accepted of the store.
+
+    A table is read whole.  Its limit serves many thousands of endpoints and
+    routes, which have some hundred bytes each.
+    """
+
+    call_bytes: int = 2 * 2**20  # The largest append.
+    table_bytes: int = 16 * 2**20  # Of all keys and values of a topic.
+    table_s: float = 60.0  # For all pages of a topic.
+
+    @property
+    def answer_bytes(self) -> int:
+        """Return the limit of an answer, which may be in base64."""
+        return max(MIN_ANSWER_BYTES, 2 * self.call_bytes)
+
+
 @dataclass(slots=True)
 class StoreClient:
     """A client of the store, shared by the whole process."""
 
     pool: Pool  # The connections to the store.
     count_call: Callable[[str, bool], None]  # Receives call name and success.
+    limits: StoreLimits = field(default_factory=StoreLimits)
+    memory: MemoryBudget | None = None  # For answers that are being read.
 
     async def newest(self, topic: str) -> tuple[dict[str, bytes], int]:
         """Return the newest record of each key; see `KeyedStore`.
@@ -81,22 +116,36 @@
         end offset of the first page, so that a read from there on returns
         every change made while later pages were read.
         """
-        newest: dict[str, bytes] = {}
+        table = _Table(self.limits.table_bytes)
+        account = None
+        if self.memory is not None:
+            account = self.memory.open(
+                lambda: table.give_up(ExcessReason.MEMORY)
+            )
         end_offset: int | None = None
-        after: str | None = None
-        while True:
-            query: dict[str, Any] = {"topic": topic, "part": 0}
-            if after is not None:
-                query["after"] = after
-            answer = await self._call("GET", "log-newest", query)
-            page = _decode_json(answer, _Page)
-            if end_offset is None:
-                end_offset = page.end_offset
-            for item in page.items:
-                newest[item.key] = _decode_value(item)
-            if not page.has_more or not page.items:
-                return newest, end_offset
-            after = page.items[-1].key
+        query: dict[str, Any] = {"topic": topic, "part": 0}
+        try:
+            async with asyncio.timeout(self.limits.table_s):
+                while True:
+                    answer = await self._call("GET", "log-newest", query)
+                    page = _decode_json(answer, _Page)
+                    if end_offset is None:
+                        end_offset = page.end_offset
+                    table.add(page)
+                    if account is not None:
+                        account.resize(table.size_bytes)
+                    if table.excess is not None:
+                        break
+                    if not page.has_more or not page.items:
+                        return table.newest, end_offset
+                    query["after"] = page.items[-1].key
+        except TimeoutError:
+            table.give_up(ExcessReason.TIME)
+        finally:
+            if account is not None:
+                account.resize(0)
+        self._report_excess(table.excess or ExcessReason.BODY)
+        raise StoreError(f"log-newest: {topic} has too much")
 
     async def read(
         self, topic: str, offset: int, wait_s: float
@@ -176,7 +225,11 @@
                 method,
                 target,
                 body,
-                timeout_s=wait_s + CALL_TIMEOUT_S,
+                limits=CallLimits(
+                    wait_s + CALL_TIMEOUT_S,
+                    self.limits.answer_bytes,
+                    self.memory,
+                ),
             )
         except CallError as error:
             # Idle connections to the store may be dead for the same reason.
@@ -189,6 +242,50 @@
             raise StoreError(f"{name}: status {answer.status}")
         return answer
 
+    def _report_excess(self, reason: ExcessReason) -> None:
+        """Report that the store sent too much; drop its connections."""
+        pool = self.pool
+        pool.drop_idle()
+        if pool.on_excess is not None:
+            address = f"{pool.host}:{pool.port}"
+            pool.on_excess(Excess(pool.peer, address, reason))
+
+
+@dataclass(slots=True)
+class _Table:
+    """The newest records of a topic, while its pages are read."""
+
+    limit_bytes: int
+    newest: dict[str, bytes] = field(default_factory=dict)
+    size_bytes: int = 0
+    excess: ExcessReason | None = None  # Why it was given up.
+
+    def add(self, page: _Page) -> None:
+        """Add a page's records.
+
+        Keys are in order, so a further page without a new key shows that
+        there would be no end.
+        """
+        count = len(self.newest)
+        for item in page.items:
+            value = _decode_value(item)
+            known = self.newest.get(item.key)
+            self.newest[item.key] = value
+            self.size_bytes += len(value)
+            if known is None:
+                self.size_bytes += len(item.key) + ENTRY_BYTES
+            else:
+                self.size_bytes -= len(known)
+        endless = page.has_more and len(self.newest) == count
+        if self.size_bytes > self.limit_bytes or (endless and page.items):
+            self.give_up(ExcessReason.BODY)
+
+    def give_up(self, reason: ExcessReason) -> None:
+        """Drop what was read."""
+        self.excess = reason
+        self.newest = {}
+        self.size_bytes = 0
+
 
 def _decode_value(item: _Item) -> bytes:
     """Decode an item's value; empty if it is not valid base64."""
--- a/src/bulrushstream/protocol/dialect.py
+++ b/src/bulrushstream/protocol/dialect.py
@@ -17,8 +17,10 @@
     Call,
     RawHeaders,
 )
+from bulrushstream.state.excess import OnExcess
 from bulrushstream.state.finding import Finding
-from bulrushstream.state.nodesettings import Address, NodeSettings
+from bulrushstream.state.memorybudget import MemoryBudget
+from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.routes import EndpointEntry, RouteConfig
 
 
@@ -46,6 +48,16 @@
     crashes: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoreDeps:
+    """Collaborators of a client of the store."""
+
+    clock: Callable[[], float]  # Monotonic, in seconds.
+    count_call: Callable[[str, bool], None]  # Receives call name and success.
+    on_excess: OnExcess | None = None
+    memory: MemoryBudget | None = None  # For answers that are being read.
+
+
 @dataclass(frozen=True, slots=True)
 class Dialect:
     """The translation functions for one platform."""
@@ -55,12 +67,8 @@
     # Reads the node file at a path; returns its settings or every finding.
     read_settings: Callable[[str], NodeSettings | tuple[Finding, ...]]
 
-    # Makes a client of the store from the store's address, a clock in seconds
-    # and a function that receives each call's name and success.
-    make_store: Callable[
-        [Address, Callable[[], float], Callable[[str, bool], None]],
-        KeyedStore,
-    ]
+    # Makes a client of the store.
+    make_store: Callable[[NodeSettings, StoreDeps], KeyedStore]
 
     # Decodes a configuration; reports the parts that are left out.
     decode_config: Callable[[bytes, Callable[[str], None]], RouteConfig]
--- a/src/bulrushstream/state/nodesettings.py
+++ b/src/bulrushstream/state/nodesettings.py
@@ -42,4 +42,5 @@
     store_writes_per_s: float = 400.0
     store_reads_per_s: float = 2_000.0
     store_partitions: int = 1
+    store_call_bytes: int = 2 * 2**20  # The largest append.
     heartbeat_s: float = 1.2  # How often endpoints renew their list entries.
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from bulrushstream.state.endpointsigns import ConnectionsSeen
+from bulrushstream.state.excess import OnExcess, PeerKind
 from bulrushstream.transport.connection import (
     Connection,
     PendingRequest,
@@ -63,6 +64,8 @@
     clock: Callable[[], float]  # Returns the time in seconds.
     options: PoolOptions = field(default_factory=PoolOptions)
     on_connect: Callable[[], None] | None = None  # For metrics.
+    on_excess: OnExcess | None = None
+    peer: PeerKind = PeerKind.ENDPOINT
     _idle: deque[Connection] = field(default_factory=deque)
     _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
