Whole answers that the own interface's clients read have limits

What callers saw: nothing yet. The clients of the log, the instance list and an endpoint's reports kept whole answers of any size, so one of these could end a router's or agent's process, and all requests that it holds. Commands of operators also waited without end for a trickle.

Cause: httpx reads whole bodies without a limit, and decodes them, so that a few compressed bytes stand for many; its time limit is for one read.

The limits are 16 MiB for a page of the log (a page of larger records is read again with fewer), 8 MiB for the list and for operators' documents, 4 MiB for an endpoint's report, and 32 MiB for all calls of an instance to the platform's services at once. What is given up is logged and counted.

--- a/src/bulrushstream/commands/operate.py
+++ b/src/bulrushstream/commands/operate.py
@@ -9,8 +9,10 @@
 import httpx
 
 from bulrushstream.messages import INSTANCE_UNREACHABLE, LIFT_REFUSED
+from bulrushstream.state.excess import Excess, PeerKind
+from bulrushstream.transport.fetch import Fetcher, FetchLimits
 
-TIMEOUT_S: Final = 3.0
+LIMITS: Final = FetchLimits(timeout_s=3.0, body_bytes=8 * 2**20)
 UNREACHABLE_EXIT: Final = 1
 
 STATUS_COLUMNS: Final = (
@@ -134,27 +136,37 @@
 
 async def _get_all(urls: list[str], document: str) -> list[Any]:
     """Return a document of each instance; None if it did not answer."""
-    async with httpx.AsyncClient(timeout=TIMEOUT_S) as client:
-        calls = [
-            _json_or_none(client.get(f"{url}/{document}")) for url in urls
-        ]
-        return await asyncio.gather(*calls)
+    return await _call_all("GET", [f"{url}/{document}" for url in urls])
 
 
 async def _post_all(urls: list[str], action: str, body: str) -> list[Any]:
     """Return each instance's answer to an action; None if it failed."""
-    async with httpx.AsyncClient(timeout=TIMEOUT_S) as client:
-        calls = [
-            _json_or_none(client.post(f"{url}/actions/{action}", content=body))
-            for url in urls
-        ]
-        return await asyncio.gather(*calls)
+    calls = [f"{url}/actions/{action}" for url in urls]
+    return await _call_all("POST", calls, body.encode())
+
+
+async def _call_all(
+    method: str, urls: list[str], body: bytes | None = None
+) -> list[Any]:
+    """Return the JSON of each response; None if the call failed."""
+    async with httpx.AsyncClient(timeout=LIMITS.timeout_s) as client:
+        fetcher = Fetcher(client, PeerKind.ROUTER, _warn)
+        return await asyncio.gather(
+            *(_call(fetcher, method, url, body) for url in urls)
+        )
 
 
-async def _json_or_none(call: Any) -> Any:
+async def _call(
+    fetcher: Fetcher, method: str, url: str, body: bytes | None
+) -> Any:
     """Return the JSON of a successful response, or None."""
     try:
-        answer: httpx.Response = await call
-    except (httpx.HTTPError, httpx.InvalidURL):
+        answer = await fetcher.fetch(method, url, LIMITS, content=body)
+        return answer.json() if answer.is_success else None
+    except (httpx.HTTPError, httpx.InvalidURL, TimeoutError, ValueError):
         return None
-    return answer.json() if answer.is_success else None
+
+
+def _warn(excess: Excess) -> None:
+    """Print who answered too much."""
+    print(excess, file=sys.stderr)
--- a/src/bulrushstream/commands/rules.py
+++ b/src/bulrushstream/commands/rules.py
@@ -38,14 +38,16 @@
     FleetConfig,
     VersionedConfig,
 )
+from bulrushstream.state.excess import PeerKind
 from bulrushstream.state.message import ConfigPush
+from bulrushstream.transport.fetch import Fetcher, FetchLimits
 from bulrushstream.transport.log import LogClient
 
 EXIT_FINDINGS: Final = 2
 EXIT_CONFLICT: Final = 3
 EXIT_UNRESOLVED: Final = 4
 EXIT_LOG_DOWN: Final = 5
-NOTIFY_TIMEOUT_S: Final = 2.0
+NOTIFY_LIMITS: Final = FetchLimits(timeout_s=2.0, body_bytes=65_536)
 CONFIG_ACTION: Final = "/actions/config"
 
 _BASE_LINE: Final = re.compile(r"\A// base version: (\d+)$", re.MULTILINE)
@@ -153,9 +155,15 @@
     body = encode_checkpoint(current)
     push = ConfigPush(current.version, current.digest, body)
     encoded = msgspec.json.encode(push)
-    async with httpx.AsyncClient(timeout=NOTIFY_TIMEOUT_S) as client:
+    async with httpx.AsyncClient(timeout=NOTIFY_LIMITS.timeout_s) as client:
+        fetcher = Fetcher(client, PeerKind.ROUTER)
         calls = [
-            client.post(address.rstrip("/") + CONFIG_ACTION, content=encoded)
+            fetcher.fetch(
+                "POST",
+                address.rstrip("/") + CONFIG_ACTION,
+                NOTIFY_LIMITS,
+                content=encoded,
+            )
             for address in addresses
         ]
         responses = await asyncio.gather(*calls, return_exceptions=True)
--- a/src/bulrushstream/daemon/agent.py
+++ b/src/bulrushstream/daemon/agent.py
@@ -7,8 +7,6 @@
 from contextlib import aclosing
 from typing import Final, Protocol
 
-import httpx
-
 from bulrushstream.coordination import lease
 from bulrushstream.coordination import orders as placement
 from bulrushstream.coordination.agent import (
@@ -31,6 +29,7 @@
     RunEvent,
     RunnerOptions,
 )
+from bulrushstream.transport.fetch import Fetcher
 from bulrushstream.transport.orders import poll_holdings, send_order
 from bulrushstream.transport.reports import poll_cache, poll_load
 
@@ -46,8 +45,8 @@
     """An agent's access to its endpoint."""
 
     @property
-    def client(self) -> httpx.AsyncClient:
-        """Return the HTTP client for reports and orders."""
+    def client(self) -> Fetcher:
+        """Return the client for reports and orders."""
         ...
 
     def run(
@@ -102,6 +101,7 @@
                 base_url=endpoint.url,
                 is_model_engine=endpoint.kind is EndpointKind.MODEL,
                 max_connections=MAX_CONNECTIONS,
+                on_excess=self.peer_exceeded,
             )
         )
 
--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -28,7 +28,12 @@
     follow_list,
     keep_registered,
 )
-from bulrushstream.metrics import Metrics, count_message, encode_metrics
+from bulrushstream.metrics import (
+    Metrics,
+    count_excess,
+    count_message,
+    encode_metrics,
+)
 from bulrushstream.settings import ListenSettings, PlatformSettings
 from bulrushstream.state.config import VersionedConfig
 from bulrushstream.state.effect import (
@@ -46,7 +51,9 @@
     DrainStarted,
     InstancesListed,
 )
+from bulrushstream.state.excess import Excess
 from bulrushstream.state.identity import InstanceInfo
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.state.message import ConfigFetch, ConfigPush, Goodbye
 from bulrushstream.state.status import DrainState, Status
 from bulrushstream.transport.instances import InstanceListClient
@@ -65,6 +72,8 @@
 # is on its way.
 GOODBYE_GRACE_S: Final = 0.5
 REGISTER_INTERVAL_S: Final = 10.0
+# The limit of all answers of the platform's services that are being read.
+MAX_COLLECTED_BYTES: Final = 32 * 2**20
 FAULT: Final = "fault"  # The log event for an internal error.
 
 Report = Callable[[str, str], None]
@@ -126,9 +135,15 @@
         self.deps = deps
         self.health = PlatformHealth(asyncio.get_running_loop().time)
         self.draining = False
-        self.log = LogClient(platform.log_url, platform.timeout_s)
+        memory = MemoryBudget(MAX_COLLECTED_BYTES)
+        self.log = LogClient(
+            platform.log_url, platform.timeout_s, self.peer_exceeded, memory
+        )
         self.listing = InstanceListClient(
-            platform.instances_url, platform.timeout_s
+            platform.instances_url,
+            platform.timeout_s,
+            self.peer_exceeded,
+            memory,
         )
         self._platform = platform
         self._tasks = set()
@@ -144,6 +159,14 @@
         self.membership = members.new_membership(info)
         self.clock = asyncio.get_running_loop().time
 
+    def peer_exceeded(self, excess: Excess) -> None:
+        """Log and count a connection whose peer sent too much; `OnExcess`.
+
+        :param excess: what it sent
+        """
+        self.deps.report("excess", str(excess))
+        count_excess(self.deps.metrics, excess)
+
     def start_cores(
         self,
         role_cores: Sequence[Core],
--- a/src/bulrushstream/load/caller.py
+++ b/src/bulrushstream/load/caller.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -25,11 +26,13 @@
 from bulrushstream.standins.answer import expected_text
 from bulrushstream.state.config import ServiceKind
 from bulrushstream.state.request import RequestClass
+from bulrushstream.transport.fetch import FetchLimits, read_whole
 
 EXECUTION_HEADER: Final = "bulrushstream-execution"
 EXECUTION_COMMENT: Final = ": bulrushstream-execution "
 DATA_PREFIX: Final = "data: "
 DONE: Final = "[DONE]"
+LIMITS: Final = FetchLimits(timeout_s=3600.0, body_bytes=64 * 2**20)
 
 
 class Verdict(StrEnum):
@@ -92,10 +95,11 @@
     try:
         answer = await client.send(request, stream=True)
         try:
-            await _read_answer(answer, result, model, started_s)
+            async with asyncio.timeout(LIMITS.timeout_s):
+                await _read_answer(answer, result, model, started_s)
         finally:
             await answer.aclose()
-    except httpx.HTTPError:
+    except (httpx.HTTPError, TimeoutError):
         answered = result.status
         result.verdict = Verdict.TRUNCATED if answered else Verdict.LOST
     result.total_s = time.perf_counter() - started_s
@@ -168,7 +172,7 @@
     if kind.startswith("text/event-stream"):
         await _read_events(answer, result, started_s)
         return
-    body = await answer.aread()
+    body = (await read_whole(answer, LIMITS.body_bytes)).content
     result.first_s = time.perf_counter() - started_s
     if kind.startswith("application/problem+json"):
         problem = msgspec.json.decode(body, type=dict[str, Any])
--- a/src/bulrushstream/local/client.py
+++ b/src/bulrushstream/local/client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from dataclasses import dataclass
 from typing import Final
@@ -13,8 +14,10 @@
 import httpx
 
 from bulrushstream.standins.answer import expected_text
+from bulrushstream.transport.fetch import FetchLimits, read_whole
 
 TRUNCATED: Final = "[truncated]"
+LIMITS: Final = FetchLimits(timeout_s=300.0, body_bytes=64 * 2**20)
 EXECUTION_HEADER: Final = "bulrushstream-execution"
 
 
@@ -119,13 +122,13 @@
     except httpx.HTTPError as error:
         return Verdict(False, 0, "", f"{type(error).__name__}: {error}")
     try:
-        await answer.aread()
-    except httpx.HTTPError as error:
+        async with asyncio.timeout(LIMITS.timeout_s):
+            return await read_whole(answer, LIMITS.body_bytes)
+    except (httpx.HTTPError, TimeoutError) as error:
         problem = f"{TRUNCATED}: {type(error).__name__}: {error}"
         return Verdict(False, answer.status_code, "", problem)
     finally:
         await answer.aclose()
-    return answer
 
 
 def _verdict(answer: httpx.Response, problem: str) -> Verdict:
--- a/src/bulrushstream/local/recorder.py
+++ b/src/bulrushstream/local/recorder.py
@@ -9,8 +9,6 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 
-import httpx
-
 from bulrushstream.daemon.agent import AgentInstance, Runner
 from bulrushstream.daemon.port import PortEvent
 from bulrushstream.daemon.router import RouterInstance
@@ -35,6 +33,7 @@
 from bulrushstream.state.message import Dispatch, Part, PartKind
 from bulrushstream.state.request import Request
 from bulrushstream.transport.endpoint import RunEvent
+from bulrushstream.transport.fetch import Fetcher
 
 
 class Recorder:
@@ -164,8 +163,8 @@
         self._recorder = recorder
 
     @property
-    def client(self) -> httpx.AsyncClient:
-        """Return the HTTP client, for reports and orders."""
+    def client(self) -> Fetcher:
+        """Return the client for reports and orders."""
         return self._inner.client
 
     async def run(
--- a/src/bulrushstream/measure/meter.py
+++ b/src/bulrushstream/measure/meter.py
@@ -12,8 +12,6 @@
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
-import httpx
-
 from bulrushstream.daemon.agent import Runner
 from bulrushstream.daemon.port import PortEvent
 from bulrushstream.history.record import (
@@ -28,6 +26,7 @@
 from bulrushstream.state.message import Dispatch
 from bulrushstream.state.request import Request
 from bulrushstream.transport.endpoint import RunEvent
+from bulrushstream.transport.fetch import Fetcher
 
 
 @dataclass(slots=True)
@@ -188,8 +187,8 @@
         self._meter = meter
 
     @property
-    def client(self) -> httpx.AsyncClient:
-        """Return the runner's HTTP client, for reports and orders."""
+    def client(self) -> Fetcher:
+        """Return the runner's client for reports and orders."""
         return self._inner.client
 
     async def run(
--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -29,8 +29,10 @@
 import httpx
 
 from bulrushstream.state.event import RunBody, RunEnd, RunHead
+from bulrushstream.state.excess import OnExcess, PeerKind
 from bulrushstream.state.message import Dispatch
 from bulrushstream.transport.client import make_client
+from bulrushstream.transport.fetch import Fetcher
 from bulrushstream.transport.upstream import EXIT_S
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
@@ -61,6 +63,7 @@
     max_connections: int = 64  # At least the slots plus the pollers.
     read_timeout_s: float = 120.0  # Longest gap within an answer.
     resume_limit: int = 1  # Resumes per run.
+    on_excess: OnExcess | None = None  # Called with reports too large.
 
 
 @dataclass(slots=True)
@@ -101,9 +104,11 @@
         )
 
     @property
-    def client(self) -> httpx.AsyncClient:
-        """Return the HTTP client, for reports and orders."""
-        return self._client
+    def client(self) -> Fetcher:
+        """Return the client for reports and orders."""
+        return Fetcher(
+            self._client, PeerKind.ENDPOINT, self._options.on_excess
+        )
 
     async def close(self) -> None:
         """Close the connections."""
--- a/src/bulrushstream/transport/instances.py
+++ b/src/bulrushstream/transport/instances.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import builtins
 import ipaddress
-from typing import Any
+from typing import Any, Final
 from urllib.parse import quote
 
 import httpx
@@ -13,11 +12,17 @@
 
 from bulrushstream.protocol.logservice import ListUnavailableError
 from bulrushstream.state.decoding import DECODE_ERRORS
+from bulrushstream.state.excess import OnExcess, PeerKind
 from bulrushstream.state.identity import InstanceInfo
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.transport.client import make_client
+from bulrushstream.transport.fetch import Fetcher, FetchLimits
 
 INSTANCES_PATH = "/instances"
 
+# An instance has some hundred bytes.
+MAX_LIST_BYTES: Final = 8 * 2**20
+
 
 class _Listing(msgspec.Struct, frozen=True):
     """The answer to a read of the list."""
@@ -39,16 +44,27 @@
     """The platform's instance list over HTTP."""
 
     _client: httpx.AsyncClient  # The connection pool.
-    _timeout_s: float  # For one call.
-
-    def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
+    _limits: FetchLimits  # Of one call.
+
+    def __init__(
+        self,
+        base_url: str,
+        timeout_s: float = 2.0,
+        on_excess: OnExcess | None = None,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         """Make a client; no connection is opened yet.
 
         :param base_url: The list's URL.
         :param timeout_s: The time-out of one call, in seconds.
+        :param on_excess: Called with answers that are too large.
+        :param memory: The limit of all answers that are being read.
         """
         self._client = make_client(base_url, timeout_s)
-        self._timeout_s = timeout_s
+        self._limits = FetchLimits(timeout_s, MAX_LIST_BYTES)
+        self._fetcher = Fetcher(
+            self._client, PeerKind.STORE, on_excess, memory
+        )
 
     async def close(self) -> None:
         """Close the connections."""
@@ -98,8 +114,9 @@
     ) -> Any:
         """Make a call and return the body of its response."""
         try:
-            async with asyncio.timeout(self._timeout_s):
-                answer = await self._client.request(method, path, content=body)
+            answer = await self._fetcher.fetch(
+                method, path, self._limits, content=body
+            )
         except (httpx.HTTPError, TimeoutError) as error:
             why = f"{type(error).__name__}: {error}"
             raise ListUnavailableError(why) from error
--- a/src/bulrushstream/transport/log.py
+++ b/src/bulrushstream/transport/log.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 from typing import Final
 from urllib.parse import quote
@@ -22,7 +21,17 @@
 )
 from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.event import LogRecord
+from bulrushstream.state.excess import OnExcess, PeerKind
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.transport.client import make_client
+from bulrushstream.transport.fetch import (
+    Fetcher,
+    FetchLimits,
+    ResponseTooLargeError,
+)
+
+# The largest record has 8 MiB, and more in base64.
+MAX_PAGE_BYTES: Final = 16 * 2**20
 
 # Statuses that guarantee that the call had no effect.
 _REFUSED_STATUSES: Final = frozenset({400, 404, 405, 413, 429, 503})
@@ -58,16 +67,27 @@
     """The platform's log over HTTP."""
 
     _client: httpx.AsyncClient  # The connection pool.
-    _timeout_s: float  # For one call.
-
-    def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
+    _limits: FetchLimits  # Of one call.
+
+    def __init__(
+        self,
+        base_url: str,
+        timeout_s: float = 2.0,
+        on_excess: OnExcess | None = None,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         """Make a client; no connection is opened yet.
 
         :param base_url: The log's URL.
         :param timeout_s: The time-out of one call, in seconds.
+        :param on_excess: Called with answers that are too large.
+        :param memory: The limit of all answers that are being read.
         """
         self._client = make_client(base_url, timeout_s)
-        self._timeout_s = timeout_s
+        self._limits = FetchLimits(timeout_s, MAX_PAGE_BYTES)
+        self._fetcher = Fetcher(
+            self._client, PeerKind.STORE, on_excess, memory
+        )
 
     async def close(self) -> None:
         """Close the connections."""
@@ -83,8 +103,9 @@
         :raises LogAnswerLostError: If the record may have been appended.
         """
         try:
-            async with asyncio.timeout(self._timeout_s):
-                answer = await self._client.post(_path(stream), content=body)
+            answer = await self._fetcher.fetch(
+                "POST", _path(stream), self._limits, content=body
+            )
         except _NOT_SENT as error:
             raise LogUnavailableError(_reason(error)) from error
         except (httpx.HTTPError, TimeoutError) as error:
@@ -107,8 +128,18 @@
         """
         params = {"offset": offset, "limit": limit}
         try:
-            async with asyncio.timeout(self._timeout_s):
-                answer = await self._client.get(_path(stream), params=params)
+            answer = await self._fetcher.fetch(
+                "GET",
+                _path(stream),
+                self._limits,
+                params=params,
+                reported=limit <= 1,
+            )
+        except ResponseTooLargeError as error:
+            if limit <= 1:
+                raise LogUnavailableError(_reason(error)) from error
+            # Large records fit one by one.
+            return await self.read(stream, offset, max(1, limit // 20))
         except (httpx.HTTPError, TimeoutError) as error:
             raise LogUnavailableError(_reason(error)) from error
         if answer.status_code != 200:
--- a/src/bulrushstream/transport/orders.py
+++ b/src/bulrushstream/transport/orders.py
@@ -16,8 +16,9 @@
 from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.event import HoldingsReported, OrderAnswered
 from bulrushstream.state.order import EngineOrder, Holdings, OrderAnswer
+from bulrushstream.transport.fetch import Fetcher, FetchLimits
 
-ORDER_TIMEOUT_S: Final = 5.0
+ORDER_LIMITS: Final = FetchLimits(timeout_s=5.0, body_bytes=4 * 2**20)
 
 
 class _Report(msgspec.Struct, frozen=True):
@@ -37,7 +38,7 @@
 
 
 async def send_order(
-    client: httpx.AsyncClient, path: str, order: EngineOrder
+    client: Fetcher, path: str, order: EngineOrder
 ) -> OrderAnswered:
     """Send one order.
 
@@ -49,17 +50,14 @@
     body = msgspec.json.encode(order)
     answer = OrderAnswer.FAILED
     try:
-        async with asyncio.timeout(ORDER_TIMEOUT_S):
-            response = await client.post(path, content=body)
+        response = await client.fetch("POST", path, ORDER_LIMITS, content=body)
         answer = msgspec.json.decode(response.content, type=_Answer).answer
     except (httpx.HTTPError, TimeoutError, *DECODE_ERRORS):
         pass
     return OrderAnswered(order, answer)
 
 
-async def read_holdings(
-    client: httpx.AsyncClient, path: str
-) -> Holdings | None:
+async def read_holdings(client: Fetcher, path: str) -> Holdings | None:
     """Read an engine's report of its holdings.
 
     :param client: the engine's client
@@ -67,8 +65,7 @@
     :returns: the holdings; None: the engine did not answer
     """
     try:
-        async with asyncio.timeout(ORDER_TIMEOUT_S):
-            response = await client.get(path)
+        response = await client.fetch("GET", path, ORDER_LIMITS)
         report = msgspec.json.decode(response.content, type=_Report)
     except (httpx.HTTPError, TimeoutError, *DECODE_ERRORS):
         return None
@@ -82,7 +79,7 @@
 
 
 async def poll_holdings(
-    client: httpx.AsyncClient,
+    client: Fetcher,
     path: str,
     interval_s: float,
     emit: Callable[[HoldingsReported], None],
--- a/src/bulrushstream/transport/reports.py
+++ b/src/bulrushstream/transport/reports.py
@@ -16,8 +16,9 @@
 
 from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.event import CacheReported, LoadReported
+from bulrushstream.transport.fetch import Fetcher, FetchLimits
 
-REPORT_TIMEOUT_S: Final = 2.0
+REPORT_LIMITS: Final = FetchLimits(timeout_s=2.0, body_bytes=4 * 2**20)
 UNHEALTHY: Final = LoadReported(0, 0, False)
 
 
@@ -50,7 +51,7 @@
     last_sequence: int = 0  # Of the last event read; 0: none.
 
 
-async def read_load(client: httpx.AsyncClient, path: str) -> LoadReported:
+async def read_load(client: Fetcher, path: str) -> LoadReported:
     """Read an endpoint's load report.
 
     :param client: The endpoint's client.
@@ -68,7 +69,7 @@
 
 
 async def read_cache(
-    client: httpx.AsyncClient, path: str, cursor: CacheCursor
+    client: Fetcher, path: str, cursor: CacheCursor
 ) -> list[CacheReported]:
     """Read an engine's new cache events.
 
@@ -97,7 +98,7 @@
 
 
 async def poll_load(
-    client: httpx.AsyncClient,
+    client: Fetcher,
     path: str,
     interval_s: float,
     emit: Callable[[LoadReported], None],
@@ -115,7 +116,7 @@
 
 
 async def poll_cache(
-    client: httpx.AsyncClient,
+    client: Fetcher,
     path: str,
     interval_s: float,
     emit: Callable[[CacheReported], None],
@@ -134,11 +135,10 @@
         await asyncio.sleep(interval_s)
 
 
-async def _get(client: httpx.AsyncClient, path: str) -> bytes | None:
+async def _get(client: Fetcher, path: str) -> bytes | None:
     """Return the body of a successful response, or None."""
     try:
-        async with asyncio.timeout(REPORT_TIMEOUT_S):
-            answer = await client.get(path)
+        answer = await client.fetch("GET", path, REPORT_LIMITS)
     except (httpx.HTTPError, TimeoutError):
         return None
     return answer.content if answer.is_success else None
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -22,13 +22,14 @@
 from bulrushstream.state.event import Event, RunEnd
 from bulrushstream.state.message import Dispatch
 from bulrushstream.transport.endpoint import RunEvent
+from bulrushstream.transport.fetch import Fetcher
 from tests.builders import a_dispatch
 
 
 class RaisingRunner:
     """A runner that raises an unexpected exception."""
 
-    def __init__(self, client: httpx.AsyncClient) -> None:
+    def __init__(self, client: Fetcher) -> None:
         self.client = client
 
     async def run(
@@ -38,7 +39,7 @@
         yield
 
     async def close(self) -> None:
-        await self.client.aclose()
+        await self.client.client.aclose()
 
 
 async def run_ends(agent: AgentInstance, *, cancel: bool) -> list[RunEnd]:
