A small datagram with a wrong size no longer takes all memory

What callers saw: nothing yet. The datagrams of routers have a checksum, but no key: a faulty peer that encodes a wrong size under a right checksum could end a router's process.

Cause: the reader of thriftpy2 goes on beyond the end of a buffer in memory. Within its framed transport it stops at the end and raises.

What remains: a field of an unknown type whose items have no bytes is skipped item by item, which takes processor time, not memory.

--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -14,7 +14,9 @@
 import thriftpy2
 import xxhash
 from thriftpy2.protocol import TCyBinaryProtocolFactory
-from thriftpy2.utils import deserialize, serialize
+from thriftpy2.transport import TMemoryBuffer
+from thriftpy2.transport.framed.cyframed import TCyFramedTransport
+from thriftpy2.utils import serialize
 
 from bulrushstream.state.partevidence import (
     PartProof,
@@ -49,7 +51,8 @@
 
 
 _SCHEMA: Final[Any] = _load_schema()
-_BINARY: Final = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
+_BINARY: Final[Any] = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
+_FRAME_LENGTH: Final = struct.Struct("!I")
 
 
 def encode_update(update: PeerUpdate) -> bytes:
@@ -160,12 +163,25 @@
         raise DatagramError("the checksum does not match")
     # The library raises errors of many types on bytes of another schema.
     try:
-        wire = deserialize(_SCHEMA.Update(), body, _BINARY)
+        wire = _read_update(body)
         return _from_wire(wire)
     except Exception as error:
         raise DatagramError(f"{type(error).__name__}: {error}") from error
 
 
+def _read_update(body: bytes) -> Any:
+    """Return the Thrift structure in a datagram.
+
+    The library's reader goes on beyond the end of a buffer in memory, for as
+    many items as a wrong size says.  In a frame it stops at the end.
+    """
+    framed = _FRAME_LENGTH.pack(len(body)) + body
+    buffer = TMemoryBuffer(framed)  # type: ignore[no-untyped-call]
+    wire = _SCHEMA.Update()
+    wire.read(_BINARY.get_protocol(TCyFramedTransport(buffer)))
+    return wire
+
+
 def _to_ms(time_s: float) -> int:
     """Return a time in whole milliseconds, within the wire's bounds."""
     return max(0, min(_MAX_MS, round(time_s * 1000)))
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any, Final
@@ -258,6 +259,24 @@
         port.datagram_received(data, ("10.0.0.2", 1))
         assert (received, reports) == ([], ["bad_datagram"])
 
+    @pytest.mark.parametrize("before", [b"\x0f\x00\x06\x0a", b"\x0b\x00\x01"])
+    @pytest.mark.parametrize("size", [99, 100_000, 2**20, 2**31 - 1])
+    def test_a_size_beyond_the_end_is_refused(
+        self, size: int, before: bytes
+    ) -> None:
+        """Guards against a small datagram that takes all memory.
+
+        The reader believed sizes of lists and strings: 8 bytes for each of
+        the items that a list was said to have.
+        """
+        update = PeerUpdate("r", 1, "10.0.0.1", ended_calls=(1, 2, 3))
+        body = encode_update(update)[CHECKSUM.size :]
+        start = body.index(before) + len(before)
+        bad = body[:start] + struct.pack("!I", size) + body[start + 4 :]
+        checksum = CHECKSUM.pack(xxhash.xxh64_intdigest(bad))
+        with pytest.raises(DatagramError):
+            decode_update(checksum + bad)
+
     @given(st.data())
     def test_updates_of_other_versions(self, data: st.DataObject) -> None:
         """Guards against fields that are missing, or have absurd values."""
