Links keep little of peers without the secret, and share one send limit

What callers saw: nothing yet. Anybody who reached the port of a router's or agent's links could make it keep 32 MiB for each connection during the 3 s of the handshake; and peers that read nothing could make it keep 64 MiB each.

Now a frame has at most 16 KiB until the peer has proved that it knows the secret; a longer one closes the link when its length is read, and is logged and counted. The limit of unsent bytes holds for all links of an instance together; beyond it the link with the most is closed. The sum is formed only when a link's own queue is long.

A frame of 20 MiB of a known peer still arrives.

--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -210,6 +210,7 @@
             self.deps.report,
             rng=self.rng,
             delay_for=self.deps.delay_for,
+            on_excess=self.peer_exceeded,
         )
         self.spawn(self.driver.run(), "driver")
 
--- a/src/bulrushstream/transport/link.py
+++ b/src/bulrushstream/transport/link.py
@@ -40,7 +40,10 @@
 
     secret: str  # The fleet's shared secret.
     max_frame_bytes: int = 32 * 1024 * 1024  # A longer one closes the link.
-    max_unsent_bytes: int = 64 * 1024 * 1024  # More closes the link.
+    # The same until the peer has proved that it knows the secret.
+    max_handshake_bytes: int = 16 * 1024
+    # Of all links together; more closes the link with the most.
+    max_unsent_bytes: int = 64 * 1024 * 1024
     handshake_timeout_s: float = 3.0  # For the Hello and the Proof.
     heartbeat_interval_s: float = 1.5  # After the last sent frame.
     silence_limit_s: float = 5.0  # Time without data from the peer.
@@ -58,6 +61,12 @@
     def link_received(self, link: Link, message: Message, size: int) -> None:
         """Handle a received message other than the handshake's."""
 
+    def link_unsent(self, link: Link) -> None:
+        """Handle bytes that the peer has not read yet."""
+
+    def link_exceeded(self, link: Link, address: str) -> None:
+        """Handle a frame that is longer than its limit."""
+
     def link_down(self, link: Link, why: str) -> None:
         """Handle the end of a link, whether it was up or not."""
 
@@ -166,7 +175,10 @@
         end = len(self._receive_buffer)
         while end - start >= LENGTH.size and self._transport is not None:
             (size,) = LENGTH.unpack_from(self._receive_buffer, start)
-            if size > self._options.max_frame_bytes:
+            if size > self._max_frame_bytes():
+                self._receive_buffer.clear()
+                host, port = self._address()
+                self._owner.link_exceeded(self, f"{host}:{port}")
                 self.close("frame exceeds max_frame_bytes")
                 return
             stop = start + LENGTH.size + size
@@ -177,6 +189,18 @@
             self._handle_frame(frame)
         del self._receive_buffer[:start]
 
+    def _max_frame_bytes(self) -> int:
+        """Return the limit of the next frame."""
+        if self.peer is None:
+            return self._options.max_handshake_bytes
+        return self._options.max_frame_bytes
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the peer has not read yet."""
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport else 0
+
     def send(self, message: Message) -> None:
         """Queue a message for the next flush; drop it if the link is closed.
 
@@ -227,11 +251,8 @@
         self._last_write_s = self._loop.time()
         self._transport.write(b"".join(self._unsent))
         self._unsent.clear()
-        unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes > self._options.max_unsent_bytes:
-            self.abort(
-                "peer reads too slowly: unsent bytes exceed max_unsent_bytes"
-            )
+        if self.unsent_bytes:
+            self._owner.link_unsent(self)
 
     def _handle_frame(self, frame: bytes) -> None:
         """Decode one frame and handle its message."""
--- a/src/bulrushstream/transport/mesh.py
+++ b/src/bulrushstream/transport/mesh.py
@@ -18,6 +18,12 @@
 from typing import Final
 
 from bulrushstream.state.event import Event, MessageReceived, PeerDown, PeerUp
+from bulrushstream.state.excess import (
+    Excess,
+    ExcessReason,
+    OnExcess,
+    PeerKind,
+)
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
 from bulrushstream.state.message import Heartbeat, Message
 from bulrushstream.transport.link import Link, LinkOptions
@@ -84,6 +90,7 @@
         *,
         rng: random.Random,
         delay_for: Callable[[InstanceInfo], float] | None = None,
+        on_excess: OnExcess | None = None,
     ) -> None:
         """Make a mesh without links.
 
@@ -95,8 +102,10 @@
         :param rng: the source of jitter
         :param delay_for: returns a delay in seconds that is added to a
             peer's messages, for measurements on one machine
+        :param on_excess: called with peers whose frames are too long
         """
         self.links = {}
+        self._on_excess = on_excess
         self.sent = Traffic()
         self.received = Traffic()
         self._info = info
@@ -214,6 +223,27 @@
         if not isinstance(message, Heartbeat):
             self._deliver(MessageReceived(peer.key, message))
 
+    def link_unsent(self, link: Link) -> None:
+        """Close the link with most unsent bytes at the limit; `LinkOwner`."""
+        limit_bytes = self._options.link.max_unsent_bytes
+        # Links with a short queue are frequent, and not worth a sum.
+        if link.unsent_bytes * len(self._open_links) <= limit_bytes:
+            return
+        if sum(each.unsent_bytes for each in self._open_links) > limit_bytes:
+            largest = max(self._open_links, key=lambda each: each.unsent_bytes)
+            largest.abort(
+                "peer reads too slowly: unsent bytes exceed max_unsent_bytes"
+            )
+
+    def link_exceeded(self, link: Link, address: str) -> None:
+        """Report a frame that is too long; see `LinkOwner`."""
+        if self._on_excess is None:
+            return
+        of_agent = link.peer is not None and link.peer.role is Role.AGENT
+        kind = PeerKind.AGENT if of_agent else PeerKind.ROUTER
+        reason = ExcessReason.HEAD if link.peer is None else ExcessReason.BODY
+        self._on_excess(Excess(kind, address, reason))
+
     def link_down(self, link: Link, why: str) -> None:
         """Remove a closed link; see `LinkOwner`."""
         self._open_links.discard(link)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -10,8 +10,9 @@
 
 from bulrushstream.protocol.frame import LENGTH
 from bulrushstream.state.event import Event, MessageReceived, PeerDown, PeerUp
+from bulrushstream.state.excess import Excess, ExcessReason
 from bulrushstream.state.identity import InstanceInfo, InstanceKey, Role
-from bulrushstream.state.message import NoWork, Pull
+from bulrushstream.state.message import NoWork, Part, PartKind, Pull
 from bulrushstream.transport.link import LinkOptions
 from bulrushstream.transport.mesh import Mesh, MeshOptions
 
@@ -26,6 +27,7 @@
     ) -> None:
         self.events: list[Event] = []
         self.reports: list[str] = []
+        self.excesses: list[Excess] = []
         self.info = InstanceInfo(
             InstanceKey(name, 1), role, "r", "z", "127.0.0.1", 0
         )
@@ -35,6 +37,7 @@
             self.events.append,
             lambda _, line: self.reports.append(line),
             rng=random.Random(1),
+            on_excess=self.excesses.append,
         )
 
     async def start(self) -> None:
@@ -148,6 +151,64 @@
             await wait_until(lambda: bool(agent.reports))
         assert "frame exceeds max_frame_bytes" in agent.reports[0]
 
+    async def test_strangers_can_not_make_it_keep_long_frames(self) -> None:
+        """Guards against frames of 32 MiB before a peer's proof."""
+        agent = MeshNode("a", Role.AGENT)
+        async with start_nodes(agent):
+            streams = [
+                await asyncio.open_connection("127.0.0.1", agent.info.port)
+                for _ in range(20)
+            ]
+            for _, writer in streams:
+                writer.write(LENGTH.pack(1_000_000) + b"x" * 999_999)
+            async with asyncio.timeout(2.0):
+                for reader, writer in streams:
+                    with suppress(ConnectionError):
+                        while await reader.read(100):
+                            pass
+                    writer.close()
+        assert [each.reason for each in agent.excesses] == [
+            ExcessReason.HEAD
+        ] * 20
+
+    async def test_a_long_frame_of_a_peer_is_delivered(self) -> None:
+        router, agent = MeshNode("r", Role.ROUTER), MeshNode("a", Role.AGENT)
+        async with start_nodes(router, agent):
+            router.mesh.set_peers([agent.info])
+            await wait_until(lambda: agent.has(PeerUp) and router.has(PeerUp))
+            data = random.Random(1).randbytes(20 * 2**20)
+            part = Part("q", 1, 0, PartKind.BODY, data=data)
+            agent.mesh.send(router.info.key, part)
+            await wait_until(lambda: router.has(MessageReceived))
+        assert router.events[1] == MessageReceived(agent.info.key, part)
+        assert agent.excesses == router.excesses == []
+
+    async def test_peers_that_read_nothing_share_a_limit(self) -> None:
+        """Guards against unsent frames that take the memory together."""
+        few = MeshOptions(LinkOptions("secret", max_unsent_bytes=16 * 2**20))
+        agent = MeshNode("a", Role.AGENT, few)
+        routers = [MeshNode(f"r{i}", Role.ROUTER) for i in range(3)]
+        async with start_nodes(agent, *routers):
+            for router in routers:
+                router.mesh.set_peers([agent.info])
+            await wait_until(
+                lambda: all(each.mesh.links for each in (agent, *routers))
+            )
+            await wait_until(lambda: len(agent.mesh.links) == 3)
+            for router in routers:
+                for link in router.mesh.links.values():
+                    assert link._transport is not None
+                    link._transport.pause_reading()
+            part = Part("q", 1, 0, PartKind.BODY, data=bytes(2**20))
+            for _ in range(14):
+                for router in routers:
+                    agent.mesh.send(router.info.key, part)
+                await asyncio.sleep(0.005)
+                links = agent.mesh._open_links
+                unsent_bytes = sum(each.unsent_bytes for each in links)
+                assert unsent_bytes <= 20 * 2**20
+        assert any("reads too slowly" in line for line in agent.reports)
+
     async def test_a_newer_incarnation_replaces_the_older_one(self) -> None:
         router, agent = MeshNode("r", Role.ROUTER), MeshNode("a", Role.AGENT)
         newer = MeshNode("r", Role.ROUTER)
