Peers' updates and the store's origins fill no table without end

What callers saw: nothing yet. Each update of a router may name a new router and hosts, which were all kept, for up to a minute, and sent updates to; and a store that always says that more origins follow filled a table of them.

Now a router knows at most 2,048 routers and as many hosts, far more than a fleet has, and ignores further ones until known ones time out; of the origins that are being read it holds as many as are kept in the end, the newest.

Evidence: the new test of routers and hosts failed on the code before (1 case). The origins have no test of their own.

--- a/src/bulrushstream/coordination/fleetview.py
+++ b/src/bulrushstream/coordination/fleetview.py
@@ -29,6 +29,10 @@
 HOST_TIMEOUT_S: Final = 60.0
 
 
+# Routers, and hosts, that are known at most; further ones are ignored.
+MAX_ROUTERS: Final = 2_048
+
+
 @dataclass(slots=True)
 class PeerView:
     """One incarnation of another router."""
@@ -67,6 +71,8 @@
         """
         if host == self.own_host or host in self.hosts:
             return
+        if len(self.hosts) >= MAX_ROUTERS:
+            return
         # Anything else would be looked up as a name.
         with suppress(ValueError):
             ipaddress.ip_address(host)
@@ -84,6 +90,8 @@
         lost: set[int] = set()
         if known is not None and update.incarnation < known.incarnation:
             return lost
+        if known is None and len(self.peers) >= MAX_ROUTERS:
+            return lost
         if known is None or known.incarnation != update.incarnation:
             if known is not None:
                 lost = known.calls
--- a/src/bulrushstream/daemon/originrecords.py
+++ b/src/bulrushstream/daemon/originrecords.py
@@ -17,6 +17,7 @@
     read_interval_s,
     write_interval_s,
 )
+from bulrushstream.coordination.streamorigins import MAX_STREAMS
 from bulrushstream.daemon.front import Front
 from bulrushstream.daemon.orderedwriter import OrderedWriter
 from bulrushstream.protocol.keyedstore import (
@@ -110,7 +111,10 @@
             batch = await self.store.read_retained(self.topic, part, offset)
             for record in batch.records:
                 for origin in self._decode(record):
+                    newest.pop(origin.stream, None)
                     newest[origin.stream] = origin
+            while len(newest) > MAX_STREAMS:
+                del newest[next(iter(newest))]
             offset = batch.next_offset
             if not batch.records or offset >= batch.end_offset:
                 break
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -22,7 +22,7 @@
 from thriftpy2.utils import serialize
 
 from bulrushstream.coordination.configlog import decode_record
-from bulrushstream.coordination.fleetview import FleetView
+from bulrushstream.coordination.fleetview import HOST_TIMEOUT_S, FleetView
 from bulrushstream.coordination.quarantine import decode_strikes
 from bulrushstream.daemon.watch import (
     Snapshot,
@@ -329,6 +329,21 @@
             )
         )
 
+    def test_few_routers_are_kept(self) -> None:
+        """Guards against updates that name ever more routers and hosts."""
+        view = FleetView("10.0.0.1")
+        for number in range(4_000):
+            host = f"10.2.{number // 250}.{number % 250}"
+            named = (f"10.1.{number // 250}.{number % 250}",)
+            peer = PeerUpdate(f"r{number}", 1, host, known_hosts=named)
+            view.receive(peer, 1.0)
+        assert len(view.hosts) <= 2_048
+        assert len(view.peers) <= 2_048
+        now_s = 1.0 + HOST_TIMEOUT_S + 1.0
+        view.sweep(now_s)
+        view.receive(PeerUpdate("r", 1, "10.0.0.2"), now_s)
+        assert (list(view.peers), list(view.hosts)) == (["r"], ["10.0.0.2"])
+
     @pytest.mark.parametrize(
         "host", ("", "localhost", "10.0\x00.0.1", "h" * 70_000, "10.0.0.300")
     )
