The body of an answer to a probe is not read for long

What callers saw: nothing yet. An endpoint that was asked for its id and whose answer had no end was read until the probe's time limit had passed once more, as fast as the bytes came: in the trial 33 MB in 0.5 s, time that other requests then wait for.

Now the connection ends after 64 KiB, and is logged and counted where its pool says so.

Evidence: the 4 cases with fast flows failed on the code before (29 to 33 MB were read); the trickle was ended by the time limit before as well.

--- a/src/bulrushstream/transport/probe.py
+++ b/src/bulrushstream/transport/probe.py
@@ -4,9 +4,10 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from bulrushstream.state.call import RawHeaders
+from bulrushstream.state.excess import Excess, ExcessReason
 from bulrushstream.transport.connection import (
     Connection,
     PendingRequest,
@@ -18,12 +19,19 @@
 ProbeAnswer: TypeAlias = tuple[int, RawHeaders] | ConnectionRefusedError | None
 
 
+# The body is not used, but the connection is free again at its end.
+MAX_BODY_BYTES: Final = 65_536
+
+
 @dataclass(slots=True)
 class _ProbeSink:
     """Resolves a future with the head of the response; see `Sink`."""
 
+    pool: Pool
     request: bytes
     future: asyncio.Future[ProbeAnswer]
+    pending: PendingRequest | None = None
+    body_bytes: int = 0
     ended: bool = False  # Whether the connection is free again, or closed.
 
     def payload(self) -> bytes | None:
@@ -34,7 +42,18 @@
         return True
 
     def data(self, data: bytes) -> None:
-        del data
+        self.body_bytes += len(data)
+        if self.body_bytes > MAX_BODY_BYTES and not self.ended:
+            self.give_up(ExcessReason.BODY)
+
+    def give_up(self, reason: ExcessReason) -> None:
+        """Close the connection, as the body has no end."""
+        self.ended = True
+        if self.pending is not None:
+            self.pending.cancel()
+        if self.pool.on_excess is not None:
+            address = f"{self.pool.host}:{self.pool.port}"
+            self.pool.on_excess(Excess(self.pool.peer, address, reason))
 
     def end(self, *, framed: bool = True) -> None:
         del framed
@@ -68,11 +87,12 @@
     future: asyncio.Future[ProbeAnswer] = (
         asyncio.get_running_loop().create_future()
     )
-    sink = _ProbeSink(request, future)
+    sink = _ProbeSink(pool, request, future)
     if connection is None:
         pending = pool.send(b"GET", sink, reuse=False)
     else:
         pending = pool.send_on(connection, b"GET", sink)
+    sink.pending = pending
     try:
         async with asyncio.timeout(timeout_s):
             answer = await future
@@ -82,11 +102,11 @@
     if not sink.ended:
         # The body may have no end.
         loop = asyncio.get_running_loop()
-        loop.call_later(timeout_s, _cancel_unless_ended, pending, sink)
+        loop.call_later(timeout_s, _give_up_unless_ended, sink)
     return answer
 
 
-def _cancel_unless_ended(pending: PendingRequest, sink: _ProbeSink) -> None:
+def _give_up_unless_ended(sink: _ProbeSink) -> None:
     """Close a probe's connection if its response has not ended."""
     if not sink.ended:
-        pending.cancel()
+        sink.give_up(ExcessReason.TIME)
--- a/tests/test_collected_answers.py
+++ b/tests/test_collected_answers.py
@@ -24,6 +24,7 @@
 from bulrushstream.protocol.keyedstore import StoreError
 from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
 from bulrushstream.state.memorybudget import MemoryBudget
+from bulrushstream.transport.probe import MAX_BODY_BYTES, ask_identity
 from bulrushstream.transport.upstream import Pool
 from tests.endlesspeers import Flow, flooding, scripted
 from tests.virtualnetwork import Listener, NetworkLoop, run_in_network
@@ -251,6 +252,29 @@
         play(work)
 
 
+class ProbeSuite:
+    """Answers of endpoints that are asked for their id."""
+
+    @pytest.mark.parametrize("flow", Flow)
+    def test_a_body_without_end_is_not_read_for_long(self, flow: Flow) -> None:
+        async def work(world: World) -> None:
+            pool = world.endless(flow).pool
+            answer = await ask_identity(pool, b"GET / HTTP/1.1\r\n\r\n", 0.5)
+            assert isinstance(answer, tuple)
+            assert answer[0] == 200
+            await asyncio.sleep(2.0)
+            limit_bytes = MAX_BODY_BYTES
+            if flow is Flow.SMALL_CHUNKS:
+                limit_bytes *= 4
+            assert sum(world.sent_bytes) <= limit_bytes + ON_THE_WAY_BYTES
+            reason = ExcessReason.BODY
+            if flow is Flow.TRICKLE:
+                reason = ExcessReason.TIME
+            assert world.reasons == [reason]
+
+        play(work)
+
+
 class LargestAnswerSuite:
     """Guards against limits that honest answers exceed."""
 
