--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -29,8 +29,10 @@
 import httpx
 
 from bulrushstream.state.event import RunBody, RunEnd, RunHead
+from bulrushstream.state.excess import OnExcess, PeerKind
 from bulrushstream.state.message import Dispatch
 from bulrushstream.transport.client import make_client
+from bulrushstream.transport.fetch import Fetcher
 from bulrushstream.transport.upstream import EXIT_S
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
@@ -71,6 +73,7 @@
     resume_limit: int = 1  # Resumes per run.
     # What the endpoint answers without running anything; empty: nothing.
     check_path: str = ""
+    on_excess: OnExcess | None = None  # Called with reports too large.
 
 
 @dataclass(slots=True)
@@ -111,9 +114,11 @@
         )
 
     @property
-    def client(self) -> httpx.AsyncClient:
-        """Return the HTTP client, for reports and orders."""
-        return self._client
+    def client(self) -> Fetcher:
+        """Return the client for reports and orders."""
+        return Fetcher(
+            self._client, PeerKind.ENDPOINT, self._options.on_excess
+        )
 
     async def close(self) -> None:
         """Close the connections."""
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from bulrushstream.state.endpointsigns import ConnectionsSeen
+from bulrushstream.state.excess import OnExcess, PeerKind
 from bulrushstream.transport.connection import (
     Connection,
     PendingRequest,
@@ -64,6 +65,8 @@
     on_connect: Callable[[], None] | None = None  # For metrics.
     # When the last of the requests was sent that the peer itself answered.
     answered_s: float = float("-inf")
+    on_excess: OnExcess | None = None
+    peer: PeerKind = PeerKind.ENDPOINT
     _idle: deque[Connection] = field(default_factory=deque)
     _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any, Final
@@ -21,7 +22,7 @@
 from thriftpy2.utils import serialize
 
 from bulrushstream.coordination.configlog import decode_record
-from bulrushstream.coordination.fleetview import FleetView
+from bulrushstream.coordination.fleetview import HOST_TIMEOUT_S, FleetView
 from bulrushstream.coordination.quarantine import decode_strikes
 from bulrushstream.daemon.watch import (
     Snapshot,
@@ -258,6 +259,24 @@
         port.datagram_received(data, ("10.0.0.2", 1))
         assert (received, reports) == ([], ["bad_datagram"])
 
+    @pytest.mark.parametrize("before", [b"\x0f\x00\x06\x0a", b"\x0b\x00\x01"])
+    @pytest.mark.parametrize("size", [99, 100_000, 2**20, 2**31 - 1])
+    def test_a_size_beyond_the_end_is_refused(
+        self, size: int, before: bytes
+    ) -> None:
+        """Guards against a small datagram that takes all memory.
+
+        The reader believed sizes of lists and strings: 8 bytes for each of
+        the items that a list was said to have.
+        """
+        update = PeerUpdate("r", 1, "10.0.0.1", ended_calls=(1, 2, 3))
+        body = encode_update(update)[CHECKSUM.size :]
+        start = body.index(before) + len(before)
+        bad = body[:start] + struct.pack("!I", size) + body[start + 4 :]
+        checksum = CHECKSUM.pack(xxhash.xxh64_intdigest(bad))
+        with pytest.raises(DatagramError):
+            decode_update(checksum + bad)
+
     @given(st.data())
     def test_updates_of_other_versions(self, data: st.DataObject) -> None:
         """Guards against fields that are missing, or have absurd values."""
@@ -310,6 +329,21 @@
             )
         )
 
+    def test_few_routers_are_kept(self) -> None:
+        """Guards against updates that name ever more routers and hosts."""
+        view = FleetView("10.0.0.1")
+        for number in range(4_000):
+            host = f"10.2.{number // 250}.{number % 250}"
+            named = (f"10.1.{number // 250}.{number % 250}",)
+            peer = PeerUpdate(f"r{number}", 1, host, known_hosts=named)
+            view.receive(peer, 1.0)
+        assert len(view.hosts) <= 2_048
+        assert len(view.peers) <= 2_048
+        now_s = 1.0 + HOST_TIMEOUT_S + 1.0
+        view.sweep(now_s)
+        view.receive(PeerUpdate("r", 1, "10.0.0.2"), now_s)
+        assert (list(view.peers), list(view.hosts)) == (["r"], ["10.0.0.2"])
+
     @pytest.mark.parametrize(
         "host", ("", "localhost", "10.0\x00.0.1", "h" * 70_000, "10.0.0.300")
     )
