Work for each byte of an answer is constant, and bounded for each turn

Other callers waited up to 10 s while endpoints wrote status lines into a body without a length, 3.4 s with answers to other requests, 2.3 s with events.

Cause: the search for another answer's head copied and parsed the rest of the body for each status line; ids within one event were looked up from the event's beginning; a piece of an event was copied with all before it; and up to 256 KiB of one connection were handled before any other got its turn.

Now a head is parsed line by line, as it arrives, and a body in which more is parsed in vain than its length allows ends the attempt. Pieces of an event are appended, ids looked up from the last one. The loop reads at most 16 KiB of a connection in one turn, into a buffer that all share; no bytes are held back.

Evidence: before, the parser saw up to 97 MB of a body of 0.6 MB and one turn handed over 200 kB (16 of 16 new cases failed).

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -23,6 +23,7 @@
     RawHeaders,
 )
 from bulrushstream.state.endpointsigns import Sign
+from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
 from bulrushstream.transport.connection import (
     Framing,
     PendingRequest,
@@ -172,6 +173,8 @@
             self._accept(head, data)
             return
         self._accept(head, unframed.feed(data))
+        if unframed.flooded and self.in_flight:
+            self._give_up("a body full of heads", ExcessReason.EXTRA)
         if unframed.followed_by is not None and self.in_flight:
             self._end_followed(head, unframed.followed_by)
 
@@ -187,7 +190,9 @@
         elif head.signed and not head.encoded:
             self._relay_events(head, data)
         elif self._body_bytes > MAX_BUFFERED_BYTES:
-            self._give_up("a stream that is unsigned or encoded")
+            self._give_up(
+                "a stream that is unsigned or encoded", ExcessReason.BODY
+            )
 
     def end(self, *, framed: bool = True) -> None:
         """Handle the end of a complete answer; see `Sink`."""
@@ -345,7 +350,7 @@
         splitter = self.forward.splitter
         events = splitter.feed(data)
         if splitter.is_too_long:
-            self._give_up("an event is too long")
+            self._give_up("an event is too long", ExcessReason.EVENT)
             return
         if events:
             now_s = self._heard_s
@@ -373,7 +378,10 @@
             self._close()
             self.end()
         elif head.status >= 500 or not _is_relayable(head):
-            self._give_up("a body that could not be passed on is too long")
+            self._give_up(
+                "a body that could not be passed on is too long",
+                ExcessReason.BODY,
+            )
         elif exchange.started:
             self._give_up("an answer after a stream had begun")
         else:
@@ -402,9 +410,20 @@
         if self._pending is not None:
             self._pending.cancel()
 
-    def _give_up(self, detail: str) -> None:
-        """End the attempt, as its bytes are no answer."""
+    def _give_up(
+        self, detail: str, excess: ExcessReason | None = None
+    ) -> None:
+        """End the attempt, as its bytes are no answer.
+
+        :param detail: why, for the log
+        :param excess: what it sent too much of; None: nothing
+        """
         self._close()
+        if excess is not None:
+            entry = self.endpoint.entry
+            self.front.peer_exceeded(
+                Excess(PeerKind.ENDPOINT, f"{entry.host}:{entry.port}", excess)
+            )
         self.failed(ResponseFailure.BROKEN, detail)
 
     def _record_end(self, *, ran: bool) -> None:
--- a/src/bulrushstream/daemon/unframed.py
+++ b/src/bulrushstream/daemon/unframed.py
@@ -38,6 +38,11 @@
         """
         return self._finder.feed(data)
 
+    @property
+    def flooded(self) -> bool:
+        """Return whether too much of the body looks like other answers."""
+        return self._finder.flooded
+
     def close(self, now_s: float) -> bytes | None:
         """Return the rest of the body as its connection has ended.
 
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 _END: Final = b"\n\n"
@@ -25,13 +25,14 @@
     event_count: int = 0  # Number of events that were passed on.
     # Whether an id did not rise; nothing is passed on from there.
     out_of_order: bool = False
-    _partial: bytes = b""  # The beginning of an incomplete event.
+    # The beginning of an incomplete event.
+    _partial: bytearray = field(default_factory=bytearray)
     _run_id: int = -1  # The last id that the endpoint's stream had.
     _skip_seen: bool = False  # Whether the stream may repeat events.
 
     def restart(self) -> None:
         """Drop an incomplete event, as another endpoint resumes the stream."""
-        self._partial = b""
+        self._partial.clear()
         self._run_id = -1
         self.out_of_order = False
         self._skip_seen = self.last_id is not None
@@ -43,14 +44,16 @@
         """
         if self.out_of_order:
             return b""
-        if self._partial:
-            data = self._partial + data
-        end = data.rfind(_END)
-        if end < 0:
-            self._partial = data
+        partial = self._partial
+        ends_now = partial.endswith(b"\n") and data.startswith(b"\n")
+        if not ends_now and _END not in data:
+            partial += data
             return b""
-        end += len(_END)
-        self._partial = data[end:]
+        if partial:
+            data = bytes(partial + data)
+            partial.clear()
+        end = data.rfind(_END) + len(_END)
+        partial += data[end:]
         complete = self._until_fall(data[:end])
         if self._skip_seen:
             complete = self._without_seen(complete)
@@ -74,14 +77,16 @@
 
     def _until_fall(self, complete: bytes) -> bytes:
         """Return the events up to the first whose id does not rise."""
-        event_start = -1
+        event_start, start, searched = -1, 0, 0
         for found in _ID.finditer(complete):
             number, position = int(found[1]), found.start(1)
-            end = complete.rfind(_END, 0, position)
-            start = end + len(_END) if end >= 0 else 0
+            end = complete.rfind(_END, searched, position)
+            searched = position
+            if end >= 0:
+                start = end + len(_END)
             if number <= self._run_id and start != event_start:
                 self.out_of_order = True
-                self._partial = b""
+                self._partial.clear()
                 return complete[:start]
             self._run_id, event_start = number, start
         return complete
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -23,8 +23,8 @@
 # A connection is closed if sent bytes stay unacknowledged for this time.
 UNACKNOWLEDGED_MS: Final = 4_000
 
-# Limits of the bytes that are not passed on: of heads, trailers, and framing of
-# chunks, and of these together with responses to other requests.
+# Limits of the bytes that are not passed on: of heads, trailers and chunks'
+# framing, and of these together with responses to other requests.
 MAX_HEAD_BYTES: Final = 65_536
 MAX_DISCARDED_BYTES: Final = 262_144
 
@@ -34,6 +34,13 @@
 MAX_INTERIM: Final = 16
 MAX_DISCARDED: Final = 16
 
+# Bytes that are read in one turn of the event loop, so that a connection on
+# which much arrives leaves time for the others.
+MAX_TURN_BYTES: Final = 16_384
+
+# All connections share it: the loop fills it and has it parsed in one step.
+_BUFFER: Final = memoryview(bytearray(MAX_TURN_BYTES))
+
 # Each byte of a body allows for this many bytes of framing.
 FRAMING_PER_BYTE: Final = 32
 
@@ -103,7 +110,7 @@
         """Handle the end of a connection."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a peer."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -219,8 +226,20 @@
         else:
             sink.failed(ResponseFailure.BROKEN, f"connection lost: {exc}")
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes; see `asyncio.Protocol`."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where bytes go; see `asyncio.BufferedProtocol`."""
+        del sizehint
+        return _BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse received bytes; see `asyncio.BufferedProtocol`."""
+        self.data_received(_BUFFER[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parse received bytes.
+
+        :param data: the bytes
+        """
         self.heard_s = self._owner.clock()
         if self._sink is None:
             self.close()
--- a/src/bulrushstream/transport/extraanswers.py
+++ b/src/bulrushstream/transport/extraanswers.py
@@ -23,6 +23,11 @@
 # More bytes than this without the end of a head are no head.
 MAX_HEAD_BYTES: Final = 16_384
 
+# The bytes that are parsed in vain before the body counts as a flood of heads,
+# and those that each byte of the body adds.
+MAX_VAIN_BYTES: Final = 262_144
+VAIN_PER_BYTE: Final = 8
+
 # Decides from status and headers whether a head ends the body.
 IsExtra = Callable[[int, RawHeaders], bool]
 
@@ -33,18 +38,24 @@
 
     is_extra: IsExtra
     found: bool = False  # Whether another response has begun.
+    # Whether the body has more beginnings of heads than are looked at.
+    flooded: bool = False
     _held: bytes = b""  # What may be the beginning of a head.
+    _head: _Head | None = None  # What is known of it.
+    _vain_bytes_left: int = MAX_VAIN_BYTES
 
     def feed(self, data: bytes) -> bytes:
         """Return the bytes that are known to be of the body.
 
         :param data: the next bytes that arrived
         """
-        if self.found:
+        if self.found or self.flooded:
             return b""
         if not self._held and _MARK not in data:
             body_size = len(data) - _mark_size_at_end(data)
         else:
+            left = min(MAX_VAIN_BYTES, self._vain_bytes_left)
+            self._vain_bytes_left = left + VAIN_PER_BYTE * len(data)
             data = self._held + data
             body_size = self._find_head(data)
         self._held = b"" if self.found else data[body_size:]
@@ -61,15 +72,21 @@
 
     def _find_head(self, data: bytes) -> int:
         """Return where a head begins, or may begin; else the size."""
-        start = data.find(_MARK)
+        start = 0 if self._head is not None else data.find(_MARK)
         while start >= 0:
-            head = _Head()
-            if head.parse(data[start:]):
-                if not head.complete:
-                    return start
-                if self.is_extra(head.status, head.headers):
-                    self.found = True
-                    return start
+            head, self._head = self._head or _Head(), None
+            parsed_bytes = head.parsed_bytes
+            plausible = head.parse(data, start)
+            self._vain_bytes_left -= head.parsed_bytes - parsed_bytes
+            if plausible and not head.complete:
+                self._head = head
+                return start
+            if plausible and self.is_extra(head.status, head.headers):
+                self.found = True
+                return start
+            if self._vain_bytes_left < 0:
+                self.flooded = True
+                return start
             start = data.find(_MARK, start + 1)
         return len(data) - _mark_size_at_end(data)
 
@@ -81,32 +98,46 @@
         self.status = 0
         self.headers: RawHeaders = []
         self.complete = False
+        self.parsed_bytes = 0
+        self._parser: httptools.HttpResponseParser | None = None
+
+    def parse(self, data: bytes, start: int) -> bool:
+        """Parse bytes that have arrived since; return whether they fit.
 
-    def parse(self, data: bytes) -> bool:
-        """Parse bytes; return whether they begin with a head or a part."""
-        line = data[:_STATUS_SIZE]
-        if len(line) < _STATUS_SIZE:
+        :param data: bytes that begin with those that were parsed
+        :param start: where the head begins in them
+        """
+        if self._parser is None:
+            line = data[start : start + _STATUS_SIZE]
             padding = b"HTTP/1.1 200 "[len(line) :]
-            return bool(_STATUS_LINE.match(line + padding))
-        if not _STATUS_LINE.match(line):
-            return False
-        end = data.find(b"\r\n\r\n", 0, MAX_HEAD_BYTES)
-        if end < 0 and len(data) >= MAX_HEAD_BYTES:
-            return False
-        parser = httptools.HttpResponseParser(self)
-        try:
-            parser.feed_data(data if end < 0 else data[: end + 4])
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            return False
-        self.complete = end >= 0
-        if self.complete:
-            self.status = parser.get_status_code()
-        return True
+            if not _STATUS_LINE.match(line + padding):
+                return False
+            if padding:
+                return True
+            self._parser = httptools.HttpResponseParser(self)
+        limit = min(len(data), start + MAX_HEAD_BYTES)
+        position = start + self.parsed_bytes
+        while position < limit and not self.complete:
+            # Line by line, as a body that only looks like a head shows soon.
+            line_end = data.find(b"\n", position, limit) + 1 or limit
+            self.parsed_bytes = line_end - start
+            try:
+                self._parser.feed_data(data[position:line_end])
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                return False
+            position = line_end
+        return self.complete or self.parsed_bytes < MAX_HEAD_BYTES
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; called by the parser."""
         self.headers.append((name, value))
 
+    def on_headers_complete(self) -> None:
+        """Take the status of a complete head; called by the parser."""
+        assert self._parser is not None
+        self.status = self._parser.get_status_code()
+        self.complete = True
+
 
 def _mark_size_at_end(data: bytes) -> int:
     """Return how many bytes at the end may begin a head."""
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Iterator
 from itertools import count, islice
 from typing import Any, Final
@@ -203,3 +204,34 @@
         for piece in islice(endless(start, block, 1448), 2):
             exchanged.connection.data_received(piece)
         assert len(exchanged.sink.headers) == 2
+
+
+class TurnSuite:
+    """One connection's bytes leave the event loop time for the others."""
+
+    async def test_a_turn_reads_a_bounded_number(self) -> None:
+        loop = asyncio.get_running_loop()
+        ours, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        sent = theirs.send(CHUNKED + b"F0000\r\n" + bytes(200_000))
+        exchanged = Exchanged()
+        turns: list[int] = []
+        sink, ended = FakeSink(), loop.create_future()
+
+        def take(data: bytes) -> None:
+            turns.append(0) if not turns else None
+            turns[-1] += len(data)
+            loop.call_soon(turns.append, 0)
+            if sum(turns) >= sent - len(CHUNKED) - 7 and not ended.done():
+                ended.set_result(None)
+
+        sink.data = take  # type: ignore[method-assign]
+        transport, connection = await loop.create_connection(
+            lambda: Connection(exchanged.pool), sock=ours
+        )
+        connection.send(b"GET", b"GET", sink)
+        await ended
+        transport.abort()
+        theirs.close()
+        assert sum(turns) > 100_000
+        assert max(turns) <= 65_536
--- a/tests/test_extra_answers.py
+++ b/tests/test_extra_answers.py
@@ -8,8 +8,10 @@
 import asyncio
 import itertools
 from dataclasses import dataclass
+from types import SimpleNamespace
 from typing import Final
 
+import httptools
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -83,6 +85,64 @@
         assert body + rest == text
 
 
+class _CountingParser:
+    """A parser that counts the bytes of all parsers of its kind."""
+
+    fed_bytes = 0
+
+    def __init__(self, protocol: object) -> None:
+        self._parser = httptools.HttpResponseParser(protocol)
+
+    def feed_data(self, data: bytes) -> None:
+        type(self).fed_bytes += len(data)
+        self._parser.feed_data(data)
+
+    def get_status_code(self) -> int:
+        return self._parser.get_status_code()
+
+
+class FinderWorkSuite:
+    """Guards against work that grows with the square of a body's length."""
+
+    @pytest.mark.parametrize("size", (100, 1448, 262_144))
+    @pytest.mark.parametrize(
+        ("block", "floods"),
+        [
+            (b"HTTP/1.1 200 \r\n", False),
+            (b"HTTP/1.1 200 OK\r\n\r\n", False),
+            (b"HTTP/1.1 200 OK\r\nA: b\r\n", False),
+            (b"X: HTTP/1.1 200 OK\r\n", True),
+            (b"HTTP/1.1 200 HTTP/1.1 200 ", True),
+        ],
+    )
+    def test_the_parser_sees_few_bytes(
+        self,
+        block: bytes,
+        floods: bool,
+        size: int,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.setattr(_CountingParser, "fed_bytes", 0)
+        monkeypatch.setattr(
+            "bulrushstream.transport.extraanswers.httptools",
+            SimpleNamespace(
+                HttpResponseParser=_CountingParser,
+                HttpParserError=httptools.HttpParserError,
+                HttpParserUpgrade=httptools.HttpParserUpgrade,
+            ),
+        )
+        finder = ExtraAnswerFinder(is_own)
+        text = block * (600_000 // len(block))
+        body = b""
+        for start in range(0, len(text), size):
+            body += finder.feed(text[start : start + size])
+        assert _CountingParser.fed_bytes <= 10 * len(text)
+        assert text.startswith(body)
+        assert finder.flooded == floods
+        if not floods:
+            assert len(text) - len(body) <= 16_384
+
+
 @dataclass(slots=True)
 class _TwiceEndpoint:
     """The end of a connection of an endpoint that answers twice."""
