An endpoint's answer is read no faster than its caller reads it

A caller that read a long answer more slowly than its endpoint wrote it was cut off once 1 MiB was unread, though both were sound.

Cause: nothing told the endpoint's connection to wait; the only bound was to abort the caller.

Now reading from the endpoint is paused while more than 256 KiB are unread, and goes on when the transport reports that most was read. Meanwhile the endpoint is not silent, overdue or taken for open; the deadline ends the request, and a caller that closes its side then is taken for gone, as it is otherwise. The abort at 1 MiB stays as the last bound.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -51,7 +51,9 @@
         "_head",
         "_heard_s",
         "_may_have_run_before",
+        "_paused",
         "_pending",
+        "_resumed_s",
         "_unattributed",
         "_unframed",
         "_writer",
@@ -98,6 +100,9 @@
         # Whether its answer may be that of another request.
         self._unattributed = False
         self._heard_s = 0.0  # When bytes of the answer last arrived.
+        # Whether its bytes are not read, as the caller has much to read.
+        self._paused = False
+        self._resumed_s = 0.0  # When that last ended; 0: never.
 
     def start(self, *, watched: bool) -> None:
         """Queue the request for a connection to the endpoint.
@@ -361,12 +366,16 @@
             self.forward.relay_events(head, events, now_s)
         if splitter.out_of_order and self.in_flight:
             self._give_up("the id of an event does not rise")
+        if self.forward.exchange.full:
+            self._pause()
 
     def _buffer(self, head: AnswerHead, data: bytes) -> None:
         """Buffer a chunk; relay the answer once it exceeds the limit."""
         exchange = self.forward.exchange
         if self._writer is not None:
             self._writer.write(data)
+            if exchange.full:
+                self._pause()
             return
         # A caller that has received part of a stream can not get this answer.
         if not exchange.started:
@@ -390,6 +399,22 @@
                 self._writer.write(chunk)
             self._buffered_body = []
 
+    def _pause(self) -> None:
+        """Read no more until the caller has read what it has."""
+        if self._pending is not None and not self._paused:
+            self._paused = True
+            self._pending.pause_reading()
+            self.forward.cancel_overdue_timer()
+
+    def resume(self) -> bool:
+        """Read on if the attempt waits for the caller; return whether."""
+        if not self._paused or self._pending is None:
+            return False
+        self._paused = False
+        self._resumed_s = self.front.clock()
+        self._pending.resume_reading()
+        return True
+
     def _end_stream(self, head: AnswerHead) -> None:
         """Handle the end of an event stream."""
         forward = self.forward
@@ -470,8 +495,13 @@
 
     @property
     def last_heard_s(self) -> float:
-        """Return when it was sent or last heard."""
-        return max(self.sent_s, self._heard_s)
+        """Return when it was sent or last heard.
+
+        An endpoint that is not listened to is not silent.
+        """
+        if self._paused:
+            return self.front.clock()
+        return max(self.sent_s, self._heard_s, self._resumed_s)
 
     @property
     def _reused(self) -> bool:
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -128,6 +128,7 @@
     def start(self) -> None:
         """Make the first attempt."""
         self.exchange.on_disconnect = self._caller_left
+        self.exchange.on_room = self._caller_has_room
         loop = asyncio.get_running_loop()
         remaining_s = self.deadline_s - self.front.clock()
         self._deadline_timer = loop.call_later(
@@ -292,6 +293,11 @@
         else:
             self._answer_notice(messages.NO_CAPACITY, Outcome.NOT_RUN)
 
+    def _caller_has_room(self) -> None:
+        """Go on with the answer, as the caller has read most of it."""
+        if self.attempt is not None and self.attempt.resume():
+            self._restart_overdue_timer(self.front.clock())
+
     # --- Ends.
 
     def _deadline_expired(self) -> None:
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -136,6 +136,7 @@
         self._keep_alive = True
         self._used_up = False  # Whether it carries no further request.
         self._unusable = False
+        self.paused = False  # Whether nothing is read from it.
         self.keep_alive_s: float | None = None  # Announced by the peer.
         self.idle_until_s = float("inf")
         self.opened_s = owner.clock()
@@ -191,6 +192,18 @@
         self._method = method
         self._transport.write(payload)
 
+    def pause_reading(self) -> None:
+        """Read no more until `resume_reading` or the end of the response."""
+        if self._transport is not None and not self.paused:
+            self.paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on if reading was paused."""
+        if self._transport is not None and self.paused:
+            self.paused = False
+            self._transport.resume_reading()
+
     def cancel(self) -> None:
         """Abort the connection without a call to the sink."""
         self._sink = None
@@ -336,6 +349,7 @@
         if self._unusable:
             self.close()
         else:
+            self.resume_reading()
             self._owner.release(self)
 
     def _check_overhead(self) -> None:
@@ -417,6 +431,16 @@
         elif self._task is not None:
             self._task.cancel()
 
+    def pause_reading(self) -> None:
+        """Read nothing of the response until `resume_reading`."""
+        if self._connection is not None:
+            self._connection.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on if reading was paused."""
+        if self._connection is not None:
+            self._connection.resume_reading()
+
     def record_answer(self, request_id: str) -> None:
         """Record that the response to a request has begun.
 
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -32,6 +32,10 @@
 # The connection is aborted if more response bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 1_048_576
 
+# Whoever writes a long body waits if more response bytes than this are unread,
+# until the transport reports that the caller has read most of them.
+FULL_BYTES: Final = 262_144
+
 # The socket options with which a connection is reset when it is closed, also
 # by the end of the process, and closed in order.
 RESET_LINGER: Final = struct.pack("ii", 1, 0)
@@ -105,10 +109,12 @@
         "chunked",
         "connection",
         "ended",
+        "full",
         "headers",
         "keep_alive",
         "method",
         "on_disconnect",
+        "on_room",
         "sent_bytes",
         "started",
         "target",
@@ -132,6 +138,8 @@
         self.chunked = False  # Whether chunked encoding is used.
         self.bodyless = False  # Whether HTTP forbids a body.
         self.ended = False  # Whether the response has ended.
+        self.full = False  # Whether the caller has much to read first.
+        self.on_room: Callable[[], None] | None = None  # It is not any more.
         self.on_disconnect: Callable[[], None] | None = None
 
     def answer(
@@ -304,6 +312,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._rejected = False
         self._resets = False  # Whether closing the socket resets it.
+        self._full = False  # Whether the caller has much to read first.
         self._finishing = False  # Whether to close once all is written.
         self.closing = False
 
@@ -331,6 +340,10 @@
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
+        if self._full and self._current is not None:
+            # It may never read what it has not read yet.
+            assert self._transport is not None
+            self._transport.abort()
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -428,8 +441,13 @@
         if transport is None or transport.is_closing():
             return
         transport.write(data)
-        if transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
-            transport.abort()
+        unread_bytes = transport.get_write_buffer_size()
+        if unread_bytes > FULL_BYTES:
+            self._full = True
+            if self._current is not None:
+                self._current.full = True
+            if unread_bytes > MAX_UNREAD_BYTES:
+                transport.abort()
 
     def exchange_finished(self, exchange: Exchange) -> None:
         """Begin the next request after a response has ended.
@@ -471,9 +489,15 @@
         self._resets = True
 
     def resume_writing(self) -> None:
-        """Close in order if that waited; see `asyncio.BaseProtocol`."""
+        """Go on with what waited; see `asyncio.BaseProtocol`."""
+        self._full = False
         if self._finishing:
             self._close()
+        exchange = self._current
+        if exchange is not None and exchange.full:
+            exchange.full = False
+            if exchange.on_room is not None:
+                exchange.on_room()
 
     def close_if_unused(self) -> bool:
         """Close the connection if no bytes of a request have arrived.
@@ -528,6 +552,7 @@
         exchange = self._pipelined.popleft()
         self._clear_timer()
         self._current = exchange
+        exchange.full = self._full
         self._ingress.handle(exchange)
 
     def _check_header(self, name: bytes, value: bytes) -> None:
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -197,7 +197,9 @@
         still_open = [
             each
             for each in self._all
-            if each.opened_s < at_s and not each.is_closed
+            if each.opened_s < at_s
+            and not each.is_closed
+            and not each.paused  # Its end would not show.
         ]
         ended = [
             (ended_s, busy)
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -12,6 +12,8 @@
 import pytest
 
 from bulrushstream.daemon import platformupdates
+from bulrushstream.daemon.front import Front
+from bulrushstream.state.effect import Decision
 from tests.crashplans import CrashPlan
 from tests.crashrouters import Router, make_router
 from tests.deployments import an_entry
@@ -108,6 +110,39 @@
     )
 
 
+def make_front(
+    loop: NetworkLoop,
+    service: str,
+    connect: Callable[[Callable[[], None], Transport], ServerSide],
+    observe: Callable[[Decision], None] = lambda decision: None,
+) -> Front:
+    """Return a router with three endpoints; see `play_before`."""
+    router: Router = make_router(
+        0,
+        1,
+        CrashPlan(routers=1),
+        loop.time,
+        observe,
+        lambda host, data: None,
+    )
+    front = router.front
+    for number in range(3):
+        address = (f"10.1.0.{number}", 80)
+
+        def end_process(address: Address = address) -> None:
+            loop.listeners.pop(address, None)
+
+        loop.listeners[address] = partial(connect, end_process)
+        entry = an_entry(
+            f"e-{number}", service=service, host=address[0], port=80
+        )
+        platformupdates.apply_entry(front, entry)
+    front.endpoints_listed = True
+    front.streams.history.complete = True
+    front.freshness.confirm(loop.time())
+    return front
+
+
 def play_before(
     path: str,
     connect: Callable[[Callable[[], None], Transport], ServerSide],
@@ -122,29 +157,7 @@
     caller = Caller()
 
     async def work(loop: NetworkLoop) -> None:
-        router: Router = make_router(
-            0,
-            1,
-            CrashPlan(routers=1),
-            loop.time,
-            lambda decision: None,
-            lambda host, data: None,
-        )
-        front = router.front
-        for number in range(3):
-            address = (f"10.1.0.{number}", 80)
-
-            def end_process(address: Address = address) -> None:
-                loop.listeners.pop(address, None)
-
-            loop.listeners[address] = partial(connect, end_process)
-            entry = an_entry(
-                f"e-{number}", service=service, host=address[0], port=80
-            )
-            platformupdates.apply_entry(front, entry)
-        front.endpoints_listed = True
-        front.streams.history.complete = True
-        front.freshness.confirm(loop.time())
+        front = make_front(loop, service, connect)
         exchange = an_exchange(caller, "q1", path, b"body")
         exchange.arrived_s = loop.time()
         front.handle(exchange)
--- a/tests/virtualnetwork.py
+++ b/tests/virtualnetwork.py
@@ -39,6 +39,8 @@
         self._protocol = protocol
         self._closed = False
         self._in_flight: deque[Callable[[], None]] = deque()
+        self._unread: deque[Callable[[], None]] = deque()
+        self.reading = True
         self.server: ServerSide | None = None  # None: it ignores all bytes.
 
     # --- The client's side.
@@ -62,15 +64,22 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+        self._loop.call_soon(self._read_on)
+
     # --- The server's side.
 
     def send(self, data: bytes) -> None:
-        self._later(lambda: self._deliver_to_client(data))
+        self._later(lambda: self._arrive(self._deliver_to_client, data))
 
     def end(self, error: Exception | None) -> None:
         """Close the connection; an error stands for a reset."""
         self.server = None
-        self._later(lambda: self._lose(error))
+        self._later(lambda: self._arrive(self._lose, error))
 
     # --- Delivery.
 
@@ -78,6 +87,15 @@
         self._in_flight.append(step)
         self._loop.call_later(ONE_WAY_S, lambda: self._in_flight.popleft()())
 
+    def _arrive(self, step: Callable[[Any], None], what: Any) -> None:
+        """Let the client see what arrives once it reads it."""
+        self._unread.append(lambda: step(what))
+        self._read_on()
+
+    def _read_on(self) -> None:
+        while self.reading and self._unread:
+            self._unread.popleft()()
+
     def _deliver_to_server(self, data: bytes) -> None:
         if self.server is not None and not self._closed:
             self.server.received(data)
