Connections on which much arrives take turns to be read

Cause: each turn of the event loop read 16 KiB of every connection that had bytes, and a new request needs several turns.

Now a connection that fills the buffer waits until it is its turn, and each turn of the loop has one of them read on. Ordinary reads pay one comparison.

--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -8,6 +8,7 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.state.excess import OnExcess
+from bulrushstream.transport.readturns import ReadTurns
 from bulrushstream.transport.upstream import Pool, PoolOptions
 
 # Connections per endpoint of a service that the configuration does not name.
@@ -34,6 +35,8 @@
 
     routers: Callable[[], int]  # Returns the presumed number of routers.
     on_excess: OnExcess | None = None
+    # Of all connections, whatever endpoint they lead to.
+    turns: ReadTurns = field(default_factory=ReadTurns)
     _pools: dict[str, Pool] = field(default_factory=dict)
 
     def pool_for(self, endpoint: Endpoint) -> Pool:
@@ -45,7 +48,11 @@
         if pool is None:
             entry = endpoint.entry
             pool = Pool(
-                entry.host, entry.port, self.clock, on_excess=self.on_excess
+                entry.host,
+                entry.port,
+                self.clock,
+                on_excess=self.on_excess,
+                turns=self.turns,
             )
             self._pools[endpoint.name] = pool
         # The number of routers and the configured limit may have changed.
--- a/src/bulrushstream/history/keptconnection.py
+++ b/src/bulrushstream/history/keptconnection.py
@@ -11,6 +11,7 @@
 
 from bulrushstream.state.excess import ExcessReason
 from bulrushstream.transport.connection import Connection, Sink
+from bulrushstream.transport.readturns import ReadTurns
 
 
 class _Transport(asyncio.Transport):
@@ -45,6 +46,7 @@
         :param clock: the time in seconds
         """
         self.clock = clock
+        self.turns = ReadTurns()
         self._transport = _Transport()
         self._connection = Connection(self)
         self._connection.connection_made(self._transport)
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -19,6 +19,7 @@
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.excess import ExcessReason
 from bulrushstream.transport.polling import UNREAD_EVENTS, has_events
+from bulrushstream.transport.readturns import ReadTurns
 
 # A connection is closed if sent bytes stay unacknowledged for this time.
 UNACKNOWLEDGED_MS: Final = 4_000
@@ -98,6 +99,10 @@
     def clock(self) -> Callable[[], float]:
         """Return the clock, which returns the time in seconds."""
 
+    @property
+    def turns(self) -> ReadTurns:
+        """Return the turns of connections on which much arrives."""
+
     def exceeded(self, reason: ExcessReason) -> None:
         """Handle a connection that ends as its peer sent too much."""
 
@@ -136,7 +141,8 @@
         self._keep_alive = True
         self._used_up = False  # Whether it carries no further request.
         self._unusable = False
-        self.paused = False  # Whether nothing is read from it.
+        self.paused = False  # Whether nothing is read until it resumes.
+        self._waits = False  # Whether nothing is read until its turn.
         self.keep_alive_s: float | None = None  # Announced by the peer.
         self.idle_until_s = float("inf")
         self.opened_s = owner.clock()
@@ -202,6 +208,20 @@
         """Read on if reading was paused."""
         if self._transport is not None and self.paused:
             self.paused = False
+            if not self._waits:
+                self._transport.resume_reading()
+
+    def _wait_for_turn(self) -> None:
+        """Let others read first, as more may have arrived already."""
+        if self._transport is not None and not self._waits:
+            self._waits = True
+            self._transport.pause_reading()
+            self._owner.turns.wait(self._read_on)
+
+    def _read_on(self) -> None:
+        """Read on after waiting for a turn."""
+        self._waits = False
+        if self._transport is not None and not self.paused:
             self._transport.resume_reading()
 
     def cancel(self) -> None:
@@ -247,6 +267,8 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; see `asyncio.BufferedProtocol`."""
         self.data_received(_BUFFER[:nbytes])
+        if nbytes == MAX_TURN_BYTES:
+            self._wait_for_turn()
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -22,6 +22,7 @@
     ResponseFailure,
     Sink,
 )
+from bulrushstream.transport.readturns import ReadTurns
 
 # A healthy endpoint accepts within a few milliseconds; a lost SYN packet is
 # retransmitted after one second, which this limit allows for.
@@ -71,6 +72,7 @@
     on_connect: Callable[[], None] | None = None  # For metrics.
     on_excess: OnExcess | None = None
     peer: PeerKind = PeerKind.ENDPOINT  # Who is at the address.
+    turns: ReadTurns = field(default_factory=ReadTurns)
     _idle: deque[Connection] = field(default_factory=deque)
     _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 from collections.abc import Iterator
+from functools import partial
 from itertools import count, islice
 from typing import Any, Final
 
@@ -207,31 +208,48 @@
 
 
 class TurnSuite:
-    """One connection's bytes leave the event loop time for the others."""
+    """Guards against a few connections that take the event loop's time."""
 
-    async def test_a_turn_reads_a_bounded_number(self) -> None:
+    @pytest.mark.parametrize("count_of_floods", (1, 5, 40))
+    async def test_a_turn_of_the_loop_reads_few_bytes(
+        self, count_of_floods: int
+    ) -> None:
         loop = asyncio.get_running_loop()
-        ours, theirs = socket.socketpair()
-        theirs.setblocking(False)
-        sent = theirs.send(CHUNKED + b"F0000\r\n" + bytes(200_000))
-        exchanged = Exchanged()
-        turns: list[int] = []
-        sink, ended = FakeSink(), loop.create_future()
-
-        def take(data: bytes) -> None:
-            turns.append(0) if not turns else None
+        block = CHUNKED + b"F0000\r\n" + bytes(150_000)
+        turns = [0]
+        bodies = [0] * count_of_floods
+        done = loop.create_future()
+
+        def take(number: int, data: bytes) -> None:
+            if not turns[-1]:
+                loop.call_soon(turns.append, 0)
             turns[-1] += len(data)
-            loop.call_soon(turns.append, 0)
-            if sum(turns) >= sent - len(CHUNKED) - 7 and not ended.done():
-                ended.set_result(None)
-
-        sink.data = take  # type: ignore[method-assign]
-        transport, connection = await loop.create_connection(
-            lambda: Connection(exchanged.pool), sock=ours
-        )
-        connection.send(b"GET", b"GET", sink)
-        await ended
-        transport.abort()
-        theirs.close()
-        assert sum(turns) > 100_000
-        assert max(turns) <= 65_536
+            bodies[number] += len(data)
+            if min(bodies) >= 150_000 and not done.done():
+                done.set_result(None)
+
+        pool = Exchanged().pool
+        ends = []
+        for number in range(count_of_floods):
+            ours, theirs = socket.socketpair()
+            ours.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 400_000)
+            theirs.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 400_000)
+            theirs.setblocking(False)
+            assert theirs.send(block) == len(block)
+            transport, connection = await loop.create_connection(
+                lambda: Connection(pool), sock=ours
+            )
+            transport.pause_reading()
+            sink = FakeSink()
+            sink.data = partial(take, number)  # type: ignore[method-assign]
+            connection.send(b"GET", b"GET", sink)
+            ends.append((transport, theirs))
+        for transport, _ in ends:
+            transport.resume_reading()
+        await done
+        for transport, theirs in ends:
+            transport.abort()
+            theirs.close()
+        # All may read once before they wait for turns.
+        assert sum(turns[:3]) <= 16_384 * (count_of_floods + 3)
+        assert max(turns[3:]) <= 3 * 16_384
