--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -23,6 +23,7 @@
     RawHeaders,
 )
 from bulrushstream.state.endpointsigns import Sign
+from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
 from bulrushstream.transport.connection import (
     Framing,
     PendingRequest,
@@ -55,7 +56,9 @@
         "_head",
         "_heard_s",
         "_may_have_run_before",
+        "_paused",
         "_pending",
+        "_resumed_s",
         "_unattributed",
         "_unframed",
         "_writer",
@@ -102,6 +105,9 @@
         # Whether its answer may be that of another request.
         self._unattributed = False
         self._heard_s = 0.0  # When bytes of the answer last arrived.
+        # Whether its bytes are not read, as the caller has much to read.
+        self._paused = False
+        self._resumed_s = 0.0  # When that last ended; 0: never.
 
     def start(self, *, watched: bool) -> None:
         """Queue the request for a connection to the endpoint.
@@ -179,6 +185,8 @@
             self._accept(head, data)
             return
         self._accept(head, unframed.feed(data))
+        if unframed.flooded and self.in_flight:
+            self._give_up("a body full of heads", ExcessReason.EXTRA)
         if unframed.followed_by is not None and self.in_flight:
             self._end_followed(head, unframed.followed_by)
 
@@ -194,7 +202,9 @@
         elif head.signed and not head.encoded:
             self._relay_events(head, data)
         elif self._body_bytes > MAX_BUFFERED_BYTES:
-            self._give_up("a stream that is unsigned or encoded")
+            self._give_up(
+                "a stream that is unsigned or encoded", ExcessReason.BODY
+            )
 
     def end(self, *, framed: bool = True) -> None:
         """Handle the end of a complete answer; see `Sink`."""
@@ -375,7 +385,7 @@
         splitter = self.forward.splitter
         events = splitter.feed(data)
         if splitter.is_too_long:
-            self._give_up("an event is too long")
+            self._give_up("an event is too long", ExcessReason.EVENT)
             return
         if events:
             now_s = self._heard_s
@@ -386,12 +396,16 @@
             self.forward.relay_events(head, events, now_s)
         if splitter.out_of_order and self.in_flight:
             self._give_up("the id of an event does not rise")
+        if self.forward.exchange.full:
+            self._pause()
 
     def _buffer(self, head: AnswerHead, data: bytes) -> None:
         """Buffer a chunk; relay the answer once it exceeds the limit."""
         exchange = self.forward.exchange
         if self._writer is not None:
             self._writer.write(data)
+            if exchange.full:
+                self._pause()
             return
         # A caller that has received part of a stream can not get this answer.
         if not exchange.started:
@@ -403,7 +417,10 @@
             self._close()
             self.end()
         elif head.status >= 500 or not _is_relayable(head):
-            self._give_up("a body that could not be passed on is too long")
+            self._give_up(
+                "a body that could not be passed on is too long",
+                ExcessReason.BODY,
+            )
         elif exchange.started:
             self._give_up("an answer after a stream had begun")
         else:
@@ -412,6 +429,22 @@
                 self._writer.write(chunk)
             self._buffered_body = []
 
+    def _pause(self) -> None:
+        """Read no more until the caller has read what it has."""
+        if self._pending is not None and not self._paused:
+            self._paused = True
+            self._pending.pause_reading()
+            self.forward.cancel_overdue_timer()
+
+    def resume(self) -> bool:
+        """Read on if the attempt waits for the caller; return whether."""
+        if not self._paused or self._pending is None:
+            return False
+        self._paused = False
+        self._resumed_s = self.front.clock()
+        self._pending.resume_reading()
+        return True
+
     def _end_stream(self, head: AnswerHead) -> None:
         """Handle the end of an event stream."""
         forward = self.forward
@@ -432,9 +465,20 @@
         if self._pending is not None:
             self._pending.cancel()
 
-    def _give_up(self, detail: str) -> None:
-        """End the attempt, as its bytes are no answer."""
+    def _give_up(
+        self, detail: str, excess: ExcessReason | None = None
+    ) -> None:
+        """End the attempt, as its bytes are no answer.
+
+        :param detail: why, for the log
+        :param excess: what it sent too much of; None: nothing
+        """
         self._close()
+        if excess is not None:
+            entry = self.endpoint.entry
+            self.front.peer_exceeded(
+                Excess(PeerKind.ENDPOINT, f"{entry.host}:{entry.port}", excess)
+            )
         self.failed(ResponseFailure.BROKEN, detail)
 
     def _record_end(self, *, ran: bool) -> None:
@@ -481,8 +525,13 @@
 
     @property
     def last_heard_s(self) -> float:
-        """Return when it was sent or last heard."""
-        return max(self.sent_s, self._heard_s)
+        """Return when it was sent or last heard.
+
+        An endpoint that is not listened to is not silent.
+        """
+        if self._paused:
+            return self.front.clock()
+        return max(self.sent_s, self._heard_s, self._resumed_s)
 
     @property
     def _reused(self) -> bool:
--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -274,14 +274,6 @@
         )
         await self.operators.start()
 
-    def peer_exceeded(self, excess: Excess) -> None:
-        """Log and count a connection whose peer sent too much; `OnExcess`.
-
-        :param excess: what it sent
-        """
-        self.deps.report("excess", str(excess))
-        count_excess(self.deps.metrics, excess)
-
     def readiness(self) -> Readiness:
         """Return whether requests are accepted, and what is degraded."""
         degraded = tuple(
--- a/src/bulrushstream/history/keptconnection.py
+++ b/src/bulrushstream/history/keptconnection.py
@@ -9,7 +9,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from bulrushstream.state.excess import ExcessReason
 from bulrushstream.transport.connection import Connection, Sink
+from bulrushstream.transport.readturns import ReadTurns
 
 
 class _Transport(asyncio.Transport):
@@ -44,6 +46,7 @@
         :param clock: the time in seconds
         """
         self.clock = clock
+        self.turns = ReadTurns()
         self._transport = _Transport()
         self._connection = Connection(self)
         self._connection.connection_made(self._transport)
@@ -78,6 +81,10 @@
         """Handle the end of the connection; see `ConnectionOwner`."""
         del connection, ended_by_peer, busy
 
+    def exceeded(self, reason: ExcessReason) -> None:
+        """Do nothing: the end of the connection is enough."""
+        del reason
+
 
 def encode_response(
     status: int, headers: list[tuple[bytes, bytes]], chunks: list[bytes]
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -17,16 +17,33 @@
 import httptools
 
 from bulrushstream.state.call import RawHeaders
+from bulrushstream.state.excess import ExcessReason
 from bulrushstream.transport.polling import UNREAD_EVENTS, has_events
+from bulrushstream.transport.readturns import ReadTurns
 
 # A connection is closed if sent bytes stay unacknowledged for this time.
 UNACKNOWLEDGED_MS: Final = 4_000
 
-# Limits of a response's head, of the bodies that belong to no request, and of
-# the interim responses before a final one.
+# Limits of the bytes that are not passed on: of heads, trailers and chunks'
+# framing, and of these together with responses to other requests.
 MAX_HEAD_BYTES: Final = 65_536
 MAX_DISCARDED_BYTES: Final = 262_144
+
+# Limits of a response's headers and trailers, of interim responses before a
+# final one, and of responses to other requests.
+MAX_HEADERS: Final = 512
 MAX_INTERIM: Final = 16
+MAX_DISCARDED: Final = 16
+
+# Bytes that are read in one turn of the event loop, so that a connection on
+# which much arrives leaves time for the others.
+MAX_TURN_BYTES: Final = 16_384
+
+# All connections share it: the loop fills it and has it parsed in one step.
+_BUFFER: Final = memoryview(bytearray(MAX_TURN_BYTES))
+
+# Each byte of a body allows for this many bytes of framing.
+FRAMING_PER_BYTE: Final = 32
 
 # Requests of one connection that are remembered after their responses.
 MAX_ANSWERED: Final = 8
@@ -82,6 +99,13 @@
     def clock(self) -> Callable[[], float]:
         """Return the clock, which returns the time in seconds."""
 
+    @property
+    def turns(self) -> ReadTurns:
+        """Return the turns of connections on which much arrives."""
+
+    def exceeded(self, reason: ExcessReason) -> None:
+        """Handle a connection that ends as its peer sent too much."""
+
     def release(self, connection: Connection) -> None:
         """Handle the end of a request; the connection is idle."""
 
@@ -91,7 +115,7 @@
         """Handle the end of a connection."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a peer."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -106,14 +130,19 @@
         self._method = b""
         self._headers: RawHeaders = []
         self._in_head = True
-        self._head_bytes = 0  # Received since the head began.
+        # Received for the request and not passed on, less an allowance.
+        self._overhead_bytes = 0
+        self._header_count = 0
         self._interim_count = 0
         self._discarding = False
-        self._discarded_bytes = 0
+        self._discarded_count = 0
+        self._excess: ExcessReason | None = None
         self._ends_with_close = False
         self._keep_alive = True
         self._used_up = False  # Whether it carries no further request.
         self._unusable = False
+        self.paused = False  # Whether nothing is read until it resumes.
+        self._waits = False  # Whether nothing is read until its turn.
         self.keep_alive_s: float | None = None  # Announced by the peer.
         self.idle_until_s = float("inf")
         self.opened_s = owner.clock()
@@ -163,11 +192,38 @@
         :param sink: receives the response
         """
         assert self._transport is not None
-        self._interim_count = self._discarded_bytes = 0
+        self._overhead_bytes = 0
+        self._interim_count = self._discarded_count = 0
         self._sink = sink
         self._method = method
         self._transport.write(payload)
 
+    def pause_reading(self) -> None:
+        """Read no more until `resume_reading` or the end of the response."""
+        if self._transport is not None and not self.paused:
+            self.paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on if reading was paused."""
+        if self._transport is not None and self.paused:
+            self.paused = False
+            if not self._waits:
+                self._transport.resume_reading()
+
+    def _wait_for_turn(self) -> None:
+        """Let others read first, as more may have arrived already."""
+        if self._transport is not None and not self._waits:
+            self._waits = True
+            self._transport.pause_reading()
+            self._owner.turns.wait(self._read_on)
+
+    def _read_on(self) -> None:
+        """Read on after waiting for a turn."""
+        self._waits = False
+        if self._transport is not None and not self.paused:
+            self._transport.resume_reading()
+
     def cancel(self) -> None:
         """Abort the connection without a call to the sink."""
         self._sink = None
@@ -203,39 +259,55 @@
         else:
             sink.failed(ResponseFailure.BROKEN, f"connection lost: {exc}")
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes; see `asyncio.Protocol`."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where bytes go; see `asyncio.BufferedProtocol`."""
+        del sizehint
+        return _BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse received bytes; see `asyncio.BufferedProtocol`."""
+        self.data_received(_BUFFER[:nbytes])
+        if nbytes == MAX_TURN_BYTES:
+            self._wait_for_turn()
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parse received bytes.
+
+        :param data: the bytes
+        """
         self.heard_s = self._owner.clock()
         if self._sink is None:
             self.close()
             return
-        self._head_bytes += len(data)
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as why:
-            self._fail(f"invalid response: {why}")
+            if self._excess is not None:
+                self._end_exceeded(self._excess)
+            else:
+                self._fail(f"invalid response: {why}")
             return
         if self._unusable:
             self.close()
-        elif self._in_head and self._head_bytes > MAX_HEAD_BYTES:
-            self._fail("the head is too long")
-        elif self._discarded_bytes > MAX_DISCARDED_BYTES:
-            self._fail("a response to another request is too long")
-        elif self._interim_count > MAX_INTERIM:
-            self._fail("too many interim responses")
+        elif self._overhead_bytes > MAX_HEAD_BYTES:
+            self._check_overhead()
 
     def on_message_begin(self) -> None:
         """Start a new response; called by the parser."""
         self._headers = []
-        if not self._in_head:
-            self._in_head = True
-            self._head_bytes = 0
+        self._header_count = 0
+        self._in_head = True
         if self._sink is None:
             self._unusable = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; called by the parser."""
-        self._headers.append((name, value))
+        """Store a header, or count a trailer; called by the parser."""
+        self._header_count += 1
+        if self._header_count > MAX_HEADERS:
+            self._stop_parsing(ExcessReason.HEADERS)
+        if self._in_head:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Pass a response's head to the sink; called by the parser."""
@@ -246,11 +318,17 @@
         status = self._parser.get_status_code()
         if status < 200:
             self._interim_count += 1
+            if self._interim_count > MAX_INTERIM:
+                self._stop_parsing(ExcessReason.INTERIM)
             self._discarding = True
             return
         self._keep_alive = self._parser.should_keep_alive()
         self.keep_alive_s = _keep_alive_s(self._headers)
         self._discarding = not sink.head(status, self._headers)
+        if self._discarding:
+            self._discarded_count += 1
+            if self._discarded_count > MAX_DISCARDED:
+                self._stop_parsing(ExcessReason.EXTRA)
         framing = framing_of(status, self._headers)
         self._ends_with_close = (
             not self._discarding and framing is Framing.CLOSE
@@ -262,8 +340,10 @@
     def on_body(self, data: bytes) -> None:
         """Pass a piece of the body to the sink; called by the parser."""
         if self._discarding:
-            self._discarded_bytes += len(data)
-        elif self._sink is not None:
+            return
+        spared = len(data) * (1 + FRAMING_PER_BYTE)
+        self._overhead_bytes = max(0, self._overhead_bytes - spared)
+        if self._sink is not None:
             self._sink.data(data)
 
     def on_message_complete(self) -> None:
@@ -291,8 +371,33 @@
         if self._unusable:
             self.close()
         else:
+            self.resume_reading()
             self._owner.release(self)
 
+    def _check_overhead(self) -> None:
+        """End the connection if too much was not passed on."""
+        if self._sink is None:
+            return
+        if self._discarded_count:
+            if self._overhead_bytes > MAX_DISCARDED_BYTES:
+                self._end_exceeded(ExcessReason.EXTRA)
+        elif not self._in_head:
+            self._end_exceeded(ExcessReason.FRAMING)
+        elif self._interim_count:
+            self._end_exceeded(ExcessReason.INTERIM)
+        else:
+            self._end_exceeded(ExcessReason.HEAD)
+
+    def _stop_parsing(self, reason: ExcessReason) -> None:
+        """Make the parser stop amid the bytes that it was fed."""
+        self._excess = reason
+        raise _ExcessError
+
+    def _end_exceeded(self, reason: ExcessReason) -> None:
+        """End the connection, whose peer sent too much."""
+        self._owner.exceeded(reason)
+        self._fail(f"it sent too much: {reason.value}")
+
     def _fail(self, why: str) -> None:
         """Report an invalid response and abort the connection."""
         sink = self._sink
@@ -302,6 +407,10 @@
             sink.failed(ResponseFailure.BROKEN, why)
 
 
+class _ExcessError(Exception):
+    """Raised in parser callbacks to stop the parser."""
+
+
 def framing_of(status: int, headers: RawHeaders) -> Framing:
     """Return how the end of a response is shown.
 
@@ -344,6 +453,16 @@
         elif self._task is not None:
             self._task.cancel()
 
+    def pause_reading(self) -> None:
+        """Read nothing of the response until `resume_reading`."""
+        if self._connection is not None:
+            self._connection.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on if reading was paused."""
+        if self._connection is not None:
+            self._connection.resume_reading()
+
     def record_answer(self, request_id: str) -> None:
         """Record that the response to a request has begun.
 
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -10,13 +10,19 @@
 from typing import Final
 
 from bulrushstream.state.endpointsigns import ConnectionsSeen
-from bulrushstream.state.excess import OnExcess, PeerKind
+from bulrushstream.state.excess import (
+    Excess,
+    ExcessReason,
+    OnExcess,
+    PeerKind,
+)
 from bulrushstream.transport.connection import (
     Connection,
     PendingRequest,
     ResponseFailure,
     Sink,
 )
+from bulrushstream.transport.readturns import ReadTurns
 
 # A healthy endpoint accepts within a few milliseconds; a lost SYN packet is
 # retransmitted after one second, which this limit allows for.
@@ -66,7 +72,8 @@
     # When the last of the requests was sent that the peer itself answered.
     answered_s: float = float("-inf")
     on_excess: OnExcess | None = None
-    peer: PeerKind = PeerKind.ENDPOINT
+    peer: PeerKind = PeerKind.ENDPOINT  # Who is at the address.
+    turns: ReadTurns = field(default_factory=ReadTurns)
     _idle: deque[Connection] = field(default_factory=deque)
     _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
@@ -177,6 +184,16 @@
         if ended_by_peer:
             self._ended.append((connection.opened_s, self.clock(), busy))
 
+    def exceeded(self, reason: ExcessReason) -> None:
+        """Report a connection that ends as its peer sent too much.
+
+        :param reason: what it sent
+        """
+        if self.on_excess is not None:
+            self.on_excess(
+                Excess(self.peer, f"{self.host}:{self.port}", reason)
+            )
+
     def seen(self, at_s: float) -> ConnectionsSeen:
         """Return what became of the connections that were open at a time.
 
@@ -185,7 +202,9 @@
         still_open = [
             each
             for each in self._all
-            if each.opened_s < at_s and not each.is_closed
+            if each.opened_s < at_s
+            and not each.is_closed
+            and not each.paused  # Its end would not show.
         ]
         ended = [
             (ended_s, busy)
