--- a/src/bulrushstream/daemon/base.py
+++ b/src/bulrushstream/daemon/base.py
@@ -52,7 +52,6 @@
     InstancesListed,
 )
 from bulrushstream.state.excess import Excess, PeerKind
-from bulrushstream.state.excess import Excess
 from bulrushstream.state.identity import InstanceInfo
 from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.state.message import ConfigFetch, ConfigPush, Goodbye
