Tests: a router whose store answers too much tells it, and recovers

They also read the largest call from the settings up to the client. The limit of an answer is now a field of the client's limits, so that a test can set it; its value is the same.

--- a/src/bulrushstream/platform/dialect.py
+++ b/src/bulrushstream/platform/dialect.py
@@ -14,7 +14,11 @@
     refusal_headers,
 )
 from bulrushstream.platform.nodefile import read_node_file
-from bulrushstream.platform.store import StoreClient, StoreLimits
+from bulrushstream.platform.store import (
+    MIN_ANSWER_BYTES,
+    StoreClient,
+    StoreLimits,
+)
 from bulrushstream.protocol.dialect import Dialect, StoreDeps, Topics
 from bulrushstream.protocol.keyedstore import KeyedStore
 from bulrushstream.state.excess import PeerKind
@@ -36,7 +40,9 @@
         on_excess=deps.on_excess,
         peer=PeerKind.STORE,
     )
-    limits = StoreLimits(call_bytes=settings.store_call_bytes)
+    # A value in base64 takes a third more.
+    answer_bytes = max(MIN_ANSWER_BYTES, 2 * settings.store_call_bytes)
+    limits = StoreLimits(answer_bytes)
     return StoreClient(pool, deps.count_call, limits, deps.memory)
 
 
--- a/src/bulrushstream/platform/store.py
+++ b/src/bulrushstream/platform/store.py
@@ -90,15 +90,10 @@
     routes, which have some hundred bytes each.
     """
 
-    call_bytes: int = 2 * 2**20  # The largest append.
+    answer_bytes: int = MIN_ANSWER_BYTES  # Of one call.
     table_bytes: int = 16 * 2**20  # Of all keys and values of a topic.
     table_s: float = 60.0  # For all pages of a topic.
 
-    @property
-    def answer_bytes(self) -> int:
-        """Return the limit of an answer, which may be in base64."""
-        return max(MIN_ANSWER_BYTES, 2 * self.call_bytes)
-
 
 @dataclass(slots=True)
 class StoreClient:
--- a/tests/test_collected_answers.py
+++ b/tests/test_collected_answers.py
@@ -10,7 +10,7 @@
 import base64
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -20,12 +20,16 @@
 from bulrushstream.daemon.front import Front
 from bulrushstream.daemon.recovery import MAX_ANSWER_BYTES, Recovery
 from bulrushstream.daemon.watch import Snapshot, TopicWatch
+from bulrushstream.platform.dialect import make_store
 from bulrushstream.platform.store import StoreClient, StoreLimits
+from bulrushstream.protocol.dialect import StoreDeps
 from bulrushstream.protocol.keyedstore import StoreError
 from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
 from bulrushstream.state.memorybudget import MemoryBudget
+from bulrushstream.state.nodesettings import Address
 from bulrushstream.transport.probe import MAX_BODY_BYTES, ask_identity
 from bulrushstream.transport.upstream import Pool
+from tests.deployments import node_settings
 from tests.endlesspeers import Flow, flooding, scripted
 from tests.virtualnetwork import Listener, NetworkLoop, run_in_network
 
@@ -292,10 +296,15 @@
 
     def test_a_larger_call_in_the_settings(self) -> None:
         async def work(world: World) -> None:
-            world.limits = StoreLimits(call_bytes=8 * 2**20)
             value = b"v" * 8 * 2**20
-            client = world.client(
-                scripted(lambda target: page({"config": value}))
+            world.loop.listeners[STORE] = scripted(
+                lambda target: page({"config": value})
+            )
+            settings = node_settings(store_call_bytes=len(value))
+            address = Address(*STORE)
+            client = make_store(
+                replace(settings, store_address=address),
+                StoreDeps(world.loop.time, lambda name, success: None),
             )
             assert (await client.newest("keyed.op"))[0]["config"] == value
 
--- a/tests/test_front_state.py
+++ b/tests/test_front_state.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from bulrushstream.platform.store import StoreClient, StoreLimits
 from bulrushstream.standins.keyedlog import KeyedLog
 from tests.deployments import (
     CONFIG,
@@ -89,6 +90,32 @@
             lambda: front.table and front.table.config.version == 9
         )
 
+    async def test_too_long_an_answer_is_counted_and_passes(
+        self, fleet: Deployment
+    ) -> None:
+        """Guards against a router that does not recover, or tells nothing."""
+        front, store = fleet.process.front, fleet.store
+        client = fleet.process.store
+        assert isinstance(client, StoreClient)
+        client.limits = StoreLimits(answer_bytes=20_000)
+        counter = front.metrics.excess.labels("store", "body")
+        before = counter._value.get()
+        for _ in range(2):  # The first read was sent under the old limit.
+            store.put("keyed.op", "config", b"x" * 50_000)
+            await asyncio.sleep(0.1)
+        await fleet.wait_until(lambda: counter._value.get() > before + 1)
+        status, _, _ = await send_request(fleet, request_bytes("/safe/x"))
+        assert status == 200
+        config = wire_config(
+            wire_route("/new/", "desk", "idempotent"), version=9
+        )
+        store.put("keyed.op", "config", config)
+        store.trim("keyed.op")
+        await fleet.wait_until(
+            lambda: front.table and front.table.config.version == 9
+        )
+        assert front.memory.used_bytes == 0
+
     async def test_a_draining_endpoint_gets_no_new_requests(
         self, fleet: Deployment
     ) -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -308,6 +308,16 @@
         assert settings.seed_hosts == ("10.1.0.33", "10.2.0.18")
         assert settings.revocation_limit_s == 5.0
         assert (settings.peers_port, settings.control_port) == (7400, 7401)
+        assert settings.store_call_bytes == 2_097_152
+
+    def test_the_largest_call_of_the_store_is_read(
+        self, tmp_path: Path
+    ) -> None:
+        file = tmp_path / "node.toml"
+        file.write_text(NODE + "callBytes = 8388608\n")
+        settings = read_node_file(str(file))
+        assert isinstance(settings, NodeSettings)
+        assert settings.store_call_bytes == 8_388_608
 
     def test_all_findings_are_returned_at_once(self, tmp_path: Path) -> None:
         file = tmp_path / "node.toml"
