Test: a command of operators gives up an answer without end

Evidence: with the command as it was before, both cases failed: it read all of a fast answer (256 MiB in the test), and waited for a trickle until the test's 20 s had passed.

--- a/tests/test_fetched_answers.py
+++ b/tests/test_fetched_answers.py
@@ -18,6 +18,7 @@
 import msgspec
 import pytest
 
+from bulrushstream.commands import operate
 from bulrushstream.history.virtualloop import run_virtually
 from bulrushstream.local.client import call_service
 from bulrushstream.protocol.logservice import (
@@ -175,6 +176,23 @@
 
         play(work())
 
+    @pytest.mark.parametrize("speed", ["large", "trickle"])
+    def test_a_command_of_operators_gives_up(
+        self, speed: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        server = Server()
+        server.speed = speed
+        client = server.client()
+        monkeypatch.setattr(httpx, "AsyncClient", lambda timeout: client)
+
+        async def work() -> None:
+            async with asyncio.timeout(20.0):
+                answers = await operate._get_all([URL], "status")
+            assert answers == [None]
+            assert server.sent_bytes <= MAX_PAGE_BYTES
+
+        play(work())
+
     def test_many_at_once_share_a_limit(self) -> None:
         async def work() -> None:
             server = Server()
