What is kept of all answers together has a limit

Each connection's bytes had a limit, their sum had none: 256 KiB of a body or an event for each attempt, 64 KiB of a head and up to 1 MiB that a caller had not read, times the number of connections.

Now these count towards the process's memory budget, once there are many of one connection. When the sum is over it, the largest ends, with the reason `memory`; the others go on. A caller's bytes are looked at again before it ends, as it may have read them meanwhile.

Of 40 answers of 200 kB that hang, and of 40 callers that do not read, 20 to 31 end at a limit of 3 MB and the rest goes on; of 100 heads, trailers or extra answers of 49 kB, 70 to 85 end at a limit of 1 MB.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -24,6 +24,7 @@
 )
 from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
+from bulrushstream.state.memorybudget import Account
 from bulrushstream.transport.connection import (
     Framing,
     PendingRequest,
@@ -39,11 +40,15 @@
 # retry can replace one that breaks off.  Longer ones are relayed as they come.
 MAX_BUFFERED_BYTES: Final = 262_144
 
+# Fewer kept bytes than this are not accounted for.
+MIN_COUNTED_BYTES: Final = 16_384
+
 
 class Attempt:
     """One attempt at one endpoint."""
 
     __slots__ = (
+        "_account",
         "_body_bytes",
         "_buffered_body",
         "_end",
@@ -90,6 +95,7 @@
         self._may_have_run_before = forward.progress.may_have_run
         self._head: AnswerHead | None = None
         self._buffered_body: list[bytes] = []
+        self._account: Account | None = None  # Of kept bytes, if many.
         self._body_bytes = 0
         # Writes a long answer that is being relayed; None: it is not.
         self._writer: BodyWriter | None = None
@@ -127,6 +133,7 @@
         self._end = "cancelled"
         self._pending.cancel()
         self._pending = None
+        self._keep(0)
         self.front.fleet_state.ended(self.endpoint, self.number)
 
     def withdraw_grant(self) -> None:
@@ -364,6 +371,7 @@
                 self.endpoint, self.number, now_s
             )
             self.forward.relay_events(head, events, now_s)
+        self._keep(splitter.partial_bytes)
         if splitter.out_of_order and self.in_flight:
             self._give_up("the id of an event does not rise")
         if self.forward.exchange.full:
@@ -381,6 +389,7 @@
         if not exchange.started:
             self._buffered_body.append(data)
         if self._body_bytes <= MAX_BUFFERED_BYTES:
+            self._keep(self._body_bytes)
             return
         if head.not_executed or self._unattributed:
             # Its body does not matter.
@@ -398,6 +407,23 @@
             for chunk in self._buffered_body:
                 self._writer.write(chunk)
             self._buffered_body = []
+            self._keep(0)
+
+    def _keep(self, size_bytes: int) -> None:
+        """Account for the bytes of the answer that are kept.
+
+        :param size_bytes: their number
+        """
+        if self._account is not None:
+            self._account.resize(size_bytes)
+        elif size_bytes > MIN_COUNTED_BYTES and self.in_flight:
+            self._account = self.front.memory.open(self._end_for_memory)
+            self._account.resize(size_bytes)
+
+    def _end_for_memory(self) -> None:
+        """End the attempt, as the process keeps too many bytes."""
+        if self.in_flight:
+            self._give_up("too much is kept", ExcessReason.MEMORY)
 
     def _pause(self) -> None:
         """Read no more until the caller has read what it has."""
@@ -457,6 +483,7 @@
         :param ran: whether there is a sign that the endpoint worked on it
         """
         self._pending = None
+        self._keep(0)
         if not ran:
             self.withdraw_grant()
         self.front.fleet_state.ended(self.endpoint, self.number)
--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -8,6 +8,7 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.state.excess import OnExcess
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.transport.readturns import ReadTurns
 from bulrushstream.transport.upstream import Pool, PoolOptions
 
@@ -35,6 +36,7 @@
 
     routers: Callable[[], int]  # Returns the presumed number of routers.
     on_excess: OnExcess | None = None
+    memory: MemoryBudget | None = None  # Of all that the process keeps.
     # Of all connections, whatever endpoint they lead to.
     turns: ReadTurns = field(default_factory=ReadTurns)
     _pools: dict[str, Pool] = field(default_factory=dict)
@@ -52,6 +54,7 @@
                 entry.port,
                 self.clock,
                 on_excess=self.on_excess,
+                memory=self.memory,
                 turns=self.turns,
             )
             self._pools[endpoint.name] = pool
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -117,11 +117,16 @@
             self.retry_quota.slack_from_s = slack_from_s
         # In order of arrival, so that a stop ends them in that order.
         self.forwards: dict[Forward, None] = {}
+        # The bytes kept for callers, endpoints and the calls of the process.
+        self.memory = MemoryBudget(
+            int(settings.memory_mb * KEPT_MEMORY_FRACTION * 2**20)
+        )
         self.connections = EndpointConnections(
             self.clock,
             self._connection_limit,
             lambda: self.peers.router_count,
             self.peer_exceeded,
+            self.memory,
         )
         now_s = self.clock()
         for seed in settings.seed_hosts:
@@ -137,17 +142,19 @@
             ),
             self.end_unknown,
         )
-        # The bytes kept for callers, endpoints and the calls of the process.
-        self.memory = MemoryBudget(
-            int(settings.memory_mb * KEPT_MEMORY_FRACTION * 2**20)
-        )
         self.limits = IngressLimits(
             connections=max(64, settings.max_descriptors // 2),
             buffered_bytes=int(
                 settings.memory_mb * BODY_MEMORY_FRACTION * 2**20
             ),
         )
-        self.ingress = Ingress(self.handle, self.limits, self.clock)
+        self.ingress = Ingress(
+            self.handle,
+            self.limits,
+            self.clock,
+            self.memory,
+            on_excess=self.peer_exceeded,
+        )
 
     def connect_peers(self, port: PeerSocket) -> None:
         """Exchange updates with the other routers from now on.
--- a/src/bulrushstream/history/keptconnection.py
+++ b/src/bulrushstream/history/keptconnection.py
@@ -47,6 +47,7 @@
         """
         self.clock = clock
         self.turns = ReadTurns()
+        self.memory = None
         self._transport = _Transport()
         self._connection = Connection(self)
         self._connection.connection_made(self._transport)
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -70,6 +70,11 @@
         """Return whether an incomplete event is held back."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of an incomplete event."""
+        return len(self._partial)
+
     @property
     def is_too_long(self) -> bool:
         """Return whether an incomplete event exceeds the limit."""
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -18,6 +18,7 @@
 
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.excess import ExcessReason
+from bulrushstream.state.memorybudget import Account, MemoryBudget
 from bulrushstream.transport.polling import UNREAD_EVENTS, has_events
 from bulrushstream.transport.readturns import ReadTurns
 
@@ -42,6 +43,9 @@
 # All connections share it: the loop fills it and has it parsed in one step.
 _BUFFER: Final = memoryview(bytearray(MAX_TURN_BYTES))
 
+# Fewer bytes than this of what is not passed on are not accounted for.
+MIN_COUNTED_BYTES: Final = 8_192
+
 # Each byte of a body allows for this many bytes of framing.
 FRAMING_PER_BYTE: Final = 32
 
@@ -99,6 +103,10 @@
     def clock(self) -> Callable[[], float]:
         """Return the clock, which returns the time in seconds."""
 
+    @property
+    def memory(self) -> MemoryBudget | None:
+        """Return the limit of the bytes that the process keeps, if any."""
+
     @property
     def turns(self) -> ReadTurns:
         """Return the turns of connections on which much arrives."""
@@ -132,6 +140,7 @@
         self._in_head = True
         # Received for the request and not passed on, less an allowance.
         self._overhead_bytes = 0
+        self._account: Account | None = None  # Of the same bytes, if many.
         self._header_count = 0
         self._interim_count = 0
         self._discarding = False
@@ -232,12 +241,14 @@
     def close(self) -> None:
         """Abort the connection."""
         self._unusable = True
+        self._release_memory()
         if self._transport is not None:
             self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End or fail the current response; see `asyncio.Protocol`."""
         self._transport = None
+        self._release_memory()
         sink = self._sink
         # Such an end is a part of the response, and shows nothing else.
         ends_response = (
@@ -290,8 +301,10 @@
             return
         if self._unusable:
             self.close()
-        elif self._overhead_bytes > MAX_HEAD_BYTES:
+        elif self._overhead_bytes > MIN_COUNTED_BYTES:
             self._check_overhead()
+        elif self._account is not None:
+            self._release_memory()
 
     def on_message_begin(self) -> None:
         """Start a new response; called by the parser."""
@@ -362,6 +375,7 @@
         sink = self._sink
         self._sink = None
         self._ends_with_close = False
+        self._release_memory()
         transport = self._transport
         unsent = transport is not None and transport.get_write_buffer_size()
         if unsent or not self._keep_alive or self._used_up:
@@ -375,18 +389,41 @@
             self._owner.release(self)
 
     def _check_overhead(self) -> None:
-        """End the connection if too much was not passed on."""
+        """Count what was not passed on; end the connection if too much."""
         if self._sink is None:
             return
+        limit_bytes = MAX_HEAD_BYTES
         if self._discarded_count:
-            if self._overhead_bytes > MAX_DISCARDED_BYTES:
-                self._end_exceeded(ExcessReason.EXTRA)
-        elif not self._in_head:
-            self._end_exceeded(ExcessReason.FRAMING)
-        elif self._interim_count:
-            self._end_exceeded(ExcessReason.INTERIM)
-        else:
-            self._end_exceeded(ExcessReason.HEAD)
+            limit_bytes = MAX_DISCARDED_BYTES
+        if self._overhead_bytes > limit_bytes:
+            self._end_exceeded(self._overhead_reason())
+            return
+        memory = self._owner.memory
+        if memory is not None:
+            if self._account is None:
+                self._account = memory.open(self._end_for_memory)
+            self._account.resize(self._overhead_bytes)
+
+    def _overhead_reason(self) -> ExcessReason:
+        """Return what most of the bytes are that are not passed on."""
+        if self._discarded_count:
+            return ExcessReason.EXTRA
+        if not self._in_head:
+            return ExcessReason.FRAMING
+        if self._interim_count:
+            return ExcessReason.INTERIM
+        return ExcessReason.HEAD
+
+    def _end_for_memory(self) -> None:
+        """End the connection, as the process keeps too many bytes."""
+        if self._sink is not None:
+            self._end_exceeded(ExcessReason.MEMORY)
+
+    def _release_memory(self) -> None:
+        """Record that no bytes are kept any more."""
+        account, self._account = self._account, None
+        if account is not None:
+            account.resize(0)
 
     def _stop_parsing(self, reason: ExcessReason) -> None:
         """Make the parser stop amid the bytes that it was fed."""
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -20,6 +20,13 @@
 import httptools
 
 from bulrushstream.state.call import RawHeaders
+from bulrushstream.state.excess import (
+    Excess,
+    ExcessReason,
+    OnExcess,
+    PeerKind,
+)
+from bulrushstream.state.memorybudget import Account, MemoryBudget
 from bulrushstream.transport.polling import (
     CLOSED_EVENTS,
     UNREAD_EVENTS,
@@ -36,11 +43,17 @@
 # until the transport reports that the caller has read most of them.
 FULL_BYTES: Final = 262_144
 
+# Fewer unread bytes than this are not accounted for.
+MIN_COUNTED_BYTES: Final = 16_384
+
 # The socket options with which a connection is reset when it is closed, also
 # by the end of the process, and closed in order.
 RESET_LINGER: Final = struct.pack("ii", 1, 0)
 ORDERLY_LINGER: Final = struct.pack("ii", 0, 0)
 
+# Limit of the bytes of waiting requests, unless they share one with others.
+MAX_WAITING_BYTES: Final = 64 * 2**20
+
 # Idle connections that are looked at for each new one over the limit.
 MAX_IDLE_CHECKED: Final = 8
 
@@ -238,6 +251,12 @@
     handle: Handler  # Called with each received request.
     limits: IngressLimits
     clock: Callable[[], float]  # Returns the time in seconds.
+    # The bytes of requests that are incomplete or wait, beside others.
+    memory: MemoryBudget = field(
+        default_factory=lambda: MemoryBudget(MAX_WAITING_BYTES)
+    )
+    peer: PeerKind = PeerKind.CALLER  # Who connects.
+    on_excess: OnExcess = lambda _: None
     connections: set[ClientConnection] = field(default_factory=set)
     # Those without a request, in the order in which they became so.
     idle: dict[ClientConnection, None] = field(default_factory=dict)
@@ -312,6 +331,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._rejected = False
         self._resets = False  # Whether closing the socket resets it.
+        self._unread: Account | None = None  # Of unread bytes, if many.
+        self._unread_counted = 0  # When they were last counted.
         self._full = False  # Whether the caller has much to read first.
         self._finishing = False  # Whether to close once all is written.
         self.closing = False
@@ -336,6 +357,7 @@
         self._ingress.idle.pop(self, None)
         self._release(self._buffered_bytes)
         self._clear_timer()
+        self._release_unread()
         self._notify_disconnect()
 
     def eof_received(self) -> bool:
@@ -442,12 +464,47 @@
             return
         transport.write(data)
         unread_bytes = transport.get_write_buffer_size()
+        if unread_bytes > MIN_COUNTED_BYTES:
+            self._count_unread(unread_bytes)
+
+    def _count_unread(self, unread_bytes: int) -> None:
+        """Handle response bytes that the caller has not read yet."""
+        if unread_bytes > MAX_UNREAD_BYTES:
+            assert self._transport is not None
+            self._transport.abort()
+            return
         if unread_bytes > FULL_BYTES:
             self._full = True
             if self._current is not None:
                 self._current.full = True
-            if unread_bytes > MAX_UNREAD_BYTES:
-                transport.abort()
+        if self._unread is None:
+            self._unread = self._ingress.memory.open(self._end_unread)
+        self._unread_counted = unread_bytes
+        self._unread.resize(unread_bytes)
+
+    def _release_unread(self) -> None:
+        """Record that the caller has read most bytes, or will not."""
+        unread, self._unread = self._unread, None
+        if unread is not None:
+            unread.resize(0)
+
+    def _end_unread(self) -> None:
+        """Abort the connection, as the process keeps too many bytes.
+
+        The caller may have read most of them since they were counted.
+        """
+        transport, unread = self._transport, self._unread
+        if transport is None or unread is None:
+            return
+        unread_bytes = transport.get_write_buffer_size()
+        if unread_bytes < self._unread_counted / 2:
+            self._count_unread(unread_bytes)
+            return
+        host, port = (transport.get_extra_info("peername") or ("", 0))[:2]
+        self._ingress.on_excess(
+            Excess(self._ingress.peer, f"{host}:{port}", ExcessReason.MEMORY)
+        )
+        transport.abort()
 
     def exchange_finished(self, exchange: Exchange) -> None:
         """Begin the next request after a response has ended.
@@ -491,6 +548,7 @@
     def resume_writing(self) -> None:
         """Go on with what waited; see `asyncio.BaseProtocol`."""
         self._full = False
+        self._release_unread()
         if self._finishing:
             self._close()
         exchange = self._current
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -16,6 +16,7 @@
     OnExcess,
     PeerKind,
 )
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.transport.connection import (
     Connection,
     PendingRequest,
@@ -72,6 +73,7 @@
     on_connect: Callable[[], None] | None = None  # For metrics.
     on_excess: OnExcess | None = None
     peer: PeerKind = PeerKind.ENDPOINT  # Who is at the address.
+    memory: MemoryBudget | None = None  # Of all that the process keeps.
     turns: ReadTurns = field(default_factory=ReadTurns)
     _idle: deque[Connection] = field(default_factory=deque)
     _retired: deque[Connection] = field(default_factory=deque)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -17,6 +17,7 @@
 
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
+from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.transport.connection import (
     Connection,
     ResponseFailure,
@@ -121,10 +122,14 @@
 class Exchanged:
     """One request on a connection of its own."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory: MemoryBudget | None = None) -> None:
         self.excesses: list[Excess] = []
         self.pool = Pool(
-            "10.1.0.1", 80, lambda: 0.0, on_excess=self.excesses.append
+            "10.1.0.1",
+            80,
+            lambda: 0.0,
+            on_excess=self.excesses.append,
+            memory=memory,
         )
         self.transport = FakeTransport()
         self.connection = Connection(self.pool)
@@ -207,6 +212,39 @@
         assert len(exchanged.sink.headers) == 2
 
 
+class ManyConnectionsSuite:
+    """Guards against sums of bytes that are within each one's limit."""
+
+    @pytest.mark.parametrize("size", (100, 1448, 16_384))
+    @pytest.mark.parametrize(
+        "start",
+        (OWN + b"X-A: ", CHUNKED + b"0\r\nX-A: ", OTHER + b"\r\n"),
+        ids=("head", "trailer", "extra"),
+    )
+    def test_the_largest_end(self, start: bytes, size: int) -> None:
+        memory = MemoryBudget(1_000_000)
+        small = Exchanged(memory)
+        small.connection.data_received(OWN)
+        many = [Exchanged(memory) for _ in range(100)]
+        for exchanged in many:
+            for piece in islice(
+                endless(start, b"x", size), 49_152 // size + 1
+            ):
+                if not exchanged.transport.closed:
+                    exchanged.connection.data_received(piece)
+            assert memory.used_bytes <= memory.limit_bytes
+        ended = [each for each in many if each.transport.closed]
+        assert 70 <= len(ended) <= 85
+        for each in ended:
+            assert each.sink.ends == ["BROKEN"]
+            assert [e.reason for e in each.excesses] == [ExcessReason.MEMORY]
+        small.connection.data_received(b"Content-Length: 2\r\n\r\nok")
+        assert small.sink.ends == ["end"]
+        for each in many:
+            each.connection.close()
+        assert memory.used_bytes == 0
+
+
 class TurnSuite:
     """Guards against a few connections that take the event loop's time."""
 
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -14,6 +14,7 @@
 
 from bulrushstream.daemon.front import Front
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.excess import Excess, ExcessReason
 from tests.crashplans import ROUTES
 from tests.deployments import HOST, KEY
 from tests.test_cut_answers import make_front
@@ -232,3 +233,58 @@
         finish = [each for each in play.decisions if each.kind == "finish"]
         assert [each.reason for each in finish] == ["caller_left"]
         assert play.endpoints[0].closed_by_router
+
+
+class _HangingEndpoint(LongEndpoint):
+    """Stops amid its answer; the caller gets nothing of it yet."""
+
+    def _write(self) -> None:
+        piece = b"x" * 200_000
+        if self._events:
+            piece = b"id: 1\ndata: " + piece
+        self._transport.send(piece)
+
+
+class MemorySuite:
+    """Guards against sums that are too large while each one is allowed."""
+
+    @pytest.mark.parametrize("hangs", (True, False))
+    @pytest.mark.parametrize("path", ("/tell/", "/once/"))
+    def test_what_is_kept_of_many_answers(
+        self, path: str, hangs: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        decisions: list[Decision] = []
+        events = ROUTES[path].streams
+        kind = _HangingEndpoint if hangs else LongEndpoint
+        limit_bytes = 3_000_000
+
+        async def work(loop: NetworkLoop) -> None:
+            front = make_front(
+                loop,
+                "llm" if events else "desk",
+                lambda _, transport: kind("close", 9_999, events, transport),
+                decisions.append,
+            )
+            front.memory.limit_bytes = limit_bytes
+            excesses: list[Excess] = []
+            front.ingress.on_excess = excesses.append
+            monkeypatch.setattr(front, "peer_exceeded", excesses.append)
+            callers = [SlowCaller(front, path, "1.1") for _ in range(40)]
+            for _ in range(100):
+                await asyncio.sleep(0.01)
+                assert front.memory.used_bytes <= limit_bytes
+                unread = sum(len(c.unread) for c in callers if not c.reset)
+                assert unread <= limit_bytes + 40 * 16_384
+            assert len(front.forwards) >= 9
+            reset = sum(caller.reset for caller in callers)
+            answered = sum(b" 502 " in caller.unread for caller in callers)
+            assert 20 <= reset + answered <= 31
+            assert {each.reason for each in excesses} <= {ExcessReason.MEMORY}
+            assert len(excesses) == reset + answered
+            await asyncio.sleep(4.0)
+            assert not front.forwards
+            for caller in callers:
+                caller.protocol.connection_lost(None)
+            assert front.memory.used_bytes == 0
+
+        assert run_in_network(work) == []
