A router's large answer to a peer is not cut off

What operators would have seen: after an outage of the store, a router that starts takes its configuration and endpoint list from a peer; above 1 MiB the peer aborted its own answer, as the limit for callers who do not read held for peers as well, and an answer is written at once.

The limit is one of the listener's now, and the internal ones allow for the largest answer that a peer accepts. The test (5 MiB over loopback) failed before with 'connection lost'.

--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -16,7 +16,7 @@
 from bulrushstream.daemon.crashstore import CrashStore
 from bulrushstream.daemon.endpointlist import EndpointList
 from bulrushstream.daemon.front import Front, FrontDeps
-from bulrushstream.daemon.recovery import Recovery
+from bulrushstream.daemon.recovery import MAX_ANSWER_BYTES, Recovery
 from bulrushstream.daemon.suspectlist import clear_suspect, encode_suspects
 from bulrushstream.daemon.versionrecords import version_tasks
 from bulrushstream.daemon.watch import (
@@ -69,6 +69,14 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def internal_limits() -> IngressLimits:
+    """Return the limits of requests of the platform or of peer routers.
+
+    A peer may be sent a configuration or an endpoint list at once.
+    """
+    return IngressLimits(connections=64, unread_bytes=MAX_ANSWER_BYTES)
+
+
 class FrontProcess:
     """The process of one front-end router."""
 
@@ -258,10 +266,9 @@
         self, handle: Callable[[Exchange], None], port: int
     ) -> None:
         """Listen for requests of the platform or of peer routers."""
-        limits = IngressLimits(connections=64)
         ingress = Ingress(
             handle,
-            limits,
+            internal_limits(),
             self._deps.clock,
             self.front.memory,
             PeerKind.OPERATOR,
--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -50,9 +50,6 @@
 MAX_DROPPED_BYTES: Final = 1_048_576
 LINGER_S: Final = 2.0
 
-# The connection is aborted if more response bytes than this are unread.
-MAX_UNREAD_BYTES: Final = 1_048_576
-
 # Whoever writes a long body waits if more response bytes than this are unread,
 # until the transport reports that the caller has read most of them.
 FULL_BYTES: Final = 262_144
@@ -84,6 +81,8 @@
     idle_timeout_s: float = 15.0  # For an idle connection.
     connections: int = 3_000  # Open connections.
     buffered_bytes: int = 48 * 2**20  # All request bodies.
+    # The connection is aborted if more response bytes are unread.
+    unread_bytes: int = 2**20
 
 
 class BodyWriter:
@@ -455,7 +454,7 @@
 
     def _count_unread(self, unread_bytes: int) -> None:
         """Handle response bytes that the caller has not read yet."""
-        if unread_bytes > MAX_UNREAD_BYTES:
+        if unread_bytes > self._ingress.limits.unread_bytes:
             assert self._transport is not None
             self._transport.abort()
             return
--- a/tests/test_collected_answers.py
+++ b/tests/test_collected_answers.py
@@ -18,6 +18,7 @@
 import pytest
 
 from bulrushstream.daemon.front import Front
+from bulrushstream.daemon.frontprocess import internal_limits
 from bulrushstream.daemon.recovery import MAX_ANSWER_BYTES, Recovery
 from bulrushstream.daemon.watch import Snapshot, TopicWatch
 from bulrushstream.platform.dialect import make_store
@@ -27,6 +28,8 @@
 from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
 from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.state.nodesettings import Address
+from bulrushstream.transport.httpcall import CallLimits, call
+from bulrushstream.transport.ingress import Ingress
 from bulrushstream.transport.probe import MAX_BODY_BYTES, ask_identity
 from bulrushstream.transport.upstream import Pool
 from tests.deployments import node_settings
@@ -328,3 +331,27 @@
             assert world.budget.used_bytes == 0
 
         play(work)
+
+
+class PeerAnswerSuite:
+    """What a router sends to a peer arrives."""
+
+    async def test_a_large_answer_to_a_peer_is_whole(self) -> None:
+        """Guards against a router that cuts its own large answer off."""
+        loop = asyncio.get_running_loop()
+        body = b"x" * (5 * 2**20)
+        ingress = Ingress(
+            lambda exchange: exchange.answer(200, [], body),
+            internal_limits(),
+            loop.time,
+        )
+        server = await loop.create_server(
+            ingress.make_connection, "127.0.0.1", 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        pool = Pool("127.0.0.1", port, loop.time)
+        limits = CallLimits(5.0, MAX_ANSWER_BYTES)
+        answer = await call(pool, "GET", "/endpoints", limits=limits)
+        assert answer.body == body
+        pool.close()
+        server.close()
