A closed port is not the end of a process whose connections stay open

An endpoint that leaves closes its port, may hand it on, and its entry may be dropped without a word before, while it serves on. An answer that it lost then counted as a crash of it, against the request and the parts of its prompt.

Fix: for a run whose connection ended, a refused connection, another instance or a dropped entry is evidence only if no older connection stays open.

Tests, failing before: 3 cases of test_an_endpoint_that_leaves_may_lose_an_answer. The tests of crashing requests (243) and of crash evidence (48) pass.

--- a/src/bulrushstream/coordination/crashevidence.py
+++ b/src/bulrushstream/coordination/crashevidence.py
@@ -7,7 +7,8 @@
 - The other connections to the endpoint.  A process that ends takes all of
   them with it, so one that goes on shows that the endpoint lives, even if
   another process has its id.
-- What is at its address afterwards; see `Sign`.
+- What is at its address afterwards; see `Sign`.  It shows nothing while
+  older connections stay open.
 
 If neither tells, the request is *watched*: its next run gets connections
 that will.
@@ -113,7 +114,9 @@
     """
     if seen.heard:
         return Judgement(Verdict.LIVES, "another connection to it goes on")
-    for sign in _ENDING_SIGNS:
+    # One that is leaving may close its port, or hand it on, and run on.
+    stays_open = bool(seen.open) and not run.silent
+    for sign in () if stays_open else _ENDING_SIGNS:
         if signs.get(sign, float("-inf")) >= run.broke_s:
             return Judgement(Verdict.ENDED, sign.value)
     age_s = now_s - run.broke_s
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -48,6 +48,17 @@
         run = replace(run, progress=progress)
         assert verdict(run, ALONE, {sign: 1.1}, 0.1) is Verdict.ENDED
 
+    @pytest.mark.parametrize(
+        "sign", (Sign.REFUSED, Sign.OTHER_INSTANCE, Sign.REMOVED)
+    )
+    def test_an_endpoint_that_leaves_may_lose_an_answer(
+        self, sign: Sign
+    ) -> None:
+        """Guards against a closed port taken for the end of its process."""
+        seen = ConnectionsSeen(ended=1, open=2, heard=False)
+        assert verdict(CLOSED, seen, {sign: 1.1}, 0.1) is Verdict.OPEN
+        assert verdict(CLOSED, seen, {sign: 1.1}) is Verdict.LIVES
+
     def test_signs_from_before_the_break_do_not_count(self) -> None:
         assert verdict(CLOSED, ALONE, {Sign.REFUSED: 0.9}) is Verdict.OPEN
 
