Bytes that a caller has read do not count against others

Callers with small answers, uploads and attempts could end for want of memory though little was kept: unread bytes are counted above 16 KiB, but the transport tells only above 64 KiB that they were read, so what was counted in between stayed counted as long as the connection was kept. Found in review: 80 idle connections counted 4.1 MB, nothing was unread, and an upload got 503.

The transport now reports whatever is counted.

--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -362,6 +362,8 @@
         """Register the connection; see `asyncio.Protocol`."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        # What is counted is reported once the caller has read it.
+        transport.set_write_buffer_limits(high=MIN_COUNTED_BYTES)
         ingress = self._ingress
         if not ingress.make_room():
             transport.abort()
--- a/tests/endlesscallers.py
+++ b/tests/endlesscallers.py
@@ -114,6 +114,11 @@
     def resume_reading(self) -> None:
         self.paused = False
 
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        """Do nothing: all bytes are written at once."""
+
     def get_write_buffer_size(self) -> int:
         return 0
 
--- a/tests/test_crowded_router.py
+++ b/tests/test_crowded_router.py
@@ -33,6 +33,11 @@
     def write(self, data: Any) -> None:
         self.data += data
 
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        """Do nothing: all bytes are written at once."""
+
     def get_write_buffer_size(self) -> int:
         return 0
 
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -8,13 +8,15 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, Final
+from types import SimpleNamespace
+from typing import Any, Final, cast
 
 import pytest
 
 from bulrushstream.daemon.front import Front
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.excess import Excess, ExcessReason
+from bulrushstream.transport.ingress import Ingress, IngressLimits
 from tests.crashplans import ROUTES
 from tests.deployments import HOST, KEY
 from tests.test_cut_answers import make_front
@@ -248,6 +250,19 @@
 class MemorySuite:
     """Guards against sums that are too large while each one is allowed."""
 
+    async def test_what_was_read_does_not_count(self) -> None:
+        """Guards against requests that end for bytes that nobody keeps."""
+        ingress = Ingress(
+            lambda exchange: exchange.answer(200, [], b"x" * 50_000),
+            IngressLimits(),
+            asyncio.get_running_loop().time,
+        )
+        front = cast(Front, SimpleNamespace(ingress=ingress))
+        caller = SlowCaller(front, "/once/", "1.1")
+        assert ingress.memory.used_bytes >= 50_000
+        caller.read(100_000)
+        assert ingress.memory.used_bytes == 0
+
     @pytest.mark.parametrize("hangs", (True, False))
     @pytest.mark.parametrize("path", ("/tell/", "/once/"))
     def test_what_is_kept_of_many_answers(
