The ids of events rise also within one event

Found in review: after an event with the ids 10 and 3, one with the id 5 was passed on though the caller had 9, and a later retry would have resumed at 5: the caller would have got events twice. Only the first id of an event was compared with the event before. The test failed before.

--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -88,13 +88,16 @@
     def _until_fall(self, complete: bytes) -> bytes:
         """Return the events up to the first whose id does not rise."""
         event_start, start, searched = -1, 0, 0
+        before = self._run_id  # The id of the event before this one.
         for found in _ID.finditer(complete):
             number, position = int(found[1]), found.start(1)
             end = complete.rfind(_END, searched, position)
             searched = position
             if end >= 0:
                 start = end + len(_END)
-            if number <= self._run_id and start != event_start:
+            if start != event_start:
+                before = self._run_id
+            if number <= before:
                 self.out_of_order = True
                 self._partial.clear()
                 return complete[:start]
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -80,6 +80,14 @@
         assert output == events(after + 1, 20)
         assert splitter.last_id == 20
 
+    def test_an_id_falls_within_an_event(self) -> None:
+        """Guards against a later resumption from too early an event."""
+        splitter = EventSplitter()
+        assert splitter.feed(b"id: 9\ndata: x\n\n")
+        assert splitter.feed(b"id: 10\nid: 3\ndata: x\n\n") == b""
+        assert splitter.out_of_order
+        assert splitter.last_id == 9
+
     def test_an_incomplete_event_is_held_back(self) -> None:
         splitter = EventSplitter()
         assert splitter.feed(b"id: 1\ndata") == b""
