A body that was given up is not returned as an empty one

Found in review: if the bodies of all calls exceeded their limit after the last piece of the largest one had come, its caller got a 200 without a body. The limit was looked at for each piece only. The test failed before.

--- a/src/bulrushstream/transport/fetch.py
+++ b/src/bulrushstream/transport/fetch.py
@@ -87,7 +87,9 @@
             if account is not None:
                 account.resize(len(body.pieces))
             if body.excess is not None:
-                raise ResponseTooLargeError(body.excess)
+                break
+        if body.excess is not None:
+            raise ResponseTooLargeError(body.excess)
     finally:
         if account is not None:
             account.resize(0)
--- a/tests/test_fetched_answers.py
+++ b/tests/test_fetched_answers.py
@@ -30,6 +30,7 @@
 from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.state.order import EngineOrder, OrderAnswer, OrderKind
 from bulrushstream.transport.endpoint import EndpointRunner, RunnerOptions
+from bulrushstream.transport.fetch import ResponseTooLargeError, read_whole
 from bulrushstream.transport.instances import InstanceListClient
 from bulrushstream.transport.log import MAX_PAGE_BYTES, LogClient
 from bulrushstream.transport.orders import read_holdings, send_order
@@ -270,6 +271,27 @@
         yield self.body
 
 
+class GivenUpSuite:
+    async def test_an_answer_that_was_given_up_is_not_empty(self) -> None:
+        """Guards against a given-up body that passes for a whole one."""
+        memory = MemoryBudget(1_000)
+        room_needed = asyncio.Event()
+
+        class Body(httpx.AsyncByteStream):
+            async def __aiter__(self) -> AsyncIterator[bytes]:
+                yield b"x" * 900
+                await room_needed.wait()
+
+        reading = asyncio.ensure_future(
+            read_whole(httpx.Response(200, stream=Body()), 5_000, memory)
+        )
+        await asyncio.sleep(0.01)
+        memory.open(lambda: None).resize(500)
+        room_needed.set()
+        with pytest.raises(ResponseTooLargeError):
+            await reading
+
+
 class LargestAnswerSuite:
     """Guards against limits that honest answers exceed."""
 
