Reading goes on after a refusal amid a large read

Found in review: a request that was refused between two slices of a read left its connection paused, so what the caller still wrote was not dropped, and the close was a reset that could take the refusal with it. The test failed before.

--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -629,10 +629,11 @@
     def _parse_slice(self) -> None:
         """Parse a part of the bytes of a large read."""
         data, transport = self._unparsed, self._transport
-        if data is None or transport is None:
+        if transport is None:
             return
-        self._unparsed = data[SLICE_BYTES:] or None
-        self._parse(data[:SLICE_BYTES])
+        if data is not None:
+            self._unparsed = data[SLICE_BYTES:] or None
+            self._parse(data[:SLICE_BYTES])
         if self._unparsed is not None:
             asyncio.get_running_loop().call_soon(self._parse_slice)
         else:
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -220,6 +220,25 @@
         play(case)
 
 
+class RefusedSuite:
+    def test_what_follows_a_refusal_is_read(self) -> None:
+        """Guards against a reset that takes the refusal with it."""
+
+        async def case() -> None:
+            router = Router()
+            caller = router.connect()
+            data = CHUNKED + b"1\r\nx\r\n" * 20_000
+            sending = asyncio.create_task(caller.send([data, data]))
+            await asyncio.sleep(0)
+            router.ingress.refuse_incomplete()
+            assert caller.paused
+            await sending
+            assert not caller.paused
+            assert caller.statuses == [503]
+
+        play(case)
+
+
 class HonestSuite:
     """Requests within the limits are served as ever."""
 
