Late proofs: a hung probe, and bytes that are read late

Found in review, both shown by a test that failed before: - A probe that waits for a slot kept a later one from being sent, so a whole answer whose connection ended after it was given up. A second probe is sent if the first is not answered within half a second. - A connection that was not read, as its caller was slow, showed bytes of a process that had ended when it was read again, and a crash did not count.

An attempt that ends while its events are passed on keeps no account, and one that waits for a proof is not paused.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -258,6 +258,7 @@
         """Wait until the endpoint proves that it outlived its connection."""
         forward = self.forward
         forward.cancel_overdue_timer()
+        self._paused = False
         wait_until_s = forward.deadline_s - PROOF_MARGIN_S
         if forward.route.repeatable:
             retry_s = self.front.clock() + PROOF_BEFORE_RETRY_S
@@ -401,8 +402,10 @@
                 self.endpoint, self.number, now_s
             )
             self.forward.relay_events(head, events, now_s)
+        if not self.in_flight:
+            return
         self._keep(splitter.partial_bytes)
-        if splitter.out_of_order and self.in_flight:
+        if splitter.out_of_order:
             self._give_up("the id of an event does not rise")
         if self.forward.exchange.full:
             self._pause()
--- a/src/bulrushstream/daemon/lifeproof.py
+++ b/src/bulrushstream/daemon/lifeproof.py
@@ -38,6 +38,9 @@
 PROBE_INTERVAL_S: Final = 0.5
 OLD_CONNECTION_S: Final = 0.5
 
+# Probes of one endpoint at a time, as one may wait there for long.
+MAX_PROBES: Final = 3
+
 
 @dataclass(frozen=True, slots=True)
 class EndedConnection:
@@ -57,7 +60,8 @@
     endpoint: Endpoint
     pool: Pool
     ended: list[EndedConnection] = field(default_factory=list)
-    probe: asyncio.Task[None] | None = None
+    probes: set[asyncio.Task[None]] = field(default_factory=set)
+    probed_s: float = float("-inf")  # When the last one was begun.
     probe_due_s: float = float("-inf")
     answered_s: float = float("-inf")  # When the last answered probe was sent.
     gone_s: float = float("-inf")  # When its address was last not its own.
@@ -67,7 +71,8 @@
 class LifeProofs:
     """The connections of one router whose endpoints may have ended with them.
 
-    At most one probe of an endpoint is in flight at a time.
+    A second probe of an endpoint is sent while one is in flight only if that
+    one takes long and was sent too early to prove what is waited for.
     """
 
     clock: Callable[[], float]
@@ -128,8 +133,8 @@
             loop.call_later(POLL_S, self._look, waiting)
         else:
             del self._waiting[waiting.endpoint.name]
-            if waiting.probe is not None:
-                waiting.probe.cancel()
+            for probe in waiting.probes:
+                probe.cancel()
         for each, result in results:
             # An earlier one may have ended the request of this one.
             if not each.pending.cancelled:
@@ -154,21 +159,29 @@
 
     def _probe_if_due(self, waiting: _Waiting, now_s: float) -> None:
         """Probe an endpoint unless that is done, or was a moment ago."""
-        if waiting.probe is not None or now_s < waiting.probe_due_s:
+        if now_s < waiting.probe_due_s:
+            return
+        in_flight = len(waiting.probes)
+        if in_flight and (
+            in_flight >= MAX_PROBES
+            or now_s < waiting.probed_s + PROBE_INTERVAL_S
+        ):
             return
         unprobed_s = UNPROBED_S if waiting.pool.is_busy else EXIT_S
         due = [
             each.wait_until_s
             for each in waiting.ended
             if now_s >= each.closed_s + unprobed_s
+            and (not in_flight or each.closed_s + EXIT_S > waiting.probed_s)
         ]
         request = self.encode_probe(waiting.endpoint) if due else None
         if request is None:
             return
         loop = asyncio.get_running_loop()
-        waiting.probe = loop.create_task(
-            self._probe(waiting, request, max(due))
-        )
+        waiting.probed_s = now_s
+        probe = loop.create_task(self._probe(waiting, request, max(due)))
+        waiting.probes.add(probe)
+        probe.add_done_callback(waiting.probes.discard)
 
     async def _probe(
         self, waiting: _Waiting, request: bytes, until_s: float
@@ -192,7 +205,6 @@
             answer = await ask_identity(pool, request, until_s - sent_s)
             self._take_answer(waiting, answer, sent_s)
         finally:
-            waiting.probe = None
             if waiting.answered_s < sent_s:
                 waiting.probe_due_s = self.clock() + PROBE_INTERVAL_S
 
@@ -206,7 +218,7 @@
         elif answer is not None:
             own = self.is_own(waiting.endpoint, *answer)
         if own:
-            waiting.answered_s = sent_s
+            waiting.answered_s = max(waiting.answered_s, sent_s)
             waiting.pool.record_answer(sent_s)
         elif own is not None:
             waiting.gone_s = self.clock()
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -151,6 +151,8 @@
         self._used_up = False  # Whether it carries no further request.
         self._unusable = False
         self.paused = False  # Whether nothing is read until it resumes.
+        # When that last ended; what is read then may have come long before.
+        self.resumed_s = float("-inf")
         self._waits = False  # Whether nothing is read until its turn.
         self.keep_alive_s: float | None = None  # Announced by the peer.
         self.idle_until_s = float("inf")
@@ -217,6 +219,7 @@
         """Read on if reading was paused."""
         if self._transport is not None and self.paused:
             self.paused = False
+            self.resumed_s = self._owner.clock()
             if not self._waits:
                 self._transport.resume_reading()
 
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -217,7 +217,9 @@
             ended=len(ended),
             open=len(still_open),
             heard=any(
-                each.heard_s > at_s + ENDED_TOGETHER_S for each in still_open
+                each.heard_s > at_s + ENDED_TOGETHER_S
+                and each.resumed_s < at_s
+                for each in still_open
             ),
             ended_busy=sum(busy for _, busy in ended),
             ended_at_once=sum(
@@ -273,6 +275,7 @@
         return any(
             each.heard_s >= since_s
             and each.opened_s <= opened_by_s
+            and each.resumed_s < since_s - EXIT_S
             and not each.is_closed
             and not each.has_unread_bytes()
             for each in self._all
--- a/tests/test_life_proofs.py
+++ b/tests/test_life_proofs.py
@@ -11,7 +11,7 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.daemon.lifeproof import LifeProofs
-from bulrushstream.transport.upstream import Pool
+from bulrushstream.transport.upstream import EXIT_S, Pool
 from tests.deployments import an_entry
 from tests.virtualnetwork import NetworkLoop, Transport, run_in_network
 
@@ -30,6 +30,7 @@
 
     status: bytes | None = b"200 OK"  # None: it is silent.
     delay_s: float = 0.0
+    hung: int = 0  # So many probes are never answered.
     resets: int = 0  # So many new connections are reset.
     refuses: bool = False  # New connections.
     opened_before: int = 1  # Connections from before the request.
@@ -38,6 +39,7 @@
     can_probe: bool = True
     answers_s: float = 9.0  # When it answers a later request.
     ends: int = 1  # Connections whose end is to be judged.
+    gap_s: float = 0.0  # Between these ends.
     probes: int = 0
     transports: list[Transport] = field(default_factory=list)
 
@@ -50,6 +52,8 @@
 
     def received(self, data: bytes) -> None:
         self.probes += data == REQUEST
+        if data == REQUEST and self.probes <= self.hung:
+            return
         if data and self.status is not None:
             transport, head = self.transports[-1], answer(self.status)
             loop = asyncio.get_running_loop()
@@ -119,6 +123,8 @@
             )
 
         for number in range(server.ends):
+            if number:
+                await asyncio.sleep(server.gap_s)
             proofs.wait(
                 Endpoint(an_entry("e-1"), None),
                 pool,
@@ -159,6 +165,12 @@
     ),
     "it is full": (Server(b"503 Full"), True, 0.1, 1),
     "it is slow": (Server(delay_s=1.5, opened_before=0), True, 1.6, 1),
+    "one probe hangs": (
+        Server(opened_before=0, hung=1, ends=2, gap_s=0.5),
+        True,
+        0.8,
+        2,
+    ),
     "it has too many connections": (
         Server(opened_before=0, resets=2),
         True,
@@ -200,3 +212,36 @@
             assert result is lives
             assert after_s <= within_s
         assert server.probes == probes
+
+
+class PausedSuite:
+    def test_bytes_that_are_read_late_prove_nothing(self) -> None:
+        """Guards against old bytes of a process that has ended."""
+        found: list[bool] = []
+
+        async def run(loop: NetworkLoop) -> None:
+            pool = Pool(*ADDRESS, loop.time)
+            server = Server(None, opened_before=0)
+            loop.listeners[ADDRESS] = server.accept
+            pending = pool.send(b"GET", _Busy())
+            await asyncio.sleep(0.01)
+            transport = server.transports[0]
+            transport.send(b"HTTP/1.1 200 OK\r\n\r\n")
+            await asyncio.sleep(0.01)
+            for paused in (True, False):
+                broke_s = loop.time()
+                if paused:
+                    pending.pause_reading()
+                    transport.send(b"x")
+                await asyncio.sleep(0.2)
+                if paused:
+                    pending.resume_reading()
+                else:
+                    transport.send(b"x")
+                await asyncio.sleep(0.01)
+                found.append(pool.seen(broke_s).heard)
+                found.append(pool.goes_on(broke_s, broke_s + EXIT_S))
+            pool.close()
+
+        assert run_in_network(run) == []
+        assert found == [False, False, True, True]
