--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -50,7 +50,7 @@
 PROOF_PAUSE_S: Final = 0.25
 
 # Statuses of a proxy whose endpoint does not answer.
-_PROXY_STATUSES: Final = (502, 504)
+_PROXY_STATUSES: Final = (502, 503, 504)
 
 _USAGE: Final = re.compile(rb'"completion_tokens"\s*:\s*(\d+)')
 _NOT_SENT: Final = (
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -187,7 +187,16 @@
 
     @pytest.mark.parametrize("check_path", ("", "/load"))
     @pytest.mark.parametrize(
-        "after", ("lives", "refuses", "closes", "mute", "502 Bad", "504 Late")
+        "after",
+        (
+            "lives",
+            "refuses",
+            "closes",
+            "mute",
+            "502 Bad",
+            "503 No",
+            "504 Late",
+        ),
     )
     async def test_an_answer_that_only_its_connection_ends(
         self, after: str, check_path: str
