A crash counts though the endpoint had closed an idle connection before

Found in review: what an endpoint closes for want of use was taken for the end of its process, so the request that then crashed it was not counted, however long ago that was, and though the port refused connections since.

A port that refuses is no proxy's, so nothing accepted the run's connection in the place of the process; and an idle connection that ended long before says nothing, as an endpoint that had ended then would not be listed any more.

--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -79,10 +79,17 @@
     def may_have_ended_before(self, run: BrokenRun) -> bool:
         """Return whether its process may have ended before a run was sent.
 
-        A proxy may have accepted the run's connection, and closed it.
+        A proxy may have accepted the run's connection, and closed it; but it
+        would not refuse another one then.
         """
+        if self.signs.get(Sign.REFUSED, float("-inf")) >= run.broke_s:
+            return False
         answered_s = self.pool.answered_s
-        ends_s = (self.broke_s, self.ended_s, self.pool.idle_ended_s)
+        ends_s = [self.broke_s, self.ended_s]
+        # One that was idle for long ends with no process.  An endpoint that
+        # ended would have been dropped from the list since.
+        if run.sent_s - self.pool.idle_ended_s <= GIVE_UP_S:
+            ends_s.append(self.pool.idle_ended_s)
         return any(run.sent_s > each_s > answered_s for each_s in ends_s)
 
 
