--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -31,7 +31,7 @@
     ResponseFailure,
     framing_of,
 )
-from bulrushstream.transport.ingress import BodyWriter
+from bulrushstream.transport.exchange import BodyWriter
 
 if TYPE_CHECKING:
     from bulrushstream.daemon.forward import Forward
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -28,7 +28,7 @@
 from bulrushstream.state.events import EventSplitter
 from bulrushstream.state.request import Outcome
 from bulrushstream.state.routes import Route
-from bulrushstream.transport.ingress import BodyWriter, Exchange
+from bulrushstream.transport.exchange import BodyWriter, Exchange
 
 if TYPE_CHECKING:
     from bulrushstream.coordination.streamorigins import OwnStream
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -39,7 +39,8 @@
 from bulrushstream.state.routes import Route
 from bulrushstream.state.usage import Crowd, ShareReport
 from bulrushstream.transport.datagrams import PeerSocket
-from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import Ingress, IngressLimits
 from bulrushstream.transport.problem import encode_problem
 
 # Retry-after time for a request that is refused before an endpoint is chosen.
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -33,7 +33,8 @@
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
-from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import Ingress, IngressLimits
 from bulrushstream.transport.listening import open_listener
 from bulrushstream.transport.udp import open_udp
 
--- a/src/bulrushstream/daemon/recovery.py
+++ b/src/bulrushstream/daemon/recovery.py
@@ -20,13 +20,13 @@
 from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.excess import PeerKind
+from bulrushstream.transport.exchange import Exchange
 from bulrushstream.transport.httpcall import (
     Answer,
     CallError,
     CallLimits,
     call,
 )
-from bulrushstream.transport.ingress import Exchange
 from bulrushstream.transport.upstream import Pool
 
 # A router queries a peer if its own confirmation is older than this.  Before
--- a/src/bulrushstream/history/routingconnections.py
+++ b/src/bulrushstream/history/routingconnections.py
@@ -10,7 +10,7 @@
 from bulrushstream.history.routingrecord import Reply
 from bulrushstream.history.singleusepool import SingleUsePool
 from bulrushstream.transport.connection import Sink
-from bulrushstream.transport.ingress import Exchange
+from bulrushstream.transport.exchange import Exchange
 
 if TYPE_CHECKING:
     from bulrushstream.history.routingfleet import RoutingFleet
--- a/src/bulrushstream/history/routingfleet.py
+++ b/src/bulrushstream/history/routingfleet.py
@@ -61,7 +61,8 @@
     RouteConfig,
 )
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
-from bulrushstream.transport.ingress import ClientConnection, Exchange
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import ClientConnection
 
 CONNECT_AGAIN_S: Final = 0.05  # Until a caller tries again.
 TAKEN_UP_ROUTE: Final = "talk"  # Its callers take up broken streams.
--- a/src/bulrushstream/standins/keyedlog.py
+++ b/src/bulrushstream/standins/keyedlog.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import Ingress, IngressLimits
 
 _POSITIONS: Final = struct.Struct("!QQ")
 _LENGTH: Final = struct.Struct("!I")
--- a/src/bulrushstream/standins/worker.py
+++ b/src/bulrushstream/standins/worker.py
@@ -15,7 +15,8 @@
 from typing import Final
 
 from bulrushstream.state.call import RawHeaders
-from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import Ingress, IngressLimits
 
 EVENT_PAUSE_S: Final = 0.002
 
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -25,7 +25,7 @@
     EndpointEntry,
 )
 from bulrushstream.transport.datagrams import HEARTBEAT_S
-from bulrushstream.transport.ingress import Exchange
+from bulrushstream.transport.exchange import Exchange
 from tests.crashingendpoints import (
     After,
     Endpoint,
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -38,7 +38,8 @@
 )
 from bulrushstream.transport.connection import Sink
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
-from bulrushstream.transport.ingress import ClientConnection, Exchange
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import ClientConnection
 from tests.deployments import a_route, an_entry
 from tests.modelengines import Attempt, Engine
 from tests.servedshares import Ask, Run, ServedShares
--- a/tests/simulatedcallers.py
+++ b/tests/simulatedcallers.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from typing import cast
 
-from bulrushstream.transport.ingress import ClientConnection, Exchange
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import ClientConnection
 from tests.crashplans import DEFAULT_PREFIX, ROUTES, TIMEOUT_S
 from tests.deployments import HOST, KEY
 
--- a/tests/streamsoak.py
+++ b/tests/streamsoak.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Final, cast
 
-from bulrushstream.transport.ingress import Exchange
+from bulrushstream.transport.exchange import Exchange
 from tests.crashingendpoints import (
     EVENT_STREAM,
     EVENTS,
--- a/tests/test_callers_who_left.py
+++ b/tests/test_callers_who_left.py
@@ -15,7 +15,8 @@
 
 import pytest
 
-from bulrushstream.transport.ingress import Exchange, Ingress, IngressLimits
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import Ingress, IngressLimits
 from tests.crashfleets import CrashFleet
 from tests.crashplans import CrashPlan
 from tests.simulatedcallers import Caller, an_exchange
--- a/tests/test_crowded_router.py
+++ b/tests/test_crowded_router.py
@@ -12,9 +12,9 @@
 
 from bulrushstream.coordination.looplag import TICK_S, LoopLag
 from bulrushstream.history.virtualloop import run_virtually
+from bulrushstream.transport.exchange import Exchange
 from bulrushstream.transport.ingress import (
     ClientConnection,
-    Exchange,
     Ingress,
     IngressLimits,
 )
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -13,11 +13,8 @@
 
 from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
 from bulrushstream.state.memorybudget import MemoryBudget
-from bulrushstream.transport.ingress import (
-    Exchange,
-    Ingress,
-    IngressLimits,
-)
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import Ingress, IngressLimits
 from tests.endlesscallers import (
     CHUNKED,
     ENDLESS,
--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -27,7 +27,7 @@
 from bulrushstream.state.events import EventSplitter
 from bulrushstream.state.streamorigin import StreamOrigin
 from bulrushstream.transport.connection import Framing
-from bulrushstream.transport.ingress import BodyWriter, Exchange
+from bulrushstream.transport.exchange import BodyWriter, Exchange
 
 SEEDS: Final = range(40)
 # All routers start again, each with the whole slack of retries.
--- a/tests/unfinishedanswers.py
+++ b/tests/unfinishedanswers.py
@@ -10,11 +10,8 @@
 import socket
 from typing import Final
 
-from bulrushstream.transport.ingress import (
-    Exchange,
-    Ingress,
-    IngressLimits,
-)
+from bulrushstream.transport.exchange import Exchange
+from bulrushstream.transport.ingress import Ingress, IngressLimits
 
 PIECE: Final = b"a piece of the body"
 LARGE_BYTES: Final = 900_000
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -11,7 +11,7 @@
 from typing import Final, cast
 
 from bulrushstream.daemon.versionrecords import version_tasks
-from bulrushstream.transport.ingress import Exchange
+from bulrushstream.transport.exchange import Exchange
 from tests.crashfleets import CrashFleet, StoreWork
 from tests.crashingendpoints import EVENTS, Endpoint, Link
 from tests.crashplans import TIMEOUT_S
