Lines that look like heads cost no parser each

What follows the status line is looked at first. 20,000 parsers were made in the test before, 20 at most now.

--- a/src/bulrushstream/transport/extraanswers.py
+++ b/src/bulrushstream/transport/extraanswers.py
@@ -20,6 +20,12 @@
 _STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}[ \r]")
 _STATUS_SIZE: Final = len("HTTP/1.1 200 ")
 
+# How the line after a status line begins; bytes may be missing at the end.
+_TOKEN: Final = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]"
+_NEXT_LINE: Final = re.compile(
+    rb"%b{64}|%b{1,63}(?::|\Z)|\r?\n|\r?\Z" % (_TOKEN, _TOKEN)
+)
+
 # More bytes than this without the end of a head are no head.
 MAX_HEAD_BYTES: Final = 16_384
 
@@ -114,6 +120,10 @@
                 return False
             if padding:
                 return True
+            line_end = data.find(b"\n", start, start + MAX_HEAD_BYTES)
+            # Much cheaper than the parser, where many such lines come.
+            if line_end >= 0 and not _NEXT_LINE.match(data, line_end + 1):
+                return False
             self._parser = httptools.HttpResponseParser(self)
         limit = min(len(data), start + MAX_HEAD_BYTES)
         position = start + self.parsed_bytes
--- a/tests/test_extra_answers.py
+++ b/tests/test_extra_answers.py
@@ -142,6 +142,31 @@
         if not floods:
             assert len(text) - len(body) <= 16_384
 
+    def test_status_lines_alone_are_not_parsed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a body of which each line costs a parser."""
+        made: list[_CountingParser] = []
+
+        def make_parser(head: object) -> _CountingParser:
+            made.append(_CountingParser(head))
+            return made[-1]
+
+        monkeypatch.setattr(
+            "bulrushstream.transport.extraanswers.httptools",
+            SimpleNamespace(
+                HttpResponseParser=make_parser,
+                HttpParserError=httptools.HttpParserError,
+                HttpParserUpgrade=httptools.HttpParserUpgrade,
+            ),
+        )
+        finder = ExtraAnswerFinder(is_own)
+        pieces = 20
+        for _ in range(pieces):
+            finder.feed(b"HTTP/1.1 200 \r\n" * 1_000)
+        # One for the last line of each piece, as another one may follow it.
+        assert len(made) <= pieces
+
 
 @dataclass(slots=True)
 class _TwiceEndpoint:
