An answer that was cut can not end in order any more

What callers saw: those of HTTP/1.0, who accept no chunks, took a cut stream for a whole one, as its connection was closed in order. Traced in a play with deadlines: a router that is stopping aborts the connection at the deadline, and its socket is closed in the next turn of the loop; the look for idle connections, each 50 ms, fell in between, found no request on it, and set its socket back to an end in order.

Cause: closing a connection set that option, whoever closed it and whatever had become of its answer. The same happened

- as the rest of a request behind it was refused, at the end of a stop or for want of memory;
- as an answer was finished in the turn in which its connection was aborted (its caller is too slow, or memory is short) or failed;
- as it was finished after its caller had closed its sending side and later bytes had been dropped.

And a refusal of a part of a request that came behind wrote its head into a finished answer that its caller was still reading.

Why the fix works: the option is set in one place, as the transport says that the connection is over, just before it closes the socket, and only if the answer was finished, no byte of any was dropped, nothing aborted it and no error ended it. The transport says so after an orderly close only once the kernel has all bytes. So the wait for that is the transport's alone. On a connection that is ending, nothing is answered.

--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -189,11 +189,15 @@
         self._pipelined: deque[Exchange] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._rejected = False
-        self._resets = False  # Whether closing the socket resets it.
+        # Whether only the connection's end ends the response, so that any
+        # other end than that of a whole one is a reset.
+        self._resets = False
+        self._finished = False  # Whether that response was finished.
+        self._cut = False  # Whether bytes of a response were dropped.
         self._unread: Account | None = None  # Of unread bytes, if many.
         self._unread_counted = 0  # When they were last counted.
         self._full = False  # Whether the caller has much to read first.
-        self._finishing = False  # Whether to close once all is written.
+        self._lingers = False  # Whether it has ended but is still read.
         self.closing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -213,6 +217,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the caller disconnected; see `asyncio.Protocol`."""
+        if self._finished and not self._cut and exc is None:
+            # Only now has the kernel all bytes; the socket is closed next.
+            self._set_linger(ORDERLY_LINGER)
         self._transport = None
         self._ingress.connections.discard(self)
         self._ingress.idle.pop(self, None)
@@ -228,8 +235,7 @@
         """Close the connection when the caller closes its sending side."""
         if self._full and self._current is not None:
             # It may never read what it has not read yet.
-            assert self._transport is not None
-            self._transport.abort()
+            self._cut_off()
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -286,6 +292,7 @@
         """
         transport = self._transport
         if transport is None or transport.is_closing():
+            self._cut = True
             return
         transport.write(data)
         unread_bytes = transport.get_write_buffer_size()
@@ -295,8 +302,7 @@
     def _count_unread(self, unread_bytes: int) -> None:
         """Handle response bytes that the caller has not read yet."""
         if unread_bytes > self._ingress.limits.unread_bytes:
-            assert self._transport is not None
-            self._transport.abort()
+            self._cut_off()
             return
         if unread_bytes > FULL_BYTES:
             self._full = True
@@ -329,7 +335,7 @@
         self._ingress.on_excess(
             Excess(self._ingress.peer, f"{host}:{port}", ExcessReason.MEMORY)
         )
-        transport.abort()
+        self._cut_off()
 
     def exchange_finished(self, exchange: Exchange) -> None:
         """Begin the next request after a response has ended.
@@ -339,6 +345,7 @@
         if self._current is not exchange:
             return
         self._current = None
+        self._finished = self._resets
         self._release(len(exchange.body))
         if self._rejected and not (exchange.keep_alive or self._resets):
             self._linger()
@@ -361,8 +368,7 @@
     def abort(self) -> None:
         """Abort the connection."""
         self._current = None
-        if self._transport is not None:
-            self._transport.abort()
+        self._cut_off()
 
     def reset_unless_finished(self) -> None:
         """Let the caller see a reset unless the response is finished.
@@ -376,8 +382,6 @@
         """Go on with what waited; see `asyncio.BaseProtocol`."""
         self._full = False
         self._release_unread()
-        if self._finishing:
-            self._close()
         exchange = self._current
         if exchange is not None and exchange.full:
             exchange.full = False
@@ -410,6 +414,12 @@
         if not has_events(transport, UNREAD_EVENTS):
             self._close()
 
+    @property
+    def _ending(self) -> bool:
+        """Return whether nothing more can be answered."""
+        transport = self._transport
+        return transport is None or transport.is_closing() or self._lingers
+
     @property
     def has_waiting(self) -> bool:
         """Return whether whole requests wait behind the current one."""
@@ -454,7 +464,7 @@
 
     def _begin_next(self) -> None:
         """Pass the next queued request to the handler if none is active."""
-        if self._current is not None or not self._pipelined:
+        if self._current is not None or not self._pipelined or self._ending:
             return
         exchange = self._pipelined.popleft()
         self._clear_timer()
@@ -525,6 +535,7 @@
             self._close()
             return
         transport.write_eof()
+        self._lingers = True
         self._set_timer(LINGER_S)
 
     def _check_header(self, name: bytes, value: bytes) -> None:
@@ -554,6 +565,8 @@
         if self._current is not None:
             self._current.keep_alive = False
             return
+        if self._ending:
+            return
         refusal = Exchange(self)
         refusal.keep_alive = False
         self._current = refusal
@@ -591,17 +604,14 @@
     def _close(self) -> None:
         """Close the connection after all buffered bytes are written."""
         self._clear_timer()
-        transport = self._transport
-        if transport is None:
-            return
-        if self._resets:
-            if transport.get_write_buffer_size():
-                # Until the kernel has all bytes, the process may lose some.
-                self._finishing = self._rejected = True
-                transport.set_write_buffer_limits(high=0)
-                return
-            self._set_linger(ORDERLY_LINGER)
-        transport.close()
+        if self._transport is not None:
+            self._transport.close()
+
+    def _cut_off(self) -> None:
+        """Abort the connection, dropping what the kernel does not have."""
+        self._cut = True
+        if self._transport is not None:
+            self._transport.abort()
 
     def _set_linger(self, option: bytes) -> None:
         """Set how the socket is closed."""
