A test that a large answer's connection ends once

Each answer without a length that its caller had not read when it was finished raised an exception in the loop: its connection was closed as the last bytes went out, within the transport's own handling of them, which then ended it a second time. Nothing else came of it.

--- a/tests/test_ends_of_answers.py
+++ b/tests/test_ends_of_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Final
 
@@ -186,3 +187,29 @@
         assert answer.transport.end == "in order"
         assert body in (b"a part", b"a part" + MUCH)
         assert len(answer.exchanges) == 1
+
+    # Guards against an exception in the loop, as a connection ended twice.
+    async def test_its_connection_ends_once(self) -> None:
+        loop = asyncio.get_running_loop()
+        errors: list[object] = []
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+
+        def answer(exchange: Exchange) -> None:
+            writer = exchange.begin(200, [], None)
+            writer.write(bytes(900_000))
+            writer.finish()
+
+        ingress = Ingress(answer, IngressLimits(), loop.time)
+        caller, accepted = socket.socketpair()
+        with caller:
+            caller.setblocking(False)
+            await loop.connect_accepted_socket(
+                ingress.make_connection, accepted
+            )
+            await loop.sock_sendall(caller, REQUEST)
+            data = b""
+            while piece := await loop.sock_recv(caller, 65_536):
+                data += piece
+        assert len(data.partition(b"\r\n\r\n")[2]) == 900_000
+        assert not ingress.connections
+        assert errors == []
