Another start under the same id is another endpoint

Callers saw streams joined of two processes, as a worker may start again under the id that it had: its entry in the endpoint list then differs in `born` only, which was read nowhere.

`born` (number or text) is decoded into `EndpointEntry.born`, and two entries that both tell it and differ are of two processes. An entry that does not tell it contradicts none, and the start that an earlier entry told stays with the endpoint.

Before: the three new tests failed (no such field). After: they pass, as do test_platform_adapter, test_endpointpool, test_routes and test_endpoint_notices.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -72,15 +72,15 @@
     ) -> None:
         """Add an endpoint, or update its entry.
 
-        An endpoint whose address, service or version changed starts with a
-        fresh state.
+        An endpoint whose address, service, version or start changed is
+        another process and gets a fresh state.
 
         :param entry: the entry in the platform's list
         :param traits: the engine's slots and memory; None: a plain service
         """
         known = self.by_name.get(entry.endpoint)
         if known is not None and known.entry.may_be_process_of(entry):
-            known.entry = entry
+            known.entry = entry.after(known.entry)
             return
         if known is not None:
             self.remove(entry.endpoint)
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -51,8 +51,10 @@
     :param entry: the list's entry
     """
     known = front.pool.by_name.get(entry.endpoint)
-    if known is not None and known.entry == entry:
-        return
+    if known is not None and known.entry.may_be_process_of(entry):
+        entry = entry.after(known.entry)
+        if known.entry == entry:
+            return
     traits = None
     if front.table is not None:
         service = front.table.services.get(entry.service)
@@ -69,6 +71,7 @@
             inputs={
                 "address": f"{entry.host}:{entry.port}",
                 "version": entry.version,
+                "born": entry.born,
             },
         )
     )
--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -123,6 +123,7 @@
     state: str = "ready"
     cold_left_ms: float = 0.0
     version: Any = None
+    born: Any = None  # A number or a text.
 
 
 def decode_config(data: bytes, report: Report) -> RouteConfig:
@@ -176,6 +177,7 @@
     if not _ENDPOINT_ID.fullmatch(endpoint):
         raise DocumentError(f"no endpoint id: {endpoint[:MAX_NAME_CHARS]!r}")
     host, port = _parse_address(raw.address)
+    # An entry with an unusable version or start still names an endpoint.
     version = raw.version if isinstance(raw.version, str) else ""
     return EndpointEntry(
         endpoint=endpoint,
@@ -186,11 +188,19 @@
         slots=min(raw.slots, MAX_COUNT),
         leaving=raw.state != "ready",
         warmup_remaining_s=_seconds(max(0.0, raw.cold_left_ms)),
-        # An entry with an unusable version still names an endpoint.
         version=version if len(version) <= MAX_NAME_CHARS else "",
+        born=_start(raw.born),
     )
 
 
+def _start(born: object) -> str:
+    """Return when a process started, as it says; empty: it does not tell."""
+    if isinstance(born, bool) or not isinstance(born, str | int | float):
+        return ""
+    told = str(born)
+    return told if len(told) <= MAX_NAME_CHARS else ""
+
+
 def _parse_address(address: str) -> tuple[str, int]:
     """Return the IP number and the port of an endpoint's address.
 
--- a/src/bulrushstream/state/routes.py
+++ b/src/bulrushstream/state/routes.py
@@ -1,13 +1,13 @@
 """Configuration of a fleet that routes by host and path.
 
 A *route* maps a host and a path prefix to one or more services.  An
-*endpoint* is one process of a service with a unique id.  When a new process
-reuses an address, it is another endpoint with another id.
+*endpoint* is one process of a service.  A process that starts again may keep
+its id and its address; its entry then names another start in `born`.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from typing import Final
 
@@ -109,7 +109,7 @@
 class EndpointEntry:
     """An endpoint's entry in the platform's endpoint list."""
 
-    endpoint: str  # The endpoint's id; new for each start.
+    endpoint: str  # The endpoint's id; a process may start again under it.
     service: str  # The service's name.
     host: str  # The IP address.
     port: int
@@ -118,15 +118,28 @@
     leaving: bool = False  # Whether it takes no new requests.
     warmup_remaining_s: float = 0.0  # It is slow for this long.
     version: str = ""  # Of its software; empty: not known.
+    # When its process started, as it says; empty: not told.
+    born: str = ""
 
     def may_be_process_of(self, other: EndpointEntry) -> bool:
         """Return whether another entry of this id may be of this process.
 
+        An entry that does not tell when its process started contradicts none.
+
         :param other: the other entry
         """
+        if self.born and other.born and self.born != other.born:
+            return False
         return (self.service, self.host, self.port, self.version) == (
             other.service,
             other.host,
             other.port,
             other.version,
         )
+
+    def after(self, earlier: EndpointEntry) -> EndpointEntry:
+        """Return this entry, with the start that an earlier one told.
+
+        :param earlier: an entry that may be of the same process
+        """
+        return self if self.born else replace(self, born=earlier.born)
--- a/tests/test_endpointpool.py
+++ b/tests/test_endpointpool.py
@@ -63,6 +63,26 @@
         assert not pool.usable("desk", 0.0)
         assert pool.usable("other", 0.0)
 
+    # A process that started again under its id was taken for the earlier one.
+    def test_another_start_is_another_endpoint(self) -> None:
+        pool = a_pool(1)
+        pool.update(an_entry("i-0", born="1"), None)
+        before = pool.by_name["i-0"]
+        pool.update(an_entry("i-0", born="2"), None)
+        assert before.removed
+        assert pool.by_name["i-0"] is not before
+
+    # An entry without its start hid the next process.
+    def test_a_start_that_was_told_is_kept(self) -> None:
+        pool = a_pool(1)
+        before = pool.by_name["i-0"]
+        pool.update(an_entry("i-0", born="1"), None)
+        pool.update(an_entry("i-0", leaving=True), None)
+        assert pool.by_name["i-0"] is before
+        assert before.entry.leaving
+        pool.update(an_entry("i-0", born="2"), None)
+        assert pool.by_name["i-0"] is not before
+
 
 class PlainChoiceSuite:
     def test_the_least_loaded_is_chosen_and_the_own_zone_on_a_tie(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -273,6 +273,23 @@
         entry = decode_entry("i", wire_entry("desk", 80, **fields))
         assert entry.version == expected
 
+    # The start of a process was not read at all.
+    @pytest.mark.parametrize(
+        ("born", "expected"),
+        (
+            (1754, "1754"),
+            (17.5, "17.5"),
+            ("a-1", "a-1"),
+            (None, ""),
+            (True, ""),
+            ([1], ""),
+            ("b" * 256, ""),
+        ),
+    )
+    def test_start_of_an_endpoint(self, born: Any, expected: str) -> None:
+        entry = decode_entry("i", wire_entry("desk", 80, born=born))
+        assert entry.born == expected
+
     def test_an_entry_without_a_version(self) -> None:
         fields = msgspec.json.decode(wire_entry("desk", 80))
         del fields["version"]
