Log what proved the end of an answer without a length

The line `finish` said that an answer without a length ended with its connection and was passed on, but not by which sign its process was taken to live. It now has `proof` and `proof_age_s` (from the end of the connection to the proof), also where there was none.

LifeProofs reports the proof in place of a yes or no; two tests read it so. Asserted by UnframedSuite.test_the_log_tells_how_they_ended.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -16,6 +16,7 @@
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.forwarding import Failure
 from bulrushstream.daemon import endpointload, runwatch, takeups
+from bulrushstream.daemon.lifeproof import Proof
 from bulrushstream.daemon.unframed import UnframedBody
 from bulrushstream.state.call import (
     AnswerHead,
@@ -63,6 +64,8 @@
         "_may_have_run_before",
         "_paused",
         "_pending",
+        "_proof",
+        "_proof_age_s",
         "_resumed_s",
         "_unattributed",
         "_unframed",
@@ -108,6 +111,10 @@
         # The body, if only its connection shows the end.
         self._unframed: UnframedBody | None = None
         self._end = ""  # How the answer ended, for the log; empty: not yet.
+        # What proved that the answer's process outlived its connection, and
+        # how long after the end; None: it was not looked for.
+        self._proof: Proof | None = None
+        self._proof_age_s = 0.0
         # Whether its answer may be that of another request.
         self._unattributed = False
         self._heard_s = 0.0  # When bytes of the answer last arrived.
@@ -271,12 +278,14 @@
             self._endpoint_checked,
         )
 
-    def _endpoint_checked(self, running: bool) -> None:
-        """Handle whether the endpoint outlived its answer's connection."""
-        head = self._head
+    def _endpoint_checked(self, proof: Proof) -> None:
+        """Handle what proves that the endpoint outlived its connection."""
+        head, self._proof = self._head, proof
+        if self._unframed is not None and self._unframed.closed_s is not None:
+            self._proof_age_s = self.front.clock() - self._unframed.closed_s
         if head is None or self.forward.done:
             self._pending = None
-        elif running:
+        elif proof is not Proof.NONE:
             self._end_complete(head)
         else:
             self.failed(
@@ -533,11 +542,15 @@
         """Return what is known of the endpoint's answer, for the log."""
         if self._head is None:
             return {"answer_end": self._end}
-        return {
+        described: dict[str, float | int | str] = {
             "framing": self._framing.value,
             "answer_end": self._end,
             "received_bytes": self._body_bytes,
         }
+        if self._proof is not None:
+            described["proof"] = self._proof.value
+            described["proof_age_s"] = round(self._proof_age_s, 3)
+        return described
 
     @property
     def answer_begun(self) -> bool:
--- a/src/bulrushstream/daemon/lifeproof.py
+++ b/src/bulrushstream/daemon/lifeproof.py
@@ -18,6 +18,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Final
 
 from bulrushstream.coordination.endpointpool import Endpoint
@@ -42,6 +43,18 @@
 MAX_PROBES: Final = 3
 
 
+class Proof(StrEnum):
+    """What proved that a process outlived a connection."""
+
+    NONE = "none"
+    ANSWER = "answer"  # To a request that was sent after the end.
+    BYTES = "bytes on an older connection"
+    PROBE = "answer to a probe"
+
+
+OnProof = Callable[[Proof], None]
+
+
 @dataclass(frozen=True, slots=True)
 class EndedConnection:
     """A connection that ended with an answer."""
@@ -49,7 +62,7 @@
     sent_s: float  # When the request was sent on it.
     closed_s: float  # When it ended.
     wait_until_s: float  # How long a proof is waited for.
-    on_result: Callable[[bool], None]  # Called with whether there is one.
+    on_result: OnProof  # Called with the proof, or that there is none.
     pending: PendingRequest  # Cancels the wait.
 
 
@@ -89,7 +102,7 @@
         pool: Pool,
         sent_s: float,
         wait_until_s: float,
-        on_result: Callable[[bool], None],
+        on_result: OnProof,
     ) -> PendingRequest:
         """Wait for a proof that an endpoint lives, as a connection ended now.
 
@@ -97,7 +110,7 @@
         :param pool: the connections to it
         :param sent_s: when the request was sent whose answer ended
         :param wait_until_s: how long a proof is waited for
-        :param on_result: called with whether there is one
+        :param on_result: called with the proof, or that there is none
         :returns: a handle to cancel the wait
         """
         pending = PendingRequest()
@@ -142,19 +155,19 @@
 
     def _judge(
         self, waiting: _Waiting, ended: EndedConnection, now_s: float
-    ) -> bool | None:
-        """Return whether there is a proof; None: it may still come."""
+    ) -> Proof | None:
+        """Return the proof, or that there is none; None: it may come."""
         pool, exited_s = waiting.pool, ended.closed_s + EXIT_S
-        if (
-            waiting.answered_s >= exited_s
-            or pool.answered_s > ended.closed_s
-            or pool.goes_on(ended.sent_s, exited_s)
-        ):
-            return True
+        if waiting.answered_s >= exited_s:
+            return Proof.PROBE
+        if pool.answered_s > ended.closed_s:
+            return Proof.ANSWER
+        if pool.goes_on(ended.sent_s, exited_s):
+            return Proof.BYTES
         if now_s >= ended.wait_until_s:
-            return False
+            return Proof.NONE
         if waiting.gone_s >= exited_s and not pool.seen(ended.sent_s).open:
-            return False
+            return Proof.NONE
         return None
 
     def _probe_if_due(self, waiting: _Waiting, now_s: float) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -184,6 +184,8 @@
         for inputs in lines:
             assert inputs["answer_end"] == "connection closed in order"
             assert inputs["received_bytes"] == len("whole")
+            assert inputs["proof"] != "none"
+            assert 0.0 < float(inputs["proof_age_s"]) < 0.5
             assert inputs["sent_bytes"] == len("whole")
             assert inputs["attempts"] == 1
 
--- a/tests/test_killed_amid_answers.py
+++ b/tests/test_killed_amid_answers.py
@@ -19,7 +19,7 @@
 import pytest
 
 from bulrushstream.coordination.endpointpool import Endpoint
-from bulrushstream.daemon.lifeproof import LifeProofs
+from bulrushstream.daemon.lifeproof import LifeProofs, Proof
 from bulrushstream.transport.upstream import Pool
 from tests.deployments import an_entry
 from tests.unfinishedanswers import LARGE_BYTES, PIECE
@@ -111,12 +111,13 @@
                 lambda endpoint: b"GET /whole HTTP/1.1\r\nHost: a\r\n\r\n",
                 lambda endpoint, status, headers: status == 200,
             )
-            result: asyncio.Future[bool] = loop.create_future()
+            result: asyncio.Future[Proof] = loop.create_future()
             now_s = loop.time()
             endpoint = Endpoint(an_entry("e-1"), None)
             proofs.wait(endpoint, pool, now_s, now_s + 1.0, result.set_result)
             async with asyncio.timeout(5.0):
-                assert await result == (end == "none")
+                lives = await result is not Proof.NONE
+            assert lives == (end == "none")
             pool.close()
             listener.close()
 
--- a/tests/test_life_proofs.py
+++ b/tests/test_life_proofs.py
@@ -10,7 +10,7 @@
 import pytest
 
 from bulrushstream.coordination.endpointpool import Endpoint
-from bulrushstream.daemon.lifeproof import LifeProofs
+from bulrushstream.daemon.lifeproof import LifeProofs, Proof
 from bulrushstream.transport.upstream import EXIT_S, Pool
 from tests.deployments import an_entry
 from tests.virtualnetwork import NetworkLoop, Transport, run_in_network
@@ -117,9 +117,9 @@
             ),
         )
 
-        def take(number: int) -> Callable[[bool], None]:
-            return lambda result: results.append(
-                (result, loop.time() - closed_s)
+        def take(number: int) -> Callable[[Proof], None]:
+            return lambda proof: results.append(
+                (proof is not Proof.NONE, loop.time() - closed_s)
             )
 
         for number in range(server.ends):
