A whole answer stays whole if the process is killed right after it

An answer without a length that the kernel had in full became a reset if the process was killed before the loop's next turn: the option was set in that turn. It is set as the answer is finished, if nothing is unsent and the connection is not closing, and in that turn otherwise. Then nothing of the answer can be lost any more, whoever closes the connection later.

--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -189,8 +189,7 @@
         self._pipelined: deque[Exchange] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._rejected = False
-        # Whether only the connection's end ends the response, so that any
-        # other end than that of a whole one is a reset.
+        # Whether only the connection's end ends the response.
         self._resets = False
         self._finished = False  # Whether that response was finished.
         self._cut = False  # Whether bytes of a response were dropped.
@@ -217,9 +216,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the caller disconnected; see `asyncio.Protocol`."""
-        if self._finished and not self._cut and exc is None:
-            # Only now has the kernel all bytes; the socket is closed next.
-            self._set_linger(ORDERLY_LINGER)
+        if exc is None:
+            self._allow_orderly_end()
         self._transport = None
         self._ingress.connections.discard(self)
         self._ingress.idle.pop(self, None)
@@ -604,8 +602,17 @@
     def _close(self) -> None:
         """Close the connection after all buffered bytes are written."""
         self._clear_timer()
-        if self._transport is not None:
-            self._transport.close()
+        transport = self._transport
+        if transport is None:
+            return
+        if not (transport.is_closing() or transport.get_write_buffer_size()):
+            self._allow_orderly_end()
+        transport.close()
+
+    def _allow_orderly_end(self) -> None:
+        """Let a whole response end in order; the kernel has all its bytes."""
+        if self._finished and not self._cut:
+            self._set_linger(ORDERLY_LINGER)
 
     def _cut_off(self) -> None:
         """Abort the connection, dropping what the kernel does not have."""
--- a/tests/callertransports.py
+++ b/tests/callertransports.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from typing import Any
 
 from bulrushstream.transport.ingress import RESET_LINGER, Ingress
@@ -44,9 +45,13 @@
         super().__init__()
         self.sent = b""  # What the kernel has taken.
         self.end = ""  # How the caller sees the end; empty: not yet.
+        self.lost_bytes = 0  # Written, but never given to the kernel.
+        self.aborted = False  # Whether it was closed at once.
         self.room_bytes = room_bytes
         self._socket = _Socket()
         self._unsent = b""
+        self._unread: deque[bytes] = deque()
+        self._reading = True
         self._high_bytes = 65_536
         self._paused = False
         self._closing = False
@@ -58,6 +63,7 @@
 
     def write(self, data: Any) -> None:
         if self._lost:
+            self.lost_bytes += len(data)
             return
         self._unsent += data
         self._send()
@@ -79,10 +85,11 @@
         return self._closing
 
     def pause_reading(self) -> None:
-        """Do nothing: the test does not write then."""
+        self._reading = False
 
     def resume_reading(self) -> None:
-        """Do nothing."""
+        self._reading = True
+        asyncio.get_running_loop().call_soon(self._read_on)
 
     def write_eof(self) -> None:
         """Do nothing: the connection is closed later."""
@@ -97,11 +104,6 @@
 
     # --- The caller and the kernel.
 
-    @property
-    def readable(self) -> bool:
-        """Whether the router reads what the caller sends."""
-        return not self._closing
-
     def read(self, size_bytes: int) -> None:
         """Let the caller read some bytes, so that the kernel takes more."""
         self.room_bytes += size_bytes
@@ -109,29 +111,39 @@
         if self._paused and len(self._unsent) <= self._high_bytes // 4:
             self._paused = False
             self.protocol.resume_writing()
-        if self._closing and not self._unsent:
-            self._lose(None)
+        if self._closing and not (self._unsent or self._lost):
+            self._lost = True
+            self._finish(None)
 
     def receive(self, data: bytes) -> None:
         """Let the router read bytes of the caller."""
-        if self.readable:
-            self.protocol.data_received(data)
+        self._unread.append(data)
+        self._read_on()
 
     def half_close(self) -> None:
         """Let the router read the end of the caller's sending side."""
-        if self.readable and not self.protocol.eof_received():
+        if not self._closing and not self.protocol.eof_received():
             self.close()
 
     def fail(self, error: OSError | None) -> None:
         """Close the connection at once."""
+        if not self._lost:
+            self.aborted = True
+        self.lost_bytes += len(self._unsent)
         self._closing = True
         self._unsent = b""
         self._lose(error)
 
     def kill(self) -> None:
         """End the router's process."""
+        self.lost_bytes += len(self._unsent)
         self._end_socket()
 
+    def _read_on(self) -> None:
+        """Let the router read what has arrived, unless it has paused."""
+        while self._unread and self._reading and not self._closing:
+            self.protocol.data_received(self._unread.popleft())
+
     def _send(self) -> None:
         """Give the kernel what it has room for."""
         if self.end:
--- a/tests/test_ends_of_answers.py
+++ b/tests/test_ends_of_answers.py
@@ -167,8 +167,14 @@
     answer.writer.finish()
 
 
+def finish_and_killed(answer: Answer) -> None:
+    answer.writer.finish()
+    answer.transport.kill()
+
+
 WHOLE: Final = (
     finish,
+    finish_and_killed,
     fill_up_and_finish,
     finish_and_stop,
     finish_before_another,
