Random plays of a caller's connection

Requests of HTTP/1.0 and 1.1, whole, in parts, large and one behind the other; answers that are begun, written, finished and aborted; a stop, idle checks, refusals, limits of memory and of unread bytes, callers that read slowly or close their sending side, failed sockets and killed processes, in any order and in the same turn or later. An answer looks whole to its caller only if it was finished, with the bytes that were written and no others; and one that was finished looks whole unless bytes were lost.

--- a/tests/test_ends_of_answers.py
+++ b/tests/test_ends_of_answers.py
@@ -13,6 +13,8 @@
 from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.transport.exchange import Exchange
 from bulrushstream.transport.ingress import Ingress, IngressLimits
+from tests.answerplays import play as play_at_random
+from tests.answerplays import see
 from tests.callertransports import CallerTransport
 
 REQUEST: Final = (
@@ -219,3 +221,18 @@
         assert len(data.partition(b"\r\n\r\n")[2]) == 900_000
         assert not ingress.connections
         assert errors == []
+
+
+class RandomPlaySuite:
+    # Guards against any order of calls that joins, cuts or ends answers.
+    @pytest.mark.parametrize("block", range(8))
+    def test_an_answer_looks_whole_if_it_is(self, block: int) -> None:
+        whole = cut = 0
+        for seed in range(500 * block, 500 * (block + 1)):
+            played, wrong = play_at_random(seed)
+            assert wrong == [], f"seed {seed}"
+            answers = see(played)
+            whole += sum(answer.whole for answer in answers)
+            cut += sum(not answer.whole for answer in answers)
+        assert whole >= 200
+        assert cut >= 80
