The end of a stream without a length is checked by going on with it

What callers saw: a stream that may be resumed looks whole and is not, as a live endpoint, or a proxy before it, closes the connection in order amid an answer without a length. The proof of life holds there: the process lives.

Cause: that the process outlived its connection was taken for the end of the stream.

Such a stream goes on at its last event in another attempt. What is new goes to the caller, and the attempt is then like any other. An end without a new event shows a whole stream. Whatever else comes of it (an error, a refusal, a reset, silence, no endpoint, the deadline, a stop) leaves the verdict of the proof of life, so a whole stream is not given up for its check. Events before one with a new id are held back; streams whose last event has no id are not checked, as that event would come twice.

Bounds: the attempts of the route; half of the retry budget, so that retries of what failed keep the other half; 64 checks in a row of an endpoint that find nothing, as at one whose answers never have a length, make it one end in 16 until one finds something.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -45,6 +45,8 @@
     # Since when another process may have its id; infinity: the same as listed.
     unverified_s: float = float("inf")
     verified_s: float = float("-inf")  # Before this it was the same process.
+    # Checks of its streams' ends that found nothing, since one did.
+    vain_end_checks: int = 0
 
     def is_same_at(self, at_s: float) -> bool:
         """Return whether the listed process had its id at a time.
--- a/src/bulrushstream/coordination/retryquota.py
+++ b/src/bulrushstream/coordination/retryquota.py
@@ -49,19 +49,22 @@
         self._trim(window, now_s)
         window.requests.append(now_s)
 
-    def acquire(self, service: str, now_s: float, routers: int) -> bool:
+    def acquire(
+        self, service: str, now_s: float, routers: int, share: float = 1.0
+    ) -> bool:
         """Use one retry of the quota; return whether one was available.
 
         :param service: the service's name
         :param now_s: the time
         :param routers: the number of routers that share the slack
+        :param share: the part of the quota beyond which none is available
         """
         window = self.windows.setdefault(service, _Window())
         self._trim(window, now_s)
         allowed = self.limits.ratio * len(window.requests)
         if now_s >= self.slack_from_s:
             allowed += self.limits.slack / max(1, routers)
-        if len(window.retries) + 1 > allowed:
+        if len(window.retries) + 1 > allowed * share:
             return False
         window.retries.append(now_s)
         return True
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -15,7 +15,12 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.forwarding import Failure
-from bulrushstream.daemon import endpointload, runwatch, takeups
+from bulrushstream.daemon import (
+    endcheck,
+    endpointload,
+    runwatch,
+    takeups,
+)
 from bulrushstream.daemon.unframed import UnframedBody
 from bulrushstream.state.call import (
     AnswerHead,
@@ -60,6 +65,7 @@
         "_framing",
         "_head",
         "_heard_s",
+        "_last_events",
         "_may_have_run_before",
         "_paused",
         "_pending",
@@ -107,6 +113,8 @@
         self._framing = Framing.LENGTH
         # The body, if only its connection shows the end.
         self._unframed: UnframedBody | None = None
+        # The events of such a body that arrived last.
+        self._last_events = b""
         self._end = ""  # How the answer ended, for the log; empty: not yet.
         # Whether its answer may be that of another request.
         self._unattributed = False
@@ -237,7 +245,11 @@
         self._accept(head, rest)
         if not self.in_flight:
             return
-        if head.status < 400 and not self._body_bytes:
+        if self.forward.end_check is not None and _is_stream(head):
+            # That its endpoint lived is known of the stream that it checks.
+            self._record_end(ran=True)
+            self._end_stream(head)
+        elif head.status < 400 and not self._body_bytes:
             self._give_up("the connection ended at the body")
         elif not self._may_be_whole(head):
             self._end_complete(head)
@@ -395,7 +407,11 @@
         if splitter.is_too_long:
             self._give_up("an event is too long", ExcessReason.EVENT)
             return
+        if self.forward.end_check is not None:
+            events = self.forward.end_check.events(events)
         if events:
+            if self._unframed is not None:
+                self._last_events = events
             now_s = self._heard_s
             self.began_s = min(self.began_s, now_s)
             self.front.fleet_state.first_event(
@@ -484,10 +500,21 @@
             forward.attempt_failed(
                 Failure.BROKEN, "the stream ended in the middle of an event"
             )
-            return
+        elif forward.end_check is not None:
+            forward.end_check.ended()
+        elif not self._ended_with_connection or not endcheck.begin(
+            self, head, self._last_events
+        ):
+            self.end_stream(head)
+
+    def end_stream(self, head: AnswerHead) -> None:
+        """End the caller's stream, which is whole.
+
+        :param head: the head of the answer
+        """
         self.front.pool.succeeded(self.endpoint)
-        forward.begin_stream(head).finish()
-        forward.answered("answer", head.status)
+        self.forward.begin_stream(head).finish()
+        self.forward.answered("answer", head.status)
 
     def _close(self) -> None:
         """Close the attempt's connection."""
@@ -568,6 +595,12 @@
         """Return whether its connection was used before."""
         return self._pending is not None and self._pending.reused
 
+    @property
+    def _ended_with_connection(self) -> bool:
+        """Return whether nothing but its connection showed its end."""
+        body = self._unframed
+        return body is not None and body.followed_by is None
+
     @property
     def _framed(self) -> bool:
         """Return whether more than its connection shows the answer's end."""
@@ -595,6 +628,11 @@
         return whole and self.began_s < float("inf")
 
 
+def _is_stream(head: AnswerHead) -> bool:
+    """Return whether an answer is a stream that may be relayed."""
+    return head.event_stream and head.status == 200 and _is_relayable(head)
+
+
 def _is_relayable(head: AnswerHead) -> bool:
     """Return whether an answer may be relayed.
 
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -53,7 +53,9 @@
         accepts requests; the reason if the request is refused
     """
     now_s = front.clock()
-    usable = takeups.usable(forward, forward.tried)
+    # The endpoint whose stream is checked keeps the prompt.
+    checks_end = forward.end_check is not None
+    usable = takeups.usable(forward, () if checks_end else forward.tried)
     if not usable and forward.route.repeatable:
         usable = takeups.usable(forward)
     if not usable:
--- /dev/null
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -0,0 +1,155 @@
+"""Checks ends of streams that only the ends of their connections show.
+
+An endpoint that lives, or a proxy before it, may end such a stream in order
+before it is whole.  A stream that may be resumed is checked: another attempt
+goes on at its last event, and a whole one has nothing to add.  An attempt
+that shows neither leaves the end as it was: believed.
+
+A check is a retry.  Checks leave a part of the budget to retries of what has
+failed, and become rare at an endpoint at which they find nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import TYPE_CHECKING, Final
+
+from bulrushstream.coordination.forwarding import overdue_delay_s
+from bulrushstream.daemon import takeups
+from bulrushstream.state.events import MAX_EVENT_BYTES
+
+if TYPE_CHECKING:
+    from bulrushstream.daemon.attempt import Attempt
+    from bulrushstream.state.call import AnswerHead
+
+# The part of the retry budget that is used up before checks stop.
+MAX_BUDGET_SHARE: Final = 0.5
+
+# After this many checks in a row that found nothing, as at an endpoint whose
+# answers never have a length, this fraction of an endpoint's ends is checked.
+MAX_IN_VAIN: Final = 64
+RARE_FRACTION: Final = 1 / 16
+
+# A check ends this long before the deadline, and begins only with more time.
+MARGIN_S: Final = 0.05
+MIN_CHECK_S: Final = 0.1
+
+_ID: Final = re.compile(rb"(?m)^id: ?\d{1,18}$")
+
+
+class EndCheck:
+    """The check of one stream's end, from its begin to its result."""
+
+    __slots__ = ("_attempt", "_head", "_held", "_last_id", "_timer", "forward")
+
+    def __init__(self, attempt: Attempt, head: AnswerHead) -> None:
+        """Begin the check.
+
+        :param attempt: the attempt whose stream ended
+        :param head: the head of its answer
+        """
+        self.forward = attempt.forward
+        self._attempt = attempt
+        self._head = head
+        self._last_id = self.forward.splitter.last_id or 0
+        self._held = b""  # Events that came before one with a new id.
+        limit_s = overdue_delay_s(self.forward.route, stream_begun=False)
+        left_s = self.forward.deadline_s - attempt.front.clock() - MARGIN_S
+        self._timer = asyncio.get_running_loop().call_later(
+            min(limit_s, left_s), self.unanswered, "it took too long"
+        )
+
+    def events(self, data: bytes) -> bytes:
+        """Return the events that go on with the stream, if there are any.
+
+        :param data: the events of its attempt that the caller does not have
+        """
+        splitter = self.forward.splitter
+        self._held += data
+        if (splitter.last_id or 0) > self._last_id:
+            self._goes_on()
+            return self._held
+        if len(self._held) > MAX_EVENT_BYTES:
+            self._held = b""
+        return b""
+
+    def ended(self) -> None:
+        """Handle the end of its attempt, which had nothing to add."""
+        self._attempt.endpoint.vain_end_checks += 1
+        self._accept("nothing_to_add", "the stream is whole")
+
+    def unanswered(self, detail: str) -> None:
+        """Believe the end, as its attempt shows nothing.
+
+        :param detail: why, for the log
+        """
+        self._accept("not_known", detail)
+
+    def _goes_on(self) -> None:
+        """Record that the stream had been cut; its attempt goes on with it."""
+        self._timer.cancel()
+        self.forward.end_check = None
+        self._attempt.endpoint.vain_end_checks = 0
+        self._attempt.count_failure()
+        self._log("goes_on", "the stream had been cut")
+
+    def _accept(self, outcome: str, detail: str) -> None:
+        """End the stream as whole."""
+        forward = self.forward
+        self._timer.cancel()
+        self._log(outcome, detail)
+        if forward.attempt is not None:
+            forward.attempt.cancel()
+        forward.end_check = None
+        forward.attempt = self._attempt
+        self._attempt.end_stream(self._head)
+
+    def _log(self, outcome: str, detail: str) -> None:
+        """Log the result."""
+        self._attempt.front.log_decision(
+            "end_check",
+            detail,
+            self.forward,
+            endpoint=self._attempt.endpoint.name,
+            outcome=outcome,
+            inputs={"after_event": self._last_id},
+        )
+
+
+def begin(attempt: Attempt, head: AnswerHead, events: bytes) -> bool:
+    """Check the end of a stream, if that is possible; return whether.
+
+    :param attempt: the attempt, whose answer ended with its connection
+    :param head: the head of its answer
+    :param events: the events that it brought last
+    """
+    forward, front = attempt.forward, attempt.front
+    route, now_s = forward.route, front.clock()
+    if not route.repeatable or forward.progress.sends >= route.max_attempts:
+        return False
+    if forward.deadline_s - now_s < MIN_CHECK_S + MARGIN_S:
+        return False
+    if forward.exchange.is_caller_gone() or not _ends_with_id(events):
+        return False
+    rare = attempt.endpoint.vain_end_checks >= MAX_IN_VAIN
+    if rare and front.rng.random() >= RARE_FRACTION:
+        return False
+    if not takeups.can_go_on(forward):
+        return False
+    if not front.acquire_retry(forward.service, MAX_BUDGET_SHARE):
+        return False
+    forward.tried.add(attempt.endpoint.name)
+    forward.end_check = EndCheck(attempt, head)
+    forward.go_on()
+    return True
+
+
+def _ends_with_id(events: bytes) -> bool:
+    """Return whether the last event has an id.
+
+    An endpoint that goes on at the event before would repeat it.
+    """
+    lines = events.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+    last = lines.rstrip(b"\n").rpartition(b"\n\n")[2]
+    return _ID.search(last) is not None
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -32,6 +32,7 @@
 
 if TYPE_CHECKING:
     from bulrushstream.coordination.streamorigins import OwnStream
+    from bulrushstream.daemon.endcheck import EndCheck
     from bulrushstream.daemon.front import Front
 
 # Subtracted from the caller's timeout, to leave time for the way back.
@@ -54,6 +55,7 @@
         "call",
         "deadline_s",
         "done",
+        "end_check",
         "exchange",
         "first_event_s",
         "front",
@@ -119,6 +121,8 @@
         # Writes the caller's stream, at which several attempts may work, one
         # after the other; None: none has begun.
         self.stream_writer: BodyWriter | None = None
+        # Whether the stream is whole is found out; None: it is not asked.
+        self.end_check: EndCheck | None = None
         self.first_event_s = 0.0  # When it arrived; 0: none yet.
         self.done = False
         self._fingerprint = 0  # 0: not computed yet.
@@ -158,7 +162,7 @@
             )
         )
 
-    def _retry(self) -> None:
+    def go_on(self) -> None:
         """Make another attempt, unless endpoints may crash under it."""
         self.splitter.restart()
         self.attempt = None
@@ -258,6 +262,9 @@
         if self.exchange.is_caller_gone():
             self._caller_left()
             return
+        if self.end_check is not None:
+            self.end_check.unanswered(f"{failure.name.lower()}: {detail}")
+            return
         front, attempt = self.front, self.attempt
         endpoint = attempt.endpoint.name if attempt is not None else ""
         if endpoint:
@@ -281,7 +288,7 @@
             outcome=verdict.name.lower(),
         )
         if verdict is RetryDecision.RETRY:
-            self._retry()
+            self.go_on()
         elif answer_begun:
             self.exchange.abort()
             self._finish("broken_off", Outcome.UNKNOWN, "")
@@ -305,6 +312,9 @@
         self._deadline_timer = None
         if self.done:
             return
+        if self.end_check is not None:
+            self.end_check.unanswered("the deadline is reached")
+            return
         self._cancel_attempt()
         if self.exchange.started:
             self.exchange.abort()
@@ -328,6 +338,9 @@
         """End the request because the process shuts down."""
         if self.done:
             return
+        if self.end_check is not None:
+            self.end_check.unanswered("the router stops")
+            return
         self._cancel_attempt()
         if self.progress.may_have_run or self.exchange.started:
             self.exchange.abort()
@@ -347,6 +360,9 @@
 
         :param refusal: the reason
         """
+        if self.end_check is not None:
+            self.end_check.unanswered(refusal.notice.text)
+            return
         if refusal.part or refusal.wait_s:
             self.front.log_decision(
                 "refuse",
@@ -403,6 +419,8 @@
     def _restart_overdue_timer(self, now_s: float) -> None:
         """Restart the timer that detects an endpoint without progress."""
         self.cancel_overdue_timer()
+        if self.end_check is not None:
+            return
         route = self.route
         if not route.repeatable or self.progress.sends >= route.max_attempts:
             return
@@ -447,7 +465,7 @@
             outcome="retry",
         )
         self.tried.add(endpoint.name)
-        self._retry()
+        self.go_on()
 
     # --- What it is.
 
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -375,13 +375,14 @@
         found = self.table.services.get(service) if self.table else None
         return found.max_connections if found is not None else None
 
-    def acquire_retry(self, service: str) -> bool:
+    def acquire_retry(self, service: str, share: float = 1.0) -> bool:
         """Use up one retry of the quota; return whether one was left.
 
         :param service: the service that the retry goes to
+        :param share: the part of the quota beyond which none is left
         """
         return self.retry_quota.acquire(
-            service, self.clock(), self.peers.router_count
+            service, self.clock(), self.peers.router_count, share
         )
 
     # --- Results and failures.
--- /dev/null
+++ b/tests/test_end_checks.py
@@ -0,0 +1,174 @@
+"""Streams that live endpoints end with their connections.
+
+Guards against a cut stream that looks whole, and against a whole one that is
+given up, or costs more than it may.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from bulrushstream.daemon.front import Front
+from tests.checkedstreams import EVENTS, WHOLE, Answer, Endpoints, Play
+from tests.simulatedcallers import Caller
+from tests.test_repeated_refusals import body_of
+
+ALL = len(EVENTS)
+UNFRAMED = Answer(framed=False)
+NOT_RUN = b"X-Not-Executed: 1\r\n"
+
+# What may come of an attempt that goes on at the end of a whole stream.
+NOTHING_NEW = {
+    "no events": Answer(),
+    "no events, no length": UNFRAMED,
+    "all events again": Answer(repeats=True),
+    "all events again, no length": Answer(framed=False, repeats=True),
+    "a part of them again, no length": Answer(3, framed=False, repeats=True),
+    "a comment": Answer(more=b": ping\n\n"),
+    "a part of an event": Answer(framed=False, more=b"id: 5\nda"),
+    "204": Answer(status=b"204 No Content"),
+    "400": Answer(status=b"400 Bad Request"),
+    "404, no length": Answer(status=b"404 Not Found", framed=False),
+    "421": Answer(status=b"421 Misdirected Request", headers=NOT_RUN),
+    "500": Answer(status=b"500 Error"),
+    "503": Answer(status=b"503 Full", headers=NOT_RUN),
+    "503 that may have run": Answer(status=b"503 Full"),
+    "a reset": Answer(resets=True),
+    "silence": Answer(hangs=True),
+}
+
+
+class CutStreamSuite:
+    @pytest.mark.parametrize("repeats", [False, True])
+    @pytest.mark.parametrize("framed", [False, True])
+    @pytest.mark.parametrize("cut_at", range(1, ALL))
+    def test_it_goes_on(
+        self, cut_at: int, framed: bool, repeats: bool
+    ) -> None:
+        """Guards against a live endpoint's cut that passes for an end."""
+        rest = Answer(framed=framed, repeats=repeats)
+        endpoints = Endpoints([Answer(cut_at, framed=False), rest])
+        caller = Play().run(endpoints)
+        assert body_of(caller.data) == ("200", WHOLE, True)
+        assert endpoints.sends == [0, cut_at] + [ALL] * (not framed)
+
+    def test_the_rest_breaks_off(self) -> None:
+        """Guards against the end of a stream that is known to be cut."""
+        endpoints = Endpoints(
+            [Answer(1, framed=False), Answer(2, resets=True)]
+        )
+        caller = Play().run(endpoints)
+        assert body_of(caller.data) == ("200", b"".join(EVENTS[:2]), False)
+        assert endpoints.sends == [0, 1, 2]
+
+    def test_callers_of_http_1_0(self) -> None:
+        endpoints = Endpoints([Answer(2, framed=False), Answer()])
+        caller = Play(old_caller=True).run(endpoints)
+        assert caller.data.endswith(b"\r\n\r\n" + WHOLE)
+        assert caller.ended and not caller.aborted
+
+    def test_a_stream_that_its_caller_took_up(self) -> None:
+        endpoints = Endpoints([Answer(3, framed=False), Answer()])
+        caller = Play(after=2).run(endpoints)
+        assert body_of(caller.data) == ("200", b"".join(EVENTS[2:]), True)
+        assert endpoints.sends == [2, 3]
+
+
+class WholeStreamSuite:
+    @pytest.mark.parametrize("name", NOTHING_NEW)
+    def test_it_is_not_given_up(self, name: str) -> None:
+        """Guards against a whole stream that its check breaks off."""
+        endpoints = Endpoints([UNFRAMED, NOTHING_NEW[name]])
+        caller = Play().run(endpoints)
+        assert body_of(caller.data) == ("200", WHOLE, True)
+        assert endpoints.sends == [0, ALL]
+
+    @pytest.mark.parametrize("old_caller", [False, True])
+    @pytest.mark.parametrize("deadline_s", [0.3, 0.6, 1.0, 4.0])
+    def test_a_silent_check_ends_in_time(
+        self, deadline_s: float, old_caller: bool
+    ) -> None:
+        """Guards against a deadline that cuts a whole stream's end off."""
+        play = Play(deadline_s=deadline_s, old_caller=old_caller)
+        caller = play.run(Endpoints([UNFRAMED, Answer(hangs=True)]))
+        assert not caller.aborted
+        assert play.ended_s[0] <= min(deadline_s, 2.5)
+        assert WHOLE in caller.data or body_of(caller.data)[2]
+
+    def test_the_router_stops(self) -> None:
+        """Guards against a stop that breaks a whole stream off."""
+
+        def stop(front: Front, caller: Caller) -> None:
+            for forward in list(front.forwards):
+                assert forward.end_check is not None
+                forward.stop()
+
+        play = Play(at_s=0.5, do=stop)
+        caller = play.run(Endpoints([UNFRAMED, Answer(hangs=True)]))
+        assert body_of(caller.data) == ("200", WHOLE, True)
+        assert play.ended_s == [pytest.approx(0.5)]
+
+    def test_the_caller_leaves(self) -> None:
+        """Guards against checks that run on without their callers."""
+        endpoints = Endpoints([UNFRAMED, Answer(hangs=True)])
+
+        def leave(front: Front, caller: Caller) -> None:
+            for forward in list(front.forwards):
+                assert forward.exchange.on_disconnect is not None
+                forward.exchange.on_disconnect()
+            assert not endpoints.closed
+
+        Play(at_s=0.5, do=leave).run(endpoints)
+        assert endpoints.closed == 1
+
+
+class BoundSuite:
+    """What is not checked: its end is believed, as its endpoint lives."""
+
+    @pytest.mark.parametrize(
+        "play",
+        [
+            Play(path="/tell/"),
+            Play(retry_slack=1.9, retry_ratio=0.0),
+            Play(deadline_s=0.25),
+        ],
+        ids=["may not go on", "no budget", "no time"],
+    )
+    def test_no_check(self, play: Play) -> None:
+        endpoints = Endpoints([UNFRAMED])
+        caller = play.run(endpoints)
+        assert body_of(caller.data) == ("200", WHOLE, True)
+        assert endpoints.sends == [0]
+
+    def test_events_without_ids(self) -> None:
+        """Guards against a last event that comes twice."""
+        events = [*EVENTS, b"data: [DONE]\n\n"]
+        answer = Answer(len(events), framed=False)
+        endpoints = Endpoints([answer], events=events)
+        caller = Play().run(endpoints)
+        assert body_of(caller.data) == ("200", b"".join(events), True)
+        assert endpoints.sends == [0]
+
+    def test_attempts_are_bounded(self) -> None:
+        """Guards against a stream that goes on for ever."""
+        cuts = [Answer(number, framed=False) for number in range(1, ALL)]
+        endpoints = Endpoints(cuts)
+        Play().run(endpoints)
+        assert endpoints.sends == [0, 1, 2]
+
+    def test_a_part_of_the_budget_is_left(self) -> None:
+        """Guards against checks that leave no retries to what fails."""
+        endpoints = Endpoints([UNFRAMED])
+        play = Play(requests=100, retry_slack=0.0, retry_ratio=0.2)
+        play.run(endpoints)
+        assert 5 <= len(endpoints.sends) - 100 <= 10
+        assert all(each.ended and not each.aborted for each in play.callers)
+
+    def test_endpoints_without_lengths(self) -> None:
+        """Guards against checks of every answer of an HTTP/1.0 server."""
+        endpoints = Endpoints([UNFRAMED], count=1)
+        play = Play(requests=400, retry_ratio=2.0)
+        play.run(endpoints)
+        checks = endpoints.sends.count(ALL)
+        assert 64 <= checks <= 64 + 336 / 16 * 2
+        assert all(each.ended and not each.aborted for each in play.callers)
