A process that starts again does not end the answers of the one before

Cause: the process behind an answer without a length ended, and the next one under its id, at its address, answered the probe or a later request on a new connection. Also, bytes on an older connection counted by the time at which they were read, which a router that stood still reads late.

Now a proof needs a connection that was open at a time at which the answer's process ran: when the request was sent, or, with long answers, when the process is known to have written to it. On such a connection counts

- the head of the process's own answer to a request or a probe that was sent after the other connection's end was read; no wait is needed
- bytes amid a body, if there were none to read at a time EXIT_S after that end, and the peer's end has not arrived EXIT_S after the bytes.

Where no such connection is left, GET /v1/report on a new one proves it, if it names the start that the endpoint list gave before the request was sent. Otherwise the answer counts as broken, at once if nothing can prove it.

So that whole answers are not given up, a pool keeps an idle connection for probes once an endpoint of the service has sent such an answer (up to four if the endpoint ends each one after an answer; none where a router's share of the endpoint's connections is small).

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -56,6 +56,7 @@
     __slots__ = (
         "_account",
         "_body_bytes",
+        "_born",
         "_buffered_body",
         "_end",
         "_framing",
@@ -101,6 +102,7 @@
         self.silent_since_s = 0.0
         self._pending: PendingRequest | None = None
         self._may_have_run_before = forward.progress.may_have_run
+        self._born = endpoint.entry.born  # As it was listed before.
         self._head: AnswerHead | None = None
         self._buffered_body: list[bytes] = []
         self._account: Account | None = None  # Of kept bytes, if many.
@@ -176,10 +178,11 @@
         if self._pending is not None:
             self._pending.record_answer(forward.call.request_id)
             if self._framing is Framing.CLOSE:
+                self.pool.expect_unframed()
                 self._unframed = UnframedBody(front.dialect, self._pending)
         if status != 421:
-            if not mismatch:
-                self.pool.record_answer(self.sent_s)
+            if not mismatch and self._pending is not None:
+                self.pool.record_answer(self.sent_s, self._pending.connection)
             endpointload.observe(
                 front, self.endpoint, head, self.sent_s, self._heard_s
             )
@@ -198,6 +201,7 @@
         if unframed is None:
             self._accept(head, data)
             return
+        unframed.watch_bytes(self.front.clock())
         self._accept(head, unframed.feed(data))
         if unframed.flooded and self.in_flight:
             self._give_up("a body full of heads", ExcessReason.EXTRA)
@@ -273,9 +277,10 @@
         self._pending = self.front.life_proofs.wait(
             self.endpoint,
             self.pool,
-            self.sent_s,
+            self._ran_s,
             wait_until_s,
             self._endpoint_checked,
+            self._born,
         )
 
     def _endpoint_checked(self, proof: Proof) -> None:
@@ -576,6 +581,13 @@
             return self.front.clock()
         return max(self.sent_s, self._heard_s, self._resumed_s)
 
+    @property
+    def _ran_s(self) -> float:
+        """Return a time at which the process ran that wrote the answer."""
+        if self._unframed is None:
+            return self.sent_s
+        return max(self.sent_s, self._unframed.wrote_s)
+
     @property
     def _reused(self) -> bool:
         """Return whether its connection was used before."""
--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -10,7 +11,7 @@
 from bulrushstream.state.excess import OnExcess
 from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.transport.readturns import ReadTurns
-from bulrushstream.transport.upstream import Pool, PoolOptions
+from bulrushstream.transport.upstream import Pool, PoolOptions, UnframedAnswers
 
 # Connections per endpoint of a service that the configuration does not name.
 DEFAULT_CONNECTIONS: Final = 64
@@ -40,6 +41,9 @@
     # Of all connections, whatever endpoint they lead to.
     turns: ReadTurns = field(default_factory=ReadTurns)
     _pools: dict[str, Pool] = field(default_factory=dict)
+    _unframed: dict[str, UnframedAnswers] = field(  # By service.
+        default_factory=lambda: defaultdict(UnframedAnswers)
+    )
 
     def pool_for(self, endpoint: Endpoint) -> Pool:
         """Return the connection pool of an endpoint.
@@ -56,6 +60,7 @@
                 on_excess=self.on_excess,
                 memory=self.memory,
                 turns=self.turns,
+                unframed=self._unframed[entry.service],
             )
             self._pools[endpoint.name] = pool
         # The number of routers and the configured limit may have changed.
@@ -83,4 +88,8 @@
             return PoolOptions(max_connections=DEFAULT_CONNECTIONS)
         share = max(MIN_CONNECTIONS, limit // self.routers())
         unused = int(limit * SHARED_FRACTION) - endpoint.outstanding
-        return PoolOptions(max_connections=share + max(0, unused))
+        return PoolOptions(
+            max_connections=share + max(0, unused),
+            # The excess would be at the cost of others.
+            keeps_witnesses=limit >= MIN_CONNECTIONS * self.routers(),
+        )
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -145,7 +145,11 @@
             self.end_unknown,
         )
         self.life_proofs = LifeProofs(
-            self.clock, self.encode_probe, self._is_own_answer
+            self.clock,
+            self.encode_probe,
+            self._is_own_answer,
+            self._encode_report_call,
+            self.dialect.decode_start,
         )
         self.limits = IngressLimits(
             connections=max(64, settings.max_descriptors // 2),
@@ -308,6 +312,13 @@
             return None
         return self.dialect.encode_probe(found.health_path, endpoint.entry)
 
+    def _encode_report_call(self, endpoint: Endpoint) -> bytes | None:
+        """Return the encoded call of its report; None: it gets none now."""
+        notices = self.fleet_state.notices
+        if notices.rest_left_s(endpoint.name, self.clock()):
+            return None
+        return self.dialect.encode_report_call(endpoint.entry)
+
     def _refuse_early(
         self,
         exchange: Exchange,
--- a/src/bulrushstream/daemon/unframed.py
+++ b/src/bulrushstream/daemon/unframed.py
@@ -8,7 +8,7 @@
 
 from bulrushstream.protocol.dialect import Dialect
 from bulrushstream.state.call import RawHeaders
-from bulrushstream.transport.connection import PendingRequest
+from bulrushstream.transport.connection import EXIT_S, PendingRequest
 from bulrushstream.transport.extraanswers import ExtraAnswerFinder
 
 
@@ -38,6 +38,21 @@
         """
         return self._finder.feed(data)
 
+    def watch_bytes(self, now_s: float) -> None:
+        """Find out when the endpoint wrote, as bytes were just read.
+
+        :param now_s: the time
+        """
+        connection = self._pending.connection
+        if connection is not None:
+            connection.watch_bytes(now_s)
+
+    @property
+    def wrote_s(self) -> float:
+        """Return a time at which the endpoint wrote to the connection."""
+        connection = self._pending.connection
+        return connection.wrote_s - EXIT_S if connection else float("-inf")
+
     @property
     def flooded(self) -> bool:
         """Return whether too much of the body looks like other answers."""
--- a/src/bulrushstream/history/routingendpoint.py
+++ b/src/bulrushstream/history/routingendpoint.py
@@ -97,6 +97,7 @@
         self.endpoint = endpoint
         self._sink: Sink | None = sink
         self.reused = False
+        self.connection = None
         self._kept: KeptConnection | None = None  # Speaks HTTP, if any.
         self._later(CONNECT_S, self._connected)
 
--- a/src/bulrushstream/history/routingplatform.py
+++ b/src/bulrushstream/history/routingplatform.py
@@ -251,5 +251,7 @@
     decode_answer=_decode_answer,
     encode_probe=_unused,
     decode_probe=_unused,
+    encode_report_call=_unused,
+    decode_start=_unused,
     refusal_headers=_refusal_headers,
 )
--- a/src/bulrushstream/history/singleusepool.py
+++ b/src/bulrushstream/history/singleusepool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bulrushstream.state.endpointsigns import ConnectionsSeen
+from bulrushstream.transport.connection import Connection
 
 
 class SingleUsePool:
@@ -18,9 +19,11 @@
         del at_s
         return ConnectionsSeen(ended=0, open=0, heard=False)
 
-    def record_answer(self, sent_s: float) -> None:
+    def record_answer(
+        self, sent_s: float, connection: Connection | None = None
+    ) -> None:
         """Do nothing: the peer is known to run."""
-        del sent_s
+        del sent_s, connection
 
     @property
     def idle_ended_s(self) -> float:
@@ -45,9 +48,16 @@
     def add_idle(self) -> None:
         """Do nothing: there are no idle connections."""
 
-    def goes_on(self, opened_by_s: float, since_s: float) -> bool:
+    def expect_unframed(self) -> None:
+        """Do nothing: there are no idle connections."""
+
+    def watch_bytes(self, since_s: float) -> None:
+        """Do nothing: the peer is known to run."""
+        del since_s
+
+    def outlived(self, opened_by_s: float, closed_s: float) -> bool:
         """Return that the peer runs: simulated endpoints always do."""
-        del opened_by_s, since_s
+        del opened_by_s, closed_s
         return True
 
     def retire_idle(self) -> None:
--- a/src/bulrushstream/platform/dialect.py
+++ b/src/bulrushstream/platform/dialect.py
@@ -4,12 +4,17 @@
 
 from typing import Final
 
-from bulrushstream.platform.documents import decode_config, decode_entry
+from bulrushstream.platform.documents import (
+    decode_config,
+    decode_entry,
+    decode_start,
+)
 from bulrushstream.platform.headers import (
     decode_answer,
     decode_call,
     decode_probe,
     encode_probe,
+    encode_report_call,
     encode_request,
     refusal_headers,
 )
@@ -66,5 +71,7 @@
     decode_answer=decode_answer,
     encode_probe=encode_probe,
     decode_probe=decode_probe,
+    encode_report_call=encode_report_call,
+    decode_start=decode_start,
     refusal_headers=refusal_headers,
 )
--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -123,6 +123,11 @@
     state: str = "ready"
     cold_left_ms: float = 0.0
     version: Any = None
+    born: Any = None  # A number or a text.
+
+
+class _Report(msgspec.Struct):
+    born: Any = None
 
 
 def decode_config(data: bytes, report: Report) -> RouteConfig:
@@ -188,9 +193,30 @@
         warmup_remaining_s=_seconds(max(0.0, raw.cold_left_ms)),
         # An entry with an unusable version still names an endpoint.
         version=version if len(version) <= MAX_NAME_CHARS else "",
+        born=_start(raw.born),
     )
 
 
+def decode_start(data: bytes) -> str:
+    """Decode when a worker's process started, as it says.
+
+    :param data: the body of its report
+    :returns: the time; empty if it does not tell
+    """
+    try:
+        return _start(msgspec.json.decode(data, type=_Report).born)
+    except DECODE_ERRORS:
+        return ""
+
+
+def _start(born: object) -> str:
+    """Return when a process started, as it says; empty: it does not tell."""
+    if isinstance(born, bool) or not isinstance(born, str | int | float):
+        return ""
+    told = str(born)
+    return told if len(told) <= MAX_NAME_CHARS else ""
+
+
 def _parse_address(address: str) -> tuple[str, int]:
     """Return the IP number and the port of an endpoint's address.
 
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -279,6 +279,14 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
+def encode_report_call(entry: EndpointEntry) -> bytes:
+    """Encode a request for an endpoint's report on itself.
+
+    :param entry: the endpoint
+    """
+    return encode_probe("/v1/report", entry)
+
+
 def decode_probe(status: int, headers: RawHeaders) -> str | None:
     """Return the endpoint's id in the answer to a probe.
 
--- a/src/bulrushstream/protocol/dialect.py
+++ b/src/bulrushstream/protocol/dialect.py
@@ -92,5 +92,12 @@
     # if the expected endpoint answers without one, None if another one does.
     decode_probe: Callable[[int, RawHeaders], str | None]
 
+    # Encodes a request for an endpoint's report on itself.
+    encode_report_call: Callable[[EndpointEntry], bytes]
+
+    # Decodes from such a report when the endpoint's process started, as in
+    # its entry; empty: it does not tell.
+    decode_start: Callable[[bytes], str]
+
     # Returns a refusal's headers from request id and Retry-After in seconds.
     refusal_headers: Callable[[str, float | None], RawHeaders]
--- a/src/bulrushstream/state/routes.py
+++ b/src/bulrushstream/state/routes.py
@@ -118,6 +118,8 @@
     leaving: bool = False  # Whether it takes no new requests.
     warmup_remaining_s: float = 0.0  # It is slow for this long.
     version: str = ""  # Of its software; empty: not known.
+    # When its process started, as it says; empty: not told.
+    born: str = ""
 
     def may_be_process_of(self, other: EndpointEntry) -> bool:
         """Return whether another entry of this id may be of this process.
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -19,7 +19,11 @@
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.excess import ExcessReason
 from bulrushstream.state.memorybudget import Account, MemoryBudget
-from bulrushstream.transport.polling import UNREAD_EVENTS, has_events
+from bulrushstream.transport.polling import (
+    CLOSED_EVENTS,
+    UNREAD_EVENTS,
+    has_events,
+)
 from bulrushstream.transport.readturns import ReadTurns
 
 # A connection is closed if sent bytes stay unacknowledged for this time.
@@ -46,6 +50,10 @@
 # Fewer bytes than this of what is not passed on are not accounted for.
 MIN_COUNTED_BYTES: Final = 8_192
 
+# The ends of a process's connections, and the last bytes on them, arrive
+# within this time.
+EXIT_S: Final = 0.05
+
 # Each byte of a body allows for this many bytes of framing.
 FRAMING_PER_BYTE: Final = 32
 
@@ -150,6 +158,7 @@
         self._keep_alive = True
         self._used_up = False  # Whether it carries no further request.
         self._unusable = False
+        self.is_witness = False  # Whether it carries nothing but probes.
         self.paused = False  # Whether nothing is read until it resumes.
         # When that last ended; what is read then may have come long before.
         self.resumed_s = float("-inf")
@@ -158,6 +167,15 @@
         self.idle_until_s = float("inf")
         self.opened_s = owner.clock()
         self.heard_s = float("-inf")  # When the last bytes arrived.
+        # When the last request was sent on it that the peer itself answered.
+        self.answered_s = float("-inf")
+        # When it was last found read empty, if no bytes came since; the last
+        # such time before bytes that did, and when these came.
+        self._empty_s = float("-inf")
+        self._renewed_s = float("-inf")
+        self._renewed_heard_s = float("-inf")
+        # The peer wrote to it later than `EXIT_S` before this time.
+        self.wrote_s = float("-inf")
         # The ids of requests that were answered on it, the last ones.
         self.answered_ids: deque[str] = deque(maxlen=MAX_ANSWERED)
 
@@ -195,6 +213,38 @@
         transport = self._transport
         return transport is not None and has_events(transport, UNREAD_EVENTS)
 
+    def watch_bytes(self, since_s: float) -> None:
+        """Find out when the peer wrote; see `wrote_s`.
+
+        Bytes of a body are newer than a time at which there were none to
+        read.  If they were sent again, as some got lost, then the end of a
+        process that ended is right behind them.  It has to be called
+        repeatedly.
+
+        :param since_s: the time that matters; nothing is done once the peer
+            is known to have written later
+        """
+        if self.wrote_s >= since_s or self.paused or self._waits:
+            return
+        now_s = self._owner.clock()
+        if self._renewed_s > self.wrote_s:
+            if now_s < self._renewed_heard_s + EXIT_S:
+                return
+            resumed = self.resumed_s > self._renewed_s
+            if not resumed and not self._has_ended():
+                self.wrote_s = self._renewed_s
+            self._renewed_s = float("-inf")
+        # A head may be that of a proxy.
+        amid_body = self._sink and not self._in_head and not self._discarding
+        known_s = max(self._empty_s, self.wrote_s)
+        if amid_body and known_s < since_s and not self.has_unread_bytes():
+            self._empty_s = now_s
+
+    def _has_ended(self) -> bool:
+        """Return whether the peer's end has arrived, read or not."""
+        transport = self._transport
+        return transport is None or has_events(transport, CLOSED_EVENTS)
+
     def send(self, method: bytes, payload: bytes, sink: Sink) -> None:
         """Send a request.
 
@@ -205,6 +255,7 @@
         assert self._transport is not None
         self._overhead_bytes = 0
         self._interim_count = self._discarded_count = 0
+        self._in_head = True
         self._sink = sink
         self._method = method
         self._transport.write(payload)
@@ -290,6 +341,10 @@
         :param data: the bytes
         """
         self.heard_s = self._owner.clock()
+        if self._empty_s > self._renewed_s:
+            self._renewed_s = self._empty_s
+            self._renewed_heard_s = self.heard_s
+            self._empty_s = float("-inf")
         if self._sink is None:
             self.close()
             return
@@ -503,6 +558,11 @@
         if self._connection is not None:
             self._connection.resume_reading()
 
+    @property
+    def connection(self) -> Connection | None:
+        """Return the connection that carries the request, if any yet."""
+        return self._connection
+
     def record_answer(self, request_id: str) -> None:
         """Record that the response to a request has begun.
 
--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -32,8 +32,8 @@
 from bulrushstream.state.excess import OnExcess, PeerKind
 from bulrushstream.state.message import Dispatch
 from bulrushstream.transport.client import make_client
+from bulrushstream.transport.connection import EXIT_S
 from bulrushstream.transport.fetch import Fetcher
-from bulrushstream.transport.upstream import EXIT_S
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 RESUME_HEADER: Final = "X-Resume-Offset"
--- a/src/bulrushstream/transport/probe.py
+++ b/src/bulrushstream/transport/probe.py
@@ -1,9 +1,12 @@
-"""Asks an endpoint for its id, on an old connection or a new one."""
+"""Asks an endpoint for its id, on an old connection or a new one.
+
+On a new connection also for a report on itself.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
 from bulrushstream.state.call import RawHeaders
@@ -71,6 +74,67 @@
             self.future.set_result(answer)
 
 
+@dataclass(slots=True)
+class _ReportSink:
+    """Resolves a future with the body of a 200; see `Sink`."""
+
+    request: bytes
+    future: asyncio.Future[bytes | None]
+    body: bytearray = field(default_factory=bytearray)
+
+    def payload(self) -> bytes | None:
+        return self.request
+
+    def head(self, status: int, headers: RawHeaders) -> bool:
+        del headers
+        if status != 200:
+            self._resolve(None)
+        return True
+
+    def data(self, data: bytes) -> None:
+        self.body += data
+        if len(self.body) > MAX_BODY_BYTES:
+            self._resolve(None)
+
+    def end(self, *, framed: bool = True) -> None:
+        self._resolve(bytes(self.body) if framed else None)
+
+    def failed(self, failure: ResponseFailure, detail: str) -> None:
+        del failure, detail
+        self._resolve(None)
+
+    def _resolve(self, body: bytes | None) -> None:
+        if not self.future.done():
+            self.future.set_result(body)
+
+
+async def ask_report(
+    pool: Pool, request: bytes, timeout_s: float
+) -> bytes | None:
+    """Send a request on a new connection and return the body of its answer.
+
+    :param pool: the connections to the endpoint
+    :param request: the encoded request
+    :param timeout_s: the time limit, in seconds
+    :returns: the body; None: there is none, or it is too long
+    """
+    future: asyncio.Future[bytes | None] = (
+        asyncio.get_running_loop().create_future()
+    )
+    sink = _ReportSink(request, future)
+    pending = pool.send(b"GET", sink, reuse=False)
+    body = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            body = await future
+    except TimeoutError:
+        pass
+    finally:
+        if body is None:
+            pending.cancel()
+    return body
+
+
 async def ask_identity(
     pool: Pool,
     request: bytes,
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -39,9 +39,13 @@
 # whether its endpoint still runs.
 RETIRED_S: Final = 1.0
 
-# The ends of a process's connections, and the last bytes on them, arrive
-# within this time.
-EXIT_S: Final = 0.05
+# An endpoint whose answers end with their connections is expected to send
+# such ones for this long.
+UNFRAMED_S: Final = 30.0
+
+# Idle connections that are kept back for probes, if the peer ends each one
+# after an answer.
+MAX_WITNESSES: Final = 4
 
 # The number of ends of connections that are remembered, and the spread of
 # those that end at the same time.
@@ -59,6 +63,15 @@
     max_connections: int = 64  # Open or being opened.
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     idle_s: float = DEFAULT_IDLE_S  # The peer may announce a shorter time.
+    # Whether idle connections may be kept back for probes.
+    keeps_witnesses: bool = True
+
+
+@dataclass(slots=True)
+class UnframedAnswers:
+    """The answers without a length of equivalent peers."""
+
+    began_s: float = float("-inf")  # When the last one began.
 
 
 @dataclass(slots=True)
@@ -76,10 +89,22 @@
     peer: PeerKind = PeerKind.ENDPOINT  # Who is at the address.
     memory: MemoryBudget | None = None  # Of all that the process keeps.
     turns: ReadTurns = field(default_factory=ReadTurns)
+    # Shared with the pools of equivalent peers.
+    unframed: UnframedAnswers = field(default_factory=UnframedAnswers)
     _idle: deque[Connection] = field(default_factory=deque)
     _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
     _connecting: int = 0  # Connections being opened.
+    _closed: bool = False  # Whether no connections are to be kept.
+    # Idle connections that carry nothing but probes.
+    _witnesses: deque[Connection] = field(default_factory=deque)
+    _opening_witnesses: int = 0
+    _wanted_witnesses: int = 1
+    # When closed connections were opened, and when the last request was sent
+    # on each that the peer itself answered.
+    _answered: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_ENDED)
+    )
     # When each connection that the peer ended was opened and ended, and
     # whether it carried a request.
     _ended: deque[tuple[float, float, bool]] = field(
@@ -104,6 +129,7 @@
         :returns: a handle to cancel the request
         """
         pending = PendingRequest()
+        self._keep_witnesses()
         connection = self._pop_idle(fresh) if reuse else None
         if connection is not None:
             pending.reused = True
@@ -139,15 +165,15 @@
         self._send_on(connection, method, sink, pending)
         return pending
 
-    def pop_witness(self, opened_before_s: float) -> Connection | None:
-        """Take an idle or retired connection that was opened before a time.
+    def pop_witness(self, opened_by_s: float) -> Connection | None:
+        """Take a connection without a request that was opened by a time.
 
-        :param opened_before_s: the time
+        :param opened_by_s: the time
         :returns: the connection; None: there is none
         """
-        for queue in (self._retired, self._idle):
+        for queue in (self._retired, self._witnesses, self._idle):
             for connection in queue:
-                old = connection.opened_s < opened_before_s
+                old = connection.opened_s <= opened_by_s
                 if not old or not connection.usable:
                     continue
                 if not connection.has_unread_bytes():
@@ -164,6 +190,10 @@
         if connection.keep_alive_s is not None:
             idle_s = min(idle_s, connection.keep_alive_s - IDLE_MARGIN_S)
         connection.idle_until_s = self.clock() + idle_s
+        if connection.is_witness and self._expects_unframed:
+            self._witnesses.append(connection)
+            return
+        connection.is_witness = False
         self._idle.append(connection)
 
     def remove(
@@ -180,9 +210,14 @@
         :param busy: whether it carried a request
         """
         self._all.discard(connection)
-        for queue in (self._idle, self._retired):
+        for queue in (self._idle, self._retired, self._witnesses):
             if connection in queue:
                 queue.remove(connection)
+        if connection.answered_s > float("-inf"):
+            self._answered.append((connection.opened_s, connection.answered_s))
+            if connection.is_witness:
+                self._wanted_witnesses = MAX_WITNESSES
+                self._keep_witnesses()
         if ended_by_peer:
             self._ended.append((connection.opened_s, self.clock(), busy))
 
@@ -227,12 +262,44 @@
             ),
         )
 
-    def record_answer(self, sent_s: float) -> None:
+    def record_answer(
+        self, sent_s: float, connection: Connection | None = None
+    ) -> None:
         """Record that the peer itself answered a request.
 
         :param sent_s: when the request was sent
+        :param connection: what it was sent on; None: not known
         """
         self.answered_s = max(self.answered_s, sent_s)
+        if connection is None:
+            return
+        connection.answered_s = sent_s
+        if connection not in self._all:
+            self._answered.append((connection.opened_s, sent_s))
+
+    def outlived(self, opened_by_s: float, closed_s: float) -> bool:
+        """Return whether an older connection has carried a newer answer.
+
+        :param opened_by_s: the time by which it was opened
+        :param closed_s: the time since which the request was sent
+        """
+        return any(
+            opened_s <= opened_by_s and answered_s > closed_s
+            for opened_s, answered_s in self._answered
+        ) or any(
+            each.opened_s <= opened_by_s and each.answered_s > closed_s
+            for each in self._all
+        )
+
+    def has_opened_by(self, opened_by_s: float) -> bool:
+        """Return whether a connection is open that was opened by a time.
+
+        :param opened_by_s: the time
+        """
+        return any(
+            each.opened_s <= opened_by_s and not each.is_closed
+            for each in self._all
+        )
 
     @property
     def idle_ended_s(self) -> float:
@@ -261,23 +328,26 @@
     @property
     def is_busy(self) -> bool:
         """Return whether any connection carries a request."""
-        return len(self._all) > len(self._idle) + len(self._retired)
+        return len(self._all) > len(self._idle) + len(self._retired) + len(
+            self._witnesses
+        )
 
-    def goes_on(self, opened_by_s: float, since_s: float) -> bool:
-        """Return whether bytes came on a connection that stays open.
+    def watch_bytes(self, since_s: float) -> None:
+        """Find out when the peer wrote; see `goes_on`.
 
-        One that the peer has ended does not count, though its end may not
-        have been read yet.
+        :param since_s: the time that matters
+        """
+        for each in self._all:
+            each.watch_bytes(since_s)
+
+    def goes_on(self, opened_by_s: float, since_s: float) -> bool:
+        """Return whether the peer wrote to an older connection, as watched.
 
         :param opened_by_s: the time by which it was opened
-        :param since_s: the time since which bytes count
+        :param since_s: the time since which it wrote, and `EXIT_S` more
         """
         return any(
-            each.heard_s >= since_s
-            and each.opened_s <= opened_by_s
-            and each.resumed_s < since_s - EXIT_S
-            and not each.is_closed
-            and not each.has_unread_bytes()
+            each.wrote_s >= since_s and each.opened_s <= opened_by_s
             for each in self._all
         )
 
@@ -296,6 +366,42 @@
             default=float("-inf"),
         )
 
+    def expect_unframed(self) -> None:
+        """Keep witnesses for a time, as an answer without a length began."""
+        self.unframed.began_s = self.clock()
+        self._keep_witnesses()
+
+    @property
+    def _expects_unframed(self) -> bool:
+        """Return whether answers without a length are expected."""
+        expected = self.clock() - self.unframed.began_s < UNFRAMED_S
+        return expected and not self._closed
+
+    def _keep_witnesses(self) -> None:
+        """Keep back enough idle connections for probes."""
+        if not self._expects_unframed or not self.options.keeps_witnesses:
+            return
+        kept = len(self._witnesses) + self._opening_witnesses
+        for _ in range(kept, self._wanted_witnesses):
+            if (
+                len(self._all) + self._connecting + self._opening_witnesses
+                >= self.options.max_connections - 1
+            ):
+                return
+            self._opening_witnesses += 1
+            asyncio.get_running_loop().create_task(self._open_witness())
+
+    async def _open_witness(self) -> None:
+        """Open a connection and keep it back for probes."""
+        try:
+            connection = await self._open()
+        except (OSError, TimeoutError):
+            return
+        finally:
+            self._opening_witnesses -= 1
+        connection.is_witness = True
+        self.release(connection)
+
     def add_idle(self) -> None:
         """Open one more connection, which is idle at first."""
         if len(self._all) + self._connecting < self.options.max_connections:
@@ -313,24 +419,28 @@
         self._idle.clear()
 
     def drop_idle(self) -> None:
-        """Close all idle and retired connections."""
-        for queue in (self._idle, self._retired):
+        """Close all connections without a request, and keep no others."""
+        self._closed = True
+        for queue in (self._idle, self._retired, self._witnesses):
             while queue:
                 queue.popleft().close()
 
     def expire_idle(self) -> None:
         """Close the idle connections whose idle time has passed."""
         now_s = self.clock()
-        for queue in (self._idle, self._retired):
+        for queue in (self._idle, self._retired, self._witnesses):
             while queue and queue[0].idle_until_s <= now_s:
                 queue.popleft().close()
+        self._keep_witnesses()
 
     def close(self) -> None:
         """Close all connections."""
+        self._closed = True
         for connection in list(self._all):
             connection.close()
         self._idle.clear()
         self._retired.clear()
+        self._witnesses.clear()
 
     def _pop_idle(self, fresh: bool) -> Connection | None:
         """Return a usable idle connection, or None."""
--- a/tests/modelengines.py
+++ b/tests/modelengines.py
@@ -35,6 +35,7 @@
 
     sink: Sink | None
     reused: bool = False
+    connection: None = None
 
     def cancel(self) -> None:
         self.sink = None
--- a/tests/test_killed_amid_answers.py
+++ b/tests/test_killed_amid_answers.py
@@ -98,6 +98,9 @@
             loop = asyncio.get_running_loop()
             pool = Pool("127.0.0.1", port, loop.time)
             pool.add_idle()
+            async with asyncio.timeout(5.0):
+                while not pool.has_opened_by(loop.time()):
+                    await asyncio.sleep(0.001)
             exchange.read_until(PIECE)
             listener = socket.socket()
             if end != "none":
@@ -110,6 +113,8 @@
                 loop.time,
                 lambda endpoint: b"GET /whole HTTP/1.1\r\nHost: a\r\n\r\n",
                 lambda endpoint, status, headers: status == 200,
+                lambda endpoint: None,
+                bytes.decode,
             )
             result: asyncio.Future[Proof] = loop.create_future()
             now_s = loop.time()
--- a/tests/virtualnetwork.py
+++ b/tests/virtualnetwork.py
@@ -126,6 +126,13 @@
         self.listeners: dict[Address, Listener] = {}
         self.mute: set[Address] = set()  # Connections there hang.
 
+    def stand_still(self, for_s: float) -> None:
+        """Let time pass as for a process that is stopped.
+
+        :param for_s: how long, in seconds
+        """
+        self._virtual_selector.now_s += for_s
+
     async def create_connection(  # type: ignore[override]
         self, protocol_factory: Callable[[], Any], host: str, port: int
     ) -> tuple[Transport, Any]:
