--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -126,6 +126,10 @@
     born: Any = None  # A number or a text.
 
 
+class _Report(msgspec.Struct):
+    born: Any = None
+
+
 def decode_config(data: bytes, report: Report) -> RouteConfig:
     """Decode the configuration.
 
@@ -193,6 +197,18 @@
     )
 
 
+def decode_start(data: bytes) -> str:
+    """Decode when a worker's process started, as it says.
+
+    :param data: the body of its report
+    :returns: the time; empty if it does not tell
+    """
+    try:
+        return _start(msgspec.json.decode(data, type=_Report).born)
+    except DECODE_ERRORS:
+        return ""
+
+
 def _start(born: object) -> str:
     """Return when a process started, as it says; empty: it does not tell."""
     if isinstance(born, bool) or not isinstance(born, str | int | float):
