Connections belong to a process, not to an id

Requests for a process that came back elsewhere under its id were sent to its earlier address, and what had proved the life of the earlier process (`Pool.answered_s`, the ends of its connections) passed for a proof of the next: pools of connections were kept by id, also when an entry with another address, version or start replaced the endpoint.

A pool is now used for one `Endpoint` only. The list's change drops the idle connections of the earlier process; a late request of that one gets a pool of its own, which is not kept.

--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -9,6 +9,7 @@
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.state.excess import OnExcess
 from bulrushstream.state.memorybudget import MemoryBudget
+from bulrushstream.state.routes import EndpointEntry
 from bulrushstream.transport.readturns import ReadTurns
 from bulrushstream.transport.upstream import Pool, PoolOptions
 
@@ -24,6 +25,14 @@
 SHARED_FRACTION: Final = 1.0 / 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class _EndpointPool:
+    """The connections to one process."""
+
+    endpoint: Endpoint
+    pool: Pool
+
+
 @dataclass(slots=True)
 class EndpointConnections:
     """A pool of connections for each endpoint."""
@@ -39,25 +48,23 @@
     memory: MemoryBudget | None = None  # Of all that the process keeps.
     # Of all connections, whatever endpoint they lead to.
     turns: ReadTurns = field(default_factory=ReadTurns)
-    _pools: dict[str, Pool] = field(default_factory=dict)
+    _pools: dict[str, _EndpointPool] = field(default_factory=dict)
 
     def pool_for(self, endpoint: Endpoint) -> Pool:
         """Return the connection pool of an endpoint.
 
+        The pool of one that another process replaced is not kept.
+
         :param endpoint: the endpoint
         """
-        pool = self._pools.get(endpoint.name)
-        if pool is None:
-            entry = endpoint.entry
-            pool = Pool(
-                entry.host,
-                entry.port,
-                self.clock,
-                on_excess=self.on_excess,
-                memory=self.memory,
-                turns=self.turns,
-            )
-            self._pools[endpoint.name] = pool
+        known = self._pools.get(endpoint.name)
+        if known is None or known.endpoint is not endpoint:
+            pool = self._make_pool(endpoint.entry)
+            if known is None or not endpoint.removed:
+                self.remove(endpoint.name)
+                self._pools[endpoint.name] = _EndpointPool(endpoint, pool)
+        else:
+            pool = known.pool
         # The number of routers and the configured limit may have changed.
         pool.options = self._options(endpoint)
         return pool
@@ -67,14 +74,25 @@
 
         :param endpoint: the endpoint's id
         """
-        pool = self._pools.pop(endpoint, None)
-        if pool is not None:
-            pool.drop_idle()
+        known = self._pools.pop(endpoint, None)
+        if known is not None:
+            known.pool.drop_idle()
 
     def expire_idle(self) -> None:
         """Close connections that exceeded their idle time."""
-        for pool in self._pools.values():
-            pool.expire_idle()
+        for known in self._pools.values():
+            known.pool.expire_idle()
+
+    def _make_pool(self, entry: EndpointEntry) -> Pool:
+        """Return a pool without connections to an endpoint's address."""
+        return Pool(
+            entry.host,
+            entry.port,
+            self.clock,
+            on_excess=self.on_excess,
+            memory=self.memory,
+            turns=self.turns,
+        )
 
     def _options(self, endpoint: Endpoint) -> PoolOptions:
         """Return the options for this router's share of the limit."""
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -55,6 +55,8 @@
         entry = entry.after(known.entry)
         if known.entry == entry:
             return
+    elif known is not None:
+        _process_replaced(front, entry.endpoint)
     traits = None
     if front.table is not None:
         service = front.table.services.get(entry.service)
@@ -77,6 +79,15 @@
     )
 
 
+def _process_replaced(front: Front, endpoint: str) -> None:
+    """Forget what is known of a process, as another one has its id.
+
+    :param front: the router
+    :param endpoint: the id
+    """
+    front.connections.remove(endpoint)
+
+
 def remove_endpoint(front: Front, endpoint: str) -> None:
     """Remove an endpoint that is no longer in the list.
 
