A crash counts although the next process answers under the id

A request that crashed a process whose next start took its id at once was not counted, so that it could crash more of them (BUDGET): the probe was answered under the id, which left the run without a verdict, and later runs at the next process passed for ones that were sent after the end.

The crash watch now keeps what it saw by process. As the list names another start, address, service or version, that is a sign of the end of the earlier process, also for runs without a verdict of the last 2.5 s. A connection that goes on still shows that the process lives, and an answer lost before that time does not count. An answer to its probe on a new connection is no longer recorded as one of the process (`Pool.answered_s`).

--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -32,6 +32,9 @@
 PROBE_INTERVAL_S: Final = 0.5
 PROBE_TIMEOUT_S: Final = 0.5
 
+# The list names a process that has replaced another one within this time.
+LIST_LAG_S: Final = 2.5
+
 # Added to timers, which may fire a little early.
 TIMER_MARGIN_S: Final = 0.005
 
@@ -59,6 +62,11 @@
     endpoint: Endpoint
     pool: Pool
     runs: list[BrokenRun] = field(default_factory=list)
+    # Runs of which it is not known whether the process ended under them.
+    unknown: list[BrokenRun] = field(default_factory=list)
+    replaced: bool = False  # Whether another process has its id.
+    # When the last probe was sent that was answered under its id.
+    answered_s: float = float("-inf")
     logs_signs: bool = False  # Whether runs broke there that are not passive.
     signs: dict[Sign, float] = field(default_factory=dict)  # Times.
     probe: asyncio.Task[None] | None = None
@@ -73,9 +81,14 @@
         self.runs.append(run)
         self.logs_signs = self.logs_signs or not run.passive
         broke = not run.passive and not run.silent
-        if broke and self.pool.answered_s >= self.broke_s:
+        if broke and self.last_answered_s >= self.broke_s:
             self.broke_s = run.broke_s
 
+    @property
+    def last_answered_s(self) -> float:
+        """Return when the last request was sent that a process answered."""
+        return max(self.answered_s, self.pool.answered_s)
+
     def may_have_ended_before(self, run: BrokenRun) -> bool:
         """Return whether its process may have ended before a run was sent.
 
@@ -84,7 +97,7 @@
         """
         if self.signs.get(Sign.REFUSED, float("-inf")) >= run.broke_s:
             return False
-        answered_s = self.pool.answered_s
+        answered_s = self.last_answered_s
         ends_s = [self.broke_s, self.ended_s]
         # One that was idle for long ends with no process.  An endpoint that
         # ended would have been dropped from the list since.
@@ -106,9 +119,10 @@
     on_crash: Callable[[str, BrokenRun], None]
     # Called with each run without a verdict.
     on_unknown: Callable[[str, BrokenRun], None]
-    _watched: dict[str, _Watched] = field(default_factory=dict)
-    # Endpoint and request of the runs that counted.
-    _counted: dict[tuple[str, str], None] = field(default_factory=dict)
+    # By the identity of the `Endpoint`, of which each process has its own.
+    _watched: dict[int, _Watched] = field(default_factory=dict)
+    # Endpoint, its start and the request of the runs that counted.
+    _counted: dict[tuple[str, str, str], None] = field(default_factory=dict)
 
     def add(self, endpoint: Endpoint, pool: Pool, run: BrokenRun) -> None:
         """Watch an endpoint because of a run that broke there.
@@ -117,7 +131,7 @@
         :param pool: the connections to it
         :param run: the run
         """
-        if (endpoint.name, run.request_id) in self._counted:
+        if _key(endpoint, run) in self._counted:
             return
         open_runs = sum(len(each.runs) for each in self._watched.values())
         leaving = self.is_leaving(endpoint)
@@ -129,10 +143,10 @@
                 reason = "too many runs have no verdict yet"
             self._log_verdict(endpoint.name, run, False, reason)
             return
-        watched = self._watched.get(endpoint.name)
+        watched = self._watched.get(id(endpoint))
         if watched is None:
             watched = _Watched(endpoint, pool)
-            self._watched[endpoint.name] = watched
+            self._watched[id(endpoint)] = watched
         watched.add(run)
         watched.active_s = self.clock()
         # The verdict should not wait for the next sweep.
@@ -157,26 +171,54 @@
         :param endpoint: the endpoint's id
         :param sign: what was seen
         """
-        watched = self._watched.get(endpoint)
-        if watched is None:
-            return
+        for watched in list(self._watched.values()):
+            if watched.endpoint.name == endpoint:
+                self._add_sign(watched, sign)
+
+    def process_replaced(self, endpoint: str) -> None:
+        """Record that the endpoint list names another process under an id.
+
+        Runs that nobody knew of whether the process ended under them count:
+        what answered under its id since may have been the next one.
+
+        :param endpoint: the id
+        """
+        now_s = self.clock()
+        for watched in list(self._watched.values()):
+            if watched.endpoint.name != endpoint or watched.replaced:
+                continue
+            watched.replaced = True
+            watched.runs += [
+                run
+                for run in watched.unknown
+                if now_s - run.broke_s <= LIST_LAG_S
+            ]
+            watched.unknown.clear()
+            self._add_sign(watched, Sign.OTHER_INSTANCE)
+
+    def _add_sign(self, watched: _Watched, sign: Sign) -> None:
+        """Record what was seen of an endpoint."""
+        name = watched.endpoint.name
         if sign not in watched.signs and watched.logs_signs:
-            self.observe(
-                Decision("endpoint_seen", sign.value, endpoint=endpoint)
-            )
+            self.observe(Decision("endpoint_seen", sign.value, endpoint=name))
         watched.signs[sign] = self.clock()
         self._judge_all(watched)
 
     def sweep(self) -> None:
         """Judge the runs; probe the endpoints whose runs stay open."""
         now_s = self.clock()
-        for name, watched in list(self._watched.items()):
+        for key, watched in list(self._watched.items()):
             self._judge_all(watched)
+            watched.unknown = [
+                run
+                for run in watched.unknown
+                if now_s - run.broke_s <= LIST_LAG_S
+            ]
             if watched.runs:
                 watched.active_s = now_s
                 self._probe_if_due(watched, now_s)
             elif now_s - watched.active_s > GIVE_UP_S:
-                del self._watched[name]
+                del self._watched[key]
 
     def _judge_all(self, watched: _Watched) -> None:
         """Judge the runs at an endpoint; keep those without a verdict."""
@@ -203,11 +245,12 @@
         self._log_verdict(name, run, ended, judgement.reason, seen)
         if ended:
             watched.ended_s = max(watched.ended_s, run.broke_s)
-            self._counted[name, run.request_id] = None
+            self._counted[_key(watched.endpoint, run)] = None
             if len(self._counted) > MAX_COUNTED_RUNS:
                 del self._counted[next(iter(self._counted))]
             self.on_crash(name, run)
         elif judgement.verdict is Verdict.UNKNOWN:
+            watched.unknown.append(run)
             self.on_unknown(name, run)
         return True
 
@@ -237,7 +280,7 @@
     def _probe_if_due(self, watched: _Watched, now_s: float) -> None:
         """Probe an endpoint unless that was done a moment ago."""
         broken = [run.broke_s for run in watched.runs if not run.passive]
-        if not broken:
+        if not broken or watched.replaced:
             return
         oldest_s = min(broken)
         due_s = max(oldest_s + SETTLE_S, watched.probed_s + PROBE_INTERVAL_S)
@@ -275,7 +318,7 @@
             elif answer is not None:
                 found = self.decode_probe(watched.endpoint, *answer)
                 if found == name:
-                    pool.record_answer(sent_s)
+                    watched.answered_s = sent_s
                 same = found in ("", name)
                 self.add_sign(
                     name,
@@ -284,3 +327,8 @@
         finally:
             watched.probe = None
             watched.probed_s = self.clock()
+
+
+def _key(endpoint: Endpoint, run: BrokenRun) -> tuple[str, str, str]:
+    """Return what tells a run at a process from others."""
+    return endpoint.name, endpoint.entry.born, run.request_id
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -85,6 +85,7 @@
     :param front: the router
     :param endpoint: the id
     """
+    runwatch.process_replaced(front, endpoint)
     front.connections.remove(endpoint)
 
 
--- a/src/bulrushstream/daemon/runwatch.py
+++ b/src/bulrushstream/daemon/runwatch.py
@@ -87,6 +87,16 @@
     front.crash_watch.add_sign(endpoint, Sign.REMOVED)
 
 
+def process_replaced(front: Front, endpoint: str) -> None:
+    """Handle an id under which the endpoint list names another process.
+
+    :param front: the router
+    :param endpoint: the id
+    """
+    watch_silent_runs(front)
+    front.crash_watch.process_replaced(endpoint)
+
+
 def _watch_passively(attempt: Attempt) -> None:
     """Watch a run by what is seen of its endpoint anyway."""
     run = _describe_run(attempt, attempt.front.clock())
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -15,7 +15,7 @@
     judge_run,
 )
 from bulrushstream.coordination.endpointpool import Endpoint
-from bulrushstream.daemon.crashwatch import CrashWatch
+from bulrushstream.daemon.crashwatch import LIST_LAG_S, CrashWatch
 from bulrushstream.state.call import AnswerProgress
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.endpointsigns import ConnectionsSeen, Sign
@@ -165,6 +165,22 @@
     def add(self, run: BrokenRun) -> None:
         self.watch.add(self._endpoint, self._pool, run)
 
+    def start_again(self, now_s: float) -> None:
+        """Let the endpoint list name another process under the id."""
+        self.now_s = now_s
+        self.watch.process_replaced("e-1")
+        entry = replace(self._endpoint.entry, born=str(now_s))
+        self._endpoint = Endpoint(entry, None)
+        pool = _SeenPool("h", 1, lambda: self.now_s)
+        pool.seen_value = self._pool.seen_value
+        self._pool = pool
+
+    def answer(self, now_s: float) -> None:
+        """Record that a process answers under the id, on a new connection."""
+        self.now_s = now_s
+        self.watch.add_sign("e-1", Sign.SAME_INSTANCE)
+        self.watch.sweep()
+
     def refuse(self, now_s: float) -> None:
         """Record that the endpoint's address refuses a connection."""
         self.now_s = now_s
@@ -201,3 +217,47 @@
         watch.refuse(1.5)
         assert watch.crashes == []
         assert watch.kinds() == ["not_counted"]
+
+
+class ReplacedSuite:
+    """Processes that start again at once under their id."""
+
+    # The next process answered under the id, and the crash was not counted.
+    async def test_a_crash_counts_if_the_next_process_answers(self) -> None:
+        watch = _Watch()
+        watch.add(CLOSED)
+        watch.answer(1.4)
+        assert watch.crashes == []
+        watch.start_again(2.5)
+        assert watch.crashes == ["e-1"]
+        watch.add(replace(CLOSED, broke_s=2.5))
+        watch.refuse(3.0)
+        assert watch.crashes == ["e-1", "e-1"]
+
+    # An answer that was lost long before a crash became a strike.
+    async def test_an_answer_lost_before_does_not_count(self) -> None:
+        watch = _Watch()
+        watch.add(CLOSED)
+        watch.answer(1.4)
+        watch.start_again(1.0 + LIST_LAG_S + 0.1)
+        assert watch.crashes == []
+
+    # A connection that goes on belongs to a process that lives.
+    async def test_a_process_that_goes_on_has_lost_an_answer(self) -> None:
+        watch = _Watch(ConnectionsSeen(ended=1, open=3, heard=True))
+        watch.add(CLOSED)
+        watch.answer(1.4)
+        watch.start_again(1.5)
+        assert watch.crashes == []
+
+    # A run passed for one that was sent after the end of its process.
+    async def test_each_process_is_judged_by_itself(self) -> None:
+        watch = _Watch(ConnectionsSeen(ended=3, open=0, heard=False))
+        for number, broke_s in enumerate((1.0, 3.0, 5.0)):
+            run = replace(CLOSED, request_id=f"q{number}", broke_s=broke_s)
+            watch.now_s = broke_s
+            watch.add(replace(run, sent_s=broke_s - 0.1))
+            watch.now_s = broke_s + 0.3
+            watch.watch.sweep()
+            watch.start_again(broke_s + 1.0)
+        assert watch.crashes == ["e-1"] * 3
