Events may end their lines with LF, CRLF or CR

Cause: `EventSplitter` looked for two line feeds, and for ids before a line feed. Found beside it and mended with the rewrite, as the same lines did it: - a byte order mark hid the id of the first event; - an empty line that came in a later read than the event before it counted as the beginning of another one, so the stream "ended amid an event".

Now each of the three ends a line. An event is passed on as soon as its empty line has begun; a line feed that follows belongs to that line end and is passed on alone. If the endpoint stops between the two, the next one's events come below the missing line feed, for callers that look for CRLF twice. A second endpoint's byte order mark is left out.

--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -1,4 +1,8 @@
-"""Splits event streams after complete events."""
+"""Splits event streams after complete events.
+
+A line ends with LF, CRLF or CR, and an empty line ends an event.  Events are
+passed on as they are.
+"""
 
 from __future__ import annotations
 
@@ -6,8 +10,20 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-_END: Final = b"\n\n"
-_ID: Final = re.compile(rb"(?:\A|\n)id: ?(\d{1,18})(?=\n|\Z)")
+# The end of an event, with the empty lines that follow.
+_END: Final = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)+")
+# An event with an id in its first line only, whose lines end with LF.
+_PLAIN: Final = re.compile(
+    rb"id: ?([0-9]{1,18})\n(?:(?!id)[^\r\n]+\n)*\n(?!\n)"
+)
+_ID: Final = re.compile(rb"(?:\A|(?<=[\r\n]))id(?:: ?([^\r\n]*))?[\r\n]")
+_BOM: Final = b"\xef\xbb\xbf"  # May precede the first line of a stream.
+
+# The most digits of an id; a caller can not name longer ones either.
+_MAX_DIGITS: Final = 18
+
+# How many bytes before others belong to an event's end that those complete.
+_END_OVERLAP_BYTES: Final = 2
 
 # The longest event that is held back until it is complete.
 MAX_EVENT_BYTES: Final = 262_144
@@ -29,18 +45,20 @@
     # The beginning of an incomplete event.
     _partial: bytearray = field(default_factory=bytearray)
     _run_id: int = -1  # The last id that the endpoint's stream had.
-    _skip_seen: bool = False  # Whether the stream may repeat events.
-
-    def __post_init__(self) -> None:
-        """Expect repeated events if the caller has some already."""
-        self._skip_seen = self.last_id is not None
+    # Whether the endpoint's last event was passed on; None: it sent none yet.
+    _passed: bool | None = None
+    # The rest of a line end that is missing as an endpoint stopped within it.
+    _rest: bytes = b""
+    _ends_within_crlf: bool = False  # Whether what was passed on does.
 
     def restart(self) -> None:
         """Drop an incomplete event, as another endpoint resumes the stream."""
         self._partial.clear()
         self._run_id = -1
         self.out_of_order = False
-        self._skip_seen = self.last_id is not None
+        self._passed = None
+        if self._ends_within_crlf:
+            self._rest = b"\n"
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that are now complete.
@@ -50,25 +68,20 @@
         if self.out_of_order:
             return b""
         partial = self._partial
-        ends_now = partial.endswith(b"\n") and data.startswith(b"\n")
-        if not ends_now and _END not in data:
-            partial += data
-            return b""
         if partial:
+            # An end may begin in what is held back.
+            held = bytes(partial[-_END_OVERLAP_BYTES:])
+            if not _END.search(held + data):
+                partial += data
+                return b""
             data = bytes(partial + data)
             partial.clear()
-        end = data.rfind(_END) + len(_END)
-        partial += data[end:]
-        complete = self._until_fall(data[:end])
-        if self._skip_seen:
-            complete = self._without_seen(complete)
-        if not complete:
-            return b""
-        self.event_count += complete.count(_END)
-        if self._run_id >= 0:
-            last = self.last_id if self._skip_seen else None
-            self.last_id = max(self._run_id, -1 if last is None else last)
-        return complete
+        size = self._plain_bytes(data) if self._passed else 0
+        if not size:
+            return self._feed_any(data)
+        if size == len(data):
+            return data
+        return data[:size] + self._feed_any(data[size:])
 
     @property
     def mid_event(self) -> bool:
@@ -85,32 +98,76 @@
         """Return whether an incomplete event exceeds the limit."""
         return len(self._partial) > MAX_EVENT_BYTES
 
-    def _until_fall(self, complete: bytes) -> bytes:
-        """Return the events up to the first whose id does not rise."""
-        event_start, start, searched = -1, 0, 0
-        before = self._run_id  # The id of the event before this one.
-        for found in _ID.finditer(complete):
-            number, position = int(found[1]), found.start(1)
-            end = complete.rfind(_END, searched, position)
-            searched = position
-            if end >= 0:
-                start = end + len(_END)
-            if start != event_start:
-                before = self._run_id
-            if number <= before:
-                self.out_of_order = True
-                self._partial.clear()
-                return complete[:start]
-            self._run_id, event_start = number, start
+    def _plain_bytes(self, data: bytes) -> int:
+        """Take note of common events; return their size (bytes).
+
+        It gives what `_feed_any` does, at a lower cost.
+        """
+        size = 0
+        last = max(self._run_id, -1 if self.last_id is None else self.last_id)
+        while found := _PLAIN.match(data, size):
+            number = int(found[1])
+            if number <= last:
+                break
+            last = number
+            size = found.end()
+            self.event_count += 1
+        if size:
+            self._run_id = self.last_id = last
+            self._ends_within_crlf = False
+        return size
+
+    def _feed_any(self, data: bytes) -> bytes:
+        """Return the complete events that the caller does not have yet."""
+        start = 0
+        if self._passed is not None:
+            # What belongs to the end of the event before.
+            start = len(data) - len(data.lstrip(b"\r\n"))
+        more = data[:start] if self._passed else b""
+        if more:
+            self._ends_within_crlf = False
+        events = []
+        for found in _END.finditer(data, start):
+            event = data[start : found.end()]
+            start = found.end()
+            content = event
+            if self._passed is None and event.startswith(_BOM):
+                content = event[len(_BOM) :]
+                # Only the first line of the caller's stream may begin so.
+                event = content if self.event_count else event
+            self._passed = self._takes(content)
+            if self._passed:
+                events.append(event)
+            elif self.out_of_order:
+                break
+        else:
+            self._partial += data[start:]
+        if not events:
+            return more
+        self.event_count += len(events)
+        complete = more + self._rest + b"".join(events)
+        self._rest = b""
+        self._ends_within_crlf = complete.endswith(b"\r\n\r")
         return complete
 
-    def _without_seen(self, complete: bytes) -> bytes:
-        """Return the events that the caller does not have yet."""
-        unseen = []
-        for event in complete.split(_END)[:-1]:
-            found = _ID.search(event)
-            last = self.last_id
-            if found and last is not None and int(found[1]) <= last:
-                continue
-            unseen.append(event + _END)
-        return b"".join(unseen)
+    def _takes(self, event: bytes) -> bool:
+        """Take note of an event's id; return whether the caller lacks it."""
+        before, last = self._run_id, self.last_id
+        number = None  # The last id counts.
+        found = _ID.match(event)
+        values = [found[1]] if found else []
+        if b"\nid" in event or b"\rid" in event:
+            values = _ID.findall(event)
+        for value in values:
+            number = None
+            if value and value.isdigit() and len(value) <= _MAX_DIGITS:
+                number = int(value)
+                if number <= before:
+                    self.out_of_order = True
+                    return False
+        if number is not None:
+            self._run_id = number
+            if last is not None and number <= last:
+                return False
+            self.last_id = number
+        return True
