A stream goes on elsewhere only where an id tells from where

Callers: after events without an id (or with one that is no number of up to 18 digits) a broken stream that may be resumed went on after the last id before them, or from its first event: events came twice, or a second run was appended to the first.

Cause: the retry looked at the route and the last id only. Now an event with data and without an id that is passed on makes the stream end broken, until an event with an id follows. Comments need no id. Events without an id that an endpoint repeats between those the caller has are skipped with them.

Evidence: BrokenStreamSuite.test_no_id_tells_where_to_go_on, all 8 cases failed before ("data: x", then events 1 to 3 of another run, and complete); test_events_without_id_are_not_repeated and test_an_id_is_no_number failed.

It costs the broken streams of endpoints that send such events their retry.

--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -456,9 +456,12 @@
         """Return whether another attempt could give the caller its answer.
 
         From its first byte on, the attempt that began an answer is the only
-        one that may add to it, unless it is a stream.
+        one that may add to it, unless it is a stream that tells where it
+        goes on.
         """
-        return not self.exchange.started or self.stream_writer is not None
+        if not self.exchange.started:
+            return True
+        return self.stream_writer is not None and self.splitter.can_resume
 
     @property
     def fingerprint(self) -> int:
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -17,6 +17,7 @@
     rb"id: ?([0-9]{1,18})\n(?:(?!id)[^\r\n]+\n)*\n(?!\n)"
 )
 _ID: Final = re.compile(rb"(?:\A|(?<=[\r\n]))id(?:: ?([^\r\n]*))?[\r\n]")
+_DATA: Final = re.compile(rb"(?:\A|(?<=[\r\n]))data[:\r\n]")
 _BOM: Final = b"\xef\xbb\xbf"  # May precede the first line of a stream.
 
 # The most digits of an id; a caller can not name longer ones either.
@@ -42,6 +43,9 @@
     event_count: int = 0  # Number of events that were passed on.
     # Whether an id did not rise; nothing is passed on from there.
     out_of_order: bool = False
+    # Whether `last_id` tells where the stream goes on: no event with data but
+    # without an id was passed on after it.
+    can_resume: bool = True
     # The beginning of an incomplete event.
     _partial: bytearray = field(default_factory=bytearray)
     _run_id: int = -1  # The last id that the endpoint's stream had.
@@ -114,6 +118,7 @@
             self.event_count += 1
         if size:
             self._run_id = self.last_id = last
+            self.can_resume = True
             self._ends_within_crlf = False
         return size
 
@@ -170,4 +175,9 @@
             if last is not None and number <= last:
                 return False
             self.last_id = number
+            self.can_resume = True
+        elif last is not None and 0 <= before < last:
+            return False
+        elif _DATA.search(event):
+            self.can_resume = False
         return True
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -97,6 +97,7 @@
     error: Error
     errors: int  # So many of them answer with it.
     sends: list[int] = field(default_factory=list)  # Last event ids.
+    first: bytes = WHOLE[0]  # The events before the break.
 
 
 class Serving:
@@ -140,7 +141,7 @@
     def _break_off(self) -> None:
         send, how = self._transport.send, self._endpoints.break_
         self._send_head(b"200 OK", STREAM_KIND + CHUNKED)
-        send(chunk(WHOLE[0]))
+        send(chunk(self._endpoints.first))
         if how is Break.AMID:
             send(chunk(WHOLE[1][:8]))
         elif how is Break.NO_LAST_CHUNK:
@@ -250,3 +251,23 @@
         caller = play(endpoints, "/tell/")
         assert body_of(caller.data) == ("200", WHOLE[0], False)
         assert endpoints.sends == [0]
+
+    @pytest.mark.parametrize(
+        "first", [b"data: x\n\n", WHOLE[0] + b"data: x\n\n"]
+    )
+    @pytest.mark.parametrize("break_", Break)
+    def test_no_id_tells_where_to_go_on(
+        self, break_: Break, first: bytes
+    ) -> None:
+        """Guards against events that come twice, or of two runs."""
+        endpoints = Endpoints(break_, ERRORS[0], errors=0, first=first)
+        caller = play(endpoints, "/talk/")
+        assert body_of(caller.data) == ("200", first, False)
+        assert endpoints.sends == [0]
+
+    def test_comments_need_no_id(self) -> None:
+        first = WHOLE[0] + b": x\n\n"
+        endpoints = Endpoints(Break.CLOSED, ERRORS[0], errors=0, first=first)
+        caller = play(endpoints, "/talk/")
+        body = first + b"".join(WHOLE[1:])
+        assert body_of(caller.data) == ("200", body, True)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -4,6 +4,7 @@
 
 import itertools
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -87,6 +88,38 @@
         assert splitter.feed(b"id: 10\nid: 3\ndata: x\n\n") == b""
         assert splitter.out_of_order
         assert splitter.last_id == 9
+        splitter = EventSplitter()
+        first, second = b"id: 9\ndata: x\n\n", b"id: 10\nid: 3\ndata: x\n\n"
+        assert splitter.feed(first + second) == first
+        assert splitter.last_id == 9
+
+    def test_the_last_id_of_an_event_counts(self) -> None:
+        """Guards against an event that is lost as one of its ids is seen."""
+        splitter = EventSplitter(last_id=5)
+        event = b"id: 3\nid: 10\ndata: x\n\n"
+        assert splitter.feed(event) == event
+        assert splitter.last_id == 10
+
+    def test_events_without_id_are_not_repeated(self) -> None:
+        """Guards against events that come twice between those with ids."""
+        splitter = EventSplitter(last_id=3)
+        unseen = b"data: c\n\nid: 4\ndata: x\n\ndata: d\n\n"
+        for event in (b"id: 1\n\n", b"data: a\n\n", b"id: 2\n\n"):
+            assert splitter.feed(event) == b""
+        assert splitter.feed(b"data: b\n\nid: 3\n\n" + unseen) == unseen
+        assert splitter.last_id == 4
+        assert not splitter.can_resume
+
+    @pytest.mark.parametrize("value", ["", "x", "1" * 19, "-1"])
+    def test_an_id_is_no_number(self, value: str) -> None:
+        """Guards against a stream that goes on before such an event."""
+        splitter = EventSplitter()
+        assert splitter.feed(b"id: 7\ndata: x\n\n")
+        assert splitter.can_resume
+        assert splitter.feed(f"id: {value}\ndata: x\n\n".encode())
+        assert not splitter.can_resume
+        assert splitter.feed(b"id: 9\ndata: x\n\n")
+        assert splitter.can_resume
 
     def test_an_incomplete_event_is_held_back(self) -> None:
         splitter = EventSplitter()
