Nothing more is parsed on a connection that is closing

The rest of a large read, which is parsed in slices, was parsed after its connection had been closed.

--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -475,7 +475,8 @@
     def _parse_slice(self) -> None:
         """Parse a part of the bytes of a large read."""
         data, transport = self._unparsed, self._transport
-        if transport is None:
+        if transport is None or transport.is_closing():
+            self._unparsed = None
             return
         if data is not None:
             self._unparsed = data[SLICE_BYTES:] or None
--- a/tests/answerplays.py
+++ b/tests/answerplays.py
@@ -23,6 +23,7 @@
     "{} / HTTP/1.0\r\nConnection: keep-alive\r\n",
     "{} / HTTP/1.1\r\nHost: a\r\n",
     "{} / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n",
+    "{} / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n",
 )
 # What becomes of the connection, and how often.
 ACTIONS: Final = (
@@ -41,6 +42,7 @@
     ("begin", "write", "finish"),
 )
 _CHUNK: Final = re.compile(rb"([0-9a-f]+)\r\n")
+_INTERIM: Final = re.compile(rb"\A(HTTP/1.1 100 Continue\r\n\r\n)+")
 _LENGTH: Final = re.compile(rb"content-length: (\d+)\r\n")
 _REFUSAL: Final = re.compile(rb"HTTP/1.1 (400|408|413|431|503) ")
 
@@ -180,7 +182,7 @@
     """Return the answers that the caller sees."""
     seen: list[Seen] = []
     data = play.transport.sent
-    while data:
+    while data := _INTERIM.sub(b"", data):
         head, separator, rest = data.partition(b"\r\n\r\n")
         head += b"\r\n"
         number = len(seen)
@@ -230,7 +232,7 @@
         wrong.append("an answer before that to an earlier request")
     for number, answer in enumerate(seen):
         if number >= len(begun):
-            if not _REFUSAL.match(answer.head):
+            if answer.whole and not _REFUSAL.match(answer.head):
                 wrong.append(f"no request has this answer: {answer.head!r}")
             continue
         written = begun[number]
--- a/tests/test_ends_of_answers.py
+++ b/tests/test_ends_of_answers.py
@@ -22,7 +22,8 @@
 )
 PART: Final = REQUEST[:20]
 MUCH: Final = b"x" * 20_000  # Enough to be accounted for.
-KEPT_BYTES: Final = 2 * len(MUCH)
+UNREAD_BYTES: Final = 2 * len(MUCH)
+KEPT_BYTES: Final = 4 * len(MUCH)
 
 
 class Answer:
@@ -33,7 +34,7 @@
         self.memory = MemoryBudget(KEPT_BYTES)
         self.ingress = Ingress(
             self.exchanges.append,
-            IngressLimits(unread_bytes=KEPT_BYTES),
+            IngressLimits(unread_bytes=UNREAD_BYTES),
             asyncio.get_running_loop().time,
             self.memory,
         )
@@ -50,7 +51,7 @@
 
     def use_up_memory(self) -> None:
         """Let other connections keep many bytes, each fewer than this."""
-        for _ in range(2):
+        for _ in range(4):
             account = self.memory.open(lambda: None)
             account.resize(len(MUCH) - 1)
 
@@ -174,8 +175,17 @@
     answer.transport.kill()
 
 
+def finish_amid_a_large_read(answer: Answer) -> None:
+    answer.fill_up()
+    large = REQUEST.replace(b": 0", b": 40000") + bytes(40_000)
+    waiting = REQUEST.replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n")
+    answer.transport.receive(large + waiting)
+    answer.writer.finish()
+
+
 WHOLE: Final = (
     finish,
+    finish_amid_a_large_read,
     finish_and_killed,
     fill_up_and_finish,
     finish_and_stop,
