--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -236,7 +236,7 @@
         number = at.number if at else number
         version = version or (at.version if at else self.first_version)
         self._starts += 1
-        born = str(self._starts)
+        born = str(self._starts) if self.plan.tells_start else ""
         endpoint = self.endpoint_type(
             self,
             name,
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -123,6 +123,27 @@
             r for r in history.replies[ASKING.label] if is_whole_200(r)
         ]
 
+    @pytest.mark.parametrize("tells_start", [True, False])
+    @pytest.mark.parametrize("path", PATHS)
+    # The next process under the id answered for the one that had ended.
+    def test_the_next_process_under_the_id_is_another(
+        self, path: str, tells_start: bool
+    ) -> None:
+        body = b"%b:%b:" % (Body.UNFRAMED, Unframed.KILLED.encode())
+        asking = replace(ASKING, path=path, body=body, per_s=2.0)
+        history = play(
+            CrashPlan(
+                prompts=(asking,),
+                ending=Ending(Point.AMID, Link.CLOSED, After.SAME_ID),
+                background_per_s=8.0,
+                end_s=14.0,
+                tells_start=tells_start,
+            )
+        )
+        assert len(history.crashes_s) >= 2
+        replies = history.replies[ASKING.label]
+        assert not [reply for reply in replies if is_whole_200(reply)]
+
     @pytest.mark.parametrize("path", PATHS)
     @pytest.mark.parametrize(
         "how", [h for h in Unframed if h is not Unframed.KILLED]
