Models' streams may end their lines with CRLF or CR, too

Callers of the agents' path: a model engine that ends lines with CRLF got all of its streams refused: no event was ever complete, nor was the last one ("data: [DONE]") known, so the run counted as broken.

Cause: the same two line feeds, in the agent's client of the endpoint and in the ASGI answer, which looks for the last event to put its comment above it. Both use the end of an event of state/events now.

Evidence: test_an_event_split_over_two_chunks_is_forwarded_once is asked for each line end; its 22 cases with CRLF and CR failed before. The 11 with LF are as they were.

--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -11,25 +11,39 @@
 from typing import Final
 
 # The end of an event, with the empty lines that follow.
-_END: Final = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)+")
+EVENT_END: Final = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)+")
 # An event with an id in its first line only, whose lines end with LF.
 _PLAIN: Final = re.compile(
     rb"id: ?([0-9]{1,18})\n(?:(?!id)[^\r\n]+\n)*\n(?!\n)"
 )
 _ID: Final = re.compile(rb"(?:\A|(?<=[\r\n]))id(?:: ?([^\r\n]*))?[\r\n]")
 _DATA: Final = re.compile(rb"(?:\A|(?<=[\r\n]))data[:\r\n]")
+_DONE: Final = re.compile(rb"data: ?\[DONE\][\r\n]+")
 _BOM: Final = b"\xef\xbb\xbf"  # May precede the first line of a stream.
 
 # The most digits of an id; a caller can not name longer ones either.
 _MAX_DIGITS: Final = 18
 
 # How many bytes before others belong to an event's end that those complete.
-_END_OVERLAP_BYTES: Final = 2
+END_OVERLAP_BYTES: Final = 2
 
 # The longest event that is held back until it is complete.
 MAX_EVENT_BYTES: Final = 262_144
 
 
+def split_done(events: bytes) -> tuple[bytes, bytes]:
+    """Return events and the event that ends a model's stream.
+
+    :param events: complete events; the last one may be that event
+    """
+    start = events.rfind(b"data:")
+    if start < 0 or not _DONE.fullmatch(events, start):
+        return events, b""
+    if start and events[start - 1] not in b"\r\n":
+        return events, b""
+    return events[:start], events[start:]
+
+
 @dataclass(slots=True)
 class EventSplitter:
     """Passes on complete events, each of them once.
@@ -74,8 +88,8 @@
         partial = self._partial
         if partial:
             # An end may begin in what is held back.
-            held = bytes(partial[-_END_OVERLAP_BYTES:])
-            if not _END.search(held + data):
+            held = bytes(partial[-END_OVERLAP_BYTES:])
+            if not EVENT_END.search(held + data):
                 partial += data
                 return b""
             data = bytes(partial + data)
@@ -132,7 +146,7 @@
         if more:
             self._ends_within_crlf = False
         events = []
-        for found in _END.finditer(data, start):
+        for found in EVENT_END.finditer(data, start):
             event = data[start : found.end()]
             start = found.end()
             content = event
--- a/src/bulrushstream/transport/answering.py
+++ b/src/bulrushstream/transport/answering.py
@@ -25,6 +25,7 @@
 
 from bulrushstream import messages
 from bulrushstream.state.effect import FailRequest, Reply
+from bulrushstream.state.events import split_done
 from bulrushstream.state.message import Part, PartKind
 from bulrushstream.state.request import Headers, Outcome
 from bulrushstream.transport.admission import is_forwarded
@@ -46,7 +47,6 @@
 
 MAX_BUFFERED_BYTES: Final = 256 << 10
 MAX_WHOLE_BYTES: Final = 4 << 20  # For callers of HTTP/1.0.
-DONE_EVENT: Final = b"data: [DONE]\n\n"
 EVENT_STREAM: Final = "text/event-stream"
 EXECUTION_COMMENT: Final = b": bulrushstream-execution "
 _BODILESS: Final = frozenset({204, 304})
@@ -188,9 +188,8 @@
     if state.event_stream:
         body = _pop_buffered(state)
         comment = EXECUTION_COMMENT + end.outcome.value.encode() + b"\n\n"
-        ends = body.endswith(DONE_EVENT)
-        body = body.removesuffix(DONE_EVENT) + comment
-        body += DONE_EVENT if ends else b""
+        events, done = split_done(body)
+        body = events + comment + done
         length = len(body) if state.needs_length else None
         await _send_head(state, head, Outcome.UNKNOWN, length)
         await _send_body(state, body, False)
@@ -217,7 +216,7 @@
         await send_problem(state.send, problem, headers, notice.status)
         return ResponseSummary(notice.status, fail.outcome, True, fail.code)
     if state.event_stream:
-        rest = _pop_buffered(state).removesuffix(DONE_EVENT)
+        rest, _ = split_done(_pop_buffered(state))
         event = b"event: error\ndata: " + problem + b"\n\n"
         await _send_body(state, rest + event, True)
     await connection_of(state.scope).close()
@@ -247,11 +246,10 @@
     if not state.event_stream or state.head is None or state.needs_length:
         return
     await _send_head(state, state.head, Outcome.UNKNOWN, None)
-    body = _pop_buffered(state)
-    if body.endswith(DONE_EVENT):
-        body = body.removesuffix(DONE_EVENT)
-        state.buffered.append(DONE_EVENT)
-        state.buffered_bytes = len(DONE_EVENT)
+    body, done = split_done(_pop_buffered(state))
+    if done:
+        state.buffered.append(done)
+        state.buffered_bytes = len(done)
     if body:
         await _send_body(state, body, True)
 
--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -29,6 +29,11 @@
 import httpx
 
 from bulrushstream.state.event import RunBody, RunEnd, RunHead
+from bulrushstream.state.events import (
+    END_OVERLAP_BYTES,
+    EVENT_END,
+    split_done,
+)
 from bulrushstream.state.excess import OnExcess, PeerKind
 from bulrushstream.state.message import Dispatch
 from bulrushstream.transport.client import make_client
@@ -37,8 +42,6 @@
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 RESUME_HEADER: Final = "X-Resume-Offset"
-EVENT_END: Final = b"\n\n"
-DONE_EVENT: Final = b"data: [DONE]\n\n"
 TOKEN_MARK: Final = b'"content":'
 MAX_EVENT_BYTES: Final = 1 << 20
 USAGE_TAIL_BYTES: Final = 256
@@ -87,7 +90,7 @@
     maybe_started: bool = False  # See RunEnd.started.
     event_stream: bool = False  # Whether it is a model's stream.
     framed: bool = True  # Whether the answer has a length or chunks.
-    done_received: bool = False  # Whether DONE_EVENT was received.
+    done_received: bool = False  # Whether the last event was received.
     partial: bytes = b""  # An incomplete event.
     usage_tail: bytes = b""  # The last bytes, to search for usage.
     resume_count: int = field(default=0)
@@ -349,16 +352,19 @@
 def _complete_events(state: _RunState, piece: bytes) -> bytes:
     """Return the complete events, and buffer an incomplete one."""
     received = state.partial + piece
-    end = received.rfind(EVENT_END)
-    if end < 0:
-        state.partial = received
-        if len(received) > MAX_EVENT_BYTES:
-            raise httpx.RemoteProtocolError("an event is too large")
-        return b""
-    end += len(EVENT_END)
+    end = 0
+    if state.offset and not state.partial:
+        # The rest of the line end before, and empty lines.
+        end = len(received) - len(received.lstrip(b"\r\n"))
+    searched = max(end, len(state.partial) - END_OVERLAP_BYTES)
+    for found in EVENT_END.finditer(received, searched):
+        end = found.end()
+        state.offset += 1
     complete, state.partial = received[:end], received[end:]
-    state.offset += complete.count(EVENT_END)
-    state.done_received = state.done_received or complete.endswith(DONE_EVENT)
+    if not complete and len(state.partial) > MAX_EVENT_BYTES:
+        raise httpx.RemoteProtocolError("an event is too large")
+    if split_done(complete)[1]:
+        state.done_received = True
     return complete
 
 
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -42,6 +42,7 @@
 )
 from bulrushstream.transport.server import serve
 from tests.builders import a_dispatch, chat_body
+from tests.eventstreams import LINE_ENDS
 
 
 @contextlib.asynccontextmanager
@@ -328,11 +329,14 @@
         assert after_restart == [CacheReported(0, (), ())]
 
 
+@pytest.mark.parametrize("end", LINE_ENDS)
 @pytest.mark.parametrize("split", range(1, 12))
 async def test_an_event_split_over_two_chunks_is_forwarded_once(
-    split: int,
+    split: int, end: bytes
 ) -> None:
-    event = b'data: {"a":1}\n\n'
+    """Guards against streams that break as their lines end with CR."""
+    event = b'data: {"a":1}' + 2 * end
+    done = b"data: [DONE]" + 2 * end
 
     async def app(scope: Any, receive: Any, send: Any) -> None:
         await receive()
@@ -340,7 +344,7 @@
         await send(
             {"type": "http.response.start", "status": 200, "headers": [kind]}
         )
-        for chunk in (event[:split], event[split:], b"data: [DONE]\n\n"):
+        for chunk in (event[:split], event[split:], done):
             await send(
                 {
                     "type": "http.response.body",
@@ -357,8 +361,9 @@
     async with serve_with_runner(App()) as runner:
         events = await collect_run(runner, a_dispatch(STREAM, stream=True))
     chunks = [e.data for e in events if isinstance(e, RunBody)]
-    assert b"".join(chunks) == event + b"data: [DONE]\n\n"
-    assert all(chunk.endswith(b"\n\n") for chunk in chunks)
+    assert run_end(events).complete
+    assert b"".join(chunks) == event + done
+    assert all(chunk.endswith(2 * end) for chunk in chunks)
 
 
 Answers = list[bytes]
--- a/tests/test_event_lines.py
+++ b/tests/test_event_lines.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bulrushstream.state.events import EventSplitter
+from bulrushstream.state.events import EventSplitter, split_done
 from tests.eventstreams import LINE_ENDS, encode, pieces
 
 ENDS = (*((end,) for end in LINE_ENDS), LINE_ENDS)
@@ -121,3 +121,11 @@
             assert not splitter.is_too_long
             splitter.feed(end)
             assert splitter.is_too_long
+
+    def test_the_last_event_of_a_model(self) -> None:
+        """Guards against a comment below it, which callers do not read."""
+        for end in LINE_ENDS:
+            events, done = b"data: x" + 2 * end, b"data: [DONE]" + 2 * end
+            assert split_done(events + done) == (events, done)
+            assert split_done(done) == (b"", done)
+            assert split_done(events) == (events, b"")
