Each process has its own proofs of life

Cause: what waits for a proof was kept by the endpoint's id. An answer of the next process joined the wait of the one before, on whose connections no proof could come.

--- a/tests/test_life_proofs.py
+++ b/tests/test_life_proofs.py
@@ -378,3 +378,37 @@
 
         assert run_in_network(run) == []
         assert found == [False, False, True, True]
+
+
+class NextProcessSuite:
+    # Guards against whole answers that wait for a proof of the process before.
+    def test_each_process_has_its_own_proofs(self) -> None:
+        results: list[Proof] = []
+
+        async def run(loop: NetworkLoop) -> None:
+            servers = [Server(status=None), Server()]
+            proofs = LifeProofs(
+                loop.time,
+                lambda endpoint: REQUEST,
+                lambda endpoint, status, headers: True,
+                lambda endpoint: None,
+                bytes.decode,
+            )
+            for server in servers:
+                loop.listeners[ADDRESS] = server.accept
+                pool = Pool(*ADDRESS, loop.time)
+                pool.add_idle()
+                await asyncio.sleep(0.01)
+                proofs.wait(
+                    Endpoint(an_entry("e-1"), None),
+                    pool,
+                    loop.time(),
+                    loop.time() + LIMIT_S,
+                    results.append,
+                )
+            await asyncio.sleep(1.0)
+            assert results == [Proof.ANSWER]
+            await asyncio.sleep(2.0)
+
+        assert run_in_network(run) == []
+        assert results == [Proof.ANSWER, Proof.NONE]
