What endpoints say, and peers of them, holds for one process

A process that started again under its id got no requests, was held to the limit or rest of the process before, or was counted as busier or idler than it is: the notices, limits and running requests of an id were applied to whatever process had it. A departure that a peer repeated after the new entry was read kept requests from the new process for good.

- As the list names another process, its rest and limit are forgotten, too (departures were already).
Late answers of the earlier process change neither.
- Updates name the start of the process (`born`) with each placement, limit and departure, in new optional fields: earlier releases skip them, and what names no start is applied as before.
A report about another process than the listed one is not applied; departures and limits are repeated, so that one that came before the list counts then.
- A peer's request ends at the `Endpoint` at which it was counted.

Before: ForgottenSuite failed in both cases. The cases of PeerSuite need the new fields; with the check of the start, the request's endpoint or the start of an unlisted one taken out (mutations), its first, second and third case fail, one each. After: all pass, as do the suites of the fleet state, notices, limits, updates and documents.

--- a/src/bulrushstream/coordination/endpointlimits.py
+++ b/src/bulrushstream/coordination/endpointlimits.py
@@ -80,6 +80,9 @@
     rng: Random
     # Called with each limit that this router learned from an endpoint.
     report: Callable[[EndpointLimit], None] = lambda limit: None
+    # Returns whether a process may be the one that has its id; takes the id
+    # and when the process started.
+    is_listed: Callable[[str, str], bool] = lambda endpoint, born: True
     _buckets: dict[str, _Bucket] = field(default_factory=dict)
     _bad: set[str] = field(default_factory=set)  # Logged endpoints.
     _repeated: int = 0  # Counts the limits that heartbeats reported.
@@ -131,6 +134,8 @@
         :param now_s: the time
         """
         for limit in update.limits:
+            if not self.is_listed(limit.endpoint, limit.born):
+                continue
             at_s = now_s - limit.age_s
             bucket = self._buckets.get(limit.endpoint)
             if bucket is None or at_s > bucket.named_s:
--- a/src/bulrushstream/coordination/endpointnotices.py
+++ b/src/bulrushstream/coordination/endpointnotices.py
@@ -1,15 +1,15 @@
 """What endpoints say in their answers: that they rest, or that they leave.
 
 A rest is between one router and one endpoint: other routers may go on.  It
-holds for the endpoint's id, also if its entry is gone from the list for a
-time.  An endpoint that leaves does so for good; only an entry that names
-another process under its id ends that.
+holds also if the endpoint's entry is gone from the list for a time.  An
+endpoint that leaves does so for good.  Only an entry that names another
+process under its id ends either.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from bulrushstream.state.effect import Decision
@@ -42,6 +42,7 @@
     told_s: float  # When it said so, or a peer did.
     own: bool  # Whether it said so to this router.
     delisted_s: float = float("inf")  # When its entry was removed.
+    born: str = ""  # The start of its process; empty: not told.
 
 
 @dataclass(slots=True)
@@ -50,7 +51,7 @@
 
     observe: Callable[[Decision], None]  # Logs a decision.
     # Tells the other routers of an endpoint that leaves.
-    report_leaving: Callable[[str], None] = lambda endpoint: None
+    report_leaving: Callable[[str, str], None] = lambda endpoint, born: None
     _rests: dict[str, _Rest] = field(default_factory=dict)  # By endpoint.
     _leaving: dict[str, _Leaving] = field(default_factory=dict)
     _bad: set[str] = field(default_factory=set)  # Endpoints with bad values.
@@ -104,6 +105,7 @@
         entry: EndpointEntry | None,
         now_s: float,
         reporter: str = "",
+        born: str = "",
     ) -> bool:
         """Record that an endpoint leaves; return whether that is new.
 
@@ -111,14 +113,19 @@
         :param entry: its entry in the list; None: it is not listed
         :param now_s: the time
         :param reporter: the router that told it; empty: its own answer
+        :param born: the start of its process, if it is not listed
         """
         known = self._leaving.get(endpoint)
         if known is not None:
             known.own = known.own or not reporter
             return False
-        self._leaving[endpoint] = _Leaving(entry, now_s, not reporter)
+        if entry is not None:
+            born = entry.born
+        self._leaving[endpoint] = _Leaving(
+            entry, now_s, not reporter, born=born
+        )
         if not reporter:
-            self.report_leaving(endpoint)
+            self.report_leaving(endpoint, born)
         self.observe(
             Decision(
                 "endpoint_leaving",
@@ -170,13 +177,14 @@
         else:
             rest.turned_away += 1
 
-    def to_repeat(self, now_s: float) -> tuple[str, ...]:
+    def to_repeat(self, now_s: float) -> tuple[tuple[str, str], ...]:
         """Return the endpoints of which heartbeats tell that they leave.
 
         :param now_s: the time
+        :returns: their ids and the starts of their processes
         """
         return tuple(
-            name
+            (name, each.born)
             for name, each in self._leaving.items()
             if each.own and now_s - each.told_s <= REPEAT_S
         )
@@ -190,11 +198,21 @@
         if known is None:
             return
         known.delisted_s = float("inf")
-        if known.entry is None:
-            known.entry = entry
-        elif not entry.may_be_process_of(known.entry):
+        before = known.entry or replace(entry, born=known.born)
+        if entry.may_be_process_of(before):
+            known.entry = entry.after(before)
+            known.born = known.entry.born
+        else:
             del self._leaving[entry.endpoint]
 
+    def process_replaced(self, endpoint: str) -> None:
+        """Forget what a process said, as another one has its id.
+
+        :param endpoint: the id
+        """
+        self._rests.pop(endpoint, None)
+        self._bad.discard(endpoint)
+
     def delisted(self, endpoint: str, now_s: float) -> None:
         """Handle an endpoint that is no longer in the list.
 
--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -93,6 +93,23 @@
             endpoint
         )
 
+    def may_be_listed(self, name: str, born: str) -> bool:
+        """Return whether a process may be the one that is listed.
+
+        :param name: its id
+        :param born: when it started, as told; empty: not told
+        """
+        known = self.by_name.get(name)
+        told = known.entry.born if known is not None else ""
+        return not born or not told or born == told
+
+    def is_replaced(self, endpoint: Endpoint) -> bool:
+        """Return whether another process has an endpoint's id now.
+
+        :param endpoint: the endpoint
+        """
+        return self.by_name.get(endpoint.name, endpoint) is not endpoint
+
     def remove(self, name: str) -> Endpoint | None:
         """Remove an endpoint that the platform's list dropped.
 
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from itertools import zip_longest
 from typing import Final
 
 from bulrushstream.coordination.crashrecords import CrashRecords
@@ -33,11 +34,13 @@
 from bulrushstream.coordination.usagecounter import UsageCounter, add_tokens
 from bulrushstream.state.call import Prompt, PromptPart
 from bulrushstream.state.peerupdate import (
+    EndpointLimit,
     FirstEvent,
     PeerUpdate,
     RepeatedReports,
     RequestPlaced,
 )
+from bulrushstream.state.routes import EndpointEntry
 from bulrushstream.state.usage import ShareReport
 
 # The upper bits of a call's number identify the router, the lower ones
@@ -75,7 +78,7 @@
 class _PeerCall:
     """A request that a peer sent to an endpoint."""
 
-    endpoint: str  # The endpoint's id.
+    endpoint: Endpoint
     received_s: float  # When the peer's report arrived.
 
 
@@ -128,6 +131,7 @@
 
     def __post_init__(self) -> None:
         self.pool = EndpointPool(self.notices)
+        self.limits.is_listed = self.pool.may_be_listed
 
     def set_notifier(self, notifier: PeerNotifier) -> None:
         """Report changes to the other routers from now on.
@@ -137,7 +141,9 @@
         self.notifier = notifier
         self.suspects.notifier = notifier
         self.parts.reports.notifier = notifier
-        self.limits.report = notifier.report_limit
+        self.limits.report = lambda limit: notifier.report_limit(
+            self._add_start(limit)
+        )
         self.notices.report_leaving = notifier.report_leaving
         self.streams.set_notifier(notifier)
 
@@ -150,7 +156,7 @@
             self.suspects.strikes_to_repeat(now_s),
             self.parts.reports.strikes_to_repeat(now_s),
             self.parts.reports.proofs_to_repeat(now_s),
-            self.limits.limits_to_repeat(now_s),
+            tuple(map(self._add_start, self.limits.limits_to_repeat(now_s))),
             self.streams.history.listed_with_several(),
             self.notices.to_repeat(now_s),
         )
@@ -205,7 +211,7 @@
                     self.notifier.report_usage(workspace, 0, tokens)
         if self.notifier is not None:
             self.notifier.report_placed(
-                _describe_placement(number, endpoint.name, prompt)
+                _describe_placement(number, endpoint.entry, prompt)
             )
         return number
 
@@ -309,10 +315,7 @@
         self.parts.apply_update(update, now_s)
         self.limits.apply_update(update, now_s)
         self.streams.apply_update(update, now_s)
-        for name in update.leaving_endpoints:
-            endpoint = self.pool.by_name.get(name)
-            entry = endpoint.entry if endpoint is not None else None
-            self.notices.leaves(name, entry, now_s, update.instance)
+        self._apply_leaving(update, now_s)
         self._count_peer_usage(update, now_s)
         if update.leaving:
             self._end_peer_calls(set(peer.calls))
@@ -463,12 +466,38 @@
             MIN_PREFILL_COST_S, self._prefill_s / max(1.0, self._quota_tokens)
         )
 
+    def _apply_leaving(self, update: PeerUpdate, now_s: float) -> None:
+        """Record the endpoints of which a peer tells that they leave.
+
+        A report about another process than the listed one is too late, or
+        too early: then it is repeated.
+        """
+        pairs = zip_longest(
+            update.leaving_endpoints,
+            update.leaving_starts[: len(update.leaving_endpoints)],
+            fillvalue="",
+        )
+        for name, born in pairs:
+            if self.pool.may_be_listed(name, born):
+                endpoint = self.pool.by_name.get(name)
+                entry = endpoint.entry if endpoint is not None else None
+                self.notices.leaves(name, entry, now_s, update.instance, born)
+
+    def _add_start(self, limit: EndpointLimit) -> EndpointLimit:
+        """Return a limit with the start of its endpoint's process."""
+        endpoint = self.pool.by_name.get(limit.endpoint)
+        if endpoint is None or not endpoint.entry.born:
+            return limit
+        return replace(limit, born=endpoint.entry.born)
+
     def _place_peer_call(self, placed: RequestPlaced, now_s: float) -> None:
         """Record a request that a peer sent to an endpoint."""
         endpoint = self.pool.by_name.get(placed.endpoint)
         if endpoint is None:
             return
-        self._peer_calls[placed.call_id] = _PeerCall(placed.endpoint, now_s)
+        if not self.pool.may_be_listed(placed.endpoint, placed.born):
+            return
+        self._peer_calls[placed.call_id] = _PeerCall(endpoint, now_s)
         endpoint.outstanding += 1
         self.parts.placed(endpoint.name, placed.part_ids[:-1], now_s)
         self.limits.placed(endpoint.name, now_s, elsewhere=True)
@@ -491,7 +520,7 @@
     def _peer_call_endpoint(self, number: int) -> Endpoint | None:
         """Return the endpoint of a peer's request, if it is known."""
         peer_call = self._peer_calls.get(number)
-        return self.pool.by_name.get(peer_call.endpoint) if peer_call else None
+        return peer_call.endpoint if peer_call else None
 
     def _end_peer_call(self, number: int) -> None:
         """Record the end of a peer's request."""
@@ -514,16 +543,17 @@
 
 
 def _describe_placement(
-    number: int, endpoint: str, prompt: Prompt | None
+    number: int, entry: EndpointEntry, prompt: Prompt | None
 ) -> RequestPlaced:
     """Return the peers' report of an attempt."""
     if prompt is None:
-        return RequestPlaced(number, endpoint)
+        return RequestPlaced(number, entry.endpoint, born=entry.born)
     return RequestPlaced(
         number,
-        endpoint,
+        entry.endpoint,
         tuple(part.part_id for part in prompt.parts),
         tuple(part.tokens for part in prompt.parts),
         prompt.input_tokens,
         prompt.output_hint or prompt.output_limit,
+        entry.born,
     )
--- a/src/bulrushstream/coordination/peernotifier.py
+++ b/src/bulrushstream/coordination/peernotifier.py
@@ -37,5 +37,5 @@
     def report_limit(self, limit: EndpointLimit) -> None:
         """Report a limit that an endpoint names, or that has ended."""
 
-    def report_leaving(self, endpoint: str) -> None:
+    def report_leaving(self, endpoint: str, born: str) -> None:
         """Report that an endpoint says that it leaves."""
--- a/src/bulrushstream/daemon/endpointload.py
+++ b/src/bulrushstream/daemon/endpointload.py
@@ -26,6 +26,8 @@
     :param sent_s: when the request was sent
     :param now_s: the time
     """
+    if front.pool.is_replaced(endpoint):
+        return
     limits = front.fleet_state.limits
     if head.bad_limit:
         limits.observe_bad(endpoint.name, head.bad_limit)
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -400,6 +400,8 @@
         :param endpoint: the one that was expected there
         """
         endpoint.avoid_until_s = self.clock() + MISDIRECTED_BACKOFF_S
+        if self.pool.is_replaced(endpoint):
+            return
         self.crash_watch.add_sign(endpoint.name, Sign.OTHER_INSTANCE)
 
     def answer_seen(self, endpoint: Endpoint, head: AnswerHead) -> None:
@@ -411,6 +413,8 @@
         if head.status == 421:
             # Another endpoint is at its address.
             return
+        if self.pool.is_replaced(endpoint):
+            return
         notices, now_s = self.fleet_state.notices, self.clock()
         if head.bad_rest:
             notices.bad_rest(endpoint.name, head.bad_rest)
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -87,6 +87,8 @@
     """
     runwatch.process_replaced(front, endpoint)
     front.connections.remove(endpoint)
+    front.fleet_state.limits.forget(endpoint)
+    front.fleet_state.notices.process_replaced(endpoint)
 
 
 def remove_endpoint(front: Front, endpoint: str) -> None:
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -72,6 +72,7 @@
                 list(each.part_tokens),
                 each.input_tokens,
                 each.output_tokens,
+                each.born or None,
             )
             for each in update.placements
         ],
@@ -116,6 +117,7 @@
                 each.endpoint,
                 -1.0 if each.per_s is None else each.per_s,
                 _to_ms(each.age_s),
+                each.born or None,
             )
             for each in update.limits
         ]
@@ -130,6 +132,7 @@
         asked_origins=list(update.asked_origins) or None,
         mixed_services=list(update.mixed_services) or None,
         leaving_endpoints=list(update.leaving_endpoints) or None,
+        leaving_starts=list(update.leaving_starts) or None,
         zone=update.zone or None,
         pass_on=update.pass_on or None,
         totals=[
@@ -202,6 +205,7 @@
                 tuple(each.lengths),
                 each.input_tokens,
                 each.output_tokens,
+                each.born or "",
             )
             for each in wire.placed
         )
@@ -238,12 +242,15 @@
         lists["mixed_services"] = tuple(wire.mixed_services)
     if wire.leaving_endpoints:
         lists["leaving_endpoints"] = tuple(wire.leaving_endpoints)
+    if wire.leaving_starts:
+        lists["leaving_starts"] = tuple(wire.leaving_starts)
     if wire.limits:
         lists["limits"] = tuple(
             EndpointLimit(
                 each.endpoint,
                 each.per_s if each.per_s >= 0.0 else None,
                 each.age_ms / 1000,
+                each.born or "",
             )
             for each in wire.limits
         )
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -10,6 +10,7 @@
   4: list<i32> lengths
   5: i32 input_tokens
   6: i32 output_tokens
+  7: optional string born
 }
 
 struct Started {
@@ -52,6 +53,7 @@
   1: string endpoint
   2: double per_s  // Negative: none.
   3: i32 age_ms
+  4: optional string born
 }
 
 struct Origin {
@@ -83,4 +85,5 @@
   19: optional list<string> leaving_endpoints
   20: optional string zone
   21: optional bool pass_on
+  22: optional list<string> leaving_starts
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -23,6 +23,7 @@
     part_tokens: tuple[int, ...] = ()  # Their lengths in tokens.
     input_tokens: int = 0  # The prompt's length; 0: not a model request.
     output_tokens: int = 0  # The expected number of generated tokens.
+    born: str = ""  # The start of the endpoint's process; empty: not told.
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +62,7 @@
     endpoint: str  # The endpoint's id.
     per_s: float | None  # None: it names no limit any more.
     age_s: float = 0.0  # How long ago an answer said so.
+    born: str = ""  # The start of the endpoint's process; empty: not told.
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +74,8 @@
     part_proofs: tuple[PartProof, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
     mixed_services: tuple[str, ...] = ()
-    leaving_endpoints: tuple[str, ...] = ()
+    # Ids, and the starts of the processes.
+    leaving_endpoints: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +100,8 @@
     mixed_services: tuple[str, ...] = ()
     # Ids of endpoints that say in their answers that they leave.
     leaving_endpoints: tuple[str, ...] = ()
+    # The starts of their processes, in this order; empty if none is told.
+    leaving_starts: tuple[str, ...] = ()
     known_hosts: tuple[str, ...] = ()  # IP addresses of some of its peers.
     zone: str = ""  # The router's availability zone; only in heartbeats.
     # Whether a receiver in another zone passes it on to that zone's routers.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -64,7 +64,8 @@
     part_proofs: list[PartProof] = field(default_factory=list)
     limits: list[EndpointLimit] = field(default_factory=list)
     mixed_services: set[str] = field(default_factory=set)
-    leaving_endpoints: set[str] = field(default_factory=set)
+    # The starts of the processes, by the endpoint's id.
+    leaving_endpoints: dict[str, str] = field(default_factory=dict)
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -290,12 +291,13 @@
         self._pending.mixed_services.add(service)
         self._schedule_flush()
 
-    def report_leaving(self, endpoint: str) -> None:
+    def report_leaving(self, endpoint: str, born: str) -> None:
         """Report that an endpoint says that it leaves.
 
         :param endpoint: the endpoint's id
+        :param born: the start of its process; empty: not told
         """
-        self._pending.leaving_endpoints.add(endpoint)
+        self._pending.leaving_endpoints[endpoint] = born
         self._schedule_flush()
 
     def send_origin(self, host: str, origin: StreamOrigin) -> None:
@@ -387,6 +389,8 @@
         self, update: PeerUpdate, pending: _PendingEvents, heartbeat: bool
     ) -> PeerUpdate:
         """Add what each router must get from this one itself."""
+        leaving = sorted(pending.leaving_endpoints.items())
+        starts = tuple(born for _, born in leaving)
         return replace(
             update,
             crash_suspects=tuple(pending.crash_suspects[:MAX_TOTALS]),
@@ -394,7 +398,8 @@
             part_proofs=tuple(pending.part_proofs[:MAX_TOTALS]),
             limits=tuple(pending.limits),
             mixed_services=tuple(sorted(pending.mixed_services)),
-            leaving_endpoints=tuple(sorted(pending.leaving_endpoints)),
+            leaving_endpoints=tuple(name for name, _ in leaving),
+            leaving_starts=starts if any(starts) else (),
             known_hosts=self._next_hosts() if heartbeat else (),
             zone=self.zone if heartbeat else "",
             leaving=self.leaving,
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -90,8 +90,12 @@
     def report_limit(self, limit: EndpointLimit) -> None:
         self.updates.append(replace(self.identity, limits=(limit,)))
 
-    def report_leaving(self, endpoint: str) -> None:
-        update = replace(self.identity, leaving_endpoints=(endpoint,))
+    def report_leaving(self, endpoint: str, born: str) -> None:
+        update = replace(
+            self.identity,
+            leaving_endpoints=(endpoint,),
+            leaving_starts=(born,) if born else (),
+        )
         self.updates.append(update)
 
     def report_part_strikes(self, strikes: PartStrikes) -> None:
