An endpoint without a report is asked for it once only

Callers waited until their deadline (some 5 s) for the end of an answer that nothing could prove: an endpoint that gives no report was asked for it again each half second. An answer that is no report ends that now; a refusal (429 or 5xx) does not, as one that is full may tell later. The new case of tests/test_life_proofs.py failed before (4 calls, 2 s).

--- a/src/bulrushstream/transport/probe.py
+++ b/src/bulrushstream/transport/probe.py
@@ -76,7 +76,7 @@
 
 @dataclass(slots=True)
 class _ReportSink:
-    """Resolves a future with the body of a 200; see `Sink`."""
+    """Resolves a future with a report, empty if it is none; see `Sink`."""
 
     request: bytes
     future: asyncio.Future[bytes | None]
@@ -88,16 +88,18 @@
     def head(self, status: int, headers: RawHeaders) -> bool:
         del headers
         if status != 200:
-            self._resolve(None)
+            # One that is full may tell later.
+            self._resolve(None if status == 429 or status >= 500 else b"")
         return True
 
     def data(self, data: bytes) -> None:
-        self.body += data
         if len(self.body) > MAX_BODY_BYTES:
-            self._resolve(None)
+            self._resolve(b"")
+        else:
+            self.body += data
 
     def end(self, *, framed: bool = True) -> None:
-        self._resolve(bytes(self.body) if framed else None)
+        self._resolve(bytes(self.body) if framed else b"")
 
     def failed(self, failure: ResponseFailure, detail: str) -> None:
         del failure, detail
@@ -111,12 +113,12 @@
 async def ask_report(
     pool: Pool, request: bytes, timeout_s: float
 ) -> bytes | None:
-    """Send a request on a new connection and return the body of its answer.
+    """Ask an endpoint for a report on itself, on a new connection.
 
     :param pool: the connections to the endpoint
     :param request: the encoded request
     :param timeout_s: the time limit, in seconds
-    :returns: the body; None: there is none, or it is too long
+    :returns: the report; empty if the answer is none; None: no answer
     """
     future: asyncio.Future[bytes | None] = (
         asyncio.get_running_loop().create_future()
@@ -130,7 +132,7 @@
     except TimeoutError:
         pass
     finally:
-        if body is None:
+        if not body:
             pending.cancel()
     return body
 
--- a/tests/test_life_proofs.py
+++ b/tests/test_life_proofs.py
@@ -221,6 +221,12 @@
         0.1,
         1,
     ),
+    "it has no report": (
+        Server(b"404 No", opened_before=0, listed="1"),
+        Proof.NONE,
+        0.2,
+        1,
+    ),
     "it refuses its report": (
         Server(b"503 Full", opened_before=0, listed="1"),
         Proof.NONE,
