Another process under an id is not judged by the connections of the first

Callers saw (in the test) a stream that ended without a length pass for whole, though nothing showed that the process which had sent it lived on. A wait for proofs was found by the endpoint's id. If the endpoint list named another process under the id meanwhile, as it may since ids come back, its answers were judged by the connections of the process before: these proved the life of the wrong process, and its own proved nothing. Before, tests/test_life_proofs.py, test_two_processes_of_one_id, failed: the second process was proved alive by an answer on a connection of the first. Waits are now kept by the identity of the endpoint, as broken runs are. After it the test passes.

--- a/src/bulrushstream/daemon/lifeproof.py
+++ b/src/bulrushstream/daemon/lifeproof.py
@@ -106,7 +106,8 @@
     encode_report_call: Callable[[Endpoint], bytes | None]
     # Decodes from a report when the process started; empty: not told.
     decode_start: Callable[[bytes], str]
-    _waiting: dict[str, _Waiting] = field(default_factory=dict)
+    # By the identity of the `Endpoint`, of which each process has its own.
+    _waiting: dict[int, _Waiting] = field(default_factory=dict)
 
     def wait(
         self,
@@ -130,10 +131,10 @@
         :returns: a handle to cancel the wait
         """
         pending = PendingRequest()
-        waiting = self._waiting.get(endpoint.name)
+        waiting = self._waiting.get(id(endpoint))
         if waiting is None:
             waiting = _Waiting(endpoint, pool)
-            self._waiting[endpoint.name] = waiting
+            self._waiting[id(endpoint)] = waiting
             loop = asyncio.get_running_loop()
             loop.call_later(EXIT_S, self._look, waiting)
         waiting.ended.append(
@@ -167,7 +168,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(POLL_S, self._look, waiting)
         else:
-            del self._waiting[waiting.endpoint.name]
+            del self._waiting[id(waiting.endpoint)]
             for probe in waiting.probes:
                 probe.cancel()
         for each, result in results:
--- a/tests/test_life_proofs.py
+++ b/tests/test_life_proofs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 import pytest
@@ -306,6 +306,43 @@
             assert after_s <= within_s
         assert server.probes == probes
 
+    # Another process under the id was judged by the connections of the first.
+    def test_two_processes_of_one_id(self) -> None:
+        results: list[tuple[str, Proof]] = []
+
+        async def run(loop: NetworkLoop) -> None:
+            proofs = LifeProofs(
+                loop.time,
+                lambda endpoint: REQUEST,
+                lambda endpoint, status, headers: status == 200,
+                lambda endpoint: REPORT,
+                bytes.decode,
+            )
+            pools = []
+            for number in (1, 2):
+                address = f"10.1.0.{number}", 80
+                loop.listeners[address] = Server(delay_s=0.2).accept
+                pool = Pool(*address, loop.time)
+                pools.append(pool)
+                if number == 1:
+                    pool.add_idle()
+                    await asyncio.sleep(0.01)
+                entry = replace(an_entry("e-1"), born=f"{number}")
+
+                def take(proof: Proof, born: str = entry.born) -> None:
+                    results.append((born, proof))
+
+                now_s = loop.time()
+                proofs.wait(
+                    Endpoint(entry, None), pool, now_s, now_s + LIMIT_S, take
+                )
+            await asyncio.sleep(3.0)
+            for pool in pools:
+                pool.close()
+
+        assert run_in_network(run) == []
+        assert sorted(results) == [("1", Proof.ANSWER), ("2", Proof.NONE)]
+
 
 class StandstillSuite:
     # Bytes that were on their way counted as written after a pause.
