A request whose caller left amid an end check ends once

Operators saw such a request finish twice: as left, and later as answered and run, which also counted as a sign that its prompt crashes nothing. The check's timer ran on after the request's end and accepted the stream. Before, tests/test_end_checks.py, test_a_request_whose_caller_left_ends_once, failed: the metrics had one outcome unknown and one ran. A request's end now cancels its check.

--- a/src/bulrushstream/daemon/endcheck.py
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -74,6 +74,10 @@
             self._held = b""
         return b""
 
+    def cancel(self) -> None:
+        """End the check without a result, as its request has ended."""
+        self._timer.cancel()
+
     def ended(self) -> None:
         """Handle the end of its attempt, which had nothing to add."""
         self._attempt.endpoint.vain_end_checks += 1
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -409,6 +409,9 @@
         """Stop the timers and report the request's end to the front."""
         self.done = True
         self.cancel_overdue_timer()
+        if self.end_check is not None:
+            self.end_check.cancel()
+            self.end_check = None
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
             self._deadline_timer = None
--- a/tests/checkedstreams.py
+++ b/tests/checkedstreams.py
@@ -132,6 +132,7 @@
     old_caller: bool = False  # Whether it speaks HTTP/1.0.
     after: int = 0  # The last event that the caller has.
     deadline_s: float = 4.0
+    known: bool = False  # Whether ends of connections are expected.
     at_s: float = 0.0  # When `do` is called.
     do: Callable[[Front, Caller], None] | None = None
     callers: list[Caller] = field(default_factory=list)
@@ -149,6 +150,10 @@
                 RetryLimits(self.retry_ratio, self.retry_slack, 10.0)
             )
             self._start_endpoints(loop, front, endpoints)
+            if self.known:
+                for each in front.pool.by_name.values():
+                    front.connections.pool_for(each).expect_unframed()
+                await asyncio.sleep(0.02)
             for number in range(self.requests):
                 self._send(loop, front, number)
                 front.streams.history.list_read(loop.time())
--- a/tests/test_end_checks.py
+++ b/tests/test_end_checks.py
@@ -121,6 +121,28 @@
         Play(at_s=0.5, do=leave).run(endpoints)
         assert endpoints.closed == 1
 
+    # It ended once more, as run, when its check's time was over.
+    def test_a_request_whose_caller_left_ends_once(self) -> None:
+        fronts: list[Front] = []
+
+        def leave(front: Front, caller: Caller) -> None:
+            fronts.append(front)
+            for forward in list(front.forwards):
+                assert forward.end_check is not None
+                forward.exchange.ended = True
+                assert forward.exchange.on_disconnect is not None
+                forward.exchange.on_disconnect()
+
+        play = Play(known=True, at_s=0.5, do=leave)
+        play.run(Endpoints([UNFRAMED, Answer(hangs=True)]))
+        counts = [
+            (sample.labels["outcome"], sample.value)
+            for metric in fronts[0].metrics.requests.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        ]
+        assert counts == [("unknown", 1.0)]
+
 
 class BoundSuite:
     """What is not checked: its end is believed, as its endpoint lives."""
