Whole answers are not given up for the lack of a witness

A witness that ends within 1 s of an answer counts as used up. Idle connections become witnesses before new ones are opened, so that the request goes out on a newer one. Witnesses that expire are replaced only while requests are in flight.

The simulated endpoints sent empty bytes behind each answer without a body, which closes its connection; now they send none.

--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -47,6 +47,9 @@
 # after an answer.
 MAX_WITNESSES: Final = 4
 
+# A connection that ends so soon after an answer ends because of it.
+USED_UP_S: Final = 1.0
+
 # The number of ends of connections that are remembered, and the spread of
 # those that end at the same time.
 MAX_ENDED: Final = 1024
@@ -215,9 +218,10 @@
                 queue.remove(connection)
         if connection.answered_s > float("-inf"):
             self._answered.append((connection.opened_s, connection.answered_s))
-            if connection.is_witness:
-                self._wanted_witnesses = MAX_WITNESSES
-                self._keep_witnesses()
+        used_up = self.clock() - connection.heard_s < USED_UP_S
+        if connection.is_witness and used_up:
+            self._wanted_witnesses = MAX_WITNESSES
+            self._keep_witnesses()
         if ended_by_peer:
             self._ended.append((connection.opened_s, self.clock(), busy))
 
@@ -383,6 +387,11 @@
             return
         kept = len(self._witnesses) + self._opening_witnesses
         for _ in range(kept, self._wanted_witnesses):
+            idle = self._pop_idle(fresh=False)
+            if idle is not None:
+                idle.is_witness = True
+                self._witnesses.append(idle)
+                continue
             if (
                 len(self._all) + self._connecting + self._opening_witnesses
                 >= self.options.max_connections - 1
@@ -427,11 +436,12 @@
 
     def expire_idle(self) -> None:
         """Close the idle connections whose idle time has passed."""
-        now_s = self.clock()
+        now_s, busy = self.clock(), self.is_busy
         for queue in (self._idle, self._retired, self._witnesses):
             while queue and queue[0].idle_until_s <= now_s:
                 queue.popleft().close()
-        self._keep_witnesses()
+        if busy:
+            self._keep_witnesses()
 
     def close(self) -> None:
         """Close all connections."""
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -245,6 +245,7 @@
             number=number,
             version=version,
             born=born,
+            closes=self.plan.closes,
         )
         self.endpoints[name] = endpoint
         self.loop.listeners[address] = endpoint.accept
--- a/tests/crashingendpoints.py
+++ b/tests/crashingendpoints.py
@@ -79,6 +79,7 @@
     """How an answer without a length and chunks ends."""
 
     CLOSED = "closed"
+    SLOWLY = "closed after a while"
     RESET = "reset"
     AMID_EVENT = "amid an event"
     KILLED = "with its process"  # In part, between two events.
@@ -169,6 +170,7 @@
     number: int = 0  # Among the first endpoints of its service, from 0.
     version: str = ""  # Of its software.
     born: str = ""  # When it started, as it says; empty: it does not tell.
+    closes: bool = False  # Connections after an answer with a length.
 
     def accept(self, transport: Transport) -> Serving:
         return Serving(self, transport)
@@ -420,6 +422,9 @@
         streams = b"x-token-counts" in self._headers
         kind = EVENT_STREAM if streams else b""
         self._send_head(b"200 OK", self._headers, kind)
+        if how is Unframed.SLOWLY:
+            self._send_slowly(streams, 1)
+            return
         killed = how is Unframed.KILLED
         if streams:
             for number in range(1, 2 if killed else EVENTS + 1):
@@ -436,6 +441,14 @@
         self.transport.end(reset if how is Unframed.RESET else None)
         self.closed()
 
+    def _send_slowly(self, streams: bool, number: int) -> None:
+        if number > EVENTS:
+            self.transport.end(None)
+            self.closed()
+            return
+        self.transport.send(self._event(number) if streams else b"whole")
+        self._later(EVENT_S, lambda: self._send_slowly(streams, number + 1))
+
     def _answer_in_part(self) -> None:
         self._begin_answer(self._headers)
         self.transport.send(b"a piece")
@@ -444,8 +457,12 @@
     def _answer(self, status: bytes, body: bytes, more: bytes = b"") -> None:
         length = b"Content-Length: %d\r\n" % len(body)
         self._send_head(status, self._headers, length + more)
-        self.transport.send(body)
+        if body:
+            self.transport.send(body)
         self._end_run()
+        if self.endpoint.closes:
+            self.transport.end(None)
+            self.closed()
 
     def _send_head(
         self, status: bytes, headers: dict[bytes, bytes], more: bytes
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -146,6 +146,7 @@
     drains: tuple[tuple[float, str], ...] = ()  # Times and endpoints.
     # When the store answers no call: from and to.
     store_away: tuple[tuple[float, float], ...] = ()
+    closes: bool = False  # Whether endpoints close connections after answers.
     tells_start: bool = True  # Whether endpoints say when they started.
     # By how much the times of day of routers are wrong, by their numbers.
     clock_errors_s: dict[int, float] = field(default_factory=dict)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -154,7 +154,7 @@
         replies = history.replies[ASKING.label]
         assert len(replies) >= 3
         streams = path in ("/talk/", "/tell/")
-        whole = how is Unframed.CLOSED
+        whole = how in (Unframed.CLOSED, Unframed.SLOWLY)
         if how is Unframed.AMID_EVENT and not streams:
             whole = True  # There are no events.
         for reply in replies:
