A seeded soak of real router processes

Three routers as processes, five endpoints behind loopback proxies that accept and close as an endpoint has ended; endpoints that end and start again at their address under the same id with a new `born` or under a new id, answers with and without a length, each line end; routers that get SIGTERM, SIGKILL and SIGSTOP, also in turn; changes of the configuration; callers of HTTP/1.0 and 1.1 that keep their connections and judge order, runs and ends exactly.

--- /dev/null
+++ b/tests/processsoak.py
@@ -0,0 +1,313 @@
+"""Random faults around streams of real routers, and callers who judge them.
+
+`python -m tests.processsoak --seed N` plays one seed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import itertools
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Final
+
+from bulrushstream.standins.keyedlog import KeyedLog
+from tests.deployments import HOST, KEY, wire_config, wire_route
+from tests.soakendpoints import (
+    READ_BYTES,
+    Endpoint,
+    Proxy,
+    Runs,
+    encode_head,
+    read_head,
+)
+from tests.soakrouters import RouterProcess, free_ports
+from tests.streamjudge import Answer, judge
+
+ROUTERS: Final = 3
+ENDPOINTS: Final = 5
+STREAMS_PER_S: Final = 40.0
+PLAY_S: Final = 15.0
+LIMIT_S: Final = 8.0  # How long a caller waits for an answer.
+SETTLE_S: Final = 1.5  # Until routers know the endpoints.
+
+
+@dataclass(slots=True, eq=False)
+class Soak:
+    """One play."""
+
+    seed: int
+    folder: Path
+    streams: int = 0
+    whole: int = 0
+    wrong: list[str] = field(default_factory=list)
+    store: KeyedLog = field(init=False)
+    runs: Runs = field(init=False)
+    proxies: list[Proxy] = field(default_factory=list)
+    routers: list[RouterProcess] = field(default_factory=list)
+    _version: int = 0
+    _born: int = 1
+    _starting: list[asyncio.Task[None]] = field(default_factory=list)
+    # Open connections of callers, by their router's address.
+    _kept: dict[str, list[_Connection]] = field(default_factory=dict)
+
+    async def play(self) -> None:
+        """Start the fleet, disturb it, and judge its callers' answers."""
+        loop = asyncio.get_running_loop()
+        self.store = KeyedLog(loop.time)
+        self.runs = Runs(self.seed)
+        await self.store.start()
+        self._configure()
+        ips = [f"127.0.0.{number}" for number in range(2, 2 + ROUTERS)]
+        port = free_ports(ips)
+        for number in range(ENDPOINTS):
+            await self._start_endpoint(f"e-{number}")
+        self.routers = [
+            RouterProcess(ip, port, ips, self.store.port, self.folder)
+            for ip in ips
+        ]
+        disturbing: list[asyncio.Task[None]] = []
+        try:
+            for router in self.routers:
+                await router.start(bootstrap=True)
+            for router in self.routers:
+                await router.wait_until_ready()
+            await asyncio.sleep(SETTLE_S)
+            work = [self._end_endpoints(), self._change_configuration()]
+            work += [self._disturb(router) for router in self.routers[1:]]
+            disturbing = [asyncio.create_task(each) for each in work]
+            await self._ask_all()
+        finally:
+            for task in disturbing:
+                task.cancel()
+            await asyncio.gather(
+                *disturbing, *self._starting, return_exceptions=True
+            )
+            for router in self.routers:
+                await router.end()
+            for _, writer in itertools.chain(*self._kept.values()):
+                writer.transport.abort()
+            for proxy in self.proxies:
+                proxy.endpoint.end()
+                proxy.stop()
+            await self.store.stop()
+            await asyncio.sleep(0.1)  # Transports end in the loop.
+
+    # --- Faults.
+
+    def _configure(self) -> None:
+        """Write the next version of the configuration."""
+        self._version += 1
+        routes = [
+            wire_route(
+                prefix,
+                "llm",
+                "streaming",
+                timeoutMs=6000,
+                maxAttempts=tries,
+                resumable=tries > 1,
+                sessionAffinity=True,
+                gapTargetMs=250,
+            )
+            for prefix, tries in (("/talk/", 3), ("/tell/", 1))
+        ]
+        more = wire_route(f"/more{self._version}/", "desk", "idempotent")
+        config = wire_config(*routes, more, version=self._version)
+        self.store.put("keyed.op", "config", config)
+
+    async def _start_endpoint(self, name: str) -> None:
+        endpoint = Endpoint(name, self._born, self.runs)
+        await endpoint.start()
+        proxy = Proxy(endpoint)
+        await proxy.start()
+        self.proxies.append(proxy)
+        self.store.put("keyed.servers", name, proxy.entry)
+
+    async def _end_endpoints(self) -> None:
+        """End processes of endpoints; start them again, behind a proxy."""
+        rng = Random(f"{self.seed} endpoints")
+        while True:
+            await asyncio.sleep(rng.uniform(0.4, 2.0))
+            proxy = rng.choice(self.proxies[: ENDPOINTS // 2 + 1])
+            ended = proxy.endpoint
+            ended.end()
+            self._born += 1
+            name = ended.name
+            if rng.random() < 0.5:
+                name = f"e-{self._born}-new"
+                self.store.put("keyed.servers", ended.name, b"")
+            await asyncio.sleep(rng.choice((0.0, rng.uniform(0.0, 0.5))))
+            proxy.endpoint = Endpoint(name, self._born, self.runs)
+            await proxy.endpoint.start()
+            self.store.put("keyed.servers", name, proxy.entry)
+
+    async def _change_configuration(self) -> None:
+        rng = Random(f"{self.seed} configuration")
+        while True:
+            await asyncio.sleep(rng.uniform(1.0, 4.0))
+            self._configure()
+
+    async def _disturb(self, router: RouterProcess) -> None:
+        """Stop, kill and freeze a router, at times during its stop."""
+        rng = Random(f"{self.seed} {router.ip}")
+        while True:
+            await asyncio.sleep(rng.uniform(0.3, 3.0))
+            kind = rng.choice(("stop", "kill", "freeze", "stop and freeze"))
+            if kind.startswith("stop"):
+                router.signal(signal.SIGTERM)
+                await asyncio.sleep(rng.uniform(0.0, 1.0))
+            if kind.endswith("freeze"):
+                router.signal(signal.SIGSTOP)
+                await asyncio.sleep(rng.uniform(0.1, 2.0))
+                router.signal(signal.SIGCONT)
+            if kind == "freeze":
+                continue
+            if kind == "kill":
+                router.signal(signal.SIGKILL)
+            assert router.process is not None
+            await router.process.wait()
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+            start = asyncio.create_task(router.start(bootstrap=False))
+            self._starting.append(start)
+            await asyncio.shield(start)
+
+    # --- Callers.
+
+    async def _ask_all(self) -> None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + PLAY_S
+        tasks = []
+        while loop.time() < end_s:
+            self.streams += 1
+            tasks.append(asyncio.create_task(self._ask(self.streams)))
+            await asyncio.sleep(1 / STREAMS_PER_S)
+        self.whole = sum(await asyncio.gather(*tasks))
+
+    async def _ask(self, number: int) -> bool:
+        """Ask for a stream; return whether it was received whole."""
+        rng = Random(f"{self.seed} caller {number}")
+        resumable = rng.random() < 0.7
+        deadline_ms = 6000
+        if rng.random() < 0.25:
+            deadline_ms = rng.randint(200, 1200)
+        first_id = f"q{number}"
+        path = f"/{'talk' if resumable else 'tell'}/{number}"
+        events: list[tuple[int, int]] = []
+        for attempt in range(3 if resumable else 1):
+            headers = {
+                "Host": HOST,
+                "X-Request-Id": f"{first_id}-{attempt}",
+                "X-Model": "m",
+                "X-Token-Counts": "60,20",
+                "X-Prompt-Prefix": f"a1:40,{number:x}b:20",
+                "X-Deadline-Ms": str(deadline_ms),
+                "Authorization": f"Bearer {KEY}",
+                "Content-Length": "4",
+            }
+            if attempt and events:
+                headers["Last-Event-Id"] = str(events[-1][0])
+                headers["Resumes"] = f"{first_id}-0"
+            version = rng.choice(("1.0", "1.1", "1.1"))
+            line = f"POST {path} HTTP/{version}"
+            router = rng.choice(self.routers)
+            request = encode_head(line, headers) + b"text"
+            answer = await self._exchange(router, request, version)
+            name = f"{first_id}-{attempt} HTTP/{version} {answer.framing}"
+            if answer.status == "200":
+                wrong = judge(name, answer, events, resumable)
+                if wrong:
+                    self.wrong.append(wrong)
+                    return False
+                if answer.complete:
+                    return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def _exchange(
+        self, router: RouterProcess, request: bytes, version: str
+    ) -> Answer:
+        """Send a request, on an open connection if there is one."""
+        answer = Answer()
+        connection = None
+        kept = self._kept.setdefault(router.ip, [])
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                if kept and version == "1.1":
+                    connection = kept.pop()
+                else:
+                    connection = await asyncio.open_connection(
+                        router.ip, router.first_port
+                    )
+                reader, writer = connection
+                writer.write(request)
+                head = await read_head(reader)
+                if head is not None:
+                    answer.status = head[0].split(" ")[1]
+                    await _read_body(reader, head[1], answer)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            pass
+        if connection is None:
+            return answer
+        if answer.complete and answer.framing != "close":
+            kept.append(connection)
+        else:
+            connection[1].transport.abort()
+        return answer
+
+
+_Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+async def _read_body(
+    reader: asyncio.StreamReader, headers: dict[str, str], answer: Answer
+) -> None:
+    """Read a body as far as it comes."""
+    if "chunked" in headers.get("transfer-encoding", ""):
+        answer.framing = "chunks"
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            answer.body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readexactly(2)
+    elif "content-length" in headers:
+        answer.framing = "length"
+        size = int(headers["content-length"])
+        answer.body = await reader.readexactly(size)
+    else:
+        answer.framing = "close"
+        while data := await reader.read(READ_BYTES):
+            answer.body += data
+    answer.complete = True
+
+
+async def play_soak(seed: int, folder: Path) -> Soak:
+    """Play a seed and return what came of it.
+
+    :param seed: draws the faults and the callers
+    :param folder: for the routers' settings and logs
+    """
+    soak = Soak(seed, folder)
+    await soak.play()
+    return soak
+
+
+def main() -> int:
+    """Play one seed; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, required=True)
+    seed = parser.parse_args().seed
+    folder = Path(tempfile.mkdtemp(prefix="soak-"))
+    soak = asyncio.run(play_soak(seed, folder))
+    print(
+        f"seed {seed}: {soak.streams} streams, {soak.whole} whole,"
+        f" {soak.runs.begun} runs, {len(soak.wrong)} wrong; logs in {folder}"
+    )
+    print(*soak.wrong, sep="\n")
+    return 1 if soak.wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
