--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -8,7 +8,6 @@
 import argparse
 import asyncio
 import itertools
-import re
 import signal
 import sys
 import tempfile
@@ -20,7 +19,6 @@
 from bulrushstream.standins.keyedlog import KeyedLog
 from tests.deployments import HOST, KEY, wire_config, wire_route
 from tests.soakendpoints import (
-    EVENTS,
     READ_BYTES,
     Endpoint,
     Proxy,
@@ -29,6 +27,7 @@
     read_head,
 )
 from tests.soakrouters import RouterProcess, free_ports
+from tests.streamjudge import Answer, judge
 
 ROUTERS: Final = 3
 ENDPOINTS: Final = 5
@@ -36,21 +35,6 @@
 PLAY_S: Final = 15.0
 LIMIT_S: Final = 8.0  # How long a caller waits for an answer.
 SETTLE_S: Final = 1.5  # Until routers know the endpoints.
-_LINE_END: Final = rb"(?:\r\n|\n|\r(?!\n))"
-_EVENT: Final = re.compile(
-    rb"id: (\d+)%b" % _LINE_END + rb"data: run (\d+)%b{2}" % _LINE_END
-)
-_EVENT_BEGIN: Final = re.compile(rb"(?:(?!\n\n|\r\r|\r\n\r).)*", re.DOTALL)
-
-
-@dataclass(slots=True)
-class Answer:
-    """An answer as its caller sees it."""
-
-    status: str = ""
-    framing: str = ""
-    body: bytes = b""
-    complete: bool = False  # Whether it looks so.
 
 
 @dataclass(slots=True, eq=False)
@@ -235,9 +219,12 @@
             answer = await self._exchange(router, request, version)
             name = f"{first_id}-{attempt} HTTP/{version} {answer.framing}"
             if answer.status == "200":
-                found = self.judge(name, answer, events, resumable)
-                if not found or answer.complete:
-                    return found
+                wrong = judge(name, answer, events, resumable)
+                if wrong:
+                    self.wrong.append(wrong)
+                    return False
+                if answer.complete:
+                    return True
             await asyncio.sleep(0.1)
         return False
 
@@ -272,42 +259,6 @@
             connection[1].transport.abort()
         return answer
 
-    def judge(
-        self,
-        name: str,
-        answer: Answer,
-        events: list[tuple[int, int]],
-        resumable: bool,
-    ) -> bool:
-        """Add an answer's events; return whether all is as it must be.
-
-        :param name: the request's, for the findings
-        :param answer: the answer
-        :param events: ids and runs of the events that its caller has
-        :param resumable: whether the stream may go on in another run
-        """
-        position = 0
-        while found := _EVENT.match(answer.body, position):
-            position = found.end()
-            number, run = int(found[1]), int(found[2])
-            last, last_run = events[-1] if events else (0, run)
-            if number != last + 1:
-                self.wrong.append(f"{name}: {number} after {last}")
-                return False
-            if run != last_run and not resumable:
-                self.wrong.append(f"{name}: run {run} after run {last_run}")
-                return False
-            events.append((number, run))
-        rest = answer.body[position:]
-        last = events[-1][0] if events else 0
-        if not _EVENT_BEGIN.fullmatch(rest):
-            self.wrong.append(f"{name}: not an event {rest[:60]!r}")
-        elif answer.complete and (rest or last != EVENTS):
-            self.wrong.append(f"{name}: complete at {last}, {rest[:60]!r}")
-        else:
-            return True
-        return False
-
 
 _Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
--- a/tests/test_stream_soak_processes.py
+++ b/tests/test_stream_soak_processes.py
@@ -12,8 +12,9 @@
 import pytest
 
 from tests.eventstreams import LINE_ENDS
-from tests.processsoak import Answer, Soak, play_soak
+from tests.processsoak import play_soak
 from tests.soakendpoints import encode_event
+from tests.streamjudge import Answer, judge
 
 
 class StreamSoakSuite:
@@ -55,18 +56,15 @@
         cut_bytes: int,
         complete: bool,
         right: bool,
-        tmp_path: Path,
     ) -> None:
         body = b"".join(
             encode_event(number, runs[min(number // 9, len(runs) - 1)], end)
             for number in numbers
         )
         answer = Answer("200", "", body[: len(body) - cut_bytes], complete)
-        soak = Soak(1, tmp_path)
-        assert soak.judge("q1", answer, [], resumable) == right
-        assert bool(soak.wrong) == (not right)
+        wrong = judge("q1", answer, [], resumable)
+        assert (wrong == "") == right
 
-    def test_other_bytes(self, tmp_path: Path) -> None:
-        soak = Soak(1, tmp_path)
+    def test_other_bytes(self) -> None:
         body = encode_event(1, 1, b"\n") + b"HTTP/1.1 200 OK\r\n\r\n"
-        assert not soak.judge("q1", Answer("200", "", body), [], True)
+        assert judge("q1", Answer("200", "", body), [], True)
