The check of a stream's end does not wait for its caller's room

Callers with much to read saw a stream that had been cut pass for whole. The attempt that checks the end was paused as its caller's buffer was full, also if it had brought nothing new yet, and the check's time ran out. Before, tests/test_end_checks.py, test_its_caller_is_slow, failed in both of its cases: three events of five, and an end in order. What a check reads is bounded, and it holds no events that its caller could have; so it reads on until it has a result. Both cases pass: all five events arrive.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -432,7 +432,8 @@
         self._keep(splitter.partial_bytes)
         if splitter.out_of_order:
             self._give_up("the id of an event does not rise")
-        if self.forward.exchange.full:
+        # A check keeps what its caller may get until it has a result.
+        if self.forward.exchange.full and self.forward.end_check is None:
             self._pause()
 
     def _buffer(self, head: AnswerHead, data: bytes) -> None:
--- a/tests/checkedstreams.py
+++ b/tests/checkedstreams.py
@@ -36,6 +36,7 @@
     resets: bool = False  # Whether it breaks off behind its events.
     hangs: bool = False  # Whether nothing is written.
     more: bytes = b""  # Follows the events.
+    first_bytes: int = 0  # Of the body that come alone; 0: all in one piece.
 
 
 @dataclass(slots=True)
@@ -106,6 +107,8 @@
             events, kind = [], b""
         body = b"".join(events) + answer.more
         framing = b"Content-Length: %d\r\n" % len(body)
+        size = answer.first_bytes % len(body) if body else 0
+        size = size or len(body)
         self._transport.send(
             b"HTTP/1.1 %b\r\nX-Request-Id: %b\r\nX-Response-Signature: s\r\n"
             % (answer.status, self._headers[b"x-request-id"])
@@ -113,8 +116,16 @@
             + answer.headers
             + (framing if answer.framed and not answer.resets else b"")
             + b"\r\n"
-            + body
+            + body[:size]
         )
+        if size == len(body):
+            self._end(answer)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(WORK_S, self._transport.send, body[size:])
+        loop.call_later(WORK_S, self._end, answer)
+
+    def _end(self, answer: Answer) -> None:
         if answer.resets:
             self._transport.end(ConnectionResetError("reset by peer"))
         elif not answer.framed:
--- a/tests/test_end_checks.py
+++ b/tests/test_end_checks.py
@@ -61,6 +61,25 @@
         assert body_of(caller.data) == ("200", b"".join(EVENTS[:2]), False)
         assert endpoints.sends == [0, 1, 2]
 
+    # Its check waited for the caller's room until its time was over.
+    @pytest.mark.parametrize(
+        "rest",
+        [
+            Answer(repeats=True, first_bytes=len(EVENTS[0])),
+            Answer(first_bytes=3),
+        ],
+        ids=["events again", "a part of an event"],
+    )
+    def test_its_caller_is_slow(self, rest: Answer) -> None:
+        def fill(front: Front, caller: Caller) -> None:
+            for forward in list(front.forwards):
+                forward.exchange.full = True
+
+        endpoints = Endpoints([Answer(3, framed=False), rest])
+        caller = Play(known=True, at_s=0.1, do=fill).run(endpoints)
+        assert body_of(caller.data) == ("200", WHOLE, True)
+        assert endpoints.sends == [0, 3]
+
     def test_callers_of_http_1_0(self) -> None:
         endpoints = Endpoints([Answer(2, framed=False), Answer()])
         caller = Play(old_caller=True).run(endpoints)
