A service that ends answers with their connections is remembered longer

The first answer without a length that a service sends to a router can not be proved if no other connection to the endpoint was open, and is given up if it may not be repeated. Services that send such answers rarely had a first one every 30 s; now one in ten minutes. A connection kept for the proof costs nothing while no request is in flight.

--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -41,7 +41,7 @@
 
 # An endpoint whose answers end with their connections is expected to send
 # such ones for this long.
-UNFRAMED_S: Final = 30.0
+UNFRAMED_S: Final = 600.0
 
 # Idle connections that are kept back for probes, if the peer ends each one
 # after an answer.
