Streams that began as the list lagged have no known version

A stream of the next process passed for one of the version before, and went on at that: until the list names a process that returned under its id with another version, its streams are recorded with the version of the entry that is known. As the list names the next process, streams that began within the lag of the list at the earlier one have no known version now; those from before keep theirs. The next process is taken for the listed one only once the list is newer than the last end of a connection, as it may have ended again; and a replaced endpoint is never verified again.

Before: the two new cases of VersionSuite failed. After: they pass, as do the suites of versions, origins and history.

--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.routetable import index_routes
-from bulrushstream.daemon import runwatch
+from bulrushstream.daemon import runwatch, takeups
 from bulrushstream.daemon.front import Front
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.routes import EndpointEntry, RouteConfig
@@ -55,13 +56,13 @@
         entry = entry.after(known.entry)
         if known.entry == entry:
             return
-    elif known is not None:
-        _process_replaced(front, entry.endpoint)
     traits = None
     if front.table is not None:
         service = front.table.services.get(entry.service)
         traits = service.engine if service is not None else None
     front.pool.update(entry, traits)
+    if known is not None and known.removed:
+        _process_replaced(front, known, front.pool.by_name[entry.endpoint])
     front.fleet_state.notices.listed(entry)
     front.streams.endpoints_changed(entry.service, front.pool)
     front.observe(
@@ -79,16 +80,20 @@
     )
 
 
-def _process_replaced(front: Front, endpoint: str) -> None:
+def _process_replaced(front: Front, before: Endpoint, after: Endpoint) -> None:
     """Forget what is known of a process, as another one has its id.
 
     :param front: the router
-    :param endpoint: the id
+    :param before: the endpoint as it was listed
+    :param after: the endpoint as it is listed now
     """
-    runwatch.process_replaced(front, endpoint)
-    front.connections.remove(endpoint)
-    front.fleet_state.limits.forget(endpoint)
-    front.fleet_state.notices.process_replaced(endpoint)
+    name = before.name
+    ended_s = front.connections.pool_for(before).last_ended_s
+    takeups.process_replaced(front, before, after, ended_s)
+    runwatch.process_replaced(front, name)
+    front.connections.remove(name)
+    front.fleet_state.limits.forget(name)
+    front.fleet_state.notices.process_replaced(name)
 
 
 def remove_endpoint(front: Front, endpoint: str) -> None:
--- a/src/bulrushstream/daemon/takeups.py
+++ b/src/bulrushstream/daemon/takeups.py
@@ -323,6 +323,25 @@
         endpoint.unverified_s = front.clock()
 
 
+def process_replaced(
+    front: Front, before: Endpoint, after: Endpoint, ended_s: float
+) -> None:
+    """Handle an endpoint that the list names as another process.
+
+    The list lags: what began lately may be of either, and the connections
+    that ended lately may have been those of the next one already.
+
+    :param front: the router
+    :param before: the endpoint as it was listed
+    :param after: the endpoint as it is listed now
+    :param ended_s: when a connection to it last ended
+    """
+    listed_s = front.clock() - LIST_LAG_S
+    before.unverified_s = min(before.unverified_s, listed_s)
+    if ended_s > listed_s:
+        after.unverified_s = ended_s
+
+
 def sweep(front: Front) -> None:
     """Tell other routers what they miss, and forget what is old.
 
@@ -350,6 +369,8 @@
 
 def _is_verified(front: Front, endpoint: Endpoint) -> bool:
     """Return whether an endpoint's process is the one that is listed."""
+    if front.pool.is_replaced(endpoint):
+        return False
     pool = front.connections.pool_for(endpoint)
     ended_s = pool.last_ended_s
     if ended_s > endpoint.verified_s:
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -14,6 +14,7 @@
 
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.front import Front
+from bulrushstream.daemon.takeups import LIST_LAG_S
 from bulrushstream.platform.headers import decode_answer
 from bulrushstream.protocol.peercodec import (
     CHECKSUM,
@@ -25,6 +26,7 @@
     PeerUpdate,
     RequestPlaced,
 )
+from bulrushstream.transport.connection import Connection
 from tests.crashplans import CrashPlan
 from tests.crashrouters import make_router
 from tests.deployments import an_entry
@@ -115,6 +117,36 @@
         assert front.fleet_state.notices.unavailable(10.0) == set()
 
 
+class VersionSuite:
+    # A stream of the next process passed for one of the earlier version.
+    def test_a_stream_that_began_as_the_list_lagged(self) -> None:
+        front = a_front()
+        first = front.pool.by_name["e-1"]
+        origins = front.streams.origins
+        earlier, later = (
+            origins.began((number,), first, began_s)[0]
+            for number, began_s in enumerate((10.0 - LIST_LAG_S - 0.1, 9.9))
+        )
+        assert later.known_version == "v1"
+        entry = replace(SECOND, version="v2")
+        platformupdates.apply_entry(front, entry)
+        assert earlier.known_version == "v1"
+        assert later.known_version == ""
+        assert origins.began((9,), first, 10.0)[0].known_version == ""
+        second = front.pool.by_name["e-1"]
+        assert origins.began((9,), second, 10.0)[0].known_version == "v2"
+
+    # The listed process had ended, too, and its id was taken for the next.
+    def test_a_connection_that_ended_as_the_list_lagged(self) -> None:
+        front = a_front()
+        pool = front.connections.pool_for(front.pool.by_name["e-1"])
+        connection = Connection(pool)
+        pool.remove(connection, ended_by_peer=True)
+        platformupdates.apply_entry(front, replace(SECOND, version="v2"))
+        second = front.pool.by_name["e-1"]
+        assert not second.is_same_at(10.0)
+
+
 class PeerSuite:
     # What peers told late of a process was believed of the next one.
     def test_late_reports_of_the_earlier_process_do_not_count(self) -> None:
