A property test of streams some of whose events have no id

Random streams, broken at each byte, resumed behind the last id or from an earlier id on: nothing comes twice, nothing is missing.

`pieces` is in tests/eventstreams.py only now; no check has changed.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import itertools
+from itertools import accumulate
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bulrushstream.state.events import EventSplitter
+from tests.eventstreams import pieces
 
 
 def events(first: int, last: int) -> bytes:
@@ -19,14 +20,6 @@
     )
 
 
-def pieces(data: bytes, cuts: list[int]) -> list[bytes]:
-    """Return data cut at the given positions, modulo its length."""
-    positions = sorted(
-        {0, len(data), *(cut % (len(data) + 1) for cut in cuts)}
-    )
-    return [data[a:b] for a, b in itertools.pairwise(positions)]
-
-
 class SplitterSuite:
     @given(st.lists(st.integers(0, 10_000), max_size=12))
     def test_events_are_complete_however_the_stream_is_cut(
@@ -110,6 +103,36 @@
         assert splitter.last_id == 4
         assert not splitter.can_resume
 
+    @given(
+        st.lists(st.integers(0, 3), min_size=1, max_size=9),
+        st.integers(0, 10_000),
+        st.integers(0, 10_000),
+        st.lists(st.integers(0, 10_000), max_size=20),
+    )
+    def test_some_events_have_no_id(
+        self, rises: list[int], broken_at: int, begin: int, cuts: list[int]
+    ) -> None:
+        """Guards against events that come twice or never on a retry."""
+        # An event has an id if the id rises.
+        ids = [n if rises[i] else 0 for i, n in enumerate(accumulate(rises))]
+        encoded = [
+            (b"id: %d\n" % number if number else b"") + b"data: %d\n\n" % index
+            for index, number in enumerate(ids)
+        ]
+        stream = b"".join(encoded)
+        splitter = EventSplitter()
+        output = splitter.feed(stream[: broken_at % (len(stream) + 1)])
+        if not splitter.can_resume:
+            return
+        splitter.restart()
+        starts = [0]
+        if splitter.last_id is not None:
+            last = ids.index(splitter.last_id)
+            starts = [last + 1, *(i for i in range(last + 1) if ids[i])]
+        resumed = b"".join(encoded[starts[begin % len(starts)] :])
+        output += b"".join(map(splitter.feed, pieces(resumed, cuts)))
+        assert output == stream
+
     @pytest.mark.parametrize("value", ["", "x", "1" * 19, "-1"])
     def test_an_id_is_no_number(self, value: str) -> None:
         """Guards against a stream that goes on before such an event."""
