A check of a stream's end that fails is made once more

What callers saw: a cut stream that looks whole, though its end was checked or could have been: the attempt that checked it broke off too, or half of the retry budget was used up by retries of other requests.

Where much fails, much is retried, and nothing is left for checks.

A failed check is followed by another one, at another endpoint if there is one, within the attempts and the budget; silence is not, as its limit in time holds for all attempts. Checks stop at three quarters of the budget, at nine tenths where the endpoint is known to cut streams. In exchange an endpoint is checked rarely after 32 checks in vain instead of 64.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -47,6 +47,7 @@
     verified_s: float = float("-inf")  # Before this it was the same process.
     # Checks of its streams' ends that found nothing, since one did.
     vain_end_checks: int = 0
+    cuts_streams: bool = False  # Whether one of them found a cut, lately.
 
     def is_same_at(self, at_s: float) -> bool:
         """Return whether the listed process had its id at a time.
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -53,9 +53,9 @@
         accepts requests; the reason if the request is refused
     """
     now_s = front.clock()
-    # The endpoint whose stream is checked keeps the prompt.
-    checks_end = forward.end_check is not None
-    usable = takeups.usable(forward, () if checks_end else forward.tried)
+    check = forward.end_check
+    tried = forward.tried if check is None else check.tried
+    usable = takeups.usable(forward, tried)
     if not usable and forward.route.repeatable:
         usable = takeups.usable(forward)
     if not usable:
--- a/src/bulrushstream/daemon/endcheck.py
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -2,11 +2,12 @@
 
 An endpoint that lives, or a proxy before it, may end such a stream in order
 before it is whole.  A stream that may be resumed is checked: another attempt
-goes on at its last event, and a whole one has nothing to add.  An attempt
-that shows neither leaves the end as it was: believed.
+goes on at its last event, and a whole one has nothing to add.  If the
+attempts show neither, the end is believed.
 
 A check is a retry.  Checks leave a part of the budget to retries of what has
-failed, and become rare at an endpoint at which they find nothing.
+failed, a smaller one where an endpoint is known to cut streams, and become
+rare at an endpoint at which they find nothing.
 """
 
 from __future__ import annotations
@@ -20,15 +21,18 @@
 from bulrushstream.state.events import MAX_EVENT_BYTES
 
 if TYPE_CHECKING:
+    from bulrushstream.coordination.endpointpool import Endpoint
     from bulrushstream.daemon.attempt import Attempt
     from bulrushstream.state.call import AnswerHead
 
-# The part of the retry budget that is used up before checks stop.
-MAX_BUDGET_SHARE: Final = 0.5
+# The part of the retry budget that is used up before checks stop, and the
+# same for endpoints that cut streams.
+MAX_BUDGET_SHARE: Final = 0.75
+MAX_CUT_BUDGET_SHARE: Final = 0.9
 
 # After this many checks in a row that found nothing, as at an endpoint whose
 # answers never have a length, this fraction of an endpoint's ends is checked.
-MAX_IN_VAIN: Final = 64
+MAX_IN_VAIN: Final = 32
 RARE_FRACTION: Final = 1 / 16
 
 # A check ends this long before the deadline, and begins only with more time.
@@ -41,7 +45,15 @@
 class EndCheck:
     """The check of one stream's end, from its begin to its result."""
 
-    __slots__ = ("_attempt", "_head", "_held", "_last_id", "_timer", "forward")
+    __slots__ = (
+        "_attempt",
+        "_head",
+        "_held",
+        "_last_id",
+        "_timer",
+        "forward",
+        "tried",
+    )
 
     def __init__(self, attempt: Attempt, head: AnswerHead) -> None:
         """Begin the check.
@@ -54,6 +66,9 @@
         self._head = head
         self._last_id = self.forward.splitter.last_id or 0
         self._held = b""  # Events that came before one with a new id.
+        # Ids of endpoints whose attempts failed.  The one whose stream is
+        # checked keeps the prompt.
+        self.tried: set[str] = set()
         limit_s = overdue_delay_s(self.forward.route, stream_begun=False)
         left_s = self.forward.deadline_s - attempt.front.clock() - MARGIN_S
         self._timer = asyncio.get_running_loop().call_later(
@@ -76,9 +91,27 @@
 
     def ended(self) -> None:
         """Handle the end of its attempt, which had nothing to add."""
-        self._attempt.endpoint.vain_end_checks += 1
+        endpoint = self._attempt.endpoint
+        endpoint.vain_end_checks += 1
+        if endpoint.vain_end_checks >= MAX_IN_VAIN:
+            endpoint.cuts_streams = False
         self._accept("nothing_to_add", "the stream is whole")
 
+    def failed(self, detail: str) -> None:
+        """Make another attempt if there may be one; else believe the end.
+
+        :param detail: how its attempt failed
+        """
+        forward = self.forward
+        attempt, self._held = forward.attempt, b""
+        if attempt is None or not _acquire(attempt, self._attempt.endpoint):
+            self.unanswered(detail)
+            return
+        self.tried.add(attempt.endpoint.name)
+        forward.tried.add(attempt.endpoint.name)
+        self._log("failed", detail)
+        forward.go_on()
+
     def unanswered(self, detail: str) -> None:
         """Believe the end, as its attempt shows nothing.
 
@@ -91,6 +124,7 @@
         self._timer.cancel()
         self.forward.end_check = None
         self._attempt.endpoint.vain_end_checks = 0
+        self._attempt.endpoint.cuts_streams = True
         self._attempt.count_failure()
         self._log("goes_on", "the stream had been cut")
 
@@ -124,27 +158,37 @@
     :param head: the head of its answer
     :param events: the events that it brought last
     """
-    forward, front = attempt.forward, attempt.front
-    route, now_s = forward.route, front.clock()
-    if not route.repeatable or forward.progress.sends >= route.max_attempts:
-        return False
-    if forward.deadline_s - now_s < MIN_CHECK_S + MARGIN_S:
-        return False
-    if forward.exchange.is_caller_gone() or not _ends_with_id(events):
-        return False
-    rare = attempt.endpoint.vain_end_checks >= MAX_IN_VAIN
-    if rare and front.rng.random() >= RARE_FRACTION:
+    forward, endpoint = attempt.forward, attempt.endpoint
+    if not forward.route.repeatable or not _ends_with_id(events):
         return False
-    if not takeups.can_go_on(forward):
+    rare = endpoint.vain_end_checks >= MAX_IN_VAIN
+    if rare and attempt.front.rng.random() >= RARE_FRACTION:
         return False
-    if not front.acquire_retry(forward.service, MAX_BUDGET_SHARE):
+    if forward.exchange.is_caller_gone() or not _acquire(attempt, endpoint):
         return False
-    forward.tried.add(attempt.endpoint.name)
+    forward.tried.add(endpoint.name)
     forward.end_check = EndCheck(attempt, head)
     forward.go_on()
     return True
 
 
+def _acquire(attempt: Attempt, checked: Endpoint) -> bool:
+    """Use up a retry for a check; return whether there was one, and time.
+
+    :param attempt: the request's last attempt
+    :param checked: the endpoint whose stream ended
+    """
+    forward, front = attempt.forward, attempt.front
+    if forward.progress.sends >= forward.route.max_attempts:
+        return False
+    if forward.deadline_s - front.clock() < MIN_CHECK_S + MARGIN_S:
+        return False
+    share = MAX_CUT_BUDGET_SHARE if checked.cuts_streams else MAX_BUDGET_SHARE
+    return takeups.can_go_on(forward) and front.acquire_retry(
+        forward.service, share
+    )
+
+
 def _ends_with_id(events: bytes) -> bool:
     """Return whether the last event has an id.
 
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -263,7 +263,7 @@
             self._caller_left()
             return
         if self.end_check is not None:
-            self.end_check.unanswered(f"{failure.name.lower()}: {detail}")
+            self.end_check.failed(f"{failure.name.lower()}: {detail}")
             return
         front, attempt = self.front, self.attempt
         endpoint = attempt.endpoint.name if attempt is not None else ""
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.streamsoak import play_soak, random_plan
+from tests.streamsoak import live_cuts_plan, play_soak, random_plan
 
 SEEDS = range(1, 9)
 
@@ -21,3 +21,10 @@
         fleet = play_soak(random_plan(seed, path))
         assert fleet.judge.wrong == []
         assert fleet.given_up() == []
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_live_endpoints_cut_streams(self, seed: int) -> None:
+        """Guards against a cut that only its connection shows."""
+        fleet = play_soak(live_cuts_plan(seed))
+        assert fleet.judge.wrong == []
+        assert fleet.given_up() == []
