--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -12,7 +12,8 @@
 from bulrushstream.state.memorybudget import MemoryBudget
 from bulrushstream.state.routes import EndpointEntry
 from bulrushstream.transport.readturns import ReadTurns
-from bulrushstream.transport.upstream import Pool, PoolOptions, UnframedAnswers
+from bulrushstream.transport.upstream import Pool, PoolOptions
+from bulrushstream.transport.witnesses import UnframedAnswers
 
 # Connections per endpoint of a service that the configuration does not name.
 DEFAULT_CONNECTIONS: Final = 64
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -24,6 +24,7 @@
     Sink,
 )
 from bulrushstream.transport.readturns import ReadTurns
+from bulrushstream.transport.witnesses import UnframedAnswers, Witnesses
 
 # A healthy endpoint accepts within a few milliseconds; a lost SYN packet is
 # retransmitted after one second, which this limit allows for.
@@ -39,17 +40,6 @@
 # whether its endpoint still runs.
 RETIRED_S: Final = 1.0
 
-# An endpoint whose answers end with their connections is expected to send
-# such ones for this long.
-UNFRAMED_S: Final = 30.0
-
-# Idle connections that are kept back for probes, if the peer ends each one
-# after an answer.
-MAX_WITNESSES: Final = 4
-
-# A connection that ends so soon after an answer ends because of it.
-USED_UP_S: Final = 1.0
-
 # The number of ends of connections that are remembered, and the spread of
 # those that end at the same time.
 MAX_ENDED: Final = 1024
@@ -70,13 +60,6 @@
     keeps_witnesses: bool = True
 
 
-@dataclass(slots=True)
-class UnframedAnswers:
-    """The answers without a length of equivalent peers."""
-
-    began_s: float = float("-inf")  # When the last one began.
-
-
 @dataclass(slots=True)
 class Pool:
     """The connections to one address."""
@@ -98,11 +81,7 @@
     _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
     _connecting: int = 0  # Connections being opened.
-    _closed: bool = False  # Whether no connections are to be kept.
-    # Idle connections that carry nothing but probes.
-    _witnesses: deque[Connection] = field(default_factory=deque)
-    _opening_witnesses: int = 0
-    _wanted_witnesses: int = 1
+    _witnesses: Witnesses = field(init=False)
     # When closed connections were opened, and when the last request was sent
     # on each that the peer itself answered.
     _answered: deque[tuple[float, float]] = field(
@@ -114,6 +93,10 @@
         default_factory=lambda: deque(maxlen=MAX_ENDED)
     )
 
+    def __post_init__(self) -> None:
+        """Keep no connections yet."""
+        self._witnesses = Witnesses(self.clock, self.unframed)
+
     def send(
         self,
         method: bytes,
@@ -174,7 +157,7 @@
         :param opened_by_s: the time
         :returns: the connection; None: there is none
         """
-        for queue in (self._retired, self._witnesses, self._idle):
+        for queue in (self._retired, self._witnesses.idle, self._idle):
             for connection in queue:
                 old = connection.opened_s <= opened_by_s
                 if not old or not connection.usable:
@@ -193,8 +176,8 @@
         if connection.keep_alive_s is not None:
             idle_s = min(idle_s, connection.keep_alive_s - IDLE_MARGIN_S)
         connection.idle_until_s = self.clock() + idle_s
-        if connection.is_witness and self._expects_unframed:
-            self._witnesses.append(connection)
+        if connection.is_witness and self._witnesses.missing > 0:
+            self._witnesses.keep(connection)
             return
         connection.is_witness = False
         self._idle.append(connection)
@@ -213,14 +196,12 @@
         :param busy: whether it carried a request
         """
         self._all.discard(connection)
-        for queue in (self._idle, self._retired, self._witnesses):
+        for queue in (self._idle, self._retired, self._witnesses.idle):
             if connection in queue:
                 queue.remove(connection)
         if connection.answered_s > float("-inf"):
             self._answered.append((connection.opened_s, connection.answered_s))
-        used_up = self.clock() - connection.heard_s < USED_UP_S
-        if connection.is_witness and used_up:
-            self._wanted_witnesses = MAX_WITNESSES
+        if self._witnesses.is_used_up(connection):
             self._keep_witnesses()
         if ended_by_peer:
             self._ended.append((connection.opened_s, self.clock(), busy))
@@ -333,7 +314,7 @@
     def is_busy(self) -> bool:
         """Return whether any connection carries a request."""
         return len(self._all) > len(self._idle) + len(self._retired) + len(
-            self._witnesses
+            self._witnesses.idle
         )
 
     def watch_bytes(self, since_s: float) -> None:
@@ -375,29 +356,20 @@
         self.unframed.began_s = self.clock()
         self._keep_witnesses()
 
-    @property
-    def _expects_unframed(self) -> bool:
-        """Return whether answers without a length are expected."""
-        expected = self.clock() - self.unframed.began_s < UNFRAMED_S
-        return expected and not self._closed
-
     def _keep_witnesses(self) -> None:
         """Keep back enough idle connections for probes."""
-        if not self._expects_unframed or not self.options.keeps_witnesses:
+        witnesses = self._witnesses
+        if not self.options.keeps_witnesses:
             return
-        kept = len(self._witnesses) + self._opening_witnesses
-        for _ in range(kept, self._wanted_witnesses):
+        while witnesses.missing > 0:
             idle = self._pop_idle(fresh=False)
             if idle is not None:
-                idle.is_witness = True
-                self._witnesses.append(idle)
+                witnesses.keep(idle)
                 continue
-            if (
-                len(self._all) + self._connecting + self._opening_witnesses
-                >= self.options.max_connections - 1
-            ):
+            opened = len(self._all) + self._connecting + witnesses.opening
+            if opened >= self.options.max_connections - 1:
                 return
-            self._opening_witnesses += 1
+            witnesses.opening += 1
             asyncio.get_running_loop().create_task(self._open_witness())
 
     async def _open_witness(self) -> None:
@@ -407,7 +379,7 @@
         except (OSError, TimeoutError):
             return
         finally:
-            self._opening_witnesses -= 1
+            self._witnesses.opening -= 1
         connection.is_witness = True
         self.release(connection)
 
@@ -429,15 +401,15 @@
 
     def drop_idle(self) -> None:
         """Close all connections without a request, and keep no others."""
-        self._closed = True
-        for queue in (self._idle, self._retired, self._witnesses):
+        self._witnesses.closed = True
+        for queue in (self._idle, self._retired, self._witnesses.idle):
             while queue:
                 queue.popleft().close()
 
     def expire_idle(self) -> None:
         """Close the idle connections whose idle time has passed."""
         now_s, busy = self.clock(), self.is_busy
-        for queue in (self._idle, self._retired, self._witnesses):
+        for queue in (self._idle, self._retired, self._witnesses.idle):
             while queue and queue[0].idle_until_s <= now_s:
                 queue.popleft().close()
         if busy:
@@ -445,12 +417,12 @@
 
     def close(self) -> None:
         """Close all connections."""
-        self._closed = True
+        self._witnesses.closed = True
         for connection in list(self._all):
             connection.close()
         self._idle.clear()
         self._retired.clear()
-        self._witnesses.clear()
+        self._witnesses.idle.clear()
 
     def _pop_idle(self, fresh: bool) -> Connection | None:
         """Return a usable idle connection, or None."""
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -12,11 +12,10 @@
 from bulrushstream.transport.probe import ask_identity
 from bulrushstream.transport.upstream import (
     DEFAULT_IDLE_S,
-    MAX_WITNESSES,
-    UNFRAMED_S,
     Pool,
     PoolOptions,
 )
+from bulrushstream.transport.witnesses import MAX_WITNESSES, UNFRAMED_S
 from tests.crashfleets import play
 from tests.crashingendpoints import Body, Unframed
 from tests.crashplans import CrashHistory, CrashPlan
