A stream that goes on may have no more events at an endpoint without lengths

Callers saw a whole stream broken off: nothing proved its end, as with the first answer without a length of a service, and each endpoint that was asked to go on answered without a length, and with no bytes, for there were none. A body without bytes was given up before any proof was looked for. Before, tests/test_end_checks.py, test_nothing_proves_its_end, failed: all events and no end; test_endpoints_without_lengths failed for the same reason. An empty body that goes on with a stream now needs a proof like any other, and is checked while attempts are left: a live endpoint may cut it at the head (test_nothing_proves_its_end_and_the_rest_is_cut, which passed before, too).

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -252,13 +252,22 @@
             # That its endpoint lived is known of the stream that it checks.
             self._record_end(ran=True)
             self._end_stream(head)
-        elif head.status < 400 and not self._body_bytes:
+        elif not (
+            self._body_bytes or head.status >= 400 or self._goes_on(head)
+        ):
             self._give_up("the connection ended at the body")
         elif not self._may_be_whole(head):
             self._end_complete(head)
         else:
             self._wait_for_proof()
 
+    def _goes_on(self, head: AnswerHead) -> bool:
+        """Return whether an answer goes on with the caller's stream.
+
+        It has no events if that was whole.
+        """
+        return self.forward.stream_writer is not None and _is_stream(head)
+
     def _may_be_whole(self, head: AnswerHead) -> bool:
         """Return whether an answer that ended here could be passed on."""
         forward = self.forward
@@ -609,6 +618,11 @@
         """Return whether its connection was used before."""
         return self._pending is not None and self._pending.reused
 
+    @property
+    def adds_nothing(self) -> bool:
+        """Return whether its body has events, but none that are new."""
+        return bool(self._body_bytes) and self.began_s == float("inf")
+
     @property
     def _ended_with_connection(self) -> bool:
         """Return whether nothing but its connection showed its end."""
--- a/src/bulrushstream/daemon/endcheck.py
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -134,8 +134,8 @@
     if splitter.last_id is None or not splitter.can_resume:
         # An endpoint would repeat events that have no id.
         return False
-    if attempt.began_s == float("inf") and forward.progress.sends > 1:
-        # It had nothing to add to what another one ended with.
+    if attempt.adds_nothing and forward.progress.sends > 1:
+        # Another one ended with the same events.
         return False
     if forward.exchange.is_caller_gone():
         return False
--- a/tests/test_end_checks.py
+++ b/tests/test_end_checks.py
@@ -61,6 +61,14 @@
         assert body_of(caller.data) == ("200", b"".join(EVENTS[:2]), False)
         assert endpoints.sends == [0, 1, 2]
 
+    def test_nothing_proves_its_end_and_the_rest_is_cut(self) -> None:
+        """Guards against an empty body that passes for a proof."""
+        cuts = [Answer(2, framed=False), Answer(0, framed=False)]
+        endpoints = Endpoints([*cuts, Answer()])
+        caller = Play().run(endpoints)
+        assert body_of(caller.data) == ("200", WHOLE, True)
+        assert endpoints.sends == [0, 2, 2]
+
     # Without an id in what came last, the cut passed for the end.
     @pytest.mark.parametrize(
         ("end", "more"),
@@ -127,6 +135,11 @@
         assert body_of(caller.data) == ("200", WHOLE, True)
         assert endpoints.sends == [0, ALL]
 
+    # It was given up as those that had nothing to add sent no bytes.
+    def test_nothing_proves_its_end(self) -> None:
+        caller = Play().run(Endpoints([UNFRAMED]))
+        assert body_of(caller.data) == ("200", WHOLE, True)
+
     @pytest.mark.parametrize("old_caller", [False, True])
     @pytest.mark.parametrize("deadline_s", [0.3, 0.6, 1.0, 4.0])
     def test_a_silent_check_ends_in_time(
