No connections are opened to endpoints that are gone from the list

A run that broke after its endpoint was removed asked for the endpoint's pool; a new one was kept, for good, and kept a connection for proofs. Before, tests/test_witnesses.py, test_a_removed_endpoint_gets_none, failed: a connection was opened 2 ms after the removal. The pool of a removed endpoint is no longer kept and opens none of itself. The test passes.

--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -57,14 +57,16 @@
     def pool_for(self, endpoint: Endpoint) -> Pool:
         """Return the connection pool of an endpoint.
 
-        The pool of one that another process replaced is not kept.
+        The pool of one that was removed or replaced is not kept.
 
         :param endpoint: the endpoint
         """
         known = self._pools.get(endpoint.name)
         if known is None or known.endpoint is not endpoint:
             pool = self._make_pool(endpoint.entry)
-            if known is None or not endpoint.removed:
+            if endpoint.removed:
+                pool.drop_idle()
+            else:
                 self.remove(endpoint.name)
                 self._pools[endpoint.name] = _EndpointPool(endpoint, pool)
         else:
--- /dev/null
+++ b/tests/test_witnesses.py
@@ -0,0 +1,99 @@
+"""Connections that are kept back to prove that an endpoint lives."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from bulrushstream.daemon import platformupdates, takeups
+from bulrushstream.state.routes import EndpointEntry
+from bulrushstream.transport.connection import ResponseFailure
+from tests.test_repeated_refusals import start_router
+from tests.virtualnetwork import NetworkLoop, Transport, run_in_network
+
+ADDRESS: Final = ("10.1.0.1", 80)
+REQUEST: Final = b"GET / HTTP/1.1\r\n\r\n"
+ANSWER: Final = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+LIMIT: Final = 8  # Connections.
+
+
+class _Serving:
+    """A server's end of a connection; it answers, unless it is silent."""
+
+    def __init__(self, transport: Transport, silent: bool) -> None:
+        self._transport = transport
+        self._silent = silent
+
+    def received(self, data: bytes) -> None:
+        if data and not self._silent:
+            self._transport.send(ANSWER)
+
+    def closed(self) -> None:
+        pass
+
+
+class _Request:
+    """A request; records its failure."""
+
+    def __init__(self) -> None:
+        self.failure: ResponseFailure | None = None
+
+    def payload(self) -> bytes:
+        return REQUEST
+
+    def head(self, *head: object) -> bool:
+        return True
+
+    def data(self, data: bytes) -> None:
+        pass
+
+    def end(self, *, framed: bool = True) -> None:
+        pass
+
+    def failed(self, failure: ResponseFailure, detail: str) -> None:
+        self.failure = failure
+
+
+def play(
+    work: Callable[[NetworkLoop], Awaitable[None]], *, silent: bool = False
+) -> list[float]:
+    """Do work on a network; return when connections were opened.
+
+    :param work: the work
+    :param silent: whether the server answers nothing
+    """
+    opened_s: list[float] = []
+
+    async def run(loop: NetworkLoop) -> None:
+        def accept(transport: Transport) -> _Serving:
+            opened_s.append(loop.time())
+            return _Serving(transport, silent)
+
+        loop.listeners[ADDRESS] = accept
+        await work(loop)
+
+    assert run_in_network(run) == []
+    return opened_s
+
+
+class WitnessSuite:
+    # What broke there late made a new pool, which kept one for good.
+    def test_a_removed_endpoint_gets_none(self) -> None:
+        removed_s: list[float] = []
+
+        async def work(loop: NetworkLoop) -> None:
+            front = start_router(loop).front
+            entry = EndpointEntry("e-1", "llm", *ADDRESS, "z", 64)
+            platformupdates.apply_entry(front, entry)
+            endpoint = front.pool.by_name["e-1"]
+            front.connections.pool_for(endpoint).expect_unframed()
+            await asyncio.sleep(0.1)
+            platformupdates.remove_endpoint(front, "e-1")
+            removed_s.append(loop.time())
+            takeups.connection_broke(front, endpoint)
+            for _ in range(10):
+                front.connections.expire_idle()
+                await asyncio.sleep(0.5)
+
+        assert max(play(work)) < removed_s[0]
