A connection for proofs that expires is replaced by one

Endpoints without lengths were opened four new connections each 8 s by each router, instead of one, once a probe had been answered there. A kept connection that has answered and ends stands for an endpoint that closes each one after an answer; the end at the router's own idle limit counted, too. Before, tests/test_witnesses.py, test_one_is_kept_at_a_time, failed: five connections in two idle times, four of them at once. Connections that the router closes as they expire are no such sign. The test passes.

--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -430,7 +430,9 @@
         now_s = self.clock()
         for queue in (self._idle, self._retired, self._witnesses):
             while queue and queue[0].idle_until_s <= now_s:
-                queue.popleft().close()
+                connection = queue.popleft()
+                connection.is_witness = False
+                connection.close()
         self._keep_witnesses()
 
     def close(self) -> None:
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -9,6 +9,8 @@
 from bulrushstream.daemon import platformupdates, takeups
 from bulrushstream.state.routes import EndpointEntry
 from bulrushstream.transport.connection import ResponseFailure
+from bulrushstream.transport.probe import ask_identity
+from bulrushstream.transport.upstream import Pool
 from tests.test_repeated_refusals import start_router
 from tests.virtualnetwork import NetworkLoop, Transport, run_in_network
 
@@ -78,6 +80,26 @@
 
 
 class WitnessSuite:
+    # An idle connection that its router closed counted as one that the
+    # endpoint closes after each answer.
+    def test_one_is_kept_at_a_time(self) -> None:
+        async def work(loop: NetworkLoop) -> None:
+            pool = Pool(*ADDRESS, loop.time)
+            pool.expect_unframed()
+            await asyncio.sleep(0.1)
+            witness, sent_s = pool.pop_witness(loop.time()), loop.time()
+            assert witness is not None
+            await ask_identity(pool, REQUEST, 1.0, witness)
+            pool.record_answer(sent_s, witness)
+            idle_s = pool.options.idle_s
+            for _ in range(20):
+                pool.expect_unframed()
+                pool.expire_idle()
+                await asyncio.sleep(idle_s / 10)
+            pool.close()
+
+        assert len(play(work)) <= 3
+
     # What broke there late made a new pool, which kept one for good.
     def test_a_removed_endpoint_gets_none(self) -> None:
         removed_s: list[float] = []
