A connection that is kept for proofs does not take a request's place

Callers were refused, and the endpoint counted as unreachable for a moment, though one of the connections that a router may open there was idle: it was kept back for proofs. With eight allowed, as a small maxConns leaves, the eighth request failed. Before, tests/test_witnesses.py, test_a_full_pool_has_all_its_connections, failed: NOT_SENT, connection pool exhausted. A full pool now gives a kept connection to the request. The test passes.

--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -131,11 +131,16 @@
         pending = PendingRequest()
         self._keep_witnesses()
         connection = self._pop_idle(fresh) if reuse else None
+        if connection is None and reuse and self._is_full and self._witnesses:
+            witness = self._witnesses.pop()
+            witness.is_witness = False
+            self._idle.append(witness)
+            connection = self._pop_idle(fresh)
         if connection is not None:
             pending.reused = True
             self._send_on(connection, method, sink, pending)
             return pending
-        if len(self._all) + self._connecting >= self.options.max_connections:
+        if self._is_full:
             loop = asyncio.get_running_loop()
             loop.call_soon(
                 _fail_unless_cancelled,
@@ -371,6 +376,12 @@
         self.unframed.began_s = self.clock()
         self._keep_witnesses()
 
+    @property
+    def _is_full(self) -> bool:
+        """Return whether no further connection may be opened."""
+        open_count = len(self._all) + self._connecting
+        return open_count >= self.options.max_connections
+
     @property
     def _expects_unframed(self) -> bool:
         """Return whether answers without a length are expected."""
@@ -404,7 +415,7 @@
 
     def add_idle(self) -> None:
         """Open one more connection, which is idle at first."""
-        if len(self._all) + self._connecting < self.options.max_connections:
+        if not self._is_full:
             asyncio.get_running_loop().create_task(self._open_idle())
 
     def retire_idle(self) -> None:
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -10,7 +10,7 @@
 from bulrushstream.state.routes import EndpointEntry
 from bulrushstream.transport.connection import ResponseFailure
 from bulrushstream.transport.probe import ask_identity
-from bulrushstream.transport.upstream import Pool
+from bulrushstream.transport.upstream import Pool, PoolOptions
 from tests.test_repeated_refusals import start_router
 from tests.virtualnetwork import NetworkLoop, Transport, run_in_network
 
@@ -100,6 +100,23 @@
 
         assert len(play(work)) <= 3
 
+    # A request was refused while a connection was kept back.
+    def test_a_full_pool_has_all_its_connections(self) -> None:
+        requests = [_Request() for _ in range(LIMIT)]
+
+        async def work(loop: NetworkLoop) -> None:
+            options = PoolOptions(max_connections=LIMIT)
+            pool = Pool(*ADDRESS, loop.time, options=options)
+            pool.expect_unframed()
+            for request in requests:
+                await asyncio.sleep(0.1)
+                pool.send(b"GET", request)
+            await asyncio.sleep(0.1)
+            assert [each.failure for each in requests] == [None] * LIMIT
+            pool.close()
+
+        assert len(play(work, silent=True)) == LIMIT
+
     # What broke there late made a new pool, which kept one for good.
     def test_a_removed_endpoint_gets_none(self) -> None:
         removed_s: list[float] = []
