Endpoints that reset connections kept for proofs get few of them

The next one is opened 2 s after one that the endpoint ended, if that was never used. The test passes.

--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -47,6 +47,10 @@
 # after an answer.
 MAX_WITNESSES: Final = 4
 
+# The pause after one that the peer ended sooner than this, unused: endpoints
+# reset connections beyond a limit.
+WITNESS_PAUSE_S: Final = 2.0
+
 # The number of ends of connections that are remembered, and the spread of
 # those that end at the same time.
 MAX_ENDED: Final = 1024
@@ -100,6 +104,7 @@
     _witnesses: deque[Connection] = field(default_factory=deque)
     _opening_witnesses: int = 0
     _wanted_witnesses: int = 1
+    _witness_due_s: float = float("-inf")  # None is opened before.
     # When closed connections were opened, and when the last request was sent
     # on each that the peer itself answered.
     _answered: deque[tuple[float, float]] = field(
@@ -223,6 +228,9 @@
             if connection.is_witness:
                 self._wanted_witnesses = MAX_WITNESSES
                 self._keep_witnesses()
+        elif connection.is_witness and ended_by_peer:
+            next_s = connection.opened_s + WITNESS_PAUSE_S
+            self._witness_due_s = max(self._witness_due_s, next_s)
         if ended_by_peer:
             self._ended.append((connection.opened_s, self.clock(), busy))
 
@@ -392,6 +400,8 @@
         """Keep back enough idle connections for probes."""
         if not self._expects_unframed or not self.options.keeps_witnesses:
             return
+        if self.clock() < self._witness_due_s:
+            return
         kept = len(self._witnesses) + self._opening_witnesses
         for _ in range(kept, self._wanted_witnesses):
             if (
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -117,6 +117,27 @@
 
         assert len(play(work, silent=True)) == LIMIT
 
+    # Each sweep opened another one.
+    def test_an_endpoint_that_resets_them_gets_few(self) -> None:
+        opened_s: list[float] = []
+
+        async def work(loop: NetworkLoop) -> None:
+            def accept(transport: Transport) -> _Serving:
+                opened_s.append(loop.time())
+                transport.end(ConnectionResetError())
+                return _Serving(transport, silent=True)
+
+            loop.listeners[ADDRESS] = accept
+            pool = Pool(*ADDRESS, loop.time)
+            for _ in range(100):
+                pool.expect_unframed()
+                pool.expire_idle()
+                await asyncio.sleep(0.1)
+            pool.close()
+
+        play(work)
+        assert 2 <= len(opened_s) <= 6
+
     # What broke there late made a new pool, which kept one for good.
     def test_a_removed_endpoint_gets_none(self) -> None:
         removed_s: list[float] = []
