Quiet endpoints with few connections keep one for proofs, too

Where a service allows fewer than eight connections for each router, no connection was kept that could prove that an endpoint outlived an answer without a length, also while most of the connections were unused. Such whole answers are given up at an endpoint that gives no start, unless another connection happens to be open. That follows from the code; no play shows it. Before, tests/test_connection_shares.py, test_a_quiet_endpoint_has_room_for_proofs, failed with 32 connections and six routers. Now one is kept while the requests of all routers there are fewer than a third of the limit, and that third has one for each. The test passes.

--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -106,10 +106,12 @@
         limit = self.limit(endpoint.entry.service)
         if limit is None:
             return PoolOptions(max_connections=DEFAULT_CONNECTIONS)
-        share = max(MIN_CONNECTIONS, limit // self.routers())
-        unused = int(limit * SHARED_FRACTION) - endpoint.outstanding
+        routers, shared = self.routers(), int(limit * SHARED_FRACTION)
+        share = max(MIN_CONNECTIONS, limit // routers)
+        unused = shared - endpoint.outstanding
         return PoolOptions(
             max_connections=share + max(0, unused),
             # The excess would be at the cost of others.
-            keeps_witnesses=limit >= MIN_CONNECTIONS * self.routers(),
+            keeps_witnesses=limit >= MIN_CONNECTIONS * routers
+            or (unused > 0 and shared >= routers),
         )
--- a/tests/test_connection_shares.py
+++ b/tests/test_connection_shares.py
@@ -79,3 +79,17 @@
     def test_small_limits(self, limit: int) -> None:
         crowd = Crowd(limit=limit)
         assert all(crowd.try_send(3) for _ in range(MIN_CONNECTIONS))
+
+    # Whole answers without a length were given up at quiet endpoints, as no
+    # other connection could prove that these lived on.
+    @pytest.mark.parametrize(
+        ("limit", "outstanding", "kept"),
+        [(32, 0, True), (32, 9, True), (32, 10, False), (12, 0, False)],
+    )
+    def test_a_quiet_endpoint_has_room_for_proofs(
+        self, limit: int, outstanding: int, kept: bool
+    ) -> None:
+        crowd = Crowd(routers=6, limit=limit)
+        crowd.endpoint.outstanding = outstanding
+        pool = crowd.connections.pool_for(crowd.endpoint)
+        assert pool.options.keeps_witnesses is kept
