--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -58,14 +58,16 @@
     def pool_for(self, endpoint: Endpoint) -> Pool:
         """Return the connection pool of an endpoint.
 
-        The pool of one that another process replaced is not kept.
+        The pool of one that was removed or replaced is not kept.
 
         :param endpoint: the endpoint
         """
         known = self._pools.get(endpoint.name)
         if known is None or known.endpoint is not endpoint:
             pool = self._make_pool(endpoint.entry)
-            if known is None or not endpoint.removed:
+            if endpoint.removed:
+                pool.drop_idle()
+            else:
                 self.remove(endpoint.name)
                 self._pools[endpoint.name] = _EndpointPool(endpoint, pool)
         else:
@@ -105,10 +107,12 @@
         limit = self.limit(endpoint.entry.service)
         if limit is None:
             return PoolOptions(max_connections=DEFAULT_CONNECTIONS)
-        share = max(MIN_CONNECTIONS, limit // self.routers())
-        unused = int(limit * SHARED_FRACTION) - endpoint.outstanding
+        routers, shared = self.routers(), int(limit * SHARED_FRACTION)
+        share = max(MIN_CONNECTIONS, limit // routers)
+        unused = shared - endpoint.outstanding
         return PoolOptions(
             max_connections=share + max(0, unused),
             # The excess would be at the cost of others.
-            keeps_witnesses=limit >= MIN_CONNECTIONS * self.routers(),
+            keeps_witnesses=limit >= MIN_CONNECTIONS * routers
+            or (unused > 0 and shared >= routers),
         )
--- a/src/bulrushstream/daemon/endcheck.py
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -165,8 +165,8 @@
     if splitter.last_id is None or not splitter.can_resume:
         # An endpoint would repeat events that have no id.
         return False
-    if attempt.began_s == float("inf") and forward.progress.sends > 1:
-        # It had nothing to add to what another one ended with.
+    if attempt.adds_nothing and forward.progress.sends > 1:
+        # Another one ended with the same events.
         return False
     rare = endpoint.vain_end_checks >= MAX_IN_VAIN
     if rare and attempt.front.rng.random() >= RARE_FRACTION:
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -117,11 +117,13 @@
         pending = PendingRequest()
         self._keep_witnesses()
         connection = self._pop_idle(fresh) if reuse else None
+        if connection is None and reuse and self._is_full:
+            connection = self._pop_kept(fresh)
         if connection is not None:
             pending.reused = True
             self._send_on(connection, method, sink, pending)
             return pending
-        if len(self._all) + self._connecting >= self.options.max_connections:
+        if self._is_full:
             loop = asyncio.get_running_loop()
             loop.call_soon(
                 _fail_unless_cancelled,
@@ -201,9 +203,10 @@
                 queue.remove(connection)
         if connection.answered_s > float("-inf"):
             self._answered.append((connection.opened_s, connection.answered_s))
-        if self._witnesses.is_used_up(connection):
+        if self._witnesses.is_used_up(connection, ended_by_peer):
+            # It ended with the answer, and shows nothing of the process.
             self._keep_witnesses()
-        if ended_by_peer:
+        elif ended_by_peer:
             self._ended.append((connection.opened_s, self.clock(), busy))
 
     def exceeded(self, reason: ExcessReason) -> None:
@@ -356,6 +359,12 @@
         self.unframed.began_s = self.clock()
         self._keep_witnesses()
 
+    @property
+    def _is_full(self) -> bool:
+        """Return whether no further connection may be opened."""
+        open_count = len(self._all) + self._connecting
+        return open_count >= self.options.max_connections
+
     def _keep_witnesses(self) -> None:
         """Keep back enough idle connections for probes."""
         witnesses = self._witnesses
@@ -385,7 +394,7 @@
 
     def add_idle(self) -> None:
         """Open one more connection, which is idle at first."""
-        if len(self._all) + self._connecting < self.options.max_connections:
+        if not self._is_full:
             asyncio.get_running_loop().create_task(self._open_idle())
 
     def retire_idle(self) -> None:
@@ -411,7 +420,9 @@
         now_s, busy = self.clock(), self.is_busy
         for queue in (self._idle, self._retired, self._witnesses.idle):
             while queue and queue[0].idle_until_s <= now_s:
-                queue.popleft().close()
+                connection = queue.popleft()
+                connection.is_witness = False
+                connection.close()
         if busy:
             self._keep_witnesses()
 
@@ -441,6 +452,15 @@
                 return connection
         return None
 
+    def _pop_kept(self, fresh: bool) -> Connection | None:
+        """Return a connection that was kept for probes, or None."""
+        if not self._witnesses.idle:
+            return None
+        witness = self._witnesses.idle.pop()
+        witness.is_witness = False
+        self._idle.append(witness)
+        return self._pop_idle(fresh)
+
     async def _connect(
         self, method: bytes, sink: Sink, pending: PendingRequest
     ) -> None:
--- a/src/bulrushstream/transport/witnesses.py
+++ b/src/bulrushstream/transport/witnesses.py
@@ -24,6 +24,10 @@
 # A connection that ends so soon after an answer ends because of it.
 USED_UP_S: Final = 1.0
 
+# The pause after one that the peer ended sooner than this, unused: peers reset
+# connections beyond a limit.
+PAUSE_S: Final = 2.0
+
 
 @dataclass(slots=True)
 class UnframedAnswers:
@@ -42,12 +46,14 @@
     opening: int = 0  # Connections being opened.
     closed: bool = False  # Whether none are to be kept.
     _wanted: int = 1
+    _due_s: float = float("-inf")  # None is opened before.
 
     @property
     def missing(self) -> int:
-        """Return how many more are to be kept."""
-        expired = self.clock() - self.answers.began_s >= UNFRAMED_S
-        if expired or self.closed:
+        """Return how many more are to be kept now."""
+        now_s = self.clock()
+        expired = now_s - self.answers.began_s >= UNFRAMED_S
+        if expired or self.closed or now_s < self._due_s:
             return 0
         return self._wanted - len(self.idle) - self.opening
 
@@ -59,15 +65,21 @@
         connection.is_witness = True
         self.idle.append(connection)
 
-    def is_used_up(self, connection: Connection) -> bool:
-        """Return whether a closed connection is to be replaced.
+    def is_used_up(self, connection: Connection, ended_by_peer: bool) -> bool:
+        """Return whether a closed connection is to be replaced at once.
 
         More are kept from then on, as others will end in the same way.
 
         :param connection: the connection
+        :param ended_by_peer: whether the peer closed or reset it
         """
-        ended_s = self.clock() - connection.heard_s
-        if not connection.is_witness or ended_s >= USED_UP_S:
+        if not connection.is_witness:
             return False
-        self._wanted = MAX_WITNESSES
-        return True
+        now_s = self.clock()
+        if now_s - connection.heard_s < USED_UP_S:
+            self._wanted = MAX_WITNESSES
+            return True
+        unused = connection.answered_s == float("-inf")
+        if unused and ended_by_peer:
+            self._due_s = max(self._due_s, connection.opened_s + PAUSE_S)
+        return False
