A probe that nobody waits for any more has a limit

Cause: a task that is cancelled while it waits for the answer to a probe (as another sign proved the life first) left the request on its connection without a limit. At a peer that accepts and is silent, the connection counted as one that carries a request for as long as it stayed open, and each such wait took one more of the pool's connections.

The limit of the probe holds then, too. Its test failed before (the pool is busy 1.1 s later) and passes.

--- a/src/bulrushstream/transport/probe.py
+++ b/src/bulrushstream/transport/probe.py
@@ -163,12 +163,14 @@
         async with asyncio.timeout(timeout_s):
             answer = await future
     except TimeoutError:
+        sink.ended = True
         pending.cancel()
         return None
-    if not sink.ended:
-        # The body may have no end.
-        loop = asyncio.get_running_loop()
-        loop.call_later(timeout_s, _give_up_unless_ended, sink)
+    finally:
+        if not sink.ended:
+            # The body may have no end, or no one may wait for the answer.
+            loop = asyncio.get_running_loop()
+            loop.call_later(timeout_s, _give_up_unless_ended, sink)
     return answer
 
 
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -117,6 +117,21 @@
 
         with_peer(work)
 
+    # A probe that nobody waited for kept its connection for ever.
+    def test_a_probe_that_is_not_waited_for_has_a_limit(self) -> None:
+        async def work(peer: Peer) -> None:
+            peer.server.hung = 1
+            peer.pool.expect_unframed()
+            await asyncio.sleep(0.01)
+            asking = asyncio.get_running_loop().create_task(peer.ask())
+            await asyncio.sleep(0.01)
+            asking.cancel()
+            assert peer.pool.is_busy
+            await asyncio.sleep(1.1)
+            assert not peer.pool.is_busy
+
+        with_peer(work)
+
     @pytest.mark.parametrize(
         "options",
         [PoolOptions(keeps_witnesses=False), PoolOptions(max_connections=1)],
