An answer outlives its endpoint's entry in the list

Callers saw whole answers without a length given up if their endpoint was removed from the list while it wrote them, though it ran on: the connections that could prove its life were closed at the removal. The pool of an endpoint that goes keeps one connection until 1 s after its last request, and then closes all, also those that became idle late, which nothing closed before (tests/test_witnesses.py, test_an_endpoint_that_goes_keeps_none).

--- a/src/bulrushstream/daemon/connections.py
+++ b/src/bulrushstream/daemon/connections.py
@@ -82,7 +82,7 @@
         """
         known = self._pools.pop(endpoint, None)
         if known is not None:
-            known.pool.drop_idle()
+            known.pool.wind_down()
 
     def expire_idle(self) -> None:
         """Close connections that exceeded their idle time."""
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -100,6 +100,7 @@
     _all: set[Connection] = field(default_factory=set)
     _connecting: int = 0  # Connections being opened.
     _closed: bool = False  # Whether no connections are to be kept.
+    _winds_down: bool = False  # Whether it ends with the last request.
     # Idle connections that carry nothing but probes.
     _witnesses: deque[Connection] = field(default_factory=deque)
     _opening_witnesses: int = 0
@@ -205,6 +206,7 @@
             return
         connection.is_witness = False
         self._idle.append(connection)
+        self._end_soon_if_due()
 
     def remove(
         self,
@@ -233,6 +235,7 @@
             self._witness_due_s = max(self._witness_due_s, next_s)
         if ended_by_peer:
             self._ended.append((connection.opened_s, self.clock(), busy))
+        self._end_soon_if_due()
 
     def exceeded(self, reason: ExcessReason) -> None:
         """Report a connection that ends as its peer sent too much.
@@ -446,6 +449,34 @@
             while queue:
                 queue.popleft().close()
 
+    def wind_down(self) -> None:
+        """Close all connections as soon as they carry no request.
+
+        Until then, and for a moment longer, one that carries none stays open:
+        it may have to prove that the peer lives on.
+        """
+        idle = [*self._retired, *self._witnesses, *self._idle]
+        kept = idle if self.is_busy else []
+        kept = sorted(kept, key=lambda each: each.opened_s)[:1]
+        self._winds_down = True
+        for queue in (self._idle, self._retired, self._witnesses):
+            for connection in kept:
+                if connection in queue:
+                    queue.remove(connection)
+        self.drop_idle()
+        self._retired.extend(kept)
+
+    def _end_soon_if_due(self) -> None:
+        """Close what is left of a pool that winds down, a moment later."""
+        if self._winds_down and self._all and not self.is_busy:
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETIRED_S, self._end_if_idle)
+
+    def _end_if_idle(self) -> None:
+        """Close what is left of a pool that winds down."""
+        if not self.is_busy:
+            self.close()
+
     def expire_idle(self) -> None:
         """Close the idle connections whose idle time has passed."""
         now_s = self.clock()
--- a/tests/test_end_checks.py
+++ b/tests/test_end_checks.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.front import Front
 from tests.checkedstreams import EVENTS, WHOLE, Answer, Endpoints, Play
 from tests.simulatedcallers import Caller
@@ -135,6 +136,20 @@
         assert body_of(caller.data) == ("200", WHOLE, True)
         assert endpoints.sends == [0, ALL]
 
+    # The connections that could prove its end were closed.
+    @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
+    def test_its_endpoint_is_removed_amid_it(self, path: str) -> None:
+        def remove(front: Front, caller: Caller) -> None:
+            for forward in list(front.forwards):
+                assert forward.attempt is not None
+                name = forward.attempt.endpoint.name
+                platformupdates.remove_endpoint(front, name)
+
+        cut = Answer(framed=False, first_bytes=len(EVENTS[0]))
+        play = Play(path=path, known=True, at_s=0.03, do=remove)
+        caller = play.run(Endpoints([cut, Answer()], count=1))
+        assert body_of(caller.data) == ("200", WHOLE, True)
+
     # It was given up as those that had nothing to add sent no bytes.
     def test_nothing_proves_its_end(self) -> None:
         caller = Play().run(Endpoints([UNFRAMED]))
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+import pytest
+
 from bulrushstream.daemon import platformupdates, takeups
 from bulrushstream.state.routes import EndpointEntry
 from bulrushstream.transport.connection import ResponseFailure
@@ -138,6 +140,39 @@
         play(work)
         assert 2 <= len(opened_s) <= 6
 
+    @pytest.mark.parametrize("broken", [False, True])
+    def test_an_endpoint_that_goes_keeps_none(self, broken: bool) -> None:
+        """Guards against connections that are never closed."""
+
+        async def work(loop: NetworkLoop) -> None:
+            transports: list[Transport] = []
+
+            def accept(transport: Transport) -> _Serving:
+                transports.append(transport)
+                return _Serving(transport, silent=True)
+
+            loop.listeners[ADDRESS] = accept
+            pool = Pool(*ADDRESS, loop.time)
+            for _ in range(3):
+                pool.add_idle()
+            await asyncio.sleep(0.1)
+            pool.send(b"GET", _Request())
+            pool.wind_down()
+            await asyncio.sleep(5.0)
+            still_open = [each for each in transports if not each.is_closing()]
+            assert len(still_open) == 2
+            busy = transports[-1]
+            if broken:
+                busy.end(ConnectionResetError())
+            else:
+                busy.send(ANSWER)
+            await asyncio.sleep(0.9)
+            assert not all(each.is_closing() for each in transports)
+            await asyncio.sleep(0.2)
+            assert all(each.is_closing() for each in transports)
+
+        play(work)
+
     # What broke there late made a new pool, which kept one for good.
     def test_a_removed_endpoint_gets_none(self) -> None:
         removed_s: list[float] = []
