--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -81,6 +81,7 @@
     _retired: deque[Connection] = field(default_factory=deque)
     _all: set[Connection] = field(default_factory=set)
     _connecting: int = 0  # Connections being opened.
+    _winds_down: bool = False  # Whether it ends with the last request.
     _witnesses: Witnesses = field(init=False)
     # When closed connections were opened, and when the last request was sent
     # on each that the peer itself answered.
@@ -183,6 +184,7 @@
             return
         connection.is_witness = False
         self._idle.append(connection)
+        self._end_soon_if_due()
 
     def remove(
         self,
@@ -208,6 +210,7 @@
             self._keep_witnesses()
         elif ended_by_peer:
             self._ended.append((connection.opened_s, self.clock(), busy))
+        self._end_soon_if_due()
 
     def exceeded(self, reason: ExcessReason) -> None:
         """Report a connection that ends as its peer sent too much.
@@ -415,6 +418,35 @@
             while queue:
                 queue.popleft().close()
 
+    def wind_down(self) -> None:
+        """Close all connections as soon as they carry no request.
+
+        Until then, and for a moment longer, one that carries none stays open:
+        it may have to prove that the peer lives on.
+        """
+        queues = self._idle, self._retired, self._witnesses.idle
+        idle = [each for queue in queues for each in queue]
+        kept = idle if self.is_busy else []
+        kept = sorted(kept, key=lambda each: each.opened_s)[:1]
+        self._winds_down = True
+        for queue in queues:
+            for connection in kept:
+                if connection in queue:
+                    queue.remove(connection)
+        self.drop_idle()
+        self._retired.extend(kept)
+
+    def _end_soon_if_due(self) -> None:
+        """Close what is left of a pool that winds down, a moment later."""
+        if self._winds_down and self._all and not self.is_busy:
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETIRED_S, self._end_if_idle)
+
+    def _end_if_idle(self) -> None:
+        """Close what is left of a pool that winds down."""
+        if not self.is_busy:
+            self.close()
+
     def expire_idle(self) -> None:
         """Close the idle connections whose idle time has passed."""
         now_s, busy = self.clock(), self.is_busy
