Checks of a stream's end that fail are bounded

What could happen: on a route with many attempts, or while a router withdraws what it would send, each failed check was followed by another one until three quarters of the retry budget were used up. Found by reading, before it landed.

One failed check is followed by one more, however many attempts the route allows.

--- a/src/bulrushstream/daemon/endcheck.py
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from bulrushstream.coordination.endpointpool import Endpoint
     from bulrushstream.daemon.attempt import Attempt
+    from bulrushstream.daemon.forward import Forward
     from bulrushstream.state.call import AnswerHead
 
 # The part of the retry budget that is used up before checks stop, and the
@@ -98,13 +99,17 @@
         self._accept("nothing_to_add", "the stream is whole")
 
     def failed(self, detail: str) -> None:
-        """Make another attempt if there may be one; else believe the end.
+        """Make one more attempt if there may be one, or believe the end.
 
         :param detail: how its attempt failed
         """
         forward = self.forward
         attempt, self._held = forward.attempt, b""
-        if attempt is None or not _acquire(attempt, self._attempt.endpoint):
+        if (
+            attempt is None
+            or self.tried
+            or not _acquire(attempt, self._attempt.endpoint)
+        ):
             self.unanswered(detail)
             return
         self.tried.add(attempt.endpoint.name)
@@ -172,6 +177,18 @@
     return True
 
 
+def is_ended(forward: Forward, detail: str) -> bool:
+    """End the check of a request's stream; return whether there was one.
+
+    :param forward: the request
+    :param detail: why it is not known if the stream is whole, for the log
+    """
+    if forward.end_check is None:
+        return False
+    forward.end_check.unanswered(detail)
+    return True
+
+
 def _acquire(attempt: Attempt, checked: Endpoint) -> bool:
     """Use up a retry for a check; return whether there was one, and time.
 
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -19,7 +19,7 @@
     decide_retry,
     overdue_delay_s,
 )
-from bulrushstream.daemon import dispatch, safeguards, takeups
+from bulrushstream.daemon import dispatch, endcheck, safeguards, takeups
 from bulrushstream.daemon.attempt import Attempt
 from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.messages import Notice
@@ -312,8 +312,7 @@
         self._deadline_timer = None
         if self.done:
             return
-        if self.end_check is not None:
-            self.end_check.unanswered("the deadline is reached")
+        if endcheck.is_ended(self, "the deadline is reached"):
             return
         self._cancel_attempt()
         if self.exchange.started:
@@ -338,8 +337,7 @@
         """End the request because the process shuts down."""
         if self.done:
             return
-        if self.end_check is not None:
-            self.end_check.unanswered("the router stops")
+        if endcheck.is_ended(self, "the router stops"):
             return
         self._cancel_attempt()
         if self.progress.may_have_run or self.exchange.started:
@@ -360,8 +358,7 @@
 
         :param refusal: the reason
         """
-        if self.end_check is not None:
-            self.end_check.unanswered(refusal.notice.text)
+        if endcheck.is_ended(self, refusal.notice.text):
             return
         if refusal.part or refusal.wait_s:
             self.front.log_decision(
--- a/tests/test_end_checks.py
+++ b/tests/test_end_checks.py
@@ -184,6 +184,14 @@
         Play().run(endpoints)
         assert endpoints.sends == [0, 1, 2]
 
+    @pytest.mark.parametrize("failure", ["500", "503", "421", "a reset"])
+    def test_failed_checks_are_bounded(self, failure: str) -> None:
+        """Guards against checks that use up the retry budget in vain."""
+        endpoints = Endpoints([UNFRAMED, FAILURES[failure]])
+        caller = Play(path="/often/").run(endpoints)
+        assert body_of(caller.data) == ("200", WHOLE, True)
+        assert endpoints.sends == [0, ALL, ALL]
+
     def test_a_part_of_the_budget_is_left(self) -> None:
         """Guards against checks that leave no retries to what fails."""
         endpoints = Endpoints([UNFRAMED])
