Runs found silent after the list named the next process count

With endpoints that tell their start, a request that crashed a process whose connections went silent was not counted if the list named the next process before the run was found silent: 5 and 9 sends instead of 3 in test_it_stops_after_few_crashes (after the head or amid the answer, silent, back at once under the same id, three cases), and one run had two verdicts in the log (test_each_broken_run_of_a_crashing_request).

An endpoint keeps when it was replaced, which is a sign of its end for runs that were last heard before. A run that nobody knows of is logged only once the list tells no more.

After: the 44 cases with endpoints back under their id pass, and test_crash_evidence.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -42,6 +42,8 @@
     ejections: int = 0  # Consecutive ejections.
     avoid_until_s: float = 0.0  # The end of an ejection or pause.
     removed: bool = False  # Whether the platform's list dropped it.
+    # When the list named another process under its id.
+    replaced_s: float = float("-inf")
     # Since when another process may have its id; infinity: the same as listed.
     unverified_s: float = float("inf")
     verified_s: float = float("-inf")  # Before this it was the same process.
--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -62,8 +62,9 @@
     endpoint: Endpoint
     pool: Pool
     runs: list[BrokenRun] = field(default_factory=list)
-    # Runs of which it is not known whether the process ended under them.
-    unknown: list[BrokenRun] = field(default_factory=list)
+    # Runs of which it is not known whether the process ended under them, and
+    # why, until the list would name the next process.
+    unknown: list[tuple[BrokenRun, str]] = field(default_factory=list)
     replaced: bool = False  # Whether another process has its id.
     # When the last probe was sent that was answered under its id.
     answered_s: float = float("-inf")
@@ -147,6 +148,10 @@
         if watched is None:
             watched = _Watched(endpoint, pool)
             self._watched[id(endpoint)] = watched
+            if endpoint.replaced_s > float("-inf"):
+                # A run that had gone silent by then ended with the process.
+                watched.signs[Sign.OTHER_INSTANCE] = endpoint.replaced_s
+                watched.replaced = True
         watched.add(run)
         watched.active_s = self.clock()
         # The verdict should not wait for the next sweep.
@@ -188,11 +193,8 @@
             if watched.endpoint.name != endpoint or watched.replaced:
                 continue
             watched.replaced = True
-            watched.runs += [
-                run
-                for run in watched.unknown
-                if now_s - run.broke_s <= LIST_LAG_S
-            ]
+            self._log_unknown(watched, now_s)
+            watched.runs += [run for run, _ in watched.unknown]
             watched.unknown.clear()
             self._add_sign(watched, Sign.OTHER_INSTANCE)
 
@@ -209,11 +211,7 @@
         now_s = self.clock()
         for key, watched in list(self._watched.items()):
             self._judge_all(watched)
-            watched.unknown = [
-                run
-                for run in watched.unknown
-                if now_s - run.broke_s <= LIST_LAG_S
-            ]
+            self._log_unknown(watched, now_s)
             if watched.runs:
                 watched.active_s = now_s
                 self._probe_if_due(watched, now_s)
@@ -242,6 +240,11 @@
             return False
         name = watched.endpoint.name
         ended = judgement.verdict is Verdict.ENDED
+        if judgement.verdict is Verdict.UNKNOWN:
+            self.on_unknown(name, run)
+            if watched.endpoint.entry.born and not watched.replaced:
+                watched.unknown.append((run, judgement.reason))
+                return True
         self._log_verdict(name, run, ended, judgement.reason, seen)
         if ended:
             watched.ended_s = max(watched.ended_s, run.broke_s)
@@ -249,11 +252,18 @@
             if len(self._counted) > MAX_COUNTED_RUNS:
                 del self._counted[next(iter(self._counted))]
             self.on_crash(name, run)
-        elif judgement.verdict is Verdict.UNKNOWN:
-            watched.unknown.append(run)
-            self.on_unknown(name, run)
         return True
 
+    def _log_unknown(self, watched: _Watched, now_s: float) -> None:
+        """Log the runs whose fate the list does not tell any more."""
+        kept = []
+        for run, reason in watched.unknown:
+            if now_s - run.broke_s <= LIST_LAG_S:
+                kept.append((run, reason))
+            else:
+                self._log_verdict(watched.endpoint.name, run, False, reason)
+        watched.unknown = kept
+
     def _log_verdict(
         self,
         endpoint: str,
--- a/src/bulrushstream/daemon/takeups.py
+++ b/src/bulrushstream/daemon/takeups.py
@@ -336,6 +336,7 @@
     :param after: the endpoint as it is listed now
     :param ended_s: when a connection to it last ended
     """
+    before.replaced_s = front.clock()
     listed_s = front.clock() - LIST_LAG_S
     before.unverified_s = min(before.unverified_s, listed_s)
     if ended_s > listed_s:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -158,7 +158,9 @@
             lambda endpoint, run: self.crashes.append(endpoint),
             lambda endpoint, run: None,
         )
-        self._endpoint = Endpoint(an_entry("e-1", leaving=leaving), None)
+        self._endpoint = Endpoint(
+            an_entry("e-1", leaving=leaving, born="0"), None
+        )
         self._pool = _SeenPool("h", 1, lambda: self.now_s)
         self._pool.seen_value = seen
 
@@ -175,6 +177,11 @@
         pool.seen_value = self._pool.seen_value
         self._pool = pool
 
+    def replace_endpoint(self, at_s: float) -> None:
+        """Let the list have named another process at a time."""
+        self._endpoint.removed = True
+        self._endpoint.replaced_s = at_s
+
     def answer(self, now_s: float) -> None:
         """Record that a process answers under the id, on a new connection."""
         self.now_s = now_s
@@ -234,6 +241,16 @@
         watch.refuse(3.0)
         assert watch.crashes == ["e-1", "e-1"]
 
+    # A run that was found silent after the list had told was not counted.
+    async def test_a_run_that_was_silent_before(self) -> None:
+        watch = _Watch(ConnectionsSeen(ended=0, open=1, heard=False))
+        watch.replace_endpoint(1.3)
+        watch.now_s = 2.0
+        watch.add(SILENT)
+        watch.now_s = 2.3
+        watch.watch.sweep()
+        assert watch.crashes == ["e-1"]
+
     # An answer that was lost long before a crash became a strike.
     async def test_an_answer_lost_before_does_not_count(self) -> None:
         watch = _Watch()
@@ -241,6 +258,7 @@
         watch.answer(1.4)
         watch.start_again(1.0 + LIST_LAG_S + 0.1)
         assert watch.crashes == []
+        assert watch.kinds().count("not_counted") == 1
 
     # A connection that goes on belongs to a process that lives.
     async def test_a_process_that_goes_on_has_lost_an_answer(self) -> None:
