Simulated endpoints tell their start, and some return under their id

The simulated endpoints that returned under their id named nothing that told the processes apart, and those of the stream soak returned under new ids only. Now they tell `born` (`tells_starts`), and in the soak a share of those that end starts again under its id, after 0 to 4 s, at times elsewhere.

--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -79,6 +79,7 @@
         self.requests: dict[str, tuple[int, bytes]] = {}  # Router, label.
         self._loop: NetworkLoop | None = None
         self._names = 0
+        self._starts = 0  # Of endpoints.
         self.store = SimulatedStore()
         self._store_tasks: dict[int, tuple[asyncio.Task[None], ...]] = {}
 
@@ -239,8 +240,15 @@
         )
         self.endpoints[name] = endpoint
         self.loop.listeners[address] = endpoint.accept
+        self._starts += 1
         entry = EndpointEntry(
-            name, service, *address, "z", 64, version=version
+            name,
+            service,
+            *address,
+            "z",
+            64,
+            version=version,
+            born=str(self._starts) if self.plan.tells_starts else "",
         )
         self._set_entry(name, entry)
 
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -140,6 +140,7 @@
     loss: float = 0.02  # Share of lost updates between routers.
     background_per_s: float = 2.0  # Streams and calls, at each router.
     engines: int = 6  # Endpoints of the model service.
+    tells_starts: bool = True  # Whether endpoints tell when they started.
     end_s: float = 34.0
     prompts: tuple[Prompts, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
--- a/tests/streamsoak.py
+++ b/tests/streamsoak.py
@@ -14,6 +14,7 @@
 from typing import Final, cast
 
 from bulrushstream.transport.exchange import Exchange
+from tests.crashfleets import LEASE_S
 from tests.crashingendpoints import (
     EVENT_STREAM,
     EVENTS,
@@ -33,6 +34,8 @@
 EXTRAS: Final = ("extra", "late extra", "extra in parts")
 STALL_S: Final = 1.5
 LIVES_ON_S: Final = 1.0
+RETURNS_S: Final = (0.0, 0.02, 0.2, 1.0, 4.0)  # From an end to the next start.
+ELSEWHERE_SHARE: Final = 0.25
 REPEAT_SHARE: Final = 0.5  # Of the faulty runs that take a stream up.
 _CHUNK: Final = re.compile(rb"([0-9a-f]+)\r\n")
 _EVENT: Final = re.compile(rb"id: (\d+)\ndata: (\d+)\n\n")
@@ -47,6 +50,8 @@
     faulty_share: float = 0.5  # Of the endpoints.
     ends_per_s: float = 0.5  # Endpoints whose process ends.
     old_callers_share: float = 0.25  # Callers of HTTP/1.0.
+    # Of the processes that end: those that start again under their id.
+    return_share: float = 0.0
 
 
 def random_plan(seed: int, path: str) -> SoakPlan:
@@ -179,6 +184,8 @@
         self._soak = plan
         self._runs = 0
         self._fault_rng = Random(f"{plan.seed} faults")
+        self._moves = 0  # Of processes that start again elsewhere.
+        self._return_rng = Random(f"{plan.seed} returns")
         self.faulty: set[str] = set()
         self.judge = Judge(plan.tries > 1)
         # Requests whose last run was whole, at an endpoint that lived on.
@@ -238,6 +245,10 @@
         ]
         if found:
             endpoint = self._fault_rng.choice(found)
+            if self._return_rng.random() < self._soak.return_share:
+                self._return(endpoint)
+                self._schedule_end()
+                return
             link = self._fault_rng.choice((Link.CLOSED, Link.RESET))
             how = self._fault_rng.choice(("refuses", "silent", "closes"))
             del self.endpoints[endpoint.name]
@@ -248,10 +259,37 @@
                 self.loop.listeners[endpoint.address] = partial(
                     Proxy, how == "closes"
                 )
-            self.loop.call_later(3.6, self._set_entry, endpoint.name, None)
+            self.loop.call_later(LEASE_S, self._set_entry, endpoint.name, None)
             self.loop.call_later(1.0, self._start_faulty)
         self._schedule_end()
 
+    def _return(self, endpoint: Endpoint) -> None:
+        """End an endpoint, which starts again under its id, maybe elsewhere.
+
+        It is listed all the while if that takes less than its lease.
+        """
+        rng, loop = self._return_rng, self.loop
+        delay_s = rng.choice(RETURNS_S)
+        del self.endpoints[endpoint.name]
+        del loop.listeners[endpoint.address]
+        endpoint.end(rng.choice((Link.CLOSED, Link.RESET)))
+        address = endpoint.address
+        if rng.random() < ELSEWHERE_SHARE:
+            self._moves += 1
+            address = (f"10.2.0.{self._moves}", 80)
+        again = FaultyEndpoint(
+            self,
+            endpoint.name,
+            endpoint.service,
+            address,
+            number=endpoint.number,
+            version=endpoint.version,
+        )
+        if delay_s > LEASE_S:
+            loop.call_later(LEASE_S, self._set_entry, endpoint.name, None)
+        start = partial(self._start_endpoint, endpoint.service, again)
+        loop.call_later(delay_s, start)
+
     def _start_faulty(self) -> None:
         self._start_endpoint("llm")
         self.faulty.add(next(reversed(self.endpoints)))
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from tests.streamsoak import play_soak, random_plan
 
 SEEDS = range(1, 9)
+RETURN_SEEDS = range(1, 4)
 
 
 class StreamOrderSuite:
@@ -21,3 +24,22 @@
         fleet = play_soak(random_plan(seed, path))
         assert fleet.judge.wrong == []
         assert fleet.given_up() == []
+
+    # The next process answered for one that ended amid a stream.
+    @pytest.mark.parametrize("path", ("/talk/", "/tell/"))
+    @pytest.mark.parametrize("tells_starts", (True, False))
+    def test_processes_return_under_their_id(
+        self, path: str, tells_starts: bool
+    ) -> None:
+        wrong: list[str] = []
+        for seed in RETURN_SEEDS:
+            plan = replace(
+                random_plan(seed, path),
+                ends_per_s=3.0,
+                return_share=0.8,
+                tells_starts=tells_starts,
+            )
+            fleet = play_soak(plan)
+            wrong += fleet.judge.wrong
+            assert fleet.given_up() == []
+        assert wrong == []
