--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -79,7 +79,7 @@
         self.requests: dict[str, tuple[int, bytes]] = {}  # Router, label.
         self._loop: NetworkLoop | None = None
         self._names = 0
-        self._starts = 0
+        self._starts = 0  # Of endpoints.
         self.store = SimulatedStore()
         self._store_tasks: dict[int, tuple[asyncio.Task[None], ...]] = {}
 
@@ -236,7 +236,7 @@
         number = at.number if at else number
         version = version or (at.version if at else self.first_version)
         self._starts += 1
-        born = str(self._starts) if self.plan.tells_start else ""
+        born = str(self._starts) if self.plan.tells_starts else ""
         endpoint = self.endpoint_type(
             self,
             name,
--- a/tests/crashplans.py
+++ b/tests/crashplans.py
@@ -140,6 +140,7 @@
     loss: float = 0.02  # Share of lost updates between routers.
     background_per_s: float = 2.0  # Streams and calls, at each router.
     engines: int = 6  # Endpoints of the model service.
+    tells_starts: bool = True  # Whether endpoints tell when they started.
     end_s: float = 34.0
     prompts: tuple[Prompts, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
@@ -147,7 +148,6 @@
     # When the store answers no call: from and to.
     store_away: tuple[tuple[float, float], ...] = ()
     closes: bool = False  # Whether endpoints close connections after answers.
-    tells_start: bool = True  # Whether endpoints say when they started.
     # By how much the times of day of routers are wrong, by their numbers.
     clock_errors_s: dict[int, float] = field(default_factory=dict)
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -123,11 +123,11 @@
             r for r in history.replies[ASKING.label] if is_whole_200(r)
         ]
 
-    @pytest.mark.parametrize("tells_start", [True, False])
+    @pytest.mark.parametrize("tells_starts", [True, False])
     @pytest.mark.parametrize("path", PATHS)
     # The next process under the id answered for the one that had ended.
     def test_the_next_process_under_the_id_is_another(
-        self, path: str, tells_start: bool
+        self, path: str, tells_starts: bool
     ) -> None:
         body = b"%b:%b:" % (Body.UNFRAMED, Unframed.KILLED.encode())
         asking = replace(ASKING, path=path, body=body, per_s=2.0)
@@ -137,7 +137,7 @@
                 ending=Ending(Point.AMID, Link.CLOSED, After.SAME_ID),
                 background_per_s=8.0,
                 end_s=14.0,
-                tells_start=tells_start,
+                tells_starts=tells_starts,
             )
         )
         assert len(history.crashes_s) >= 2
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -177,7 +177,7 @@
     def test_of_others(self, path: str, how: Unframed, closes: bool) -> None:
         """Before the first one, a router keeps no witness."""
         plan = CrashPlan(
-            closes=closes, background_per_s=0.01, tells_start=False
+            closes=closes, background_per_s=0.01, tells_starts=False
         )
         history = serve(path, how, plan)
         replies = history.replies[ASKING.label]
