--- a/tests/test_end_checks.py
+++ b/tests/test_end_checks.py
@@ -87,7 +87,7 @@
         first_bytes = begun if more else begun - 1
         cut = Answer(2, framed=False, more=more, first_bytes=first_bytes)
         endpoints = Endpoints([cut, Answer()], events=events)
-        caller = Play(known=True).run(endpoints)
+        caller = Play().run(endpoints)
         events.insert(2, more)
         assert body_of(caller.data) == ("200", b"".join(events), True)
         assert endpoints.sends == [0, 2]
@@ -96,7 +96,7 @@
     def test_nothing_new_came_of_a_stream_taken_up(self) -> None:
         cut = Answer(3, framed=False, repeats=True)
         endpoints = Endpoints([cut, Answer()])
-        caller = Play(known=True, after=3).run(endpoints)
+        caller = Play(after=3).run(endpoints)
         assert body_of(caller.data) == ("200", b"".join(EVENTS[3:]), True)
         assert endpoints.sends == [3, 3]
 
@@ -115,7 +115,7 @@
                 forward.exchange.full = True
 
         endpoints = Endpoints([Answer(3, framed=False), rest])
-        caller = Play(known=True, at_s=0.1, do=fill).run(endpoints)
+        caller = Play(at_s=0.1, do=fill).run(endpoints)
         assert body_of(caller.data) == ("200", WHOLE, True)
         assert endpoints.sends == [0, 3]
 
@@ -129,7 +129,7 @@
                 Answer(),
             ]
         )
-        caller = Play(known=False).run(endpoints)
+        caller = Play().run(endpoints)
         assert body_of(caller.data) == ("200", WHOLE, True)
         assert endpoints.sends == [0, 2, 2]
 
@@ -151,7 +151,7 @@
     def test_it_is_not_given_up(self, name: str) -> None:
         """Guards against a whole stream that its check breaks off."""
         endpoints = Endpoints([UNFRAMED, NOTHING_NEW[name]])
-        caller = Play(known=False).run(endpoints)
+        caller = Play().run(endpoints)
         assert body_of(caller.data) == ("200", WHOLE, True)
         assert endpoints.sends == [0, ALL]
 
@@ -159,7 +159,7 @@
     def test_its_checks_fail(self, name: str) -> None:
         """Guards against a whole stream that failed checks break off."""
         endpoints = Endpoints([UNFRAMED, FAILURES[name]])
-        caller = Play(known=False).run(endpoints)
+        caller = Play().run(endpoints)
         assert body_of(caller.data) == ("200", WHOLE, True)
         silent = FAILURES[name].hangs
         assert endpoints.sends == [0, ALL] + [ALL] * (not silent)
@@ -267,7 +267,7 @@
         events = [*EVENTS, b"data: [DONE]\n\n"]
         answer = Answer(len(events), framed=False)
         endpoints = Endpoints([answer], events=events)
-        caller = Play(known=False).run(endpoints)
+        caller = Play().run(endpoints)
         assert body_of(caller.data) == ("200", b"".join(events), True)
         assert endpoints.sends == [0]
 
@@ -275,7 +275,7 @@
         """Guards against a stream that goes on for ever."""
         cuts = [Answer(number, framed=False) for number in range(1, ALL)]
         endpoints = Endpoints(cuts)
-        Play(known=False).run(endpoints)
+        Play().run(endpoints)
         assert endpoints.sends == [0, 1, 2]
 
     @pytest.mark.parametrize("failure", ["500", "503", "421", "a reset"])
