An answer that is known to be whole is no crash of its endpoint

A run whose answer ended with its connection is watched for a crash. The ends of two connections kept for proofs, which the endpoint closed after it had answered probes on them, passed for its connections ending together. A request that was sent later and answered on an older connection shows that the process lived on, for the verdict as for the proof.

--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -231,6 +231,8 @@
         """Judge a run; return whether there is a verdict."""
         seen = watched.pool.seen(run.broke_s)
         judgement = judge_run(run, seen, watched.signs, now_s)
+        if run.passive and watched.pool.outlived(run.broke_s, run.broke_s):
+            judgement = Judgement(Verdict.LIVES, "it answered later")
         if watched.may_have_ended_before(run):
             judgement = Judgement(Verdict.OPEN)
             if now_s - run.broke_s >= SETTLE_S:
