An abandoned probe does nothing once its loop is gone

Tests failed now and then (test_stream_order, test_endless_answers; six runs of some ten) with "Event loop is closed": the limit of a cancelled probe was set in a finally clause, which also runs as a coroutine of an earlier play is collected, and then used the loop of the next one. Only a cancellation sets it now. A play whose loop saw an error names it.

--- a/src/bulrushstream/transport/probe.py
+++ b/src/bulrushstream/transport/probe.py
@@ -150,9 +150,8 @@
     :param timeout_s: the time limit, in seconds
     :param connection: an unused connection of the pool; None: a new one
     """
-    future: asyncio.Future[ProbeAnswer] = (
-        asyncio.get_running_loop().create_future()
-    )
+    loop = asyncio.get_running_loop()
+    future: asyncio.Future[ProbeAnswer] = loop.create_future()
     sink = _ProbeSink(pool, request, future)
     if connection is None:
         pending = pool.send(b"GET", sink, reuse=False)
@@ -166,11 +165,12 @@
         sink.ended = True
         pending.cancel()
         return None
-    finally:
-        if not sink.ended:
-            # The body may have no end, or no one may wait for the answer.
-            loop = asyncio.get_running_loop()
-            loop.call_later(timeout_s, _give_up_unless_ended, sink)
+    except asyncio.CancelledError:
+        loop.call_later(timeout_s, _give_up_unless_ended, sink)
+        raise
+    if not sink.ended:
+        # The body may have no end.
+        loop.call_later(timeout_s, _give_up_unless_ended, sink)
     return answer
 
 
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -91,7 +91,8 @@
 
     def run(self) -> CrashHistory:
         """Play the plan and return what happened."""
-        assert run_in_network(self._play) == []
+        errors = run_in_network(self._play)
+        assert errors == [], errors
         return self.history
 
     async def _play(self, loop: NetworkLoop) -> None:
