An empty body without a length does not end a stream

An empty body without a length was taken for the end of a stream that goes on, once its endpoint was known to live; a head that was cut looks the same. It is given up again, as before.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -252,22 +252,14 @@
             # That its endpoint lived is known of the stream that it checks.
             self._record_end(ran=True)
             self._end_stream(head)
-        elif not (
-            self._body_bytes or head.status >= 400 or self._goes_on(head)
-        ):
+        elif head.status < 400 and not self._body_bytes:
+            # It may have been cut within its head.
             self._give_up("the connection ended at the body")
         elif not self._may_be_whole(head):
             self._end_complete(head)
         else:
             self._wait_for_proof()
 
-    def _goes_on(self, head: AnswerHead) -> bool:
-        """Return whether an answer goes on with the caller's stream.
-
-        It has no events if that was whole.
-        """
-        return self.forward.stream_writer is not None and _is_stream(head)
-
     def _may_be_whole(self, head: AnswerHead) -> bool:
         """Return whether an answer that ended here could be passed on."""
         forward = self.forward
