The mutation of retry slack takes the share of checks

tests/test_routing_histories.py, test_a_fault_is_caught[slack for each], failed: the mutation replaced a method that has one more parameter since the checks of ends of streams, so each retry ended in a TypeError and no history exceeded the budget.

--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -68,10 +68,14 @@
     original = RetryQuota.acquire
 
     def acquire(
-        self: RetryQuota, service: str, now_s: float, routers: int
+        self: RetryQuota,
+        service: str,
+        now_s: float,
+        routers: int,
+        share: float = 1.0,
     ) -> bool:
         del routers
-        return original(self, service, now_s, 1)
+        return original(self, service, now_s, 1, share)
 
     monkeypatch.setattr(RetryQuota, "acquire", acquire)
 
