An answer ends as broken if the router fails to pass it on

Callers saw streams that went on behind events they never got (1, then 3), or behind half an event, whenever anything was raised between the reading of an event and its writing: a MemoryError in EventSplitter.feed, in a write, or any other error.

Cause: such an error left a callback of the HTTP parser, passed for an invalid response of the endpoint, and the stream was resumed elsewhere behind the last id that had been read. An error while the end was handled was lost: the caller waited until its deadline.

Attempt.data, Attempt.end and the proof of an end now hand any error to daemon/answerfaults, which aborts the caller's connection first, as nothing else of it allocates, then logs a fault and ends the request. No endpoint is counted as failing for it. The try blocks cost nothing on ordinary events.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -15,7 +15,13 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.forwarding import Failure
-from bulrushstream.daemon import endcheck, endpointload, runwatch, takeups
+from bulrushstream.daemon import (
+    answerfaults,
+    endcheck,
+    endpointload,
+    runwatch,
+    takeups,
+)
 from bulrushstream.daemon.lifeproof import Proof
 from bulrushstream.daemon.unframed import UnframedBody
 from bulrushstream.state.call import (
@@ -195,6 +201,13 @@
 
     def data(self, data: bytes) -> None:
         """Relay or buffer a chunk of an answer's body; see `Sink`."""
+        try:
+            self._handle_data(data)
+        except Exception as error:
+            answerfaults.end_broken(self.forward, error)
+
+    def _handle_data(self, data: bytes) -> None:
+        """Relay or buffer a chunk of an answer's body."""
         head, unframed = self._head, self._unframed
         if head is None or self.forward.done:
             return
@@ -226,6 +239,13 @@
 
     def end(self, *, framed: bool = True) -> None:
         """Handle the end of a complete answer; see `Sink`."""
+        try:
+            self._handle_end(framed=framed)
+        except Exception as error:
+            answerfaults.end_broken(self.forward, error)
+
+    def _handle_end(self, *, framed: bool) -> None:
+        """Handle the end of a complete answer."""
         forward, head = self.forward, self._head
         self._end = "complete" if framed else "connection closed in order"
         if head is None or forward.done:
@@ -296,7 +316,10 @@
         if head is None or self.forward.done:
             self._pending = None
         elif proof is not Proof.NONE:
-            self._end_complete(head)
+            try:
+                self._end_complete(head)
+            except Exception as error:
+                answerfaults.end_broken(self.forward, error)
         else:
             self.failed(
                 ResponseFailure.BROKEN, "nothing proves that its process lives"
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -346,6 +346,11 @@
         else:
             self._answer_notice(messages.DRAINING, Outcome.NOT_RUN)
 
+    def break_off(self) -> None:
+        """End the request, of whose answer bytes may be missing."""
+        self._cancel_attempt()
+        self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
+
     def _cancel_attempt(self) -> None:
         """Cancel the attempt in flight or the question for the origin."""
         if self.take_up is not None:
