A caller's connection ends if a write to it fails

Callers could get bytes of an answer behind a write that was cut: asyncio's transport sends a part of what it is given, then allocates room for the rest, and raises if there is no memory. Whoever wrote next went on. A refusal that is written by a timer left its caller waiting, too.

ClientConnection.write aborts the connection if its transport raises, and passes the error on, so that nothing may follow, whoever writes.

Test: TransportFaultSuite.test_a_write_fails, on real sockets; failed before (the later pieces and the last chunk came behind three bytes of the second).

--- a/src/bulrushstream/transport/ingress.py
+++ b/src/bulrushstream/transport/ingress.py
@@ -292,7 +292,12 @@
         if transport is None or transport.is_closing():
             self._cut = True
             return
-        transport.write(data)
+        try:
+            transport.write(data)
+        except Exception:
+            # A part of it may have been sent, and nothing may follow that.
+            self._cut_off()
+            raise
         unread_bytes = transport.get_write_buffer_size()
         if unread_bytes > MIN_COUNTED_BYTES:
             self._count_unread(unread_bytes)
