A connection ends if a callback of its transport fails

Callers could get bytes twice. As the kernel has taken a part of what is buffered, asyncio's transport cuts the buffer, which needs memory for a shorter copy. Without memory the cut fails, the event loop logs "Exception in callback _SelectorSocketTransport._write_ready" and goes on, and the part is sent again, each time that the socket is ready.

Shown with Python 3.11 alone, outside the router: a transport with 1,040,000 bytes under an address-space limit that is reached sent 13,647,680 bytes, with 69 such errors in the log.

The process sets an exception handler that aborts the transport whose callback failed, before the next bytes can be sent. It says nothing of bytes that were sent before.

Test: TransportFaultSuite.test_sent_bytes_can_not_be_removed, on real sockets; failed before with 9,800,771 bytes for 8,000,015.

--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -32,6 +32,7 @@
 from bulrushstream.state.excess import PeerKind
 from bulrushstream.state.nodesettings import NodeSettings
 from bulrushstream.state.peerupdate import PeerUpdate
+from bulrushstream.transport.callbackfaults import end_failed_connection
 from bulrushstream.transport.datagrams import HEARTBEAT_S, PeerSocket
 from bulrushstream.transport.exchange import Exchange
 from bulrushstream.transport.ingress import Ingress, IngressLimits
@@ -438,6 +439,7 @@
     :returns: the exit code
     """
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(end_failed_connection)
     process = FrontProcess(path, settings, make_deps(settings))
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_transport_faults.py
+++ b/tests/test_transport_faults.py
@@ -9,11 +9,33 @@
 import asyncio
 from typing import Any, Final
 
+from bulrushstream.transport.callbackfaults import end_failed_connection
 from bulrushstream.transport.exchange import Exchange
 from bulrushstream.transport.ingress import Ingress, IngressLimits
 
 REQUEST: Final = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
-LIMITS: Final = IngressLimits()
+# More than the kernel's buffers take.
+PIECE: Final = b"".join(b"%08d" % number for number in range(1_000_000))
+LIMITS: Final = IngressLimits(unread_bytes=len(PIECE))
+
+
+class FailingBuffer(bytearray):
+    """A buffer that can't be cut once, as a shorter one needs memory."""
+
+    failed = False
+
+    def __delitem__(self, key: Any) -> None:
+        if not self.failed:
+            self.failed = True
+            raise MemoryError
+        super().__delitem__(key)
+
+
+def fail_buffer(transport: Any) -> FailingBuffer:
+    """Make the transport's buffer fail; return it."""
+    transport._buffer = FailingBuffer(transport._buffer)
+    buffer: FailingBuffer = transport._buffer
+    return buffer
 
 
 class FailingTransport:
@@ -35,6 +57,25 @@
 
 
 class TransportFaultSuite:
+    async def test_sent_bytes_can_not_be_removed(self) -> None:
+        """Guards against bytes that are sent twice."""
+        loop = asyncio.get_running_loop()
+        # As the router's process does.
+        loop.set_exception_handler(end_failed_connection)
+        buffers = []
+
+        def handle(exchange: Exchange) -> None:
+            writer = exchange.begin(200, [], None)
+            writer.write(PIECE)
+            buffers.append(fail_buffer(exchange.connection._transport))
+            writer.finish()
+
+        received = await self._receive(handle)
+        assert buffers[0].failed
+        written = b"%x\r\n%b\r\n0\r\n\r\n" % (len(PIECE), PIECE)
+        assert len(received) < len(written)
+        assert written.startswith(received)
+
     async def test_a_write_fails(self) -> None:
         """Guards against bytes that follow a write that was cut."""
         loop = asyncio.get_running_loop()
