Peers listen to a router whose clock was set back at once

A router's incarnation is the time of day at which its process started. One that started again with its clock set back sent updates with a lower one, and its peers ignored all of them until they had forgotten the process before, 2.5 s after its last update: requests placed, endpoints that leave, crashes and origins of streams.

Incarnations are names now: an update of another one than the known begins a new process, unless that one has ended before. Its late datagrams are still recognised, for the last eight processes of a router.

Test: test_a_router_starts_again_after_its_clock_was_set_back; failed before.

--- a/src/bulrushstream/coordination/fleetview.py
+++ b/src/bulrushstream/coordination/fleetview.py
@@ -28,6 +28,8 @@
 # since the host was added or last heard from.
 HOST_TIMEOUT_S: Final = 60.0
 
+# Ended processes of a router whose late updates are recognised.
+MAX_ENDED: Final = 8
 
 # Routers, and hosts, that are known at most; further ones are ignored.
 MAX_ROUTERS: Final = 2_048
@@ -43,6 +45,9 @@
     last_heard_s: float  # When its last update arrived.
     calls: set[int] = field(default_factory=set)  # Its open requests.
     zone: str = ""  # Its availability zone; empty: not known.
+    # Its incarnations before, the last one first.  Numbers tell no order, as
+    # the time of day that they are made of may be set back.
+    ended: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,15 +93,21 @@
         """
         known = self.peers.get(update.instance)
         lost: set[int] = set()
-        if known is not None and update.incarnation < known.incarnation:
+        if known is not None and update.incarnation in known.ended:
             return lost
         if known is None and len(self.peers) >= MAX_ROUTERS:
             return lost
         if known is None or known.incarnation != update.incarnation:
+            ended: tuple[int, ...] = ()
             if known is not None:
                 lost = known.calls
+                ended = (known.incarnation, *known.ended)[:MAX_ENDED]
             known = PeerView(
-                update.instance, update.incarnation, update.host, now_s
+                update.instance,
+                update.incarnation,
+                update.host,
+                now_s,
+                ended=ended,
             )
             self.peers[update.instance] = known
         known.last_heard_s = now_s
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -267,6 +267,25 @@
                 second.sweep(PEER_TIMEOUT_S + 0.1)
             assert second.pool.by_name["e-1"].outstanding == 0
 
+    def test_a_router_starts_again_after_its_clock_was_set_back(
+        self,
+    ) -> None:
+        """Guards against a router that others do not listen to."""
+        _, recorder = a_router_state(1)
+        second, _ = a_router_state(2)
+        endpoint = second.pool.by_name["e-1"]
+        calls = [RequestPlaced(number, "e-1") for number in (1, 2, 3)]
+        before = replace(recorder.identity, incarnation=5)
+        again = replace(recorder.identity, incarnation=4)
+        second.apply_update(replace(before, placements=(calls[0],)), 0.0)
+        assert endpoint.outstanding == 1
+        second.apply_update(replace(again, placements=tuple(calls[1:])), 0.3)
+        assert endpoint.outstanding == 2
+        # A datagram of the process before may be late.
+        second.apply_update(replace(before, leaving=True), 0.31)
+        assert endpoint.outstanding == 2
+        assert second.peers.peers["front-1"].incarnation == 4
+
     def test_each_crash_counts_one_strike(self) -> None:
         (first, recorder), (second, _) = a_router_state(1), a_router_state(2)
         for name in ("e-1", "e-2", "e-3"):
