Soak: an ended endpoint answers on no connection

An endpoint of the soak of real processes that was ended went on answering on connections that it had accepted but not begun to serve: for the routers a process that lives, which proves its cut streams whole. Processes that are killed do not do that.

Test: EndedEndpointSuite; failed before in the turns of the loop in which the connection is accepted.

--- a/tests/soakendpoints.py
+++ b/tests/soakendpoints.py
@@ -52,6 +52,7 @@
     born: int
     runs: Runs
     port: int = 0
+    _ended: bool = False
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -64,6 +65,7 @@
     def end(self) -> None:
         """Close all sockets, as the kernel does for a killed process."""
         assert self._server is not None
+        self._ended = True
         self._server.close()
         for task in self._tasks:
             task.cancel()
@@ -73,6 +75,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._ended:
+            # The connection was accepted just before.
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
