A router without memory for a line of its log goes on

Routers whose memory ran out for less than half a second ended by themselves: the event loop logs each error of a callback, the log had no memory for the line either, and what that raised left the loop. Others logged nothing more: the timer that writes the log ended with the first write that failed.

A line for which there is no memory is dropped and counted, as one that does not fit into the buffer is, and a write that fails is tried again at the next turn.

--- a/src/bulrushstream/logs.py
+++ b/src/bulrushstream/logs.py
@@ -12,6 +12,7 @@
 import os
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, fields
 from typing import Any, Final
 
@@ -76,8 +77,8 @@
     """Buffers lines and writes them without blocking.
 
     The event loop calls `flush` a few times a second.  Lines that do not fit
-    into the buffer are dropped; a ``lines_dropped`` line with their number
-    precedes the next line that fits.
+    into the buffer, or for which there is no memory, are dropped; a
+    ``lines_dropped`` line with their number precedes the next line that fits.
     """
 
     dropped: int  # Lines dropped since the process started.
@@ -100,6 +101,13 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Buffer a line; see `logging.Handler`."""
+        try:
+            self._append(record)
+        except MemoryError:
+            self.dropped += 1
+
+    def _append(self, record: logging.LogRecord) -> None:
+        """Buffer a line if there is room for it."""
         line = self.format(record).encode() + b"\n"
         if len(self._buffer) + len(line) > self._max_bytes:
             self.dropped += 1
@@ -114,6 +122,11 @@
 
     def flush(self) -> None:
         """Write all that can be written now; see `logging.Handler`."""
+        with suppress(MemoryError):
+            self._write_buffer()
+
+    def _write_buffer(self) -> None:
+        """Write what the descriptor takes."""
         while self._buffer:
             try:
                 written = os.write(
