A young connection proves nothing for a process that ended

Cause: a proxy, or a busy kernel's backlog, accepts a connection and leads it to a process later. A connection that was opened while the answer's process ran, and carried nothing yet, can so lead to the next one; its answer, or its bytes, proved that the process before lives on.

The cases in test_life_proofs that expect no proof failed before.

Now a connection proves something if it carried an answer of the process before, or is 0.25 s older. A younger one is believed as before only where nothing better can be had: none of the older ones ended with the answer, and the endpoint tells no start in its report. So whole answers of endpoints that tell none are not given up (test_witnesses, unchanged).

--- a/src/bulrushstream/daemon/lifeproof.py
+++ b/src/bulrushstream/daemon/lifeproof.py
@@ -13,6 +13,11 @@
 
 Where no such connection is left, an answer on a new one counts if it says that
 the process started at the time that the endpoint list gave for it before.
+
+A proxy may lead a connection to a process later than it accepts it.  One that
+has carried no answer yet, and was opened a moment before, therefore proves
+something only if nothing better could: no older one ended with the answer or
+may still prove it, and the endpoint does not tell when it started.
 """
 
 from __future__ import annotations
@@ -43,6 +48,9 @@
 # The pause between two probes of one endpoint.
 PROBE_INTERVAL_S: Final = 0.5
 
+# Connections that ended so long before an answer did may have ended with it.
+TOGETHER_S: Final = 0.15
+
 # Probes of one endpoint at a time, as one may wait there for long.
 MAX_PROBES: Final = 3
 
@@ -86,6 +94,7 @@
     # What the last report says of the start, and when it was asked for.
     born: str = ""
     reported_s: float = float("-inf")
+    asked_s: float = float("-inf")  # The same of one that may have failed.
 
 
 @dataclass(slots=True)
@@ -180,23 +189,40 @@
         self, waiting: _Waiting, ended: EndedConnection, now_s: float
     ) -> Proof | None:
         """Return the proof, or that there is none; None: it may come."""
-        pool = waiting.pool
-        if pool.outlived(ended.ran_s, ended.closed_s):
+        pool, proven = waiting.pool, self._must_be_proven(waiting, ended)
+        if pool.outlived(ended.ran_s, ended.closed_s, proven=proven):
             return Proof.ANSWER
-        if pool.goes_on(ended.ran_s, ended.closed_s + EXIT_S):
+        watched_s = ended.closed_s + EXIT_S
+        if pool.goes_on(ended.ran_s, watched_s, proven=proven):
             return Proof.BYTES
         told = waiting.reported_s > ended.closed_s
         if told and ended.born and ended.born == waiting.born:
             return Proof.SAME_START
         if now_s >= ended.wait_until_s:
             return Proof.NONE
-        if waiting.probes or pool.has_opened_by(ended.ran_s):
+        if waiting.probes or pool.has_opened_by(ended.ran_s, proven=proven):
             return None
         may_tell = ended.born and not told
         if may_tell and self.encode_report_call(waiting.endpoint):
             return None
         return Proof.NONE
 
+    def _must_be_proven(
+        self, waiting: _Waiting, ended: EndedConnection
+    ) -> bool:
+        """Return whether only a connection that surely led to it counts."""
+        pool = waiting.pool
+        if pool.lost_proven(ended.ran_s, ended.closed_s - TOGETHER_S):
+            return True
+        # One that stays open may carry a request, and be silent for long.
+        if self.clock() < ended.closed_s + UNPROBED_S and pool.has_opened_by(
+            ended.ran_s, proven=True
+        ):
+            return True
+        asked = waiting.asked_s > ended.closed_s and not waiting.born
+        call = self.encode_report_call(waiting.endpoint)
+        return bool(ended.born) and not asked and call is not None
+
     def _probe_if_due(self, waiting: _Waiting, now_s: float) -> None:
         """Probe an endpoint unless that is done, or was a moment ago."""
         if now_s < waiting.probe_due_s:
@@ -220,7 +246,12 @@
         until_s = max(each.wait_until_s for each in due)
         request, witness = self.encode_probe(endpoint), None
         if request is not None:
-            found = (pool.pop_witness(each.ran_s) for each in due)
+            found = (
+                pool.pop_witness(
+                    each.ran_s, proven=self._must_be_proven(waiting, each)
+                )
+                for each in due
+            )
             witness = next((each for each in found if each), None)
         if request is not None and witness is not None:
             work = self._probe(waiting, request, until_s, witness)
@@ -267,5 +298,6 @@
         body = await ask_report(waiting.pool, request, until_s - sent_s)
         if body is not None:
             waiting.born, waiting.reported_s = self.decode_start(body), sent_s
-        else:
+        waiting.asked_s = sent_s
+        if body is None:
             waiting.probe_due_s = self.clock() + PROBE_INTERVAL_S
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -54,6 +54,10 @@
 # within this time.
 EXIT_S: Final = 0.05
 
+# A proxy or a kernel that accepts a connection leads it to a process within
+# this time.
+LEAD_S: Final = 0.25
+
 # Each byte of a body allows for this many bytes of framing.
 FRAMING_PER_BYTE: Final = 32
 
@@ -169,6 +173,8 @@
         self.heard_s = float("-inf")  # When the last bytes arrived.
         # When the last request was sent on it that the peer itself answered.
         self.answered_s = float("-inf")
+        # When the peer itself first answered one on it; infinity: never.
+        self.first_answer_s = float("inf")
         # When it was last found read empty, if no bytes came since; the last
         # such time before bytes that did, and when these came.
         self._empty_s = float("-inf")
@@ -205,6 +211,18 @@
             and not self._unusable
         )
 
+    def since_s(self, proven: bool) -> float:
+        """Return since when it leads to the peer's process at its other end.
+
+        What accepted it, as a proxy or a kernel's backlog, may have led it
+        there later than it was opened.
+
+        :param proven: whether that must be known, by an answer or by its age
+        """
+        if not proven:
+            return self.opened_s
+        return min(self.first_answer_s, self.opened_s + LEAD_S)
+
     def has_unread_bytes(self) -> bool:
         """Return whether anything came that the loop has not read yet.
 
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -24,7 +24,11 @@
     Sink,
 )
 from bulrushstream.transport.readturns import ReadTurns
-from bulrushstream.transport.witnesses import UnframedAnswers, Witnesses
+from bulrushstream.transport.witnesses import (
+    USED_UP_S,
+    UnframedAnswers,
+    Witnesses,
+)
 
 # A healthy endpoint accepts within a few milliseconds; a lost SYN packet is
 # retransmitted after one second, which this limit allows for.
@@ -83,9 +87,9 @@
     _connecting: int = 0  # Connections being opened.
     _winds_down: bool = False  # Whether it ends with the last request.
     _witnesses: Witnesses = field(init=False)
-    # When closed connections were opened, and when the last request was sent
-    # on each that the peer itself answered.
-    _answered: deque[tuple[float, float]] = field(
+    # When closed connections were opened, since when they led to the process,
+    # and when the last request was sent on each that the peer itself answered.
+    _answered: deque[tuple[float, float, float]] = field(
         default_factory=lambda: deque(maxlen=MAX_ENDED)
     )
     # When each connection that the peer ended was opened and ended, and
@@ -93,6 +97,11 @@
     _ended: deque[tuple[float, float, bool]] = field(
         default_factory=lambda: deque(maxlen=MAX_ENDED)
     )
+    # Since when each that may have ended with the process led to it, and when
+    # it ended.
+    _led: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_ENDED)
+    )
 
     def __post_init__(self) -> None:
         """Keep no connections yet."""
@@ -154,15 +163,18 @@
         self._send_on(connection, method, sink, pending)
         return pending
 
-    def pop_witness(self, opened_by_s: float) -> Connection | None:
+    def pop_witness(
+        self, opened_by_s: float, *, proven: bool = False
+    ) -> Connection | None:
         """Take a connection without a request that was opened by a time.
 
         :param opened_by_s: the time
+        :param proven: whether it must have led to the process by then
         :returns: the connection; None: there is none
         """
         for queue in (self._retired, self._witnesses.idle, self._idle):
             for connection in queue:
-                old = connection.opened_s <= opened_by_s
+                old = connection.since_s(proven) <= opened_by_s
                 if not old or not connection.usable:
                     continue
                 if not connection.has_unread_bytes():
@@ -204,12 +216,15 @@
             if connection in queue:
                 queue.remove(connection)
         if connection.answered_s > float("-inf"):
-            self._answered.append((connection.opened_s, connection.answered_s))
+            self._record_answered(connection)
         if self._witnesses.is_used_up(connection, ended_by_peer):
             # It ended with the answer, and shows nothing of the process.
             self._keep_witnesses()
         elif ended_by_peer:
             self._ended.append((connection.opened_s, self.clock(), busy))
+            # One without a request may have ended because of its answer.
+            if busy or self.clock() - connection.heard_s >= USED_UP_S:
+                self._led.append((connection.since_s(True), self.clock()))
         self._end_soon_if_due()
 
     def exceeded(self, reason: ExcessReason) -> None:
@@ -265,33 +280,64 @@
         if connection is None:
             return
         connection.answered_s = sent_s
+        connection.first_answer_s = min(
+            connection.first_answer_s, self.clock()
+        )
         if connection not in self._all:
-            self._answered.append((connection.opened_s, sent_s))
+            self._record_answered(connection)
 
-    def outlived(self, opened_by_s: float, closed_s: float) -> bool:
+    def _record_answered(self, connection: Connection) -> None:
+        """Remember a closed connection that carried an answer."""
+        self._answered.append(
+            (
+                connection.opened_s,
+                connection.since_s(True),
+                connection.answered_s,
+            )
+        )
+
+    def outlived(
+        self, opened_by_s: float, closed_s: float, *, proven: bool = False
+    ) -> bool:
         """Return whether an older connection has carried a newer answer.
 
         :param opened_by_s: the time by which it was opened
         :param closed_s: the time since which the request was sent
+        :param proven: whether it must have led to the process by then
         """
         return any(
-            opened_s <= opened_by_s and answered_s > closed_s
-            for opened_s, answered_s in self._answered
+            (led_s if proven else opened_s) <= opened_by_s
+            and answered_s > closed_s
+            for opened_s, led_s, answered_s in self._answered
         ) or any(
-            each.opened_s <= opened_by_s and each.answered_s > closed_s
+            each.since_s(proven) <= opened_by_s and each.answered_s > closed_s
             for each in self._all
         )
 
-    def has_opened_by(self, opened_by_s: float) -> bool:
+    def has_opened_by(
+        self, opened_by_s: float, *, proven: bool = False
+    ) -> bool:
         """Return whether a connection is open that was opened by a time.
 
         :param opened_by_s: the time
+        :param proven: whether it must have led to the process by then
         """
         return any(
-            each.opened_s <= opened_by_s and not each.is_closed
+            each.since_s(proven) <= opened_by_s and not each.is_closed
             for each in self._all
         )
 
+    def lost_proven(self, led_by_s: float, since_s: float) -> bool:
+        """Return whether the peer ended one that had led to the process.
+
+        :param led_by_s: the time by which it had
+        :param since_s: the time since which it may have ended
+        """
+        return any(
+            led_s <= led_by_s and ended_s >= since_s
+            for led_s, ended_s in self._led
+        )
+
     @property
     def idle_ended_s(self) -> float:
         """Return when the peer last ended one that carried no request."""
@@ -331,14 +377,17 @@
         for each in self._all:
             each.watch_bytes(since_s)
 
-    def goes_on(self, opened_by_s: float, since_s: float) -> bool:
+    def goes_on(
+        self, opened_by_s: float, since_s: float, *, proven: bool = False
+    ) -> bool:
         """Return whether the peer wrote to an older connection, as watched.
 
         :param opened_by_s: the time by which it was opened
         :param since_s: the time since which it wrote, and `EXIT_S` more
+        :param proven: whether it must have led to the process by then
         """
         return any(
-            each.wrote_s >= since_s and each.opened_s <= opened_by_s
+            each.wrote_s >= since_s and each.since_s(proven) <= opened_by_s
             for each in self._all
         )
 
--- a/tests/test_life_proofs.py
+++ b/tests/test_life_proofs.py
@@ -387,6 +387,54 @@
         assert results == [Proof.NONE]
 
 
+class LateProxySuite:
+    # A proxy that accepted a connection led it to the next process, which
+    # then answered for the one before.
+    @pytest.mark.parametrize(
+        ("listed", "born", "older", "proof"),
+        [
+            ("1", "2", False, Proof.NONE),
+            ("1", "1", False, Proof.SAME_START),
+            ("1", "", False, Proof.ANSWER),  # Nothing better is told.
+            ("", "2", False, Proof.ANSWER),
+            ("", "2", True, Proof.NONE),
+        ],
+    )
+    def test_a_young_connection(
+        self, listed: str, born: str, older: bool, proof: Proof
+    ) -> None:
+        results: list[Proof] = []
+
+        async def run(loop: NetworkLoop) -> None:
+            server = Server(born=born)
+            loop.listeners[ADDRESS] = server.accept
+            pool = Pool(*ADDRESS, loop.time)
+            if older:
+                pool.add_idle()
+            await asyncio.sleep(1.0)
+            pool.add_idle()
+            await asyncio.sleep(0.1)
+            if older:
+                server.transports[0].end(None)
+                await asyncio.sleep(0.01)
+            now_s = loop.time()
+            proofs = LifeProofs(
+                loop.time,
+                lambda endpoint: REQUEST,
+                lambda endpoint, status, headers: True,
+                lambda endpoint: REPORT,
+                bytes.decode,
+            )
+            entry = Endpoint(an_entry("e-1"), None)
+            until_s = now_s + LIMIT_S
+            proofs.wait(entry, pool, now_s, until_s, results.append, listed)
+            await asyncio.sleep(3.0)
+            pool.close()
+
+        assert run_in_network(run) == []
+        assert results == [proof]
+
+
 class PausedSuite:
     def test_bytes_that_are_read_late_prove_nothing(self) -> None:
         """Guards against old bytes of a process that has ended."""
