--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -50,8 +50,9 @@
     runs: Runs = field(init=False)
     proxies: list[Proxy] = field(default_factory=list)
     routers: list[RouterProcess] = field(default_factory=list)
+    born_step: int = 1  # Between the starts of an endpoint's processes.
     _version: int = 0
-    _born: int = 1
+    _born: int = 1_000
     _starting: list[asyncio.Task[None]] = field(default_factory=list)
     # Open connections of callers, by their router's address.
     _kept: dict[str, list[_Connection]] = field(default_factory=dict)
@@ -71,6 +72,7 @@
             RouterProcess(ip, port, ips, self.store.port, self.folder)
             for ip in ips
         ]
+        self.prepare_routers()
         disturbing: list[asyncio.Task[None]] = []
         try:
             for router in self.routers:
@@ -100,6 +102,9 @@
 
     # --- Faults.
 
+    def prepare_routers(self) -> None:
+        """Do nothing: plays may change how their routers are started."""
+
     def _configure(self) -> None:
         """Write the next version of the configuration."""
         self._version += 1
@@ -136,7 +141,7 @@
             proxy = rng.choice(self.proxies[: ENDPOINTS // 2 + 1])
             ended = proxy.endpoint
             ended.end()
-            self._born += 1
+            self._born += self.born_step
             name = ended.name
             if rng.random() < 0.5:
                 name = f"e-{self._born}-new"
@@ -228,6 +233,9 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def _connect(self, router: RouterProcess) -> _Connection:
+        return await asyncio.open_connection(router.ip, router.first_port)
+
     async def _exchange(
         self, router: RouterProcess, request: bytes, version: str
     ) -> Answer:
@@ -240,9 +248,7 @@
                 if kept and version == "1.1":
                     connection = kept.pop()
                 else:
-                    connection = await asyncio.open_connection(
-                        router.ip, router.first_port
-                    )
+                    connection = await self._connect(router)
                 reader, writer = connection
                 writer.write(request)
                 head = await read_head(reader)
--- a/tests/soakrouters.py
+++ b/tests/soakrouters.py
@@ -8,7 +8,7 @@
 import signal
 import socket
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Final
 
@@ -110,6 +110,8 @@
     seeds: list[str]  # Addresses of routers to ask for the others.
     store_port: int
     folder: Path  # For its settings and its log.
+    program: str = "deploy/router.py"
+    environment: dict[str, str] = field(default_factory=dict)
     process: asyncio.subprocess.Process | None = None
 
     async def start(self, *, bootstrap: bool) -> None:
@@ -135,9 +137,13 @@
         with (self.folder / f"{self.ip}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "deploy/router.py",
+                self.program,
                 cwd=ROOT,
-                env={**os.environ, "BULRUSHSTREAM_NODE_FILE": str(path)},
+                env={
+                    **os.environ,
+                    **self.environment,
+                    "BULRUSHSTREAM_NODE_FILE": str(path),
+                },
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
