A router without memory reads its peers' datagrams

Each read of a datagram allocated 64 KiB first.

Datagrams are read into one buffer now, and copied at their own size.

Test: DatagramSuite; failed before (65,994 bytes at the peak).

--- a/src/bulrushstream/transport/udp.py
+++ b/src/bulrushstream/transport/udp.py
@@ -13,6 +13,9 @@
 
 MAX_DATAGRAM_BYTES: Final = 65_536
 
+# All sockets share it, so that a read needs no memory but for what it reads.
+_BUFFER: Final = memoryview(bytearray(MAX_DATAGRAM_BYTES))
+
 # Datagrams that are read at once, so that others are not kept waiting.
 MAX_READS: Final = 512
 
@@ -76,12 +79,13 @@
             if self._closed:
                 return
             try:
-                data, address = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+                size_bytes, address = self._sock.recvfrom_into(_BUFFER)
             except BlockingIOError:
                 return
             except OSError as error:
                 self._receiver.error_received(error)
                 continue
+            data = bytes(_BUFFER[:size_bytes])
             self._receiver.datagram_received(data, address)
 
 
--- a/tests/test_transport_faults.py
+++ b/tests/test_transport_faults.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import tracemalloc
 from typing import Any, Final
 
 from bulrushstream.transport.callbackfaults import end_failed_connection
 from bulrushstream.transport.exchange import Exchange
 from bulrushstream.transport.ingress import Ingress, IngressLimits
+from bulrushstream.transport.udp import open_udp
 
 REQUEST: Final = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 # More than the kernel's buffers take.
@@ -114,3 +117,32 @@
         writer.transport.abort()
         server.close()
         return bytes(received)
+
+
+class Datagrams:
+    """Keeps what arrives; see `udp.DatagramReceiver`."""
+
+    def __init__(self) -> None:
+        self.received: list[bytes] = []
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        self.received.append(data)
+
+    def error_received(self, exc: Exception) -> None:
+        raise exc
+
+
+class DatagramSuite:
+    async def test_reading_needs_little_memory(self) -> None:
+        """Guards against a loop that spins as it can't read a datagram."""
+        receiver = Datagrams()
+        port = open_udp("127.0.0.1", 0, receiver)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(b"an update", port._sock.getsockname())
+        tracemalloc.start()
+        port._read()
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        port.close()
+        assert receiver.received == [b"an update"]
+        assert peak_bytes < 8_192
