--- a/tests/crashingendpoints.py
+++ b/tests/crashingendpoints.py
@@ -467,6 +467,11 @@
     def _send_head(
         self, status: bytes, headers: dict[bytes, bytes], more: bytes
     ) -> None:
+        self.transport.send(self._encode_head(status, headers, more))
+
+    def _encode_head(
+        self, status: bytes, headers: dict[bytes, bytes], more: bytes
+    ) -> bytes:
         request_id = headers.get(b"x-request-id", b"")
         fleet = self.endpoint.fleet
         limit = fleet.name_limit(request_id.decode(), self.endpoint)
@@ -474,7 +479,7 @@
             more += b"Server-Limit: %b\r\n" % limit
         more += fleet.notice(request_id.decode(), self.endpoint)
         more += b"X-Server-Load: %d,0,64\r\n" % self.endpoint.running
-        self.transport.send(
+        return (
             b"HTTP/1.1 %b\r\nX-Request-Id: %b\r\n"
             b"X-Response-Signature: s\r\n%b\r\n" % (status, request_id, more)
         )
--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -19,6 +19,7 @@
 from bulrushstream.standins.keyedlog import KeyedLog
 from tests.deployments import HOST, KEY, wire_config, wire_route
 from tests.soakendpoints import (
+    EVENTS,
     READ_BYTES,
     Endpoint,
     Proxy,
@@ -219,9 +220,9 @@
             answer = await self._exchange(router, request, version)
             name = f"{first_id}-{attempt} HTTP/{version} {answer.framing}"
             if answer.status == "200":
-                wrong = judge(name, answer, events, resumable)
-                if wrong:
-                    self.wrong.append(wrong)
+                found = judge(name, answer, events, resumable, EVENTS)
+                if found:
+                    self.wrong += map(str, found)
                     return False
                 if answer.complete:
                     return True
--- a/tests/streamjudge.py
+++ b/tests/streamjudge.py
@@ -1,18 +1,45 @@
-"""What callers judge of the streams of `tests.soakendpoints`."""
+"""What callers judge of streams."""
 
 from __future__ import annotations
 
 import re
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Final
 
-from tests.soakendpoints import EVENTS
+_LINE_END: Final = re.compile(rb"\r\n|\r")
+_EVENT_END: Final = re.compile(rb"\n\n+")
+_ID: Final = re.compile(rb"id(?:: ?(.*))?")
+_DATA: Final = re.compile(rb"data: ?(?:run )?(\d+)")
+_CHUNK_SIZE: Final = re.compile(rb"[0-9a-fA-F]+")
+# Lines that an event may have besides its id and its data.
+_LAWFUL: Final = re.compile(rb":.*|(?:event|retry|meta|x-weight-versions): .*")
 
-_LINE_END: Final = rb"(?:\r\n|\n|\r(?!\n))"
-_EVENT: Final = re.compile(
-    rb"id: (\d+)%b" % _LINE_END + rb"data: run (\d+)%b{2}" % _LINE_END
-)
-_EVENT_BEGIN: Final = re.compile(rb"(?:(?!\n\n|\r\r|\r\n\r).)*", re.DOTALL)
+
+class Fault(StrEnum):
+    """What is wrong with a stream."""
+
+    GAP = "gap"
+    BACK = "back"  # An id that does not rise.
+    JOINED = "joined"  # Two runs are.
+    NO_EVENT = "no event"
+    TEXT = "text"  # The id is right, and the rest is not.
+    EARLY_END = "early end"  # The stream looks complete.
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One thing that is wrong."""
+
+    fault: Fault
+    name: str  # Of the request.
+    last: int  # The id of the last event before.
+    block: bytes = b""  # The event.
+
+    def __str__(self) -> str:
+        return (
+            f"{self.name}: {self.fault} after {self.last}, {self.block[:60]!r}"
+        )
 
 
 @dataclass(slots=True)
@@ -25,33 +52,79 @@
     complete: bool = False  # Whether it looks so.
 
 
+def split_blocks(body: bytes) -> tuple[list[bytes], bytes]:
+    """Return a body's complete events, with LF as line ends, and the rest.
+
+    :param body: the bytes of a stream
+    """
+    *blocks, rest = _EVENT_END.split(_LINE_END.sub(b"\n", body))
+    return [block.lstrip(b"\n") for block in blocks], rest.lstrip(b"\n")
+
+
+def ids_in(block: bytes) -> list[bytes] | None:
+    """Return the ids of an event; None: it is none, but framing.
+
+    :param block: the event
+    """
+    lines = block.split(b"\n")
+    if any(_CHUNK_SIZE.fullmatch(line) for line in lines):
+        return None
+    found = [_ID.fullmatch(line) for line in lines]
+    return [each[1] or b"" for each in found if each]
+
+
+def is_comment(block: bytes) -> bool:
+    """Return whether nothing but comments and such is in an event."""
+    return all(_LAWFUL.fullmatch(line) for line in block.split(b"\n"))
+
+
 def judge(
     name: str,
     answer: Answer,
     events: list[tuple[int, int]],
     resumable: bool,
-) -> str:
-    """Add an answer's events; return what is wrong, or nothing.
+    last_id: int,
+) -> list[Finding]:
+    """Add an answer's events; return what is wrong.
 
     :param name: the request's, for the findings
     :param answer: the answer
     :param events: ids and runs of the events that its caller has
     :param resumable: whether the stream may go on in another run
+    :param last_id: the id of the stream's last event
     """
-    position = 0
-    while found := _EVENT.match(answer.body, position):
-        position = found.end()
-        number, run = int(found[1]), int(found[2])
-        last, last_run = events[-1] if events else (0, run)
+    findings: list[Finding] = []
+    blocks, rest = split_blocks(answer.body)
+    last, last_run = events[-1] if events else (0, 0)
+    for block in blocks:
+        if not block or is_comment(block):
+            continue
+        ids = ids_in(block)
+        if ids is None or len(ids) != 1 or not ids[0].isdigit():
+            return [*findings, Finding(Fault.NO_EVENT, name, last, block)]
+        number = int(ids[0])
         if number != last + 1:
-            return f"{name}: {number} after {last}"
-        if run != last_run and not resumable:
-            return f"{name}: run {run} after run {last_run}"
-        events.append((number, run))
-    rest = answer.body[position:]
-    last = events[-1][0] if events else 0
-    if not _EVENT_BEGIN.fullmatch(rest):
-        return f"{name}: not an event {rest[:60]!r}"
-    if answer.complete and (rest or last != EVENTS):
-        return f"{name}: complete at {last}, {rest[:60]!r}"
-    return ""
+            fault = Fault.GAP if number > last else Fault.BACK
+            return [*findings, Finding(fault, name, last, block)]
+        run = _run_of(block)
+        if not run:
+            findings.append(Finding(Fault.TEXT, name, last, block))
+        elif last_run and run != last_run and not resumable:
+            return [*findings, Finding(Fault.JOINED, name, last, block)]
+        last, last_run = number, run or last_run
+        events.append((last, last_run))
+    if answer.complete and (rest or last != last_id):
+        findings.append(Finding(Fault.EARLY_END, name, last, rest))
+    return findings
+
+
+def _run_of(block: bytes) -> int:
+    """Return the run that wrote an event; 0: its text is damaged."""
+    run = 0
+    for line in block.split(b"\n"):
+        found = _DATA.fullmatch(line)
+        if found and not run:
+            run = int(found[1])
+        elif not _ID.fullmatch(line) and not _LAWFUL.fullmatch(line):
+            return 0
+    return run
--- a/tests/streamsoak.py
+++ b/tests/streamsoak.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
@@ -26,6 +27,15 @@
 )
 from tests.crashplans import TIMEOUT_S, RouterFault
 from tests.simulatedcallers import Caller
+from tests.spoiledruns import SpoiledRuns
+from tests.spoiledstreams import (
+    End,
+    Spoiling,
+    framing_for,
+    framing_header,
+    spoil,
+)
+from tests.streamjudge import Answer, judge
 from tests.versionfleets import VersionFleet
 from tests.versionplans import Try, VersionPlan
 from tests.virtualnetwork import Transport
@@ -38,7 +48,8 @@
 ELSEWHERE_SHARE: Final = 0.25
 REPEAT_SHARE: Final = 0.5  # Of the faulty runs that take a stream up.
 _CHUNK: Final = re.compile(rb"([0-9a-f]+)\r\n")
-_EVENT: Final = re.compile(rb"id: (\d+)\ndata: (\d+)\n\n")
+# From an answer's last byte to the moment when its router has read it.
+READ_S: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +66,9 @@
     live_cut_share: float = 0.0
     # Of the processes that end: those that start again under their id.
     return_share: float = 0.0
+    # How faulty endpoints spoil answers, and the share of those.
+    spoilings: tuple[Spoiling, ...] = ()
+    spoiled_share: float = 0.3
 
 
 def random_plan(seed: int, path: str) -> SoakPlan:
@@ -93,6 +107,21 @@
     )
 
 
+def spoiling_plan(seed: int, path: str, *kinds: Spoiling) -> SoakPlan:
+    """Return a plan whose endpoints live and spoil some answers."""
+    return SoakPlan(
+        seed=seed,
+        path=path,
+        end_s=14.0,
+        background_per_s=0.5,
+        tries=3 if path == "/talk/" else 1,
+        fault_share=0.0,
+        unframed_share=0.1,
+        ends_per_s=0.01,
+        spoilings=kinds,
+    )
+
+
 @dataclass(slots=True, eq=False)
 class FaultyEndpoint(Endpoint):
     """An endpoint that may serve streams wrongly."""
@@ -104,6 +133,22 @@
 class FaultyServing(Serving):
     """One connection to it."""
 
+    _writes = False  # Whether it writes a spoiled answer.
+    _unread = b""  # What came meanwhile.
+
+    _on_closed: Callable[[], None] | None = None
+
+    def closed(self) -> None:
+        if self._on_closed is not None:
+            self._on_closed()
+        super().closed()
+
+    def received(self, data: bytes) -> None:
+        if self._writes:
+            self._unread += data
+        else:
+            super().received(data)
+
     def _run(self, headers: dict[bytes, bytes], body: bytes) -> None:
         fleet = cast(SoakFleet, self.endpoint.fleet)
         if not body.startswith(b"stream"):
@@ -123,6 +168,12 @@
             fault = rng.choice((*CUTS, *EXTRAS, "stall"))
             if after and rng.random() < REPEAT_SHARE:
                 fault = "repeat"
+        if faulty and plan.spoilings and rng.random() < plan.spoiled_share:
+            self._later(
+                rng.uniform(0.0, HEAD_S),
+                partial(self._spoil, headers, rng, run),
+            )
+            return
         if unframed and plan.live_cut_share:
             cut = faulty and rng.random() < plan.live_cut_share
             fault = "fin" if cut else ""
@@ -130,7 +181,7 @@
             # Nothing tells it from the end of a whole answer.
             fault = "rst"
         first = 1 if fault == "repeat" else after + 1
-        stop = rng.randint(after, EVENTS)
+        stop = rng.randint(min(after, EVENTS), EVENTS)
         last = stop if fault in CUTS else EVENTS
         framing = b"" if unframed else b"Transfer-Encoding: chunked\r\n"
 
@@ -194,6 +245,57 @@
 
         self._later(rng.uniform(0.0, HEAD_S), begin)
 
+    def _spoil(
+        self, headers: dict[bytes, bytes], rng: Random, run: int
+    ) -> None:
+        """Write a spoiled answer."""
+        fleet = cast(SoakFleet, self.endpoint.fleet)
+        after = int(headers.get(b"last-event-id", b"0"))
+        kind = rng.choice(cast(SoakPlan, fleet.plan).spoilings)
+        framing = framing_for(kind, rng)
+        events = [
+            b"id: %d\ndata: %d\n\n" % (number, run)
+            for number in range(after + 1, EVENTS + 1)
+        ]
+        more = EVENT_STREAM + framing_header(framing, events)
+        head = self._encode_head(b"200 OK", headers, more)
+        answer = spoil(kind, head, events, framing, rng)
+        request_id = headers[b"x-request-id"].decode()
+        link = self.endpoint.name, str(fleet.requests[request_id][0])
+        now_s = fleet.loop.time
+        spoiled = fleet.spoiled.begin(
+            request_id, link, kind, answer, after, now_s()
+        )
+        written = 0
+
+        def ended() -> None:
+            fleet.spoiled.end(spoiled, written, now_s())
+
+        def write(number: int) -> None:
+            nonlocal written
+            written = number
+            if number == len(answer.pieces):
+                ended()
+                self._on_closed = None
+                if answer.end is End.NONE:
+                    self._end_run()
+                    self._writes = False
+                    unread, self._unread = self._unread, b""
+                    self.received(unread)
+                    return
+                reset = ConnectionResetError("reset by peer")
+                resets = answer.end is End.RESET
+                self.transport.end(reset if resets else None)
+                self.closed()
+                return
+            self.transport.send(answer.pieces[number])
+            pause_s = rng.choice((0.0, 0.01, 0.1))
+            self._later(pause_s, partial(write, number + 1))
+
+        self._writes = True
+        self._on_closed = ended
+        write(0)
+
 
 class SoakFleet(VersionFleet):
     """A fleet whose endpoints and routers fail at random."""
@@ -208,7 +310,8 @@
         self._moves = 0  # Of processes that start again elsewhere.
         self._return_rng = Random(f"{plan.seed} returns")
         self.faulty: set[str] = set()
-        self.judge = Judge(plan.tries > 1)
+        self.spoiled = SpoiledRuns(READ_S)
+        self.judge = Judge(plan.tries > 1, self.spoiled)
         # Requests whose last run was whole, at an endpoint that lived on.
         self.answered: set[str] = set()
 
@@ -219,6 +322,7 @@
 
     def run_was_whole(self, request_id: str, endpoint: Endpoint) -> None:
         """Record a whole answer unless the endpoint ends soon after it."""
+        self.spoiled.whole_run(str(self.requests[request_id][0]))
 
         def record() -> None:
             if self.endpoints.get(endpoint.name) is endpoint:
@@ -311,6 +415,10 @@
         start = partial(self._start_endpoint, endpoint.service, again)
         loop.call_later(delay_s, start)
 
+    def _restart(self, number: int) -> None:
+        super()._restart(number)
+        self.spoiled.restarted(str(number))
+
     def _start_faulty(self) -> None:
         self._start_endpoint("llm")
         self.faulty.add(next(reversed(self.endpoints)))
@@ -330,6 +438,7 @@
     """Reads callers' answers; collects what is wrong with them."""
 
     may_join: bool  # Whether a stream may go on in another run.
+    spoiled: SpoiledRuns
     wrong: list[str] = field(default_factory=list)
 
     def read(self, current: Try, caller: Caller) -> None:
@@ -343,24 +452,18 @@
         current.status = head[9:12].decode()
         if current.status != "200":
             return
+        answer = Answer(current.status)
         if b"transfer-encoding: chunked" in head:
-            body, complete = _join_chunks(rest)
+            answer.body, answer.complete = _join_chunks(rest)
         else:
-            body, complete = rest, caller.ended and not caller.aborted
-        found = [(int(n), run.decode()) for n, run in _EVENT.findall(body)]
-        current.events = found
-        numbers = [number for number, _ in found]
+            answer.body = rest
+            answer.complete = caller.ended and not caller.aborted
         name = current.request_id
-        last = numbers[-1] if numbers else current.after
-        if b"".join(m[0] for m in _EVENT.finditer(body)) != body:
-            self.wrong.append(f"{name}: bytes that are no event")
-        if numbers != list(range(current.after + 1, last + 1)):
-            self.wrong.append(f"{name}: {numbers} after {current.after}")
-        if not self.may_join and len({run for _, run in found}) > 1:
-            self.wrong.append(f"{name}: runs are joined")
-        if complete and last != EVENTS:
-            self.wrong.append(f"{name}: complete at {last}")
-        current.whole = complete
+        events = [(current.after, 0)]
+        findings = judge(name, answer, events, self.may_join, EVENTS)
+        self.wrong += self.spoiled.blame(name, findings, self.may_join)
+        current.events = [(number, str(run)) for number, run in events[1:]]
+        current.whole = answer.complete
 
 
 def _join_chunks(data: bytes) -> tuple[bytes, bool]:
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -10,10 +10,17 @@
 
 import pytest
 
-from tests.streamsoak import live_cuts_plan, play_soak, random_plan
+from tests.spoiledstreams import Spoiling
+from tests.streamsoak import (
+    live_cuts_plan,
+    play_soak,
+    random_plan,
+    spoiling_plan,
+)
 
 SEEDS = range(1, 9)
 RETURN_SEEDS = range(1, 4)
+SPOILED_SEEDS = range(1, 5)
 
 
 class StreamOrderSuite:
@@ -52,3 +59,23 @@
             first = 0 if tells_starts else plan.routers
             assert len(fleet.given_up()) <= first
         assert wrong == []
+
+    # What an endpoint wrote went out though it was no stream of events.
+    @pytest.mark.parametrize("kind", Spoiling)
+    def test_live_endpoints_spoil_streams(self, kind: Spoiling) -> None:
+        wrong: list[str] = []
+        for path in ("/talk/", "/tell/"):
+            fleet = play_soak(spoiling_plan(1, path, kind))
+            assert fleet.spoiled.counts[kind] > 20
+            assert fleet.given_up() == []
+            wrong += fleet.judge.wrong
+        assert wrong == []
+
+    # The same, among endpoints and routers that fail.
+    @pytest.mark.parametrize("path", ("/talk/", "/tell/"))
+    @pytest.mark.parametrize("seed", SPOILED_SEEDS)
+    def test_spoiled_streams_among_faults(self, seed: int, path: str) -> None:
+        plan = replace(random_plan(seed, path), spoilings=tuple(Spoiling))
+        fleet = play_soak(plan)
+        assert fleet.judge.wrong == []
+        assert fleet.given_up() == []
--- a/tests/test_stream_soak_processes.py
+++ b/tests/test_stream_soak_processes.py
@@ -13,7 +13,7 @@
 
 from tests.eventstreams import LINE_ENDS
 from tests.processsoak import play_soak
-from tests.soakendpoints import encode_event
+from tests.soakendpoints import EVENTS, encode_event
 from tests.streamjudge import Answer, judge
 
 
@@ -62,9 +62,9 @@
             for number in numbers
         )
         answer = Answer("200", "", body[: len(body) - cut_bytes], complete)
-        wrong = judge("q1", answer, [], resumable)
-        assert (wrong == "") == right
+        found = judge("q1", answer, [], resumable, EVENTS)
+        assert (found == []) == right
 
     def test_other_bytes(self) -> None:
         body = encode_event(1, 1, b"\n") + b"HTTP/1.1 200 OK\r\n\r\n"
-        assert judge("q1", Answer("200", "", body), [], True)
+        assert judge("q1", Answer("200", "", body), [], True, EVENTS)
