--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -31,7 +31,7 @@
     read_head,
 )
 from tests.soakrouters import RouterProcess, free_ports
-from tests.spoiledstreams import Spoiling
+from tests.spoilings import Spoiling
 from tests.streamjudge import Answer, judge
 
 ROUTERS: Final = 3
--- a/tests/spoiledruns.py
+++ b/tests/spoiledruns.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from tests.spoiledstreams import End, WrittenAnswer
+from tests.spoilings import End, WrittenAnswer
 from tests.streamjudge import Fault, Finding, ids_in, is_comment, split_blocks
 
 # Whole streams of a service after which a router knows how its ids rise.
--- a/tests/streamsoak.py
+++ b/tests/streamsoak.py
@@ -29,7 +29,7 @@
 from tests.eventshapes import PLAIN, Shape
 from tests.simulatedcallers import Caller
 from tests.spoiledruns import SpoiledRuns
-from tests.spoiledstreams import (
+from tests.spoilings import (
     End,
     Spoiling,
     framing_for,
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tests.eventshapes import LAWFUL, Shape
-from tests.spoiledstreams import Spoiling
+from tests.spoilings import Spoiling
 from tests.streamsoak import (
     hanging_plan,
     live_cuts_plan,
