--- a/tests/eventshapes.py
+++ b/tests/eventshapes.py
@@ -13,7 +13,8 @@
     step: int = 1  # By which ids rise; 0: by varying steps.
     has_ids: bool = True
     odd: bool = False  # Whether it writes lines and headers that are rare.
-    padding_bytes: int = 0  # Of a comment in each fifth event.
+    padding_bytes: int = 0  # Of a comment in some events.
+    padded_step: int = 5  # From one of these to the next.
 
     def id_of(self, number: int) -> int:
         """Return the id of an event.
@@ -44,7 +45,7 @@
             lines = [b"event: part", b"meta: 2f", *lines, b"retry: 500"]
         if self.odd and number % 3 == 0:
             lines = [b": comment", b"", *lines]
-        if self.padding_bytes and number % 5 == 0:
+        if self.padding_bytes and number % self.padded_step == 0:
             lines.append(b": " + b"x" * self.padding_bytes)
         return end.join((*lines, b"", b""))
 
--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -20,7 +20,6 @@
 from tests.deployments import HOST, KEY, wire_config, wire_route
 from tests.eventshapes import Shape
 from tests.soakendpoints import (
-    EVENTS,
     READ_BYTES,
     SPOILINGS,
     Behaviour,
@@ -38,7 +37,7 @@
 ENDPOINTS: Final = 5
 STREAMS_PER_S: Final = 40.0
 PLAY_S: Final = 15.0
-LIMIT_S: Final = 8.0  # How long a caller waits for an answer.
+LIMIT_S: Final = 8.0
 PAUSE_S: Final = 1.5  # How long some callers do not read.
 SETTLE_S: Final = 1.5  # Until routers know the endpoints.
 
@@ -51,6 +50,8 @@
     folder: Path
     behaviour: Behaviour
     pausing_share: float = 0.0  # Of the callers.
+    streams_per_s: float = STREAMS_PER_S
+    limit_s: float = LIMIT_S  # How long a caller waits for an answer.
     streams: int = 0
     whole: int = 0
     wrong: list[str] = field(default_factory=list)
@@ -58,8 +59,9 @@
     runs: Runs = field(init=False)
     proxies: list[Proxy] = field(default_factory=list)
     routers: list[RouterProcess] = field(default_factory=list)
+    born_step: int = 1  # Between the starts of an endpoint's processes.
     _version: int = 0
-    _born: int = 1
+    _born: int = 1_000
     _starting: list[asyncio.Task[None]] = field(default_factory=list)
     # Open connections of callers, by their router's address.
     _kept: dict[str, list[_Connection]] = field(default_factory=dict)
@@ -92,6 +94,7 @@
             RouterProcess(ip, port, ips, self.store.port, self.folder)
             for ip in ips
         ]
+        self.prepare_routers()
         disturbing: list[asyncio.Task[None]] = []
         try:
             for router in self.routers:
@@ -121,6 +124,9 @@
 
     # --- Faults.
 
+    def prepare_routers(self) -> None:
+        """Do nothing: plays may change how their routers are started."""
+
     def _configure(self) -> None:
         """Write the next version of the configuration."""
         self._version += 1
@@ -157,7 +163,7 @@
             proxy = rng.choice(self.proxies[: ENDPOINTS // 2 + 1])
             ended = proxy.endpoint
             ended.end()
-            self._born += 1
+            self._born += self.born_step
             name = ended.name
             if rng.random() < 0.5:
                 name = f"e-{self._born}-new"
@@ -206,7 +212,7 @@
         while loop.time() < end_s:
             self.streams += 1
             tasks.append(asyncio.create_task(self._ask(self.streams)))
-            await asyncio.sleep(1 / STREAMS_PER_S)
+            await asyncio.sleep(1 / self.streams_per_s)
         self.whole = sum(await asyncio.gather(*tasks))
 
     async def _ask(self, number: int) -> bool:
@@ -250,7 +256,7 @@
                     answer,
                     events,
                     resumable,
-                    EVENTS,
+                    self.behaviour.events,
                     self.behaviour.shape,
                 )
                 # Whether an end can be checked depends on the load.
@@ -267,6 +273,16 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def _connect(
+        self, router: RouterProcess, pauses: bool
+    ) -> _Connection:
+        # One that pauses lets little wait in its own buffers.
+        return await asyncio.open_connection(
+            router.ip,
+            router.first_port,
+            limit=1024 if pauses else READ_BYTES,
+        )
+
     async def _exchange(
         self,
         router: RouterProcess,
@@ -280,16 +296,11 @@
         connection = None
         kept = self._kept.setdefault(router.ip, [])
         try:
-            async with asyncio.timeout(LIMIT_S):
+            async with asyncio.timeout(self.limit_s):
                 if kept and version == "1.1":
                     connection = kept.pop()
                 else:
-                    # One that pauses lets little wait in its own buffers.
-                    connection = await asyncio.open_connection(
-                        router.ip,
-                        router.first_port,
-                        limit=1024 if pauses else READ_BYTES,
-                    )
+                    connection = await self._connect(router, pauses)
                 reader, writer = connection
                 assert router.process is not None
                 process = f"{router.ip} {router.process.pid}"
--- a/tests/soakendpoints.py
+++ b/tests/soakendpoints.py
@@ -28,9 +28,9 @@
     spoil,
 )
 
-EVENTS: Final = 20  # Of each stream.
+EVENTS: Final = 20
 UNFRAMED_SHARE: Final = 0.4  # Of the answers.
-PAUSES_S: Final = (0.0, 0.01, 0.03)  # Between two events.
+PAUSES_S: Final = (0.0, 0.01, 0.03)
 # A connection may pass bytes that were written at once on in parts.
 SPOILINGS: Final = tuple(
     kind for kind in Spoiling if kind is not Spoiling.LAST_CHUNK_REST
@@ -64,6 +64,8 @@
     spoiled_share: float = 0.2  # Of their answers, if there are any.
     hang_share: float = 0.0  # Of the answers that stand still once.
     shape: Shape = PLAIN
+    events: int = EVENTS  # Of each stream.
+    pauses_s: tuple[float, ...] = PAUSES_S  # Between two events.
 
 
 @dataclass(slots=True)
@@ -160,7 +162,7 @@
         end = rng.choice(LINE_ENDS)
         events = [
             does.shape.encode(number, run, end)
-            for number in range(after + 1, EVENTS + 1)
+            for number in range(after + 1, does.events + 1)
         ]
         head = encode_head(
             "HTTP/1.1 200 OK",
@@ -202,7 +204,7 @@
             await asyncio.sleep(0.002 if cut else 0.0)
             writer.write(data[cut:])
             await writer.drain()
-            pause_s = rng.choice(PAUSES_S)
+            pause_s = rng.choice(self.runs.behaviour.pauses_s)
             if number == hangs_at:
                 pause_s = rng.choice(HANGS_S)
             await asyncio.sleep(pause_s)
