--- a/tests/limitplays.py
+++ b/tests/limitplays.py
@@ -15,12 +15,17 @@
 from pathlib import Path
 from random import Random
 from typing import Final
-from unittest import mock
 
-from tests import processsoak, soakendpoints, streamjudge
+from tests.eventshapes import Shape
 from tests.limitedrouter import SHIFT_VARIABLE, SQUEEZE_VARIABLE
 from tests.processsoak import Soak
-from tests.soakendpoints import HOST_IP, READ_BYTES, Proxy
+from tests.soakendpoints import (
+    HOST_IP,
+    READ_BYTES,
+    Behaviour,
+    Endpoint,
+    Proxy,
+)
 from tests.soakrouters import RouterProcess
 
 SHIFTS_S: Final = (-2.4, -2.4, 0.0, 2.4, -60.0)
@@ -36,8 +41,11 @@
 }
 
 # Of streams of large events to callers that read slowly.
-LONG_EVENTS: Final = 100
-DIGITS: Final = 4_000  # Of the number in each event.
+LONG_STREAMS: Final = Behaviour(
+    shape=Shape(padding_bytes=4_000, padded_step=1),
+    events=100,
+    pauses_s=(0.0,),
+)
 SOCKET_BYTES: Final = 8_192
 LONG_PER_S: Final = 15.0
 READ_PAUSE_S: Final = 0.01  # Before each piece of an answer.
@@ -126,7 +134,7 @@
     """Links to endpoints are cut in one direction, and routers freeze."""
 
     async def _start_endpoint(self, name: str) -> None:
-        endpoint = soakendpoints.Endpoint(name, self._born, self.runs)
+        endpoint = Endpoint(name, self._born, self.runs)
         await endpoint.start()
         proxy = HoldingProxy(endpoint, rng=Random(f"{self.seed} {name}"))
         await proxy.start()
@@ -145,7 +153,10 @@
             seed = f"{self.seed} {router.ip}"
             router.environment = {SQUEEZE_VARIABLE: seed, **UNCACHED}
 
-    async def _connect(self, router: RouterProcess) -> _Connection:
+    async def _connect(
+        self, router: RouterProcess, pauses: bool
+    ) -> _Connection:
+        del pauses  # All of them read slowly.
         sock = socket.socket()
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
@@ -168,18 +179,6 @@
         return connection
 
 
-def encode_long_event(number: int, run: int, end: bytes) -> bytes:
-    """Return a large event; see `soakendpoints.encode_event`."""
-    text = b"%d" % run
-    return b"id: %d%bdata: run %b%b%b" % (
-        number,
-        end,
-        text.rjust(DIGITS, b"0"),
-        end,
-        end,
-    )
-
-
 async def play_limits(kind: str, seed: int, folder: Path) -> Soak:
     """Play a seed and return what came of it.
 
@@ -188,25 +187,14 @@
     :param folder: for the routers' settings and logs
     """
     if kind == "memory":
-        soak: Soak = MemoryPlay(seed, folder)
-        with (
-            mock.patch.object(soakendpoints, "EVENTS", LONG_EVENTS),
-            mock.patch.object(streamjudge, "EVENTS", LONG_EVENTS),
-            mock.patch.object(
-                soakendpoints, "encode_event", encode_long_event
-            ),
-            mock.patch.object(soakendpoints, "PAUSES_S", (0.0,)),
-            mock.patch.object(processsoak, "STREAMS_PER_S", LONG_PER_S),
-        ):
-            await soak.play()
-        return soak
-    if kind == "clock":
-        soak = ClockPlay(seed, folder)
-        await soak.play()
-        return soak
-    soak = CutPlay(seed, folder)
-    with mock.patch.object(processsoak, "LIMIT_S", PATIENCE_S):
-        await soak.play()
+        soak: Soak = MemoryPlay(
+            seed, folder, LONG_STREAMS, streams_per_s=LONG_PER_S
+        )
+    elif kind == "clock":
+        soak = ClockPlay(seed, folder, Behaviour())
+    else:
+        soak = CutPlay(seed, folder, Behaviour(), limit_s=PATIENCE_S)
+    await soak.play()
     return soak
 
 
@@ -218,12 +206,7 @@
     options = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix=f"{options.kind}-"))
     soak = asyncio.run(play_limits(options.kind, options.seed, folder))
-    print(
-        f"{options.kind} {options.seed}: {soak.streams} streams,"
-        f" {soak.whole} whole, {soak.runs.begun} runs,"
-        f" {len(soak.wrong)} wrong; logs in {folder}"
-    )
-    print(*soak.wrong, sep="\n")
+    print(options.kind, soak.summary)
     return 1 if soak.wrong else 0
 
 
