Event streams are checked by what is known of their service

Cause: the splitter passed on any event whose id rose, and any line.

Each run is now judged before its events go out, by what the endpoints of its service and version keep to: the step of ids, the first id, and the fields of events. Each endpoint votes for its own way and one that errs often has no vote, so that spoiled streams teach nothing wrong; an endpoint whose runs differ three times in a row has changed. An event with unusual fields waits for the next id, or for the end, which shows if another is melted into it. Where another endpoint may go on, what several write alike for a request is believed. A line that is the size of a chunk is refused at once. Services without ids or with irregular ones are served as before.

Property tests damage one byte or event of a run. Not to be told on routes that may not be resumed: damage in the last two events of a run, and an event whose `data` field was renamed; a lawful rare event looks so.

--- /dev/null
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -0,0 +1,205 @@
+"""Checks the events of one run by what is known of its service.
+
+A run whose events do not fit is given up before they are passed on.  What
+other endpoints write alike for the same request is believed.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+from typing import Final
+
+from bulrushstream.coordination.streampatterns import StreamPattern
+from bulrushstream.state.eventlines import (
+    CHUNK_SIZE_LINE,
+    PLAIN,
+    Spoiling,
+    Verdict,
+    shape_of,
+)
+
+# Events without an id that are remembered until the next one with an id.
+MAX_UNPROVEN: Final = 16
+
+# So many endpoints must number the events of a request alike if that does not
+# fit; and if a service has long kept to what is known of it.
+MIN_WRITERS: Final = 2
+MATURE_WRITERS: Final = 3
+
+
+@dataclass(slots=True)
+class Doubts:
+    """What did not fit in earlier attempts of a request."""
+
+    # Where, and which endpoints wrote it.
+    refused: dict[tuple[Spoiling, int, object], set[str]] = field(
+        default_factory=dict
+    )
+    # Whether others wrote the same; ids are not judged any more.
+    confirmed: bool = False
+
+
+@dataclass(slots=True)
+class StreamCheck:
+    """Judges the events of one run; see `RunCheck`."""
+
+    pattern: StreamPattern
+    endpoint: str
+    doubts: Doubts
+    resumable: bool  # Whether another endpoint may go on with the stream.
+    after: int | None  # The id behind which the run is to go on.
+    is_callers: bool  # Whether the caller, not the router, chose that id.
+    spoiling: Spoiling | None = None
+    # Events that are looked at, as no step is known.
+    _learns: int = field(init=False)
+    _rise: int = 0  # The last one.
+    # Shapes of events behind which none is known to be missing yet.
+    _unproven: list[bytes] = field(default_factory=list)
+    _revision: int = -1  # Of what is known; see `_plain`.
+    _plain: tuple[re.Pattern[bytes] | None, int] = (None, 0)
+
+    def __post_init__(self) -> None:
+        self._learns = self.pattern.learns
+
+    @property
+    def _step(self) -> int:
+        """Return by what ids must rise; 0: by any number."""
+        if self.doubts.confirmed:
+            return 0
+        pattern = self.pattern
+        return pattern.step if self.resumable else pattern.step_for_good
+
+    def plain_events(self) -> tuple[re.Pattern[bytes] | None, int]:
+        """Return what matches a common event; see `RunCheck`."""
+        if self._revision == self.pattern.revision:
+            return self._plain
+        self._revision = self.pattern.revision
+        step = self._step
+        if step:
+            self._plain = self.pattern.plain, step
+        elif self._learns and not self.doubts.confirmed:
+            self._plain = None, 0
+        else:
+            self._plain = PLAIN, 0
+        return self._plain
+
+    def passed_plain(self, count: int) -> None:
+        """Take note of common events that were passed on."""
+        step = self._step
+        if step:
+            self._prove()
+            self.pattern.rise(self.endpoint, step, count)
+            self.pattern.passed(count)
+
+    def judge(
+        self, event: bytes, number: int | None, before: int, *, is_new: bool
+    ) -> Verdict:
+        """Return what becomes of an event; see `RunCheck`."""
+        if b"\r" in event and CHUNK_SIZE_LINE.search(event):
+            return self._refuse(Spoiling.FRAMING)
+        if not self._step:
+            if not self._learns:
+                return Verdict.PASS
+            self._learns -= 1
+            if not self._learns:
+                self._revision = -1
+        if number is not None and not self._takes_id(number, before):
+            return Verdict.SPOILED
+        shape = shape_of(event, number)
+        if len(self._unproven) < MAX_UNPROVEN:
+            self._unproven.append(shape)
+        if not self._step or not is_new or self.pattern.knows(shape):
+            return Verdict.PASS
+        if self.resumable and number is not None:
+            suspect = self.pattern.lacks_data(shape)
+            self.pattern.see_shape(shape, self.endpoint)
+            if suspect and not self._are_lines_confirmed(shape, number):
+                return self._refuse(Spoiling.LINES)
+        return Verdict.HOLD
+
+    def judge_last(self, event: bytes, number: int | None) -> Verdict:
+        """Return what becomes of a last event that is held; see `RunCheck`."""
+        shape = shape_of(event, number)
+        if not self.resumable or self.pattern.knows(shape):
+            return Verdict.PASS
+        confirmed = self._are_lines_confirmed(shape, number)
+        if self.pattern.is_mature and not confirmed:
+            return self._refuse(Spoiling.LINES)
+        self.pattern.prove_shape(shape)
+        return Verdict.PASS
+
+    def _are_lines_confirmed(self, shape: bytes, number: int | None) -> bool:
+        """Return whether another endpoint wrote an event of that shape."""
+        place = -1 if number is None else number
+        return self._is_confirmed((Spoiling.LINES, place, shape))
+
+    def _takes_id(self, number: int, before: int) -> bool:
+        """Return whether an id fits, and take note of it."""
+        if before < 0:
+            return self._takes_first(number)
+        rise, step = number - before, self._step
+        if step and rise != step:
+            return self._takes_gap(before, rise, number)
+        self.pattern.rise(self.endpoint, rise)
+        if rise == (step or self._rise):
+            self._prove()
+        else:
+            self._unproven.clear()
+        self._rise = rise
+        return True
+
+    def _takes_first(self, number: int) -> bool:
+        """Return whether the first id of the run fits."""
+        pattern, after, step = self.pattern, self.after, self._step
+        first = pattern.first if self.resumable else pattern.first_for_good
+        if after is None:
+            # Ids without a step may happen to begin alike.
+            if not step or first in (None, number):
+                pattern.begin(self.endpoint, number)
+                return True
+            if self._is_confirmed((Spoiling.FIRST_ID, -1, number)):
+                pattern.confirm_begin(self.endpoint, number)
+                return True
+            pattern.refuse_begin(self.endpoint, number)
+            self._refuse(Spoiling.FIRST_ID)
+            return False
+        rise = number - after
+        if rise <= 0 or not step or rise == step:
+            # It may repeat events, from any one on.
+            return True
+        if self.is_callers and (rise < step or number == first):
+            return True
+        return self._takes_gap(after, rise, number)
+
+    def _takes_gap(self, before: int, rise: int, number: int) -> bool:
+        """Return whether an id counts that does not rise by the step."""
+        if self._is_confirmed((Spoiling.GAP, before, number)):
+            self.pattern.confirm_rise(self.endpoint, rise)
+            return True
+        self.pattern.refuse_rise(self.endpoint, rise)
+        self._refuse(Spoiling.GAP)
+        return False
+
+    def _is_confirmed(self, doubt: tuple[Spoiling, int, object]) -> bool:
+        """Return whether other endpoints wrote the same; remember it."""
+        writers = self.doubts.refused.setdefault(doubt, set())
+        writers.add(self.endpoint)
+        if doubt[0] is Spoiling.LINES:
+            return len(writers) > 1
+        needed = MATURE_WRITERS if self.pattern.is_mature else MIN_WRITERS
+        if len(writers) < needed:
+            return False
+        self.doubts.confirmed = True
+        self._revision = -1
+        return True
+
+    def _prove(self) -> None:
+        """Take note that no event is missing behind those before."""
+        for shape in self._unproven:
+            self.pattern.prove_shape(shape)
+        self._unproven.clear()
+
+    def _refuse(self, spoiling: Spoiling) -> Verdict:
+        self.spoiling = spoiling
+        return Verdict.SPOILED
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -15,7 +15,13 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.forwarding import Failure
-from bulrushstream.daemon import endcheck, endpointload, runwatch, takeups
+from bulrushstream.daemon import (
+    endcheck,
+    endpointload,
+    runwatch,
+    streamchecks,
+    takeups,
+)
 from bulrushstream.daemon.lifeproof import Proof
 from bulrushstream.daemon.unframed import UnframedBody
 from bulrushstream.state.call import (
@@ -410,10 +416,24 @@
     def _relay_events(self, head: AnswerHead, data: bytes) -> None:
         """Relay the events of a stream that are complete now."""
         splitter = self.forward.splitter
+        if splitter.check is None:
+            streamchecks.begin(self)
         events = splitter.feed(data)
         if splitter.is_too_long:
             self._give_up("an event is too long", ExcessReason.EVENT)
             return
+        self._pass_on(head, events)
+        if not self.in_flight:
+            return
+        self._keep(splitter.partial_bytes)
+        if splitter.spoiling is not None:
+            self._give_up(streamchecks.spoiled(self))
+        # A check keeps what its caller may get until it has a result.
+        if self.forward.exchange.full and self.forward.end_check is None:
+            self._pause()
+
+    def _pass_on(self, head: AnswerHead, events: bytes) -> None:
+        """Relay complete events."""
         if self.forward.end_check is not None:
             events = self.forward.end_check.events(events)
         if events:
@@ -423,14 +443,6 @@
                 self.endpoint, self.number, now_s
             )
             self.forward.relay_events(head, events, now_s)
-        if not self.in_flight:
-            return
-        self._keep(splitter.partial_bytes)
-        if splitter.out_of_order:
-            self._give_up("the id of an event does not rise")
-        # A check keeps what its caller may get until it has a result.
-        if self.forward.exchange.full and self.forward.end_check is None:
-            self._pause()
 
     def _buffer(self, head: AnswerHead, data: bytes) -> None:
         """Buffer a chunk; relay the answer once it exceeds the limit."""
@@ -499,7 +511,16 @@
     def _end_stream(self, head: AnswerHead) -> None:
         """Handle the end of an event stream."""
         forward = self.forward
-        if forward.splitter.mid_event:
+        splitter = forward.splitter
+        if not splitter.mid_event:
+            self._pass_on(head, splitter.finish())
+        if forward.done:
+            return
+        if splitter.spoiling is not None:
+            takeups.connection_broke(self.front, self.endpoint)
+            self.count_failure()
+            forward.attempt_failed(Failure.BROKEN, streamchecks.spoiled(self))
+        elif splitter.mid_event:
             runwatch.run_broken(self, "the stream ended amid an event")
             takeups.connection_broke(self.front, self.endpoint)
             self.count_failure()
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -19,6 +19,7 @@
     decide_retry,
     overdue_delay_s,
 )
+from bulrushstream.coordination.streamcheck import Doubts
 from bulrushstream.daemon import dispatch, endcheck, safeguards, takeups
 from bulrushstream.daemon.attempt import Attempt
 from bulrushstream.daemon.safeguards import Refusal
@@ -55,6 +56,7 @@
         "call",
         "deadline_s",
         "done",
+        "doubts",
         "end_check",
         "exchange",
         "first_event_s",
@@ -113,6 +115,8 @@
         # Whether its outcome shows if parts of its prompt crash endpoints.
         self.on_trial = False
         self.splitter = EventSplitter(last_id=call.resume_after)
+        # What did not fit in the streams of its attempts.
+        self.doubts = Doubts()
         self.take_up = takeups.make_take_up(self)
         # The only version at which it may go on; None: any.
         self.version: str | None = None
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -20,6 +20,7 @@
 from bulrushstream.coordination.looplag import LoopLag
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routetable import RouteTable, pick_service
+from bulrushstream.coordination.streampatterns import StreamPatterns
 from bulrushstream.daemon import dispatch, runwatch, safeguards, takeups
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashwatch import CrashWatch
@@ -109,6 +110,7 @@
         )
         self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
+        self.stream_patterns = StreamPatterns()
         limit_s = settings.revocation_limit_s
         self.freshness = Freshness(
             float("inf") if limit_s is None else limit_s
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -4,7 +4,7 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.routetable import index_routes
-from bulrushstream.daemon import runwatch, takeups
+from bulrushstream.daemon import runwatch, streamchecks, takeups
 from bulrushstream.daemon.front import Front
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.routes import EndpointEntry, RouteConfig
@@ -106,6 +106,7 @@
     if removed is None:
         return
     front.streams.endpoints_changed(removed.entry.service, front.pool)
+    streamchecks.endpoint_removed(front, removed.entry.service)
     runwatch.endpoint_removed(front, endpoint)
     front.connections.remove(endpoint)
     front.fleet_state.limits.forget(endpoint)
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -68,6 +68,7 @@
     loop_lag: Gauge  # How late the event loop was, in seconds.
     caller_connections: Counter  # Callers' connections that were ended.
     excess: Counter  # Connections whose peers sent too much.
+    spoiled_streams: Counter  # Streams whose endpoints spoiled them.
 
 
 def make_metrics() -> Metrics:
@@ -190,6 +191,12 @@
             "peer",
             "reason",
         ),
+        spoiled_streams=counter(
+            "spoiled_streams",
+            "Event streams given up as their endpoints spoiled them.",
+            "service",
+            "reason",
+        ),
     )
 
 
@@ -239,6 +246,16 @@
     metrics.excess.labels(excess.peer.value, excess.reason.value).inc()
 
 
+def count_spoiled(metrics: Metrics, service: str, reason: str) -> None:
+    """Count an event stream that its endpoint spoiled.
+
+    :param metrics: The metrics of a router.
+    :param service: The endpoint's service.
+    :param reason: How it is spoiled.
+    """
+    metrics.spoiled_streams.labels(service, reason).inc()
+
+
 def count_shares(metrics: Metrics, report: ShareReport) -> None:
     """Count the shares of the workspaces at a router.
 
--- /dev/null
+++ b/src/bulrushstream/state/eventlines.py
@@ -0,0 +1,130 @@
+"""What the lines of an event show, and how a run's events are judged."""
+
+from __future__ import annotations
+
+import re
+from enum import StrEnum
+from typing import Final, Protocol
+
+# The most digits of an id; a caller can not name longer ones either.
+MAX_ID_DIGITS: Final = 18
+
+# An event with an id in its first line only, whose lines end with LF.
+PLAIN: Final = re.compile(
+    rb"id: ?([0-9]{1,18})\n(?:(?!id)[^\r\n]+\n)*\n(?!\n)"
+)
+# The size of a chunk; a body's framing may pass for lines of events.
+CHUNK_SIZE_LINE: Final = re.compile(rb"(?:\A|(?<=[\r\n]))[0-9A-Fa-f]+\r\n")
+_CONTROL: Final = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+_NAME: Final = re.compile(rb"(?:\A|\n)([^:\n]+)")
+# Bytes of a line's value, without those.
+_VALUE: Final = rb"[^\x00-\x08\x0a-\x1f\x7f]*"
+# Follows the name of a field whose value is unusual; no name contains it.
+_UNUSUAL: Final = b"\r"
+
+
+class Verdict(StrEnum):
+    """What becomes of an event."""
+
+    PASS = "pass"
+    # It is passed on once the next id shows that none is missing, or at the
+    # end of the stream.
+    HOLD = "hold"
+    SPOILED = "spoiled"  # The endpoint did not write what it was to write.
+
+
+class Spoiling(StrEnum):
+    """How a stream is spoiled."""
+
+    ORDER = "order"  # An id does not rise.
+    GAP = "gap"  # Another id was to follow.
+    FIRST_ID = "first_id"  # Other runs begin with another one.
+    FRAMING = "framing"
+    LINES = "lines"  # No other event of the service has such lines.
+
+
+class RunCheck(Protocol):
+    """Judges the events of one endpoint's run."""
+
+    spoiling: Spoiling | None  # Of the event that was judged as spoiled.
+
+    def plain_events(self) -> tuple[re.Pattern[bytes] | None, int]:
+        """Return what matches a common event, and by what its id rises.
+
+        None: each event is to be judged; 0: an id rises by any number.
+        """
+
+    def passed_plain(self, count: int) -> None:
+        """Take note of common events that were passed on.
+
+        :param count: their number
+        """
+
+    def judge(
+        self, event: bytes, number: int | None, before: int, *, is_new: bool
+    ) -> Verdict:
+        """Return what becomes of an event.
+
+        :param event: the event
+        :param number: its id; None: none that tells where the stream goes on
+        :param before: the id before it in the run; negative: none
+        :param is_new: whether the caller lacks it
+        """
+
+    def judge_last(self, event: bytes, number: int | None) -> Verdict:
+        """Return what becomes of an event that is held at the run's end.
+
+        :param event: the event
+        :param number: its id; None: none that tells where the stream goes on
+        """
+
+
+def shape_of(event: bytes, number: int | None) -> bytes:
+    """Return the names of an event's fields, in order; comments have none.
+
+    A field with a control character, and an id that is no number, differ from
+    others of the same name.
+
+    :param event: the event
+    :param number: its id; None: none that is a number
+    """
+    is_usual = number is not None and b"\r" not in event
+    if is_usual and not _CONTROL.search(event):
+        return b"\n".join(_NAME.findall(event))
+    names = []
+    for line in event.splitlines():
+        name, _, value = line.partition(b":")
+        if not name:
+            continue
+        if name == b"id":
+            digits = value.removeprefix(b" ")
+            if not digits.isdigit() or len(digits) > MAX_ID_DIGITS:
+                name += _UNUSUAL
+        if _CONTROL.search(line):
+            name += _UNUSUAL
+        names.append(name)
+    return b"\n".join(names)
+
+
+def pattern_of(shapes: list[bytes]) -> re.Pattern[bytes] | None:
+    """Return what matches common events of some shapes; None: none is common.
+
+    Its last group is the id.
+
+    :param shapes: the shapes
+    """
+    events = []
+    for shape in shapes:
+        names = shape.split(b"\n")
+        if names.count(b"id") != 1 or _UNUSUAL in shape:
+            continue
+        lines = [
+            re.escape(name) + b":" + _VALUE
+            if name != b"id"
+            else rb"id: ?([0-9]{1,18})"
+            for name in names
+        ]
+        events.append(b"\n".join(lines))
+    if not events:
+        return None
+    return re.compile(rb"(?:" + b"|".join(events) + rb")\n\n(?!\n)")
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -10,23 +10,28 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from bulrushstream.state.eventlines import (
+    CHUNK_SIZE_LINE,
+    MAX_ID_DIGITS,
+    PLAIN,
+    RunCheck,
+    Spoiling,
+    Verdict,
+)
+
 # The end of an event, with the empty lines that follow.
 EVENT_END: Final = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)+")
-# An event with an id in its first line only, whose lines end with LF.
-_PLAIN: Final = re.compile(
-    rb"id: ?([0-9]{1,18})\n(?:(?!id)[^\r\n]+\n)*\n(?!\n)"
-)
 _ID: Final = re.compile(rb"(?:\A|(?<=[\r\n]))id(?:: ?([^\r\n]*))?[\r\n]")
 _DATA: Final = re.compile(rb"(?:\A|(?<=[\r\n]))data[:\r\n]")
 _DONE: Final = re.compile(rb"data: ?\[DONE\][\r\n]+")
 _BOM: Final = b"\xef\xbb\xbf"  # May precede the first line of a stream.
 
-# The most digits of an id; a caller can not name longer ones either.
-_MAX_DIGITS: Final = 18
-
 # How many bytes before others belong to an event's end that those complete.
 END_OVERLAP_BYTES: Final = 2
 
+# Common events are reported to a check at least once in this many.
+REPORT_INTERVAL: Final = 64
+
 # The longest event that is held back until it is complete.
 MAX_EVENT_BYTES: Final = 262_144
 
@@ -44,6 +49,15 @@
     return events[:start], events[start:]
 
 
+@dataclass(slots=True)
+class _HeldEvent:
+    """An event that is passed on once it is known to be whole."""
+
+    data: bytes
+    number: int | None
+    has_data: bool
+
+
 @dataclass(slots=True)
 class EventSplitter:
     """Passes on complete events, each of them once.
@@ -55,25 +69,36 @@
 
     last_id: int | None = None  # Id of the last event that was passed on.
     event_count: int = 0  # Number of events that were passed on.
-    # Whether an id did not rise; nothing is passed on from there.
-    out_of_order: bool = False
+    # How the endpoint's stream is spoiled; nothing is passed on from there.
+    spoiling: Spoiling | None = None
+    spoiled_ids: str = ""  # The ids there, for the log.
     # Whether `last_id` tells where the stream goes on: no event with data but
     # without an id was passed on after it.
     can_resume: bool = True
+    # What is known of the endpoint's service; None: nothing.
+    check: RunCheck | None = None
     # The beginning of an incomplete event.
     _partial: bytearray = field(default_factory=bytearray)
+    _held: list[_HeldEvent] = field(default_factory=list)
     _run_id: int = -1  # The last id that the endpoint's stream had.
     # Whether the endpoint's last event was passed on; None: it sent none yet.
     _passed: bool | None = None
     # The rest of a line end that is missing as an endpoint stopped within it.
     _rest: bytes = b""
     _ends_within_crlf: bool = False  # Whether what was passed on does.
+    # Common events that the check was not told of yet, and the number at
+    # which it is.
+    _unreported: int = 0
+    _report_at: int = 1
 
     def restart(self) -> None:
         """Drop an incomplete event, as another endpoint resumes the stream."""
+        self._report()
         self._partial.clear()
+        self._held.clear()
         self._run_id = -1
-        self.out_of_order = False
+        self.spoiling = None
+        self.check = None
         self._passed = None
         if self._ends_within_crlf:
             self._rest = b"\n"
@@ -83,7 +108,7 @@
 
         :param data: the next bytes of the stream
         """
-        if self.out_of_order:
+        if self.spoiling is not None:
             return b""
         partial = self._partial
         if partial:
@@ -94,13 +119,31 @@
                 return b""
             data = bytes(partial + data)
             partial.clear()
-        size = self._plain_bytes(data) if self._passed else 0
+        size = self._plain_bytes(data, 0) if self._passed else 0
         if not size:
             return self._feed_any(data)
         if size == len(data):
             return data
         return data[:size] + self._feed_any(data[size:])
 
+    def finish(self) -> bytes:
+        """Return the events that were held back, as the stream has ended."""
+        self._report()
+        for event in self._held:
+            assert self.check is not None
+            content = event.data.removeprefix(_BOM)
+            verdict = self.check.judge_last(content, event.number)
+            if verdict is Verdict.SPOILED:
+                self._refuse(self.check.spoiling, event.number)
+                return b""
+        events = self._release()
+        return self._completed(b"", events) if events else b""
+
+    @property
+    def out_of_order(self) -> bool:
+        """Return whether nothing more of the endpoint is passed on."""
+        return self.spoiling is not None
+
     @property
     def mid_event(self) -> bool:
         """Return whether an incomplete event is held back."""
@@ -108,33 +151,55 @@
 
     @property
     def partial_bytes(self) -> int:
-        """Return the size of an incomplete event."""
-        return len(self._partial)
+        """Return the size of what is held back."""
+        size = len(self._partial)
+        if self._held:
+            size += sum(len(event.data) for event in self._held)
+        return size
 
     @property
     def is_too_long(self) -> bool:
-        """Return whether an incomplete event exceeds the limit."""
-        return len(self._partial) > MAX_EVENT_BYTES
+        """Return whether what is held back exceeds the limit."""
+        return self.partial_bytes > MAX_EVENT_BYTES
+
+    def _report(self) -> None:
+        """Tell the check of common events that were passed on."""
+        if self.check is not None and self._unreported:
+            self.check.passed_plain(self._unreported)
+        self._unreported, self._report_at = 0, REPORT_INTERVAL
 
-    def _plain_bytes(self, data: bytes) -> int:
+    def _plain_bytes(self, data: bytes, start: int) -> int:
         """Take note of common events; return their size (bytes).
 
         It gives what `_feed_any` does, at a lower cost.
+
+        :param data: bytes of the stream
+        :param start: where in these the first of them may begin
         """
-        size = 0
+        pattern, step, check = PLAIN, 0, self.check
+        if check is not None:
+            known, step = check.plain_events()
+            if known is None or self._run_id < 0 or self._held:
+                return 0
+            pattern = known
+        size, count = start, 0
         last = max(self._run_id, -1 if self.last_id is None else self.last_id)
-        while found := _PLAIN.match(data, size):
-            number = int(found[1])
-            if number <= last:
+        while found := pattern.match(data, size):
+            number = int(found[found.lastindex or 1])
+            if number <= last or (step and number - last != step):
                 break
             last = number
             size = found.end()
-            self.event_count += 1
-        if size:
+            count += 1
+        if count:
+            self.event_count += count
             self._run_id = self.last_id = last
             self.can_resume = True
             self._ends_within_crlf = False
-        return size
+            self._unreported += count
+            if self._unreported >= self._report_at:
+                self._report()
+        return size - start
 
     def _feed_any(self, data: bytes) -> bytes:
         """Return the complete events that the caller does not have yet."""
@@ -143,10 +208,13 @@
             # What belongs to the end of the event before.
             start = len(data) - len(data.lstrip(b"\r\n"))
         more = data[:start] if self._passed else b""
-        if more:
+        if more and self._held:
+            self._held[-1].data += more
+            more = b""
+        elif more:
             self._ends_within_crlf = False
-        events = []
-        for found in EVENT_END.finditer(data, start):
+        events: list[bytes] = []
+        while found := EVENT_END.search(data, start):
             event = data[start : found.end()]
             start = found.end()
             content = event
@@ -154,44 +222,105 @@
                 content = event[len(_BOM) :]
                 # Only the first line of the caller's stream may begin so.
                 event = content if self.event_count else event
-            self._passed = self._takes(content)
-            if self._passed:
-                events.append(event)
-            elif self.out_of_order:
+            number = self._number_of(content)
+            verdict = self._judge(content, number)
+            if verdict is Verdict.SPOILED:
+                self._passed = False
                 break
+            self._passed = verdict is not None
+            if verdict is None:
+                continue
+            if self._held and number is not None:
+                events += self._release()
+            has_data = number is None and bool(_DATA.search(content))
+            if verdict is Verdict.HOLD or self._held:
+                self._held.append(_HeldEvent(event, number, has_data))
+            else:
+                self._note_passed(number, has_data)
+                events.append(event)
+                self._report_at = 1
+                if number is None or start == len(data):
+                    continue
+                size = self._plain_bytes(data, start)
+                if size:
+                    events.append(data[start : start + size])
+                    start += size
         else:
             self._partial += data[start:]
-        if not events:
-            return more
-        self.event_count += len(events)
+        return self._completed(more, events) if events else more
+
+    def _completed(self, more: bytes, events: list[bytes]) -> bytes:
+        """Return what is passed on of some events.
+
+        :param more: belongs to the end of an event that was passed on before
+        :param events: the events
+        """
         complete = more + self._rest + b"".join(events)
         self._rest = b""
         self._ends_within_crlf = complete.endswith(b"\r\n\r")
         return complete
 
-    def _takes(self, event: bytes) -> bool:
-        """Take note of an event's id; return whether the caller lacks it."""
-        before, last = self._run_id, self.last_id
-        number = None  # The last id counts.
+    def _release(self) -> list[bytes]:
+        """Return the events that were held back, which are passed on."""
+        for event in self._held:
+            self._note_passed(event.number, event.has_data)
+        events = [event.data for event in self._held]
+        self._held.clear()
+        return events
+
+    def _note_passed(self, number: int | None, has_data: bool) -> None:
+        """Take note of an event that is passed on."""
+        self.event_count += 1
+        if number is not None:
+            self.last_id = number
+            self.can_resume = True
+        elif has_data:
+            self.can_resume = False
+
+    def _number_of(self, event: bytes) -> int | None:
+        """Return an event's id; None: it has none that is a number.
+
+        The last one counts.  If ids do not rise within it, that is noted.
+        """
         found = _ID.match(event)
         values = [found[1]] if found else []
         if b"\nid" in event or b"\rid" in event:
             values = _ID.findall(event)
+        number = None
         for value in values:
             number = None
-            if value and value.isdigit() and len(value) <= _MAX_DIGITS:
+            if value and value.isdigit() and len(value) <= MAX_ID_DIGITS:
                 number = int(value)
-                if number <= before:
-                    self.out_of_order = True
-                    return False
+                if number <= self._run_id:
+                    self._refuse(Spoiling.ORDER, number)
+        return number
+
+    def _judge(self, event: bytes, number: int | None) -> Verdict | None:
+        """Return what becomes of an event; None: the caller has it."""
+        if self.spoiling is not None:
+            return Verdict.SPOILED
+        before, last = self._run_id, self.last_id
+        if last is None:
+            is_new = True
+        elif number is not None:
+            is_new = number > last
+        else:
+            is_new = not 0 <= before < last
+        verdict = Verdict.PASS
+        if self.check is not None:
+            verdict = self.check.judge(event, number, before, is_new=is_new)
+            if verdict is Verdict.SPOILED:
+                self._refuse(self.check.spoiling, number)
+                return verdict
+        elif b"\r" in event and CHUNK_SIZE_LINE.search(event):
+            self._refuse(Spoiling.FRAMING, number)
+            return Verdict.SPOILED
         if number is not None:
             self._run_id = number
-            if last is not None and number <= last:
-                return False
-            self.last_id = number
-            self.can_resume = True
-        elif last is not None and 0 <= before < last:
-            return False
-        elif _DATA.search(event):
-            self.can_resume = False
-        return True
+        return verdict if is_new else None
+
+    def _refuse(self, spoiling: Spoiling | None, number: int | None) -> None:
+        """Take note that the endpoint's stream is spoiled."""
+        self.spoiling = spoiling
+        before = self._run_id if self._run_id >= 0 else self.last_id
+        self.spoiled_ids = f"id {number} after {before}"
--- /dev/null
+++ b/tests/test_stream_checks.py
@@ -0,0 +1,217 @@
+"""What is learned of a service's streams, and what is refused by it."""
+
+from __future__ import annotations
+
+from copy import deepcopy
+from itertools import accumulate
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bulrushstream.coordination.streamcheck import Doubts
+from bulrushstream.state.eventlines import Spoiling
+from bulrushstream.state.events import EventSplitter
+from tests.eventstreams import LINE_ENDS, encode
+from tests.servicestreams import Service, read_events
+
+COUNT = 8
+EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, COUNT + 1)]
+WHOLE = b"".join(EVENTS)
+BYTES = b"\x00\n\r:5iadx "
+CUTS = st.lists(st.integers(0, 10_000), max_size=6)
+resumable_or_not = pytest.mark.parametrize("resumable", [True, False])
+
+
+def known_service(resumable: bool, body: bytes = WHOLE) -> Service:
+    """Return a service of which much is known."""
+    service = Service(resumable)
+    for _ in range(40):
+        assert service.serve([body], [])[0] == body
+    return service
+
+
+def damaged(kind: str, place: int, value: int) -> tuple[bytes, int]:
+    """Return the body with one damage, and the event that it hits."""
+    index = place % COUNT
+    event, rest = EVENTS[index], EVENTS[:index] + EVENTS[index + 1 :]
+    at = value % len(event)
+    byte = BYTES[value % len(BYTES) :][:1]
+    if kind == "event lost":
+        return b"".join(rest), index
+    if kind == "event moved":
+        to = value % COUNT
+        return b"".join([*rest[:to], event, *rest[to:]]), min(index, to)
+    changed = {
+        "event twice": event + event,
+        "byte lost": event[:at] + event[at + 1 :],
+        "byte changed": event[:at] + byte + event[at + 1 :],
+        "byte added": event[:at] + byte + event[at:],
+        "half lost": event[: at or 1],
+        "framing": event[:at] + b"\r\n1f\r\n" + event[at:],
+    }[kind]
+    return b"".join([*EVENTS[:index], changed, *EVENTS[index + 1 :]]), index
+
+
+class DamageSuite:
+    """Guards against damaged runs of which callers see more than data."""
+
+    @pytest.mark.parametrize(
+        "kind",
+        [
+            "event lost",
+            "event moved",
+            "event twice",
+            "byte lost",
+            "byte changed",
+            "byte added",
+            "half lost",
+            "framing",
+        ],
+    )
+    @resumable_or_not
+    @settings(max_examples=150)
+    @given(place=st.integers(0, 99), value=st.integers(0, 10_000), cuts=CUTS)
+    def test_one_damage(
+        self,
+        resumable: bool,
+        kind: str,
+        place: int,
+        value: int,
+        cuts: list[int],
+    ) -> None:
+        body, index = damaged(kind, place, value)
+        if not resumable and index >= COUNT - 2:
+            return  # No later event may show it.
+        service = deepcopy(SERVICES[resumable])
+        bodies = [body, WHOLE] if resumable else [body]
+        output, splitter = service.serve(bodies, cuts)
+        found, whole = read_events(output), read_events(WHOLE)
+        assert b"1f\r\n" not in output
+        if resumable and (kind, index) != ("event lost", COUNT - 1):
+            assert len(found) == COUNT
+            assert splitter.last_id == COUNT
+        shown = [id_ for id_, _ in found]
+        if not resumable and "byte" in kind and str(index + 1) not in shown:
+            # The name of its data may be hit: it may be a lawful event.
+            del whole[index]
+        assert shown == [id_ for id_, _ in whole[: len(found)]]
+        # Bytes of data may be damaged; no other event is hit.
+        assert sum(a != b for a, b in zip(found, whole, strict=False)) <= 1
+
+
+SERVICES = {each: known_service(each) for each in (True, False)}
+
+
+class LawfulSuite:
+    """Guards against lawful streams that are changed or given up."""
+
+    @resumable_or_not
+    @settings(max_examples=30)
+    @given(
+        seed=st.integers(0, 10_000),
+        step=st.integers(1, 9),
+        first=st.integers(0, 99),
+        cuts=CUTS,
+        bom=st.booleans(),
+    )
+    def test_odd_lines(
+        self,
+        resumable: bool,
+        seed: int,
+        step: int,
+        first: int,
+        cuts: list[int],
+        bom: bool,
+    ) -> None:
+        service = Service(resumable)
+        ends = ((b"\n",), (b"\r\n",), (b"\r",), LINE_ENDS)[seed % 4]
+        for run in range(40):
+            ids = range(first, first + 12 * step, step)
+            body = encode(ids, ends, seed + run, bom=bom).data
+            output, splitter = service.serve([body], cuts)
+            assert output == body
+            assert splitter.last_id == ids[-1]
+
+    @resumable_or_not
+    @settings(max_examples=30)
+    @given(seed=st.integers(0, 10_000), most=st.integers(3, 50))
+    def test_ids_rise_irregularly(
+        self, resumable: bool, seed: int, most: int
+    ) -> None:
+        service, rng = Service(resumable), Random(seed)
+        for _ in range(20):
+            ids = accumulate(rng.randint(1, most) for _ in range(20))
+            body = b"".join(b"id: %d\ndata: x\n\n" % id_ for id_ in ids)
+            assert service.serve([body], [])[0] == body
+
+    @resumable_or_not
+    def test_some_events_have_no_id(self, resumable: bool) -> None:
+        service = Service(resumable)
+        for run in range(60):
+            body = b": ping\n\nretry: 9\n\n" + WHOLE + b"data: [DONE]\n\n"
+            if not run % 7:
+                body = body.replace(b"id: 4", b"event: v\ndata: 2\n\nid: 4")
+            assert service.serve([body], [])[0] == body
+
+
+class LearningSuite:
+    def test_it_is_quick(self) -> None:
+        """Guards against a router that learns for long after a restart."""
+        service = Service(resumable=True)
+        gap = b"".join(EVENTS[:7])
+        output, _ = service.serve([gap + b"id: 9\ndata: x\n\n", b""], [])
+        assert output == gap
+
+    def test_one_endpoint_spoils_all(self) -> None:
+        """Guards against an endpoint whose gaps pass for a service's way."""
+        service = Service(resumable=True)
+        for run in range(60):
+            spoils = service.runs % 3 == 0
+            body = b"".join(EVENTS[:3] + EVENTS[4 + run % 3 :])
+            bodies = [body if spoils else WHOLE, WHOLE]
+            output, _ = service.serve(bodies, [])
+            assert run < 3 or output == WHOLE
+
+    def test_a_service_counts_in_other_steps(self) -> None:
+        """Guards against a new version whose streams are broken off."""
+        service = known_service(resumable=False)
+        body = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(5, 90, 5))
+        outputs = [service.serve([body], [])[0] for _ in range(60)]
+        assert outputs[30:] == [body] * 30
+
+    def test_endpoints_agree_on_a_gap(self) -> None:
+        """Guards against a stream that never passes a lawful gap."""
+        service = known_service(resumable=True)
+        gap = b"id: 4\ndata: x\n\n"
+        bodies = [EVENTS[0] + EVENTS[1] + gap, gap, gap]
+        assert service.serve(bodies, [])[0] == bodies[0]
+
+    def test_it_is_bounded(self) -> None:
+        """Guards against memory that grows with what endpoints write."""
+        service = Service(resumable=True)
+        for run in range(300):
+            body = b"id: %d\nf%d: x\ndata: x\n\n" % (run * run, run)
+            service.serve([WHOLE + body], [])
+            splitter = EventSplitter()
+            service.runs = run * 1000
+            service.begin(splitter, Doubts())
+        assert max(_sizes(service)) <= 64
+
+    def test_framing_at_a_new_router(self) -> None:
+        """Guards against sizes of chunks that go out as lines."""
+        splitter = EventSplitter()
+        body = b"1b\r\n" + EVENTS[0] + b"\r\n1b\r\n" + EVENTS[1]
+        assert splitter.feed(body) == b""
+        assert splitter.spoiling is Spoiling.FRAMING
+
+
+def _sizes(service: Service) -> list[int]:
+    """Return how many items are remembered of a service, in each place."""
+    pattern = service.pattern
+    sizes = [len(pattern._shapes)]
+    for values in (pattern._rises, pattern._firsts):
+        sizes.append(len(values._counts))
+        sizes += [len(counts) for counts in values._counts.values()]
+    return sizes
