--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -16,6 +16,7 @@
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.forwarding import Failure
 from bulrushstream.daemon import (
+    answerfaults,
     endcheck,
     endpointload,
     runwatch,
@@ -201,6 +202,13 @@
 
     def data(self, data: bytes) -> None:
         """Relay or buffer a chunk of an answer's body; see `Sink`."""
+        try:
+            self._handle_data(data)
+        except Exception as error:
+            answerfaults.end_broken(self.forward, error)
+
+    def _handle_data(self, data: bytes) -> None:
+        """Relay or buffer a chunk of an answer's body."""
         head, unframed = self._head, self._unframed
         if head is None or self.forward.done:
             return
@@ -232,6 +240,13 @@
 
     def end(self, *, framed: bool = True) -> None:
         """Handle the end of a complete answer; see `Sink`."""
+        try:
+            self._handle_end(framed=framed)
+        except Exception as error:
+            answerfaults.end_broken(self.forward, error)
+
+    def _handle_end(self, *, framed: bool) -> None:
+        """Handle the end of a complete answer."""
         forward, head = self.forward, self._head
         self._end = "complete" if framed else "connection closed in order"
         if head is None or forward.done:
@@ -302,7 +317,10 @@
         if head is None or self.forward.done:
             self._pending = None
         elif proof is not Proof.NONE:
-            self._end_complete(head)
+            try:
+                self._end_complete(head)
+            except Exception as error:
+                answerfaults.end_broken(self.forward, error)
         else:
             self.failed(
                 ResponseFailure.BROKEN, "nothing proves that its process lives"
--- a/tests/streamsoak.py
+++ b/tests/streamsoak.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 from functools import partial
 from random import Random
 from typing import Final, cast
@@ -25,7 +26,17 @@
     Serving,
 )
 from tests.crashplans import TIMEOUT_S, RouterFault
+from tests.eventshapes import PLAIN, Shape
 from tests.simulatedcallers import Caller
+from tests.spoiledruns import SpoiledRuns
+from tests.spoilings import (
+    End,
+    Spoiling,
+    framing_for,
+    framing_header,
+    spoil,
+)
+from tests.streamjudge import Answer, judge
 from tests.versionfleets import VersionFleet
 from tests.versionplans import Try, VersionPlan
 from tests.virtualnetwork import Transport
@@ -33,12 +44,15 @@
 CUTS: Final = ("fin", "rst", "amid event", "garbage")
 EXTRAS: Final = ("extra", "late extra", "extra in parts")
 STALL_S: Final = 1.5
+# Shorter and longer than routers wait for an event, and than callers do.
+STALLS_S: Final = (0.3, 0.6, 1.0, 2.0, 4.0)
 LIVES_ON_S: Final = 1.0
 RETURNS_S: Final = (0.0, 0.02, 0.2, 1.0, 4.0)  # From an end to the next start.
 ELSEWHERE_SHARE: Final = 0.25
 REPEAT_SHARE: Final = 0.5  # Of the faulty runs that take a stream up.
 _CHUNK: Final = re.compile(rb"([0-9a-f]+)\r\n")
-_EVENT: Final = re.compile(rb"id: (\d+)\ndata: (\d+)\n\n")
+# From an answer's last byte to the moment when its router has read it.
+READ_S: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +69,12 @@
     live_cut_share: float = 0.0
     # Of the processes that end: those that start again under their id.
     return_share: float = 0.0
+    # How faulty endpoints spoil answers, and the share of those.
+    spoilings: tuple[Spoiling, ...] = ()
+    spoiled_share: float = 0.3
+    fault_kinds: tuple[str, ...] = (*CUTS, *EXTRAS, "stall")
+    stalls_s: tuple[float, ...] = (STALL_S,)
+    shape: Shape = PLAIN
 
 
 def random_plan(seed: int, path: str) -> SoakPlan:
@@ -78,6 +98,17 @@
     )
 
 
+def hanging_plan(seed: int, path: str) -> SoakPlan:
+    """Return a plan whose endpoints hang amid streams and then go on."""
+    return replace(
+        random_plan(seed, path),
+        fault_share=0.5,
+        fault_kinds=("stall",),
+        stalls_s=STALLS_S,
+        ends_per_s=0.05,
+    )
+
+
 def live_cuts_plan(seed: int) -> SoakPlan:
     """Return a plan whose endpoints cut some streams without a length."""
     return SoakPlan(
@@ -93,6 +124,21 @@
     )
 
 
+def spoiling_plan(seed: int, path: str, *kinds: Spoiling) -> SoakPlan:
+    """Return a plan whose endpoints live and spoil some answers."""
+    return SoakPlan(
+        seed=seed,
+        path=path,
+        end_s=14.0,
+        background_per_s=0.5,
+        tries=3 if path == "/talk/" else 1,
+        fault_share=0.0,
+        unframed_share=0.1,
+        ends_per_s=0.01,
+        spoilings=kinds,
+    )
+
+
 @dataclass(slots=True, eq=False)
 class FaultyEndpoint(Endpoint):
     """An endpoint that may serve streams wrongly."""
@@ -104,9 +150,32 @@
 class FaultyServing(Serving):
     """One connection to it."""
 
+    _writes = False  # Whether it writes a spoiled answer.
+    _unread = b""  # What came meanwhile.
+
+    _on_closed: Callable[[], None] | None = None
+
+    def _event(self, number: int) -> bytes:
+        plan = cast(SoakPlan, cast(SoakFleet, self.endpoint.fleet).plan)
+        return plan.shape.encode(number, 1, b"\n")
+
+    def closed(self) -> None:
+        if self._on_closed is not None:
+            self._on_closed()
+        super().closed()
+
+    def received(self, data: bytes) -> None:
+        if self._writes:
+            self._unread += data
+        else:
+            super().received(data)
+
     def _run(self, headers: dict[bytes, bytes], body: bytes) -> None:
         fleet = cast(SoakFleet, self.endpoint.fleet)
+        plan = cast(SoakPlan, fleet.plan)
+        after = plan.shape.number_of(int(headers.get(b"last-event-id", b"0")))
         if not body.startswith(b"stream"):
+            headers[b"last-event-id"] = b"%d" % after
             super()._run(headers, body)
             return
         request_id = headers[b"x-request-id"].decode()
@@ -114,15 +183,19 @@
         self._running = True
         self.endpoint.running += 1
         rng = Random(f"{fleet.plan.seed} {run}")
-        plan = cast(SoakPlan, fleet.plan)
-        after = int(headers.get(b"last-event-id", b"0"))
         unframed = rng.random() < plan.unframed_share
         fault = ""
         faulty = self.endpoint.name in fleet.faulty
         if faulty and rng.random() < plan.fault_share:
-            fault = rng.choice((*CUTS, *EXTRAS, "stall"))
+            fault = rng.choice(plan.fault_kinds)
             if after and rng.random() < REPEAT_SHARE:
                 fault = "repeat"
+        if faulty and plan.spoilings and rng.random() < plan.spoiled_share:
+            self._later(
+                rng.uniform(0.0, HEAD_S),
+                partial(self._spoil, headers, rng, run),
+            )
+            return
         if unframed and plan.live_cut_share:
             cut = faulty and rng.random() < plan.live_cut_share
             fault = "fin" if cut else ""
@@ -130,9 +203,10 @@
             # Nothing tells it from the end of a whole answer.
             fault = "rst"
         first = 1 if fault == "repeat" else after + 1
-        stop = rng.randint(after, EVENTS)
+        stop = rng.randint(min(after, EVENTS), EVENTS)
         last = stop if fault in CUTS else EVENTS
         framing = b"" if unframed else b"Transfer-Encoding: chunked\r\n"
+        framing = plan.shape.header(framing)
 
         def begin() -> None:
             self._send_head(b"200 OK", headers, EVENT_STREAM + framing)
@@ -149,10 +223,10 @@
             if number > last:
                 end()
                 return
-            send(b"id: %d\ndata: %d\n\n" % (number, run))
+            send(plan.shape.encode(number, run, b"\n"))
             pause_s = rng.choice((0.0, 0.01, 0.1))
             if fault == "stall" and number == stop:
-                pause_s = STALL_S
+                pause_s = rng.choice(plan.stalls_s)
             self._later(pause_s, partial(step, number + 1))
 
         def end() -> None:
@@ -171,7 +245,7 @@
 
         def extra() -> None:
             data = b"".join(
-                b"id: %d\ndata: %d\n\n" % (number, run)
+                plan.shape.encode(number, run, b"\n")
                 for number in range(1, EVENTS + 1)
             )
             length = b"Content-Length: %d\r\n" % len(data)
@@ -194,6 +268,58 @@
 
         self._later(rng.uniform(0.0, HEAD_S), begin)
 
+    def _spoil(
+        self, headers: dict[bytes, bytes], rng: Random, run: int
+    ) -> None:
+        """Write a spoiled answer."""
+        fleet = cast(SoakFleet, self.endpoint.fleet)
+        after = int(headers.get(b"last-event-id", b"0"))
+        plan = cast(SoakPlan, fleet.plan)
+        kind = rng.choice(plan.spoilings)
+        framing = framing_for(kind, rng)
+        events = [
+            plan.shape.encode(number, run, b"\n")
+            for number in range(after + 1, EVENTS + 1)
+        ]
+        more = EVENT_STREAM + framing_header(framing, events)
+        head = self._encode_head(b"200 OK", headers, more)
+        answer = spoil(kind, head, events, framing, rng)
+        request_id = headers[b"x-request-id"].decode()
+        link = self.endpoint.name, str(fleet.requests[request_id][0])
+        now_s = fleet.loop.time
+        spoiled = fleet.spoiled.begin(
+            request_id, link, kind, answer, after, now_s()
+        )
+        written = 0
+
+        def ended() -> None:
+            fleet.spoiled.end(spoiled, written, now_s())
+
+        def write(number: int) -> None:
+            nonlocal written
+            written = number
+            if number == len(answer.pieces):
+                ended()
+                self._on_closed = None
+                if answer.end is End.NONE:
+                    self._end_run()
+                    self._writes = False
+                    unread, self._unread = self._unread, b""
+                    self.received(unread)
+                    return
+                reset = ConnectionResetError("reset by peer")
+                resets = answer.end is End.RESET
+                self.transport.end(reset if resets else None)
+                self.closed()
+                return
+            self.transport.send(answer.pieces[number])
+            pause_s = rng.choice((0.0, 0.01, 0.1))
+            self._later(pause_s, partial(write, number + 1))
+
+        self._writes = True
+        self._on_closed = ended
+        write(0)
+
 
 class SoakFleet(VersionFleet):
     """A fleet whose endpoints and routers fail at random."""
@@ -208,7 +334,8 @@
         self._moves = 0  # Of processes that start again elsewhere.
         self._return_rng = Random(f"{plan.seed} returns")
         self.faulty: set[str] = set()
-        self.judge = Judge(plan.tries > 1)
+        self.spoiled = SpoiledRuns(READ_S)
+        self.judge = Judge(plan.tries > 1, self.spoiled, plan.shape)
         # Requests whose last run was whole, at an endpoint that lived on.
         self.answered: set[str] = set()
 
@@ -219,6 +346,7 @@
 
     def run_was_whole(self, request_id: str, endpoint: Endpoint) -> None:
         """Record a whole answer unless the endpoint ends soon after it."""
+        self.spoiled.whole_run(str(self.requests[request_id][0]))
 
         def record() -> None:
             if self.endpoints.get(endpoint.name) is endpoint:
@@ -311,6 +439,10 @@
         start = partial(self._start_endpoint, endpoint.service, again)
         loop.call_later(delay_s, start)
 
+    def _restart(self, number: int) -> None:
+        super()._restart(number)
+        self.spoiled.restarted(str(number))
+
     def _start_faulty(self) -> None:
         self._start_endpoint("llm")
         self.faulty.add(next(reversed(self.endpoints)))
@@ -319,6 +451,10 @@
         """Let some callers speak HTTP/1.0."""
         old = self._fault_rng.random() < self._soak.old_callers_share
         exchange.accepts_chunked = not old
+        for place, (name, value) in enumerate(exchange.headers):
+            if name == b"Last-Event-Id":
+                last_id = self._soak.shape.id_of(int(value))
+                exchange.headers[place] = name, b"%d" % last_id
 
     def read_answer(self, current: Try, caller: Caller) -> None:
         """Judge an answer as its caller sees it."""
@@ -330,6 +466,8 @@
     """Reads callers' answers; collects what is wrong with them."""
 
     may_join: bool  # Whether a stream may go on in another run.
+    spoiled: SpoiledRuns
+    shape: Shape
     wrong: list[str] = field(default_factory=list)
 
     def read(self, current: Try, caller: Caller) -> None:
@@ -343,24 +481,20 @@
         current.status = head[9:12].decode()
         if current.status != "200":
             return
+        answer = Answer(current.status)
         if b"transfer-encoding: chunked" in head:
-            body, complete = _join_chunks(rest)
+            answer.body, answer.complete = _join_chunks(rest)
         else:
-            body, complete = rest, caller.ended and not caller.aborted
-        found = [(int(n), run.decode()) for n, run in _EVENT.findall(body)]
-        current.events = found
-        numbers = [number for number, _ in found]
+            answer.body = rest
+            answer.complete = caller.ended and not caller.aborted
         name = current.request_id
-        last = numbers[-1] if numbers else current.after
-        if b"".join(m[0] for m in _EVENT.finditer(body)) != body:
-            self.wrong.append(f"{name}: bytes that are no event")
-        if numbers != list(range(current.after + 1, last + 1)):
-            self.wrong.append(f"{name}: {numbers} after {current.after}")
-        if not self.may_join and len({run for _, run in found}) > 1:
-            self.wrong.append(f"{name}: runs are joined")
-        if complete and last != EVENTS:
-            self.wrong.append(f"{name}: complete at {last}")
-        current.whole = complete
+        events = [(current.after, 0)]
+        findings = judge(
+            name, answer, events, self.may_join, EVENTS, self.shape
+        )
+        self.wrong += self.spoiled.blame(name, findings, self.may_join)
+        current.events = [(number, str(run)) for number, run in events[1:]]
+        current.whole = answer.complete
 
 
 def _join_chunks(data: bytes) -> tuple[bytes, bool]:
