Take bytes behind a response as a sign that it was cut

What callers saw: a success with a body that is some bytes short where a Content-Length was too small, and a stream that ends as complete at a false last chunk, though the rest was there in the same read.

Cause: the sink was told of the end amid the read, before the parser found that no response follows.

The end is told once the read is parsed. Bytes that begin another response, also a part of one, leave the first one whole, as before; others fail it, and the attempt is retried where that is allowed. The parser looks behind responses with `Connection: close`, too. Nothing is waited for: a rest that arrives in a later read is still not known of.

--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -134,6 +134,8 @@
         self._owner = owner
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
+        # Bytes behind a response that ends the connection are looked at, too.
+        self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
         self._sink: Sink | None = None
         self._method = b""
         self._headers: RawHeaders = []
@@ -147,6 +149,8 @@
         self._discarded_count = 0
         self._excess: ExcessReason | None = None
         self._fault = ""  # Why a head is not used; empty: it is.
+        # Whether the response has ended amid the bytes that are parsed.
+        self._complete = False
         self._ends_with_close = False
         self._keep_alive = True
         self._used_up = False  # Whether it carries no further request.
@@ -248,6 +252,7 @@
         assert self._transport is not None
         self._overhead_bytes = 0
         self._interim_count = self._discarded_count = 0
+        self._complete = False
         self._in_head = True
         self._sink = sink
         self._method = method
@@ -345,24 +350,43 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as why:
-            if self._excess is not None:
-                self._end_exceeded(self._excess)
-            else:
-                self._fail(f"invalid response: {self._fault or why}")
+            self._end_invalid(why)
             return
-        if self._unusable:
+        if self._complete and self._sink is not None:
+            self._finish()
+        elif self._unusable:
             self.close()
         elif self._overhead_bytes > MIN_COUNTED_BYTES:
             self._check_overhead()
         elif self._account is not None:
             self._release_memory()
 
+    def _end_invalid(self, why: Exception) -> None:
+        """Handle bytes that the parser does not take.
+
+        Behind a whole response they are another one, or they show that it
+        was not whole.
+        """
+        if self._complete and self._sink is not None:
+            begins_response = self._headers or isinstance(
+                why, httptools.HttpParserInvalidStatusError
+            )
+            self._unusable = True
+            if self._excess is not None or begins_response:
+                self._finish()
+            else:
+                self._fail("bytes behind the response that begin none")
+        elif self._excess is not None:
+            self._end_exceeded(self._excess)
+        else:
+            self._fail(f"invalid response: {self._fault or why}")
+
     def on_message_begin(self) -> None:
         """Start a new response; called by the parser."""
         self._headers = []
         self._header_count = 0
         self._in_head = True
-        if self._sink is None:
+        if self._sink is None or self._complete:
             self._unusable = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -406,7 +430,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a piece of the body to the sink; called by the parser."""
-        if self._discarding:
+        if self._discarding or self._complete:
             return
         spared = len(data) * (1 + FRAMING_PER_BYTE)
         self._overhead_bytes = max(0, self._overhead_bytes - spared)
@@ -415,14 +439,16 @@
 
     def on_message_complete(self) -> None:
         """Handle the end of a response; called by the parser."""
+        if self._complete:
+            return
         if self._discarding:
             self._discarding = False
             if self._parser.get_status_code() >= 200:
                 # More such responses may come.
                 self._used_up = True
             return
-        if self._sink is not None:
-            self._finish()
+        # What follows in the same read may show that it is not whole.
+        self._complete = self._sink is not None
 
     def _finish(self) -> None:
         """End the response; return the connection to the pool or close it."""
--- a/tests/test_damaged_heads.py
+++ b/tests/test_damaged_heads.py
@@ -133,6 +133,45 @@
             expect_refused(path, replace(changed, split=split), framing)
 
 
+class BytesBehindSuite:
+    # Guards against an answer that is cut by a wrong length or a false last
+    # chunk, while the rest of it is there.
+    @pytest.mark.parametrize("missing_bytes", [1, 5, 15])
+    @pytest.mark.parametrize("path", PATHS)
+    def test_a_rest_shows_the_cut(self, path: str, missing_bytes: int) -> None:
+        body = body_of(path)
+        answer = sound("length", path.startswith("/t"))(b"q1")
+        line = b"Content-Length: %d" % (len(body) - missing_bytes)
+        changed = with_line(answer, b"Content-Length", line)
+        for split in (False, True):
+            expect_refused(path, replace(changed, split=split), "length")
+
+    @pytest.mark.parametrize("path", PATHS)
+    def test_chunks_behind_the_last_one(self, path: str) -> None:
+        answer = sound("chunks", path.startswith("/t"))(b"q1")
+        size = answer.body.index(b"\n") + 1
+        at = answer.body.index(b"\r\n", size) + 2
+        false_end = answer.body[:at] + b"0\r\n\r\n" + answer.body[at:]
+        expect_refused(path, replace(answer, body=false_end))
+
+    # Guards against whole answers that are given up for what follows them.
+    @pytest.mark.parametrize("framing", ["length", "chunks"])
+    @pytest.mark.parametrize("path", PATHS)
+    def test_a_second_answer(self, path: str, framing: str) -> None:
+        answer = sound(framing, path.startswith("/t"))(b"q1")
+        second = answer.head + answer.body
+        for kept_bytes in (3, 60, len(second)):
+            body = answer.body + second[:kept_bytes]
+            seen = ask(path, replace(answer, body=body), framing)
+            assert is_served(seen, path)
+
+    @pytest.mark.parametrize("path", PATHS)
+    def test_an_empty_line(self, path: str) -> None:
+        answer = sound("length", path.startswith("/t"))(b"q1")
+        body = answer.body + b"\r\n"
+        assert is_served(ask(path, replace(answer, body=body)), path)
+
+
 class LawfulOddSuite:
     # Guards against the refusal of what is odd and lawful.
     @pytest.mark.parametrize(
