Find chunks in bodies whose heads tell no framing

What callers saw: the sizes of chunks as parts of events and of ordinary bodies, with the success of a whole answer.

Cause: where one byte of the name Transfer-Encoding was another, the body was believed to last until its connection ends, and passed on as it was.

The start of a body without a length is held back while it fits the grammar of chunks, and the attempt ends once that shows: for event streams after one chunk, else after eight or the last one, as a list of numbers in lines may look the same. Where a service's answers usually tell a framing (learned, by service and kind, from 16 answers on), one is enough, and a body that ended within its first chunk is refused, too. Other bodies go out at their first byte that fits no chunk. `finish` names what a head lacked (`head_lacks`).

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -15,7 +15,13 @@
 
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.forwarding import Failure
-from bulrushstream.daemon import endcheck, endpointload, runwatch, takeups
+from bulrushstream.daemon import (
+    doubtfulheads,
+    endcheck,
+    endpointload,
+    runwatch,
+    takeups,
+)
 from bulrushstream.daemon.lifeproof import Proof
 from bulrushstream.daemon.unframed import UnframedBody
 from bulrushstream.state.call import (
@@ -45,6 +51,8 @@
 PROOF_BEFORE_RETRY_S: Final = 2.0
 PROOF_MARGIN_S: Final = 0.05
 
+_HIDDEN_CHUNKS: Final = "chunks that its head does not tell"
+
 # Fewer kept bytes than this are not accounted for.
 MIN_COUNTED_BYTES: Final = 16_384
 
@@ -57,6 +65,7 @@
         "_body_bytes",
         "_born",
         "_buffered_body",
+        "_doubts",
         "_end",
         "_framing",
         "_head",
@@ -109,6 +118,7 @@
         # Writes a long answer that is being relayed; None: it is not.
         self._writer: BodyWriter | None = None
         self._framing = Framing.LENGTH
+        self._doubts = doubtfulheads.NO_DOUBTS  # Of the head.
         # The body, if only its connection shows the end.
         self._unframed: UnframedBody | None = None
         self._end = ""  # How the answer ended, for the log; empty: not yet.
@@ -173,12 +183,18 @@
         self._unattributed = mismatch and self._reused
         self._head = head
         self._framing = framing_of(status, headers)
+        self._doubts = doubtfulheads.examine(self, head, self._framing)
         self._unframed = None
         if self._pending is not None:
             self._pending.record_answer(forward.call.request_id)
             if self._framing is Framing.CLOSE:
                 self.pool.expect_unframed()
-                self._unframed = UnframedBody(front.dialect, self._pending)
+                self._unframed = UnframedBody(
+                    front.dialect,
+                    self._pending,
+                    is_stream=head.event_stream,
+                    doubtful=self._doubts.of_framing,
+                )
         if status != 421:
             if not mismatch and self._pending is not None:
                 self.pool.record_answer(self.sent_s, self._pending.connection)
@@ -200,8 +216,13 @@
         if unframed is None:
             self._accept(head, data)
             return
-        unframed.watch_bytes(self.front.clock())
+        self._heard_s = self.front.clock()
+        unframed.watch_bytes(self._heard_s)
         self._accept(head, unframed.feed(data))
+        if unframed.held_bytes and self.in_flight:
+            self._keep(unframed.held_bytes)
+        if unframed.in_chunks and self.in_flight:
+            self._give_up(_HIDDEN_CHUNKS)
         if unframed.flooded and self.in_flight:
             self._give_up("a body full of heads", ExcessReason.EXTRA)
         if unframed.followed_by is not None and self.in_flight:
@@ -242,7 +263,9 @@
         if self._unframed is not None:
             rest = self._unframed.close(self.front.clock())
         if rest is None:
-            self._give_up("the connection ended amid the head of an answer")
+            hidden = self._unframed is not None and self._unframed.in_chunks
+            amid_head = "the connection ended amid the head of an answer"
+            self._give_up(_HIDDEN_CHUNKS if hidden else amid_head)
             return
         self._accept(head, rest)
         if not self.in_flight:
@@ -568,6 +591,8 @@
             "answer_end": self._end,
             "received_bytes": self._body_bytes,
         }
+        if self._doubts.lacking:
+            described["head_lacks"] = ", ".join(sorted(self._doubts.lacking))
         if self._proof is not None:
             described["proof"] = self._proof.value
             described["proof_age_s"] = round(self._proof_age_s, 3)
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from bulrushstream import messages
+from bulrushstream.coordination.answerhabits import AnswerHabits
 from bulrushstream.coordination.crashevidence import BrokenRun
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.fleetview import FleetView
@@ -109,6 +110,7 @@
         )
         self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
+        self.answer_habits = AnswerHabits()
         limit_s = settings.revocation_limit_s
         self.freshness = Freshness(
             float("inf") if limit_s is None else limit_s
--- a/src/bulrushstream/daemon/unframed.py
+++ b/src/bulrushstream/daemon/unframed.py
@@ -1,7 +1,7 @@
 """Answers whose end only the end of their connection shows.
 
 A process that is killed ends such an answer in the same way, and a faulty one
-may write another answer below it.
+may write another answer below it, or have a body in chunks without saying so.
 """
 
 from __future__ import annotations
@@ -10,19 +10,43 @@
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.transport.connection import EXIT_S, PendingRequest
 from bulrushstream.transport.extraanswers import ExtraAnswerFinder
+from bulrushstream.transport.hiddenchunks import (
+    MIN_CHUNKS,
+    HiddenChunkFinder,
+)
 
 
 class UnframedBody:
     """The body of such an answer, as it arrives."""
 
-    __slots__ = ("_dialect", "_finder", "_pending", "closed_s", "followed_by")
-
-    def __init__(self, dialect: Dialect, pending: PendingRequest) -> None:
+    __slots__ = (
+        "_dialect",
+        "_doubtful",
+        "_finder",
+        "_hidden",
+        "_pending",
+        "closed_s",
+        "followed_by",
+    )
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        pending: PendingRequest,
+        *,
+        is_stream: bool = False,
+        doubtful: bool = False,
+    ) -> None:
         """Begin a body.
 
         :param dialect: decodes the heads of answers
         :param pending: the request
+        :param is_stream: whether it is an event stream
+        :param doubtful: whether the service's answers usually tell a framing
         """
+        self._doubtful = doubtful
+        few = is_stream or doubtful
+        self._hidden = HiddenChunkFinder(1 if few else MIN_CHUNKS)
         self._dialect = dialect
         self._pending = pending
         self._finder = ExtraAnswerFinder(self._is_extra)
@@ -36,7 +60,7 @@
 
         :param data: the next bytes that arrived
         """
-        return self._finder.feed(data)
+        return self._finder.feed(self._hidden.feed(data))
 
     def watch_bytes(self, now_s: float) -> None:
         """Find out when the endpoint wrote, as bytes were just read.
@@ -58,14 +82,30 @@
         """Return whether too much of the body looks like other answers."""
         return self._finder.flooded
 
+    @property
+    def in_chunks(self) -> bool:
+        """Return whether the body is in chunks."""
+        return self._hidden.found
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of bytes that may be of chunks."""
+        return self._hidden.held_bytes
+
     def close(self, now_s: float) -> bytes | None:
         """Return the rest of the body as its connection has ended.
 
         :param now_s: the time
-        :returns: the rest; None: it ended amid the head of another answer
+        :returns: the rest; None: it ended amid the head of another answer, or
+            amid chunks
         """
         self.closed_s = now_s
-        return self._finder.finish()
+        body = self._hidden.finish(doubtful=self._doubtful)
+        if self._hidden.found:
+            return None
+        body = self._finder.feed(body)
+        rest = self._finder.finish()
+        return None if rest is None else body + rest
 
     def _is_extra(self, status: int, headers: RawHeaders) -> bool:
         """Return whether a head within the body begins another answer.
--- a/tests/test_damaged_heads.py
+++ b/tests/test_damaged_heads.py
@@ -57,6 +57,37 @@
     return body.startswith(seen.body)
 
 
+class DamagedByteSuite:
+    # Guards against framing that goes out as a part of the body, and a
+    # success with another body, where a byte of the head is damaged.
+    @pytest.mark.parametrize("byte", BYTES)
+    @pytest.mark.parametrize("framing", ["chunks", "length"])
+    @pytest.mark.parametrize("path", PATHS)
+    def test_no_caller_is_deceived(
+        self, path: str, framing: str, byte: int
+    ) -> None:
+        usual = sound(framing, path.startswith("/t"))
+        callers = play(path, usual, damaged(usual, byte)).callers
+        wrong = [
+            (position, each)
+            for position, caller in enumerate(callers)
+            if not is_right(each := see(caller.data), body_of(path))
+        ]
+        assert wrong[:3] == []
+
+    # Guards against whole answers that are given up for a damaged line that
+    # does not matter.
+    @pytest.mark.parametrize("byte", b"aq7")
+    @pytest.mark.parametrize("path", PATHS)
+    def test_names_that_do_not_matter(self, path: str, byte: int) -> None:
+        usual = sound("chunks", path.startswith("/t"))
+        head = usual(b"q1").head
+        for name in (b"Connection", b"Keep-Alive"):
+            changed = name[:3] + bytes([byte]) + name[4:]
+            answer = Answer(head.replace(name, changed), usual(b"q1").body)
+            assert is_served(ask(path, answer), path)
+
+
 def with_line(answer: Answer, name: bytes, line: bytes) -> Answer:
     """Return an answer with another line for a header."""
     lines = answer.head.split(b"\r\n")
