Refuse a 304 that was not asked for and streams that deny it

What callers saw: 304 without a body in place of a success, also to POST; an event stream passed on as an ordinary body, unchecked and all at once.

Cause: one byte of the status or of Content-Type was another; a 304 that announces a body may be lawful, so the head alone does not show it.

A 304 that announces a body is refused if the request had no condition. On a streaming route, where the service's successes are usually event streams (learned), one that is none is given up as soon as its body shows a line of an event; ordinary bodies there are passed on as before.

--- a/src/bulrushstream/coordination/answerhabits.py
+++ b/src/bulrushstream/coordination/answerhabits.py
@@ -23,6 +23,7 @@
 
     STREAM_FRAMING = "the framing of an event stream"
     BODY_FRAMING = "the framing of another body"
+    STREAM_TYPE = "an event stream"  # Of successes where streams are due.
 
 
 @dataclass(slots=True)
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -183,7 +183,9 @@
         self._unattributed = mismatch and self._reused
         self._head = head
         self._framing = framing_of(status, headers)
-        self._doubts = doubtfulheads.examine(self, head, self._framing)
+        self._doubts = doubtfulheads.examine(
+            self, head, headers, self._framing
+        )
         self._unframed = None
         if self._pending is not None:
             self._pending.record_answer(forward.call.request_id)
@@ -352,6 +354,9 @@
             forward.attempt_failed(
                 Failure.NOT_EXECUTED, f"status {head.status}"
             )
+        elif self._doubts.fault:
+            self.count_failure()
+            forward.attempt_failed(Failure.BROKEN, self._doubts.fault)
         elif not _is_relayable(head):
             self.count_failure()
             forward.attempt_failed(
@@ -465,6 +470,11 @@
         # A caller that has received part of a stream can not get this answer.
         if not exchange.started:
             self._buffered_body.append(data)
+        if self._doubts.lacking and self._doubts.is_stream(
+            self._buffered_body
+        ):
+            self._give_up("an event stream that its head does not tell")
+            return
         if self._body_bytes <= MAX_BUFFERED_BYTES:
             self._keep(self._body_bytes)
             return
--- a/tests/test_damaged_heads.py
+++ b/tests/test_damaged_heads.py
@@ -151,7 +151,9 @@
 
     # Guards against a status that has no body, or is none, in place of
     # another one.
-    @pytest.mark.parametrize("status", [b"204", b"000", b"600", b"999"])
+    @pytest.mark.parametrize(
+        "status", [b"204", b"304", b"000", b"600", b"999"]
+    )
     @pytest.mark.parametrize("framing", ["chunks", "length"])
     @pytest.mark.parametrize("path", PATHS)
     def test_statuses_that_hide_a_body(
@@ -163,6 +165,15 @@
             changed = with_line(answer, b"HTTP/1.1", line)
             expect_refused(path, replace(changed, split=split), framing)
 
+    # Guards against an event stream that is passed on as an ordinary body.
+    @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
+    def test_a_stream_that_does_not_say_so(self, path: str) -> None:
+        for framing in ("chunks", "length"):
+            answer = sound(framing, streams=True)(b"q1")
+            line = b"Content-Type: text/evenq-stream"
+            changed = with_line(answer, b"Content-Type", line)
+            expect_refused(path, changed, framing)
+
 
 class BytesBehindSuite:
     # Guards against an answer that is cut by a wrong length or a false last
