--- a/tests/test_damaged_heads.py
+++ b/tests/test_damaged_heads.py
@@ -152,7 +152,8 @@
     # Guards against a status that has no body, or is none, in place of
     # another one.
     @pytest.mark.parametrize(
-        "status", [b"204", b"304", b"000", b"600", b"999"]
+        "status",
+        [b"000", b"100", b"101", b"103", b"204", b"304", b"600", b"999"],
     )
     @pytest.mark.parametrize("framing", ["chunks", "length"])
     @pytest.mark.parametrize("path", PATHS)
@@ -165,6 +166,18 @@
             changed = with_line(answer, b"HTTP/1.1", line)
             expect_refused(path, replace(changed, split=split), framing)
 
+    # Guards against framing within the body of a failure.
+    @pytest.mark.parametrize("status", [b"404", b"500", b"503"])
+    @pytest.mark.parametrize("path", PATHS)
+    def test_failures_in_chunks(self, path: str, status: bytes) -> None:
+        answer = sound("chunks", streams=False)(b"q1")
+        line = b"HTTP/1.1 %b Failed" % status
+        failed = with_line(answer, b"HTTP/1.1", line)
+        line = b"Transfer-Encodinq: chunked"
+        for closes in (False, True):
+            changed = with_line(failed, b"Transfer-Encoding", line)
+            expect_refused(path, replace(changed, closes=closes))
+
     # Guards against an event stream that is passed on as an ordinary body.
     @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
     def test_a_stream_that_does_not_say_so(self, path: str) -> None:
@@ -196,6 +209,14 @@
         false_end = answer.body[:at] + b"0\r\n\r\n" + answer.body[at:]
         expect_refused(path, replace(answer, body=false_end))
 
+    # Guards against the same where the rest arrives in a later read.
+    @pytest.mark.parametrize("path", PATHS)
+    def test_a_rest_in_a_later_read(self, path: str) -> None:
+        answer = sound("length", path.startswith("/t"))(b"q1")
+        line = b"Content-Length: 00"
+        changed = with_line(answer, b"Content-Length", line)
+        expect_refused(path, replace(changed, split=True), "length")
+
     # Guards against whole answers that are given up for what follows them.
     @pytest.mark.parametrize("framing", ["length", "chunks"])
     @pytest.mark.parametrize("path", PATHS)
