Early ends in good framing are told by what usual ones have

What callers saw: streams that look complete and are not, from a living endpoint that writes a last chunk amid a stream.

Cause: a last chunk, or a length, was taken for the end of the stream, at endpoints that had just spoiled other answers, too.

Now each router learns per service how whole streams end: the last id for each output limit of callers, or the last event without its id. An end that differs where most were alike is odd. A stream that may be resumed then goes on at its last event in another attempt; if none can be made it is broken off, and its caller may go on. An odd end that turns out to be whole doubles what has to be alike, so where ends vary nothing is learned and nothing costs. An end without a length that is the usual one needs no check any more.

An endpoint that spoiled an answer (an invalid one, bytes behind one that begin no other, an odd end that was cut) is trusted less for 30 s: streams that may be resumed are checked at their end though framed (after 4 checks in vain, one in 16), and another whose end is odd is broken off.

Not mended: the first streams of a router, until it has learned, and streams that may not be resumed at an endpoint that spoiled nothing else lately.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -27,6 +27,9 @@
 # At least this share of a service's endpoints stays in use.
 MIN_IN_USE_SHARE: Final = 0.5
 
+# An endpoint that spoiled an answer is trusted less for this time.
+DISTRUST_S: Final = 30.0
+
 # An endpoint that refuses a connection is avoided for this time.
 UNREACHABLE_PAUSE_S: Final = 1.0
 
@@ -50,6 +53,15 @@
     # Checks of its streams' ends that found nothing, since one did.
     vain_end_checks: int = 0
     cuts_streams: bool = False  # Whether one of them found a cut, lately.
+    # When it last wrote what is no answer, or cut one in good framing.
+    spoiled_s: float = float("-inf")
+
+    def is_distrusted(self, now_s: float) -> bool:
+        """Return whether it spoiled an answer lately.
+
+        :param now_s: the time
+        """
+        return now_s - self.spoiled_s < DISTRUST_S
 
     def is_same_at(self, at_s: float) -> bool:
         """Return whether the listed process had its id at a time.
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -243,7 +243,10 @@
         if self._unframed is not None:
             rest = self._unframed.close(self.front.clock())
         if rest is None:
-            self._give_up("the connection ended amid the head of an answer")
+            self.failed(
+                ResponseFailure.BROKEN,
+                "the connection ended amid the head of an answer",
+            )
             return
         self._accept(head, rest)
         if not self.in_flight:
@@ -254,7 +257,9 @@
             self._end_stream(head)
         elif head.status < 400 and not self._body_bytes:
             # It may have been cut within its head.
-            self._give_up("the connection ended at the body")
+            self.failed(
+                ResponseFailure.BROKEN, "the connection ended at the body"
+            )
         elif not self._may_be_whole(head):
             self._end_complete(head)
         else:
@@ -359,6 +364,9 @@
             self._pending = None
             return
         broken = failure is ResponseFailure.BROKEN
+        connection = self._pending.connection if self._pending else None
+        if connection is not None and connection.invalid:
+            self.endpoint.spoiled_s = self.front.clock()
         if broken:
             closed_s = None
             if self._unframed is not None:
@@ -508,15 +516,21 @@
             )
         elif forward.end_check is not None:
             forward.end_check.ended(framed=not self._ended_with_connection)
-        elif not self._ended_with_connection or not endcheck.begin(self, head):
+        elif not endcheck.begin(
+            self, head, framed=not self._ended_with_connection
+        ):
             self.end_stream(head)
 
-    def end_stream(self, head: AnswerHead) -> None:
+    def end_stream(self, head: AnswerHead, *, checked: bool = False) -> None:
         """End the caller's stream, which is whole.
 
         :param head: the head of the answer
+        :param checked: whether another attempt had nothing to add
         """
         self.front.pool.succeeded(self.endpoint)
+        self.front.stream_ends.add_whole(
+            self.forward.stream_end(), checked=checked
+        )
         self.forward.begin_stream(head).finish()
         self.forward.answered("answer", head.status)
 
@@ -539,6 +553,8 @@
             self.front.peer_exceeded(
                 Excess(PeerKind.ENDPOINT, f"{entry.host}:{entry.port}", excess)
             )
+        if excess is not ExcessReason.MEMORY:
+            self.endpoint.spoiled_s = self.front.clock()
         self.failed(ResponseFailure.BROKEN, detail)
 
     def _record_end(self, *, ran: bool) -> None:
--- a/src/bulrushstream/daemon/endcheck.py
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -1,9 +1,11 @@
-"""Checks ends of streams that only the ends of their connections show.
+"""Checks ends of streams that may have been cut.
 
-An endpoint that lives, or a proxy before it, may end such a stream in order
-before it is whole.  A stream that may be resumed is checked: another attempt
-goes on at its last event, and a whole one has nothing to add.  If the
-attempts show neither, the end is believed.
+An endpoint that lives, or a proxy before it, may end a stream in order before
+it is whole.  So may any end that only its connection shows, an odd one, see
+`coordination.streamends`, and any of an endpoint that just spoiled another
+answer.  A stream that may be resumed is checked:
+another attempt goes on at its last event, and a whole one has nothing to add.
+If the attempts show neither, the end is believed unless it is odd.
 
 A check is a retry.  Checks leave a part of the budget to retries of what has
 failed, a smaller one where an endpoint is known to cut streams, and become
@@ -15,7 +17,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from bulrushstream.coordination.forwarding import overdue_delay_s
+from bulrushstream.coordination.forwarding import Failure, overdue_delay_s
+from bulrushstream.coordination.streamends import EndKind
 from bulrushstream.daemon import takeups
 from bulrushstream.state.events import MAX_EVENT_BYTES
 
@@ -35,10 +38,18 @@
 MAX_IN_VAIN: Final = 32
 RARE_FRACTION: Final = 1 / 16
 
+# The same of streams in good framing, from endpoints that spoil answers.
+MAX_FRAMED_IN_VAIN: Final = 4
+
 # A check that ended with its connection, too, is repeated only after fewer
 # checks in vain.
 MAX_REPEATED: Final = 8
 
+NOTHING_TO_ADD: Final = "nothing_to_add"  # A result, for the log.
+
+# Why an odd end that could not be checked counts as a failure, for the log.
+ODD_END: Final = "the stream ended before others of its kind do"
+
 # A check ends this long before the deadline, and begins only with more time.
 MARGIN_S: Final = 0.05
 MIN_CHECK_S: Final = 0.1
@@ -49,21 +60,29 @@
 
     __slots__ = (
         "_attempt",
+        "_framed",
         "_head",
         "_held",
         "_last_id",
+        "_odd",
         "_timer",
         "forward",
         "tried",
     )
 
-    def __init__(self, attempt: Attempt, head: AnswerHead) -> None:
+    def __init__(
+        self, attempt: Attempt, head: AnswerHead, *, framed: bool, odd: bool
+    ) -> None:
         """Begin the check.
 
         :param attempt: the attempt whose stream ended
         :param head: the head of its answer
+        :param framed: whether more than its connection shows the end
+        :param odd: whether other streams of its kind end elsewhere
         """
         self.forward = attempt.forward
+        self._framed = framed
+        self._odd = odd
         self._attempt = attempt
         self._head = head
         self._last_id = self.forward.splitter.last_id or 0
@@ -111,7 +130,7 @@
         endpoint.vain_end_checks += 1
         if endpoint.vain_end_checks >= MAX_IN_VAIN:
             endpoint.cuts_streams = False
-        self._accept("nothing_to_add", "the stream is whole")
+        self._accept(NOTHING_TO_ADD, "the stream is whole")
 
     def failed(self, detail: str) -> None:
         """Make one more attempt if there may be one, or believe the end.
@@ -138,11 +157,31 @@
         return True
 
     def unanswered(self, detail: str) -> None:
-        """Believe the end, as its attempt shows nothing.
+        """Believe the end unless it is odd, as its attempt shows nothing.
 
         :param detail: why, for the log
         """
-        self._accept("not_known", detail)
+        if not self._odd:
+            self._accept("not_known", detail)
+            return
+        forward = self.forward
+        if forward.attempt is not None:
+            forward.attempt.cancel()
+        forward.attempt = self._attempt
+        self.drop(detail)
+        forward.attempt_failed(Failure.BROKEN, ODD_END)
+
+    def drop(self, detail: str) -> bool:
+        """End the check of an odd end, which is not believed.
+
+        :param detail: why it has no result, for the log
+        :returns: whether the end is odd
+        """
+        if self._odd:
+            self._timer.cancel()
+            self.forward.end_check = None
+            self._log("not_known", detail)
+        return self._odd
 
     def _goes_on(self) -> None:
         """Record that the stream had been cut; its attempt goes on with it."""
@@ -150,6 +189,8 @@
         self.forward.end_check = None
         self._attempt.endpoint.vain_end_checks = 0
         self._attempt.endpoint.cuts_streams = True
+        if self._framed:
+            self._attempt.endpoint.spoiled_s = self._attempt.front.clock()
         self._attempt.count_failure()
         self._log("goes_on", "the stream had been cut")
 
@@ -162,7 +203,8 @@
             forward.attempt.cancel()
         forward.end_check = None
         forward.attempt = self._attempt
-        self._attempt.end_stream(self._head)
+        checked = outcome == NOTHING_TO_ADD
+        self._attempt.end_stream(self._head, checked=checked)
 
     def _log(self, outcome: str, detail: str) -> None:
         """Log the result."""
@@ -176,15 +218,24 @@
         )
 
 
-def begin(attempt: Attempt, head: AnswerHead) -> bool:
+def begin(attempt: Attempt, head: AnswerHead, *, framed: bool) -> bool:
     """Check the end of a stream, if that is possible; return whether.
 
-    :param attempt: the attempt, whose answer ended with its connection
+    :param attempt: the attempt, whose answer ended
     :param head: the head of its answer
+    :param framed: whether more than its connection shows that
     """
     forward, endpoint = attempt.forward, attempt.endpoint
-    if not forward.route.repeatable:
+    kind = attempt.front.stream_ends.kind_of(forward.stream_end())
+    odd = kind is EndKind.ODD
+    endpoint.spoiled_s = max(endpoint.spoiled_s, attempt.pool.spoiled_s)
+    distrusted = endpoint.is_distrusted(attempt.front.clock())
+    if kind is EndKind.USUAL or (framed and not odd and not distrusted):
         return False
+    if not forward.route.repeatable:
+        if odd and distrusted:
+            forward.attempt_failed(Failure.BROKEN, ODD_END)
+        return odd and distrusted
     splitter = forward.splitter
     if splitter.last_id is None or not splitter.can_resume:
         # An endpoint would repeat events that have no id.
@@ -192,26 +243,33 @@
     if attempt.adds_nothing and forward.progress.sends > 1:
         # Another one ended with the same events.
         return False
-    rare = endpoint.vain_end_checks >= MAX_IN_VAIN
-    if rare and attempt.front.rng.random() >= RARE_FRACTION:
+    limit = MAX_FRAMED_IN_VAIN if framed else MAX_IN_VAIN
+    rare = endpoint.vain_end_checks >= limit
+    if rare and not odd and attempt.front.rng.random() >= RARE_FRACTION:
+        return False
+    if forward.exchange.is_caller_gone():
         return False
-    if forward.exchange.is_caller_gone() or not _acquire(attempt, endpoint):
+    if _acquire(attempt, endpoint):
+        forward.tried.add(endpoint.name)
+        forward.end_check = EndCheck(attempt, head, framed=framed, odd=odd)
+        forward.go_on()
+    elif odd:
+        forward.attempt_failed(Failure.BROKEN, ODD_END)
+    else:
         return False
-    forward.tried.add(endpoint.name)
-    forward.end_check = EndCheck(attempt, head)
-    forward.go_on()
     return True
 
 
 def is_ended(forward: Forward, detail: str) -> bool:
-    """End the check of a request's stream; return whether there was one.
+    """End the check of a request's stream; return whether that ended, too.
 
     :param forward: the request
     :param detail: why it is not known if the stream is whole, for the log
     """
-    if forward.end_check is None:
+    check = forward.end_check
+    if check is None or check.drop(detail):
         return False
-    forward.end_check.unanswered(detail)
+    check.unanswered(detail)
     return True
 
 
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -19,6 +19,7 @@
     decide_retry,
     overdue_delay_s,
 )
+from bulrushstream.coordination.streamends import StreamEnd, last_event
 from bulrushstream.daemon import dispatch, endcheck, safeguards, takeups
 from bulrushstream.daemon.attempt import Attempt
 from bulrushstream.daemon.safeguards import Refusal
@@ -59,6 +60,7 @@
         "exchange",
         "first_event_s",
         "front",
+        "last_events",
         "on_trial",
         "own_streams",
         "progress",
@@ -124,6 +126,7 @@
         # Whether the stream is whole is found out; None: it is not asked.
         self.end_check: EndCheck | None = None
         self.first_event_s = 0.0  # When it arrived; 0: none yet.
+        self.last_events = b""  # Those that were relayed last.
         self.done = False
         self._fingerprint = 0  # 0: not computed yet.
         self._overdue_timer: asyncio.TimerHandle | None = None
@@ -229,6 +232,7 @@
                 )
                 self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
                 return
+        self.last_events = events
         self.begin_stream(head).write(events)
         self._restart_overdue_timer(now_s)
 
@@ -244,6 +248,16 @@
             )
         return self.stream_writer
 
+    def stream_end(self) -> StreamEnd:
+        """Return the end of the stream, as far as it was relayed."""
+        prompt = self.call.prompt
+        return StreamEnd(
+            self.service,
+            prompt.output_limit if prompt is not None else 0,
+            self.splitter.last_id,
+            last_event(self.last_events),
+        )
+
     def answered(self, reason: str, status: int) -> None:
         """End the request, whose caller has got an endpoint's answer.
 
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -20,6 +20,7 @@
 from bulrushstream.coordination.looplag import LoopLag
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routetable import RouteTable, pick_service
+from bulrushstream.coordination.streamends import StreamEnds
 from bulrushstream.daemon import dispatch, runwatch, safeguards, takeups
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashwatch import CrashWatch
@@ -151,6 +152,7 @@
             self._encode_report_call,
             self.dialect.decode_start,
         )
+        self.stream_ends = StreamEnds()
         self.limits = IngressLimits(
             connections=max(64, settings.max_descriptors // 2),
             buffered_bytes=int(
--- a/src/bulrushstream/history/keptconnection.py
+++ b/src/bulrushstream/history/keptconnection.py
@@ -72,6 +72,9 @@
         """Close the connection without a call to the sink."""
         self._connection.cancel()
 
+    def spoiled(self) -> None:
+        """Do nothing; see `ConnectionOwner`."""
+
     def release(self, connection: Connection) -> None:
         """Handle the end of a response; see `ConnectionOwner`."""
         connection.close()
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -64,6 +64,10 @@
 # Requests of one connection that are remembered after their responses.
 MAX_ANSWERED: Final = 8
 
+# How a response begins, and how many bytes may precede it.
+_HTTP: Final = b"HTTP/"
+_MAX_BLANK: Final = 16
+
 _KEEP_ALIVE: Final = re.compile(rb"timeout=(\d{1,6})")
 
 
@@ -126,6 +130,9 @@
     def exceeded(self, reason: ExcessReason) -> None:
         """Handle a connection that ends as its peer sent too much."""
 
+    def spoiled(self) -> None:
+        """Handle bytes that follow a response and begin no other."""
+
     def release(self, connection: Connection) -> None:
         """Handle the end of a request; the connection is idle."""
 
@@ -162,6 +169,7 @@
         self._keep_alive = True
         self._used_up = False  # Whether it carries no further request.
         self._unusable = False
+        self.invalid = False  # Whether what came is no response.
         self.is_witness = False  # Whether it carries nothing but probes.
         self.paused = False  # Whether nothing is read until it resumes.
         # When that last ended; what is read then may have come long before.
@@ -364,6 +372,9 @@
             self._renewed_heard_s = self.heard_s
             self._empty_s = float("-inf")
         if self._sink is None:
+            begin = bytes(data[:_MAX_BLANK]).lstrip(b"\r\n")[: len(_HTTP)]
+            if not _HTTP.startswith(begin):
+                self._owner.spoiled()
             self.close()
             return
         self._overhead_bytes += len(data)
@@ -373,6 +384,8 @@
             if self._excess is not None:
                 self._end_exceeded(self._excess)
             else:
+                if self._sink is None:
+                    self._owner.spoiled()
                 self._fail(f"invalid response: {why}")
             return
         if self._unusable:
@@ -513,6 +526,7 @@
 
     def _fail(self, why: str) -> None:
         """Report an invalid response and abort the connection."""
+        self.invalid = True
         sink = self._sink
         self._sink = None
         self.close()
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -75,6 +75,8 @@
     on_connect: Callable[[], None] | None = None  # For metrics.
     # When the last of the requests was sent that the peer itself answered.
     answered_s: float = float("-inf")
+    # When bytes last followed a response that begin no other.
+    spoiled_s: float = float("-inf")
     on_excess: OnExcess | None = None
     peer: PeerKind = PeerKind.ENDPOINT  # Who is at the address.
     memory: MemoryBudget | None = None  # Of all that the process keeps.
@@ -237,6 +239,10 @@
                 Excess(self.peer, f"{self.host}:{self.port}", reason)
             )
 
+    def spoiled(self) -> None:
+        """Record bytes that follow a response and begin no other."""
+        self.spoiled_s = self.clock()
+
     def seen(self, at_s: float) -> ConnectionsSeen:
         """Return what became of the connections that were open at a time.
 
--- a/tests/checkedstreams.py
+++ b/tests/checkedstreams.py
@@ -144,6 +144,7 @@
     after: int = 0  # The last event that the caller has.
     deadline_s: float = 4.0
     known: bool = True  # Whether ends of connections are expected.
+    alike: bool = True  # Whether all requests name the same output limit.
     at_s: float = 0.0  # When `do` is called.
     do: Callable[[Front, Caller], None] | None = None
     callers: list[Caller] = field(default_factory=list)
@@ -199,6 +200,11 @@
             (name, deadline_ms if name == b"X-Deadline-Ms" else value)
             for name, value in exchange.headers
         ]
+        if not self.alike:
+            exchange.headers = [
+                (name, b"60,%d" % number if b"Counts" in name else value)
+                for name, value in exchange.headers
+            ]
         if self.after:
             exchange.headers += [
                 (b"Last-Event-Id", b"%d" % self.after),
