--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -19,6 +19,7 @@
     decide_retry,
     overdue_delay_s,
 )
+from bulrushstream.coordination.streamcheck import Doubts
 from bulrushstream.coordination.streamends import StreamEnd, last_event
 from bulrushstream.daemon import dispatch, endcheck, safeguards, takeups
 from bulrushstream.daemon.attempt import Attempt
@@ -56,6 +57,7 @@
         "call",
         "deadline_s",
         "done",
+        "doubts",
         "end_check",
         "exchange",
         "first_event_s",
@@ -115,6 +117,8 @@
         # Whether its outcome shows if parts of its prompt crash endpoints.
         self.on_trial = False
         self.splitter = EventSplitter(last_id=call.resume_after)
+        # What did not fit in the streams of its attempts.
+        self.doubts = Doubts()
         self.take_up = takeups.make_take_up(self)
         # The only version at which it may go on; None: any.
         self.version: str | None = None
@@ -360,6 +364,11 @@
         else:
             self._answer_notice(messages.DRAINING, Outcome.NOT_RUN)
 
+    def break_off(self) -> None:
+        """End the request, of whose answer bytes may be missing."""
+        self._cancel_attempt()
+        self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
+
     def _cancel_attempt(self) -> None:
         """Cancel the attempt in flight or the question for the origin."""
         if self.take_up is not None:
--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -1,6 +1,6 @@
 """Random faults around streams of real routers, and callers who judge them.
 
-`python -m tests.processsoak --seed N` plays one seed.
+`python -m tests.processsoak --seed N --count 50` plays seeds, a line each.
 """
 
 from __future__ import annotations
@@ -18,8 +18,11 @@
 
 from bulrushstream.standins.keyedlog import KeyedLog
 from tests.deployments import HOST, KEY, wire_config, wire_route
+from tests.eventshapes import Shape
 from tests.soakendpoints import (
     READ_BYTES,
+    SPOILINGS,
+    Behaviour,
     Endpoint,
     Proxy,
     Runs,
@@ -27,13 +30,15 @@
     read_head,
 )
 from tests.soakrouters import RouterProcess, free_ports
+from tests.spoilings import Spoiling
 from tests.streamjudge import Answer, judge
 
 ROUTERS: Final = 3
 ENDPOINTS: Final = 5
 STREAMS_PER_S: Final = 40.0
 PLAY_S: Final = 15.0
-LIMIT_S: Final = 8.0  # How long a caller waits for an answer.
+LIMIT_S: Final = 8.0
+PAUSE_S: Final = 1.5  # How long some callers do not read.
 SETTLE_S: Final = 1.5  # Until routers know the endpoints.
 
 
@@ -43,6 +48,10 @@
 
     seed: int
     folder: Path
+    behaviour: Behaviour
+    pausing_share: float = 0.0  # Of the callers.
+    streams_per_s: float = STREAMS_PER_S
+    limit_s: float = LIMIT_S  # How long a caller waits for an answer.
     streams: int = 0
     whole: int = 0
     wrong: list[str] = field(default_factory=list)
@@ -50,17 +59,31 @@
     runs: Runs = field(init=False)
     proxies: list[Proxy] = field(default_factory=list)
     routers: list[RouterProcess] = field(default_factory=list)
+    born_step: int = 1  # Between the starts of an endpoint's processes.
     _version: int = 0
-    _born: int = 1
+    _born: int = 1_000
     _starting: list[asyncio.Task[None]] = field(default_factory=list)
     # Open connections of callers, by their router's address.
     _kept: dict[str, list[_Connection]] = field(default_factory=dict)
 
+    @property
+    def summary(self) -> str:
+        """Return what came of it, in one line."""
+        spoiled = self.runs.spoiled
+        kinds = ", ".join(f"{k} {n}" for k, n in spoiled.counts.items())
+        found = ", ".join(f"{k} {n}" for k, n in spoiled.undetectable.items())
+        return (
+            f"seed {self.seed}: {self.streams} streams, {self.whole} whole,"
+            f" {len(self.wrong)} wrong {self.wrong[:5]},"
+            f" undetectable: {found or 0}, spoiled: {kinds or 0},"
+            f" logs in {self.folder}"
+        )
+
     async def play(self) -> None:
         """Start the fleet, disturb it, and judge its callers' answers."""
         loop = asyncio.get_running_loop()
         self.store = KeyedLog(loop.time)
-        self.runs = Runs(self.seed)
+        self.runs = Runs(self.seed, self.behaviour)
         await self.store.start()
         self._configure()
         ips = [f"127.0.0.{number}" for number in range(2, 2 + ROUTERS)]
@@ -71,6 +94,7 @@
             RouterProcess(ip, port, ips, self.store.port, self.folder)
             for ip in ips
         ]
+        self.prepare_routers()
         disturbing: list[asyncio.Task[None]] = []
         try:
             for router in self.routers:
@@ -100,6 +124,9 @@
 
     # --- Faults.
 
+    def prepare_routers(self) -> None:
+        """Do nothing: plays may change how their routers are started."""
+
     def _configure(self) -> None:
         """Write the next version of the configuration."""
         self._version += 1
@@ -136,7 +163,7 @@
             proxy = rng.choice(self.proxies[: ENDPOINTS // 2 + 1])
             ended = proxy.endpoint
             ended.end()
-            self._born += 1
+            self._born += self.born_step
             name = ended.name
             if rng.random() < 0.5:
                 name = f"e-{self._born}-new"
@@ -185,7 +212,7 @@
         while loop.time() < end_s:
             self.streams += 1
             tasks.append(asyncio.create_task(self._ask(self.streams)))
-            await asyncio.sleep(1 / STREAMS_PER_S)
+            await asyncio.sleep(1 / self.streams_per_s)
         self.whole = sum(await asyncio.gather(*tasks))
 
     async def _ask(self, number: int) -> bool:
@@ -210,41 +237,77 @@
                 "Content-Length": "4",
             }
             if attempt and events:
-                headers["Last-Event-Id"] = str(events[-1][0])
+                last_id = self.behaviour.shape.id_of(events[-1][0])
+                headers["Last-Event-Id"] = str(last_id)
                 headers["Resumes"] = f"{first_id}-0"
             version = rng.choice(("1.0", "1.1", "1.1"))
             line = f"POST {path} HTTP/{version}"
             router = rng.choice(self.routers)
             request = encode_head(line, headers) + b"text"
-            answer = await self._exchange(router, request, version)
-            name = f"{first_id}-{attempt} HTTP/{version} {answer.framing}"
+            request_id = headers["X-Request-Id"]
+            pauses = rng.random() < self.pausing_share
+            answer = await self._exchange(
+                router, request_id, request, version, pauses
+            )
+            name = f"{request_id} HTTP/{version} {answer.framing}"
             if answer.status == "200":
-                wrong = judge(name, answer, events, resumable)
+                found = judge(
+                    name,
+                    answer,
+                    events,
+                    resumable,
+                    self.behaviour.events,
+                    self.behaviour.shape,
+                )
+                # Whether an end can be checked depends on the load.
+                wrong = self.runs.spoiled.blame(
+                    request_id, found, resumable, checks_ends=False
+                )
+                self.wrong += wrong
                 if wrong:
-                    self.wrong.append(wrong)
                     return False
+                if answer.complete and not found:
+                    self.runs.spoiled.whole_run(self.runs.routers[request_id])
                 if answer.complete:
                     return True
             await asyncio.sleep(0.1)
         return False
 
+    async def _connect(
+        self, router: RouterProcess, pauses: bool
+    ) -> _Connection:
+        # One that pauses lets little wait in its own buffers.
+        return await asyncio.open_connection(
+            router.ip,
+            router.first_port,
+            limit=1024 if pauses else READ_BYTES,
+        )
+
     async def _exchange(
-        self, router: RouterProcess, request: bytes, version: str
+        self,
+        router: RouterProcess,
+        request_id: str,
+        request: bytes,
+        version: str,
+        pauses: bool,
     ) -> Answer:
         """Send a request, on an open connection if there is one."""
         answer = Answer()
         connection = None
         kept = self._kept.setdefault(router.ip, [])
         try:
-            async with asyncio.timeout(LIMIT_S):
+            async with asyncio.timeout(self.limit_s):
                 if kept and version == "1.1":
                     connection = kept.pop()
                 else:
-                    connection = await asyncio.open_connection(
-                        router.ip, router.first_port
-                    )
+                    connection = await self._connect(router, pauses)
                 reader, writer = connection
+                assert router.process is not None
+                process = f"{router.ip} {router.process.pid}"
+                self.runs.routers[request_id] = process
                 writer.write(request)
+                if pauses:
+                    await asyncio.sleep(PAUSE_S)
                 head = await read_head(reader)
                 if head is not None:
                     answer.status = head[0].split(" ")[1]
@@ -283,30 +346,42 @@
     answer.complete = True
 
 
-async def play_soak(seed: int, folder: Path) -> Soak:
+async def play_soak(
+    seed: int, folder: Path, behaviour: Behaviour, pausing_share: float = 0.0
+) -> Soak:
     """Play a seed and return what came of it.
 
     :param seed: draws the faults and the callers
     :param folder: for the routers' settings and logs
+    :param behaviour: what endpoints do
+    :param pausing_share: the share of callers that stop reading for a while
     """
-    soak = Soak(seed, folder)
+    soak = Soak(seed, folder, behaviour, pausing_share)
     await soak.play()
     return soak
 
 
 def main() -> int:
-    """Play one seed; return the exit code."""
+    """Play seeds with all faults; return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, required=True)
-    seed = parser.parse_args().seed
-    folder = Path(tempfile.mkdtemp(prefix="soak-"))
-    soak = asyncio.run(play_soak(seed, folder))
-    print(
-        f"seed {seed}: {soak.streams} streams, {soak.whole} whole,"
-        f" {soak.runs.begun} runs, {len(soak.wrong)} wrong; logs in {folder}"
+    parser.add_argument("--count", type=int, default=1)
+    parser.add_argument(
+        "--spoilings", nargs="*", type=Spoiling, default=SPOILINGS
+    )
+    options = parser.parse_args()
+    behaviour = Behaviour(
+        spoilings=tuple(options.spoilings),
+        hang_share=0.1,
+        shape=Shape(padding_bytes=10_000),
     )
-    print(*soak.wrong, sep="\n")
-    return 1 if soak.wrong else 0
+    wrong = 0
+    for seed in range(options.seed, options.seed + options.count):
+        folder = Path(tempfile.mkdtemp(prefix="soak-"))
+        soak = asyncio.run(play_soak(seed, folder, behaviour, 0.1))
+        print(soak.summary, flush=True)
+        wrong += len(soak.wrong)
+    return 1 if wrong else 0
 
 
 if __name__ == "__main__":
