--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -19,6 +19,7 @@
 from bulrushstream.standins.keyedlog import KeyedLog
 from tests.deployments import HOST, KEY, wire_config, wire_route
 from tests.eventshapes import Shape
+from tests.soakcallers import Connection, read_body
 from tests.soakendpoints import (
     READ_BYTES,
     SPOILINGS,
@@ -64,7 +65,7 @@
     _born: int = 1_000
     _starting: list[asyncio.Task[None]] = field(default_factory=list)
     # Open connections of callers, by their router's address.
-    _kept: dict[str, list[_Connection]] = field(default_factory=dict)
+    _kept: dict[str, list[Connection]] = field(default_factory=dict)
 
     @property
     def summary(self) -> str:
@@ -275,7 +276,7 @@
 
     async def _connect(
         self, router: RouterProcess, pauses: bool
-    ) -> _Connection:
+    ) -> Connection:
         # One that pauses lets little wait in its own buffers.
         return await asyncio.open_connection(
             router.ip,
@@ -311,7 +312,7 @@
                 head = await read_head(reader)
                 if head is not None:
                     answer.status = head[0].split(" ")[1]
-                    await _read_body(reader, head[1], answer)
+                    await read_body(reader, head[1], answer)
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             pass
         if connection is None:
@@ -323,29 +324,6 @@
         return answer
 
 
-_Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-
-
-async def _read_body(
-    reader: asyncio.StreamReader, headers: dict[str, str], answer: Answer
-) -> None:
-    """Read a body as far as it comes."""
-    if "chunked" in headers.get("transfer-encoding", ""):
-        answer.framing = "chunks"
-        while size := int(await reader.readuntil(b"\r\n"), 16):
-            answer.body += (await reader.readexactly(size + 2))[:-2]
-        await reader.readexactly(2)
-    elif "content-length" in headers:
-        answer.framing = "length"
-        size = int(headers["content-length"])
-        answer.body = await reader.readexactly(size)
-    else:
-        answer.framing = "close"
-        while data := await reader.read(READ_BYTES):
-            answer.body += data
-    answer.complete = True
-
-
 async def play_soak(
     seed: int, folder: Path, behaviour: Behaviour, pausing_share: float = 0.0
 ) -> Soak:
--- a/tests/streamsoak.py
+++ b/tests/streamsoak.py
@@ -8,319 +8,32 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from functools import partial
 from random import Random
-from typing import Final, cast
+from typing import Final
 
 from bulrushstream.transport.exchange import Exchange
 from tests.crashfleets import LEASE_S
-from tests.crashingendpoints import (
-    EVENT_STREAM,
-    EVENTS,
-    HEAD_S,
-    Endpoint,
-    Link,
-    Proxy,
-    Serving,
-)
-from tests.crashplans import TIMEOUT_S, RouterFault
-from tests.eventshapes import PLAIN, Shape
+from tests.crashingendpoints import EVENTS, Endpoint, Link, Proxy
+from tests.crashplans import TIMEOUT_S
+from tests.eventshapes import Shape
+from tests.faultyendpoints import FaultyEndpoint
 from tests.simulatedcallers import Caller
+from tests.soakplans import SoakPlan
 from tests.spoiledruns import SpoiledRuns
-from tests.spoilings import (
-    End,
-    Spoiling,
-    framing_for,
-    framing_header,
-    spoil,
-)
 from tests.streamjudge import Answer, judge
 from tests.versionfleets import VersionFleet
-from tests.versionplans import Try, VersionPlan
-from tests.virtualnetwork import Transport
-
-CUTS: Final = ("fin", "rst", "amid event", "garbage")
-EXTRAS: Final = ("extra", "late extra", "extra in parts")
-STALL_S: Final = 1.5
-# Shorter and longer than routers wait for an event, and than callers do.
-STALLS_S: Final = (0.3, 0.6, 1.0, 2.0, 4.0)
+from tests.versionplans import Try
+
 LIVES_ON_S: Final = 1.0
 RETURNS_S: Final = (0.0, 0.02, 0.2, 1.0, 4.0)  # From an end to the next start.
 ELSEWHERE_SHARE: Final = 0.25
-REPEAT_SHARE: Final = 0.5  # Of the faulty runs that take a stream up.
 _CHUNK: Final = re.compile(rb"([0-9a-f]+)\r\n")
 # From an answer's last byte to the moment when its router has read it.
 READ_S: Final = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class SoakPlan(VersionPlan):
-    """A run with random faults."""
-
-    fault_share: float = 0.3  # Of the runs at faulty endpoints.
-    unframed_share: float = 0.3  # Of all answers.
-    faulty_share: float = 0.5  # Of the endpoints.
-    ends_per_s: float = 0.5  # Endpoints whose process ends.
-    old_callers_share: float = 0.25  # Callers of HTTP/1.0.
-    # Answers without a length that faulty endpoints end in order before their
-    # end, of all that they write.
-    live_cut_share: float = 0.0
-    # Of the processes that end: those that start again under their id.
-    return_share: float = 0.0
-    # How faulty endpoints spoil answers, and the share of those.
-    spoilings: tuple[Spoiling, ...] = ()
-    spoiled_share: float = 0.3
-    fault_kinds: tuple[str, ...] = (*CUTS, *EXTRAS, "stall")
-    stalls_s: tuple[float, ...] = (STALL_S,)
-    shape: Shape = PLAIN
-
-
-def random_plan(seed: int, path: str) -> SoakPlan:
-    """Return a plan with random faults of routers."""
-    rng = Random(seed)
-    faults = tuple(
-        RouterFault(
-            at_s,
-            (rng.randrange(4),),
-            frozen_s=rng.choice((0.0, rng.uniform(0.2, 3.0))),
-        )
-        for at_s in sorted(rng.uniform(1.0, 12.0) for _ in range(5))
-    )
-    return SoakPlan(
-        seed=seed,
-        path=path,
-        faults=faults,
-        end_s=18.0,
-        background_per_s=0.5,
-        tries=3 if path == "/talk/" else 1,
-    )
-
-
-def hanging_plan(seed: int, path: str) -> SoakPlan:
-    """Return a plan whose endpoints hang amid streams and then go on."""
-    return replace(
-        random_plan(seed, path),
-        fault_share=0.5,
-        fault_kinds=("stall",),
-        stalls_s=STALLS_S,
-        ends_per_s=0.05,
-    )
-
-
-def live_cuts_plan(seed: int) -> SoakPlan:
-    """Return a plan whose endpoints cut some streams without a length."""
-    return SoakPlan(
-        seed=seed,
-        path="/talk/",
-        end_s=18.0,
-        background_per_s=0.5,
-        tries=3,
-        fault_share=0.1,
-        unframed_share=0.05,
-        ends_per_s=0.05,
-        live_cut_share=0.3,
-    )
-
-
-def spoiling_plan(seed: int, path: str, *kinds: Spoiling) -> SoakPlan:
-    """Return a plan whose endpoints live and spoil some answers."""
-    return SoakPlan(
-        seed=seed,
-        path=path,
-        end_s=14.0,
-        background_per_s=0.5,
-        tries=3 if path == "/talk/" else 1,
-        fault_share=0.0,
-        unframed_share=0.1,
-        ends_per_s=0.01,
-        spoilings=kinds,
-    )
-
-
-@dataclass(slots=True, eq=False)
-class FaultyEndpoint(Endpoint):
-    """An endpoint that may serve streams wrongly."""
-
-    def accept(self, transport: Transport) -> Serving:
-        return FaultyServing(self, transport)
-
-
-class FaultyServing(Serving):
-    """One connection to it."""
-
-    _writes = False  # Whether it writes a spoiled answer.
-    _unread = b""  # What came meanwhile.
-
-    _on_closed: Callable[[], None] | None = None
-
-    def _event(self, number: int) -> bytes:
-        plan = cast(SoakPlan, cast(SoakFleet, self.endpoint.fleet).plan)
-        return plan.shape.encode(number, 1, b"\n")
-
-    def closed(self) -> None:
-        if self._on_closed is not None:
-            self._on_closed()
-        super().closed()
-
-    def received(self, data: bytes) -> None:
-        if self._writes:
-            self._unread += data
-        else:
-            super().received(data)
-
-    def _run(self, headers: dict[bytes, bytes], body: bytes) -> None:
-        fleet = cast(SoakFleet, self.endpoint.fleet)
-        plan = cast(SoakPlan, fleet.plan)
-        after = plan.shape.number_of(int(headers.get(b"last-event-id", b"0")))
-        if not body.startswith(b"stream"):
-            headers[b"last-event-id"] = b"%d" % after
-            super()._run(headers, body)
-            return
-        request_id = headers[b"x-request-id"].decode()
-        run = fleet.begin_run()
-        self._running = True
-        self.endpoint.running += 1
-        rng = Random(f"{fleet.plan.seed} {run}")
-        unframed = rng.random() < plan.unframed_share
-        fault = ""
-        faulty = self.endpoint.name in fleet.faulty
-        if faulty and rng.random() < plan.fault_share:
-            fault = rng.choice(plan.fault_kinds)
-            if after and rng.random() < REPEAT_SHARE:
-                fault = "repeat"
-        if faulty and plan.spoilings and rng.random() < plan.spoiled_share:
-            self._later(
-                rng.uniform(0.0, HEAD_S),
-                partial(self._spoil, headers, rng, run),
-            )
-            return
-        if unframed and plan.live_cut_share:
-            cut = faulty and rng.random() < plan.live_cut_share
-            fault = "fin" if cut else ""
-        elif unframed and fault == "fin":
-            # Nothing tells it from the end of a whole answer.
-            fault = "rst"
-        first = 1 if fault == "repeat" else after + 1
-        stop = rng.randint(min(after, EVENTS), EVENTS)
-        last = stop if fault in CUTS else EVENTS
-        framing = b"" if unframed else b"Transfer-Encoding: chunked\r\n"
-        framing = plan.shape.header(framing)
-
-        def begin() -> None:
-            self._send_head(b"200 OK", headers, EVENT_STREAM + framing)
-            step(first)
-
-        def send(data: bytes) -> None:
-            if not unframed:
-                data = b"%x\r\n%b\r\n" % (len(data), data)
-            cut = rng.randrange(len(data)) if rng.random() < 0.2 else 0
-            for piece in (data[:cut], data[cut:]):
-                self.transport.send(piece)
-
-        def step(number: int) -> None:
-            if number > last:
-                end()
-                return
-            send(plan.shape.encode(number, run, b"\n"))
-            pause_s = rng.choice((0.0, 0.01, 0.1))
-            if fault == "stall" and number == stop:
-                pause_s = rng.choice(plan.stalls_s)
-            self._later(pause_s, partial(step, number + 1))
-
-        def end() -> None:
-            if fault == "amid event":
-                send(b"id: %d\nda" % (last + 1))
-            elif fault == "garbage":
-                self.transport.send(b"\0\xffnot an answer\r\n" * 20)
-            if fault not in CUTS and not unframed:
-                self.transport.send(b"0\r\n\r\n")
-            if fault == "late extra":
-                self._later(rng.uniform(0.1, 0.4), extra)
-            elif fault in EXTRAS:
-                extra()
-            else:
-                finish()
-
-        def extra() -> None:
-            data = b"".join(
-                plan.shape.encode(number, run, b"\n")
-                for number in range(1, EVENTS + 1)
-            )
-            length = b"Content-Length: %d\r\n" % len(data)
-            if fault == "extra in parts":
-                data = data[: rng.randrange(len(data))]
-            self._send_head(b"200 OK", headers, EVENT_STREAM + length)
-            self.transport.send(data)
-            finish()
-
-        def finish() -> None:
-            if fault in CUTS or unframed:
-                reset = ConnectionResetError("reset by peer")
-                resets = fault in CUTS and fault != "fin"
-                self.transport.end(reset if resets else None)
-                self.closed()
-            else:
-                self._end_run()
-            if not fault and after < EVENTS:
-                fleet.run_was_whole(request_id, self.endpoint)
-
-        self._later(rng.uniform(0.0, HEAD_S), begin)
-
-    def _spoil(
-        self, headers: dict[bytes, bytes], rng: Random, run: int
-    ) -> None:
-        """Write a spoiled answer."""
-        fleet = cast(SoakFleet, self.endpoint.fleet)
-        after = int(headers.get(b"last-event-id", b"0"))
-        plan = cast(SoakPlan, fleet.plan)
-        kind = rng.choice(plan.spoilings)
-        framing = framing_for(kind, rng)
-        events = [
-            plan.shape.encode(number, run, b"\n")
-            for number in range(after + 1, EVENTS + 1)
-        ]
-        more = EVENT_STREAM + framing_header(framing, events)
-        head = self._encode_head(b"200 OK", headers, more)
-        answer = spoil(kind, head, events, framing, rng)
-        request_id = headers[b"x-request-id"].decode()
-        link = self.endpoint.name, str(fleet.requests[request_id][0])
-        now_s = fleet.loop.time
-        spoiled = fleet.spoiled.begin(
-            request_id, link, kind, answer, after, now_s()
-        )
-        written = 0
-
-        def ended() -> None:
-            fleet.spoiled.end(spoiled, written, now_s())
-
-        def write(number: int) -> None:
-            nonlocal written
-            written = number
-            if number == len(answer.pieces):
-                ended()
-                self._on_closed = None
-                if answer.end is End.NONE:
-                    self._end_run()
-                    self._writes = False
-                    unread, self._unread = self._unread, b""
-                    self.received(unread)
-                    return
-                reset = ConnectionResetError("reset by peer")
-                resets = answer.end is End.RESET
-                self.transport.end(reset if resets else None)
-                self.closed()
-                return
-            self.transport.send(answer.pieces[number])
-            pause_s = rng.choice((0.0, 0.01, 0.1))
-            self._later(pause_s, partial(write, number + 1))
-
-        self._writes = True
-        self._on_closed = ended
-        write(0)
-
-
 class SoakFleet(VersionFleet):
     """A fleet whose endpoints and routers fail at random."""
 
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -11,14 +11,14 @@
 import pytest
 
 from tests.eventshapes import LAWFUL, Shape
-from tests.spoilings import Spoiling
-from tests.streamsoak import (
+from tests.soakplans import (
     hanging_plan,
     live_cuts_plan,
-    play_soak,
     random_plan,
     spoiling_plan,
 )
+from tests.spoilings import Spoiling
+from tests.streamsoak import play_soak
 
 SEEDS = range(1, 9)
 RETURN_SEEDS = range(1, 4)
