--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -17,9 +17,11 @@
 from bulrushstream.coordination.forwarding import Failure
 from bulrushstream.daemon import (
     answerfaults,
+    doubtfulheads,
     endcheck,
     endpointload,
     runwatch,
+    streamchecks,
     takeups,
 )
 from bulrushstream.daemon.lifeproof import Proof
@@ -33,12 +35,11 @@
 from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
 from bulrushstream.state.memorybudget import Account
 from bulrushstream.transport.connection import (
-    Framing,
     PendingRequest,
     ResponseFailure,
-    framing_of,
 )
 from bulrushstream.transport.exchange import BodyWriter
+from bulrushstream.transport.framing import Framing, framing_of
 
 if TYPE_CHECKING:
     from bulrushstream.daemon.forward import Forward
@@ -52,6 +53,8 @@
 PROOF_BEFORE_RETRY_S: Final = 2.0
 PROOF_MARGIN_S: Final = 0.05
 
+_HIDDEN_CHUNKS: Final = "chunks that its head does not tell"
+
 # Fewer kept bytes than this are not accounted for.
 MIN_COUNTED_BYTES: Final = 16_384
 
@@ -64,6 +67,7 @@
         "_body_bytes",
         "_born",
         "_buffered_body",
+        "_doubts",
         "_end",
         "_framing",
         "_head",
@@ -116,6 +120,7 @@
         # Writes a long answer that is being relayed; None: it is not.
         self._writer: BodyWriter | None = None
         self._framing = Framing.LENGTH
+        self._doubts = doubtfulheads.NO_DOUBTS  # Of the head.
         # The body, if only its connection shows the end.
         self._unframed: UnframedBody | None = None
         self._end = ""  # How the answer ended, for the log; empty: not yet.
@@ -180,12 +185,20 @@
         self._unattributed = mismatch and self._reused
         self._head = head
         self._framing = framing_of(status, headers)
+        self._doubts = doubtfulheads.examine(
+            self, head, headers, self._framing
+        )
         self._unframed = None
         if self._pending is not None:
             self._pending.record_answer(forward.call.request_id)
             if self._framing is Framing.CLOSE:
                 self.pool.expect_unframed()
-                self._unframed = UnframedBody(front.dialect, self._pending)
+                self._unframed = UnframedBody(
+                    front.dialect,
+                    self._pending,
+                    is_stream=head.event_stream,
+                    doubtful=self._doubts.of_framing,
+                )
         if status != 421:
             if not mismatch and self._pending is not None:
                 self.pool.record_answer(self.sent_s, self._pending.connection)
@@ -214,8 +227,13 @@
         if unframed is None:
             self._accept(head, data)
             return
-        unframed.watch_bytes(self.front.clock())
+        self._heard_s = self.front.clock()
+        unframed.watch_bytes(self._heard_s)
         self._accept(head, unframed.feed(data))
+        if unframed.held_bytes and self.in_flight:
+            self._keep(unframed.held_bytes)
+        if unframed.in_chunks and self.in_flight:
+            self._give_up(_HIDDEN_CHUNKS)
         if unframed.flooded and self.in_flight:
             self._give_up("a body full of heads", ExcessReason.EXTRA)
         if unframed.followed_by is not None and self.in_flight:
@@ -263,7 +281,9 @@
         if self._unframed is not None:
             rest = self._unframed.close(self.front.clock())
         if rest is None:
-            self._give_up("the connection ended amid the head of an answer")
+            hidden = self._unframed is not None and self._unframed.in_chunks
+            amid_head = "the connection ended amid the head of an answer"
+            self._give_up(_HIDDEN_CHUNKS if hidden else amid_head)
             return
         self._accept(head, rest)
         if not self.in_flight:
@@ -353,6 +373,9 @@
             forward.attempt_failed(
                 Failure.NOT_EXECUTED, f"status {head.status}"
             )
+        elif self._doubts.fault:
+            self.count_failure()
+            forward.attempt_failed(Failure.BROKEN, self._doubts.fault)
         elif not _is_relayable(head):
             self.count_failure()
             forward.attempt_failed(
@@ -433,10 +456,24 @@
     def _relay_events(self, head: AnswerHead, data: bytes) -> None:
         """Relay the events of a stream that are complete now."""
         splitter = self.forward.splitter
+        if splitter.check is None:
+            streamchecks.begin(self)
         events = splitter.feed(data)
         if splitter.is_too_long:
             self._give_up("an event is too long", ExcessReason.EVENT)
             return
+        self._pass_on(head, events)
+        if not self.in_flight:
+            return
+        self._keep(splitter.partial_bytes)
+        if splitter.spoiling is not None:
+            self._give_up(streamchecks.spoiled(self))
+        # A check keeps what its caller may get until it has a result.
+        if self.forward.exchange.full and self.forward.end_check is None:
+            self._pause()
+
+    def _pass_on(self, head: AnswerHead, events: bytes) -> None:
+        """Relay complete events."""
         if self.forward.end_check is not None:
             events = self.forward.end_check.events(events)
         if events:
@@ -446,14 +483,6 @@
                 self.endpoint, self.number, now_s
             )
             self.forward.relay_events(head, events, now_s)
-        if not self.in_flight:
-            return
-        self._keep(splitter.partial_bytes)
-        if splitter.out_of_order:
-            self._give_up("the id of an event does not rise")
-        # A check keeps what its caller may get until it has a result.
-        if self.forward.exchange.full and self.forward.end_check is None:
-            self._pause()
 
     def _buffer(self, head: AnswerHead, data: bytes) -> None:
         """Buffer a chunk; relay the answer once it exceeds the limit."""
@@ -466,6 +495,11 @@
         # A caller that has received part of a stream can not get this answer.
         if not exchange.started:
             self._buffered_body.append(data)
+        if self._doubts.lacking and self._doubts.is_stream(
+            self._buffered_body
+        ):
+            self._give_up("an event stream that its head does not tell")
+            return
         if self._body_bytes <= MAX_BUFFERED_BYTES:
             self._keep(self._body_bytes)
             return
@@ -522,7 +556,16 @@
     def _end_stream(self, head: AnswerHead) -> None:
         """Handle the end of an event stream."""
         forward = self.forward
-        if forward.splitter.mid_event:
+        splitter = forward.splitter
+        if not splitter.mid_event:
+            self._pass_on(head, splitter.finish())
+        if forward.done:
+            return
+        if splitter.spoiling is not None:
+            takeups.connection_broke(self.front, self.endpoint)
+            self.count_failure()
+            forward.attempt_failed(Failure.BROKEN, streamchecks.spoiled(self))
+        elif splitter.mid_event:
             runwatch.run_broken(self, "the stream ended amid an event")
             takeups.connection_broke(self.front, self.endpoint)
             self.count_failure()
@@ -592,6 +635,8 @@
             "answer_end": self._end,
             "received_bytes": self._body_bytes,
         }
+        if self._doubts.lacking:
+            described["head_lacks"] = ", ".join(sorted(self._doubts.lacking))
         if self._proof is not None:
             described["proof"] = self._proof.value
             described["proof_age_s"] = round(self._proof_age_s, 3)
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from bulrushstream import messages
+from bulrushstream.coordination.answerhabits import AnswerHabits
 from bulrushstream.coordination.crashevidence import BrokenRun
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.fleetview import FleetView
@@ -20,6 +21,7 @@
 from bulrushstream.coordination.looplag import LoopLag
 from bulrushstream.coordination.retryquota import RetryLimits, RetryQuota
 from bulrushstream.coordination.routetable import RouteTable, pick_service
+from bulrushstream.coordination.streampatterns import StreamPatterns
 from bulrushstream.daemon import dispatch, runwatch, safeguards, takeups
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashwatch import CrashWatch
@@ -109,6 +111,8 @@
         )
         self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
+        self.stream_patterns = StreamPatterns()
+        self.answer_habits = AnswerHabits()
         limit_s = settings.revocation_limit_s
         self.freshness = Freshness(
             float("inf") if limit_s is None else limit_s
