Bytes behind a last chunk that begin no chunk belong to no request

Such bytes show a false last chunk only if a chunk begins with them. Behind a body with a length nothing tells the two apart; it still fails.

--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -19,7 +19,12 @@
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.excess import ExcessReason
 from bulrushstream.state.memorybudget import Account, MemoryBudget
-from bulrushstream.transport.framing import Framing, framing_of, head_fault
+from bulrushstream.transport.framing import (
+    FALSE_END,
+    Framing,
+    framing_of,
+    head_fault,
+)
 from bulrushstream.transport.polling import (
     CLOSED_EVENTS,
     UNREAD_EVENTS,
@@ -160,6 +165,7 @@
         self._discarded_count = 0
         self._excess: ExcessReason | None = None
         self._fault = ""  # Why a head is not used; empty: it is.
+        self._framing = Framing.LENGTH  # Of the last response.
         # Whether the response has ended amid the bytes that are parsed.
         self._complete = False
         self._ends_with_close = False
@@ -379,7 +385,7 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as why:
-            self._end_invalid(why)
+            self._end_invalid(why, data)
             return
         if self._complete and self._sink is not None:
             self._finish()
@@ -390,18 +396,26 @@
         elif self._account is not None:
             self._release_memory()
 
-    def _end_invalid(self, why: Exception) -> None:
+    def _end_invalid(self, why: Exception, data: bytes | memoryview) -> None:
         """Handle bytes that the parser does not take.
 
-        Behind a whole response they are another one, or they show that it
-        was not whole.
+        Behind a whole response they are another one, belong to none, or show
+        that it was not whole: those behind a last chunk do so if a chunk
+        begins there.
+
+        :param why: the parser's reason
+        :param data: the bytes that were parsed
         """
         if self._complete and self._sink is not None:
             begins_response = self._headers or isinstance(
                 why, httptools.HttpParserInvalidStatusError
             )
             self._unusable = True
-            if self._excess is not None or begins_response:
+            is_whole = begins_response or (
+                self._framing is Framing.CHUNKS
+                and not FALSE_END.search(bytes(data))
+            )
+            if self._excess is not None or is_whole:
                 self._finish()
             else:
                 self._fail("bytes behind the response that begin none")
@@ -451,9 +465,9 @@
             self._discarded_count += 1
             if self._discarded_count > MAX_DISCARDED:
                 self._stop_parsing(ExcessReason.EXTRA)
-        framing = framing_of(status, self._headers)
+        self._framing = framing_of(status, self._headers)
         self._ends_with_close = (
-            not self._discarding and framing is Framing.CLOSE
+            not self._discarding and self._framing is Framing.CLOSE
         )
         if self._method == b"HEAD" and not self._discarding:
             self._unusable = True
--- a/src/bulrushstream/transport/framing.py
+++ b/src/bulrushstream/transport/framing.py
@@ -20,6 +20,9 @@
 _CHUNKED: Final = re.compile(rb"[ ,]*chunked *", re.IGNORECASE)
 _ZERO: Final = re.compile(rb"0+[ \t]*")
 
+# A last chunk and behind it another one.
+FALSE_END: Final = re.compile(rb"0\r\n\r\n[0-9A-Fa-f]+\r\n")
+
 
 class Framing(StrEnum):
     """How the end of a response is shown."""
--- a/tests/test_damaged_heads.py
+++ b/tests/test_damaged_heads.py
@@ -228,6 +228,15 @@
             seen = ask(path, replace(answer, body=body), framing)
             assert is_served(seen, path)
 
+    @pytest.mark.parametrize("more", [b"\0\xffnot an answer\r\n", b"{}", b"a"])
+    @pytest.mark.parametrize("path", PATHS)
+    def test_bytes_that_belong_to_no_request(
+        self, path: str, more: bytes
+    ) -> None:
+        answer = sound("chunks", path.startswith("/t"))(b"q1")
+        body = answer.body + more
+        assert is_served(ask(path, replace(answer, body=body)), path)
+
     @pytest.mark.parametrize("path", PATHS)
     def test_an_empty_line(self, path: str) -> None:
         answer = sound("length", path.startswith("/t"))(b"q1")
