Steps and first ids of a service are used sooner

Streams that may not be resumed are now judged from 16 rises and 6 first ids on, and three endpoints must write alike from 64 known events on.

--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -25,7 +25,7 @@
 # So many endpoints must number the events of a request alike if that does not
 # fit; and if a service has long kept to what is known of it.
 MIN_WRITERS: Final = 2
-MATURE_WRITERS: Final = 3
+STEADY_WRITERS: Final = 3
 
 
 @dataclass(slots=True)
@@ -187,7 +187,7 @@
         writers.add(self.endpoint)
         if doubt[0] is Spoiling.LINES:
             return len(writers) > 1
-        needed = MATURE_WRITERS if self.pattern.is_mature else MIN_WRITERS
+        needed = STEADY_WRITERS if self.pattern.is_steady else MIN_WRITERS
         if len(writers) < needed:
             return False
         self.doubts.confirmed = True
--- a/src/bulrushstream/coordination/streampatterns.py
+++ b/src/bulrushstream/coordination/streampatterns.py
@@ -17,9 +17,9 @@
 # from another endpoint; and where it would end the stream for good.  The same
 # for the ids with which runs begin.
 MIN_RISES: Final = 6
-MIN_RISES_FOR_GOOD: Final = 32
+MIN_RISES_FOR_GOOD: Final = 16
 MIN_FIRSTS: Final = 3
-MIN_FIRSTS_FOR_GOOD: Final = 8
+MIN_FIRSTS_FOR_GOOD: Final = 6
 
 # Rises of a service without a known step are looked at once in this many.
 UPDATE_INTERVAL: Final = 8
@@ -36,7 +36,9 @@
 MAX_SHAPES: Final = 48
 MAX_SHAPE_BYTES: Final = 256
 MAX_PLAIN_SHAPES: Final = 8
-# After so many events, an endpoint that writes a new one is suspect.
+# After so many events, an endpoint that numbers one otherwise is suspect, and
+# one that writes a new shape.
+STEADY_EVENTS: Final = 64
 MATURE_EVENTS: Final = 256
 
 
@@ -172,6 +174,11 @@
         if found.seen_at != endpoint or found.seen >= MIN_SEEN:
             found.is_common = True
 
+    @property
+    def is_steady(self) -> bool:
+        """Return whether the service has kept to its ids for some time."""
+        return self._proven_count >= STEADY_EVENTS
+
     @property
     def is_mature(self) -> bool:
         """Return whether much of the service's events is known."""
