Empty lines behind an event wait for the run's next event

It shows only with the next event that it is none of the endpoint's; a lawful empty line goes out with that, or with the end. test_framing_behind_an_event failed before, as run.

--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -80,6 +80,9 @@
     # The beginning of an incomplete event.
     _partial: bytearray = field(default_factory=bytearray)
     _held: list[_HeldEvent] = field(default_factory=list)
+    # Empty lines that go out with the next event of the run: they may be
+    # framing.
+    _blank: bytes = b""
     _run_id: int = -1  # The last id that the endpoint's stream had.
     # Whether the endpoint's last event was passed on; None: it sent none yet.
     _passed: bool | None = None
@@ -96,6 +99,7 @@
         self._report()
         self._partial.clear()
         self._held.clear()
+        self._blank = b""
         self._run_id = -1
         self.spoiling = None
         self.check = None
@@ -136,7 +140,7 @@
             if verdict is Verdict.SPOILED:
                 self._refuse(self.check.spoiling, event.number)
                 return b""
-        events = self._release()
+        events = [*self._take_blank(), *self._release()]
         return self._completed(b"", events) if events else b""
 
     @property
@@ -152,7 +156,7 @@
     @property
     def partial_bytes(self) -> int:
         """Return the size of what is held back."""
-        size = len(self._partial)
+        size = len(self._partial) + len(self._blank)
         if self._held:
             size += sum(len(event.data) for event in self._held)
         return size
@@ -179,7 +183,9 @@
         pattern, step, check = PLAIN, 0, self.check
         if check is not None:
             known, step = check.plain_events()
-            if known is None or self._run_id < 0 or self._held:
+            if known is None or self._run_id < 0:
+                return 0
+            if self._held or self._blank:
                 return 0
             pattern = known
         size, count = start, 0
@@ -211,7 +217,12 @@
         if more and self._held:
             self._held[-1].data += more
             more = b""
-        elif more:
+        elif more and self.check is not None:
+            # The rest of a line end of the event is none.
+            rest = int(self._ends_within_crlf and more.startswith(b"\n"))
+            self._blank += more[rest:]
+            more = more[:rest]
+        if more:
             self._ends_within_crlf = False
         events: list[bytes] = []
         while found := EVENT_END.search(data, start):
@@ -230,6 +241,7 @@
             self._passed = verdict is not None
             if verdict is None:
                 continue
+            events += self._take_blank()
             if self._held and number is not None:
                 events += self._release()
             has_data = number is None and bool(_DATA.search(content))
@@ -260,6 +272,11 @@
         self._ends_within_crlf = complete.endswith(b"\r\n\r")
         return complete
 
+    def _take_blank(self) -> list[bytes]:
+        """Return the empty lines that were held back."""
+        blank, self._blank = self._blank, b""
+        return [blank] if blank else []
+
     def _release(self) -> list[bytes]:
         """Return the events that were held back, which are passed on."""
         for event in self._held:
--- a/tests/test_stream_checks.py
+++ b/tests/test_stream_checks.py
@@ -174,6 +174,14 @@
             output, _ = service.serve(bodies, [])
             assert run < 3 or output == WHOLE
 
+    def test_framing_behind_an_event(self) -> None:
+        """Guards against a line end of the framing that callers read."""
+        service = deepcopy(SERVICES[True])
+        head = b"".join(EVENTS[:3])
+        for blank in (b"\r", b"\r\n", b"\r\n1f\r\n"):
+            output, _ = service.serve([head + blank + b"id", WHOLE], [57, 58])
+            assert output == WHOLE
+
     @resumable_or_not
     def test_halves_teach_nothing(self, resumable: bool) -> None:
         """Guards against melted events that become usual."""
