Events that are held back wait half a second at most

An event whose fields are not known was held until the next id, however long that took; comments behind it were held, too. A stream that may go on then seemed to hang at each endpoint, and was broken off though it was whole.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Final
 
 from bulrushstream.coordination.endpointpool import Endpoint
@@ -53,6 +54,9 @@
 PROOF_BEFORE_RETRY_S: Final = 2.0
 PROOF_MARGIN_S: Final = 0.05
 
+# Complete events are held back no longer than this until the next one comes.
+MAX_HOLD_S: Final = 0.5
+
 _HIDDEN_CHUNKS: Final = "chunks that its head does not tell"
 
 # Fewer kept bytes than this are not accounted for.
@@ -72,6 +76,7 @@
         "_framing",
         "_head",
         "_heard_s",
+        "_hold_timer",
         "_may_have_run_before",
         "_paused",
         "_pending",
@@ -134,6 +139,8 @@
         # Whether its bytes are not read, as the caller has much to read.
         self._paused = False
         self._resumed_s = 0.0  # When that last ended; 0: never.
+        # Ends the wait of events that are held back; None: none are.
+        self._hold_timer: asyncio.TimerHandle | None = None
 
     def start(self, *, watched: bool) -> None:
         """Queue the request for a connection to the endpoint.
@@ -477,10 +484,33 @@
         self._keep(splitter.partial_bytes)
         if splitter.spoiling is not None:
             self._give_up(streamchecks.spoiled(self))
+        elif splitter.holds != (self._hold_timer is not None):
+            self._set_hold_timer(needed=splitter.holds)
         # A check keeps what its caller may get until it has a result.
         if self.forward.exchange.full and self.forward.end_check is None:
             self._pause()
 
+    def _set_hold_timer(self, *, needed: bool) -> None:
+        """Set the timer for events that are held back, or cancel it."""
+        if self._hold_timer is not None:
+            self._hold_timer.cancel()
+            self._hold_timer = None
+        if needed:
+            loop = asyncio.get_running_loop()
+            self._hold_timer = loop.call_later(MAX_HOLD_S, self._held_long)
+
+    def _held_long(self) -> None:
+        """Pass on the events that were held back, as no other followed."""
+        self._hold_timer = None
+        if not self.in_flight or self._head is None:
+            return
+        try:
+            self._pass_on(self._head, self.forward.splitter.release())
+        except Exception as error:
+            answerfaults.end_broken(self.forward, error)
+        else:
+            self._keep(self.forward.splitter.partial_bytes)
+
     def _pass_on(self, head: AnswerHead, events: bytes) -> None:
         """Relay complete events."""
         if self.forward.end_check is not None:
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -139,6 +139,20 @@
         events = self._release()
         return self._completed(b"", events) if events else b""
 
+    @property
+    def holds(self) -> bool:
+        """Return whether complete events are held back."""
+        return bool(self._held)
+
+    def release(self) -> bytes:
+        """Return the events that were held back, though nothing proves them.
+
+        No bytes are missing at their end, and the next id shows it if an
+        event is.
+        """
+        events = self._release()
+        return self._completed(b"", events) if events else b""
+
     @property
     def out_of_order(self) -> bool:
         """Return whether nothing more of the endpoint is passed on."""
--- a/tests/checkedstreams.py
+++ b/tests/checkedstreams.py
@@ -37,6 +37,7 @@
     hangs: bool = False  # Whether nothing is written.
     more: bytes = b""  # Follows the events.
     first_bytes: int = 0  # Of the body that come alone; 0: all in one piece.
+    pause_s: float = WORK_S  # Before the rest of it.
 
 
 @dataclass(slots=True)
@@ -122,8 +123,8 @@
             self._end(answer)
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(WORK_S, self._transport.send, body[size:])
-        loop.call_later(WORK_S, self._end, answer)
+        loop.call_later(answer.pause_s, self._transport.send, body[size:])
+        loop.call_later(answer.pause_s, self._end, answer)
 
     def _end(self, answer: Answer) -> None:
         if answer.resets:
