Refusals of endpoints that are gone are forgotten

UsualValues kept one entry for each endpoint that was refused and not heard of again; a changed endpoint could also exceed the limit of its counts.

--- a/src/bulrushstream/coordination/usualvalues.py
+++ b/src/bulrushstream/coordination/usualvalues.py
@@ -18,6 +18,7 @@
 # So many refusals without a usual value between them show that an endpoint
 # has changed.
 CHANGED_AFTER: Final = 3
+MAX_REFUSED: Final = 512  # Endpoints whose refusals are counted.
 
 
 @dataclass(slots=True)
@@ -50,8 +51,10 @@
         """
         in_row = self._refused.get(endpoint, 0) + 1
         self._refused[endpoint] = in_row
+        if len(self._refused) > MAX_REFUSED:
+            del self._refused[next(iter(self._refused))]
         if in_row >= CHANGED_AFTER:
-            self._counts[endpoint] = {}
+            self._counts.pop(endpoint, None)
             self._add(endpoint, value, max(in_row, self.min_count))
         else:
             self._add(endpoint, value, 1)
--- a/tests/test_stream_checks.py
+++ b/tests/test_stream_checks.py
@@ -11,6 +11,11 @@
 from hypothesis import strategies as st
 
 from bulrushstream.coordination.streamcheck import Doubts
+from bulrushstream.coordination.usualvalues import (
+    MAX_ENDPOINTS,
+    MAX_REFUSED,
+    UsualValues,
+)
 from bulrushstream.state.eventlines import Spoiling
 from bulrushstream.state.events import EventSplitter
 from tests.eventstreams import LINE_ENDS, encode
@@ -198,6 +203,18 @@
         bodies = [EVENTS[0] + EVENTS[1] + gap, gap, gap]
         assert service.serve(bodies, [])[0] == bodies[0]
 
+    def test_it_forgets_refusals(self) -> None:
+        """Guards against memory that grows with each new endpoint."""
+        values = UsualValues(3, 64, 2)
+        for number in range(2000):
+            for _ in range(number % 4):
+                values.refused(f"e-{number}", 5)
+        for _ in range(3):
+            for number in range(1900, 2000):
+                values.refused(f"e-{number}", 5)
+        assert len(values._refused) <= MAX_REFUSED
+        assert len(values._counts) <= MAX_ENDPOINTS
+
     def test_it_is_bounded(self) -> None:
         """Guards against memory that grows with what endpoints write."""
         service = Service(resumable=True)
