The last attempt, too, confirms a new last event

Where a route allows two attempts, the second one believed the lines of a last event that another endpoint had written, too, but did not remember them: each such stream took a retry for ever.

--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -121,12 +121,14 @@
     def judge_last(self, event: bytes, number: int | None) -> Verdict:
         """Return what becomes of a last event that is held; see `RunCheck`."""
         shape = shape_of(event, number)
-        if not self.resumable or self.pattern.knows(shape):
+        if self.pattern.knows(shape):
             return Verdict.PASS
         confirmed = self._are_lines_confirmed(shape, number)
-        if self.pattern.is_mature and not confirmed:
+        if self.resumable and self.pattern.is_mature and not confirmed:
             return self._refuse(Spoiling.LINES)
-        self.pattern.prove_shape(shape)
+        # The last attempt proves nothing alone.
+        if self.resumable or confirmed:
+            self.pattern.prove_shape(shape)
         return Verdict.PASS
 
     def _are_lines_confirmed(self, shape: bytes, number: int | None) -> bool:
--- a/tests/servicestreams.py
+++ b/tests/servicestreams.py
@@ -19,11 +19,14 @@
     pattern: StreamPattern = field(default_factory=StreamPattern)
     runs: int = 0
 
-    def begin(self, splitter: EventSplitter, doubts: Doubts) -> None:
+    def begin(
+        self, splitter: EventSplitter, doubts: Doubts, *, is_last: bool = False
+    ) -> None:
         """Begin a run of the next of three endpoints.
 
         :param splitter: of the request
         :param doubts: of the request
+        :param is_last: whether no other attempt may follow
         """
         self.runs += 1
         splitter.restart()
@@ -31,7 +34,7 @@
             self.pattern,
             f"e-{self.runs % 3}",
             doubts,
-            resumable=self.resumable,
+            resumable=self.resumable and not is_last,
             after=splitter.last_id,
             is_callers=not splitter.event_count,
         )
--- a/tests/test_stream_checks.py
+++ b/tests/test_stream_checks.py
@@ -203,6 +203,22 @@
         bodies = [EVENTS[0] + EVENTS[1] + gap, gap, gap]
         assert service.serve(bodies, [])[0] == bodies[0]
 
+    # Guards against a retry for each stream of a route with two attempts.
+    def test_the_last_attempt_confirms_new_lines(self) -> None:
+        service = known_service(resumable=True)
+        end, output = b"event: end\ndata: x\n\n", b""
+        before = service.runs
+        for _ in range(20):
+            splitter, doubts = EventSplitter(), Doubts()
+            for is_last in (False, True):
+                service.begin(splitter, doubts, is_last=is_last)
+                body = end if is_last else WHOLE + end
+                output += splitter.feed(body) + splitter.finish()
+                if splitter.spoiling is None:
+                    break
+        assert output == (WHOLE + end) * 20
+        assert service.runs - before == 22
+
     def test_it_forgets_refusals(self) -> None:
         """Guards against memory that grows with each new endpoint."""
         values = UsualValues(3, 64, 2)
