--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -10,7 +10,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from bulrushstream.coordination.streampatterns import StreamPattern
+from bulrushstream.coordination.streampatterns import (
+    MAX_SHAPE_BYTES,
+    StreamPattern,
+)
 from bulrushstream.state.eventlines import (
     CHUNK_SIZE_LINE,
     PLAIN,
@@ -108,7 +111,8 @@
             return Verdict.SPOILED
         shape = shape_of(event, number)
         if len(self._unproven) < MAX_UNPROVEN:
-            self._unproven.append(shape)
+            # No more than shows that it is too long to be judged.
+            self._unproven.append(shape[: MAX_SHAPE_BYTES + 1])
         if not self._step or not is_new or self.pattern.knows(shape):
             return Verdict.PASS
         if self.resumable and number is not None:
--- a/tests/test_stream_checks.py
+++ b/tests/test_stream_checks.py
@@ -10,7 +10,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bulrushstream.coordination.streamcheck import Doubts
+from bulrushstream.coordination.streamcheck import (
+    MAX_UNPROVEN,
+    Doubts,
+    StreamCheck,
+)
+from bulrushstream.coordination.streampatterns import MAX_SHAPE_BYTES
 from bulrushstream.coordination.usualvalues import (
     MAX_ENDPOINTS,
     MAX_REFUSED,
@@ -242,6 +247,16 @@
             service.begin(splitter, Doubts())
         assert max(_sizes(service)) <= 64
 
+    def test_long_lines_are_not_kept(self) -> None:
+        """Guards against memory that grows with the lines of a stream."""
+        service, splitter = known_service(resumable=True), EventSplitter()
+        service.begin(splitter, Doubts())
+        for _ in range(20):
+            splitter.feed(b"x" * 100_000 + b"\n\n")
+        assert isinstance(splitter.check, StreamCheck)
+        kept = sum(map(len, splitter.check._unproven))
+        assert kept <= MAX_UNPROVEN * (MAX_SHAPE_BYTES + 1)
+
     def test_framing_at_a_new_router(self) -> None:
         """Guards against sizes of chunks that go out as lines."""
         splitter = EventSplitter()
