--- a/tests/test_damaged_heads.py
+++ b/tests/test_damaged_heads.py
@@ -228,6 +228,15 @@
             seen = ask(path, replace(answer, body=body), framing)
             assert is_served(seen, path)
 
+    @pytest.mark.parametrize("more", [b"\0\xffnot an answer\r\n", b"{}", b"a"])
+    @pytest.mark.parametrize("path", PATHS)
+    def test_bytes_that_belong_to_no_request(
+        self, path: str, more: bytes
+    ) -> None:
+        answer = sound("chunks", path.startswith("/t"))(b"q1")
+        body = answer.body + more
+        assert is_served(ask(path, replace(answer, body=body)), path)
+
     @pytest.mark.parametrize("path", PATHS)
     def test_an_empty_line(self, path: str) -> None:
         answer = sound("length", path.startswith("/t"))(b"q1")
@@ -262,10 +271,10 @@
         for seen in (see(each.data) for each in callers):
             assert (seen.status, seen.body, seen.whole) == (200, body, True)
 
-    # The name of its first field is a number.
+    # The name of its first field is a number, in a line that ends with LF.
     @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
     def test_a_field_that_is_not_known(self, path: str) -> None:
-        body = b"2f\r\nid: 1\r\ndata: x\r\n\r\n"
+        body = b"2f\nid: 1\ndata: x\n\n"
 
         def usual(request_id: bytes) -> Answer:
             return replace(sound("close", streams=True)(request_id), body=body)
