--- a/src/bulrushstream/transport/framing.py
+++ b/src/bulrushstream/transport/framing.py
@@ -20,8 +20,11 @@
 _CHUNKED: Final = re.compile(rb"[ ,]*chunked *", re.IGNORECASE)
 _ZERO: Final = re.compile(rb"0+[ \t]*")
 
-# A last chunk and behind it another one.
-FALSE_END: Final = re.compile(rb"0\r\n\r\n[0-9A-Fa-f]+\r\n")
+# A last chunk, of which earlier reads may have the beginning, and behind it
+# another one, of which later reads may have the end.
+FALSE_END: Final = re.compile(
+    rb"(?:(?:0|\A)\r\n\r\n|\A\n\r\n|\A\r?\n)[0-9A-Fa-f]+(?:\r\n|\r\Z)"
+)
 
 
 class Framing(StrEnum):
--- a/tests/damagedheads.py
+++ b/tests/damagedheads.py
@@ -52,6 +52,7 @@
     body: bytes
     split: bool = False  # Whether head and body arrive one by one.
     closes: bool = False  # Whether the connection ends in order after it.
+    cut_at: int = 0  # Where the body is cut into two reads; 0: it is not.
 
 
 # Returns an endpoint's answer from the id of the request.
@@ -100,7 +101,10 @@
             self.transport.send(answer.head)
             self.transport.send(answer.body)
         else:
-            self.transport.send(answer.head + answer.body)
+            first = answer.body[: answer.cut_at or None]
+            self.transport.send(answer.head + first)
+            if answer.cut_at:
+                self.transport.send(answer.body[answer.cut_at :])
         if answer.closes:
             self.transport.end(None)
 
--- a/tests/test_damaged_heads.py
+++ b/tests/test_damaged_heads.py
@@ -209,6 +209,17 @@
         false_end = answer.body[:at] + b"0\r\n\r\n" + answer.body[at:]
         expect_refused(path, replace(answer, body=false_end))
 
+    # Guards against the same where reads end amid the false end.
+    @pytest.mark.parametrize("path", PATHS)
+    def test_a_false_end_in_two_reads(self, path: str) -> None:
+        answer = sound("chunks", path.startswith("/t"))(b"q1")
+        size = answer.body.index(b"\n") + 1
+        at = answer.body.index(b"\r\n", size) + 2
+        body = answer.body[:at] + b"0\r\n\r\n" + answer.body[at:]
+        ends = [1, 2, 3, 4, body.index(b"\n", at + 5) - at]
+        for end in ends:
+            expect_refused(path, replace(answer, body=body, cut_at=at + end))
+
     # Guards against the same where the rest arrives in a later read.
     @pytest.mark.parametrize("path", PATHS)
     def test_a_rest_in_a_later_read(self, path: str) -> None:
