Events without an id do not come twice as a stream goes on

A run that goes on with a stream may begin it anew. Its events up to the last id are dropped, but one without an id before its first id went out again; so it was on. It waits for the first id now.

--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -145,8 +145,8 @@
 
     @property
     def holds(self) -> bool:
-        """Return whether complete events are held back."""
-        return bool(self._held)
+        """Return whether events are held back that the caller lacks."""
+        return bool(self._held) and (self._run_id >= 0 or not self.event_count)
 
     def release(self) -> bytes:
         """Return the events that were held back, though nothing proves them.
@@ -254,6 +254,8 @@
                 break
             self._passed = verdict is not None
             if verdict is None:
+                # The run repeats the stream, and what came before it, too.
+                self._held.clear()
                 continue
             events += self._take_blank()
             if self._held and number is not None:
@@ -345,6 +347,8 @@
             if verdict is Verdict.SPOILED:
                 self._refuse(self.check.spoiling, number)
                 return verdict
+            if verdict is Verdict.PASS and self._may_repeat(event, number):
+                verdict = Verdict.HOLD
         elif b"\r" in event and CHUNK_SIZE_LINE.search(event):
             self._refuse(Spoiling.FRAMING, number)
             return Verdict.SPOILED
@@ -352,6 +356,15 @@
             self._run_id = number
         return verdict if is_new else None
 
+    def _may_repeat(self, event: bytes, number: int | None) -> bool:
+        """Return whether the next id shows if the caller has an event.
+
+        A run that goes on with a stream may begin it anew.
+        """
+        begins = number is None and self._run_id < 0
+        goes_on = self.last_id is not None and self.event_count > 0
+        return begins and goes_on and bool(_DATA.search(event))
+
     def _refuse(self, spoiling: Spoiling | None, number: int | None) -> None:
         """Take note that the endpoint's stream is spoiled."""
         self.spoiling = spoiling
--- a/tests/test_stream_checks.py
+++ b/tests/test_stream_checks.py
@@ -23,7 +23,7 @@
 )
 from bulrushstream.state.eventlines import Spoiling
 from bulrushstream.state.events import EventSplitter
-from tests.eventstreams import LINE_ENDS, encode
+from tests.eventstreams import LINE_ENDS, encode, pieces
 from tests.servicestreams import Service, read_events
 
 COUNT = 8
@@ -166,6 +166,36 @@
             assert service.serve([body], [])[0] == body
 
 
+class GoingOnSuite:
+    """Guards against events without an id that come twice, or not at all."""
+
+    @pytest.mark.parametrize("cuts", [[], [20], [43], [45], [60]])
+    def test_a_run_begins_the_stream_anew(self, cuts: list[int]) -> None:
+        begin = b"event: begin\ndata: x\n\n"
+        for has_more in (False, True):
+            more = b"event: v\ndata: 2\n\n" if has_more else b""
+            body = begin + WHOLE + more
+            service = known_service(resumable=True, body=body)
+            splitter, doubts = EventSplitter(), Doubts()
+            service.begin(splitter, doubts)
+            output = splitter.feed(begin + EVENTS[0] + EVENTS[1])
+            service.begin(splitter, doubts)
+            output += b"".join(map(splitter.feed, pieces(body, cuts)))
+            assert output + splitter.finish() == body
+
+    def test_a_run_goes_on_with_such_events(self) -> None:
+        more = b"event: v\ndata: 2\n\n"
+        body = EVENTS[0] + more + b"".join(EVENTS[1:]) + more
+        service = known_service(resumable=True, body=body)
+        for rest in (body[len(EVENTS[0]) :], more):
+            splitter, doubts = EventSplitter(), Doubts()
+            service.begin(splitter, doubts)
+            output = splitter.feed(body[: -len(rest)])
+            service.begin(splitter, doubts)
+            output += splitter.feed(rest) + splitter.finish()
+            assert output == body
+
+
 class LearningSuite:
     def test_it_is_quick(self) -> None:
         """Guards against a router that learns for long after a restart."""
