--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -10,7 +10,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from bulrushstream.coordination.streampatterns import StreamPattern
+from bulrushstream.coordination.streampatterns import (
+    MAX_SHAPE_BYTES,
+    StreamPattern,
+)
 from bulrushstream.state.eventlines import (
     CHUNK_SIZE_LINE,
     PLAIN,
@@ -108,7 +111,8 @@
             return Verdict.SPOILED
         shape = shape_of(event, number)
         if len(self._unproven) < MAX_UNPROVEN:
-            self._unproven.append(shape)
+            # No more than shows that it is too long to be judged.
+            self._unproven.append(shape[: MAX_SHAPE_BYTES + 1])
         if not self._step or not is_new or self.pattern.knows(shape):
             return Verdict.PASS
         if self.resumable and number is not None:
@@ -121,12 +125,14 @@
     def judge_last(self, event: bytes, number: int | None) -> Verdict:
         """Return what becomes of a last event that is held; see `RunCheck`."""
         shape = shape_of(event, number)
-        if not self.resumable or self.pattern.knows(shape):
+        if self.pattern.knows(shape):
             return Verdict.PASS
         confirmed = self._are_lines_confirmed(shape, number)
-        if self.pattern.is_mature and not confirmed:
+        if self.resumable and self.pattern.is_mature and not confirmed:
             return self._refuse(Spoiling.LINES)
-        self.pattern.prove_shape(shape)
+        # The last attempt proves nothing alone.
+        if self.resumable or confirmed:
+            self.pattern.prove_shape(shape)
         return Verdict.PASS
 
     def _are_lines_confirmed(self, shape: bytes, number: int | None) -> bool:
--- a/tests/test_stream_checks.py
+++ b/tests/test_stream_checks.py
@@ -10,10 +10,20 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bulrushstream.coordination.streamcheck import Doubts
+from bulrushstream.coordination.streamcheck import (
+    MAX_UNPROVEN,
+    Doubts,
+    StreamCheck,
+)
+from bulrushstream.coordination.streampatterns import MAX_SHAPE_BYTES
+from bulrushstream.coordination.usualvalues import (
+    MAX_ENDPOINTS,
+    MAX_REFUSED,
+    UsualValues,
+)
 from bulrushstream.state.eventlines import Spoiling
 from bulrushstream.state.events import EventSplitter
-from tests.eventstreams import LINE_ENDS, encode
+from tests.eventstreams import LINE_ENDS, encode, pieces
 from tests.servicestreams import Service, read_events
 
 COUNT = 8
@@ -156,6 +166,36 @@
             assert service.serve([body], [])[0] == body
 
 
+class GoingOnSuite:
+    """Guards against events without an id that come twice, or not at all."""
+
+    @pytest.mark.parametrize("cuts", [[], [20], [43], [45], [60]])
+    def test_a_run_begins_the_stream_anew(self, cuts: list[int]) -> None:
+        begin = b"event: begin\ndata: x\n\n"
+        for has_more in (False, True):
+            more = b"event: v\ndata: 2\n\n" if has_more else b""
+            body = begin + WHOLE + more
+            service = known_service(resumable=True, body=body)
+            splitter, doubts = EventSplitter(), Doubts()
+            service.begin(splitter, doubts)
+            output = splitter.feed(begin + EVENTS[0] + EVENTS[1])
+            service.begin(splitter, doubts)
+            output += b"".join(map(splitter.feed, pieces(body, cuts)))
+            assert output + splitter.finish() == body
+
+    def test_a_run_goes_on_with_such_events(self) -> None:
+        more = b"event: v\ndata: 2\n\n"
+        body = EVENTS[0] + more + b"".join(EVENTS[1:]) + more
+        service = known_service(resumable=True, body=body)
+        for rest in (body[len(EVENTS[0]) :], more):
+            splitter, doubts = EventSplitter(), Doubts()
+            service.begin(splitter, doubts)
+            output = splitter.feed(body[: -len(rest)])
+            service.begin(splitter, doubts)
+            output += splitter.feed(rest) + splitter.finish()
+            assert output == body
+
+
 class LearningSuite:
     def test_it_is_quick(self) -> None:
         """Guards against a router that learns for long after a restart."""
@@ -206,6 +246,34 @@
         bodies = [EVENTS[0] + EVENTS[1] + gap, gap, gap]
         assert service.serve(bodies, [])[0] == bodies[0]
 
+    # Guards against a retry for each stream of a route with two attempts.
+    def test_the_last_attempt_confirms_new_lines(self) -> None:
+        service = known_service(resumable=True)
+        end, output = b"event: end\ndata: x\n\n", b""
+        before = service.runs
+        for _ in range(20):
+            splitter, doubts = EventSplitter(), Doubts()
+            for is_last in (False, True):
+                service.begin(splitter, doubts, is_last=is_last)
+                body = end if is_last else WHOLE + end
+                output += splitter.feed(body) + splitter.finish()
+                if splitter.spoiling is None:
+                    break
+        assert output == (WHOLE + end) * 20
+        assert service.runs - before == 22
+
+    def test_it_forgets_refusals(self) -> None:
+        """Guards against memory that grows with each new endpoint."""
+        values = UsualValues(3, 64, 2)
+        for number in range(2000):
+            for _ in range(number % 4):
+                values.refused(f"e-{number}", 5)
+        for _ in range(3):
+            for number in range(1900, 2000):
+                values.refused(f"e-{number}", 5)
+        assert len(values._refused) <= MAX_REFUSED
+        assert len(values._counts) <= MAX_ENDPOINTS
+
     def test_it_is_bounded(self) -> None:
         """Guards against memory that grows with what endpoints write."""
         service = Service(resumable=True)
@@ -217,6 +285,16 @@
             service.begin(splitter, Doubts())
         assert max(_sizes(service)) <= 64
 
+    def test_long_lines_are_not_kept(self) -> None:
+        """Guards against memory that grows with the lines of a stream."""
+        service, splitter = known_service(resumable=True), EventSplitter()
+        service.begin(splitter, Doubts())
+        for _ in range(20):
+            splitter.feed(b"x" * 100_000 + b"\n\n")
+        assert isinstance(splitter.check, StreamCheck)
+        kept = sum(map(len, splitter.check._unproven))
+        assert kept <= MAX_UNPROVEN * (MAX_SHAPE_BYTES + 1)
+
     def test_framing_at_a_new_router(self) -> None:
         """Guards against sizes of chunks that go out as lines."""
         splitter = EventSplitter()
