--- a/src/bulrushstream/coordination/streamends.py
+++ b/src/bulrushstream/coordination/streamends.py
@@ -132,6 +132,7 @@
             found = self._habits[key] = _Habit(value)
             if len(self._habits) > MAX_KINDS:
                 self._habits.popitem(last=False)
+        self._habits.move_to_end(key)
         if odd and found.known and found.value != value:
             found.refute()
         found.add(value)
--- a/tests/test_odd_ends.py
+++ b/tests/test_odd_ends.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bulrushstream.coordination.streamends import (
+    MAX_KINDS,
     MIN_ALIKE,
     EndKind,
     StreamEnd,
@@ -169,6 +170,18 @@
             ends.add_whole(end, checked=odd)
         assert checks <= 5
 
+    # Guards against callers who name ever new limits, so that what others
+    # have shown is forgotten.
+    def test_a_kind_in_use_is_remembered(self) -> None:
+        ends = StreamEnds()
+        for number in range(2 * MAX_KINDS):
+            ends.add_whole(StreamEnd("llm", 20, 30, b"x"))
+            ends.add_whole(StreamEnd("llm", 1000 + number, number, b"x"))
+            seen = ends.kind_of(StreamEnd("llm", 20, 10, b"x"))
+            assert number < MIN_ALIKE or seen is EndKind.ODD
+            seen = ends.kind_of(StreamEnd("llm", 1, 10, b"y"))
+            assert number < MIN_ALIKE or seen is EndKind.ODD
+
     # Cuts that were believed kept the usual end from being learned.
     def test_some_were_cut(self) -> None:
         ends, believed = StreamEnds(), 0
