--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -193,7 +193,10 @@
         writers.add(self.endpoint)
         if doubt[0] is Spoiling.LINES:
             return len(writers) > 1
-        needed = STEADY_WRITERS if self.pattern.is_steady else MIN_WRITERS
+        # Behind the last attempt no other endpoint can be asked.
+        needed = MIN_WRITERS
+        if self.pattern.is_steady and self.resumable:
+            needed = STEADY_WRITERS
         if len(writers) < needed:
             return False
         self.doubts.confirmed = True
--- a/tests/test_stream_checks.py
+++ b/tests/test_stream_checks.py
@@ -262,6 +262,29 @@
         assert output == (WHOLE + end) * 20
         assert service.runs - before == 22
 
+    # Guards against a lawful gap that no stream of a route with two attempts
+    # ever passes.
+    def test_the_last_attempt_confirms_a_gap(self) -> None:
+        service = known_service(resumable=True)
+        rest = b"".join(EVENTS).replace(b"id: ", b"id: 1")
+        splitter, doubts = EventSplitter(), Doubts()
+        service.begin(splitter, doubts)
+        output = splitter.feed(WHOLE + rest)
+        assert (output, splitter.spoiling) == (WHOLE, Spoiling.GAP)
+        service.begin(splitter, doubts, is_last=True)
+        assert splitter.feed(rest) + splitter.finish() == rest
+
+    # Guards against a gap that one endpoint alone wrote.
+    def test_an_endpoint_does_not_confirm_its_own_gap(self) -> None:
+        service = known_service(resumable=True)
+        splitter, doubts = EventSplitter(), Doubts()
+        for is_last in (False, True):
+            service.runs = 2
+            service.begin(splitter, doubts, is_last=is_last)
+            output = splitter.feed(EVENTS[0] + b"".join(EVENTS[2:]))
+            assert output == (b"" if is_last else EVENTS[0])
+            assert splitter.spoiling is Spoiling.GAP
+
     def test_it_forgets_refusals(self) -> None:
         """Guards against memory that grows with each new endpoint."""
         values = UsualValues(3, 64, 2)
