--- a/src/bulrushstream/history/singleusepool.py
+++ b/src/bulrushstream/history/singleusepool.py
@@ -13,6 +13,8 @@
 
     # Simulated endpoints always run.
     answered_s = float("inf")
+    # Nothing follows their answers.
+    spoiled_s = float("-inf")
 
     def seen(self, at_s: float) -> ConnectionsSeen:
         """Return that no connection outlives its request."""
