Events that waited for long are judged before they go out

Where another endpoint may go on, the wait ends with the judgement of a last event; elsewhere it lasts 1.75 s.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -54,8 +54,10 @@
 PROOF_BEFORE_RETRY_S: Final = 2.0
 PROOF_MARGIN_S: Final = 0.05
 
-# Complete events are held back no longer than this until the next one comes.
+# Complete events are held back no longer than this until the next one comes:
+# less than an endpoint may be silent, and less than callers wait.
 MAX_HOLD_S: Final = 0.5
+MAX_HOLD_FOR_GOOD_S: Final = 1.75
 
 _HIDDEN_CHUNKS: Final = "chunks that its head does not tell"
 
@@ -497,19 +499,23 @@
             self._hold_timer = None
         if needed:
             loop = asyncio.get_running_loop()
-            self._hold_timer = loop.call_later(MAX_HOLD_S, self._held_long)
+            repeatable = self.forward.route.repeatable
+            hold_s = MAX_HOLD_S if repeatable else MAX_HOLD_FOR_GOOD_S
+            self._hold_timer = loop.call_later(hold_s, self._held_long)
 
     def _held_long(self) -> None:
         """Pass on the events that were held back, as no other followed."""
         self._hold_timer = None
         if not self.in_flight or self._head is None:
             return
+        splitter = self.forward.splitter
         try:
-            self._pass_on(self._head, self.forward.splitter.release())
+            self._pass_on(self._head, splitter.release())
+            self._keep(splitter.partial_bytes)
+            if splitter.spoiling is not None and self.in_flight:
+                self._give_up(streamchecks.spoiled(self))
         except Exception as error:
             answerfaults.end_broken(self.forward, error)
-        else:
-            self._keep(self.forward.splitter.partial_bytes)
 
     def _pass_on(self, head: AnswerHead, events: bytes) -> None:
         """Relay complete events."""
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -133,15 +133,21 @@
     def finish(self) -> bytes:
         """Return the events that were held back, as the stream has ended."""
         self._report()
+        if not self._are_held_right():
+            return b""
+        events = [*self._take_blank(), *self._release()]
+        return self._completed(b"", events) if events else b""
+
+    def _are_held_right(self) -> bool:
+        """Return whether the events that were held back may be passed on."""
         for event in self._held:
             assert self.check is not None
             content = event.data.removeprefix(_BOM)
             verdict = self.check.judge_last(content, event.number)
             if verdict is Verdict.SPOILED:
                 self._refuse(self.check.spoiling, event.number)
-                return b""
-        events = [*self._take_blank(), *self._release()]
-        return self._completed(b"", events) if events else b""
+                return False
+        return True
 
     @property
     def holds(self) -> bool:
@@ -149,11 +155,10 @@
         return bool(self._held) and (self._run_id >= 0 or not self.event_count)
 
     def release(self) -> bytes:
-        """Return the events that were held back, though nothing proves them.
-
-        No bytes are missing at their end, and the next id shows it if an
-        event is.
-        """
+        """Return the events that were held back, as no other follows."""
+        self._report()
+        if not self._are_held_right():
+            return b""
         events = self._release()
         return self._completed(b"", events) if events else b""
 
