Records of the store carry their offsets

Cause: the operators' topic is to tell routers of evacuated zones, and knowledge from the store and from peers can only be ordered by the offsets of records, which the client of the store dropped.

Measured: tests/test_platform_adapter.py, test_collected_answers.py and test_endpoint_absence.py pass.

--- a/src/bulrushstream/daemon/watch.py
+++ b/src/bulrushstream/daemon/watch.py
@@ -46,6 +46,8 @@
     """The newest value of every key of a topic."""
 
     values: dict[str, bytes]  # By key.
+    # Where the next read starts; not part of what was read.
+    end_offset: int = field(default=0, compare=False)
 
 
 @dataclass(slots=True)
@@ -123,7 +125,7 @@
         sent_s, (values, offset) = await self._read_until_answered(
             lambda _: self.store.newest(self.topic)
         )
-        self._apply(Snapshot(values))
+        self._apply(Snapshot(values, offset))
         self.on_confirmed(sent_s)
         return offset
 
--- a/src/bulrushstream/history/simulatedstore.py
+++ b/src/bulrushstream/history/simulatedstore.py
@@ -79,7 +79,7 @@
                 raise OutOfTurnError(str(turn))
             self._turns[turn.writer] = turn
         records = self._records[topic, part]
-        records.append(KeyedRecord(key, value or None))
+        records.append(KeyedRecord(key, value or None, len(records)))
         await self._answer(CALL_S / 2)
         return len(records) - 1
 
--- a/src/bulrushstream/platform/store.py
+++ b/src/bulrushstream/platform/store.py
@@ -290,13 +290,15 @@
         return b""
 
 
-def _decode_record(record: bytes) -> KeyedRecord | None:
+def _decode_record(record: bytes, offset: int) -> KeyedRecord | None:
     """Decode a record; None if it is malformed."""
     if not record or len(record) < 1 + record[0]:
         return None
     end = 1 + record[0]
     try:
-        return KeyedRecord(record[1:end].decode(), record[end:] or None)
+        return KeyedRecord(
+            record[1:end].decode(), record[end:] or None, offset
+        )
     except UnicodeDecodeError:
         return None
 
@@ -315,7 +317,7 @@
         raise StoreError("the answer is truncated: shorter than its head")
     end_offset, _ = _BATCH_HEAD.unpack_from(body)
     position = _BATCH_HEAD.size
-    records = []
+    records: list[KeyedRecord | None] = []
     while position + _LENGTH.size <= len(body):
         (length,) = _LENGTH.unpack_from(body, position)
         position += _LENGTH.size
@@ -323,7 +325,8 @@
             raise StoreError(
                 "the answer is truncated: it ends within a record"
             )
-        records.append(_decode_record(body[position : position + length]))
+        record = body[position : position + length]
+        records.append(_decode_record(record, offset + len(records)))
         position += length
     readable = tuple(record for record in records if record is not None)
     return Batch(
--- a/src/bulrushstream/protocol/keyedstore.py
+++ b/src/bulrushstream/protocol/keyedstore.py
@@ -36,6 +36,7 @@
 
     key: str
     value: bytes | None  # None: the key was deleted.
+    offset: int = 0  # In its partition.
 
 
 @dataclass(frozen=True, slots=True)
