Evacuated zones: state, decisions, and reports to peers

Updates have three new optional fields (40 to 42). The pool leaves out endpoints of evacuated zones; ejection no longer counts them as in use.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -83,6 +83,7 @@
     notices: EndpointNotices  # What they say in their answers.
     by_name: dict[str, Endpoint] = field(default_factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
+    evacuated: Container[str] = ()  # Zones whose endpoints get no requests.
 
     def update(
         self, entry: EndpointEntry, traits: EngineTraits | None
@@ -165,7 +166,7 @@
         """Return the endpoints of a service that accept new requests.
 
         If all of them are to be avoided, all are returned; those that rest
-        are left out in any case.
+        and those of evacuated zones are left out in any case.
 
         :param service: the service's name
         :param now_s: the time
@@ -178,6 +179,7 @@
             for name, endpoint in self.by_service.get(service, {}).items()
             if name not in unavailable
             and not endpoint.entry.leaving
+            and endpoint.entry.availability_zone not in self.evacuated
             and (version is None or version == endpoint.entry.version)
         ]
         good = [each for each in serving if each.avoid_until_s <= now_s]
@@ -196,10 +198,27 @@
             endpoint.name: self.notices.rest_left_s(endpoint.name, now_s)
             for endpoint in self.by_service.get(service, {}).values()
             if version in (None, endpoint.entry.version)
+            and endpoint.entry.availability_zone not in self.evacuated
             and not self.is_leaving(endpoint)
         }
         return {name: rest_s for name, rest_s in left_s.items() if rest_s}
 
+    def evacuated_of(
+        self, service: str, version: str | None = None
+    ) -> list[Endpoint]:
+        """Return the endpoints of a service that only evacuations exclude.
+
+        :param service: the service's name
+        :param version: the software version that they must have; None: any
+        """
+        return [
+            endpoint
+            for endpoint in self.by_service.get(service, {}).values()
+            if endpoint.entry.availability_zone in self.evacuated
+            and version in (None, endpoint.entry.version)
+            and not self.is_leaving(endpoint)
+        ]
+
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint takes no new requests.
 
@@ -229,7 +248,9 @@
             for each in self.by_service.get(
                 endpoint.entry.service, {}
             ).values()
-            if each is not endpoint and not self.is_leaving(each)
+            if each is not endpoint
+            and each.entry.availability_zone not in self.evacuated
+            and not self.is_leaving(each)
         ]
         if not others or endpoint.avoid_until_s > now_s:
             return False
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from itertools import zip_longest
 from typing import Final
@@ -22,6 +22,7 @@
     DEFAULT_PREFILL_TOKENS_PER_S,
     EngineView,
 )
+from bulrushstream.coordination.evacuations import Evacuations
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S, FleetView
 from bulrushstream.coordination.partsuspects import PartSuspects
@@ -114,6 +115,11 @@
     crash_records: CrashRecords
     notifier: PeerNotifier | None = None  # None: not connected to peers.
     pool: EndpointPool = field(init=False)
+    evacuations: Evacuations = field(default_factory=Evacuations)
+    # Called with a zone and the time when its evacuation has ended.
+    on_zone_reopened: list[Callable[[str, float], None]] = field(
+        default_factory=list
+    )
     # Average over all engines, in tokens per second.
     prefill_rate: float = DEFAULT_PREFILL_TOKENS_PER_S
     # Average time of an engine's prefill for one quota token, in seconds.
@@ -132,6 +138,7 @@
     def __post_init__(self) -> None:
         self.pool = EndpointPool(self.notices)
         self.limits.is_listed = self.pool.may_be_listed
+        self.pool.evacuated = self.evacuations.active
 
     def set_notifier(self, notifier: PeerNotifier) -> None:
         """Report changes to the other routers from now on.
@@ -146,6 +153,7 @@
         )
         self.notices.report_leaving = notifier.report_leaving
         self.streams.set_notifier(notifier)
+        self.evacuations.report = notifier.report_evacuations
 
     def repeated_reports(self, now_s: float) -> RepeatedReports:
         """Return what the next heartbeat repeats to the peers.
@@ -159,8 +167,18 @@
             tuple(map(self._add_start, self.limits.limits_to_repeat(now_s))),
             self.streams.history.listed_with_several(),
             self.notices.to_repeat(now_s),
+            self.evacuations.to_repeat(self.evacuations.clock()),
         )
 
+    def zone_reopened(self, zone: str, now_s: float) -> None:
+        """Handle the end of a zone's evacuation.
+
+        :param zone: the zone
+        :param now_s: the time
+        """
+        for handle in self.on_zone_reopened:
+            handle(zone, now_s)
+
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
         """Count a request's demand and report it to the peers.
 
@@ -315,6 +333,7 @@
         self.parts.apply_update(update, now_s)
         self.limits.apply_update(update, now_s)
         self.streams.apply_update(update, now_s)
+        self.evacuations.apply_update(update)
         self._apply_leaving(update, now_s)
         self._count_peer_usage(update, now_s)
         if update.leaving:
--- a/src/bulrushstream/coordination/peernotifier.py
+++ b/src/bulrushstream/coordination/peernotifier.py
@@ -7,6 +7,7 @@
 from bulrushstream.coordination.crashsuspects import SuspectNotifier
 from bulrushstream.coordination.partreports import PartNotifier
 from bulrushstream.coordination.streamversions import VersionNotifier
+from bulrushstream.state.evacuation import EvacuationReport
 from bulrushstream.state.peerupdate import (
     EndpointLimit,
     FirstEvent,
@@ -39,3 +40,6 @@
 
     def report_leaving(self, endpoint: str, born: str) -> None:
         """Report that an endpoint says that it leaves."""
+
+    def report_evacuations(self, report: EvacuationReport) -> None:
+        """Report the evacuated zones, as they changed."""
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -18,6 +18,7 @@
 from thriftpy2.transport.framed.cyframed import TCyFramedTransport
 from thriftpy2.utils import serialize
 
+from bulrushstream.state.evacuation import EvacuatedZone, EvacuationReport
 from bulrushstream.state.partevidence import (
     PartProof,
     PartStrikes,
@@ -146,6 +147,8 @@
         ]
         or None,
     )
+    if update.evacuations is not None:
+        _add_evacuations(wire, update.evacuations)
     body = serialize(wire, _BINARY)
     return CHECKSUM.pack(xxhash.xxh64_intdigest(body)) + body
 
@@ -254,6 +257,8 @@
             )
             for each in wire.limits
         )
+    if wire.evacuations_end is not None:
+        lists["evacuations"] = _evacuations(wire)
     return PeerUpdate(
         instance=wire.instance,
         incarnation=wire.incarnation,
@@ -266,6 +271,29 @@
     )
 
 
+def _add_evacuations(wire: Any, report: EvacuationReport) -> None:
+    """Add the evacuated zones to an update's Thrift structure."""
+    wire.evacuated = [
+        _SCHEMA.Evacuated(each.zone, each.offset) for each in report.zones
+    ]
+    wire.evacuations_end = report.end_offset
+    wire.evacuations_age_ms = _to_ms(report.age_s)
+
+
+def _evacuations(wire: Any) -> EvacuationReport:
+    """Return the evacuated zones in an update."""
+    # Without an age, the report may be of any time.
+    age_ms = wire.evacuations_age_ms
+    return EvacuationReport(
+        tuple(
+            EvacuatedZone(each.zone, each.offset)
+            for each in wire.evacuated or ()
+        ),
+        wire.evacuations_end,
+        (_MAX_MS if age_ms is None else max(0, age_ms)) / 1000,
+    )
+
+
 def _crash_reports(wire: Any) -> dict[str, Any]:
     """Return the lists of an update that concern crashes."""
     lists: dict[str, Any] = {}
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -63,6 +63,11 @@
   4: i32 age_ms
 }
 
+struct Evacuated {
+  1: string zone
+  2: i64 offset
+}
+
 struct Update {
   1: string instance
   2: i64 incarnation
@@ -86,4 +91,7 @@
   20: optional string zone
   21: optional bool pass_on
   22: optional list<string> leaving_starts
+  40: optional list<Evacuated> evacuated
+  41: optional i64 evacuations_end
+  42: optional i32 evacuations_age_ms
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 
+from bulrushstream.state.evacuation import EvacuationReport
 from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.streamorigin import StreamOrigin
 
@@ -76,6 +77,7 @@
     mixed_services: tuple[str, ...] = ()
     # Ids, and the starts of the processes.
     leaving_endpoints: tuple[tuple[str, str], ...] = ()
+    evacuations: EvacuationReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,3 +109,5 @@
     # Whether a receiver in another zone passes it on to that zone's routers.
     pass_on: bool = False
     leaving: bool = False  # Whether it is stopping.
+    # None: it knows of none yet, or says nothing of them.
+    evacuations: EvacuationReport | None = None
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -16,6 +16,7 @@
     decode_update,
     encode_update,
 )
+from bulrushstream.state.evacuation import EvacuationReport
 from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
     CrashSuspect,
@@ -66,6 +67,7 @@
     mixed_services: set[str] = field(default_factory=set)
     # The starts of the processes, by the endpoint's id.
     leaving_endpoints: dict[str, str] = field(default_factory=dict)
+    evacuations: EvacuationReport | None = None
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -94,6 +96,7 @@
             or self.limits
             or self.mixed_services
             or self.leaving_endpoints
+            or self.evacuations
         )
 
 
@@ -300,6 +303,14 @@
         self._pending.leaving_endpoints[endpoint] = born
         self._schedule_flush()
 
+    def report_evacuations(self, report: EvacuationReport) -> None:
+        """Report the evacuated zones, as they changed.
+
+        :param report: all of them
+        """
+        self._pending.evacuations = report
+        self._schedule_flush()
+
     def send_origin(self, host: str, origin: StreamOrigin) -> None:
         """Tell one router where a stream began; see `OriginNotifier`."""
         waiting = self._pending_origins.setdefault(host, [])
@@ -330,6 +341,7 @@
         self._pending.limits.extend(reports.limits)
         self._pending.mixed_services.update(reports.mixed_services)
         self._pending.leaving_endpoints.update(reports.leaving_endpoints)
+        self._pending.evacuations = reports.evacuations
         repeated, self._repeated_totals = self._repeated_totals, set()
         self._pending.changed_totals |= repeated
         self._flush(heartbeat=True)
@@ -403,6 +415,7 @@
             known_hosts=self._next_hosts() if heartbeat else (),
             zone=self.zone if heartbeat else "",
             leaving=self.leaving,
+            evacuations=pending.evacuations,
         )
 
     def _next_hosts(self) -> tuple[str, ...]:
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -28,6 +28,7 @@
 from bulrushstream.coordination.streamversions import StreamVersions
 from bulrushstream.coordination.versionhistory import VersionHistory
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.evacuation import EvacuationReport
 from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
     CrashSuspect,
@@ -108,6 +109,9 @@
         update = replace(self.identity, mixed_services=(service,))
         self.updates.append(update)
 
+    def report_evacuations(self, report: EvacuationReport) -> None:
+        self.updates.append(replace(self.identity, evacuations=report))
+
     def send_origin(self, host: str, origin: StreamOrigin) -> None:
         self.updates.append(replace(self.identity, origins=(origin,)))
 
