Routers read evacuations and withdraw requests

Change: the dialect decodes keys evacuate/ZONE; the watch of the operators' topic applies them before the configuration; requests that wait for a connection to an evacuated zone are withdrawn and sent elsewhere; a service without an endpoint left gets 503 with B135 and a time to retry. Answers to peers that recover the configuration or the list carry the evacuated zones, so that a router that starts without the store knows them before it serves. Three metrics.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -170,6 +170,15 @@
         self._keep(0)
         self.front.fleet_state.ended(self.endpoint, self.number)
 
+    def withdraw(self, detail: str) -> None:
+        """Fail the attempt, of which no byte was sent.
+
+        :param detail: why, for the log
+        """
+        if self._pending is not None:
+            self._pending.cancel()
+            self.failed(ResponseFailure.WITHDRAWN, detail)
+
     def withdraw_grant(self) -> None:
         """Take back the attempt's grant: there is no sign that it ran."""
         self.front.fleet_state.withdraw_grant(self.number, self.front.clock())
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -15,7 +15,7 @@
     choose_engine,
     choose_plain,
 )
-from bulrushstream.daemon import safeguards, takeups
+from bulrushstream.daemon import evacuating, safeguards, takeups
 from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.messages import Notice
 from bulrushstream.state.call import Prompt
@@ -59,7 +59,9 @@
     if not usable and forward.route.repeatable:
         usable = takeups.usable(forward)
     if not usable:
-        refusal = _rest_refusal(front, forward, now_s)
+        refusal = _rest_refusal(front, forward, now_s) or evacuating.refusal(
+            front, forward
+        )
         if refusal is not None:
             return refusal
     if not usable and forward.version is not None:
--- a/src/bulrushstream/daemon/fleetsetup.py
+++ b/src/bulrushstream/daemon/fleetsetup.py
@@ -10,6 +10,7 @@
 from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointlimits import EndpointLimits
 from bulrushstream.coordination.endpointnotices import EndpointNotices
+from bulrushstream.coordination.evacuations import Evacuations
 from bulrushstream.coordination.fairshare import FairShares
 from bulrushstream.coordination.fleetstate import CALL_NUMBER_BITS, FleetState
 from bulrushstream.coordination.fleetview import FleetView
@@ -64,4 +65,5 @@
         ),
         EndpointNotices(observe),
         CrashRecords(suspects, parts, time_of_day, observe),
+        evacuations=Evacuations(observe, boot_clock),
     )
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -21,7 +21,13 @@
 )
 from bulrushstream.coordination.streamcheck import Doubts
 from bulrushstream.coordination.streamends import StreamEnd, last_event
-from bulrushstream.daemon import dispatch, endcheck, safeguards, takeups
+from bulrushstream.daemon import (
+    dispatch,
+    endcheck,
+    evacuating,
+    safeguards,
+    takeups,
+)
 from bulrushstream.daemon.attempt import Attempt
 from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.messages import Notice
@@ -201,7 +207,7 @@
                 endpoint.name, withdrawn=True
             )
             return None
-        if not front.may_send(self):
+        if evacuating.is_closed(attempt) or not front.may_send(self):
             return None
         self.progress.sends += 1
         self.progress.may_have_run = True
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -23,7 +23,13 @@
 from bulrushstream.coordination.routetable import RouteTable, pick_service
 from bulrushstream.coordination.streamends import StreamEnds
 from bulrushstream.coordination.streampatterns import StreamPatterns
-from bulrushstream.daemon import dispatch, runwatch, safeguards, takeups
+from bulrushstream.daemon import (
+    dispatch,
+    evacuating,
+    runwatch,
+    safeguards,
+    takeups,
+)
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashwatch import CrashWatch
 from bulrushstream.daemon.fleetsetup import make_fleet_state
@@ -110,6 +116,11 @@
             deps.observe,
             deps.time_of_day,
         )
+        evacuations = self.fleet_state.evacuations
+        evacuations.on_begun = lambda zone: evacuating.withdraw_waiting(self)
+        evacuations.on_ended = lambda zone: self.fleet_state.zone_reopened(
+            zone, self.clock()
+        )
         self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
         self.stream_patterns = StreamPatterns()
@@ -496,6 +507,7 @@
         self.crash_watch.sweep()
         self.fleet_state.sweep(self.clock())
         takeups.sweep(self)
+        evacuating.sweep(self)
         self.connections.expire_idle()
 
     # --- Log.
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -12,7 +12,7 @@
 
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S
 from bulrushstream.coordination.looplag import TICK_S
-from bulrushstream.daemon import platformupdates
+from bulrushstream.daemon import evacuating, platformupdates
 from bulrushstream.daemon.crashstore import CrashStore
 from bulrushstream.daemon.endpointlist import EndpointList
 from bulrushstream.daemon.front import Front, FrontDeps
@@ -160,7 +160,7 @@
         )
         topics = self._dialect.topics
         self._watch(
-            topics.config, 0.0, self._handle_config, front.freshness.confirm
+            topics.config, 0.0, self._handle_config, self._config_confirmed
         )
         endpoints = self._watch(
             topics.endpoints,
@@ -362,8 +362,21 @@
         self._endpoints.confirm()
         self.front.streams.history.list_read(sent_s)
 
+    def _config_confirmed(self, sent_s: float) -> None:
+        """Record that the operators' topic was read to its end."""
+        self.front.freshness.confirm(sent_s)
+        self.front.fleet_state.evacuations.confirmed(sent_s)
+
     def _handle_config(self, update: Snapshot | KeyedRecord) -> None:
-        """Apply the configuration in an update of the operators' topic."""
+        """Apply evacuations and the configuration in the operators' topic.
+
+        The router serves once it has a configuration, so evacuations are
+        applied before.
+        """
+        try:
+            evacuating.apply_records(self.front, update)
+        except Exception as error:
+            self._report_fault(error)
         key = self._dialect.topics.config_key
         if isinstance(update, Snapshot):
             data = update.values.get(key)
--- a/src/bulrushstream/daemon/recovery.py
+++ b/src/bulrushstream/daemon/recovery.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import base64
+import binascii
 import random
 import re
 from collections.abc import Callable
@@ -17,9 +19,15 @@
 import msgspec
 
 from bulrushstream.daemon.front import Front
+from bulrushstream.protocol.peercodec import (
+    DatagramError,
+    decode_update,
+    encode_update,
+)
 from bulrushstream.state.decoding import DECODE_ERRORS
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.excess import PeerKind
+from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.transport.exchange import Exchange
 from bulrushstream.transport.httpcall import (
     Answer,
@@ -42,6 +50,8 @@
 _ENDPOINTS: Final = b"/endpoints"
 _AGE_HEADER: Final = b"bulrushstream-config-age-ms"
 _VERSION_HEADER: Final = b"bulrushstream-config-version"
+# An update with the evacuated zones, in base64; missing: none are known.
+_EVACUATIONS_HEADER: Final = b"bulrushstream-evacuations"
 
 _NUMBER: Final = re.compile(rb"[0-9]{1,19}")
 
@@ -73,7 +83,8 @@
         if exchange.target.startswith(_CONFIG):
             self._answer_config(exchange)
         elif exchange.target == _ENDPOINTS and self.front.endpoints_listed:
-            exchange.answer(200, [], msgspec.json.encode(self.entries))
+            body = msgspec.json.encode(self.entries)
+            exchange.answer(200, self._evacuation_headers(), body)
         elif exchange.target == _ENDPOINTS:
             exchange.answer(503, [])
         else:
@@ -109,6 +120,7 @@
         headers = [
             (_AGE_HEADER, b"%d" % int(min(age_s, _MAX_AGE_S) * 1000 + 1)),
             (_VERSION_HEADER, version),
+            *self._evacuation_headers(),
         ]
         same = exchange.target.removeprefix(_CONFIG) == version
         exchange.answer(200, headers, b"" if same else self.config)
@@ -127,6 +139,7 @@
         )
         if not _NUMBER.fullmatch(age) or not _NUMBER.fullmatch(version):
             return
+        self._apply_evacuations(host, answer)
         if answer.body:
             self.apply_config(answer.body)
         if self._version() >= int(version):
@@ -142,6 +155,7 @@
         except DECODE_ERRORS as error:
             self.front.report("peer_silent", f"{host}: {error}")
             return
+        self._apply_evacuations(host, answer)
         self.apply_endpoints(entries)
         self.front.observe(
             Decision(
@@ -151,6 +165,36 @@
             )
         )
 
+    def _evacuation_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the header that tells a peer of evacuated zones.
+
+        A router that starts without the store would otherwise serve before
+        the first heartbeat of a peer tells it.
+        """
+        evacuations = self.front.fleet_state.evacuations
+        report = evacuations.to_repeat(self.boot_clock())
+        if report is None:
+            return []
+        settings = self.front.settings
+        update = PeerUpdate(
+            settings.instance, 0, settings.host, evacuations=report
+        )
+        value = base64.b64encode(encode_update(update))
+        return [(_EVACUATIONS_HEADER, value)]
+
+    def _apply_evacuations(self, host: str, answer: Answer) -> None:
+        """Apply the evacuated zones that a peer's answer names."""
+        headers = {name.lower(): value for name, value in answer.headers}
+        value = headers.get(_EVACUATIONS_HEADER)
+        if value is None:
+            return
+        try:
+            update = decode_update(base64.b64decode(value, validate=True))
+        except (binascii.Error, DatagramError) as error:
+            self.front.report("peer_silent", f"{host}: {error}")
+            return
+        self.front.fleet_state.evacuations.apply_update(update)
+
     async def _call(self, host: str, target: str) -> Answer | None:
         """Call a peer; return its answer, or None unless that is a 200."""
         pool = self._pools.get(host)
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -69,6 +69,9 @@
     caller_connections: Counter  # Callers' connections that were ended.
     excess: Counter  # Connections whose peers sent too much.
     spoiled_streams: Counter  # Streams whose endpoints spoiled them.
+    evacuated_zones: Gauge  # Zones whose endpoints get no requests.
+    evacuation_withdrawn: Counter  # Requests that were to be sent there.
+    evacuation_requests: Gauge  # Requests of this router that run there.
 
 
 def make_metrics() -> Metrics:
@@ -197,6 +200,19 @@
             "service",
             "reason",
         ),
+        evacuated_zones=gauge(
+            "evacuated_zones", "Zones whose endpoints get no requests."
+        ),
+        evacuation_withdrawn=counter(
+            "evacuation_withdrawn",
+            "Requests withdrawn before they were sent to evacuated zones.",
+            "zone",
+        ),
+        evacuation_requests=gauge(
+            "evacuation_requests",
+            "Requests of this router that still run in evacuated zones.",
+            "zone",
+        ),
     )
 
 
@@ -256,6 +272,18 @@
     metrics.spoiled_streams.labels(service, reason).inc()
 
 
+def set_evacuated(metrics: Metrics, in_flight: Mapping[str, int]) -> None:
+    """Set the gauges of evacuated zones.
+
+    :param metrics: The metrics of a router.
+    :param in_flight: The requests that still run in each evacuated zone.
+    """
+    metrics.evacuated_zones.set(len(in_flight))
+    metrics.evacuation_requests.clear()
+    for zone, count in in_flight.items():
+        metrics.evacuation_requests.labels(zone).set(count)
+
+
 def count_shares(metrics: Metrics, report: ShareReport) -> None:
     """Count the shares of the workspaces at a router.
 
--- a/src/bulrushstream/platform/dialect.py
+++ b/src/bulrushstream/platform/dialect.py
@@ -7,6 +7,7 @@
 from bulrushstream.platform.documents import (
     decode_config,
     decode_entry,
+    decode_evacuation,
     decode_start,
 )
 from bulrushstream.platform.headers import (
@@ -74,4 +75,5 @@
     encode_report_call=encode_report_call,
     decode_start=decode_start,
     refusal_headers=refusal_headers,
+    decode_evacuation=decode_evacuation,
 )
--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -17,6 +17,7 @@
 from bulrushstream.platform.headers import digest_key
 from bulrushstream.protocol.dialect import DocumentError
 from bulrushstream.state.decoding import DECODE_ERRORS
+from bulrushstream.state.evacuation import EvacuationKey
 from bulrushstream.state.routes import (
     ClientLimits,
     EndpointEntry,
@@ -39,6 +40,9 @@
 
 MAX_NAME_CHARS: Final = 255
 
+# Keys of the operators' topic that begin so evacuate the zone that follows.
+EVACUATE_PREFIX: Final = "evacuate/"
+
 Report = Callable[[str], None]
 
 _Decoded = TypeVar("_Decoded")
@@ -209,6 +213,30 @@
         return ""
 
 
+def decode_evacuation(key: str, value: bytes | None) -> EvacuationKey | None:
+    """Decode a key of the operators' topic that evacuates a zone.
+
+    :param key: the key
+    :param value: its value; None: the key was deleted
+    :returns: the zone; None: the key is of another kind
+    """
+    if not key.startswith(EVACUATE_PREFIX):
+        return None
+    zone = key.removeprefix(EVACUATE_PREFIX)
+    # Endpoints without a zone are in none, rather than in one without name.
+    if not zone or len(zone) > MAX_NAME_CHARS:
+        return EvacuationKey("", "the key names no zone and is left out")
+    if value is None:
+        return EvacuationKey(zone)
+    try:
+        msgspec.json.decode(value, type=dict[str, Any])
+    except DECODE_ERRORS:
+        return EvacuationKey(
+            zone, "the value is no object; the zone is evacuated all the same"
+        )
+    return EvacuationKey(zone)
+
+
 def _start(born: object) -> str:
     """Return when a process started, as it says; empty: it does not tell."""
     if isinstance(born, bool) or not isinstance(born, str | int | float):
--- a/src/bulrushstream/protocol/dialect.py
+++ b/src/bulrushstream/protocol/dialect.py
@@ -17,6 +17,7 @@
     Call,
     RawHeaders,
 )
+from bulrushstream.state.evacuation import EvacuationKey
 from bulrushstream.state.excess import OnExcess
 from bulrushstream.state.finding import Finding
 from bulrushstream.state.memorybudget import MemoryBudget
@@ -101,3 +102,9 @@
 
     # Returns a refusal's headers from request id and Retry-After in seconds.
     refusal_headers: Callable[[str, float | None], RawHeaders]
+
+    # Decodes a key of the operators' topic and its value, None if the key was
+    # deleted; returns None for a key that evacuates no zone.
+    decode_evacuation: Callable[[str, bytes | None], EvacuationKey | None] = (
+        lambda key, value: None
+    )
