The operators' topic is listed again after failed reads

Seen: a store that was reset and had as many records again by the next read looked unchanged, so a router kept an evacuated zone that was no longer in the topic, and missed another (tests/test_evacuations.py, TopicSuite with reset; failed before this change).

Cause: only an offset beyond the end of the topic showed a reset.

Only the operators' topic has it; a configuration is applied by its version as before.

--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -160,7 +160,11 @@
         )
         topics = self._dialect.topics
         self._watch(
-            topics.config, 0.0, self._handle_config, self._config_confirmed
+            topics.config,
+            0.0,
+            self._handle_config,
+            self._config_confirmed,
+            lists_after_failures=True,
         )
         endpoints = self._watch(
             topics.endpoints,
@@ -310,6 +314,8 @@
         handle: Callable[[Snapshot | KeyedRecord], None],
         on_confirmed: Callable[[float], None] = lambda _: None,
         on_failed: Callable[[], None] = lambda: None,
+        *,
+        lists_after_failures: bool = False,
     ) -> TopicWatch:
         """Start following a topic."""
 
@@ -331,6 +337,7 @@
             failed,
             self._report_fault,
             self._deps.rng,
+            lists_after_failures,
         )
         self._spawn(watch.run)
         return watch
--- a/src/bulrushstream/daemon/watch.py
+++ b/src/bulrushstream/daemon/watch.py
@@ -64,8 +64,12 @@
     on_failed: Callable[[str], None]  # Called with the reason.
     on_fault: Callable[[Exception], None]  # Called if the handler fails.
     rng: random.Random  # Jitter of the backoff.
+    # Whether a snapshot is read once reads succeed again.  A store that was
+    # reset, and has as many records again, shows nothing else of it.
+    lists_after_failures: bool = False
     # Where the next read starts; None: a snapshot is read.
     _offset: int | None = None
+    _snapshot_due: bool = False  # Whether reads have failed since the last.
     _check_wanted: asyncio.Event = field(default_factory=asyncio.Event)
     # Whether the next read is due at once.
     _hurry: asyncio.Event = field(default_factory=asyncio.Event)
@@ -107,16 +111,19 @@
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
-        pause_s = MIN_PAUSE_S
+        pause_s, lists = MIN_PAUSE_S, True
         while True:
             try:
-                if self._offset is None:
+                if self._offset is None or lists:
+                    self._snapshot_due = False
                     self._offset = await self._read_all()
                 else:
                     self._offset = await self._read_changes(self._offset)
-                pause_s = MIN_PAUSE_S
+                pause_s, lists = MIN_PAUSE_S, self._snapshot_due
             except StoreError as error:
-                self.on_failed(str(error))
+                self._read_failed(str(error))
+                # A store may refuse one of the two calls only.
+                lists = self.lists_after_failures and not lists
                 await asyncio.sleep(self.rng.uniform(pause_s / 2, pause_s))
                 pause_s = min(MAX_PAUSE_S, pause_s * 2)
 
@@ -185,7 +192,7 @@
                         except StoreError as error:
                             if not reads:
                                 raise
-                            self.on_failed(str(error))
+                            self._read_failed(str(error))
                             continue
                         if any(each < sent_s for each in reads.values()):
                             self.on_failed("no answer to an earlier read")
@@ -197,6 +204,11 @@
                 if task.done() and not task.cancelled():
                     task.exception()  # Its result does not matter.
 
+    def _read_failed(self, reason: str) -> None:
+        """Handle a failed read."""
+        self._snapshot_due = self.lists_after_failures
+        self.on_failed(reason)
+
     def _apply(self, update: Snapshot | KeyedRecord) -> None:
         """Pass on what was read; a failure must not end the watch."""
         try:
