--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -27,6 +27,7 @@
     SAME_STORE_S,
     Evacuations,
 )
+from bulrushstream.daemon import evacuating
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.history.virtualloop import run_virtually
 from bulrushstream.messages import ZONES_EVACUATED
@@ -209,7 +210,7 @@
         reader.state.applied("a", True, 10)
         first.hears(reader)
         for _ in range(100):
-            pass_time((first, second, reader), 0.5)
+            pass_time((first, second, reader), 0.2)
             second.hears(first, delay_s=HOP_S / 2)
             first.hears(second, delay_s=HOP_S / 2)
         reader.state.listed((), 0)  # The store was reset.
@@ -344,6 +345,9 @@
             topic.put("evacuate/", b"{}")
             await asyncio.sleep(0.5)
             assert state.zones() == {"a"}
+            report = state.to_repeat(loop.time())
+            assert report is not None
+            assert report.end_offset == topic.end_offset
             topic.compact()
             await asyncio.sleep(2.0)  # The key is listed again.
             faults = [each for each in lines if each.kind == "bad_evacuation"]
@@ -489,6 +493,17 @@
         assert arrivals["a"] == []
         assert history.served_share(SOUND.label, 3.7, 9.0) == 1.0
 
+    # The same for one whose connection opens as the evacuation begins.
+    def test_requests_are_withdrawn_before_bytes_go_out(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(evacuating, "withdraw_waiting", lambda front: None)
+        burst = replace(SOUND, per_s=2000.0, begin_s=3.9, end_s=4.1)
+        plan = a_plan(EVACUATED[0], (5.0, KEY_A, None), end_s=6.0)
+        history, _ = play_evacuation(replace(plan, prompts=(burst,)))
+        ended = history.lines("evacuation_ended")
+        assert sum(int(line.inputs["withdrawn"]) for line in ended) > 0
+
     def test_all_zones_are_evacuated(self) -> None:
         """Guards against sends for want of another endpoint."""
         both = *EVACUATED, *((at, "evacuate/b", v) for at, _, v in EVACUATED)
