The choice of endpoints costs the same without evacuations

Seen: EndpointPool.usable for 28 endpoints took 5.2 microseconds on and 6.0 with the check of zones in its loop.

Change: zones are looked at only while one is evacuated; so is the check before bytes go out, and updates without a view do not read the clock.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -83,7 +83,7 @@
     notices: EndpointNotices  # What they say in their answers.
     by_name: dict[str, Endpoint] = field(default_factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
-    evacuated: Container[str] = ()  # Zones whose endpoints get no requests.
+    evacuated: Collection[str] = ()  # Zones whose endpoints get no requests.
 
     def update(
         self, entry: EndpointEntry, traits: EngineTraits | None
@@ -179,9 +179,14 @@
             for name, endpoint in self.by_service.get(service, {}).items()
             if name not in unavailable
             and not endpoint.entry.leaving
-            and endpoint.entry.availability_zone not in self.evacuated
             and (version is None or version == endpoint.entry.version)
         ]
+        if self.evacuated:
+            serving = [
+                each
+                for each in serving
+                if each.entry.availability_zone not in self.evacuated
+            ]
         good = [each for each in serving if each.avoid_until_s <= now_s]
         return good or serving
 
--- a/src/bulrushstream/coordination/evacuations.py
+++ b/src/bulrushstream/coordination/evacuations.py
@@ -198,9 +198,10 @@
 
         :param update: its update; older routers report nothing
         """
-        report, now_s = update.evacuations, self.clock()
+        report = update.evacuations
         if report is None or report.end_offset < 0:
             return
+        now_s = self.clock()
         view = _View(
             {each.zone: each.offset for each in report.zones if each.zone},
             report.end_offset,
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -207,7 +207,9 @@
                 endpoint.name, withdrawn=True
             )
             return None
-        if evacuating.is_closed(attempt) or not front.may_send(self):
+        if front.pool.evacuated and evacuating.is_closed(attempt):
+            return None
+        if not front.may_send(self):
             return None
         self.progress.sends += 1
         self.progress.may_have_run = True
