Read only a whole number as the start of an endpoint's process

An entry or report whose `born` was a text or had a fraction was read as a start, so that one process could count as two. Such a value now tells no start, as if it were absent, and the rest of the entry holds.

test_start_of_an_endpoint expected "17.5" and "a-1" to be read.

--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -39,6 +39,9 @@
 
 MAX_NAME_CHARS: Final = 255
 
+# The largest whole number that every reader of JSON keeps exactly.
+MAX_START_MS: Final = 2**53
+
 Report = Callable[[str], None]
 
 _Decoded = TypeVar("_Decoded")
@@ -123,7 +126,7 @@
     state: str = "ready"
     cold_left_ms: float = 0.0
     version: Any = None
-    born: Any = None  # A number or a text.
+    born: Any = None  # A whole number; others are no start.
 
 
 class _Report(msgspec.Struct):
@@ -211,10 +214,12 @@
 
 def _start(born: object) -> str:
     """Return when a process started, as it says; empty: it does not tell."""
-    if isinstance(born, bool) or not isinstance(born, str | int | float):
+    if isinstance(born, bool) or not isinstance(born, int | float):
+        return ""
+    # JSON has one kind of number: 5.0 is the whole number 5.
+    if not 0 <= born <= MAX_START_MS or int(born) != born:
         return ""
-    told = str(born)
-    return told if len(told) <= MAX_NAME_CHARS else ""
+    return str(int(born))
 
 
 def _parse_address(address: str) -> tuple[str, int]:
