Estimate how fast each endpoint is, and use it in predictions

The slowness of an engine was learned only from prompts that reached an idle engine, which is rare under load, and halved every 6 s; plain endpoints were chosen by the number of requests alone.

endpointspeed.py measures the time per unit of work over windows of a few requests, from the first events (and plain answers) of all routers; these report how long a request took on their own clocks, so that a late update does not distort the figure. Three windows in a row that deviate to one side replace the average; single ones have no weight. The factor is 1 until an endpoint differs from the median of its service, and does not fade. One above 2 is tested with single requests, as a fault may end unseen.

The fourth value of the load header is a momentary factor that falls to 1 within 0.6 s. A header with other than three or four values, or a value that is no number, carries no information.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -11,6 +11,10 @@
 from typing import Final
 
 from bulrushstream.coordination.endpointnotices import EndpointNotices
+from bulrushstream.coordination.endpointspeed import (
+    PLAIN_TUNING,
+    EndpointSpeed,
+)
 from bulrushstream.coordination.engineview import EngineView
 from bulrushstream.state.routes import EndpointEntry, EngineTraits
 
@@ -55,6 +59,15 @@
     cuts_streams: bool = False  # Whether one of them found a cut, lately.
     # When it last wrote what is no answer, or cut one in good framing.
     spoiled_s: float = float("-inf")
+    # The speed of a plain endpoint; an engine's is in its view.
+    plain_speed: EndpointSpeed = field(
+        default_factory=lambda: EndpointSpeed(PLAIN_TUNING)
+    )
+
+    @property
+    def speed(self) -> EndpointSpeed:
+        """Return how it compares with the others of its service."""
+        return self.plain_speed if self.view is None else self.view.speed
 
     def is_distrusted(self, now_s: float) -> bool:
         """Return whether it spoiled an answer lately.
--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -14,6 +14,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from bulrushstream.coordination.endpointspeed import (
+    ENGINE_TUNING,
+    EndpointSpeed,
+)
 from bulrushstream.state.call import Prompt
 
 # The prefill rate until one was observed.  The platform's figure for all
@@ -77,6 +81,7 @@
     sent_s: float
     expires_s: float  # When it is dropped if no end is recorded.
     sent_to_idle: bool  # Whether no prefill was pending before it.
+    had_capacity: bool  # Whether a slot and enough memory were free.
 
 
 @dataclass(slots=True)
@@ -98,6 +103,11 @@
     prefill_done_s: float = 0.0  # The predicted end of all pending prefill.
     slowness: float = 1.0  # Observed prefill time over the expected one.
     slowness_observed_s: float = 0.0  # When `slowness` was last updated.
+    # How it compares with other engines; `slowness` is beyond that.
+    speed: EndpointSpeed = field(
+        default_factory=lambda: EndpointSpeed(ENGINE_TUNING)
+    )
+    applied_lasting: float = 1.0  # Its lasting factor in the predictions.
 
     def cached_prefix_tokens(self, prompt: Prompt) -> int:
         """Return the length of a prompt's cached prefix.
@@ -136,7 +146,10 @@
         :param now_s: the time
         """
         load = 1.0 + len(self.running) * RUNNING_COST_TOKENS / 1000.0
-        return tokens / rate * load * self.slowness_at(now_s)
+        expected_s = tokens / rate * load * self.slowness_at(now_s)
+        if self.speed.uneven:
+            expected_s *= self.speed.factor(now_s)
+        return expected_s
 
     def backlog_s(self, now_s: float) -> float:
         """Return the remaining time of all pending prefill.
@@ -183,6 +196,7 @@
             sent_s=now_s,
             expires_s=expires_s,
             sent_to_idle=self.backlog_s(now_s) <= 0.0 and not self.pending,
+            had_capacity=self.has_capacity(prompt),
         )
         self.prefill_done_s = max(self.prefill_done_s, now_s) + prefill_s
         self.running[call] = entry
@@ -191,13 +205,22 @@
         self._cache_parts(prompt)
         return prefill_s
 
-    def start(self, call: int, now_s: float) -> float | None:
+    def start(
+        self,
+        call: int,
+        now_s: float,
+        event_s: float | None = None,
+        reporter: str = "",
+    ) -> float | None:
         """Record the first event of a request.
 
         The prefill of every request that was sent before it is done too.
 
         :param call: the request's number
         :param now_s: the time
+        :param event_s: when the event came, to measure the engine's speed;
+            None: not known
+        :param reporter: the router that got it; empty: this one
         :returns: the observed prefill rate in tokens per second; None if
             the request was not pending, was not sent to an idle engine, or
             its prefill was too short
@@ -205,10 +228,22 @@
         entry = self.pending.get(call)
         if entry is None:
             return None
+        first_sent_s, tokens, had_capacity = now_s, 0.0, True
         while self.pending:
-            first, _ = self.pending.popitem(last=False)
+            first, done = self.pending.popitem(last=False)
+            first_sent_s = min(first_sent_s, done.sent_s)
+            tokens += done.prefill_tokens
+            had_capacity = had_capacity and done.had_capacity
             if first == call:
                 break
+        # A request that waits for a slot or for memory is not prefilled.
+        if event_s is None or not had_capacity:
+            self.speed.prefilled_untimed(now_s)
+        else:
+            load = 1.0 + len(self.running) * RUNNING_COST_TOKENS / 1000.0
+            self.speed.prefilled(
+                tokens * load, first_sent_s, FIXED_DELAY_S, event_s, reporter
+            )
         pending_s = sum(each.prefill_s for each in self.pending.values())
         # The next prefill began while the tokens of this first event were
         # generated.
@@ -228,11 +263,30 @@
         :param rate: the average prefill rate, in tokens per second
         :param now_s: the time
         """
+        if self.speed.uneven:
+            observed *= self.speed.factor(now_s)
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, rate / observed))
         current = self.slowness_at(now_s)
         self.slowness = current + SLOWNESS_GAIN * (ratio - current)
         self.slowness_observed_s = now_s
 
+    def lasting_changed(self, now_s: float) -> None:
+        """Correct predictions as the lasting factor of the speed changed.
+
+        :param now_s: the time
+        """
+        ratio = self.speed.measured / self.applied_lasting
+        self.applied_lasting = self.speed.measured
+        # The slowness already accounted for a part of the change.
+        slowness = self.slowness_at(now_s)
+        if (slowness > 1.0) == (ratio > 1.0):
+            rest = slowness / ratio
+            slowness = max(1.0, rest) if ratio > 1.0 else min(1.0, rest)
+            self.slowness, self.slowness_observed_s = slowness, now_s
+        for each in self.pending.values():
+            each.prefill_s *= ratio
+        self.prefill_done_s = now_s + self.backlog_s(now_s) * ratio
+
     def end(self, call: int) -> None:
         """Record the end of a request, whether it succeeded or failed.
 
@@ -244,6 +298,7 @@
         self.running_tokens -= entry.tokens
         if self.pending.pop(call, None) is not None:
             self.prefill_done_s -= entry.prefill_s
+            self.speed.interrupted()
 
     def expire(self, now_s: float) -> None:
         """Drop requests whose end was not recorded in time.
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -18,6 +18,7 @@
 from bulrushstream.coordination.endpointlimits import EndpointLimits
 from bulrushstream.coordination.endpointnotices import EndpointNotices
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
+from bulrushstream.coordination.endpointspeed import EndpointSpeeds
 from bulrushstream.coordination.engineview import (
     DEFAULT_PREFILL_TOKENS_PER_S,
     EngineView,
@@ -68,6 +69,9 @@
 MIN_PREFILL_COST_S: Final = 1e-6
 INITIAL_QUOTA_TOKENS: Final = 2_000.0
 
+# The longest interval that is reported, in milliseconds.
+MAX_INTERVAL_MS: Final = 2**31 - 1
+
 # The interval between sweeps, and the gap between two sweeps above which
 # the process counts as having stalled.
 SWEEP_INTERVAL_S: Final = 0.25
@@ -80,6 +84,7 @@
 
     endpoint: Endpoint
     received_s: float  # When the peer's report arrived.
+    requests: int  # Those in flight there then, itself included.
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +119,7 @@
     crash_records: CrashRecords
     notifier: PeerNotifier | None = None  # None: not connected to peers.
     pool: EndpointPool = field(init=False)
+    speeds: EndpointSpeeds = field(init=False)
     # Average over all engines, in tokens per second.
     prefill_rate: float = DEFAULT_PREFILL_TOKENS_PER_S
     # Average time of an engine's prefill for one quota token, in seconds.
@@ -127,10 +133,13 @@
     _last_stall_s: float = float("-inf")  # The end of the last stall.
     _peer_calls: dict[int, _PeerCall] = field(default_factory=dict)
     _grants: dict[int, _Grant] = field(default_factory=dict)  # Own attempts.
+    # Own attempts at plain endpoints: requests in flight there, as above.
+    _plain_requests: dict[int, int] = field(default_factory=dict)
     _peer_usage: dict[str, _KnownUsage] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.pool = EndpointPool(self.notices)
+        self.speeds = EndpointSpeeds(self.notices.observe)
         self.limits.is_listed = self.pool.may_be_listed
 
     def set_notifier(self, notifier: PeerNotifier) -> None:
@@ -197,6 +206,8 @@
         self._number += 1
         number = self.number_base + self._number
         endpoint.outstanding += 1
+        if endpoint.speed.uneven:
+            endpoint.speed.placed(now_s)
         self.limits.placed(endpoint.name, now_s)
         if endpoint.view is not None and prompt is not None:
             self._place_in_view(
@@ -209,6 +220,8 @@
                 self._grants[number] = _Grant(workspace, tokens)
                 if self.notifier is not None:
                     self.notifier.report_usage(workspace, 0, tokens)
+        if endpoint.view is None:
+            self._plain_requests[number] = endpoint.outstanding
         if self.notifier is not None:
             self.notifier.report_placed(
                 _describe_placement(number, endpoint.entry, prompt)
@@ -249,12 +262,42 @@
         if view is None or number not in view.pending:
             return
         sent_s = view.pending[number].sent_s
-        observed = view.start(number, now_s)
-        if observed is None or not self._ran_without_stall(sent_s, now_s):
+        timed = self._ran_without_stall(sent_s, now_s)
+        observed = view.start(number, now_s, now_s if timed else None)
+        if observed is None or not timed:
             observed = 0.0
         self._observe_prefill_rate(endpoint, int(observed), now_s)
         if self.notifier is not None:
-            self.notifier.report_started(FirstEvent(number, int(observed)))
+            self.notifier.report_started(
+                FirstEvent(
+                    number,
+                    int(observed),
+                    _to_ms(now_s - sent_s) if timed else 0,
+                    view.speed.told_percent(sent_s),
+                )
+            )
+
+    def answered(
+        self, endpoint: Endpoint, number: int, sent_s: float, now_s: float
+    ) -> None:
+        """Record the answer of a plain endpoint, which processed a request.
+
+        :param endpoint: the endpoint
+        :param number: the attempt's number
+        :param sent_s: when the request was sent
+        :param now_s: the time
+        """
+        requests = self._plain_requests.pop(number, 0)
+        if not requests or not self._ran_without_stall(sent_s, now_s):
+            return
+        speed = endpoint.plain_speed
+        took_s = now_s - sent_s
+        speed.answered(took_s, requests, endpoint.entry.slots, now_s, "")
+        if self.notifier is not None:
+            told = speed.told_percent(sent_s)
+            self.notifier.report_started(
+                FirstEvent(number, 0, _to_ms(took_s), told)
+            )
 
     def withdraw_grant(self, number: int, now_s: float) -> None:
         """Take back the grant of an attempt that no engine worked on.
@@ -277,6 +320,7 @@
         :param number: the attempt's number
         """
         self._grants.pop(number, None)
+        self._plain_requests.pop(number, None)
         _release(endpoint, number)
         if self.notifier is not None:
             self.notifier.report_ended(number)
@@ -302,11 +346,10 @@
             self._place_peer_call(placed, now_s)
             peer.calls.add(placed.call_id)
         for started in update.first_events:
-            endpoint = self._peer_call_endpoint(started.call_id)
-            if endpoint is not None and endpoint.view is not None:
-                endpoint.view.start(started.call_id, now_s)
-                self._observe_prefill_rate(
-                    endpoint, started.prefill_tokens_per_s, now_s
+            peer_call = self._peer_calls.get(started.call_id)
+            if peer_call is not None:
+                self._peer_call_started(
+                    peer_call, started, update.instance, now_s
                 )
         for number in update.ended_calls:
             self._end_peer_call(number)
@@ -365,6 +408,7 @@
         for endpoint in self.pool.by_name.values():
             if endpoint.view is not None:
                 endpoint.view.expire(now_s)
+        self._compare_speeds(now_s)
         expired = []
         for number, peer_call in self._peer_calls.items():
             if now_s - peer_call.received_s <= PEER_CALL_TIMEOUT_S:
@@ -375,6 +419,45 @@
             for peer in self.peers.peers.values():
                 peer.calls.discard(number)
 
+    def _compare_speeds(self, now_s: float) -> None:
+        """Compare the speeds of the endpoints of each service."""
+        for service, endpoints in self.pool.by_service.items():
+            speeds = {name: each.speed for name, each in endpoints.items()}
+            for name in self.speeds.compare(service, speeds, now_s):
+                view = endpoints[name].view
+                if view is not None:
+                    view.lasting_changed(now_s)
+
+    def _peer_call_started(
+        self,
+        peer_call: _PeerCall,
+        started: FirstEvent,
+        reporter: str,
+        now_s: float,
+    ) -> None:
+        """Record the first event, or the answer, of a peer's request."""
+        endpoint = peer_call.endpoint
+        sent_s, took_s = peer_call.received_s, started.took_ms / 1000
+        if started.work_percent:
+            endpoint.speed.told(started.work_percent / 100, now_s, here=False)
+        # The peer's own figure holds also if its update is late.
+        timed = took_s > 0.0 and self._ran_without_stall(sent_s, now_s)
+        view = endpoint.view
+        if view is not None:
+            event_s = min(now_s, sent_s + took_s) if timed else None
+            view.start(started.call_id, now_s, event_s, reporter)
+            self._observe_prefill_rate(
+                endpoint, started.prefill_tokens_per_s, now_s
+            )
+        elif timed:
+            endpoint.plain_speed.answered(
+                took_s,
+                peer_call.requests,
+                endpoint.entry.slots,
+                now_s,
+                reporter,
+            )
+
     def _count_peer_usage(self, update: PeerUpdate, now_s: float) -> None:
         """Count the demand and the grants at a peer."""
         known = self._peer_usage.get(update.instance)
@@ -437,11 +520,14 @@
         if endpoint.view is None or not observed:
             return
         endpoint.view.observe_rate(observed, self.prefill_rate, now_s)
+        speed = endpoint.view.speed
+        # The average is that of engines without a difference.
+        usual = observed * speed.factor(now_s) if speed.uneven else observed
         # An outlier comes from one engine or from a stalled clock, so its
         # effect on the average over all engines is limited.
         clamped = min(
             self.prefill_rate * MAX_RATE_RATIO,
-            max(self.prefill_rate / MAX_RATE_RATIO, observed),
+            max(self.prefill_rate / MAX_RATE_RATIO, usual),
         )
         rate = self.prefill_rate + RATE_GAIN * (clamped - self.prefill_rate)
         self.prefill_rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, rate))
@@ -497,8 +583,12 @@
             return
         if not self.pool.may_be_listed(placed.endpoint, placed.born):
             return
-        self._peer_calls[placed.call_id] = _PeerCall(endpoint, now_s)
         endpoint.outstanding += 1
+        if endpoint.speed.uneven:
+            endpoint.speed.placed(now_s)
+        self._peer_calls[placed.call_id] = _PeerCall(
+            endpoint, now_s, endpoint.outstanding
+        )
         self.parts.placed(endpoint.name, placed.part_ids[:-1], now_s)
         self.limits.placed(endpoint.name, now_s, elsewhere=True)
         if endpoint.view is not None and placed.input_tokens:
@@ -535,6 +625,11 @@
             self._end_peer_call(number)
 
 
+def _to_ms(interval_s: float) -> int:
+    """Return a measured interval in milliseconds, at least one."""
+    return max(1, min(MAX_INTERVAL_MS, round(interval_s * 1000)))
+
+
 def _release(endpoint: Endpoint, number: int) -> None:
     """Remove an attempt from an endpoint's requests in flight."""
     endpoint.outstanding = max(0, endpoint.outstanding - 1)
--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -4,7 +4,8 @@
 token.  Prefill that another engine's cache would save counts more than its
 duration, because it also takes capacity from other requests.  A request
 for a plain service goes to the endpoint with the fewest requests, with
-preference for the router's own availability zone.
+preference for the router's own availability zone; if endpoints differ in
+speed, to the one where the request is expected to be done first.
 """
 
 from __future__ import annotations
@@ -182,13 +183,16 @@
     endpoints: Sequence[Endpoint],
     availability_zone: str,
     rng: random.Random,
+    now_s: float = float("inf"),
 ) -> Endpoint | None:
     """Return the best endpoint for a plain service; None: no endpoint.
 
     :param endpoints: endpoints that accept new requests
     :param availability_zone: the router's zone
     :param rng: breaks ties
+    :param now_s: the time; infinity: only lasting speeds count
     """
+    uneven = any(each.plain_speed.uneven for each in endpoints)
 
     def load(endpoint: Endpoint) -> float:
         entry = endpoint.entry
@@ -197,6 +201,9 @@
             requests += OTHER_ZONE_PENALTY_REQUESTS
         if entry.warmup_remaining_s > 0:
             requests += COLD_PENALTY_REQUESTS
+        if uneven:
+            # With equal speeds, the request itself makes no difference.
+            requests = (requests + 1.0) * endpoint.plain_speed.factor(now_s)
         return requests / max(1, entry.slots) + rng.random() * 1e-3
 
     return min(endpoints, key=load, default=None)
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -212,7 +212,12 @@
             if not mismatch and self._pending is not None:
                 self.pool.record_answer(self.sent_s, self._pending.connection)
             endpointload.observe(
-                front, self.endpoint, head, self.sent_s, self._heard_s
+                front,
+                self.endpoint,
+                self.number,
+                head,
+                self.sent_s,
+                self._heard_s,
             )
         if self._pending is not None and not self._reused:
             sign = Sign.SAME_INSTANCE
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -75,7 +75,7 @@
     prompt = forward.call.prompt
     if prompt is None or not any(each.view for each in usable):
         zone = front.settings.availability_zone
-        plain = choose_plain(usable, zone, front.rng)
+        plain = choose_plain(usable, zone, front.rng, now_s)
         if plain is None:
             return None
         return plain, _record_attempt(front, forward, plain, None, now_s)
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -88,6 +88,9 @@
 # A limit in requests a second above this one is no limit in practice.
 MAX_REQUEST_LIMIT: Final = 1e6
 
+# An endpoint where work takes longer than this does none in practice.
+MAX_WORK_PERCENT: Final = 1e6
+
 # A rest above this one is endless in practice.
 MAX_REST_S: Final = 1e6
 
@@ -314,6 +317,7 @@
     } - {REQUEST_ID, SIGNATURE, b"content-type"}
     not_executed = b"x-not-executed" in values or status == 421
     request_limit, bad_limit = _parse_limits(headers)
+    load, work_factor = _parse_load(values.get(b"x-server-load"))
     rest_s, bad_rest = 0.0, ""
     if status == 503:
         rest_s, bad_rest = _parse_rests(headers)
@@ -332,7 +336,8 @@
             if (lower := name.lower()) not in _HOP_BY_HOP
             and lower not in connection_options
         ],
-        load=_parse_load(values.get(b"x-server-load")),
+        load=load,
+        work_factor=work_factor,
         request_limit=request_limit,
         bad_limit=bad_limit,
         rest_s=rest_s,
@@ -344,15 +349,32 @@
     )
 
 
-def _parse_load(value: bytes | None) -> tuple[int, int, int] | None:
-    """Return running requests, waiting requests and slots, if reported."""
+def _parse_load(
+    value: bytes | None,
+) -> tuple[tuple[int, int, int] | None, float]:
+    """Return the load of an endpoint, and how long work takes there.
+
+    The load is running requests, waiting requests and slots; a fourth value
+    is the time that work takes now, in percent of the usual.  A value that
+    is not all of this carries no information: its parts may be shifted.
+
+    :returns: the load, None if it is not reported, and the time that work
+        takes over the usual, 0 if it is not reported
+    """
     if value is None:
-        return None
+        return None, 0.0
     counts = value.split(b",")
-    if len(counts) != 3 or not all(_COUNT.fullmatch(n) for n in counts):
-        return None
-    running, waiting, slots = (int(n) for n in counts)
-    return running, waiting, slots
+    if not 3 <= len(counts) <= 4:
+        return None, 0.0
+    if not all(_COUNT.fullmatch(count) for count in counts[:3]):
+        return None, 0.0
+    running, waiting, slots = (int(count) for count in counts[:3])
+    if len(counts) == 3:
+        return (running, waiting, slots), 0.0
+    if not _NUMBER.fullmatch(counts[3].strip()):
+        return None, 0.0
+    factor = min(MAX_WORK_PERCENT, float(counts[3])) / 100.0
+    return (running, waiting, slots), factor
 
 
 def _parse_limits(headers: RawHeaders) -> tuple[float | None, str]:
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -77,7 +77,12 @@
             for each in update.placements
         ],
         started=[
-            _SCHEMA.Started(each.call_id, each.prefill_tokens_per_s)
+            _SCHEMA.Started(
+                each.call_id,
+                each.prefill_tokens_per_s,
+                each.took_ms or None,
+                each.work_percent or None,
+            )
             for each in update.first_events
         ],
         ended=list(update.ended_calls),
@@ -211,7 +216,12 @@
         )
     if wire.started:
         lists["first_events"] = tuple(
-            FirstEvent(each.call, each.read_tokens_per_s)
+            FirstEvent(
+                each.call,
+                each.read_tokens_per_s,
+                each.took_ms or 0,
+                each.work_percent or 0,
+            )
             for each in wire.started
         )
     if wire.ended:
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -16,6 +16,8 @@
 struct Started {
   1: i64 call
   2: i32 read_tokens_per_s
+  3: optional i32 took_ms
+  4: optional i32 work_percent
 }
 
 struct Totals {
--- a/src/bulrushstream/state/call.py
+++ b/src/bulrushstream/state/call.py
@@ -80,6 +80,8 @@
     headers: RawHeaders  # The headers to forward to the caller.
     keep_alive_s: float | None = None  # Idle timeout of the connection.
     load: tuple[int, int, int] | None = None  # Running, waiting, slots.
+    # How long work takes at the endpoint now, over the usual; 0: not told.
+    work_factor: float = 0.0
     # The requests a second that the endpoint takes; None: it names no limit.
     request_limit: float | None = None
     bad_limit: str = ""  # A limit that can not be read, for the log.
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -28,10 +28,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FirstEvent:
-    """The first event of a request's response arrived."""
+    """The first event of a response, or a plain endpoint's answer, arrived."""
 
     call_id: int
     prefill_tokens_per_s: int = 0  # Observed by the router; 0: unknown.
+    took_ms: int = 0  # Since the request was sent; 0: not known.
+    # How long work takes at the endpoint now, over the usual, as it told the
+    # router; 0: not told.
+    work_percent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
