Measure engines correctly when two routers send to one at once

A router records its own request before a peer's of the same milliseconds, so the first event of the later one counted the prefill of both as done.

A factor that is no fault keeps the engine untested up to 1.6 / 0.6, and the reference stays provisional until all endpoints of a service are known: with speeds of 0.6, 1.0 and 1.6 the fastest one had become the reference.

Adds the metric bulrushstream_endpoint_work_factor.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -220,6 +220,14 @@
         """
         return endpoint.entry.leaving or self.notices.is_leaving(endpoint.name)
 
+    def work_factors(self) -> dict[str, float]:
+        """Return how long work takes at the endpoints that differ."""
+        return {
+            name: endpoint.speed.measured
+            for name, endpoint in self.by_name.items()
+            if endpoint.speed.measured != 1.0
+        }
+
     def succeeded(self, endpoint: Endpoint) -> None:
         """Count a request that an endpoint answered.
 
--- a/src/bulrushstream/coordination/endpointspeed.py
+++ b/src/bulrushstream/coordination/endpointspeed.py
@@ -16,7 +16,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from statistics import median, median_low
 from typing import Final
@@ -59,16 +59,21 @@
 CHANGE_WINDOWS: Final = 3
 CHANGE_SPAN_S: Final = 1.0
 
+# An estimate of few windows is less exact: with so many, an endpoint has to
+# differ by twice as much.
+EXACT_WINDOWS: Final = 5.0
+
 # Bounds of the lasting factor.
 MIN_LASTING: Final = 0.4
 MAX_LASTING: Final = 12.0
 
-# Lasting differences between machines stay below this factor.  What exceeds
-# it is a fault, which may end while no request goes there.  An endpoint with
-# such a factor gets one request after the first time without any, as if it
-# were as before the fault, and the next one after the second time if that
-# took less time than expected.
-MAX_UNTESTED: Final = 2.0
+# Machines whose speeds differ for good are up to 1.6 / 0.6 apart; a factor
+# above the first, or one that grew by more than the second, is a fault, which
+# may end while no request goes there.  Such an endpoint gets one request after
+# the first time without any, as if it were as before the fault, and the next
+# one after the second time if that took less time than expected.
+MAX_UNTESTED: Final = 3.0
+MAX_UNTESTED_GROWTH: Final = 2.0
 TEST_AFTER_S: Final = 2.0
 NEXT_TEST_AFTER_S: Final = 0.2
 
@@ -159,7 +164,7 @@
     _units: float = 0.0  # In the current window.
     _working_s: float = 0.0
     _placed_s: float = float("-inf")  # When it got the last request.
-    _before_fault: float = 1.0  # The last factor below `MAX_UNTESTED`.
+    _before_fault: float = 1.0  # The last factor that was no fault.
     _testing: bool = False  # Whether the window is one of tests.
     # The last first event; whether an interval may start with it.
     _event_s: float = float("-inf")
@@ -263,6 +268,20 @@
         queue = max(1.0, requests / max(1, slots))
         self._add(1.0, took_s / queue, by, now_s)
 
+    def is_equal(self, reference_s: float) -> bool:
+        """Return whether it does not differ from the reference.
+
+        :param reference_s: the unit time of an endpoint with factor 1
+        """
+        unit_time = self.unit_time
+        if not reference_s or not unit_time.value_s:
+            return True
+        limit = self.tuning.same_ratio
+        if self.measured == 1.0:
+            excess = self.tuning.differs_ratio - 1.0
+            limit = 1.0 + excess * (1.0 + EXACT_WINDOWS / unit_time.windows)
+        return 1.0 / limit < unit_time.value_s / reference_s < limit
+
     def placed(self, now_s: float) -> None:
         """Record a request that is sent there; one is enough for a test.
 
@@ -291,13 +310,11 @@
         lasting, test = 1.0, False
         if reference_s and self.unit_time.value_s:
             lasting = self.unit_time.value_s / reference_s
-        tuning = self.tuning
-        limit = tuning.differs_ratio
-        if self.measured != 1.0:
-            limit = tuning.same_ratio
-        if 1.0 / limit < lasting < limit:
+        if self.is_equal(reference_s):
             lasting = 1.0
-        if lasting > MAX_UNTESTED:
+        if lasting > min(
+            MAX_UNTESTED, MAX_UNTESTED_GROWTH * self._before_fault
+        ):
             test = self._is_test_due(now_s)
         else:
             self._before_fault = lasting
@@ -347,6 +364,8 @@
     on_decision: Callable[[Decision], None]  # Called for each change.
     # The unit time of an endpoint with factor 1, by service.
     _references_s: dict[str, float] = field(default_factory=dict)
+    # Services of which all endpoints were known at a time.
+    _settled: set[str] = field(default_factory=set)
 
     def compare(
         self,
@@ -356,9 +375,9 @@
     ) -> list[str]:
         """Update the lasting factors of a service's endpoints.
 
-        The reference is the median as long as all are equal, and stays when
-        they are not: the predictions of one endpoint must not change as
-        another becomes faster or slower.
+        The reference is the median until all are known, and as long as they
+        are equal; it stays when they are not: the predictions of one endpoint
+        must not change as another becomes faster or slower.
 
         :param service: the service's name
         :param speeds: the speeds of its endpoints, by their names
@@ -372,10 +391,12 @@
         ]
         if len(known) >= max(2, (len(speeds) + 1) // 2):
             middle_s = median_low(known)
-            if service not in self._references_s or _all_equal(
-                speeds.values(), middle_s
+            if service not in self._settled or all(
+                each.is_equal(middle_s) for each in speeds.values()
             ):
                 self._references_s[service] = middle_s
+            if len(known) == len(speeds):
+                self._settled.add(service)
         reference_s = self._references_s.get(service, 0.0)
         changed = []
         for name, speed in speeds.items():
@@ -411,16 +432,3 @@
             )
         )
         speed.logged = factor
-
-
-def _all_equal(speeds: Iterable[EndpointSpeed], middle_s: float) -> bool:
-    """Return whether no endpoint differs from the median."""
-    for speed in speeds:
-        tuning = speed.tuning
-        limit = tuning.differs_ratio
-        if speed.measured != 1.0:
-            limit = tuning.same_ratio
-        ratio = speed.unit_time.value_s / middle_s
-        if ratio and not 1.0 / limit < ratio < limit:
-            return False
-    return True
--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -56,6 +56,10 @@
 # token takes a step of the batch.
 FIRST_EVENT_DELAY_S: Final = 0.06
 
+# Requests that two routers send within this time may reach the engine in the
+# other order: longer than the routers' updates take.
+REORDER_S: Final = 0.02
+
 # Without new observations, the difference between an engine's slowness and
 # 1 halves in this time.
 SLOWNESS_HALF_LIFE_S: Final = 6.0
@@ -107,6 +111,9 @@
     speed: EndpointSpeed = field(
         default_factory=lambda: EndpointSpeed(ENGINE_TUNING)
     )
+    # Requests whose prefill counts as done, as that of one sent at almost the
+    # same time is, and which had no first event yet.
+    unconfirmed: dict[int, RunningRequest] = field(default_factory=dict)
     applied_lasting: float = 1.0  # Its lasting factor in the predictions.
 
     def cached_prefix_tokens(self, prompt: Prompt) -> int:
@@ -227,23 +234,21 @@
         """
         entry = self.pending.get(call)
         if entry is None:
+            confirmed = self.unconfirmed.pop(call, None)
+            if confirmed is not None:
+                self._measure([confirmed], now_s, event_s, reporter)
             return None
-        first_sent_s, tokens, had_capacity = now_s, 0.0, True
+        done = []
         while self.pending:
-            first, done = self.pending.popitem(last=False)
-            first_sent_s = min(first_sent_s, done.sent_s)
-            tokens += done.prefill_tokens
-            had_capacity = had_capacity and done.had_capacity
+            first, each = self.pending.popitem(last=False)
             if first == call:
+                done.append(each)
                 break
-        # A request that waits for a slot or for memory is not prefilled.
-        if event_s is None or not had_capacity:
-            self.speed.prefilled_untimed(now_s)
-        else:
-            load = 1.0 + len(self.running) * RUNNING_COST_TOKENS / 1000.0
-            self.speed.prefilled(
-                tokens * load, first_sent_s, FIXED_DELAY_S, event_s, reporter
-            )
+            if each.sent_s > entry.sent_s - REORDER_S:
+                self.unconfirmed[first] = each
+            else:
+                done.append(each)
+        self._measure(done, now_s, event_s, reporter)
         pending_s = sum(each.prefill_s for each in self.pending.values())
         # The next prefill began while the tokens of this first event were
         # generated.
@@ -299,6 +304,8 @@
         if self.pending.pop(call, None) is not None:
             self.prefill_done_s -= entry.prefill_s
             self.speed.interrupted()
+        elif self.unconfirmed.pop(call, None) is not None:
+            self.speed.interrupted()
 
     def expire(self, now_s: float) -> None:
         """Drop requests whose end was not recorded in time.
@@ -313,6 +320,28 @@
         for call in expired:
             self.end(call)
 
+    def _measure(
+        self,
+        done: list[RunningRequest],
+        now_s: float,
+        event_s: float | None,
+        reporter: str,
+    ) -> None:
+        """Measure the engine's speed with prefill that is done."""
+        # A request that waits for a slot or for memory is not prefilled.
+        if event_s is None or not all(each.had_capacity for each in done):
+            self.speed.prefilled_untimed(now_s)
+            return
+        tokens = sum(each.prefill_tokens for each in done)
+        load = 1.0 + len(self.running) * RUNNING_COST_TOKENS / 1000.0
+        self.speed.prefilled(
+            tokens * load,
+            min(each.sent_s for each in done),
+            FIXED_DELAY_S,
+            event_s,
+            reporter,
+        )
+
     def _cache_parts(self, prompt: Prompt) -> None:
         """Add the parts of a prompt to the cache; evict the oldest parts."""
         for part in prompt.parts:
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -259,7 +259,13 @@
         :param now_s: the time
         """
         view = endpoint.view
-        if view is None or number not in view.pending:
+        if view is None:
+            return
+        if number not in view.pending:
+            late = view.unconfirmed.get(number)
+            if late is not None:
+                timed = self._ran_without_stall(late.sent_s, now_s)
+                view.start(number, now_s, now_s if timed else None)
             return
         sent_s = view.pending[number].sent_s
         timed = self._ran_without_stall(sent_s, now_s)
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -30,7 +30,12 @@
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.daemon.lifeproof import LifeProofs
 from bulrushstream.messages import Notice
-from bulrushstream.metrics import Metrics, count_crowd, count_excess
+from bulrushstream.metrics import (
+    Metrics,
+    count_crowd,
+    count_excess,
+    set_work_factors,
+)
 from bulrushstream.protocol.dialect import Dialect, HeadError
 from bulrushstream.state.call import AnswerHead, Call, RawHeaders
 from bulrushstream.state.effect import Decision
@@ -503,6 +508,7 @@
     def report_shares(self) -> None:
         """Log the shares, their use here, and crowds since the last call."""
         self._report_shares(self.fleet_state.report_shares(self.clock()))
+        set_work_factors(self.metrics, self.pool.work_factors())
         ingress, lag = self.ingress, self.loop_lag
         crowd = Crowd(
             lag.longest_s,
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -69,6 +69,7 @@
     caller_connections: Counter  # Callers' connections that were ended.
     excess: Counter  # Connections whose peers sent too much.
     spoiled_streams: Counter  # Streams whose endpoints spoiled them.
+    work_factor: Gauge  # How long work takes at uneven endpoints.
 
 
 def make_metrics() -> Metrics:
@@ -197,6 +198,11 @@
             "service",
             "reason",
         ),
+        work_factor=gauge(
+            "endpoint_work_factor",
+            "How long work takes at an endpoint that differs from others.",
+            "endpoint",
+        ),
     )
 
 
@@ -275,6 +281,17 @@
     metrics.oldest_peer_age.set(report.oldest_peer_age_s)
 
 
+def set_work_factors(metrics: Metrics, factors: Mapping[str, float]) -> None:
+    """Set the factors of uneven endpoints; others are removed.
+
+    :param metrics: The metrics of a router.
+    :param factors: How long work takes at each, over the usual.
+    """
+    metrics.work_factor.clear()
+    for endpoint, factor in factors.items():
+        metrics.work_factor.labels(endpoint).set(factor)
+
+
 def count_crowd(metrics: Metrics, crowd: Crowd) -> None:
     """Count what a router did as too many callers use it.
 
