--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -58,12 +58,18 @@
 
 # Requests that two routers send within this time may reach the engine in the
 # other order: longer than the routers' updates take.
-REORDER_S: Final = 0.02
+REORDER_S: Final = 0.1
 
 # Without new observations, the difference between an engine's slowness and
 # 1 halves in this time.
 SLOWNESS_HALF_LIFE_S: Final = 6.0
 
+# An engine of more than this slowness may get no request that would show that
+# it recovered.  Without observations for this time, the next request is sent
+# as if it had; that is long enough for a prompt on a slow engine.
+MAX_UNTESTED_SLOWNESS: Final = 2.0
+SLOWNESS_TEST_AFTER_S: Final = 2.5
+
 
 def uncached_prefill_tokens(prompt: Prompt, cached: int) -> float:
     """Return a prompt's uncached tokens, with the cost of attention.
@@ -142,9 +148,22 @@
         if self.slowness == 1.0:
             return 1.0
         idle_s = max(0.0, now_s - self.slowness_observed_s)
+        if self._is_test_due(idle_s):
+            return 1.0
+        return self._decayed_slowness(idle_s)
+
+    def _decayed_slowness(self, idle_s: float) -> float:
+        """Return the slowness so long after its last observation."""
         decay: float = 0.5 ** (idle_s / SLOWNESS_HALF_LIFE_S)
         return 1.0 + (self.slowness - 1.0) * decay
 
+    def _is_test_due(self, idle_s: float) -> bool:
+        """Return whether the next request tests if the engine recovered."""
+        return (
+            idle_s > SLOWNESS_TEST_AFTER_S
+            and self.slowness > MAX_UNTESTED_SLOWNESS
+        )
+
     def prefill_s(self, tokens: float, rate: float, now_s: float) -> float:
         """Return the predicted duration of a prefill.
 
@@ -193,6 +212,8 @@
         :param expires_s: when the request is dropped if no end is recorded
         :returns: the predicted duration of its prefill in seconds
         """
+        if self._is_test_due(now_s - self.slowness_observed_s):
+            self.slowness_observed_s = now_s  # One test at a time.
         tokens = self.prefill_tokens(prompt)
         prefill_s = self.prefill_s(tokens, rate, now_s)
         output = prompt.output_hint or prompt.output_limit
@@ -271,7 +292,14 @@
         if self.speed.uneven:
             observed *= self.speed.factor(now_s)
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, rate / observed))
-        current = self.slowness_at(now_s)
+        current = self._decayed_slowness(
+            max(0.0, now_s - self.slowness_observed_s)
+        )
+        if ratio < current / MAX_UNTESTED_SLOWNESS and (
+            current > MAX_UNTESTED_SLOWNESS
+        ):
+            # A prompt can take longer for other reasons, but not less long.
+            current = ratio
         self.slowness = current + SLOWNESS_GAIN * (ratio - current)
         self.slowness_observed_s = now_s
 
