--- a/src/bulrushstream/coordination/endpointspeed.py
+++ b/src/bulrushstream/coordination/endpointspeed.py
@@ -158,6 +158,7 @@
     logged: float = 1.0  # What was measured at the last log line.
     unit_time: UnitTime = field(init=False)
     updated_s: float = float("-inf")  # The end of the last window.
+    reported_s: float = float("-inf")  # When peers were told of an answer.
     _momentary: float = 1.0  # As told.
     _told_s: float = float("-inf")
     _told_here: bool = False  # Whether this router was told.
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -69,6 +69,10 @@
 MIN_PREFILL_COST_S: Final = 1e-6
 INITIAL_QUOTA_TOKENS: Final = 2_000.0
 
+# Peers learn of an answer of each plain endpoint at most once in this time, so
+# that the cost of updates does not grow with the rate of answers.
+PLAIN_REPORT_INTERVAL_S: Final = 0.1
+
 # The longest interval that is reported, in milliseconds.
 MAX_INTERVAL_MS: Final = 2**31 - 1
 
@@ -299,7 +303,11 @@
         speed = endpoint.plain_speed
         took_s = now_s - sent_s
         speed.answered(took_s, requests, endpoint.entry.slots, now_s, "")
-        if self.notifier is not None:
+        if (
+            self.notifier is not None
+            and now_s - speed.reported_s >= PLAIN_REPORT_INTERVAL_S
+        ):
+            speed.reported_s = now_s
             told = speed.told_percent(sent_s)
             self.notifier.report_started(
                 FirstEvent(number, 0, _to_ms(took_s), told)
