--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -72,6 +72,7 @@
     evacuated_zones: Gauge  # Zones whose endpoints get no requests.
     evacuation_withdrawn: Counter  # Requests that were to be sent there.
     evacuation_requests: Gauge  # Requests of this router that run there.
+    work_factor: Gauge  # How long work takes at uneven endpoints.
 
 
 def make_metrics() -> Metrics:
@@ -213,6 +214,11 @@
             "Requests of this router that still run in evacuated zones.",
             "zone",
         ),
+        work_factor=gauge(
+            "endpoint_work_factor",
+            "How long work takes at an endpoint that differs from others.",
+            "endpoint",
+        ),
     )
 
 
@@ -303,6 +309,17 @@
     metrics.oldest_peer_age.set(report.oldest_peer_age_s)
 
 
+def set_work_factors(metrics: Metrics, factors: Mapping[str, float]) -> None:
+    """Set the factors of uneven endpoints; others are removed.
+
+    :param metrics: The metrics of a router.
+    :param factors: How long work takes at each, over the usual.
+    """
+    metrics.work_factor.clear()
+    for endpoint, factor in factors.items():
+        metrics.work_factor.labels(endpoint).set(factor)
+
+
 def count_crowd(metrics: Metrics, crowd: Crowd) -> None:
     """Count what a router did as too many callers use it.
 
--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -42,6 +42,8 @@
 
 # Keys of the operators' topic that begin so evacuate the zone that follows.
 EVACUATE_PREFIX: Final = "evacuate/"
+# The largest whole number that every reader of JSON keeps exactly.
+MAX_START_MS: Final = 2**53
 
 Report = Callable[[str], None]
 
@@ -127,7 +129,7 @@
     state: str = "ready"
     cold_left_ms: float = 0.0
     version: Any = None
-    born: Any = None  # A number or a text.
+    born: Any = None  # A whole number; others are no start.
 
 
 class _Report(msgspec.Struct):
@@ -239,10 +241,12 @@
 
 def _start(born: object) -> str:
     """Return when a process started, as it says; empty: it does not tell."""
-    if isinstance(born, bool) or not isinstance(born, str | int | float):
+    if isinstance(born, bool) or not isinstance(born, int | float):
         return ""
-    told = str(born)
-    return told if len(told) <= MAX_NAME_CHARS else ""
+    # JSON has one kind of number: 5.0 is the whole number 5.
+    if not 0 <= born <= MAX_START_MS or int(born) != born:
+        return ""
+    return str(int(born))
 
 
 def _parse_address(address: str) -> tuple[str, int]:
