Move the token bucket of announced limits into a module

Cause: the limits of cold endpoints need the same bucket. Change: coordination/tokenbucket.py holds the level and its time; the arithmetic of EndpointLimits is the same. Measured: tests/test_limit_sharing.py passes unchanged.

--- a/src/bulrushstream/coordination/endpointlimits.py
+++ b/src/bulrushstream/coordination/endpointlimits.py
@@ -19,6 +19,7 @@
 from typing import Final
 
 from bulrushstream.coordination.routerpresence import RouterPresence
+from bulrushstream.coordination.tokenbucket import TokenBucket
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.peerupdate import EndpointLimit, PeerUpdate
 
@@ -47,8 +48,7 @@
 
     per_s: float  # As the endpoint named it.
     named_s: float  # When an answer last named it, to any router.
-    level: float  # Tokens; negative: debt.
-    filled_s: float  # The time of `level`.
+    tokens: TokenBucket
     wait: float  # What this router waits for beyond one token.
     logged_s: float  # When its use was last logged.
     taken_here: int = 0  # Requests since then, of this router,
@@ -183,7 +183,7 @@
         if bucket is None:
             return 0.0
         self._fill(endpoint, bucket, now_s)
-        missing = 1.0 + bucket.wait - bucket.level
+        missing = bucket.tokens.missing(1.0 + bucket.wait)
         if missing <= 0.0:
             return 0.0
         return missing / self._rate_per_s(endpoint, bucket, now_s)
@@ -201,7 +201,7 @@
         if bucket is None:
             return
         self._fill(endpoint, bucket, now_s)
-        bucket.level = max(-bucket.max_debt, bucket.level - 1.0)
+        bucket.tokens.take(bucket.max_debt)
         bucket.wait = self.rng.random()
         if elsewhere:
             bucket.taken_elsewhere += 1
@@ -237,7 +237,7 @@
                         "here": bucket.taken_here,
                         "elsewhere": bucket.taken_elsewhere,
                         "refused": bucket.refused,
-                        "level": round(bucket.level, 2),
+                        "level": round(bucket.tokens.level, 2),
                     },
                 )
             )
@@ -263,12 +263,16 @@
             del self._buckets[endpoint]
         elif bucket is None:
             self._buckets[endpoint] = _Bucket(
-                per_s, at_s, 0.0, now_s, self.rng.random(), now_s
+                per_s,
+                at_s,
+                TokenBucket(0.0, now_s),
+                self.rng.random(),
+                now_s,
             )
         else:
             self._fill(endpoint, bucket, now_s)
             bucket.per_s = per_s
-            bucket.level = min(bucket.level, 1.0)
+            bucket.tokens.level = min(bucket.tokens.level, 1.0)
         named = "names a limit" if per_s is not None else "names none any more"
         self.on_decision(
             Decision(
@@ -298,7 +302,5 @@
 
     def _fill(self, endpoint: str, bucket: _Bucket, now_s: float) -> None:
         """Add the tokens since the bucket was last filled."""
-        elapsed_s = max(0.0, now_s - bucket.filled_s)
-        tokens = elapsed_s * self._rate_per_s(endpoint, bucket, now_s)
-        bucket.level = min(bucket.capacity, bucket.level + tokens)
-        bucket.filled_s = now_s
+        rate_per_s = self._rate_per_s(endpoint, bucket, now_s)
+        bucket.tokens.fill(rate_per_s, bucket.capacity, now_s)
