Decode what the platform says of cold endpoints

Cause: cold endpoints crash at a rate that they bear later, and routers read neither the rates that services tolerate nor the answers' X-Cold-Ms. Change: coldStartS and coldPerS of services, X-Cold-Ms, coldOvershoot and coldSlack; updates between routers name cold endpoints in field 45. A bad value costs neither the service nor the answer.

--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 import re
 from collections.abc import Callable
 from typing import Annotated, Any, Final, TypeVar
@@ -37,7 +38,14 @@
 MAX_MS: Final = 1e9
 MAX_WEIGHT: Final = 1e9
 
+MAX_COLD_START_S: Final = 3_600.0
+DEFAULT_COLD_START_S: Final = 3.0
+
+# A limit in requests a second above this one is no limit in practice.
+MAX_COLD_PER_S: Final = 1e6
+
 MAX_NAME_CHARS: Final = 255
+MAX_LOGGED_CHARS: Final = 40
 
 Report = Callable[[str], None]
 
@@ -91,6 +99,9 @@
     max_conns: Annotated[int, msgspec.Meta(gt=0)] = 64
     health_path: _HealthPath = ""
     engine: _Engine | None = None
+    # A value that can not be used must not cost the service its endpoints.
+    cold_start_s: Any = None
+    cold_per_s: Any = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -149,7 +160,13 @@
             _decode_each(raw.routes, _Route, _route, "route", report)
         ),
         services=tuple(
-            _decode_each(raw.services, _Service, _service, "service", report)
+            _decode_each(
+                raw.services,
+                _Service,
+                lambda service: _service(service, report),
+                "service",
+                report,
+            )
         ),
         workspaces=tuple(
             _decode_each(
@@ -299,7 +316,7 @@
     )
 
 
-def _service(raw: _Service) -> PooledService:
+def _service(raw: _Service, report: Report) -> PooledService:
     traits = None
     if raw.engine is not None:
         traits = EngineTraits(
@@ -307,7 +324,35 @@
             min(raw.engine.kv_tokens, MAX_COUNT),
         )
     max_connections = min(raw.max_conns, MAX_COUNT)
-    return PooledService(raw.name, max_connections, traits, raw.health_path)
+    start_s = _number(raw.cold_start_s)
+    if start_s is None or not 0.0 <= start_s <= MAX_COLD_START_S:
+        if raw.cold_start_s is not None:
+            report(
+                f"service {raw.name}: coldStartS is no time: "
+                f"{str(raw.cold_start_s)[:MAX_LOGGED_CHARS]!r}"
+            )
+        start_s = DEFAULT_COLD_START_S
+    per_s = _number(raw.cold_per_s)
+    if per_s is None and raw.cold_per_s is not None:
+        report(
+            f"service {raw.name}: coldPerS is no number, so there is no "
+            f"limit: {str(raw.cold_per_s)[:MAX_LOGGED_CHARS]!r}"
+        )
+    if per_s is not None and math.isfinite(per_s):
+        per_s = min(per_s, MAX_COLD_PER_S)
+    return PooledService(
+        raw.name, max_connections, traits, raw.health_path, per_s, start_s
+    )
+
+
+def _number(value: object) -> float | None:
+    """Return a number of a document; None: it is none."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    try:
+        return float(value)
+    except OverflowError:
+        return math.inf
 
 
 def _workspace_keys(raw: _Tenant) -> WorkspaceKeys:
--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -341,6 +341,7 @@
             name.lower() == b"server-leaving" and value.strip() == b"1"
             for name, value in headers
         ),
+        cold_s=_parse_cold(headers) if b"x-cold-ms" in values else 0.0,
     )
 
 
@@ -372,6 +373,18 @@
     return limit, bad
 
 
+def _parse_cold(headers: RawHeaders) -> float:
+    """Return the longest time for which an answer says that it is cold.
+
+    What is no number carries no information.
+    """
+    cold_s = 0.0
+    for name, value in headers:
+        if name.lower() == b"x-cold-ms" and _NUMBER.fullmatch(value.strip()):
+            cold_s = max(cold_s, min(MAX_REST_S, float(value) / 1000.0))
+    return cold_s
+
+
 def _parse_rests(headers: RawHeaders) -> tuple[float, str]:
     """Return the longest rest that an answer asks for, and one that is none.
 
--- a/src/bulrushstream/platform/nodefile.py
+++ b/src/bulrushstream/platform/nodefile.py
@@ -15,6 +15,7 @@
 SETTINGS_VARIABLE: Final = "BULRUSHSTREAM_NODE_FILE"
 
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
+_Bounded = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 
 
 class _Listen(msgspec.Struct):
@@ -36,6 +37,8 @@
     retry_window_s: _Positive = 10.0
     retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     quota_window_s: _Positive = 4.0
+    cold_overshoot: _Bounded = 1.5
+    cold_slack: _Bounded = 5.0
 
 
 class _Platform(msgspec.Struct, rename="camel"):
@@ -122,6 +125,8 @@
         store_partitions=node.platform.parts,
         store_call_bytes=node.platform.call_bytes,
         heartbeat_s=node.heartbeat_ms / 1000.0,
+        cold_overshoot=bounds.cold_overshoot,
+        cold_slack=bounds.cold_slack,
     )
 
 
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -24,6 +24,7 @@
     StruckPart,
 )
 from bulrushstream.state.peerupdate import (
+    ColdEndpoint,
     CrashSuspect,
     EndpointLimit,
     FirstEvent,
@@ -133,6 +134,11 @@
         mixed_services=list(update.mixed_services) or None,
         leaving_endpoints=list(update.leaving_endpoints) or None,
         leaving_starts=list(update.leaving_starts) or None,
+        cold=[
+            _SCHEMA.Cold(each.endpoint, _to_ms(each.left_s))
+            for each in update.cold_endpoints
+        ]
+        or None,
         zone=update.zone or None,
         pass_on=update.pass_on or None,
         totals=[
@@ -244,6 +250,11 @@
         lists["leaving_endpoints"] = tuple(wire.leaving_endpoints)
     if wire.leaving_starts:
         lists["leaving_starts"] = tuple(wire.leaving_starts)
+    if wire.cold:
+        lists["cold_endpoints"] = tuple(
+            ColdEndpoint(each.endpoint, each.left_ms / 1000)
+            for each in wire.cold
+        )
     if wire.limits:
         lists["limits"] = tuple(
             EndpointLimit(
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -63,6 +63,11 @@
   4: i32 age_ms
 }
 
+struct Cold {
+  1: string endpoint
+  2: i32 left_ms
+}
+
 struct Update {
   1: string instance
   2: i64 incarnation
@@ -86,4 +91,5 @@
   20: optional string zone
   21: optional bool pass_on
   22: optional list<string> leaving_starts
+  45: optional list<Cold> cold
 }
--- a/src/bulrushstream/state/call.py
+++ b/src/bulrushstream/state/call.py
@@ -86,6 +86,7 @@
     rest_s: float = 0.0  # How long the endpoint wants no request.
     bad_rest: str = ""  # A rest that can not be read, for the log.
     leaving: bool = False  # Whether the endpoint says that it leaves.
+    cold_s: float = 0.0  # How long the endpoint stays cold, as it says.
 
 
 class AnswerProgress(StrEnum):
--- a/src/bulrushstream/state/nodesettings.py
+++ b/src/bulrushstream/state/nodesettings.py
@@ -44,3 +44,7 @@
     store_partitions: int = 1
     store_call_bytes: int = 2 * 2**20  # The largest append.
     heartbeat_s: float = 1.2  # How often endpoints renew their list entries.
+    # In any second a cold endpoint gets at most the rate of its service times
+    # the first figure, and the second one, from all routers.
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0  # Requests.
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -65,6 +65,14 @@
     born: str = ""  # The start of the endpoint's process; empty: not told.
 
 
+@dataclass(frozen=True, slots=True)
+class ColdEndpoint:
+    """An endpoint that is cold."""
+
+    endpoint: str  # The endpoint's id.
+    left_s: float  # How much longer, when the update is sent.
+
+
 @dataclass(frozen=True, slots=True)
 class RepeatedReports:
     """What a heartbeat repeats, for peers that missed it."""
@@ -76,6 +84,7 @@
     mixed_services: tuple[str, ...] = ()
     # Ids, and the starts of the processes.
     leaving_endpoints: tuple[tuple[str, str], ...] = ()
+    cold_endpoints: tuple[ColdEndpoint, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +111,7 @@
     leaving_endpoints: tuple[str, ...] = ()
     # The starts of their processes, in this order; empty if none is told.
     leaving_starts: tuple[str, ...] = ()
+    cold_endpoints: tuple[ColdEndpoint, ...] = ()
     known_hosts: tuple[str, ...] = ()  # IP addresses of some of its peers.
     zone: str = ""  # The router's availability zone; only in heartbeats.
     # Whether a receiver in another zone passes it on to that zone's routers.
--- a/src/bulrushstream/state/routes.py
+++ b/src/bulrushstream/state/routes.py
@@ -71,6 +71,10 @@
     max_connections: int  # Per endpoint, from all routers together.
     engine: EngineTraits | None = None  # None: a plain service.
     health_path: str = ""  # Where its endpoints tell their id; empty: none.
+    # Requests a second that a cold endpoint takes from all routers, as
+    # configured; None: not given.  Only a finite one above 0 is a limit.
+    cold_per_s: float | None = None
+    cold_start_s: float = 3.0  # How long an endpoint is cold after its start.
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bulrushstream/state/usage.py
+++ b/src/bulrushstream/state/usage.py
@@ -30,6 +30,18 @@
     oldest_peer_age_s: float  # The time since its last update.
 
 
+@dataclass(frozen=True, slots=True)
+class ColdUse:
+    """Cold endpoints at one router, and what was decided for them lately."""
+
+    cold: int = 0  # Endpoints that are cold now.
+    ramped_up: int = 0  # Those that were cold before and are ramped up.
+    share: float = 1.0  # Of the routers that may exist, those heard here.
+    diverted: int = 0  # Requests that went to another endpoint.
+    refused: int = 0  # Requests that no endpoint could take.
+    withdrawn: int = 0  # Requests that waited for a connection in vain.
+
+
 @dataclass(frozen=True, slots=True)
 class Crowd:
     """Signs that too many callers use one router, since the last report."""
