Keep requests within what cold endpoints tolerate

Cause: all routers see an endpoint that starts as idle and send to it at once. Requests go elsewhere or are refused with B136 and the time until a token.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -120,6 +120,23 @@
         told = known.entry.born if known is not None else ""
         return not born or not told or born == told
 
+    def service_of(self, name: str) -> str | None:
+        """Return an endpoint's service; None: it is not listed.
+
+        :param name: its id
+        """
+        known = self.by_name.get(name)
+        return None if known is None else known.entry.service
+
+    def forget_history(self, name: str) -> None:
+        """Forget what an engine that began anew had cached.
+
+        :param name: its id
+        """
+        known = self.by_name.get(name)
+        if known is not None and known.view is not None:
+            known.view.forget_history()
+
     def is_replaced(self, endpoint: Endpoint) -> bool:
         """Return whether another process has an endpoint's id now.
 
--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -233,6 +233,15 @@
         self.slowness = current + SLOWNESS_GAIN * (ratio - current)
         self.slowness_observed_s = now_s
 
+    def forget_history(self) -> None:
+        """Forget its cache and its speed, as its process began anew.
+
+        Requests that run there go on.
+        """
+        self.cached.clear()
+        self.cached_tokens = 0
+        self.slowness = 1.0
+
     def end(self, call: int) -> None:
         """Record the end of a request, whether it succeeded or failed.
 
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -13,6 +13,7 @@
 from itertools import zip_longest
 from typing import Final
 
+from bulrushstream.coordination.coldstarts import ColdStarts
 from bulrushstream.coordination.crashrecords import CrashRecords
 from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointlimits import EndpointLimits
@@ -113,6 +114,7 @@
     notices: EndpointNotices
     crash_records: CrashRecords
     notifier: PeerNotifier | None = None  # None: not connected to peers.
+    cold: ColdStarts = field(default_factory=ColdStarts)
     pool: EndpointPool = field(init=False)
     # Average over all engines, in tokens per second.
     prefill_rate: float = DEFAULT_PREFILL_TOKENS_PER_S
@@ -132,6 +134,8 @@
     def __post_init__(self) -> None:
         self.pool = EndpointPool(self.notices)
         self.limits.is_listed = self.pool.may_be_listed
+        self.cold.service_of = self.pool.service_of
+        self.cold.on_cold = self.pool.forget_history
 
     def set_notifier(self, notifier: PeerNotifier) -> None:
         """Report changes to the other routers from now on.
@@ -145,6 +149,7 @@
             self._add_start(limit)
         )
         self.notices.report_leaving = notifier.report_leaving
+        self.cold.report = notifier.report_cold
         self.streams.set_notifier(notifier)
 
     def repeated_reports(self, now_s: float) -> RepeatedReports:
@@ -159,6 +164,18 @@
             tuple(map(self._add_start, self.limits.limits_to_repeat(now_s))),
             self.streams.history.listed_with_several(),
             self.notices.to_repeat(now_s),
+            self.cold.to_repeat(now_s),
+        )
+
+    def zone_reopened(self, zone: str, now_s: float) -> None:
+        """Handle a zone that is back in service after an evacuation.
+
+        :param zone: the zone's name
+        :param now_s: the time
+        """
+        entries = [each.entry for each in self.pool.by_name.values()]
+        self.cold.zone_reopened(
+            [each for each in entries if each.availability_zone == zone], now_s
         )
 
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
@@ -198,6 +215,7 @@
         number = self.number_base + self._number
         endpoint.outstanding += 1
         self.limits.placed(endpoint.name, now_s)
+        self.cold.placed(endpoint.name, number, now_s)
         if endpoint.view is not None and prompt is not None:
             self._place_in_view(
                 endpoint.view, number, prompt, now_s, expires_s
@@ -277,6 +295,7 @@
         :param number: the attempt's number
         """
         self._grants.pop(number, None)
+        self.cold.ended(endpoint.name, number)
         _release(endpoint, number)
         if self.notifier is not None:
             self.notifier.report_ended(number)
@@ -295,6 +314,9 @@
         self.limits.presence.heard(
             update.instance, now_s, leaving=update.leaving
         )
+        self.cold.roster.heard(update.host, now_s, leaving=update.leaving)
+        # Before the placements, which are then counted.
+        self.cold.apply_update(update, now_s)
         if peer is not known:
             self.suspects.peer_appeared(now_s)
             self.parts.reports.peer_appeared(now_s)
@@ -360,6 +382,7 @@
         self.parts.sweep(now_s)
         self.limits.presence.sweep(now_s)
         self.limits.sweep(now_s)
+        self.cold.sweep(now_s)
         self.notices.sweep(now_s)
         self._extrapolate_peer_usage(now_s)
         for endpoint in self.pool.by_name.values():
@@ -501,6 +524,7 @@
         endpoint.outstanding += 1
         self.parts.placed(endpoint.name, placed.part_ids[:-1], now_s)
         self.limits.placed(endpoint.name, now_s, elsewhere=True)
+        self.cold.placed(endpoint.name, placed.call_id, now_s, elsewhere=True)
         if endpoint.view is not None and placed.input_tokens:
             parts = zip(placed.part_ids, placed.part_tokens, strict=False)
             prompt = Prompt(
--- a/src/bulrushstream/coordination/peernotifier.py
+++ b/src/bulrushstream/coordination/peernotifier.py
@@ -8,6 +8,7 @@
 from bulrushstream.coordination.partreports import PartNotifier
 from bulrushstream.coordination.streamversions import VersionNotifier
 from bulrushstream.state.peerupdate import (
+    ColdEndpoint,
     EndpointLimit,
     FirstEvent,
     RequestPlaced,
@@ -37,5 +38,8 @@
     def report_limit(self, limit: EndpointLimit) -> None:
         """Report a limit that an endpoint names, or that has ended."""
 
+    def report_cold(self, cold: ColdEndpoint) -> None:
+        """Report that an endpoint is cold."""
+
     def report_leaving(self, endpoint: str, born: str) -> None:
         """Report that an endpoint says that it leaves."""
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -214,6 +214,9 @@
             endpointload.observe(
                 front, self.endpoint, head, self.sent_s, self._heard_s
             )
+        else:
+            # It reached another process, if any.
+            front.fleet_state.cold.not_counted(self.endpoint.name, self.sent_s)
         if self._pending is not None and not self._reused:
             sign = Sign.SAME_INSTANCE
             if status == 421:
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -70,7 +70,11 @@
     if isinstance(selected, Refusal):
         if selected.notice is messages.LIMITS_REACHED:
             front.fleet_state.limits.refused(each.name for each in usable)
+        elif selected.notice is messages.ENDPOINTS_COLD:
+            front.fleet_state.cold.refused(each.name for each in usable)
         return selected
+    if front.fleet_state.cold and len(selected) < len(usable):
+        safeguards.count_diverted(front.fleet_state, usable, now_s)
     usable = selected
     prompt = forward.call.prompt
     if prompt is None or not any(each.view for each in usable):
--- a/src/bulrushstream/daemon/fleetsetup.py
+++ b/src/bulrushstream/daemon/fleetsetup.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+from bulrushstream.coordination.coldstarts import ColdStarts
 from bulrushstream.coordination.crashids import CrashIds
 from bulrushstream.coordination.crashrecords import CrashRecords
 from bulrushstream.coordination.crashsuspects import CrashSuspects
@@ -16,6 +17,7 @@
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.parttrials import PartTrials
 from bulrushstream.coordination.routerpresence import RouterPresence
+from bulrushstream.coordination.routerroster import RouterRoster
 from bulrushstream.coordination.streamorigins import StreamOrigins
 from bulrushstream.coordination.streamversions import StreamVersions
 from bulrushstream.coordination.versionhistory import VersionHistory
@@ -64,4 +66,11 @@
         ),
         EndpointNotices(observe),
         CrashRecords(suspects, parts, time_of_day, observe),
+        cold=ColdStarts(
+            observe,
+            RouterRoster(settings.host, clock(), peers.notified_hosts),
+            rng,
+            settings.cold_overshoot,
+            settings.cold_slack,
+        ),
     )
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -203,6 +203,10 @@
             return None
         if not front.may_send(self):
             return None
+        if not front.fleet_state.cold.may_send(
+            endpoint.name, attempt.number, now_s
+        ):
+            return None
         self.progress.sends += 1
         self.progress.may_have_run = True
         attempt.sent_s = now_s
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -30,7 +30,12 @@
 from bulrushstream.daemon.forward import Forward
 from bulrushstream.daemon.lifeproof import LifeProofs
 from bulrushstream.messages import Notice
-from bulrushstream.metrics import Metrics, count_crowd, count_excess
+from bulrushstream.metrics import (
+    Metrics,
+    count_cold,
+    count_crowd,
+    count_excess,
+)
 from bulrushstream.protocol.dialect import Dialect, HeadError
 from bulrushstream.state.call import AnswerHead, Call, RawHeaders
 from bulrushstream.state.effect import Decision
@@ -203,6 +208,8 @@
         self.freshness.max_age_s = float("inf") if limit_s is None else limit_s
         self.retry_quota.limits = _retry_limits(settings)
         self.fleet_state.shares.window_s = settings.quota_window_s
+        self.fleet_state.cold.overshoot = settings.cold_overshoot
+        self.fleet_state.cold.slack = settings.cold_slack
 
     # --- Requests.
 
@@ -436,6 +443,8 @@
         notices, now_s = self.fleet_state.notices, self.clock()
         if head.bad_rest:
             notices.bad_rest(endpoint.name, head.bad_rest)
+        if head.cold_s > 0.0:
+            self.fleet_state.cold.told(endpoint.entry, head.cold_s, now_s)
         if head.rest_s > 0.0:
             notices.asked_for_rest(endpoint.name, head.rest_s, now_s)
         if head.leaving:
@@ -513,6 +522,8 @@
         ingress.closed_count = ingress.refused_count = 0
         lag.reported()
         count_crowd(self.metrics, crowd)
+        cold_use = self.fleet_state.cold.take_use(self.clock())
+        count_cold(self.metrics, cold_use)
         if crowd.is_crowded:
             self.report(
                 "crowded",
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -29,6 +29,7 @@
     front.streams.history.configure(config.routes)
     for service in config.services:
         front.pool.set_traits(service.name, service.engine)
+    front.fleet_state.cold.configure(config.services, front.clock())
     front.metrics.config_version.set(config.version)
     front.observe(
         Decision(
@@ -51,6 +52,8 @@
     :param front: the router
     :param entry: the list's entry
     """
+    # Also an entry that is equal to the one before is news.
+    front.fleet_state.cold.listed(entry, front.clock())
     known = front.pool.by_name.get(entry.endpoint)
     if known is not None and known.entry.may_be_process_of(entry):
         entry = entry.after(known.entry)
--- a/src/bulrushstream/daemon/safeguards.py
+++ b/src/bulrushstream/daemon/safeguards.py
@@ -118,16 +118,37 @@
         ]
         if not endpoints:
             return Refusal(messages.PART_HELD)
-    limits = state.limits
-    if not limits or not endpoints:
+    limits, cold = state.limits, state.cold
+    if not (limits or cold) or not endpoints:
         return endpoints
-    waits_s = [limits.room_s(each.name, now_s) for each in endpoints]
+    waits_s = [
+        max(limits.room_s(each.name, now_s), cold.room_s(each.name, now_s))
+        for each in endpoints
+    ]
     if min(waits_s) > 0.0:
-        return Refusal(messages.LIMITS_REACHED, wait_s=min(waits_s))
+        notice = messages.LIMITS_REACHED
+        if any(cold.room_s(each.name, now_s) for each in endpoints):
+            notice = messages.ENDPOINTS_COLD
+        return Refusal(notice, wait_s=min(waits_s))
     pairs = zip(endpoints, waits_s, strict=True)
     return [each for each, wait_s in pairs if wait_s <= 0.0]
 
 
+def count_diverted(
+    state: FleetState, endpoints: list[Endpoint], now_s: float
+) -> None:
+    """Count a request that goes elsewhere as some endpoints are cold.
+
+    :param state: the router's state
+    :param endpoints: those that accept requests
+    :param now_s: the time
+    """
+    cold = state.cold
+    cold.diverted(
+        each.name for each in endpoints if cold.room_s(each.name, now_s)
+    )
+
+
 def endpoint_crashed(
     state: FleetState, endpoint: str, run: BrokenRun, now_s: float
 ) -> None:
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -113,6 +113,9 @@
 ROUTER_CROWDED: Final = Notice(
     "B134", "The router is crowded; another one may take the request.", 503
 )
+ENDPOINTS_COLD: Final = Notice(
+    "B136", "Every endpoint that could serve the request is cold.", 503
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -21,7 +21,7 @@
 
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.excess import Excess
-from bulrushstream.state.usage import Crowd, ShareReport
+from bulrushstream.state.usage import ColdUse, Crowd, ShareReport
 
 if TYPE_CHECKING:
     from bulrushstream.transport.callers import Exchange
@@ -69,6 +69,9 @@
     caller_connections: Counter  # Callers' connections that were ended.
     excess: Counter  # Connections whose peers sent too much.
     spoiled_streams: Counter  # Streams whose endpoints spoiled them.
+    cold_endpoints: Gauge  # Cold endpoints, and those that are ramped up.
+    cold_share: Gauge  # The share of the routers that are heard.
+    cold_requests: Counter  # Requests kept from cold endpoints.
 
 
 def make_metrics() -> Metrics:
@@ -197,6 +200,17 @@
             "service",
             "reason",
         ),
+        cold_endpoints=gauge(
+            "cold_endpoints", "Endpoints by their state.", "state"
+        ),
+        cold_share=gauge(
+            "cold_share", "Share of the limits of cold endpoints in use here."
+        ),
+        cold_requests=counter(
+            "cold_requests",
+            "Requests that cold endpoints could not take.",
+            "result",
+        ),
     )
 
 
@@ -290,6 +304,24 @@
             metrics.caller_connections.labels(state).inc(count)
 
 
+def count_cold(metrics: Metrics, use: ColdUse) -> None:
+    """Count the cold endpoints and the requests kept from them.
+
+    :param metrics: The metrics of the router.
+    :param use: What it decided since the last report.
+    """
+    metrics.cold_endpoints.labels("cold").set(use.cold)
+    metrics.cold_endpoints.labels("ramped_up").set(use.ramped_up)
+    metrics.cold_share.set(use.share)
+    for result, count in (
+        ("diverted", use.diverted),
+        ("refused", use.refused),
+        ("withdrawn", use.withdrawn),
+    ):
+        if count:
+            metrics.cold_requests.labels(result).inc(count)
+
+
 def count_message(
     metrics: Metrics,
     direction: str,
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -18,6 +18,7 @@
 )
 from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
+    ColdEndpoint,
     CrashSuspect,
     EndpointLimit,
     FirstEvent,
@@ -66,6 +67,7 @@
     mixed_services: set[str] = field(default_factory=set)
     # The starts of the processes, by the endpoint's id.
     leaving_endpoints: dict[str, str] = field(default_factory=dict)
+    cold_endpoints: list[ColdEndpoint] = field(default_factory=list)
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -76,7 +78,7 @@
         )
         events += len(self.crash_suspects) + len(self.cleared)
         events += len(self.part_strikes) + len(self.part_proofs)
-        return events + len(self.limits)
+        return events + len(self.limits) + len(self.cold_endpoints)
 
     @property
     def has_events(self) -> bool:
@@ -94,6 +96,7 @@
             or self.limits
             or self.mixed_services
             or self.leaving_endpoints
+            or self.cold_endpoints
         )
 
 
@@ -283,6 +286,14 @@
         self._pending.limits.append(limit)
         self._schedule_flush()
 
+    def report_cold(self, cold: ColdEndpoint) -> None:
+        """Report that an endpoint is cold.
+
+        :param cold: the endpoint
+        """
+        self._pending.cold_endpoints.append(cold)
+        self._schedule_flush()
+
     def report_mixed(self, service: str) -> None:
         """Report that a service's endpoints have several versions.
 
@@ -330,6 +341,7 @@
         self._pending.limits.extend(reports.limits)
         self._pending.mixed_services.update(reports.mixed_services)
         self._pending.leaving_endpoints.update(reports.leaving_endpoints)
+        self._pending.cold_endpoints.extend(reports.cold_endpoints)
         repeated, self._repeated_totals = self._repeated_totals, set()
         self._pending.changed_totals |= repeated
         self._flush(heartbeat=True)
@@ -400,6 +412,7 @@
             mixed_services=tuple(sorted(pending.mixed_services)),
             leaving_endpoints=tuple(name for name, _ in leaving),
             leaving_starts=starts if any(starts) else (),
+            cold_endpoints=tuple(pending.cold_endpoints),
             known_hosts=self._next_hosts() if heartbeat else (),
             zone=self.zone if heartbeat else "",
             leaving=self.leaving,
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -30,6 +30,7 @@
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
+    ColdEndpoint,
     CrashSuspect,
     EndpointLimit,
     FirstEvent,
@@ -104,6 +105,9 @@
     def report_part_proof(self, proof: PartProof) -> None:
         self.updates.append(replace(self.identity, part_proofs=(proof,)))
 
+    def report_cold(self, cold: ColdEndpoint) -> None:
+        self.updates.append(replace(self.identity, cold_endpoints=(cold,)))
+
     def report_mixed(self, service: str) -> None:
         update = replace(self.identity, mixed_services=(service,))
         self.updates.append(update)
