Keep a configuration with a cold limit that is not finite

Cause: encoders write NaN, Infinity or 1e400, which are no JSON, and the whole configuration was left out.

--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -8,13 +8,17 @@
 from __future__ import annotations
 
 import ipaddress
-import math
 import re
 from collections.abc import Callable
 from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
 
+from bulrushstream.platform.coldfields import (
+    decode_per_s,
+    decode_start_s,
+    mend_limits,
+)
 from bulrushstream.platform.headers import digest_key
 from bulrushstream.protocol.dialect import DocumentError
 from bulrushstream.state.decoding import DECODE_ERRORS
@@ -38,14 +42,7 @@
 MAX_MS: Final = 1e9
 MAX_WEIGHT: Final = 1e9
 
-MAX_COLD_START_S: Final = 3_600.0
-DEFAULT_COLD_START_S: Final = 3.0
-
-# A limit in requests a second above this one is no limit in practice.
-MAX_COLD_PER_S: Final = 1e6
-
 MAX_NAME_CHARS: Final = 255
-MAX_LOGGED_CHARS: Final = 40
 
 Report = Callable[[str], None]
 
@@ -151,7 +148,13 @@
     try:
         raw = msgspec.json.decode(data, type=_Config)
     except DECODE_ERRORS as error:
-        raise DocumentError(str(error)) from error
+        mended = mend_limits(data)
+        if mended is None:
+            raise DocumentError(str(error)) from error
+        try:
+            raw = msgspec.json.decode(mended, type=_Config)
+        except DECODE_ERRORS:
+            raise DocumentError(str(error)) from error
     tenants = raw.tenants or []
     limits = _convert(raw.limits or {}, _Limits, "limits", report) or _Limits()
     return RouteConfig(
@@ -324,37 +327,16 @@
             min(raw.engine.kv_tokens, MAX_COUNT),
         )
     max_connections = min(raw.max_conns, MAX_COUNT)
-    start_s = _number(raw.cold_start_s)
-    if start_s is None or not 0.0 <= start_s <= MAX_COLD_START_S:
-        if raw.cold_start_s is not None:
-            report(
-                f"service {raw.name}: coldStartS is no time: "
-                f"{str(raw.cold_start_s)[:MAX_LOGGED_CHARS]!r}"
-            )
-        start_s = DEFAULT_COLD_START_S
-    per_s = _number(raw.cold_per_s)
-    if per_s is None and raw.cold_per_s is not None:
-        report(
-            f"service {raw.name}: coldPerS is no number, so there is no "
-            f"limit: {str(raw.cold_per_s)[:MAX_LOGGED_CHARS]!r}"
-        )
-    if per_s is not None and math.isfinite(per_s):
-        per_s = min(per_s, MAX_COLD_PER_S)
     return PooledService(
-        raw.name, max_connections, traits, raw.health_path, per_s, start_s
+        raw.name,
+        max_connections,
+        traits,
+        raw.health_path,
+        decode_per_s(raw.name, raw.cold_per_s, report),
+        decode_start_s(raw.name, raw.cold_start_s, report),
     )
 
 
-def _number(value: object) -> float | None:
-    """Return a number of a document; None: it is none."""
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        return None
-    try:
-        return float(value)
-    except OverflowError:
-        return math.inf
-
-
 def _workspace_keys(raw: _Tenant) -> WorkspaceKeys:
     digests = tuple(digest_key(key) for key in raw.api_keys)
     return WorkspaceKeys(raw.name, digests, raw.priority)
