Move the limits of one cold endpoint into a module of its own

Change: coldlimits.py keeps the bucket and the quota of one endpoint, coldstarts.py what is cold. Measured: tests/test_cold_endpoints.py and tests/test_cold_routers.py pass.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -314,7 +314,9 @@
         self.limits.presence.heard(
             update.instance, now_s, leaving=update.leaving
         )
-        self.cold.roster.heard(update.host, now_s, leaving=update.leaving)
+        self.cold.bounds.roster.heard(
+            update.host, now_s, leaving=update.leaving
+        )
         # Before the placements, which are then counted.
         self.cold.apply_update(update, now_s)
         if peer is not known:
--- a/src/bulrushstream/daemon/fleetsetup.py
+++ b/src/bulrushstream/daemon/fleetsetup.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+from bulrushstream.coordination.coldlimits import ColdBounds
 from bulrushstream.coordination.coldstarts import ColdStarts
 from bulrushstream.coordination.crashids import CrashIds
 from bulrushstream.coordination.crashrecords import CrashRecords
@@ -68,9 +69,11 @@
         CrashRecords(suspects, parts, time_of_day, observe),
         cold=ColdStarts(
             observe,
-            RouterRoster(settings.host, clock(), peers.notified_hosts),
-            rng,
-            settings.cold_overshoot,
-            settings.cold_slack,
+            ColdBounds(
+                RouterRoster(settings.host, clock(), peers.notified_hosts),
+                rng,
+                settings.cold_overshoot,
+                settings.cold_slack,
+            ),
         ),
     )
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -208,8 +208,8 @@
         self.freshness.max_age_s = float("inf") if limit_s is None else limit_s
         self.retry_quota.limits = _retry_limits(settings)
         self.fleet_state.shares.window_s = settings.quota_window_s
-        self.fleet_state.cold.overshoot = settings.cold_overshoot
-        self.fleet_state.cold.slack = settings.cold_slack
+        self.fleet_state.cold.bounds.overshoot = settings.cold_overshoot
+        self.fleet_state.cold.bounds.slack = settings.cold_slack
 
     # --- Requests.
 
