--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -320,6 +320,16 @@
             each.prefill_s *= ratio
         self.prefill_done_s = now_s + self.backlog_s(now_s) * ratio
 
+    def forget_history(self) -> None:
+        """Forget its cache and its speed, as its process began anew.
+
+        Requests that run there go on.
+        """
+        self.cached.clear()
+        self.cached_tokens = 0
+        self.slowness = 1.0
+        self.speed.forget()
+
     def end(self, call: int) -> None:
         """Record the end of a request, whether it succeeded or failed.
 
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from itertools import zip_longest
 from typing import Final
 
+from bulrushstream.coordination.coldstarts import ColdStarts
 from bulrushstream.coordination.crashrecords import CrashRecords
 from bulrushstream.coordination.crashsuspects import CrashSuspects
 from bulrushstream.coordination.endpointlimits import EndpointLimits
@@ -123,12 +124,9 @@
     notices: EndpointNotices
     crash_records: CrashRecords
     notifier: PeerNotifier | None = None  # None: not connected to peers.
+    cold: ColdStarts = field(default_factory=ColdStarts)
     pool: EndpointPool = field(init=False)
     evacuations: Evacuations = field(default_factory=Evacuations)
-    # Called with a zone and the time when its evacuation has ended.
-    on_zone_reopened: list[Callable[[str, float], None]] = field(
-        default_factory=list
-    )
     speeds: EndpointSpeeds = field(init=False)
     # Average over all engines, in tokens per second.
     prefill_rate: float = DEFAULT_PREFILL_TOKENS_PER_S
@@ -152,6 +150,8 @@
         self.speeds = EndpointSpeeds(self.notices.observe)
         self.limits.is_listed = self.pool.may_be_listed
         self.pool.evacuated = self.evacuations.active
+        self.cold.service_of = self.pool.service_of
+        self.cold.on_cold = self.pool.forget_history
 
     def set_notifier(self, notifier: PeerNotifier) -> None:
         """Report changes to the other routers from now on.
@@ -165,6 +165,7 @@
             self._add_start(limit)
         )
         self.notices.report_leaving = notifier.report_leaving
+        self.cold.report = notifier.report_cold
         self.streams.set_notifier(notifier)
         self.evacuations.report = notifier.report_evacuations
 
@@ -181,16 +182,19 @@
             self.streams.history.listed_with_several(),
             self.notices.to_repeat(now_s),
             self.evacuations.to_repeat(self.evacuations.clock()),
+            self.cold.to_repeat(now_s),
         )
 
     def zone_reopened(self, zone: str, now_s: float) -> None:
-        """Handle the end of a zone's evacuation.
+        """Handle a zone that is back in service after an evacuation.
 
-        :param zone: the zone
+        :param zone: the zone's name
         :param now_s: the time
         """
-        for handle in self.on_zone_reopened:
-            handle(zone, now_s)
+        entries = [each.entry for each in self.pool.by_name.values()]
+        self.cold.zone_reopened(
+            [each for each in entries if each.availability_zone == zone], now_s
+        )
 
     def add_demand(self, workspace: str, tokens: int, now_s: float) -> float:
         """Count a request's demand and report it to the peers.
@@ -231,6 +235,7 @@
         if endpoint.speed.uneven:
             endpoint.speed.placed(now_s)
         self.limits.placed(endpoint.name, now_s)
+        self.cold.placed(endpoint.name, number, now_s)
         if endpoint.view is not None and prompt is not None:
             self._place_in_view(
                 endpoint.view, number, prompt, now_s, expires_s
@@ -353,6 +358,7 @@
         """
         self._grants.pop(number, None)
         self._plain_requests.pop(number, None)
+        self.cold.ended(endpoint.name, number)
         _release(endpoint, number)
         if self.notifier is not None:
             self.notifier.report_ended(number)
@@ -371,6 +377,11 @@
         self.limits.presence.heard(
             update.instance, now_s, leaving=update.leaving
         )
+        self.cold.bounds.roster.heard(
+            update.host, now_s, leaving=update.leaving
+        )
+        # Before the placements, which are then counted.
+        self.cold.apply_update(update, now_s)
         if peer is not known:
             self.suspects.peer_appeared(now_s)
             self.parts.reports.peer_appeared(now_s)
@@ -436,6 +447,7 @@
         self.parts.sweep(now_s)
         self.limits.presence.sweep(now_s)
         self.limits.sweep(now_s)
+        self.cold.sweep(now_s)
         self.notices.sweep(now_s)
         self._extrapolate_peer_usage(now_s)
         for endpoint in self.pool.by_name.values():
@@ -624,6 +636,7 @@
         )
         self.parts.placed(endpoint.name, placed.part_ids[:-1], now_s)
         self.limits.placed(endpoint.name, now_s, elsewhere=True)
+        self.cold.placed(endpoint.name, placed.call_id, now_s, elsewhere=True)
         if endpoint.view is not None and placed.input_tokens:
             parts = zip(placed.part_ids, placed.part_tokens, strict=False)
             prompt = Prompt(
--- a/src/bulrushstream/daemon/fleetsetup.py
+++ b/src/bulrushstream/daemon/fleetsetup.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Callable
 
+from bulrushstream.coordination.coldlimits import ColdBounds
+from bulrushstream.coordination.coldstarts import ColdStarts
 from bulrushstream.coordination.crashids import CrashIds
 from bulrushstream.coordination.crashrecords import CrashRecords
 from bulrushstream.coordination.crashsuspects import CrashSuspects
@@ -17,6 +19,7 @@
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.parttrials import PartTrials
 from bulrushstream.coordination.routerpresence import RouterPresence
+from bulrushstream.coordination.routerroster import RouterRoster
 from bulrushstream.coordination.streamorigins import StreamOrigins
 from bulrushstream.coordination.streamversions import StreamVersions
 from bulrushstream.coordination.versionhistory import VersionHistory
@@ -66,4 +69,13 @@
         EndpointNotices(observe),
         CrashRecords(suspects, parts, time_of_day, observe),
         evacuations=Evacuations(observe, boot_clock),
+        cold=ColdStarts(
+            observe,
+            ColdBounds(
+                RouterRoster(settings.host, clock(), peers.notified_hosts),
+                rng,
+                settings.cold_overshoot,
+                settings.cold_slack,
+            ),
+        ),
     )
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -116,6 +116,9 @@
 ZONES_EVACUATED: Final = Notice(
     "B135", "Every endpoint of the service is in an evacuated zone.", 503
 )
+ENDPOINTS_COLD: Final = Notice(
+    "B136", "Every endpoint that could serve the request is cold.", 503
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
--- a/src/bulrushstream/platform/documents.py
+++ b/src/bulrushstream/platform/documents.py
@@ -14,6 +14,11 @@
 
 import msgspec
 
+from bulrushstream.platform.coldfields import (
+    decode_per_s,
+    decode_start_s,
+    mend_limits,
+)
 from bulrushstream.platform.headers import digest_key
 from bulrushstream.protocol.dialect import DocumentError
 from bulrushstream.state.decoding import DECODE_ERRORS
@@ -97,6 +102,9 @@
     max_conns: Annotated[int, msgspec.Meta(gt=0)] = 64
     health_path: _HealthPath = ""
     engine: _Engine | None = None
+    # A value that can not be used must not cost the service its endpoints.
+    cold_start_s: Any = None
+    cold_per_s: Any = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -146,7 +154,13 @@
     try:
         raw = msgspec.json.decode(data, type=_Config)
     except DECODE_ERRORS as error:
-        raise DocumentError(str(error)) from error
+        mended = mend_limits(data)
+        if mended is None:
+            raise DocumentError(str(error)) from error
+        try:
+            raw = msgspec.json.decode(mended, type=_Config)
+        except DECODE_ERRORS:
+            raise DocumentError(str(error)) from error
     tenants = raw.tenants or []
     limits = _convert(raw.limits or {}, _Limits, "limits", report) or _Limits()
     return RouteConfig(
@@ -155,7 +169,13 @@
             _decode_each(raw.routes, _Route, _route, "route", report)
         ),
         services=tuple(
-            _decode_each(raw.services, _Service, _service, "service", report)
+            _decode_each(
+                raw.services,
+                _Service,
+                lambda service: _service(service, report),
+                "service",
+                report,
+            )
         ),
         workspaces=tuple(
             _decode_each(
@@ -331,7 +351,7 @@
     )
 
 
-def _service(raw: _Service) -> PooledService:
+def _service(raw: _Service, report: Report) -> PooledService:
     traits = None
     if raw.engine is not None:
         traits = EngineTraits(
@@ -339,7 +359,14 @@
             min(raw.engine.kv_tokens, MAX_COUNT),
         )
     max_connections = min(raw.max_conns, MAX_COUNT)
-    return PooledService(raw.name, max_connections, traits, raw.health_path)
+    return PooledService(
+        raw.name,
+        max_connections,
+        traits,
+        raw.health_path,
+        decode_per_s(raw.name, raw.cold_per_s, report),
+        decode_start_s(raw.name, raw.cold_start_s, report),
+    )
 
 
 def _workspace_keys(raw: _Tenant) -> WorkspaceKeys:
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -70,6 +70,11 @@
   2: i64 offset
 }
 
+struct Cold {
+  1: string endpoint
+  2: i32 left_ms
+}
+
 struct Update {
   1: string instance
   2: i64 incarnation
@@ -96,4 +101,5 @@
   40: optional list<Evacuated> evacuated
   41: optional i64 evacuations_end
   42: optional i32 evacuations_age_ms
+  45: optional list<Cold> cold
 }
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -19,6 +19,7 @@
 from bulrushstream.state.evacuation import EvacuationReport
 from bulrushstream.state.partevidence import PartProof, PartStrikes
 from bulrushstream.state.peerupdate import (
+    ColdEndpoint,
     CrashSuspect,
     EndpointLimit,
     FirstEvent,
@@ -68,6 +69,7 @@
     # The starts of the processes, by the endpoint's id.
     leaving_endpoints: dict[str, str] = field(default_factory=dict)
     evacuations: EvacuationReport | None = None
+    cold_endpoints: list[ColdEndpoint] = field(default_factory=list)
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -78,7 +80,7 @@
         )
         events += len(self.crash_suspects) + len(self.cleared)
         events += len(self.part_strikes) + len(self.part_proofs)
-        return events + len(self.limits)
+        return events + len(self.limits) + len(self.cold_endpoints)
 
     @property
     def has_events(self) -> bool:
@@ -97,6 +99,7 @@
             or self.mixed_services
             or self.leaving_endpoints
             or self.evacuations
+            or self.cold_endpoints
         )
 
 
@@ -286,6 +289,14 @@
         self._pending.limits.append(limit)
         self._schedule_flush()
 
+    def report_cold(self, cold: ColdEndpoint) -> None:
+        """Report that an endpoint is cold.
+
+        :param cold: the endpoint
+        """
+        self._pending.cold_endpoints.append(cold)
+        self._schedule_flush()
+
     def report_mixed(self, service: str) -> None:
         """Report that a service's endpoints have several versions.
 
@@ -342,6 +353,7 @@
         self._pending.mixed_services.update(reports.mixed_services)
         self._pending.leaving_endpoints.update(reports.leaving_endpoints)
         self._pending.evacuations = reports.evacuations
+        self._pending.cold_endpoints.extend(reports.cold_endpoints)
         repeated, self._repeated_totals = self._repeated_totals, set()
         self._pending.changed_totals |= repeated
         self._flush(heartbeat=True)
@@ -412,6 +424,7 @@
             mixed_services=tuple(sorted(pending.mixed_services)),
             leaving_endpoints=tuple(name for name, _ in leaving),
             leaving_starts=starts if any(starts) else (),
+            cold_endpoints=tuple(pending.cold_endpoints),
             known_hosts=self._next_hosts() if heartbeat else (),
             zone=self.zone if heartbeat else "",
             leaving=self.leaving,
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -23,6 +23,7 @@
 from bulrushstream.coordination import evacuations
 from bulrushstream.coordination.endpointpool import Endpoint, EndpointPool
 from bulrushstream.coordination.evacuations import Evacuations
+from bulrushstream.coordination.fleetstate import FleetState
 from bulrushstream.daemon import evacuating
 from bulrushstream.daemon.recovery import Recovery
 from bulrushstream.history.simulatedtopic import SimulatedTopic, TopicReader
@@ -440,10 +441,16 @@
 class ProcessSuite:
     """The process of a router, which connects the parts."""
 
-    async def test_an_operators_key(self, fleet: Deployment) -> None:
+    async def test_an_operators_key(
+        self, fleet: Deployment, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
         state = fleet.process.front.fleet_state
         reopened: list[str] = []
-        state.on_zone_reopened.append(lambda zone, now: reopened.append(zone))
+        monkeypatch.setattr(
+            FleetState,
+            "zone_reopened",
+            lambda self, zone, now_s: reopened.append(zone),
+        )
         fleet.store.put("keyed.op", "evacuate/z", b"{}")
         await fleet.wait_until(lambda: state.evacuations.is_evacuated("z"))
         status, _, body = await send_request(fleet, request_bytes("/safe/x"))
