Streams whose last event has no id are not broken off

Only ids are compared there, and a stream that is broken off counts. An empty stream, and one that breaks behind an attempt that broke before, are no longer believed where their ends are odd. Two endpoints that agree on an end settle it if a third one fails.

--- a/src/bulrushstream/coordination/streamends.py
+++ b/src/bulrushstream/coordination/streamends.py
@@ -171,6 +171,7 @@
             habit = self._habits.get(key)
             if habit is not None and habit.value != value:
                 habit.count_odd()
+                habit.score = max(0, habit.score - OTHER_COST)
 
     def _add(
         self,
@@ -190,7 +191,8 @@
             if len(self._habits) > MAX_KINDS:
                 self._habits.popitem(last=False)
         self._habits.move_to_end(key)
-        if odd and found.value != value:
+        known = found.score >= found.needed
+        if odd and known and found.value != value:
             found.refute()
         found.add(value)
 
--- a/src/bulrushstream/daemon/endcheck.py
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from bulrushstream.coordination.forwarding import Failure, overdue_delay_s
@@ -59,6 +60,7 @@
     """The check of one stream's end, from its begin to its result."""
 
     __slots__ = (
+        "_agreed",
         "_attempt",
         "_framed",
         "_head",
@@ -83,6 +85,8 @@
         self.forward = attempt.forward
         self._framed = framed
         self._odd = odd
+        # Whether another endpoint, if not a trusted one, had nothing to add.
+        self._agreed = False
         self._attempt = attempt
         self._head = head
         self._last_id = self.forward.splitter.last_id or 0
@@ -137,12 +141,12 @@
     def _goes_to_another(self) -> bool:
         """Ask one more endpoint if the one that agrees spoils answers, too."""
         attempt = self.forward.attempt
-        if attempt is None:
+        if attempt is None or not _is_distrusted(attempt):
             return False
-        now_s = self._attempt.front.clock()
-        return attempt.endpoint.is_distrusted(now_s) and self._go_on(
+        self._agreed = self._go_on(
             "an endpoint that spoiled an answer lately had nothing to add"
         )
+        return self._agreed
 
     def failed(self, detail: str) -> None:
         """Make one more attempt if there may be one, or believe the end.
@@ -173,6 +177,9 @@
 
         :param detail: why, for the log
         """
+        if self._agreed:
+            self._accept(NOTHING_TO_ADD, "two endpoints end it alike")
+            return
         if not self._odd:
             self._accept("not_known", detail)
             return
@@ -239,8 +246,7 @@
     """
     forward, endpoint = attempt.forward, attempt.endpoint
     resumable = forward.route.repeatable
-    endpoint.spoiled_s = max(endpoint.spoiled_s, attempt.pool.spoiled_s)
-    distrusted = endpoint.is_distrusted(attempt.front.clock())
+    distrusted = _is_distrusted(attempt)
     ends, end = attempt.front.stream_ends, forward.stream_end()
     kind = ends.kind_of(end, resumable=resumable, distrusted=distrusted)
     attempt.end_kind = kind
@@ -254,10 +260,13 @@
             forward.attempt_failed(Failure.BROKEN, ODD_END)
         return odd
     splitter = forward.splitter
+    if odd and not splitter.event_count:
+        forward.attempt_failed(Failure.BROKEN, ODD_END)
+        return True
     if splitter.last_id is None or not splitter.can_resume:
         # An endpoint would repeat events that have no id.
         return False
-    if attempt.adds_nothing and forward.progress.sends > 1:
+    if attempt.adds_nothing and forward.progress.sends > 1 and not odd:
         # Another one ended with the same events.
         return False
     limit = MAX_FRAMED_IN_VAIN if framed else MAX_IN_VAIN
@@ -288,12 +297,23 @@
     forward, front = attempt.forward, attempt.front
     if not forward.splitter.holds_without_id:
         return False
+    # The held event is not among those relayed, so only ids are compared.
+    end = replace(forward.stream_end(), last_event=b"")
+    resumable = forward.route.repeatable
     kind = front.stream_ends.kind_of(
-        forward.stream_end(),
-        resumable=forward.route.repeatable,
-        distrusted=attempt.endpoint.is_distrusted(front.clock()),
+        end, resumable=resumable, distrusted=_is_distrusted(attempt)
     )
-    return kind is EndKind.ODD
+    odd = kind is EndKind.ODD
+    if odd and not resumable:
+        front.stream_ends.add_broken(end)
+    return odd
+
+
+def _is_distrusted(attempt: Attempt) -> bool:
+    """Return whether an attempt's endpoint spoiled an answer lately."""
+    endpoint = attempt.endpoint
+    endpoint.spoiled_s = max(endpoint.spoiled_s, attempt.pool.spoiled_s)
+    return endpoint.is_distrusted(attempt.front.clock())
 
 
 def is_ended(forward: Forward, detail: str) -> bool:
--- a/tests/test_odd_ends.py
+++ b/tests/test_odd_ends.py
@@ -156,6 +156,34 @@
         body = b"".join(EVENTS[:2])
         assert body_of(play.callers[-1].data) == ("200", body, False)
 
+    # Guards against lawful streams that are broken off as their last event
+    # has no id and is held back until the end.
+    @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
+    def test_a_last_event_without_an_id(self, path: str) -> None:
+        done = b"data: [DONE]\n\n"
+        answers = [Answer(2 + n * 7 % 50, more=done) for n in range(200)]
+        endpoints = Endpoints(answers, count=1, events=MANY)
+        play = Play(requests=200, path=path)
+        play.run(endpoints)
+        assert all(body_of(each.data)[2] for each in play.callers)
+
+    # Guards against an empty stream that is passed on as whole.
+    def test_an_empty_one_is_asked_for_again(self) -> None:
+        usual = [Answer()] * MIN_ALIKE
+        endpoints = Endpoints([*usual, Answer(0), Answer()])
+        play = Play(requests=MIN_ALIKE + 1)
+        play.run(endpoints)
+        assert body_of(play.callers[-1].data) == ("200", WHOLE, True)
+
+    # Guards against a cut that is believed as an attempt before it broke.
+    def test_a_cut_after_a_break(self) -> None:
+        usual = [Answer()] * MIN_ALIKE
+        cuts = [Answer(2, resets=True), Answer(2, repeats=True)]
+        endpoints = Endpoints([*usual, *cuts, Answer()])
+        play = Play(requests=MIN_ALIKE + 1)
+        play.run(endpoints)
+        assert body_of(play.callers[-1].data) == ("200", WHOLE, True)
+
     # A check of an end without a length that all streams of its kind have.
     def test_a_usual_end_needs_no_check(self) -> None:
         usual = [Answer()] * MIN_ALIKE
