Let engines prefer long or short prompts

Engines do prefill in order of arrival, so a long prompt delays the short ones queued behind it. Routers count the uncached prefill of all placements, by prompts that are long and short against the shortest first-token target of their service. As many of the ranked engines as the share of long prompts requires prefer those, the others short ones. The preference is a cost in the score of an engine; a request that is refused at the preferred engine may still go where it would have gone without a preference.

It applies only to model services whose routes have different first-token targets, and whose engines hold prompts that are long against the shortest one.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -27,6 +27,7 @@
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.peernotifier import PeerNotifier
 from bulrushstream.coordination.peerusage import PeerUsage, UsageChange
+from bulrushstream.coordination.promptmix import PromptMixes
 from bulrushstream.coordination.routerpresence import SILENT_S
 from bulrushstream.coordination.streamversions import (
     StreamVersions,
@@ -119,6 +120,7 @@
     # Average time of an engine's prefill for one quota token, in seconds.
     prefill_cost_s: float = 1.0 / DEFAULT_PREFILL_TOKENS_PER_S
     usage: UsageCounter = field(default_factory=UsageCounter)
+    prompt_mixes: PromptMixes = field(default_factory=PromptMixes)
     # Moving averages over placed requests.
     _prefill_s: float = INITIAL_QUOTA_TOKENS / DEFAULT_PREFILL_TOKENS_PER_S
     _quota_tokens: float = INITIAL_QUOTA_TOKENS
@@ -202,6 +204,9 @@
             self._place_in_view(
                 endpoint.view, number, prompt, now_s, expires_s
             )
+            self.prompt_mixes.placed(
+                endpoint, number, self.prefill_rate, now_s
+            )
             if workspace:
                 tokens = prompt.quota_tokens
                 self.shares.add_grant(workspace, tokens, now_s)
@@ -361,6 +366,7 @@
         self.limits.presence.sweep(now_s)
         self.limits.sweep(now_s)
         self.notices.sweep(now_s)
+        self.prompt_mixes.sweep(self.pool, now_s)
         self._extrapolate_peer_usage(now_s)
         for endpoint in self.pool.by_name.values():
             if endpoint.view is not None:
@@ -516,6 +522,9 @@
                 now_s,
                 now_s + PEER_CALL_TIMEOUT_S,
             )
+            self.prompt_mixes.placed(
+                endpoint, placed.call_id, self.prefill_rate, now_s
+            )
 
     def _peer_call_endpoint(self, number: int) -> Endpoint | None:
         """Return the endpoint of a peer's request, if it is known."""
--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -23,6 +23,7 @@
     EngineView,
     uncached_prefill_tokens,
 )
+from bulrushstream.coordination.promptmix import Preference
 from bulrushstream.state.call import Prompt
 
 # The weight of the prefill time against the wait in an engine's score.
@@ -92,10 +93,17 @@
     # The best one of those without pending prefill; None: all have some.
     idle: Prediction | None
     idle_engines: int  # The number of those.
+    # The best one without the preference for a class of prompts; None: the
+    # same as `best`.
+    without_preference: Prediction | None = None
 
 
 def choose_engine(
-    endpoints: Sequence[Endpoint], prompt: Prompt, rate: float, now_s: float
+    endpoints: Sequence[Endpoint],
+    prompt: Prompt,
+    rate: float,
+    now_s: float,
+    preference: Preference | None = None,
 ) -> EngineChoice | None:
     """Return the best engines for a request for a model; None: no engine.
 
@@ -103,12 +111,16 @@
     :param prompt: the request's prompt
     :param rate: the average prefill rate, in tokens per second
     :param now_s: the time
+    :param preference: which engines prefer long prompts; None: no engine has
+        a preference
     """
     # The last part is the request's own text; those before it are shared.
     shared = prompt.parts[-2] if len(prompt.parts) > 1 else None
     seed = shared.part_id & 0xFFFFFFFF if shared else 0
     best: tuple[Endpoint, EngineView] | None = None
     best_score = float("inf")
+    plain: tuple[Endpoint, EngineView] | None = None
+    plain_score = float("inf")
     idle: tuple[Endpoint, EngineView] | None = None
     idle_score = float("inf")
     idle_engines = 0
@@ -139,16 +151,23 @@
         # A hash of the prompt breaks ties, so that all routers choose the
         # same engine without communication.
         score += TIE_S * _affinity(seed, endpoint.name)
-        if score < best_score:
-            best, best_score = (endpoint, view), score
         if is_idle and score < idle_score:
             idle, idle_score = (endpoint, view), score
+        if preference is not None:
+            if score < plain_score:
+                plain, plain_score = (endpoint, view), score
+            score += preference.cost_s(endpoint.name, tokens / rate)
+        if score < best_score:
+            best, best_score = (endpoint, view), score
     if best is None:
         return None
     return EngineChoice(
         _predict(*best, prompt, rate, now_s),
         _predict(*idle, prompt, rate, now_s) if idle is not None else None,
         idle_engines,
+        _predict(*plain, prompt, rate, now_s)
+        if plain is not None and plain[0] is not best[0]
+        else None,
     )
 
 
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -80,7 +80,11 @@
             return None
         return plain, _record_attempt(front, forward, plain, None, now_s)
     choice = choose_engine(
-        usable, prompt, front.fleet_state.prefill_rate, now_s
+        usable,
+        prompt,
+        front.fleet_state.prefill_rate,
+        now_s,
+        front.fleet_state.prompt_mixes.preference(forward.service),
     )
     if choice is None:
         return None
@@ -145,10 +149,14 @@
         latency_target_s = table.shortest_latency_target_s.get(
             forward.service, latency_target_s
         )
-    if takeups.is_restricted(forward):
-        fits = best.wait_s <= latency_target_s
-        return best, "" if fits else LATE_REASON
     candidates = [best]
+    if choice.without_preference is not None:
+        candidates.append(choice.without_preference)
+    if takeups.is_restricted(forward):
+        for each in candidates:
+            if each.wait_s <= latency_target_s:
+                return each, ""
+        return best, LATE_REASON
     if may_read_anew and choice.idle is not None:
         candidates.append(choice.idle)
     admitted = next(
--- a/src/bulrushstream/daemon/fleetsetup.py
+++ b/src/bulrushstream/daemon/fleetsetup.py
@@ -15,6 +15,7 @@
 from bulrushstream.coordination.fleetview import FleetView
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.parttrials import PartTrials
+from bulrushstream.coordination.promptmix import PromptMixes
 from bulrushstream.coordination.routerpresence import RouterPresence
 from bulrushstream.coordination.streamorigins import StreamOrigins
 from bulrushstream.coordination.streamversions import StreamVersions
@@ -64,4 +65,5 @@
         ),
         EndpointNotices(observe),
         CrashRecords(suspects, parts, time_of_day, observe),
+        prompt_mixes=PromptMixes(observe),
     )
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -69,6 +69,7 @@
     caller_connections: Counter  # Callers' connections that were ended.
     excess: Counter  # Connections whose peers sent too much.
     spoiled_streams: Counter  # Streams whose endpoints spoiled them.
+    prompt_mix: Gauge  # Engines that prefer a class of prompts.
 
 
 def make_metrics() -> Metrics:
@@ -197,6 +198,12 @@
             "service",
             "reason",
         ),
+        prompt_mix=gauge(
+            "prompt_mix_engines",
+            "Engines that prefer long or short prompts.",
+            "service",
+            "prefers",
+        ),
     )
 
 
@@ -235,6 +242,11 @@
         metrics.waits.labels(decision.service, decision.request_class).observe(
             decision.waited_s
         )
+    if decision.kind == "prompt_mix":
+        for prefers in ("long", "short"):
+            metrics.prompt_mix.labels(decision.service, prefers).set(
+                float(decision.inputs[f"{prefers}_engines"])
+            )
 
 
 def count_excess(metrics: Metrics, excess: Excess) -> None:
