Let the preference for long prompts shrink with the load

A constant cost of an engine of the other class trades wait for order when engines are busy. The cost now shrinks from a load of 0.5 on and ends at 1.0, where the load is the counted prefill over the engines' time. A test checks that it falls and ends.

--- a/src/bulrushstream/coordination/promptmix.py
+++ b/src/bulrushstream/coordination/promptmix.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -36,9 +37,12 @@
 # part of the shortest target.
 LONG_PREFILL_SHARE: Final = 0.15
 
-# The cost of an engine of the other class, as parts of the shortest target.
-LONG_COST_SHARE: Final = 0.05
-SHORT_COST_SHARE: Final = 0.05
+# The cost of an engine of the other class, as a part of the shortest target.
+# It shrinks as the engines' prefill takes up their time, to nothing beyond
+# the load `MAX_LOAD`: then a longer wait costs more than a mixed queue.
+COST_SHARE: Final = 0.125
+MAX_LOAD: Final = 1.0
+LOAD_RANGE: Final = 0.5
 
 # The sums of prefill halve in this time.
 HALF_LIFE_S: Final = 6.0
@@ -61,8 +65,7 @@
 
     long_engines: frozenset[str]  # Ids of those that prefer long prompts.
     long_prefill_s: float  # A prompt with more uncached prefill is long.
-    long_cost_s: float  # Of a long prompt at one that prefers short ones.
-    short_cost_s: float  # Of a short prompt at one that prefers long ones.
+    other_class_cost_s: float  # Of an engine that prefers the other class.
 
     def cost_s(self, endpoint: str, prefill_s: float) -> float:
         """Return what is added to an engine's score.
@@ -74,7 +77,7 @@
         is_long = prefill_s > self.long_prefill_s
         if is_long == (endpoint in self.long_engines):
             return 0.0
-        return self.long_cost_s if is_long else self.short_cost_s
+        return self.other_class_cost_s
 
 
 def mixed_services(config: RouteConfig) -> dict[str, float]:
@@ -130,6 +133,12 @@
         """Return the uncached prefill beyond which a prompt is long."""
         return LONG_PREFILL_SHARE * self.shortest_target_s
 
+    @property
+    def cost_s(self) -> float:
+        """Return the cost of an engine of the other class; 0: none."""
+        found = self.preference
+        return found.other_class_cost_s if found is not None else 0.0
+
     @property
     def long_share(self) -> float:
         """Return the share of the prefill that long prompts take."""
@@ -164,8 +173,7 @@
             [speeds[name] for name in ranking], now_s
         )
         chosen = ranking[:wanted]
-        if (ranking, chosen) == (self.ranking, self.long_engines):
-            return ""
+        changed = (ranking, chosen) != (self.ranking, self.long_engines)
         if set(ranking) != set(self.ranking):
             reason = "usable engines changed"
         had_preference = self.preference is not None
@@ -175,10 +183,19 @@
             self.preference = Preference(
                 frozenset(chosen),
                 self.long_prefill_s,
-                LONG_COST_SHARE * self.shortest_target_s,
-                SHORT_COST_SHARE * self.shortest_target_s,
+                self._cost_s(sum(speeds.values())),
             )
-        return reason if chosen or had_preference else ""
+        return reason if changed and (chosen or had_preference) else ""
+
+    def _cost_s(self, speed: float) -> float:
+        """Return the cost of an engine of the other class.
+
+        :param speed: the sum of the usable engines' speeds
+        """
+        window_s = HALF_LIFE_S / math.log(2.0)
+        load = (self.long_s + self.short_s) / window_s / speed
+        part = min(1.0, max(0.0, (MAX_LOAD - load) / LOAD_RANGE))
+        return COST_SHARE * self.shortest_target_s * part
 
     def _wanted(
         self, speeds: Sequence[float], now_s: float
@@ -323,6 +340,7 @@
                     "long_ms": round(mix.long_s * 1000.0),
                     "short_ms": round(mix.short_s * 1000.0),
                     "long_prefill_ms": round(mix.long_prefill_s * 1000.0, 1),
+                    "cost_ms": round(mix.cost_s * 1000.0, 1),
                     "engines": " ".join(mix.long_engines),
                 },
             )
--- a/tests/test_prompt_mix.py
+++ b/tests/test_prompt_mix.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
@@ -168,6 +169,15 @@
             assert 17 <= len(mix.long_engines) <= 20
         assert changes <= 6
 
+    def test_the_cost_shrinks_to_nothing_as_engines_are_busy(self) -> None:
+        costs_s = []
+        for load in (0.1, 0.6, 0.8, 1.05):
+            mix = settled(0.5, equal_engines())
+            mix.long_s = mix.short_s = load * 22 * 6.0 / math.log(2.0) / 2
+            mix.decide(equal_engines(), 0.0)
+            costs_s.append(mix.cost_s)
+        assert costs_s[0] > costs_s[1] > costs_s[2] > costs_s[3] == 0.0
+
     def test_a_kind_that_is_gone_leaves_all_engines(self) -> None:
         mix, at_s = settled(0.5, equal_engines()), 0.0
         while mix.preference is not None and at_s < 60.0:
