--- a/src/bulrushstream/coordination/promptmix.py
+++ b/src/bulrushstream/coordination/promptmix.py
@@ -38,8 +38,8 @@
 LONG_PREFILL_SHARE: Final = 0.15
 
 # The cost of an engine of the other class, as a part of the shortest target.
-# It shrinks as the engines' prefill takes up their time, to nothing beyond
-# the load `MAX_LOAD`: then a longer wait costs more than a mixed queue.
+# It shrinks as prefill takes up the engines' time, from `LOAD_RANGE` below
+# `MAX_LOAD` to nothing there: then a longer wait costs more than a mixed queue.
 COST_SHARE: Final = 0.125
 MAX_LOAD: Final = 1.0
 LOAD_RANGE: Final = 0.5
