--- a/src/bulrushstream/coordination/promptmix.py
+++ b/src/bulrushstream/coordination/promptmix.py
@@ -39,7 +39,8 @@
 
 # The cost of an engine of the other class, as a part of the shortest target.
 # It shrinks as prefill takes up the engines' time, from `LOAD_RANGE` below
-# `MAX_LOAD` to nothing there: then a longer wait costs more than a mixed queue.
+# `MAX_LOAD` to nothing there, where a longer wait costs more than a mixed
+# queue.
 COST_SHARE: Final = 0.125
 MAX_LOAD: Final = 1.0
 LOAD_RANGE: Final = 0.5
--- a/tests/test_prompt_mix.py
+++ b/tests/test_prompt_mix.py
@@ -346,14 +346,25 @@
         assert played.refused_in_vain == 0
         assert played.refused_while_idle == 0
 
-    def test_most_short_prompts_avoid_the_engines_of_long_ones(self) -> None:
+    def test_kinds_keep_apart_and_shared_parts_have_few_copies(self) -> None:
         preference = preferring(0.5)
-        placed = []
+        placed, copies = [], []
         for used in (None, preference):
-            played = Burst(used, 1).run({"long": 20.0, "short": 60.0})
+            played = Burst(used, 1).run({"long": 20.0, "short": 60.0}, 12.0)
             other = set(played.used["short"]) & preference.long_engines
             placed.append(sum(map(played.used["short"].count, other)))
+            cached = [
+                part
+                for each in played.engines
+                if each.view
+                for part in each.view.cached
+                if 99 <= part < 139
+            ]
+            copies.append(len(cached))
         assert placed[1] < placed[0] / 2
+        # Each of the 40 parts has hardly more copies than engines need.
+        assert copies[1] <= copies[0]
+        assert copies[1] <= 2 * 40
 
 
 class FleetSuite:
