--- a/src/bulrushstream/daemon/fleetsetup.py
+++ b/src/bulrushstream/daemon/fleetsetup.py
@@ -18,6 +18,7 @@
 from bulrushstream.coordination.fleetview import FleetView
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.parttrials import PartTrials
+from bulrushstream.coordination.promptmix import PromptMixes
 from bulrushstream.coordination.routerpresence import RouterPresence
 from bulrushstream.coordination.routerroster import RouterRoster
 from bulrushstream.coordination.streamorigins import StreamOrigins
@@ -78,4 +79,7 @@
                 settings.cold_slack,
             ),
         ),
+        prompt_mixes=PromptMixes(
+            observe, lambda endpoint: 1.0 / endpoint.speed.measured
+        ),
     )
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -76,6 +76,7 @@
     cold_endpoints: Gauge  # Cold endpoints, and those that are ramped up.
     cold_share: Gauge  # The share of the routers that are heard.
     cold_requests: Counter  # Requests kept from cold endpoints.
+    prompt_mix: Gauge  # Engines that prefer a class of prompts.
 
 
 def make_metrics() -> Metrics:
@@ -233,6 +234,12 @@
             "Requests that cold endpoints could not take.",
             "result",
         ),
+        prompt_mix=gauge(
+            "prompt_mix_engines",
+            "Engines that prefer long or short prompts.",
+            "service",
+            "prefers",
+        ),
     )
 
 
@@ -271,6 +278,11 @@
         metrics.waits.labels(decision.service, decision.request_class).observe(
             decision.waited_s
         )
+    if decision.kind == "prompt_mix":
+        for prefers in ("long", "short"):
+            metrics.prompt_mix.labels(decision.service, prefers).set(
+                float(decision.inputs[f"{prefers}_engines"])
+            )
 
 
 def count_excess(metrics: Metrics, excess: Excess) -> None:
