A test of records that concern no zone

Seen: with evacuating.apply_records not counting records of other keys, all tests passed; the record is now written after the topic was listed.

Measured: all 8 cases of TopicSuite fail with that fault; the file passes without it.

--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -236,6 +236,8 @@
             for key in (KEY_A, "evacuate/", "config"):
                 topic.put(key, b"none")
             await asyncio.sleep(0.5)
+            topic.put("config", b"1")
+            await asyncio.sleep(0.5)
             report = state.to_repeat(loop.time())
             assert report is not None
             assert report.end_offset == topic.end_offset
