Give priority to refused callers that return at their time

Callers that were refused got a random time to retry and competed with new requests when they returned, with a latency target counted anew. Under lasting overload most of them were refused again.

A router now keeps a promise of each refusal of a model request, tells its peers, and admits the request that returns as if its workspace had used one share less, with the target counted from the first attempt. New requests see promised prefill that falls due before they would begin as wait. It acts only for services whose routes have different latency targets.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -27,6 +27,7 @@
 from bulrushstream.coordination.partsuspects import PartSuspects
 from bulrushstream.coordination.peernotifier import PeerNotifier
 from bulrushstream.coordination.peerusage import PeerUsage, UsageChange
+from bulrushstream.coordination.returns import ReturnPromises
 from bulrushstream.coordination.routerpresence import SILENT_S
 from bulrushstream.coordination.streamversions import (
     StreamVersions,
@@ -119,6 +120,7 @@
     # Average time of an engine's prefill for one quota token, in seconds.
     prefill_cost_s: float = 1.0 / DEFAULT_PREFILL_TOKENS_PER_S
     usage: UsageCounter = field(default_factory=UsageCounter)
+    returns: ReturnPromises = field(default_factory=ReturnPromises)
     # Moving averages over placed requests.
     _prefill_s: float = INITIAL_QUOTA_TOKENS / DEFAULT_PREFILL_TOKENS_PER_S
     _quota_tokens: float = INITIAL_QUOTA_TOKENS
@@ -146,6 +148,8 @@
         )
         self.notices.report_leaving = notifier.report_leaving
         self.streams.set_notifier(notifier)
+        self.returns.report = notifier.report_promise
+        self.returns.report_returned = notifier.report_returned
 
     def repeated_reports(self, now_s: float) -> RepeatedReports:
         """Return what the next heartbeat repeats to the peers.
@@ -315,6 +319,7 @@
         self.parts.apply_update(update, now_s)
         self.limits.apply_update(update, now_s)
         self.streams.apply_update(update, now_s)
+        self.returns.apply_update(update, now_s)
         self._apply_leaving(update, now_s)
         self._count_peer_usage(update, now_s)
         if update.leaving:
@@ -361,6 +366,7 @@
         self.limits.presence.sweep(now_s)
         self.limits.sweep(now_s)
         self.notices.sweep(now_s)
+        self.returns.sweep(now_s)
         self._extrapolate_peer_usage(now_s)
         for endpoint in self.pool.by_name.values():
             if endpoint.view is not None:
--- a/src/bulrushstream/coordination/peernotifier.py
+++ b/src/bulrushstream/coordination/peernotifier.py
@@ -12,6 +12,7 @@
     FirstEvent,
     RequestPlaced,
 )
+from bulrushstream.state.returns import ReturnPromise
 
 
 class PeerNotifier(SuspectNotifier, PartNotifier, VersionNotifier, Protocol):
@@ -39,3 +40,9 @@
 
     def report_leaving(self, endpoint: str, born: str) -> None:
         """Report that an endpoint says that it leaves."""
+
+    def report_promise(self, promise: ReturnPromise) -> None:
+        """Report that a refused caller was given a time to return."""
+
+    def report_returned(self, digest: int) -> None:
+        """Report that a request returned that had a promise."""
--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -223,11 +223,36 @@
     )
 
 
+def permitted_wait_s(
+    no_wait_s: float,
+    remaining_target_s: float,
+    shortest_target_s: float,
+    share_used: float,
+) -> float:
+    """Return the longest wait with which a request is sent, in seconds.
+
+    :param no_wait_s: the time to its first token without any wait
+    :param remaining_target_s: the time until the request's latency target
+    :param shortest_target_s: the shortest target of its service's routes
+    :param share_used: the used part of its workspace's share, this request
+        included
+    """
+    limit_s = shortest_target_s * max_wait_share(share_used)
+    slack = shortest_target_s / max(shortest_target_s, remaining_target_s)
+    factor: float = slack**SLACK_EXPONENT
+    limit_s *= factor
+    in_time_s = USABLE_TARGET_SHARE * remaining_target_s
+    if no_wait_s > in_time_s:
+        return min(limit_s, MAX_WAIT_SHARE_OVERSIZE * shortest_target_s)
+    return min(limit_s, in_time_s - no_wait_s)
+
+
 def admit_to_engine(
     prediction: Prediction,
     remaining_target_s: float,
     shortest_target_s: float,
     share_used: float,
+    promised_wait_s: float = 0.0,
 ) -> Admission:
     """Return whether a request may be sent to its engine.
 
@@ -236,15 +261,13 @@
     :param shortest_target_s: the shortest target of its service's routes
     :param share_used: the used part of its workspace's share, this request
         included
+    :param promised_wait_s: the wait that promises to returning requests mean
     """
-    limit_s = shortest_target_s * max_wait_share(share_used)
-    slack = shortest_target_s / max(shortest_target_s, remaining_target_s)
-    limit_s *= slack**SLACK_EXPONENT
-    in_time_s = USABLE_TARGET_SHARE * remaining_target_s
-    no_wait_s = prediction.first_token_s - prediction.wait_s
-    if no_wait_s > in_time_s:
-        limit_s = min(limit_s, MAX_WAIT_SHARE_OVERSIZE * shortest_target_s)
-    else:
-        limit_s = min(limit_s, in_time_s - no_wait_s)
-    fits = prediction.wait_s <= limit_s
+    limit_s = permitted_wait_s(
+        prediction.first_token_s - prediction.wait_s,
+        remaining_target_s,
+        shortest_target_s,
+        share_used,
+    )
+    fits = prediction.wait_s + promised_wait_s <= limit_s
     return Admission.SEND if fits else Admission.REFUSE
--- /dev/null
+++ b/src/bulrushstream/coordination/returns.py
@@ -0,0 +1,438 @@
+"""Priority of callers that were refused and return at the time they got.
+
+A router that refuses a request for lack of capacity gives its caller a time
+to return, keeps a *promise* of it and tells the peers.  Any router recognises
+the returning request by its digest.  It is then admitted as if its workspace
+had used one share less, with the latency target counted from the caller's
+first attempt.  New requests see the promised prefill that falls due before
+they would begin as additional wait.
+
+Promised prefill is summed in time slots, so that no decision looks at all
+promises.  A lost message or a restart only loses the priority.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final
+
+from bulrushstream.coordination.engineview import FIXED_DELAY_S
+from bulrushstream.coordination.placement import (
+    MAX_WAIT_SHARE_OVERSIZE,
+    MAX_WAIT_SHARE_USED,
+    USABLE_TARGET_SHARE,
+    permitted_wait_s,
+)
+from bulrushstream.state.peerupdate import PeerUpdate
+from bulrushstream.state.returns import ReturnPromise, ReturnReport
+from bulrushstream.state.routes import Route
+
+MAX_PROMISES: Final = 4096
+
+# Promised prefill is summed in slots of this length, and promises fall due
+# at most so far ahead.
+SLOT_S: Final = 0.025
+HORIZON_S: Final = 10.0
+
+# Bounds of what a peer may promise.
+MAX_PREFILL_TOKENS: Final = 1_000_000
+MAX_DEADLINE_S: Final = 600.0
+
+# The value of Retry-After has two decimals.
+RETRY_STEP_S: Final = 0.01
+
+# A shorter time to return is too short for the queues to change and for the
+# peers to be told.
+MIN_RETRY_S: Final = 0.06
+
+# A request is recognised this long before its time: peers learn of it late
+# by the batching of updates (up to 12 ms) and the way.
+EARLY_TOLERANCE_S: Final = 0.03
+
+# Prefill is kept free for a promise until this long after its time, which
+# covers the caller's new connection and the message that it returned.
+GRACE_S: Final = 0.1
+
+# Promises may take this part of the engines' prefill, so that new requests
+# are served at any time.  The queue of promised prefill alone, if only this
+# part of the engines worked on it, may last so long.
+MAX_PROMISED_SHARE: Final = 0.5
+MAX_PROMISED_QUEUE_S: Final = 0.1
+
+# A return is planned for a wait of at most this part of the permitted one;
+# the rest is for requests that other routers place meanwhile.
+PLANNED_WAIT_PART: Final = 0.5
+
+# Nothing is kept free for a workspace beyond this use of its share: its
+# requests are the first to be refused.
+MAX_SHARE_USED: Final = 1.5
+
+# The weight of one promise in the average of those whose callers returned.
+KEPT_GAIN: Final = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnNeed:
+    """A refused request, and the engines that it may return to."""
+
+    service: str
+    prefill_tokens: float  # Its uncached tokens, with the cost of attention.
+    prefill_s: float  # The predicted duration of their prefill.
+    wait_s: float  # The least wait at an engine now.
+    engines: int  # The number of engines in use.
+    tokens_per_s: float  # The prefill rate of one engine.
+    target_left_s: float  # Until its latency target.
+    remaining_s: float  # Until the caller's deadline.
+    shortest_target_s: float  # Of the service's routes.
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnPlan:
+    """When a refused request should return."""
+
+    retry_s: float
+    on_time: bool  # Whether it can still meet its latency target then.
+
+
+@dataclass(slots=True)
+class Promise:
+    """A promise, in the router's own time."""
+
+    digest: int
+    service: str
+    first_attempt_s: float
+    due_s: float
+    deadline_s: float
+    reserved_tokens: int  # Kept free for it now.
+
+
+@dataclass(slots=True)
+class ReturnPromises:
+    """The promises of all routers, as far as this one was told."""
+
+    # Called with each promise that this router makes, and with the digest of
+    # each request that returned here.
+    report: Callable[[ReturnPromise], None] = lambda promise: None
+    report_returned: Callable[[int], None] = lambda digest: None
+    # The share of the promises whose callers came in time.
+    kept_share: float = 1.0
+    # Services whose routes have different latency targets.
+    _services: frozenset[str] = frozenset()
+    _promises: OrderedDict[int, Promise] = field(default_factory=OrderedDict)
+    # Promised prefill tokens by service and slot.
+    _slots: dict[str, dict[int, int]] = field(default_factory=dict)
+    # When the reserve or the promise ends, by digest.
+    _ends: list[tuple[float, int]] = field(default_factory=list)
+    _refusals: Counter[str] = field(default_factory=Counter)
+    _events: Counter[str] = field(default_factory=Counter)
+
+    def __bool__(self) -> bool:
+        """Return whether there is any promise."""
+        return bool(self._promises)
+
+    # --- Where it acts.
+
+    def configure(self, routes: Iterable[Route]) -> None:
+        """Find out where promises are made, from a new configuration.
+
+        This is the only condition: with one latency target for all requests
+        of a service, refused requests are treated as before.
+
+        :param routes: its routes
+        """
+        targets_s: dict[str, set[float]] = {}
+        for route in routes:
+            for share in route.split:
+                known = targets_s.setdefault(share.service, set())
+                known.add(route.latency_target_s)
+        self._services = frozenset(
+            name for name, found in targets_s.items() if len(found) > 1
+        )
+        for digest, promise in list(self._promises.items()):
+            if promise.service not in self._services:
+                self._remove(digest)
+
+    def acts_for(self, service: str) -> bool:
+        """Return whether promises are made for a service.
+
+        :param service: the service's name
+        """
+        return service in self._services
+
+    # --- Requests that arrive.
+
+    def take(self, digest: int, now_s: float) -> Promise | None:
+        """Use up the promise of a request that returns; None: it has none.
+
+        :param digest: the request's digest
+        :param now_s: the time
+        """
+        promise = self._promises.get(digest)
+        if promise is None or now_s >= promise.deadline_s:
+            return None
+        if now_s < promise.due_s - EARLY_TOLERANCE_S:
+            self._events["too_early"] += 1
+            return None
+        self._returned(digest)
+        self._events["returned"] += 1
+        self.report_returned(digest)
+        return promise
+
+    def promised_wait_s(
+        self,
+        service: str,
+        engines: int,
+        tokens_per_s: float,
+        within_s: float,
+        now_s: float,
+    ) -> float:
+        """Return the wait that promises mean for a new request.
+
+        :param service: the service's name
+        :param engines: the number of its engines in use
+        :param tokens_per_s: the prefill rate of one engine
+        :param within_s: promises count that fall due within this time
+        :param now_s: the time
+        """
+        slots = self._slots.get(service)
+        if not slots:
+            return 0.0
+        first = int((now_s - GRACE_S) / SLOT_S)
+        last = int((now_s + min(within_s, HORIZON_S)) / SLOT_S)
+        tokens = sum(slots.get(slot, 0) for slot in range(first, last + 1))
+        return tokens * self.kept_share / (max(1, engines) * tokens_per_s)
+
+    def ended(self, *, sent: bool) -> None:
+        """Count the end of a request that had returned.
+
+        :param sent: whether it was sent to an endpoint
+        """
+        self._events["served" if sent else "refused_again"] += 1
+
+    # --- Requests that are refused.
+
+    def refused(self, reason: str) -> None:
+        """Count a request for a model that is refused.
+
+        :param reason: why
+        """
+        self._refusals[reason] += 1
+
+    def open_until_s(self, digest: int, now_s: float) -> float | None:
+        """Return when a request may return that has a promise already.
+
+        :param digest: the request's digest
+        :param now_s: the time
+        :returns: the time; None: it has no promise that falls due later
+        """
+        promise = self._promises.get(digest)
+        if promise is None or promise.due_s <= now_s:
+            return None
+        return promise.due_s
+
+    def plan(
+        self, need: ReturnNeed, now_s: float, rng: Random
+    ) -> ReturnPlan | None:
+        """Return when a refused request should return; None: never.
+
+        The queue of the engines is predicted slot by slot from the present
+        wait and the promised prefill.  The first slot is taken in which the
+        request can be admitted with time to spare, or else the first one in
+        which it can be admitted.  Without any, it may return late, at a
+        random time, so that late requests do not arrive in a wave.
+
+        :param need: the request
+        :param now_s: the time
+        :param rng: spreads the returns
+        """
+        longest_s = min(need.remaining_s / 3.0, HORIZON_S)
+        if longest_s < MIN_RETRY_S:
+            return None
+        found_s = self._time_on_time(need, longest_s, now_s)
+        if found_s is not None:
+            spread_s = found_s + rng.uniform(0.0, SLOT_S)
+            return ReturnPlan(_round_down(min(spread_s, longest_s)), True)
+        # Late requests are served if the engines are nearly idle.
+        late_wait_s = MAX_WAIT_SHARE_OVERSIZE * need.shortest_target_s
+        serve_s = late_wait_s + need.prefill_s + FIXED_DELAY_S
+        latest_s = min(longest_s, need.remaining_s - serve_s)
+        if latest_s < MIN_RETRY_S:
+            return None
+        retry_s = rng.uniform(MIN_RETRY_S, latest_s)
+        return ReturnPlan(_round_down(retry_s), False)
+
+    def _time_on_time(
+        self, need: ReturnNeed, longest_s: float, now_s: float
+    ) -> float | None:
+        """Return the time after which a request is served on time, if any."""
+        slots = self._slots.get(need.service, {})
+        slot_s = self.kept_share / (max(1, need.engines) * need.tokens_per_s)
+        # New requests go on to arrive and keep the queues at this length.
+        floor_s = min(
+            need.wait_s, MAX_WAIT_SHARE_USED * need.shortest_target_s
+        )
+        no_wait_s = need.prefill_s + FIXED_DELAY_S
+        wait_s, promised_s = need.wait_s, 0.0
+        fallback_s: float | None = None
+        first = int(now_s / SLOT_S)
+        for number in range(int(longest_s / SLOT_S) + 1):
+            after_s = number * SLOT_S
+            left_s = need.target_left_s - after_s - SLOT_S
+            if no_wait_s > USABLE_TARGET_SHARE * left_s:
+                break
+            limit_s = permitted_wait_s(
+                no_wait_s, left_s, need.shortest_target_s, 0.0
+            )
+            due_s = slots.get(first + number, 0) * slot_s
+            wait_s = max(floor_s, wait_s + due_s - SLOT_S)
+            promised_s = max(
+                0.0, promised_s + due_s - MAX_PROMISED_SHARE * SLOT_S
+            )
+            if after_s < MIN_RETRY_S or promised_s > MAX_PROMISED_QUEUE_S:
+                continue
+            if wait_s <= PLANNED_WAIT_PART * limit_s:
+                return after_s
+            if wait_s <= limit_s and fallback_s is None:
+                fallback_s = after_s
+        return fallback_s
+
+    def promise(self, promise: ReturnPromise, now_s: float) -> None:
+        """Keep a promise of this router and tell the peers.
+
+        :param promise: the promise
+        :param now_s: the time
+        """
+        self._events["promised" if promise.prefill_tokens else "told"] += 1
+        self._add(promise, now_s)
+        self.report(promise)
+
+    # --- Peers and time.
+
+    def apply_update(self, update: PeerUpdate, now_s: float) -> None:
+        """Apply the promises in an update of another router.
+
+        :param update: the update
+        :param now_s: the time
+        """
+        for promise in update.promises:
+            if promise.service in self._services and promise.digest:
+                self._add(promise, now_s)
+        for digest in update.returned:
+            self._returned(digest)
+
+    def sweep(self, now_s: float) -> None:
+        """Drop promises past their caller's deadline; called often.
+
+        :param now_s: the time
+        """
+        while self._ends and self._ends[0][0] <= now_s:
+            _, digest = heapq.heappop(self._ends)
+            promise = self._promises.get(digest)
+            if promise is None:
+                continue
+            if promise.deadline_s <= now_s:
+                self._remove(digest)
+            elif promise.reserved_tokens and promise.due_s + GRACE_S <= now_s:
+                self._events["not_returned"] += 1
+                self._count_kept(0.0)
+                self._release(promise)
+
+    def take_report(self) -> ReturnReport:
+        """Return what happened since the last report."""
+        report = ReturnReport(
+            self._refusals, self._events, len(self._promises), self.kept_share
+        )
+        self._refusals, self._events = Counter(), Counter()
+        return report
+
+    def _add(self, told: ReturnPromise, now_s: float) -> None:
+        """Keep a promise; its times are bounded, as a peer may send any."""
+        known = self._promises.get(told.digest)
+        if known is not None and known.due_s > now_s:
+            # Two callers with the same request share one promise.
+            return
+        self._remove(told.digest)
+        due_s = now_s + min(max(0.0, told.due_s), HORIZON_S)
+        deadline_s = now_s + min(told.deadline_s, MAX_DEADLINE_S)
+        if deadline_s <= due_s:
+            return
+        promise = Promise(
+            told.digest,
+            told.service,
+            now_s - max(0.0, told.age_s),
+            due_s,
+            deadline_s,
+            min(max(0, told.prefill_tokens), MAX_PREFILL_TOKENS),
+        )
+        if len(self._promises) >= MAX_PROMISES:
+            self._remove(next(iter(self._promises)))
+        self._promises[told.digest] = promise
+        if promise.reserved_tokens:
+            slots = self._slots.setdefault(told.service, {})
+            slot = int(due_s / SLOT_S)
+            slots[slot] = slots.get(slot, 0) + promise.reserved_tokens
+            heapq.heappush(self._ends, (due_s + GRACE_S, told.digest))
+        heapq.heappush(self._ends, (deadline_s, told.digest))
+        if len(self._ends) > 4 * MAX_PROMISES:
+            self._rebuild_ends()
+
+    def _rebuild_ends(self) -> None:
+        """Leave out the ends of promises that were dropped."""
+        self._ends = [
+            (end_s, digest)
+            for digest, promise in self._promises.items()
+            for end_s in (promise.due_s + GRACE_S, promise.deadline_s)
+        ]
+        heapq.heapify(self._ends)
+
+    def _returned(self, digest: int) -> None:
+        """Drop a promise whose caller returned."""
+        promise = self._promises.get(digest)
+        if promise is not None:
+            if promise.reserved_tokens:
+                self._count_kept(1.0)
+            self._remove(digest)
+
+    def _remove(self, digest: int) -> None:
+        """Drop a promise and what is reserved for it."""
+        promise = self._promises.pop(digest, None)
+        if promise is not None:
+            self._release(promise)
+
+    def _release(self, promise: Promise) -> None:
+        """Give back what is reserved for a promise."""
+        tokens, promise.reserved_tokens = promise.reserved_tokens, 0
+        if not tokens:
+            return
+        slots = self._slots[promise.service]
+        slot = int(promise.due_s / SLOT_S)
+        left = slots[slot] - tokens
+        if left:
+            slots[slot] = left
+        else:
+            del slots[slot]
+
+    def _count_kept(self, kept: float) -> None:
+        """Count a promise whose caller came in time, or did not."""
+        self.kept_share += KEPT_GAIN * (kept - self.kept_share)
+
+
+def returning_share_used(share_used: float) -> float:
+    """Return the use of its share at which a returning request is judged.
+
+    One share less than its workspace used: returning requests go before new
+    ones, but the workspace furthest over its share is still refused first.
+
+    :param share_used: the used part of its workspace's share
+    """
+    return max(0.0, share_used - 1.0)
+
+
+def _round_down(time_s: float) -> float:
+    """Return a time in whole steps of Retry-After."""
+    return math.floor(time_s / RETRY_STEP_S + 1e-9) * RETRY_STEP_S
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -15,9 +15,9 @@
     choose_engine,
     choose_plain,
 )
-from bulrushstream.daemon import safeguards, takeups
+from bulrushstream.coordination.returns import returning_share_used
+from bulrushstream.daemon import returning, safeguards, takeups
 from bulrushstream.daemon.safeguards import Refusal
-from bulrushstream.messages import Notice
 from bulrushstream.state.call import Prompt
 
 if TYPE_CHECKING:
@@ -91,11 +91,14 @@
         prompt,
         choice,
         spare,
+        len(usable),
         now_s,
         may_read_anew=choice.idle_engines >= math.sqrt(len(usable)),
     )
     if reason:
-        return Refusal(_refuse_admission(front, forward, prediction, reason))
+        return _refuse_admission(
+            front, forward, prediction, reason, len(usable)
+        )
     number = _record_attempt(
         front, forward, prediction.endpoint, prediction, now_s
     )
@@ -120,6 +123,7 @@
     prompt: Prompt,
     choice: EngineChoice,
     spare_engines: float,
+    engines: int,
     now_s: float,
     *,
     may_read_anew: bool,
@@ -130,21 +134,19 @@
     not refused any more.
 
     :param spare_engines: idle engines beyond those left for bursts
+    :param engines: the engines in use
     :param may_read_anew: whether it may go to an idle engine that keeps less
         of its prompt; a few are idle by chance also in overload
     """
     best = choice.best
     if forward.progress.sends or forward.exchange.started:
         return best, ""
-    target_left_s = forward.route.latency_target_s - (
-        now_s - forward.arrived_s
-    )
-    table = front.table
-    latency_target_s = forward.route.latency_target_s
-    if table is not None:
-        latency_target_s = table.shortest_latency_target_s.get(
-            forward.service, latency_target_s
-        )
+    first_attempt_s, share_used = forward.arrived_s, forward.share_used
+    if forward.promise is not None:
+        first_attempt_s = forward.promise.first_attempt_s
+        share_used = returning_share_used(share_used)
+    target_left_s = forward.route.latency_target_s - (now_s - first_attempt_s)
+    latency_target_s = _shortest_target_s(front, forward)
     if takeups.is_restricted(forward):
         fits = best.wait_s <= latency_target_s
         return best, "" if fits else LATE_REASON
@@ -156,7 +158,13 @@
             each
             for each in candidates
             if admit_to_engine(
-                each, target_left_s, latency_target_s, forward.share_used
+                each,
+                target_left_s,
+                latency_target_s,
+                share_used,
+                returning.promised_wait_s(
+                    front, forward, each, engines, now_s
+                ),
             )
             is Admission.SEND
         ),
@@ -171,10 +179,24 @@
     return admitted, ""
 
 
+def _shortest_target_s(front: Front, forward: Forward) -> float:
+    """Return the shortest latency target of a request's service."""
+    latency_target_s = forward.route.latency_target_s
+    if front.table is None:
+        return latency_target_s
+    return front.table.shortest_latency_target_s.get(
+        forward.service, latency_target_s
+    )
+
+
 def _refuse_admission(
-    front: Front, forward: Forward, prediction: Prediction, reason: str
-) -> Notice:
-    """Log the refusal of a request by admission; return its notice."""
+    front: Front,
+    forward: Forward,
+    prediction: Prediction,
+    reason: str,
+    engines: int,
+) -> Refusal:
+    """Log the refusal of a request by admission; return it."""
     front.log_decision(
         "shed",
         reason,
@@ -185,9 +207,29 @@
             "share_used": round(forward.share_used, 3),
         },
     )
-    if forward.share_used > 1.0:
-        return messages.SHARE_EXCEEDED
-    return messages.NO_CAPACITY
+    may_return = takeups.is_restricted(forward) or returning.plan_return(
+        front,
+        forward,
+        prediction,
+        engines,
+        _shortest_target_s(front, forward),
+        may_reserve=reason != YIELD_REASON,
+    )
+    front.fleet_state.returns.refused(
+        _refusal_name(forward, reason, may_return=may_return)
+    )
+    exceeded = forward.share_used > 1.0
+    notice = messages.SHARE_EXCEEDED if exceeded else messages.NO_CAPACITY
+    return Refusal(notice, final=not may_return)
+
+
+def _refusal_name(forward: Forward, reason: str, *, may_return: bool) -> str:
+    """Return a refusal's reason as a label of metrics."""
+    if not may_return:
+        return "hopeless"
+    if reason == YIELD_REASON:
+        return "others_wait"
+    return "share_used" if forward.share_used > 1.0 else "no_capacity"
 
 
 def _record_attempt(
@@ -245,11 +287,9 @@
     :param forward: the request
     :param wait_s: the time until it may be served; 0: not known
     """
-    remaining_s = forward.deadline_s - front.clock()
-    if forward.call.timeout_s is not None:
-        remaining_s = forward.call.timeout_s - (
-            front.clock() - forward.arrived_s
-        )
+    if forward.return_s:
+        return forward.return_s
+    remaining_s = returning.remaining_s(front, forward)
     # Spread randomly, so that refused callers do not return in a wave.
     retry_s = forward.route.latency_target_s * front.rng.uniform(
         *RETRY_TARGET_FRACTIONS
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -33,6 +33,7 @@
 from bulrushstream.transport.exchange import BodyWriter, Exchange
 
 if TYPE_CHECKING:
+    from bulrushstream.coordination.returns import Promise
     from bulrushstream.coordination.streamorigins import OwnStream
     from bulrushstream.daemon.endcheck import EndCheck
     from bulrushstream.daemon.front import Front
@@ -66,6 +67,8 @@
         "on_trial",
         "own_streams",
         "progress",
+        "promise",
+        "return_s",
         "route",
         "service",
         "share_used",
@@ -114,6 +117,9 @@
         self.attempt: Attempt | None = None  # The current or last one.
         self.tried: set[str] = set()
         self.share_used = 0.0
+        # What its caller was promised with a refusal; None: it is new.
+        self.promise: Promise | None = None
+        self.return_s = 0.0  # The planned time to return; 0: none.
         # Whether its outcome shows if parts of its prompt crash endpoints.
         self.on_trial = False
         self.splitter = EventSplitter(last_id=call.resume_after)
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -23,7 +23,13 @@
 from bulrushstream.coordination.routetable import RouteTable, pick_service
 from bulrushstream.coordination.streamends import StreamEnds
 from bulrushstream.coordination.streampatterns import StreamPatterns
-from bulrushstream.daemon import dispatch, runwatch, safeguards, takeups
+from bulrushstream.daemon import (
+    dispatch,
+    returning,
+    runwatch,
+    safeguards,
+    takeups,
+)
 from bulrushstream.daemon.connections import EndpointConnections
 from bulrushstream.daemon.crashwatch import CrashWatch
 from bulrushstream.daemon.fleetsetup import make_fleet_state
@@ -259,11 +265,16 @@
             return
         self.forwards[forward] = None
         self.retry_quota.count_request(forward.service, now_s)
+        forward.promise = returning.recognise(self, forward, now_s)
         if call.prompt is not None and workspace:
             tokens = call.prompt.quota_tokens
-            forward.share_used = self.fleet_state.add_demand(
-                workspace, tokens, now_s
+            # The demand of a request that returns was counted before.
+            measure = (
+                self.fleet_state.add_demand
+                if forward.promise is None
+                else self.fleet_state.shares.used_share
             )
+            forward.share_used = measure(workspace, tokens, now_s)
         forward.start()
 
     def _admit(
@@ -462,6 +473,9 @@
         now_s = self.clock()
         if outcome is Outcome.RAN and forward.attempt is not None:
             safeguards.request_ran(self.fleet_state, forward.attempt, now_s)
+        sent = forward.progress.sends > 0
+        if forward.promise is not None and (sent or reason == "refuse"):
+            self.fleet_state.returns.ended(sent=sent)
         duration_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
             forward.service, forward.route.kind.value
@@ -501,7 +515,8 @@
     # --- Log.
 
     def report_shares(self) -> None:
-        """Log the shares, their use here, and crowds since the last call."""
+        """Log shares, returns and crowds since the last call."""
+        returning.report(self)
         self._report_shares(self.fleet_state.report_shares(self.clock()))
         ingress, lag = self.ingress, self.loop_lag
         crowd = Crowd(
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -27,6 +27,7 @@
     front.limits.header_timeout_s = limits.header_timeout_s
     front.limits.idle_timeout_s = limits.idle_timeout_s
     front.streams.history.configure(config.routes)
+    front.fleet_state.returns.configure(config.routes)
     for service in config.services:
         front.pool.set_traits(service.name, service.engine)
     front.metrics.config_version.set(config.version)
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -21,6 +21,7 @@
 
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.excess import Excess
+from bulrushstream.state.returns import ReturnReport
 from bulrushstream.state.usage import Crowd, ShareReport
 
 if TYPE_CHECKING:
@@ -69,6 +70,9 @@
     caller_connections: Counter  # Callers' connections that were ended.
     excess: Counter  # Connections whose peers sent too much.
     spoiled_streams: Counter  # Streams whose endpoints spoiled them.
+    model_refusals: Counter  # Refused requests for models.
+    returns: Counter  # Callers that return after a refusal.
+    promises: Gauge  # Promises to refused callers.
 
 
 def make_metrics() -> Metrics:
@@ -197,6 +201,19 @@
             "service",
             "reason",
         ),
+        model_refusals=counter(
+            "model_refusals",
+            "Requests for models that admission refused.",
+            "reason",
+        ),
+        returns=counter(
+            "returns",
+            "Refused callers: times to return, and what became of them.",
+            "event",
+        ),
+        promises=gauge(
+            "return_promises", "Refused callers that are expected to return."
+        ),
     )
 
 
@@ -275,6 +292,19 @@
     metrics.oldest_peer_age.set(report.oldest_peer_age_s)
 
 
+def count_returns(metrics: Metrics, report: ReturnReport) -> None:
+    """Count refusals and returns at a router.
+
+    :param metrics: The metrics of the router.
+    :param report: What happened since the last report.
+    """
+    for name, count in report.refusals.items():
+        metrics.model_refusals.labels(name).inc(count)
+    for name, count in report.returns.items():
+        metrics.returns.labels(name).inc(count)
+    metrics.promises.set(report.open_promises)
+
+
 def count_crowd(metrics: Metrics, crowd: Crowd) -> None:
     """Count what a router did as too many callers use it.
 
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -31,6 +31,7 @@
     RequestPlaced,
     WorkspaceTotals,
 )
+from bulrushstream.state.returns import ReturnPromise
 from bulrushstream.state.streamorigin import StreamOrigin
 
 CHECKSUM: Final = struct.Struct("!Q")
@@ -133,6 +134,19 @@
         mixed_services=list(update.mixed_services) or None,
         leaving_endpoints=list(update.leaving_endpoints) or None,
         leaving_starts=list(update.leaving_starts) or None,
+        promises=[
+            _SCHEMA.Promise(
+                each.digest,
+                each.service,
+                _to_ms(each.age_s),
+                _to_ms(each.due_s),
+                each.prefill_tokens,
+                _to_ms(each.deadline_s),
+            )
+            for each in update.promises
+        ]
+        or None,
+        returned=list(update.returned) or None,
         zone=update.zone or None,
         pass_on=update.pass_on or None,
         totals=[
@@ -244,6 +258,20 @@
         lists["leaving_endpoints"] = tuple(wire.leaving_endpoints)
     if wire.leaving_starts:
         lists["leaving_starts"] = tuple(wire.leaving_starts)
+    if wire.promises:
+        lists["promises"] = tuple(
+            ReturnPromise(
+                each.digest,
+                each.pool,
+                each.age_ms / 1000,
+                each.due_ms / 1000,
+                each.prefill_tokens,
+                each.deadline_ms / 1000,
+            )
+            for each in wire.promises
+        )
+    if wire.returned:
+        lists["returned"] = tuple(wire.returned)
     if wire.limits:
         lists["limits"] = tuple(
             EndpointLimit(
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -63,6 +63,15 @@
   4: i32 age_ms
 }
 
+struct Promise {
+  1: i64 digest
+  2: string pool
+  3: i32 age_ms
+  4: i32 due_ms
+  5: i32 prefill_tokens
+  6: i32 deadline_ms
+}
+
 struct Update {
   1: string instance
   2: i64 incarnation
@@ -86,4 +95,6 @@
   20: optional string zone
   21: optional bool pass_on
   22: optional list<string> leaving_starts
+  50: optional list<Promise> promises
+  51: optional list<i64> returned
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from bulrushstream.state.partevidence import PartProof, PartStrikes
+from bulrushstream.state.returns import ReturnPromise
 from bulrushstream.state.streamorigin import StreamOrigin
 
 
@@ -102,6 +103,8 @@
     leaving_endpoints: tuple[str, ...] = ()
     # The starts of their processes, in this order; empty if none is told.
     leaving_starts: tuple[str, ...] = ()
+    promises: tuple[ReturnPromise, ...] = ()  # To callers it refused.
+    returned: tuple[int, ...] = ()  # Digests of requests that returned.
     known_hosts: tuple[str, ...] = ()  # IP addresses of some of its peers.
     zone: str = ""  # The router's availability zone; only in heartbeats.
     # Whether a receiver in another zone passes it on to that zone's routers.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -26,6 +26,7 @@
     RequestPlaced,
     WorkspaceTotals,
 )
+from bulrushstream.state.returns import ReturnPromise
 from bulrushstream.state.streamorigin import StreamOrigin
 
 # How long events are batched; a fraction of the time between requests.
@@ -66,6 +67,9 @@
     mixed_services: set[str] = field(default_factory=set)
     # The starts of the processes, by the endpoint's id.
     leaving_endpoints: dict[str, str] = field(default_factory=dict)
+    # With the time at which they were made.
+    promises: list[tuple[float, ReturnPromise]] = field(default_factory=list)
+    returned: list[int] = field(default_factory=list)
 
     def size(self) -> int:
         """Return the number of events, totals not included."""
@@ -76,12 +80,19 @@
         )
         events += len(self.crash_suspects) + len(self.cleared)
         events += len(self.part_strikes) + len(self.part_proofs)
+        events += len(self.promises) + len(self.returned)
         return events + len(self.limits)
 
     @property
     def has_events(self) -> bool:
-        """Return whether requests were placed, began or ended."""
-        return bool(self.placements or self.first_events or self.ended_calls)
+        """Return whether requests were placed, began, ended or return."""
+        return bool(
+            self.placements
+            or self.first_events
+            or self.ended_calls
+            or self.promises
+            or self.returned
+        )
 
     @property
     def has_reports(self) -> bool:
@@ -300,6 +311,23 @@
         self._pending.leaving_endpoints[endpoint] = born
         self._schedule_flush()
 
+    def report_promise(self, promise: ReturnPromise) -> None:
+        """Report that a refused caller was given a time to return.
+
+        :param promise: the promise
+        """
+        now_s = asyncio.get_running_loop().time()
+        self._pending.promises.append((now_s, promise))
+        self._schedule_flush()
+
+    def report_returned(self, digest: int) -> None:
+        """Report that a request returned that had a promise.
+
+        :param digest: the request's digest
+        """
+        self._pending.returned.append(digest)
+        self._schedule_flush()
+
     def send_origin(self, host: str, origin: StreamOrigin) -> None:
         """Tell one router where a stream began; see `OriginNotifier`."""
         waiting = self._pending_origins.setdefault(host, [])
@@ -355,6 +383,8 @@
             first_events=tuple(pending.first_events),
             ended_calls=tuple(pending.ended_calls),
             totals=tuple(totals[:MAX_TOTALS]),
+            promises=_aged(pending.promises),
+            returned=tuple(pending.returned),
             leaving=self.leaving,
         )
         paths = self.paths()
@@ -500,6 +530,16 @@
     return FLUSH_DELAY_S * max(1.0, factor)
 
 
+def _aged(
+    promises: list[tuple[float, ReturnPromise]],
+) -> tuple[ReturnPromise, ...]:
+    """Return promises as of now; a process may stall before it sends."""
+    if not promises:
+        return ()
+    now_s = asyncio.get_running_loop().time()
+    return tuple(promise.after(now_s - at_s) for at_s, promise in promises)
+
+
 def _group_by_size(reports: list[PartStrikes]) -> list[list[PartStrikes]]:
     """Split reports so that each group fits in a datagram."""
     groups: list[list[PartStrikes]] = []
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -8,8 +8,8 @@
 
 import asyncio
 import re
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any, Final, cast
 
@@ -92,6 +92,9 @@
     tokens_per_s: float = 150_000.0  # The configured throughput.
     loss: float = 0.0  # Share of the updates between routers.
     end_s: float = 14.0
+    latency_targets_s: Mapping[str, float] = field(
+        default_factory=lambda: LATENCY_TARGETS_S
+    )  # By route.
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +106,19 @@
     idle_engines: int  # That had nothing to do then.
 
 
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A request that a router answered, with a stream or a refusal."""
+
+    at_s: float
+    workspace: str
+    route: str
+    first_sent_s: float  # When its caller sent it for the first time.
+    returned: bool  # Whether it was refused before.
+    status: int
+    retry_s: float | None  # None: no time to retry.
+
+
 @dataclass(slots=True)
 class _Pool(SingleUsePool):
     """One router's connections to an engine; stands in for `Pool`."""
@@ -191,6 +207,7 @@
         self.rng = Random(plan.seed)
         self.shares = ServedShares()
         self.refusals: list[Refusal] = []
+        self.answers: list[Answered] = []
         self.prompts: dict[str, Prompt] = {}
         self.engines: dict[str, Engine] = {}
         self.fronts: list[Front] = []
@@ -198,7 +215,9 @@
         self._incarnations = [0] * plan.routers
         self._deafness: dict[int, Change] = {}  # By router.
         names = sorted({each.workspace for each in plan.traffic})
-        self._config = _config(names, plan.tokens_per_s)
+        self._config = _config(
+            names, plan.tokens_per_s, plan.latency_targets_s
+        )
         self._dialect = replace(DIALECT, decode_call=self._decode_call)
 
     def run(self) -> ServedShares:
@@ -328,7 +347,7 @@
         self, method: bytes, target: bytes, headers: RawHeaders
     ) -> Call:
         path = target.decode()
-        request_id = path.rsplit("/", 1)[1]
+        request_id = dict(headers)[b"id"].decode()
         return Call(
             request_id=request_id,
             method=method,
@@ -368,19 +387,25 @@
             traffic.shared_tokens + own_tokens,
             traffic.output_tokens,
         )
-        self._send(traffic, prompt, may_return=True)
+        self._send(traffic, prompt)
 
     def _send(
-        self, traffic: Traffic, prompt: Prompt, *, may_return: bool
+        self,
+        traffic: Traffic,
+        prompt: Prompt,
+        first_sent_s: float | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
+        returned = first_sent_s is not None
+        if first_sent_s is None:
+            first_sent_s = sent_s
         request_id = f"q{len(self.prompts)}"
         self.prompts[request_id] = prompt
         self._workspaces[request_id] = traffic.workspace
         ask = Ask(sent_s, traffic.workspace, prompt.quota_tokens)
         self.shares.asks.append(ask)
-        target_s = LATENCY_TARGETS_S[traffic.route]
+        target_s = self.plan.latency_targets_s[traffic.route]
 
         def answered(data: bytes) -> None:
             match = _STATUS.match(data)
@@ -394,18 +419,36 @@
             if refused or loop.time() > sent_s + target_s:
                 self.shares.waits.append((loop.time(), traffic.workspace))
             after = _RETRY_AFTER.search(data)
-            if refused and may_return and after is not None:
+            self.answers.append(
+                Answered(
+                    loop.time(),
+                    traffic.workspace,
+                    traffic.route,
+                    first_sent_s,
+                    returned,
+                    int(match[1]),
+                    float(after[1]) if after is not None else None,
+                )
+            )
+            if refused and not returned and after is not None:
                 loop.call_later(
                     float(after[1]),
-                    lambda: self._send(traffic, prompt, may_return=False),
+                    lambda: self._send(traffic, prompt, first_sent_s),
                 )
 
         numbers = traffic.routers or tuple(range(self.plan.routers))
         caller = _CallerConnection(answered)
         exchange = Exchange(cast(ClientConnection, caller))
         exchange.method = b"POST"
-        exchange.target = f"/{traffic.route}/{request_id}".encode()
-        exchange.headers = [(b"key", traffic.workspace.encode())]
+        # A caller that returns sends the same request with a new id.
+        exchange.target = b"/%s/%d" % (
+            traffic.route.encode(),
+            prompt.parts[-1].part_id,
+        )
+        exchange.headers = [
+            (b"key", traffic.workspace.encode()),
+            (b"id", request_id.encode()),
+        ]
         exchange.arrived_s = sent_s
         self.fronts[self.rng.choice(numbers)].handle(exchange)
 
@@ -415,7 +458,11 @@
     return 1_000_000 + int.from_bytes(name.encode(), "little") % (2**31)
 
 
-def _config(names: list[str], tokens_per_s: float) -> RouteConfig:
+def _config(
+    names: list[str],
+    tokens_per_s: float,
+    latency_targets_s: Mapping[str, float],
+) -> RouteConfig:
     routes = tuple(
         a_route(
             name=name,
@@ -428,7 +475,7 @@
             resumable=False,
             max_event_gap_s=0.3,
         )
-        for name, target_s in LATENCY_TARGETS_S.items()
+        for name, target_s in latency_targets_s.items()
     )
     return RouteConfig(
         version=1,
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -37,6 +37,7 @@
     RequestPlaced,
     WorkspaceTotals,
 )
+from bulrushstream.state.returns import ReturnPromise
 from bulrushstream.state.routes import EngineTraits
 from bulrushstream.state.streamorigin import StreamOrigin
 from tests.deployments import a_prompt, an_entry
@@ -98,6 +99,12 @@
         )
         self.updates.append(update)
 
+    def report_promise(self, promise: ReturnPromise) -> None:
+        self.updates.append(replace(self.identity, promises=(promise,)))
+
+    def report_returned(self, digest: int) -> None:
+        self.updates.append(replace(self.identity, returned=(digest,)))
+
     def report_part_strikes(self, strikes: PartStrikes) -> None:
         self.updates.append(replace(self.identity, part_strikes=(strikes,)))
 
