Deny priority to workspaces beyond their share

A workspace beyond 1.5 of its share, or whose use is not known because most peers are silent, has no priority; the demand of a return counts as before.

--- a/src/bulrushstream/coordination/returns.py
+++ b/src/bulrushstream/coordination/returns.py
@@ -68,8 +68,8 @@
 # the rest is for requests that other routers place meanwhile.
 PLANNED_WAIT_PART: Final = 0.5
 
-# Nothing is kept free for a workspace beyond this use of its share: its
-# requests are the first to be refused.
+# A workspace beyond this use of its share has no priority, and nothing is
+# kept free for it: its requests are the first to be refused.
 MAX_SHARE_USED: Final = 1.5
 
 # The weight of one promise in the average of those whose callers returned.
@@ -422,6 +422,16 @@
         self.kept_share += KEPT_GAIN * (kept - self.kept_share)
 
 
+def has_priority(share_used: float, *, stale: bool) -> bool:
+    """Return whether a workspace's requests have priority if they return.
+
+    :param share_used: the used part of its share
+    :param stale: whether what the peers grant now is not known, and so
+        whether the workspace is within its share
+    """
+    return share_used <= MAX_SHARE_USED and not stale
+
+
 def returning_share_used(share_used: float) -> float:
     """Return the use of its share at which a returning request is judged.
 
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -268,13 +268,9 @@
         forward.promise = returning.recognise(self, forward, now_s)
         if call.prompt is not None and workspace:
             tokens = call.prompt.quota_tokens
-            # The demand of a request that returns was counted before.
-            measure = (
-                self.fleet_state.add_demand
-                if forward.promise is None
-                else self.fleet_state.shares.used_share
+            forward.share_used = self.fleet_state.add_demand(
+                workspace, tokens, now_s
             )
-            forward.share_used = measure(workspace, tokens, now_s)
         forward.start()
 
     def _admit(
--- a/src/bulrushstream/daemon/returning.py
+++ b/src/bulrushstream/daemon/returning.py
@@ -10,9 +10,9 @@
 from bulrushstream.coordination.placement import Prediction
 from bulrushstream.coordination.returns import (
     MAX_PREFILL_TOKENS,
-    MAX_SHARE_USED,
     Promise,
     ReturnNeed,
+    has_priority,
 )
 from bulrushstream.metrics import count_returns
 from bulrushstream.state.effect import Decision
@@ -48,6 +48,16 @@
     return returns.take(forward.fingerprint, now_s)
 
 
+def has_priority_now(front: Front, forward: Forward) -> bool:
+    """Return whether a request's workspace has priority if it returns.
+
+    :param front: the router
+    :param forward: the request
+    """
+    stale = front.fleet_state.shares.stale
+    return has_priority(forward.share_used, stale=stale)
+
+
 def promised_wait_s(
     front: Front,
     forward: Forward,
@@ -64,7 +74,9 @@
     :param now_s: the time
     """
     state = front.fleet_state
-    if forward.promise is not None or not state.returns:
+    if not state.returns:
+        return 0.0
+    if forward.promise is not None and has_priority_now(front, forward):
         return 0.0
     return state.returns.promised_wait_s(
         forward.service, engines, state.prefill_rate, prediction.wait_s, now_s
@@ -127,7 +139,7 @@
         may_reserve
         and plan.on_time
         and forward.promise is None
-        and forward.share_used <= MAX_SHARE_USED
+        and has_priority_now(front, forward)
     )
     tokens = min(MAX_PREFILL_TOKENS, max(1, int(prediction.prefill_tokens)))
     returns.promise(
