Plan returns in a module of their own, and test them

Planning is a function of the promised sums; a request is only given a time at which it can still be served before its caller's deadline.

--- a/src/bulrushstream/coordination/returns.py
+++ b/src/bulrushstream/coordination/returns.py
@@ -14,19 +14,18 @@
 from __future__ import annotations
 
 import heapq
-import math
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
 
-from bulrushstream.coordination.engineview import FIXED_DELAY_S
-from bulrushstream.coordination.placement import (
-    MAX_WAIT_SHARE_OVERSIZE,
-    MAX_WAIT_SHARE_USED,
-    USABLE_TARGET_SHARE,
-    permitted_wait_s,
+from bulrushstream.coordination.returnplan import (
+    HORIZON_S,
+    SLOT_S,
+    ReturnNeed,
+    ReturnPlan,
+    plan_return,
 )
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.returns import ReturnPromise, ReturnReport
@@ -34,22 +33,10 @@
 
 MAX_PROMISES: Final = 4096
 
-# Promised prefill is summed in slots of this length, and promises fall due
-# at most so far ahead.
-SLOT_S: Final = 0.025
-HORIZON_S: Final = 10.0
-
 # Bounds of what a peer may promise.
 MAX_PREFILL_TOKENS: Final = 1_000_000
 MAX_DEADLINE_S: Final = 600.0
 
-# The value of Retry-After has two decimals.
-RETRY_STEP_S: Final = 0.01
-
-# A shorter time to return is too short for the queues to change and for the
-# peers to be told.
-MIN_RETRY_S: Final = 0.06
-
 # A request is recognised this long before its time: peers learn of it late
 # by the batching of updates (up to 12 ms) and the way.
 EARLY_TOLERANCE_S: Final = 0.03
@@ -58,16 +45,6 @@
 # covers the caller's new connection and the message that it returned.
 GRACE_S: Final = 0.1
 
-# Promises may take this part of the engines' prefill, so that new requests
-# are served at any time.  The queue of promised prefill alone, if only this
-# part of the engines worked on it, may last so long.
-MAX_PROMISED_SHARE: Final = 0.5
-MAX_PROMISED_QUEUE_S: Final = 0.1
-
-# A return is planned for a wait of at most this part of the permitted one;
-# the rest is for requests that other routers place meanwhile.
-PLANNED_WAIT_PART: Final = 0.5
-
 # A workspace beyond this use of its share has no priority, and nothing is
 # kept free for it: its requests are the first to be refused.
 MAX_SHARE_USED: Final = 1.5
@@ -76,29 +53,6 @@
 KEPT_GAIN: Final = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class ReturnNeed:
-    """A refused request, and the engines that it may return to."""
-
-    service: str
-    prefill_tokens: float  # Its uncached tokens, with the cost of attention.
-    prefill_s: float  # The predicted duration of their prefill.
-    wait_s: float  # The least wait at an engine now.
-    engines: int  # The number of engines in use.
-    tokens_per_s: float  # The prefill rate of one engine.
-    target_left_s: float  # Until its latency target.
-    remaining_s: float  # Until the caller's deadline.
-    shortest_target_s: float  # Of the service's routes.
-
-
-@dataclass(frozen=True, slots=True)
-class ReturnPlan:
-    """When a refused request should return."""
-
-    retry_s: float
-    on_time: bool  # Whether it can still meet its latency target then.
-
-
 @dataclass(slots=True)
 class Promise:
     """A promise, in the router's own time."""
@@ -240,66 +194,12 @@
     ) -> ReturnPlan | None:
         """Return when a refused request should return; None: never.
 
-        The queue of the engines is predicted slot by slot from the present
-        wait and the promised prefill.  The first slot is taken in which the
-        request can be admitted with time to spare, or else the first one in
-        which it can be admitted.  Without any, it may return late, at a
-        random time, so that late requests do not arrive in a wave.
-
         :param need: the request
         :param now_s: the time
         :param rng: spreads the returns
         """
-        longest_s = min(need.remaining_s / 3.0, HORIZON_S)
-        if longest_s < MIN_RETRY_S:
-            return None
-        found_s = self._time_on_time(need, longest_s, now_s)
-        if found_s is not None:
-            spread_s = found_s + rng.uniform(0.0, SLOT_S)
-            return ReturnPlan(_round_down(min(spread_s, longest_s)), True)
-        # Late requests are served if the engines are nearly idle.
-        late_wait_s = MAX_WAIT_SHARE_OVERSIZE * need.shortest_target_s
-        serve_s = late_wait_s + need.prefill_s + FIXED_DELAY_S
-        latest_s = min(longest_s, need.remaining_s - serve_s)
-        if latest_s < MIN_RETRY_S:
-            return None
-        retry_s = rng.uniform(MIN_RETRY_S, latest_s)
-        return ReturnPlan(_round_down(retry_s), False)
-
-    def _time_on_time(
-        self, need: ReturnNeed, longest_s: float, now_s: float
-    ) -> float | None:
-        """Return the time after which a request is served on time, if any."""
         slots = self._slots.get(need.service, {})
-        slot_s = self.kept_share / (max(1, need.engines) * need.tokens_per_s)
-        # New requests go on to arrive and keep the queues at this length.
-        floor_s = min(
-            need.wait_s, MAX_WAIT_SHARE_USED * need.shortest_target_s
-        )
-        no_wait_s = need.prefill_s + FIXED_DELAY_S
-        wait_s, promised_s = need.wait_s, 0.0
-        fallback_s: float | None = None
-        first = int(now_s / SLOT_S)
-        for number in range(int(longest_s / SLOT_S) + 1):
-            after_s = number * SLOT_S
-            left_s = need.target_left_s - after_s - SLOT_S
-            if no_wait_s > USABLE_TARGET_SHARE * left_s:
-                break
-            limit_s = permitted_wait_s(
-                no_wait_s, left_s, need.shortest_target_s, 0.0
-            )
-            due_s = slots.get(first + number, 0) * slot_s
-            wait_s = max(floor_s, wait_s + due_s - SLOT_S)
-            promised_s = max(
-                0.0, promised_s + due_s - MAX_PROMISED_SHARE * SLOT_S
-            )
-            if after_s < MIN_RETRY_S or promised_s > MAX_PROMISED_QUEUE_S:
-                continue
-            if wait_s <= PLANNED_WAIT_PART * limit_s:
-                return after_s
-            if wait_s <= limit_s and fallback_s is None:
-                fallback_s = after_s
-        return fallback_s
+        return plan_return(need, slots, self.kept_share, now_s, rng)
 
     def promise(self, promise: ReturnPromise, now_s: float) -> None:
         """Keep a promise of this router and tell the peers.
@@ -441,8 +341,3 @@
     :param share_used: the used part of its workspace's share
     """
     return max(0.0, share_used - 1.0)
-
-
-def _round_down(time_s: float) -> float:
-    """Return a time in whole steps of Retry-After."""
-    return math.floor(time_s / RETRY_STEP_S + 1e-9) * RETRY_STEP_S
--- a/src/bulrushstream/daemon/returning.py
+++ b/src/bulrushstream/daemon/returning.py
@@ -8,10 +8,10 @@
 from typing import TYPE_CHECKING
 
 from bulrushstream.coordination.placement import Prediction
+from bulrushstream.coordination.returnplan import ReturnNeed
 from bulrushstream.coordination.returns import (
     MAX_PREFILL_TOKENS,
     Promise,
-    ReturnNeed,
     has_priority,
 )
 from bulrushstream.metrics import count_returns
--- a/tests/modelfleets.py
+++ b/tests/modelfleets.py
@@ -95,6 +95,8 @@
     latency_targets_s: Mapping[str, float] = field(
         default_factory=lambda: LATENCY_TARGETS_S
     )  # By route.
+    # Whether new requests are the same whatever routers do.
+    fixed_traffic: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,6 +207,9 @@
     def __init__(self, plan: FleetPlan) -> None:
         self.plan = plan
         self.rng = Random(plan.seed)
+        self._traffic_rng = (
+            Random(plan.seed) if plan.fixed_traffic else self.rng
+        )
         self.shares = ServedShares()
         self.refusals: list[Refusal] = []
         self.answers: list[Answered] = []
@@ -362,7 +367,9 @@
         )
 
     def _gap_s(self, traffic: Traffic) -> float:
-        return self.rng.expovariate(traffic.requests_per_s / traffic.batch)
+        return self._traffic_rng.expovariate(
+            traffic.requests_per_s / traffic.batch
+        )
 
     def _send_new(self, traffic: Traffic) -> None:
         loop = asyncio.get_running_loop()
@@ -373,9 +380,11 @@
             self._send_one(traffic)
 
     def _send_one(self, traffic: Traffic) -> None:
-        subject = self.rng.randrange(traffic.subjects)
+        subject = self._traffic_rng.randrange(traffic.subjects)
         shared = f"{traffic.workspace}/{traffic.route}/{subject}"
-        own_tokens = int(traffic.own_tokens * self.rng.uniform(0.5, 1.5))
+        own_tokens = int(
+            traffic.own_tokens * self._traffic_rng.uniform(0.5, 1.5)
+        )
         number = len(self.prompts)
         parts = (
             PromptPart(hash_part(shared), traffic.shared_tokens),
