--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -214,7 +214,7 @@
         [{"remaining_s": 0.15}, {"remaining_s": 0.25, "prefill_s": 0.3}],
     )
     def test_no_time_is_given_that_would_be_in_vain(
-        self, changes: dict[str, float]
+        self, changes: dict[str, Any]
     ) -> None:
         need = replace(NEED, **changes)
         assert make_returns().plan(need, 10.0, random.Random(1)) is None
