Join part returns

Promises are made at services that mix long and short prompts, the same condition as that of the preference of engines, and that asks for a third of the shortest target: services with two targets alone exist in deployments that are to be served as before.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -31,6 +31,7 @@
 from bulrushstream.coordination.peernotifier import PeerNotifier
 from bulrushstream.coordination.peerusage import PeerUsage, UsageChange
 from bulrushstream.coordination.promptmix import PromptMixes
+from bulrushstream.coordination.returns import ReturnPromises
 from bulrushstream.coordination.routerpresence import SILENT_S
 from bulrushstream.coordination.streamversions import (
     StreamVersions,
@@ -135,6 +136,7 @@
     prefill_cost_s: float = 1.0 / DEFAULT_PREFILL_TOKENS_PER_S
     usage: UsageCounter = field(default_factory=UsageCounter)
     prompt_mixes: PromptMixes = field(default_factory=PromptMixes)
+    returns: ReturnPromises = field(default_factory=ReturnPromises)
     # Moving averages over placed requests.
     _prefill_s: float = INITIAL_QUOTA_TOKENS / DEFAULT_PREFILL_TOKENS_PER_S
     _quota_tokens: float = INITIAL_QUOTA_TOKENS
@@ -170,6 +172,8 @@
         self.cold.report = notifier.report_cold
         self.streams.set_notifier(notifier)
         self.evacuations.report = notifier.report_evacuations
+        self.returns.report = notifier.report_promise
+        self.returns.report_returned = notifier.report_returned
 
     def repeated_reports(self, now_s: float) -> RepeatedReports:
         """Return what the next heartbeat repeats to the peers.
@@ -407,6 +411,7 @@
         self.limits.apply_update(update, now_s)
         self.streams.apply_update(update, now_s)
         self.evacuations.apply_update(update)
+        self.returns.apply_update(update, now_s)
         self._apply_leaving(update, now_s)
         self._count_peer_usage(update, now_s)
         if update.leaving:
@@ -455,6 +460,7 @@
         self.cold.sweep(now_s)
         self.notices.sweep(now_s)
         self.prompt_mixes.sweep(self.pool, now_s)
+        self.returns.sweep(now_s)
         self._extrapolate_peer_usage(now_s)
         for endpoint in self.pool.by_name.values():
             if endpoint.view is not None:
--- a/src/bulrushstream/coordination/peernotifier.py
+++ b/src/bulrushstream/coordination/peernotifier.py
@@ -14,6 +14,7 @@
     FirstEvent,
     RequestPlaced,
 )
+from bulrushstream.state.returns import ReturnPromise
 
 
 class PeerNotifier(SuspectNotifier, PartNotifier, VersionNotifier, Protocol):
@@ -47,3 +48,9 @@
 
     def report_evacuations(self, report: EvacuationReport) -> None:
         """Report the evacuated zones, as they changed."""
+
+    def report_promise(self, promise: ReturnPromise) -> None:
+        """Report that a refused caller was given a time to return."""
+
+    def report_returned(self, digest: int) -> None:
+        """Report that a request returned that had a promise."""
--- a/src/bulrushstream/coordination/promptmix.py
+++ b/src/bulrushstream/coordination/promptmix.py
@@ -31,7 +31,7 @@
 
 # Prompts differ enough for a preference if the prefill of the memory that an
 # engine has for one of its slots takes this part of the shortest target.
-MIN_SLOT_PREFILL_SHARE: Final = 0.25
+MIN_SLOT_PREFILL_SHARE: Final = 1.0 / 3.0
 
 # A prompt is long at an engine if its uncached prefill takes more than this
 # part of the shortest target.
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -26,6 +26,7 @@
 from bulrushstream.daemon import (
     dispatch,
     evacuating,
+    returning,
     runwatch,
     safeguards,
     takeups,
@@ -278,6 +279,7 @@
             return
         self.forwards[forward] = None
         self.retry_quota.count_request(forward.service, now_s)
+        forward.promise = returning.recognise(self, forward, now_s)
         if call.prompt is not None and workspace:
             tokens = call.prompt.quota_tokens
             forward.share_used = self.fleet_state.add_demand(
@@ -483,6 +485,9 @@
         now_s = self.clock()
         if outcome is Outcome.RAN and forward.attempt is not None:
             safeguards.request_ran(self.fleet_state, forward.attempt, now_s)
+        sent = forward.progress.sends > 0
+        if forward.promise is not None and (sent or reason == "refuse"):
+            self.fleet_state.returns.ended(sent=sent)
         duration_s = now_s - forward.arrived_s
         self.metrics.durations.labels(
             forward.service, forward.route.kind.value
@@ -523,7 +528,8 @@
     # --- Log.
 
     def report_shares(self) -> None:
-        """Log the shares, their use here, and crowds since the last call."""
+        """Log shares, returns and crowds since the last call."""
+        returning.report(self)
         self._report_shares(self.fleet_state.report_shares(self.clock()))
         set_work_factors(self.metrics, self.pool.work_factors())
         ingress, lag = self.ingress, self.loop_lag
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.promptmix import mixed_services
 from bulrushstream.coordination.routetable import index_routes
 from bulrushstream.daemon import runwatch, streamchecks, takeups
 from bulrushstream.daemon.front import Front
@@ -28,6 +29,7 @@
     front.limits.idle_timeout_s = limits.idle_timeout_s
     front.streams.history.configure(config.routes)
     front.fleet_state.prompt_mixes.configure(config)
+    front.fleet_state.returns.configure(mixed_services(config))
     for service in config.services:
         front.pool.set_traits(service.name, service.engine)
     front.fleet_state.cold.configure(config.services, front.clock())
--- a/src/bulrushstream/metrics.py
+++ b/src/bulrushstream/metrics.py
@@ -21,6 +21,7 @@
 
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.excess import Excess
+from bulrushstream.state.returns import ReturnReport
 from bulrushstream.state.usage import ColdUse, Crowd, ShareReport
 
 if TYPE_CHECKING:
@@ -77,6 +78,9 @@
     cold_share: Gauge  # The share of the routers that are heard.
     cold_requests: Counter  # Requests kept from cold endpoints.
     prompt_mix: Gauge  # Engines that prefer a class of prompts.
+    model_refusals: Counter  # Refused requests for models.
+    returns: Counter  # Callers that return after a refusal.
+    promises: Gauge  # Promises to refused callers.
 
 
 def make_metrics() -> Metrics:
@@ -240,6 +244,19 @@
             "service",
             "prefers",
         ),
+        model_refusals=counter(
+            "model_refusals",
+            "Requests for models that admission refused.",
+            "reason",
+        ),
+        returns=counter(
+            "returns",
+            "Refused callers: times to return, and what became of them.",
+            "event",
+        ),
+        promises=gauge(
+            "return_promises", "Refused callers that are expected to return."
+        ),
     )
 
 
@@ -346,6 +363,19 @@
         metrics.work_factor.labels(endpoint).set(factor)
 
 
+def count_returns(metrics: Metrics, report: ReturnReport) -> None:
+    """Count refusals and returns at a router.
+
+    :param metrics: The metrics of the router.
+    :param report: What happened since the last report.
+    """
+    for name, count in report.refusals.items():
+        metrics.model_refusals.labels(name).inc(count)
+    for name, count in report.returns.items():
+        metrics.returns.labels(name).inc(count)
+    metrics.promises.set(report.open_promises)
+
+
 def count_crowd(metrics: Metrics, crowd: Crowd) -> None:
     """Count what a router did as too many callers use it.
 
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -33,6 +33,7 @@
     RequestPlaced,
     WorkspaceTotals,
 )
+from bulrushstream.state.returns import ReturnPromise
 from bulrushstream.state.streamorigin import StreamOrigin
 
 CHECKSUM: Final = struct.Struct("!Q")
@@ -145,6 +146,19 @@
             for each in update.cold_endpoints
         ]
         or None,
+        promises=[
+            _SCHEMA.Promise(
+                each.digest,
+                each.service,
+                _to_ms(each.age_s),
+                _to_ms(each.due_s),
+                each.prefill_tokens,
+                _to_ms(each.deadline_s),
+            )
+            for each in update.promises
+        ]
+        or None,
+        returned=list(update.returned) or None,
         zone=update.zone or None,
         pass_on=update.pass_on or None,
         totals=[
@@ -268,6 +282,20 @@
             ColdEndpoint(each.endpoint, each.left_ms / 1000)
             for each in wire.cold
         )
+    if wire.promises:
+        lists["promises"] = tuple(
+            ReturnPromise(
+                each.digest,
+                each.pool,
+                each.age_ms / 1000,
+                each.due_ms / 1000,
+                each.prefill_tokens,
+                each.deadline_ms / 1000,
+            )
+            for each in wire.promises
+        )
+    if wire.returned:
+        lists["returned"] = tuple(wire.returned)
     if wire.limits:
         lists["limits"] = tuple(
             EndpointLimit(
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -75,6 +75,15 @@
   2: i32 left_ms
 }
 
+struct Promise {
+  1: i64 digest
+  2: string pool
+  3: i32 age_ms
+  4: i32 due_ms
+  5: i32 prefill_tokens
+  6: i32 deadline_ms
+}
+
 struct Update {
   1: string instance
   2: i64 incarnation
@@ -102,4 +111,6 @@
   41: optional i64 evacuations_end
   42: optional i32 evacuations_age_ms
   45: optional list<Cold> cold
+  50: optional list<Promise> promises
+  51: optional list<i64> returned
 }
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -11,6 +11,7 @@
 
 from bulrushstream.state.evacuation import EvacuationReport
 from bulrushstream.state.partevidence import PartProof, PartStrikes
+from bulrushstream.state.returns import ReturnPromise
 from bulrushstream.state.streamorigin import StreamOrigin
 
 
@@ -118,6 +119,8 @@
     # The starts of their processes, in this order; empty if none is told.
     leaving_starts: tuple[str, ...] = ()
     cold_endpoints: tuple[ColdEndpoint, ...] = ()
+    promises: tuple[ReturnPromise, ...] = ()  # To callers it refused.
+    returned: tuple[int, ...] = ()  # Digests of requests that returned.
     known_hosts: tuple[str, ...] = ()  # IP addresses of some of its peers.
     zone: str = ""  # The router's availability zone; only in heartbeats.
     # Whether a receiver in another zone passes it on to that zone's routers.
