Returns never go before callers within their shares

A return of a workspace beyond its share was judged as one within it, so it was sent where a new request of a workspace at 0.7 of its share was refused. Callers without reserved prefill were told times that were planned for an unused share, all within 20 ms; they get the usual spread again. The time to return follows from the least wait of all engines, not from that of the preferred one.

An engine that turned cold kept the speed that its predictions had applied: a prefill of 1 s was predicted as 16 s. Plain endpoints forget their speed, too.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -148,7 +148,10 @@
         :param name: its id
         """
         known = self.by_name.get(name)
-        if known is not None and known.view is not None:
+        if known is None:
+            return
+        known.plain_speed.forget()
+        if known.view is not None:
             known.view.forget_history()
 
     def is_replaced(self, endpoint: Endpoint) -> bool:
--- a/src/bulrushstream/coordination/engineview.py
+++ b/src/bulrushstream/coordination/engineview.py
@@ -329,6 +329,7 @@
         self.cached_tokens = 0
         self.slowness = 1.0
         self.speed.forget()
+        self.applied_lasting = 1.0
 
     def end(self, call: int) -> None:
         """Record the end of a request, whether it succeeded or failed.
--- a/src/bulrushstream/coordination/returnplan.py
+++ b/src/bulrushstream/coordination/returnplan.py
@@ -34,6 +34,9 @@
 MAX_PROMISED_SHARE: Final = 0.5
 MAX_PROMISED_QUEUE_S: Final = 0.1
 
+# Callers count a third of what they have left when the answer arrives.
+TRANSIT_S: Final = 0.02
+
 # A return is planned for a wait of at most this part of the permitted one;
 # the rest is for requests that other routers place meanwhile.
 PLANNED_WAIT_PART: Final = 0.5
@@ -52,6 +55,8 @@
     target_left_s: float  # Until its latency target.
     remaining_s: float  # Until the caller's deadline.
     shortest_target_s: float  # Of the service's routes.
+    # The used part of its workspace's share at which the return is judged.
+    share_used: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +88,7 @@
     :param now_s: the time
     :param rng: spreads the returns
     """
-    longest_s = min(need.remaining_s / 3.0, HORIZON_S)
+    longest_s = min(need.remaining_s / 3.0 - TRANSIT_S, HORIZON_S)
     if longest_s < MIN_RETRY_S:
         return None
     found_s = _time_on_time(need, slots, kept_share, longest_s, now_s)
@@ -122,7 +127,7 @@
         if no_wait_s > USABLE_TARGET_SHARE * left_s:
             break
         limit_s = permitted_wait_s(
-            no_wait_s, left_s, need.shortest_target_s, 0.0
+            no_wait_s, left_s, need.shortest_target_s, need.share_used
         )
         due_s = slots.get(first + number, 0) * slot_s
         wait_s = max(floor_s, wait_s + due_s - SLOT_S)
--- a/src/bulrushstream/coordination/returns.py
+++ b/src/bulrushstream/coordination/returns.py
@@ -344,9 +344,11 @@
 def returning_share_used(share_used: float) -> float:
     """Return the use of its share at which a returning request is judged.
 
-    One share less than its workspace used: returning requests go before new
-    ones, but the workspace furthest over its share is still refused first.
+    Returning requests go before new ones of the same workspace and of others
+    within their shares.  A workspace beyond its share is never judged as one
+    within it: the one furthest over its share is refused first.
 
     :param share_used: the used part of its workspace's share
     """
-    return min(share_used, max(MIN_SHARE_USED, share_used - 1.0))
+    floor = MIN_SHARE_USED if share_used <= 1.0 else 1.0
+    return min(share_used, max(floor, share_used - 1.0))
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -186,6 +186,9 @@
         None,
     )
     if admitted is None:
+        if front.fleet_state.returns.acts_for(forward.service):
+            # The time to return follows from the least wait.
+            best = min(candidates, key=lambda each: each.first_token_s)
         return best, LATE_REASON
     if front.fleet_state.must_yield(
         forward.workspace, prompt, spare_engines, now_s
--- a/src/bulrushstream/daemon/returning.py
+++ b/src/bulrushstream/daemon/returning.py
@@ -13,6 +13,7 @@
     MAX_PREFILL_TOKENS,
     Promise,
     has_priority,
+    returning_share_used,
 )
 from bulrushstream.metrics import count_returns
 from bulrushstream.state.effect import Decision
@@ -124,6 +125,14 @@
     first_attempt_s = forward.arrived_s
     if forward.promise is not None:
         first_attempt_s = forward.promise.first_attempt_s
+    may_reserve = (
+        may_reserve
+        and forward.promise is None
+        and _workspace_has_priority(front, forward)
+    )
+    share_used = forward.share_used
+    if may_reserve:
+        share_used = returning_share_used(share_used)
     need = ReturnNeed(
         forward.service,
         prediction.prefill_tokens,
@@ -134,6 +143,7 @@
         forward.route.latency_target_s - (now_s - first_attempt_s),
         left_s,
         shortest_target_s,
+        share_used,
     )
     plan = returns.plan(need, now_s, front.rng)
     if plan is None:
@@ -141,13 +151,11 @@
     if forward.promise is not None and not plan.on_time:
         # It had its turn, and would be late.
         return False
+    if not may_reserve:
+        # Without a reserve they do not push each other: a random time of the
+        # usual range spreads their returns.
+        return True
     forward.return_s = plan.retry_s
-    reserves = (
-        may_reserve
-        and plan.on_time
-        and forward.promise is None
-        and _workspace_has_priority(front, forward)
-    )
     tokens = min(MAX_PREFILL_TOKENS, max(1, int(prediction.prefill_tokens)))
     returns.promise(
         ReturnPromise(
@@ -155,7 +163,7 @@
             forward.service,
             now_s - first_attempt_s,
             plan.retry_s,
-            tokens if reserves else 0,
+            tokens if plan.on_time else 0,
             left_s,
         ),
         now_s,
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -110,9 +110,15 @@
         assert has_priority(MAX_SHARE_USED, stale=False)
         assert not has_priority(MAX_SHARE_USED + 0.01, stale=False)
         assert not has_priority(0.5, stale=True)
-        assert returning_share_used(1.4) == MIN_SHARE_USED
+        assert returning_share_used(0.9) == MIN_SHARE_USED
         assert returning_share_used(0.3) == 0.3
 
+    def test_who_is_over_the_share_is_refused_first(self) -> None:
+        """Guards against a return that goes before others' new requests."""
+        for over in (1.01, 1.2, MAX_SHARE_USED):
+            permitted = max_wait_share(returning_share_used(over))
+            assert permitted <= max_wait_share(1.0)
+
 
 class StateSuite:
     def test_sums_agree_with_the_promises_in_a_random_history(self) -> None:
