Stale knowledge of cold endpoints, zones and resets

A router that started while the store was away counted the cold time in a peer's list from then on and told all others, so that warm endpoints counted as cold and lost their history: lists of peers tell nothing of cold endpoints now. After a reset of the store, a peer's view from before it could end an evacuation for some seconds: such views are not taken. Heartbeats of a router name other cold endpoints first than those of others. A listing that fails is repeated after 2 s while reads succeed.

--- a/src/bulrushstream/coordination/coldstarts.py
+++ b/src/bulrushstream/coordination/coldstarts.py
@@ -35,12 +35,12 @@
 
 # Reports of one cold period differ by the age of the list's entries, up to
 # this time.  One that ends later is of another period.
-SAME_PERIOD_S: Final = 1.0
+SAME_PERIOD_S: Final = 1.9
 
 # Longer remaining times are cut; entries are renewed well within it.
 MAX_COLD_S: Final = 60.0
 
-MAX_REPEATED: Final = 8  # Cold endpoints that one heartbeat reports.
+MAX_REPEATED: Final = 32  # Cold endpoints that one heartbeat reports.
 MAX_UNLISTED: Final = 256  # Reported endpoints that are not listed yet.
 
 
@@ -186,9 +186,14 @@
             for name, cold in self._cold.items()
             if cold.own_until_s > now_s
         ]
+        if not known:
+            return ()
         count = min(MAX_REPEATED, len(known))
         first = self._repeated
-        self._repeated += count
+        if not first:
+            # Otherwise all routers would name the same ones first.
+            first = self.bounds.rng.randrange(MAX_REPEATED)
+        self._repeated = first + count
         return tuple(known[(first + n) % len(known)] for n in range(count))
 
     # --- Requests.
--- a/src/bulrushstream/coordination/evacuations.py
+++ b/src/bulrushstream/coordination/evacuations.py
@@ -94,6 +94,8 @@
     # The evacuated zones, with the offset from which each is known.
     active: dict[str, int] = field(default_factory=dict)
     _own: _View | None = None  # From the store; None: not read yet.
+    # When the store was found to have been reset.
+    _reset_s: float = float("-inf")
     _heard: _View | None = None  # The newest one from peers.
     _progress: dict[str, _Progress] = field(default_factory=dict)
     _faults: set[str] = field(default_factory=set)
@@ -118,6 +120,12 @@
         :param end_offset: where the next read starts
         """
         known = self._own.zones if self._own is not None else {}
+        if self._own is not None and end_offset < self._own.end_offset:
+            self._reset_s = self.clock()
+            if self._heard is not None and self._is_of_before_reset(
+                self._heard, end_offset
+            ):
+                self._heard = None
         # Offsets of before a reset say nothing about the store as it is.
         found = {
             zone: min(known.get(zone, end_offset), end_offset)
@@ -209,7 +217,9 @@
             update.instance,
             now_s,
         )
-        heard = self._heard
+        heard, own = self._heard, self._own
+        if own is not None and self._is_of_before_reset(view, own.end_offset):
+            return
         if heard is not None and not self._replaces(view, heard):
             return
         self._heard = view
@@ -282,6 +292,16 @@
         )
         return not reordered
 
+    def _is_of_before_reset(self, view: _View, end_offset: int) -> bool:
+        """Return whether a view has records that a reset store lost.
+
+        :param view: a peer's view
+        :param end_offset: the end of the store's topic as it is now
+        """
+        return view.confirmed_s < self._reset_s and (
+            view.end_offset > end_offset
+        )
+
     def _newest(self) -> _View | None:
         """Return the newest view; None: there is none."""
         own, heard = self._own, self._heard
--- a/src/bulrushstream/daemon/endpointlist.py
+++ b/src/bulrushstream/daemon/endpointlist.py
@@ -52,6 +52,7 @@
     # machine is suspended.
     _good_s: float = float("-inf")
     _interrupted: bool = False  # Whether a read has failed since then.
+    _from_peer: bool = False  # Whether a peer's list is being applied.
     # Until when entries that expired in an outage may come back.
     _return_until_s: float = float("-inf")
     # Until when each missing endpoint is kept.
@@ -80,6 +81,17 @@
         """Record that a read of the list has failed."""
         self._interrupted = True
 
+    def apply_from_peer(self, entries: dict[str, bytes]) -> None:
+        """Apply the list that a peer keeps.
+
+        :param entries: the endpoints' entries, by id
+        """
+        self._from_peer = True
+        try:
+            self.handle(Snapshot(entries))
+        finally:
+            self._from_peer = False
+
     def handle(self, update: Snapshot | KeyedRecord) -> None:
         """Apply the whole list or a change of it.
 
@@ -124,7 +136,9 @@
         entry = self.front.dialect.decode_entry(name, value)
         self._kept_until_s.pop(name, None)
         self.entries[name] = value
-        platformupdates.apply_entry(self.front, entry)
+        platformupdates.apply_entry(
+            self.front, entry, from_peer=self._from_peer
+        )
 
     def _miss(self, name: str) -> None:
         """Remove an endpoint, or keep it as long as it may come back."""
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -109,9 +109,7 @@
             rng=deps.rng,
             port=settings.control_port,
             apply_config=self._apply_raw_config,
-            apply_endpoints=lambda entries: self._endpoints.handle(
-                Snapshot(entries)
-            ),
+            apply_endpoints=self._endpoints.apply_from_peer,
             entries=self._endpoints.entries,
         )
         self._store_ok = True
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.promptmix import mixed_services
 from bulrushstream.coordination.routetable import index_routes
@@ -49,13 +51,20 @@
     return True
 
 
-def apply_entry(front: Front, entry: EndpointEntry) -> None:
+def apply_entry(
+    front: Front, entry: EndpointEntry, *, from_peer: bool = False
+) -> None:
     """Add an endpoint or update it from its list entry.
 
     :param front: the router
     :param entry: the list's entry
+    :param from_peer: whether a peer passed it on, at any time after it was
+        read from the store
     """
-    # Also an entry that is equal to the one before is news.
+    # Also an entry that is equal to the one before is news.  The remaining
+    # cold time of one that a peer kept may have ended long ago.
+    if from_peer:
+        entry = replace(entry, warmup_remaining_s=0.0)
     front.fleet_state.cold.listed(entry, front.clock())
     known = front.pool.by_name.get(entry.endpoint)
     if known is not None and known.entry.may_be_process_of(entry):
--- a/src/bulrushstream/daemon/watch.py
+++ b/src/bulrushstream/daemon/watch.py
@@ -35,6 +35,9 @@
 # The least time between two additional reads.
 CHECK_PAUSE_S: Final = 0.02
 
+# After a listing that failed, reads that succeed go on for this time.
+LIST_PAUSE_S: Final = 2.0
+
 # The pause before a failed task is started again.
 RESTART_S: Final = 1.0
 
@@ -70,6 +73,7 @@
     # Where the next read starts; None: a snapshot is read.
     _offset: int | None = None
     _snapshot_due: bool = False  # Whether reads have failed since the last.
+    _list_s: float = float("-inf")  # When a listing may be tried again.
     _check_wanted: asyncio.Event = field(default_factory=asyncio.Event)
     # Whether the next read is due at once.
     _hurry: asyncio.Event = field(default_factory=asyncio.Event)
@@ -119,10 +123,13 @@
                     self._offset = await self._read_all()
                 else:
                     self._offset = await self._read_changes(self._offset)
-                pause_s, lists = MIN_PAUSE_S, self._snapshot_due
+                pause_s = MIN_PAUSE_S
+                lists = self._snapshot_due and self.clock() >= self._list_s
             except StoreError as error:
                 self._read_failed(str(error))
                 # A store may refuse one of the two calls only.
+                if lists:
+                    self._list_s = self.clock() + LIST_PAUSE_S
                 lists = self.lists_after_failures and not lists
                 await asyncio.sleep(self.rng.uniform(pause_s / 2, pause_s))
                 pause_s = min(MAX_PAUSE_S, pause_s * 2)
