Explain where a request would go: `bulrushstream where`

Operators saw where a request went only in the log, after it had been sent, and why another endpoint was no candidate only by joining many lines.

Routers answer `/where` on the service port: a JSON description of a request gets the route, service, workspace, chosen endpoint or refusal, and for each endpoint of the service why it is no candidate and what is predicted there. A body that is no request gets 400 with the reason; keys are not repeated.

The explanation uses the same decisions as a caller's request. For that, `first_admitted`, `candidates_of` and `select_by_waits` are taken out of `dispatch` and `safeguards`, without a change of what they decide, and `predict` and `Front.admit` are public. What a decision counts or uses up is computed on copies: shares, promises, the random generator, loop lag, and the buckets of limits and cold endpoints (`peek_room_s`).

Tests compare explanations with `dispatch.choose_endpoint` and `crash_refusal` on random states, and the whole state before and after a question.

Not explained: a resumed stream is treated as a new one, and retries after a failed attempt are left out.

--- a/src/bulrushstream/cli.py
+++ b/src/bulrushstream/cli.py
@@ -69,6 +69,7 @@
     },
     "status": operate.status,
     "suspects": operate.suspects,
+    "where": operate.where,
 }
 
 
--- a/src/bulrushstream/commands/operate.py
+++ b/src/bulrushstream/commands/operate.py
@@ -1,19 +1,25 @@
-"""`bulrushstream status`, `suspects` and `quarantine`."""
+"""`bulrushstream status`, `suspects`, `where` and `quarantine`."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+from pathlib import Path
 from typing import Any, Final
 
 import httpx
 
-from bulrushstream.messages import INSTANCE_UNREACHABLE, LIFT_REFUSED
+from bulrushstream.messages import (
+    INSTANCE_UNREACHABLE,
+    LIFT_REFUSED,
+    UNREADABLE,
+)
 from bulrushstream.state.excess import Excess, PeerKind
 from bulrushstream.transport.fetch import Fetcher, FetchLimits
 
 LIMITS: Final = FetchLimits(timeout_s=3.0, body_bytes=8 * 2**20)
 UNREACHABLE_EXIT: Final = 1
+BAD_REQUEST: Final = 400
 
 STATUS_COLUMNS: Final = (
     "instance",
@@ -82,6 +88,70 @@
     return _report_unanswered(urls, answers)
 
 
+def where(routers: str, request: str) -> int:
+    """Explain where a request would go now; it is not sent.
+
+    This is for front-end routers on a platform.
+
+    :param routers: addresses of routers' metrics, comma-separated
+    :param request: a JSON file with the request's method, host, path and
+        headers, as its caller would send them, and its body if that matters
+    :returns: the exit code: 0 only if every router answered
+    """
+    try:
+        body = Path(request).read_bytes()
+    except OSError as error:
+        print(UNREADABLE.format(why=error.strerror), file=sys.stderr)
+        return UNREACHABLE_EXIT
+    urls = [url for url in routers.split(",") if url]
+    calls = [f"{url}/where" for url in urls]
+    answers = asyncio.run(_call_all("POST", calls, body, BAD_REQUEST))
+    faults = 0
+    for url, answer in zip(urls, answers, strict=True):
+        if answer is None:
+            continue
+        if "error" in answer:
+            faults += 1
+            print(f"{url}: {answer['error']}", file=sys.stderr)
+            continue
+        print(url)
+        print("\n".join(f"  {line}" for line in _describe_where(answer)))
+    return _report_unanswered(urls, answers) or min(1, faults)
+
+
+def _describe_where(answer: Any) -> list[str]:
+    """Return lines that tell where a request would go, and why."""
+    if answer["sent"]:
+        decision = f"sent to {answer['endpoint']}: {answer['reason']}"
+    else:
+        decision = f"refused, {answer['code']}: {answer['reason']}"
+        if answer["wait_s"]:
+            decision += f"; room in {answer['wait_s']:.3f} s"
+    lines = [
+        decision,
+        f"route {answer['route'] or '-'}  service {answer['service'] or '-'}"
+        f"  workspace {answer['workspace'] or '-'}"
+        f"  share used {answer['share_used']:.2f}",
+    ]
+    lines += [f"note: {note}" for note in answer["notes"]]
+    for each in answer["endpoints"]:
+        mark = "*" if each["endpoint"] == answer["endpoint"] else " "
+        line = (
+            f"{mark} {each['endpoint']:20}  {each['zone']:8}"
+            f"  {each['version']:8}  {each['requests']:4} requests"
+            f"  speed {each['speed']:.2f}"
+        )
+        if each["prediction"] is not None:
+            line += "  wait {wait_s:.3f} s  prefill {prefill_s:.3f} s".format(
+                **each["prediction"]
+            )
+            line += f"  cached {each['prediction']['cached_tokens']}"
+        if each["prefers"]:
+            line += f"  prefers {each['prefers']}"
+        lines.append(f"{line}  {'; '.join(each['excluded']) or 'candidate'}")
+    return lines
+
+
 def quarantine_list(operators: str) -> int:
     """List quarantined requests, which have crashed endpoints.
 
@@ -146,23 +216,34 @@
 
 
 async def _call_all(
-    method: str, urls: list[str], body: bytes | None = None
+    method: str,
+    urls: list[str],
+    body: bytes | None = None,
+    also_accepted: int = 200,
 ) -> list[Any]:
-    """Return the JSON of each response; None if the call failed."""
+    """Return the JSON of each response; None if the call failed.
+
+    :param also_accepted: a status whose JSON is returned, too
+    """
     async with httpx.AsyncClient(timeout=LIMITS.timeout_s) as client:
         fetcher = Fetcher(client, PeerKind.ROUTER, _warn)
         return await asyncio.gather(
-            *(_call(fetcher, method, url, body) for url in urls)
+            *(_call(fetcher, method, url, body, also_accepted) for url in urls)
         )
 
 
 async def _call(
-    fetcher: Fetcher, method: str, url: str, body: bytes | None
+    fetcher: Fetcher,
+    method: str,
+    url: str,
+    body: bytes | None,
+    also_accepted: int,
 ) -> Any:
-    """Return the JSON of a successful response, or None."""
+    """Return the JSON of an accepted response, or None."""
     try:
         answer = await fetcher.fetch(method, url, LIMITS, content=body)
-        return answer.json() if answer.is_success else None
+        accepted = answer.is_success or answer.status_code == also_accepted
+        return answer.json() if accepted else None
     except (httpx.HTTPError, httpx.InvalidURL, TimeoutError, ValueError):
         return None
 
--- a/src/bulrushstream/coordination/coldlimits.py
+++ b/src/bulrushstream/coordination/coldlimits.py
@@ -9,7 +9,8 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from copy import copy
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Final
 
@@ -76,6 +77,14 @@
     _quota: int = 0  # What this router may send in a second,
     _quota_key: tuple[float, ...] = ()  # and what it was computed from.
 
+    def copied(self) -> ColdPeriod:
+        """Return a copy; what it computes leaves the original unchanged."""
+        bounds = replace(self.bounds, roster=copy(self.bounds.roster))
+        found = copy(self)
+        found.bounds, found.tokens = bounds, copy(self.tokens)
+        found.sent, found.unsent = deque(self.sent), set(self.unsent)
+        return found
+
     def step(self, now_s: float) -> int:
         """Return the step of the ramp-up; 0: cold, -1: it has ended.
 
--- a/src/bulrushstream/coordination/coldstarts.py
+++ b/src/bulrushstream/coordination/coldstarts.py
@@ -202,6 +202,24 @@
         cold = self._cold.get(endpoint)
         return 0.0 if cold is None else cold.room_s(now_s)
 
+    def peek_room_s(self, endpoint: str, now_s: float) -> float:
+        """Return the same as `room_s`, and change nothing.
+
+        :param endpoint: the endpoint's id
+        :param now_s: the time
+        """
+        cold = self._cold.get(endpoint)
+        return 0.0 if cold is None else cold.copied().room_s(now_s)
+
+    def cold_left_s(self, endpoint: str, now_s: float) -> float:
+        """Return how long an endpoint stays cold; 0: it is not cold.
+
+        :param endpoint: the endpoint's id
+        :param now_s: the time
+        """
+        cold = self._cold.get(endpoint)
+        return 0.0 if cold is None else max(0.0, cold.until_s - now_s)
+
     def placed(
         self,
         endpoint: str,
--- a/src/bulrushstream/coordination/endpointlimits.py
+++ b/src/bulrushstream/coordination/endpointlimits.py
@@ -14,7 +14,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from copy import copy
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Final
 
@@ -182,6 +183,22 @@
         bucket = self._buckets.get(endpoint)
         if bucket is None:
             return 0.0
+        return self._room_s(endpoint, bucket, now_s)
+
+    def peek_room_s(self, endpoint: str, now_s: float) -> float:
+        """Return the same as `room_s`, and change nothing.
+
+        :param endpoint: the endpoint's id
+        :param now_s: the time
+        """
+        bucket = self._buckets.get(endpoint)
+        if bucket is None:
+            return 0.0
+        copied = replace(bucket, tokens=copy(bucket.tokens))
+        return self._room_s(endpoint, copied, now_s)
+
+    def _room_s(self, endpoint: str, bucket: _Bucket, now_s: float) -> float:
+        """Fill a bucket and return the time until it has room; 0: now."""
         self._fill(endpoint, bucket, now_s)
         missing = bucket.tokens.missing(1.0 + bucket.wait)
         if missing <= 0.0:
--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -279,12 +279,21 @@
             that are left idle for bursts
         :param now_s: the time
         """
-        # One of them takes this request.
-        spare = max(0.0, spare_engines - 1.0) / self.prefill_cost_s
+        spare = self.spare_tokens_per_s(spare_engines)
         return self.shares.must_yield(
             workspace, prompt.quota_tokens, now_s, spare
         )
 
+    def spare_tokens_per_s(self, spare_engines: float) -> float:
+        """Return what idle engines can do beside one more request.
+
+        :param spare_engines: how many have nothing to do, less those that are
+            left idle for bursts
+        :returns: quota tokens per second
+        """
+        # One of them takes this request.
+        return max(0.0, spare_engines - 1.0) / self.prefill_cost_s
+
     def first_event(
         self, endpoint: Endpoint, number: int, now_s: float
     ) -> None:
--- a/src/bulrushstream/coordination/placement.py
+++ b/src/bulrushstream/coordination/placement.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Final
@@ -163,23 +163,30 @@
     if best is None:
         return None
     return EngineChoice(
-        _predict(*best, prompt, rate, now_s),
-        _predict(*idle, prompt, rate, now_s) if idle is not None else None,
+        predict(*best, prompt, rate, now_s),
+        predict(*idle, prompt, rate, now_s) if idle is not None else None,
         idle_engines,
-        _predict(*plain, prompt, rate, now_s)
+        predict(*plain, prompt, rate, now_s)
         if plain is not None and plain[0] is not best[0]
         else None,
     )
 
 
-def _predict(
+def predict(
     endpoint: Endpoint,
     view: EngineView,
     prompt: Prompt,
     rate: float,
     now_s: float,
 ) -> Prediction:
-    """Return the predicted course of a request on an engine."""
+    """Return the predicted course of a request on an engine.
+
+    :param endpoint: the engine
+    :param view: its view
+    :param prompt: the request's prompt
+    :param rate: the average prefill rate, in tokens per second
+    :param now_s: the time
+    """
     cached = view.cached_prefix_tokens(prompt)
     tokens = uncached_prefill_tokens(prompt, cached)
     return Prediction(
@@ -297,3 +304,50 @@
     )
     fits = prediction.wait_s + promised_wait_s <= limit_s
     return Admission.SEND if fits else Admission.REFUSE
+
+
+def candidates_of(
+    choice: EngineChoice, *, may_read_anew: bool
+) -> list[Prediction]:
+    """Return the engines that a request may go to, the best one first.
+
+    :param choice: the best engines
+    :param may_read_anew: whether it may go to an idle engine that keeps less
+        of its prompt
+    """
+    candidates = [choice.best]
+    if choice.without_preference is not None:
+        candidates.append(choice.without_preference)
+    if may_read_anew and choice.idle is not None:
+        candidates.append(choice.idle)
+    return candidates
+
+
+def first_admitted(
+    candidates: Sequence[Prediction],
+    remaining_target_s: float,
+    shortest_target_s: float,
+    share_used: float,
+    promised_wait_s: Callable[[Prediction], float],
+) -> Prediction | None:
+    """Return the first engine that a request may be sent to; None: none.
+
+    :param candidates: the request's course on each engine
+    :param remaining_target_s: the time until the request's latency target
+    :param shortest_target_s: the shortest target of its service's routes
+    :param share_used: the used part of its workspace's share, this request
+        included
+    :param promised_wait_s: returns the wait that promises to returning
+        requests mean on an engine
+    """
+    for each in candidates:
+        admission = admit_to_engine(
+            each,
+            remaining_target_s,
+            shortest_target_s,
+            share_used,
+            promised_wait_s(each),
+        )
+        if admission is Admission.SEND:
+            return each
+    return None
--- a/src/bulrushstream/coordination/returns.py
+++ b/src/bulrushstream/coordination/returns.py
@@ -16,6 +16,7 @@
 import heapq
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
+from copy import copy
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
@@ -102,6 +103,18 @@
         """Return whether there is any promise."""
         return bool(self._promises)
 
+    def copied(self) -> ReturnPromises:
+        """Return a copy that reports nothing; it may be used up."""
+        return ReturnPromises(
+            kept_share=self.kept_share,
+            _services=self._services,
+            _promises=OrderedDict(
+                (digest, copy(each)) for digest, each in self._promises.items()
+            ),
+            _slots={name: dict(each) for name, each in self._slots.items()},
+            _ends=list(self._ends),
+        )
+
     # --- Where it acts.
 
     def configure(self, services: Iterable[str]) -> None:
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -8,12 +8,12 @@
 from bulrushstream import messages
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.placement import (
-    Admission,
     EngineChoice,
     Prediction,
-    admit_to_engine,
+    candidates_of,
     choose_engine,
     choose_plain,
+    first_admitted,
 )
 from bulrushstream.coordination.returns import returning_share_used
 from bulrushstream.daemon import evacuating, returning, safeguards, takeups
@@ -94,7 +94,7 @@
     )
     if choice is None:
         return None
-    spare = choice.idle_engines - MIN_IDLE_FRACTION * len(usable)
+    spare = spare_engines(choice, len(usable))
     prediction, reason = _admitted(
         front,
         forward,
@@ -103,7 +103,7 @@
         spare,
         len(usable),
         now_s,
-        may_read_anew=choice.idle_engines >= math.sqrt(len(usable)),
+        reads_anew=may_read_anew(choice, len(usable)),
     )
     if reason:
         return _refuse_admission(
@@ -115,6 +115,26 @@
     return prediction.endpoint, number
 
 
+def spare_engines(choice: EngineChoice, engines: int) -> float:
+    """Return the idle engines beyond those left for bursts.
+
+    :param choice: the best engines
+    :param engines: the engines in use
+    """
+    return choice.idle_engines - MIN_IDLE_FRACTION * engines
+
+
+def may_read_anew(choice: EngineChoice, engines: int) -> bool:
+    """Return whether a request may go to an idle engine that keeps less of it.
+
+    A few engines are idle by chance also in overload.
+
+    :param choice: the best engines
+    :param engines: the engines in use
+    """
+    return choice.idle_engines >= math.sqrt(engines)
+
+
 def _rest_refusal(
     front: Front, forward: Forward, now_s: float
 ) -> Refusal | None:
@@ -132,21 +152,21 @@
     forward: Forward,
     prompt: Prompt,
     choice: EngineChoice,
-    spare_engines: float,
+    spare: float,
     engines: int,
     now_s: float,
     *,
-    may_read_anew: bool,
+    reads_anew: bool,
 ) -> tuple[Prediction, str]:
     """Return the engine for a request, and why it may not go there now.
 
     The reason is empty if it may.  A request that was already sent once is
     not refused any more.
 
-    :param spare_engines: idle engines beyond those left for bursts
+    :param spare: idle engines beyond those left for bursts
     :param engines: the engines in use
-    :param may_read_anew: whether it may go to an idle engine that keeps less
-        of its prompt; a few are idle by chance also in overload
+    :param reads_anew: whether it may go to an idle engine that keeps less of
+        its prompt
     """
     best = choice.best
     if forward.progress.sends or forward.exchange.started:
@@ -158,38 +178,23 @@
         share_used = returning_share_used(share_used)
     target_left_s = forward.route.latency_target_s - (now_s - first_attempt_s)
     latency_target_s = _shortest_target_s(front, forward)
-    candidates = [best]
-    if choice.without_preference is not None:
-        candidates.append(choice.without_preference)
     if takeups.is_restricted(forward):
-        for each in candidates:
+        for each in candidates_of(choice, may_read_anew=False):
             if each.wait_s <= latency_target_s:
                 return each, ""
         return best, LATE_REASON
-    if may_read_anew and choice.idle is not None:
-        candidates.append(choice.idle)
-    admitted = next(
-        (
-            each
-            for each in candidates
-            if admit_to_engine(
-                each,
-                target_left_s,
-                latency_target_s,
-                share_used,
-                returning.promised_wait_s(
-                    front, forward, each, engines, now_s
-                ),
-            )
-            is Admission.SEND
+    admitted = first_admitted(
+        candidates_of(choice, may_read_anew=reads_anew),
+        target_left_s,
+        latency_target_s,
+        share_used,
+        lambda each: returning.promised_wait_s(
+            front, forward, each, engines, now_s
         ),
-        None,
     )
     if admitted is None:
         return best, LATE_REASON
-    if front.fleet_state.must_yield(
-        forward.workspace, prompt, spare_engines, now_s
-    ):
+    if front.fleet_state.must_yield(forward.workspace, prompt, spare, now_s):
         return admitted, YIELD_REASON
     return admitted, ""
 
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -240,7 +240,7 @@
             return
         admitted: tuple[Route, str] | Notice = messages.DRAINING
         if exchange.arrived_s < self.refuse_from_s:
-            admitted = self._admit(call, arrived_boot_s)
+            admitted = self.admit(call, arrived_boot_s)
         if isinstance(admitted, Notice):
             self._refuse_early(exchange, admitted, call.request_id)
             return
@@ -287,10 +287,15 @@
             )
         forward.start()
 
-    def _admit(
+    def admit(
         self, call: Call, arrived_boot_s: float
     ) -> tuple[Route, str] | Notice:
-        """Return a request's route and workspace, or the refusal."""
+        """Return a request's route and workspace, or the refusal.
+
+        :param call: the decoded head of the request
+        :param arrived_boot_s: when it was read, on the clock that also runs
+            while the machine is suspended
+        """
         table = self.table
         if table is None or not self.endpoints_listed:
             return messages.NOT_READY
--- a/src/bulrushstream/daemon/frontprocess.py
+++ b/src/bulrushstream/daemon/frontprocess.py
@@ -17,6 +17,7 @@
 from bulrushstream.daemon.endpointlist import EndpointList
 from bulrushstream.daemon.front import Front, FrontDeps
 from bulrushstream.daemon.recovery import MAX_ANSWER_BYTES, Recovery
+from bulrushstream.daemon.routeexplain import answer_where
 from bulrushstream.daemon.suspectlist import clear_suspect, encode_suspects
 from bulrushstream.daemon.versionrecords import version_tasks
 from bulrushstream.daemon.watch import (
@@ -298,6 +299,10 @@
             state, now_s = self.front.fleet_state, self._deps.clock()
             headers = [(b"content-type", b"application/json")]
             exchange.answer(200, headers, encode_suspects(state, now_s))
+        elif exchange.target == b"/where":
+            status, answer = answer_where(self.front, exchange.body)
+            headers = [(b"content-type", b"application/json")]
+            exchange.answer(status, headers, answer)
         elif exchange.target == b"/actions/clear":
             state, now_s = self.front.fleet_state, self._deps.clock()
             found = clear_suspect(state, exchange.body, now_s)
--- a/src/bulrushstream/daemon/safeguards.py
+++ b/src/bulrushstream/daemon/safeguards.py
@@ -130,6 +130,19 @@
         waits_s = [limits.room_s(each.name, now_s) for each in endpoints]
         if cold:
             waits_s = list(map(max, waits_s, cold_s))
+    return select_by_waits(endpoints, waits_s, cold_s)
+
+
+def select_by_waits(
+    endpoints: list[Endpoint], waits_s: list[float], cold_s: list[float]
+) -> list[Endpoint] | Refusal:
+    """Return the endpoints whose limits have room for a request now.
+
+    :param endpoints: those that accept requests, at least one
+    :param waits_s: the time until each may get a request; 0: now
+    :param cold_s: the part of it that is due to the cold ones
+    :returns: some of them; the reason if none may get it
+    """
     if min(waits_s) > 0.0:
         notice = messages.LIMITS_REACHED
         if any(cold_s):
