--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -183,8 +183,9 @@
             if each.wait_s <= latency_target_s:
                 return each, ""
         return best, LATE_REASON
+    candidates = candidates_of(choice, may_read_anew=reads_anew)
     admitted = first_admitted(
-        candidates_of(choice, may_read_anew=reads_anew),
+        candidates,
         target_left_s,
         latency_target_s,
         share_used,
