--- a/tests/test_route_explanations.py
+++ b/tests/test_route_explanations.py
@@ -266,10 +266,13 @@
                         f"e-{rng.choice(engines)}"
                     ]
                     prompt = a_prompt((number, 500), (10**6 + number, 2500))
-                    state.add_demand("club", prompt.quota_tokens, router.now_s)
-                    state.place(endpoint, prompt, "club", router.now_s, 1e9)
-                # The workspace asks for more than it got.
-                state.add_demand("club", 9000, router.now_s)
+                    name = "school" if number % 5 < 3 else "club"
+                    state.add_demand(name, prompt.quota_tokens, router.now_s)
+                    state.place(endpoint, prompt, name, router.now_s, 1e9)
+                # Both ask for more than they got, and the request's workspace
+                # got less than its share.
+                for name in ("club", "school"):
+                    state.add_demand(name, 90_000, router.now_s)
                 # Shares are computed anew.
                 router.now_s += 0.3
                 asked = model_question(rng)
