Pass on no bytes within a stream that are no event

What callers saw: lines such as "xyzzy", parts of other protocols or random bytes between the events of a stream, as if they were events, and a stream that ended behind them as whole.

Cause: the bytes of a body are split at empty lines, and what lies between them counted as an event. An event with a long list of field names counted as known, so that random bytes, of which some 16 KB lie between two line ends, always went out; and while a service's step of ids is not known, or where it has none, all went out. At the end of a stream that may not be resumed an unusual event without an id was released.

Why it works: a block without an id that is not made of UTF-8 fields and comments, or that has no data and no known field, is held until an id behind it shows that the service writes such lines. If none comes it is refused, and another attempt goes on, or the stream is broken off. Services that write such lines lose no stream and no time (UnusualServiceSuite).

--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -19,6 +19,7 @@
     PLAIN,
     Spoiling,
     Verdict,
+    is_well_formed,
     shape_of,
 )
 
@@ -59,6 +60,8 @@
     _rise: int = 0  # The last one.
     # Shapes of events behind which none is known to be missing yet.
     _unproven: list[bytes] = field(default_factory=list)
+    # Whether the run has data without an id, and no event with one.
+    _has_no_ids: bool = False
     _revision: int = -1  # Of what is known; see `_plain`.
     _plain: tuple[re.Pattern[bytes] | None, int] = (None, 0)
 
@@ -101,6 +104,14 @@
         """Return what becomes of an event; see `RunCheck`."""
         if b"\r" in event and CHUNK_SIZE_LINE.search(event):
             return self._refuse(Spoiling.FRAMING)
+        if not self._has_no_ids and self._is_foreign(event, number):
+            # The next id shows that the service writes such lines.
+            self._note_unproven(shape_of(event, number))
+            return Verdict.HOLD if is_new else Verdict.PASS
+        if number is None and before < 0:
+            self._has_no_ids |= b"data" in event
+        else:
+            self._has_no_ids = False
         if not self._step:
             if not self._learns:
                 return Verdict.PASS
@@ -110,9 +121,7 @@
         if number is not None and not self._takes_id(number, before):
             return Verdict.SPOILED
         shape = shape_of(event, number)
-        if len(self._unproven) < MAX_UNPROVEN:
-            # No more than shows that it is too long to be judged.
-            self._unproven.append(shape[: MAX_SHAPE_BYTES + 1])
+        self._note_unproven(shape)
         if not self._step or not is_new or self.pattern.knows(shape):
             return Verdict.PASS
         if self.resumable and number is not None:
@@ -125,6 +134,10 @@
     def judge_last(self, event: bytes, number: int | None) -> Verdict:
         """Return what becomes of a last event that is held; see `RunCheck`."""
         shape = shape_of(event, number)
+        if self._is_foreign(event, number):
+            if self.resumable and self._are_lines_confirmed(shape, number):
+                return Verdict.PASS
+            return self._refuse(Spoiling.FOREIGN)
         if self.pattern.knows(shape):
             return Verdict.PASS
         confirmed = self._are_lines_confirmed(shape, number)
@@ -135,6 +148,21 @@
             self.pattern.prove_shape(shape)
         return Verdict.PASS
 
+    def _note_unproven(self, shape: bytes) -> None:
+        """Remember the shape of an event until the next one with an id."""
+        if len(self._unproven) < MAX_UNPROVEN:
+            # No more than shows that it is too long to be judged.
+            self._unproven.append(shape[: MAX_SHAPE_BYTES + 1])
+
+    def _is_foreign(self, event: bytes, number: int | None) -> bool:
+        """Return whether bytes are no event, nor what the service writes.
+
+        An id at its place is that of an event.
+        """
+        if number is not None or is_well_formed(event):
+            return False
+        return not self.pattern.has_proven(shape_of(event, number))
+
     def _are_lines_confirmed(self, shape: bytes, number: int | None) -> bool:
         """Return whether another endpoint wrote an event of that shape."""
         place = -1 if number is None else number
--- a/src/bulrushstream/coordination/streampatterns.py
+++ b/src/bulrushstream/coordination/streampatterns.py
@@ -191,6 +191,13 @@
         """
         if self._varied or not shape or len(shape) > MAX_SHAPE_BYTES:
             return True
+        return self.has_proven(shape)
+
+    def has_proven(self, shape: bytes) -> bool:
+        """Return whether events of just that shape are usual.
+
+        :param shape: the shape
+        """
         found = self._shapes.get(shape)
         return found is not None and found.proven >= MIN_PROVEN
 
--- a/src/bulrushstream/state/eventlines.py
+++ b/src/bulrushstream/state/eventlines.py
@@ -17,6 +17,10 @@
 CHUNK_SIZE_LINE: Final = re.compile(rb"(?:\A|(?<=[\r\n]))[0-9A-Fa-f]+\r\n")
 _CONTROL: Final = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 _NAME: Final = re.compile(rb"(?:\A|\n)([^:\n]+)")
+# Names of fields, also of headers that some services write as fields.
+_FIELD: Final = re.compile(rb"[A-Za-z][A-Za-z0-9_.-]{0,63}")
+# What an event without data may consist of, beside comments.
+_WITHOUT_DATA: Final = frozenset((b"event", b"retry"))
 # Bytes of a line's value, without those.
 _VALUE: Final = rb"[^\x00-\x08\x0a-\x1f\x7f]*"
 # Follows the name of a field whose value is unusual; no name contains it.
@@ -41,6 +45,7 @@
     FIRST_ID = "first_id"  # Other runs begin with another one.
     FRAMING = "framing"
     LINES = "lines"  # No other event of the service has such lines.
+    FOREIGN = "foreign"  # The bytes are no event.
 
 
 class RunCheck(Protocol):
@@ -106,6 +111,25 @@
     return b"\n".join(names)
 
 
+def is_well_formed(event: bytes) -> bool:
+    """Return whether bytes may stand in an event stream.
+
+    They must be fields and comments in UTF-8.  Fields that readers of event
+    streams skip are no event without data or an id.
+
+    :param event: the bytes, up to an empty line
+    """
+    try:
+        event.decode()
+    except UnicodeDecodeError:
+        return False
+    lines = [line for line in event.splitlines() if line[:1] != b":"]
+    names = {line.partition(b":")[0] for line in lines if line}
+    if names.isdisjoint((b"data", b"id")) and not names <= _WITHOUT_DATA:
+        return False
+    return all(map(_FIELD.fullmatch, names))
+
+
 def pattern_of(shapes: list[bytes]) -> re.Pattern[bytes] | None:
     """Return what matches common events of some shapes; None: none is common.
 
--- /dev/null
+++ b/tests/test_foreign_bytes.py
@@ -0,0 +1,80 @@
+"""Bytes within an event stream that are no event."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from tests.checkedstreams import EVENTS, WHOLE, Answer, Endpoints, Play
+from tests.test_repeated_refusals import body_of
+
+BEGIN = b"".join(EVENTS[:2])
+FOREIGN = {
+    "random bytes": Random(1).randbytes(60_000),
+    "lines": b"xyzzy\n\n" * 100,
+    "another protocol": b"\x16\x03\x01\x00*\x02\x00\x00\r\n\r\n",
+    "a bad status line": b"HTTP/1.1 OK 200\r\n\r\n",
+    "a bad header": b"no colon here\r\n\r\n",
+    "text of another coding": b"data: \xff\xfe\xe9\n\n",
+}
+
+
+def got_of(
+    endpoints: Endpoints, path: str, known: int = 0
+) -> tuple[str, bytes, bool]:
+    """Return status, body and wholeness of the last stream.
+
+    :param endpoints: those that answer
+    :param path: of the route
+    :param known: the number of streams before it
+    """
+    play = Play(requests=known + 1, path=path, alike=False)
+    play.run(endpoints)
+    return body_of(play.callers[-1].data)
+
+
+@pytest.mark.parametrize("known", [0, 1, 24])
+@pytest.mark.parametrize("foreign", FOREIGN.values(), ids=FOREIGN)
+class ForeignBytesSuite:
+    """Guards against bytes that go out to callers as if they were events."""
+
+    def test_a_stream_that_may_be_resumed(
+        self, foreign: bytes, known: int
+    ) -> None:
+        spoiled = Answer(2, more=foreign)
+        endpoints = Endpoints([*[Answer()] * known, spoiled, Answer()])
+        assert got_of(endpoints, "/talk/", known) == ("200", WHOLE, True)
+
+    def test_one_that_may_not(self, foreign: bytes, known: int) -> None:
+        spoiled = Answer(2, more=foreign)
+        endpoints = Endpoints([*[Answer()] * known, spoiled])
+        assert got_of(endpoints, "/tell/", known) == ("200", BEGIN, False)
+
+    # Without an event before, nothing is known of the run's ids.
+    def test_at_the_beginning(self, foreign: bytes, known: int) -> None:
+        spoiled = Answer(0, more=foreign)
+        endpoints = Endpoints([*[Answer()] * known, spoiled, Answer()])
+        assert got_of(endpoints, "/talk/", known) == ("200", WHOLE, True)
+
+
+LAWFUL = {
+    "lines of a text": b'id: %d\ndata: {\n  "a": 1,\n  "b": 2\n}\n\n',
+    "another coding": b"id: %d\ndata: \xe9t\xe9\n\n",
+    "a field that is skipped": b"trace: 2f\n\nid: %d\ndata: x\n\n",
+}
+
+
+@pytest.mark.parametrize("path", ["/talk/", "/tell/"])
+@pytest.mark.parametrize("event", LAWFUL.values(), ids=LAWFUL)
+class UnusualServiceSuite:
+    # Guards against services that lose their streams as they write lines
+    # that readers of event streams skip.
+    def test_its_streams_are_whole(self, event: bytes, path: str) -> None:
+        events = [event % number for number in range(1, 6)]
+        endpoints = Endpoints([Answer()], events=events)
+        play = Play(requests=40, path=path, alike=False)
+        play.run(endpoints)
+        got = [body_of(each.data) for each in play.callers]
+        assert got == [("200", b"".join(events), True)] * 40
+        assert len(endpoints.sends) == 40
