Hold a torn event that foreign bytes complete

What callers saw: an event with the id that was due and, behind its first bytes, bytes that are none of its.

Cause: an id at its place made an event of whatever followed up to an empty line, if the list of names in its lines was longer than what is compared.

Evidence: the four cases of TornEventSuite fail without the change; they stop an endpoint within event 3 and let random bytes follow, as endpoints do that write without end.

Why it works: an event with an id is held, too, if it is not made of UTF-8 fields and comments, once the step of ids is known. Text that is not UTF-8 counts as unusual in the shape of an event, so services that write another coding are learned and lose neither streams nor time.

--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -104,27 +104,27 @@
         """Return what becomes of an event; see `RunCheck`."""
         if b"\r" in event and CHUNK_SIZE_LINE.search(event):
             return self._refuse(Spoiling.FRAMING)
-        if not self._has_no_ids and self._is_foreign(event, number):
-            # The next id shows that the service writes such lines.
-            self._note_unproven(shape_of(event, number))
-            return Verdict.HOLD if is_new else Verdict.PASS
-        if number is None and before < 0:
-            self._has_no_ids |= b"data" in event
-        else:
+        foreign = not self._has_no_ids and self._is_foreign(event, number)
+        if number is not None or before >= 0:
             self._has_no_ids = False
+        elif not foreign:
+            self._has_no_ids |= b"data" in event
         if not self._step:
             if not self._learns:
-                return Verdict.PASS
+                return Verdict.HOLD if foreign and is_new else Verdict.PASS
             self._learns -= 1
             if not self._learns:
                 self._revision = -1
         if number is not None and not self._takes_id(number, before):
             return Verdict.SPOILED
         shape = shape_of(event, number)
-        self._note_unproven(shape)
-        if not self._step or not is_new or self.pattern.knows(shape):
+        if len(self._unproven) < MAX_UNPROVEN:
+            # No more than shows that it is too long to be judged.
+            self._unproven.append(shape[: MAX_SHAPE_BYTES + 1])
+        is_known = not self._step or self.pattern.knows(shape)
+        if not is_new or (is_known and not foreign):
             return Verdict.PASS
-        if self.resumable and number is not None:
+        if self._step and self.resumable and number is not None:
             suspect = self.pattern.lacks_data(shape)
             self.pattern.see_shape(shape, self.endpoint)
             if suspect and not self._are_lines_confirmed(shape, number):
@@ -148,18 +148,15 @@
             self.pattern.prove_shape(shape)
         return Verdict.PASS
 
-    def _note_unproven(self, shape: bytes) -> None:
-        """Remember the shape of an event until the next one with an id."""
-        if len(self._unproven) < MAX_UNPROVEN:
-            # No more than shows that it is too long to be judged.
-            self._unproven.append(shape[: MAX_SHAPE_BYTES + 1])
-
     def _is_foreign(self, event: bytes, number: int | None) -> bool:
         """Return whether bytes are no event, nor what the service writes.
 
-        An id at its place is that of an event.
+        While ids may rise by any number, no other lines are learned of, and
+        an id alone makes an event.
         """
-        if number is not None or is_well_formed(event):
+        if number is not None and not self._step:
+            return False
+        if is_well_formed(event):
             return False
         return not self.pattern.has_proven(shape_of(event, number))
 
--- a/src/bulrushstream/state/eventlines.py
+++ b/src/bulrushstream/state/eventlines.py
@@ -87,13 +87,13 @@
 def shape_of(event: bytes, number: int | None) -> bytes:
     """Return the names of an event's fields, in order; comments have none.
 
-    A field with a control character, and an id that is no number, differ from
-    others of the same name.
+    A field with a control character or bytes that are no text, and an id that
+    is no number, differ from others of the same name.
 
     :param event: the event
     :param number: its id; None: none that is a number
     """
-    is_usual = number is not None and b"\r" not in event
+    is_usual = number is not None and b"\r" not in event and _is_text(event)
     if is_usual and not _CONTROL.search(event):
         return b"\n".join(_NAME.findall(event))
     names = []
@@ -105,7 +105,7 @@
             digits = value.removeprefix(b" ")
             if not digits.isdigit() or len(digits) > MAX_ID_DIGITS:
                 name += _UNUSUAL
-        if _CONTROL.search(line):
+        if _CONTROL.search(line) or not _is_text(line):
             name += _UNUSUAL
         names.append(name)
     return b"\n".join(names)
@@ -119,9 +119,7 @@
 
     :param event: the bytes, up to an empty line
     """
-    try:
-        event.decode()
-    except UnicodeDecodeError:
+    if not _is_text(event):
         return False
     lines = [line for line in event.splitlines() if line[:1] != b":"]
     names = {line.partition(b":")[0] for line in lines if line}
@@ -130,6 +128,17 @@
     return all(map(_FIELD.fullmatch, names))
 
 
+def _is_text(data: bytes) -> bool:
+    """Return whether bytes are text in UTF-8, as that of event streams is."""
+    if data.isascii():
+        return True
+    try:
+        data.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
 def pattern_of(shapes: list[bytes]) -> re.Pattern[bytes] | None:
     """Return what matches common events of some shapes; None: none is common.
 
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -58,6 +58,19 @@
         assert got_of(endpoints, "/talk/", known) == ("200", WHOLE, True)
 
 
+class TornEventSuite:
+    # Guards against an event that goes on with bytes that are none of its.
+    @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
+    @pytest.mark.parametrize("torn", [b"id: 3\n", b"id: 3\nda"])
+    def test_foreign_bytes_follow(self, torn: bytes, path: str) -> None:
+        foreign = torn + FOREIGN["random bytes"]
+        spoiled = Answer(2, more=foreign)
+        endpoints = Endpoints([*[Answer()] * 24, spoiled, Answer()])
+        whole = path == "/talk/"
+        expected = WHOLE if whole else BEGIN
+        assert got_of(endpoints, path, 24) == ("200", expected, whole)
+
+
 LAWFUL = {
     "lines of a text": b'id: %d\ndata: {\n  "a": 1,\n  "b": 2\n}\n\n',
     "another coding": b"id: %d\ndata: \xe9t\xe9\n\n",
