Soaks: foreign bytes within streams, and streams of many lengths

The soaks wrote no bytes that are none of a stream's, and gave all streams one length, at which every cut one is odd.

--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -257,7 +257,7 @@
                     answer,
                     events,
                     resumable,
-                    self.behaviour.events,
+                    self.behaviour.length_of(path),
                     self.behaviour.shape,
                 )
                 # Whether an end can be checked depends on the load.
@@ -347,11 +347,13 @@
     parser.add_argument(
         "--spoilings", nargs="*", type=Spoiling, default=SPOILINGS
     )
+    parser.add_argument("--varies", action="store_true")
     options = parser.parse_args()
     behaviour = Behaviour(
         spoilings=tuple(options.spoilings),
         hang_share=0.1,
         shape=Shape(padding_bytes=10_000),
+        varies=options.varies,
     )
     wrong = 0
     for seed in range(options.seed, options.seed + options.count):
--- a/tests/soakendpoints.py
+++ b/tests/soakendpoints.py
@@ -65,8 +65,15 @@
     hang_share: float = 0.0  # Of the answers that stand still once.
     shape: Shape = PLAIN
     events: int = EVENTS  # Of each stream.
+    varies: bool = False  # Whether each path has another number of events.
     pauses_s: tuple[float, ...] = PAUSES_S  # Between two events.
 
+    def length_of(self, path: str) -> int:
+        """Return the number of events of a path's streams."""
+        if not self.varies:
+            return self.events
+        return Random(path).randint(1, 2 * self.events)
+
 
 @dataclass(slots=True)
 class Runs:
@@ -162,7 +169,7 @@
         end = rng.choice(LINE_ENDS)
         events = [
             does.shape.encode(number, run, end)
-            for number in range(after + 1, does.events + 1)
+            for number in range(after + 1, does.length_of(path) + 1)
         ]
         head = encode_head(
             "HTTP/1.1 200 OK",
--- a/tests/spoilings.py
+++ b/tests/spoilings.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Final
 
+FOREIGN_BYTES: Final = 60_000
 BREAK_SHARE: Final = 0.5  # Of the answers that may break off.
 _OTHER_BYTES: Final = b"aq7 :,;x0\n\r"
 
@@ -40,6 +41,7 @@
     BYTE = "byte"  # Any byte is another one.
     REMOVED_BYTE = "removed_byte"
     REPEATED_BYTE = "repeated_byte"
+    FOREIGN = "foreign"  # Bytes that are none of it replace an event's rest.
 
 
 OF_CHUNKS: Final = (
@@ -153,6 +155,9 @@
         events[at] = b""
     elif kind is Spoiling.TWICE:
         events[at] *= 2
+    elif kind is Spoiling.FOREIGN:
+        begin = events[at][: rng.choice((0, 0, len(events[at]) // 2))]
+        events[at] = begin + rng.randbytes(FOREIGN_BYTES)
     elif kind is Spoiling.HALF:
         events[at] = events[at][: len(events[at]) // 2]
     elif kind is Spoiling.ID_DIGIT:
--- a/tests/test_stream_soak_processes.py
+++ b/tests/test_stream_soak_processes.py
@@ -15,6 +15,7 @@
 from tests.eventstreams import LINE_ENDS
 from tests.processsoak import play_soak
 from tests.soakendpoints import EVENTS, SPOILINGS, Behaviour
+from tests.spoilings import Spoiling
 from tests.streamjudge import Answer, judge
 
 
@@ -27,6 +28,14 @@
         # Callers must be served, too.
         assert soak.whole >= 0.3 * soak.streams
 
+    # Guards against foreign bytes that go out as events, where lengths vary
+    # so that no end is odd.
+    async def test_foreign_bytes(self, tmp_path: Path) -> None:
+        behaviour = Behaviour(spoilings=(Spoiling.FOREIGN,), varies=True)
+        soak = await play_soak(4, tmp_path, behaviour)
+        assert soak.wrong == [], soak.summary
+        assert soak.whole >= 0.3 * soak.streams
+
     async def test_spoiled_and_hanging_streams(self, tmp_path: Path) -> None:
         """Guards against bytes passed on that are no stream of events."""
         behaviour = Behaviour(
