Keep lines that readers skip waiting through a pause

Cause: the limit of the wait of held events refused foreign ones, though nobody waits for them. The limit is for events that callers lack.

Why it works: such a block goes on waiting until an id follows, which proves it, or until the stream ends. The four cases of PauseSuite fail without it.

--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -131,10 +131,15 @@
                 return self._refuse(Spoiling.LINES)
         return Verdict.HOLD
 
-    def judge_last(self, event: bytes, number: int | None) -> Verdict:
-        """Return what becomes of a last event that is held; see `RunCheck`."""
+    def judge_held(
+        self, event: bytes, number: int | None, *, is_last: bool
+    ) -> Verdict:
+        """Return what becomes of an event that is held; see `RunCheck`."""
         shape = shape_of(event, number)
         if self._is_foreign(event, number):
+            if not is_last:
+                # Readers skip such lines, so nobody waits for them.
+                return Verdict.HOLD
             if self.resumable and self._are_lines_confirmed(shape, number):
                 return Verdict.PASS
             return self._refuse(Spoiling.FOREIGN)
--- a/src/bulrushstream/state/eventlines.py
+++ b/src/bulrushstream/state/eventlines.py
@@ -76,11 +76,14 @@
         :param is_new: whether the caller lacks it
         """
 
-    def judge_last(self, event: bytes, number: int | None) -> Verdict:
-        """Return what becomes of an event that is held at the run's end.
+    def judge_held(
+        self, event: bytes, number: int | None, *, is_last: bool
+    ) -> Verdict:
+        """Return what becomes of an event that was held for long.
 
         :param event: the event
         :param number: its id; None: none that tells where the stream goes on
+        :param is_last: whether the run has ended
         """
 
 
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -133,21 +133,24 @@
     def finish(self) -> bytes:
         """Return the events that were held back, as the stream has ended."""
         self._report()
-        if not self._are_held_right():
+        if self._judge_held(is_last=True) is not Verdict.PASS:
             return b""
         events = [*self._take_blank(), *self._release()]
         return self._completed(b"", events) if events else b""
 
-    def _are_held_right(self) -> bool:
-        """Return whether the events that were held back may be passed on."""
+    def _judge_held(self, *, is_last: bool) -> Verdict:
+        """Return what becomes of the events that were held back."""
         for event in self._held:
             assert self.check is not None
             content = event.data.removeprefix(_BOM)
-            verdict = self.check.judge_last(content, event.number)
+            verdict = self.check.judge_held(
+                content, event.number, is_last=is_last
+            )
             if verdict is Verdict.SPOILED:
                 self._refuse(self.check.spoiling, event.number)
-                return False
-        return True
+            if verdict is not Verdict.PASS:
+                return verdict
+        return Verdict.PASS
 
     @property
     def holds(self) -> bool:
@@ -162,7 +165,7 @@
     def release(self) -> bytes:
         """Return the events that were held back, as no other follows."""
         self._report()
-        if not self._are_held_right():
+        if self._judge_held(is_last=False) is not Verdict.PASS:
             return b""
         events = self._release()
         return self._completed(b"", events) if events else b""
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -78,6 +78,21 @@
 }
 
 
+class PauseSuite:
+    # Guards against streams that are given up as a line that readers skip
+    # precedes a long pause.
+    @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
+    @pytest.mark.parametrize("known", [0, 24])
+    def test_a_line_before_a_pause(self, path: str, known: int) -> None:
+        line = b"trace: 2f\n\n"
+        paused = Answer(
+            0, more=line + WHOLE, first_bytes=len(line), pause_s=1.9
+        )
+        endpoints = Endpoints([*[Answer()] * known, paused])
+        got = got_of(endpoints, path, known)
+        assert got == ("200", line + WHOLE, True)
+
+
 @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
 @pytest.mark.parametrize("event", LAWFUL.values(), ids=LAWFUL)
 class UnusualServiceSuite:
