Refuse foreign bytes before an event of a service that is known

What callers saw: an event whose first lines are bytes that are none of its, or such bytes alone between two events.

Cause: foreign bytes were held until the next id, and released by it, also where it stands in the same lines or right behind them.

The four cases of KnownServiceSuite fail without the change.

Another endpoint is asked, and believed if it writes the same; if none may be, what is not UTF-8 breaks the stream off, as event streams are UTF-8 and a service in another coding is known by its first events.

--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -19,6 +19,7 @@
     PLAIN,
     Spoiling,
     Verdict,
+    is_text,
     is_well_formed,
     shape_of,
 )
@@ -109,6 +110,8 @@
             self._has_no_ids = False
         elif not foreign:
             self._has_no_ids |= b"data" in event
+        if foreign and is_new and self._is_unheard_of(event, number):
+            return self._refuse(Spoiling.FOREIGN)
         if not self._step:
             if not self._learns:
                 return Verdict.HOLD if foreign and is_new else Verdict.PASS
@@ -165,6 +168,18 @@
             return False
         return not self.pattern.has_proven(shape_of(event, number))
 
+    def _is_unheard_of(self, event: bytes, number: int | None) -> bool:
+        """Return whether a service that is known writes no foreign bytes.
+
+        If no other endpoint may show that it does, only what is no text is
+        refused before the next id can prove it.
+        """
+        if not self.pattern.is_steady:
+            return False
+        if not self.resumable:
+            return not is_text(event)
+        return not self._are_lines_confirmed(shape_of(event, number), number)
+
     def _are_lines_confirmed(self, shape: bytes, number: int | None) -> bool:
         """Return whether another endpoint wrote an event of that shape."""
         place = -1 if number is None else number
--- a/src/bulrushstream/state/eventlines.py
+++ b/src/bulrushstream/state/eventlines.py
@@ -96,7 +96,7 @@
     :param event: the event
     :param number: its id; None: none that is a number
     """
-    is_usual = number is not None and b"\r" not in event and _is_text(event)
+    is_usual = number is not None and b"\r" not in event and is_text(event)
     if is_usual and not _CONTROL.search(event):
         return b"\n".join(_NAME.findall(event))
     names = []
@@ -108,7 +108,7 @@
             digits = value.removeprefix(b" ")
             if not digits.isdigit() or len(digits) > MAX_ID_DIGITS:
                 name += _UNUSUAL
-        if _CONTROL.search(line) or not _is_text(line):
+        if _CONTROL.search(line) or not is_text(line):
             name += _UNUSUAL
         names.append(name)
     return b"\n".join(names)
@@ -122,7 +122,7 @@
 
     :param event: the bytes, up to an empty line
     """
-    if not _is_text(event):
+    if not is_text(event):
         return False
     lines = [line for line in event.splitlines() if line[:1] != b":"]
     names = {line.partition(b":")[0] for line in lines if line}
@@ -131,8 +131,11 @@
     return all(map(_FIELD.fullmatch, names))
 
 
-def _is_text(data: bytes) -> bool:
-    """Return whether bytes are text in UTF-8, as that of event streams is."""
+def is_text(data: bytes) -> bool:
+    """Return whether bytes are text in UTF-8, as that of event streams is.
+
+    :param data: the bytes
+    """
     if data.isascii():
         return True
     try:
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -78,11 +78,26 @@
 }
 
 
+class KnownServiceSuite:
+    # Guards against foreign bytes that go out as the stream goes on behind
+    # them, alone or in the lines before an event.
+    @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
+    @pytest.mark.parametrize("end", [b"\n", b"\n\n"])
+    def test_the_stream_goes_on(self, end: bytes, path: str) -> None:
+        foreign = b"\xfd5t\x0b\x06+\x17\xcb" + end
+        more = foreign + b"".join(EVENTS[2:])
+        endpoints = Endpoints([*[Answer()] * 24, Answer(2, more=more)])
+        endpoints.answers.append(Answer())
+        whole = path == "/talk/"
+        expected = WHOLE if whole else BEGIN
+        assert got_of(endpoints, path, 24) == ("200", expected, whole)
+
+
 class PauseSuite:
     # Guards against streams that are given up as a line that readers skip
     # precedes a long pause.
     @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
-    @pytest.mark.parametrize("known", [0, 24])
+    @pytest.mark.parametrize("known", [0, 24, 60])
     def test_a_line_before_a_pause(self, path: str, known: int) -> None:
         line = b"trace: 2f\n\n"
         paused = Answer(
