Refuse an id that skips one where foreign bytes are held

What callers saw: "id: 5;data: ..." in one line instead of event 5, in a stream that may not be resumed, at a router that knows nothing of the service yet.

Cause: a block whose id is no number passed for an event though it has no data, and while the step of ids was not known the next id released whatever was held.

Both cases of DamagedEventSuite fail without the change.

Why it works: without a number for an id and without data a block is foreign; it is released by the next id only if that follows as the run's ids did.

--- a/src/bulrushstream/coordination/streamcheck.py
+++ b/src/bulrushstream/coordination/streamcheck.py
@@ -63,6 +63,7 @@
     _unproven: list[bytes] = field(default_factory=list)
     # Whether the run has data without an id, and no event with one.
     _has_no_ids: bool = False
+    _holds_foreign: bool = False  # Whether foreign bytes wait for an id.
     _revision: int = -1  # Of what is known; see `_plain`.
     _plain: tuple[re.Pattern[bytes] | None, int] = (None, 0)
 
@@ -118,8 +119,11 @@
             self._learns -= 1
             if not self._learns:
                 self._revision = -1
+        if number is not None and self._lacks_event(number, before):
+            return self._refuse(Spoiling.FOREIGN)
         if number is not None and not self._takes_id(number, before):
             return Verdict.SPOILED
+        self._holds_foreign |= foreign and is_new
         shape = shape_of(event, number)
         if len(self._unproven) < MAX_UNPROVEN:
             # No more than shows that it is too long to be judged.
@@ -141,7 +145,7 @@
         shape = shape_of(event, number)
         if self._is_foreign(event, number):
             if not is_last:
-                # Readers skip such lines, so nobody waits for them.
+                # Lines that readers skip may precede a long pause.
                 return Verdict.HOLD
             if self.resumable and self._are_lines_confirmed(shape, number):
                 return Verdict.PASS
@@ -164,10 +168,20 @@
         """
         if number is not None and not self._step:
             return False
-        if is_well_formed(event):
+        if is_well_formed(event, number):
             return False
         return not self.pattern.has_proven(shape_of(event, number))
 
+    def _lacks_event(self, number: int, before: int) -> bool:
+        """Return whether an id was skipped where foreign bytes are held.
+
+        They may be the event that had it.  While no step is known, the run's
+        last rise tells what was to follow.
+        """
+        held, self._holds_foreign = self._holds_foreign, False
+        known = before >= 0 and self._rise > 0
+        return held and known and number - before != self._rise
+
     def _is_unheard_of(self, event: bytes, number: int | None) -> bool:
         """Return whether a service that is known writes no foreign bytes.
 
--- a/src/bulrushstream/state/eventlines.py
+++ b/src/bulrushstream/state/eventlines.py
@@ -114,19 +114,21 @@
     return b"\n".join(names)
 
 
-def is_well_formed(event: bytes) -> bool:
+def is_well_formed(event: bytes, number: int | None) -> bool:
     """Return whether bytes may stand in an event stream.
 
     They must be fields and comments in UTF-8.  Fields that readers of event
     streams skip are no event without data or an id.
 
     :param event: the bytes, up to an empty line
+    :param number: its id; None: it has none that is a number
     """
     if not is_text(event):
         return False
     lines = [line for line in event.splitlines() if line[:1] != b":"]
     names = {line.partition(b":")[0] for line in lines if line}
-    if names.isdisjoint((b"data", b"id")) and not names <= _WITHOUT_DATA:
+    is_event = number is not None or b"data" in names
+    if not is_event and not names <= _WITHOUT_DATA:
         return False
     return all(map(_FIELD.fullmatch, names))
 
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -78,6 +78,19 @@
 }
 
 
+class DamagedEventSuite:
+    # Guards against an event that lost the end of its id's line and goes out
+    # with the next one, at a router that knows nothing of the service.
+    @pytest.mark.parametrize("path", ["/talk/", "/tell/"])
+    def test_a_line_end_is_lost(self, path: str) -> None:
+        damaged = EVENTS[2].replace(b"\n", b";", 1)
+        more = damaged + b"".join(EVENTS[3:])
+        endpoints = Endpoints([Answer(2, more=more), Answer()])
+        whole = path == "/talk/"
+        expected = WHOLE if whole else BEGIN
+        assert got_of(endpoints, path) == ("200", expected, whole)
+
+
 class KnownServiceSuite:
     # Guards against foreign bytes that go out as the stream goes on behind
     # them, alone or in the lines before an event.
