Soak of processes: an endpoint that is starting as the play ends

Cause: the end of the play cancels the task that starts endpoints anew; it had already put the new one, which has no socket yet, in the place of the old one, and the clean-up ends whatever stands there.

Why it works: the new endpoint takes the place once it has started.

--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -170,8 +170,10 @@
                 name = f"e-{self._born}-new"
                 self.store.put("keyed.servers", ended.name, b"")
             await asyncio.sleep(rng.choice((0.0, rng.uniform(0.0, 0.5))))
-            proxy.endpoint = Endpoint(name, self._born, self.runs)
-            await proxy.endpoint.start()
+            # The end of the play may cancel its start.
+            endpoint = Endpoint(name, self._born, self.runs)
+            await endpoint.start()
+            proxy.endpoint = endpoint
             self.store.put("keyed.servers", name, proxy.entry)
 
     async def _change_configuration(self) -> None:
