Go on with a stream only at a process that is known to be the listed one

A router that had stood still, or whose list lagged, made the next attempt at an endpoint that the list named with the stream's version, while another process answered under its id; a take-up that began as one version was shown was not bound to that version in further attempts.

Cause: the list tells the version of a process, but decisions went by the id and by what the router knew at any earlier time (a list of up to 3.5 s ago, a peer of the last 1.2 s, ends of connections that were not read yet).

Now the answer of an attempt that goes on with a stream passes a gate, and is held back until its process is shown: by a read of the list that was sent a second after the connection led to the process, by an older connection or the start that it tells, or by such a read that names one version only. The same holds for the process that began the stream, and for what is told to keepers; while that is open, nobody believes the store. If nothing shows it within 1.5 s the attempt fails with nothing passed on. Nothing of this is asked of services whose processes each have an id of their own, so it does not act in deployments that do not tell when endpoints started.

`dispatch` and `take_up` name the age of the list, `process_shown` the proof.

--- a/src/bulrushstream/coordination/endpointpool.py
+++ b/src/bulrushstream/coordination/endpointpool.py
@@ -2,11 +2,16 @@
 
 An endpoint whose failure rate is well above that of the others is *ejected*
 for a time, provided that enough others stay in use.
+
+A process may start again under the id of the one before it, with another
+software version, and answers before the endpoint list names it.  So the list
+shows which process had an id at a time only once it was read `LIST_LAG_S`
+later.
 """
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -34,6 +39,9 @@
 # An endpoint that spoiled an answer is trusted less for this time.
 DISTRUST_S: Final = 30.0
 
+# A process that starts under the id of another one is listed within this time.
+LIST_LAG_S: Final = 1.0
+
 # An endpoint that refuses a connection is avoided for this time.
 UNREACHABLE_PAUSE_S: Final = 1.0
 
@@ -54,6 +62,8 @@
     # Since when another process may have its id; infinity: the same as listed.
     unverified_s: float = float("inf")
     verified_s: float = float("-inf")  # Before this it was the same process.
+    # When the last read was sent that named it, once the list does not.
+    last_listed_s: float = float("-inf")
     # Checks of its streams' ends that found nothing, since one did.
     vain_end_checks: int = 0
     cuts_streams: bool = False  # Whether one of them found a cut, lately.
@@ -97,6 +107,10 @@
     by_name: dict[str, Endpoint] = field(default_factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
     evacuated: Collection[str] = ()  # Zones whose endpoints get no requests.
+    # Returns when the last read of the list was sent that was current.
+    list_confirmed_s: Callable[[], float] = lambda: float("-inf")
+    # Services whose processes start again under their ids.
+    _reusing_ids: set[str] = field(default_factory=set)
 
     def update(
         self, entry: EndpointEntry, traits: EngineTraits | None
@@ -115,6 +129,8 @@
             return
         if known is not None:
             self.remove(entry.endpoint)
+        if known is not None or entry.born:
+            self._reusing_ids.add(entry.service)
         view = None
         if traits is not None:
             view = EngineView(traits.slots, traits.memory_tokens)
@@ -161,6 +177,23 @@
         """
         return self.by_name.get(endpoint.name, endpoint) is not endpoint
 
+    def reuses_ids(self, service: str) -> bool:
+        """Return whether processes of a service start again under their ids.
+
+        :param service: the service's name
+        """
+        return service in self._reusing_ids
+
+    def listed_until_s(self, endpoint: Endpoint) -> float:
+        """Return until when the listed process surely had an endpoint's id.
+
+        :param endpoint: the endpoint
+        :returns: the time; nobody had the id later if the process had ended
+        """
+        if endpoint.removed:
+            return endpoint.last_listed_s - LIST_LAG_S
+        return self.list_confirmed_s() - LIST_LAG_S
+
     def remove(self, name: str) -> Endpoint | None:
         """Remove an endpoint that the platform's list dropped.
 
@@ -170,6 +203,7 @@
         endpoint = self.by_name.pop(name, None)
         if endpoint is not None:
             endpoint.removed = True
+            endpoint.last_listed_s = self.list_confirmed_s()
             self.by_service[endpoint.entry.service].pop(name, None)
         return endpoint
 
--- a/src/bulrushstream/coordination/streamorigins.py
+++ b/src/bulrushstream/coordination/streamorigins.py
@@ -57,7 +57,11 @@
     endpoint: Endpoint
     version: str  # As listed when the endpoint began it.
     began_s: float
+    led_s: float  # Since when its connection led to the process.
     told_s: float = float("-inf")  # When keepers were last told.
+    told_version: str = ""  # What they were told; empty: not proven.
+    # Whether the process was found to be the listed one.
+    proven: bool = False
 
     @property
     def known_version(self) -> str:
@@ -88,6 +92,8 @@
     own_host: str  # This router's IP address.
     live_hosts: Callable[[], tuple[str, ...]]  # Those of the other routers.
     notifier: OriginNotifier | None = None  # None: not connected to peers.
+    # Returns whether the process that began a stream is the listed one.
+    is_listed: Callable[[OwnStream], bool] = lambda own: True
     _own: OrderedDict[int, OwnStream] = field(default_factory=OrderedDict)
     _told: OrderedDict[int, KnownOrigin] = field(default_factory=OrderedDict)
     _stored: OrderedDict[int, KnownOrigin] = field(
@@ -101,16 +107,21 @@
     # --- Streams of this router.
 
     def began(
-        self, streams: Iterable[int], endpoint: Endpoint, now_s: float
+        self,
+        streams: Iterable[int],
+        endpoint: Endpoint,
+        now_s: float,
+        led_s: float,
     ) -> tuple[OwnStream, ...]:
         """Record the first event of a stream.
 
         :param streams: the digests by which it may be taken up
         :param endpoint: the endpoint that wrote the event
         :param now_s: the time
+        :param led_s: since when its connection led to the process
         """
         recorded = tuple(
-            OwnStream(stream, endpoint, endpoint.entry.version, now_s)
+            OwnStream(stream, endpoint, endpoint.entry.version, now_s, led_s)
             for stream in streams
         )
         for each in recorded:
@@ -129,18 +140,28 @@
             if self._own.get(each.stream) is each:
                 del self._own[each.stream]
 
+    def proven_version(self, own: OwnStream) -> str:
+        """Return the version that began a stream; empty: not proven yet.
+
+        :param own: the stream
+        """
+        own.proven = own.proven or self.is_listed(own)
+        return own.version if own.proven else ""
+
     def tell(self, own: OwnStream, now_s: float) -> None:
         """Tell the keepers of a stream where it began.
 
+        They are told without a version until that is proven, so that nobody
+        believes what the store has.
+
         :param own: the stream
         :param now_s: the time
         """
-        version = own.known_version
-        if self.notifier is None or not version:
+        if self.notifier is None:
             return
-        own.told_s = now_s
+        own.told_s, own.told_version = now_s, self.proven_version(own)
         service = own.endpoint.entry.service
-        origin = StreamOrigin(own.stream, service, version)
+        origin = StreamOrigin(own.stream, service, own.told_version)
         for host in self.keepers(own.stream):
             self.notifier.send_origin(host, origin)
 
@@ -155,9 +176,10 @@
         """
         told: list[OwnStream] = []
         for own in self._own.values():
-            if now_s - own.told_s < RETELL_S:
+            if not services(own.endpoint.entry.service):
                 continue
-            if services(own.endpoint.entry.service):
+            news = own.told_version != self.proven_version(own)
+            if now_s - own.told_s >= RETELL_S or news:
                 self.tell(own, now_s)
                 told.append(own)
             if len(told) >= MAX_TOLD_AT_ONCE:
@@ -194,13 +216,25 @@
         :param now_s: the time
         """
         own = self._own.get(stream)
-        if own is not None and own.known_version:
+        if own is not None and self.proven_version(own):
             service = own.endpoint.entry.service
             origin = StreamOrigin(
                 stream, service, own.version, now_s - own.began_s
             )
             return KnownOrigin(origin, "", now_s)
-        return _recall(self._told, stream, now_s)
+        known = _recall(self._told, stream, now_s)
+        return known if known is not None and known.origin.version else None
+
+    def is_unproven(self, stream: int, now_s: float) -> bool:
+        """Return whether the router that began a stream can not prove where.
+
+        :param stream: its digest
+        :param now_s: the time
+        """
+        if stream in self._own:
+            return self.find(stream, now_s) is None
+        known = _recall(self._told, stream, now_s)
+        return known is not None and not known.origin.version
 
     def ask(
         self, stream: int, answered: Callable[[KnownOrigin], None]
@@ -282,13 +316,24 @@
         for origin in update.origins:
             known = KnownOrigin(origin, update.instance, now_s)
             _remember(self._told, known)
+            if not origin.version:
+                continue
             for answered in self._waiting.pop(origin.stream, ()):
                 answered(known)
         for stream in update.asked_origins:
-            found = self.find(stream, now_s)
-            if found is not None and self.notifier is not None:
-                origin = replace(found.origin, age_s=found.age_s(now_s))
-                self.notifier.send_origin(update.host, origin)
+            self._answer(stream, update.host, now_s)
+
+    def _answer(self, stream: int, host: str, now_s: float) -> None:
+        """Tell a router that asks what is known of a stream."""
+        found = self.find(stream, now_s)
+        if found is not None:
+            origin = replace(found.origin, age_s=found.age_s(now_s))
+        elif self.is_unproven(stream, now_s):
+            origin = StreamOrigin(stream, "", "")
+        else:
+            return
+        if self.notifier is not None:
+            self.notifier.send_origin(host, origin)
 
 
 def _remember(
--- a/src/bulrushstream/coordination/streamversions.py
+++ b/src/bulrushstream/coordination/streamversions.py
@@ -83,6 +83,7 @@
         streams: tuple[int, ...],
         endpoint: Endpoint,
         now_s: float,
+        led_s: float,
     ) -> tuple[OwnStream, ...]:
         """Record the first event of a stream; tell others if that matters.
 
@@ -90,8 +91,9 @@
         :param streams: the digests by which it may be taken up
         :param endpoint: the endpoint that wrote the event
         :param now_s: the time
+        :param led_s: since when its connection led to the process
         """
-        own = self.origins.began(streams, endpoint, now_s)
+        own = self.origins.began(streams, endpoint, now_s, led_s)
         if self.history.needs_origins(route):
             for each in own:
                 self.origins.tell(each, now_s)
@@ -135,9 +137,12 @@
     def _store_own(self, own: OwnStream, now_s: float) -> None:
         """Queue the origin of a stream that has begun here."""
         service = own.endpoint.entry.service
+        version = self.origins.proven_version(own)
+        if not version and own.known_version:
+            # The store has the version as it was listed.
+            return
         if self.history.had_several(service):
-            origin = StreamOrigin(own.stream, service, own.known_version)
-            self._store(origin, now_s)
+            self._store(StreamOrigin(own.stream, service, version), now_s)
 
     def _store(self, origin: StreamOrigin, now_s: float) -> None:
         """Queue an origin to be written to the store."""
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -22,6 +22,7 @@
     doubtfulheads,
     endcheck,
     endpointload,
+    processgate,
     runwatch,
     streamchecks,
     takeups,
@@ -45,6 +46,7 @@
 
 if TYPE_CHECKING:
     from bulrushstream.daemon.forward import Forward
+    from bulrushstream.daemon.processgate import ProcessGate
 
 # Answers up to this size are buffered until they are complete, so that a
 # retry can replace one that breaks off.  Longer ones are relayed as they come.
@@ -94,6 +96,8 @@
         "endpoint",
         "forward",
         "front",
+        "gate",
+        "led_s",
         "number",
         "pool",
         "sent_s",
@@ -117,6 +121,11 @@
         self.sent_s = 0.0  # 0: not yet.
         # When the endpoint began to write the answer; infinity: not yet.
         self.began_s = float("inf")
+        # Since when its connection led to the process that answers; infinity:
+        # nothing has answered.
+        self.led_s = float("inf")
+        # Holds its answer back; None: it begins a stream, or is none.
+        self.gate: ProcessGate | None = None
         # Since when the endpoint is silent, as last watched; 0: it was not.
         self.silent_since_s = 0.0
         self._pending: PendingRequest | None = None
@@ -157,7 +166,7 @@
             self.pool.add_idle()
         self._pending = self.pool.send(
             self.forward.call.method,
-            self,
+            processgate.sink_of(self),
             fresh=not self.forward.route.repeatable,
             # An answer of the earlier attempt there would have the same id.
             reuse=not watched and self.endpoint.name not in self.forward.tried,
@@ -169,6 +178,8 @@
             return
         runwatch.run_cancelled(self)
         self._end = "cancelled"
+        if self.gate is not None:
+            self.gate.close()
         self._pending.cancel()
         self._pending = None
         self._keep(0)
@@ -235,6 +246,10 @@
         else:
             # It reached another process, if any.
             front.fleet_state.cold.not_counted(self.endpoint.name, self.sent_s)
+        if self._pending is not None:
+            connection = self._pending.connection
+            if connection is not None:
+                self.led_s = connection.since_s(True)
         if self._pending is not None and not self._reused:
             sign = Sign.SAME_INSTANCE
             if status == 421:
@@ -619,6 +634,32 @@
         self._pending.resume_reading()
         return True
 
+    # --- Called by its gate.
+
+    def stop_reading(self) -> None:
+        """Read no more until `read_on`."""
+        if self._pending is not None:
+            self._pending.pause_reading()
+
+    def read_on(self) -> None:
+        """Read on, unless the caller has much to read."""
+        self._resumed_s = self.front.clock()
+        if self._pending is not None and not self._paused:
+            self._pending.resume_reading()
+
+    def detach(self) -> None:
+        """Leave the connection to other requests, as the answer has ended."""
+        if self._pending is not None:
+            reused, self._pending = self._pending.reused, PendingRequest()
+            self._pending.reused = reused
+
+    def give_up_unproven(self) -> None:
+        """End the attempt, as nothing shows which process answers."""
+        self._end = "nothing shows which process answers"
+        self._close()
+        self._record_end(ran=True)
+        self.forward.attempt_failed(Failure.BROKEN, self._end)
+
     def _end_stream(self, head: AnswerHead) -> None:
         """Handle the end of an event stream."""
         forward = self.forward
@@ -728,6 +769,12 @@
         """Return whether the answer's head has arrived."""
         return self._head is not None
 
+    @property
+    def is_stream(self) -> bool:
+        """Return whether its answer is a stream of events."""
+        head = self._head
+        return head is not None and head.event_stream and head.status == 200
+
     @property
     def progress(self) -> AnswerProgress:
         """Return how much of the answer arrived."""
@@ -743,7 +790,7 @@
 
         An endpoint that is not listened to is not silent.
         """
-        if self._paused:
+        if self._paused or (self.gate is not None and self.gate.holds):
             return self.front.clock()
         return max(self.sent_s, self._heard_s, self._resumed_s)
 
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -275,6 +275,7 @@
     if forward.resumes:
         inputs["after_event"] = forward.splitter.last_id or 0
         inputs["first_request"] = forward.call.first_request_id
+        inputs["list_age_s"] = takeups.list_age_s(front)
     if endpoint.entry.version:
         inputs["version"] = endpoint.entry.version
     front.log_decision(
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from bulrushstream import messages
@@ -130,6 +131,10 @@
         )
         self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
+        self.pool.list_confirmed_s = partial(takeups.list_confirmed_s, self)
+        self.streams.origins.is_listed = partial(
+            takeups.is_origin_listed, self
+        )
         self.stream_patterns = StreamPatterns()
         self.answer_habits = AnswerHabits()
         self.framing_habits = FramingHabits()
--- a/src/bulrushstream/daemon/takeups.py
+++ b/src/bulrushstream/daemon/takeups.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bulrushstream import messages
-from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.endpointpool import LIST_LAG_S, Endpoint
 from bulrushstream.coordination.streamorigins import (
     ASK_AGAIN_S,
     ASK_TIMEOUT_S,
@@ -18,10 +18,13 @@
     stream_digest,
 )
 from bulrushstream.coordination.versionhistory import STORE
+from bulrushstream.daemon.lifeproof import Proof
 from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.state.routes import RequestKind
 
 if TYPE_CHECKING:
+    from bulrushstream.coordination.streamorigins import OwnStream
+    from bulrushstream.daemon.attempt import Attempt
     from bulrushstream.daemon.forward import Forward
     from bulrushstream.daemon.front import Front
 
@@ -32,8 +35,9 @@
 # that the process lives on.
 SETTLE_S: Final = 0.15
 
-# An endpoint that started again under its id is listed within this time.
-LIST_LAG_S: Final = 1.0
+
+# Stands in the log for the age of a list that was never read.
+MAX_LOGGED_AGE_S: Final = 1e6
 
 
 class TakeUp:
@@ -113,9 +117,12 @@
         self._wait()
 
     def _start_at_one_version(self) -> None:
-        """Make the first attempt at any endpoint."""
+        """Make the first attempt at an endpoint of the only version."""
         self._log("one_version", "one version of the service serves")
-        self.forward.start_attempt()
+        forward = self.forward
+        history = self.front.streams.history
+        forward.version = history.only_version(forward.service) or None
+        forward.start_attempt()
 
     def _wait(self) -> None:
         """Wait until the question is repeated."""
@@ -150,12 +157,18 @@
         assert self.stream is not None
         read_since = streams.stored_read_s >= self._asked_s
         stored = streams.origins.find_stored(self.stream, now_s)
-        if stored is not None and read_since:
+        # What is stored is not believed before the router that began it does.
+        unproven = streams.origins.is_unproven(self.stream, now_s)
+        if stored is not None and read_since and not unproven:
             self._answered(stored)
         elif asked_for_s < ASK_TIMEOUT_S:
             streams.origins.ask_again(self.stream)
             self._wait()
-        elif read_since and not streams.history.may_show_one_version(route):
+        elif (
+            read_since
+            and not unproven
+            and not streams.history.may_show_one_version(route)
+        ):
             self.cancel()
             self._refuse("neither a router nor the store knows the stream")
         elif asked_for_s < STORE_TIMEOUT_S:
@@ -200,6 +213,7 @@
         inputs: dict[str, float | int | str] = {
             "first_request": forward.call.first_request_id,
             "after_event": forward.splitter.last_id or 0,
+            "list_age_s": list_age_s(front),
         }
         if known is not None:
             inputs["service"] = known.origin.service
@@ -249,9 +263,15 @@
     streams = forward.front.streams
     _is_verified(forward.front, attempt.endpoint)
     forward.own_streams = streams.stream_began(
-        forward.route, _digests(forward), attempt.endpoint, now_s
+        forward.route,
+        _digests(forward),
+        attempt.endpoint,
+        now_s,
+        attempt.led_s,
     )
     forward.version = attempt.endpoint.entry.version
+    if streams.history.had_several(forward.service):
+        prove_origin(forward)
     return not streams.is_disputed(forward.own_streams)
 
 
@@ -288,10 +308,8 @@
     found = front.pool.usable(forward.service, now_s, exclude, version)
     if version is None:
         return found
-    verified = [each for each in found if _is_verified(front, each)]
-    if front.streams.history.shows_one_version(forward.route):
-        return verified or found
-    return verified
+    # The process of any other one is found out as it answers.
+    return [each for each in found if _is_verified(front, each)] or found
 
 
 def can_go_on(forward: Forward) -> bool:
@@ -354,18 +372,160 @@
     front.streams.sweep(running, front.clock())
 
 
+def is_origin_listed(front: Front, own: OwnStream) -> bool:
+    """Return whether the process that began a stream is the listed one.
+
+    :param front: the router
+    :param own: the stream
+    """
+    endpoint = own.endpoint
+    if not front.pool.reuses_ids(endpoint.entry.service):
+        return own.known_version != ""
+    if own.led_s <= front.pool.listed_until_s(endpoint):
+        return True
+    return not endpoint.removed and _is_listed_now(front, endpoint)
+
+
+def is_origin_shown(forward: Forward) -> bool:
+    """Return whether it is known at which version a stream began.
+
+    :param forward: the request
+    """
+    own, front = forward.own_streams, forward.front
+    return (
+        not own
+        or front.streams.origins.proven_version(own[0]) != ""
+        or _list_shows_one_version(forward, own[0].led_s)
+    )
+
+
+def is_process_shown(attempt: Attempt) -> bool:
+    """Return whether the process that answers is known to be the listed one.
+
+    :param attempt: the attempt, whose answer has begun
+    """
+    front, endpoint = attempt.front, attempt.endpoint
+    if not front.pool.reuses_ids(endpoint.entry.service):
+        return _is_verified(front, endpoint) or _list_shows_one_version(
+            attempt.forward, attempt.led_s
+        )
+    if attempt.led_s <= front.pool.listed_until_s(endpoint):
+        return True
+    return _list_shows_one_version(attempt.forward, attempt.led_s)
+
+
+def prove_origin(forward: Forward) -> None:
+    """Find out whether the process that began a stream is the listed one.
+
+    Once it has ended it does not tell.
+
+    :param forward: the request
+    """
+    front, streams = forward.front, forward.own_streams
+    if is_origin_shown(forward):
+        return
+    endpoint = streams[0].endpoint
+
+    def checked(proof: Proof) -> None:
+        if proof is not Proof.NONE:
+            for own in streams:
+                own.proven = True
+            sweep(front)
+
+    front.life_proofs.wait(
+        endpoint,
+        front.connections.pool_for(endpoint),
+        front.pool.listed_until_s(endpoint),
+        front.clock() + LIST_LAG_S,
+        checked,
+        endpoint.entry.born,
+    )
+
+
+def is_contradicted(attempt: Attempt) -> bool:
+    """Return whether nothing can show any more which process answers.
+
+    :param attempt: the attempt, whose answer has begun
+    """
+    front, forward = attempt.front, attempt.forward
+    if front.streams.history.may_show_one_version(forward.route):
+        return False
+    processes = [(attempt.endpoint, attempt.led_s)]
+    if not is_origin_shown(forward):
+        own = forward.own_streams[0]
+        processes.append((own.endpoint, own.led_s))
+    return any(
+        endpoint.removed and led_s > front.pool.listed_until_s(endpoint)
+        for endpoint, led_s in processes
+    )
+
+
+def list_needed_s(attempt: Attempt) -> float:
+    """Return from when on a read of the list shows more of an answer.
+
+    :param attempt: the attempt, whose answer has begun
+    :returns: the event loop's time, in seconds
+    """
+    led_s = attempt.led_s
+    if not is_origin_shown(attempt.forward):
+        led_s = min(led_s, attempt.forward.own_streams[0].led_s)
+    return led_s + LIST_LAG_S
+
+
+def list_confirmed_s(front: Front) -> float:
+    """Return when the last current read of the endpoint list was sent.
+
+    :param front: the router
+    :returns: the event loop's time, in seconds
+    """
+    age_s = front.boot_clock() - front.streams.history.list_confirmed_s
+    return front.clock() - age_s
+
+
+def list_age_s(front: Front) -> float:
+    """Return the age of what is known of the endpoint list, for the log.
+
+    :param front: the router
+    """
+    age_s = front.boot_clock() - front.streams.history.list_confirmed_s
+    return round(min(age_s, MAX_LOGGED_AGE_S), 3)
+
+
+def _list_shows_one_version(forward: Forward, led_s: float) -> bool:
+    """Return whether the list shows one version, whatever process answered.
+
+    :param forward: the request
+    :param led_s: since when the connection led to the process
+    """
+    front = forward.front
+    history, route = front.streams.history, forward.route
+    if not front.pool.reuses_ids(forward.service):
+        return history.shows_one_version(route)
+    suspended_s = front.boot_clock() - front.clock()
+    return history.shows_one_version_at(
+        route, led_s + LIST_LAG_S + suspended_s
+    )
+
+
+def _is_listed_now(front: Front, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint's process is known to be the listed one."""
+    if not front.pool.reuses_ids(endpoint.entry.service):
+        return _is_verified(front, endpoint)
+    pool = front.connections.pool_for(endpoint)
+    return pool.is_still_led(front.pool.listed_until_s(endpoint))
+
+
 def _required_version(forward: Forward) -> str | None:
-    """Return the version of a stream that has begun; empty: not known.
+    """Return the version of a stream; None: it has not begun.
 
-    None means that the endpoints of its service have only one.
+    It is empty if that can not be known any more.
     """
     if not forward.own_streams:
         return forward.version
-    version = forward.own_streams[0].known_version
-    if version:
-        return version
-    history = forward.front.streams.history
-    return None if history.shows_one_version(forward.route) else ""
+    front, own = forward.front, forward.own_streams[0]
+    may_be_shown = not own.endpoint.removed or is_origin_shown(forward)
+    one_version = front.streams.history.may_show_one_version(forward.route)
+    return own.version if may_be_shown or one_version else ""
 
 
 def _is_verified(front: Front, endpoint: Endpoint) -> bool:
@@ -381,8 +541,7 @@
         return True
     last_s = max(since_s, ended_s)
     heard = pool.is_heard(since_s, last_s + SETTLE_S)
-    age_s = front.boot_clock() - front.streams.history.list_confirmed_s
-    if not heard and front.clock() - age_s < last_s + LIST_LAG_S:
+    if not heard and list_confirmed_s(front) < last_s + LIST_LAG_S:
         return False
     endpoint.unverified_s = float("inf")
     endpoint.verified_s = last_s
--- a/src/bulrushstream/transport/upstream.py
+++ b/src/bulrushstream/transport/upstream.py
@@ -333,6 +333,17 @@
             for each in self._all
         )
 
+    def is_still_led(self, led_by_s: float) -> bool:
+        """Return whether one that led to a process by a time shows no end.
+
+        :param led_by_s: the time
+        """
+        return any(
+            each.since_s(True) <= led_by_s
+            and not (each.is_closed or each.paused or each.has_unread_bytes())
+            for each in self._all
+        )
+
     def lost_proven(self, led_by_s: float, since_s: float) -> bool:
         """Return whether the peer ended one that had led to the process.
 
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -12,9 +12,9 @@
 from thriftpy2.protocol import TBinaryProtocolFactory
 from thriftpy2.utils import deserialize
 
+from bulrushstream.coordination.endpointpool import LIST_LAG_S
 from bulrushstream.daemon import platformupdates
 from bulrushstream.daemon.front import Front
-from bulrushstream.daemon.takeups import LIST_LAG_S
 from bulrushstream.platform.headers import decode_answer
 from bulrushstream.protocol.peercodec import (
     CHECKSUM,
@@ -124,7 +124,7 @@
         first = front.pool.by_name["e-1"]
         origins = front.streams.origins
         earlier, later = (
-            origins.began((number,), first, began_s)[0]
+            origins.began((number,), first, began_s, began_s)[0]
             for number, began_s in enumerate((10.0 - LIST_LAG_S - 0.1, 9.9))
         )
         assert later.known_version == "v1"
@@ -132,9 +132,9 @@
         platformupdates.apply_entry(front, entry)
         assert earlier.known_version == "v1"
         assert later.known_version == ""
-        assert origins.began((9,), first, 10.0)[0].known_version == ""
+        assert origins.began((9,), first, 10.0, 10.0)[0].known_version == ""
         second = front.pool.by_name["e-1"]
-        assert origins.began((9,), second, 10.0)[0].known_version == "v2"
+        assert origins.began((9,), second, 10.0, 10.0)[0].known_version == "v2"
 
     # The listed process had ended, too, and its id was taken for the next.
     def test_a_connection_that_ended_as_the_list_lagged(self) -> None:
