Soak of releases: real routers out of step, callers judge versions

The soak of processes had one version and no router whose store refuses it.

The stand-in of the store can listen on a port for each router: all of them call from 127.0.0.1, so their address does not tell them apart.

Callers name in Resumes the request that brought the first event, as the platform's rule says; the soak named the first attempt, also where that brought none.

--- a/src/bulrushstream/standins/keyedlog.py
+++ b/src/bulrushstream/standins/keyedlog.py
@@ -30,6 +30,7 @@
     silent: bool = False  # Leaves every call unanswered.
     lose_answers: bool = False  # Appends, then aborts the connection.
     unknown_topics: bool = False  # Answers 404 to reads of unused topics.
+    refused: int = 0  # Calls that were refused.
 
 
 @dataclass(slots=True)
@@ -63,25 +64,42 @@
         self.port = 0
         self._topics: dict[str, _Topic] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._ingress = Ingress(self._handle, IngressLimits(), clock)
-        self._server: asyncio.Server | None = None
+        self._clock = clock
+        self._listeners: list[tuple[Ingress, asyncio.Server]] = []
 
     async def start(self) -> None:
         """Listen on a free port."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._ingress.make_connection, "127.0.0.1", 0
+        self.port = await self.listen(self.faults)
+
+    async def listen(self, faults: StoreFaults) -> int:
+        """Listen on a further port, whose calls have faults of their own.
+
+        All hosts of a machine call from the same address, so that only the
+        port tells them apart.
+
+        :param faults: the faults of calls to this port
+        :returns: the port
+        """
+        ingress = Ingress(
+            lambda exchange: self._handle(exchange, faults),
+            IngressLimits(),
+            self._clock,
+        )
+        server = await asyncio.get_running_loop().create_server(
+            ingress.make_connection, "127.0.0.1", 0
         )
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._listeners.append((ingress, server))
+        port: int = server.sockets[0].getsockname()[1]
+        return port
 
     async def stop(self) -> None:
         """Close every connection."""
         for task in self._tasks:
             task.cancel()
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self._ingress.connections):
-            connection.abort()
+        for ingress, server in self._listeners:
+            server.close()
+            for connection in list(ingress.connections):
+                connection.abort()
 
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a record under a key, without access checks.
@@ -120,12 +138,13 @@
         topic.appended = asyncio.Event()
         return offset
 
-    def _handle(self, exchange: Exchange) -> None:
+    def _handle(self, exchange: Exchange, faults: StoreFaults) -> None:
         self.calls += 1
-        if self.faults.silent:
+        if faults.silent:
             return
-        if self.faults.refuse_status:
-            exchange.answer(self.faults.refuse_status, [])
+        if faults.refuse_status:
+            faults.refused += 1
+            exchange.answer(faults.refuse_status, [])
             return
         parts = urlsplit(exchange.target.decode())
         query = {key: each[0] for key, each in parse_qs(parts.query).items()}
@@ -134,12 +153,12 @@
             self._answer_newest(exchange, query["topic"])
         elif call == (b"GET", "/v1/log-read"):
             task = asyncio.get_running_loop().create_task(
-                self._answer_read(exchange, query)
+                self._answer_read(exchange, query, faults)
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         elif call == (b"POST", "/v1/log-append"):
-            self._answer_append(exchange, query)
+            self._answer_append(exchange, query, faults)
         else:
             exchange.answer(404, [])
 
@@ -161,10 +180,13 @@
         exchange.answer(200, [], msgspec.json.encode(page))
 
     async def _answer_read(
-        self, exchange: Exchange, query: dict[str, str]
+        self,
+        exchange: Exchange,
+        query: dict[str, str],
+        faults: StoreFaults,
     ) -> None:
         name = _partition(query)
-        if self.faults.unknown_topics and name not in self._topics:
+        if faults.unknown_topics and name not in self._topics:
             exchange.answer(404, [])
             return
         topic = self._topic(name)
@@ -176,7 +198,7 @@
                     await topic.appended.wait()
             except TimeoutError:
                 pass  # No new record; the page is empty.
-        if self.faults.silent:
+        if faults.silent:
             return
         if offset < topic.first_offset:
             body = msgspec.json.encode({"firstOffset": topic.first_offset})
@@ -188,7 +210,10 @@
         exchange.answer(200, [], body)
 
     def _answer_append(
-        self, exchange: Exchange, query: dict[str, str]
+        self,
+        exchange: Exchange,
+        query: dict[str, str],
+        faults: StoreFaults,
     ) -> None:
         name = _partition(query)
         body, position = exchange.body, 0
@@ -212,7 +237,7 @@
             position += _LENGTH.size
             self._append(name, body[position : position + length])
             position += length
-        if self.faults.lose_answers:
+        if faults.lose_answers:
             exchange.abort()
             return
         end = self._topic(name).end_offset
--- a/tests/processsoak.py
+++ b/tests/processsoak.py
@@ -11,10 +11,11 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 from bulrushstream.standins.keyedlog import KeyedLog
 from tests.deployments import HOST, KEY, wire_config, wire_route
@@ -32,7 +33,7 @@
 )
 from tests.soakrouters import RouterProcess, free_ports
 from tests.spoilings import Spoiling
-from tests.streamjudge import Answer, judge
+from tests.streamjudge import Answer, find_crossing, judge
 
 ROUTERS: Final = 3
 ENDPOINTS: Final = 5
@@ -53,9 +54,12 @@
     pausing_share: float = 0.0  # Of the callers.
     streams_per_s: float = STREAMS_PER_S
     limit_s: float = LIMIT_S  # How long a caller waits for an answer.
+    router_count: int = ROUTERS
     streams: int = 0
+    taken_up: int = 0  # Requests that go on with a stream.
     whole: int = 0
     wrong: list[str] = field(default_factory=list)
+    errors: list[str] = field(default_factory=list)  # Of disturbances.
     store: KeyedLog = field(init=False)
     runs: Runs = field(init=False)
     proxies: list[Proxy] = field(default_factory=list)
@@ -87,12 +91,16 @@
         self.runs = Runs(self.seed, self.behaviour)
         await self.store.start()
         self._configure()
-        ips = [f"127.0.0.{number}" for number in range(2, 2 + ROUTERS)]
+        ips = [
+            f"127.0.0.{number}" for number in range(2, 2 + self.router_count)
+        ]
         port = free_ports(ips)
         for number in range(ENDPOINTS):
             await self._start_endpoint(f"e-{number}")
         self.routers = [
-            RouterProcess(ip, port, ips, self.store.port, self.folder)
+            RouterProcess(
+                ip, port, ips, await self.store_port_for(ip), self.folder
+            )
             for ip in ips
         ]
         self.prepare_routers()
@@ -103,16 +111,17 @@
             for router in self.routers:
                 await router.wait_until_ready()
             await asyncio.sleep(SETTLE_S)
-            work = [self._end_endpoints(), self._change_configuration()]
-            work += [self._disturb(router) for router in self.routers[1:]]
-            disturbing = [asyncio.create_task(each) for each in work]
+            disturbing = [
+                asyncio.create_task(each) for each in self.disturbances()
+            ]
             await self._ask_all()
         finally:
             for task in disturbing:
                 task.cancel()
-            await asyncio.gather(
+            ended = await asyncio.gather(
                 *disturbing, *self._starting, return_exceptions=True
             )
+            self.errors += [repr(e) for e in ended if isinstance(e, Exception)]
             for router in self.routers:
                 await router.end()
             for _, writer in itertools.chain(*self._kept.values()):
@@ -128,6 +137,18 @@
     def prepare_routers(self) -> None:
         """Do nothing: plays may change how their routers are started."""
 
+    async def store_port_for(self, ip: str) -> int:
+        """Return the port at which a router calls the store.
+
+        :param ip: the router's address
+        """
+        return self.store.port
+
+    def disturbances(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what goes on during the play."""
+        work = [self._end_endpoints(), self._change_configuration()]
+        return work + [self._disturb(router) for router in self.routers[1:]]
+
     def _configure(self) -> None:
         """Write the next version of the configuration."""
         self._version += 1
@@ -228,6 +249,7 @@
         first_id = f"q{number}"
         path = f"/{'talk' if resumable else 'tell'}/{number}"
         events: list[tuple[int, int]] = []
+        began_by = ""  # The request that brought the first event.
         for attempt in range(3 if resumable else 1):
             headers = {
                 "Host": HOST,
@@ -242,7 +264,8 @@
             if attempt and events:
                 last_id = self.behaviour.shape.id_of(events[-1][0])
                 headers["Last-Event-Id"] = str(last_id)
-                headers["Resumes"] = f"{first_id}-0"
+                headers["Resumes"] = began_by
+                self.taken_up += 1
             version = rng.choice(("1.0", "1.1", "1.1"))
             line = f"POST {path} HTTP/{version}"
             router = rng.choice(self.routers)
@@ -262,10 +285,14 @@
                     self.behaviour.length_of(path),
                     self.behaviour.shape,
                 )
+                if events:
+                    began_by = began_by or request_id
                 # Whether an end can be checked depends on the load.
                 wrong = self.runs.spoiled.blame(
                     request_id, found, resumable, checks_ends=False
                 )
+                crossing = find_crossing(name, events, self.runs.versions)
+                wrong += map(str, crossing)
                 self.wrong += wrong
                 if wrong:
                     return False
--- a/tests/soakendpoints.py
+++ b/tests/soakendpoints.py
@@ -63,6 +63,7 @@
     spoilings: tuple[Spoiling, ...] = ()  # Ways to spoil answers.
     spoiled_share: float = 0.2  # Of their answers, if there are any.
     hang_share: float = 0.0  # Of the answers that stand still once.
+    reset_share: float = 0.0  # Of the answers that are broken off.
     shape: Shape = PLAIN
     events: int = EVENTS  # Of each stream.
     varies: bool = False  # Whether each path has another number of events.
@@ -82,6 +83,8 @@
     seed: int
     behaviour: Behaviour = Behaviour()
     begun: int = 0
+    # The software version of each run's endpoint.
+    versions: dict[int, str] = field(default_factory=dict)
     # The process of the router that got each request.
     routers: dict[str, str] = field(default_factory=dict)
     spoiled: SpoiledRuns = field(default_factory=lambda: SpoiledRuns(0.0))
@@ -95,6 +98,7 @@
     born: int
     runs: Runs
     port: int = 0
+    version: str = "v1"
     _ended: bool = False
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -156,6 +160,7 @@
             return True
         self.runs.begun += 1
         run = self.runs.begun
+        self.runs.versions[run] = self.version
         rng = Random(f"{self.runs.seed} run {run}")
         does = self.runs.behaviour
         framing = Framing.CHUNKS
@@ -203,7 +208,14 @@
         hangs_at = -1
         if rng.random() < self.runs.behaviour.hang_share:
             hangs_at = rng.randrange(len(answer.pieces))
+        reset_at = -1
+        reset_share = self.runs.behaviour.reset_share
+        if reset_share and rng.random() < reset_share:
+            reset_at = rng.randrange(len(answer.pieces))
         for number, data in enumerate(answer.pieces):
+            if number == reset_at:
+                reset_connection(writer)
+                return
             cut = (
                 rng.randrange(len(data)) if rng.random() < 0.2 and data else 0
             )
@@ -229,8 +241,10 @@
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, HOST_IP, 0)
+        """Listen, on the same port as before or on a free one."""
+        self._server = await asyncio.start_server(
+            self._serve, HOST_IP, self.port
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self) -> None:
@@ -243,8 +257,13 @@
     @property
     def entry(self) -> bytes:
         """Return the entry that its endpoint writes."""
-        born = self.endpoint.born
-        return wire_entry("llm", self.port, slots=64, born=born)
+        return wire_entry(
+            "llm",
+            self.port,
+            slots=64,
+            born=self.endpoint.born,
+            version=self.endpoint.version,
+        )
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/streamjudge.py
+++ b/tests/streamjudge.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from itertools import pairwise
 from typing import Final
 
 from tests.eventshapes import PLAIN, Shape
@@ -29,6 +31,7 @@
     JOINED = "joined"  # Two runs are.
     NO_EVENT = "no event"
     TEXT = "text"  # The id is right, and the rest is not.
+    VERSION = "version"  # It changes.
     EARLY_END = "early end"  # The stream looks complete.
 
 
@@ -133,6 +136,23 @@
     return findings
 
 
+def find_crossing(
+    name: str, events: Sequence[tuple[int, int]], versions: Mapping[int, str]
+) -> list[Finding]:
+    """Return where a stream goes on at another software version.
+
+    :param name: the request's, for the finding
+    :param events: numbers and runs of the events that its caller has
+    :param versions: the version of each run
+    """
+    known = [(n, run, versions[run]) for n, run in events if run in versions]
+    for before, after in pairwise(known):
+        if before[2] != after[2]:
+            text = f"run {before[1]} {before[2]}, run {after[1]} {after[2]}"
+            return [Finding(Fault.VERSION, name, before[0], text.encode())]
+    return []
+
+
 def _text_of(block: bytes) -> tuple[int, int]:
     """Return an event's run and number in its text; 0, 0: it is damaged."""
     text = 0, 0
