--- a/tests/releasesoak.py
+++ b/tests/releasesoak.py
@@ -13,6 +13,7 @@
 import signal
 import sys
 import tempfile
+import time
 from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
@@ -95,6 +96,17 @@
         work += [self._disturb(router) for router in self.routers[1:]]
         return [*work, self._refuse_calls()] if self.refuses else work
 
+    def _note(self, kind: str, of: str) -> None:
+        """Count a fault, and write it down with the time of routers' logs.
+
+        :param kind: the fault's
+        :param of: the endpoint or router
+        """
+        self.faults[kind] += 1
+        path = self.folder / "faults.txt"
+        with path.open("a", encoding="utf-8") as notes:
+            notes.write(f"{time.time():.3f} {kind} {of}\n")
+
     async def _release(self) -> None:
         """Replace endpoints in series, mostly by those of one version."""
         rng = Random(f"{self.seed} release")
@@ -130,7 +142,7 @@
         if ended.name in self._replaced:
             return
         self._replaced.add(ended.name)
-        self.faults[f"to {version}"] += 1
+        self._note(f"to {version}", ended.name)
         ended.end()
         if self.closes:
             proxy.stop()
@@ -151,6 +163,7 @@
         proxy.endpoint = endpoint
         if self.closes or self.returns is Return.NEW_ID:
             await proxy.start()
+        self._note(f"{version} starts", name)
         await asyncio.sleep(listed_s)
         self.store.put("keyed.servers", name, proxy.entry)
         self._replaced.discard(ended.name)
@@ -162,11 +175,12 @@
             await asyncio.sleep(rng.uniform(0.3, 3.0))
             for _ in range(rng.randint(1, 2)):
                 kind = rng.choice(("pause", "pause", "pause", "kill", "stop"))
-                self.faults[kind] += 1
+                self._note(kind, router.ip)
                 if kind == "pause":
                     router.signal(signal.SIGSTOP)
                     await asyncio.sleep(rng.uniform(0.2, 3.0))
                     router.signal(signal.SIGCONT)
+                    self._note("pause ends", router.ip)
                 else:
                     await self._restart(router, kind, rng)
                 await asyncio.sleep(rng.uniform(0.0, 0.5))
@@ -188,10 +202,13 @@
         rng = Random(f"{self.seed} refusals")
         while True:
             await asyncio.sleep(rng.uniform(0.2, 2.0))
-            faults = self._store_faults[rng.choice(self.routers[1:]).ip]
+            ip = rng.choice(self.routers[1:]).ip
+            faults = self._store_faults[ip]
             faults.refuse_status = 503
+            self._note("store refuses", ip)
             await asyncio.sleep(rng.uniform(1.0, 4.0))
             faults.refuse_status = 0
+            self._note("store answers", ip)
 
 
 async def play_releases(
