Refuse an answer whose connection ended before its request was taken

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and ended its connection in order, before it had got the upload; at times it reset it a moment later. The caller got that part as a whole answer, on kept and on new connections, on all kinds of routes, and streams as complete.

Cause: such an answer counts as whole if its process lives on, whatever became of the request. The loop had handed all of the upload to the kernel (400 KB fit into its buffers), so that nothing showed that most of it was never taken. With more than the kernel keeps (4 MB), the connection was held until the deadline instead (504).

Why it works: the end of a connection confirms all bytes that came before it. If the kernel still keeps bytes of the request then, its peer ended the answer without the whole request, and may have broken off.

The cost: an endpoint that does so deliberately, without a length, is refused, too.

--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -29,6 +29,7 @@
     CLOSED_EVENTS,
     UNREAD_EVENTS,
     has_events,
+    unsent_bytes,
 )
 from bulrushstream.transport.readturns import ReadTurns
 
@@ -169,6 +170,7 @@
         # Whether the response has ended amid the bytes that are parsed.
         self._complete = False
         self._ends_with_close = False
+        self._ends_early = False  # Whether it ended amid the request.
         self._keep_alive = True
         self._used_up = False  # Whether it carries no further request.
         self._unusable = False
@@ -329,6 +331,20 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def eof_received(self) -> bool:
+        """Look at what the peer has not got; see `asyncio.BufferedProtocol`.
+
+        A response that ends with its connection may be cut if the peer
+        ended that before it had the whole request.
+        """
+        transport = self._transport
+        if transport is not None and self._ends_with_close:
+            self._ends_early = unsent_bytes(transport) > 0
+            if self._ends_early:
+                # It would wait until the peer takes the rest.
+                transport.abort()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End or fail the current response; see `asyncio.Protocol`."""
         self._transport = None
@@ -338,6 +354,7 @@
         ends_response = (
             sink is not None
             and self._ends_with_close
+            and not self._ends_early
             and exc is None
             and not self._unusable
         )
@@ -352,7 +369,8 @@
         if ends_response:
             sink.end(framed=False)
         else:
-            sink.failed(ResponseFailure.BROKEN, f"connection lost: {exc}")
+            why = "request not taken" if self._ends_early else exc
+            sink.failed(ResponseFailure.BROKEN, f"connection lost: {why}")
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where bytes go; see `asyncio.BufferedProtocol`."""
