Call a run incomplete whose endpoint had not taken the request

What callers saw: the agent reported the part of an answer as complete that its endpoint, alive, had sent without a length before it closed the connection in order amid a long upload.

Why it works: the client library reports that a body has ended before it closes the connection; the kernel then tells whether bytes of the request are still unconfirmed.

--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -7,8 +7,9 @@
   endpoint.
 - `complete` is true only if the answer ended properly; a model engine's
   stream ends with `data: [DONE]`.  Another answer whose end only that of its
-  connection shows is complete if the endpoint accepts connections then: a
-  process that is killed ends its connections in the same way.
+  connection shows is complete if the endpoint had taken the whole request
+  by then, and accepts connections after it: a process that is killed ends
+  its connections in the same way.
 - `crashed` is true if the answer did not end properly and the endpoint then
   accepted no new connection.
 
@@ -22,9 +23,10 @@
 import asyncio
 import contextlib
 import re
+import socket
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
-from typing import Final, TypeAlias
+from typing import Any, Final, TypeAlias
 
 import httpx
 
@@ -39,6 +41,7 @@
 from bulrushstream.transport.client import make_client
 from bulrushstream.transport.connection import EXIT_S
 from bulrushstream.transport.fetch import Fetcher
+from bulrushstream.transport.polling import unconfirmed_bytes
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 RESUME_HEADER: Final = "X-Resume-Offset"
@@ -55,6 +58,9 @@
 # Statuses of a proxy whose endpoint does not answer.
 _PROXY_STATUSES: Final = (502, 503, 504)
 
+# What `httpcore` reports before it closes a response's connection.
+_BODY_RECEIVED: Final = "http11.receive_response_body.complete"
+
 _USAGE: Final = re.compile(rb'"completion_tokens"\s*:\s*(\d+)')
 _NOT_SENT: Final = (
     httpx.ConnectError,
@@ -90,6 +96,10 @@
     maybe_started: bool = False  # See RunEnd.started.
     event_stream: bool = False  # Whether it is a model's stream.
     framed: bool = True  # Whether the answer has a length or chunks.
+    # The connection of the answer; None: none was received.
+    sock: socket.socket | None = None
+    # Whether the endpoint had the whole request when the answer ended.
+    taken: bool = True
     done_received: bool = False  # Whether the last event was received.
     partial: bytes = b""  # An incomplete event.
     usage_tail: bytes = b""  # The last bytes, to search for usage.
@@ -165,7 +175,8 @@
             if not state.event_stream and not state.framed:
                 lives = await self._proves_life(state.deadline_s)
                 crashed = not lives and await self._is_down()
-                yield self._end(state, lives, crashed, "no length")
+                whole = lives and state.taken
+                yield self._end(state, whole, crashed, "no length")
                 return
             if not state.event_stream or state.done_received:
                 yield self._end(state, True)
@@ -189,6 +200,8 @@
             if state.resume_count and answer.status_code != 200:
                 raise _LostStreamError("nothing to resume")
             head = self._head(state, answer)
+            stream = answer.extensions["network_stream"]
+            state.sock = stream.get_extra_info("socket")
             if state.resume_count and not state.event_stream:
                 raise _LostStreamError("no stream in place of the lost one")
             if not state.head_sent:
@@ -233,11 +246,18 @@
         if state.offset:
             headers.append((RESUME_HEADER, str(state.offset)))
         state.partial = b""
+
+        async def trace(name: str, info: dict[str, Any]) -> None:
+            del info
+            if name == _BODY_RECEIVED and state.sock is not None:
+                state.taken = not unconfirmed_bytes(state.sock)
+
         return self._client.build_request(
             dispatch.method,
             self._options.base_url.rstrip("/") + dispatch.path,
             headers=headers,
             content=dispatch.body,
+            extensions={"trace": trace},
         )
 
     def _head(self, state: _RunState, answer: httpx.Response) -> RunHead:
