Take no answer with a status that does not exist, in the agent either

What callers saw: the agent passed on an endpoint's answer whose status was 600 to 999, and reported the run as complete. Calls that read whole answers (reports, orders, the log, the endpoint list) took it, too; an append to the log counts by its body unless its status is a refusal.

Cause: the client library refuses statuses below 200 that are not interim, and such that have not three digits, but none above 599. The router's own client asks `head_fault`, which nothing asked on these paths.

Why it works: both paths of the agent ask `head_fault` as soon as a head has arrived.

--- a/src/bulrushstream/transport/endpoint.py
+++ b/src/bulrushstream/transport/endpoint.py
@@ -40,7 +40,11 @@
 from bulrushstream.state.message import Dispatch
 from bulrushstream.transport.client import make_client
 from bulrushstream.transport.connection import EXIT_S
-from bulrushstream.transport.fetch import Fetcher
+from bulrushstream.transport.fetch import (
+    Fetcher,
+    fault_of,
+    require_sound_head,
+)
 from bulrushstream.transport.polling import unconfirmed_bytes
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
@@ -194,6 +198,7 @@
         async with asyncio.timeout_at(state.deadline_s):
             answer = await self._send(state, request)
         try:
+            require_sound_head(answer)
             own_id = state.dispatch.request_id
             if answer.headers.get(REQUEST_ID_HEADER, own_id) != own_id:
                 raise httpx.RemoteProtocolError("answer to another request")
@@ -335,7 +340,8 @@
                         pass
                     else:
                         await answer.aclose()
-                        if answer.status_code not in _PROXY_STATUSES:
+                        sound = not fault_of(answer)
+                        if sound and answer.status_code not in _PROXY_STATUSES:
                             return True
                     await asyncio.sleep(PROOF_PAUSE_S)
         except TimeoutError:
--- a/src/bulrushstream/transport/fetch.py
+++ b/src/bulrushstream/transport/fetch.py
@@ -15,6 +15,7 @@
     PeerKind,
 )
 from bulrushstream.state.memorybudget import MemoryBudget
+from bulrushstream.transport.framing import head_fault
 
 # Headers that do not describe a body that was read without decoding it.
 _BODY_HEADERS: Final = (
@@ -65,6 +66,27 @@
         self.pieces = bytearray()
 
 
+def fault_of(answer: httpx.Response) -> str:
+    """Return why a response's head is none; empty: it is one.
+
+    The client library takes statuses that do not exist.
+
+    :param answer: a response whose head was received
+    """
+    return head_fault(answer.status_code, answer.headers.raw)
+
+
+def require_sound_head(answer: httpx.Response) -> None:
+    """Refuse a response with a faulty head.
+
+    :param answer: a response whose head was received
+    :raises httpx.RemoteProtocolError: if its head has a fault
+    """
+    fault = fault_of(answer)
+    if fault:
+        raise httpx.RemoteProtocolError(fault)
+
+
 async def read_whole(
     answer: httpx.Response,
     limit_bytes: int,
@@ -158,6 +180,7 @@
         try:
             async with asyncio.timeout(limits.timeout_s):
                 answer = await self.client.send(request, stream=True)
+                require_sound_head(answer)
                 return await read_whole(answer, limits.body_bytes, self.memory)
         except ResponseTooLargeError as error:
             if reported:
