End a request whose endpoint closed while it was being written

What callers saw: an endpoint closed its end of a connection amid an upload that it did not take, after a part of an answer with a length or in chunks.

Cause: asyncio closes a connection that the peer has ended only once all written bytes are taken, which may be never.

Why it works: nothing can be read any more, so the connection is aborted if the loop still keeps bytes of the request.

--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -338,11 +338,13 @@
         ended that before it had the whole request.
         """
         transport = self._transport
-        if transport is not None and self._ends_with_close:
+        if transport is None:
+            return False
+        if self._ends_with_close:
             self._ends_early = unsent_bytes(transport) > 0
-            if self._ends_early:
-                # It would wait until the peer takes the rest.
-                transport.abort()
+        if transport.get_write_buffer_size():
+            # It would wait until the peer takes the rest of the request.
+            transport.abort()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -65,6 +65,27 @@
         assert endpoint.uploads_after[0] == int(kept)
         assert path in SERVICES or status_of(data) == b"502"
 
+    # Guards against a request that is held until its deadline though its
+    # endpoint closed in order, took no more of it, and can answer no more.
+    @pytest.mark.parametrize(
+        "framing",
+        [
+            b"Connection: close\r\n",
+            b"Content-Length: 7000\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+        ],
+    )
+    @pytest.mark.parametrize("path", ["/safe/", "/once/"])
+    async def test_a_close_while_the_upload_is_written(
+        self, path: str, framing: bytes
+    ) -> None:
+        part = b"4\r\npart\r\n"
+        endpoint = EarlyEndpoint(Ending.HALF_CLOSE, framing, part)
+        data = await play_upload(endpoint, Upload(path, LARGE_BYTES))
+        assert status_of(data) == b"502"
+        repeated = len(endpoint.uploads_after) > 1
+        assert repeated == (path == "/safe/")
+
     # Guards against the loss of an answer that came early and is whole, as
     # its endpoint took the rest of the upload before it closed.
     @pytest.mark.parametrize("kept", [False, True])
