Break off a body within which an answer with no real status begins

What callers saw: an endpoint sent an answer without a length, or a part of one, and behind it another one to the same request with status 000 (or another that does not exist) on the connection, which it closed in order. The caller got a 200 whose body held both, head and all; if the connection stayed open, the request was held until its deadline.

Cause: what begins another answer within a body was known by a status from 100 to 599 only.

Evidence: of the 16 cases of `test_one_within_a_body`, 8 failed before: all on routes that do not stream; streams were told before.

Why it works: any three digits count now. A head that `head_fault` refuses does not show that the body before it is whole: it is taken as broken, and retried where that is allowed. What a body merely quotes has another request's id, as before.

Not mended: heads whose status has other than three digits count as text of the body.

Measured: 974 tests of this and of bodies, heads and ends of answers pass (2 known red), among them all 162 of tests/test_odd_statuses.py.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -385,7 +385,7 @@
         """Handle the head of another answer, to a request, in the body."""
         if request_id != self.forward.call.request_id:
             # The rest of the body may follow.
-            self._give_up("an answer to an earlier request within the body")
+            self._give_up("another answer within the body does not end it")
             return
         self._close()
         self._end = "another answer to the request followed"
--- a/src/bulrushstream/daemon/unframed.py
+++ b/src/bulrushstream/daemon/unframed.py
@@ -10,6 +10,7 @@
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.transport.connection import EXIT_S, PendingRequest
 from bulrushstream.transport.extraanswers import ExtraAnswerFinder
+from bulrushstream.transport.framing import head_fault
 from bulrushstream.transport.hiddenchunks import (
     MIN_CHUNKS,
     HiddenChunkFinder,
@@ -50,7 +51,8 @@
         self._dialect = dialect
         self._pending = pending
         self._finder = ExtraAnswerFinder(self._is_extra)
-        # The id of the request that another answer within the body names.
+        # The id of the request that another answer within the body names;
+        # empty: its head is faulty.
         self.followed_by: str | None = None
         # When its connection ended; None: it has not.
         self.closed_s: float | None = None
@@ -116,5 +118,5 @@
         request_id = self._dialect.decode_answer(status, headers).request_id
         if not self._pending.has_answered(request_id):
             return False
-        self.followed_by = request_id
+        self.followed_by = "" if head_fault(status, headers) else request_id
         return True
--- a/src/bulrushstream/transport/extraanswers.py
+++ b/src/bulrushstream/transport/extraanswers.py
@@ -17,7 +17,7 @@
 from bulrushstream.state.call import RawHeaders
 
 _MARK: Final = b"HTTP/1."
-_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}[ \r]")
+_STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] [0-9]{3}[ \r]")
 _STATUS_SIZE: Final = len("HTTP/1.1 200 ")
 
 # How the line after a status line begins; bytes may be missing at the end.
--- a/tests/test_odd_statuses.py
+++ b/tests/test_odd_statuses.py
@@ -19,7 +19,7 @@
 from bulrushstream.transport.probe import ask_identity, ask_report
 from bulrushstream.transport.upstream import Pool
 from tests.builders import a_dispatch
-from tests.damagedheads import sound
+from tests.damagedheads import SOUND_ANSWERS, sound
 from tests.test_damaged_heads import ask, expect_refused, with_line
 
 # The last ones are interim, and no final one follows.
@@ -67,6 +67,20 @@
             changed = with_line(answer, b"HTTP/1.1", line)
             expect_refused(path, replace(changed, closes=closes), "length")
 
+    # Guards against such an answer that is passed on within the body of
+    # another one, or that makes a part of it look whole.
+    @pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+    @pytest.mark.parametrize("path", PATHS)
+    def test_one_within_a_body(self, path: str, status: bytes) -> None:
+        own_id = b"q%d" % SOUND_ANSWERS
+        answer = sound("close", path.startswith("/t"))(own_id)
+        odd = with_line(answer, b"HTTP/1.1", b"HTTP/1.1 %b Odd" % status)
+        for part in (answer.body, answer.body[:-2]):
+            for closes in (False, True):
+                body = part + odd.head + odd.body
+                first = replace(answer, body=body, closes=closes)
+                expect_refused(path, first, "close")
+
     # Guards against an interim status that is taken for a final one.
     @pytest.mark.parametrize("path", ["/once/", "/tell/"])
     def test_a_final_one_is_waited_for(self, path: str) -> None:
