After a pause, read first what an endpoint sent meanwhile

Cause: timers run first after a pause, and the one for attempts without progress counted the pause. Each module had its own idea of a pause.

Now one class, Wakefulness, knows since when the process has run without a gap between two ticks of more than 0.2 s; any timer may find a pause that no tick has seen yet. The time without progress counts from the end of the pause; deadlines are not moved. LoopLag measures its lag by the same ticks.

--- a/src/bulrushstream/coordination/looplag.py
+++ b/src/bulrushstream/coordination/looplag.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from bulrushstream.coordination.wakefulness import Wakefulness
+
 # How often the lag is measured.
 TICK_S: Final = 0.05
 
@@ -31,10 +33,10 @@
 class LoopLag:
     """The lag of one router's event loop, and who uses it."""
 
+    wakefulness: Wakefulness = field(default_factory=Wakefulness)
     lag_s: float = 0.0  # Of the last tick.
     longest_s: float = 0.0  # The longest one since the last report.
     turned_away: int = 0  # Requests, since the last report.
-    _ticked_s: float = float("inf")
     _step: int = 0
     _counts: dict[str, int] = field(default_factory=dict)  # By workspace.
     _before: dict[str, int] = field(default_factory=dict)  # One step before.
@@ -44,8 +46,7 @@
 
         :param now_s: the time
         """
-        self.lag_s = max(0.0, now_s - self._ticked_s - TICK_S)
-        self._ticked_s = now_s
+        self.lag_s = max(0.0, self.wakefulness.tick(now_s) - TICK_S)
         self.longest_s = max(self.longest_s, self.lag_s)
 
     def reported(self) -> None:
@@ -66,7 +67,8 @@
         count = self._counts.get(workspace, 0) + 1
         self._counts[workspace] = count
         # A tick that is overdue shows a lag that is not measured yet.
-        lag_s = max(self.lag_s, now_s - self._ticked_s - TICK_S)
+        unticked_s = self.wakefulness.unticked_s(now_s)
+        lag_s = max(self.lag_s, unticked_s - TICK_S)
         if lag_s <= MAX_LAG_S:
             return False
         total = sum(self._counts.values()) + sum(self._before.values())
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -58,6 +58,7 @@
         "_deadline_timer",
         "_fingerprint",
         "_overdue_timer",
+        "_progress_s",
         "arrived_boot_s",
         "arrived_s",
         "attempt",
@@ -146,6 +147,7 @@
         self.done = False
         self._fingerprint = 0  # 0: not computed yet.
         self._overdue_timer: asyncio.TimerHandle | None = None
+        self._progress_s = 0.0  # From when on that timer counts.
         self._deadline_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -457,9 +459,10 @@
 
     # --- Endpoints without progress.
 
-    def _restart_overdue_timer(self, now_s: float) -> None:
+    def _restart_overdue_timer(self, progress_s: float) -> None:
         """Restart the timer that detects an endpoint without progress."""
         self.cancel_overdue_timer()
+        self._progress_s = progress_s
         if self.end_check is not None:
             return
         route = self.route
@@ -468,10 +471,11 @@
         delay_s = overdue_delay_s(
             route, stream_begun=self.splitter.event_count > 0
         )
-        if now_s + delay_s < self.deadline_s - MIN_ATTEMPT_S:
+        due_s = progress_s + delay_s
+        if due_s < self.deadline_s - MIN_ATTEMPT_S:
             loop = asyncio.get_running_loop()
             self._overdue_timer = loop.call_later(
-                delay_s, self._handle_overdue
+                max(0.0, due_s - self.front.clock()), self._handle_overdue
             )
 
     def cancel_overdue_timer(self) -> None:
@@ -488,6 +492,11 @@
             return
         if not self._accepts_attempts:
             return
+        awake_since_s = front.wakefulness.awake_since_s(front.clock())
+        if awake_since_s > self._progress_s:
+            # What the endpoint sent meanwhile may not be read yet.
+            self._restart_overdue_timer(awake_since_s)
+            return
         endpoint = attempt.endpoint
         if not dispatch.has_alternative(front, self, endpoint):
             return
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -23,6 +23,7 @@
 from bulrushstream.coordination.routetable import RouteTable, pick_service
 from bulrushstream.coordination.streamends import StreamEnds
 from bulrushstream.coordination.streampatterns import StreamPatterns
+from bulrushstream.coordination.wakefulness import Wakefulness
 from bulrushstream.daemon import (
     dispatch,
     evacuating,
@@ -109,7 +110,8 @@
         self._report_shares = deps.report_shares
         self.table: RouteTable | None = None
         self.endpoints_listed = False
-        self.loop_lag = LoopLag()
+        self.wakefulness = Wakefulness()
+        self.loop_lag = LoopLag(self.wakefulness)
         self.draining = False
         # Requests that are read later are refused, as the process stops.
         self.refuse_from_s = float("inf")
--- /dev/null
+++ b/tests/pausedrouters.py
@@ -0,0 +1,119 @@
+"""Routers whose processes stand still for a time, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Final
+
+from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S, FleetState
+from bulrushstream.coordination.looplag import TICK_S
+from bulrushstream.state.effect import Decision
+from bulrushstream.state.peerupdate import PeerUpdate
+from bulrushstream.transport.datagrams import HEARTBEAT_S
+from tests.builders import FakeClock
+from tests.crashfleets import CrashFleet
+from tests.crashplans import CrashHistory, CrashPlan
+from tests.crashrouters import Router, make_router
+
+ROUTERS: Final = 4
+
+
+@dataclass(frozen=True, slots=True)
+class PausePlan(CrashPlan):
+    """A run of routers that stand still; use one router."""
+
+    pauses: tuple[tuple[float, float], ...] = ()  # Begin and length.
+
+
+class PausedFleet(CrashFleet):
+    """A router that stands still, and endpoints whose bytes it has not read.
+
+    What the endpoints did meanwhile arrives just after its first timers.
+    """
+
+    def __init__(self, plan: PausePlan) -> None:
+        super().__init__(plan)
+        self._pauses = plan.pauses
+
+    def schedule(self) -> None:
+        """Schedule what the plan says."""
+        super().schedule()
+        for at_s, for_s in self._pauses:
+            self.loop.call_later(at_s, self.loop.stand_still, for_s)
+
+    def _start_router(self, number: int) -> Router:
+        router = super()._start_router(number)
+
+        def tick() -> None:
+            router.front.loop_lag.tick(self.loop.time())
+            self.loop.call_later(TICK_S, tick)
+
+        tick()
+        return router
+
+
+def play_pauses(plan: PausePlan) -> CrashHistory:
+    """Play a plan and return what happened."""
+    return PausedFleet(plan).run()
+
+
+@dataclass(slots=True)
+class PausedRouter:
+    """A router without connections that hears its peers' heartbeats."""
+
+    clock: FakeClock = field(default_factory=lambda: FakeClock(1000.0))
+    decisions: list[Decision] = field(default_factory=list)
+    router: Router = field(init=False)
+
+    def __post_init__(self) -> None:
+        async def make() -> Router:
+            return make_router(
+                0,
+                1,
+                CrashPlan(routers=ROUTERS),
+                self.clock.now,
+                self.decisions.append,
+                lambda host, data: None,
+            )
+
+        self.router = asyncio.run(make())
+
+    @property
+    def state(self) -> FleetState:
+        """Return what it knows of the fleet."""
+        return self.router.front.fleet_state
+
+    def hear(self, number: int) -> None:
+        """Receive a heartbeat of a peer."""
+        update = PeerUpdate(f"front-{number}", 1, f"10.0.0.{number + 1}")
+        self.state.apply_update(update, self.clock.now())
+
+    def tick(self) -> None:
+        """Run the timer that ticks."""
+        self.router.front.loop_lag.tick(self.clock.now())
+
+    def sweep(self) -> None:
+        """Run the timer that sweeps."""
+        self.state.sweep(self.clock.now())
+
+    def run(
+        self, for_s: float, peers: tuple[int, ...] = tuple(range(1, ROUTERS))
+    ) -> None:
+        """Run for a time in which some peers are heard.
+
+        :param for_s: how long, in seconds
+        :param peers: the peers' numbers
+        """
+        for step in range(round(for_s / TICK_S)):
+            self.clock.advance(TICK_S)
+            self.tick()
+            if step % round(HEARTBEAT_S / TICK_S) == 0:
+                for number in peers:
+                    self.hear(number)
+            if step % round(SWEEP_INTERVAL_S / TICK_S) == 0:
+                self.sweep()
+
+    def stand_still(self, for_s: float) -> None:
+        """Let time pass in which the process does not run."""
+        self.clock.advance(for_s)
--- /dev/null
+++ b/tests/test_pauses.py
@@ -0,0 +1,149 @@
+"""A router that stood still decides by what it could hear.
+
+Timers run first after a pause, before what has arrived meanwhile is read.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import pytest
+
+from bulrushstream.coordination.looplag import TICK_S
+from bulrushstream.coordination.wakefulness import (
+    PAUSE_S as PAUSE_GAP_S,
+)
+from bulrushstream.coordination.wakefulness import (
+    Wakefulness,
+)
+from tests.crashingendpoints import After, Body, Ending, Link, Point
+from tests.crashplans import TIMEOUT_S, CrashHistory, Prompts
+from tests.pausedrouters import (
+    ROUTERS,
+    PausePlan,
+    play_pauses,
+)
+
+PAUSE_S: Final = 2.5
+SOUND: Final = Prompts(b"sound", (("a1", "a2"),), per_s=20.0, end_s=6.0)
+PEERS: Final = ROUTERS - 1
+
+
+def a_plan(path: str, **changes: Any) -> PausePlan:
+    """Return a run of one router that stands still amid many answers."""
+    values: dict[str, Any] = {
+        "prompts": (_prompts(path),),
+        "routers": 1,
+        "background_per_s": 0.01,
+        "pauses": ((3.0, PAUSE_S),),
+        "end_s": 12.0,
+    }
+    return PausePlan(**{**values, **changes})
+
+
+def _prompts(path: str, body: bytes = b"sound") -> Prompts:
+    return Prompts(
+        SOUND.label, SOUND.groups, SOUND.per_s, body, path, end_s=6.0
+    )
+
+
+def overdue(history: CrashHistory) -> list[str]:
+    """Return the attempts that were given up for want of progress."""
+    return [
+        line.reason
+        for line in history.lines("attempt_failed")
+        if "overdue" in line.reason
+    ]
+
+
+def silent(history: CrashHistory) -> list[str]:
+    """Return the runs that were taken for silent."""
+    return [
+        line.reason
+        for line in history.lines("run_broken")
+        if line.reason == "silent"
+    ]
+
+
+class WakefulnessSuite:
+    def test_any_timer_may_find_a_pause(self) -> None:
+        """Guards against a pause that shows only with the next tick."""
+        wakefulness = Wakefulness()
+        wakefulness.tick(10.0)
+        wakefulness.tick(10.0 + TICK_S)
+        assert wakefulness.awake_since_s(10.1) == float("-inf")
+        assert wakefulness.awake_since_s(13.0) == 13.0
+        assert wakefulness.counts_from_s(10.0, 13.01) == 13.0
+        assert wakefulness.counts_from_s(13.005, 13.01) == 13.005
+        wakefulness.tick(13.02)
+        assert wakefulness.awake_since_s(13.03) == 13.0
+
+    def test_a_tick_finds_a_pause(self) -> None:
+        """Guards against a pause that nobody asked for in time."""
+        wakefulness = Wakefulness()
+        wakefulness.tick(10.0)
+        assert wakefulness.tick(13.0) == 3.0
+        wakefulness.tick(13.0 + TICK_S)
+        assert wakefulness.awake_since_s(13.06) == 13.0
+
+    def test_a_process_that_ticks_in_time_was_awake(self) -> None:
+        """Guards against silence that never counts."""
+        wakefulness = Wakefulness()
+        assert wakefulness.awake_since_s(5.0) == float("-inf")
+        for step in range(100):
+            wakefulness.tick(10.0 + step * (PAUSE_GAP_S - 0.001))
+            now_s = 10.0 + step * (PAUSE_GAP_S - 0.001) + 0.1
+            assert wakefulness.awake_since_s(now_s) == float("-inf")
+
+
+class OverdueSuite:
+    @pytest.mark.parametrize("path", ("/talk/", "/tell/", "/safe/"))
+    @pytest.mark.parametrize("begin_s", (3.0, 3.01, 3.02, 3.03, 3.04))
+    def test_an_endpoint_that_was_not_heard_is_not_overdue(
+        self, path: str, begin_s: float
+    ) -> None:
+        """Guards against attempts given up with their answers unread."""
+        plan = a_plan(path, pauses=((begin_s, PAUSE_S),))
+        history = play_pauses(plan)
+        assert overdue(history) == []
+        assert len(history.sent[SOUND.label]) == len(history.ids[SOUND.label])
+        assert history.served_share(SOUND.label, 0.0) == 1.0
+
+    def test_one_that_is_silent_after_the_pause_is(self) -> None:
+        """Guards against a pause after which nothing is overdue."""
+        plan = a_plan(
+            "/talk/",
+            prompts=(
+                Prompts(
+                    SOUND.label,
+                    SOUND.groups,
+                    2.0,
+                    Body.CRASH,
+                    "/talk/",
+                    begin_s=2.5,
+                    end_s=3.0,
+                ),
+            ),
+            ending=Ending(Point.BEFORE, Link.SILENT, After.MUTE),
+            pauses=((3.0, 1.0),),
+        )
+        history = play_pauses(plan)
+        assert history.crashes_s
+        assert overdue(history)
+
+    def test_a_pause_does_not_lengthen_a_deadline(self) -> None:
+        """Guards against callers who are kept beyond their deadline."""
+        plan = a_plan(
+            "/talk/",
+            prompts=(_prompts("/talk/", Body.CRASH),),
+            ending=Ending(Point.BEFORE, Link.SILENT, After.MUTE),
+        )
+        history = play_pauses(plan)
+        ends = [
+            (at_s, at_s - line.waited_s)
+            for at_s, _, line in history.decisions
+            if line.kind == "finish"
+        ]
+        assert ends
+        for end_s, arrived_s in ends:
+            assert end_s <= max(arrived_s + TIMEOUT_S, 3.0 + PAUSE_S)
