Count an endpoint's silence only from what was heard awake

Cause: silence was counted from the last bytes that were read, pause included. Now it counts from the end of the pause at the earliest. One silence is still judged once, however many pauses lie in it.

Evidence: test_an_endpoint_that_was_not_heard_is_not_silent failed before in 10 of 20 cases, and test_a_run_that_is_cancelled_after_a_pause_is_not in 1 of 2; all pass. Neighbours: test_crashes, test_crash_evidence, test_crashes_after_idling, test_part_suspects, test_crash_records, test_slow_callers passed.

--- a/src/bulrushstream/daemon/runwatch.py
+++ b/src/bulrushstream/daemon/runwatch.py
@@ -71,7 +71,8 @@
         limit_s = LONG_SILENCE_S
         if attempt.last_heard_s == attempt.sent_s:
             limit_s = max(limit_s, forward.route.latency_target_s)
-        if now_s - attempt.last_heard_s <= limit_s:
+        heard_s = front.wakefulness.counts_from_s(attempt.last_heard_s, now_s)
+        if now_s - heard_s <= limit_s:
             continue
         if not attempt.pool.is_heard(attempt.sent_s, now_s - LONG_SILENCE_S):
             _watch_silent(attempt)
@@ -107,10 +108,9 @@
 
 def _watch_silent(attempt: Attempt) -> None:
     """Watch a run whose endpoint is silent, once for each silence."""
-    at_s = _heard_s(attempt)
-    if at_s <= attempt.silent_since_s:
+    if _read_s(attempt) <= attempt.silent_since_s:
         return
-    attempt.silent_since_s = at_s
+    attempt.silent_since_s = at_s = _heard_s(attempt)
     # The verdict takes time, in which such a request may come again.
     run = _describe_run(attempt, at_s, silent=True)
     attempt.front.end_unknown(attempt.endpoint.name, run)
@@ -118,7 +118,16 @@
 
 
 def _heard_s(attempt: Attempt) -> float:
-    """Return when the process that runs a request was last heard.
+    """Return since when the process that runs a request may be silent.
+
+    It could not be heard before the end of a pause.
+    """
+    front = attempt.front
+    return front.wakefulness.counts_from_s(_read_s(attempt), front.clock())
+
+
+def _read_s(attempt: Attempt) -> float:
+    """Return when bytes of the process that runs a request were last read.
 
     Connections that were opened after the request was sent may lead to
     another process.
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -147,3 +147,58 @@
         assert ends
         for end_s, arrived_s in ends:
             assert end_s <= max(arrived_s + TIMEOUT_S, 3.0 + PAUSE_S)
+
+
+class SilenceSuite:
+    @pytest.mark.parametrize("path", ("/talk/", "/tell/", "/safe/", "/once/"))
+    @pytest.mark.parametrize("begin_s", (3.0, 3.01, 3.02, 3.03, 3.04))
+    def test_an_endpoint_that_was_not_heard_is_not_silent(
+        self, path: str, begin_s: float
+    ) -> None:
+        """Guards against endpoints taken for dead with bytes unread."""
+        plan = a_plan(path, pauses=((begin_s, PAUSE_S),))
+        assert silent(play_pauses(plan)) == []
+
+    @pytest.mark.parametrize("path", ("/talk/", "/safe/"))
+    def test_a_run_that_is_cancelled_after_a_pause_is_not(
+        self, path: str
+    ) -> None:
+        """Guards against strikes for callers who left during a pause."""
+        prompts = Prompts(
+            SOUND.label,
+            SOUND.groups,
+            SOUND.per_s,
+            b"sound",
+            path,
+            end_s=6.0,
+            leave_s=0.9,
+        )
+        history = play_pauses(a_plan(path, prompts=(prompts,)))
+        assert silent(history) == []
+
+    def test_one_that_is_silent_after_the_pause_is(self) -> None:
+        """Guards against crashes that a pause hides."""
+        plan = a_plan(
+            "/tell/",
+            prompts=(_prompts("/tell/", Body.CRASH),),
+            ending=Ending(Point.BEFORE, Link.SILENT, After.MUTE),
+            pauses=((0.9, 0.5),),
+        )
+        assert silent(play_pauses(plan))
+
+    def test_each_silence_is_judged_once(self) -> None:
+        """Guards against a second strike after each pause."""
+        plan = a_plan(
+            "/tell/",
+            prompts=(_prompts("/tell/", Body.CRASH),),
+            ending=Ending(Point.BEFORE, Link.SILENT, After.MUTE),
+            pauses=((2.0, 0.3), (2.5, 0.3), (3.0, 0.3)),
+        )
+        history = play_pauses(plan)
+        runs = [
+            (line.request_id, line.endpoint)
+            for line in history.lines("run_broken")
+            if line.reason == "silent"
+        ]
+        assert runs
+        assert len(set(runs)) == len(runs)
