Remove a peer only if it was silent while it could be heard

What callers saw: a router that stood still for 2.5 s removed all its peers as it went on, dropped their requests from its picture of the endpoints' load, and had nobody to ask where a stream had begun; after a minute it told nobody of its requests any more and took the fleet's budgets for its own.

Cause: peers and hosts expire by the time since they were heard, pause included, while their heartbeats lie unread. That time now counts from the end of the pause at the earliest.

Evidence: test_no_peer_is_removed_unheard and test_hosts_are_told_on failed before and pass; a peer that is silent after the pause is still removed 2.5 s later. Neighbours: test_zone_relays, test_fleetstate, test_odd_input, test_peer_usage, test_killed_routers, test_udp passed.

--- a/src/bulrushstream/coordination/fleetview.py
+++ b/src/bulrushstream/coordination/fleetview.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from bulrushstream.coordination.rendezvous import rank_hosts
+from bulrushstream.coordination.wakefulness import Wakefulness
 from bulrushstream.state.peerupdate import PeerUpdate
 
 # A router passes updates on while it was heard this lately: within one
@@ -67,6 +68,7 @@
     peers: dict[str, PeerView] = field(default_factory=dict)  # By name.
     # By IP address: when it was added or last heard from.
     hosts: dict[str, float] = field(default_factory=dict)
+    wakefulness: Wakefulness = field(default_factory=Wakefulness)
 
     def add_host(self, host: str, now_s: float) -> None:
         """Add a host on which a router may run.
@@ -126,12 +128,14 @@
         :returns: the requests of these routers, which are to be dropped
         """
         lost: set[int] = set()
+        counts_from_s = self.wakefulness.counts_from_s
         for name, peer in list(self.peers.items()):
-            if now_s - peer.last_heard_s > PEER_TIMEOUT_S:
+            heard_s = counts_from_s(peer.last_heard_s, now_s)
+            if now_s - heard_s > PEER_TIMEOUT_S:
                 lost |= peer.calls
                 del self.peers[name]
         for host, since_s in list(self.hosts.items()):
-            if now_s - since_s > HOST_TIMEOUT_S:
+            if now_s - counts_from_s(since_s, now_s) > HOST_TIMEOUT_S:
                 del self.hosts[host]
         return lost
 
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -115,7 +115,11 @@
         self.draining = False
         # Requests that are read later are refused, as the process stops.
         self.refuse_from_s = float("inf")
-        self.peers = FleetView(settings.host, settings.availability_zone)
+        self.peers = FleetView(
+            settings.host,
+            settings.availability_zone,
+            wakefulness=self.wakefulness,
+        )
         self.fleet_state = make_fleet_state(
             settings,
             self.peers,
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S
 from bulrushstream.coordination.looplag import TICK_S
 from bulrushstream.coordination.wakefulness import (
     PAUSE_S as PAUSE_GAP_S,
@@ -20,6 +21,7 @@
 from tests.crashplans import TIMEOUT_S, CrashHistory, Prompts
 from tests.pausedrouters import (
     ROUTERS,
+    PausedRouter,
     PausePlan,
     play_pauses,
 )
@@ -202,3 +204,34 @@
         ]
         assert runs
         assert len(set(runs)) == len(runs)
+
+
+class PeersSuite:
+    """What a router that stood still thinks of its peers."""
+
+    def test_no_peer_is_removed_unheard(self) -> None:
+        """Guards against peers whose heartbeats lie unread."""
+        router = PausedRouter()
+        router.run(2.0)
+        router.stand_still(PEER_TIMEOUT_S + 1.0)
+        router.sweep()
+        assert len(router.state.peers.peers) == PEERS
+        router.tick()
+        router.sweep()
+        assert len(router.state.peers.peers) == PEERS
+
+    def test_a_peer_that_is_silent_after_the_pause_is_removed(self) -> None:
+        """Guards against peers that a pause keeps for good."""
+        router = PausedRouter()
+        router.run(2.0)
+        router.stand_still(PEER_TIMEOUT_S + 1.0)
+        router.run(PEER_TIMEOUT_S + 0.5, peers=(1,))
+        assert set(router.state.peers.peers) == {"front-1"}
+
+    def test_hosts_are_told_on(self) -> None:
+        """Guards against a router that tells nobody after a long pause."""
+        router = PausedRouter()
+        router.run(2.0)
+        router.stand_still(100.0)
+        router.sweep()
+        assert router.state.peers.router_count == ROUTERS
