Leave the shares of peers not heard since a pause to them

Found with a fake clock: after a pause of 10 s or more, the first peer that a router heard again made it take all others for gone, and share limits of endpoints with that one alone; after 60 s it used them whole at once, and after 600 s it forgot the routers among which cold endpoints' requests are divided, so that one router sent what all may send.

Cause: the time for which a silent peer counts ran on during the pause. It counts from the end of the pause now; peers that were not heard since do not count as heard, so that no limit is used earlier than before.

Evidence: test_the_share_of_peers_not_heard_yet_is_left_to_them failed before in 3 of 6 cases, test_the_roster_keeps_the_routers too; all pass. The share of peers that stay silent is used 60 s later. Run: test_limit_sharing.

--- a/src/bulrushstream/coordination/routerpresence.py
+++ b/src/bulrushstream/coordination/routerpresence.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from bulrushstream.coordination.wakefulness import Wakefulness
+
 # A router counts as silent without an update for this time, a few heartbeats.
 SILENT_S: Final = 1.2
 
@@ -41,6 +43,7 @@
 
     started_s: float  # When this router started.
     expected: Callable[[], int]  # Returns the presumed number of routers.
+    wakefulness: Wakefulness = field(default_factory=Wakefulness)
     _heard_s: dict[str, float] = field(default_factory=dict)  # By instance.
     _loads: dict[str, _Load] = field(default_factory=dict)  # By endpoint.
 
@@ -83,8 +86,9 @@
 
         :param now_s: the time
         """
+        counts_from_s = self.wakefulness.counts_from_s
         for instance, heard_s in list(self._heard_s.items()):
-            if now_s - heard_s > FORGOTTEN_S:
+            if now_s - counts_from_s(heard_s, now_s) > FORGOTTEN_S:
                 del self._heard_s[instance]
 
     def heard_share(self, endpoint: str, now_s: float) -> float:
@@ -93,10 +97,17 @@
         :param endpoint: the endpoint whose limit is shared
         :param now_s: the time
         """
-        ages_s = [now_s - heard_s for heard_s in self._heard_s.values()]
-        heard = sum(age_s <= SILENT_S for age_s in ages_s)
+        # What those that were not heard since a pause use is not known, so
+        # that they do not count as heard, and not as gone.
+        counts_from_s = self.wakefulness.counts_from_s
+        unheard_s = [
+            now_s - counts_from_s(heard_s, now_s)
+            for heard_s in self._heard_s.values()
+            if now_s - heard_s > SILENT_S
+        ]
+        heard = len(self._heard_s) - len(unheard_s)
         assumed_s = self._assumed_s(endpoint, heard > 0, now_s)
-        silent = sum(SILENT_S < age_s <= assumed_s for age_s in ages_s)
+        silent = sum(each_s <= assumed_s for each_s in unheard_s)
         if now_s - self.started_s <= assumed_s and not heard:
             silent = max(silent, self.expected() - 1)
         elif now_s - self.started_s <= SILENT_S:
--- a/src/bulrushstream/coordination/routerroster.py
+++ b/src/bulrushstream/coordination/routerroster.py
@@ -13,6 +13,7 @@
 
 from bulrushstream.coordination.rendezvous import rank_hosts
 from bulrushstream.coordination.routerpresence import FORGOTTEN_S, SILENT_S
+from bulrushstream.coordination.wakefulness import Wakefulness
 
 # A router that starts has heard from all routers that it can reach by now:
 # three heartbeats.  Its process before sent nothing in the last second.
@@ -28,6 +29,7 @@
     # Returns hosts on which others may run, such as those of the settings.
     hosts: Callable[[], Iterable[str]] = tuple
     version: int = 0  # Grows with each change of the members.
+    wakefulness: Wakefulness = field(default_factory=Wakefulness)
     _heard_s: dict[str, float] = field(default_factory=dict)  # By host.
     # When there was last a sign of each host.
     _known_s: dict[str, float] = field(default_factory=dict)
@@ -69,8 +71,9 @@
             if host != self.own_host:
                 self._known_s[host] = now_s
                 self.version += 1
+        counts_from_s = self.wakefulness.counts_from_s
         for host, known_s in list(self._known_s.items()):
-            if now_s - known_s > FORGOTTEN_S:
+            if now_s - counts_from_s(known_s, now_s) > FORGOTTEN_S:
                 del self._known_s[host]
                 self._heard_s.pop(host, None)
                 self.version += 1
--- a/src/bulrushstream/daemon/fleetsetup.py
+++ b/src/bulrushstream/daemon/fleetsetup.py
@@ -60,7 +60,9 @@
         parts,
         EndpointLimits(
             observe,
-            RouterPresence(clock(), lambda: peers.router_count),
+            RouterPresence(
+                clock(), lambda: peers.router_count, peers.wakefulness
+            ),
             rng,
         ),
         StreamVersions(
@@ -73,7 +75,12 @@
         cold=ColdStarts(
             observe,
             ColdBounds(
-                RouterRoster(settings.host, clock(), peers.notified_hosts),
+                RouterRoster(
+                    settings.host,
+                    clock(),
+                    peers.notified_hosts,
+                    wakefulness=peers.wakefulness,
+                ),
                 rng,
                 settings.cold_overshoot,
                 settings.cold_slack,
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -11,6 +11,11 @@
 
 from bulrushstream.coordination.fleetview import PEER_TIMEOUT_S
 from bulrushstream.coordination.looplag import TICK_S
+from bulrushstream.coordination.routerpresence import (
+    ASSUMED_ALONE_S,
+    FORGOTTEN_S,
+    SILENT_S,
+)
 from bulrushstream.coordination.wakefulness import (
     PAUSE_S as PAUSE_GAP_S,
 )
@@ -235,3 +240,43 @@
         router.stand_still(100.0)
         router.sweep()
         assert router.state.peers.router_count == ROUTERS
+
+
+class SharesSuite:
+    """What a router that stood still leaves to its peers."""
+
+    @pytest.mark.parametrize("heard", (0, 1))
+    @pytest.mark.parametrize("pause_s", (SILENT_S, 11.0, 1000.0))
+    def test_the_share_of_peers_not_heard_yet_is_left_to_them(
+        self, heard: int, pause_s: float
+    ) -> None:
+        """Guards against a limit that is used whole after a long pause."""
+        router = PausedRouter()
+        router.run(2.0)
+        router.stand_still(pause_s + 0.1)
+        router.sweep()
+        for number in range(1, 1 + heard):
+            router.hear(number)
+        now_s = router.clock.now()
+        share = router.state.limits.presence.heard_share("e-1", now_s)
+        assert share == pytest.approx((1 + heard) / ROUTERS)
+
+    def test_the_share_of_peers_that_are_gone_is_used(self) -> None:
+        """Guards against limits that a pause leaves unused for good."""
+        router = PausedRouter()
+        router.run(2.0)
+        router.stand_still(11.0)
+        router.run(ASSUMED_ALONE_S, peers=(1,))
+        now_s = router.clock.now()
+        assert router.state.limits.presence.heard_share("e-1", now_s) == 1.0
+
+    def test_the_roster_keeps_the_routers(self) -> None:
+        """Guards against cold endpoints that get another router's part."""
+        router = PausedRouter()
+        router.run(2.0)
+        roster = router.state.cold.bounds.roster
+        roster.hosts = tuple
+        assert roster.count == ROUTERS
+        router.stand_still(FORGOTTEN_S + 1.0)
+        router.sweep()
+        assert roster.count == ROUTERS
