Learn no speed across a short pause either

What callers saw: none reported; found while FleetState's own idea of a pause was replaced.

They are as strict: the first still fails where the check for a pause is left out.

Evidence: test_an_engine_is_not_slow_for_a_short_pause failed before and passes.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -80,10 +80,8 @@
 # The longest interval that is reported, in milliseconds.
 MAX_INTERVAL_MS: Final = 2**31 - 1
 
-# The interval between sweeps, and the gap between two sweeps above which
-# the process counts as having stalled.
+# The interval between sweeps.
 SWEEP_INTERVAL_S: Final = 0.25
-STALL_S: Final = 3 * SWEEP_INTERVAL_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,8 +139,6 @@
     _prefill_s: float = INITIAL_QUOTA_TOKENS / DEFAULT_PREFILL_TOKENS_PER_S
     _quota_tokens: float = INITIAL_QUOTA_TOKENS
     _number: int = 0  # Attempts so far.
-    _swept_s: float = float("inf")  # The last sweep; inf: none yet.
-    _last_stall_s: float = float("-inf")  # The end of the last stall.
     _peer_calls: dict[int, _PeerCall] = field(default_factory=dict)
     _grants: dict[int, _Grant] = field(default_factory=dict)  # Own attempts.
     # Own attempts at plain endpoints: requests in flight there, as above.
@@ -453,14 +449,10 @@
     def sweep(self, now_s: float) -> None:
         """Drop peers that timed out, and requests that expired.
 
-        This is called every `SWEEP_INTERVAL_S`; a gap of more than
-        `STALL_S` means that the process stalled.
+        This is called every `SWEEP_INTERVAL_S`.
 
         :param now_s: the time
         """
-        if now_s - self._swept_s > STALL_S:
-            self._last_stall_s = now_s
-        self._swept_s = now_s
         self._end_peer_calls(self.peers.sweep(now_s))
         self.parts.set_explained(self.suspects.explained_crashes(now_s))
         self.parts.sweep(now_s)
@@ -575,9 +567,7 @@
 
     def _ran_without_stall(self, since_s: float, now_s: float) -> bool:
         """Return whether the process has not stalled since a time."""
-        return (
-            since_s >= self._last_stall_s and now_s - self._swept_s <= STALL_S
-        )
+        return since_s >= self.peers.wakefulness.awake_since_s(now_s)
 
     def _observe_prefill_rate(
         self, endpoint: Endpoint, observed: int, now_s: float
--- a/tests/pausedrouters.py
+++ b/tests/pausedrouters.py
@@ -19,6 +19,18 @@
 ROUTERS: Final = 4
 
 
+def run_awake(state: FleetState, begin_s: float, end_s: float) -> None:
+    """Let a router run without a pause.
+
+    :param state: what it knows of the fleet
+    :param begin_s: the first tick
+    :param end_s: the last tick
+    """
+    steps = round((end_s - begin_s) / TICK_S)
+    for step in range(steps + 1):
+        state.peers.wakefulness.tick(begin_s + step * TICK_S)
+
+
 @dataclass(frozen=True, slots=True)
 class PausePlan(CrashPlan):
     """A run of routers that stand still; use one router."""
--- a/tests/speedplays.py
+++ b/tests/speedplays.py
@@ -16,6 +16,7 @@
     SWEEP_INTERVAL_S,
     FleetState,
 )
+from bulrushstream.coordination.looplag import TICK_S
 from bulrushstream.coordination.placement import choose_engine, choose_plain
 from bulrushstream.state.call import Prompt
 from bulrushstream.state.effect import Decision
@@ -80,6 +81,7 @@
             state.speeds.on_decision = self.decisions.append
             self.states.append((state, recorder))
             self._sweep(number)
+            self._tick(number)
         if self.per_s:
             self._at(0.0, self._arrive)
 
@@ -131,6 +133,12 @@
             lambda: self._sweep(router),
         )
 
+    def _tick(self, router: int) -> None:
+        self.states[router][0].peers.wakefulness.tick(self.now_s)
+        self._at_router(
+            router, self.now_s + TICK_S, lambda: self._tick(router)
+        )
+
     def _arrive(self) -> None:
         self._at(self.now_s + self.rng.expovariate(self.per_s), self._arrive)
         router = self.rng.randrange(self.routers)
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -43,6 +43,7 @@
 from bulrushstream.state.routes import EngineTraits
 from bulrushstream.state.streamorigin import StreamOrigin
 from tests.deployments import a_prompt, an_entry
+from tests.pausedrouters import run_awake
 
 TRAITS = EngineTraits(64, 200_000)
 
@@ -214,21 +215,20 @@
         for number in range(60):
             # The first router is never stalled and measures the true rate.
             now_s += 1.0
-            first.sweep(now_s - 0.3)
+            run_awake(first, now_s - 1.0, now_s)
             endpoint = first.pool.by_name["e-1"]
             prompt = a_prompt((number, 6000))
             call = first.place(endpoint, prompt, "", now_s - 0.29, 1e9)
-            first.sweep(now_s - 0.05)
             first.first_event(endpoint, call, now_s)
             first.ended(endpoint, call)
         # The second router was stalled and gets all updates at once.
-        second.sweep(0.0)
+        run_awake(second, -1.0, 0.0)
         deliver(recorder, second, now_s)
         assert abs(second.prefill_rate - first.prefill_rate) < 1.0
         assert 0.7 < second.prefill_rate / rate < 1.3
         # It is stalled between placing a request and the first event.
         endpoint = second.pool.by_name["e-2"]
-        second.sweep(now_s)
+        run_awake(second, now_s - 1.0, now_s)
         call = second.place(endpoint, a_prompt((9, 6000)), "", now_s, 1e9)
         second.first_event(endpoint, call, now_s + 5.0)
         view = endpoint.view
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -24,12 +24,15 @@
 )
 from tests.crashingendpoints import After, Body, Ending, Link, Point
 from tests.crashplans import TIMEOUT_S, CrashHistory, Prompts
+from tests.deployments import a_prompt
 from tests.pausedrouters import (
     ROUTERS,
     PausedRouter,
     PausePlan,
     play_pauses,
+    run_awake,
 )
+from tests.test_fleetstate import a_router_state
 
 PAUSE_S: Final = 2.5
 SOUND: Final = Prompts(b"sound", (("a1", "a2"),), per_s=20.0, end_s=6.0)
@@ -280,3 +283,16 @@
         router.stand_still(FORGOTTEN_S + 1.0)
         router.sweep()
         assert roster.count == ROUTERS
+
+
+class SpeedsSuite:
+    def test_an_engine_is_not_slow_for_a_short_pause(self) -> None:
+        """Guards against speeds learned from what was read after a pause."""
+        state, _ = a_router_state(1)
+        endpoint = state.pool.by_name["e-1"]
+        run_awake(state, 0.0, 10.0)
+        state.sweep(10.0)
+        call = state.place(endpoint, a_prompt((9, 6000)), "", 10.0, 1e9)
+        state.first_event(endpoint, call, 10.5)
+        assert endpoint.view is not None
+        assert endpoint.view.slowness_at(10.5) == 1.0
