Read a probe's answer after a pause before it counts as none

What callers saw: none reported; found by looking for timers that run first after a pause. A router that stood still as it probed an endpoint found that the endpoint's old connections do not answer, which is half of the evidence for a crash, and so a strike against a request that crashed nothing.

Cause: the limit of 0.5 s for a probe counted the pause, and its timer ran before the answer was read. It begins again at the end of the pause.

Evidence: test_an_answer_to_a_probe_may_lie_unread failed before for endpoints that answer in 0.1 and 0.4 s and passes; one that does not answer within the limit after the pause is still found unanswered.

--- a/src/bulrushstream/daemon/crashwatch.py
+++ b/src/bulrushstream/daemon/crashwatch.py
@@ -22,6 +22,7 @@
     judge_run,
 )
 from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.wakefulness import Wakefulness
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.endpointsigns import ConnectionsSeen, Sign
@@ -120,6 +121,7 @@
     on_crash: Callable[[str, BrokenRun], None]
     # Called with each run without a verdict.
     on_unknown: Callable[[str, BrokenRun], None]
+    wakefulness: Wakefulness = field(default_factory=Wakefulness)
     # By the identity of the `Endpoint`, of which each process has its own.
     _watched: dict[int, _Watched] = field(default_factory=dict)
     # Endpoint, its start and the request of the runs that counted.
@@ -317,14 +319,16 @@
             old = pool.pop_witness(broke_s)
             if old is not None:
                 answer = await ask_identity(
-                    pool, request, PROBE_TIMEOUT_S, old
+                    pool, request, PROBE_TIMEOUT_S, old, self.wakefulness
                 )
                 if answer is None:
                     self.add_sign(name, Sign.NO_ANSWER)
                 elif isinstance(answer, tuple):
                     self.decode_probe(watched.endpoint, *answer)
             sent_s = self.clock()
-            answer = await ask_identity(pool, request, PROBE_TIMEOUT_S)
+            answer = await ask_identity(
+                pool, request, PROBE_TIMEOUT_S, None, self.wakefulness
+            )
             if isinstance(answer, ConnectionRefusedError):
                 self.add_sign(name, Sign.REFUSED)
             elif answer is not None:
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -173,6 +173,7 @@
                 self.fleet_state, endpoint, run, self.clock()
             ),
             self.end_unknown,
+            self.wakefulness,
         )
         self.life_proofs = LifeProofs(
             self.clock,
--- a/src/bulrushstream/transport/probe.py
+++ b/src/bulrushstream/transport/probe.py
@@ -7,8 +7,9 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import Final, TypeAlias
+from typing import Final, TypeAlias, TypeVar
 
+from bulrushstream.coordination.wakefulness import Wakefulness
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.excess import Excess, ExcessReason
 from bulrushstream.transport.connection import (
@@ -22,6 +23,8 @@
 ProbeAnswer: TypeAlias = tuple[int, RawHeaders] | ConnectionRefusedError | None
 
 
+_Answer = TypeVar("_Answer")
+
 # The body is not used, but the connection is free again at its end.
 MAX_BODY_BYTES: Final = 65_536
 
@@ -111,13 +114,17 @@
 
 
 async def ask_report(
-    pool: Pool, request: bytes, timeout_s: float
+    pool: Pool,
+    request: bytes,
+    timeout_s: float,
+    wakefulness: Wakefulness | None = None,
 ) -> bytes | None:
     """Ask an endpoint for a report on itself, on a new connection.
 
     :param pool: the connections to the endpoint
     :param request: the encoded request
     :param timeout_s: the time limit, in seconds
+    :param wakefulness: tells pauses of the process, which do not count
     :returns: the report; empty if the answer is none; None: no answer
     """
     future: asyncio.Future[bytes | None] = (
@@ -127,8 +134,7 @@
     pending = pool.send(b"GET", sink, reuse=False)
     body = None
     try:
-        async with asyncio.timeout(timeout_s):
-            body = await future
+        body = await _wait(future, timeout_s, pool, wakefulness)
     except TimeoutError:
         pass
     finally:
@@ -142,6 +148,7 @@
     request: bytes,
     timeout_s: float,
     connection: Connection | None = None,
+    wakefulness: Wakefulness | None = None,
 ) -> ProbeAnswer:
     """Send a probe and return the head of its response.
 
@@ -149,6 +156,7 @@
     :param request: the encoded probe
     :param timeout_s: the time limit, in seconds
     :param connection: an unused connection of the pool; None: a new one
+    :param wakefulness: tells pauses of the process, which do not count
     """
     loop = asyncio.get_running_loop()
     future: asyncio.Future[ProbeAnswer] = loop.create_future()
@@ -159,8 +167,7 @@
         pending = pool.send_on(connection, b"GET", sink)
     sink.pending = pending
     try:
-        async with asyncio.timeout(timeout_s):
-            answer = await future
+        answer = await _wait(future, timeout_s, pool, wakefulness)
     except TimeoutError:
         sink.ended = True
         pending.cancel()
@@ -174,6 +181,32 @@
     return answer
 
 
+async def _wait(
+    future: asyncio.Future[_Answer],
+    timeout_s: float,
+    pool: Pool,
+    wakefulness: Wakefulness | None,
+) -> _Answer:
+    """Wait for an answer, which may lie unread after a pause.
+
+    :raises TimeoutError: none came within the time, from the end of the last
+        pause on
+    """
+    begun_s, left_s = pool.clock(), timeout_s
+    while True:
+        await asyncio.wait((future,), timeout=max(0.0, left_s))
+        if future.done():
+            return future.result()
+        now_s = pool.clock()
+        awake_since_s = float("-inf")
+        if wakefulness is not None:
+            awake_since_s = wakefulness.awake_since_s(now_s)
+        if awake_since_s <= begun_s:
+            raise TimeoutError
+        begun_s = awake_since_s
+        left_s = begun_s + timeout_s - now_s
+
+
 def _give_up_unless_ended(sink: _ProbeSink) -> None:
     """Close a probe's connection if its response has not ended."""
     if not sink.ended:
--- a/tests/pausedrouters.py
+++ b/tests/pausedrouters.py
@@ -6,15 +6,24 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from bulrushstream.coordination.crashevidence import BrokenRun
+from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.fleetstate import SWEEP_INTERVAL_S, FleetState
 from bulrushstream.coordination.looplag import TICK_S
+from bulrushstream.daemon.front import Front
+from bulrushstream.state.call import AnswerProgress
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.endpointsigns import Sign
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.transport.datagrams import HEARTBEAT_S
+from bulrushstream.transport.upstream import Pool
 from tests.builders import FakeClock
 from tests.crashfleets import CrashFleet
 from tests.crashplans import CrashHistory, CrashPlan
 from tests.crashrouters import Router, make_router
+from tests.deployments import an_entry
+from tests.test_life_proofs import ADDRESS, Server
+from tests.virtualnetwork import NetworkLoop, run_in_network
 
 ROUTERS: Final = 4
 
@@ -129,3 +138,48 @@
     def stand_still(self, for_s: float) -> None:
         """Let time pass in which the process does not run."""
         self.clock.advance(for_s)
+
+
+def probe_as_it_stops(delay_s: float, pause_s: float) -> bool:
+    """Let a router stand still after it probed an old connection.
+
+    :param delay_s: how long the endpoint takes to answer the probe
+    :param pause_s: how long the router stands still
+    :returns: whether it found the probe unanswered
+    """
+    lines: list[Decision] = []
+
+    async def run(loop: NetworkLoop) -> None:
+        router = make_router(
+            0, 1, CrashPlan(), loop.time, lines.append, lambda host, data: None
+        )
+        front = router.front
+        loop.listeners[ADDRESS] = Server(delay_s=delay_s).accept
+        host, port = ADDRESS
+        endpoint = Endpoint(an_entry("e-1", host=host, port=port), None)
+        pool = Pool(host, port, loop.time)
+        pool.add_idle()
+        await _tick_for(front, 1.0)
+        run_s = loop.time()
+        front.crash_watch.add(
+            endpoint,
+            pool,
+            BrokenRun(
+                "q", 1, run_s, True, False, AnswerProgress.NOTHING, sent_s=0.9
+            ),
+        )
+        await _tick_for(front, 0.3)
+        front.crash_watch.sweep()
+        await _tick_for(front, TICK_S)
+        loop.stand_still(pause_s)
+        await _tick_for(front, 2.0)
+        pool.close()
+
+    assert run_in_network(run) == []
+    return any(line.reason == Sign.NO_ANSWER.value for line in lines)
+
+
+async def _tick_for(front: Front, for_s: float) -> None:
+    for _ in range(round(for_s / TICK_S)):
+        await asyncio.sleep(TICK_S)
+        front.loop_lag.tick(front.clock())
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -22,7 +22,13 @@
 from bulrushstream.coordination.wakefulness import (
     Wakefulness,
 )
-from tests.crashingendpoints import After, Body, Ending, Link, Point
+from tests.crashingendpoints import (
+    After,
+    Body,
+    Ending,
+    Link,
+    Point,
+)
 from tests.crashplans import TIMEOUT_S, CrashHistory, Prompts
 from tests.deployments import a_prompt
 from tests.pausedrouters import (
@@ -30,6 +36,7 @@
     PausedRouter,
     PausePlan,
     play_pauses,
+    probe_as_it_stops,
     run_awake,
 )
 from tests.test_fleetstate import a_router_state
@@ -296,3 +303,13 @@
         state.first_event(endpoint, call, 10.5)
         assert endpoint.view is not None
         assert endpoint.view.slowness_at(10.5) == 1.0
+
+
+class ProofSuite:
+    """Endpoints that are asked whether they live as the router stops."""
+
+    @pytest.mark.parametrize("delay_s", (0.1, 0.4, 9.0))
+    def test_an_answer_to_a_probe_may_lie_unread(self, delay_s: float) -> None:
+        """Guards against strikes for probes that were answered."""
+        unanswered = probe_as_it_stops(delay_s, PAUSE_S)
+        assert unanswered == (delay_s > 1.0)
