Wait after a pause for what proves that an endpoint lives

What callers saw: none reported; found by looking for timers that run first after a pause. An answer without a length, whole and at hand, was thrown away if its router stood still before the endpoint had proved that it lives: the attempt failed (broken: nothing proves that its process lives), and counted against the endpoint.

Cause: the time for the proof counted the pause, so that a timer ended the wait before the proof was read. The same time counts again from the end of the pause; the request's deadline still ends it.

Evidence: test_a_proof_of_life_may_lie_unread failed before in 4 of 9 cases (2 attempts were given up in the one whose output was read) and passes.

--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -181,6 +181,7 @@
             self._is_own_answer,
             self._encode_report_call,
             self.dialect.decode_start,
+            self.wakefulness,
         )
         self.stream_ends = StreamEnds()
         self.limits = IngressLimits(
--- a/src/bulrushstream/daemon/lifeproof.py
+++ b/src/bulrushstream/daemon/lifeproof.py
@@ -29,6 +29,7 @@
 from typing import Final
 
 from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.wakefulness import Wakefulness
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.transport.connection import (
     EXIT_S,
@@ -115,6 +116,7 @@
     encode_report_call: Callable[[Endpoint], bytes | None]
     # Decodes from a report when the process started; empty: not told.
     decode_start: Callable[[bytes], str]
+    wakefulness: Wakefulness = field(default_factory=Wakefulness)
     # By the identity of the pool, of which each process has its own.
     _waiting: dict[int, _Waiting] = field(default_factory=dict)
 
@@ -198,7 +200,10 @@
         told = waiting.reported_s > ended.closed_s
         if told and ended.born and ended.born == waiting.born:
             return Proof.SAME_START
-        if now_s >= ended.wait_until_s:
+        # After a pause the proof may lie unread.
+        awake_since_s = self.wakefulness.awake_since_s(now_s)
+        wait_s = ended.wait_until_s - ended.closed_s
+        if now_s >= max(ended.wait_until_s, awake_since_s + wait_s):
             return Proof.NONE
         if waiting.probes or pool.has_opened_by(ended.ran_s, proven=proven):
             return None
@@ -280,7 +285,7 @@
         pool, sent_s, own = waiting.pool, self.clock(), False
         try:
             answer = await ask_identity(
-                pool, request, until_s - sent_s, witness
+                pool, request, until_s - sent_s, witness, self.wakefulness
             )
             if isinstance(answer, tuple):
                 own = bool(self.is_own(waiting.endpoint, *answer))
@@ -295,7 +300,9 @@
     ) -> None:
         """Ask an endpoint on a new connection when its process started."""
         sent_s = self.clock()
-        body = await ask_report(waiting.pool, request, until_s - sent_s)
+        body = await ask_report(
+            waiting.pool, request, until_s - sent_s, self.wakefulness
+        )
         if body is not None:
             waiting.born, waiting.reported_s = self.decode_start(body), sent_s
         waiting.asked_s = sent_s
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -28,6 +28,7 @@
     Ending,
     Link,
     Point,
+    Unframed,
 )
 from tests.crashplans import TIMEOUT_S, CrashHistory, Prompts
 from tests.deployments import a_prompt
@@ -308,6 +309,26 @@
 class ProofSuite:
     """Endpoints that are asked whether they live as the router stops."""
 
+    @pytest.mark.parametrize("path", ("/talk/", "/tell/", "/safe/"))
+    @pytest.mark.parametrize("begin_s", (3.0, 3.02, 3.04))
+    def test_a_proof_of_life_may_lie_unread(
+        self, path: str, begin_s: float
+    ) -> None:
+        """Guards against whole answers that are thrown away."""
+        body = f"{Body.UNFRAMED.decode()}:{Unframed.CLOSED}:".encode()
+        plan = a_plan(
+            path,
+            prompts=(_prompts(path, body),),
+            pauses=((begin_s, PAUSE_S),),
+        )
+        history = play_pauses(plan)
+        failed = [
+            line.reason
+            for line in history.lines("attempt_failed")
+            if "nothing proves" in line.reason
+        ]
+        assert failed == []
+
     @pytest.mark.parametrize("delay_s", (0.1, 0.4, 9.0))
     def test_an_answer_to_a_probe_may_lie_unread(self, delay_s: float) -> None:
         """Guards against strikes for probes that were answered."""
