Give the check of a stream's end its time again after a pause

What callers saw: none reported; found by looking for timers that run first after a pause. A stream that may have been cut is checked by another attempt; where the router stood still meanwhile, the check ended with "it took too long" before its result was read, and the end was believed unchecked.

Cause: the time of a check counted the pause. It begins again at the end of the pause, and still ends before the request's deadline.

Evidence: test_a_check_may_have_its_result_unread failed before in 4 of 5 cases and passes. Neighbours: test_end_checks, test_cut_answers, test_odd_ends, test_untold_ends, test_ends_of_answers passed.

--- a/src/bulrushstream/daemon/endcheck.py
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -66,6 +66,7 @@
     __slots__ = (
         "_agreed",
         "_attempt",
+        "_begun_s",
         "_fault",
         "_framed",
         "_head",
@@ -98,12 +99,28 @@
         # Ids of endpoints whose attempts failed.  The one whose stream is
         # checked keeps the prompt.
         self.tried: set[str] = set()
-        limit_s = overdue_delay_s(self.forward.route, stream_begun=False)
-        left_s = self.forward.deadline_s - attempt.front.clock() - MARGIN_S
-        self._timer = asyncio.get_running_loop().call_later(
-            min(limit_s, left_s), self.unanswered, "it took too long"
+        self._begun_s = attempt.front.clock()
+        self._timer = self._start_timer()
+
+    def _start_timer(self) -> asyncio.TimerHandle:
+        """Return a timer that ends the check if it takes too long."""
+        forward = self.forward
+        limit_s = overdue_delay_s(forward.route, stream_begun=False)
+        end_s = min(self._begun_s + limit_s, forward.deadline_s - MARGIN_S)
+        return asyncio.get_running_loop().call_later(
+            end_s - self._attempt.front.clock(), self._took_long
         )
 
+    def _took_long(self) -> None:
+        """End the check without a result, unless that may lie unread."""
+        front = self._attempt.front
+        awake_since_s = front.wakefulness.awake_since_s(front.clock())
+        if awake_since_s > self._begun_s:
+            self._begun_s = awake_since_s
+            self._timer = self._start_timer()
+        else:
+            self.unanswered("it took too long")
+
     def events(self, data: bytes) -> bytes:
         """Return the events that go on with the stream, if there are any.
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any, Final
 
 import pytest
@@ -334,3 +335,22 @@
         """Guards against strikes for probes that were answered."""
         unanswered = probe_as_it_stops(delay_s, PAUSE_S)
         assert unanswered == (delay_s > 1.0)
+
+
+class EndCheckSuite:
+    @pytest.mark.parametrize("begin_s", (0.62, 0.65, 0.7, 0.75, 0.8))
+    def test_a_check_may_have_its_result_unread(self, begin_s: float) -> None:
+        """Guards against ends that are believed for want of time."""
+        body = f"{Body.UNFRAMED.decode()}:{Unframed.CLOSED}:".encode()
+        prompts = replace(_prompts("/talk/", body), per_s=60.0)
+        plan = a_plan(
+            "/talk/", prompts=(prompts,), pauses=((begin_s, PAUSE_S),)
+        )
+        checks = play_pauses(plan).lines("end_check")
+        assert checks
+        assert [
+            line.reason
+            for line in checks
+            if "it took too long" in (line.reason, line.outcome)
+            and line.waited_s < TIMEOUT_S - 0.5
+        ] == []
