--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -24,6 +24,7 @@
 from bulrushstream.coordination.routetable import RouteTable, pick_service
 from bulrushstream.coordination.streamends import StreamEnds
 from bulrushstream.coordination.streampatterns import StreamPatterns
+from bulrushstream.coordination.wakefulness import Wakefulness
 from bulrushstream.daemon import (
     dispatch,
     evacuating,
@@ -110,11 +111,16 @@
         self._report_shares = deps.report_shares
         self.table: RouteTable | None = None
         self.endpoints_listed = False
-        self.loop_lag = LoopLag()
+        self.wakefulness = Wakefulness()
+        self.loop_lag = LoopLag(self.wakefulness)
         self.draining = False
         # Requests that are read later are refused, as the process stops.
         self.refuse_from_s = float("inf")
-        self.peers = FleetView(settings.host, settings.availability_zone)
+        self.peers = FleetView(
+            settings.host,
+            settings.availability_zone,
+            wakefulness=self.wakefulness,
+        )
         self.fleet_state = make_fleet_state(
             settings,
             self.peers,
@@ -172,6 +178,7 @@
                 self.fleet_state, endpoint, run, self.clock()
             ),
             self.end_unknown,
+            self.wakefulness,
         )
         self.life_proofs = LifeProofs(
             self.clock,
@@ -179,6 +186,7 @@
             self._is_own_answer,
             self._encode_report_call,
             self.dialect.decode_start,
+            self.wakefulness,
         )
         self.stream_ends = StreamEnds()
         self.limits = IngressLimits(
