Simulated routers that stand still do nothing at all

The fleet in virtual time held back only callers' requests and datagrams of a router that stands still: its timers, reads of the list and connections ran on, so no play could show what a router does first after a pause. Timers and connections belong to a router's process now; they wait while it stands still, and as it runs on its timers come first, then what has arrived.

A confirmation is not newer now than the oldest change that the router has not read. A read that a router asks for brings the list as it was at the answer, also if the router handles the answer later.

--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -47,7 +47,7 @@
 )
 from tests.crashrouters import Router, make_router
 from tests.simulatedcallers import Caller, an_exchange
-from tests.virtualnetwork import NetworkLoop, run_in_network
+from tests.virtualnetwork import NetworkLoop, owned_by, run_in_network
 
 DATAGRAM_S: Final = 0.002
 LEASE_S: Final = 3.6  # An entry is removed this long after a crash.
@@ -76,6 +76,8 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.entries: dict[str, EndpointEntry] = {}
         self._incarnations = [0] * plan.routers
+        # When the entries changed that each router has not read yet.
+        self._unread_s: list[list[float]] = [[] for _ in range(plan.routers)]
         self.requests: dict[str, tuple[int, bytes]] = {}  # Router, label.
         self._loop: NetworkLoop | None = None
         self._names = 0
@@ -265,17 +267,38 @@
             self.entries.pop(name, None)
         else:
             self.entries[name] = entry
+        now_s = self.loop.time()
         for number, router in enumerate(self.routers):
             delay_s = self.rng.uniform(0.0, LIST_DELAY_S)
+            self._unread_s[number].append(now_s)
+            self.loop.call_later(
+                delay_s, self._read_change, number, router, name, now_s
+            )
+
+    def _read_change(
+        self, number: int, router: Router, name: str, changed_s: float
+    ) -> None:
+        """Let a router read a change, or later if it reads nothing now."""
+        if self.routers[number] is not router:
+            return
+        wait_s = max(self._blind_for_s(number), self._frozen_for_s(number))
+        if wait_s:
             self.loop.call_later(
-                delay_s + self._blind_for_s(number),
-                self._read_entry,
-                router.front,
+                wait_s + self.rng.uniform(0.0, LIST_DELAY_S),
+                self._read_change,
+                number,
+                router,
                 name,
+                changed_s,
             )
+            return
+        self._unread_s[number].remove(changed_s)
+        with owned_by(number):
+            self._read_entry(router.front, name, self.entries.get(name))
 
-    def _read_entry(self, front: Front, name: str) -> None:
-        entry = self.entries.get(name)
+    def _read_entry(
+        self, front: Front, name: str, entry: EndpointEntry | None
+    ) -> None:
         if entry is None:
             platformupdates.remove_endpoint(front, name)
         else:
@@ -295,8 +318,8 @@
         """Confirm the endpoint list."""
         if self._blind_for_s(number):
             return
-        # A change that was not read yet is not older than this.
-        front.streams.history.list_read(self.loop.time() - LIST_DELAY_S)
+        read_s = self.loop.time() - LIST_DELAY_S
+        front.streams.history.list_read(min([read_s, *self._unread_s[number]]))
 
     def _check_list(self, number: int, front: Front) -> None:
         """Read the endpoint list for a router that asks for it."""
@@ -305,11 +328,17 @@
         def answered() -> None:
             if self._blind_for_s(number) or self.store.away:
                 return
-            for name in {*self.entries, *front.pool.by_name}:
-                self._read_entry(front, name)
+            self.loop.arrive(number, partial(read, dict(self.entries)))
+
+        def read(entries: dict[str, EndpointEntry]) -> None:
+            if front is not self.routers[number].front:
+                return
+            for name in {*entries, *front.pool.by_name}:
+                self._read_entry(front, name, entries.get(name))
             front.streams.history.list_read(sent_s)
 
-        self.loop.call_later(LIST_CALL_S, answered)
+        with owned_by(None):
+            self.loop.call_later(LIST_CALL_S, answered)
 
     # --- Routers.
 
@@ -327,9 +356,8 @@
                 router.port.datagram_received(data, None)
 
         delay_s = self.rng.uniform(0.5, 1.5) * DATAGRAM_S
-        delay_s += self._frozen_for_s(sender)
-        delay_s = max(delay_s, self._frozen_for_s(receiver))
-        self.loop.call_later(delay_s, deliver)
+        with owned_by(None):
+            self.loop.call_later(delay_s, self.loop.arrive, receiver, deliver)
 
     def _is_cut(self, number: int) -> bool:
         now_s = self.loop.time()
@@ -358,7 +386,12 @@
             end_s = now_s + fault.cut_s + fault.frozen_s + fault.dark_s
             end_s += CONTACT_S
             self.history.out_of_touch.append((now_s, end_s, number))
-            if not fault.cut_s and not fault.frozen_s:
+            if fault.frozen_s:
+                self.loop.begin_standstill(number)
+                self.loop.call_later(
+                    fault.frozen_s, self.loop.end_standstill, number
+                )
+            elif not fault.cut_s:
                 self._stop_router(self.routers[number])
                 if fault.dark_s:
                     self.loop.call_later(fault.dark_s, self._restart, number)
@@ -389,8 +422,13 @@
         return self.crash_work(router)
 
     def _start_router(self, number: int) -> Router:
+        with owned_by(number):
+            return self._start_owned(number)
+
+    def _start_owned(self, number: int) -> Router:
         loop = self.loop
         self._incarnations[number] += 1
+        self._unread_s[number] = []
 
         def observe(decision: Decision) -> None:
             self.history.decisions.append((loop.time(), number, decision))
@@ -477,12 +515,11 @@
         A router that stands still reads it when it goes on.
         """
         loop = self.loop
-        frozen_s = self._frozen_for_s(number)
-        if frozen_s:
+        if self.loop.stands_still(number):
             again = partial(
                 self._send, number, path, body, label, prefix, leave_s
             )
-            loop.call_later(frozen_s, again)
+            self._arrive_later(number, again)
             return
         label = label or body
         request_id = f"q{len(self.requests)}"
@@ -494,14 +531,34 @@
         exchange.arrived_s = loop.time()
         router = self.routers[number]
         if router.running:
-            router.front.handle(exchange)
-        loop.call_later(leave_s, self._give_up, exchange, caller, label)
+            with owned_by(number):
+                router.front.handle(exchange)
+        loop.call_later(
+            leave_s, self._give_up, number, exchange, caller, label
+        )
+
+    def _arrive_later(self, number: int, step: Callable[[], None]) -> None:
+        """Do something on a router's behalf once it stands still no more."""
+
+        def run() -> None:
+            with owned_by(None):
+                step()
+
+        self.loop.arrive(number, run)
+
+    def _leave(self, number: int, exchange: Exchange, caller: Caller) -> None:
+        """Let a caller close its connection."""
+
+        def read() -> None:
+            if not caller.ended and exchange.on_disconnect is not None:
+                exchange.on_disconnect()
+
+        self.loop.arrive(number, read)
 
     def _give_up(
-        self, exchange: Exchange, caller: Caller, label: bytes
+        self, number: int, exchange: Exchange, caller: Caller, label: bytes
     ) -> None:
-        if not caller.ended and exchange.on_disconnect is not None:
-            exchange.on_disconnect()
+        self._leave(number, exchange, caller)
         head = _HEAD.match(caller.data)
         code = None
         if b"problem+json" in caller.data:
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -25,6 +25,7 @@
     VersionHistory,
     VersionPlan,
 )
+from tests.virtualnetwork import owned_by
 
 DRAIN_S: Final = 3.0  # An endpoint that leaves serves on for this long.
 CONNECT_AGAIN_S: Final = 0.05
@@ -123,9 +124,9 @@
 
     def _try(self, stream: Stream, number: int) -> None:
         """Ask a router for a stream, or for the rest of it."""
-        frozen_s = self._frozen_for_s(number)
-        if frozen_s:
-            self.loop.call_later(frozen_s, self._try, stream, number)
+        if self.loop.stands_still(number):
+            again = partial(self._try, stream, number)
+            self._arrive_later(number, again)
             return
         if not self.routers[number].running:
             # Connections are refused; the balancer sends on to another one.
@@ -154,12 +155,14 @@
         stream.tries.append(current)
         exchange.arrived_s = self.loop.time()
         caller.on_end = partial(self._ended, stream, current, caller)
-        self.routers[number].front.handle(exchange)
+        with owned_by(number):
+            self.routers[number].front.handle(exchange)
 
         def give_up() -> None:
-            if not caller.ended and exchange.on_disconnect is not None:
-                exchange.on_disconnect()
+            if not caller.ended:
+                caller.on_end = lambda: None
                 self.read_answer(current, caller)
+                self._leave(number, exchange, caller)
 
         self.loop.call_later(TIMEOUT_S, give_up)
 
@@ -171,6 +174,10 @@
         read_answer(current, caller.data)
 
     def _ended(self, stream: Stream, current: Try, caller: Caller) -> None:
+        with owned_by(None):
+            self._answered(stream, current, caller)
+
+    def _answered(self, stream: Stream, current: Try, caller: Caller) -> None:
         self.read_answer(current, caller)
         broken = current.status in ("", "200") and not current.whole
         if not broken or len(stream.tries) >= self._plan.tries:
