Failing plays of routers that act on what they knew before a pause

A report that is lost while both versions are listed is repeated by heartbeats today; only once one of them is left does nothing repeat it.

--- a/tests/versionplans.py
+++ b/tests/versionplans.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import Final
 
-from tests.crashplans import CrashHistory, CrashPlan, Sent
+from tests.crashplans import CrashHistory, CrashPlan, RouterFault, Sent
 
 STREAM_PATH: Final = "/talk/"  # A route whose streams may be taken up.
 
@@ -172,3 +172,93 @@
 def crashes(version: str, *at_s: float) -> tuple[Change, ...]:
     """Return crashes of the busiest endpoint of a version."""
     return tuple(Change(each, ChangeKind.CRASH, version) for each in at_s)
+
+
+def returns(version: str, *at_s: float) -> tuple[Change, ...]:
+    """Return returns of the busiest endpoint of another version."""
+    return tuple(Change(each, ChangeKind.RETURN, version) for each in at_s)
+
+
+def returns_while_frozen(routers: int, seed: int) -> VersionPlan:
+    """Return a run in which endpoints return while routers stand still.
+
+    Some of the streams that break go on at the same router.
+    """
+    return VersionPlan(
+        changes=(
+            *returns("v2", *(4.2 + 0.1 * n for n in range(3))),
+            *returns("v2", *(8.2 + 0.1 * n for n in range(3))),
+            *crashes("v1", 4.35, 8.35),
+            *crashes("v2", 4.45, 8.45),
+        ),
+        faults=(
+            RouterFault(4.0, (0,), frozen_s=1.5, no_list_s=1.5),
+            RouterFault(8.0, (0,), frozen_s=1.0, no_list_s=1.0),
+        ),
+        routers=routers,
+        seed=seed,
+        streams_per_s=30.0 * routers,
+        background_per_s=0.1,
+        engines=9,
+        end_s=14.0,
+    )
+
+
+def joins_amid_take_ups(seed: int) -> VersionPlan:
+    """Return a run in which take-ups need a second attempt amid a release.
+
+    Routers end, and endpoints end that have just got a take-up.
+    """
+    return VersionPlan(
+        changes=(
+            Change(4.0, ChangeKind.START, "v2", 6),
+            *crashes("v1", *(3.98 + 0.01 * n for n in range(12))),
+        ),
+        faults=(RouterFault(3.9, (0,)), RouterFault(3.95, (1,))),
+        seed=seed,
+        streams_per_s=150.0,
+        background_per_s=0.1,
+        engines=24,
+        return_s=(0.001, 0.05),
+        end_s=8.0,
+    )
+
+
+def peer_out_of_step(seed: int) -> VersionPlan:
+    """Return a run in which two routers miss a version, and then are alone."""
+    return VersionPlan(
+        changes=(Change(4.0, ChangeKind.START, "v2", 6),),
+        faults=(
+            RouterFault(3.9, (1, 2), cut_s=3.3, no_list_s=9.0),
+            RouterFault(7.0, (0, 3), stops=True),
+        ),
+        seed=seed,
+        streams_per_s=60.0,
+        background_per_s=0.1,
+        return_s=(2.5, 3.0),
+        end_s=14.0,
+    )
+
+
+def version_that_left(
+    seed: int, cut_s: float, no_list_s: float, return_s: tuple[float, float]
+) -> VersionPlan:
+    """Return a run in which one router misses a version that serves shortly.
+
+    Another router ends, so that its streams are taken up at that one.
+    """
+    return VersionPlan(
+        changes=(
+            Change(4.0, ChangeKind.START, "v2", 6),
+            Change(6.0, ChangeKind.DELIST, "v2", 6),
+        ),
+        faults=(
+            RouterFault(3.9, (1,), cut_s=cut_s, no_list_s=no_list_s),
+            RouterFault(6.1, (0, 3), stops=True),
+        ),
+        seed=seed,
+        streams_per_s=200.0,
+        background_per_s=0.1,
+        return_s=return_s,
+        end_s=14.0,
+    )
