A peer shows that one version serves only by a list that it read itself

A router that read no list believed any peer that it had heard for 2 s, also one that read none either: callers got streams of two versions when two routers had been cut off together and the others ended.

An update told nothing of what its sender knew. Heartbeats now tell how old the sender's confirmation of the endpoint list is, and peers_show_one_version holds only if that list was read at or after the time asked for. Ages cross the wire, no clock times. The receiver counts an age from the tick before its last one: timers run before the socket is read, so what waited while it stood still does not look newer than it is. Updates of older releases tell no age, and are not believed.

A heartbeat has up to 7 bytes more.

test_peers_show_it_if_they_were_heard_without_a_pause has peers that tell an age now, as those that tell none show nothing; two tests check that, and that an update that waited is old.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -189,6 +189,7 @@
             self.notices.to_repeat(now_s),
             self.evacuations.to_repeat(self.evacuations.clock()),
             self.cold.to_repeat(now_s),
+            self.streams.history.list_age_s(),
         )
 
     def zone_reopened(self, zone: str, now_s: float) -> None:
--- a/src/bulrushstream/coordination/streamversions.py
+++ b/src/bulrushstream/coordination/streamversions.py
@@ -111,7 +111,7 @@
         :param update: the update
         :param now_s: the time
         """
-        self.history.peer_heard()
+        self.history.peer_heard(update.list_age_s)
         if update.mixed_services:
             self.history.told(update.mixed_services, update.instance)
         if update.origins or update.asked_origins:
@@ -123,6 +123,7 @@
         :param running: the streams of which this router relays events now
         :param now_s: the time
         """
+        self.history.tick()
         for service in self.history.listed_with_several():
             self.history.told((service,), "endpoint list")
         self._report_mixed()
--- a/src/bulrushstream/coordination/versionhistory.py
+++ b/src/bulrushstream/coordination/versionhistory.py
@@ -50,6 +50,11 @@
     list_confirmed_s: float = float("-inf")  # The last read that was current.
     peer_heard_s: float = float("-inf")  # The last update of any peer.
     in_step_since_s: float = float("inf")  # Peers are heard since then.
+    # The last read of a peer that told of it.
+    peer_list_read_s: float = float("-inf")
+    # The last two times at which the router's timers ran.  What arrives was
+    # sent after the first one, as the socket was read between them.
+    _ticks_s: tuple[float, float] = (float("-inf"), float("-inf"))
     # Called when it becomes known that a service has several versions.
     on_several: Callable[[], None] = lambda: None
     _listed: dict[str, frozenset[str]] = field(default_factory=dict)
@@ -203,14 +208,16 @@
         )
 
     def peers_show_one_version(self, route: Route, at_s: float) -> bool:
-        """Return the same, as peers would have told of another version.
+        """Return the same, as a peer would have told of another version.
+
+        The peer must have read the list itself.
 
         :param route: the route
         :param at_s: the streams had begun by then
         """
         return (
             self.may_show_one_version(route)
-            and self.peer_heard_s >= at_s
+            and self.peer_list_read_s >= at_s
             and self.clock() - self.in_step_since_s >= IN_STEP_S
         )
 
@@ -221,9 +228,30 @@
         """
         self.list_confirmed_s = max(self.list_confirmed_s, sent_s)
 
-    def peer_heard(self) -> None:
-        """Record that an update of a peer arrived."""
+    def list_age_s(self) -> float | None:
+        """Return how long ago the list was current, in seconds.
+
+        None means that it was never read.
+        """
+        if self.list_confirmed_s == float("-inf"):
+            return None
+        return self.clock() - self.list_confirmed_s
+
+    def tick(self) -> None:
+        """Record that the router runs; called often."""
+        self._ticks_s = (self._ticks_s[1], self.clock())
+
+    def peer_heard(self, list_age_s: float | None = None) -> None:
+        """Record that an update of a peer arrived.
+
+        :param list_age_s: how long ago the peer had read the list as it sent
+            the update; None: not told
+        """
         now_s = self.clock()
+        if list_age_s is not None:
+            # It may have waited here while this router stood still.
+            read_s = self._ticks_s[0] - list_age_s
+            self.peer_list_read_s = max(self.peer_list_read_s, read_s)
         if now_s - self.peer_heard_s > SILENT_S:
             self.in_step_since_s = now_s
         self.peer_heard_s = now_s
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -139,6 +139,9 @@
         or None,
         asked_origins=list(update.asked_origins) or None,
         mixed_services=list(update.mixed_services) or None,
+        list_age_ms=(
+            None if update.list_age_s is None else _to_ms(update.list_age_s)
+        ),
         leaving_endpoints=list(update.leaving_endpoints) or None,
         leaving_starts=list(update.leaving_starts) or None,
         cold=[
@@ -273,6 +276,9 @@
         lists["asked_origins"] = tuple(wire.asked_origins)
     if wire.mixed_services:
         lists["mixed_services"] = tuple(wire.mixed_services)
+    # A negative age would show a list that was not read yet.
+    if wire.list_age_ms is not None and wire.list_age_ms >= 0:
+        lists["list_age_s"] = wire.list_age_ms / 1000
     if wire.leaving_endpoints:
         lists["leaving_endpoints"] = tuple(wire.leaving_endpoints)
     if wire.leaving_starts:
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -107,6 +107,7 @@
   20: optional string zone
   21: optional bool pass_on
   22: optional list<string> leaving_starts
+  23: optional i32 list_age_ms
   40: optional list<Evacuated> evacuated
   41: optional i64 evacuations_end
   42: optional i32 evacuations_age_ms
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -92,6 +92,7 @@
     leaving_endpoints: tuple[tuple[str, str], ...] = ()
     evacuations: EvacuationReport | None = None
     cold_endpoints: tuple[ColdEndpoint, ...] = ()
+    list_age_s: float | None = None  # See `PeerUpdate`.
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +115,8 @@
     asked_origins: tuple[int, ...] = ()  # Streams whose origin it asks for.
     # Services whose endpoints have several versions.
     mixed_services: tuple[str, ...] = ()
+    # How long ago the router read the endpoint list; None: not told.
+    list_age_s: float | None = None
     # Ids of endpoints that say in their answers that they leave.
     leaving_endpoints: tuple[str, ...] = ()
     # The starts of their processes, in this order; empty if none is told.
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -345,3 +345,7 @@
         told = encode_update(replace(update, origins=(origin,)))
         assert len(encode_update(update)) + 30 < len(told)
         assert decode_update(told).origins == (origin,)
+        aged = replace(update, list_age_s=1.25)
+        assert decode_update(encode_update(aged)) == aged
+        assert len(encode_update(aged)) <= len(encode_update(update)) + 7
+        assert decode_update(encode_update(update)).list_age_s is None
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -33,6 +33,13 @@
     return history
 
 
+def hear(history: VersionHistory, list_age_s: float | None) -> None:
+    """Let a router that runs without a pause hear a peer at once."""
+    history.tick()
+    history.tick()
+    history.peer_heard(list_age_s)
+
+
 class VersionHistorySuite:
     def test_one_version_is_shown(self) -> None:
         assert a_history(FakeClock(), "v1", "v1").shows_one_version(ROUTE)
@@ -112,7 +119,39 @@
         for pause_s, steps, shown in ((0.5, 6, True), (3.0, 1, False)):
             for _ in range(steps):
                 clock.now_s += pause_s
-                history.peer_heard()
+                hear(history, 0.0)
             at_s = clock.now_s
             assert history.peers_show_one_version(ROUTE, at_s) is shown
             assert not history.peers_show_one_version(ROUTE, at_s + 0.01)
+
+    def test_a_peer_shows_only_what_it_has_read(self) -> None:
+        """Guards against peers who are believed without a list."""
+        clock = FakeClock()
+        history = a_history(clock, "v1")
+        begin_s = clock.now_s
+        for list_age_s, shown in ((None, False), (2.5, False), (0.5, True)):
+            for _ in range(5):
+                clock.now_s += 0.5
+                hear(history, list_age_s)
+            at_s = clock.now_s - 0.5
+            assert history.peers_show_one_version(ROUTE, at_s) is shown
+        assert history.peers_show_one_version(ROUTE, begin_s)
+
+    def test_an_update_that_waited_here_is_old(self) -> None:
+        """Guards against ages that are counted from after a pause."""
+        clock = FakeClock()
+        history = a_history(clock, "v1")
+        for _ in range(6):
+            clock.now_s += 0.5
+            hear(history, 0.0)
+        stopped_s = clock.now_s
+        clock.now_s += 1.0
+        # The timers run first, then the socket is read.
+        history.tick()
+        history.peer_heard(0.0)
+        assert history.peers_show_one_version(ROUTE, stopped_s)
+        assert not history.peers_show_one_version(ROUTE, stopped_s + 0.01)
+        clock.now_s += 0.1
+        history.tick()
+        history.peer_heard(0.0)
+        assert history.peers_show_one_version(ROUTE, stopped_s + 1.0)
