Take a suspended machine for a pause, too

What callers saw: none reported; found by reading. The event loop's clock stops while a machine is suspended, so that the gap between two ticks showed nothing, and what a router knew before counted as known just now.

Cause: Wakefulness read that clock alone. It reads the one that runs on as well, which the router has for the age of its configuration; times since when it was awake stay on the loop's clock.

Evidence: test_a_suspended_machine_is_a_pause failed before in both cases and passes. Neighbours: test_crowded_router, test_peer_usage, test_limit_sharing, test_planned_stop passed.

--- a/src/bulrushstream/coordination/wakefulness.py
+++ b/src/bulrushstream/coordination/wakefulness.py
@@ -3,11 +3,13 @@
 A process that stands still, as it is stopped or its machine is suspended,
 hears nothing.  When it goes on, timers run before what has arrived is read.
 So nothing is silent or late for what was not heard in a pause, and the time
-for it counts from the end of the pause.
+for it counts from the end of the pause.  The event loop's clock may stop
+while the machine is suspended, so that a clock that does not is read, too.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -20,8 +22,13 @@
 class Wakefulness:
     """When one router's process ticked, and when it last stood still."""
 
+    # The time also while suspended, in seconds; without it no suspension of
+    # the machine is found in which the other clock stops.
+    boot_clock: Callable[[], float] = lambda: 0.0
     _ticked_s: float = float("inf")  # The last tick; infinity: none yet.
     _awake_since_s: float = float("-inf")  # The end of the last pause.
+    # When the process was last known to run, on the other clock.
+    _seen_boot_s: float = float("inf")
 
     def tick(self, now_s: float) -> float:
         """Record that the process runs; this is due often.
@@ -31,7 +38,7 @@
         """
         gap_s = self.unticked_s(now_s)
         self.awake_since_s(now_s)
-        self._ticked_s = now_s
+        self._ticked_s, self._seen_boot_s = now_s, self.boot_clock()
         return gap_s
 
     def unticked_s(self, now_s: float) -> float:
@@ -48,8 +55,10 @@
 
         :param now_s: the time
         """
-        if now_s - max(self._ticked_s, self._awake_since_s) > PAUSE_S:
+        gap_s = now_s - max(self._ticked_s, self._awake_since_s)
+        if gap_s > PAUSE_S or self.boot_clock() - self._seen_boot_s > PAUSE_S:
             self._awake_since_s = now_s
+            self._seen_boot_s = self.boot_clock()
         return self._awake_since_s
 
     def counts_from_s(self, since_s: float, now_s: float) -> float:
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -110,7 +110,7 @@
         self._report_shares = deps.report_shares
         self.table: RouteTable | None = None
         self.endpoints_listed = False
-        self.wakefulness = Wakefulness()
+        self.wakefulness = Wakefulness(deps.boot_clock)
         self.loop_lag = LoopLag(self.wakefulness)
         self.draining = False
         # Requests that are read later are refused, as the process stops.
--- a/tests/crashrouters.py
+++ b/tests/crashrouters.py
@@ -54,12 +54,13 @@
     clock: Callable[[], float],
     observe: Callable[[Decision], None],
     send_datagram: Callable[[str, bytes], None],
+    boot_clock: Callable[[], float] | None = None,
 ) -> Router:
     """Return a router that has a configuration and hears its peers."""
     deps = FrontDeps(
         dialect=PLATFORM,
         clock=clock,
-        boot_clock=clock,
+        boot_clock=boot_clock or clock,
         time_of_day=lambda: (
             EPOCH_S + clock() + plan.clock_errors_s.get(number, 0.0)
         ),
--- a/tests/pausedrouters.py
+++ b/tests/pausedrouters.py
@@ -85,6 +85,7 @@
 
     clock: FakeClock = field(default_factory=lambda: FakeClock(1000.0))
     decisions: list[Decision] = field(default_factory=list)
+    suspended_s: float = 0.0  # Which only the boot clock counts.
     router: Router = field(init=False)
 
     def __post_init__(self) -> None:
@@ -96,6 +97,7 @@
                 self.clock.now,
                 self.decisions.append,
                 lambda host, data: None,
+                lambda: self.clock.now() + self.suspended_s,
             )
 
         self.router = asyncio.run(make())
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -105,6 +105,21 @@
         wakefulness.tick(13.0 + TICK_S)
         assert wakefulness.awake_since_s(13.06) == 13.0
 
+    @pytest.mark.parametrize("ticks_first", (False, True))
+    def test_a_suspended_machine_is_a_pause(self, ticks_first: bool) -> None:
+        """Guards against a pause in which the loop's clock stops."""
+        router = PausedRouter()
+        router.run(2.0)
+        wakefulness = router.router.front.wakefulness
+        now_s = router.clock.now()
+        assert wakefulness.awake_since_s(now_s) == float("-inf")
+        router.suspended_s = 30.0
+        if ticks_first:
+            router.tick()
+        assert wakefulness.awake_since_s(now_s) == now_s
+        router.run(1.0)
+        assert wakefulness.awake_since_s(router.clock.now()) == now_s
+
     def test_a_process_that_ticks_in_time_was_awake(self) -> None:
         """Guards against silence that never counts."""
         wakefulness = Wakefulness()
