Heartbeats repeat which services had several versions lately

A router that was cut off while a version came and went heard nothing of it afterwards: reports of several versions are repeated only while both are listed. It took streams of the version that had left for streams of the one that serves, and callers got both.

Heartbeats now name the services of which the sender's own list had several versions in the time for which streams are remembered, with the age of that, so that the receiver forgets them when the sender does and what is told is not told on. With one version nothing is sent.

--- a/src/bulrushstream/coordination/fleetstate.py
+++ b/src/bulrushstream/coordination/fleetstate.py
@@ -190,6 +190,7 @@
             self.evacuations.to_repeat(self.evacuations.clock()),
             self.cold.to_repeat(now_s),
             self.streams.history.list_age_s(),
+            self.streams.history.lately_mixed(),
         )
 
     def zone_reopened(self, zone: str, now_s: float) -> None:
--- a/src/bulrushstream/coordination/streamversions.py
+++ b/src/bulrushstream/coordination/streamversions.py
@@ -13,7 +13,7 @@
     OwnStream,
     StreamOrigins,
 )
-from bulrushstream.coordination.versionhistory import VersionHistory
+from bulrushstream.coordination.versionhistory import LIST, VersionHistory
 from bulrushstream.state.peerupdate import PeerUpdate
 from bulrushstream.state.routes import Route
 from bulrushstream.state.streamorigin import StreamOrigin
@@ -114,6 +114,9 @@
         self.history.peer_heard(update.list_age_s)
         if update.mixed_services:
             self.history.told(update.mixed_services, update.instance)
+        for mixed in update.lately_mixed:
+            service = (mixed.service,)
+            self.history.told(service, update.instance, mixed.age_s)
         if update.origins or update.asked_origins:
             self.origins.apply_update(update, now_s)
 
@@ -125,7 +128,7 @@
         """
         self.history.tick()
         for service in self.history.listed_with_several():
-            self.history.told((service,), "endpoint list")
+            self.history.told((service,), LIST)
         self._report_mixed()
         told = self.origins.tell_services(self.history.origins_matter, now_s)
         for own in told:
--- a/src/bulrushstream/coordination/versionhistory.py
+++ b/src/bulrushstream/coordination/versionhistory.py
@@ -19,6 +19,7 @@
 
 from bulrushstream.coordination.routerpresence import SILENT_S
 from bulrushstream.state.effect import Decision
+from bulrushstream.state.peerupdate import LatelyMixed
 from bulrushstream.state.routes import RequestKind, Route
 
 # Streams are remembered for this time after the last sign of them, or for
@@ -29,6 +30,9 @@
 # Names the platform's store among those who tell of versions.
 STORE: Final = "store"
 
+# Names the endpoint list of this router among them.
+LIST: Final = "endpoint list"
+
 # The endpoint list is followed if it was confirmed this lately: two reads,
 # which wait for up to 1.5 s each, and their latency.
 LIST_AGE_S: Final = 3.5
@@ -60,6 +64,8 @@
     _listed: dict[str, frozenset[str]] = field(default_factory=dict)
     # Until when streams of several versions may be taken up, by service.
     _several_until_s: dict[str, float] = field(default_factory=dict)
+    # When this router's list last named several versions, by service.
+    _listed_several_s: dict[str, float] = field(default_factory=dict)
     _keep_s: dict[str, float] = field(default_factory=dict)  # By service.
     _routes: dict[str, frozenset[str]] = field(default_factory=dict)
     # Services that share a route with others.
@@ -105,16 +111,19 @@
         if listed:
             self._listed[service] = listed
         if several:
-            self._set_several(service, "")
+            self._set_several(service, LIST)
 
-    def told(self, services: Iterable[str], reporter: str) -> None:
+    def told(
+        self, services: Iterable[str], reporter: str, age_s: float = 0.0
+    ) -> None:
         """Record services that had several versions, as others know them.
 
         :param services: the names of the services
         :param reporter: the router that told it, or the store
+        :param age_s: how long ago they had
         """
         for service in services:
-            self._set_several(service, reporter)
+            self._set_several(service, reporter, age_s)
 
     def served_before(self, service: str, version: str) -> None:
         """Record the version that served before this router started.
@@ -138,6 +147,20 @@
         """Return the services of which several versions are listed now."""
         return tuple(filter(self.lists_several, self._listed))
 
+    def lately_mixed(self) -> tuple[LatelyMixed, ...]:
+        """Return the services of which this router listed several lately.
+
+        A peer that missed the reports could take a stream of a version that
+        is gone for one of the version that serves.
+        """
+        now_s = self.clock()
+        return tuple(
+            LatelyMixed(service, now_s - listed_s)
+            for service, listed_s in self._listed_several_s.items()
+            if now_s - listed_s < self._keep_s.get(service, KEEP_S)
+            and not self.lists_several(service)
+        )
+
     def streaming_services(self) -> tuple[str, ...]:
         """Return the services whose streams may be taken up."""
         return tuple(self._keep_s)
@@ -256,12 +279,19 @@
             self.in_step_since_s = now_s
         self.peer_heard_s = now_s
 
-    def _set_several(self, service: str, reporter: str) -> None:
-        """Record that several versions of a service serve now."""
+    def _set_several(
+        self, service: str, reporter: str, age_s: float = 0.0
+    ) -> None:
+        """Record that several versions of a service served."""
         known = self.had_several(service)
         keep_s = self._keep_s.get(service, KEEP_S)
-        self._several_until_s[service] = self.clock() + keep_s
-        if known:
+        now_s = self.clock()
+        if reporter == LIST:
+            self._listed_several_s[service] = now_s
+        until_s = self._several_until_s.get(service, now_s)
+        until_s = max(until_s, now_s - age_s + keep_s)
+        self._several_until_s[service] = until_s
+        if known or not self.had_several(service):
             return
         self.on_several()
         self.observe(
--- a/src/bulrushstream/protocol/peercodec.py
+++ b/src/bulrushstream/protocol/peercodec.py
@@ -29,6 +29,7 @@
     CrashSuspect,
     EndpointLimit,
     FirstEvent,
+    LatelyMixed,
     PeerUpdate,
     RequestPlaced,
     WorkspaceTotals,
@@ -139,6 +140,11 @@
         or None,
         asked_origins=list(update.asked_origins) or None,
         mixed_services=list(update.mixed_services) or None,
+        lately_mixed=[
+            _SCHEMA.LatelyMixed(each.service, _to_ms(each.age_s))
+            for each in update.lately_mixed
+        ]
+        or None,
         list_age_ms=(
             None if update.list_age_s is None else _to_ms(update.list_age_s)
         ),
@@ -276,6 +282,11 @@
         lists["asked_origins"] = tuple(wire.asked_origins)
     if wire.mixed_services:
         lists["mixed_services"] = tuple(wire.mixed_services)
+    if wire.lately_mixed:
+        lists["lately_mixed"] = tuple(
+            LatelyMixed(each.pool, each.age_ms / 1000)
+            for each in wire.lately_mixed
+        )
     # A negative age would show a list that was not read yet.
     if wire.list_age_ms is not None and wire.list_age_ms >= 0:
         lists["list_age_s"] = wire.list_age_ms / 1000
--- a/src/bulrushstream/protocol/peers.thrift
+++ b/src/bulrushstream/protocol/peers.thrift
@@ -75,6 +75,11 @@
   2: i32 left_ms
 }
 
+struct LatelyMixed {
+  1: string pool
+  2: i32 age_ms
+}
+
 struct Promise {
   1: i64 digest
   2: string pool
@@ -108,6 +113,7 @@
   21: optional bool pass_on
   22: optional list<string> leaving_starts
   23: optional i32 list_age_ms
+  24: optional list<LatelyMixed> lately_mixed
   40: optional list<Evacuated> evacuated
   41: optional i64 evacuations_end
   42: optional i32 evacuations_age_ms
--- a/src/bulrushstream/state/peerupdate.py
+++ b/src/bulrushstream/state/peerupdate.py
@@ -79,6 +79,14 @@
     left_s: float  # How much longer, when the update is sent.
 
 
+@dataclass(frozen=True, slots=True)
+class LatelyMixed:
+    """A service that had several versions lately, and has one now."""
+
+    service: str  # The service's name.
+    age_s: float  # How long ago the sender's list named several.
+
+
 @dataclass(frozen=True, slots=True)
 class RepeatedReports:
     """What a heartbeat repeats, for peers that missed it."""
@@ -93,6 +101,7 @@
     evacuations: EvacuationReport | None = None
     cold_endpoints: tuple[ColdEndpoint, ...] = ()
     list_age_s: float | None = None  # See `PeerUpdate`.
+    lately_mixed: tuple[LatelyMixed, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +124,7 @@
     asked_origins: tuple[int, ...] = ()  # Streams whose origin it asks for.
     # Services whose endpoints have several versions.
     mixed_services: tuple[str, ...] = ()
+    lately_mixed: tuple[LatelyMixed, ...] = ()  # Only in heartbeats.
     # How long ago the router read the endpoint list; None: not told.
     list_age_s: float | None = None
     # Ids of endpoints that say in their answers that they leave.
--- a/src/bulrushstream/transport/datagrams.py
+++ b/src/bulrushstream/transport/datagrams.py
@@ -23,6 +23,7 @@
     CrashSuspect,
     EndpointLimit,
     FirstEvent,
+    LatelyMixed,
     PeerUpdate,
     RepeatedReports,
     RequestPlaced,
@@ -70,7 +71,8 @@
     # The starts of the processes, by the endpoint's id.
     leaving_endpoints: dict[str, str] = field(default_factory=dict)
     evacuations: EvacuationReport | None = None
-    list_age_s: float | None = None  # Only in heartbeats.
+    lately_mixed: tuple[LatelyMixed, ...] = ()  # Only in heartbeats.
+    list_age_s: float | None = None  # The same.
     cold_endpoints: list[ColdEndpoint] = field(default_factory=list)
     # With the time at which they were made.
     promises: list[tuple[float, ReturnPromise]] = field(default_factory=list)
@@ -381,6 +383,7 @@
         self._pending.mixed_services.update(reports.mixed_services)
         self._pending.leaving_endpoints.update(reports.leaving_endpoints)
         self._pending.evacuations = reports.evacuations
+        self._pending.lately_mixed = reports.lately_mixed
         self._pending.list_age_s = reports.list_age_s
         self._pending.cold_endpoints.extend(reports.cold_endpoints)
         repeated, self._repeated_totals = self._repeated_totals, set()
@@ -453,6 +456,7 @@
             part_proofs=tuple(pending.part_proofs[:MAX_TOTALS]),
             limits=tuple(pending.limits),
             mixed_services=tuple(sorted(pending.mixed_services)),
+            lately_mixed=pending.lately_mixed,
             list_age_s=pending.list_age_s,
             leaving_endpoints=tuple(name for name, _ in leaving),
             leaving_starts=starts if any(starts) else (),
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -14,7 +14,7 @@
 from bulrushstream.coordination.streamorigins import stream_digest
 from bulrushstream.messages import ORIGIN_UNKNOWN, VERSION_GONE
 from bulrushstream.protocol.peercodec import decode_update, encode_update
-from bulrushstream.state.peerupdate import PeerUpdate
+from bulrushstream.state.peerupdate import LatelyMixed, PeerUpdate
 from bulrushstream.state.streamorigin import StreamOrigin
 from bulrushstream.transport.datagrams import PeerSocket
 from tests.crashplans import RouterFault
@@ -345,6 +345,9 @@
         told = encode_update(replace(update, origins=(origin,)))
         assert len(encode_update(update)) + 30 < len(told)
         assert decode_update(told).origins == (origin,)
+        mixed = LatelyMixed("llm", 2.5)
+        aged = replace(update, list_age_s=1.25, lately_mixed=(mixed,))
+        assert decode_update(encode_update(aged)) == aged
         aged = replace(update, list_age_s=1.25)
         assert decode_update(encode_update(aged)) == aged
         assert len(encode_update(aged)) <= len(encode_update(update)) + 7
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -99,6 +99,28 @@
         assert not history.shows_one_version(split)
 
 
+class RepeatSuite:
+    def test_versions_that_were_mixed_lately_are_repeated(self) -> None:
+        """Guards against peers that missed a version that has left."""
+        clock = FakeClock()
+        first, peer = a_history(clock, "v1"), a_history(clock, "v1")
+        first.list_versions("llm", ("v1", "v2"))
+        assert first.lately_mixed() == ()
+        first.list_versions("llm", ("v1",))
+        clock.advance(KEEP_S - 1.0)
+        (mixed,) = first.lately_mixed()
+        peer.told((mixed.service,), "front-1", mixed.age_s)
+        assert peer.had_several("llm")
+        assert peer.lately_mixed() == ()
+        clock.advance(1.0)
+        assert not peer.had_several("llm")
+        assert first.lately_mixed() == ()
+
+    def test_nothing_is_repeated_of_one_version(self) -> None:
+        """Guards against bytes where there is nothing to tell apart."""
+        assert a_history(FakeClock(), "v1", "v1").lately_mixed() == ()
+
+
 class TakeUpSuite:
     """What shows the version of a stream that a caller takes up.
 
