A router out of step does not overwrite the record of several versions

Routers that read the record afterwards took streams of the other version for streams of this one.

A record of one version is now written only after the records were read once more and say what this router knew of them. That is one read more for each such write: at the start, and 30 s after a release.

--- a/src/bulrushstream/daemon/versionrecords.py
+++ b/src/bulrushstream/daemon/versionrecords.py
@@ -92,7 +92,13 @@
                 record, writers = _ONE_PREFIX + version.encode(), 1
             if self._records.get(service) == record:
                 continue
-            if self._is_among(writers, service):
+            if not self._is_among(writers, service):
+                continue
+            known = self._records.get(service)
+            if record != _SEVERAL:
+                # A router that is out of step does not know what others wrote.
+                await self._load()
+            if self._records.get(service) == known:
                 await self.store.append(self.topic, service, record)
                 self._records[service] = record
 
