A list that is read whole again does not show what came and went

A router that has lost its place in the endpoint list reads it whole. A version that joined and left in between is not in it, and the router took its streams for streams of the one version that it sees, until a heartbeat of a peer told it otherwise.

In the simulated fleet a router reads the list whole after a time without it.

--- a/src/bulrushstream/coordination/versionhistory.py
+++ b/src/bulrushstream/coordination/versionhistory.py
@@ -51,6 +51,7 @@
     clock: Callable[[], float]  # Also runs while suspended; seconds.
     # Whether it is known what served before this router started.
     complete: bool = False
+    whole_reads: int = 0  # How often the list was read whole once more.
     list_confirmed_s: float = float("-inf")  # The last read that was current.
     peer_heard_s: float = float("-inf")  # The last update of any peer.
     in_step_since_s: float = float("inf")  # Peers are heard since then.
@@ -251,6 +252,22 @@
         """
         self.list_confirmed_s = max(self.list_confirmed_s, sent_s)
 
+    def list_read_whole(self) -> None:
+        """Record that the list was read whole, once more.
+
+        What was listed and left in between is not known until the store's
+        records of versions are read.
+        """
+        self.complete = False
+        self.whole_reads += 1
+
+    def records_read(self, whole_reads: int) -> None:
+        """Record that the store's records of versions were read.
+
+        :param whole_reads: of the list, as that read was sent
+        """
+        self.complete = whole_reads == self.whole_reads
+
     def list_age_s(self) -> float | None:
         """Return how long ago the list was current, in seconds.
 
--- a/src/bulrushstream/daemon/endpointlist.py
+++ b/src/bulrushstream/daemon/endpointlist.py
@@ -51,6 +51,7 @@
     # When the store last answered, on the clock that also runs while the
     # machine is suspended.
     _good_s: float = float("-inf")
+    _read_whole: bool = False  # Whether a snapshot was read before.
     _interrupted: bool = False  # Whether a read has failed since then.
     _from_peer: bool = False  # Whether a peer's list is being applied.
     # Until when entries that expired in an outage may come back.
@@ -64,6 +65,10 @@
         :param update: what was read
         """
         self.confirm()
+        if isinstance(update, Snapshot):
+            if self._read_whole:
+                self.front.streams.history.list_read_whole()
+            self._read_whole = True
         self.handle(update)
 
     def confirm(self) -> None:
--- a/src/bulrushstream/daemon/versionrecords.py
+++ b/src/bulrushstream/daemon/versionrecords.py
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class VersionRecords:
-    """Reads the records once and keeps them up to date."""
+    """Reads the records when needed and keeps them up to date."""
 
     store: KeyedStore
     topic: str
@@ -47,12 +47,10 @@
         history = self.front.streams.history
         history.on_several = self._several_seen.set
         started_s = self.front.clock()
-        loaded = False
         while True:
             try:
-                if not loaded:
+                if not history.complete:
                     await self._load()
-                    loaded = True
                 settled = self.front.clock() - started_s >= SETTLE_S
                 await self._update(settled=settled)
             except StoreError:
@@ -64,8 +62,9 @@
             self._several_seen.clear()
 
     async def _load(self) -> None:
-        """Read what served before this router started."""
+        """Read what served before, as the endpoint list does not show."""
         streams = self.front.streams
+        whole_reads = streams.history.whole_reads
         self._records, _ = await self.store.newest(self.topic)
         for service, record in self._records.items():
             if record[:1] == _ONE_PREFIX:
@@ -73,7 +72,7 @@
                 streams.history.served_before(service, version)
             elif record:
                 streams.history.told((service,), STORE)
-        streams.history.complete = True
+        streams.history.records_read(whole_reads)
         if any(map(streams.history.had_several, self._records)):
             streams.request_stored()
 
--- a/tests/crashfleets.py
+++ b/tests/crashfleets.py
@@ -78,6 +78,10 @@
         self._incarnations = [0] * plan.routers
         # When the entries changed that each router has not read yet.
         self._unread_s: list[list[float]] = [[] for _ in range(plan.routers)]
+        # Faults after which each router has read the list whole.
+        self._read_whole: list[set[RouterFault]] = [
+            set() for _ in range(plan.routers)
+        ]
         self.requests: dict[str, tuple[int, bytes]] = {}  # Router, label.
         self._loop: NetworkLoop | None = None
         self._names = 0
@@ -293,6 +297,7 @@
             )
             return
         self._unread_s[number].remove(changed_s)
+        self._note_whole(number, router.front)
         with owned_by(number):
             self._read_entry(router.front, name, self.entries.get(name))
 
@@ -314,10 +319,25 @@
         ]
         return max(0.0, max(ends_s, default=0.0) - now_s)
 
+    def _note_whole(self, number: int, front: Front) -> None:
+        """Tell a router that it reads the list whole after a fault."""
+        now_s = self.loop.time()
+        ended = {
+            fault
+            for fault in self.plan.faults
+            if fault.no_list_s
+            and number in fault.routers
+            and fault.at_s + fault.no_list_s <= now_s
+        }
+        if not ended <= self._read_whole[number]:
+            self._read_whole[number] |= ended
+            front.streams.history.list_read_whole()
+
     def _read_list(self, number: int, front: Front) -> None:
         """Confirm the endpoint list."""
         if self._blind_for_s(number):
             return
+        self._note_whole(number, front)
         read_s = self.loop.time() - LIST_DELAY_S
         front.streams.history.list_read(min([read_s, *self._unread_s[number]]))
 
@@ -333,6 +353,7 @@
         def read(entries: dict[str, EndpointEntry]) -> None:
             if front is not self.routers[number].front:
                 return
+            self._note_whole(number, front)
             for name in {*entries, *front.pool.by_name}:
                 self._read_entry(front, name, entries.get(name))
             front.streams.history.list_read(sent_s)
--- a/tests/test_versions_after_pauses.py
+++ b/tests/test_versions_after_pauses.py
@@ -58,6 +58,14 @@
         )
         check(plan, MIN_TAKE_UPS)
 
+    @pytest.mark.parametrize("seed", (1, 2, 3))
+    def test_the_list_is_read_before_a_peer_is_heard(self, seed: int) -> None:
+        """Guards against a whole list that nobody has added to yet."""
+        plan = version_that_left(
+            seed, cut_s=3.0, no_list_s=2.7, return_s=(0.6, 1.0)
+        )
+        check(plan, MIN_TAKE_UPS)
+
     @pytest.mark.parametrize("seed", (1, 2, 3))
     @pytest.mark.parametrize(
         "return_s", ((0.6, 1.2), (2.0, 2.5)), ids=("soon", "later")
