Remove the belief in any list or peer of the last seconds

`shows_one_version` took a list of up to 3.5 s ago or any peer of the last 1.2 s for what is; nothing calls it any more. Its tests ask `shows_one_version_at` at the present time. The one that expected a peer to show one version by being heard expects the opposite now, as that was the fault; the others read the list where they relied on its age.

--- a/src/bulrushstream/coordination/versionhistory.py
+++ b/src/bulrushstream/coordination/versionhistory.py
@@ -1,14 +1,10 @@
 """Whether the endpoints of a service had several software versions lately.
 
 A router that does not know where a stream began may let it go on only if no
-other version served while it may have begun.  A router *shows* that if it
-knows of one version only, and follows the endpoint list or hears a peer that
-would have told it of another one.
-
-A caller's take-up needs more: a router that stood still or was cut off does
-not know yet what has joined meanwhile.  An endpoint gets requests once it is
-listed, so a list that was read after the take-up came shows all versions at
-which the stream may have begun.
+other version served while it may have begun.  A router that stood still or was
+cut off does not know yet what has joined meanwhile.  An endpoint gets requests
+once it is listed, so a list that was read after the stream had begun *shows*
+all versions at which that may have been; what was read before shows nothing.
 """
 
 from __future__ import annotations
@@ -33,11 +29,6 @@
 # Names the endpoint list of this router among them.
 LIST: Final = "endpoint list"
 
-# The endpoint list is followed if it was confirmed this lately: two reads,
-# which wait for up to 1.5 s each, and their latency.
-LIST_AGE_S: Final = 3.5
-
-
 # While the list can not be read, a router relies on its peers if it has heard
 # them for this long without a pause: several of their heartbeats.
 IN_STEP_S: Final = 2.0
@@ -201,19 +192,6 @@
         """
         return any(self.origins_matter(each.service) for each in route.split)
 
-    def shows_one_version(self, route: Route) -> bool:
-        """Return whether all streams of a route began at the same version.
-
-        :param route: the route
-        """
-        if not self.may_show_one_version(route):
-            return False
-        now_s = self.clock()
-        return (
-            now_s - self.list_confirmed_s <= LIST_AGE_S
-            or now_s - self.peer_heard_s <= SILENT_S
-        )
-
     def may_show_one_version(self, route: Route) -> bool:
         """Return whether only the age of what is known is in question.
 
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -33,6 +33,11 @@
     return history
 
 
+def shows(history: VersionHistory, route: Route) -> bool:
+    """Return whether the list shows one version for streams until now."""
+    return history.shows_one_version_at(route, history.clock())
+
+
 def hear(history: VersionHistory, list_age_s: float | None) -> None:
     """Let a router that runs without a pause hear a peer at once."""
     history.tick()
@@ -42,11 +47,11 @@
 
 class VersionHistorySuite:
     def test_one_version_is_shown(self) -> None:
-        assert a_history(FakeClock(), "v1", "v1").shows_one_version(ROUTE)
+        assert shows(a_history(FakeClock(), "v1", "v1"), ROUTE)
 
     def test_an_unknown_version_is_another_one(self) -> None:
-        assert not a_history(FakeClock(), "v1", "").shows_one_version(ROUTE)
-        assert not a_history(FakeClock(), "").shows_one_version(ROUTE)
+        assert not shows(a_history(FakeClock(), "v1", ""), ROUTE)
+        assert not shows(a_history(FakeClock(), ""), ROUTE)
 
     def test_versions_are_remembered(self) -> None:
         clock = FakeClock()
@@ -54,49 +59,50 @@
         history.list_versions("llm", ("v2",))
         clock.advance(KEEP_S - 1.0)
         history.list_read(clock.now())
-        assert not history.shows_one_version(ROUTE)
+        assert not shows(history, ROUTE)
         clock.advance(1.5)
-        assert history.shows_one_version(ROUTE)
+        history.list_read(clock.now())
+        assert shows(history, ROUTE)
 
     def test_a_version_that_was_replaced_in_one_read(self) -> None:
         history = a_history(FakeClock(), "v1")
         history.list_versions("llm", ("v2",))
-        assert not history.shows_one_version(ROUTE)
+        assert not shows(history, ROUTE)
 
     def test_a_router_that_reads_no_list_and_hears_nobody(self) -> None:
         clock = FakeClock()
         history = a_history(clock, "v1")
         clock.advance(4.0)
-        assert not history.shows_one_version(ROUTE)
+        assert not shows(history, ROUTE)
         history.peer_heard()
-        assert history.shows_one_version(ROUTE)
+        assert not shows(history, ROUTE)
 
     def test_a_router_that_has_just_started(self) -> None:
         history = a_history(FakeClock(), "v1")
         history.complete = False
-        assert not history.shows_one_version(ROUTE)
+        assert not shows(history, ROUTE)
 
     def test_a_peer_knows_another_version(self) -> None:
         history = a_history(FakeClock(), "v1")
         history.told(("llm",), "front-2")
-        assert not history.shows_one_version(ROUTE)
+        assert not shows(history, ROUTE)
 
     def test_a_route_that_moves(self) -> None:
         clock = FakeClock()
         history = a_history(clock, "v1")
         moved = replace(ROUTE, split=a_stream_route("new").split)
         history.configure([moved])
-        assert not history.shows_one_version(moved)
+        assert not shows(history, moved)
         assert history.origins_matter("llm")
         clock.advance(KEEP_S + 1.0)
         history.list_read(clock.now())
-        assert history.shows_one_version(moved)
+        assert shows(history, moved)
 
     def test_a_route_with_several_services(self) -> None:
         history = a_history(FakeClock(), "v1")
         split = a_stream_route("llm", "new")
         history.configure([split])
-        assert not history.shows_one_version(split)
+        assert not shows(history, split)
 
 
 class RepeatSuite:
