Believe one version only by a list that can name what began the stream

Found by review. What callers saw: a stream of a process that had started again under its id, and was not listed yet, was taken up as its router ended, by a list that named the process before, and went on at another version.

Cause: a take-up asked for a list read after it came, which is enough only where ids are not used again. It still begins at once, but where ids are used again its answer is held until a list shows one version that was read a second after the take-up came.

A life proof told all streams and recorded that the router runs, from within a turn in which nothing had been read; it tells its own streams now. A late update without a version does not replace a proven one. What a take-up waits for the store counts from the end of a pause.

--- a/src/bulrushstream/coordination/streamorigins.py
+++ b/src/bulrushstream/coordination/streamorigins.py
@@ -314,6 +314,9 @@
         :param now_s: the time
         """
         for origin in update.origins:
+            if not origin.version and self.find(origin.stream, now_s):
+                # What was proven is not taken back by a late update.
+                continue
             known = KnownOrigin(origin, update.instance, now_s)
             _remember(self._told, known)
             if not origin.version:
--- a/src/bulrushstream/daemon/takeups.py
+++ b/src/bulrushstream/daemon/takeups.py
@@ -49,6 +49,7 @@
         "_timer",
         "forward",
         "front",
+        "of_only_version",
         "stream",
     )
 
@@ -69,6 +70,8 @@
         )
         self._asked_s = 0.0  # When the list or the origin was asked for.
         self._asking = False  # Whether other routers are asked.
+        # Whether it goes on as only one version is known.
+        self.of_only_version = False
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -122,6 +125,7 @@
         forward = self.forward
         history = self.front.streams.history
         forward.version = history.only_version(forward.service) or None
+        self.of_only_version = True
         forward.start_attempt()
 
     def _wait(self) -> None:
@@ -134,7 +138,8 @@
         self._timer = None
         streams, route = self.front.streams, self.forward.route
         now_s = self.front.clock()
-        asked_for_s = now_s - self._asked_s
+        counts_from_s = self.front.wakefulness.counts_from_s
+        asked_for_s = now_s - counts_from_s(self._asked_s, now_s)
         if self._shows_one_version():
             self.cancel()
             self._start_at_one_version()
@@ -392,11 +397,16 @@
     :param forward: the request
     """
     own, front = forward.own_streams, forward.front
-    return (
-        not own
-        or front.streams.origins.proven_version(own[0]) != ""
-        or _list_shows_one_version(forward, own[0].led_s)
-    )
+    if own:
+        return front.streams.origins.proven_version(
+            own[0]
+        ) != "" or _list_shows_one_version(forward, own[0].led_s)
+    if forward.take_up is None or not forward.take_up.of_only_version:
+        return True
+    # It may have begun at a process that was not listed as it was taken up.
+    return not front.pool.reuses_ids(
+        forward.service
+    ) or _list_shows_one_version(forward, forward.arrived_s)
 
 
 def is_process_shown(attempt: Attempt) -> bool:
@@ -421,15 +431,17 @@
     :param forward: the request
     """
     front, streams = forward.front, forward.own_streams
-    if is_origin_shown(forward):
+    if not streams or is_origin_shown(forward):
         return
     endpoint = streams[0].endpoint
 
     def checked(proof: Proof) -> None:
-        if proof is not Proof.NONE:
-            for own in streams:
-                own.proven = True
-            sweep(front)
+        if proof is Proof.NONE:
+            return
+        for own in streams:
+            own.proven = True
+            if front.streams.history.had_several(endpoint.entry.service):
+                front.streams.origins.tell(own, front.clock())
 
     front.life_proofs.wait(
         endpoint,
@@ -451,6 +463,8 @@
         return False
     processes = [(attempt.endpoint, attempt.led_s)]
     if not is_origin_shown(forward):
+        if not forward.own_streams:
+            return True
         own = forward.own_streams[0]
         processes.append((own.endpoint, own.led_s))
     return any(
@@ -465,9 +479,10 @@
     :param attempt: the attempt, whose answer has begun
     :returns: the event loop's time, in seconds
     """
-    led_s = attempt.led_s
-    if not is_origin_shown(attempt.forward):
-        led_s = min(led_s, attempt.forward.own_streams[0].led_s)
+    forward, led_s = attempt.forward, attempt.led_s
+    if not is_origin_shown(forward):
+        own = forward.own_streams
+        led_s = min(led_s, own[0].led_s if own else forward.arrived_s)
     return led_s + LIST_LAG_S
 
 
--- a/tests/test_versions_after_pauses.py
+++ b/tests/test_versions_after_pauses.py
@@ -13,6 +13,7 @@
     VersionPlan,
     joins_amid_take_ups,
     peer_out_of_step,
+    returns_listed_late,
     returns_while_frozen,
     version_that_left,
 )
@@ -44,6 +45,13 @@
         check(joins_amid_take_ups(seed), MIN_TAKE_UPS)
 
 
+class LateEntrySuite:
+    @pytest.mark.parametrize("seed", (1, 2, 3))
+    def test_take_ups_before_the_list_names_a_process(self, seed: int) -> None:
+        """Guards against a list that is too old for what has started."""
+        check(returns_listed_late(seed), MIN_TAKE_UPS)
+
+
 class PeerSuite:
     @pytest.mark.parametrize("seed", (1, 2, 3))
     def test_the_only_peer_is_out_of_step_too(self, seed: int) -> None:
--- a/tests/versionfleets.py
+++ b/tests/versionfleets.py
@@ -11,6 +11,7 @@
 from typing import Final, cast
 
 from bulrushstream.daemon.versionrecords import version_tasks
+from bulrushstream.state.routes import EndpointEntry
 from bulrushstream.transport.exchange import Exchange
 from tests.crashfleets import CrashFleet, StoreWork
 from tests.crashingendpoints import EVENTS, Endpoint, Link
@@ -60,6 +61,17 @@
 
     # --- Endpoints.
 
+    def _set_entry(self, name: str, entry: EndpointEntry | None) -> None:
+        """Change the endpoint list, later for the next process of an id."""
+        known, delay_s = self.entries.get(name), 0.0
+        if known is not None and entry is not None:
+            delay_s = self._plan.entry_delay_s * (known.born != entry.born)
+        if delay_s:
+            change = super()._set_entry
+            self.loop.call_later(delay_s, change, name, entry)
+        else:
+            super()._set_entry(name, entry)
+
     def _of_version(self, version: str) -> list[Endpoint]:
         """Return the ready endpoints of a version."""
         return [
--- a/tests/versionplans.py
+++ b/tests/versionplans.py
@@ -48,6 +48,8 @@
     naming: Naming = lambda stream, own_id: (first_id(stream),)
     tries: int = 3  # Of one caller for a stream.
     return_s: tuple[float, float] = (0.001, 0.02)  # To the next try.
+    # From the start of a process under a known id until it is listed.
+    entry_delay_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -179,6 +181,20 @@
     return tuple(Change(each, ChangeKind.RETURN, version) for each in at_s)
 
 
+def returns_listed_late(seed: int) -> VersionPlan:
+    """Return a run in which routers end before the list names returns."""
+    return VersionPlan(
+        changes=returns("v2", 4.0, 4.02, 4.04),
+        faults=(RouterFault(4.5, (0, 1), stops=True),),
+        seed=seed,
+        entry_delay_s=0.8,
+        streams_per_s=150.0,
+        background_per_s=0.1,
+        engines=9,
+        end_s=10.0,
+    )
+
+
 def returns_while_frozen(routers: int, seed: int) -> VersionPlan:
     """Return a run in which endpoints return while routers stand still.
 
