Move what shows the process behind an id into a module of its own

Run: test_process_gate, test_restarted_endpoints, test_kept_connections, test_stream_origins, test_route_explanations.

--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -23,9 +23,9 @@
     endcheck,
     endpointload,
     processgate,
+    processproofs,
     runwatch,
     streamchecks,
-    takeups,
 )
 from bulrushstream.daemon.lifeproof import Proof
 from bulrushstream.daemon.unframed import UnframedBody
@@ -468,13 +468,13 @@
             runwatch.run_broken(self, detail, closed_s)
         self._record_end(ran=self._head is not None)
         if broken:
-            takeups.connection_broke(self.front, self.endpoint)
+            processproofs.connection_broke(self.front, self.endpoint)
             self.count_failure()
             forward.attempt_failed(Failure.BROKEN, detail)
             return
         forward.progress.unsent += 1
         if failure is ResponseFailure.REFUSED:
-            takeups.connection_broke(self.front, self.endpoint)
+            processproofs.connection_broke(self.front, self.endpoint)
             self.front.crash_watch.add_sign(self.endpoint.name, Sign.REFUSED)
         if failure in (ResponseFailure.NOT_SENT, ResponseFailure.REFUSED):
             self.front.pool.unreachable(self.endpoint, self.front.clock())
@@ -683,12 +683,12 @@
         if forward.done:
             return
         if splitter.spoiling is not None:
-            takeups.connection_broke(self.front, self.endpoint)
+            processproofs.connection_broke(self.front, self.endpoint)
             self.count_failure()
             forward.attempt_failed(Failure.BROKEN, streamchecks.spoiled(self))
         elif splitter.mid_event:
             runwatch.run_broken(self, "the stream ended amid an event")
-            takeups.connection_broke(self.front, self.endpoint)
+            processproofs.connection_broke(self.front, self.endpoint)
             self.count_failure()
             forward.attempt_failed(
                 Failure.BROKEN, "the stream ended in the middle of an event"
--- a/src/bulrushstream/daemon/dispatch.py
+++ b/src/bulrushstream/daemon/dispatch.py
@@ -16,7 +16,13 @@
     first_admitted,
 )
 from bulrushstream.coordination.returns import returning_share_used
-from bulrushstream.daemon import evacuating, returning, safeguards, takeups
+from bulrushstream.daemon import (
+    evacuating,
+    processproofs,
+    returning,
+    safeguards,
+    takeups,
+)
 from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.state.call import Prompt
 
@@ -275,7 +281,7 @@
     if forward.resumes:
         inputs["after_event"] = forward.splitter.last_id or 0
         inputs["first_request"] = forward.call.first_request_id
-        inputs["list_age_s"] = takeups.list_age_s(front)
+        inputs["list_age_s"] = processproofs.list_age_s(front)
     if endpoint.entry.version:
         inputs["version"] = endpoint.entry.version
     front.log_decision(
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -28,6 +28,7 @@
 from bulrushstream.daemon import (
     dispatch,
     evacuating,
+    processproofs,
     returning,
     runwatch,
     safeguards,
@@ -137,9 +138,11 @@
         )
         self.streams = self.fleet_state.streams
         self.pool = self.fleet_state.pool
-        self.pool.list_confirmed_s = partial(takeups.list_confirmed_s, self)
+        self.pool.list_confirmed_s = partial(
+            processproofs.list_confirmed_s, self
+        )
         self.streams.origins.is_listed = partial(
-            takeups.is_origin_listed, self
+            processproofs.is_origin_listed, self
         )
         self.stream_patterns = StreamPatterns()
         self.answer_habits = AnswerHabits()
--- a/src/bulrushstream/daemon/platformupdates.py
+++ b/src/bulrushstream/daemon/platformupdates.py
@@ -7,7 +7,7 @@
 from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.promptmix import mixed_services
 from bulrushstream.coordination.routetable import index_routes
-from bulrushstream.daemon import runwatch, streamchecks, takeups
+from bulrushstream.daemon import processproofs, runwatch, streamchecks
 from bulrushstream.daemon.front import Front
 from bulrushstream.state.effect import Decision
 from bulrushstream.state.routes import EndpointEntry, RouteConfig
@@ -104,7 +104,7 @@
     """
     name = before.name
     ended_s = front.connections.pool_for(before).last_ended_s
-    takeups.process_replaced(front, before, after, ended_s)
+    processproofs.process_replaced(front, before, after, ended_s)
     runwatch.process_replaced(front, name)
     front.connections.remove(name)
     front.fleet_state.limits.forget(name)
--- a/src/bulrushstream/daemon/processgate.py
+++ b/src/bulrushstream/daemon/processgate.py
@@ -20,7 +20,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bulrushstream.coordination.endpointpool import LIST_LAG_S
-from bulrushstream.daemon import answerfaults, takeups
+from bulrushstream.daemon import answerfaults, processproofs
 from bulrushstream.daemon.lifeproof import Proof
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.transport.connection import (
@@ -118,9 +118,9 @@
 
     def _is_shown(self) -> bool:
         """Return whether the version of the stream and of this are known."""
-        return takeups.is_origin_shown(self._attempt.forward) and (
+        return processproofs.is_origin_shown(self._attempt.forward) and (
             self._proof is not Proof.NONE
-            or takeups.is_process_shown(self._attempt)
+            or processproofs.is_process_shown(self._attempt)
         )
 
     def _hold(self) -> None:
@@ -129,7 +129,7 @@
         self._held = []
         self._held_since_s = front.clock()
         attempt.forward.cancel_overdue_timer()
-        takeups.prove_origin(attempt.forward)
+        processproofs.prove_origin(attempt.forward)
         self._pending_proof = front.life_proofs.wait(
             attempt.endpoint,
             attempt.pool,
@@ -164,11 +164,11 @@
         late = now_s >= since_s + MAX_HOLD_S
         if self._is_shown():
             self._pass_on()
-        elif late or takeups.is_contradicted(attempt):
+        elif late or processproofs.is_contradicted(attempt):
             self.close()
             attempt.give_up_unproven()
         else:
-            if now_s >= takeups.list_needed_s(attempt):
+            if now_s >= processproofs.list_needed_s(attempt):
                 front.streams.request_list()
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(POLL_S, self._look)
@@ -187,7 +187,7 @@
             inputs={
                 "held_s": round(held_s, 3),
                 "proof": self._proof.value,
-                "list_age_s": takeups.list_age_s(attempt.front),
+                "list_age_s": processproofs.list_age_s(attempt.front),
             },
         )
         for data in held:
--- a/src/bulrushstream/daemon/takeups.py
+++ b/src/bulrushstream/daemon/takeups.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bulrushstream import messages
-from bulrushstream.coordination.endpointpool import LIST_LAG_S, Endpoint
+from bulrushstream.coordination.endpointpool import Endpoint
 from bulrushstream.coordination.streamorigins import (
     ASK_AGAIN_S,
     ASK_TIMEOUT_S,
@@ -18,27 +18,17 @@
     stream_digest,
 )
 from bulrushstream.coordination.versionhistory import STORE
-from bulrushstream.daemon.lifeproof import Proof
+from bulrushstream.daemon import processproofs
 from bulrushstream.daemon.safeguards import Refusal
 from bulrushstream.state.routes import RequestKind
 
 if TYPE_CHECKING:
-    from bulrushstream.coordination.streamorigins import OwnStream
-    from bulrushstream.daemon.attempt import Attempt
     from bulrushstream.daemon.forward import Forward
     from bulrushstream.daemon.front import Front
 
 # How long a take-up waits for the store if no router knows its stream.
 STORE_TIMEOUT_S: Final = 0.3
 
-# Bytes that arrive this long after a connection broke, on an older one, show
-# that the process lives on.
-SETTLE_S: Final = 0.15
-
-
-# Stands in the log for the age of a list that was never read.
-MAX_LOGGED_AGE_S: Final = 1e6
-
 
 class TakeUp:
     """A caller's request to go on with a stream, until its origin is known."""
@@ -218,7 +208,7 @@
         inputs: dict[str, float | int | str] = {
             "first_request": forward.call.first_request_id,
             "after_event": forward.splitter.last_id or 0,
-            "list_age_s": list_age_s(front),
+            "list_age_s": processproofs.list_age_s(front),
         }
         if known is not None:
             inputs["service"] = known.origin.service
@@ -250,7 +240,7 @@
     if forward.route.kind is not RequestKind.STREAMING:
         return
     if front.streams.history.had_several(forward.service):
-        _is_verified(front, endpoint)
+        processproofs.is_verified(front, endpoint)
         front.streams.request_sent(_digests(forward), endpoint, front.clock())
 
 
@@ -266,7 +256,7 @@
     if attempt is None or forward.route.kind is not RequestKind.STREAMING:
         return True
     streams = forward.front.streams
-    _is_verified(forward.front, attempt.endpoint)
+    processproofs.is_verified(forward.front, attempt.endpoint)
     forward.own_streams = streams.stream_began(
         forward.route,
         _digests(forward),
@@ -276,7 +266,7 @@
     )
     forward.version = attempt.endpoint.entry.version
     if streams.history.had_several(forward.service):
-        prove_origin(forward)
+        processproofs.prove_origin(forward)
     return not streams.is_disputed(forward.own_streams)
 
 
@@ -314,7 +304,9 @@
     if version is None:
         return found
     # The process of any other one is found out as it answers.
-    return [each for each in found if _is_verified(front, each)] or found
+    return [
+        each for each in found if processproofs.is_verified(front, each)
+    ] or found
 
 
 def can_go_on(forward: Forward) -> bool:
@@ -336,36 +328,6 @@
     return Refusal(messages.VERSION_GONE, final=not listed)
 
 
-def connection_broke(front: Front, endpoint: Endpoint) -> None:
-    """Record that another process may have an endpoint's id from now on.
-
-    :param front: the router
-    :param endpoint: the endpoint
-    """
-    if _is_verified(front, endpoint):
-        endpoint.unverified_s = front.clock()
-
-
-def process_replaced(
-    front: Front, before: Endpoint, after: Endpoint, ended_s: float
-) -> None:
-    """Handle an endpoint that the list names as another process.
-
-    The list lags: what began lately may be of either, and the connections
-    that ended lately may have been those of the next one already.
-
-    :param front: the router
-    :param before: the endpoint as it was listed
-    :param after: the endpoint as it is listed now
-    :param ended_s: when a connection to it last ended
-    """
-    before.replaced_s = front.clock()
-    listed_s = front.clock() - LIST_LAG_S
-    before.unverified_s = min(before.unverified_s, listed_s)
-    if ended_s > listed_s:
-        after.unverified_s = ended_s
-
-
 def sweep(front: Front) -> None:
     """Tell other routers what they miss, and forget what is old.
 
@@ -377,153 +339,6 @@
     front.streams.sweep(running, front.clock())
 
 
-def is_origin_listed(front: Front, own: OwnStream) -> bool:
-    """Return whether the process that began a stream is the listed one.
-
-    :param front: the router
-    :param own: the stream
-    """
-    endpoint = own.endpoint
-    if not front.pool.reuses_ids(endpoint.entry.service):
-        return True
-    if own.led_s <= front.pool.listed_until_s(endpoint):
-        return True
-    return not endpoint.removed and _is_listed_now(front, endpoint)
-
-
-def is_origin_shown(forward: Forward) -> bool:
-    """Return whether it is known at which version a stream began.
-
-    :param forward: the request
-    """
-    own, front = forward.own_streams, forward.front
-    if own:
-        return front.streams.origins.proven_version(
-            own[0]
-        ) != "" or _list_shows_one_version(forward, own[0].led_s)
-    if forward.take_up is None or not forward.take_up.of_only_version:
-        return True
-    # It may have begun at a process that was not listed as it was taken up.
-    return not front.pool.reuses_ids(
-        forward.service
-    ) or _list_shows_one_version(forward, forward.arrived_s)
-
-
-def is_process_shown(attempt: Attempt) -> bool:
-    """Return whether the process that answers is known to be the listed one.
-
-    :param attempt: the attempt, whose answer has begun
-    """
-    front, endpoint = attempt.front, attempt.endpoint
-    if not front.pool.reuses_ids(endpoint.entry.service):
-        # Another process would have said that it is not the expected one.
-        return True
-    if attempt.led_s <= front.pool.listed_until_s(endpoint):
-        return True
-    return _list_shows_one_version(attempt.forward, attempt.led_s)
-
-
-def prove_origin(forward: Forward) -> None:
-    """Find out whether the process that began a stream is the listed one.
-
-    Once it has ended it does not tell.
-
-    :param forward: the request
-    """
-    front, streams = forward.front, forward.own_streams
-    if not streams or is_origin_shown(forward):
-        return
-    endpoint = streams[0].endpoint
-
-    def checked(proof: Proof) -> None:
-        if proof is Proof.NONE:
-            return
-        for own in streams:
-            own.proven = True
-            if front.streams.history.had_several(endpoint.entry.service):
-                front.streams.origins.tell(own, front.clock())
-
-    front.life_proofs.wait(
-        endpoint,
-        front.connections.pool_for(endpoint),
-        front.pool.listed_until_s(endpoint),
-        front.clock() + LIST_LAG_S,
-        checked,
-        endpoint.entry.born,
-    )
-
-
-def is_contradicted(attempt: Attempt) -> bool:
-    """Return whether nothing can show any more which process answers.
-
-    :param attempt: the attempt, whose answer has begun
-    """
-    front, forward = attempt.front, attempt.forward
-    if front.streams.history.may_show_one_version(forward.route):
-        return False
-    processes = [(attempt.endpoint, attempt.led_s)]
-    if not is_origin_shown(forward):
-        if not forward.own_streams:
-            return True
-        own = forward.own_streams[0]
-        processes.append((own.endpoint, own.led_s))
-    return any(
-        endpoint.removed and led_s > front.pool.listed_until_s(endpoint)
-        for endpoint, led_s in processes
-    )
-
-
-def list_needed_s(attempt: Attempt) -> float:
-    """Return from when on a read of the list shows more of an answer.
-
-    :param attempt: the attempt, whose answer has begun
-    :returns: the event loop's time, in seconds
-    """
-    forward, led_s = attempt.forward, attempt.led_s
-    if not is_origin_shown(forward):
-        own = forward.own_streams
-        led_s = min(led_s, own[0].led_s if own else forward.arrived_s)
-    return led_s + LIST_LAG_S
-
-
-def list_confirmed_s(front: Front) -> float:
-    """Return when the last current read of the endpoint list was sent.
-
-    :param front: the router
-    :returns: the event loop's time, in seconds
-    """
-    age_s = front.boot_clock() - front.streams.history.list_confirmed_s
-    return front.clock() - age_s
-
-
-def list_age_s(front: Front) -> float:
-    """Return the age of what is known of the endpoint list, for the log.
-
-    :param front: the router
-    """
-    age_s = front.boot_clock() - front.streams.history.list_confirmed_s
-    return round(min(age_s, MAX_LOGGED_AGE_S), 3)
-
-
-def _list_shows_one_version(forward: Forward, led_s: float) -> bool:
-    """Return whether the list shows one version, whatever process answered.
-
-    :param forward: the request
-    :param led_s: since when the connection led to the process
-    """
-    front = forward.front
-    suspended_s = front.boot_clock() - front.clock()
-    return front.streams.history.shows_one_version_at(
-        forward.route, led_s + LIST_LAG_S + suspended_s
-    )
-
-
-def _is_listed_now(front: Front, endpoint: Endpoint) -> bool:
-    """Return whether an endpoint's process is known to be the listed one."""
-    pool = front.connections.pool_for(endpoint)
-    return pool.is_still_led(front.pool.listed_until_s(endpoint))
-
-
 def _required_version(forward: Forward) -> str | None:
     """Return the version of a stream; None: it has not begun.
 
@@ -532,26 +347,8 @@
     if not forward.own_streams:
         return forward.version
     front, own = forward.front, forward.own_streams[0]
-    may_be_shown = not own.endpoint.removed or is_origin_shown(forward)
+    may_be_shown = not own.endpoint.removed or processproofs.is_origin_shown(
+        forward
+    )
     one_version = front.streams.history.may_show_one_version(forward.route)
     return own.version if may_be_shown or one_version else ""
-
-
-def _is_verified(front: Front, endpoint: Endpoint) -> bool:
-    """Return whether an endpoint's process is the one that is listed."""
-    if front.pool.is_replaced(endpoint):
-        return False
-    pool = front.connections.pool_for(endpoint)
-    ended_s = pool.last_ended_s
-    if ended_s > endpoint.verified_s:
-        endpoint.unverified_s = min(endpoint.unverified_s, ended_s)
-    since_s = endpoint.unverified_s
-    if since_s == float("inf"):
-        return True
-    last_s = max(since_s, ended_s)
-    heard = pool.is_heard(since_s, last_s + SETTLE_S)
-    if not heard and list_confirmed_s(front) < last_s + LIST_LAG_S:
-        return False
-    endpoint.unverified_s = float("inf")
-    endpoint.verified_s = last_s
-    return True
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bulrushstream.daemon import platformupdates, takeups
+from bulrushstream.daemon import platformupdates, processproofs
 from bulrushstream.state.routes import EndpointEntry
 from bulrushstream.transport.connection import ResponseFailure
 from bulrushstream.transport.probe import ask_identity
@@ -186,7 +186,7 @@
             await asyncio.sleep(0.1)
             platformupdates.remove_endpoint(front, "e-1")
             removed_s.append(loop.time())
-            takeups.connection_broke(front, endpoint)
+            processproofs.connection_broke(front, endpoint)
             for _ in range(10):
                 front.connections.expire_idle()
                 await asyncio.sleep(0.5)
