Do not take the record of several versions for news as it is replaced

What callers saw: half a minute after a release the router that writes that one version serves again read the record of several first, and took it for news: for another 30 s it let no stream go on whose origin it did not know.

It reads the records now without taking them for what served, unless another router has changed them.

--- a/src/bulrushstream/daemon/versionrecords.py
+++ b/src/bulrushstream/daemon/versionrecords.py
@@ -65,14 +65,23 @@
         """Read what served before, as the endpoint list does not show."""
         streams = self.front.streams
         whole_reads = streams.history.whole_reads
+        await self._read()
+        self._apply()
+        streams.history.records_read(whole_reads)
+
+    async def _read(self) -> None:
+        """Read the records."""
         self._records, _ = await self.store.newest(self.topic)
+
+    def _apply(self) -> None:
+        """Take the records for what served until now."""
+        streams = self.front.streams
         for service, record in self._records.items():
             if record[:1] == _ONE_PREFIX:
                 version = record[1:].decode(errors="replace")
                 streams.history.served_before(service, version)
             elif record:
                 streams.history.told((service,), STORE)
-        streams.history.records_read(whole_reads)
         if any(map(streams.history.had_several, self._records)):
             streams.request_stored()
 
@@ -96,10 +105,12 @@
             known = self._records.get(service)
             if record != _SEVERAL:
                 # A router that is out of step does not know what others wrote.
-                await self._load()
-            if self._records.get(service) == known:
-                await self.store.append(self.topic, service, record)
-                self._records[service] = record
+                await self._read()
+            if self._records.get(service) != known:
+                self._apply()
+                continue
+            await self.store.append(self.topic, service, record)
+            self._records[service] = record
 
     def _is_among(self, count: int, service: str) -> bool:
         """Return whether this router is among the first writers."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -287,6 +287,22 @@
         assert play_versions(plan).crossings() == []
 
 
+class RecordSuite:
+    """The record of one version that follows that of several."""
+
+    @pytest.mark.parametrize("killed", (0, 1))
+    def test_take_ups_long_after_a_release(self, killed: int) -> None:
+        """Guards against a writer that tells itself of several versions."""
+        faults = tuple(
+            RouterFault(42.0 + 2.0 * n, (killed,)) for n in range(5)
+        )
+        plan = a_plan(*RELEASE, faults=faults, streams_per_s=15.0, end_s=56.0)
+        history = play_versions(plan)
+        check(history)
+        assert len(history.take_ups(41.0)) >= MIN_TAKE_UPS
+        assert history.went_on_share(41.0) == 1.0
+
+
 class NamingSuite:
     """What callers name as the first request of a stream."""
 
