--- a/src/bulrushstream/daemon/processproofs.py
+++ b/src/bulrushstream/daemon/processproofs.py
@@ -37,9 +37,12 @@
     endpoint = own.endpoint
     if not front.pool.reuses_ids(endpoint.entry.service):
         return True
-    if own.led_s <= front.pool.listed_until_s(endpoint):
+    listed_until_s = front.pool.listed_until_s(endpoint)
+    if own.led_s <= listed_until_s:
         return True
-    return not endpoint.removed and _is_listed_now(front, endpoint)
+    if endpoint.removed:
+        return False
+    return front.connections.pool_for(endpoint).is_still_led(listed_until_s)
 
 
 def is_origin_shown(forward: Forward) -> bool:
@@ -143,8 +146,8 @@
     :param front: the router
     :returns: the event loop's time, in seconds
     """
-    age_s = front.boot_clock() - front.streams.history.list_confirmed_s
-    return front.clock() - age_s
+    age_s = front.streams.history.list_age_s()
+    return float("-inf") if age_s is None else front.clock() - age_s
 
 
 def list_age_s(front: Front) -> float:
@@ -152,8 +155,8 @@
 
     :param front: the router
     """
-    age_s = front.boot_clock() - front.streams.history.list_confirmed_s
-    return round(min(age_s, MAX_LOGGED_AGE_S), 3)
+    age_s = front.streams.history.list_age_s()
+    return MAX_LOGGED_AGE_S if age_s is None else round(age_s, 3)
 
 
 def connection_broke(front: Front, endpoint: Endpoint) -> None:
@@ -199,12 +202,6 @@
     )
 
 
-def _is_listed_now(front: Front, endpoint: Endpoint) -> bool:
-    """Return whether an endpoint's process is known to be the listed one."""
-    pool = front.connections.pool_for(endpoint)
-    return pool.is_still_led(front.pool.listed_until_s(endpoint))
-
-
 def is_verified(front: Front, endpoint: Endpoint) -> bool:
     """Return whether an endpoint's process is the one that is listed."""
     if front.pool.is_replaced(endpoint):
