Believe short streams that may not be resumed unless something shows a cut

Cause: the last id of most streams with one limit counted as the end of all of them. A stream that may not be resumed was broken off at another one, and each such end counted 32-fold, so that what came more rarely than one in 33 was lost for ever. A limit is a maximum: a rare length alone is no fault.

Change: the end itself is looked at. Behind an odd end in good framing the router watches the connection for twice the stream's longest pause (0.1 to 1 s). A sound endpoint leaves it open and silent; one that cut the stream writes on, or closes it without having announced that. A close tells nothing where it is usual, or if the process ends or leaves; another response shows that the stream before it was over. An odd end that only the connection shows is broken off if odd ends are rarer among streams with a framing. At an endpoint that spoiled an answer in the last 30 s odd ends are broken off as before. As a doubt costs a sound stream but a short wait, 8 alike ends suffice for one in place of 32.

Tests: test_one_that_may_not_go_on_is_broken_off asked for the break-off at any odd end in good framing. It asks now for each cut that its connection shows, from the endpoint's first one on; the end without a framing is as it was. test_few_whole_streams_are_lost allowed 2 in 100; in its place test_none_is_lost allows none, in plays of the whole router. test_shorter_streams_are_learned allowed 2 lost streams; in its place test_all_become_shorter allows none, and the old one bounds what distrusted endpoints lose.

--- a/src/bulrushstream/coordination/streamends.py
+++ b/src/bulrushstream/coordination/streamends.py
@@ -22,10 +22,9 @@
 OTHER_COST: Final = 3
 REFUTED_FACTOR: Final = 4
 
-# The same for streams that may not be resumed.  The score falls if more than
-# one end in 33 is another, and then no end is odd.
+# The same where an odd end loses the stream, as its endpoint is distrusted and
+# no other may be asked.
 MIN_ALIKE_FOR_GOOD: Final = 32
-OTHER_COST_FOR_GOOD: Final = 32
 
 # The kinds of streams that are remembered, the last ones.
 MAX_KINDS: Final = 512
@@ -62,7 +61,6 @@
     value: int | bytes | None
     score: int = 0
     needed: int = MIN_ALIKE
-    score_for_good: int = 0
 
     def is_known(self, *, resumable: bool, distrusted: bool) -> bool:
         """Return whether enough were alike.
@@ -72,13 +70,14 @@
         """
         if resumable:
             return self.score >= self.needed
-        if distrusted and self.score >= self.needed_for_good:
-            return True
-        return self.score_for_good >= self.needed_for_good
+        # A wrong doubt costs a sound endpoint's stream but a short wait.
+        return self.score >= (
+            self.needed_for_good if distrusted else MIN_ALIKE
+        )
 
     @property
     def needed_for_good(self) -> int:
-        """Return how many must be alike where odd ends can't be checked."""
+        """Return how many must be alike where an odd end is not believed."""
         return max(self.needed, MIN_ALIKE_FOR_GOOD)
 
     def add(self, value: int | bytes | None) -> None:
@@ -89,22 +88,15 @@
         if value == self.value:
             most = 2 * self.needed_for_good
             self.score = min(self.score + 1, most)
-            self.score_for_good = min(self.score_for_good + 1, most)
-            return
-        self.count_odd()
-        if self.score >= OTHER_COST:
+        elif self.score >= OTHER_COST:
             self.score -= OTHER_COST
         else:
-            self.value, self.score, self.score_for_good = value, 1, 1
-
-    def count_odd(self) -> None:
-        """Record another end than the usual one, whole or cut."""
-        self.score_for_good = max(0, self.score_for_good - OTHER_COST_FOR_GOOD)
+            self.value, self.score = value, 1
 
     def refute(self) -> None:
         """Learn for longer, as an odd end turned out to be whole."""
         self.needed = min(REFUTED_FACTOR * self.needed, MAX_ALIKE)
-        self.score = self.score_for_good = 0
+        self.score = 0
 
 
 @dataclass(slots=True)
@@ -158,7 +150,7 @@
         self._add((end.service, None), end.last_event, odd)
 
     def add_broken(self, end: StreamEnd) -> None:
-        """Record an odd end for which a stream was broken off.
+        """Record an odd end that was not believed, and may yet be whole.
 
         Otherwise a service whose streams became shorter would lose them all.
 
@@ -170,7 +162,6 @@
         ):
             habit = self._habits.get(key)
             if habit is not None and habit.value != value:
-                habit.count_odd()
                 habit.score = max(0, habit.score - OTHER_COST)
 
     def _add(
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -38,6 +38,7 @@
 from bulrushstream.state.excess import Excess, ExcessReason, PeerKind
 from bulrushstream.state.memorybudget import Account
 from bulrushstream.transport.connection import (
+    Connection,
     PendingRequest,
     ResponseFailure,
 )
@@ -94,6 +95,7 @@
         "_writer",
         "began_s",
         "end_kind",
+        "ended_connection",
         "endpoint",
         "forward",
         "front",
@@ -145,6 +147,8 @@
         self._end = ""  # How the answer ended, for the log; empty: not yet.
         # What the end of a stream told, for the log; None: it was not judged.
         self.end_kind: EndKind | None = None
+        # What its whole answer arrived on; None: none did, or it is gone.
+        self.ended_connection: Connection | None = None
         # What proved that the answer's process outlived its connection, and
         # how long after the end; None: it was not looked for.
         self._proof: Proof | None = None
@@ -741,6 +745,8 @@
 
         :param ran: whether there is a sign that the endpoint worked on it
         """
+        if self._pending is not None:
+            self.ended_connection = self._pending.connection
         self._pending = None
         self._keep(0)
         if not ran:
--- a/src/bulrushstream/daemon/endcheck.py
+++ b/src/bulrushstream/daemon/endcheck.py
@@ -5,10 +5,17 @@
 `coordination.streamends`, and any of an endpoint that just spoiled another
 answer.  A stream that may be resumed is checked:
 another attempt goes on at its last event, and a whole one has nothing to add.
-If the attempts show neither, the end is believed unless it is odd.
+If the attempts show neither, the end is believed unless it is odd: the caller
+may go on, too.
+
+Nobody can check a stream that may not be resumed.  An unusual length alone is
+no fault there: an odd end is believed unless its endpoint spoiled an answer
+lately, something follows it on its connection, see `endwatch`, or only its
+connection shows it and odd ends are rarer otherwise, see
+`coordination.endsigns`.
 
 An end that only its connection shows counts as odd, too, at an endpoint that
-tells the ends of its other streams.
+tells the ends of its other streams, and is not believed there.
 
 A check is a retry.  Checks leave a part of the budget to retries of what has
 failed, a smaller one where an endpoint is known to cut streams, and become
@@ -19,11 +26,14 @@
 
 import asyncio
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from bulrushstream.coordination.forwarding import Failure, overdue_delay_s
-from bulrushstream.coordination.streamends import EndKind
-from bulrushstream.daemon import takeups
+from bulrushstream.coordination.streamends import EndKind, StreamEnd
+from bulrushstream.daemon import answerfaults, takeups
+from bulrushstream.daemon.endwatch import EndWatch, watch_usual
+from bulrushstream.state.eventlines import has_standard_fields
 from bulrushstream.state.events import MAX_EVENT_BYTES
 
 if TYPE_CHECKING:
@@ -53,6 +63,7 @@
 
 # Why an odd end that could not be checked counts as a failure, for the log.
 ODD_END: Final = "the stream ended before others of its kind do"
+CUT_END: Final = "the stream was cut, as its connection shows"
 UNTOLD_END: Final = "only its connection ended the stream, unlike others"
 
 # A check ends this long before the deadline, and begins only with more time.
@@ -244,6 +255,9 @@
         forward.end_check = None
         forward.attempt = self._attempt
         checked = outcome == NOTHING_TO_ADD
+        if checked and self._framed and self._fault:
+            signs = self._attempt.front.end_signs
+            signs.add_end(forward.service, framed=True, odd=True)
         self._attempt.end_stream(self._head, checked=checked)
 
     def _log(self, outcome: str, detail: str) -> None:
@@ -269,16 +283,17 @@
     resumable = forward.route.repeatable
     distrusted = _is_distrusted(attempt)
     ends, end = attempt.front.stream_ends, forward.stream_end()
-    kind = ends.kind_of(end, resumable=resumable, distrusted=distrusted)
+    kind = ends.kind_of(end, resumable=resumable)
     attempt.end_kind = kind
     odd, untold = kind is EndKind.ODD, attempt.lacks_usual_end
+    if kind is EndKind.USUAL:
+        _learn_usual(attempt, framed=framed)
     if kind is EndKind.USUAL or (framed and not odd and not distrusted):
         return False
     fault = ODD_END if odd else UNTOLD_END if untold else ""
     if not resumable:
-        # Believed, it would give the caller a wrong answer.
-        if odd:
-            ends.add_broken(end)
+        if odd and not untold:
+            return _judge_odd(attempt, head, framed=framed)
         return _is_failed(forward, fault)
     splitter = forward.splitter
     if fault and not splitter.event_count:
@@ -314,6 +329,66 @@
     return bool(fault)
 
 
+def _learn_usual(attempt: Attempt, *, framed: bool) -> None:
+    """Learn what is usual around the ends of a service's streams.
+
+    :param attempt: the attempt, whose stream ended as usual
+    :param framed: whether more than its connection shows that
+    """
+    front, forward = attempt.front, attempt.forward
+    if framed and attempt.ended_connection is not None:
+        watch_usual(front, forward.service, attempt.ended_connection)
+    if framed or not forward.route.repeatable:
+        front.end_signs.add_end(forward.service, framed=framed, odd=False)
+
+
+def _judge_odd(attempt: Attempt, head: AnswerHead, *, framed: bool) -> bool:
+    """Judge an odd end of a stream that may not be resumed.
+
+    :param attempt: the attempt, whose answer ended
+    :param head: the head of its answer
+    :param framed: whether more than its connection shows that
+    :returns: whether the end is not believed, or not yet
+    """
+    forward, connection = attempt.forward, attempt.ended_connection
+    end, signs = forward.stream_end(), attempt.front.end_signs
+    doubtful = _is_distrusted(attempt)
+    if not framed:
+        signs.add_end(forward.service, framed=False, odd=True)
+        doubtful |= signs.is_unframed_suspicious(forward.service)
+    if doubtful and _is_odd_at_distrusted(attempt, end):
+        # Believed, it would give the caller a wrong answer.
+        attempt.front.stream_ends.add_broken(end)
+        return _is_failed(forward, ODD_END)
+    if not framed or connection is None or connection.has_bytes_behind:
+        # What came together with it can not be its rest.
+        return False
+    watch = EndWatch(attempt, connection, partial(_end_watched, attempt, head))
+    forward.end_watch = watch
+    return True
+
+
+def _end_watched(attempt: Attempt, head: AnswerHead, result: str) -> None:
+    """End a stream by what followed it on its connection.
+
+    :param attempt: the attempt, whose answer ended
+    :param head: the head of its answer
+    :param result: what shows that it was cut; empty: nothing
+    """
+    front, forward = attempt.front, attempt.forward
+    forward.end_watch = None
+    try:
+        if result:
+            attempt.endpoint.spoiled_s = front.clock()
+            attempt.count_failure()
+            forward.attempt_failed(Failure.BROKEN, f"{CUT_END}: {result}")
+        else:
+            front.end_signs.add_end(forward.service, framed=True, odd=True)
+            attempt.end_stream(head)
+    except Exception as error:
+        answerfaults.end_broken(forward, error)
+
+
 def is_cut_at_held(attempt: Attempt) -> bool:
     """Return whether a stream ends oddly, with an event that has no id.
 
@@ -322,21 +397,34 @@
 
     :param attempt: the attempt, whose answer ended
     """
-    forward, front = attempt.forward, attempt.front
-    if not forward.splitter.holds_without_id:
+    forward, ends = attempt.forward, attempt.front.stream_ends
+    held = forward.splitter.held_without_id
+    if held is None:
         return False
     # The held event is not among those relayed, so only ids are compared.
     end = replace(forward.stream_end(), last_event=b"")
-    resumable = forward.route.repeatable
-    kind = front.stream_ends.kind_of(
-        end, resumable=resumable, distrusted=_is_distrusted(attempt)
-    )
-    odd = kind is EndKind.ODD
-    if odd and not resumable:
-        front.stream_ends.add_broken(end)
+    if forward.route.repeatable:
+        return ends.kind_of(end) is EndKind.ODD
+    if has_standard_fields(held) and not _is_distrusted(attempt):
+        # Its id is not damaged; what follows it is looked at.
+        return False
+    odd = _is_odd_at_distrusted(attempt, end)
+    if odd:
+        ends.add_broken(end)
     return odd
 
 
+def _is_odd_at_distrusted(attempt: Attempt, end: StreamEnd) -> bool:
+    """Return whether an end is odd enough not to be believed unchecked.
+
+    :param attempt: the attempt, whose answer ended
+    :param end: its end
+    """
+    ends = attempt.front.stream_ends
+    kind = ends.kind_of(end, resumable=False, distrusted=True)
+    return kind is EndKind.ODD
+
+
 def _is_distrusted(attempt: Attempt) -> bool:
     """Return whether an attempt's endpoint spoiled an answer lately."""
     endpoint = attempt.endpoint
@@ -345,11 +433,14 @@
 
 
 def is_ended(forward: Forward, detail: str) -> bool:
-    """End the check of a request's stream; return whether that ended, too.
+    """End the check or watch of a stream's end; return if the request ended.
 
     :param forward: the request
     :param detail: why it is not known if the stream is whole, for the log
     """
+    if forward.end_watch is not None:
+        forward.end_watch.stop(detail)
+        return True
     check = forward.end_check
     if check is None or check.drop(detail):
         return False
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -42,6 +42,7 @@
     from bulrushstream.coordination.returns import Promise
     from bulrushstream.coordination.streamorigins import OwnStream
     from bulrushstream.daemon.endcheck import EndCheck
+    from bulrushstream.daemon.endwatch import EndWatch
     from bulrushstream.daemon.front import Front
 
 # Subtracted from the caller's timeout, to leave time for the way back.
@@ -68,10 +69,12 @@
         "done",
         "doubts",
         "end_check",
+        "end_watch",
         "exchange",
         "first_event_s",
         "front",
         "last_events",
+        "longest_pause_s",
         "on_trial",
         "own_streams",
         "progress",
@@ -143,7 +146,10 @@
         self.stream_writer: BodyWriter | None = None
         # Whether the stream is whole is found out; None: it is not asked.
         self.end_check: EndCheck | None = None
+        # What follows its end is watched; None: it is not.
+        self.end_watch: EndWatch | None = None
         self.first_event_s = 0.0  # When it arrived; 0: none yet.
+        self.longest_pause_s = 0.0  # Between events that were relayed.
         self.last_events = b""  # Those that were relayed last.
         self.done = False
         self._fingerprint = 0  # 0: not computed yet.
@@ -249,8 +255,11 @@
         :param events: complete events that the caller does not have yet
         :param now_s: the time
         """
+        self.longest_pause_s = max(
+            self.longest_pause_s, now_s - self._progress_s
+        )
         if not self.first_event_s:
-            self.first_event_s = now_s
+            self.longest_pause_s, self.first_event_s = 0.0, now_s
             if not takeups.stream_began(self, now_s):
                 self._cancel_attempt()
                 self.front.log_decision(
@@ -454,6 +463,9 @@
         if self.end_check is not None:
             self.end_check.cancel()
             self.end_check = None
+        if self.end_watch is not None:
+            self.end_watch.cancel()
+            self.end_watch = None
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
             self._deadline_timer = None
--- a/src/bulrushstream/daemon/front.py
+++ b/src/bulrushstream/daemon/front.py
@@ -17,6 +17,7 @@
 from bulrushstream.coordination.answerhabits import AnswerHabits, FramingHabits
 from bulrushstream.coordination.crashevidence import BrokenRun
 from bulrushstream.coordination.endpointpool import Endpoint
+from bulrushstream.coordination.endsigns import EndSigns
 from bulrushstream.coordination.fleetview import FleetView
 from bulrushstream.coordination.freshness import Freshness
 from bulrushstream.coordination.looplag import LoopLag
@@ -192,6 +193,7 @@
             self.wakefulness,
         )
         self.stream_ends = StreamEnds()
+        self.end_signs = EndSigns()
         self.limits = IngressLimits(
             connections=max(64, settings.max_descriptors // 2),
             buffered_bytes=int(
--- a/src/bulrushstream/history/keptconnection.py
+++ b/src/bulrushstream/history/keptconnection.py
@@ -14,7 +14,7 @@
 from bulrushstream.transport.readturns import ReadTurns
 
 
-class _Transport(asyncio.Transport):
+class KeptTransport(asyncio.Transport):
     """Takes the bytes that the router writes."""
 
     def __init__(self) -> None:
@@ -48,7 +48,7 @@
         self.clock = clock
         self.turns = ReadTurns()
         self.memory = None
-        self._transport = _Transport()
+        self._transport = KeptTransport()
         self._connection = Connection(self)
         self._connection.connection_made(self._transport)
 
--- a/src/bulrushstream/state/eventlines.py
+++ b/src/bulrushstream/state/eventlines.py
@@ -21,6 +21,7 @@
 _FIELD: Final = re.compile(rb"[A-Za-z][A-Za-z0-9_.-]{0,63}")
 # What an event without data may consist of, beside comments.
 _WITHOUT_DATA: Final = frozenset((b"event", b"retry"))
+_STANDARD: Final = _WITHOUT_DATA | {b"data"}
 # Bytes of a line's value, without those.
 _VALUE: Final = rb"[^\x00-\x08\x0a-\x1f\x7f]*"
 # Follows the name of a field whose value is unusual; no name contains it.
@@ -133,6 +134,17 @@
     return all(map(_FIELD.fullmatch, names))
 
 
+def has_standard_fields(event: bytes) -> bool:
+    """Return whether an event has only fields that all services may write.
+
+    An id with one damaged byte is none of them.
+
+    :param event: an event without an id
+    """
+    lines = [line for line in event.splitlines() if line]
+    return {line.partition(b":")[0] for line in lines} <= _STANDARD
+
+
 def is_text(data: bytes) -> bool:
     """Return whether bytes are text in UTF-8, as that of event streams is.
 
--- a/src/bulrushstream/state/events.py
+++ b/src/bulrushstream/state/events.py
@@ -158,9 +158,11 @@
         return bool(self._held) and (self._run_id >= 0 or not self.event_count)
 
     @property
-    def holds_without_id(self) -> bool:
-        """Return whether the last event is held back and has no id."""
-        return self.holds and self._held[-1].number is None
+    def held_without_id(self) -> bytes | None:
+        """Return the last event if it is held back and has no id."""
+        if not self.holds or self._held[-1].number is not None:
+            return None
+        return self._held[-1].data
 
     def release(self) -> bytes:
         """Return the events that were held back, as no other follows."""
--- a/src/bulrushstream/transport/connection.py
+++ b/src/bulrushstream/transport/connection.py
@@ -11,8 +11,8 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from enum import IntEnum
-from typing import Final, Protocol
+from enum import IntEnum, StrEnum
+from typing import Final, Protocol, TypeAlias
 
 import httptools
 
@@ -21,6 +21,7 @@
 from bulrushstream.state.memorybudget import Account, MemoryBudget
 from bulrushstream.transport.framing import (
     FALSE_END,
+    NEXT_CHUNK,
     Framing,
     framing_of,
     head_fault,
@@ -87,6 +88,19 @@
     BROKEN = 3  # Connection lost, or an invalid response.
 
 
+class Following(StrEnum):
+    """What follows a complete response on its connection."""
+
+    BYTES = "bytes"  # They may be its rest.
+    CLOSE = "close"  # The peer closed it without having announced that.
+    # Another response, bytes that can not be its rest, or an end that this
+    # side or the response announced.
+    UNRELATED = "unrelated"
+
+
+FollowingHandler: TypeAlias = Callable[[Following], None]
+
+
 class Sink(Protocol):
     """Supplies a request and receives its response."""
 
@@ -169,6 +183,11 @@
         self._framing = Framing.LENGTH  # Of the last response.
         # Whether the response has ended amid the bytes that are parsed.
         self._complete = False
+        # Whether more was read together with the end of the response.
+        self.has_bytes_behind = False
+        # Is told what follows the last response; None: nobody is.
+        self._on_following: FollowingHandler | None = None
+        self._reserved = False  # Whether it is kept from other requests.
         self._ends_with_close = False
         self._ends_early = False  # Whether it ended amid the request.
         self._keep_alive = True
@@ -286,12 +305,46 @@
         assert self._transport is not None
         self._overhead_bytes = 0
         self._interim_count = self._discarded_count = 0
-        self._complete = False
+        self._complete = self.has_bytes_behind = False
+        self._on_following = None
         self._in_head = True
         self._sink = sink
         self._method = method
         self._transport.write(payload)
 
+    def watch_following(
+        self, handler: FollowingHandler, *, reserve: bool
+    ) -> None:
+        """Report what follows the response that just ended, once at most.
+
+        It ends with the next request.  Called by the sink's `end`.
+
+        :param handler: is told what follows
+        :param reserve: whether the connection takes no other request until
+            `stop_watching`
+        """
+        self._on_following = handler
+        self._reserved = reserve
+
+    def stop_watching(self, handler: FollowingHandler) -> None:
+        """Report nothing more, and allow requests on the connection.
+
+        :param handler: that of the watch; nothing is done if it has ended
+        """
+        if self._on_following != handler:
+            return
+        self._on_following = None
+        if self._reserved:
+            self._reserved = False
+            self._leave_response()
+
+    def _report_following(self, following: Following) -> None:
+        """Tell what follows the last response to whoever wants to know."""
+        handler, self._on_following = self._on_following, None
+        self._reserved = False
+        if handler is not None:
+            handler(following)
+
     def pause_reading(self) -> None:
         """Read no more until `resume_reading` or the end of the response."""
         if self._transport is not None and not self.paused:
@@ -367,8 +420,10 @@
         )
         self._sink = None
         if sink is None:
-            return
-        if ends_response:
+            self._report_following(
+                Following.UNRELATED if self._unusable else Following.CLOSE
+            )
+        elif ends_response:
             sink.end(framed=False)
         else:
             why = "request not taken" if self._ends_early else exc
@@ -397,9 +452,14 @@
             self._empty_s = float("-inf")
         if self._sink is None:
             begin = bytes(data[:_MAX_BLANK]).lstrip(b"\r\n")[: len(_HTTP)]
+            following = Following.UNRELATED
             if not _HTTP.startswith(begin):
                 self._owner.spoiled()
+                chunks = self._framing is Framing.CHUNKS
+                if not chunks or NEXT_CHUNK.match(data):
+                    following = Following.BYTES
             self.close()
+            self._report_following(following)
             return
         self._overhead_bytes += len(data)
         try:
@@ -430,7 +490,7 @@
             begins_response = self._headers or isinstance(
                 why, httptools.HttpParserInvalidStatusError
             )
-            self._unusable = True
+            self._unusable = self.has_bytes_behind = True
             is_whole = begins_response or (
                 self._framing is Framing.CHUNKS
                 and not FALSE_END.search(bytes(data))
@@ -452,7 +512,7 @@
         self._header_count = 0
         self._in_head = True
         if self._sink is None or self._complete:
-            self._unusable = True
+            self._unusable = self.has_bytes_behind = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header, or count a trailer; called by the parser."""
@@ -527,7 +587,14 @@
             self._unusable = True
         if sink is not None:
             sink.end()
-        if self._unusable:
+        if self._reserved:
+            self.resume_reading()
+        else:
+            self._leave_response()
+
+    def _leave_response(self) -> None:
+        """Return the connection to the pool after a response, or close it."""
+        if self.is_closed:
             self.close()
         else:
             self.resume_reading()
--- a/src/bulrushstream/transport/framing.py
+++ b/src/bulrushstream/transport/framing.py
@@ -26,6 +26,9 @@
     rb"(?:(?:0|\A)\r\n\r\n|\A\n\r\n|\A\r?\n)[0-9A-Fa-f]+(?:\r\n|\r\Z)"
 )
 
+# How bytes behind a last chunk begin if the body goes on.
+NEXT_CHUNK: Final = re.compile(rb"[\r\n]*[0-9A-Fa-f]+(?:[;\r]|\Z)")
+
 
 class Framing(StrEnum):
     """How the end of a response is shown."""
--- a/tests/checkedstreams.py
+++ b/tests/checkedstreams.py
@@ -38,6 +38,9 @@
     more: bytes = b""  # Follows the events.
     first_bytes: int = 0  # Of the body that come alone; 0: all in one piece.
     pause_s: float = WORK_S  # Before the rest of it.
+    behind: bytes = b""  # Is written behind an answer that is over.
+    closes: bool = False  # Whether its connection ends there in order.
+    behind_s: float = 0.05  # How long after the end both of these come.
 
 
 @dataclass(slots=True)
@@ -131,6 +134,16 @@
             self._transport.end(ConnectionResetError("reset by peer"))
         elif not answer.framed:
             self._transport.end(None)
+        elif answer.behind or answer.closes:
+            loop = asyncio.get_running_loop()
+            loop.call_later(answer.behind_s, self._follow, answer)
+
+    def _follow(self, answer: Answer) -> None:
+        """Write or close behind an answer that is over."""
+        if answer.behind:
+            self._transport.send(answer.behind)
+        if answer.closes:
+            self._transport.end(None)
 
 
 @dataclass(slots=True)
