Do not pass on refusals of requests that may have run

Cause: decide_retry relays any server error of an endpoint, and Attempt any status below 500 as an answer. Neither asks whether the endpoint stated that it did not run the request, without which the status promises too much.

Change: 408, 421, 429 and 503 without the statement end in a 502 of the router (B137) where the request may not be repeated, decided at the one place where whole answers end: for all framings, long bodies, the last of several attempts. The signature may not stand beside another status, so the answer is the router's own and promises nothing. The log names endpoint, status and reason. The endpoint counts as failing unless it asks for rest. On the own interface, which tells by a header whether a request ran, Retry-After beside such a status is dropped.

Random histories answer failed runs so, too, without other random numbers. Their check allowed no such status for what ran. RULES.md has it for requests that are not idempotent, so where the request may be repeated it allows the endpoint's own, signed status. A mutation that passes refusals on is found.

--- a/src/bulrushstream/coordination/forwarding.py
+++ b/src/bulrushstream/coordination/forwarding.py
@@ -3,6 +3,10 @@
 An *attempt* sends a request to one endpoint.  The caller gets "not run"
 only if no byte of any attempt may have been sent, or the endpoint itself
 reported that it did not run the request.
+
+Some statuses promise the same.  An endpoint that answers with one, but does
+not report that, may have run the request.  A caller who must not repeat it
+would take the status for the promise, and gets another one.
 """
 
 from __future__ import annotations
@@ -12,6 +16,7 @@
 from enum import IntEnum
 from typing import Final
 
+from bulrushstream.state.call import AnswerHead
 from bulrushstream.state.routes import RequestKind, Route
 
 
@@ -23,6 +28,7 @@
     NOT_EXECUTED = 3  # The endpoint reported that it did not run it.
     BROKEN = 4  # It was sent, and no complete answer arrived.
     ERROR = 5  # The endpoint answered with a server error.
+    FALSE_REFUSAL = 6  # See `is_false_refusal`.
 
 
 class RetryDecision(IntEnum):
@@ -34,6 +40,10 @@
     RELAY = 4  # Pass the endpoint's error on to the caller.
 
 
+# Statuses that promise that the request has not run and never will.
+NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
+
+
 @dataclass(slots=True)
 class Progress:
     """The attempts of one request so far."""
@@ -91,6 +101,19 @@
     )
 
 
+def is_false_refusal(route: Route, head: AnswerHead) -> bool:
+    """Return whether an answer's status promises too much to be passed on.
+
+    :param route: the request's route
+    :param head: the head of an endpoint's answer
+    """
+    return (
+        head.status in NOT_RUN_STATUSES
+        and not head.not_executed
+        and not route.repeatable
+    )
+
+
 def overdue_delay_s(route: Route, *, stream_begun: bool) -> float:
     """Return after which time without progress an endpoint is overdue.
 
--- a/src/bulrushstream/daemon/attempt.py
+++ b/src/bulrushstream/daemon/attempt.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bulrushstream.coordination.endpointpool import Endpoint
-from bulrushstream.coordination.forwarding import Failure
+from bulrushstream.coordination.forwarding import Failure, is_false_refusal
 from bulrushstream.coordination.streamends import EndKind
 from bulrushstream.daemon import (
     answerfaults,
@@ -362,6 +362,8 @@
         forward = self.forward
         if self._unattributed or head.not_executed:
             return False
+        if is_false_refusal(forward.route, head):
+            return False
         if not _is_relayable(head) or forward.splitter.mid_event:
             return False
         goes_on = head.event_stream and head.status == 200
@@ -438,6 +440,14 @@
             forward.attempt_failed(
                 Failure.BROKEN, "the answer is unsigned or encoded"
             )
+        elif is_false_refusal(forward.route, head):
+            if not head.rest_s:
+                self.count_failure()
+            forward.attempt_failed(
+                Failure.FALSE_REFUSAL,
+                f"status {head.status} promises that it did not run the "
+                "request, which the endpoint does not state",
+            )
         elif head.status >= 500:
             # An endpoint that asks for rest has not failed.
             if not head.rest_s:
@@ -597,7 +607,11 @@
         if self._body_bytes <= MAX_BUFFERED_BYTES:
             self._keep(self._body_bytes)
             return
-        if head.not_executed or self._unattributed:
+        if (
+            head.not_executed
+            or self._unattributed
+            or is_false_refusal(self.forward.route, head)
+        ):
             # Its body does not matter.
             self._close()
             self.end()
--- a/src/bulrushstream/daemon/forward.py
+++ b/src/bulrushstream/daemon/forward.py
@@ -345,7 +345,10 @@
             assert attempt is not None
             attempt.relay("endpoint_error")
         elif verdict is RetryDecision.FAIL:
-            self._answer_notice(messages.ENDPOINT_LOST, Outcome.UNKNOWN)
+            notice = messages.ENDPOINT_LOST
+            if failure is Failure.FALSE_REFUSAL:
+                notice = messages.FALSE_REFUSAL
+            self._answer_notice(notice, Outcome.UNKNOWN)
         else:
             self._answer_notice(messages.NO_CAPACITY, Outcome.NOT_RUN)
 
--- a/src/bulrushstream/history/routingcheck.py
+++ b/src/bulrushstream/history/routingcheck.py
@@ -9,6 +9,7 @@
 
 from bulrushstream.history.routingendpoint import (
     EVENTS,
+    SIGNED,
     event_of,
     long_part_of,
 )
@@ -196,6 +197,7 @@
         reply.status in NOT_EXECUTED_STATUSES
         and executed
         and not reply.aborted
+        and not _is_endpoints_own_error(reply)
     ):
         found.append(
             (
@@ -208,6 +210,14 @@
     return found
 
 
+def _is_endpoints_own_error(reply: Reply) -> bool:
+    """Return whether a caller who may repeat gets an endpoint's status."""
+    kind, _, resumable, _ = ROUTES[reply.request.route]
+    head, _, _ = reply.data.partition(b"\r\n\r\n")
+    signed = b"%b: %b" % SIGNED in head.split(b"\r\n")
+    return signed and (kind is RequestKind.IDEMPOTENT or resumable)
+
+
 def _check_body(request_id: str, reply: Reply) -> list[_Finding]:
     """Report a body of status 200 that is not the expected one.
 
--- a/src/bulrushstream/history/routingendpoint.py
+++ b/src/bulrushstream/history/routingendpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from collections.abc import Callable
 from random import Random
 from typing import Final, Protocol
@@ -27,6 +28,8 @@
     AttemptFault.ERROR: 500,
     AttemptFault.DENIED: 404,
 }
+# A failed run may be answered with a status that promises that it did not run.
+ERROR_STATUSES: Final = (500, 503, 429, 408)
 SIGNED: Final = (b"signature", b"yes")
 
 
@@ -208,6 +211,10 @@
         self, sink: Sink, request_id: str, fault: AttemptFault, kind: bytes
     ) -> None:
         status = STATUSES.get(fault, 200)
+        if fault is AttemptFault.ERROR:
+            # No random number, so that seeds keep their histories.
+            turn = zlib.crc32(request_id.encode()) % len(ERROR_STATUSES)
+            status = ERROR_STATUSES[turn]
         headers = [(b"id", request_id.encode()), (b"kind", kind)]
         if fault in (AttemptFault.BUSY, AttemptFault.REST):
             headers.append((b"not-executed", b"yes"))
--- a/src/bulrushstream/history/routingplan.py
+++ b/src/bulrushstream/history/routingplan.py
@@ -26,7 +26,9 @@
     NONE = "none"  # A complete, correct answer.
     REFUSED = "refused"  # The connection is refused.
     BUSY = "busy"  # An answer that says that the request was not run.
-    ERROR = "error"  # Status 500 from the endpoint.
+    # Status 500 from the endpoint, or one that falsely promises that the
+    # request was not run.
+    ERROR = "error"
     DENIED = "denied"  # Status 404 from the endpoint.
     BREAK = "break"  # The connection breaks in the middle of the answer.
     SILENT = "silent"  # No answer.
--- a/src/bulrushstream/messages.py
+++ b/src/bulrushstream/messages.py
@@ -119,6 +119,9 @@
 ENDPOINTS_COLD: Final = Notice(
     "B136", "Every endpoint that could serve the request is cold.", 503
 )
+FALSE_REFUSAL: Final = Notice(
+    "B137", "The endpoint refused the request and may have run it.", 502
+)
 
 UNKNOWN_KEY: Final = Notice("B201", "Unknown key {key!r}.")
 MISSING_KEY: Final = Notice("B202", "Missing key {key!r}.")
--- a/src/bulrushstream/transport/answering.py
+++ b/src/bulrushstream/transport/answering.py
@@ -24,6 +24,7 @@
 from typing import Any, Final
 
 from bulrushstream import messages
+from bulrushstream.coordination.forwarding import NOT_RUN_STATUSES
 from bulrushstream.state.effect import FailRequest, Reply
 from bulrushstream.state.events import split_done
 from bulrushstream.state.message import Part, PartKind
@@ -49,6 +50,7 @@
 MAX_WHOLE_BYTES: Final = 4 << 20  # For callers of HTTP/1.0.
 EVENT_STREAM: Final = "text/event-stream"
 EXECUTION_COMMENT: Final = b": bulrushstream-execution "
+RETRY_AFTER: Final = "retry-after"
 _BODILESS: Final = frozenset({204, 304})
 
 
@@ -268,10 +270,12 @@
     if state.head_sent:
         return
     state.head_sent = True
+    # The endpoint ran the request; its caller is not to send it again.
+    dropped = RETRY_AFTER if head.status in NOT_RUN_STATUSES else ""
     headers = [
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in head.headers
-        if is_forwarded(name.lower())
+        if is_forwarded(name.lower()) and name.lower() != dropped
     ]
     headers.append((REQUEST_ID_HEADER, state.request_id.encode()))
     headers.append((EXECUTION_HEADER, outcome.value.encode()))
--- a/tests/checkedstreams.py
+++ b/tests/checkedstreams.py
@@ -151,6 +151,7 @@
     """What callers do, and what became of it."""
 
     path: str = "/talk/"
+    service: str = "llm"  # That of the path.
     requests: int = 1
     retry_slack: float = 50.0
     retry_ratio: float = 0.2
@@ -198,7 +199,7 @@
             loop.listeners[address] = partial(
                 Serving, endpoints, name.encode()
             )
-            entry = EndpointEntry(name, "llm", *address, "z", 64)
+            entry = EndpointEntry(name, self.service, *address, "z", 64)
             platformupdates.apply_entry(front, replace(entry, version="v1"))
 
     def _send(self, loop: NetworkLoop, front: Front, number: int) -> None:
--- a/tests/test_routing_histories.py
+++ b/tests/test_routing_histories.py
@@ -245,6 +245,12 @@
         take_unnamed_refusals,
         {K.RUN_TWICE, K.FALSE_NOT_RUN},
     ),
+    "false refusals": (
+        lambda patch: patch.setattr(
+            attempt, "is_false_refusal", lambda route, head: False
+        ),
+        {K.FALSE_NOT_RUN},
+    ),
     "error in a stream": (relay_errors_in_streams, {K.GARBLED_ANSWER}),
     "broken stream ended": (end_broken_streams, {K.TRUNCATED_WHOLE}),
     "two writers": (share_the_body, {K.GARBLED_ANSWER}),
