Run requests whose head offers an upgrade with their body

Cause: httptools takes such a head for the end of its request, calls on_message_complete and raises HttpParserUpgrade. RequestReader passed the request on as complete with the body that it had; so did uvicorn's protocol on the own interface. A CONNECT request ended in the same way.

Change: RequestParser stands in for the parser on both interfaces. A head with an offer is not passed on; another parser reads it once more without Upgrade and goes on behind it, so that framing, limits and errors stay the library's. CONNECT is refused with 400. HTTP2-Settings is not passed on, also where Connection does not list it.

--- a/src/bulrushstream/platform/headers.py
+++ b/src/bulrushstream/platform/headers.py
@@ -33,6 +33,7 @@
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
+        b"http2-settings",
         b"expect",
         b"content-length",
     )
--- a/src/bulrushstream/transport/admission.py
+++ b/src/bulrushstream/transport/admission.py
@@ -58,6 +58,7 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
+        "http2-settings",
         "expect",
         "host",
         "content-length",
--- a/src/bulrushstream/transport/boundedprotocol.py
+++ b/src/bulrushstream/transport/boundedprotocol.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final, cast
 
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import (
@@ -20,8 +20,10 @@
 from uvicorn.server import ServerState
 
 from bulrushstream.messages import BAD_REQUEST, TOO_MANY_CONNECTIONS, Notice
+from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.excess import Excess, ExcessReason, OnExcess, PeerKind
 from bulrushstream.transport.problem import encode_problem, problem_headers
+from bulrushstream.transport.requestparser import RequestParser
 from bulrushstream.transport.requestreader import (
     CHUNK_FRAMING_BYTES,
     MAX_HEADERS,
@@ -66,6 +68,7 @@
     _timer: asyncio.TimerHandle | None  # Limits the time for a part.
     _refused: bool  # Whether what is received is dropped.
     _dropped_bytes: int
+    _own_parser: RequestParser  # In place of uvicorn's.
 
     def __init__(
         self,
@@ -86,6 +89,8 @@
         :param on_excess: logs and counts a peer that sends too much
         """
         super().__init__(config, state, {})
+        self._own_parser = RequestParser(self, lenient_data_after_close=True)
+        self.parser = cast(Any, self._own_parser)
         self.limits = limits
         self._on_headers = on_headers
         self._peer = peer
@@ -108,9 +113,10 @@
         self._start_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timer."""
+        """Cancel the timer, and drop the parser."""
         self._stop_timer()
         super().connection_lost(exc)
+        self._own_parser.close()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; refuse a request that exceeds a limit."""
@@ -138,6 +144,11 @@
             # Bytes between requests belong to the next head.
             self._start_timer()
 
+    @property
+    def received_head(self) -> tuple[bytes, RawHeaders]:
+        """Return the target and the headers of the request being read."""
+        return self.url, self.headers
+
     def on_message_begin(self) -> None:
         """Start the timer for a head."""
         super().on_message_begin()
--- a/src/bulrushstream/transport/requestreader.py
+++ b/src/bulrushstream/transport/requestreader.py
@@ -12,6 +12,7 @@
 
 from bulrushstream.state.call import RawHeaders
 from bulrushstream.state.excess import ExcessReason
+from bulrushstream.transport.requestparser import RequestParser
 
 # Limit of a request's headers and trailers.
 MAX_HEADERS: Final = 256
@@ -114,7 +115,7 @@
         :param sink: takes the requests
         """
         self._sink = sink
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(self)
         self._request: AnyRequest | None = None
         self._first_piece = b""  # Of the body; often all of it.
         self._rest = bytearray()
@@ -161,7 +162,7 @@
             if isinstance(cause, RejectedError):
                 raise cause from None
             raise RejectedError(400) from error
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserError:
             raise RejectedError(400) from None
         if self.framing_bytes > self._sink.max_head_bytes + SPARE_BYTES:
             if self.in_head:
@@ -178,6 +179,12 @@
 
     # --- Called by the parser.
 
+    @property
+    def received_head(self) -> tuple[bytes, RawHeaders]:
+        """Return the target and the headers of the request being read."""
+        request = self._request
+        return (request.target, request.headers) if request else (b"", [])
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._request = self._sink.new_request()
