Let a stop amid a watch go by a close that was seen already

What callers saw: nothing yet; found in reading the change. A router that stopped, or a deadline, within the 20 ms between an endpoint's unannounced close behind an odd end and the verdict ended the cut stream as whole.

Change: a watch that is ended early judges the close. Usual ends on connections that do not stay open anyway are no longer counted for closes.

Result: test_the_router_stops_behind_a_close failed before.

--- a/src/bulrushstream/daemon/endwatch.py
+++ b/src/bulrushstream/daemon/endwatch.py
@@ -82,7 +82,10 @@
 
         :param detail: why, for the log
         """
-        self._end(is_cut=False, detail=detail)
+        if self._closed_s:
+            self._judge_close()
+        else:
+            self._end(is_cut=False, detail=detail)
 
     def _followed(self, following: Following) -> None:
         """Handle what followed the stream."""
@@ -132,12 +135,14 @@
 
 
 def watch_usual(front: Front, service: str, connection: Connection) -> None:
-    """Learn whether endpoints close connections after whole streams.
+    """Learn whether endpoints close connections that are to be kept.
 
     :param front: the router
     :param service: the service whose stream has just ended as usual
     :param connection: its connection
     """
+    if connection.is_closed:
+        return
     ended_s = front.clock()
 
     def followed(following: Following) -> None:
--- a/tests/test_short_streams.py
+++ b/tests/test_short_streams.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import count
 from typing import Final, cast
 
 import pytest
@@ -36,7 +37,6 @@
 def play_tell(
     answers: list[Answer],
     *,
-    count: int = 3,
     do: Callable[[Front, Caller], None] | None = None,
     at_s: float = 0.0,
     deadline_s: float = 4.0,
@@ -44,7 +44,6 @@
     """Play streams that may not be resumed, one after the other.
 
     :param answers: those of the endpoints, in order
-    :param count: the number of endpoints
     :param do: is called for each request
     :param at_s: how long after the request
     :param deadline_s: how long callers wait
@@ -57,7 +56,7 @@
         at_s=at_s,
         deadline_s=deadline_s,
     )
-    play.run(Endpoints(answers, count=count, events=EVENTS))
+    play.run(Endpoints(answers, events=EVENTS))
     got = [body_of(each.data) for each in play.callers]
     return [(body, whole) for _, body, whole in got], play.ended_s
 
@@ -72,6 +71,22 @@
     return b"".join(EVENTS[: answer.until]), False
 
 
+def stop_at(number: int) -> Callable[[Front, Caller], None]:
+    """Return what ends the requests whose ends are watched, as a stop does.
+
+    :param number: the request for which it does so, from 1
+    """
+    numbers = count(1)
+
+    def stop(front: Front, caller: Caller) -> None:
+        if next(numbers) == number:
+            for each in list(front.forwards):
+                assert each.end_watch is not None
+                each.stop()
+
+    return stop
+
+
 class WholeStreamSuite:
     # Guards against whole streams that are broken off as they are rare.
     @pytest.mark.parametrize("share", [0.005, 0.01, 0.02, 0.05, 0.1, 0.2])
@@ -100,12 +115,9 @@
 
     # Guards against whole streams that are cut by a stop or the deadline.
     def test_the_router_stops_meanwhile(self) -> None:
-        def stop(front: Front, caller: Caller) -> None:
-            for each in list(front.forwards):
-                if each.end_watch is not None:
-                    each.stop()
-
-        got, took_s = play_tell([*LEARNED, SHORT], do=stop, at_s=0.06)
+        answers = [*LEARNED, SHORT]
+        stop = stop_at(len(answers))
+        got, took_s = play_tell(answers, do=stop, at_s=0.06)
         assert got[-1] == whole(SHORT)
         assert max(took_s) < MIN_WATCH_S
 
@@ -177,6 +189,11 @@
         got, _ = play_tell([*LEARNED, cuts, USUAL, cuts])
         assert got[-3:] == [cut(SHORT), whole(USUAL), cut(SHORT)]
 
+    def test_the_router_stops_behind_a_close(self) -> None:
+        answers = [*LEARNED, replace(SHORT, closes=True)]
+        got, _ = play_tell(answers, do=stop_at(len(answers)), at_s=0.085)
+        assert got[-1] == cut(SHORT)
+
     # Guards against the rest of a stream with long pauses that comes late.
     def test_the_rest_comes_after_a_pause(self) -> None:
         cuts = replace(
