--- a/review/common3/stand.py
+++ b/review/common3/stand.py
@@ -123,7 +123,7 @@
 revokeMs = 5000
 retryBudgetRatio = 0.2
 retryWindowS = 10
-retrySlack = 54
+retrySlack = {retry_slack}
 recoveryS = 12
 passMs = 120
 retryAfterS = 8.5
@@ -155,6 +155,7 @@
     folder: Path
     seeds: tuple[str, ...] = ()
     bootstrap: bool = True
+    retry_slack: int = 54
     process: subprocess.Popen[bytes] | None = None
     starts: int = 0
 
@@ -181,6 +182,7 @@
             ready=self.ready,
             control=self.ports + 18,
             memory_mb=MEMORY_MB,
+            retry_slack=self.retry_slack,
             store=self.store,
         )
         path = self.folder / f"{self.host}.toml"
